--- /dev/null
+++ b/bins/controller/src/lib.rs
@@ -0,0 +1,1 @@
+//! A candidate owner of shards; one runs on every entry host.
--- /dev/null
+++ b/bins/controller/src/main.rs
@@ -0,0 +1,3 @@
+//! A candidate owner of shards; one runs on every entry host.
+
+fn main() {}
--- /dev/null
+++ b/bins/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command.
+
+fn main() {}
--- /dev/null
+++ b/bins/demo/src/main.rs
@@ -0,0 +1,3 @@
+//! The whole path in one process, against the stand-ins.
+
+fn main() {}
--- /dev/null
+++ b/bins/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The caller side of an entry host.
--- /dev/null
+++ b/bins/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! The caller side of an entry host.
+
+fn main() {}
--- /dev/null
+++ b/bins/load/src/main.rs
@@ -0,0 +1,3 @@
+//! Load and experiments.
+
+fn main() {}
--- /dev/null
+++ b/components/clients/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform, engines and services, behind traits.
--- /dev/null
+++ b/components/coord/src/lib.rs
@@ -0,0 +1,9 @@
+//! Coordination parts for processes that keep nothing themselves.
+//!
+//! Everything that has to last lives in one versioned object store with
+//! conditional updates. The parts are state machines without I/O and without
+//! a clock: each takes the present time and an event, and returns actions.
+
+mod store;
+
+pub use crate::store::{CallId, Change, Expect, Key, Object, StoreCall, StoreReply, Version};
--- /dev/null
+++ b/components/model/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' objects as aggregates, and the check of a whole configuration.
--- /dev/null
+++ b/components/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Serving decisions: routing, admission, fairness, roles and spending.
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings files: JSON, checked as a whole, every finding with its path.
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and trace spans.
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between our own processes.
