--- /dev/null
+++ b/components/policy/src/request.rs
@@ -0,0 +1,62 @@
+//! Requests as the policy sees them.
+
+use std::sync::Arc;
+
+use chervilgate_clock::Time;
+use serde::{Deserialize, Serialize};
+
+use crate::{BlockHash, OrgId, ServiceId};
+
+/// The order in which an organisation's own requests are served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize)]
+pub enum Priority {
+    /// Served when nothing else waits.
+    Batch,
+    /// The usual one.
+    #[default]
+    Normal,
+    /// Served first.
+    Urgent,
+}
+
+/// What is known of a request before it runs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Request {
+    /// The organisation whose key came with it.
+    pub org: OrgId,
+    /// The service that it asks for.
+    pub service: ServiceId,
+    /// Prompt length in tokens; zero for plain services.
+    pub prompt: u32,
+    /// Output length in tokens: the caller's limit, or an estimate below it.
+    pub output: u32,
+    /// Hash chain over the prompt's full blocks of [`BLOCK_TOKENS`] tokens.
+    ///
+    /// [`BLOCK_TOKENS`]: crate::BLOCK_TOKENS
+    pub prefix: Arc<[BlockHash]>,
+    /// When the first token, or a plain service's answer, is due.
+    pub deadline: Time,
+    /// Its rank among the organisation's own requests.
+    pub priority: Priority,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Hash of the organisation and the whole request body, for poison detection.
+    pub fingerprint: u64,
+}
+
+/// Prompt tokens in one block of the prefix hash chain.
+pub const BLOCK_TOKENS: u32 = 64;
+
+impl Request {
+    /// Fair-queueing cost in tokens: output tokens weigh more than prompt tokens.
+    pub fn cost(&self) -> u64 {
+        u64::from(self.prompt) + OUTPUT_WEIGHT * u64::from(self.output) + REQUEST_COST
+    }
+}
+
+/// Prompt tokens that cost an engine as much as one output token.
+const OUTPUT_WEIGHT: u64 = 4;
+
+/// Cost of a request without tokens.
+const REQUEST_COST: u64 = 16;
