Add the borders to platform, engines and targets

Traits for objects, hosts, target orders, usage reports, engines and request sending, with HTTP adapters. The sender holds its own connections, so that a request that never left is told apart from one that may have run.

--- /dev/null
+++ b/components/clients/src/target/http.rs
@@ -0,0 +1,86 @@
+//! The engines' HTTP API: `GET /load` and `POST /orders`.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use hyper::{Method, Request, header::HOST};
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use crate::{
+    Engine, EngineError, HttpPool, HttpSender, LoadReport, OrderOutcome, OrderRequest,
+    body::collect,
+};
+
+/// Time allowed for a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The longest answer read, in bytes.
+const ANSWER_LIMIT: usize = 1 << 20;
+
+/// Engines that speak HTTP.
+#[derive(Clone, Default)]
+pub struct HttpEngine {
+    pool: HttpPool,
+}
+
+impl HttpEngine {
+    /// A client without connections.
+    pub fn new() -> HttpEngine {
+        HttpEngine::default()
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<T, EngineError> {
+        let unknown = |reason: String| EngineError::Unknown { addr, reason };
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, addr.to_string())
+            .body(body)
+            .map_err(|error| EngineError::Refused { addr, reason: error.to_string() })?;
+        let exchange = async {
+            let response = self.pool.send(addr, request).await.map_err(|error| {
+                let reason = error.to_string();
+                if error.not_run() {
+                    return EngineError::Unreachable { addr, reason };
+                }
+                unknown(reason)
+            })?;
+            let status = response.status();
+            let body = collect(response.into_body(), ANSWER_LIMIT)
+                .await
+                .map_err(|error| unknown(error.to_string()))?;
+            if !status.is_success() {
+                let text = String::from_utf8_lossy(&body);
+                return Err(EngineError::Refused { addr, reason: format!("{status}: {text}") });
+            }
+            serde_json::from_slice(&body).map_err(|error| unknown(error.to_string()))
+        };
+        timeout(CALL_TIMEOUT, exchange)
+            .await
+            .map_err(|_| unknown("no answer in time".to_owned()))?
+    }
+}
+
+#[async_trait]
+impl Engine for HttpEngine {
+    async fn load(&self, addr: SocketAddr) -> Result<LoadReport, EngineError> {
+        self.call(addr, Method::GET, "/load", Bytes::new()).await
+    }
+
+    async fn order(
+        &self,
+        addr: SocketAddr,
+        order: &OrderRequest,
+    ) -> Result<OrderOutcome, EngineError> {
+        let body = serde_json::to_vec(order)
+            .map_err(|error| EngineError::Refused { addr, reason: error.to_string() })?;
+        self.call(addr, Method::POST, "/orders", Bytes::from(body)).await
+    }
+}
