coord: name steps, incarnations and the stored encoding

Every machine needs the same identity for a process, the same label for an outward call and the same encoding, so they stand before the machines. Incarnations rather than addresses are identity, since an address is reused.

--- a/components/coord/src/lib.rs
+++ b/components/coord/src/lib.rs
@@ -4,6 +4,14 @@
 //! conditional updates. The parts are state machines without I/O and without
 //! a clock: each takes the present time and an event, and returns actions.
 
+mod codec;
+mod ident;
+mod step;
 mod store;
 
-pub use crate::store::{CallId, Change, Expect, Key, Object, StoreCall, StoreReply, Version};
+pub use crate::{
+    codec::{DecodeError, decode, encode},
+    ident::{Incarnation, Node, Zone},
+    step::{Protocol, Step},
+    store::{CallId, Change, Expect, Key, Object, StoreCall, StoreReply, Version},
+};
