--- /dev/null
+++ b/components/model/src/config.rs
@@ -0,0 +1,136 @@
+//! A whole configuration as one snapshot.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+use crate::{
+    Digest, Drain, KeyError, KeyRecord, ModelVersion, Name, Object, ObjectId, Organisation,
+    Placement, Service, Target, key::key_id,
+};
+
+/// Each object of a configuration, by name within its kind.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct Config {
+    /// Organisations.
+    pub organisations: BTreeMap<Name, Organisation>,
+    /// Keys, withdrawn ones included.
+    pub keys: BTreeMap<Name, KeyRecord>,
+    /// Services.
+    pub services: BTreeMap<Name, Service>,
+    /// Model versions.
+    pub versions: BTreeMap<Name, ModelVersion>,
+    /// Placements.
+    pub placements: BTreeMap<Name, Placement>,
+    /// Targets listed by hand.
+    pub targets: BTreeMap<Name, Target>,
+    /// Drains, by the target's id.
+    pub drains: BTreeMap<Name, Drain>,
+}
+
+/// Bytes that hold no configuration.
+#[derive(Debug, Snafu)]
+#[snafu(display("not a configuration, at {}", source.path()))]
+pub struct DecodeError {
+    source: serde_path_to_error::Error<serde_json::Error>,
+}
+
+impl Config {
+    /// Collects objects; a later object replaces an earlier one of its id.
+    pub fn from_objects(objects: impl IntoIterator<Item = Object>) -> Config {
+        let mut config = Config::default();
+        for object in objects {
+            config.insert(object);
+        }
+        config
+    }
+
+    /// Adds or replaces an object.
+    pub fn insert(&mut self, object: Object) {
+        let name = object.name().clone();
+        match object {
+            Object::Organisation(object) => drop(self.organisations.insert(name, object)),
+            Object::Key(object) => drop(self.keys.insert(name, object)),
+            Object::Service(object) => drop(self.services.insert(name, object)),
+            Object::ModelVersion(object) => drop(self.versions.insert(name, object)),
+            Object::Placement(object) => drop(self.placements.insert(name, object)),
+            Object::Target(object) => drop(self.targets.insert(name, object)),
+            Object::Drain(object) => drop(self.drains.insert(name, object)),
+        }
+    }
+
+    /// Each object by its id.
+    pub fn objects(&self) -> BTreeMap<ObjectId, Object> {
+        let organisations = self.organisations.values().cloned().map(Object::Organisation);
+        let keys = self.keys.values().cloned().map(Object::Key);
+        let services = self.services.values().cloned().map(Object::Service);
+        let versions = self.versions.values().cloned().map(Object::ModelVersion);
+        let placements = self.placements.values().cloned().map(Object::Placement);
+        let targets = self.targets.values().cloned().map(Object::Target);
+        let drains = self.drains.values().cloned().map(Object::Drain);
+        organisations
+            .chain(keys)
+            .chain(services)
+            .chain(versions)
+            .chain(placements)
+            .chain(targets)
+            .chain(drains)
+            .map(|object| (object.id(), object))
+            .collect()
+    }
+
+    /// The canonical encoding: JSON without blanks, objects sorted by name.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("names are strings and numbers are finite")
+    }
+
+    /// Reads the canonical encoding.
+    ///
+    /// # Errors
+    /// If `bytes` are not JSON or not a configuration.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Config, DecodeError> {
+        let mut json = serde_json::Deserializer::from_slice(bytes);
+        serde_path_to_error::deserialize(&mut json).context(DecodeSnafu)
+    }
+
+    /// The digest of the canonical encoding.
+    pub fn digest(&self) -> Digest {
+        Digest::of(&self.to_bytes())
+    }
+
+    /// The record of the key that a caller presented.
+    ///
+    /// # Errors
+    /// If it is malformed, unknown or withdrawn.
+    pub fn verify_key(&self, key: &str) -> Result<&KeyRecord, KeyError> {
+        let record = self.keys.get(key_id(key)?).ok_or(KeyError::Unknown)?;
+        record.verify(key)?;
+        Ok(record)
+    }
+
+    /// The service that serves `model` to callers.
+    pub fn service_of_model(&self, model: &str) -> Option<&Service> {
+        self.services.values().find(|service| service.model().is_some_and(|name| *name == model))
+    }
+
+    /// The service whose prefix `path` has, and the rest of the path.
+    pub fn service_at<'a>(&self, path: &'a str) -> Option<(&Service, &'a str)> {
+        self.services
+            .values()
+            .filter_map(|service| Some((service, service.strip_prefix(path)?)))
+            .max_by_key(|(service, _)| service.prefix.len())
+    }
+
+    /// Targets listed by hand for `service`.
+    pub fn targets_of(&self, service: &str) -> impl Iterator<Item = &Target> {
+        self.targets.values().filter(move |target| target.service == *service)
+    }
+
+    /// Whether the target `name` is to get no new work.
+    pub fn is_draining(&self, name: &str) -> bool {
+        self.drains.contains_key(name)
+    }
+}
--- /dev/null
+++ b/components/model/src/key.rs
@@ -0,0 +1,110 @@
+//! Keys: issued once in the clear, stored and checked by their hash.
+//!
+//! A key reads `cgk_<id>_<secret>`. The id finds the record; the whole text is
+//! hashed and compared with the record's hash in constant time. The secret has
+//! 256 random bits, so an unsalted hash cannot be searched.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::{Digest, Name};
+
+const PREFIX: &str = "cgk_";
+/// Random bytes in a key's id.
+const ID_BYTES: usize = 6;
+/// Random bytes in a key's secret.
+const SECRET_BYTES: usize = 32;
+
+/// What is kept of a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct KeyRecord {
+    /// The key's id, the part between its underscores.
+    pub name: Name,
+    /// The organisation that it speaks for.
+    pub organisation: Name,
+    /// The hash of the whole key.
+    pub hash: Digest,
+    /// Refused everywhere from now on; never undone.
+    pub withdrawn: bool,
+}
+
+/// A key in the clear; shown once, never logged or stored.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(String);
+
+/// Why a presented key is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum KeyError {
+    /// It does not have the form of a key.
+    #[snafu(display("malformed key"))]
+    Malformed,
+    /// No record has its id, or its secret is wrong.
+    #[snafu(display("unknown key"))]
+    Unknown,
+    /// It was withdrawn.
+    #[snafu(display("withdrawn key"))]
+    Withdrawn,
+}
+
+impl Secret {
+    /// The key itself, to be shown once.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(…)")
+    }
+}
+
+impl KeyRecord {
+    /// Checks `key` against this record.
+    ///
+    /// # Errors
+    /// `Unknown` if the secret is another one, `Withdrawn` after a withdrawal.
+    pub fn verify(&self, key: &str) -> Result<(), KeyError> {
+        if !self.hash.matches(&Digest::of(key.as_bytes())) {
+            return Err(KeyError::Unknown);
+        }
+        if self.withdrawn {
+            return Err(KeyError::Withdrawn);
+        }
+        Ok(())
+    }
+}
+
+/// Issues a key for `organisation`; `fill` must fill its buffer from a
+/// cryptographic random source.
+pub fn issue_key(organisation: &Name, mut fill: impl FnMut(&mut [u8])) -> (Secret, KeyRecord) {
+    let mut id = [0; ID_BYTES];
+    fill(&mut id);
+    let mut secret = [0; SECRET_BYTES];
+    fill(&mut secret);
+
+    let id = hex::encode(id);
+    let key = format!("{PREFIX}{id}_{}", hex::encode(secret));
+    let record = KeyRecord {
+        name: id.parse().expect("hexadecimal digits make a name"),
+        organisation: organisation.clone(),
+        hash: Digest::of(key.as_bytes()),
+        withdrawn: false,
+    };
+    (Secret(key), record)
+}
+
+/// The id inside `key`.
+///
+/// # Errors
+/// `Malformed` if `key` is not of the form `cgk_<id>_<secret>`.
+pub(crate) fn key_id(key: &str) -> Result<&str, KeyError> {
+    let rest = key.strip_prefix(PREFIX).ok_or(KeyError::Malformed)?;
+    let (id, secret) = rest.split_once('_').ok_or(KeyError::Malformed)?;
+    let sized = id.len() == 2 * ID_BYTES && secret.len() == 2 * SECRET_BYTES;
+    let hex = rest.bytes().all(|b| b.is_ascii_hexdigit() || b == b'_');
+    if sized && hex { Ok(id) } else { Err(KeyError::Malformed) }
+}
