--- /dev/null
+++ b/components/serve/src/lib.rs
@@ -0,0 +1,9 @@
+//! Serving HTTP: the accept loop, its limits and its graceful stop.
+
+mod accept;
+mod limits;
+
+pub use crate::{
+    accept::{Handler, serve},
+    limits::Limits,
+};
--- /dev/null
+++ b/components/standins/src/platform/api.rs
@@ -0,0 +1,203 @@
+//! The platform's HTTP API.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use chervilgate_clients::{
+    Body,
+    body::{collect, empty, full},
+    platform::{ObjectJson, ObjectsJson, WatchJson},
+};
+use chervilgate_coord::{Expect, Object, Version};
+use chervilgate_serve::Handler;
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{ETAG, IF_MATCH, IF_NONE_MATCH},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::{Shared, objects::Conflict};
+
+/// The largest value, in bytes.
+const VALUE_LIMIT: usize = 1 << 20;
+/// How long a watch waits before it answers with nothing.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+pub(super) struct Api {
+    pub(super) shared: Arc<Shared>,
+}
+
+#[async_trait]
+impl Handler for Api {
+    async fn handle(&self, _peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
+        let faults = self.shared.lock().faults;
+        sleep(faults.delay).await;
+        if faults.down {
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        self.shared.lock().record.calls += 1;
+        let response = self.answer(request).await;
+        if self.shared.lock().faults.lose_answers {
+            return lost_answer();
+        }
+        response
+    }
+}
+
+impl Api {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let query = read_query(head.uri.query().unwrap_or_default());
+        let path = head.uri.path().to_owned();
+        let Ok(content) = collect(body, VALUE_LIMIT).await else {
+            return status(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        if let Some(key) = path.strip_prefix("/objects/") {
+            return self.object(&head.method, key, &head.headers, content);
+        }
+        match (&head.method, path.as_str()) {
+            (&Method::GET, "/objects") => self.list(&query),
+            (&Method::GET, "/watch") => self.watch(&query).await,
+            (&Method::GET, "/hosts") => json(&self.shared.lock().hosts),
+            (&Method::POST, "/target-orders") => {
+                self.post(&content, |record, order| record.take_order(order))
+            }
+            (&Method::POST, "/usage") => {
+                self.post(&content, |record, report| record.take_usage(report))
+            }
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn object(
+        &self,
+        method: &Method,
+        key: &str,
+        headers: &HeaderMap,
+        content: Bytes,
+    ) -> Response<Body> {
+        let mut state = self.shared.lock();
+        let written = match (method, read_condition(headers)) {
+            (&Method::GET, _) => return found(state.objects.get(key), StatusCode::OK),
+            (&Method::PUT, Some(expect)) => state.objects.put(key, expect, content.to_vec()),
+            (&Method::DELETE, Some(Expect::At(version))) => state.objects.delete(key, version),
+            _ => return status(StatusCode::BAD_REQUEST),
+        };
+        state.record.writes += 1;
+        drop(state);
+        match written {
+            Ok(version) => {
+                self.shared.changed.notify_waiters();
+                tagged(StatusCode::OK, version, Bytes::new())
+            }
+            Err(Conflict(object)) => found(object.as_ref(), StatusCode::PRECONDITION_FAILED),
+        }
+    }
+
+    fn list(&self, query: &BTreeMap<String, String>) -> Response<Body> {
+        let prefix = query.get("prefix").map_or("", String::as_str);
+        let state = self.shared.lock();
+        let objects = state.objects.list(prefix).map(ObjectJson::put).collect();
+        json(&ObjectsJson { version: state.objects.version().0, objects })
+    }
+
+    async fn watch(&self, query: &BTreeMap<String, String>) -> Response<Body> {
+        let prefix = query.get("prefix").map_or("", String::as_str);
+        let after = query.get("after").and_then(|after| after.parse().ok()).unwrap_or(0);
+        let deadline = Instant::now() + WATCH_WAIT;
+        loop {
+            let changed = self.shared.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if let Some(response) = self.changes(prefix, Version(after)) {
+                return response;
+            }
+            if timeout_at(deadline, changed).await.is_err() {
+                let version = self.shared.lock().objects.version().0;
+                return json(&WatchJson { version, changes: Vec::new() });
+            }
+        }
+    }
+
+    fn changes(&self, prefix: &str, after: Version) -> Option<Response<Body>> {
+        let state = self.shared.lock();
+        if state.faults.down {
+            return Some(status(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        let Some(changes) = state.objects.changes(prefix, after) else {
+            return Some(status(StatusCode::GONE));
+        };
+        if changes.is_empty() {
+            return None;
+        }
+        let changes = changes.into_iter().map(ObjectJson::change).collect();
+        Some(json(&WatchJson { version: state.objects.version().0, changes }))
+    }
+
+    fn post<T: DeserializeOwned, A: Serialize>(
+        &self,
+        content: &Bytes,
+        take: impl FnOnce(&mut super::PlatformRecord, T) -> A,
+    ) -> Response<Body> {
+        match serde_json::from_slice(content) {
+            Ok(posted) => json(&take(&mut self.shared.lock().record, posted)),
+            Err(error) => respond(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+}
+
+fn read_query(query: &str) -> BTreeMap<String, String> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+}
+
+fn read_condition(headers: &HeaderMap) -> Option<Expect> {
+    if headers.get(IF_NONE_MATCH).is_some_and(|tag| tag == "*") {
+        return Some(Expect::Absent);
+    }
+    let tag = headers.get(IF_MATCH)?.to_str().ok()?;
+    tag.trim_matches('"').parse().ok().map(|version| Expect::At(Version(version)))
+}
+
+fn found(object: Option<&Object>, code: StatusCode) -> Response<Body> {
+    match object {
+        Some(object) => tagged(code, object.version, Bytes::copy_from_slice(&object.value)),
+        None if code == StatusCode::OK => status(StatusCode::NOT_FOUND),
+        None => status(code),
+    }
+}
+
+fn tagged(code: StatusCode, version: Version, content: Bytes) -> Response<Body> {
+    let mut response = respond(code, content);
+    if let Ok(tag) = format!("\"{}\"", version.0).parse() {
+        response.headers_mut().insert(ETAG, tag);
+    }
+    response
+}
+
+fn json(content: &impl Serialize) -> Response<Body> {
+    match serde_json::to_vec(content) {
+        Ok(bytes) => respond(StatusCode::OK, bytes),
+        Err(error) => respond(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
+fn status(code: StatusCode) -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = code;
+    response
+}
+
+fn respond(code: StatusCode, content: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(full(content));
+    *response.status_mut() = code;
+    response
+}
+
+/// A response whose body breaks off at once, and the connection with it.
+fn lost_answer() -> Response<Body> {
+    crate::listen::broken_response(Vec::new())
+}
--- /dev/null
+++ b/components/standins/src/service.rs
@@ -0,0 +1,126 @@
+//! A plain service whose calls leave a trace.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use chervilgate_clients::{
+    Body,
+    body::{collect, full},
+};
+use chervilgate_serve::Handler;
+use hyper::{Request, Response, StatusCode, body::Incoming, header::AUTHORIZATION};
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::{Standin, listen::broken_response};
+
+/// The longest request, in bytes.
+const REQUEST_LIMIT: usize = 1 << 20;
+
+/// Faults of a service; all off at first.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ServiceFaults {
+    /// Each call takes this much longer.
+    pub delay: Duration,
+    /// Calls take effect, but the connection breaks before the answer.
+    pub lose_answers: bool,
+}
+
+#[derive(Default)]
+struct State {
+    faults: ServiceFaults,
+    runs: BTreeMap<String, u32>,
+    keys_seen: u64,
+}
+
+#[derive(Default)]
+struct Shared(Mutex<State>);
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A plain service on a loopback port.
+pub struct ServiceStandin {
+    shared: Arc<Shared>,
+    standin: Standin,
+}
+
+impl ServiceStandin {
+    /// Starts a service on `port`; zero picks a free one.
+    pub fn start(port: u16) -> io::Result<ServiceStandin> {
+        let shared = Arc::new(Shared::default());
+        let standin = Standin::start(Arc::new(Api { shared: shared.clone() }), port)?;
+        Ok(ServiceStandin { shared, standin })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.standin.addr()
+    }
+
+    /// Sets its faults.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        self.shared.lock().faults = faults;
+    }
+
+    /// How often each request ran, by method, path and body.
+    pub fn runs(&self) -> BTreeMap<String, u32> {
+        self.shared.lock().runs.clone()
+    }
+
+    /// Requests that carried a caller's key; there should be none.
+    pub fn keys_seen(&self) -> u64 {
+        self.shared.lock().keys_seen
+    }
+}
+
+struct Api {
+    shared: Arc<Shared>,
+}
+
+#[async_trait]
+impl Handler for Api {
+    async fn handle(&self, _peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let Ok(content) = collect(body, REQUEST_LIMIT).await else {
+            return refusal(StatusCode::BAD_REQUEST);
+        };
+        let content = String::from_utf8_lossy(&content).into_owned();
+        let call = format!("{} {} {content}", head.method, head.uri.path());
+        let faults = self.count(call, head.headers.contains_key(AUTHORIZATION));
+        sleep(faults.delay).await;
+        if faults.lose_answers {
+            return broken_response(Vec::new());
+        }
+        let answer = json!({ "path": head.uri.path(), "received": content });
+        let mut response = Response::new(full(answer.to_string()));
+        if let Some(id) = head.headers.get("x-request-id") {
+            response.headers_mut().insert("x-request-id", id.clone());
+        }
+        response
+    }
+}
+
+impl Api {
+    fn count(&self, call: String, with_key: bool) -> ServiceFaults {
+        let mut state = self.shared.lock();
+        *state.runs.entry(call).or_default() += 1;
+        state.keys_seen += u64::from(with_key);
+        state.faults
+    }
+}
+
+fn refusal(code: StatusCode) -> Response<Body> {
+    let mut response = Response::new(full("the request broke off"));
+    *response.status_mut() = code;
+    response
+}
