Add a bed that runs machines in virtual time under faults

Machines without I/O take part through one small trait; the store, the network and the hosts are fakes at the interfaces. A fault strikes between a call's last check, its leaving and its arrival.

--- a/components/coord/src/lib.rs
+++ b/components/coord/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod codec;
 mod ident;
+mod order;
 mod step;
 mod store;
 
 pub use crate::{
     codec::{DecodeError, decode, encode},
     ident::{Incarnation, Node, Zone},
+    order::{Epoch, Fence, Order, OrderId, OrderReply, ProbeReply, ReceiverId, ShardId},
     step::{Protocol, Step},
     store::{CallId, Change, Expect, Key, Object, StoreCall, StoreReply, Version},
 };
--- a/components/coord/src/step.rs
+++ b/components/coord/src/step.rs
@@ -12,6 +12,8 @@
     Session,
     /// Ownership of shards and its takeover.
     Shard,
+    /// Proof that a former owner is out, and what follows from it.
+    Takeover,
     /// Orders to engines.
     Order,
     /// Orders for targets, by availability zone.
--- /dev/null
+++ b/components/testbed/src/bed/calls.rs
@@ -0,0 +1,314 @@
+//! The way of a call: it leaves, arrives, takes effect and is answered.
+
+use std::{net::SocketAddr, time::Duration};
+
+use chervilgate_coord::{CallId, Change, ProbeReply, StoreCall, StoreReply};
+use rand::RngExt;
+
+use crate::{
+    bed::{Bed, StoreMode, Waiting, faults::Mark, hosts::HostState},
+    network::{HostId, Place, path_delay, store_delay},
+    process::{Answer, Input, Output, Request},
+    queue::Event,
+    store::Served,
+};
+
+/// A client gives a store call up after this span.
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long the store lets a watch wait.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// A client gives a watch up after this span.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(12);
+
+/// A client gives an endpoint call up after this span.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A client gives a probe up after this span.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How late a late answer comes: past every timeout but a watch's.
+const LATE_DELAY: Duration = Duration::from_secs(4);
+
+/// How late the second copy of something doubled comes.
+pub(super) const DOUBLE_DELAY: Duration = Duration::from_millis(1_500);
+
+/// How often a call that leaves arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Passage {
+    Never,
+    Once,
+    Twice,
+}
+
+impl Bed {
+    /// Lets a call go out that has passed its last check.
+    pub(super) fn leave(&mut self, host: HostId, life: u64, output: Output, passage: Passage) {
+        if self.hosts[host.0].life != life {
+            return;
+        }
+        self.count(&output);
+        self.await_answer(host, life, &output);
+        let Some(to) = self.place_of(&output) else {
+            return;
+        };
+        if passage == Passage::Never || !self.network.connects(&Place::Host(host), &to) {
+            return;
+        }
+        let delay = match to {
+            Place::Store => store_delay(&mut self.rng, self.mode == StoreMode::Slow),
+            Place::Host(_) | Place::Endpoint(_) => path_delay(&mut self.rng),
+        };
+        let Some(event) = self.arrival(host, life, output) else {
+            return;
+        };
+        if passage == Passage::Twice {
+            self.push(self.now + delay + DOUBLE_DELAY, event.clone());
+        }
+        self.push(self.now + delay, event);
+    }
+
+    fn place_of(&self, output: &Output) -> Option<Place> {
+        match output {
+            Output::Store { .. } => Some(Place::Store),
+            Output::Call { endpoint, .. } => Some(Place::Endpoint(endpoint.clone())),
+            Output::Probe { addr, .. } => self.host_at(*addr).map(Place::Host),
+            Output::Peer { to, .. } => self.host_at(*to).map(Place::Host),
+            Output::Record(_) | Output::Exit => None,
+        }
+    }
+
+    fn arrival(&self, host: HostId, life: u64, output: Output) -> Option<Event> {
+        match output {
+            Output::Store { id, call, .. } => Some(Event::AtStore { host, life, id, call }),
+            Output::Call { id, endpoint, request, .. } => {
+                Some(Event::AtEndpoint { host, life, id, endpoint, request })
+            }
+            Output::Probe { id, addr, .. } => Some(Event::AtProbed { host, life, id, addr }),
+            Output::Peer { to, body, .. } => {
+                Some(Event::AtPeer { from: self.hosts[host.0].addr, to, body })
+            }
+            Output::Record(_) | Output::Exit => None,
+        }
+    }
+
+    pub(super) fn at_store(&mut self, host: HostId, life: u64, id: CallId, call: &StoreCall) {
+        if self.mode == StoreMode::Down {
+            self.refuse(host, life, id);
+            return;
+        }
+        let before = self.store.version();
+        match self.store.serve(call) {
+            Served::Reply(reply) => {
+                if let (StoreCall::Put { key, value, .. }, StoreReply::Written(_)) = (call, &reply)
+                {
+                    self.record_write(key, value);
+                }
+                self.answer_store(host, life, id, reply);
+            }
+            Served::Waits { prefix, after } => {
+                self.waiting.push(Waiting { host, life, id, prefix, after });
+                self.push(self.now + WATCH_WAIT, Event::WatchEnds { host, life, id });
+            }
+        }
+        if self.store.version() != before {
+            self.wake_watches();
+        }
+    }
+
+    pub(super) fn end_watch(&mut self, host: HostId, life: u64, id: CallId) {
+        let ends = |watch: &Waiting| watch.host == host && watch.life == life && watch.id == id;
+        let Some(position) = self.waiting.iter().position(ends) else {
+            return;
+        };
+        let watch = self.waiting.swap_remove(position);
+        let reply = StoreReply::Changed { changes: Vec::new(), version: watch.after };
+        self.answer_store(host, life, id, reply);
+    }
+
+    pub(super) fn at_endpoint(
+        &mut self,
+        host: HostId,
+        life: u64,
+        id: CallId,
+        name: &str,
+        request: &Request,
+    ) {
+        let Some(endpoint) = self.endpoints.get_mut(name) else {
+            return;
+        };
+        let mut facts = Vec::new();
+        let answer = endpoint.handle(self.now, request, &mut facts);
+        for fact in facts {
+            self.history.add(self.now, fact);
+        }
+        let Some(reply) = answer else {
+            return;
+        };
+        let delay = path_delay(&mut self.rng);
+        let input = Input::Answer { id, reply };
+        self.push_answer(Place::Endpoint(name.to_owned()), host, life, id, input, delay);
+    }
+
+    pub(super) fn at_probed(&mut self, host: HostId, life: u64, id: CallId, addr: SocketAddr) {
+        let Some(probed) = self.host_at(addr) else {
+            return;
+        };
+        if !self.network.connects(&Place::Host(host), &Place::Host(probed)) {
+            return;
+        }
+        let reply = match self.hosts[probed.0].state {
+            HostState::Up => ProbeReply::Answers(self.hosts[probed.0].incarnation),
+            HostState::Empty => ProbeReply::Refused,
+            HostState::Paused | HostState::Gone => return,
+        };
+        let delay = path_delay(&mut self.rng);
+        let input = Input::Probe { id, reply };
+        self.push_answer(Place::Host(probed), host, life, id, input, delay);
+    }
+
+    pub(super) fn at_peer(&mut self, from: SocketAddr, to: SocketAddr, body: Vec<u8>) {
+        let (Some(sender), Some(host)) = (self.host_at(from), self.host_at(to)) else {
+            return;
+        };
+        if self.network.connects(&Place::Host(sender), &Place::Host(host)) {
+            let life = self.hosts[host.0].life;
+            self.deliver(host, life, Input::Peer { from, body });
+        }
+    }
+
+    pub(super) fn expire(&mut self, host: HostId, life: u64, id: CallId) {
+        let Some(Event::Deliver { input, .. }) = self.open.remove(&(host, life, id)) else {
+            return;
+        };
+        self.deliver(host, life, input);
+    }
+
+    fn await_answer(&mut self, host: HostId, life: u64, output: &Output) {
+        let Some((id, timeout, input)) = silence(output) else {
+            return;
+        };
+        self.open.insert((host, life, id), Event::Deliver { host, life, input });
+        self.push(self.now + timeout, Event::Expire { host, life, id });
+    }
+
+    fn answer_store(&mut self, host: HostId, life: u64, id: CallId, reply: StoreReply) {
+        self.counts.bytes += reply_bytes(&reply);
+        let delay = store_delay(&mut self.rng, self.mode == StoreMode::Slow);
+        let input = Input::Store { id, reply };
+        self.push_answer(Place::Store, host, life, id, input, delay);
+    }
+
+    fn push_answer(
+        &mut self,
+        from: Place,
+        host: HostId,
+        life: u64,
+        id: CallId,
+        input: Input,
+        delay: Duration,
+    ) {
+        let at = self.now + delay;
+        let answer = Event::Answer { from, host, life, id, input };
+        match self.marks.remove(&(host, life, id)) {
+            None => self.push(at, answer),
+            Some(Mark::Lost) => {}
+            Some(Mark::Doubled) => {
+                self.push(at, answer.clone());
+                self.push(at + DOUBLE_DELAY, answer);
+            }
+            Some(Mark::Late) => self.push(at + LATE_DELAY, answer),
+        }
+    }
+
+    fn refuse(&mut self, host: HostId, life: u64, id: CallId) {
+        if self.rng.random_bool(0.5) {
+            self.answer_store(host, life, id, StoreReply::Refused);
+        }
+    }
+
+    fn wake_watches(&mut self) {
+        let waiting = std::mem::take(&mut self.waiting);
+        for watch in waiting {
+            let call = StoreCall::Watch { prefix: watch.prefix.clone(), after: watch.after };
+            match self.store.serve(&call) {
+                Served::Waits { .. } => self.waiting.push(watch),
+                Served::Reply(reply) => self.answer_store(watch.host, watch.life, watch.id, reply),
+            }
+        }
+    }
+
+    fn record_write(&mut self, key: &str, value: &[u8]) {
+        let Some(fact) = self.recorder.as_ref().and_then(|recorder| recorder(key, value)) else {
+            return;
+        };
+        self.history.add(self.now, fact);
+    }
+
+    fn count(&mut self, output: &Output) {
+        match output {
+            Output::Store { call, .. } => self.count_store(call),
+            Output::Call { .. } => self.counts.calls += 1,
+            Output::Probe { .. } => self.counts.probes += 1,
+            Output::Peer { .. } => self.counts.messages += 1,
+            Output::Record(_) | Output::Exit => {}
+        }
+    }
+
+    fn count_store(&mut self, call: &StoreCall) {
+        let bytes = match call {
+            StoreCall::Get { key } | StoreCall::List { prefix: key } => key.len(),
+            StoreCall::Watch { prefix, .. } => prefix.len(),
+            StoreCall::Put { key, value, .. } => key.len() + value.len(),
+            StoreCall::Delete { key, .. } => key.len(),
+        };
+        self.counts.bytes += bytes as u64;
+        match call {
+            StoreCall::Put { .. } | StoreCall::Delete { .. } => self.counts.writes += 1,
+            StoreCall::Get { .. } | StoreCall::List { .. } | StoreCall::Watch { .. } => {
+                self.counts.reads += 1;
+            }
+        }
+    }
+}
+
+/// How long a call is waited for, and what its caller makes of silence.
+fn silence(output: &Output) -> Option<(CallId, Duration, Input)> {
+    match output {
+        Output::Store { id, call, .. } => {
+            let watches = matches!(call, StoreCall::Watch { .. });
+            let timeout = if watches { WATCH_TIMEOUT } else { STORE_TIMEOUT };
+            Some((*id, timeout, Input::Store { id: *id, reply: StoreReply::Unknown }))
+        }
+        Output::Call { id, .. } => {
+            Some((*id, CALL_TIMEOUT, Input::Answer { id: *id, reply: Answer::Unknown }))
+        }
+        Output::Probe { id, .. } => {
+            Some((*id, PROBE_TIMEOUT, Input::Probe { id: *id, reply: ProbeReply::Silent }))
+        }
+        Output::Peer { .. } | Output::Record(_) | Output::Exit => None,
+    }
+}
+
+fn reply_bytes(reply: &StoreReply) -> u64 {
+    let object_bytes = |object: &chervilgate_coord::Object| object.key.len() + object.value.len();
+    let bytes = match reply {
+        StoreReply::Found(object) | StoreReply::Conflict(object) => {
+            object.as_ref().map_or(0, object_bytes)
+        }
+        StoreReply::Listed { objects, .. } => objects.iter().map(object_bytes).sum(),
+        StoreReply::Changed { changes, .. } => changes
+            .iter()
+            .map(|change| match change {
+                Change::Put(object) => object_bytes(object),
+                Change::Delete { key, .. } => key.len(),
+            })
+            .sum(),
+        StoreReply::Written(_)
+        | StoreReply::Compacted
+        | StoreReply::Refused
+        | StoreReply::Unknown => 0,
+    };
+    bytes as u64
+}
--- /dev/null
+++ b/components/testbed/src/history.rs
@@ -0,0 +1,232 @@
+//! The recorded history of a run: what the checker judges.
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{
+    Epoch, Incarnation, Order, OrderReply, ReceiverId, ShardId, Step, Version,
+};
+
+use crate::network::HostId;
+
+/// One caller's request; unique within a history.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u64);
+
+/// What a caller is told of a request that got no whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The request did not run and will not.
+    NotRun,
+    /// The request ran, or may be running.
+    Unknown,
+}
+
+/// Why a running request ended early.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CutCause {
+    /// A planned change or stop.
+    Planned,
+    /// A fault of a host or a target.
+    Fault,
+}
+
+/// Something that has happened.
+///
+/// Facts of authority and orders are recorded by the bed and its endpoints;
+/// machines add their beliefs. Facts of requests, keys, drains, windows and
+/// configurations are recorded by whoever plays these parts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fact {
+    /// A call left its process.
+    Called(Step),
+    /// A fault was caused.
+    Faulted(String),
+    /// The process believes that it owns the shard.
+    Holds {
+        /// The shard.
+        shard: ShardId,
+        /// The epoch it owns it under.
+        epoch: Epoch,
+        /// When the belief ends by itself.
+        until: Time,
+    },
+    /// The process has given up the shard, or learnt that it lost it.
+    Yields {
+        /// The shard.
+        shard: ShardId,
+    },
+    /// A receiver's record was written to the store.
+    Recorded {
+        /// The receiver.
+        receiver: ReceiverId,
+        /// The number of its open order.
+        open: Option<u64>,
+    },
+    /// The owner keeps off a receiver until a former sender is proved out.
+    Frozen {
+        /// The receiver.
+        receiver: ReceiverId,
+        /// The former sender.
+        sender: Incarnation,
+    },
+    /// The former sender is proved out.
+    Thawed {
+        /// The receiver.
+        receiver: ReceiverId,
+    },
+    /// A receiver got an order.
+    Received {
+        /// The order.
+        order: Order,
+        /// Whether the receiver refuses old fencing tokens.
+        fencing: bool,
+        /// What the receiver made of it.
+        reply: OrderReply,
+    },
+    /// The platform got a target order.
+    TargetOrdered {
+        /// The order; its receiver is the zone.
+        order: Order,
+    },
+    /// The platform got a usage report.
+    Reported {
+        /// The window's name.
+        window: String,
+        /// The figures, in any canonical form.
+        figures: Vec<u8>,
+        /// The process that sent it.
+        sender: Incarnation,
+        /// The epoch it was sent under.
+        epoch: Epoch,
+    },
+    /// A caller sent a request.
+    Requested {
+        /// The request; a resend by the caller keeps it.
+        request: RequestId,
+        /// The organisation of the key that came with it; `None` on an open route.
+        organisation: Option<String>,
+        /// Whether it may run more than once.
+        repeatable: bool,
+    },
+    /// A request was handed to a target.
+    Dispatched {
+        /// The request.
+        request: RequestId,
+        /// The target.
+        target: String,
+        /// The organisation it runs for.
+        organisation: Option<String>,
+        /// The key that allowed it.
+        key: Option<String>,
+        /// Whether the target could see the key.
+        exposed: bool,
+        /// The configuration it was dispatched under.
+        config: Version,
+    },
+    /// A target began to run a request.
+    Ran {
+        /// The request.
+        request: RequestId,
+        /// The target.
+        target: String,
+    },
+    /// A running request was ended before its answer was whole.
+    Cut {
+        /// The request.
+        request: RequestId,
+        /// Why.
+        cause: CutCause,
+    },
+    /// A caller got an answer.
+    Answered {
+        /// The request it asked.
+        request: RequestId,
+        /// The request that the answer belongs to.
+        origin: RequestId,
+        /// Whether the answer came to its end, with nothing missing or double.
+        whole: bool,
+    },
+    /// A caller was refused.
+    Refused {
+        /// The request.
+        request: RequestId,
+        /// What it was told.
+        outcome: Outcome,
+    },
+    /// An operator was told that a key's withdrawal is accepted.
+    Withdrawn {
+        /// The key.
+        key: String,
+    },
+    /// An operator was told that a target is leaving.
+    Leaving {
+        /// The target.
+        target: String,
+    },
+    /// A target or a host was stopped as planned.
+    Stopped {
+        /// Its name.
+        name: String,
+        /// Requests that were running on it.
+        running: usize,
+    },
+    /// An operator was told that a configuration is accepted.
+    Accepted {
+        /// Its version.
+        config: Version,
+    },
+    /// A process put a configuration into force.
+    Adopted {
+        /// Its version.
+        config: Version,
+    },
+}
+
+/// A fact with its time and source.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// When it happened.
+    pub at: Time,
+    /// The host it happened on; `None` outside the system.
+    pub host: Option<HostId>,
+    /// The process it happened in.
+    pub process: Option<Incarnation>,
+    /// What happened.
+    pub fact: Fact,
+}
+
+/// Everything that happened in a run, in order.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct History {
+    /// The entries, oldest first.
+    pub entries: Vec<Entry>,
+}
+
+impl History {
+    /// Adds a fact from outside the system.
+    pub fn add(&mut self, at: Time, fact: Fact) {
+        self.entries.push(Entry { at, host: None, process: None, fact });
+    }
+
+    /// Adds a fact of a process.
+    pub fn add_of(&mut self, at: Time, host: HostId, process: Incarnation, fact: Fact) {
+        self.entries.push(Entry { at, host: Some(host), process: Some(process), fact });
+    }
+
+    /// The last `count` entries, one a line.
+    pub fn tail(&self, count: usize) -> String {
+        let skip = self.entries.len().saturating_sub(count);
+        let lines: Vec<String> = self.entries[skip..].iter().map(Entry::to_string).collect();
+        lines.join("\n")
+    }
+}
+
+impl std::fmt::Display for Entry {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.at)?;
+        match (self.host, self.process) {
+            (Some(host), Some(process)) => write!(f, " host {} ({process})", host.0)?,
+            _ => write!(f, " outside")?,
+        }
+        write!(f, ": {:?}", self.fact)
+    }
+}
--- /dev/null
+++ b/components/testbed/src/queue.rs
@@ -0,0 +1,68 @@
+//! Events in order of time; equal times in order of their making.
+
+use std::{cmp::Ordering, net::SocketAddr};
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{CallId, StoreCall};
+
+use crate::{
+    network::{HostId, Place},
+    process::{Input, Request},
+};
+
+/// Something that is to happen in the bed.
+#[derive(Debug, Clone)]
+pub(crate) enum Event {
+    /// An input reaches a process.
+    Deliver { host: HostId, life: u64, input: Input },
+    /// A call's timeout.
+    Expire { host: HostId, life: u64, id: CallId },
+    /// A call arrives at the store.
+    AtStore { host: HostId, life: u64, id: CallId, call: StoreCall },
+    /// A call arrives at an endpoint.
+    AtEndpoint { host: HostId, life: u64, id: CallId, endpoint: String, request: Request },
+    /// A probe arrives at an address.
+    AtProbed { host: HostId, life: u64, id: CallId, addr: SocketAddr },
+    /// A message arrives at an address.
+    AtPeer { from: SocketAddr, to: SocketAddr, body: Vec<u8> },
+    /// An answer arrives at its caller.
+    Answer { from: Place, host: HostId, life: u64, id: CallId, input: Input },
+    /// A watch has waited long enough.
+    WatchEnds { host: HostId, life: u64, id: CallId },
+    /// A paused host goes on.
+    Resume(HostId),
+    /// A process is started on a host.
+    Start(HostId),
+    /// A host's isolation ends.
+    Rejoin(HostId),
+    /// The store answers normally again.
+    StoreUp,
+}
+
+/// An event with its time.
+#[derive(Debug)]
+pub(crate) struct Scheduled {
+    pub(crate) at: Time,
+    pub(crate) order: u64,
+    pub(crate) event: Event,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Scheduled) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Scheduled) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Scheduled) -> Ordering {
+        (other.at, other.order).cmp(&(self.at, self.order))
+    }
+}
--- /dev/null
+++ b/components/testbed/src/store.rs
@@ -0,0 +1,140 @@
+//! A small versioned object store with conditional updates and watches.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use chervilgate_coord::{Change, Expect, Key, Object, StoreCall, StoreReply, Version};
+
+/// Changes that the store remembers for watches.
+const LOG_LENGTH: usize = 10_000;
+
+/// What a call on the store leads to.
+#[derive(Debug)]
+pub enum Served {
+    /// The reply, at once.
+    Reply(StoreReply),
+    /// A watch that has to wait.
+    Waits {
+        /// The start of the names.
+        prefix: Key,
+        /// The last version seen.
+        after: Version,
+    },
+}
+
+/// The store's content and its log of changes.
+#[derive(Debug, Default)]
+pub struct FakeStore {
+    objects: BTreeMap<Key, Object>,
+    log: VecDeque<Change>,
+    version: Version,
+    compacted: Version,
+}
+
+impl FakeStore {
+    /// Serves one call.
+    pub fn serve(&mut self, call: &StoreCall) -> Served {
+        match call {
+            StoreCall::Get { key } => {
+                Served::Reply(StoreReply::Found(self.objects.get(key).cloned()))
+            }
+            StoreCall::Put { key, expect, value } => Served::Reply(self.put(key, *expect, value)),
+            StoreCall::Delete { key, version } => Served::Reply(self.delete(key, *version)),
+            StoreCall::List { prefix } => Served::Reply(self.list(prefix)),
+            StoreCall::Watch { prefix, after } => self.watch(prefix, *after),
+        }
+    }
+
+    /// Forgets the log of changes: watches from before now must list again.
+    pub fn compact(&mut self) {
+        self.log.clear();
+        self.compacted = self.version;
+    }
+
+    /// One object, for tests to look at.
+    pub fn object(&self, key: &str) -> Option<&Object> {
+        self.objects.get(key)
+    }
+
+    /// The version of the last write.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    fn put(&mut self, key: &Key, expect: Expect, value: &[u8]) -> StoreReply {
+        let present = self.objects.get(key);
+        let holds = match (expect, present) {
+            (Expect::Absent, None) => true,
+            (Expect::At(version), Some(object)) => object.version == version,
+            _ => false,
+        };
+        if !holds {
+            return StoreReply::Conflict(present.cloned());
+        }
+        self.version.0 += 1;
+        let object = Object { key: key.clone(), version: self.version, value: value.to_vec() };
+        self.objects.insert(key.clone(), object.clone());
+        self.remember(Change::Put(object));
+        StoreReply::Written(self.version)
+    }
+
+    fn delete(&mut self, key: &Key, version: Version) -> StoreReply {
+        let present = self.objects.get(key);
+        if present.is_none_or(|object| object.version != version) {
+            return StoreReply::Conflict(present.cloned());
+        }
+        self.version.0 += 1;
+        self.objects.remove(key);
+        self.remember(Change::Delete { key: key.clone(), version: self.version });
+        StoreReply::Written(self.version)
+    }
+
+    fn list(&self, prefix: &Key) -> StoreReply {
+        let objects = self
+            .objects
+            .range(prefix.clone()..)
+            .take_while(|(key, _)| key.starts_with(prefix.as_str()))
+            .map(|(_, object)| object.clone())
+            .collect();
+        StoreReply::Listed { objects, version: self.version }
+    }
+
+    fn watch(&self, prefix: &Key, after: Version) -> Served {
+        if after < self.compacted {
+            return Served::Reply(StoreReply::Compacted);
+        }
+        let changes: Vec<Change> = self
+            .log
+            .iter()
+            .filter(|change| version_of(change) > after && key_of(change).starts_with(prefix))
+            .cloned()
+            .collect();
+        if changes.is_empty() {
+            return Served::Waits { prefix: prefix.clone(), after };
+        }
+        Served::Reply(StoreReply::Changed { changes, version: self.version })
+    }
+
+    fn remember(&mut self, change: Change) {
+        self.log.push_back(change);
+        if self.log.len() <= LOG_LENGTH {
+            return;
+        }
+        if let Some(oldest) = self.log.pop_front() {
+            self.compacted = version_of(&oldest);
+        }
+    }
+}
+
+fn version_of(change: &Change) -> Version {
+    match change {
+        Change::Put(object) => object.version,
+        Change::Delete { version, .. } => *version,
+    }
+}
+
+fn key_of(change: &Change) -> &Key {
+    match change {
+        Change::Put(object) => &object.key,
+        Change::Delete { key, .. } => key,
+    }
+}
--- /dev/null
+++ b/components/testbed/tests/bed.rs
@@ -0,0 +1,114 @@
+//! The bed's store keeps its conditions, and runs repeat themselves.
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{CallId, Change, Expect, Protocol, Step, StoreCall, StoreReply, Version};
+use chervilgate_testbed::{Bed, Birth, FakeStore, Fault, Input, Output, Process, Served, Strike};
+
+const WRITE: Step = Step::new(Protocol::Session, "write");
+
+/// Writes an object once a second, whatever the replies.
+struct Writer {
+    key: String,
+    next: Time,
+    calls: u64,
+    replies: Vec<StoreReply>,
+}
+
+impl Process for Writer {
+    fn handle(&mut self, now: Time, input: Input) -> Vec<Output> {
+        if let Input::Store { reply, .. } = input {
+            self.replies.push(reply);
+        }
+        if now < self.next {
+            return Vec::new();
+        }
+        self.next = now + std::time::Duration::from_secs(1);
+        self.calls += 1;
+        let call = StoreCall::Put {
+            key: format!("{}/{}", self.key, self.calls),
+            expect: Expect::Absent,
+            value: vec![1],
+        };
+        vec![Output::Store { id: CallId(self.calls), step: WRITE, call }]
+    }
+
+    fn wake_at(&self) -> Time {
+        self.next
+    }
+}
+
+fn writer(birth: &Birth) -> Box<dyn Process> {
+    let key = birth.node.incarnation.to_string();
+    Box::new(Writer { key, next: Time::ZERO, calls: 0, replies: Vec::new() })
+}
+
+fn put(store: &mut FakeStore, key: &str, expect: Expect) -> StoreReply {
+    let call = StoreCall::Put { key: key.to_owned(), expect, value: vec![7] };
+    match store.serve(&call) {
+        Served::Reply(reply) => reply,
+        Served::Waits { .. } => panic!("a write does not wait"),
+    }
+}
+
+fn run(seed: u64, strike: Option<Strike>) -> Bed {
+    let mut bed = Bed::new(seed);
+    bed.add_host("a", Box::new(writer));
+    bed.add_host("b", Box::new(writer));
+    if let Some(strike) = strike {
+        bed.strike(strike);
+    }
+    bed.run_until(Time::from_secs(60));
+    bed
+}
+
+#[test]
+fn errors_on_a_write_whose_condition_does_not_hold() {
+    let mut store = FakeStore::default();
+
+    let first = put(&mut store, "a", Expect::Absent);
+    let second = put(&mut store, "a", Expect::Absent);
+    let third = put(&mut store, "a", Expect::At(Version(1)));
+
+    assert_eq!(first, StoreReply::Written(Version(1)));
+    assert!(matches!(second, StoreReply::Conflict(Some(_))));
+    assert_eq!(third, StoreReply::Written(Version(2)));
+}
+
+#[test]
+fn errors_on_a_watch_from_before_a_compaction() {
+    let mut store = FakeStore::default();
+    put(&mut store, "a", Expect::Absent);
+    store.compact();
+    put(&mut store, "ab", Expect::Absent);
+
+    let watch = |after| StoreCall::Watch { prefix: "a".to_owned(), after };
+    let early = store.serve(&watch(Version(0)));
+    let later = store.serve(&watch(Version(1)));
+
+    assert!(matches!(early, Served::Reply(StoreReply::Compacted)));
+    let Served::Reply(StoreReply::Changed { changes, version }) = later else {
+        panic!("the change is there to be seen");
+    };
+    assert_eq!(version, Version(2));
+    assert!(matches!(&changes[..], [Change::Put(object)] if object.key == "ab"));
+}
+
+#[test]
+fn can_repeat_a_run_from_its_seed() {
+    let first = run(3, None);
+    let second = run(3, None);
+    let other = run(4, None);
+
+    assert_eq!(first.history, second.history);
+    assert_ne!(first.history, other.history);
+}
+
+#[test]
+fn can_strike_each_fault_at_a_step() {
+    for fault in Fault::ALL {
+        let bed = run(3, Some(Strike { step: WRITE, nth: 5, host: None, fault }));
+
+        assert!(bed.pending_strikes().is_empty(), "{fault:?} did not strike");
+        assert!(bed.counts.writes < 120 || !matches!(fault, Fault::Vanished | Fault::KilledAfter));
+    }
+}
