Read JSON files as a whole, with every finding and its place

A type reads itself through Fields, which goes on after a finding and reports unknown members when dropped.

--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -1,1 +1,52 @@
-//! Settings files: JSON, checked as a whole, every finding with its path.
+//! JSON files checked as a whole: each finding with its place, all at once.
+//!
+//! A type reads itself from JSON by [`FromJson`]. Reading goes on after a
+//! finding, so that one run names everything that has to be mended:
+//!
+//! ```
+//! use std::{net::SocketAddr, time::Duration};
+//!
+//! use chervilgate_settings::{FromJson, Node, parse};
+//!
+//! struct Listener {
+//!     address: SocketAddr,
+//!     backlog: u32,
+//!     idle: Duration,
+//! }
+//!
+//! impl FromJson for Listener {
+//!     const EXPECTED: &'static str = "a listener";
+//!
+//!     fn from_json(node: &Node<'_>) -> Option<Listener> {
+//!         let mut fields = node.fields(Self::EXPECTED)?;
+//!         let address = fields.required("address");
+//!         let backlog = fields.within("backlog", 1..=4096, 128);
+//!         let idle = fields.or("idle", Duration::from_secs(30));
+//!         Some(Listener { address: address?, backlog, idle })
+//!     }
+//! }
+//!
+//! let text = r#"{ "//": "comment", "address": "10.0.0.1", "backlog": 0, "idel": "5s" }"#;
+//! let report = parse::<Listener>("listener.json", text).err().unwrap();
+//! assert_eq!(report.findings().len(), 3);
+//! ```
+//!
+//! A member whose name starts with `//` is a comment.
+
+mod fields;
+mod finding;
+mod from_json;
+mod load;
+mod node;
+mod span;
+mod tree;
+
+pub use crate::{
+    fields::Fields,
+    finding::{Finding, Findings, Report, Severity},
+    from_json::FromJson,
+    load::{FILE_LIMIT, FINDINGS_EXIT, load, parse, parse_with, read_text, start},
+    node::Node,
+    span::{SpanError, format_span, parse_span},
+    tree::parse_tree,
+};
