Route by lagged load, prefix and role; admit by weighted fair queueing

Routing samples a few targets a role and adds those that hold the prompt's prefix, so a decision costs the same at any fleet size. Load is the last report plus this host's own work since.

Admission first used deficit round robin. With targets at their limits each poll starts one request, and the lane at the front lost its turn when it found no room: a lane of weight 2 beside two of weight 1 was served 266 of 800 in the test instead of 400. Start-time fair queueing keeps the place of a blocked lane; the same test now gives 400 within 20.

--- a/components/policy/src/admission.rs
+++ b/components/policy/src/admission.rs
@@ -1,46 +1,74 @@
 //! The queue of one service's requests on one host.
 //!
-//! Requests wait here, not at targets: each organisation has its own queue,
-//! served by deficit round robin in token cost. A request whose deadline can no
-//! longer be met is refused at the moment that is known.
+//! Requests wait here, not at targets: each organisation has its own lane, and
+//! lanes are served by weighted fair queueing in token cost. An organisation above
+//! its share fills targets less far than the others, so that those find room at
+//! once when they come.
+//!
+//! A request whose turn is predicted to come too late is refused at the moment
+//! that is known: when it is offered, or when service slows down while it waits.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeSet, HashMap, VecDeque},
+    time::Duration,
+};
 
 use chervilgate_clock::Time;
 use rand::Rng;
 use smallvec::SmallVec;
 
-use crate::{OrgId, Reason, Refusal, Request, Route, Router, Ticket};
+use crate::{
+    OrgId, Reason, Refusal, Request, Route, Router, Ticket,
+    admission::{
+        lane::{Lanes, Waiting},
+        pace::Pace,
+    },
+    router::Fill,
+};
 
-/// An organisation's share of a busy service.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Share {
-    /// Share of the service when it is busy, against the other weights.
-    pub weight: f64,
-    /// Cost, in tokens, that it may run ahead of its share after a quiet time.
-    pub burst: u64,
-}
+pub use crate::admission::lane::Share;
 
-impl Default for Share {
-    fn default() -> Share {
-        Share { weight: 1.0, burst: 20_000 }
-    }
-}
+mod lane;
+mod pace;
+#[cfg(test)]
+mod tests;
+
+/// Lanes without room that are tried in one poll.
+const BLOCKED_LANES: usize = 8;
+
+/// Tries, with new samples, before a request is refused as late.
+const LATE_TRIES: usize = 2;
+
+/// Share of the time in hand that a new request may be predicted to wait.
+const ACCEPTED_WAIT: f64 = 0.75;
+
+/// Shortest retry time told.
+const RETRY_FLOOR: Duration = Duration::from_millis(100);
+
+/// Longest retry time told.
+const RETRY_CEILING: Duration = Duration::from_secs(30);
 
 /// Limits of the queue.
 #[derive(Debug, Clone, PartialEq)]
 pub struct QueueSettings {
     /// Requests waiting at once, over all organisations.
     pub waiting: usize,
-    /// Cost that one organisation of weight 1 is served in one round.
-    pub quantum: u64,
     /// Time kept in hand before a deadline.
     pub margin: Duration,
+    /// Share of a target that an organisation above its own share may fill, from 0 to 1.
+    pub over_fill: f64,
+    /// Time between two looks for requests whose turn will come too late.
+    pub review: Duration,
 }
 
 impl Default for QueueSettings {
     fn default() -> QueueSettings {
-        QueueSettings { waiting: 4_096, quantum: 2_048, margin: Duration::from_millis(20) }
+        QueueSettings {
+            waiting: 4_096,
+            margin: Duration::from_millis(20),
+            over_fill: 0.9,
+            review: Duration::from_millis(50),
+        }
     }
 }
 
@@ -53,16 +81,33 @@
     Refuse(Ticket, Refusal),
 }
 
+/// Actions of one poll.
+pub type Actions = SmallVec<[Action; 4]>;
+
 /// The waiting requests of one service on one host.
 #[derive(Debug)]
 pub struct Queue {
     settings: QueueSettings,
+    lanes: Lanes,
+    waiting: HashMap<Ticket, Waiting>,
+    expiries: BTreeSet<(Time, Ticket)>,
+    suspects: VecDeque<Ticket>,
+    pace: Pace,
+    reviewed: Time,
 }
 
 impl Queue {
     /// An empty queue.
     pub fn new(settings: QueueSettings) -> Queue {
-        Queue { settings }
+        Queue {
+            lanes: Lanes::default(),
+            waiting: HashMap::new(),
+            expiries: BTreeSet::new(),
+            suspects: VecDeque::new(),
+            pace: Pace::default(),
+            reviewed: Time::ZERO,
+            settings,
+        }
     }
 
     /// The limits in use.
@@ -70,38 +115,206 @@
         &self.settings
     }
 
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
     /// Sets an organisation's share.
-    pub fn set_share(&mut self, _org: OrgId, _share: Share) {}
+    pub fn set_share(&mut self, org: OrgId, share: Share) {
+        self.lanes.set_share(org, share);
+    }
 
     /// Takes in a request; call [`Queue::poll`] next.
     ///
     /// # Errors
     ///
-    /// A [`Refusal`] when it is known already that it will not run.
-    pub fn offer(&mut self, _now: Time, _ticket: Ticket, _request: Request) -> Result<(), Refusal> {
-        Err(Refusal::new(Reason::NoTarget, Duration::from_secs(1)))
+    /// A [`Refusal`] when its turn is predicted to come too late, or when too
+    /// many requests wait.
+    pub fn offer(&mut self, now: Time, ticket: Ticket, request: Request) -> Result<(), Refusal> {
+        if self.waiting.len() >= self.settings.waiting {
+            return Err(self.refuse(Reason::Full, Duration::ZERO));
+        }
+        let expiry = request.deadline.before(self.settings.margin);
+        let slack = expiry.since(now).saturating_sub(self.pace.first()).mul_f64(ACCEPTED_WAIT);
+        let wait = self.pace.wait(self.lanes.ahead(request.org, request.cost()));
+        if !request.suspect && !self.waiting.is_empty() && wait > slack {
+            let reason = self.reason(now, request.org);
+            return Err(self.refuse(reason, wait - slack));
+        }
+        self.expiries.insert((expiry, ticket));
+        if request.suspect {
+            self.suspects.push_back(ticket);
+        } else {
+            self.lanes.push(now, ticket, &request);
+        }
+        self.waiting.insert(ticket, Waiting { request, expiry });
+        Ok(())
     }
 
     /// Starts what can start and refuses what can no longer be in time.
     ///
     /// Call it after each offer, finish, first token and load report, and at
     /// [`Queue::next_check`].
-    pub fn poll(
-        &mut self,
-        _now: Time,
-        _router: &mut Router,
-        _rng: &mut dyn Rng,
-    ) -> SmallVec<[Action; 4]> {
-        SmallVec::new()
+    pub fn poll(&mut self, now: Time, router: &mut Router, rng: &mut dyn Rng) -> Actions {
+        let mut actions = Actions::new();
+        self.expire(now, &mut actions);
+        self.start_suspects(now, router, rng, &mut actions);
+        self.start_lanes(now, router, rng, &mut actions);
+        self.pace.idle(now, self.lanes.is_empty());
+        if now.since(self.reviewed) >= self.settings.review {
+            self.reviewed = now;
+            self.review(now, &mut actions);
+        }
+        actions
     }
 
-    /// When the next waiting request may have to be refused.
+    /// When to poll next, if nothing happens before.
     pub fn next_check(&self) -> Option<Time> {
-        None
+        let (expiry, _) = self.expiries.first()?;
+        Some((*expiry).min(self.reviewed + self.settings.review))
     }
 
     /// Drops a waiting request whose caller left; false if it no longer waits.
-    pub fn cancel(&mut self, _ticket: Ticket) -> bool {
-        false
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        self.take(ticket).is_some()
+    }
+
+    fn expire(&mut self, now: Time, actions: &mut Actions) {
+        while let Some((expiry, ticket)) = self.expiries.first().copied() {
+            if expiry > now {
+                return;
+            }
+            let Some(waiting) = self.take(ticket) else { return };
+            let reason = self.reason(now, waiting.request.org);
+            let refusal = self.refuse(reason, self.pace.wait(self.lanes.cost()));
+            actions.push(Action::Refuse(ticket, refusal));
+        }
+    }
+
+    fn start_suspects(
+        &mut self,
+        now: Time,
+        router: &mut Router,
+        rng: &mut dyn Rng,
+        actions: &mut Actions,
+    ) {
+        for _ in 0..self.suspects.len() {
+            let Some(ticket) = self.suspects.pop_front() else { return };
+            let Some(waiting) = self.waiting.get(&ticket) else { continue };
+            match router.route(now, &waiting.request, &[], rng) {
+                Ok(route) => self.start(now, ticket, route, router, actions),
+                Err(refusal) if refusal.reason == Reason::Full => {
+                    self.suspects.push_front(ticket);
+                    return;
+                }
+                Err(refusal) => self.give_up(ticket, refusal, actions),
+            }
+        }
+    }
+
+    fn start_lanes(
+        &mut self,
+        now: Time,
+        router: &mut Router,
+        rng: &mut dyn Rng,
+        actions: &mut Actions,
+    ) {
+        let mut blocked = SmallVec::<[OrgId; BLOCKED_LANES]>::new();
+        while blocked.len() < BLOCKED_LANES {
+            let Some((org, ticket)) = self.lanes.next(&blocked) else { return };
+            let Some(waiting) = self.waiting.get(&ticket) else { return };
+            let fill = self.fill(now, org, router);
+            match try_route(now, router, &waiting.request, fill, rng) {
+                Ok(route) => self.start(now, ticket, route, router, actions),
+                Err(refusal) if refusal.reason == Reason::Full => blocked.push(org),
+                Err(refusal) => self.give_up(ticket, refusal, actions),
+            }
+        }
+    }
+
+    /// Refuses requests from the back of lanes whose turn will come too late.
+    fn review(&mut self, now: Time, actions: &mut Actions) {
+        for org in self.lanes.active() {
+            while let Some((ticket, cost)) = self.lanes.last(org) {
+                let Some(waiting) = self.waiting.get(&ticket) else { break };
+                let slack = waiting.expiry.since(now).saturating_sub(self.pace.first());
+                let wait = self.pace.wait(self.lanes.ahead(org, 0).saturating_sub(cost));
+                if wait <= slack {
+                    break;
+                }
+                let refusal = self.refuse(self.reason(now, org), wait - slack);
+                self.give_up(ticket, refusal, actions);
+            }
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        route: Route,
+        router: &mut Router,
+        actions: &mut Actions,
+    ) {
+        let busy = !self.lanes.is_empty();
+        let Some(waiting) = self.take(ticket) else { return };
+        let cost = waiting.request.cost();
+        router.start(now, ticket, &waiting.request, &route);
+        self.lanes.charge(now, waiting.request.org, cost);
+        self.pace.started(now, cost, route.first, busy);
+        actions.push(Action::Start(ticket, route));
+    }
+
+    fn give_up(&mut self, ticket: Ticket, refusal: Refusal, actions: &mut Actions) {
+        self.take(ticket);
+        actions.push(Action::Refuse(ticket, self.refuse(refusal.reason, refusal.retry_after)));
+    }
+
+    fn take(&mut self, ticket: Ticket) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&ticket)?;
+        self.expiries.remove(&(waiting.expiry, ticket));
+        if waiting.request.suspect {
+            self.suspects.retain(|known| *known != ticket);
+        } else {
+            self.lanes.remove(ticket, &waiting.request);
+        }
+        Some(waiting)
+    }
+
+    fn fill(&self, now: Time, org: OrgId, router: &Router) -> Fill {
+        let share = if self.lanes.is_over(now, org) { self.settings.over_fill } else { 1.0 };
+        Fill { seqs: share, backlog: router.settings().backlog.mul_f64(share) }
+    }
+
+    fn reason(&self, now: Time, org: OrgId) -> Reason {
+        if self.lanes.is_over(now, org) { Reason::ShareUsed } else { Reason::Late }
+    }
+
+    fn refuse(&self, reason: Reason, retry_after: Duration) -> Refusal {
+        Refusal::new(reason, retry_after.clamp(RETRY_FLOOR, RETRY_CEILING))
+    }
+}
+
+fn try_route(
+    now: Time,
+    router: &Router,
+    request: &Request,
+    fill: Fill,
+    rng: &mut dyn Rng,
+) -> Result<Route, Refusal> {
+    let mut result = router.route_within(now, request, &[], fill, rng);
+    for _ in 1..LATE_TRIES {
+        match result {
+            Err(refusal) if refusal.reason == Reason::Late => {}
+            _ => return result,
+        }
+        result = router.route_within(now, request, &[], fill, rng);
     }
+    result
 }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod ids;
+mod prefix;
 mod refusal;
 mod request;
 mod roles;
@@ -14,12 +15,13 @@
 mod target;
 
 pub use crate::{
-    admission::{Action, Queue, QueueSettings, Share},
+    admission::{Action, Actions, Queue, QueueSettings, Share},
     ids::{BlockHash, HostId, OrgId, ServiceId, TargetId, Ticket, Zone},
+    prefix::{CacheChange, CacheEvent},
     refusal::{Reason, Refusal},
-    request::{BLOCK_TOKENS, Priority, Request},
+    request::{BLOCK_TOKENS, Fingerprint, Priority, Request},
     roles::{Demand, Member, RoleChange, RolePlanner, RoleSettings},
-    router::{CacheChange, CacheEvent, Fetch, Outcome, Route, RouteSettings, Router},
+    router::{Fetch, Outcome, Route, RouteSettings, Router, Running},
     spending::{Change, Fleet, Order, SpendSettings, TargetPlanner},
     target::{Kind, LoadReport, Role, Specs, State, Target},
 };
--- a/components/policy/src/request.rs
+++ b/components/policy/src/request.rs
@@ -41,14 +41,31 @@
     pub priority: Priority,
     /// Whether it may run more than once.
     pub repeatable: bool,
-    /// Hash of the organisation and the whole request body, for poison detection.
-    pub fingerprint: u64,
+    /// Hash of the whole request body; only compared within the organisation.
+    pub digest: u64,
+    /// Whether it ran on a target that crashed, and is to be run apart.
+    pub suspect: bool,
+}
+
+/// Identifies a request within its organisation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct Fingerprint {
+    /// The organisation; requests of two organisations are never the same.
+    pub org: OrgId,
+    /// Hash of the request body.
+    pub digest: u64,
 }
 
 /// Prompt tokens in one block of the prefix hash chain.
 pub const BLOCK_TOKENS: u32 = 64;
 
 impl Request {
+    /// What identifies the request when it is sent again.
+    pub fn fingerprint(&self) -> Fingerprint {
+        Fingerprint { org: self.org, digest: self.digest }
+    }
+
     /// Fair-queueing cost in tokens: output tokens weigh more than prompt tokens.
     pub fn cost(&self) -> u64 {
         u64::from(self.prompt) + OUTPUT_WEIGHT * u64::from(self.output) + REQUEST_COST
--- /dev/null
+++ b/components/policy/src/router/score.rs
@@ -0,0 +1,138 @@
+//! Predictions for one request on one target.
+
+use std::time::Duration;
+
+use chervilgate_clock::Time;
+
+use crate::{
+    Request, Role, RouteSettings, Specs,
+    router::{
+        fleet::{Entry, Fleet},
+        load::Estimate,
+    },
+};
+
+/// Share of the time between tokens that is planned with.
+const GAP_SHARE: f64 = 0.95;
+
+/// Share of the KV memory that is planned with.
+const KV_SHARE: f64 = 0.95;
+
+/// What a full batch costs against time to the first token.
+const CROWDING: Duration = Duration::from_millis(60);
+
+/// How far a target may be filled.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Fill {
+    /// Share of a target's sequences, from 0 to 1.
+    pub(crate) seqs: f64,
+    /// Prompt work that may wait at a target.
+    pub(crate) backlog: Duration,
+}
+
+/// The question asked of each target.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Query<'a> {
+    pub(super) now: Time,
+    pub(super) request: &'a Request,
+    pub(super) settings: &'a RouteSettings,
+    pub(super) fill: Fill,
+}
+
+/// A target's answer: it has room, and the work would take so long.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Offer {
+    /// Predicted time until the prompt is computed, or the sequence can start.
+    pub(super) time: Duration,
+    /// Time plus what the choice costs others.
+    pub(super) score: Duration,
+}
+
+impl Query<'_> {
+    /// An engine of role prefill that computes the prompt, `cached` tokens known.
+    pub(super) fn prefill(&self, fleet: &Fleet, entry: &Entry, cached: u32) -> Option<Offer> {
+        let specs = &entry.target.specs;
+        let load = self.load(fleet, entry, specs.prefill_rate);
+        let wait = specs.prefill(load.prompt);
+        let warmth = entry.warmth(self.now, self.settings.slow_start);
+        if wait > self.fill.backlog.mul_f64(warmth) {
+            return None;
+        }
+        let missing = self.request.prompt.saturating_sub(cached);
+        let time = self.distance(fleet, entry) + wait + specs.prefill(missing.into());
+        Some(Offer { time, score: time })
+    }
+
+    /// An engine that generates the output after importing the KV cache.
+    pub(super) fn decode(&self, fleet: &Fleet, entry: &Entry) -> Option<Offer> {
+        let specs = &entry.target.specs;
+        let load = self.load(fleet, entry, chunk_rate(specs, specs.slots / 2));
+        let chunk = if load.prompt > 0 { chunk_time(specs) } else { Duration::ZERO };
+        if !self.has_room(entry, &load, chunk) {
+            return None;
+        }
+        let step = specs.step(load.seqs + 1) + chunk;
+        let time = self.distance(fleet, entry) + specs.transfer(self.request.prompt.into()) + step;
+        Some(Offer { time, score: time + self.crowding(entry, &load) })
+    }
+
+    /// A mixed or decode engine that does it all, the prompt in chunks.
+    pub(super) fn whole(&self, fleet: &Fleet, entry: &Entry, cached: u32) -> Option<Offer> {
+        let specs = &entry.target.specs;
+        let rate = chunk_rate(specs, specs.slots / 2);
+        let load = self.load(fleet, entry, rate);
+        if !self.has_room(entry, &load, chunk_time(specs)) {
+            return None;
+        }
+        let rate = chunk_rate(specs, load.seqs);
+        let wait = Duration::from_secs_f64(load.prompt as f64 / rate);
+        if wait > self.fill.backlog {
+            return None;
+        }
+        let missing = self.request.prompt.saturating_sub(cached);
+        let compute = Duration::from_secs_f64(f64::from(missing) / rate);
+        let time = self.distance(fleet, entry) + wait + compute + specs.step(load.seqs + 1);
+        Some(Offer { time, score: time + self.crowding(entry, &load) })
+    }
+
+    fn load(&self, fleet: &Fleet, entry: &Entry, rate: f64) -> Estimate {
+        let typical = fleet.typical(entry.target.role);
+        entry.load.estimate(self.now, rate, self.settings.stale, typical)
+    }
+
+    fn distance(&self, fleet: &Fleet, entry: &Entry) -> Duration {
+        if fleet.is_near(&entry.target) { Duration::ZERO } else { self.settings.far * 2 }
+    }
+
+    /// Whether one more sequence keeps the time between tokens and the memory.
+    fn has_room(&self, entry: &Entry, load: &Estimate, chunk: Duration) -> bool {
+        let specs = &entry.target.specs;
+        let gap = self.settings.gap.mul_f64(GAP_SHARE).saturating_sub(chunk);
+        let warmth = entry.warmth(self.now, self.settings.slow_start);
+        let limit = f64::from(specs.batch(gap)) * self.fill.seqs * warmth;
+        let kv = load.kv + u64::from(self.request.prompt + self.request.output);
+        let kv_limit = specs.kv_tokens as f64 * KV_SHARE;
+        load.seqs < (limit as u32).max(1) && kv as f64 <= kv_limit
+    }
+
+    fn crowding(&self, entry: &Entry, load: &Estimate) -> Duration {
+        let specs = &entry.target.specs;
+        let share = f64::from(load.seqs) / f64::from(specs.batch(self.settings.gap));
+        let warmth = entry.warmth(self.now, self.settings.slow_start);
+        CROWDING.mul_f64(share / warmth)
+    }
+}
+
+/// Time that one chunk of prompt adds to a step.
+fn chunk_time(specs: &Specs) -> Duration {
+    specs.prefill(specs.chunk.into())
+}
+
+/// Prompt tokens a second beside `seqs` sequences.
+fn chunk_rate(specs: &Specs, seqs: u32) -> f64 {
+    let step = specs.step(seqs) + chunk_time(specs);
+    f64::from(specs.chunk) / step.as_secs_f64().max(1e-6)
+}
+
+/// Roles that can generate output.
+pub(super) const GENERATING: [Role; 2] = [Role::Mixed, Role::Decode];
--- a/components/policy/src/target.rs
+++ b/components/policy/src/target.rs
@@ -46,6 +46,23 @@
     Reclaimed,
 }
 
+impl State {
+    /// Whether new work may be sent.
+    pub fn takes_work(self) -> bool {
+        self == State::Serving
+    }
+
+    /// Whether its KV cache can still be exported.
+    pub fn can_export(self) -> bool {
+        matches!(self, State::Serving | State::Draining | State::Leaving)
+    }
+
+    /// Whether what its cache held is gone.
+    pub fn has_lost_cache(self) -> bool {
+        matches!(self, State::Starting | State::Changing | State::Reclaimed)
+    }
+}
+
 /// The speeds and sizes of one target.
 ///
 /// One step of an engine's batch takes `step_base + running * step_seq`, plus
