--- a/components/coord/src/store.rs
+++ b/components/coord/src/store.rs
@@ -15,6 +15,26 @@
 #[derive(Serialize, Deserialize)]
 pub struct CallId(pub u64);
 
+/// Hands out call ids.
+///
+/// One for all machines of a process, or one a machine with a `first` of its
+/// own: the driver matches replies by id alone.
+#[derive(Debug, Clone)]
+pub struct CallIds(u64);
+
+impl CallIds {
+    /// Ids from `first` on.
+    pub fn from(first: u64) -> CallIds {
+        CallIds(first)
+    }
+
+    /// The next id.
+    pub fn next_id(&mut self) -> CallId {
+        self.0 += 1;
+        CallId(self.0 - 1)
+    }
+}
+
 /// An object's version; grows with each write anywhere in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 #[derive(Serialize, Deserialize)]
