Check operators' objects as a whole, and tell what differs

Objects are read from files with every finding at once, then checked against one another: dangling references, fallback cycles, conflicting placements, withdrawn versions in use, overlapping prefixes and routes, addresses. A step to the next configuration may not undo a withdrawal. A text pasted as a key's hash is never repeated in a finding.

--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -4,27 +4,39 @@
 //! keys, services, model versions, placements, targets and drains. A
 //! [`Config`] holds all of them as one snapshot with a canonical encoding, so
 //! that equal configurations have equal bytes and an equal [`Digest`].
+//!
+//! [`read_files`] reads objects from files, [`check`] looks at them together.
+//! Both go on after a finding, so that one run names all of them.
 
+mod check;
 mod config;
+mod diff;
 mod digest;
+mod files;
 mod key;
 mod name;
 mod object;
 mod organisation;
+mod origin;
 mod path;
 mod placement;
+mod read;
 mod route;
 mod service;
 mod target;
 mod version;
 
 pub use crate::{
+    check::{check, check_change},
     config::{Config, DecodeError},
+    diff::{Change, Edit, FieldEdit, diff},
     digest::Digest,
+    files::{Draft, read_files},
     key::{KeyError, KeyRecord, Secret, issue_key},
     name::{Name, NameError},
     object::{Kind, Object, ObjectId},
     organisation::{Limits, Organisation},
+    origin::Origins,
     placement::{Placement, ZoneCount},
     route::{Method, Pattern, Route, RouteError},
     service::{Access, Service, ServiceKind},
--- a/components/model/src/object.rs
+++ b/components/model/src/object.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
 
 use crate::{Drain, KeyRecord, ModelVersion, Name, Organisation, Placement, Service, Target};
 
@@ -40,7 +41,7 @@
 /// An object of any kind.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", tag = "kind")]
+#[serde(rename_all = "kebab-case", tag = "kind", content = "spec")]
 pub enum Object {
     /// An organisation.
     Organisation(Organisation),
@@ -116,12 +117,38 @@
         }
     }
 
+    /// The spec as files hold it.
+    pub fn spec(&self) -> Value {
+        match self {
+            Object::Organisation(object) => spec_of(object),
+            Object::Key(object) => spec_of(object),
+            Object::Service(object) => spec_of(object),
+            Object::ModelVersion(object) => spec_of(object),
+            Object::Placement(object) => spec_of(object),
+            Object::Target(object) => spec_of(object),
+            Object::Drain(object) => spec_of(object),
+        }
+    }
+
+    /// The object as files hold it: `{"kind": …, "name": …, "spec": {…}}`.
+    pub fn to_json(&self) -> Value {
+        json!({ "kind": self.kind(), "name": self.name(), "spec": self.spec() })
+    }
+
     /// Kind and name.
     pub fn id(&self) -> ObjectId {
         ObjectId { kind: self.kind(), name: self.name().clone() }
     }
 }
 
+/// An object's members without its name, which stands outside the spec, and
+/// without absent ones.
+fn spec_of(object: &impl Serialize) -> Value {
+    let value = serde_json::to_value(object).expect("names are strings, numbers are finite");
+    let Value::Object(members) = value else { return value };
+    members.into_iter().filter(|(name, value)| name != "name" && !value.is_null()).collect()
+}
+
 impl fmt::Display for Kind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.pad(self.as_str())
--- a/components/model/src/organisation.rs
+++ b/components/model/src/organisation.rs
@@ -21,8 +21,10 @@
 #[derive(Serialize, Deserialize)]
 pub struct Limits {
     /// Requests in flight at one entry.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub inflight: Option<u32>,
     /// Tokens a second, prompt and output together, at one entry.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub tokens: Option<u64>,
 }
 
--- a/components/model/src/placement.rs
+++ b/components/model/src/placement.rs
@@ -15,6 +15,7 @@
     /// The service placed.
     pub service: Name,
     /// The model version, for a model service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub version: Option<Name>,
     /// Targets by availability zone.
     pub zones: BTreeMap<Name, ZoneCount>,
--- /dev/null
+++ b/components/model/src/read.rs
@@ -0,0 +1,217 @@
+//! Objects as files hold them: `{"kind": …, "name": …, "spec": {…}}`.
+
+mod service;
+
+use std::{collections::BTreeMap, str::FromStr};
+
+use chervilgate_settings::{Fields, FromJson, Node};
+
+use crate::{
+    Digest, Drain, KeyRecord, Kind, Limits, ModelVersion, Name, Object, Organisation, PayClass,
+    Placement, Role, Target, TargetKind, VersionState, ZoneCount,
+};
+
+/// Most targets of a service in one zone.
+const ZONE_LIMIT: u32 = 10_000;
+/// Longest reason of a drain, in bytes.
+const REASON_LIMIT: usize = 200;
+
+impl FromJson for Name {
+    const EXPECTED: &'static str = "a name: 1 to 63 of a-z 0-9 . _ -, a letter or digit first";
+
+    fn from_json(node: &Node<'_>) -> Option<Name> {
+        node.parse(Self::EXPECTED)
+    }
+}
+
+impl FromJson for Digest {
+    const EXPECTED: &'static str = "64 hexadecimal digits";
+
+    /// Never repeats the text, which may be a key pasted by mistake.
+    fn from_json(node: &Node<'_>) -> Option<Digest> {
+        let digest = node.text(Self::EXPECTED)?.parse();
+        digest.inspect_err(|_| node.report("no digest", Self::EXPECTED)).ok()
+    }
+}
+
+impl FromJson for Object {
+    const EXPECTED: &'static str = "an object with kind, name and spec";
+
+    fn from_json(node: &Node<'_>) -> Option<Object> {
+        let mut fields = node.fields(Self::EXPECTED)?;
+        let kind = fields.required("kind");
+        let name = fields.required("name");
+        let spec = fields.required_node("spec", "an object");
+        read_spec(kind?, name, &spec?)
+    }
+}
+
+impl FromJson for Kind {
+    const EXPECTED: &'static str =
+        "organisation, key, service, model-version, placement, target or drain";
+
+    fn from_json(node: &Node<'_>) -> Option<Kind> {
+        let kind = Kind::parse(node.text(Self::EXPECTED)?);
+        kind.or_else(|| node.mismatch(Self::EXPECTED))
+    }
+}
+
+/// Reads a spec even if the name is missing, for the sake of its findings.
+fn read_spec(kind: Kind, name: Option<Name>, spec: &Node<'_>) -> Option<Object> {
+    let mut fields = spec.fields("an object")?;
+    match kind {
+        Kind::Organisation => organisation(name, &mut fields).map(Object::Organisation),
+        Kind::Key => key(name, &mut fields).map(Object::Key),
+        Kind::Service => service::read(name, &mut fields).map(Object::Service),
+        Kind::ModelVersion => version(name, &mut fields).map(Object::ModelVersion),
+        Kind::Placement => placement(name, &mut fields).map(Object::Placement),
+        Kind::Target => target(name, &mut fields).map(Object::Target),
+        Kind::Drain => drain(name, &mut fields).map(Object::Drain),
+    }
+}
+
+fn organisation(name: Option<Name>, fields: &mut Fields<'_>) -> Option<Organisation> {
+    let weights = Organisation::WEIGHT_MIN..=Organisation::WEIGHT_MAX;
+    let weight = fields.within("weight", weights, Organisation::WEIGHT_MIN);
+    let limits = fields.or("limits", Limits::default());
+    Some(Organisation { name: name?, weight, limits })
+}
+
+impl FromJson for Limits {
+    const EXPECTED: &'static str = "an object with limits";
+
+    fn from_json(node: &Node<'_>) -> Option<Limits> {
+        let mut fields = node.fields(Self::EXPECTED)?;
+        let inflight = fields.optional_within("inflight", 1..=u32::MAX);
+        let tokens = fields.optional_within("tokens", 1..=u64::MAX);
+        Some(Limits { inflight, tokens })
+    }
+}
+
+fn key(name: Option<Name>, fields: &mut Fields<'_>) -> Option<KeyRecord> {
+    let organisation = fields.required("organisation");
+    let hash = fields.required("hash");
+    let withdrawn = fields.or("withdrawn", false);
+    Some(KeyRecord { name: name?, organisation: organisation?, hash: hash?, withdrawn })
+}
+
+fn version(name: Option<Name>, fields: &mut Fields<'_>) -> Option<ModelVersion> {
+    let model = fields.required("model");
+    let version = fields.required("version");
+    let state = fields.or("state", VersionState::Active);
+    let adapters: Vec<Name> = fields.or("adapters", Vec::new());
+    Some(ModelVersion {
+        name: name?,
+        model: model?,
+        version: version?,
+        state,
+        adapters: adapters.into(),
+    })
+}
+
+impl FromJson for VersionState {
+    const EXPECTED: &'static str = "active or withdrawn";
+
+    fn from_json(node: &Node<'_>) -> Option<VersionState> {
+        let words = [("active", VersionState::Active), ("withdrawn", VersionState::Withdrawn)];
+        choose(node, &words, Self::EXPECTED)
+    }
+}
+
+fn placement(name: Option<Name>, fields: &mut Fields<'_>) -> Option<Placement> {
+    let service = fields.required("service");
+    let version = fields.optional("version");
+    let zones = fields.get("zones").map(|node| zones(&node));
+    let checks_fencing = fields.or("checks_fencing", false);
+    if zones.is_none() {
+        fields
+            .node()
+            .report("zones is missing", "zones with counts, as in {\"a\": {\"steady\": 2}}");
+    }
+    Some(Placement { name: name?, service: service?, version, zones: zones??, checks_fencing })
+}
+
+fn zones(node: &Node<'_>) -> Option<BTreeMap<Name, ZoneCount>> {
+    let counts = BTreeMap::<String, ZoneCount>::from_json(node)?;
+    let mut zones = BTreeMap::new();
+    for (zone, count) in counts {
+        match Name::from_str(&zone) {
+            Ok(zone) => drop(zones.insert(zone, count)),
+            Err(_) => node.report(format!("{zone:?} is no name"), Name::EXPECTED),
+        }
+    }
+    Some(zones)
+}
+
+impl FromJson for ZoneCount {
+    const EXPECTED: &'static str = "an object with steady and cheap";
+
+    fn from_json(node: &Node<'_>) -> Option<ZoneCount> {
+        let mut fields = node.fields(Self::EXPECTED)?;
+        let steady = fields.within("steady", 0..=ZONE_LIMIT, 0);
+        let cheap = fields.within("cheap", 0..=ZONE_LIMIT, 0);
+        Some(ZoneCount { steady, cheap })
+    }
+}
+
+fn target(name: Option<Name>, fields: &mut Fields<'_>) -> Option<Target> {
+    let zone = fields.required("zone");
+    let address = fields.required("address");
+    let service = fields.required("service");
+    let kind = fields.required("kind");
+    let role = fields.or("role", Role::Mixed);
+    let class = fields.or("class", PayClass::Steady);
+    let checks_fencing = fields.or("checks_fencing", false);
+    Some(Target {
+        name: name?,
+        zone: zone?,
+        address: address?,
+        service: service?,
+        kind: kind?,
+        role,
+        class,
+        checks_fencing,
+    })
+}
+
+impl FromJson for TargetKind {
+    const EXPECTED: &'static str = "engine or service";
+
+    fn from_json(node: &Node<'_>) -> Option<TargetKind> {
+        let words = [("engine", TargetKind::Engine), ("service", TargetKind::Service)];
+        choose(node, &words, Self::EXPECTED)
+    }
+}
+
+impl FromJson for Role {
+    const EXPECTED: &'static str = "mixed, prefill or decode";
+
+    fn from_json(node: &Node<'_>) -> Option<Role> {
+        let words = [("mixed", Role::Mixed), ("prefill", Role::Prefill), ("decode", Role::Decode)];
+        choose(node, &words, Self::EXPECTED)
+    }
+}
+
+impl FromJson for PayClass {
+    const EXPECTED: &'static str = "steady or cheap";
+
+    fn from_json(node: &Node<'_>) -> Option<PayClass> {
+        let words = [("steady", PayClass::Steady), ("cheap", PayClass::Cheap)];
+        choose(node, &words, Self::EXPECTED)
+    }
+}
+
+fn drain(name: Option<Name>, fields: &mut Fields<'_>) -> Option<Drain> {
+    let reason: String = fields.or("reason", String::new());
+    if reason.len() > REASON_LIMIT {
+        let expected = format!("at most {REASON_LIMIT} bytes");
+        fields.node().report("the reason is too long", expected);
+    }
+    Some(Drain { name: name?, reason })
+}
+
+fn choose<T: Copy>(node: &Node<'_>, words: &[(&str, T)], expected: &str) -> Option<T> {
+    let text = node.text(expected)?;
+    let found = words.iter().find(|(word, _)| *word == text);
+    found.map(|(_, value)| *value).or_else(|| node.mismatch(expected))
+}
--- /dev/null
+++ b/components/model/src/read/service.rs
@@ -0,0 +1,90 @@
+//! Services as files hold them.
+
+use std::collections::BTreeSet;
+
+use chervilgate_settings::{Fields, FromJson, Node};
+use serde_json::Value;
+
+use crate::{Access, Name, Route, Service, ServiceKind, path::split_path};
+
+/// Paths below which each service has its prefix.
+const PREFIX_ROOT: &str = "/svc/";
+
+pub(super) fn read(name: Option<Name>, fields: &mut Fields<'_>) -> Option<Service> {
+    let kind = kind(fields);
+    let prefix = match fields.get("prefix") {
+        Some(node) => prefix(&node),
+        None => name.as_ref().map(Service::default_prefix),
+    };
+    let open: Vec<Route> = fields.or("open", Vec::new());
+    let once: Vec<Route> = fields.or("once", Vec::new());
+    let access = fields.required("organisations");
+    let fallback = fields.optional("fallback");
+    Some(Service {
+        name: name?,
+        kind: kind?,
+        prefix: prefix?,
+        open: open.into(),
+        once: once.into(),
+        access: access?,
+        fallback,
+    })
+}
+
+fn kind(fields: &mut Fields<'_>) -> Option<ServiceKind> {
+    const EXPECTED: &str = "model or plain";
+    let node = fields.required_node("type", EXPECTED);
+    let model = fields.get("model");
+    let node = node?;
+    match (node.text(EXPECTED)?, model) {
+        ("model", Some(model)) => Some(ServiceKind::Model { model: Name::from_json(&model)? }),
+        ("model", None) => {
+            fields.node().report("model is missing", "the model's name in callers' requests");
+            None
+        }
+        ("plain", None) => Some(ServiceKind::Plain),
+        ("plain", Some(model)) => {
+            model.report("a plain service has no model", "no model, or the type \"model\"");
+            None
+        }
+        _ => node.mismatch(EXPECTED),
+    }
+}
+
+fn prefix(node: &Node<'_>) -> Option<String> {
+    const EXPECTED: &str = "a path below /svc/, as in /svc/portal, without a slash at its end";
+    let text = node.text(EXPECTED)?;
+    let plain = !text.contains(['?', '#', '*', ' ']) && split_path(text).is_some();
+    let rooted = text.starts_with(PREFIX_ROOT) && text.len() > PREFIX_ROOT.len();
+    let closed = text.ends_with('/');
+    if plain && rooted && !closed { Some(text.to_owned()) } else { node.mismatch(EXPECTED) }
+}
+
+impl FromJson for Route {
+    const EXPECTED: &'static str = "a route, as in \"POST /bookings/*\"";
+
+    fn from_json(node: &Node<'_>) -> Option<Route> {
+        match node.text(Self::EXPECTED)?.parse() {
+            Ok(route) => Some(route),
+            Err(error) => {
+                node.report(crate::RouteError::to_string(&error), Self::EXPECTED);
+                None
+            }
+        }
+    }
+}
+
+impl FromJson for Access {
+    const EXPECTED: &'static str = "\"all\" or an array of organisations";
+
+    fn from_json(node: &Node<'_>) -> Option<Access> {
+        match node.value() {
+            Value::String(word) if word == "all" => Some(Access::All),
+            Value::Array(_) => {
+                let names: BTreeSet<Name> = Vec::from_json(node)?.into_iter().collect();
+                Some(Access::Only(names))
+            }
+            _ => node.mismatch(Self::EXPECTED),
+        }
+    }
+}
--- a/components/model/src/service.rs
+++ b/components/model/src/service.rs
@@ -14,6 +14,7 @@
     /// Its name.
     pub name: Name,
     /// What it is.
+    #[serde(flatten)]
     pub kind: ServiceKind,
     /// Path prefix at the entries; routes are relative to it.
     pub prefix: String,
@@ -22,8 +23,10 @@
     /// Routes that are not idempotent: a request runs at most once.
     pub once: SmallVec<[Route; 1]>,
     /// Which organisations may call it.
+    #[serde(rename = "organisations")]
     pub access: Access,
     /// The service that takes requests which this one has no room for.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub fallback: Option<Name>,
 }
 
@@ -44,14 +47,45 @@
 /// Which organisations may call a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(from = "AccessForm", into = "AccessForm")]
 pub enum Access {
-    /// Each organisation.
+    /// Each organisation; written `"all"`.
     All,
-    /// Those listed.
+    /// Those listed; written as an array.
     Only(BTreeSet<Name>),
 }
 
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum AccessForm {
+    Word(AccessWord),
+    List(BTreeSet<Name>),
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum AccessWord {
+    All,
+}
+
+impl From<AccessForm> for Access {
+    fn from(form: AccessForm) -> Access {
+        match form {
+            AccessForm::Word(AccessWord::All) => Access::All,
+            AccessForm::List(names) => Access::Only(names),
+        }
+    }
+}
+
+impl From<Access> for AccessForm {
+    fn from(access: Access) -> AccessForm {
+        match access {
+            Access::All => AccessForm::Word(AccessWord::All),
+            Access::Only(names) => AccessForm::List(names),
+        }
+    }
+}
+
 impl Service {
     /// The prefix of a service that names none.
     pub fn default_prefix(name: &Name) -> String {
--- a/components/settings/src/finding.rs
+++ b/components/settings/src/finding.rs
@@ -45,6 +45,16 @@
         self.0.borrow_mut().push(finding);
     }
 
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.0.borrow().len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.0.borrow().is_empty()
+    }
+
     /// The findings so far, in the order found.
     pub fn into_vec(self) -> Vec<Finding> {
         self.0.into_inner()
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -37,6 +37,11 @@
         &self.path
     }
 
+    /// The findings of the file so far.
+    pub fn findings(&self) -> &'a Findings {
+        self.findings
+    }
+
     /// The members, if this is an object; a finding if not.
     pub fn fields(&self, expected: &str) -> Option<Fields<'a>> {
         match self.value {
