Find poison requests, resume streams, budget second attempts

Poison: a quarantine needs two crashes, one of which leaves a single request to blame, so nobody can have another organisation's request refused by crashing targets beside it. Streams: texts are bounded by a watermark; without its text a stream is replayed through a filter. Retries and hedges draw on one budget. A host follows a subset of a large fleet, chosen by rendezvous hashing, and measures the demand that the planners sum up.

--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -6,22 +6,32 @@
 
 mod admission;
 mod ids;
+mod meter;
+mod poison;
 mod prefix;
 mod refusal;
 mod request;
+mod retry;
 mod roles;
 mod router;
 mod spending;
+mod stream;
 mod target;
+mod view;
 
 pub use crate::{
     admission::{Action, Actions, Queue, QueueSettings, Share},
     ids::{BlockHash, HostId, OrgId, ServiceId, TargetId, Ticket, Zone},
+    meter::{Demand, Meter},
+    poison::{CrashId, Notice, Poison, PoisonSettings, Run, Standing},
     prefix::{CacheChange, CacheEvent},
     refusal::{Reason, Refusal},
     request::{BLOCK_TOKENS, Fingerprint, Priority, Request},
-    roles::{Demand, Member, RoleChange, RolePlanner, RoleSettings},
+    retry::{Hedge, RetryBudget, RetrySettings},
+    roles::{Member, RoleChange, RolePlanner, RoleSettings},
     router::{Fetch, Outcome, Route, RouteSettings, Router, Running},
     spending::{Change, Fleet, Order, SpendSettings, TargetPlanner},
+    stream::{AttemptNo, Delivery, Resume, Streams},
     target::{Kind, LoadReport, Role, Specs, State, Target},
+    view::{Place, choose_view},
 };
--- /dev/null
+++ b/components/policy/src/poison/tests.rs
@@ -0,0 +1,205 @@
+use proptest::{collection::vec, prelude::*};
+
+use super::*;
+use crate::{OrgId, Ticket};
+
+fn fingerprint(org: u32, digest: u64) -> Fingerprint {
+    Fingerprint { org: OrgId(org), digest }
+}
+
+fn crash(target: u32) -> CrashId {
+    CrashId { target: TargetId(target), incarnation: 1 }
+}
+
+fn running(fingerprints: &[Fingerprint], proven: bool) -> Vec<Running> {
+    let run = |fingerprint: &Fingerprint| Running {
+        ticket: Ticket(fingerprint.digest),
+        fingerprint: *fingerprint,
+        proven,
+    };
+    fingerprints.iter().map(run).collect()
+}
+
+fn poison() -> Poison {
+    Poison::new(PoisonSettings::default())
+}
+
+fn is_refused(poison: &Poison, fingerprint: Fingerprint) -> bool {
+    matches!(poison.check(Time::ZERO, fingerprint), Standing::Quarantined(_))
+}
+
+#[test]
+fn suspects_all_that_ran_at_a_crash() {
+    let mut poison = poison();
+    let (a, b) = (fingerprint(1, 1), fingerprint(2, 2));
+
+    poison.crashed(Time::ZERO, crash(1), &running(&[a, b], true));
+
+    assert_eq!(poison.check(Time::ZERO, a), Standing::Suspect);
+    assert_eq!(poison.check(Time::ZERO, b), Standing::Suspect);
+    assert_eq!(poison.check(Time::ZERO, fingerprint(1, 3)), Standing::Clear);
+}
+
+#[test]
+fn quarantines_after_two_crashes_when_alone_to_blame() {
+    let mut poison = poison();
+    let (bad, good) = (fingerprint(1, 1), fingerprint(2, 2));
+    poison.crashed(Time::ZERO, crash(1), &running(&[bad, good], false));
+    let mut second = running(&[bad], false);
+    second.extend(running(&[fingerprint(3, 3)], true));
+
+    poison.crashed(Time::ZERO, crash(2), &second);
+
+    assert!(is_refused(&poison, bad));
+    assert!(!is_refused(&poison, good));
+    assert!(!is_refused(&poison, fingerprint(3, 3)));
+}
+
+#[test]
+fn counts_one_crash_once_however_often_it_is_told() {
+    let mut poison = poison();
+    let bad = fingerprint(1, 1);
+    let notice = poison.crashed(Time::ZERO, crash(1), &running(&[bad], false));
+
+    poison.hear(Time::ZERO, &notice);
+
+    assert_eq!(poison.check(Time::ZERO, bad), Standing::Suspect);
+}
+
+#[test]
+fn does_not_refuse_a_victim_for_crashes_that_another_organisation_causes() {
+    let mut poison = poison();
+    let victim = fingerprint(1, 1);
+
+    for round in 0..10u32 {
+        let attack = fingerprint(2, u64::from(round));
+        poison.crashed(Time::ZERO, crash(round), &running(&[victim, attack], false));
+    }
+
+    assert_eq!(poison.check(Time::ZERO, victim), Standing::Suspect);
+}
+
+#[test]
+fn does_not_refuse_neighbours_of_two_crashes() {
+    let mut poison = poison();
+    let neighbours = [fingerprint(1, 1), fingerprint(1, 2), fingerprint(2, 3)];
+
+    for round in 0..4 {
+        poison.crashed(Time::ZERO, crash(round), &running(&neighbours, true));
+    }
+
+    assert!(neighbours.iter().all(|run| poison.check(Time::ZERO, *run) == Standing::Suspect));
+}
+
+#[test]
+fn quarantines_a_request_that_crashes_late_in_its_output() {
+    let mut poison = poison();
+    let (bad, good) = (fingerprint(1, 1), fingerprint(2, 2));
+    poison.crashed(Time::ZERO, crash(1), &running(&[bad, good], true));
+
+    poison.crashed(Time::ZERO, crash(2), &running(&[bad], true));
+
+    assert!(is_refused(&poison, bad));
+    assert!(!is_refused(&poison, good));
+}
+
+#[test]
+fn hears_of_the_attack_from_the_host_that_sent_it() {
+    let (mut here, mut there) = (poison(), poison());
+    let (victim, attack) = (fingerprint(1, 1), fingerprint(2, 2));
+    here.crashed(Time::ZERO, crash(1), &running(&[victim], true));
+    here.crashed(Time::ZERO, crash(2), &running(&[victim], false));
+
+    let notice = there.crashed(Time::ZERO, crash(2), &running(&[attack], false));
+    here.hear(Time::ZERO, &notice);
+    let notice = there.crashed(Time::ZERO, crash(1), &running(&[attack], false));
+    here.hear(Time::ZERO, &notice);
+
+    assert!(!is_refused(&here, victim));
+}
+
+#[test]
+fn tells_equal_bodies_of_two_organisations_apart() {
+    let mut poison = poison();
+
+    poison.crashed(Time::ZERO, crash(1), &running(&[fingerprint(1, 9)], false));
+    poison.crashed(Time::ZERO, crash(2), &running(&[fingerprint(1, 9)], false));
+
+    assert!(is_refused(&poison, fingerprint(1, 9)));
+    assert_eq!(poison.check(Time::ZERO, fingerprint(2, 9)), Standing::Clear);
+}
+
+#[test]
+fn forgets_a_quarantine_after_its_time() {
+    let mut poison = poison();
+    let bad = fingerprint(1, 1);
+    poison.crashed(Time::ZERO, crash(1), &running(&[bad], false));
+    poison.crashed(Time::ZERO, crash(2), &running(&[bad], false));
+
+    assert_eq!(poison.check(Time::from_secs(600), bad), Standing::Clear);
+}
+
+#[test]
+fn clears_an_answered_suspect_but_no_quarantined_request() {
+    let mut poison = poison();
+    let (good, bad) = (fingerprint(1, 1), fingerprint(1, 2));
+    poison.crashed(Time::ZERO, crash(1), &running(&[good, bad], false));
+    poison.crashed(Time::ZERO, crash(2), &running(&[bad], false));
+
+    poison.clear(Time::ZERO, good);
+    poison.clear(Time::ZERO, bad);
+
+    assert_eq!(poison.check(Time::ZERO, good), Standing::Clear);
+    assert!(is_refused(&poison, bad));
+}
+
+#[test]
+fn tells_a_new_host_all_that_is_known() {
+    let (mut old, mut new) = (poison(), poison());
+    let bad = fingerprint(1, 1);
+    old.crashed(Time::ZERO, crash(1), &running(&[bad], false));
+    old.crashed(Time::ZERO, crash(2), &running(&[bad], false));
+
+    for notice in old.notices() {
+        new.hear(Time::ZERO, &notice);
+    }
+
+    assert!(is_refused(&new, bad));
+}
+
+proptest! {
+    #[test]
+    fn stays_within_its_memory(events in vec((0u32..20, 0u64..40, any::<bool>()), 1..200)) {
+        let settings = PoisonSettings { crashes: 4, runs: 3, ..PoisonSettings::default() };
+        let mut poison = Poison::new(settings);
+
+        for (at, (target, digest, proven)) in (0..).zip(events) {
+            let runs = running(&[fingerprint(1, digest), fingerprint(2, digest)], proven);
+            poison.crashed(Time::from_secs(at), crash(target), &runs);
+
+            prop_assert!(poison.crashes.len() <= 4);
+            prop_assert!(poison.counts.len() <= 12);
+            let held: usize = poison.crashes.iter().map(|crash| crash.runs.len()).sum();
+            prop_assert_eq!(poison.counts.values().sum::<usize>(), held);
+        }
+    }
+
+    #[test]
+    fn gives_one_verdict_whatever_the_order_of_notices(
+        notices in vec((0u32..4, 0u64..4, any::<bool>()), 1..12).prop_shuffle(),
+    ) {
+        let (mut one, mut other) = (poison(), poison());
+        let notice = |(target, digest, open): &(u32, u64, bool)| Notice {
+            crash: crash(*target),
+            runs: [Run { fingerprint: fingerprint(1, *digest), open: *open }].into_iter().collect(),
+        };
+
+        notices.iter().for_each(|told| one.hear(Time::ZERO, &notice(told)));
+        notices.iter().rev().for_each(|told| other.hear(Time::ZERO, &notice(told)));
+
+        for digest in 0..4 {
+            let asked = fingerprint(1, digest);
+            prop_assert_eq!(one.check(Time::ZERO, asked), other.check(Time::ZERO, asked));
+        }
+    }
+}
--- /dev/null
+++ b/components/policy/src/retry/tests.rs
@@ -0,0 +1,67 @@
+use std::sync::Arc;
+
+use proptest::prelude::*;
+
+use super::*;
+use crate::{OrgId, Priority, ServiceId};
+
+fn request(repeatable: bool) -> Request {
+    Request {
+        org: OrgId(1),
+        service: ServiceId(1),
+        prompt: 10,
+        output: 10,
+        prefix: Arc::from([]),
+        deadline: Time::from_secs(1),
+        priority: Priority::Normal,
+        repeatable,
+        digest: 1,
+        suspect: false,
+    }
+}
+
+fn budget() -> RetryBudget {
+    RetryBudget::new(RetrySettings::default())
+}
+
+#[test]
+fn retries_a_booking_only_when_it_did_not_run() {
+    let mut budget = budget();
+
+    assert!(budget.grant(Time::ZERO, &request(false), 1, false));
+    assert!(!budget.grant(Time::ZERO, &request(false), 1, true));
+    assert!(budget.grant(Time::ZERO, &request(true), 1, true));
+}
+
+#[test]
+fn stops_after_the_last_attempt() {
+    assert!(!budget().grant(Time::ZERO, &request(true), 3, false));
+}
+
+#[test]
+fn hedges_repeatable_reads_alone() {
+    let mut hedge = Hedge::default();
+    for millis in 1..=96 {
+        hedge.answered(Duration::from_millis(millis));
+    }
+
+    assert_eq!(hedge.due(Time::ZERO, &request(true)), Some(Time::from_millis(92)));
+    assert_eq!(hedge.due(Time::ZERO, &request(false)), None);
+    assert_eq!(hedge.due(Time::ZERO, &Request { suspect: true, ..request(true) }), None);
+}
+
+proptest! {
+    #[test]
+    fn grants_no_more_than_was_earned(firsts in 0u32..2_000, tries in 0u32..1_000, secs in 0u64..20) {
+        let mut budget = budget();
+
+        for _ in 0..firsts {
+            budget.earn();
+        }
+        let now = Time::from_secs(secs);
+        let granted = (0..tries).filter(|_| budget.spend(now)).count();
+
+        prop_assert!(granted as f64 <= 50.0 + 0.1 * f64::from(firsts) + secs as f64);
+        prop_assert!(granted as u32 >= tries.min(50));
+    }
+}
--- a/components/policy/src/roles.rs
+++ b/components/policy/src/roles.rs
@@ -8,18 +8,7 @@
 use chervilgate_clock::Time;
 use smallvec::SmallVec;
 
-use crate::{Role, Target, TargetId};
-
-/// Work offered to a service, summed over all hosts, a second.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct Demand {
-    /// When it was measured.
-    pub at: Time,
-    /// Prompt tokens a second that are not found in a cache.
-    pub prompt: f64,
-    /// Output tokens a second.
-    pub output: f64,
-}
+use crate::{Demand, Role, Target, TargetId};
 
 /// One engine, with its load as known to the planner.
 #[derive(Debug, Clone, PartialEq)]
