Plan role changes and target orders

Nothing is changed on old measurements, and two generating engines serve at any time.

Target orders: recent peak and trend over a cold start; base and firm work on steady targets, the rest on cheap ones, spread over zones; bounded steps.

--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -30,7 +30,7 @@
     retry::{Hedge, RetryBudget, RetrySettings},
     roles::{Member, RoleChange, RolePlanner, RoleSettings},
     router::{Fetch, Outcome, Route, RouteSettings, Router, Running},
-    spending::{Change, Fleet, Order, SpendSettings, TargetPlanner},
+    spending::{Change, Fleet, Order, Orders, Paid, SpendSettings, TargetPlanner, Work},
     stream::{AttemptNo, Delivery, Resume, Streams},
     target::{Kind, LoadReport, Role, Specs, State, Target},
     view::{Place, choose_view},
--- a/components/policy/src/roles/tests.rs
+++ b/components/policy/src/roles/tests.rs
@@ -0,0 +1,174 @@
+use proptest::{collection::vec, prelude::*};
+
+use super::*;
+use crate::{Kind, Specs, Zone};
+
+fn member(id: u32, role: Role) -> Member {
+    let target = Target {
+        id: TargetId(id),
+        role,
+        zone: Zone((id % 3) as u8),
+        kind: Kind::Steady,
+        state: State::Serving,
+        specs: Specs::default(),
+    };
+    Member { target, busy: id, measured: Time::ZERO }
+}
+
+fn fleet(prefill: u32, decode: u32, mixed: u32) -> Vec<Member> {
+    let roles = std::iter::repeat_n(Role::Prefill, prefill as usize)
+        .chain(std::iter::repeat_n(Role::Decode, decode as usize))
+        .chain(std::iter::repeat_n(Role::Mixed, mixed as usize));
+    (0u32..).zip(roles).map(|(id, role)| member(id, role)).collect()
+}
+
+fn demand(prompt: f64, output: f64) -> Demand {
+    Demand { at: Time::ZERO, prompt, output }
+}
+
+fn planner() -> RolePlanner {
+    RolePlanner::new(RoleSettings::default())
+}
+
+/// Plans once a second with fresh measurements and returns all changes.
+fn plan(
+    planner: &mut RolePlanner,
+    demand: Demand,
+    members: &mut [Member],
+    secs: std::ops::Range<u64>,
+) -> Vec<RoleChange> {
+    let mut all = Vec::new();
+    for sec in secs {
+        let now = Time::from_secs(sec);
+        members.iter_mut().for_each(|member| member.measured = now);
+        let changes = planner.plan_roles(now, Demand { at: now, ..demand }, members);
+        for change in &changes {
+            let moved = members.iter_mut().find(|member| member.target.id == change.target);
+            moved.unwrap().target.role = change.to;
+        }
+        all.extend(changes);
+    }
+    all
+}
+
+#[test]
+fn changes_nothing_while_the_fleet_carries_the_demand() {
+    let mut members = fleet(4, 8, 0);
+
+    let changes = plan(&mut planner(), demand(20_000.0, 6_000.0), &mut members, 0..300);
+
+    assert!(changes.is_empty(), "{changes:?}");
+}
+
+#[test]
+fn moves_idle_prefill_engines_to_decode() {
+    let mut members = fleet(6, 6, 0);
+
+    let changes = plan(&mut planner(), demand(8_000.0, 12_000.0), &mut members, 0..120);
+
+    assert!(!changes.is_empty());
+    assert!(changes.iter().all(|change| change.from == Role::Prefill));
+    assert!(changes.iter().any(|change| change.to == Role::Decode));
+}
+
+#[test]
+fn moves_decode_engines_to_prefill_for_long_prompts() {
+    let mut members = fleet(1, 11, 0);
+
+    let changes = plan(&mut planner(), demand(60_000.0, 1_000.0), &mut members, 0..120);
+
+    assert!(!changes.is_empty());
+    assert!(changes.iter().all(|change| change.to == Role::Prefill));
+}
+
+#[test]
+fn rides_out_a_short_swing() {
+    let (mut planner, mut members) = (planner(), fleet(6, 6, 0));
+    let mut changes = Vec::new();
+
+    for swing in 0..20 {
+        let start = swing * 14;
+        changes.extend(plan(
+            &mut planner,
+            demand(8_000.0, 12_000.0),
+            &mut members,
+            start..start + 7,
+        ));
+        let back = start + 7..start + 14;
+        changes.extend(plan(&mut planner, demand(30_000.0, 6_000.0), &mut members, back));
+    }
+
+    assert!(changes.is_empty(), "{changes:?}");
+}
+
+#[test]
+fn changes_nothing_when_reports_stop() {
+    let mut planner = planner();
+    let members = fleet(6, 6, 0);
+
+    for sec in 7..100 {
+        let now = Time::from_secs(sec);
+        let stale_members =
+            planner.plan_roles(now, Demand { at: now, ..demand(8_000.0, 12_000.0) }, &members);
+        let stale_demand = planner.plan_roles(now, demand(8_000.0, 12_000.0), &members);
+
+        assert!(stale_members.is_empty() && stale_demand.is_empty());
+    }
+}
+
+#[test]
+fn takes_the_least_busy_engine() {
+    let mut members = fleet(6, 6, 0);
+    members[3].busy = 0;
+    members[0].busy = 9;
+
+    let changes = plan(&mut planner(), demand(8_000.0, 12_000.0), &mut members, 0..9);
+
+    assert_eq!(changes[0].target, TargetId(3));
+}
+
+proptest! {
+    #[test]
+    fn keeps_its_bounds_whatever_is_demanded(
+        shape in (0u32..6, 0u32..6, 0u32..6),
+        demands in vec((0.0f64..100_000.0, 0.0f64..20_000.0, 1u64..40), 1..12),
+    ) {
+        let mut planner = planner();
+        let mut members = fleet(shape.0, shape.1, shape.2);
+        let mut second = 0;
+        let mut until = BTreeMap::new();
+        let mut last = BTreeMap::<TargetId, u64>::new();
+
+        for (prompt, output, secs) in demands {
+            for sec in second..second + secs {
+                let now = Time::from_secs(sec);
+                for member in &mut members {
+                    member.measured = now;
+                    if until.get(&member.target.id).is_some_and(|until| *until <= sec) {
+                        member.target.state = State::Serving;
+                    }
+                }
+                let at = Demand { at: now, prompt, output };
+                for change in planner.plan_roles(now, at, &members) {
+                    let changed = members.iter_mut().find(|m| m.target.id == change.target);
+                    let target = &mut changed.unwrap().target;
+                    prop_assert_eq!(target.state, State::Serving);
+                    prop_assert_eq!(target.role, change.from);
+                    target.role = change.to;
+                    target.state = State::Changing;
+                    until.insert(change.target, sec + 8);
+                    let before = last.insert(change.target, sec);
+                    prop_assert!(before.is_none_or(|before| sec - before >= 60));
+                }
+                let changing = members.iter().filter(|member| is_changing(member)).count();
+                let generating = members
+                    .iter()
+                    .filter(|m| m.target.role != Role::Prefill && m.target.state == State::Serving)
+                    .count();
+                prop_assert!(changing <= 2);
+                prop_assert!(generating >= 2.min((shape.1 + shape.2) as usize));
+            }
+            second += secs;
+        }
+    }
+}
--- a/components/policy/src/spending/tests.rs
+++ b/components/policy/src/spending/tests.rs
@@ -0,0 +1,210 @@
+use proptest::{collection::vec, prelude::*};
+
+use super::*;
+use crate::{Role, Specs};
+
+const ZONES: [Zone; 3] = [Zone(0), Zone(1), Zone(2)];
+
+/// A platform that starts each ordered target after the cold start.
+#[derive(Debug, Default)]
+struct Platform {
+    targets: Vec<(Target, Time)>,
+    next: u32,
+}
+
+impl Platform {
+    fn with(steady: u32, cheap: u32) -> Platform {
+        let mut platform = Platform::default();
+        for (count, kind) in [(steady, Kind::Steady), (cheap, Kind::Cheap)] {
+            for index in 0..count {
+                platform.add(Time::ZERO, Zone((index % 3) as u8), kind);
+            }
+        }
+        platform.settle(Time::ZERO);
+        platform
+    }
+
+    fn add(&mut self, ready: Time, zone: Zone, kind: Kind) {
+        let target = Target {
+            id: TargetId(self.next),
+            role: Role::Mixed,
+            zone,
+            kind,
+            state: State::Starting,
+            specs: Specs::default(),
+        };
+        self.next += 1;
+        self.targets.push((target, ready));
+    }
+
+    fn settle(&mut self, now: Time) {
+        for (target, ready) in &mut self.targets {
+            if *ready <= now {
+                target.state = State::Serving;
+            }
+        }
+    }
+
+    fn plan(&mut self, planner: &mut TargetPlanner, now: Time, work: Work) -> Orders {
+        self.settle(now);
+        let paid: Vec<_> =
+            self.targets.iter().map(|(target, _)| Paid { target, idle: Duration::ZERO }).collect();
+        let orders = planner.plan_targets(now, work, Fleet { targets: &paid, zones: &ZONES });
+        for order in &orders {
+            match order.change {
+                Change::Order { count } => {
+                    let ready = now + planner.settings().cold_start;
+                    (0..count).for_each(|_| self.add(ready, order.zone, order.kind));
+                }
+                Change::Return { target } => self.targets.retain(|(known, _)| known.id != target),
+            }
+        }
+        orders
+    }
+
+    fn count(&self, kind: Kind) -> usize {
+        self.targets.iter().filter(|(target, _)| target.kind == kind).count()
+    }
+}
+
+fn planner() -> TargetPlanner {
+    TargetPlanner::new(SpendSettings::default())
+}
+
+fn work(load: f64) -> Work {
+    Work { load, firm: 0.0 }
+}
+
+#[test]
+fn orders_nothing_for_a_load_that_is_carried() {
+    let (mut planner, mut platform) = (planner(), Platform::with(6, 0));
+
+    let orders: usize = (0..600)
+        .map(|sec| platform.plan(&mut planner, Time::from_secs(sec), work(4.5)).len())
+        .sum();
+
+    assert_eq!(orders, 0);
+}
+
+#[test]
+fn puts_the_base_on_steady_targets_and_the_burst_on_cheap_ones() {
+    let (mut planner, mut platform) = (planner(), Platform::with(3, 0));
+
+    for sec in 0..3_000 {
+        let burst = if sec % 120 < 60 { 8.0 } else { 0.0 };
+        platform.plan(&mut planner, Time::from_secs(sec), work(4.0 + burst));
+    }
+
+    assert_eq!(platform.count(Kind::Steady), 5);
+    assert_eq!(platform.count(Kind::Cheap), 10);
+}
+
+#[test]
+fn keeps_work_that_may_not_be_repeated_on_steady_targets() {
+    let (mut planner, mut platform) = (planner(), Platform::with(3, 0));
+
+    for sec in 0..600 {
+        let firm = if sec % 120 < 60 { 8.0 } else { 0.0 };
+        platform.plan(&mut planner, Time::from_secs(sec), Work { load: 8.0, firm });
+    }
+
+    assert_eq!(platform.count(Kind::Steady), 10);
+}
+
+#[test]
+fn replaces_a_reclaimed_zone_in_bounded_steps() {
+    let (mut planner, mut platform) = (planner(), Platform::with(6, 18));
+    for sec in 0..400 {
+        let load = if sec % 100 < 50 { 19.0 } else { 4.0 };
+        platform.plan(&mut planner, Time::from_secs(sec), work(load));
+    }
+
+    platform.targets.retain(|(target, _)| target.kind == Kind::Steady || target.zone != Zone(1));
+    let mut most = 0;
+    for sec in 400..1_000 {
+        let now = Time::from_secs(sec);
+        planner.unavailable(now, Zone(1), Kind::Cheap);
+        let load = if sec % 100 < 50 { 19.0 } else { 4.0 };
+        for order in platform.plan(&mut planner, now, work(load)) {
+            assert!(order.zone != Zone(1) || order.kind == Kind::Steady);
+        }
+        let starting = platform.targets.iter().filter(|(t, _)| t.state == State::Starting);
+        most = most.max(starting.count());
+    }
+
+    assert_eq!(platform.targets.len(), 24);
+    assert_eq!(most, 4);
+}
+
+#[test]
+fn takes_steady_targets_when_no_cheap_ones_are_to_be_had() {
+    let (mut planner, mut platform) = (planner(), Platform::with(3, 0));
+
+    for sec in 0..600 {
+        let now = Time::from_secs(sec);
+        ZONES.iter().for_each(|zone| planner.unavailable(now, *zone, Kind::Cheap));
+        let load = if sec % 100 < 50 { 8.0 } else { 2.0 };
+        platform.plan(&mut planner, now, work(load));
+    }
+
+    assert_eq!(platform.count(Kind::Cheap), 0);
+    assert_eq!(platform.count(Kind::Steady), 10);
+}
+
+#[test]
+fn returns_what_is_no_longer_needed_but_not_the_floor() {
+    let (mut planner, mut platform) = (planner(), Platform::with(6, 6));
+
+    for sec in 0..1_500 {
+        platform.plan(&mut planner, Time::from_secs(sec), work(0.1));
+    }
+
+    assert_eq!(platform.targets.len(), 3);
+    assert_eq!(platform.count(Kind::Steady), 3);
+}
+
+#[test]
+fn does_not_order_again_before_an_order_is_listed() {
+    let mut planner = planner();
+    let mut ordered = 0;
+
+    for sec in 0..20 {
+        let fleet = Fleet { targets: &[], zones: &ZONES };
+        for order in planner.plan_targets(Time::from_secs(sec), work(10.0), fleet) {
+            if let Change::Order { count } = order.change {
+                ordered += count;
+            }
+        }
+    }
+
+    assert_eq!(ordered, 4);
+}
+
+proptest! {
+    #[test]
+    fn keeps_its_bounds_and_spreads_over_zones(loads in vec((0.0f64..80.0, 1u64..90), 1..20)) {
+        let (mut planner, mut platform) = (planner(), Platform::with(3, 0));
+        let mut second = 0;
+
+        for (load, secs) in loads {
+            for sec in second..second + secs {
+                platform.plan(&mut planner, Time::from_secs(sec), work(load));
+
+                let starting = platform.targets.iter().filter(|(t, _)| t.state == State::Starting);
+                prop_assert!(starting.count() <= 4);
+                prop_assert!((3..=64).contains(&platform.targets.len()));
+                prop_assert!(platform.count(Kind::Steady) >= 3);
+                for kind in [Kind::Steady, Kind::Cheap] {
+                    let count = |zone: &Zone| {
+                        let of_kind = |t: &Target| t.zone == *zone && t.kind == kind;
+                        platform.targets.iter().filter(|(t, _)| of_kind(t)).count()
+                    };
+                    let counts: Vec<_> = ZONES.iter().map(count).collect();
+                    let spread = counts.iter().max().unwrap() - counts.iter().min().unwrap();
+                    prop_assert!(spread <= 1, "{counts:?}");
+                }
+            }
+            second += secs;
+        }
+    }
+}
