--- /dev/null
+++ b/bins/entry/src/admin_api.rs
@@ -0,0 +1,63 @@
+//! The operators' view of one entry.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use async_trait::async_trait;
+use chervilgate_clients::{Body, body::empty};
+use chervilgate_serve::Handler;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use serde_json::json;
+
+use crate::{
+    host::{Host, Phase},
+    locate::json as json_response,
+};
+
+/// Answers operators.
+pub(crate) struct AdminApi {
+    host: Arc<Host>,
+}
+
+impl AdminApi {
+    /// The API of one host.
+    pub(crate) fn new(host: Arc<Host>) -> AdminApi {
+        AdminApi { host }
+    }
+
+    fn state(&self) -> Response<Body> {
+        let now = self.host.borders.clock.now();
+        let state = self.host.views.get();
+        let age = state.confirmed.map(|confirmed| now.since(confirmed).as_millis());
+        let phase = match *self.host.phase().borrow() {
+            Phase::Serving => "serving",
+            Phase::Leaving => "leaving",
+            Phase::Finishing => "finishing",
+        };
+        json_response(&json!({
+            "host": self.host.settings.host,
+            "zone": self.host.settings.zone,
+            "incarnation": self.host.incarnation,
+            "phase": phase,
+            "view": {
+                "version": state.view.version.0,
+                "fresh": state.is_fresh(now),
+                "age_ms": age.map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
+            },
+            "services": self.host.lane_counts(),
+        }))
+    }
+}
+
+#[async_trait]
+impl Handler for AdminApi {
+    async fn handle(&self, _peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/admin/state") => self.state(),
+            _ => {
+                let mut response = Response::new(empty());
+                *response.status_mut() = StatusCode::NOT_FOUND;
+                response
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bins/entry/src/attempt.rs
@@ -0,0 +1,92 @@
+//! One attempt at one target.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use chervilgate_clients::{Body, SendError};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode,
+    header::{CONTENT_TYPE, HOST, HeaderValue},
+};
+
+use crate::{host::Host, outcome::Outcome};
+
+/// Carries the id of the attempt; an answer must come back with it.
+pub(crate) const REQUEST_ID: &str = "x-request-id";
+
+/// What goes to a target.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers that may go on.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Why an attempt gave no usable response.
+#[derive(Debug, Clone)]
+pub(crate) struct AttemptError {
+    /// What became of the request there.
+    pub outcome: Outcome,
+    /// What went wrong.
+    pub reason: String,
+}
+
+/// Sends one attempt; the answer must carry the attempt's own id, if any.
+///
+/// # Errors
+/// If no response came, or another attempt's.
+pub(crate) async fn send_attempt(
+    host: &Host,
+    addr: SocketAddr,
+    call: &Call,
+    id: &str,
+) -> Result<Response<Body>, AttemptError> {
+    let request = build_request(addr, call, id)
+        .map_err(|error| AttemptError { outcome: Outcome::NotRun, reason: error.to_string() })?;
+    let response = host.borders.sender.send(addr, request).await.map_err(send_error)?;
+    let crossed = response.headers().get(REQUEST_ID).is_some_and(|found| found != id);
+    if crossed {
+        log::warn!(target: "attempt", addr:%, id; "dropped an answer to another request");
+        let reason = "the target answered another request".to_owned();
+        return Err(AttemptError { outcome: Outcome::Unknown, reason });
+    }
+    Ok(response)
+}
+
+/// Whether the engine itself says that it did not run the request.
+pub(crate) fn engine_refused(status: StatusCode) -> bool {
+    status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE
+}
+
+fn send_error(error: SendError) -> AttemptError {
+    let outcome = if error.not_run() { Outcome::NotRun } else { Outcome::Unknown };
+    AttemptError { outcome, reason: error.to_string() }
+}
+
+fn build_request(
+    addr: SocketAddr,
+    call: &Call,
+    id: &str,
+) -> Result<Request<Bytes>, hyper::http::Error> {
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(call.path.as_str())
+        .header(HOST, addr.to_string())
+        .header(REQUEST_ID, id)
+        .body(call.body.clone())?;
+    let headers = request.headers_mut();
+    for (name, value) in &call.headers {
+        if name.as_str() != REQUEST_ID {
+            headers.append(name, value.clone());
+        }
+    }
+    if !headers.contains_key(CONTENT_TYPE) && !call.body.is_empty() {
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    }
+    Ok(request)
+}
--- /dev/null
+++ b/bins/entry/src/caller.rs
@@ -0,0 +1,116 @@
+//! Who calls: the key, and what must not travel on with the request.
+
+use chervilgate_clock::Time;
+use chervilgate_model::{KeyError, Name, Service};
+use hyper::{
+    HeaderMap, Uri,
+    header::{
+        AUTHORIZATION, CONNECTION, CONTENT_LENGTH, COOKIE, HOST, HeaderName, PROXY_AUTHORIZATION,
+        TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    },
+};
+
+use crate::{outcome::Failure, view::ViewState};
+
+/// Carries the key where a client cannot set `Authorization`.
+const KEY_HEADER: HeaderName = HeaderName::from_static("x-api-key");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Headers that end at this host.
+const STRIPPED: [HeaderName; 12] = [
+    AUTHORIZATION,
+    PROXY_AUTHORIZATION,
+    KEY_HEADER,
+    COOKIE,
+    HOST,
+    CONNECTION,
+    KEEP_ALIVE,
+    CONTENT_LENGTH,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// The key that came with a request, if any.
+pub(crate) fn presented_key(headers: &HeaderMap) -> Option<&str> {
+    if let Some(value) = headers.get(AUTHORIZATION) {
+        let text = value.to_str().ok()?;
+        let (scheme, key) = text.split_once(' ')?;
+        return scheme.eq_ignore_ascii_case("bearer").then_some(key.trim());
+    }
+    headers.get(KEY_HEADER)?.to_str().ok()
+}
+
+/// The organisation that a request runs for.
+///
+/// # Errors
+/// If the view cannot be trusted at `now`, or the key is refused.
+pub(crate) fn authorize<'a>(
+    now: Time,
+    state: &'a ViewState,
+    headers: &HeaderMap,
+) -> Result<&'a Name, Failure> {
+    if !state.is_fresh(now) {
+        let message = "this host cannot confirm which keys are valid; try another";
+        return Err(Failure::unavailable("view_not_fresh", message));
+    }
+    let Some(key) = presented_key(headers) else {
+        return Err(Failure::unauthorized("no key: send `Authorization: Bearer KEY`"));
+    };
+    match state.view.config.verify_key(key) {
+        Ok(record) => Ok(&record.organisation),
+        Err(KeyError::Withdrawn) => Err(Failure::unauthorized("the key has been withdrawn")),
+        Err(KeyError::Unknown) => Err(Failure::unauthorized("the key is not known")),
+        Err(KeyError::Malformed) => Err(Failure::unauthorized("this is not a key")),
+    }
+}
+
+/// Checks that `organisation` may call `service`.
+///
+/// # Errors
+/// If it may not.
+pub(crate) fn check_access(service: &Service, organisation: &Name) -> Result<(), Failure> {
+    if service.admits(organisation) {
+        return Ok(());
+    }
+    Err(Failure::forbidden(format!("{organisation} may not call {}", service.name)))
+}
+
+/// The headers that go on to a target: nothing of the key, nothing of the hop.
+pub(crate) fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
+    let key = presented_key(headers);
+    let named: Vec<&str> = connection_options(headers).collect();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let stripped = STRIPPED.contains(name) || named.contains(&name.as_str());
+        let leaks = key.is_some_and(|key| contains(value.as_bytes(), key.as_bytes()));
+        if !stripped && !leaks {
+            kept.append(name, value.clone());
+        }
+    }
+    kept
+}
+
+/// Checks that the key does not stand in the address of the request.
+///
+/// # Errors
+/// If it does: an address reaches targets and logs.
+pub(crate) fn check_address(uri: &Uri, headers: &HeaderMap) -> Result<(), Failure> {
+    let Some(key) = presented_key(headers) else {
+        return Ok(());
+    };
+    if !contains(uri.to_string().as_bytes(), key.as_bytes()) {
+        return Ok(());
+    }
+    Err(Failure::invalid("key_in_address", "the key must not stand in the address"))
+}
+
+fn connection_options(headers: &HeaderMap) -> impl Iterator<Item = &str> {
+    let values = headers.get_all(CONNECTION).into_iter().filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).map(str::trim)
+}
+
+fn contains(text: &[u8], part: &[u8]) -> bool {
+    !part.is_empty() && text.windows(part.len()).any(|window| window == part)
+}
--- /dev/null
+++ b/bins/entry/src/caller_api.rs
@@ -0,0 +1,231 @@
+//! The callers' HTTP API.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use chervilgate_clients::{
+    Body, BodyError,
+    body::{collect, full},
+};
+use chervilgate_model::Service;
+use chervilgate_serve::Handler;
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_LENGTH, HeaderValue},
+    http::request::Parts,
+};
+use serde_json::json;
+use smallvec::SmallVec;
+
+use crate::{
+    attempt::{Call, REQUEST_ID},
+    caller::{authorize, check_access, check_address, forwarded_headers},
+    complete::Job,
+    completion::{Completion, Interface},
+    host::Host,
+    locate::{json as json_response, locate},
+    outcome::{Failure, Outcome},
+    plain::PlainJob,
+    view::ViewState,
+};
+
+/// Answers callers.
+pub(crate) struct CallerApi {
+    host: Arc<Host>,
+}
+
+impl CallerApi {
+    /// The API of one host.
+    pub(crate) fn new(host: Arc<Host>) -> CallerApi {
+        CallerApi { host }
+    }
+
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        id: &str,
+    ) -> Result<Response<Body>, Failure> {
+        let (head, body) = request.into_parts();
+        match (&head.method, head.uri.path()) {
+            (&Method::GET, "/healthz") => Ok(Response::new(full("ok\n"))),
+            (&Method::GET, "/readyz") => Ok(self.readiness()),
+            (&Method::GET, "/v1/locate") => Ok(locate(&self.host, &head.uri)),
+            (&Method::GET, "/v1/models") => self.models(&head),
+            (&Method::POST, "/v1/chat/completions") => {
+                self.complete(Interface::Chat, head, body, id).await
+            }
+            (&Method::POST, "/v1/completions") => {
+                self.complete(Interface::Text, head, body, id).await
+            }
+            _ => self.plain(head, body, id).await,
+        }
+    }
+
+    fn readiness(&self) -> Response<Body> {
+        let now = self.host.borders.clock.now();
+        let state = self.host.views.get();
+        if state.is_fresh(now) {
+            return Response::new(full("ready\n"));
+        }
+        let mut response = Response::new(full("no confirmed configuration\n"));
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        response
+    }
+
+    fn models(&self, head: &Parts) -> Result<Response<Body>, Failure> {
+        let state = self.host.views.get();
+        let organisation = authorize(self.host.borders.clock.now(), &state, &head.headers)?;
+        let services = state.view.config.services.values();
+        let admitted = services.filter(|service| service.admits(organisation));
+        let models = admitted.filter_map(Service::model);
+        let data: Vec<_> = models
+            .map(|model| json!({ "id": model, "object": "model", "created": 0, "owned_by": "chervilgate" }))
+            .collect();
+        Ok(json_response(&json!({ "object": "list", "data": data })))
+    }
+
+    async fn complete(
+        &self,
+        interface: Interface,
+        head: Parts,
+        body: Incoming,
+        id: &str,
+    ) -> Result<Response<Body>, Failure> {
+        check_address(&head.uri, &head.headers)?;
+        self.authorized(&head, &self.host.views.get())?;
+        let body = self.read_body(&head, body).await?;
+        let completion = Completion::read(interface, &body)?;
+        // The body may have been slow to come: what holds now counts.
+        let state = self.host.views.get();
+        let organisation = self.authorized(&head, &state)?;
+        let unknown = || {
+            let message = format!("there is no model `{}`", completion.model);
+            Failure::not_found("model_not_found", message).at("model")
+        };
+        let service = state.view.config.service_of_model(&completion.model).ok_or_else(unknown)?;
+        check_access(service, &organisation)?;
+        let no_lane = || Failure::unavailable("starting", "this host has just started");
+        let lane = self.host.lane(service.name.as_str()).ok_or_else(no_lane)?;
+        let job = Job {
+            host: self.host.clone(),
+            view: state.view.clone(),
+            lane,
+            organisation: organisation.to_string(),
+            completion,
+            headers: forwarded_headers(&head.headers),
+            id: id.to_owned(),
+            failed: SmallVec::new(),
+            worst: Outcome::NotRun,
+        };
+        job.run().await
+    }
+
+    async fn plain(
+        &self,
+        head: Parts,
+        body: Incoming,
+        id: &str,
+    ) -> Result<Response<Body>, Failure> {
+        check_address(&head.uri, &head.headers)?;
+        let state = self.host.views.get();
+        let path = head.uri.path().to_owned();
+        let nothing = || Failure::not_found("no_such_path", format!("nothing is served at {path}"));
+        let (service, rest) = state.view.config.service_at(&path).ok_or_else(nothing)?;
+        if service.model().is_some() {
+            return Err(nothing());
+        }
+        let method = head.method.as_str();
+        if !service.is_open(method, rest) {
+            self.authorized(&head, &state)?;
+        }
+        let body = self.read_body(&head, body).await?;
+        self.send_plain(&head, body, &path, id).await
+    }
+
+    /// Sends a plain request on, by what holds once its body is there.
+    async fn send_plain(
+        &self,
+        head: &Parts,
+        body: Bytes,
+        path: &str,
+        id: &str,
+    ) -> Result<Response<Body>, Failure> {
+        let state = self.host.views.get();
+        let gone = || Failure::not_found("no_such_path", "the service has just gone");
+        let (service, rest) = state.view.config.service_at(path).ok_or_else(gone)?;
+        let method = head.method.as_str();
+        let mut organisation = None;
+        if !service.is_open(method, rest) {
+            let caller = self.authorized(head, &state)?;
+            check_access(service, &caller)?;
+            organisation = Some(caller.to_string());
+        }
+        let no_lane = || Failure::unavailable("starting", "this host has just started");
+        let lane = self.host.lane(service.name.as_str()).ok_or_else(no_lane)?;
+        let query = head.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+        let job = PlainJob {
+            host: self.host.clone(),
+            view: state.view.clone(),
+            lane,
+            service: service.name.to_string(),
+            organisation,
+            call: Call {
+                method: head.method.clone(),
+                path: format!("{rest}{query}"),
+                headers: forwarded_headers(&head.headers),
+                body,
+            },
+            id: id.to_owned(),
+            repeatable: !service.is_once(method, rest),
+        };
+        job.run().await
+    }
+
+    fn authorized(
+        &self,
+        head: &Parts,
+        state: &ViewState,
+    ) -> Result<chervilgate_model::Name, Failure> {
+        let now = self.host.borders.clock.now();
+        authorize(now, state, &head.headers).cloned()
+    }
+
+    async fn read_body(&self, head: &Parts, body: Incoming) -> Result<Bytes, Failure> {
+        let limit = self.host.settings.body_limit;
+        let too_large = || Failure::too_large(format!("the body is longer than {limit} bytes"));
+        let announced = head.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+        let announced = announced.and_then(|value| value.parse::<u64>().ok()).unwrap_or(0);
+        if announced > limit {
+            return Err(too_large());
+        }
+        let reading = collect(body, usize::try_from(limit).unwrap_or(usize::MAX));
+        match tokio::time::timeout(self.host.settings.body_timeout, reading).await {
+            Ok(Ok(bytes)) => Ok(bytes),
+            Ok(Err(BodyError::TooLong { .. })) => Err(too_large()),
+            Ok(Err(error)) => {
+                Err(Failure::invalid("body_broken", format!("the body broke off: {error}")))
+            }
+            Err(_) => Err(Failure::invalid("body_slow", "the body took too long")),
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for CallerApi {
+    async fn handle(&self, peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
+        let id = self.host.request_id();
+        let answered = self.answer(request, &id).await;
+        let mut response = answered.unwrap_or_else(|failure| {
+            log::info!(target: "caller", peer:%, id = id.as_str(),
+                status = failure.status().as_u16(), outcome = failure.outcome().as_str();
+                "request failed");
+            failure.to_response()
+        });
+        if let Ok(value) = HeaderValue::from_str(&id) {
+            response.headers_mut().insert(REQUEST_ID, value);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/bins/entry/src/completion.rs
@@ -0,0 +1,170 @@
+//! A completion request as a caller sends it.
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+};
+
+use bytes::Bytes;
+use chervilgate_policy::{BLOCK_TOKENS, BlockHash};
+use serde_json::{Map, Value};
+
+use crate::outcome::Failure;
+
+/// Bytes of text that make about one token.
+const TOKEN_BYTES: usize = 4;
+/// Output assumed when a request names no limit, in tokens.
+const DEFAULT_OUTPUT: u32 = 256;
+/// The largest output that a caller may ask for, in tokens.
+const MAX_OUTPUT: u64 = 1 << 20;
+
+/// Which of the two completion interfaces was called.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Interface {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Text,
+}
+
+impl Interface {
+    /// The path of the interface.
+    pub(crate) fn path(self) -> &'static str {
+        match self {
+            Interface::Chat => "/v1/chat/completions",
+            Interface::Text => "/v1/completions",
+        }
+    }
+
+    fn prompt_field(self) -> &'static str {
+        match self {
+            Interface::Chat => "messages",
+            Interface::Text => "prompt",
+        }
+    }
+}
+
+/// A checked completion request.
+#[derive(Debug, Clone)]
+pub(crate) struct Completion {
+    /// The interface.
+    pub interface: Interface,
+    /// The model asked for.
+    pub model: String,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Prompt length, estimated in tokens.
+    pub prompt: u32,
+    /// Output length at most, in tokens.
+    pub output: u32,
+    /// Hash chain over the prompt's full blocks.
+    pub prefix: Arc<[BlockHash]>,
+    fields: Map<String, Value>,
+}
+
+impl Completion {
+    /// Reads and checks a request's body.
+    ///
+    /// # Errors
+    /// If it is not JSON or a field is missing or wrong; the failure names the field.
+    pub(crate) fn read(interface: Interface, body: &[u8]) -> Result<Completion, Failure> {
+        let value: Value = serde_json::from_slice(body)
+            .map_err(|error| Failure::invalid("invalid_json", format!("the body: {error}")))?;
+        let Value::Object(fields) = value else {
+            return Err(Failure::invalid("invalid_json", "the body must be a JSON object"));
+        };
+        let model = read_model(&fields)?;
+        let stream = read_flag(&fields, "stream")?;
+        let text = prompt_text(interface, &fields)?;
+        let output = read_output(&fields)?;
+        let prompt = u32::try_from(text.len() / TOKEN_BYTES).unwrap_or(u32::MAX).max(1);
+        let prefix = hash_prefix(&text);
+        Ok(Completion { interface, model, stream, prompt, output, prefix, fields })
+    }
+
+    /// Hash of the whole request.
+    pub(crate) fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        Value::Object(self.fields.clone()).to_string().hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// The body for an engine that runs `version`, from token `resume_from` on.
+    pub(crate) fn to_body(&self, version: &str, resume_from: u64) -> Bytes {
+        let mut fields = self.fields.clone();
+        fields.insert("model".to_owned(), Value::from(version));
+        if resume_from > 0 {
+            fields.insert("resume_from".to_owned(), Value::from(resume_from));
+        }
+        Value::Object(fields).to_string().into()
+    }
+}
+
+fn wrong(field: &str, expected: &str) -> Failure {
+    Failure::invalid("invalid_value", format!("`{field}` must be {expected}")).at(field)
+}
+
+fn read_model(fields: &Map<String, Value>) -> Result<String, Failure> {
+    let model = fields.get("model").and_then(Value::as_str);
+    model.map(str::to_owned).ok_or_else(|| wrong("model", "the name of a model"))
+}
+
+fn read_flag(fields: &Map<String, Value>, name: &str) -> Result<bool, Failure> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(flag)) => Ok(*flag),
+        Some(_) => Err(wrong(name, "true or false")),
+    }
+}
+
+fn read_output(fields: &Map<String, Value>) -> Result<u32, Failure> {
+    for name in ["max_completion_tokens", "max_tokens"] {
+        let Some(value) = fields.get(name).filter(|value| !value.is_null()) else {
+            continue;
+        };
+        let tokens = value.as_u64().filter(|tokens| (1..=MAX_OUTPUT).contains(tokens));
+        let tokens = tokens.and_then(|tokens| u32::try_from(tokens).ok());
+        return tokens
+            .ok_or_else(|| wrong(name, &format!("a whole number from 1 to {MAX_OUTPUT}")));
+    }
+    Ok(DEFAULT_OUTPUT)
+}
+
+fn prompt_text(interface: Interface, fields: &Map<String, Value>) -> Result<String, Failure> {
+    let field = interface.prompt_field();
+    let value = fields.get(field);
+    let text = match interface {
+        Interface::Text => value.and_then(Value::as_str).map(str::to_owned),
+        Interface::Chat => value.and_then(Value::as_array).and_then(|list| messages_text(list)),
+    };
+    let expected = match interface {
+        Interface::Text => "a string",
+        Interface::Chat => "a list of messages, each with a `role` and its `content`",
+    };
+    text.filter(|text| !text.is_empty()).ok_or_else(|| wrong(field, expected))
+}
+
+fn messages_text(messages: &[Value]) -> Option<String> {
+    let mut text = String::new();
+    for message in messages {
+        text.push_str(message["role"].as_str()?);
+        text.push('\n');
+        match &message["content"] {
+            Value::String(content) => text.push_str(content),
+            Value::Null => {}
+            other => text.push_str(&other.to_string()),
+        }
+        text.push('\n');
+    }
+    Some(text)
+}
+
+fn hash_prefix(text: &str) -> Arc<[BlockHash]> {
+    let block = BLOCK_TOKENS as usize * TOKEN_BYTES;
+    let mut hasher = DefaultHasher::new();
+    let blocks = text.as_bytes().chunks_exact(block).map(|bytes| {
+        bytes.hash(&mut hasher);
+        BlockHash(hasher.finish())
+    });
+    blocks.collect()
+}
--- /dev/null
+++ b/bins/entry/src/entry.rs
@@ -0,0 +1,143 @@
+//! Starting and stopping one entry.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use chervilgate_clients::{HttpEngine, HttpPlatform, HttpPool};
+use chervilgate_clock::BootClock;
+use chervilgate_serve::{Limits, serve};
+use ractor::{Actor, ActorRef};
+use snafu::{ResultExt, Snafu};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle, time::sleep};
+
+use crate::{
+    admin_api::AdminApi,
+    caller_api::CallerApi,
+    host::{Borders, Host, Phase},
+    settings::Settings,
+    supervisor::{Supervisor, SupervisorMessage},
+};
+
+/// Time for a leaving host's own record to reach the others.
+const LEAVE_MARGIN: Duration = Duration::from_secs(3);
+
+/// Why an entry did not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// The address is not to be had.
+    #[snafu(display("cannot listen on {addr}: {source}"))]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The actors did not start.
+    #[snafu(display("cannot start the actors: {source}"))]
+    Spawn {
+        /// What ractor said.
+        source: ractor::SpawnErr,
+    },
+}
+
+/// A running entry.
+pub struct Entry {
+    host: Arc<Host>,
+    supervisor: ActorRef<SupervisorMessage>,
+    callers: JoinHandle<()>,
+    admin: JoinHandle<()>,
+}
+
+impl Entry {
+    /// Starts an entry against the systems that its settings name.
+    ///
+    /// # Errors
+    /// If an address cannot be listened on.
+    pub async fn start(mut settings: Settings) -> Result<Entry, StartError> {
+        let listener = listen(&mut settings.listen).await?;
+        let admin = listen(&mut settings.admin).await?;
+        let borders = Borders {
+            store: Arc::new(HttpPlatform::new(settings.platform)),
+            sender: Arc::new(HttpPool::new()),
+            engines: Arc::new(HttpEngine::new()),
+            clock: Arc::new(BootClock),
+        };
+        let host = Host::new(settings, borders);
+        let (supervisor, _) =
+            Actor::spawn(None, Supervisor, host.clone()).await.context(SpawnSnafu)?;
+        log::info!(target: "entry", host = host.settings.host.as_str(),
+            listen:% = host.settings.listen, admin:% = host.settings.admin; "entry started");
+        let callers = serve_callers(&host, listener);
+        let admin = serve_operators(&host, admin);
+        Ok(Entry { host, supervisor, callers, admin })
+    }
+
+    /// Where callers reach it.
+    pub fn addr(&self) -> SocketAddr {
+        self.host.settings.listen
+    }
+
+    /// Where operators reach it.
+    pub fn admin_addr(&self) -> SocketAddr {
+        self.host.settings.admin
+    }
+
+    /// The state that its parts share.
+    pub fn host(&self) -> &Arc<Host> {
+        &self.host
+    }
+
+    /// Leaves without cutting a request: waits until no caller holds this
+    /// host's address any more, then finishes what runs.
+    pub async fn stop(self) {
+        log::info!(target: "entry", "leaving");
+        self.host.enter(Phase::Leaving);
+        sleep(self.host.settings.locate_ttl + LEAVE_MARGIN).await;
+        log::info!(target: "entry", "finishing what runs");
+        self.host.enter(Phase::Finishing);
+        let _ = self.callers.await;
+        self.supervisor.stop(None);
+        self.admin.abort();
+        log::info!(target: "entry", "stopped");
+    }
+
+    /// Ends at once, as a killed process does.
+    pub fn kill(self) {
+        self.callers.abort();
+        self.admin.abort();
+        self.supervisor.kill();
+    }
+}
+
+async fn listen(addr: &mut SocketAddr) -> Result<TcpListener, StartError> {
+    let wanted = *addr;
+    let listener = TcpListener::bind(wanted).await.context(ListenSnafu { addr: wanted })?;
+    *addr = listener.local_addr().context(ListenSnafu { addr: wanted })?;
+    Ok(listener)
+}
+
+fn serve_callers(host: &Arc<Host>, listener: TcpListener) -> JoinHandle<()> {
+    let handler = Arc::new(CallerApi::new(host.clone()));
+    let mut phase = host.phase();
+    let (stop, stopped) = watch::channel(false);
+    let (_no_tls, tls) = watch::channel(None);
+    tokio::spawn(async move {
+        let follow = async {
+            let _ = phase.wait_for(|phase| *phase == Phase::Finishing).await;
+            let _ = stop.send(true);
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            () = serve(listener, handler, Limits::default(), tls, stopped) => {}
+            () = follow => {}
+        }
+    })
+}
+
+fn serve_operators(host: &Arc<Host>, listener: TcpListener) -> JoinHandle<()> {
+    let handler = Arc::new(AdminApi::new(host.clone()));
+    tokio::spawn(async move {
+        let (_keep_stop, stop) = watch::channel(false);
+        let (_no_tls, tls) = watch::channel(None);
+        serve(listener, handler, Limits::default(), tls, stop).await;
+    })
+}
--- /dev/null
+++ b/bins/entry/src/fleet.rs
@@ -0,0 +1,50 @@
+//! The published targets, in the policy's terms.
+
+use chervilgate_model::{PayClass, Role, Target};
+use chervilgate_policy::{self as policy, Specs, State, TargetId, Zone};
+
+use crate::{
+    lane::Lane,
+    view::{Numbering, View},
+};
+
+/// Tells a lane which targets `view` holds for `service`.
+pub(crate) fn fill_lane(lane: &Lane, view: &View, service: &str, numbering: &Numbering) {
+    let listed = view.targets_of(service).map(|(id, target)| {
+        let draining = view.config.is_draining(target.name.as_str());
+        to_policy(id, target, draining, numbering)
+    });
+    lane.set_targets(listed.collect());
+}
+
+fn to_policy(
+    id: TargetId,
+    target: &Target,
+    draining: bool,
+    numbering: &Numbering,
+) -> policy::Target {
+    let zone = numbering.number(target.zone.as_str());
+    policy::Target {
+        id,
+        role: to_role(target.role),
+        zone: Zone(u8::try_from(zone).unwrap_or(u8::MAX)),
+        kind: to_kind(target.class),
+        state: if draining { State::Draining } else { State::Serving },
+        specs: Specs::default(),
+    }
+}
+
+fn to_role(role: Role) -> policy::Role {
+    match role {
+        Role::Mixed => policy::Role::Mixed,
+        Role::Prefill => policy::Role::Prefill,
+        Role::Decode => policy::Role::Decode,
+    }
+}
+
+fn to_kind(class: PayClass) -> policy::Kind {
+    match class {
+        PayClass::Steady => policy::Kind::Steady,
+        PayClass::Cheap => policy::Kind::Cheap,
+    }
+}
--- a/bins/entry/src/lib.rs
+++ b/bins/entry/src/lib.rs
@@ -1,1 +1,37 @@
 //! The caller side of an entry host.
+//!
+//! A request comes in at [`caller_api`], is checked against the view, waits in
+//! the lane of its service, and goes to a target in as many attempts as its
+//! safety allows. Actors keep the view, the members and the engines' load.
+
+mod admin_api;
+mod attempt;
+mod caller;
+mod caller_api;
+mod chunk;
+mod complete;
+mod completion;
+mod entry;
+mod fleet;
+mod host;
+mod keeper;
+mod lane;
+mod locate;
+mod member;
+mod meter;
+mod outcome;
+mod plain;
+mod poller;
+mod refusal;
+mod registrar;
+mod relay;
+mod settings;
+mod sse;
+mod supervisor;
+mod view;
+
+pub use crate::{
+    entry::{Entry, StartError},
+    keeper::CONFIG_KEY,
+    settings::{Settings, TlsFiles},
+};
--- /dev/null
+++ b/bins/entry/src/locate.rs
@@ -0,0 +1,77 @@
+//! Telling callers which hosts to use.
+
+use std::sync::Arc;
+
+use chervilgate_clients::{Body, body::full};
+use hyper::{
+    Response, Uri,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use serde::Serialize;
+
+use crate::{
+    host::{Host, Phase},
+    member::Member,
+};
+
+/// Weight of a host in the caller's own zone.
+const NEAR_WEIGHT: u32 = 100;
+/// Weight of a host in another zone.
+const FAR_WEIGHT: u32 = 10;
+
+#[derive(Debug, Serialize)]
+struct Located {
+    addresses: Vec<LocatedAddress>,
+    /// How long to keep this answer, in milliseconds.
+    ttl_ms: u64,
+    /// Names the process that remembers idempotency keys.
+    scope: String,
+}
+
+#[derive(Debug, Serialize)]
+struct LocatedAddress {
+    address: String,
+    zone: String,
+    weight: u32,
+}
+
+/// Answers `GET /v1/locate?zone=ZONE`.
+pub(crate) fn locate(host: &Arc<Host>, uri: &Uri) -> Response<Body> {
+    let zone = asked_zone(uri).unwrap_or(&host.settings.zone);
+    let mut members = host.members.near_first(zone);
+    let leaving = *host.phase().borrow() > Phase::Serving;
+    members.retain(|member| !(leaving && member.incarnation == host.incarnation));
+    let addresses = members.iter().map(|member| to_address(member, zone)).collect();
+    let ttl = host.settings.locate_ttl.as_millis();
+    let located = Located {
+        addresses,
+        ttl_ms: u64::try_from(ttl).unwrap_or(u64::MAX),
+        scope: host.incarnation.clone(),
+    };
+    json(&located)
+}
+
+/// A JSON answer.
+pub(crate) fn json(content: &impl Serialize) -> Response<Body> {
+    let text = serde_json::to_vec(content).unwrap_or_default();
+    let mut response = Response::new(full(text));
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
+
+fn asked_zone(uri: &Uri) -> Option<&str> {
+    let pairs = uri.query()?.split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(name, _)| *name == "zone")
+        .map(|pair| pair.1)
+}
+
+fn to_address(member: &Member, zone: &str) -> LocatedAddress {
+    LocatedAddress {
+        address: member.address.to_string(),
+        zone: member.zone.clone(),
+        weight: if member.zone == zone { NEAR_WEIGHT } else { FAR_WEIGHT },
+    }
+}
--- /dev/null
+++ b/bins/entry/src/member.rs
@@ -0,0 +1,49 @@
+//! The entries that callers can be sent to.
+
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+};
+
+use serde::{Deserialize, Serialize};
+
+/// Where members' records stand in the platform's store.
+pub(crate) const MEMBER_PREFIX: &str = "members/";
+
+/// An entry as it describes itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Member {
+    /// The host's name.
+    pub host: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers reach it.
+    pub address: SocketAddr,
+    /// The process.
+    pub incarnation: String,
+    /// Whether it is about to go.
+    pub leaving: bool,
+}
+
+/// The members as last heard of.
+#[derive(Debug, Default)]
+pub struct Members {
+    list: Mutex<Vec<Member>>,
+}
+
+impl Members {
+    /// Replaces the list.
+    pub fn set(&self, list: Vec<Member>) {
+        *self.list.lock().unwrap_or_else(PoisonError::into_inner) = list;
+    }
+
+    /// The members that stay, those of `zone` first.
+    pub fn near_first(&self, zone: &str) -> Vec<Member> {
+        let list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut staying: Vec<Member> =
+            list.iter().filter(|member| !member.leaving).cloned().collect();
+        staying.sort_by_key(|member| member.zone != zone);
+        staying
+    }
+}
--- /dev/null
+++ b/bins/entry/src/relay.rs
@@ -0,0 +1,178 @@
+//! Passing a stream on from engine to caller.
+//!
+//! The stream is driven by its reader: when the caller leaves, it is dropped,
+//! and the engine's connection with it, which cancels the run.
+
+use bytes::Bytes;
+use chervilgate_clients::{Body, BodyError};
+use chervilgate_policy::Outcome as PolicyOutcome;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{
+    Response,
+    body::Frame,
+    header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue},
+};
+
+use crate::{
+    chunk::{Chunk, done_event, write_event},
+    complete::{Attempt, Job},
+    lane::Slot,
+    outcome::{Failure, Outcome},
+    sse::EventReader,
+};
+
+/// Answers with the stream of `attempt`, and of the attempts that follow it.
+pub(crate) fn relay_stream(job: Job, attempt: Attempt) -> Response<Body> {
+    let relay = Relay::new(job, attempt);
+    let frames = stream::unfold(relay, |mut relay| async move {
+        let bytes = relay.next_frame().await?;
+        Some((Ok::<_, BodyError>(Frame::data(bytes)), relay))
+    });
+    let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    response
+}
+
+struct Relay {
+    job: Job,
+    slot: Option<Slot>,
+    body: Body,
+    reader: EventReader,
+    sent: u64,
+    opened: bool,
+    finished: bool,
+    ended: bool,
+}
+
+impl Relay {
+    fn new(job: Job, attempt: Attempt) -> Relay {
+        Relay {
+            job,
+            slot: Some(attempt.slot),
+            body: attempt.response.into_body(),
+            reader: EventReader::default(),
+            sent: 0,
+            opened: false,
+            finished: false,
+            ended: false,
+        }
+    }
+
+    /// The next bytes for the caller; none after the end.
+    async fn next_frame(&mut self) -> Option<Bytes> {
+        while !self.ended {
+            let frame = match self.next_chunk().await {
+                Ok(chunk) => self.pass(chunk),
+                Err(reason) => self.recover(&reason).await,
+            };
+            if frame.is_some() {
+                return frame;
+            }
+        }
+        None
+    }
+
+    /// What goes to the caller for one chunk.
+    fn pass(&mut self, chunk: Chunk) -> Option<Bytes> {
+        match chunk {
+            Chunk::Token(value) => {
+                if self.sent == 0 {
+                    self.note_first();
+                }
+                self.sent += 1;
+                self.opened = true;
+                Some(write_event(value, &self.job.id))
+            }
+            Chunk::Finish(value) => {
+                self.finished = true;
+                Some(write_event(value, &self.job.id))
+            }
+            // After a resumption the new engine opens its stream once more.
+            Chunk::Other(_) if self.opened && !self.finished => None,
+            Chunk::Other(value) => {
+                self.opened = true;
+                Some(write_event(value, &self.job.id))
+            }
+            Chunk::Done => {
+                self.end(PolicyOutcome::Done);
+                Some(done_event())
+            }
+            Chunk::Comment | Chunk::Malformed => None,
+        }
+    }
+
+    /// The engine's next chunk, or why there is none.
+    async fn next_chunk(&mut self) -> Result<Chunk, String> {
+        loop {
+            let event = self.reader.next_event().map_err(|_| "an event too long".to_owned())?;
+            if let Some(event) = event {
+                return Ok(Chunk::read(&event));
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Some(bytes) = frame.data_ref() {
+                        self.reader.push(bytes);
+                    }
+                }
+                Some(Err(error)) => return Err(error.to_string()),
+                None => return Err("the stream ended without its end mark".to_owned()),
+            }
+        }
+    }
+
+    /// Goes on elsewhere after a break; the closing frames if that is not possible.
+    async fn recover(&mut self, reason: &str) -> Option<Bytes> {
+        log::info!(target: "relay", id = self.job.id.as_str(), reason, sent = self.sent;
+            "stream broke off");
+        self.job.note_ran(Outcome::Ran);
+        if let Some(slot) = self.slot.take() {
+            self.job.note_failure(slot, PolicyOutcome::Crashed);
+        }
+        if self.finished {
+            self.end(PolicyOutcome::Done);
+            return Some(done_event());
+        }
+        match self.job.begin(self.sent).await {
+            Ok(attempt) if attempt.response.status().is_success() => {
+                self.slot = Some(attempt.slot);
+                self.body = attempt.response.into_body();
+                self.reader = EventReader::default();
+                None
+            }
+            Ok(attempt) => {
+                attempt.slot.finish(PolicyOutcome::Failed);
+                let message = "the engine that should go on refused";
+                Some(self.give_up(&Failure::target(Outcome::Ran, message)))
+            }
+            Err(failure) => Some(self.give_up(&failure)),
+        }
+    }
+
+    /// Ends the stream with an error; without an end mark it counts as cut off.
+    fn give_up(&mut self, failure: &Failure) -> Bytes {
+        self.end(PolicyOutcome::Failed);
+        format!("data: {}\n\n", failure.to_json()).into()
+    }
+
+    fn note_first(&self) {
+        if let Some(slot) = &self.slot {
+            slot.first_token();
+        }
+    }
+
+    fn end(&mut self, outcome: PolicyOutcome) {
+        self.ended = true;
+        if let Some(slot) = self.slot.take() {
+            slot.finish(outcome);
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.job.count(self.sent);
+    }
+}
--- /dev/null
+++ b/bins/entry/src/settings.rs
@@ -0,0 +1,125 @@
+//! Settings of an entry.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use chervilgate_settings::{FromJson, Node};
+
+/// Time to the first token, or to a plain service's answer.
+const DEADLINE: Duration = Duration::from_millis(870);
+/// Time to a plain service's answer.
+const SERVICE_DEADLINE: Duration = Duration::from_secs(5);
+/// How long a caller keeps a located address.
+const LOCATE_TTL: Duration = Duration::from_secs(5);
+/// The longest request body, in bytes.
+const BODY_LIMIT: u64 = 8 << 20;
+/// Time allowed for a request body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What an entry is told at its start.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The host's name.
+    pub host: String,
+    /// The host's availability zone.
+    pub zone: String,
+    /// Where callers reach it.
+    pub listen: SocketAddr,
+    /// Where operators reach it.
+    pub admin: SocketAddr,
+    /// Where the platform listens.
+    pub platform: SocketAddr,
+    /// Time to the first token after which a request is not worth starting.
+    pub deadline: Duration,
+    /// The same for plain services.
+    pub service_deadline: Duration,
+    /// How long callers keep a located address.
+    pub locate_ttl: Duration,
+    /// The longest request body, in bytes.
+    pub body_limit: u64,
+    /// Time allowed for a request body.
+    pub body_timeout: Duration,
+    /// Certificate and key for callers, if TLS is wanted.
+    pub tls: Option<TlsFiles>,
+    /// Where metrics go over UDP, if anywhere.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// The files of a certificate, in PEM.
+#[derive(Debug, Clone)]
+pub struct TlsFiles {
+    /// The certificate chain.
+    pub certificate: PathBuf,
+    /// The private key.
+    pub key: PathBuf,
+}
+
+impl Settings {
+    /// Settings with the defaults for all that has one.
+    pub fn new(
+        host: &str,
+        zone: &str,
+        listen: SocketAddr,
+        admin: SocketAddr,
+        platform: SocketAddr,
+    ) -> Settings {
+        Settings {
+            host: host.to_owned(),
+            zone: zone.to_owned(),
+            listen,
+            admin,
+            platform,
+            deadline: DEADLINE,
+            service_deadline: SERVICE_DEADLINE,
+            locate_ttl: LOCATE_TTL,
+            body_limit: BODY_LIMIT,
+            body_timeout: BODY_TIMEOUT,
+            tls: None,
+            metrics: None,
+        }
+    }
+}
+
+impl FromJson for Settings {
+    const EXPECTED: &'static str = "the settings of an entry";
+
+    fn from_json(node: &Node<'_>) -> Option<Settings> {
+        let mut fields = node.fields(Self::EXPECTED)?;
+        let host: Option<String> = fields.required("host");
+        let zone: Option<String> = fields.required("zone");
+        let listen = fields.required("listen");
+        let admin = fields.required("admin");
+        let platform = fields.required("platform");
+        let deadline = fields.or("deadline", DEADLINE);
+        let service_deadline = fields.or("service_deadline", SERVICE_DEADLINE);
+        let locate_ttl = fields.or("locate_ttl", LOCATE_TTL);
+        let body_limit = fields.within("body_limit", 1_024..=(64 << 20), BODY_LIMIT);
+        let body_timeout = fields.or("body_timeout", BODY_TIMEOUT);
+        let tls = fields.optional("tls");
+        let metrics = fields.optional("metrics");
+        Some(Settings {
+            host: host?,
+            zone: zone?,
+            listen: listen?,
+            admin: admin?,
+            platform: platform?,
+            deadline,
+            service_deadline,
+            locate_ttl,
+            body_limit,
+            body_timeout,
+            tls,
+            metrics,
+        })
+    }
+}
+
+impl FromJson for TlsFiles {
+    const EXPECTED: &'static str = "a certificate and its key";
+
+    fn from_json(node: &Node<'_>) -> Option<TlsFiles> {
+        let mut fields = node.fields(Self::EXPECTED)?;
+        let certificate = fields.required("certificate");
+        let key = fields.required("key");
+        Some(TlsFiles { certificate: certificate?, key: key? })
+    }
+}
--- /dev/null
+++ b/bins/entry/tests/thin_path.rs
@@ -0,0 +1,130 @@
+//! A request from end to end, against the stand-ins.
+
+use std::{net::SocketAddr, time::Duration};
+
+use chervilgate_entry::{CONFIG_KEY, Entry, Settings};
+use chervilgate_standins::{Answer, Caller, Deployment, EngineFaults, EngineSpec, ServiceFaults};
+use hyper::{Method, StatusCode};
+use serde_json::json;
+
+/// Longest wait for a condition that comes about in milliseconds.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+async fn start_entry(deployment: &Deployment, host: &str, zone: &str) -> Entry {
+    let platform = deployment.platform.addr();
+    let mut settings = Settings::new(host, zone, loopback(), loopback(), platform);
+    settings.deadline = PATIENCE;
+    let entry = Entry::start(settings).await.expect("an entry");
+    let caller = Caller::without_key();
+    eventually(|| async {
+        caller.get(entry.addr(), "/readyz").await.is_some_and(|answer| answer.status.is_success())
+    })
+    .await;
+    entry
+}
+
+async fn eventually<F: Future<Output = bool>>(mut condition: impl FnMut() -> F) {
+    let wait = async {
+        while !condition().await {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait).await.expect("the condition comes about");
+}
+
+async fn start_deployment() -> (Deployment, Caller) {
+    let mut deployment = Deployment::start(3, 2, &EngineSpec::default()).expect("stand-ins");
+    let (secret, _) = deployment.add_organisation("mtatsminda");
+    deployment.publish(CONFIG_KEY).await.expect("published");
+    (deployment, Caller::new(secret.expose()))
+}
+
+fn located(answer: &Answer) -> Vec<SocketAddr> {
+    let json = answer.json();
+    let list = json["addresses"].as_array().cloned().unwrap_or_default();
+    list.iter().filter_map(|item| item["address"].as_str()?.parse().ok()).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn can_locate_an_entry_and_stream_an_answer() {
+    let (deployment, caller) = start_deployment().await;
+    let first = start_entry(&deployment, "h1", "a").await;
+    let second = start_entry(&deployment, "h2", "b").await;
+    eventually(|| async {
+        let answer = caller.get(first.addr(), "/v1/locate?zone=b").await;
+        answer.is_some_and(|answer| located(&answer).len() == 2)
+    })
+    .await;
+
+    let answer = caller.get(first.addr(), "/v1/locate?zone=b").await.expect("an answer");
+    let nearest = located(&answer)[0];
+    let chat = caller.chat(nearest, "how many guests in May", 12).await.expect("an answer");
+
+    assert_eq!(nearest, second.addr());
+    assert!(chat.is_chat("how many guests in May", 12), "{:?}", chat.body);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_stream_goes_on_elsewhere_with_no_token_lost_or_doubled() {
+    let (deployment, caller) = start_deployment().await;
+    let entry = start_entry(&deployment, "h1", "a").await;
+    for engine in deployment.engines.iter().flatten().take(2) {
+        let faults = EngineFaults { break_after: Some(5), ..EngineFaults::default() };
+        engine.set_faults(faults);
+    }
+
+    let mut answers = Vec::new();
+    for number in 0..12 {
+        let prompt = format!("request {number}");
+        let answer = caller.chat(entry.addr(), &prompt, 20).await.expect("an answer");
+        answers.push((prompt, answer));
+    }
+
+    for (prompt, answer) in answers {
+        assert!(answer.is_chat(&prompt, 20), "{prompt}: {:?}", answer.body);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_is_refused_or_honoured_and_never_reaches_a_target() {
+    let (deployment, caller) = start_deployment().await;
+    let entry = start_entry(&deployment, "h1", "a").await;
+    let stranger = Caller::new("cgk_000000000000_wrong");
+    let booking = json!({ "plug": 7 });
+
+    let refused = stranger.chat(entry.addr(), "hello", 3).await.expect("an answer");
+    let open = Caller::without_key().get(entry.addr(), "/svc/plugs/status").await;
+    let honoured = caller.post(entry.addr(), "/svc/plugs/bookings", &booking).await;
+
+    assert_eq!(refused.status, StatusCode::UNAUTHORIZED);
+    assert_eq!(refused.outcome(), Some("not-run"));
+    assert_eq!(open.expect("an answer").status, StatusCode::OK);
+    assert_eq!(honoured.expect("an answer").status, StatusCode::OK);
+    for service in deployment.services.iter().flatten() {
+        assert_eq!(service.keys_seen(), 0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_whose_answer_is_lost_runs_once_and_is_told_as_unknown() {
+    let (deployment, caller) = start_deployment().await;
+    let entry = start_entry(&deployment, "h1", "a").await;
+    for service in deployment.services.iter().flatten() {
+        service.set_faults(ServiceFaults { lose_answers: true, ..ServiceFaults::default() });
+    }
+
+    let body = json!({ "plug": 9 }).to_string();
+    let answer = caller
+        .send(entry.addr(), Method::POST, "/svc/plugs/bookings", &[], body.into())
+        .await
+        .expect("an answer");
+
+    let runs = deployment.services.iter().flatten().flat_map(|service| service.runs());
+    assert_eq!(runs.map(|(_, count)| count).sum::<u32>(), 1);
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_ne!(answer.outcome(), Some("not-run"));
+}
--- a/components/clients/src/target.rs
+++ b/components/clients/src/target.rs
@@ -53,8 +53,8 @@
     pub prompt_tokens: u64,
     /// Output tokens not yet generated.
     pub output_tokens: u64,
-    /// KV cache in use, in thousandths.
-    pub kv_permille: u32,
+    /// KV cache in use, in tokens.
+    pub kv_tokens: u64,
     /// The model version it has loaded.
     pub model: String,
     /// The highest fencing token it has seen; zero if it checks none.
--- /dev/null
+++ b/components/standins/src/caller.rs
@@ -0,0 +1,143 @@
+//! A caller, as an organisation's application is one.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use chervilgate_clients::{HttpPool, HttpSender};
+use http_body_util::BodyExt;
+use hyper::{
+    HeaderMap, Method, Request, StatusCode,
+    header::{AUTHORIZATION, HOST},
+};
+use serde_json::{Value, json};
+
+use crate::text::answer_text;
+
+/// The longest answer read, in bytes.
+const ANSWER_LIMIT: usize = 64 << 20;
+/// Time allowed for a whole answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Calls one or several entries with one key.
+#[derive(Clone)]
+pub struct Caller {
+    key: Option<String>,
+    pool: HttpPool,
+}
+
+/// An answer that is all there.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// Whether the body came whole.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// The body as JSON; null if it is none.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// What the caller was told of its request, if anything.
+    pub fn outcome(&self) -> Option<&str> {
+        self.headers.get("x-chervilgate-outcome")?.to_str().ok()
+    }
+
+    /// The text of a streamed chat; none without its end mark.
+    pub fn streamed_text(&self) -> Option<String> {
+        let text = String::from_utf8_lossy(&self.body);
+        let data: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+        let (last, chunks) = data.split_last()?;
+        if *last != "[DONE]" {
+            return None;
+        }
+        let chunks = chunks.iter().filter_map(|chunk| serde_json::from_str::<Value>(chunk).ok());
+        let texts = chunks.filter_map(|chunk| {
+            chunk["choices"][0]["delta"]["content"].as_str().map(str::to_owned)
+        });
+        Some(texts.collect())
+    }
+
+    /// Whether this is the whole streamed answer of `tokens` tokens to `prompt`.
+    pub fn is_chat(&self, prompt: &str, tokens: u64) -> bool {
+        self.streamed_text().is_some_and(|text| text == answer_text(prompt, tokens))
+    }
+}
+
+impl Caller {
+    /// A caller that presents `key`.
+    pub fn new(key: &str) -> Caller {
+        Caller { key: Some(key.to_owned()), pool: HttpPool::new() }
+    }
+
+    /// A caller without a key.
+    pub fn without_key() -> Caller {
+        Caller { key: None, pool: HttpPool::new() }
+    }
+
+    /// Reads a path; none if no answer came.
+    pub async fn get(&self, entry: SocketAddr, path: &str) -> Option<Answer> {
+        self.send(entry, Method::GET, path, &[], Bytes::new()).await
+    }
+
+    /// Posts JSON to a path; none if no answer came.
+    pub async fn post(&self, entry: SocketAddr, path: &str, content: &Value) -> Option<Answer> {
+        self.send(entry, Method::POST, path, &[], content.to_string().into()).await
+    }
+
+    /// Streams a chat; none if no answer came.
+    pub async fn chat(&self, entry: SocketAddr, prompt: &str, tokens: u64) -> Option<Answer> {
+        let content = json!({
+            "model": "m1", "stream": true, "max_tokens": tokens,
+            "messages": [{ "role": "user", "content": prompt }],
+        });
+        self.post(entry, "/v1/chat/completions", &content).await
+    }
+
+    /// Sends any request; none if no answer came.
+    pub async fn send(
+        &self,
+        entry: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Option<Answer> {
+        let mut request =
+            Request::builder().method(method).uri(path).header(HOST, entry.to_string());
+        if let Some(key) = &self.key {
+            request = request.header(AUTHORIZATION, format!("Bearer {key}"));
+        }
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(body).ok()?;
+        tokio::time::timeout(ANSWER_TIMEOUT, self.exchange(entry, request)).await.ok()?
+    }
+
+    async fn exchange(&self, entry: SocketAddr, request: Request<Bytes>) -> Option<Answer> {
+        let response = self.pool.send(entry, request).await.ok()?;
+        let (head, mut body) = response.into_parts();
+        let mut read = Vec::new();
+        let mut whole = true;
+        while let Some(frame) = body.frame().await {
+            match frame.map(|frame| frame.into_data()) {
+                Ok(Ok(bytes)) if read.len() + bytes.len() <= ANSWER_LIMIT => {
+                    read.extend_from_slice(&bytes);
+                }
+                Ok(Err(_)) => {}
+                _ => {
+                    whole = false;
+                    break;
+                }
+            }
+        }
+        Some(Answer { status: head.status, headers: head.headers, body: read.into(), whole })
+    }
+}
--- /dev/null
+++ b/components/standins/src/deployment.rs
@@ -0,0 +1,144 @@
+//! A small deployment: platform, engines and a plain service, with its objects.
+
+use std::{io, net::SocketAddr};
+
+use chervilgate_clients::{HttpPlatform, ObjectStore};
+use chervilgate_coord::{Expect, StoreCall, StoreReply};
+use chervilgate_model::{
+    Access, Config, KeyRecord, Limits, Name, Object, Organisation, PayClass, Role, Route, Secret,
+    Service, ServiceKind, Target, TargetKind, issue_key,
+};
+use smallvec::SmallVec;
+
+use crate::{EngineSpec, EngineStandin, PlatformStandin, ServiceStandin};
+
+/// The zones of the deployment.
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// A platform with engines of model `m1` and a plug desk, spread over three zones.
+pub struct Deployment {
+    /// The platform.
+    pub platform: PlatformStandin,
+    /// The engines, by number.
+    pub engines: Vec<Option<EngineStandin>>,
+    /// The plain service's targets, by number.
+    pub services: Vec<Option<ServiceStandin>>,
+    /// The objects that describe it.
+    pub config: Config,
+}
+
+impl Deployment {
+    /// Starts `engines` engines and `services` targets of the plain service.
+    ///
+    /// # Errors
+    /// If no port is to be had.
+    pub fn start(engines: usize, services: usize, spec: &EngineSpec) -> io::Result<Deployment> {
+        let platform = PlatformStandin::start(0)?;
+        let mut deployment = Deployment {
+            platform,
+            engines: Vec::new(),
+            services: Vec::new(),
+            config: Config::default(),
+        };
+        deployment.config.insert(Object::Service(model_service()));
+        deployment.config.insert(Object::Service(plain_service()));
+        for number in 0..engines {
+            let engine = EngineStandin::start(spec.clone(), 0)?;
+            let kind = TargetKind::Engine;
+            let target = target(&format!("engine-{number}"), number, engine.addr(), "chat", kind);
+            deployment.config.insert(Object::Target(target));
+            deployment.engines.push(Some(engine));
+        }
+        for number in 0..services {
+            let service = ServiceStandin::start(0)?;
+            let kind = TargetKind::Service;
+            let target = target(&format!("plugs-{number}"), number, service.addr(), "plugs", kind);
+            deployment.config.insert(Object::Target(target));
+            deployment.services.push(Some(service));
+        }
+        Ok(deployment)
+    }
+
+    /// Adds an organisation with one key.
+    pub fn add_organisation(&mut self, label: &str) -> (Secret, KeyRecord) {
+        let organisation = Organisation { name: name(label), weight: 1, limits: Limits::default() };
+        self.config.insert(Object::Organisation(organisation));
+        let (secret, record) =
+            issue_key(&name(label), |bytes| rand::Rng::fill_bytes(&mut rand::rng(), bytes));
+        self.config.insert(Object::Key(record.clone()));
+        (secret, record)
+    }
+
+    /// Publishes the objects under `key` of the platform's store.
+    ///
+    /// # Errors
+    /// What the store answered, if it did not take them.
+    pub async fn publish(&self, key: &str) -> Result<(), StoreReply> {
+        let store = HttpPlatform::new(self.platform.addr());
+        let found = match store.call(&StoreCall::Get { key: key.to_owned() }).await {
+            StoreReply::Found(found) => found,
+            other => return Err(other),
+        };
+        let expect = found.map_or(Expect::Absent, |object| Expect::At(object.version));
+        let value = self.config.to_bytes();
+        match store.call(&StoreCall::Put { key: key.to_owned(), expect, value }).await {
+            StoreReply::Written(_) => Ok(()),
+            other => Err(other),
+        }
+    }
+}
+
+/// A name of the deployment.
+///
+/// # Panics
+/// If `text` is no name.
+pub fn name(text: &str) -> Name {
+    text.parse().expect("a valid name")
+}
+
+fn model_service() -> Service {
+    Service {
+        name: name("chat"),
+        kind: ServiceKind::Model { model: name("m1") },
+        prefix: Service::default_prefix(&name("chat")),
+        open: SmallVec::new(),
+        once: SmallVec::new(),
+        access: Access::All,
+        fallback: None,
+    }
+}
+
+fn plain_service() -> Service {
+    Service {
+        name: name("plugs"),
+        kind: ServiceKind::Plain,
+        prefix: Service::default_prefix(&name("plugs")),
+        open: route("GET /status").into_iter().collect(),
+        once: route("POST /bookings").into_iter().collect(),
+        access: Access::All,
+        fallback: None,
+    }
+}
+
+fn route(text: &str) -> Option<Route> {
+    text.parse().ok()
+}
+
+fn target(
+    label: &str,
+    number: usize,
+    address: SocketAddr,
+    service: &str,
+    kind: TargetKind,
+) -> Target {
+    Target {
+        name: name(label),
+        zone: name(ZONES[number % ZONES.len()]),
+        address,
+        service: name(service),
+        kind,
+        role: Role::Mixed,
+        class: PayClass::Steady,
+        checks_fencing: true,
+    }
+}
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -4,6 +4,8 @@
 //! switches for the faults that the real thing shows. For tests and the demo
 //! only.
 
+mod caller;
+mod deployment;
 mod engine;
 mod listen;
 mod platform;
@@ -11,6 +13,8 @@
 mod text;
 
 pub use crate::{
+    caller::{Answer, Caller},
+    deployment::{Deployment, ZONES, name},
     engine::{EngineFaults, EngineRecord, EngineSpec, EngineStandin},
     listen::Standin,
     platform::{PlatformFaults, PlatformRecord, PlatformStandin, UsageFinding},
