coord: publish, drain, claim and meter as machines

Objects that several processes edit share one editor: it groups edits into a write and resolves a lost answer by reading back.

--- a/components/coord/src/lib.rs
+++ b/components/coord/src/lib.rs
@@ -5,15 +5,21 @@
 //! a clock: each takes the present time and an event, and returns actions.
 
 pub mod budget;
+pub mod claim;
 mod codec;
+mod document;
+pub mod drain;
 mod ident;
 mod order;
+pub mod publication;
 mod step;
 mod store;
 pub mod view;
+pub mod window;
 
 pub use crate::{
     codec::{DecodeError, decode, encode},
+    document::{Access, Document, EditId, Editor, EditorAction, EditorActions},
     ident::{Incarnation, Node, Zone},
     order::{Epoch, Fence, Order, OrderId, OrderReply, ProbeReply, ReceiverId, ShardId},
     step::{Protocol, Step},
--- a/components/coord/src/view.rs
+++ b/components/coord/src/view.rs
@@ -24,7 +24,6 @@
 mod snapshot;
 mod spread;
 mod watch;
-mod writer;
 
 pub use self::{
     acceptance::Acceptance,
@@ -41,5 +40,4 @@
     snapshot::{Manifest, Packed, Snapshot, SnapshotError},
     spread::{Spread, SpreadAction, SpreadActions},
     watch::{RootWatch, WatchAction, WatchActions},
-    writer::{EditId, EditOutcome, RootWriter, WriterAction, WriterActions},
 };
--- a/components/coord/src/view/keeper.rs
+++ b/components/coord/src/view/keeper.rs
@@ -10,6 +10,7 @@
 use smallvec::SmallVec;
 
 use crate::{
+    document::{EditId, Editor, EditorAction},
     ident::{Incarnation, Node},
     step::{Protocol, Step},
     store::{CallId, CallIds, StoreCall, StoreReply},
@@ -20,10 +21,9 @@
         freshness::{Freshness, Verdict},
         holder::{Holder, Offer},
         overlay::{Overlay, elect_voters},
-        root::{Edit, KeyHash, Root, Seq},
+        root::{Edit, EditError, KeyHash, ROOT_KEY, Root, Seq},
         spread::{Spread, SpreadAction},
         watch::{RootWatch, WatchAction},
-        writer::{EditId, EditOutcome, RootWriter, WriterAction},
     },
 };
 
@@ -95,7 +95,7 @@
         /// The edit.
         edit: EditId,
         /// Why.
-        error: crate::view::EditError,
+        error: EditError,
     },
     /// A newer view is in force here.
     Adopted(Seq),
@@ -125,7 +125,7 @@
     freshness: Freshness,
     spread: Spread,
     watch: RootWatch,
-    writer: RootWriter,
+    writer: Editor<Root>,
     acceptance: Acceptance,
     overlay: Overlay,
     members: Vec<Node>,
@@ -149,7 +149,7 @@
             freshness: Freshness::new(me.incarnation),
             spread: Spread::new(me.clone(), seeds),
             watch: RootWatch::new(seed),
-            writer: RootWriter::new(seed ^ 1),
+            writer: Editor::new(ROOT_KEY.to_owned(), seed ^ 1),
             holder: Holder::default(),
             acceptance: Acceptance::default(),
             overlay: Overlay::default(),
@@ -273,23 +273,26 @@
     fn take_writer(
         &mut self,
         now: Time,
-        actions: impl IntoIterator<Item = WriterAction>,
+        actions: impl IntoIterator<Item = EditorAction<Root, EditError>>,
         out: &mut KeeperActions,
     ) {
         for action in actions {
             match action {
-                WriterAction::Call { id, step, call } => {
+                EditorAction::Call { id, step, call } => {
                     out.push(KeeperAction::Call { id, step, call });
                 }
-                WriterAction::Settled { edit: OWN_EDIT, .. } => {}
-                WriterAction::Settled { edit, outcome: EditOutcome::Written(seq) } => {
-                    self.written.push((edit, seq));
+                EditorAction::Written { edit: OWN_EDIT, .. }
+                | EditorAction::Rejected { edit: OWN_EDIT, .. } => {}
+                EditorAction::Written { edit, document } => {
+                    self.written.push((edit, document.seq));
                     self.next = now;
                 }
-                WriterAction::Settled { edit, outcome: EditOutcome::Rejected(error) } => {
+                EditorAction::Rejected { edit, error } => {
                     out.push(KeeperAction::Rejected { edit, error });
                 }
-                WriterAction::Seen { root, asked } => self.see_platform(now, &root, asked, out),
+                EditorAction::Seen { document, asked } => {
+                    self.see_platform(now, &document, asked, out);
+                }
             }
         }
     }
--- a/components/coord/src/view/root.rs
+++ b/components/coord/src/view/root.rs
@@ -6,7 +6,9 @@
 use snafu::{Snafu, ensure};
 
 use crate::{
+    document::{Access, Document},
     ident::{Incarnation, Node},
+    step::{Protocol, Step},
     view::blob::Digest,
 };
 
@@ -169,8 +171,33 @@
         self.draining.iter().any(|drain| drain.target == target)
     }
 
-    /// Whether the edit has been made.
-    pub fn contains(&self, edit: &Edit) -> bool {
+    fn publish(
+        &mut self,
+        id: PublicationId,
+        base: Option<Digest>,
+        manifest: Digest,
+    ) -> Result<(), EditError> {
+        let present = self.publication().map(|made| made.manifest);
+        if present != base {
+            let known = self.publications.iter().any(|made| Some(made.manifest) == base);
+            let whole = self.publications.first().is_none_or(|made| made.number == 1);
+            ensure!(known || whole, ForgottenSnafu);
+            return OvertakenSnafu { present }.fail();
+        }
+        let number = self.publication().map_or(0, |made| made.number) + 1;
+        self.publications.push(Publication { id, number, seq: self.seq, manifest });
+        if self.publications.len() > RECENT_PUBLICATIONS {
+            self.publications.remove(0);
+        }
+        Ok(())
+    }
+}
+
+impl Document for Root {
+    type Edit = Edit;
+    type Error = EditError;
+
+    fn contains(&self, edit: &Edit) -> bool {
         match edit {
             Edit::Publish { id, .. } => self.publications.iter().any(|made| made.id == *id),
             Edit::Withdraw(keys) => keys.is_subset(&self.withdrawn),
@@ -181,17 +208,16 @@
         }
     }
 
-    /// Makes an edit within the root numbered `seq`.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the edit does not fit the present root.
-    pub fn apply(&mut self, seq: Seq, edit: &Edit) -> Result<(), EditError> {
+    fn revise(&mut self) {
+        self.seq.0 += 1;
+    }
+
+    fn apply(&mut self, edit: &Edit) -> Result<(), EditError> {
         match edit {
-            Edit::Publish { id, base, manifest } => self.publish(seq, *id, *base, *manifest)?,
+            Edit::Publish { id, base, manifest } => self.publish(*id, *base, *manifest)?,
             Edit::Withdraw(keys) => self.withdrawn.extend(keys),
             Edit::Drain(target) if !self.is_draining(target) => {
-                self.draining.push(Draining { target: target.clone(), since: seq });
+                self.draining.push(Draining { target: target.clone(), since: self.seq });
                 self.draining.sort();
             }
             Edit::Drain(_) => {}
@@ -200,7 +226,7 @@
                 ensure!(self.voters.prior.is_empty(), UnsettledSnafu);
                 let prior = std::mem::replace(&mut self.voters.current, voters.clone());
                 self.voters.prior = prior;
-                self.voters.since = seq;
+                self.voters.since = self.seq;
             }
             Edit::Settle(since) if self.voters.since == *since => self.voters.prior.clear(),
             Edit::Settle(_) => {}
@@ -208,25 +234,16 @@
         Ok(())
     }
 
-    fn publish(
-        &mut self,
-        seq: Seq,
-        id: PublicationId,
-        base: Option<Digest>,
-        manifest: Digest,
-    ) -> Result<(), EditError> {
-        let present = self.publication().map(|made| made.manifest);
-        if present != base {
-            let known = self.publications.iter().any(|made| Some(made.manifest) == base);
-            let whole = self.publications.first().is_none_or(|made| made.number == 1);
-            ensure!(known || whole, ForgottenSnafu);
-            return OvertakenSnafu { present }.fail();
+    fn step(edit: &Edit, access: Access) -> Step {
+        let protocol = match edit {
+            Edit::Publish { .. } => Protocol::Publication,
+            Edit::Withdraw(_) => Protocol::Withdrawal,
+            Edit::Drain(_) | Edit::EndDrain(_) => Protocol::Drain,
+            Edit::Elect(_) | Edit::Settle(_) => Protocol::Membership,
+        };
+        match access {
+            Access::Read => Step::new(protocol, "read root"),
+            Access::Write => Step::new(protocol, "write root"),
         }
-        let number = self.publication().map_or(0, |made| made.number) + 1;
-        self.publications.push(Publication { id, number, seq, manifest });
-        if self.publications.len() > RECENT_PUBLICATIONS {
-            self.publications.remove(0);
-        }
-        Ok(())
     }
 }
