Run the policy and its baselines in virtual time: experiment shift

chervilgate-load experiment shift drives the policy's queue and router, an entry each, against the engine models, with baselines that replace one decision each and an upper bound from a fluid relaxation. The policy plans no role changes yet; what it loses is late first tokens while the prefill share is high.

--- /dev/null
+++ b/bins/load/src/bound.rs
@@ -0,0 +1,116 @@
+//! Upper bounds that hold for every scheme, a clairvoyant one included.
+//!
+//! A request's cost is the least engine time that it can take in the engine
+//! model when it ends well. A step of length `T` has `T - base` for tokens, so a
+//! decode token in a step of at most the gap limit costs at least
+//! `decode * limit / (limit - base)`; one gap in twenty may lie in a longer step,
+//! where it costs at least `decode`. A prefill token costs least in the longest
+//! step that any role allows. The shareable prefix counts as cached always.
+//!
+//! Two relaxations follow, and the smaller count is the bound:
+//!
+//! * the cost of the chosen requests that arrive after `t` fits into the whole
+//!   fleet's time from `t` to the end of the run, as if any engine could work on
+//!   any request in any fraction at any time;
+//! * the prefill cost of the chosen requests that arrive in a window fits into
+//!   the fleet's time in the window and the first-token limit after it.
+//!
+//! Both are maximised exactly: the first by Moore and Hodgson's rule (take all,
+//! drop the largest when it does not fit), the second by taking the cheapest.
+
+use std::{collections::BinaryHeap, time::Duration};
+
+use chervilgate_clock::Time;
+use chervilgate_engines::Profile;
+
+use crate::{
+    scenario::{DRAIN, FIRST_LIMIT, GAP_LIMIT, SLOW_SHARE, Scenario},
+    workload::{Arrival, BLOCK_TOKENS},
+};
+
+/// Window of the prefill relaxation.
+const WINDOW: Duration = Duration::from_secs(5);
+
+/// Least engine time of a request, in nanoseconds.
+#[derive(Debug, Clone, Copy)]
+pub struct Cost {
+    /// For its prompt.
+    pub prefill: u64,
+    /// For its answer.
+    pub decode: u64,
+}
+
+/// Most requests of `arrivals` that any scheme can end well.
+pub fn most_good(scenario: &Scenario, arrivals: &[Arrival], engines: usize) -> u64 {
+    let costs: Vec<Cost> = arrivals.iter().map(|a| least_cost(&scenario.profile, a)).collect();
+    let end = Time::ZERO + scenario.workload.span + DRAIN;
+    let by_time = most_by_time(arrivals, &costs, engines as u64, end);
+    by_time.min(most_by_prefill(arrivals, &costs, engines as u64))
+}
+
+/// The least engine time of one request.
+pub fn least_cost(profile: &Profile, arrival: &Arrival) -> Cost {
+    let base = [profile.mixed, profile.decode].map(|role| role.base).into_iter().min();
+    let base = base.unwrap_or_default().as_nanos() as u64;
+    let limit = GAP_LIMIT.as_nanos() as u64;
+    let fast = profile.decode_ns * limit / (limit - base);
+    let gaps = u64::from(arrival.output.saturating_sub(1));
+    let slow = gaps / u64::from(SLOW_SHARE);
+    let shared = BLOCK_TOKENS * arrival.blocks.len() as u32;
+    let own = u64::from(arrival.prompt.saturating_sub(shared).max(1));
+    let decode = (gaps - slow) * fast + slow * profile.decode_ns;
+    Cost { prefill: own * profile.prefill_ns * longest_step(profile) / 1_000, decode }
+}
+
+/// Length of the most efficient step against its tokens' time, in thousandths.
+fn longest_step(profile: &Profile) -> u64 {
+    let roles = [profile.prefill, profile.decode, profile.mixed];
+    let stretch = roles.into_iter().map(|role| {
+        let prefill = u64::from(role.chunk) * profile.prefill_ns;
+        let tokens = prefill + u64::from(role.batch) * profile.decode_ns;
+        (tokens + role.base.as_nanos() as u64) * 1_000 / tokens
+    });
+    stretch.min().unwrap_or(1_000)
+}
+
+fn most_by_time(arrivals: &[Arrival], costs: &[Cost], engines: u64, end: Time) -> u64 {
+    let mut chosen = BinaryHeap::new();
+    let mut total = 0;
+    for (arrival, cost) in arrivals.iter().zip(costs).rev() {
+        let cost = cost.prefill + cost.decode;
+        chosen.push(cost);
+        total += cost;
+        let room = engines * end.since(arrival.at).as_nanos() as u64;
+        while total > room {
+            let Some(largest) = chosen.pop() else { break };
+            total -= largest;
+        }
+    }
+    chosen.len() as u64
+}
+
+fn most_by_prefill(arrivals: &[Arrival], costs: &[Cost], engines: u64) -> u64 {
+    let room = engines * (WINDOW + FIRST_LIMIT).as_nanos() as u64;
+    let window = |arrival: &Arrival| arrival.at.as_micros() / WINDOW.as_micros() as u64;
+    let mut count = 0;
+    let mut start = 0;
+    while start < arrivals.len() {
+        let this = window(&arrivals[start]);
+        let length = arrivals[start..].iter().take_while(|a| window(a) == this).count();
+        let mut prefills: Vec<u64> =
+            costs[start..start + length].iter().map(|cost| cost.prefill).collect();
+        prefills.sort_unstable();
+        count += take_while_fits(&prefills, room);
+        start += length;
+    }
+    count
+}
+
+fn take_while_fits(sorted: &[u64], room: u64) -> u64 {
+    let mut total = 0;
+    let fits = sorted.iter().take_while(|cost| {
+        total += **cost;
+        total <= room
+    });
+    fits.count() as u64
+}
--- /dev/null
+++ b/bins/load/src/cmd/experiment.rs
@@ -0,0 +1,50 @@
+//! `chervilgate-load experiment NAME`
+
+use std::path::{Path, PathBuf};
+
+use bpaf::{Parser, construct, long, positional};
+use snafu::ResultExt;
+
+use crate::{
+    cmd::{Error, WriteSnafu},
+    experiment::{self, Name},
+    plot, table,
+};
+
+/// Arguments of the command.
+#[derive(Debug, Clone)]
+pub struct Experiment {
+    seed: u64,
+    seeds: u64,
+    json: Option<PathBuf>,
+    plot: Option<PathBuf>,
+    name: Name,
+}
+
+pub(super) fn options() -> impl Parser<Experiment> {
+    let seed = long("seed").help("First seed").argument("N").fallback(1);
+    let seeds = long("seeds").help("Number of seeds").argument("N").fallback(3);
+    let json = long("json").help("Write the figures as JSON").argument("FILE").optional();
+    let plot = long("plot").help("Write plots as SVG").argument("DIR").optional();
+    let name = positional("NAME").help("The experiment");
+    construct!(Experiment { seed, seeds, json, plot, name })
+}
+
+pub(super) fn run(options: &Experiment) -> Result<(), Error> {
+    let seeds: Vec<u64> = (options.seed..options.seed + options.seeds.max(1)).collect();
+    let report = experiment::run(options.name, &seeds, 1.0);
+    if let Some(path) = &options.json {
+        let text = serde_json::to_string_pretty(&report.figures()).unwrap_or_default();
+        write(path, &text)?;
+    }
+    if let Some(dir) = &options.plot {
+        std::fs::create_dir_all(dir).context(WriteSnafu { path: dir.display().to_string() })?;
+        plot::draw(&report, dir)?;
+    }
+    print!("{}", table::render(&report));
+    Ok(())
+}
+
+fn write(path: &Path, text: &str) -> Result<(), Error> {
+    std::fs::write(path, text).context(WriteSnafu { path: path.display().to_string() })
+}
--- /dev/null
+++ b/bins/load/src/experiment/fleets.rs
@@ -0,0 +1,71 @@
+//! Work and fleets that several experiments share.
+
+use std::time::Duration;
+
+use chervilgate_clock::Time;
+use chervilgate_engines::Profile;
+
+use crate::{
+    scenario::{GAP_LIMIT, Scenario, steady_fleet},
+    workload::{Caller, Mix, Workload},
+};
+
+/// The mix whose work has `share` of prefill, with `rate` requests a second of
+/// `work` engine seconds each.
+pub(super) fn mix(profile: &Profile, rate: f64, work: f64, share: f64) -> Mix {
+    Mix {
+        rate,
+        prompt: work * share / (profile.prefill_ns as f64 / 1e9),
+        output: work * (1.0 - share) / (profile.decode_ns as f64 / 1e9),
+    }
+}
+
+/// Requests a second that fill `load` of `engines`, when steps are as long as the gap limit.
+pub(super) fn rate(profile: &Profile, engines: usize, load: f64, work: f64) -> f64 {
+    let limit = GAP_LIMIT.as_secs_f64();
+    let useful = (limit - profile.mixed.base.as_secs_f64()) / limit;
+    engines as f64 * useful * load / work
+}
+
+/// Eight organisations, a few of them large.
+pub(super) fn eight_callers() -> Vec<Caller> {
+    let shares = [30.0, 22.0, 16.0, 10.0, 8.0, 6.0, 5.0, 3.0];
+    (1..).zip(shares).map(|(org, share)| Caller { org, share }).collect()
+}
+
+/// A value that goes to and fro between `low` and `high`, with ramps of `ramp` seconds
+/// every `period / 2` seconds.
+pub(super) fn swing(now: Time, low: f64, high: f64, period: f64, ramp: f64) -> f64 {
+    let half = period / 2.0;
+    let phase = now.as_secs_f64() % period;
+    let (from, to, since) =
+        if phase < half { (low, high, phase) } else { (high, low, phase - half) };
+    let start = half - ramp;
+    let done = ((since - start) / ramp).clamp(0.0, 1.0);
+    from + (to - from) * done
+}
+
+/// A fleet of steady engines in three zones, with nine entries.
+pub(super) fn scenario(
+    name: &'static str,
+    profile: Profile,
+    engines: usize,
+    workload: Workload,
+) -> Scenario {
+    Scenario {
+        name,
+        fleet: steady_fleet(engines, 3),
+        profile,
+        zones: 3,
+        near: Duration::from_micros(300),
+        far: Duration::from_micros(1_500),
+        workload,
+        share: 0.31,
+        every: Duration::from_millis(500),
+        lag: Duration::from_millis(400),
+        cache_lag: Duration::from_secs(1),
+        cache_loss: 0.01,
+        faults: Vec::new(),
+        spend: None,
+    }
+}
--- /dev/null
+++ b/bins/load/src/experiment/shift.rs
@@ -0,0 +1,104 @@
+//! `shift`: the prefill share of the work swings by half within minutes.
+
+use std::time::Duration;
+
+use chervilgate_engines::Profile;
+
+use crate::{
+    experiment::{
+        Report,
+        fleets::{eight_callers, mix, rate, scenario, swing},
+        report::{best_baseline, find, row, verdict},
+        run_all,
+    },
+    scenario::Scenario,
+    scheme::Scheme,
+    workload::Workload,
+};
+
+/// Engines of the fleet.
+const ENGINES: usize = 16;
+
+/// Load of the fleet.
+const LOAD: f64 = 0.8;
+
+/// Engine seconds of a request.
+const WORK: f64 = 0.102;
+
+/// Lowest and highest share of prefill in the work.
+const SHARES: (f64, f64) = (0.2, 0.7);
+
+/// Seconds from one low share to the next, and of a ramp.
+const PERIOD: (f64, f64) = (300.0, 60.0);
+
+/// Span of the arrivals, in seconds.
+const SPAN: f64 = 900.0;
+
+/// The scenario, with its span times `scale`.
+pub(super) fn scene(scale: f64) -> Scenario {
+    let profile = Profile::large();
+    let rate = rate(&profile, ENGINES, LOAD, WORK);
+    let speeds = profile.clone();
+    let workload = Workload {
+        span: Duration::from_secs_f64(SPAN * scale),
+        entries: 9,
+        mix: Box::new(move |now| {
+            let share = swing(now, SHARES.0, SHARES.1, PERIOD.0, PERIOD.1);
+            mix(&speeds, rate, WORK, share)
+        }),
+        peak: rate,
+        callers: Box::new(|_| eight_callers()),
+        firm: 0.0,
+    };
+    Scenario { share: SHARES.0, ..scenario("shift", profile, ENGINES, workload) }
+}
+
+pub(super) fn run(seeds: &[u64], scale: f64) -> Report {
+    let scene = scene(scale);
+    let (runs, bounds) = run_all(&scene, &Scheme::ALL, seeds);
+    let span = scene.workload.span.as_secs_f64();
+    let rows: Vec<_> =
+        runs.iter().map(|r| row(r.scheme.name(), r, &bounds, span, ENGINES)).collect();
+    let mut report = Report {
+        name: "shift",
+        about: format!(
+            "{ENGINES} engines, 9 entries, prefill share {} to {} and back every {} s, load {LOAD}",
+            SHARES.0, SHARES.1, PERIOD.0
+        ),
+        seeds: seeds.to_vec(),
+        bounds,
+        runs: runs.into_iter().map(|r| (r.scheme.name().to_owned(), r)).collect(),
+        rows,
+        verdicts: Vec::new(),
+        line: String::new(),
+    };
+    judge(&mut report);
+    report
+}
+
+fn judge(report: &mut Report) {
+    let rows = &report.rows;
+    let (Some(policy), Some(best)) = (find(rows, Scheme::Policy), best_baseline(rows)) else {
+        return;
+    };
+    let changes = policy.changes.mean;
+    let greedy = find(rows, Scheme::GreedyRoles).map_or(0.0, |row| row.changes.mean);
+    let (good, other) = (policy.good.mean, best.good.mean);
+    report.verdicts = vec![
+        verdict("goodput at least 90% of the bound", format!("{good:.1}%"), good >= 90.0),
+        verdict(
+            "goodput above each baseline",
+            format!("{good:.1}% against {other:.1}% ({})", best.name),
+            good > other,
+        ),
+        verdict(
+            "role changes at most a quarter of greedy's",
+            format!("{changes:.1} against {greedy:.1}"),
+            changes <= greedy / 4.0,
+        ),
+    ];
+    report.line = format!(
+        "shift: goodput {good:.1}% of bound, best baseline {other:.1}%, \
+         role changes {changes:.1} vs greedy {greedy:.1}"
+    );
+}
--- /dev/null
+++ b/bins/load/src/plot.rs
@@ -0,0 +1,85 @@
+//! Plots of an experiment, as SVG.
+
+use std::path::Path;
+
+use hdrhistogram::Histogram;
+use plotters::prelude::*;
+
+use crate::{
+    cmd::Error,
+    experiment::Report,
+    tally::{SLICE, Tally},
+};
+
+const SIZE: (u32, u32) = (900, 480);
+
+/// A named line of a plot.
+type Line = (String, Vec<(f64, f64)>);
+
+/// Draws goodput over time and the distributions of both latencies into `dir`.
+///
+/// # Errors
+///
+/// [`Error::Draw`] when a file cannot be written.
+pub fn draw(report: &Report, dir: &Path) -> Result<(), Error> {
+    let goodput = lines(report, timeline);
+    let first = lines(report, |tally| quantiles(&tally.first));
+    let gaps = lines(report, |tally| quantiles(&tally.gaps));
+    let path = |part: &str| dir.join(format!("{}-{part}.svg", report.name));
+    chart(&path("goodput"), "good requests a second", "seconds", &goodput)?;
+    chart(&path("first"), "time to first token, ms", "percentile", &first)?;
+    chart(&path("gap"), "time between tokens, ms", "percentile", &gaps)
+}
+
+fn lines(report: &Report, points: impl Fn(&Tally) -> Vec<(f64, f64)>) -> Vec<Line> {
+    let first = report.runs.iter().filter_map(|(name, runs)| Some((name, runs.tallies.first()?)));
+    first.map(|(name, tally)| (name.clone(), points(tally))).collect()
+}
+
+fn timeline(tally: &Tally) -> Vec<(f64, f64)> {
+    let length = SLICE.as_secs_f64();
+    let point = |(index, part): (usize, &crate::tally::Part)| {
+        (index as f64 * length, part.good as f64 / length)
+    };
+    tally.slices.iter().enumerate().map(point).collect()
+}
+
+fn quantiles(histogram: &Histogram<u64>) -> Vec<(f64, f64)> {
+    let value = |q: u32| histogram.value_at_percentile(f64::from(q)) as f64 / 1e3;
+    (1..100).map(|q| (f64::from(q), value(q))).collect()
+}
+
+fn chart(path: &Path, title: &str, axis: &str, lines: &[Line]) -> Result<(), Error> {
+    let failed = |message: String| Error::Draw { path: path.display().to_string(), message };
+    paint(path, title, axis, lines).map_err(|error| failed(error.to_string()))
+}
+
+fn paint(
+    path: &Path,
+    title: &str,
+    axis: &str,
+    lines: &[Line],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let points = || lines.iter().flat_map(|(_, points)| points);
+    let right = points().map(|point| point.0).fold(1.0, f64::max);
+    let top = points().map(|point| point.1).fold(1e-3, f64::max) * 1.05;
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..right, 0.0..top)?;
+    chart.configure_mesh().x_desc(axis).y_desc(title).draw()?;
+    for (index, (name, points)) in lines.iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        let series = LineSeries::new(points.iter().copied(), color.stroke_width(2));
+        chart
+            .draw_series(series)?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color));
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/bins/load/src/scheme/dispatch.rs
@@ -0,0 +1,194 @@
+//! What one entry does with its requests.
+
+use std::collections::VecDeque;
+
+use chervilgate_clock::Time;
+use chervilgate_policy::{
+    Action, CacheEvent, LoadReport, Outcome, Queue, Reason, Refusal, Request, Route, Router,
+    Target, TargetId, Ticket,
+};
+use rand::Rng;
+use smallvec::SmallVec;
+
+use crate::scheme::pick::Pick;
+
+/// The decisions of one entry, as the simulation drives them.
+pub trait Dispatch {
+    /// Takes in a request.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] when it will not run.
+    fn offer(&mut self, now: Time, ticket: Ticket, request: Request) -> Result<(), Refusal>;
+
+    /// Starts and refuses waiting requests.
+    fn poll(&mut self, now: Time, rng: &mut dyn Rng) -> SmallVec<[Action; 4]>;
+
+    /// When to poll at the latest.
+    fn next_check(&self) -> Option<Time>;
+
+    /// Routes a further attempt, past the queue, and counts it as sent.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] when no target can take it.
+    fn retry(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        request: &Request,
+        except: &[TargetId],
+        rng: &mut dyn Rng,
+    ) -> Result<Route, Refusal>;
+
+    /// Adds or updates a target.
+    fn set_target(&mut self, now: Time, target: Target);
+
+    /// Takes in a load report.
+    fn report(&mut self, now: Time, id: TargetId, report: LoadReport);
+
+    /// Takes in a cache event.
+    fn cache_event(&mut self, event: &CacheEvent);
+
+    /// Notes the first token of an attempt.
+    fn first_token(&mut self, now: Time, ticket: Ticket);
+
+    /// Notes the end of an attempt.
+    fn finish(&mut self, now: Time, ticket: Ticket, outcome: Outcome, at: Option<TargetId>);
+}
+
+/// The policy's queue and router.
+#[derive(Debug)]
+pub struct PolicyDispatch {
+    queue: Queue,
+    router: Router,
+}
+
+impl PolicyDispatch {
+    /// Decides by `queue` and `router`.
+    pub fn new(queue: Queue, router: Router) -> PolicyDispatch {
+        PolicyDispatch { queue, router }
+    }
+}
+
+impl Dispatch for PolicyDispatch {
+    fn offer(&mut self, now: Time, ticket: Ticket, request: Request) -> Result<(), Refusal> {
+        self.queue.offer(now, ticket, request)
+    }
+
+    fn poll(&mut self, now: Time, rng: &mut dyn Rng) -> SmallVec<[Action; 4]> {
+        self.queue.poll(now, &mut self.router, rng)
+    }
+
+    fn next_check(&self) -> Option<Time> {
+        self.queue.next_check()
+    }
+
+    fn retry(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        request: &Request,
+        except: &[TargetId],
+        rng: &mut dyn Rng,
+    ) -> Result<Route, Refusal> {
+        let route = self.router.route(now, request, except, rng)?;
+        self.router.start(now, ticket, request, &route);
+        Ok(route)
+    }
+
+    fn set_target(&mut self, now: Time, target: Target) {
+        self.router.set_target(now, target);
+    }
+
+    fn report(&mut self, now: Time, id: TargetId, report: LoadReport) {
+        self.router.report(now, id, report);
+    }
+
+    fn cache_event(&mut self, event: &CacheEvent) {
+        self.router.cache_event(event);
+    }
+
+    fn first_token(&mut self, now: Time, ticket: Ticket) {
+        self.router.first_token(now, ticket);
+    }
+
+    fn finish(&mut self, now: Time, ticket: Ticket, outcome: Outcome, at: Option<TargetId>) {
+        self.router.finish(now, ticket, outcome, at);
+    }
+}
+
+/// One queue in order of arrival, before any way to pick a target.
+pub struct FifoDispatch {
+    pick: Box<dyn Pick>,
+    waiting: VecDeque<(Ticket, Request)>,
+}
+
+impl FifoDispatch {
+    /// A queue in front of `pick`.
+    pub fn new(pick: Box<dyn Pick>) -> FifoDispatch {
+        FifoDispatch { pick, waiting: VecDeque::new() }
+    }
+}
+
+impl Dispatch for FifoDispatch {
+    fn offer(&mut self, _: Time, ticket: Ticket, request: Request) -> Result<(), Refusal> {
+        self.waiting.push_back((ticket, request));
+        Ok(())
+    }
+
+    fn poll(&mut self, now: Time, rng: &mut dyn Rng) -> SmallVec<[Action; 4]> {
+        let mut actions = SmallVec::new();
+        while let Some((ticket, request)) = self.waiting.front() {
+            let ticket = *ticket;
+            if request.deadline <= now {
+                let refusal = Refusal::new(Reason::Late, std::time::Duration::from_secs(1));
+                actions.push(Action::Refuse(ticket, refusal));
+                self.waiting.pop_front();
+                continue;
+            }
+            let Ok(route) = self.pick.pick(now, request, &[], rng) else { break };
+            self.pick.start(now, ticket, request, &route);
+            actions.push(Action::Start(ticket, route));
+            self.waiting.pop_front();
+        }
+        actions
+    }
+
+    fn next_check(&self) -> Option<Time> {
+        self.waiting.front().map(|(_, request)| request.deadline)
+    }
+
+    fn retry(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        request: &Request,
+        except: &[TargetId],
+        rng: &mut dyn Rng,
+    ) -> Result<Route, Refusal> {
+        let route = self.pick.pick(now, request, except, rng)?;
+        self.pick.start(now, ticket, request, &route);
+        Ok(route)
+    }
+
+    fn set_target(&mut self, now: Time, target: Target) {
+        self.pick.set_target(now, target);
+    }
+
+    fn report(&mut self, now: Time, id: TargetId, report: LoadReport) {
+        self.pick.report(now, id, report);
+    }
+
+    fn cache_event(&mut self, event: &CacheEvent) {
+        self.pick.cache_event(event);
+    }
+
+    fn first_token(&mut self, now: Time, ticket: Ticket) {
+        self.pick.first_token(now, ticket);
+    }
+
+    fn finish(&mut self, now: Time, ticket: Ticket, outcome: Outcome, at: Option<TargetId>) {
+        self.pick.finish(now, ticket, outcome, at);
+    }
+}
--- /dev/null
+++ b/bins/load/src/scheme/pick.rs
@@ -0,0 +1,186 @@
+//! Ways to pick a target.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use chervilgate_clock::Time;
+use chervilgate_policy::{
+    CacheEvent, LoadReport, Outcome, Reason, Refusal, Request, Route, Router, State, Target,
+    TargetId, Ticket,
+};
+use rand::Rng;
+
+/// Picks a target for each request.
+pub trait Pick {
+    /// The route of a request.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] when no target can take it now.
+    fn pick(
+        &mut self,
+        now: Time,
+        request: &Request,
+        except: &[TargetId],
+        rng: &mut dyn Rng,
+    ) -> Result<Route, Refusal>;
+
+    /// Counts an attempt as sent.
+    fn start(&mut self, now: Time, ticket: Ticket, request: &Request, route: &Route);
+
+    /// Adds or updates a target.
+    fn set_target(&mut self, now: Time, target: Target);
+
+    /// Takes in a load report.
+    fn report(&mut self, _now: Time, _id: TargetId, _report: LoadReport) {}
+
+    /// Takes in a cache event.
+    fn cache_event(&mut self, _event: &CacheEvent) {}
+
+    /// Notes the first token of an attempt.
+    fn first_token(&mut self, _now: Time, _ticket: Ticket) {}
+
+    /// Notes the end of an attempt.
+    fn finish(&mut self, _now: Time, _ticket: Ticket, _outcome: Outcome, _at: Option<TargetId>) {}
+}
+
+/// Picks by the policy's router.
+#[derive(Debug)]
+pub struct PolicyPick {
+    router: Router,
+}
+
+impl PolicyPick {
+    /// Picks by `router`.
+    pub fn new(router: Router) -> PolicyPick {
+        PolicyPick { router }
+    }
+}
+
+impl Pick for PolicyPick {
+    fn pick(
+        &mut self,
+        now: Time,
+        request: &Request,
+        except: &[TargetId],
+        rng: &mut dyn Rng,
+    ) -> Result<Route, Refusal> {
+        self.router.route(now, request, except, rng)
+    }
+
+    fn start(&mut self, now: Time, ticket: Ticket, request: &Request, route: &Route) {
+        self.router.start(now, ticket, request, route);
+    }
+
+    fn set_target(&mut self, now: Time, target: Target) {
+        self.router.set_target(now, target);
+    }
+
+    fn report(&mut self, now: Time, id: TargetId, report: LoadReport) {
+        self.router.report(now, id, report);
+    }
+
+    fn cache_event(&mut self, event: &CacheEvent) {
+        self.router.cache_event(event);
+    }
+
+    fn first_token(&mut self, now: Time, ticket: Ticket) {
+        self.router.first_token(now, ticket);
+    }
+
+    fn finish(&mut self, now: Time, ticket: Ticket, outcome: Outcome, at: Option<TargetId>) {
+        self.router.finish(now, ticket, outcome, at);
+    }
+}
+
+/// Picks the target with the least load: the last report and what was sent since.
+#[derive(Debug, Default)]
+pub struct LeastLoaded {
+    targets: BTreeMap<TargetId, Loaded>,
+}
+
+#[derive(Debug)]
+struct Loaded {
+    serving: bool,
+    reported: u32,
+    sent: u32,
+}
+
+impl Pick for LeastLoaded {
+    fn pick(
+        &mut self,
+        _now: Time,
+        _request: &Request,
+        except: &[TargetId],
+        _rng: &mut dyn Rng,
+    ) -> Result<Route, Refusal> {
+        let usable = self.targets.iter().filter(|(id, t)| t.serving && !except.contains(id));
+        let least = usable.min_by_key(|(_, target)| target.reported + target.sent);
+        least.map(|(id, _)| whole(*id)).ok_or_else(no_target)
+    }
+
+    fn start(&mut self, _: Time, _: Ticket, _: &Request, route: &Route) {
+        if let Some(target) = self.targets.get_mut(&route.decode) {
+            target.sent += 1;
+        }
+    }
+
+    fn set_target(&mut self, _: Time, target: Target) {
+        let entry = self.targets.entry(target.id).or_insert(Loaded {
+            serving: false,
+            reported: 0,
+            sent: 0,
+        });
+        entry.serving = target.state == State::Serving;
+    }
+
+    fn report(&mut self, _: Time, id: TargetId, report: LoadReport) {
+        if let Some(target) = self.targets.get_mut(&id) {
+            target.reported = report.running + report.waiting;
+            target.sent = 0;
+        }
+    }
+}
+
+/// Picks the targets in turn.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    serving: Vec<TargetId>,
+    turn: usize,
+}
+
+impl Pick for RoundRobin {
+    fn pick(
+        &mut self,
+        _now: Time,
+        _request: &Request,
+        except: &[TargetId],
+        _rng: &mut dyn Rng,
+    ) -> Result<Route, Refusal> {
+        for _ in 0..self.serving.len() {
+            let id = self.serving[self.turn % self.serving.len()];
+            self.turn += 1;
+            if !except.contains(&id) {
+                return Ok(whole(id));
+            }
+        }
+        Err(no_target())
+    }
+
+    fn start(&mut self, _: Time, _: Ticket, _: &Request, _: &Route) {}
+
+    fn set_target(&mut self, _: Time, target: Target) {
+        self.serving.retain(|id| *id != target.id);
+        if target.state == State::Serving {
+            self.serving.push(target.id);
+            self.serving.sort();
+        }
+    }
+}
+
+fn whole(id: TargetId) -> Route {
+    Route { prefill: id, decode: id, cached: 0, fetch: None, first: Duration::ZERO }
+}
+
+fn no_target() -> Refusal {
+    Refusal::new(Reason::NoTarget, Duration::from_secs(1))
+}
--- /dev/null
+++ b/bins/load/src/scheme/roles.rs
@@ -0,0 +1,74 @@
+//! Baselines for role changes.
+
+use chervilgate_clock::Time;
+use chervilgate_policy::{Demand, Member, Role, RoleChange, RolePlanner, State};
+use smallvec::SmallVec;
+
+/// Decides on role changes.
+pub trait PlanRoles {
+    /// The changes to order now.
+    fn plan(&mut self, now: Time, demand: Demand, members: &[Member]) -> SmallVec<[RoleChange; 4]>;
+}
+
+impl PlanRoles for RolePlanner {
+    fn plan(&mut self, now: Time, demand: Demand, members: &[Member]) -> SmallVec<[RoleChange; 4]> {
+        self.plan_roles(now, demand, members)
+    }
+}
+
+/// Changes no role.
+#[derive(Debug, Clone, Copy)]
+pub struct FixedRoles;
+
+impl PlanRoles for FixedRoles {
+    fn plan(&mut self, _: Time, _: Demand, _: &[Member]) -> SmallVec<[RoleChange; 4]> {
+        SmallVec::new()
+    }
+}
+
+/// Changes roles at once to the split that the present mix asks for.
+#[derive(Debug, Clone, Copy)]
+pub struct GreedyRoles;
+
+impl PlanRoles for GreedyRoles {
+    fn plan(&mut self, _: Time, demand: Demand, members: &[Member]) -> SmallVec<[RoleChange; 4]> {
+        let Some(first) = members.first() else { return SmallVec::new() };
+        let specs = &first.target.specs;
+        let prefill = demand.prompt / specs.prefill_rate;
+        let decode = demand.output * specs.step_seq.as_secs_f64();
+        if prefill + decode <= 0.0 {
+            return SmallVec::new();
+        }
+        let wanted = split(members.len(), prefill / (prefill + decode));
+        let present = members.iter().filter(|member| member.target.role == Role::Prefill).count();
+        let (from, to) = if present < wanted {
+            (Role::Decode, Role::Prefill)
+        } else {
+            (Role::Prefill, Role::Decode)
+        };
+        let movable = members
+            .iter()
+            .filter(|member| member.target.role == from && member.target.state == State::Serving);
+        movable
+            .take(present.abs_diff(wanted))
+            .map(|member| RoleChange { target: member.target.id, from, to })
+            .collect()
+    }
+}
+
+/// Prefill engines among `count`, for work with `share` of prefill.
+fn split(count: usize, share: f64) -> usize {
+    let prefill = (count as f64 * share).round() as usize;
+    prefill.clamp(1, count.saturating_sub(1).max(1))
+}
+
+/// Roles of `count` engines, for work with `share` of prefill.
+pub fn initial_roles(count: usize, share: f64) -> Vec<Role> {
+    let prefill = split(count, share);
+    // Spread over the fleet, so that each zone gets its part of both roles.
+    let role = |index: usize| {
+        let before = index * prefill / count;
+        if (index + 1) * prefill / count > before { Role::Prefill } else { Role::Decode }
+    };
+    (0..count).map(role).collect()
+}
--- /dev/null
+++ b/bins/load/src/sim/entries.rs
@@ -0,0 +1,183 @@
+//! The entries' side of the simulation.
+
+use std::{sync::Arc, time::Duration};
+
+use chervilgate_clock::Time;
+use chervilgate_policy::{
+    Action, BlockHash, OrgId, Outcome, Priority, Request, Route, ServiceId, TargetId, Ticket,
+};
+
+use crate::{
+    scenario::FIRST_LIMIT,
+    sim::{Attempt, Happening, WAVES, World},
+    tally::Ending,
+};
+
+/// Attempts at a request, the first one counted.
+const ATTEMPTS: u32 = 5;
+
+/// Time between two looks for a target that takes a broken stream.
+const RETRY_EVERY: Duration = Duration::from_millis(100);
+
+/// Time for which a broken stream waits for a target.
+const RETRY_SPAN: Duration = Duration::from_secs(20);
+
+/// Weight of one answer in the running ratio of tokens to the callers' limits.
+const RATIO_WEIGHT: f64 = 0.01;
+
+impl World<'_> {
+    pub(super) fn arrive(&mut self, request: usize) {
+        let entry = self.arrivals[request].entry;
+        let wanted = self.request(request);
+        self.control.note_offer(self.now, &wanted);
+        let ticket = Ticket(Attempt { request, number: 0 }.job());
+        match self.entries[entry].dispatch.offer(self.now, ticket, wanted) {
+            Ok(()) => self.poll(entry),
+            Err(refusal) => {
+                self.tally.refuse(refusal.reason);
+                self.close(request, Ending::Refused);
+            }
+        }
+    }
+
+    pub(super) fn check(&mut self, entry: usize) {
+        if self.entries[entry].check == self.now {
+            self.entries[entry].check = Time::NEVER;
+        }
+        self.poll(entry);
+    }
+
+    pub(super) fn check_wave(&mut self, wave: usize) {
+        for entry in (wave..self.entries.len()).step_by(WAVES) {
+            self.poll(entry);
+        }
+    }
+
+    pub(super) fn poll(&mut self, entry: usize) {
+        let host = &mut self.entries[entry];
+        for action in host.dispatch.poll(self.now, &mut self.rng) {
+            match action {
+                Action::Start(ticket, route) => self.send(Attempt::of_job(ticket.0), route),
+                Action::Refuse(ticket, refusal) => {
+                    let attempt = Attempt::of_job(ticket.0);
+                    if !self.live[attempt.request].closed {
+                        self.tally.refuse(refusal.reason);
+                    }
+                    self.close(attempt.request, Ending::Refused);
+                }
+            }
+        }
+        self.schedule_check(entry);
+    }
+
+    fn schedule_check(&mut self, entry: usize) {
+        let host = &mut self.entries[entry];
+        let Some(at) = host.dispatch.next_check() else { return };
+        let at = at.max(self.now + Duration::from_millis(1));
+        if at < host.check {
+            host.check = at;
+            self.queue.push(at, Happening::Check(entry));
+        }
+    }
+
+    fn send(&mut self, attempt: Attempt, route: Route) {
+        self.control.note_route(self.now, &route);
+        self.live[attempt.request].route = Some(route);
+        let entry = self.arrivals[attempt.request].entry;
+        let mut at = self.now + self.distance(entry, route.prefill.0 as usize);
+        if let Some(fetch) = route.fetch {
+            at += self.scenario.profile.transfer_time(fetch.tokens);
+        }
+        self.queue.push(at, Happening::Submit(attempt));
+    }
+
+    pub(super) fn note_first(&mut self, attempt: Attempt) {
+        let entry = self.arrivals[attempt.request].entry;
+        self.entries[entry].dispatch.first_token(self.now, Ticket(attempt.job()));
+        self.poll(entry);
+    }
+
+    pub(super) fn end_attempt(&mut self, attempt: Attempt, outcome: Outcome, at: Option<usize>) {
+        let arrival = &self.arrivals[attempt.request];
+        let (entry, repeatable) = (arrival.entry, arrival.repeatable);
+        let target = at.map(|engine| TargetId(engine as u32));
+        let ended = target.filter(|_| outcome != Outcome::Done);
+        let host = &mut self.entries[entry];
+        host.dispatch.finish(self.now, Ticket(attempt.job()), outcome, ended);
+        if outcome == Outcome::Done {
+            let ratio = f64::from(arrival.output) / f64::from(arrival.limit.max(1));
+            host.ratio += RATIO_WEIGHT * (ratio - host.ratio);
+        } else if self.is_current(attempt) {
+            self.live[attempt.request].failed.extend(target);
+            if outcome == Outcome::Crashed && !repeatable {
+                self.close(attempt.request, Ending::Unknown);
+            } else {
+                self.tally.retries += 1;
+                self.retry_next(attempt);
+            }
+        }
+        self.poll(entry);
+    }
+
+    /// Tries a request anew, under the next attempt's number.
+    fn retry_next(&mut self, attempt: Attempt) {
+        let number = attempt.number + 1;
+        if number >= ATTEMPTS {
+            self.close(attempt.request, Ending::Lost);
+            return;
+        }
+        self.live[attempt.request].number = number;
+        self.retry(Attempt { number, ..attempt });
+    }
+
+    pub(super) fn retry(&mut self, attempt: Attempt) {
+        if !self.is_current(attempt) {
+            return;
+        }
+        let entry = self.arrivals[attempt.request].entry;
+        let wanted = self.request(attempt.request);
+        let except = self.live[attempt.request].failed.clone();
+        let host = &mut self.entries[entry];
+        let ticket = Ticket(attempt.job());
+        let route = host.dispatch.retry(self.now, ticket, &wanted, &except, &mut self.rng);
+        match route {
+            Ok(route) => self.send(attempt, route),
+            Err(_) => self.wait_for_target(attempt),
+        }
+    }
+
+    fn wait_for_target(&mut self, attempt: Attempt) {
+        let live = &self.live[attempt.request];
+        let arrived = self.arrivals[attempt.request].at;
+        let begun = live.emitted > 0;
+        let until = if begun { live.last + RETRY_SPAN } else { arrived + FIRST_LIMIT };
+        if self.now < until {
+            self.queue.push(self.now + RETRY_EVERY, Happening::Retry(attempt));
+            return;
+        }
+        self.close(attempt.request, if begun { Ending::Lost } else { Ending::Refused });
+    }
+
+    /// The request as the entry sees it.
+    fn request(&self, request: usize) -> Request {
+        let arrival = &self.arrivals[request];
+        let ratio = self.entries[arrival.entry].ratio;
+        let live = &self.live[request];
+        let prefix: Arc<[BlockHash]> = arrival.blocks.iter().map(|hash| BlockHash(*hash)).collect();
+        let estimate = (f64::from(arrival.limit) * ratio).ceil() as u32;
+        // A broken stream has no first token left to wait for; it wants the next one soon.
+        let deadline = if live.emitted > 0 { self.now } else { arrival.at } + FIRST_LIMIT;
+        Request {
+            org: OrgId(arrival.org),
+            service: ServiceId(0),
+            prompt: arrival.prompt + live.emitted,
+            output: estimate.saturating_sub(live.emitted).max(1),
+            prefix,
+            deadline,
+            priority: Priority::Normal,
+            repeatable: arrival.repeatable,
+            digest: arrival.fingerprint,
+            suspect: false,
+        }
+    }
+}
--- a/components/engines/src/cache.rs
+++ b/components/engines/src/cache.rs
@@ -26,9 +26,14 @@
         PrefixCache { capacity, tick: 0, used: BTreeMap::new(), oldest: BTreeMap::new() }
     }
 
+    /// Number of leading `blocks` that are cached.
+    pub fn count(&self, blocks: &[u64]) -> usize {
+        blocks.iter().take_while(|hash| self.used.contains_key(hash)).count()
+    }
+
     /// Number of leading `blocks` that are cached; marks them as used.
     pub fn touch(&mut self, blocks: &[u64]) -> usize {
-        let hit = blocks.iter().take_while(|hash| self.used.contains_key(hash)).count();
+        let hit = self.count(blocks);
         for &hash in blocks[..hit].iter().rev() {
             self.mark(hash);
         }
--- a/components/engines/src/engine.rs
+++ b/components/engines/src/engine.rs
@@ -48,6 +48,8 @@
         tokens: u32,
         /// Gaps between those tokens that were longer than the limit.
         slow: u32,
+        /// When the first token was produced after KV import, otherwise zero.
+        joined: Time,
     },
     /// A step with decoding sequences ended.
     Stepped {
@@ -203,6 +205,16 @@
         self.begin_change(now);
     }
 
+    /// Leading `blocks` that are cached.
+    pub fn cached(&self, blocks: &[u64]) -> usize {
+        self.cache.count(blocks)
+    }
+
+    /// Caches blocks whose KV was imported; returns what changed.
+    pub fn import(&mut self, blocks: &[u64]) -> Vec<CacheChange> {
+        self.cache.insert(blocks)
+    }
+
     /// Orders a role change; the engine finishes its jobs first and takes no new ones.
     ///
     /// # Errors
--- a/components/engines/src/engine/batch.rs
+++ b/components/engines/src/engine/batch.rs
@@ -16,6 +16,7 @@
     pub(super) place: Place,
     pub(super) phase: Phase,
     cached: u32,
+    joined: Time,
 }
 
 /// How far a job has come.
@@ -45,7 +46,7 @@
 
 impl Sequence {
     pub(super) fn new(job: Job, place: Place) -> Sequence {
-        Sequence { job, place, phase: Phase::Waiting, cached: 0 }
+        Sequence { job, place, phase: Phase::Waiting, cached: 0, joined: Time::ZERO }
     }
 }
 
@@ -55,7 +56,7 @@
         if self.step.is_some() || self.is_down() {
             return;
         }
-        self.admit();
+        let imported = self.admit();
         let chunks = self.plan_chunks();
         let seqs = self.decoding.len() as u32;
         if seqs == 0 && chunks.is_empty() {
@@ -64,6 +65,11 @@
         let tokens = chunks.iter().map(|(_, tokens)| tokens).sum();
         let length = self.profile.step_time(self.role, seqs, tokens);
         self.busy += length;
+        for id in imported {
+            if let Some(seq) = self.jobs.get_mut(&id) {
+                seq.joined = now + length;
+            }
+        }
         self.step = Some(Step { began: now, ends: now + length, seqs, chunks });
     }
 
@@ -120,22 +126,25 @@
         self.kv_used -= seq.job.reserved();
     }
 
-    fn admit(&mut self) {
+    /// Admits what fits; returns the jobs with an imported KV cache.
+    fn admit(&mut self) -> SmallVec<[u64; 4]> {
+        let mut imported = SmallVec::new();
         let batch = self.profile.limits(self.role).batch as usize;
         while let Some((&place, &id)) = self.waiting.first_key_value() {
             let active = self.prefilling.len() + self.decoding.len();
             if self.role != Role::Prefill && active >= batch {
-                return;
+                return imported;
             }
-            let Some(seq) = self.jobs.get_mut(&id) else { return };
+            let Some(seq) = self.jobs.get_mut(&id) else { return imported };
             let reserved = seq.job.reserved();
             if self.kv_used + reserved > self.profile.kv_tokens {
-                return;
+                return imported;
             }
             self.kv_used += reserved;
             self.waiting.remove(&place);
             if seq.job.stage == Stage::Decode {
                 self.join_decoding(id);
+                imported.push(id);
                 continue;
             }
             let blocks = self.cache.touch(&seq.job.blocks) as u32;
@@ -144,6 +153,7 @@
             seq.phase = Phase::Prefilling(seq.job.context() - seq.cached);
             self.prefilling.insert(place, id);
         }
+        imported
     }
 
     fn plan_chunks(&self) -> SmallVec<[(u64, u32); 8]> {
@@ -166,7 +176,8 @@
             && until <= self.steps
         {
             if let Some(lost) = self.lose(id) {
-                events.push(Event::Done { id, tokens: lost.tokens, slow: lost.slow });
+                let joined = self.jobs[&id].joined;
+                events.push(Event::Done { id, tokens: lost.tokens, slow: lost.slow, joined });
             }
             self.remove(id);
         }
