coord: sessions, shards, orders under intents, and takeover

One aggregate, Authority, without I/O: a process's session renewed by conditional update, shards owned while it lasts, every outward order written down before it is sent, and takeover by the receiver's kind.

The bed gets a checker over a recorded history that knows the twelve promises and counts what it observed of each.

--- /dev/null
+++ b/components/coord/src/guards.rs
@@ -0,0 +1,34 @@
+//! Switches for the protections, for tests of the tests.
+
+/// Protections of the protocols; all on by default.
+///
+/// Tests switch one off to prove that the checker notices its absence. A
+/// daemon has no reason to construct anything but the default.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Guards {
+    /// Orders carry a fencing token that grows with the epoch.
+    pub epoch: bool,
+    /// An order is written down before it is sent.
+    pub intent: bool,
+    /// A receiver that does not check fencing tokens waits for proof.
+    pub proof: bool,
+    /// An order is sent only while its owner's authority lasts.
+    pub deadline: bool,
+    /// A lapsed session is sealed in the store before its shards are taken.
+    pub session_seal: bool,
+    /// An unanswered order's connection is given time to end.
+    pub flight: bool,
+}
+
+impl Default for Guards {
+    fn default() -> Guards {
+        Guards {
+            epoch: true,
+            intent: true,
+            proof: true,
+            deadline: true,
+            session_seal: true,
+            flight: true,
+        }
+    }
+}
--- a/components/model/src/object.rs
+++ b/components/model/src/object.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use crate::{KeyRecord, ModelVersion, Name, Organisation, Placement, Service, Target};
+use crate::{Drain, KeyRecord, ModelVersion, Name, Organisation, Placement, Service, Target};
 
 /// A kind of object.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -24,6 +24,8 @@
     Placement,
     /// [`Target`]
     Target,
+    /// [`Drain`]
+    Drain,
 }
 
 /// Kind and name of an object, written `service/portal`.
@@ -53,17 +55,20 @@
     Placement(Placement),
     /// A target.
     Target(Target),
+    /// A drain.
+    Drain(Drain),
 }
 
 impl Kind {
     /// Each kind, in the order in which objects are listed.
-    pub const ALL: [Kind; 6] = [
+    pub const ALL: [Kind; 7] = [
         Kind::Organisation,
         Kind::Key,
         Kind::Service,
         Kind::ModelVersion,
         Kind::Placement,
         Kind::Target,
+        Kind::Drain,
     ];
 
     /// The kind as files name it.
@@ -75,6 +80,7 @@
             Kind::ModelVersion => "model-version",
             Kind::Placement => "placement",
             Kind::Target => "target",
+            Kind::Drain => "drain",
         }
     }
 
@@ -94,6 +100,7 @@
             Object::ModelVersion(_) => Kind::ModelVersion,
             Object::Placement(_) => Kind::Placement,
             Object::Target(_) => Kind::Target,
+            Object::Drain(_) => Kind::Drain,
         }
     }
 
@@ -106,6 +113,7 @@
             Object::ModelVersion(object) => &object.name,
             Object::Placement(object) => &object.name,
             Object::Target(object) => &object.name,
+            Object::Drain(object) => &object.name,
         }
     }
 
@@ -118,6 +126,7 @@
             Object::ModelVersion(object) => spec_of(object),
             Object::Placement(object) => spec_of(object),
             Object::Target(object) => spec_of(object),
+            Object::Drain(object) => spec_of(object),
         }
     }
 
--- /dev/null
+++ b/components/testbed/src/check/authority.rs
@@ -0,0 +1,156 @@
+//! Rules about orders and about who believes to be in charge.
+
+use std::collections::BTreeMap;
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{
+    Epoch, Fence, Incarnation, Order, OrderReply, ReceiverId, ShardId, Zone,
+    target_order::zone_shard,
+};
+
+use crate::{
+    check::{Promise, Report, Rule},
+    history::{Entry, Fact},
+};
+
+#[derive(Debug, Default)]
+struct Receiver {
+    open: Option<u64>,
+    seq: u64,
+    body: Vec<u8>,
+    fence: Fence,
+}
+
+/// Orders reach each receiver in one sequence, each while it is written down.
+///
+/// The sequence is that of the receiver's record in the store. An order has an
+/// effect if it changes the receiver: a late copy of the last one does not.
+#[derive(Debug, Default)]
+pub(super) struct Orders {
+    receivers: BTreeMap<ReceiverId, Receiver>,
+}
+
+impl Orders {
+    fn apply(&mut self, at: Time, order: &Order, fencing: bool, report: &mut Report) {
+        let receiver = self.receivers.entry(order.id.receiver.clone()).or_default();
+        report.observe(Promise::NoConflict);
+        report.observe(Promise::NoStaleOrder);
+        let repeats = order.id.seq == receiver.seq && order.body == receiver.body;
+        if order.id.seq < receiver.seq {
+            let what = format!("{} carried out after #{}", order.id, receiver.seq);
+            report.breach(Promise::NoConflict, at, what);
+        }
+        if order.id.seq == receiver.seq && !repeats {
+            let what = format!("{} carried out with two contents", order.id);
+            report.breach(Promise::NoConflict, at, what);
+        }
+        if !repeats && receiver.open != Some(order.id.seq) {
+            let what = format!("{} from {} is not the order in force", order.id, order.sender);
+            report.breach(Promise::NoStaleOrder, at, what);
+        }
+        if fencing && order.fence < receiver.fence {
+            let what = format!("{} from {} has an old fencing token", order.id, order.sender);
+            report.breach(Promise::NoStaleOrder, at, what);
+        }
+        receiver.seq = receiver.seq.max(order.id.seq);
+        receiver.body.clone_from(&order.body);
+        receiver.fence = receiver.fence.max(order.fence);
+    }
+}
+
+impl Rule for Orders {
+    fn judge(&mut self, entry: &Entry, report: &mut Report) {
+        match &entry.fact {
+            Fact::Recorded { receiver, open } => {
+                self.receivers.entry(receiver.clone()).or_default().open = *open;
+            }
+            Fact::Received { order, fencing, reply: OrderReply::Done } => {
+                self.apply(entry.at, order, *fencing, report);
+            }
+            _ => {}
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Shard {
+    beliefs: BTreeMap<Incarnation, Time>,
+    epoch: Epoch,
+    orderer: Epoch,
+}
+
+impl Shard {
+    fn believers(&self, now: Time) -> usize {
+        self.beliefs.values().filter(|until| now < **until).count()
+    }
+}
+
+/// No two processes believe to own a shard at one time.
+#[derive(Debug, Default)]
+pub(super) struct Beliefs {
+    shards: BTreeMap<ShardId, Shard>,
+}
+
+impl Beliefs {
+    fn hold(
+        &mut self,
+        at: Time,
+        process: Incarnation,
+        shard: &ShardId,
+        epoch: Epoch,
+        until: Time,
+        report: &mut Report,
+    ) {
+        let promise = promise_of(shard);
+        let known = self.shards.entry(shard.clone()).or_default();
+        known.beliefs.insert(process, until);
+        if known.believers(at) > 1 {
+            report.breach(promise, at, format!("two processes believe to own {shard}"));
+        }
+        if epoch < known.epoch {
+            report.breach(promise, at, format!("{shard} owned under an old epoch"));
+        }
+        known.epoch = known.epoch.max(epoch);
+    }
+
+    fn order_targets(&mut self, at: Time, order: &Order, report: &mut Report) {
+        let known = self.shards.entry(order.id.receiver.shard.clone()).or_default();
+        report.observe(Promise::OneOrderer);
+        let epoch = order.fence.epoch();
+        if epoch < known.orderer {
+            let what = format!("{} came after an order of a later owner", order.id);
+            report.breach(Promise::OneOrderer, at, what);
+        }
+        if known.believers(at) > 1 {
+            let what = format!("{} came while two processes believe", order.id);
+            report.breach(Promise::OneOrderer, at, what);
+        }
+        known.orderer = known.orderer.max(epoch);
+    }
+}
+
+impl Rule for Beliefs {
+    fn judge(&mut self, entry: &Entry, report: &mut Report) {
+        match (&entry.fact, entry.process) {
+            (Fact::Holds { shard, epoch, until }, Some(process)) => {
+                self.hold(entry.at, process, shard, *epoch, *until, report);
+            }
+            (Fact::Yields { shard }, Some(process)) => {
+                self.shards.entry(shard.clone()).or_default().beliefs.remove(&process);
+            }
+            (Fact::TargetOrdered { order }, _) => self.order_targets(entry.at, order, report),
+            _ => {}
+        }
+    }
+}
+
+/// The promise that a doubly owned shard breaks.
+fn promise_of(shard: &ShardId) -> Promise {
+    if shard.0.starts_with(&zone_shard(&Zone(String::new())).0) {
+        return Promise::OneOrderer;
+    }
+    if shard.0.starts_with("usage") {
+        return Promise::UsageOnce;
+    }
+    Promise::NoConflict
+}
--- a/components/testbed/src/history.rs
+++ b/components/testbed/src/history.rs
@@ -2,7 +2,7 @@
 
 use chervilgate_clock::Time;
 use chervilgate_coord::{
-    Epoch, Incarnation, Order, OrderReply, ReceiverId, ShardId, Step, Version,
+    Epoch, Incarnation, Order, OrderId, OrderReply, ReceiverId, ShardId, Step, Version,
 };
 
 use crate::network::HostId;
@@ -82,6 +82,13 @@
         /// What the receiver made of it.
         reply: OrderReply,
     },
+    /// An owner has finished an order.
+    Completed {
+        /// The order.
+        order: OrderId,
+        /// What became of it.
+        reply: OrderReply,
+    },
     /// The platform got a target order.
     TargetOrdered {
         /// The order; its receiver is the zone.
--- a/components/testbed/src/lib.rs
+++ b/components/testbed/src/lib.rs
@@ -5,18 +5,26 @@
 //! bed is no simulator of a cluster. Every run repeats itself from its seed.
 
 mod bed;
+mod check;
 mod fault;
 mod history;
 mod network;
+mod owner;
 mod process;
 mod queue;
+mod receiver;
 mod store;
+mod world;
 
 pub use crate::{
     bed::{Bed, Counts, Recorder, StoreMode, hosts::HostState},
+    check::{Breach, Promise, Report, check},
     fault::{Fault, Spans, Strike},
     history::{CutCause, Entry, Fact, History, Outcome, RequestId},
     network::{HostId, Network, Place},
+    owner::{Owner, OwnerSetting, ReceiverSetting, order_reply, record_receivers, translate},
     process::{Answer, Birth, Endpoint, Factory, Input, Output, Process, Request},
+    receiver::{FakeEngine, FakePlatform},
     store::{FakeStore, Served},
+    world::{WorldSetting, build_world},
 };
--- /dev/null
+++ b/components/testbed/src/owner.rs
@@ -0,0 +1,195 @@
+//! A process that owns shards and gives orders, for tests of authority.
+
+use std::time::Duration;
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{
+    Action, Actions, Authority, AuthorityConfig, CallIds, Epoch, Event, Guards, Notice, OrderReply,
+    ReceiverId, ShardId, Terms,
+    intent::{RECEIVER_PREFIX, ReceiverRecord, Wish},
+};
+
+use crate::{
+    history::Fact,
+    process::{Answer, Birth, Factory, Input, Output, Process, Request},
+};
+
+/// A receiver as its owner knows it from the settings.
+#[derive(Debug, Clone)]
+pub struct ReceiverSetting {
+    /// The receiver; its endpoint has the same name, written out.
+    pub id: ReceiverId,
+    /// Whether it refuses old fencing tokens.
+    pub fencing: bool,
+    /// From one order to the next.
+    pub period: Duration,
+}
+
+/// What an [`Owner`] is made of.
+#[derive(Debug, Clone)]
+pub struct OwnerSetting {
+    /// Every shard there is.
+    pub shards: Vec<ShardId>,
+    /// The receivers of all shards.
+    pub receivers: Vec<ReceiverSetting>,
+    /// Spans of time.
+    pub terms: Terms,
+    /// Protections.
+    pub guards: Guards,
+    /// Whether the platform delists no host that still runs.
+    pub trust_list: bool,
+}
+
+/// Owns what it can and gives each receiver a new order from time to time.
+///
+/// Its orders carry its own name, so that two owners never wish the same.
+pub struct Owner {
+    authority: Authority,
+    name: String,
+    receivers: Vec<ReceiverSetting>,
+    next: Vec<Time>,
+    held: Vec<(ShardId, Epoch)>,
+    until: Time,
+}
+
+impl Owner {
+    /// Makes owners of these settings.
+    pub fn factory(setting: OwnerSetting) -> Factory {
+        Box::new(move |birth| Box::new(Owner::new(birth, setting.clone())))
+    }
+
+    fn new(birth: &Birth, setting: OwnerSetting) -> Owner {
+        let authority = Authority::new(AuthorityConfig {
+            node: birth.node.clone(),
+            shards: setting.shards,
+            terms: setting.terms,
+            guards: setting.guards,
+            trust_list: setting.trust_list,
+            seed: birth.seed,
+            calls: CallIds::from(1),
+        });
+        let next = vec![Time::ZERO; setting.receivers.len()];
+        Owner {
+            authority,
+            name: birth.incarnation().to_string(),
+            receivers: setting.receivers,
+            next,
+            held: Vec::new(),
+            until: Time::ZERO,
+        }
+    }
+
+    fn give_orders(&mut self, now: Time, out: &mut Vec<Output>) {
+        for (receiver, next) in self.receivers.iter().zip(&mut self.next) {
+            if now < *next {
+                continue;
+            }
+            *next = now + receiver.period;
+            let wish = Wish {
+                receiver: receiver.id.clone(),
+                fencing: receiver.fencing,
+                body: format!("{} at {now}", self.name).into_bytes(),
+                cause: None,
+            };
+            if let Ok(actions) = self.authority.order(now, wish) {
+                translate(actions, out);
+            }
+        }
+    }
+
+    /// Records what the process believes to own, when that has changed.
+    fn record_beliefs(&mut self, now: Time, out: &mut Vec<Output>) {
+        let held: Vec<(ShardId, Epoch)> =
+            self.authority.owned(now).map(|(shard, epoch)| (shard.clone(), epoch)).collect();
+        let until = self.authority.until();
+        for (shard, epoch) in &self.held {
+            if !held.iter().any(|(other, now)| other == shard && now == epoch) {
+                out.push(Output::Record(Fact::Yields { shard: shard.clone() }));
+            }
+        }
+        for (shard, epoch) in &held {
+            let known = self.held.iter().any(|(other, then)| other == shard && then == epoch);
+            if !known || until != self.until {
+                let fact = Fact::Holds { shard: shard.clone(), epoch: *epoch, until };
+                out.push(Output::Record(fact));
+            }
+        }
+        self.held = held;
+        self.until = until;
+    }
+}
+
+impl Process for Owner {
+    fn handle(&mut self, now: Time, input: Input) -> Vec<Output> {
+        let event = match input {
+            Input::Store { id, reply } => Event::Reply { id, reply },
+            Input::Answer { id, reply } => Event::Answer { id, reply: order_reply(&reply) },
+            Input::Probe { id, reply } => Event::Probed { id, reply },
+            Input::Hosts(hosts) => Event::Hosts(hosts),
+            Input::Stop => Event::Stop,
+            Input::Start | Input::Wake | Input::Peer { .. } | Input::Command(_) => Event::Wake,
+        };
+        let mut out = Vec::new();
+        translate(self.authority.handle(now, event), &mut out);
+        self.give_orders(now, &mut out);
+        self.record_beliefs(now, &mut out);
+        out
+    }
+
+    fn wake_at(&self) -> Time {
+        let orders = match self.held.is_empty() {
+            true => Time::NEVER,
+            false => self.next.iter().copied().fold(Time::NEVER, Time::min),
+        };
+        self.authority.wake_at().min(orders)
+    }
+}
+
+/// Turns an authority's actions into a process's outputs.
+pub fn translate(actions: Actions, out: &mut Vec<Output>) {
+    for action in actions {
+        match action {
+            Action::Store { id, step, call } => out.push(Output::Store { id, step, call }),
+            Action::Send { id, step, order, deadline } => out.push(Output::Call {
+                id,
+                step,
+                endpoint: order.id.receiver.to_string(),
+                request: Request::Order(order),
+                deadline,
+            }),
+            Action::Probe { id, step, addr } => out.push(Output::Probe { id, step, addr }),
+            Action::Notice(notice) => record_notice(notice, out),
+        }
+    }
+}
+
+fn record_notice(notice: Notice, out: &mut Vec<Output>) {
+    match notice {
+        Notice::Frozen { receiver, sender } => {
+            out.push(Output::Record(Fact::Frozen { receiver, sender }));
+        }
+        Notice::Thawed { receiver, .. } => out.push(Output::Record(Fact::Thawed { receiver })),
+        Notice::Completed { order, reply } => {
+            out.push(Output::Record(Fact::Completed { order, reply }));
+        }
+        Notice::Ended => out.push(Output::Exit),
+        Notice::Gained { .. } | Notice::Lost { .. } | Notice::Extended { .. } => {}
+    }
+}
+
+/// What an answer says of an order.
+pub fn order_reply(answer: &Answer) -> OrderReply {
+    match answer {
+        Answer::Order(reply) => *reply,
+        Answer::NotSent => OrderReply::NotSent,
+        Answer::Bytes(_) | Answer::Unknown => OrderReply::Unknown,
+    }
+}
+
+/// Records writes to receivers' records.
+pub fn record_receivers(key: &str, value: &[u8]) -> Option<Fact> {
+    let (shard, name) = key.strip_prefix(RECEIVER_PREFIX)?.split_once('/')?;
+    let record: ReceiverRecord = chervilgate_coord::decode(value).ok()?;
+    let receiver = ReceiverId { shard: ShardId(shard.to_owned()), name: name.to_owned() };
+    Some(Fact::Recorded { receiver, open: record.open.is_some().then_some(record.seq) })
+}
