--- /dev/null
+++ b/components/policy/benches/routing.rs
@@ -0,0 +1,84 @@
+//! The time of one routing decision at three fleet sizes.
+
+use std::{hint::black_box, sync::Arc};
+
+use chervilgate_clock::Time;
+use chervilgate_policy::{
+    BlockHash, CacheChange, CacheEvent, Kind, LoadReport, OrgId, Priority, Request, Role,
+    RouteSettings, Router, ServiceId, Specs, State, Target, TargetId, Zone,
+};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// Fleet sizes: today's, a service's at the design size, and the whole design size.
+const FLEETS: [u32; 3] = [15, 100, 610];
+
+/// Blocks of the benchmark's prompts.
+const BLOCKS: u64 = 24;
+
+fn router(targets: u32, rng: &mut Pcg64) -> Router {
+    let mut router = Router::new(RouteSettings::default());
+    for id in 0..targets {
+        let role = match id % 3 {
+            0 => Role::Prefill,
+            1 => Role::Decode,
+            _ => Role::Mixed,
+        };
+        let target = Target {
+            id: TargetId(id),
+            role,
+            zone: Zone((id % 6) as u8),
+            kind: Kind::Steady,
+            state: State::Serving,
+            specs: Specs::default(),
+        };
+        router.set_target(Time::ZERO, target);
+        let report = LoadReport {
+            running: rng.random_range(0..40),
+            prompt_queue: rng.random_range(0..1_000),
+            ..LoadReport::default()
+        };
+        router.report(Time::ZERO, TargetId(id), report);
+        let change = CacheChange::Stored(blocks(3));
+        router.cache_event(&CacheEvent { target: TargetId(id), seq: 0, change });
+    }
+    router
+}
+
+fn blocks(conversation: u64) -> Arc<[BlockHash]> {
+    (0..BLOCKS).map(|block| BlockHash(conversation << 32 | block)).collect()
+}
+
+fn request(conversation: u64) -> Request {
+    Request {
+        org: OrgId(1),
+        service: ServiceId(1),
+        prompt: 1_600,
+        output: 250,
+        prefix: blocks(conversation),
+        deadline: Time::from_millis(870),
+        priority: Priority::Normal,
+        repeatable: true,
+        digest: conversation,
+        suspect: false,
+    }
+}
+
+fn route(c: &mut Criterion) {
+    let mut group = c.benchmark_group("route");
+    for targets in FLEETS {
+        let mut rng = Pcg64::seed_from_u64(1);
+        let router = router(targets, &mut rng);
+        let requests = [("cached", request(3)), ("uncached", request(1_000))];
+        for (name, request) in requests {
+            group.bench_with_input(BenchmarkId::new(name, targets), &request, |b, request| {
+                b.iter(|| router.route(Time::ZERO, black_box(request), &[], &mut rng));
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, route);
+criterion_main!(benches);
