--- a/components/model/src/check/target.rs
+++ b/components/model/src/check/target.rs
@@ -1,4 +1,4 @@
-//! Rules for targets and drains.
+//! Rules for targets.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
@@ -20,7 +20,6 @@
             reporter.error(&from, ".address", problem, "an address of its own");
         }
     }
-    check_drains(config, reporter);
 }
 
 fn check_service(config: &Config, target: &Target, reporter: &Reporter<'_>) {
@@ -65,13 +64,3 @@
         reporter.error(&from, ".address", problem, "a host's IP number and port");
     }
 }
-
-fn check_drains(config: &Config, reporter: &Reporter<'_>) {
-    for drain in config.drains.values() {
-        if !config.targets.contains_key(&drain.name) {
-            let from = id(Kind::Drain, &drain.name);
-            let problem = format!("no target {} is listed", drain.name);
-            reporter.warn(&from, "", problem, "a target listed here or ordered by the system");
-        }
-    }
-}
--- a/components/model/src/config.rs
+++ b/components/model/src/config.rs
@@ -1,13 +1,13 @@
 //! A whole configuration as one snapshot.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
-use snafu::{ResultExt, Snafu};
+use snafu::{ResultExt, Snafu, ensure};
 
 use crate::{
-    Digest, Drain, KeyError, KeyRecord, ModelVersion, Name, Object, ObjectId, Organisation,
-    Placement, Service, Target, key::key_id,
+    Digest, KeyError, KeyRecord, ModelVersion, Name, Object, ObjectId, Organisation, Placement,
+    Service, Target, key::key_id,
 };
 
 /// Each object of a configuration, by name within its kind.
@@ -27,8 +27,8 @@
     pub placements: BTreeMap<Name, Placement>,
     /// Targets listed by hand.
     pub targets: BTreeMap<Name, Target>,
-    /// Drains, by the target's id.
-    pub drains: BTreeMap<Name, Drain>,
+    /// Targets that get no new work; set by the view, not by operators' files.
+    pub drains: BTreeSet<Name>,
 }
 
 /// Bytes that hold no configuration.
@@ -38,6 +38,27 @@
     source: serde_path_to_error::Error<serde_json::Error>,
 }
 
+/// A published entry that is not the object it is named after.
+#[derive(Debug, Snafu)]
+pub enum EntryError {
+    /// It does not decode.
+    #[snafu(display("{name} does not decode: {source}"))]
+    Object {
+        /// The entry.
+        name: String,
+        /// The cause.
+        source: serde_json::Error,
+    },
+    /// It holds another object.
+    #[snafu(display("{name} holds {id}"))]
+    Other {
+        /// The entry.
+        name: String,
+        /// The object that it holds.
+        id: ObjectId,
+    },
+}
+
 impl Config {
     /// Collects objects; a later object replaces an earlier one of its id.
     pub fn from_objects(objects: impl IntoIterator<Item = Object>) -> Config {
@@ -58,7 +79,6 @@
             Object::ModelVersion(object) => drop(self.versions.insert(name, object)),
             Object::Placement(object) => drop(self.placements.insert(name, object)),
             Object::Target(object) => drop(self.targets.insert(name, object)),
-            Object::Drain(object) => drop(self.drains.insert(name, object)),
         }
     }
 
@@ -70,14 +90,12 @@
         let versions = self.versions.values().cloned().map(Object::ModelVersion);
         let placements = self.placements.values().cloned().map(Object::Placement);
         let targets = self.targets.values().cloned().map(Object::Target);
-        let drains = self.drains.values().cloned().map(Object::Drain);
         organisations
             .chain(keys)
             .chain(services)
             .chain(versions)
             .chain(placements)
             .chain(targets)
-            .chain(drains)
             .map(|object| (object.id(), object))
             .collect()
     }
@@ -96,6 +114,29 @@
         serde_path_to_error::deserialize(&mut json).context(DecodeSnafu)
     }
 
+    /// Each object's encoding by its id, written `service/portal`.
+    ///
+    /// Leaves out the drains, which are not part of a publication.
+    pub fn to_entries(&self) -> BTreeMap<String, Vec<u8>> {
+        let objects = self.objects().into_iter();
+        let encode = |object| serde_json::to_vec(&object).expect("names are strings");
+        objects.map(|(id, object)| (id.to_string(), encode(object))).collect()
+    }
+
+    /// Reads what [`Config::to_entries`] gave.
+    ///
+    /// # Errors
+    /// If an entry does not hold the object that it is named after.
+    pub fn from_entries(entries: &BTreeMap<String, Vec<u8>>) -> Result<Config, EntryError> {
+        let mut config = Config::default();
+        for (name, bytes) in entries {
+            let object: Object = serde_json::from_slice(bytes).context(ObjectSnafu { name })?;
+            ensure!(object.id().to_string() == *name, OtherSnafu { name, id: object.id() });
+            config.insert(object);
+        }
+        Ok(config)
+    }
+
     /// The digest of the canonical encoding.
     pub fn digest(&self) -> Digest {
         Digest::of(&self.to_bytes())
@@ -131,6 +172,6 @@
 
     /// Whether the target `name` is to get no new work.
     pub fn is_draining(&self, name: &str) -> bool {
-        self.drains.contains_key(name)
+        self.drains.contains(name)
     }
 }
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -1,7 +1,7 @@
 //! Operators' objects as aggregates, and the check of a whole configuration.
 //!
 //! Operators write named objects that refer to one another: organisations,
-//! keys, services, model versions, placements, targets and drains. A
+//! keys, services, model versions, placements and targets. A
 //! [`Config`] holds all of them as one snapshot with a canonical encoding, so
 //! that equal configurations have equal bytes and an equal [`Digest`].
 //!
@@ -28,7 +28,7 @@
 
 pub use crate::{
     check::{check, check_change},
-    config::{Config, DecodeError},
+    config::{Config, DecodeError, EntryError},
     diff::{Change, Edit, FieldEdit, diff},
     digest::Digest,
     files::{Draft, read_files},
@@ -40,6 +40,6 @@
     placement::{Placement, ZoneCount},
     route::{Method, Pattern, Route, RouteError},
     service::{Access, Service, ServiceKind},
-    target::{Drain, PayClass, Role, Target, TargetKind},
+    target::{PayClass, Role, Target, TargetKind},
     version::{ModelVersion, VersionState},
 };
--- a/components/model/src/object.rs
+++ b/components/model/src/object.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use crate::{Drain, KeyRecord, ModelVersion, Name, Organisation, Placement, Service, Target};
+use crate::{KeyRecord, ModelVersion, Name, Organisation, Placement, Service, Target};
 
 /// A kind of object.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -24,8 +24,6 @@
     Placement,
     /// [`Target`]
     Target,
-    /// [`Drain`]
-    Drain,
 }
 
 /// Kind and name of an object, written `service/portal`.
@@ -55,20 +53,17 @@
     Placement(Placement),
     /// A target.
     Target(Target),
-    /// A drain.
-    Drain(Drain),
 }
 
 impl Kind {
     /// Each kind, in the order in which objects are listed.
-    pub const ALL: [Kind; 7] = [
+    pub const ALL: [Kind; 6] = [
         Kind::Organisation,
         Kind::Key,
         Kind::Service,
         Kind::ModelVersion,
         Kind::Placement,
         Kind::Target,
-        Kind::Drain,
     ];
 
     /// The kind as files name it.
@@ -80,7 +75,6 @@
             Kind::ModelVersion => "model-version",
             Kind::Placement => "placement",
             Kind::Target => "target",
-            Kind::Drain => "drain",
         }
     }
 
@@ -100,7 +94,6 @@
             Object::ModelVersion(_) => Kind::ModelVersion,
             Object::Placement(_) => Kind::Placement,
             Object::Target(_) => Kind::Target,
-            Object::Drain(_) => Kind::Drain,
         }
     }
 
@@ -113,7 +106,6 @@
             Object::ModelVersion(object) => &object.name,
             Object::Placement(object) => &object.name,
             Object::Target(object) => &object.name,
-            Object::Drain(object) => &object.name,
         }
     }
 
@@ -126,7 +118,6 @@
             Object::ModelVersion(object) => spec_of(object),
             Object::Placement(object) => spec_of(object),
             Object::Target(object) => spec_of(object),
-            Object::Drain(object) => spec_of(object),
         }
     }
 
--- a/components/model/src/read.rs
+++ b/components/model/src/read.rs
@@ -7,14 +7,12 @@
 use chervilgate_settings::{Fields, FromJson, Node};
 
 use crate::{
-    Digest, Drain, KeyRecord, Kind, Limits, ModelVersion, Name, Object, Organisation, PayClass,
-    Placement, Role, Target, TargetKind, VersionState, ZoneCount,
+    Digest, KeyRecord, Kind, Limits, ModelVersion, Name, Object, Organisation, PayClass, Placement,
+    Role, Target, TargetKind, VersionState, ZoneCount,
 };
 
 /// Most targets of a service in one zone.
 const ZONE_LIMIT: u32 = 10_000;
-/// Longest reason of a drain, in bytes.
-const REASON_LIMIT: usize = 200;
 
 impl FromJson for Name {
     const EXPECTED: &'static str = "a name: 1 to 63 of a-z 0-9 . _ -, a letter or digit first";
@@ -47,8 +45,7 @@
 }
 
 impl FromJson for Kind {
-    const EXPECTED: &'static str =
-        "organisation, key, service, model-version, placement, target or drain";
+    const EXPECTED: &'static str = "organisation, key, service, model-version, placement or target";
 
     fn from_json(node: &Node<'_>) -> Option<Kind> {
         let kind = Kind::parse(node.text(Self::EXPECTED)?);
@@ -66,7 +63,6 @@
         Kind::ModelVersion => version(name, &mut fields).map(Object::ModelVersion),
         Kind::Placement => placement(name, &mut fields).map(Object::Placement),
         Kind::Target => target(name, &mut fields).map(Object::Target),
-        Kind::Drain => drain(name, &mut fields).map(Object::Drain),
     }
 }
 
@@ -201,15 +197,6 @@
     }
 }
 
-fn drain(name: Option<Name>, fields: &mut Fields<'_>) -> Option<Drain> {
-    let reason: String = fields.or("reason", String::new());
-    if reason.len() > REASON_LIMIT {
-        let expected = format!("at most {REASON_LIMIT} bytes");
-        fields.node().report("the reason is too long", expected);
-    }
-    Some(Drain { name: name?, reason })
-}
-
 fn choose<T: Copy>(node: &Node<'_>, words: &[(&str, T)], expected: &str) -> Option<T> {
     let text = node.text(expected)?;
     let found = words.iter().find(|(word, _)| *word == text);
--- a/components/model/src/target.rs
+++ b/components/model/src/target.rs
@@ -1,4 +1,4 @@
-//! Targets that are listed by hand, and drains of targets.
+//! Targets that are listed by hand.
 
 use std::net::SocketAddr;
 
@@ -64,13 +64,3 @@
     /// Cheaper, and may be reclaimed at any time.
     Cheap,
 }
-
-/// An order to give a target no new work.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct Drain {
-    /// The target's id.
-    pub name: Name,
-    /// Why, for other operators.
-    pub reason: String,
-}
--- a/components/model/tests/files.rs
+++ b/components/model/tests/files.rs
@@ -122,6 +122,17 @@
     assert!(Config::from_bytes(&[0xff; 64]).is_err());
 }
 
+#[test]
+fn errors_on_an_entry_that_holds_another_object() {
+    let mut entries = organisation(1).to_entries();
+    let (_, bytes) = entries.pop_first().unwrap();
+    entries.insert("organisation/other".to_owned(), bytes);
+
+    let error = Config::from_entries(&entries).unwrap_err();
+
+    assert_eq!(error.to_string(), "organisation/other holds organisation/acme");
+}
+
 proptest! {
     #[test]
     fn an_object_reads_back_from_its_file_form(object in objects()) {
@@ -141,6 +152,7 @@
 
         prop_assert_eq!(again.digest(), config.digest());
         prop_assert!(diff(&config, &again).is_empty());
+        prop_assert_eq!(Config::from_entries(&config.to_entries()).unwrap(), config);
     }
 
     #[test]
--- /dev/null
+++ b/components/publication/src/read.rs
@@ -0,0 +1,100 @@
+//! Reading what is published.
+
+use std::collections::BTreeMap;
+
+use chervilgate_clients::ObjectStore;
+use chervilgate_coord::{
+    DecodeError, StoreCall, StoreReply, decode,
+    view::{Blob, Digest, Manifest, ROOT_KEY, Root, Snapshot, SnapshotError, blob_key},
+};
+use chervilgate_model::{Config, EntryError};
+use snafu::{OptionExt, ResultExt, Snafu};
+
+use crate::{Published, from_snapshot};
+
+/// Why what is published cannot be read.
+#[derive(Debug, Snafu)]
+pub enum ReadError {
+    /// The platform's store did not answer.
+    #[snafu(display("the platform's store does not answer"))]
+    Store,
+    /// A blob is not in the store.
+    #[snafu(display("the store lacks blob {digest}"))]
+    Missing {
+        /// The blob.
+        digest: Digest,
+    },
+    /// A blob's content is not what its name says.
+    #[snafu(display("the store returned other content for blob {digest}"))]
+    Altered {
+        /// The blob.
+        digest: Digest,
+    },
+    /// An object of the store does not decode.
+    #[snafu(display("{key}: {source}"))]
+    Garbled {
+        /// The object.
+        key: String,
+        /// The cause.
+        source: DecodeError,
+    },
+    /// The blobs do not make a snapshot.
+    #[snafu(display("{source}"))]
+    Snapshot {
+        /// The cause.
+        source: SnapshotError,
+    },
+    /// The snapshot does not make a configuration.
+    #[snafu(display("{source}"))]
+    Entry {
+        /// The cause.
+        source: EntryError,
+    },
+}
+
+/// Reads the root and its configuration; both empty before the first publication.
+///
+/// # Errors
+/// If the store does not answer, or what it holds does not fit together.
+pub async fn read_published(store: &dyn ObjectStore) -> Result<Published, ReadError> {
+    let Some(bytes) = read(store, ROOT_KEY.to_owned()).await? else {
+        return Ok(Published::default());
+    };
+    let root: Root = decode(&bytes).context(GarbledSnafu { key: ROOT_KEY })?;
+    let config = match root.publication() {
+        Some(publication) => read_config(store, publication.manifest).await?,
+        None => Config::default(),
+    };
+    Ok(Published { root, config })
+}
+
+/// Reads the configuration of a manifest.
+///
+/// # Errors
+/// If the store does not answer, or what it holds does not fit together.
+pub async fn read_config(store: &dyn ObjectStore, manifest: Digest) -> Result<Config, ReadError> {
+    let blob = read_blob(store, manifest).await?;
+    let key = blob_key(&manifest);
+    let manifest = Manifest::read(blob.bytes()).context(GarbledSnafu { key })?;
+    let mut blobs = BTreeMap::new();
+    for digest in &manifest.buckets {
+        if !blobs.contains_key(digest) {
+            blobs.insert(*digest, read_blob(store, *digest).await?);
+        }
+    }
+    let find = |digest: &Digest| blobs.get(digest).map(Blob::bytes);
+    let snapshot = Snapshot::unpack(&manifest, find).context(SnapshotSnafu)?;
+    from_snapshot(&snapshot).context(EntrySnafu)
+}
+
+async fn read_blob(store: &dyn ObjectStore, digest: Digest) -> Result<Blob, ReadError> {
+    let bytes = read(store, blob_key(&digest)).await?.context(MissingSnafu { digest })?;
+    Blob::check(digest, bytes).ok().context(AlteredSnafu { digest })
+}
+
+async fn read(store: &dyn ObjectStore, key: String) -> Result<Option<Vec<u8>>, ReadError> {
+    match store.call(&StoreCall::Get { key }).await {
+        StoreReply::Found(object) => Ok(object.map(|object| object.value)),
+        _ => StoreSnafu.fail(),
+    }
+}
