Publish and edit the view's root as an operator's command does

Drives the publisher and the root's editor over the object store with a time limit, and tells apart what was not made from what may have been: a write without an answer stays in doubt even after a read without it, since it may still be on its way.

--- /dev/null
+++ b/components/publication/tests/publication.rs
@@ -0,0 +1,154 @@
+//! Publishing to the platform's stand-in, in good and bad weather.
+
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use chervilgate_clients::{HttpPlatform, ObjectStore};
+use chervilgate_clock::BootClock;
+use chervilgate_coord::{
+    StoreCall, StoreReply,
+    view::{Edit, KeyHash, ROOT_KEY},
+};
+use chervilgate_model::{Config, KeyError, Limits, Name, Object, Organisation, issue_key};
+use chervilgate_publication::{RootWriter, WriteError, read_config, read_published};
+use chervilgate_standins::{PlatformFaults, PlatformStandin};
+
+const LIMIT: Duration = Duration::from_secs(20);
+const SHORT_LIMIT: Duration = Duration::from_millis(300);
+
+fn name(text: &str) -> Name {
+    text.parse().unwrap()
+}
+
+fn config(organisations: &[(&str, u32)]) -> Config {
+    Config::from_objects(organisations.iter().map(|(label, weight)| {
+        let limits = Limits::default();
+        Object::Organisation(Organisation { name: name(label), weight: *weight, limits })
+    }))
+}
+
+fn start() -> (PlatformStandin, HttpPlatform) {
+    let platform = PlatformStandin::start(0).unwrap();
+    let store = HttpPlatform::new(platform.addr());
+    (platform, store)
+}
+
+/// Loses the answer to the first write of the root.
+struct Lossy {
+    store: HttpPlatform,
+    /// Whether nothing is answered from then on.
+    silent_after: bool,
+    struck: AtomicBool,
+}
+
+#[async_trait]
+impl ObjectStore for Lossy {
+    async fn call(&self, call: &StoreCall) -> StoreReply {
+        if self.silent_after && self.struck.load(Ordering::Relaxed) {
+            return StoreReply::Refused;
+        }
+        let reply = self.store.call(call).await;
+        let root = matches!(call, StoreCall::Put { key, .. } if key == ROOT_KEY);
+        if root && !self.struck.swap(true, Ordering::Relaxed) {
+            return StoreReply::Unknown;
+        }
+        reply
+    }
+}
+
+fn writer(store: &HttpPlatform, limit: Duration, seed: u64) -> RootWriter<'_> {
+    RootWriter::new(store, &BootClock, limit, seed)
+}
+
+#[tokio::test]
+async fn can_publish_and_read_back() {
+    let (_platform, store) = start();
+    let first = config(&[("acme", 1)]);
+    let second = config(&[("acme", 2), ("bora", 1)]);
+
+    let root = writer(&store, LIMIT, 1).publish(None, &first).await.unwrap();
+    let base = root.publication().map(|publication| publication.manifest);
+    let root = writer(&store, LIMIT, 2).publish(base, &second).await.unwrap();
+
+    let published = read_published(&store).await.unwrap();
+    assert_eq!(published.config, second);
+    assert_eq!(published.root, root);
+    assert_eq!(root.publication().unwrap().number, 2);
+    assert_eq!(read_config(&store, base.unwrap()).await.unwrap(), first);
+}
+
+#[tokio::test]
+async fn errors_on_a_race_with_the_objects_that_the_other_changed() {
+    let (_platform, store) = start();
+    let base = config(&[("acme", 1), ("bora", 1)]);
+    let root = writer(&store, LIMIT, 1).publish(None, &base).await.unwrap();
+    let manifest = root.publication().map(|publication| publication.manifest);
+    let winner = config(&[("acme", 7), ("bora", 1)]);
+    writer(&store, LIMIT, 2).publish(manifest, &winner).await.unwrap();
+
+    let loser = config(&[("acme", 1), ("bora", 9)]);
+    let outcome = writer(&store, LIMIT, 3).publish(manifest, &loser).await;
+
+    let Err(WriteError::Conflict { objects }) = outcome else { panic!("{outcome:?}") };
+    assert_eq!(objects, ["organisation/acme"]);
+    assert_eq!(read_published(&store).await.unwrap().config, winner);
+}
+
+#[tokio::test]
+async fn applies_withdrawals_and_drains_to_the_configuration() {
+    let (_platform, store) = start();
+    let (secret, record) = issue_key(&name("acme"), |bytes| bytes.fill(3));
+    let hash = KeyHash(*record.hash.as_bytes());
+    let mut keyed = config(&[("acme", 1)]);
+    keyed.insert(Object::Key(record));
+    writer(&store, LIMIT, 1).publish(None, &keyed).await.unwrap();
+
+    writer(&store, LIMIT, 2).edit(Edit::Withdraw([hash].into())).await.unwrap();
+    writer(&store, LIMIT, 3).edit(Edit::Drain("t1".to_owned())).await.unwrap();
+
+    let published = read_published(&store).await.unwrap();
+    let in_force = published.in_force();
+    assert_eq!(in_force.verify_key(secret.expose()), Err(KeyError::Withdrawn));
+    assert!(in_force.is_draining("t1"));
+    assert!(published.config.verify_key(secret.expose()).is_ok());
+}
+
+#[tokio::test]
+async fn errors_without_effect_while_the_store_is_down() {
+    let (platform, store) = start();
+    platform.set_faults(PlatformFaults { down: true, ..PlatformFaults::default() });
+
+    let outcome = writer(&store, SHORT_LIMIT, 1).publish(None, &config(&[("acme", 1)])).await;
+
+    assert!(matches!(outcome, Err(WriteError::NotMade)), "{outcome:?}");
+    platform.set_faults(PlatformFaults::default());
+    assert!(read_published(&store).await.unwrap().manifest().is_none());
+}
+
+#[tokio::test]
+async fn can_resolve_a_lost_answer() {
+    let (_platform, store) = start();
+    let lossy = Lossy { store: store.clone(), silent_after: false, struck: AtomicBool::new(false) };
+
+    let writer = RootWriter::new(&lossy, &BootClock, LIMIT, 1);
+    let root = writer.publish(None, &config(&[("acme", 1)])).await.unwrap();
+
+    assert!(lossy.struck.load(Ordering::Relaxed));
+    assert_eq!(root.publication().unwrap().number, 1);
+    assert_eq!(read_published(&store).await.unwrap().root, root);
+}
+
+#[tokio::test]
+async fn errors_with_doubt_when_the_store_falls_silent_after_a_write() {
+    let (_platform, store) = start();
+    let lossy = Lossy { store: store.clone(), silent_after: true, struck: AtomicBool::new(false) };
+
+    let writer = RootWriter::new(&lossy, &BootClock, SHORT_LIMIT, 1);
+    let outcome = writer.publish(None, &config(&[("acme", 1)])).await;
+
+    assert!(matches!(outcome, Err(WriteError::Unknown)), "{outcome:?}");
+    assert_eq!(read_published(&store).await.unwrap().root.publication().unwrap().number, 1);
+}
