Let old load reports fade towards the mean

An estimate took off what an engine computes since the report, but not what the eight other hosts send, so each queue looked empty. Now a deviation from the mean of the role fades with the age of the report, queues of prompts in 0.3 s and sequences in 5 s.

--- a/components/policy/src/router.rs
+++ b/components/policy/src/router.rs
@@ -288,7 +288,7 @@
         }
         let Some(attempt) = self.attempts.get(ticket).cloned() else { return };
         if let Some(entry) = self.fleet.get_mut(attempt.prefill) {
-            entry.load.prompt_done(attempt.missing);
+            entry.load.prompt_done(now, attempt.missing);
             if attempt.is_split() {
                 entry.load.left(now, attempt.kv);
             }
@@ -495,7 +495,7 @@
         if !attempt.proven
             && let Some(entry) = self.fleet.get_mut(attempt.prefill)
         {
-            entry.load.prompt_done(attempt.missing);
+            entry.load.prompt_done(now, attempt.missing);
             entry.load.left(now, attempt.kv);
         }
         let Some(entry) = self.fleet.get_mut(attempt.decode) else { return };
--- a/components/policy/src/router/load.rs
+++ b/components/policy/src/router/load.rs
@@ -1,7 +1,9 @@
 //! One target's load as this host can know it.
 //!
 //! The last report, plus what this host has sent and seen finished since it was
-//! measured. Without a fresh report, the load of a typical target of its role,
+//! measured. What a report says above or below the mean of its role fades with its
+//! age, prompt queues sooner than sequences: all hosts act on the same old report,
+//! so a target that stood out when it was measured does so no longer. Without a fresh report, the load of a typical target of its role,
 //! plus this host's own open work, so that hosts neither herd to a silent target
 //! nor give it up.
 
@@ -14,6 +16,12 @@
 /// Events of this host remembered a target.
 const EVENTS: usize = 512;
 
+/// Time constant with which a queue of prompts returns to the mean, in seconds.
+const PROMPT_MEMORY: f64 = 0.3;
+
+/// Time constant with which a number of sequences returns to the mean, in seconds.
+const SEQS_MEMORY: f64 = 5.0;
+
 /// Weight of a new report in the typical load.
 const TYPICAL_GAIN: f64 = 0.05;
 
@@ -98,8 +106,9 @@
     }
 
     /// Counts a sequence's prompt as computed.
-    pub(super) fn prompt_done(&mut self, prompt: u64) {
+    pub(super) fn prompt_done(&mut self, now: Time, prompt: u64) {
         self.pending = self.pending.saturating_sub(prompt);
+        self.push(now, Delta { prompt: -(prompt as i64), ..Delta::default() });
     }
 
     /// Counts a sequence that will come here once its prompt is computed elsewhere.
@@ -126,31 +135,26 @@
         self.push(now, Delta { seqs: -1, prompt: 0, kv: -(kv as i64) });
     }
 
-    /// The load at `now` on a target that computes `rate` prompt tokens a second.
-    pub(super) fn estimate(
-        &self,
-        now: Time,
-        rate: f64,
-        stale: Duration,
-        typical: &Typical,
-    ) -> Estimate {
+    /// The load at `now`.
+    pub(super) fn estimate(&self, now: Time, stale: Duration, typical: &Typical) -> Estimate {
         match self.report {
             Some((measured, report)) if now.since(measured) < stale => {
-                self.since_report(now.since(measured), &report, rate)
+                self.since_report(now.since(measured), &report, typical)
             }
             _ => self.without_report(typical),
         }
     }
 
-    fn since_report(&self, elapsed: Duration, report: &LoadReport, rate: f64) -> Estimate {
-        let seqs = i64::from(report.running + report.waiting) + self.net.seqs;
-        let seqs = u32::try_from(seqs.max(0)).unwrap_or(u32::MAX);
-        let computed = (rate * elapsed.as_secs_f64()) as i64;
-        let prompt = report.prompt_queue as i64 + self.net.prompt - computed;
+    fn since_report(&self, age: Duration, report: &LoadReport, typical: &Typical) -> Estimate {
+        let age = age.as_secs_f64();
+        let reported = f64::from(report.running + report.waiting);
+        let seqs = fade(reported, typical.seqs, age / SEQS_MEMORY) + self.net.seqs as f64;
+        let queue = report.prompt_queue as f64;
+        let prompt = fade(queue, typical.prompt, age / PROMPT_MEMORY) + self.net.prompt as f64;
         let kv = report.kv_used as i64 + self.net.kv;
         Estimate {
-            seqs: (seqs + self.transit).max(self.open),
-            prompt: (prompt.max(0) as u64).max(self.pending),
+            seqs: (seqs.max(0.0) as u32 + self.transit).max(self.open),
+            prompt: (prompt.max(0.0) as u64).max(self.pending),
             kv: kv.max(0) as u64,
         }
     }
@@ -183,3 +187,8 @@
         }
     }
 }
+
+/// `value` after `age` time constants of a return to `mean`.
+fn fade(value: f64, mean: f64, age: f64) -> f64 {
+    mean + (value - mean) * (-age).exp()
+}
--- a/components/policy/src/router/score.rs
+++ b/components/policy/src/router/score.rs
@@ -52,7 +52,7 @@
     /// An engine of role prefill that computes the prompt, `cached` tokens known.
     pub(super) fn prefill(&self, fleet: &Fleet, entry: &Entry, cached: u32) -> Option<Offer> {
         let specs = &entry.target.specs;
-        let load = self.load(fleet, entry, specs.prefill_rate);
+        let load = self.load(fleet, entry);
         let wait = specs.prefill(load.prompt);
         let warmth = entry.warmth(self.now, self.settings.slow_start);
         if wait > self.fill.backlog.mul_f64(warmth) {
@@ -66,7 +66,7 @@
     /// An engine that generates the output after importing the KV cache.
     pub(super) fn decode(&self, fleet: &Fleet, entry: &Entry) -> Option<Offer> {
         let specs = &entry.target.specs;
-        let load = self.load(fleet, entry, chunk_rate(specs, specs.slots / 2));
+        let load = self.load(fleet, entry);
         let chunk = if load.prompt > 0 { chunk_time(specs) } else { Duration::ZERO };
         if !self.has_room(entry, &load, chunk) {
             return None;
@@ -79,8 +79,7 @@
     /// A mixed or decode engine that does it all, the prompt in chunks.
     pub(super) fn whole(&self, fleet: &Fleet, entry: &Entry, cached: u32) -> Option<Offer> {
         let specs = &entry.target.specs;
-        let rate = chunk_rate(specs, specs.slots / 2);
-        let load = self.load(fleet, entry, rate);
+        let load = self.load(fleet, entry);
         if !self.has_room(entry, &load, chunk_time(specs)) {
             return None;
         }
@@ -95,9 +94,9 @@
         Some(Offer { time, score: time + self.crowding(entry, &load) })
     }
 
-    fn load(&self, fleet: &Fleet, entry: &Entry, rate: f64) -> Estimate {
+    fn load(&self, fleet: &Fleet, entry: &Entry) -> Estimate {
         let typical = fleet.typical(entry.target.role);
-        entry.load.estimate(self.now, rate, self.settings.stale, typical)
+        entry.load.estimate(self.now, self.settings.stale, typical)
     }
 
     fn distance(&self, fleet: &Fleet, entry: &Entry) -> Duration {
