coord: probe lagging voters, hold a session while requests run

A fleet restarted at once could accept nothing any more: a majority of its recorded voters was gone for good. A keeper now probes the voters that lag and counts one that is proved out, as it cannot vouch for an older view.

A sealed process released its session, which says that nothing of it is under way, while its requests still ran; a drain would have taken it as quiet. The embedding program now says when it is busy.

--- a/components/coord/src/authority.rs
+++ b/components/coord/src/authority.rs
@@ -18,6 +18,7 @@
     guards::Guards,
     ident::Node,
     intent::{Orders, ReceiverRecord, Wish, WishError},
+    membership::Sighting,
     observer::Observer,
     order::{Epoch, OrderReply, ProbeReply, ReceiverId, ShardId},
     outbox::{Actions, Notice, Outbox},
@@ -93,6 +94,7 @@
     out: Outbox,
     stop: Option<Time>,
     ended: bool,
+    busy: bool,
 }
 
 impl Authority {
@@ -108,6 +110,7 @@
             out: Outbox::new(calls),
             stop: None,
             ended: false,
+            busy: false,
         }
     }
 
@@ -189,6 +192,27 @@
         self.observer.live(now).map(|(node, _)| node)
     }
 
+    /// Tells whether the embedding program has something of its own under way.
+    ///
+    /// A session is not released meanwhile, since a release says that nothing
+    /// of the process is.
+    pub fn set_busy(&mut self, busy: bool) {
+        self.busy = busy;
+    }
+
+    /// Whether another process has ended this one's session.
+    ///
+    /// It has no authority any more; the program should finish what it has
+    /// under way and start anew.
+    pub fn is_sealed(&self) -> bool {
+        self.session.phase() == Phase::Sealed
+    }
+
+    /// Every session as it was last read.
+    pub fn sightings(&self) -> impl Iterator<Item = Sighting> {
+        self.observer.sightings()
+    }
+
     /// Whether this incarnation is over.
     pub fn ended(&self) -> bool {
         self.ended
@@ -260,7 +284,7 @@
         let me = self.session.me().incarnation;
         let stopped = self.stop.is_some() && self.shards.stopped(me);
         let over = self.session.phase() == Phase::Sealed || stopped;
-        if over && self.orders.settled(now) {
+        if over && !self.busy && self.orders.settled(now) {
             self.session.release(now);
             self.session.wake(now, &mut self.out);
         }
--- a/components/coord/src/lib.rs
+++ b/components/coord/src/lib.rs
@@ -13,6 +13,7 @@
 mod guards;
 mod ident;
 pub mod intent;
+pub mod membership;
 mod observer;
 mod order;
 mod outbox;
--- a/components/coord/src/observer.rs
+++ b/components/coord/src/observer.rs
@@ -13,6 +13,7 @@
 use crate::{
     codec::{decode, encode},
     ident::{Incarnation, Node},
+    membership::Sighting,
     outbox::Outbox,
     session::{SESSION_PREFIX, SessionRecord, SessionState, session_key},
     step::{Protocol, Step},
@@ -96,6 +97,17 @@
             .map(|seen| (&seen.node, seen.first))
     }
 
+    /// Every session as it was last read.
+    pub(crate) fn sightings(&self) -> impl Iterator<Item = Sighting> {
+        self.seen.values().map(|seen| Sighting {
+            node: seen.node.clone(),
+            state: seen.state,
+            version: seen.version,
+            moved: seen.moved,
+            read: seen.read,
+        })
+    }
+
     /// Where a followed process's session stands.
     pub(crate) fn standing(&self, now: Time, incarnation: Incarnation) -> Standing {
         if self.follows.get(&incarnation).is_some_and(|follow| follow.gone) {
--- a/components/coord/src/view/keeper.rs
+++ b/components/coord/src/view/keeper.rs
@@ -12,6 +12,7 @@
 use crate::{
     document::{EditId, Editor, EditorAction},
     ident::{Incarnation, Node},
+    order::ProbeReply,
     step::{Protocol, Step},
     store::{CallId, CallIds, StoreCall, StoreReply},
     view::{
@@ -55,7 +56,15 @@
     },
     /// A blob made here, about to be published.
     Hold(Blob),
-    /// An incarnation is proved to run no more.
+    /// What a probe has found.
+    Probed {
+        /// The probe.
+        id: CallId,
+        /// The finding.
+        reply: ProbeReply,
+    },
+    /// An incarnation is proved to run no more, by an operator's word or by
+    /// its own release.
     ProvedOut(Incarnation),
     /// The time of [`Keeper::wake_at`] has come.
     Tick,
@@ -82,6 +91,15 @@
         /// The message.
         message: PeerMessage,
     },
+    /// Connect to an address and ask which process listens there.
+    Probe {
+        /// Matches the finding.
+        id: CallId,
+        /// The step it is.
+        step: Step,
+        /// The address.
+        addr: SocketAddr,
+    },
     /// An edit is accepted: it holds everywhere from now on, within
     /// [`FRESH_SPAN`](crate::view::FRESH_SPAN).
     Accepted {
@@ -133,6 +151,7 @@
     /// A confirmation by the platform of a root that is not whole here yet.
     ahead: Option<(Seq, Time)>,
     fetching: BTreeMap<CallId, Digest>,
+    probes: BTreeMap<CallId, Incarnation>,
     fetched_at: Option<Time>,
     source: Option<SocketAddr>,
     wish: Option<(Vec<Node>, Time)>,
@@ -157,6 +176,7 @@
             written: Vec::new(),
             ahead: None,
             fetching: BTreeMap::new(),
+            probes: BTreeMap::new(),
             fetched_at: None,
             source: None,
             wish: None,
@@ -198,6 +218,7 @@
                 let offer = self.holder.store(blob);
                 self.note_offer(now, offer, &mut out);
             }
+            KeeperEvent::Probed { id, reply } => self.probed(id, &reply),
             KeeperEvent::ProvedOut(node) => self.acceptance.note_out(node),
             KeeperEvent::Tick => {}
         }
@@ -520,7 +541,7 @@
 
     /// Brings written edits to the voters that are not known to hold them.
     fn push_to_voters(&mut self, out: &mut KeeperActions) {
-        let Some(root) = self.holder.root() else {
+        let Some(root) = self.holder.root().cloned() else {
             return;
         };
         let settles = self.overlay.first && !root.voters.prior.is_empty();
@@ -529,8 +550,28 @@
         let Some(seq) = due.filter(|seq| *seq <= root.seq) else {
             return;
         };
+        self.probes.clear();
         for voter in self.acceptance.lagging(&root.voters, seq) {
             send(out, voter.addr, "push root", PeerMessage::Root(Box::new(root.clone())));
+            let id = self.ids.next_id();
+            self.probes.insert(id, voter.incarnation);
+            let step = Step::new(Protocol::View, "probe voter");
+            out.push(KeeperAction::Probe { id, step, addr: voter.addr });
+        }
+    }
+
+    /// A voter that is proved out vouches for no older view any more.
+    fn probed(&mut self, id: CallId, reply: &ProbeReply) {
+        let Some(voter) = self.probes.remove(&id) else {
+            return;
+        };
+        let out = match reply {
+            ProbeReply::Answers(other) => *other != voter,
+            ProbeReply::Refused => true,
+            ProbeReply::Silent => false,
+        };
+        if out {
+            self.acceptance.note_out(voter);
         }
     }
 
--- a/components/coord/src/window/meter.rs
+++ b/components/coord/src/window/meter.rs
@@ -292,8 +292,12 @@
         self.version = None;
         self.known = true;
         self.sealed = None;
-        // The next window may be sealed as well, if this entry was away.
+        // The next window may be sealed as well, if this entry was away; what is
+        // left over must not miss one window after another.
         self.seal_at = now;
+        if !empty {
+            self.flush_at = self.flush_at.min(now + MIRROR_SPAN);
+        }
     }
 
     fn fly(
