--- a/components/testbed/src/bed.rs
+++ b/components/testbed/src/bed.rs
@@ -146,6 +146,11 @@
         self.strikes.push(strike);
     }
 
+    /// How often a step has come so far, on one host or on any.
+    pub fn occurrences(&self, step: Step, host: Option<HostId>) -> usize {
+        self.seen.get(&(step, host)).copied().unwrap_or_default()
+    }
+
     /// Faults whose step has not come yet.
     pub fn pending_strikes(&self) -> &[Strike] {
         &self.strikes
--- a/components/testbed/src/bed/hosts.rs
+++ b/components/testbed/src/bed/hosts.rs
@@ -55,13 +55,18 @@
     pub(crate) restarts: bool,
 }
 
+/// The address that a bed gives to a host.
+pub fn addr_of(id: HostId) -> SocketAddr {
+    let [high, low] = (id.0 as u16 + 1).to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 7000))
+}
+
 impl Bed {
     /// Adds a host and starts its process.
     pub fn add_host(&mut self, zone: &str, factory: Factory) -> HostId {
         let id = HostId(self.hosts.len());
-        let [high, low] = (id.0 as u16 + 1).to_be_bytes();
         self.hosts.push(Host {
-            addr: SocketAddr::from(([10, 0, high, low], 7000)),
+            addr: addr_of(id),
             zone: Zone(zone.to_owned()),
             factory,
             process: None,
--- a/components/testbed/src/lib.rs
+++ b/components/testbed/src/lib.rs
@@ -17,7 +17,10 @@
 mod world;
 
 pub use crate::{
-    bed::{Bed, Counts, Recorder, StoreMode, hosts::HostState},
+    bed::{
+        Bed, Counts, Recorder, StoreMode,
+        hosts::{HostState, addr_of},
+    },
     check::{Breach, Promise, Report, check},
     fault::{Fault, Spans, Strike},
     history::{CutCause, Entry, Fact, History, Outcome, RequestId},
