--- /dev/null
+++ b/components/scenario/src/node/calls.rs
@@ -0,0 +1,376 @@
+//! Callers' requests at a node.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{
+    CallId, CallIds, Incarnation, Protocol, Step, Version,
+    claim::{Admission, Memory, Record, ScopedKey, Ticket},
+    drain::Handovers,
+    encode,
+    view::{Holder, KeyHash, Verdict},
+};
+use chervilgate_testbed::{Answer, Fact, Outcome, Output, Request, RequestId};
+
+use crate::node::message::{Call, End, Once, Work, WorkReply, key_object, work_endpoint};
+
+/// Attempts at a repeatable request.
+const MOST_ATTEMPTS: usize = 4;
+
+/// Questions for an answer before its outcome counts as unknown.
+const MOST_COLLECTS: usize = 5;
+
+/// Between two questions for an answer.
+const COLLECT_SPAN: Duration = Duration::from_millis(500);
+
+/// A refused repeatable request is tried again after this span.
+const RETRY_SPAN: Duration = Duration::from_millis(300);
+
+/// Who waits for a request's end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Waiter {
+    /// A caller connected to this node.
+    Caller,
+    /// Another node that has forwarded it.
+    Node { addr: SocketAddr, number: u64 },
+}
+
+#[derive(Debug)]
+enum Stage {
+    Claiming,
+    Starting { id: CallId, target: String },
+    Running { target: String, at: Time, tries: usize },
+    Collecting { id: CallId, target: String, tries: usize },
+    Resting { at: Time },
+}
+
+#[derive(Debug)]
+struct Job {
+    call: Call,
+    waiters: Vec<Waiter>,
+    stage: Stage,
+    attempts: usize,
+    tried: Vec<String>,
+    /// An attempt ended without a word of the target.
+    lost: bool,
+}
+
+/// How a request ended, for those who waited.
+#[derive(Debug)]
+pub(super) struct Ended {
+    pub(super) call: Call,
+    pub(super) waiters: Vec<Waiter>,
+    pub(super) end: End,
+}
+
+/// What the present view says of a request.
+pub(super) struct Gate<'a> {
+    pub(super) verdict: Verdict,
+    pub(super) holder: &'a Holder,
+    pub(super) guard: bool,
+}
+
+impl Gate<'_> {
+    /// The organisation that a call runs for, if it may run now.
+    pub(super) fn admit(&self, call: &Call) -> Option<Option<String>> {
+        let Some(key) = &call.key else {
+            return Some(None);
+        };
+        if self.guard && !self.verdict.is_fresh() {
+            return None;
+        }
+        if self.holder.is_withdrawn(&hash_key(key)) {
+            return None;
+        }
+        let owner = self.holder.snapshot().objects.get(&key_object(key))?;
+        Some(Some(String::from_utf8_lossy(owner).into_owned()))
+    }
+}
+
+/// Requests under way at a node.
+#[derive(Debug)]
+pub(super) struct Jobs {
+    me: Incarnation,
+    jobs: BTreeMap<u64, Job>,
+    next: u64,
+    pub(super) handovers: Handovers,
+}
+
+impl Jobs {
+    pub(super) fn new(me: Incarnation) -> Jobs {
+        Jobs { me, jobs: BTreeMap::new(), next: 0, handovers: Handovers::default() }
+    }
+
+    /// Adds a request that may be dispatched, or has to be claimed first.
+    pub(super) fn add(&mut self, call: Call, waiter: Waiter, claiming: bool) -> Ticket {
+        self.next += 1;
+        let stage = match claiming {
+            true => Stage::Claiming,
+            false => Stage::Resting { at: Time::ZERO },
+        };
+        let (waiters, tried) = (vec![waiter], Vec::new());
+        self.jobs.insert(self.next, Job { call, waiters, stage, attempts: 0, tried, lost: false });
+        Ticket(self.next)
+    }
+
+    /// Adds a waiter to the job that runs a scoped key, if there is one.
+    pub(super) fn join(&mut self, key: &ScopedKey, waiter: Waiter) -> bool {
+        let same = |job: &&mut Job| job.call.once == Some(Once::Scoped(key.clone()));
+        let Some(job) = self.jobs.values_mut().find(same) else {
+            return false;
+        };
+        job.waiters.push(waiter);
+        true
+    }
+
+    pub(super) fn count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    pub(super) fn wake_at(&self) -> Time {
+        let due = self.jobs.values().map(|job| match job.stage {
+            Stage::Running { at, .. } | Stage::Resting { at } => at,
+            Stage::Claiming | Stage::Starting { .. } | Stage::Collecting { .. } => Time::NEVER,
+        });
+        due.min().unwrap_or(Time::NEVER)
+    }
+
+    /// A claim is decided.
+    pub(super) fn claimed(&mut self, ticket: Ticket, end: Option<End>) -> Option<Ended> {
+        match end {
+            Some(end) => self.end(ticket.0, end),
+            None => {
+                if let Some(job) = self.jobs.get_mut(&ticket.0) {
+                    job.stage = Stage::Resting { at: Time::ZERO };
+                }
+                None
+            }
+        }
+    }
+
+    /// Dispatches and collects what is due.
+    pub(super) fn advance(
+        &mut self,
+        now: Time,
+        ids: &mut CallIds,
+        gate: &Gate<'_>,
+        out: &mut Vec<Output>,
+    ) -> Vec<Ended> {
+        let mut ended = Vec::new();
+        let numbers: Vec<u64> = self.jobs.keys().copied().collect();
+        for number in numbers {
+            let Some(job) = self.jobs.get_mut(&number) else {
+                continue;
+            };
+            match &job.stage {
+                Stage::Resting { at } if *at <= now => {
+                    let id = ids.next_id();
+                    // Each connection of each process is another one.
+                    let connection = self.me.0.wrapping_add(id.0);
+                    let opened = Opened { id, connection };
+                    if let Some(end) = dispatch(job, opened, gate, &mut self.handovers, out) {
+                        ended.extend(self.end(number, end));
+                    }
+                }
+                Stage::Running { target, at, tries } if *at <= now => {
+                    let (target, tries) = (target.clone(), *tries);
+                    let id = ids.next_id();
+                    let work = Work::Collect { request: job.call.request };
+                    out.push(call_target(id, "collect", &target, &work));
+                    job.stage = Stage::Collecting { id, target, tries };
+                }
+                _ => {}
+            }
+        }
+        ended
+    }
+
+    /// Takes a target's answer; `None` if it belongs to another machine.
+    pub(super) fn answered(
+        &mut self,
+        now: Time,
+        id: CallId,
+        answer: &Answer,
+    ) -> Option<Vec<Ended>> {
+        let number = *self.jobs.iter().find(|(_, job)| job.waits_for(id))?.0;
+        let job = self.jobs.get_mut(&number)?;
+        let reply = match answer {
+            Answer::Bytes(bytes) => chervilgate_coord::decode::<WorkReply>(bytes).ok(),
+            Answer::NotSent => Some(WorkReply::Refused),
+            Answer::Order(_) | Answer::Unknown => None,
+        };
+        let end = match std::mem::replace(&mut job.stage, Stage::Claiming) {
+            Stage::Starting { target, .. } => {
+                self.handovers.end(&target);
+                job.started(now, target, reply)
+            }
+            Stage::Collecting { target, tries, .. } => job.collected(now, target, tries, reply),
+            stage => {
+                job.stage = stage;
+                None
+            }
+        };
+        Some(end.and_then(|end| self.end(number, end)).into_iter().collect())
+    }
+
+    fn end(&mut self, number: u64, end: End) -> Option<Ended> {
+        let job = self.jobs.remove(&number)?;
+        Some(Ended { call: job.call, waiters: job.waiters, end })
+    }
+}
+
+impl Job {
+    fn waits_for(&self, call: CallId) -> bool {
+        match &self.stage {
+            Stage::Starting { id, .. } | Stage::Collecting { id, .. } => *id == call,
+            Stage::Claiming | Stage::Running { .. } | Stage::Resting { .. } => false,
+        }
+    }
+
+    fn started(&mut self, now: Time, target: String, reply: Option<WorkReply>) -> Option<End> {
+        match reply {
+            Some(WorkReply::Started) => {
+                let at = now + self.call.takes;
+                self.stage = Stage::Running { target, at, tries: 0 };
+                None
+            }
+            // The target itself said that it has not run.
+            Some(WorkReply::Refused) => self.rest(now, target),
+            _ => self.lose(now, target),
+        }
+    }
+
+    fn collected(
+        &mut self,
+        now: Time,
+        target: String,
+        tries: usize,
+        reply: Option<WorkReply>,
+    ) -> Option<End> {
+        match reply {
+            Some(WorkReply::Done { request }) => Some(End::Answered { origin: request }),
+            Some(WorkReply::Gone) => self.lose(now, target),
+            _ if tries >= MOST_COLLECTS => self.lose(now, target),
+            _ => {
+                let at = now + COLLECT_SPAN;
+                self.stage = Stage::Running { target, at, tries: tries + 1 };
+                None
+            }
+        }
+    }
+
+    /// Goes on after an attempt that may have run.
+    fn lose(&mut self, now: Time, target: String) -> Option<End> {
+        if self.call.once.is_some() || self.attempts >= MOST_ATTEMPTS {
+            return Some(End::Unknown);
+        }
+        self.lost = true;
+        self.rest(now, target)
+    }
+
+    fn rest(&mut self, now: Time, target: String) -> Option<End> {
+        self.tried.push(target);
+        self.stage = Stage::Resting { at: now + RETRY_SPAN };
+        None
+    }
+}
+
+/// A connection to a target.
+#[derive(Debug, Clone, Copy)]
+struct Opened {
+    id: CallId,
+    connection: u64,
+}
+
+/// Hands a request to a target; its end, if it cannot run.
+fn dispatch(
+    job: &mut Job,
+    opened: Opened,
+    gate: &Gate<'_>,
+    handovers: &mut Handovers,
+    out: &mut Vec<Output>,
+) -> Option<End> {
+    let refusal = if job.lost { End::Unknown } else { End::NotRun };
+    let Some(organisation) = gate.admit(&job.call) else {
+        return Some(refusal);
+    };
+    let root = gate.holder.root();
+    let drains = |target: &str| root.is_some_and(|root| root.is_draining(target));
+    let fit = job.call.targets.iter().filter(|target| !drains(target));
+    let mut fit: Vec<&String> = fit.collect();
+    fit.sort_by_key(|target| job.tried.iter().filter(|tried| tried == target).count());
+    let target = match fit.first() {
+        Some(target) if job.attempts < MOST_ATTEMPTS => (*target).clone(),
+        _ => return Some(refusal),
+    };
+    job.attempts += 1;
+    handovers.begin(&target);
+    let Opened { id, connection } = opened;
+    let work = Work::Start { request: job.call.request, takes: job.call.takes, connection };
+    let bytes = encode(&work);
+    let key = job.call.key.clone();
+    let exposed = key.as_ref().is_some_and(|key| contains(&bytes, key.as_bytes()));
+    out.push(Output::Record(Fact::Dispatched {
+        request: RequestId(job.call.request),
+        target: target.clone(),
+        organisation,
+        key,
+        exposed,
+        config: Version(gate.holder.seq().0),
+    }));
+    out.push(call_target(id, "dispatch", &target, &work));
+    job.stage = Stage::Starting { id, target };
+    None
+}
+
+pub(super) fn call_target(id: CallId, name: &'static str, target: &str, work: &Work) -> Output {
+    Output::Call {
+        id,
+        step: Step::new(Protocol::Claim, name),
+        endpoint: work_endpoint(target),
+        request: Request::Bytes(encode(work)),
+        deadline: Time::NEVER,
+    }
+}
+
+/// What a caller is told.
+pub(super) fn tell_caller(call: &Call, end: End) -> Output {
+    let request = RequestId(call.request);
+    Output::Record(match end {
+        End::Answered { origin } => {
+            Fact::Answered { request, origin: RequestId(origin), whole: true }
+        }
+        End::NotRun => Fact::Refused { request, outcome: Outcome::NotRun },
+        End::Unknown => Fact::Refused { request, outcome: Outcome::Unknown },
+    })
+}
+
+/// Decides on a request with a scoped key, at the node that remembers it.
+pub(super) fn admit_scoped(
+    now: Time,
+    memory: &mut Memory,
+    jobs: &mut Jobs,
+    call: Call,
+    key: &ScopedKey,
+    waiter: Waiter,
+) -> Option<Ended> {
+    let end = match memory.admit(now, key) {
+        Ok(Admission::Run) => {
+            jobs.add(call, waiter, false);
+            return None;
+        }
+        Ok(Admission::Seen(Record::Running)) if jobs.join(key, waiter) => return None,
+        Ok(Admission::Seen(Record::Ran(Some(_)))) => End::Answered { origin: call.request },
+        Ok(Admission::Seen(_) | Admission::Forgotten) => End::Unknown,
+        Ok(Admission::NotRun) | Err(_) => End::NotRun,
+    };
+    Some(Ended { call, waiters: vec![waiter], end })
+}
+
+pub(super) fn hash_key(key: &str) -> KeyHash {
+    KeyHash(chervilgate_coord::view::Digest::of(key.as_bytes()).0)
+}
+
+fn contains(bytes: &[u8], part: &[u8]) -> bool {
+    !part.is_empty() && bytes.windows(part.len()).any(|window| window == part)
+}
--- /dev/null
+++ b/components/scenario/src/node/stop.rs
@@ -0,0 +1,138 @@
+//! The planned stop of a node: it cuts nothing and leaves its memory behind.
+
+use std::time::Duration;
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{Incarnation, Node, claim::Directory};
+use chervilgate_testbed::{Fact, Output};
+
+use crate::node::{EntryNode, message::NodeMessage, send};
+
+/// How long the node's address may still be in callers' hands.
+const LOCATE_SPAN: Duration = Duration::from_secs(5);
+
+/// Between two attempts to hand the memory over.
+const HAND_SPAN: Duration = Duration::from_secs(1);
+
+/// How long an heir is waited for.
+const HEIR_SPAN: Duration = Duration::from_secs(10);
+
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+enum Stage {
+    #[default]
+    Running,
+    Leaving {
+        since: Time,
+    },
+    HandingOver {
+        since: Time,
+        heir: Node,
+        at: Time,
+    },
+    Releasing,
+}
+
+/// Where a node's planned stop stands.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Stop {
+    stage: Stage,
+}
+
+impl Stop {
+    /// Whether new requests are refused.
+    pub(super) fn refuses(&self, now: Time) -> bool {
+        match self.stage {
+            Stage::Running => false,
+            Stage::Leaving { since } => now - since >= LOCATE_SPAN,
+            Stage::HandingOver { .. } | Stage::Releasing => true,
+        }
+    }
+
+    /// Whether nothing is under way any more.
+    pub(super) fn is_releasing(&self) -> bool {
+        self.stage == Stage::Releasing
+    }
+
+    pub(super) fn wake_at(&self) -> Time {
+        match self.stage {
+            Stage::Running | Stage::Releasing => Time::NEVER,
+            Stage::Leaving { since } => since + LOCATE_SPAN,
+            Stage::HandingOver { at, .. } => at,
+        }
+    }
+}
+
+impl EntryNode {
+    pub(super) fn begin_stop(&mut self, now: Time) {
+        if self.stop.stage == Stage::Running {
+            self.memory.close();
+            self.stop.stage = Stage::Leaving { since: now };
+        }
+    }
+
+    pub(super) fn advance_stop(&mut self, now: Time, out: &mut Vec<Output>) {
+        match self.stop.stage.clone() {
+            Stage::Running => {}
+            Stage::Leaving { since } => {
+                let quiet = self.jobs.count() == 0 && self.forwards.is_empty();
+                if now - since >= LOCATE_SPAN && quiet {
+                    self.begin_handover(now, out);
+                }
+            }
+            Stage::HandingOver { since, heir, at } => {
+                if now - since >= HEIR_SPAN {
+                    self.release(now, out);
+                } else if now >= at {
+                    self.hand_over(since, &heir, now, out);
+                }
+            }
+            Stage::Releasing if self.owner.ended => {
+                let name = self.me.addr.to_string();
+                let running = self.jobs.count();
+                out.push(Output::Record(Fact::Stopped { name, running }));
+                out.push(Output::Exit);
+            }
+            Stage::Releasing => {}
+        }
+    }
+
+    /// Another node has taken the memory over.
+    pub(super) fn heir_found(&mut self, now: Time, heir: Incarnation, out: &mut Vec<Output>) {
+        let Stage::HandingOver { heir: chosen, .. } = &self.stop.stage else {
+            return;
+        };
+        if chosen.incarnation != heir {
+            return;
+        }
+        let others: Vec<Node> =
+            self.members.iter().filter(|node| **node != self.me).cloned().collect();
+        for legacy in self.memory.legacies() {
+            let message = NodeMessage::Heir { of: legacy.keeper, heir };
+            for node in &others {
+                send(out, node.addr, &message, "tell heir");
+            }
+        }
+        self.release(now, out);
+    }
+
+    fn begin_handover(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.memory.seal();
+        self.usage.meter.hurry(now);
+        match Directory::choose_heir(&self.me, &self.members) {
+            Some(heir) => self.hand_over(now, &heir, now, out),
+            None => self.release(now, out),
+        }
+    }
+
+    fn hand_over(&mut self, since: Time, heir: &Node, now: Time, out: &mut Vec<Output>) {
+        let message = NodeMessage::Legacies(self.memory.legacies());
+        send(out, heir.addr, &message, "hand over");
+        let at = now + HAND_SPAN;
+        self.stop.stage = Stage::HandingOver { since, heir: heir.clone(), at };
+    }
+
+    fn release(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.stop.stage = Stage::Releasing;
+        self.owner.stop(now, out);
+    }
+}
--- /dev/null
+++ b/components/scenario/src/node/usage.rs
@@ -0,0 +1,148 @@
+//! Usage counted, mirrored, sealed and reported by a node.
+
+use std::time::Duration;
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{
+    CallId, CallIds, Incarnation, StoreReply, encode,
+    window::{
+        Meter, MeterAction, Mirror, MirrorAction, Sealer, SealerAction, Sheet, Usage as Used,
+        WindowId,
+    },
+};
+use chervilgate_testbed::Output;
+
+use crate::{
+    node::{
+        EntryNode,
+        message::{NodeMessage, usage_shard},
+    },
+    told::Told,
+};
+
+/// A node's part in the usage windows.
+pub(super) struct Usage {
+    span: Duration,
+    seed: u64,
+    pub(super) meter: Meter,
+    pub(super) mirror: Mirror,
+    sealer: Option<Sealer>,
+    wanted: Vec<MeterAction>,
+    sealed: Vec<SealerAction>,
+}
+
+impl Usage {
+    pub(super) fn new(me: Incarnation, span: Duration, seed: u64) -> Usage {
+        Usage {
+            span,
+            seed,
+            meter: Meter::new(me, usage_shard(), 1, Time::ZERO, seed),
+            mirror: Mirror::default(),
+            sealer: None,
+            wanted: Vec::new(),
+            sealed: Vec::new(),
+        }
+    }
+
+    pub(super) fn count(&mut self, key: &str) {
+        self.meter.add(key, Used { requests: 1, prompt: 100, generated: 10 });
+    }
+
+    pub(super) fn note_sheet(&mut self, entry: Incarnation, window: WindowId, sheet: Sheet) {
+        self.mirror.note(entry, window, sheet);
+    }
+
+    pub(super) fn take_over(&mut self, now: Time, entry: Incarnation) {
+        self.mirror.take_over(now, entry, self.seed ^ entry.0);
+    }
+
+    pub(super) fn wake_at(&self) -> Time {
+        let sealer = self.sealer.as_ref().map_or(Time::NEVER, Sealer::wake_at);
+        self.meter.wake_at().min(self.mirror.wake_at()).min(sealer)
+    }
+
+    pub(super) fn replied(
+        &mut self,
+        now: Time,
+        ids: &mut CallIds,
+        id: CallId,
+        reply: &StoreReply,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some(actions) = self.meter.reply(now, ids, id, reply) {
+            self.wanted.extend(actions);
+        } else if let Some(actions) = self.mirror.reply(now, ids, id, reply) {
+            call_mirrored(actions, out);
+        } else if let Some(sealer) = &mut self.sealer
+            && let Some(actions) = sealer.reply(now, ids, id, reply)
+        {
+            self.sealed.extend(actions);
+        }
+    }
+}
+
+fn call_mirrored(actions: impl IntoIterator<Item = MirrorAction>, out: &mut Vec<Output>) {
+    for MirrorAction::Call { id, step, call } in actions {
+        out.push(Output::Store { id, step, call });
+    }
+}
+
+impl EntryNode {
+    pub(super) fn run_usage(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.follow_ownership(now);
+        let usage = &mut self.usage;
+        usage.wanted.extend(usage.meter.advance(now, &mut self.ids));
+        call_mirrored(usage.mirror.advance(now, &mut self.ids), out);
+        if let Some(sealer) = &mut usage.sealer {
+            usage.sealed.extend(sealer.advance(now, &mut self.ids));
+        }
+        for action in std::mem::take(&mut self.usage.wanted) {
+            self.act_on_meter(action, out);
+        }
+        for action in std::mem::take(&mut self.usage.sealed) {
+            self.act_on_sealer(now, action, out);
+        }
+    }
+
+    /// Seals while this node owns the usage windows' shard.
+    fn follow_ownership(&mut self, now: Time) {
+        match self.owner.reported(now) {
+            None => self.usage.sealer = None,
+            Some(reported) if self.usage.sealer.is_none() => {
+                let (span, seed) = (self.usage.span, self.usage.seed);
+                self.usage.sealer = Some(Sealer::new(usage_shard(), reported, span, seed));
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn act_on_meter(&mut self, action: MeterAction, out: &mut Vec<Output>) {
+        match action {
+            MeterAction::Call { id, step, call } => out.push(Output::Store { id, step, call }),
+            MeterAction::Mirror { window, step, sheet } => {
+                let others = self.members.iter().filter(|node| **node != self.me);
+                let far = |node: &&chervilgate_coord::Node| node.zone == self.me.zone;
+                let next = |node: &&chervilgate_coord::Node| {
+                    node.incarnation.0.wrapping_sub(self.me.incarnation.0)
+                };
+                let Some(mirror) = others.min_by_key(|node| (far(node), next(node))) else {
+                    return;
+                };
+                let entry = self.me.incarnation;
+                let body = encode(&NodeMessage::Sheet { entry, window, sheet });
+                out.push(Output::Peer { step, to: mirror.addr, body });
+            }
+        }
+    }
+
+    fn act_on_sealer(&mut self, now: Time, action: SealerAction, out: &mut Vec<Output>) {
+        match action {
+            SealerAction::Call { id, step, call } => out.push(Output::Store { id, step, call }),
+            SealerAction::Report { window, seal } => {
+                let (window, requests) = (window.number, seal.total.requests());
+                self.setting.ledger.tell(now, Told::Billed { window, requests });
+                self.owner.report(window, &encode(&seal.total));
+            }
+        }
+    }
+}
--- a/components/scenario/src/parse/deed.rs
+++ b/components/scenario/src/parse/deed.rs
@@ -136,10 +136,8 @@
     let fault = name("a fault").parse_next(input)?;
     let _ = (word("on"), winnow::ascii::space1).parse_next(input)?;
     let protocol = take_while(1.., |c: char| c.is_ascii_alphabetic());
-    let label = |input: &mut &str| -> ModalResult<String> {
-        let quoted = ('"', take_till(1.., '"'), '"');
-        quoted.map(|(_, label, _): (_, &str, _)| label.to_owned()).parse_next(input)
-    };
+    let quoted = ('"', take_till(1.., '"'), '"').map(|(_, label, _)| label);
+    let label = alt((quoted, ident)).map(str::to_owned);
     let step: (&str, String) = (terminated(protocol, "."), label)
         .context(StrContext::Expected(StrContextValue::Description(
             "a step such as View.\"read blob\"",
--- /dev/null
+++ b/components/scenario/src/target.rs
@@ -0,0 +1,134 @@
+//! Stand-ins for targets, and for the interface that takes usage reports.
+
+use std::{cell::RefCell, collections::BTreeMap, collections::BTreeSet, rc::Rc};
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{OrderReply, decode, encode};
+use chervilgate_testbed::{Answer, CutCause, Endpoint, Fact, Request, RequestId};
+
+use crate::node::message::{Work, WorkReply};
+
+/// What the runner does to a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Health {
+    /// It runs.
+    Up,
+    /// It does not answer.
+    Gone,
+}
+
+/// A target's state, shared with the runner.
+#[derive(Debug, Clone)]
+pub(crate) struct TargetState(Rc<RefCell<State>>);
+
+#[derive(Debug)]
+struct State {
+    name: String,
+    health: Health,
+    stopped: bool,
+    running: BTreeMap<u64, Time>,
+    connections: BTreeSet<u64>,
+}
+
+impl TargetState {
+    pub(crate) fn new(name: &str) -> TargetState {
+        TargetState(Rc::new(RefCell::new(State {
+            name: name.to_owned(),
+            health: Health::Up,
+            stopped: false,
+            running: BTreeMap::new(),
+            connections: BTreeSet::new(),
+        })))
+    }
+
+    /// The target crashes and starts again: what it ran is lost.
+    pub(crate) fn crash(&self) {
+        self.0.borrow_mut().running.clear();
+    }
+
+    /// The target goes for good.
+    pub(crate) fn vanish(&self) {
+        let mut state = self.0.borrow_mut();
+        state.health = Health::Gone;
+        state.running.clear();
+    }
+}
+
+impl State {
+    fn serve(&mut self, now: Time, work: &Work, facts: &mut Vec<Fact>) -> Option<WorkReply> {
+        if self.health == Health::Gone {
+            return None;
+        }
+        Some(match work {
+            Work::Start { .. } if self.stopped => WorkReply::Refused,
+            Work::Start { request, takes, connection } => {
+                if self.connections.insert(*connection) {
+                    self.running.insert(*request, now + *takes);
+                    let (request, target) = (RequestId(*request), self.name.clone());
+                    facts.push(Fact::Ran { request, target });
+                }
+                WorkReply::Started
+            }
+            Work::Collect { request } => match self.running.get(request) {
+                None => WorkReply::Gone,
+                Some(end) if *end > now => WorkReply::Started,
+                Some(_) => WorkReply::Done { request: *request },
+            },
+            Work::Running => WorkReply::Running { count: self.count(now) },
+            Work::Stop => {
+                if !self.stopped {
+                    self.stop(now, facts);
+                }
+                WorkReply::Stopped
+            }
+        })
+    }
+
+    fn stop(&mut self, now: Time, facts: &mut Vec<Fact>) {
+        self.stopped = true;
+        for request in self.running.iter().filter(|(_, end)| **end > now).map(|(id, _)| *id) {
+            facts.push(Fact::Cut { request: RequestId(request), cause: CutCause::Planned });
+        }
+        facts.push(Fact::Stopped { name: self.name.clone(), running: self.count(now) });
+    }
+
+    fn count(&self, now: Time) -> usize {
+        self.running.values().filter(|end| **end > now).count()
+    }
+}
+
+impl Endpoint for TargetState {
+    fn handle(&mut self, now: Time, request: &Request, facts: &mut Vec<Fact>) -> Option<Answer> {
+        let Request::Bytes(bytes) = request else {
+            return None;
+        };
+        let work = decode::<Work>(bytes).ok()?;
+        let reply = self.0.borrow_mut().serve(now, &work, facts)?;
+        Some(Answer::Bytes(encode(&reply)))
+    }
+}
+
+/// The platform's interface for usage reports.
+#[derive(Debug, Default)]
+pub(crate) struct FakeUsage;
+
+impl Endpoint for FakeUsage {
+    fn handle(&mut self, _now: Time, request: &Request, facts: &mut Vec<Fact>) -> Option<Answer> {
+        let Request::Order(order) = request else {
+            return None;
+        };
+        let (window, figures) = decode::<(u64, Vec<u8>)>(&order.body).ok()?;
+        facts.push(Fact::Received {
+            order: order.clone(),
+            fencing: false,
+            reply: OrderReply::Done,
+        });
+        facts.push(Fact::Reported {
+            window: window.to_string(),
+            figures,
+            sender: order.sender,
+            epoch: order.fence.epoch(),
+        });
+        Some(Answer::Order(OrderReply::Done))
+    }
+}
