--- a/components/coord/src/claim/table.rs
+++ b/components/coord/src/claim/table.rs
@@ -14,6 +14,7 @@
 use crate::{
     claim::stripe::{CLAIM_RETENTION, Claim, ClaimError, Stripe, StripeEdit},
     document::{EditId, Editor, EditorAction, EditorActions},
+    guards::Guards,
     ident::Incarnation,
     step::Step,
     store::{CallId, CallIds, StoreCall, StoreReply},
@@ -60,6 +61,7 @@
 #[derive(Debug, Clone)]
 pub struct ClaimTable {
     me: Incarnation,
+    guards: Guards,
     ids: CallIds,
     seed: u64,
     attempts: u64,
@@ -73,6 +75,7 @@
     pub fn new(me: Incarnation, ids: CallIds, seed: u64) -> ClaimTable {
         ClaimTable {
             me,
+            guards: Guards::default(),
             ids,
             seed,
             attempts: 0,
@@ -82,6 +85,11 @@
         }
     }
 
+    /// Switches protections off, for tests of the tests.
+    pub fn with_guards(self, guards: Guards) -> ClaimTable {
+        ClaimTable { guards, ..self }
+    }
+
     /// Claims a request; it is decided by `deadline` at the latest.
     pub fn claim(
         &mut self,
@@ -91,6 +99,9 @@
         key: &str,
         deadline: Time,
     ) -> TableActions {
+        if !self.guards.claim {
+            return TableActions::from_iter([TableAction::Run(ticket)]);
+        }
         let digest = digest_of(organisation, key);
         let stripe = digest[0] % STRIPES;
         self.attempts += 1;
--- a/components/coord/src/guards.rs
+++ b/components/coord/src/guards.rs
@@ -18,6 +18,14 @@
     pub session_seal: bool,
     /// An unanswered order's connection is given time to end.
     pub flight: bool,
+    /// Keyed work is refused while the view is not confirmed.
+    pub freshness: bool,
+    /// A change is accepted only once a majority of the voters holds it.
+    pub acceptance: bool,
+    /// A window's seal is never replaced.
+    pub seal: bool,
+    /// A request that may not be repeated is claimed before it is dispatched.
+    pub claim: bool,
 }
 
 impl Default for Guards {
@@ -29,6 +37,10 @@
             deadline: true,
             session_seal: true,
             flight: true,
+            freshness: true,
+            acceptance: true,
+            seal: true,
+            claim: true,
         }
     }
 }
--- a/components/coord/src/view/keeper.rs
+++ b/components/coord/src/view/keeper.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     document::{EditId, Editor, EditorAction},
+    guards::Guards,
     ident::{Incarnation, Node},
     order::ProbeReply,
     step::{Protocol, Step},
@@ -138,6 +139,7 @@
 #[derive(Debug, Clone)]
 pub struct Keeper {
     me: Node,
+    guards: Guards,
     ids: CallIds,
     holder: Holder,
     freshness: Freshness,
@@ -181,13 +183,22 @@
             source: None,
             wish: None,
             next: Time::ZERO,
+            guards: Guards::default(),
             me,
             ids,
         }
     }
 
+    /// Switches protections off, for tests of the tests.
+    pub fn with_guards(self, guards: Guards) -> Keeper {
+        Keeper { guards, ..self }
+    }
+
     /// Whether keyed work may be dispatched now.
     pub fn check(&self, now: Time) -> Verdict {
+        if !self.guards.freshness {
+            return Verdict::Platform(Duration::ZERO);
+        }
         self.freshness.check(now)
     }
 
@@ -495,9 +506,10 @@
             return;
         };
         let (held, voters) = (root.seq, &root.voters);
-        let acceptance = &self.acceptance;
+        let (acceptance, guards) = (&self.acceptance, self.guards);
         self.written.retain(|(edit, seq)| {
-            let accepted = held >= *seq && acceptance.accepts(voters, *seq);
+            let by_majority = !guards.acceptance || acceptance.accepts(voters, *seq);
+            let accepted = held >= *seq && by_majority;
             if accepted {
                 out.push(KeeperAction::Accepted { edit: *edit, seq: *seq });
             }
--- a/components/coord/src/window/sealer.rs
+++ b/components/coord/src/window/sealer.rs
@@ -11,10 +11,11 @@
 use crate::{
     budget::Backoff,
     codec::{decode, encode},
+    guards::Guards,
     ident::Incarnation,
     order::ShardId,
     step::{Protocol, Step},
-    store::{CallId, CallIds, Expect, Object, StoreCall, StoreReply},
+    store::{CallId, CallIds, Expect, Object, StoreCall, StoreReply, Version},
     view::{Blob, Digest, blob_key},
     window::seal::{Seal, Sealed, Sheet, WindowId, entry_of, seal_key, sheet_prefix},
 };
@@ -76,9 +77,12 @@
 #[derive(Debug, Clone)]
 pub struct Sealer {
     window: WindowId,
+    guards: Guards,
     span: Duration,
     stage: Stage,
     flying: BTreeMap<CallId, Option<Digest>>,
+    /// The seal that the next one replaces; only without the guard.
+    replaced: Option<Version>,
     seal_at: Time,
     retry_at: Time,
     backoff: Backoff,
@@ -89,15 +93,22 @@
     pub fn new(shard: ShardId, reported: u64, span: Duration, seed: u64) -> Sealer {
         Sealer {
             window: WindowId { shard, number: reported + 1 },
+            guards: Guards::default(),
             span,
             stage: Stage::Searching,
             flying: BTreeMap::new(),
+            replaced: None,
             seal_at: Time::ZERO,
             retry_at: Time::ZERO,
             backoff: Backoff::new(FIRST_DELAY, MOST_DELAY, seed),
         }
     }
 
+    /// Switches protections off, for tests of the tests.
+    pub fn with_guards(self, guards: Guards) -> Sealer {
+        Sealer { guards, ..self }
+    }
+
     /// The window to be sealed next.
     pub fn window(&self) -> &WindowId {
         &self.window
@@ -133,7 +144,8 @@
             }
             Stage::Sealing { seal } => {
                 let (key, value) = (seal_key(&self.window), encode(seal));
-                ("write seal", StoreCall::Put { key, expect: Expect::Absent, value })
+                let expect = self.replaced.map_or(Expect::Absent, Expect::At);
+                ("write seal", StoreCall::Put { key, expect, value })
             }
         };
         actions.push(self.fly(ids, None, name, call));
@@ -173,6 +185,10 @@
                 self.backoff.reset();
                 self.report(now, seal, &mut actions);
             }
+            (Stage::Sealing { .. }, StoreReply::Conflict(Some(object))) if !self.guards.seal => {
+                self.replaced = Some(object.version);
+                self.stage = Stage::Listing;
+            }
             (Stage::Sealing { .. }, StoreReply::Conflict(Some(object))) => {
                 self.note_seal(now, object, &mut actions);
             }
@@ -239,6 +255,7 @@
     fn report(&mut self, now: Time, seal: Seal, actions: &mut SealerActions) {
         actions.push(SealerAction::Report { window: self.window.clone(), seal });
         self.window = self.window.next();
+        self.replaced = None;
         self.seal_at = now + self.span;
         self.stage = Stage::Searching;
     }
--- a/components/coord/tests/scenarios.rs
+++ b/components/coord/tests/scenarios.rs
@@ -2,13 +2,14 @@
 
 use std::path::Path;
 
-use chervilgate_scenario::{Protections, parse, run};
+use chervilgate_coord::Guards;
+use chervilgate_scenario::{parse, run};
 
 fn play(path: &Path) -> datatest_stable::Result<()> {
     let text = std::fs::read_to_string(path)?;
     let script = parse(&path.display().to_string(), &text).map_err(|error| error.to_string())?;
 
-    let played = run(&script, Protections::default());
+    let played = run(&script, Guards::default());
 
     let breaches = played.breaches.iter().map(|breach| format!("promise: {breach}"));
     let findings: Vec<String> = played.failures.iter().cloned().chain(breaches).collect();
--- a/components/scenario/src/lib.rs
+++ b/components/scenario/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use crate::{
     parse::{Finding, ParseError, parse},
-    runner::{Protections, Run, run},
+    runner::{Run, run},
     script::Script,
     told::{Ledger, Told},
 };
--- a/components/scenario/src/node.rs
+++ b/components/scenario/src/node.rs
@@ -15,7 +15,7 @@
 
 use chervilgate_clock::Time;
 use chervilgate_coord::{
-    CallIds, Node, Protocol, Step, Terms,
+    CallIds, Guards, Node, Protocol, Step, Terms,
     claim::{ClaimTable, Directory, Keeper as ClaimKeeper, Memory, Record, TableAction},
     decode, encode,
     membership::{Membership, Standing},
@@ -42,8 +42,8 @@
     pub(crate) zones: Vec<String>,
     /// How long a usage window is open.
     pub(crate) window: Duration,
-    /// Whether a stale view is refused; off only to test the tests.
-    pub(crate) freshness: bool,
+    /// Protections; all on but in tests of the tests.
+    pub(crate) guards: Guards,
     /// What operators are told.
     pub(crate) ledger: Ledger,
 }
@@ -98,19 +98,19 @@
         let seeds = setting.seeds.iter().copied().filter(|addr| *addr != me.addr).collect();
         EntryNode {
             ids: ids(1),
-            keeper: Keeper::new(me.clone(), seeds, ids(2), birth.seed),
+            keeper: Keeper::new(me.clone(), seeds, ids(2), birth.seed).with_guards(setting.guards),
             membership: Membership::new(me.clone(), terms.patience() + terms.list * 2),
             members: Vec::new(),
             members_at: Time::ZERO,
             directory: Directory::new(id),
             memory: Memory::new(id, Time::ZERO),
-            table: ClaimTable::new(id, ids(3), birth.seed ^ 3),
+            table: ClaimTable::new(id, ids(3), birth.seed ^ 3).with_guards(setting.guards),
             jobs: Jobs::new(id),
             forwards: BTreeMap::new(),
             forward_count: 0,
             operators: Operators::new(birth.seed ^ 4),
             owner: Owner::new(&me, &setting, terms, ids(5), birth.seed ^ 5),
-            usage: Usage::new(id, setting.window, birth.seed ^ 6),
+            usage: Usage::new(id, setting.window, setting.guards, birth.seed ^ 6),
             stop: Stop::default(),
             wake: Time::ZERO,
             me,
@@ -344,8 +344,7 @@
     }
 
     fn gate(&self, now: Time) -> Gate<'_> {
-        let verdict = self.keeper.check(now);
-        Gate { verdict, holder: self.keeper.holder(), guard: self.setting.freshness }
+        Gate { verdict: self.keeper.check(now), holder: self.keeper.holder() }
     }
 
     fn run_timers(&mut self, now: Time, out: &mut Vec<Output>) {
@@ -358,8 +357,7 @@
         self.keep(now, KeeperEvent::Tick, out);
         let actions = self.table.advance(now);
         self.act_on_table(actions, out);
-        let (verdict, guard) = (self.keeper.check(now), self.setting.freshness);
-        let gate = Gate { verdict, holder: self.keeper.holder(), guard };
+        let gate = Gate { verdict: self.keeper.check(now), holder: self.keeper.holder() };
         let ended = self.jobs.advance(now, &mut self.ids, &gate, out);
         self.end_calls(ended, out);
         let actions = self.operators.advance(now, &mut self.ids);
--- a/components/scenario/src/node/calls.rs
+++ b/components/scenario/src/node/calls.rs
@@ -67,7 +67,6 @@
 pub(super) struct Gate<'a> {
     pub(super) verdict: Verdict,
     pub(super) holder: &'a Holder,
-    pub(super) guard: bool,
 }
 
 impl Gate<'_> {
@@ -76,7 +75,7 @@
         let Some(key) = &call.key else {
             return Some(None);
         };
-        if self.guard && !self.verdict.is_fresh() {
+        if !self.verdict.is_fresh() {
             return None;
         }
         if self.holder.is_withdrawn(&hash_key(key)) {
--- a/components/scenario/src/node/owner.rs
+++ b/components/scenario/src/node/owner.rs
@@ -7,8 +7,8 @@
 
 use chervilgate_clock::Time;
 use chervilgate_coord::{
-    Action, Actions, Authority, AuthorityConfig, CallId, CallIds, Epoch, Event, Guards, Node,
-    Notice, ProbeReply, ReceiverId, ShardId, StoreReply, Terms, Zone, encode,
+    Action, Actions, Authority, AuthorityConfig, CallId, CallIds, Epoch, Event, Node, Notice,
+    ProbeReply, ReceiverId, ShardId, StoreReply, Terms, Zone, encode,
     intent::{Wish, WishError},
     membership::Sighting,
     target_order::{Reclaim, ZoneOrders, zone_shard},
@@ -55,7 +55,7 @@
             node: me.clone(),
             shards: shards.collect(),
             terms,
-            guards: Guards::default(),
+            guards: setting.guards,
             trust_list: false,
             seed,
             calls,
--- a/components/scenario/src/node/usage.rs
+++ b/components/scenario/src/node/usage.rs
@@ -4,7 +4,7 @@
 
 use chervilgate_clock::Time;
 use chervilgate_coord::{
-    CallId, CallIds, Incarnation, StoreReply, encode,
+    CallId, CallIds, Guards, Incarnation, StoreReply, encode,
     window::{
         Meter, MeterAction, Mirror, MirrorAction, Sealer, SealerAction, Sheet, Usage as Used,
         WindowId,
@@ -23,6 +23,7 @@
 /// A node's part in the usage windows.
 pub(super) struct Usage {
     span: Duration,
+    guards: Guards,
     seed: u64,
     pub(super) meter: Meter,
     pub(super) mirror: Mirror,
@@ -32,9 +33,10 @@
 }
 
 impl Usage {
-    pub(super) fn new(me: Incarnation, span: Duration, seed: u64) -> Usage {
+    pub(super) fn new(me: Incarnation, span: Duration, guards: Guards, seed: u64) -> Usage {
         Usage {
             span,
+            guards,
             seed,
             meter: Meter::new(me, usage_shard(), 1, Time::ZERO, seed),
             mirror: Mirror::default(),
@@ -110,7 +112,8 @@
             None => self.usage.sealer = None,
             Some(reported) if self.usage.sealer.is_none() => {
                 let (span, seed) = (self.usage.span, self.usage.seed);
-                self.usage.sealer = Some(Sealer::new(usage_shard(), reported, span, seed));
+                let sealer = Sealer::new(usage_shard(), reported, span, seed);
+                self.usage.sealer = Some(sealer.with_guards(self.usage.guards));
             }
             Some(_) => {}
         }
--- a/components/scenario/src/runner.rs
+++ b/components/scenario/src/runner.rs
@@ -7,7 +7,7 @@
 
 use chervilgate_clock::Time;
 use chervilgate_coord::{
-    ReceiverId,
+    Guards, ReceiverId,
     target_order::zone_shard,
     view::{Digest, Snapshot},
 };
@@ -50,19 +50,6 @@
     pub tail: String,
 }
 
-/// Protections that a run may do without, to test the tests.
-#[derive(Debug, Clone, Copy)]
-pub struct Protections {
-    /// A stale view is refused.
-    pub freshness: bool,
-}
-
-impl Default for Protections {
-    fn default() -> Protections {
-        Protections { freshness: true }
-    }
-}
-
 /// A configuration that the script names.
 #[derive(Debug, Clone)]
 struct Config {
@@ -85,8 +72,8 @@
 }
 
 /// Runs a script to its end.
-pub fn run(script: &Script, protections: Protections) -> Run {
-    let mut runner = Runner::new(script, protections);
+pub fn run(script: &Script, guards: Guards) -> Run {
+    let mut runner = Runner::new(script, guards);
     let mut ops = runner.plan();
     ops.sort_by_key(|(at, _)| *at);
     for (at, op) in ops {
@@ -98,7 +85,7 @@
 }
 
 impl<'a> Runner<'a> {
-    fn new(script: &'a Script, protections: Protections) -> Runner<'a> {
+    fn new(script: &'a Script, guards: Guards) -> Runner<'a> {
         let mut bed = Bed::new(script.seed);
         bed.spans.restart = Duration::from_secs(5);
         bed.record_writes(Box::new(record_receivers));
@@ -117,7 +104,7 @@
             seeds: (0..script.entries.len()).map(|index| addr_of(HostId(index))).collect(),
             zones,
             window: WINDOW_SPAN,
-            freshness: protections.freshness,
+            guards,
             ledger: ledger.clone(),
         };
         let mut hosts = BTreeMap::new();
