--- /dev/null
+++ b/bins/ctl/src/entries.rs
@@ -0,0 +1,68 @@
+//! What entries say of themselves.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use chervilgate_clients::{HttpPool, HttpSender, body::collect};
+use futures_util::future::join_all;
+use hyper::{Request, header::HOST};
+use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
+
+/// Time allowed for an entry's answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest answer that is read, in bytes.
+const ANSWER_LIMIT: usize = 4 << 20;
+
+/// An entry's answer to `GET /admin/state`, as far as it is needed here.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct EntryState {
+    pub(crate) host: String,
+    pub(crate) zone: String,
+    pub(crate) incarnation: String,
+    /// `serving`, `leaving` or `finishing`.
+    pub(crate) phase: String,
+    pub(crate) view: ViewState,
+}
+
+/// The view that an entry holds.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct ViewState {
+    /// The number of the view's root.
+    pub(crate) seq: u64,
+    /// Whether keyed work may run on it.
+    pub(crate) fresh: bool,
+}
+
+/// An entry's address and its answer, if there was one.
+#[derive(Debug, Clone)]
+pub(crate) struct Asked {
+    pub(crate) addr: SocketAddr,
+    pub(crate) state: Result<EntryState, String>,
+}
+
+/// Asks all entries at the same time.
+pub(crate) async fn ask_all(pool: &HttpPool, addrs: &[SocketAddr]) -> Vec<Asked> {
+    join_all(addrs.iter().map(|addr| ask(pool, *addr))).await
+}
+
+async fn ask(pool: &HttpPool, addr: SocketAddr) -> Asked {
+    let answer = timeout(ANSWER_TIMEOUT, fetch(pool, addr)).await;
+    let state = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+    Asked { addr, state }
+}
+
+async fn fetch(pool: &HttpPool, addr: SocketAddr) -> Result<EntryState, String> {
+    let request = Request::get("/admin/state").header(HOST, addr.to_string()).body(Bytes::new());
+    let request = request.map_err(|error| error.to_string())?;
+    let response = pool.send(addr, request).await.map_err(|error| error.to_string())?;
+    let status = response.status();
+    if !status.is_success() {
+        return Err(format!("answered {status}"));
+    }
+    let body = collect(response.into_body(), ANSWER_LIMIT).await;
+    let body = body.map_err(|error| error.to_string())?;
+    serde_json::from_slice(&body).map_err(|error| format!("answered something else: {error}"))
+}
--- /dev/null
+++ b/bins/ctl/src/options.rs
@@ -0,0 +1,211 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+
+use crate::consent::{Consent, consent};
+
+/// Exit codes, as the help shows them.
+const EXIT_CODES: &str = "Exit codes:
+  0 done, or all is well    1 failed, nothing changed
+  2 findings in files       3 another operator was faster
+  4 not accepted yet, or nobody can tell
+  5 risky: add --yes        6 status found something wrong";
+
+/// Operates a chervilgate deployment
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
+#[bpaf(options, version, fallback_to_usage, footer(EXIT_CODES))]
+pub(crate) enum Command {
+    /// Is it healthy, what is wrong, what can I do
+    #[bpaf(command)]
+    Status {
+        #[bpaf(external)]
+        common: Common,
+    },
+    /// Checks files of objects as a whole
+    #[bpaf(command)]
+    Check {
+        #[bpaf(external)]
+        common: Common,
+        /// Files or folders of objects
+        #[bpaf(positional("PATH"), some("name a file or folder"))]
+        paths: Vec<PathBuf>,
+    },
+    /// Shows what files would change
+    #[bpaf(command)]
+    Diff {
+        #[bpaf(external)]
+        common: Common,
+        /// Also removes objects that no file holds
+        prune: bool,
+        /// Files or folders of objects
+        #[bpaf(positional("PATH"), some("name a file or folder"))]
+        paths: Vec<PathBuf>,
+    },
+    /// Publishes the objects in files
+    #[bpaf(command)]
+    Apply {
+        #[bpaf(external)]
+        common: Common,
+        #[bpaf(external)]
+        consent: Consent,
+        /// Also removes objects that no file holds
+        prune: bool,
+        /// Why, for the history
+        #[bpaf(short('m'), long, argument("TEXT"), fallback(String::new()))]
+        message: String,
+        /// Files or folders of objects
+        #[bpaf(positional("PATH"), some("name a file or folder"))]
+        paths: Vec<PathBuf>,
+    },
+    /// Lists the latest publications, or what one changed
+    #[bpaf(command)]
+    History {
+        #[bpaf(external)]
+        common: Common,
+        /// The publication
+        #[bpaf(positional("NUMBER"))]
+        number: Option<u64>,
+    },
+    /// Publishes an earlier configuration again
+    #[bpaf(command)]
+    Rollback {
+        #[bpaf(external)]
+        common: Common,
+        #[bpaf(external)]
+        consent: Consent,
+        /// The publication; the one before the present if left out
+        #[bpaf(positional("NUMBER"))]
+        number: Option<u64>,
+    },
+    /// Lists hosts
+    #[bpaf(command)]
+    Hosts {
+        #[bpaf(external)]
+        common: Common,
+    },
+    /// Lists targets
+    #[bpaf(command)]
+    Targets {
+        #[bpaf(external)]
+        common: Common,
+        /// Only those of this service
+        #[bpaf(positional("SERVICE"))]
+        service: Option<String>,
+    },
+    /// Gives a target no new work
+    #[bpaf(command)]
+    Drain {
+        #[bpaf(external)]
+        common: Common,
+        #[bpaf(external)]
+        consent: Consent,
+        /// The target
+        #[bpaf(positional("TARGET"))]
+        target: String,
+    },
+    /// Gives a drained target work again
+    #[bpaf(command)]
+    Undrain {
+        #[bpaf(external)]
+        common: Common,
+        #[bpaf(external)]
+        consent: Consent,
+        /// The target
+        #[bpaf(positional("TARGET"))]
+        target: String,
+    },
+    /// Issues, withdraws and lists keys
+    #[bpaf(command)]
+    Key(#[bpaf(external(key_command))] KeyCommand),
+    /// Declares a process stopped for good, so that its orders are taken over
+    #[bpaf(command)]
+    Release {
+        #[bpaf(external)]
+        common: Common,
+        #[bpaf(external)]
+        consent: Consent,
+        /// The process, as `release` without it lists them
+        #[bpaf(positional("INCARNATION"))]
+        incarnation: Option<String>,
+    },
+}
+
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
+pub(crate) enum KeyCommand {
+    /// Issues a key and shows it once
+    #[bpaf(command)]
+    Issue {
+        #[bpaf(external)]
+        common: Common,
+        #[bpaf(external)]
+        consent: Consent,
+        /// The organisation that it speaks for
+        #[bpaf(positional("ORGANISATION"))]
+        organisation: String,
+    },
+    /// Withdraws a key for good
+    #[bpaf(command)]
+    Withdraw {
+        #[bpaf(external)]
+        common: Common,
+        #[bpaf(external)]
+        consent: Consent,
+        /// The key's id, or the whole key
+        #[bpaf(positional("KEY"))]
+        key: String,
+    },
+    /// Lists keys, without their secrets
+    #[bpaf(command)]
+    List {
+        #[bpaf(external)]
+        common: Common,
+        /// Only those of this organisation
+        #[bpaf(positional("ORGANISATION"))]
+        organisation: Option<String>,
+    },
+}
+
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
+pub(crate) struct Common {
+    /// Settings of this command
+    #[bpaf(
+        short('s'),
+        long,
+        env("CHERVILGATECTL"),
+        argument("FILE"),
+        fallback(PathBuf::from("chervilgatectl.json")),
+        debug_fallback
+    )]
+    pub(crate) settings: PathBuf,
+    /// Prints JSON
+    pub(crate) json: bool,
+}
+
+impl Command {
+    /// The options that each command has.
+    pub(crate) fn common(&self) -> &Common {
+        match self {
+            Command::Status { common }
+            | Command::Check { common, .. }
+            | Command::Diff { common, .. }
+            | Command::Apply { common, .. }
+            | Command::History { common, .. }
+            | Command::Rollback { common, .. }
+            | Command::Hosts { common }
+            | Command::Targets { common, .. }
+            | Command::Drain { common, .. }
+            | Command::Undrain { common, .. }
+            | Command::Release { common, .. }
+            | Command::Key(
+                KeyCommand::Issue { common, .. }
+                | KeyCommand::Withdraw { common, .. }
+                | KeyCommand::List { common, .. },
+            ) => common,
+        }
+    }
+}
--- /dev/null
+++ b/bins/ctl/src/settings.rs
@@ -0,0 +1,48 @@
+//! Settings of the operators' command.
+
+use std::{net::SocketAddr, time::Duration};
+
+use chervilgate_settings::{FromJson, Node};
+
+/// Time for one change to be made.
+const CHANGE_LIMIT: Duration = Duration::from_secs(10);
+/// Time to wait for a change to be accepted.
+const ACCEPT_LIMIT: Duration = Duration::from_secs(10);
+
+/// Where things are.
+#[derive(Debug, Clone)]
+pub(crate) struct Settings {
+    /// The platform's HTTP API.
+    pub(crate) platform: SocketAddr,
+    /// The entries' admin addresses.
+    pub(crate) entries: Vec<SocketAddr>,
+    /// Who is at work, for the history.
+    pub(crate) operator: String,
+    /// Time for one change to be made.
+    pub(crate) change_limit: Duration,
+    /// Time to wait for a change to be accepted.
+    pub(crate) accept_limit: Duration,
+}
+
+impl FromJson for Settings {
+    const EXPECTED: &'static str = "the settings of chervilgatectl";
+
+    fn from_json(node: &Node<'_>) -> Option<Settings> {
+        let mut fields = node.fields(Self::EXPECTED)?;
+        let platform = fields.required("platform");
+        let entries: Option<Vec<SocketAddr>> = fields.required("entries");
+        let operator = fields.or("operator", String::new());
+        let change_limit = fields.or("change_limit", CHANGE_LIMIT);
+        let accept_limit = fields.or("accept_limit", ACCEPT_LIMIT);
+        if entries.as_ref().is_some_and(Vec::is_empty) {
+            fields.node().report("no entries", "at least one entry's admin address");
+        }
+        Some(Settings {
+            platform: platform?,
+            entries: entries?,
+            operator,
+            change_limit,
+            accept_limit,
+        })
+    }
+}
