Keep short answers in one place when their KV cache is large

Cause: in shift, 0.7% of the requests failed by their gaps, nearly all of them split ones. Such a request is no longer split when the transfer and a step take longer than the limit.

--- a/components/policy/src/router.rs
+++ b/components/policy/src/router.rs
@@ -412,6 +412,9 @@
     }
 
     fn split(&self, query: &Query<'_>, entry: &Entry, source: &Source) -> Option<Choice> {
+        if !query.bears_transfer(entry) {
+            return None;
+        }
         let offer = query.decode(&self.fleet, entry)?;
         let route = Route {
             prefill: source.target,
--- a/components/policy/src/router/score.rs
+++ b/components/policy/src/router/score.rs
@@ -21,6 +21,9 @@
 /// What a full batch costs against time to the first token.
 const CROWDING: Duration = Duration::from_millis(60);
 
+/// Output, in tokens, from which one long gap is within the good share of gaps.
+const TRANSFER_OUTPUT: u32 = 40;
+
 /// How far a target may be filled.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Fill {
@@ -94,6 +97,14 @@
         Some(Offer { time, score: time + self.crowding(entry, &load) })
     }
 
+    /// Whether the gap that a KV transfer leaves after the first token is good, or
+    /// one of enough gaps.
+    pub(super) fn bears_transfer(&self, entry: &Entry) -> bool {
+        let specs = &entry.target.specs;
+        let gap = specs.transfer(self.request.prompt.into()) + specs.step(specs.slots / 2);
+        gap <= self.settings.gap || self.request.output >= TRANSFER_OUTPUT
+    }
+
     fn load(&self, fleet: &Fleet, entry: &Entry) -> Estimate {
         let typical = fleet.typical(entry.target.role);
         entry.load.estimate(self.now, self.settings.stale, typical)
