--- a/components/policy/src/roles.rs
+++ b/components/policy/src/roles.rs
@@ -12,9 +12,13 @@
 use chervilgate_clock::Time;
 use smallvec::SmallVec;
 
-use crate::{Demand, Role, State, Target, TargetId, roles::capacity::Capacity};
+use crate::{
+    Demand, Role, State, Target, TargetId,
+    roles::{capacity::Capacity, outlook::Outlook},
+};
 
 mod capacity;
+mod outlook;
 #[cfg(test)]
 mod tests;
 
@@ -58,7 +62,7 @@
 pub struct RoleSettings {
     /// Time that a change takes an engine away, its drain counted.
     pub cost: Duration,
-    /// Time over which a change has to pay off.
+    /// Time over which a change has to pay off, and over which past demand counts.
     pub horizon: Duration,
     /// Time for which a gain has to last before a change is ordered.
     pub hold: Duration,
@@ -78,10 +82,10 @@
     fn default() -> RoleSettings {
         RoleSettings {
             cost: Duration::from_secs(10),
-            horizon: Duration::from_secs(90),
+            horizon: Duration::from_secs(300),
             hold: Duration::from_secs(8),
             keep: Duration::from_secs(60),
-            gain: 0.02,
+            gain: 0.01,
             at_once: 2,
             stale: Duration::from_secs(6),
             gap: Duration::from_millis(60),
@@ -101,6 +105,7 @@
 #[derive(Debug)]
 pub struct RolePlanner {
     settings: RoleSettings,
+    outlook: Outlook,
     pending: Option<Pending>,
     ordered: BTreeMap<TargetId, (Role, Time)>,
 }
@@ -108,7 +113,12 @@
 impl RolePlanner {
     /// A planner that has seen nothing yet.
     pub fn new(settings: RoleSettings) -> RolePlanner {
-        RolePlanner { settings, pending: None, ordered: BTreeMap::new() }
+        RolePlanner {
+            outlook: Outlook::new(settings.horizon),
+            pending: None,
+            ordered: BTreeMap::new(),
+            settings,
+        }
     }
 
     /// The limits in use.
@@ -131,10 +141,11 @@
             self.pending = None;
             return changes;
         }
+        self.outlook.observe(demand);
         let mut capacity = self.capacity(members);
         let under_way = members.iter().filter(|member| is_changing(member)).count();
         for _ in under_way..self.settings.at_once {
-            let Some((from, to)) = self.best_move(&demand, capacity, members, &changes) else {
+            let Some((from, to)) = self.best_move(capacity, members, &changes) else {
                 self.pending = None;
                 return changes;
             };
@@ -200,7 +211,6 @@
     /// The move with the highest net gain, if one gains enough.
     fn best_move(
         &self,
-        demand: &Demand,
         capacity: Capacity,
         members: &[Member],
         taken: &[RoleChange],
@@ -212,7 +222,7 @@
             if !may_leave(from, members, taken) {
                 continue;
             }
-            let gain = self.gain(demand, capacity, from, to, members);
+            let gain = self.gain(capacity, from, to, members);
             if gain > best_gain {
                 best_gain = gain;
                 best = Some((from, to));
@@ -222,19 +232,12 @@
     }
 
     /// Share of the demand gained by a move, summed over the horizon, in seconds.
-    fn gain(
-        &self,
-        demand: &Demand,
-        capacity: Capacity,
-        from: Role,
-        to: Role,
-        members: &[Member],
-    ) -> f64 {
+    fn gain(&self, capacity: Capacity, from: Role, to: Role, members: &[Member]) -> f64 {
         let cost = self.settings.cost.as_secs_f64();
         let rest = self.settings.horizon.as_secs_f64() - cost;
-        let before = capacity.scale(demand);
-        let during = capacity.minus(self.one(from, members)).scale(demand);
-        let after = self.moved(capacity, from, to, members).scale(demand);
+        let before = self.outlook.worth(&capacity);
+        let during = self.outlook.worth(&capacity.minus(self.one(from, members)));
+        let after = self.outlook.worth(&self.moved(capacity, from, to, members));
         (after - before) * rest - (before - during) * cost
     }
 
--- a/components/policy/src/roles/capacity.rs
+++ b/components/policy/src/roles/capacity.rs
@@ -11,10 +11,14 @@
 use crate::{Demand, Role, Specs};
 
 /// Share of an engine's time that is planned with; the rest keeps queues short.
-const USABLE: f64 = 0.85;
+const USABLE: f64 = 0.92;
 
 /// The highest scale that counts; more room than that is worth nothing.
-const SCALE_CEILING: f64 = 1.25;
+const SCALE_CEILING: f64 = 1.1;
+
+/// What it is worth, in scale, to compute all prompts on prefill engines: these
+/// take long steps, so that long prompts come sooner to their first token.
+const PREFILL_CREDIT: f64 = 0.05;
 
 /// Work that a set of engines can do, in tokens a second.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -57,8 +61,15 @@
         self.combine(other, -1.0)
     }
 
-    /// The largest multiple of `demand` that can be carried, at most 1.25.
-    pub(super) fn scale(&self, demand: &Demand) -> f64 {
+    /// What the capacity is worth under `demand`: its scale, and prompts that are
+    /// computed on prefill engines.
+    pub(super) fn worth(&self, demand: &Demand) -> f64 {
+        let share = (self.prefill / demand.prompt.max(1.0)).min(1.0);
+        self.scale(demand) + PREFILL_CREDIT * share
+    }
+
+    /// The largest multiple of `demand` that can be carried, at most 1.1.
+    fn scale(&self, demand: &Demand) -> f64 {
         if self.output <= 0.0 {
             return 0.0;
         }
