--- a/components/coord/src/view/holder.rs
+++ b/components/coord/src/view/holder.rs
@@ -62,6 +62,11 @@
         self.withdrawn.contains(key) || self.pending.contains(key)
     }
 
+    /// Every withdrawn key that is known here.
+    pub fn withdrawn_keys(&self) -> BTreeSet<KeyHash> {
+        self.withdrawn.union(&self.pending).copied().collect()
+    }
+
     /// Withdrawn keys that no root is known to hold.
     pub fn pending(&self) -> &BTreeSet<KeyHash> {
         &self.pending
