Let entries keep their view by the coordination library

The view, its freshness and withdrawals now come from the machines over QUIC and the platform's root, in place of a poll of one object; each entry has a session and is a voter. A failed coordination actor begins again as a new incarnation.

--- a/bins/entry/src/admin_api.rs
+++ b/bins/entry/src/admin_api.rs
@@ -27,22 +27,26 @@
     fn state(&self) -> Response<Body> {
         let now = self.host.borders.clock.now();
         let state = self.host.views.get();
-        let age = state.confirmed.map(|confirmed| now.since(confirmed).as_millis());
         let phase = match *self.host.phase().borrow() {
             Phase::Serving => "serving",
             Phase::Leaving => "leaving",
             Phase::Finishing => "finishing",
         };
+        let node = self.host.node();
         json_response(&json!({
             "host": self.host.settings.host,
             "zone": self.host.settings.zone,
-            "incarnation": self.host.incarnation,
+            "incarnation": node.incarnation.to_string(),
+            "peer": node.addr,
             "phase": phase,
             "view": {
-                "version": state.view.version.0,
+                "seq": state.view.seq.0,
                 "fresh": state.is_fresh(now),
-                "age_ms": age.map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
+                "by_platform": state.by_platform,
+                "relay": state.relay,
             },
+            "members": self.host.members.all().len(),
+            "peers": self.host.peers.counts(),
             "services": self.host.lane_counts(),
         }))
     }
--- a/bins/entry/src/caller.rs
+++ b/bins/entry/src/caller.rs
@@ -59,6 +59,9 @@
         return Err(Failure::unauthorized("no key: send `Authorization: Bearer KEY`"));
     };
     match state.view.config.verify_key(key) {
+        Ok(record) if state.is_withdrawn(record) => {
+            Err(Failure::unauthorized("the key has been withdrawn"))
+        }
         Ok(record) => Ok(&record.organisation),
         Err(KeyError::Withdrawn) => Err(Failure::unauthorized("the key has been withdrawn")),
         Err(KeyError::Unknown) => Err(Failure::unauthorized("the key is not known")),
--- a/bins/entry/src/entry.rs
+++ b/bins/entry/src/entry.rs
@@ -4,15 +4,25 @@
 
 use chervilgate_clients::{HttpEngine, HttpPlatform, HttpPool};
 use chervilgate_clock::BootClock;
+use chervilgate_coord::Event;
+use chervilgate_driver::{AuthorityMessage, TcpProber, answer_probes};
 use chervilgate_serve::{Limits, serve};
+use chervilgate_wire::{Identity, IdentityError, Incoming, Peers, WireError};
 use ractor::{Actor, ActorRef};
 use snafu::{ResultExt, Snafu};
-use tokio::{net::TcpListener, sync::watch, task::JoinHandle, time::sleep};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+    task::JoinHandle,
+    time::sleep,
+};
 
 use crate::{
     admin_api::AdminApi,
     caller_api::CallerApi,
     host::{Borders, Host, Phase},
+    registrar::round_pause,
+    session::follow_peers,
     settings::Settings,
     supervisor::{Supervisor, SupervisorMessage},
 };
@@ -20,6 +30,11 @@
 /// Time for a leaving host's own record to reach the others.
 const LEAVE_MARGIN: Duration = Duration::from_secs(3);
 
+/// Time allowed for the session to be given back.
+const RELEASE_WAIT: Duration = Duration::from_millis(500);
+/// Attempts to get the same port over UDP and TCP.
+const PORT_ATTEMPTS: usize = 16;
+
 /// Why an entry did not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -31,6 +46,18 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The certificate for peers is not usable.
+    #[snafu(display("cannot read the certificate for peers: {source}"))]
+    BadIdentity {
+        /// What is wrong.
+        source: IdentityError,
+    },
+    /// The address for peers is not to be had.
+    #[snafu(display("{source}"))]
+    Peer {
+        /// What is wrong.
+        source: WireError,
+    },
     /// The actors did not start.
     #[snafu(display("cannot start the actors: {source}"))]
     Spawn {
@@ -45,6 +72,15 @@
     supervisor: ActorRef<SupervisorMessage>,
     callers: JoinHandle<()>,
     admin: JoinHandle<()>,
+    peers: JoinHandle<()>,
+    probes: JoinHandle<()>,
+}
+
+/// What peers reach.
+struct Gate {
+    peers: Peers,
+    incoming: mpsc::Receiver<Incoming>,
+    probes: TcpListener,
 }
 
 impl Entry {
@@ -55,20 +91,29 @@
     pub async fn start(mut settings: Settings) -> Result<Entry, StartError> {
         let listener = listen(&mut settings.listen).await?;
         let admin = listen(&mut settings.admin).await?;
+        let identity = settings.identity.load().context(BadIdentitySnafu)?;
+        let gate = bind_peers(&mut settings, &identity).await?;
+        let platform = Arc::new(HttpPlatform::new(settings.platform));
         let borders = Borders {
-            store: Arc::new(HttpPlatform::new(settings.platform)),
+            store: platform.clone(),
+            hosts: platform,
+            prober: Arc::new(TcpProber),
             sender: Arc::new(HttpPool::new()),
             engines: Arc::new(HttpEngine::new()),
             clock: Arc::new(BootClock),
         };
-        let host = Host::new(settings, borders);
+        let host = Host::new(settings, borders, gate.peers);
+        let peers = tokio::spawn(follow_peers(host.clone(), gate.incoming));
+        let answering = host.clone();
+        let present = move || answering.node().incarnation;
+        let probes = tokio::spawn(answer_probes(gate.probes, present));
         let (supervisor, _) =
             Actor::spawn(None, Supervisor, host.clone()).await.context(SpawnSnafu)?;
         log::info!(target: "entry", host = host.settings.host.as_str(),
             listen:% = host.settings.listen, admin:% = host.settings.admin; "entry started");
         let callers = serve_callers(&host, listener);
         let admin = serve_operators(&host, admin);
-        Ok(Entry { host, supervisor, callers, admin })
+        Ok(Entry { host, supervisor, callers, admin, peers, probes })
     }
 
     /// Where callers reach it.
@@ -81,22 +126,22 @@
         self.host.settings.admin
     }
 
-    /// The state that its parts share.
-    pub fn host(&self) -> &Arc<Host> {
-        &self.host
-    }
-
     /// Leaves without cutting a request: waits until no caller holds this
     /// host's address any more, then finishes what runs.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         log::info!(target: "entry", "leaving");
         self.host.enter(Phase::Leaving);
-        sleep(self.host.settings.locate_ttl + LEAVE_MARGIN).await;
+        let heard = round_pause(self.host.members.all().len()) + LEAVE_MARGIN;
+        sleep(self.host.settings.locate_ttl + heard).await;
         log::info!(target: "entry", "finishing what runs");
         self.host.enter(Phase::Finishing);
-        let _ = self.callers.await;
+        let _ = (&mut self.callers).await;
+        self.release().await;
         self.supervisor.stop(None);
         self.admin.abort();
+        self.peers.abort();
+        self.probes.abort();
+        self.host.peers.close();
         log::info!(target: "entry", "stopped");
     }
 
@@ -104,7 +149,18 @@
     pub fn kill(self) {
         self.callers.abort();
         self.admin.abort();
+        self.peers.abort();
+        self.probes.abort();
         self.supervisor.kill();
+        self.host.peers.close();
+    }
+
+    /// Gives the session back, so that nobody waits for it to lapse.
+    async fn release(&self) {
+        if let Some(authority) = self.host.links().authority {
+            let _ = authority.cast(AuthorityMessage::Event(Event::Stop));
+            sleep(RELEASE_WAIT).await;
+        }
     }
 }
 
@@ -115,6 +171,25 @@
     Ok(listener)
 }
 
+/// Listens for peers over UDP and for probes over TCP at the same port.
+async fn bind_peers(settings: &mut Settings, identity: &Identity) -> Result<Gate, StartError> {
+    let wanted = settings.peer;
+    let mut attempts = if wanted.port() == 0 { PORT_ATTEMPTS } else { 1 };
+    loop {
+        let (peers, incoming) = Peers::bind(wanted, identity).context(PeerSnafu)?;
+        let addr = peers.local_addr().context(ListenSnafu { addr: wanted })?;
+        attempts -= 1;
+        match TcpListener::bind(addr).await {
+            Ok(probes) => {
+                settings.peer = addr;
+                return Ok(Gate { peers, incoming, probes });
+            }
+            Err(_) if attempts > 0 => peers.close(),
+            Err(source) => return Err(StartError::Listen { addr, source }),
+        }
+    }
+}
+
 fn serve_callers(host: &Arc<Host>, listener: TcpListener) -> JoinHandle<()> {
     let handler = Arc::new(CallerApi::new(host.clone()));
     let mut phase = host.phase();
--- a/bins/entry/src/host.rs
+++ b/bins/entry/src/host.rs
@@ -9,9 +9,13 @@
     time::Duration,
 };
 
-use chervilgate_clients::{Engine, HttpSender, ObjectStore};
+use chervilgate_clients::{Engine, HostList, HttpSender, ObjectStore};
 use chervilgate_clock::Clock;
+use chervilgate_coord::{Incarnation, Node};
+use chervilgate_driver::{AuthorityMessage, Prober, ViewMessage};
 use chervilgate_policy::{RouteSettings, Zone};
+use chervilgate_wire::Peers;
+use ractor::ActorRef;
 use tokio::sync::watch;
 
 use crate::{
@@ -24,7 +28,7 @@
 
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
+pub(crate) enum Phase {
     /// Serving.
     Serving,
     /// No longer located, but still accepting: callers keep addresses a while.
@@ -35,9 +39,13 @@
 
 /// The borders that an entry needs.
 #[derive(Clone)]
-pub struct Borders {
+pub(crate) struct Borders {
     /// The platform's objects.
     pub store: Arc<dyn ObjectStore>,
+    /// The platform's list of hosts.
+    pub hosts: Arc<dyn HostList>,
+    /// Probes addresses of other processes.
+    pub prober: Arc<dyn Prober>,
     /// Requests to targets.
     pub sender: Arc<dyn HttpSender>,
     /// Load reports of engines.
@@ -46,8 +54,17 @@
     pub clock: Arc<dyn Clock>,
 }
 
+/// The actors that others speak to, once they run.
+#[derive(Clone, Default)]
+pub(crate) struct Links {
+    /// Runs the session.
+    pub authority: Option<ActorRef<AuthorityMessage>>,
+    /// Runs the view.
+    pub view: Option<ActorRef<ViewMessage>>,
+}
+
 /// One entry's state.
-pub struct Host {
+pub(crate) struct Host {
     /// Its settings.
     pub settings: Settings,
     /// Its borders.
@@ -58,8 +75,10 @@
     pub members: Members,
     /// Usage since the last flush.
     pub meter: Meter,
-    /// Names this process among all that ever ran on this host.
-    pub incarnation: String,
+    /// The other processes.
+    pub peers: Peers,
+    links: Mutex<Links>,
+    node: Mutex<Node>,
     numbering: Numbering,
     lanes: Mutex<BTreeMap<String, Arc<Lane>>>,
     phase: watch::Sender<Phase>,
@@ -68,15 +87,21 @@
 
 impl Host {
     /// An entry that has not read any configuration yet.
-    pub fn new(settings: Settings, borders: Borders) -> Arc<Host> {
-        let incarnation = format!("{}-{:016x}", settings.host, rand::random::<u64>());
+    pub(crate) fn new(settings: Settings, borders: Borders, peers: Peers) -> Arc<Host> {
+        let node = Node {
+            incarnation: Incarnation(rand::random()),
+            addr: settings.peer,
+            zone: chervilgate_coord::Zone(settings.zone.clone()),
+        };
         Arc::new(Host {
             settings,
             borders,
             views: ViewCell::new(),
             members: Members::default(),
             meter: Meter::default(),
-            incarnation,
+            peers,
+            links: Mutex::default(),
+            node: Mutex::new(node),
             numbering: Numbering::default(),
             lanes: Mutex::default(),
             phase: watch::Sender::new(Phase::Serving),
@@ -84,30 +109,50 @@
         })
     }
 
+    /// This process as others know it.
+    pub(crate) fn node(&self) -> Node {
+        lock(&self.node).clone()
+    }
+
+    /// Becomes another incarnation: what the former one vouched for is forgotten.
+    pub(crate) fn renew_incarnation(&self) {
+        lock(&self.node).incarnation = Incarnation(rand::random());
+    }
+
+    /// The actors that others speak to.
+    pub(crate) fn links(&self) -> Links {
+        lock(&self.links).clone()
+    }
+
+    /// Changes the actors that others speak to.
+    pub(crate) fn set_links(&self, change: impl FnOnce(&mut Links)) {
+        change(&mut lock(&self.links));
+    }
+
     /// Numbers for the names of a configuration.
-    pub fn numbering(&self) -> &Numbering {
+    pub(crate) fn numbering(&self) -> &Numbering {
         &self.numbering
     }
 
     /// A request id that no other request has.
-    pub fn request_id(&self) -> String {
+    pub(crate) fn request_id(&self) -> String {
         let count = self.requests.fetch_add(1, Ordering::Relaxed);
         format!("{:016x}{:08x}", rand::random::<u64>(), count)
     }
 
     /// The lane of a service, if it has targets.
-    pub fn lane(&self, service: &str) -> Option<Arc<Lane>> {
+    pub(crate) fn lane(&self, service: &str) -> Option<Arc<Lane>> {
         self.lock_lanes().get(service).cloned()
     }
 
     /// Each service's requests.
-    pub fn lane_counts(&self) -> BTreeMap<String, LaneCounts> {
+    pub(crate) fn lane_counts(&self) -> BTreeMap<String, LaneCounts> {
         let lanes = self.lock_lanes();
         lanes.iter().map(|(name, lane)| (name.clone(), lane.counts())).collect()
     }
 
     /// Opens and refills lanes after the view has changed.
-    pub fn apply_view(&self, view: &View) {
+    pub(crate) fn apply_view(&self, view: &View) {
         for service in view.config.services.keys() {
             let lane = self.open_lane(service.as_str());
             crate::fleet::fill_lane(&lane, view, service.as_str(), &self.numbering);
@@ -116,12 +161,12 @@
     }
 
     /// Follows the phase of a planned stop.
-    pub fn phase(&self) -> watch::Receiver<Phase> {
+    pub(crate) fn phase(&self) -> watch::Receiver<Phase> {
         self.phase.subscribe()
     }
 
     /// Moves a planned stop on; it never goes back.
-    pub fn enter(&self, phase: Phase) {
+    pub(crate) fn enter(&self, phase: Phase) {
         self.phase.send_if_modified(|present| {
             let later = phase > *present;
             *present = phase.max(*present);
@@ -144,6 +189,10 @@
     }
 
     fn lock_lanes(&self) -> MutexGuard<'_, BTreeMap<String, Arc<Lane>>> {
-        self.lanes.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.lanes)
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/bins/entry/src/lane.rs
+++ b/bins/entry/src/lane.rs
@@ -36,7 +36,7 @@
 /// Requests on one lane.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize)]
-pub struct LaneCounts {
+pub(crate) struct LaneCounts {
     /// Requests that wait for a target.
     pub waiting: usize,
     /// Requests that run.
@@ -44,7 +44,7 @@
 }
 
 /// One service's queue and router.
-pub struct Lane {
+pub(crate) struct Lane {
     state: Mutex<State>,
     clock: Arc<dyn Clock>,
     changed: Notify,
@@ -52,7 +52,7 @@
 
 impl Lane {
     /// A lane without targets; its timer runs until the lane is dropped.
-    pub fn start(clock: Arc<dyn Clock>, routing: RouteSettings, seed: u64) -> Arc<Lane> {
+    pub(crate) fn start(clock: Arc<dyn Clock>, routing: RouteSettings, seed: u64) -> Arc<Lane> {
         let state = State {
             router: Router::new(routing),
             queue: Queue::new(QueueSettings::default()),
@@ -71,7 +71,7 @@
     ///
     /// # Errors
     /// The policy's refusal: the request was not run.
-    pub async fn admit(self: &Arc<Lane>, request: Request) -> Result<Slot, Refusal> {
+    pub(crate) async fn admit(self: &Arc<Lane>, request: Request) -> Result<Slot, Refusal> {
         let now = self.clock.now();
         let (sender, receiver) = oneshot::channel();
         let ticket = {
@@ -100,7 +100,7 @@
     ///
     /// # Errors
     /// The policy's refusal, once the request's deadline does not allow more waiting.
-    pub async fn readmit(
+    pub(crate) async fn readmit(
         self: &Arc<Lane>,
         request: Request,
         except: &[TargetId],
@@ -138,7 +138,7 @@
     }
 
     /// Replaces the router's targets.
-    pub fn set_targets(&self, targets: Vec<Target>) {
+    pub(crate) fn set_targets(&self, targets: Vec<Target>) {
         let now = self.clock.now();
         let mut state = self.lock();
         let listed: HashSet<TargetId> = targets.iter().map(|target| target.id).collect();
@@ -155,14 +155,14 @@
     }
 
     /// Takes in a load report.
-    pub fn report(&self, id: TargetId, report: LoadReport) {
+    pub(crate) fn report(&self, id: TargetId, report: LoadReport) {
         let now = self.clock.now();
         self.lock().router.report(now, id, report);
         self.poll();
     }
 
     /// Requests that wait and that run.
-    pub fn counts(&self) -> LaneCounts {
+    pub(crate) fn counts(&self) -> LaneCounts {
         let state = self.lock();
         LaneCounts { waiting: state.waiting.len(), running: state.running.len() }
     }
@@ -247,7 +247,7 @@
 }
 
 /// One attempt's place at its targets; an unended one counts as cancelled.
-pub struct Slot {
+pub(crate) struct Slot {
     lane: Arc<Lane>,
     ticket: Ticket,
     route: Route,
@@ -256,19 +256,19 @@
 
 impl Slot {
     /// Where the attempt runs.
-    pub fn route(&self) -> &Route {
+    pub(crate) fn route(&self) -> &Route {
         &self.route
     }
 
     /// Notes that the first token came.
-    pub fn first_token(&self) {
+    pub(crate) fn first_token(&self) {
         let now = self.lane.clock.now();
         self.lane.lock().router.first_token(now, self.ticket);
         self.lane.poll();
     }
 
     /// Ends the attempt.
-    pub fn finish(mut self, outcome: Outcome) {
+    pub(crate) fn finish(mut self, outcome: Outcome) {
         self.open = false;
         let failed = matches!(outcome, Outcome::Failed | Outcome::Crashed);
         let at = failed.then_some(self.route.decode);
--- a/bins/entry/src/lib.rs
+++ b/bins/entry/src/lib.rs
@@ -14,7 +14,6 @@
 mod entry;
 mod fleet;
 mod host;
-mod keeper;
 mod lane;
 mod locate;
 mod member;
@@ -25,6 +24,7 @@
 mod refusal;
 mod registrar;
 mod relay;
+mod session;
 mod settings;
 mod sse;
 mod supervisor;
@@ -32,6 +32,5 @@
 
 pub use crate::{
     entry::{Entry, StartError},
-    keeper::CONFIG_KEY,
-    settings::{Settings, TlsFiles},
+    settings::{IdentitySource, Settings, TlsFiles},
 };
--- a/bins/entry/src/locate.rs
+++ b/bins/entry/src/locate.rs
@@ -40,13 +40,14 @@
     let zone = asked_zone(uri).unwrap_or(&host.settings.zone);
     let mut members = host.members.near_first(zone);
     let leaving = *host.phase().borrow() > Phase::Serving;
-    members.retain(|member| !(leaving && member.incarnation == host.incarnation));
+    let own = host.node().incarnation;
+    members.retain(|member| !(leaving && member.incarnation == own));
     let addresses = members.iter().map(|member| to_address(member, zone)).collect();
     let ttl = host.settings.locate_ttl.as_millis();
     let located = Located {
         addresses,
         ttl_ms: u64::try_from(ttl).unwrap_or(u64::MAX),
-        scope: host.incarnation.clone(),
+        scope: own.to_string(),
     };
     json(&located)
 }
--- a/bins/entry/src/member.rs
+++ b/bins/entry/src/member.rs
@@ -5,6 +5,7 @@
     sync::{Mutex, PoisonError},
 };
 
+use chervilgate_coord::Incarnation;
 use serde::{Deserialize, Serialize};
 
 /// Where members' records stand in the platform's store.
@@ -13,7 +14,7 @@
 /// An entry as it describes itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-pub struct Member {
+pub(crate) struct Member {
     /// The host's name.
     pub host: String,
     /// Its availability zone.
@@ -21,25 +22,30 @@
     /// Where callers reach it.
     pub address: SocketAddr,
     /// The process.
-    pub incarnation: String,
+    pub incarnation: Incarnation,
     /// Whether it is about to go.
     pub leaving: bool,
 }
 
 /// The members as last heard of.
 #[derive(Debug, Default)]
-pub struct Members {
+pub(crate) struct Members {
     list: Mutex<Vec<Member>>,
 }
 
 impl Members {
     /// Replaces the list.
-    pub fn set(&self, list: Vec<Member>) {
+    pub(crate) fn set(&self, list: Vec<Member>) {
         *self.list.lock().unwrap_or_else(PoisonError::into_inner) = list;
     }
 
+    /// Each member.
+    pub(crate) fn all(&self) -> Vec<Member> {
+        self.list.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// The members that stay, those of `zone` first.
-    pub fn near_first(&self, zone: &str) -> Vec<Member> {
+    pub(crate) fn near_first(&self, zone: &str) -> Vec<Member> {
         let list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
         let mut staying: Vec<Member> =
             list.iter().filter(|member| !member.leaving).cloned().collect();
--- a/bins/entry/src/meter.rs
+++ b/bins/entry/src/meter.rs
@@ -7,7 +7,7 @@
 
 /// Usage of one organisation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Usage {
+pub(crate) struct Usage {
     /// Requests that ran.
     pub requests: u64,
     /// Prompt tokens.
@@ -18,13 +18,13 @@
 
 /// Counts usage by organisation.
 #[derive(Debug, Default)]
-pub struct Meter {
+pub(crate) struct Meter {
     counts: Mutex<BTreeMap<String, Usage>>,
 }
 
 impl Meter {
     /// Adds to an organisation's usage.
-    pub fn add(&self, organisation: &str, usage: Usage) {
+    pub(crate) fn add(&self, organisation: &str, usage: Usage) {
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
         let sum = counts.entry(organisation.to_owned()).or_default();
         sum.requests += usage.requests;
@@ -33,7 +33,7 @@
     }
 
     /// Takes out what has been counted.
-    pub fn take(&self) -> BTreeMap<String, Usage> {
+    pub(crate) fn take(&self) -> BTreeMap<String, Usage> {
         std::mem::take(&mut *self.counts.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
--- a/bins/entry/src/registrar.rs
+++ b/bins/entry/src/registrar.rs
@@ -1,8 +1,9 @@
 //! The actor that makes this host known and learns of the others.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use chervilgate_coord::{Expect, Object, StoreCall, StoreReply};
+use chervilgate_coord::{Expect, Incarnation, Node, Object, StoreCall, StoreReply};
+use chervilgate_driver::{AuthorityMessage, ViewMessage};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::time::sleep;
 
@@ -11,8 +12,13 @@
     member::{MEMBER_PREFIX, Member},
 };
 
-/// Pause between two rounds.
+/// Pause between two rounds on a deployment of few hosts.
 const ROUND_PAUSE: Duration = Duration::from_millis(1_000);
+/// Added for each member, to bound the bytes that are read a second.
+const MEMBER_PAUSE: Duration = Duration::from_millis(60);
+
+/// Time allowed for the authority's answer, in milliseconds.
+const STATUS_TIMEOUT: u64 = 1_000;
 
 /// Registers one host.
 pub(crate) struct Registrar;
@@ -44,12 +50,36 @@
         host: &mut Arc<Host>,
     ) -> Result<(), ActorProcessingErr> {
         run_round(host).await;
-        sleep(ROUND_PAUSE).await;
+        tell_members(host).await;
+        sleep(round_pause(host.members.all().len())).await;
         myself.cast(RegistrarMessage::Round)?;
         Ok(())
     }
 }
 
+/// Pause between two rounds when there are so many members.
+pub(crate) fn round_pause(members: usize) -> Duration {
+    ROUND_PAUSE + MEMBER_PAUSE * u32::try_from(members).unwrap_or(u32::MAX)
+}
+
+/// Tells the view which entries have a live session.
+async fn tell_members(host: &Arc<Host>) {
+    let links = host.links();
+    let (Some(authority), Some(view)) = (links.authority, links.view) else {
+        return;
+    };
+    let Ok(status) = ractor::call_t!(authority, AuthorityMessage::Status, STATUS_TIMEOUT) else {
+        return;
+    };
+    let entries: BTreeSet<Incarnation> =
+        host.members.all().iter().map(|member| member.incarnation).collect();
+    let me = host.node();
+    let mut live: Vec<Node> = status.members;
+    live.retain(|node| entries.contains(&node.incarnation) && *node != me);
+    live.push(me);
+    let _ = view.cast(ViewMessage::members(live));
+}
+
 async fn run_round(host: &Arc<Host>) {
     let list = StoreCall::List { prefix: MEMBER_PREFIX.to_owned() };
     let StoreReply::Listed { objects, .. } = host.borders.store.call(&list).await else {
@@ -69,7 +99,7 @@
         host: host.settings.host.clone(),
         zone: host.settings.zone.clone(),
         address: host.settings.listen,
-        incarnation: host.incarnation.clone(),
+        incarnation: host.node().incarnation,
         leaving: *host.phase().borrow() > Phase::Serving,
     }
 }
--- /dev/null
+++ b/bins/entry/src/session.rs
@@ -0,0 +1,120 @@
+//! This host's session and view: what their actors start with and bring about.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use chervilgate_clock::Time;
+use chervilgate_coord::{
+    AuthorityConfig, CallIds, Guards, Notice, Order, OrderReply, Terms,
+    view::{Root, Snapshot},
+};
+use chervilgate_driver::{AuthorityArgs, OrderSender, ViewArgs, ViewMessage, ViewUpdate};
+use chervilgate_publication::{Published, from_snapshot};
+use chervilgate_wire::{Ask, Incoming, Message, Reply};
+use tokio::sync::mpsc;
+
+use crate::{host::Host, view::View};
+
+/// An entry gives no orders; it only has a session.
+struct NoOrders;
+
+#[async_trait]
+impl OrderSender for NoOrders {
+    async fn send(&self, _order: &Order, _deadline: Time) -> OrderReply {
+        OrderReply::NotSent
+    }
+}
+
+/// What the actor of the session starts with.
+pub(crate) fn authority_args(host: &Arc<Host>) -> AuthorityArgs {
+    let (notices, received) = mpsc::unbounded_channel();
+    tokio::spawn(log_notices(received));
+    AuthorityArgs {
+        config: AuthorityConfig {
+            node: host.node(),
+            shards: Vec::new(),
+            terms: Terms::default(),
+            guards: Guards::default(),
+            trust_list: false,
+            seed: rand::random(),
+            calls: CallIds::from(0),
+        },
+        store: host.borders.store.clone(),
+        hosts: host.borders.hosts.clone(),
+        orders: Arc::new(NoOrders),
+        prober: host.borders.prober.clone(),
+        clock: host.borders.clock.clone(),
+        notices,
+    }
+}
+
+/// What the actor of the view starts with.
+pub(crate) fn view_args(host: &Arc<Host>) -> ViewArgs {
+    let (updates, received) = mpsc::unbounded_channel();
+    tokio::spawn(follow_view(host.clone(), received));
+    ViewArgs {
+        node: host.node(),
+        seeds: host.settings.seeds.clone(),
+        store: host.borders.store.clone(),
+        peers: host.peers.clone(),
+        clock: host.borders.clock.clone(),
+        seed: rand::random(),
+        updates,
+    }
+}
+
+/// Hands on what peers tell and answers what they ask.
+pub(crate) async fn follow_peers(host: Arc<Host>, mut incoming: mpsc::Receiver<Incoming>) {
+    while let Some(incoming) = incoming.recv().await {
+        match incoming {
+            Incoming::Told { from, message: Message::View(message) } => {
+                if let Some(view) = host.links().view {
+                    let _ = view.cast(ViewMessage::peer(from, message));
+                }
+            }
+            Incoming::Asked { ask: Ask::Incarnation, answer, .. } => {
+                let _ = answer.send(Reply::Incarnation(host.node().incarnation.0));
+            }
+        }
+    }
+}
+
+async fn log_notices(mut notices: mpsc::UnboundedReceiver<Notice>) {
+    while let Some(notice) = notices.recv().await {
+        log::trace!(target: "session", notice:?; "session moved on");
+    }
+}
+
+async fn follow_view(host: Arc<Host>, mut updates: mpsc::UnboundedReceiver<ViewUpdate>) {
+    while let Some(update) = updates.recv().await {
+        // Withdrawals are enforced first, whether the rest can be read or not.
+        if let Some(keys) = update.withdrawn {
+            host.views.withdraw(keys);
+        }
+        if let Some((root, snapshot)) = update.adopted
+            && !adopt(&host, root, &snapshot)
+        {
+            continue;
+        }
+        host.views.confirm(update.fresh_until, update.by_platform, update.relay);
+    }
+}
+
+/// Puts an adopted view in force; false if it cannot be read.
+fn adopt(host: &Arc<Host>, root: Root, snapshot: &Snapshot) -> bool {
+    let config = match from_snapshot(snapshot) {
+        Ok(config) => config,
+        Err(error) => {
+            log::error!(target: "view", seq = root.seq.0, error:%;
+                "the published configuration cannot be read");
+            host.views.confirm(Time::ZERO, false, false);
+            return false;
+        }
+    };
+    let seq = root.seq;
+    let published = Published { root, config };
+    let view = View::new(seq, published.in_force(), host.numbering());
+    host.apply_view(&view);
+    host.views.adopt(view);
+    true
+}
--- a/bins/entry/src/settings.rs
+++ b/bins/entry/src/settings.rs
@@ -1,8 +1,14 @@
 //! Settings of an entry.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    fmt,
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    time::Duration,
+};
 
 use chervilgate_settings::{FromJson, Node};
+use chervilgate_wire::{Identity, IdentityError, PemFiles};
 
 /// Time to the first token, or to a plain service's answer.
 const DEADLINE: Duration = Duration::from_millis(870);
@@ -26,6 +32,12 @@
     pub listen: SocketAddr,
     /// Where operators reach it.
     pub admin: SocketAddr,
+    /// Where the other processes reach it, over UDP and TCP.
+    pub peer: SocketAddr,
+    /// How it shows itself to the other processes.
+    pub identity: IdentitySource,
+    /// Other processes to begin with, for a start while the platform is down.
+    pub seeds: Vec<SocketAddr>,
     /// Where the platform listens.
     pub platform: SocketAddr,
     /// Time to the first token after which a request is not worth starting.
@@ -44,6 +56,37 @@
     pub metrics: Option<SocketAddr>,
 }
 
+/// Where the certificate shown to other processes comes from.
+#[derive(Clone)]
+pub enum IdentitySource {
+    /// Files, read again when they change.
+    Files(PemFiles),
+    /// An identity made in this process.
+    Made(Identity),
+}
+
+impl fmt::Debug for IdentitySource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            IdentitySource::Files(files) => f.debug_tuple("Files").field(files).finish(),
+            IdentitySource::Made(_) => f.write_str("Made(…)"),
+        }
+    }
+}
+
+impl IdentitySource {
+    /// The identity as it is now.
+    ///
+    /// # Errors
+    /// If a file cannot be read.
+    pub fn load(&self) -> Result<Identity, IdentityError> {
+        match self {
+            IdentitySource::Files(files) => Identity::load(files),
+            IdentitySource::Made(identity) => Ok(identity.clone()),
+        }
+    }
+}
+
 /// The files of a certificate, in PEM.
 #[derive(Debug, Clone)]
 pub struct TlsFiles {
@@ -54,19 +97,17 @@
 }
 
 impl Settings {
-    /// Settings with the defaults for all that has one.
-    pub fn new(
-        host: &str,
-        zone: &str,
-        listen: SocketAddr,
-        admin: SocketAddr,
-        platform: SocketAddr,
-    ) -> Settings {
+    /// Settings with the defaults for all that has one; ports are picked freely.
+    pub fn new(host: &str, zone: &str, platform: SocketAddr, identity: Identity) -> Settings {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         Settings {
             host: host.to_owned(),
             zone: zone.to_owned(),
-            listen,
-            admin,
+            listen: any,
+            admin: any,
+            peer: any,
+            identity: IdentitySource::Made(identity),
+            seeds: Vec::new(),
             platform,
             deadline: DEADLINE,
             service_deadline: SERVICE_DEADLINE,
@@ -88,6 +129,9 @@
         let zone: Option<String> = fields.required("zone");
         let listen = fields.required("listen");
         let admin = fields.required("admin");
+        let peer = fields.required("peer");
+        let identity: Option<PeerTls> = fields.required("peer_tls");
+        let seeds = fields.or("seeds", Vec::new());
         let platform = fields.required("platform");
         let deadline = fields.or("deadline", DEADLINE);
         let service_deadline = fields.or("service_deadline", SERVICE_DEADLINE);
@@ -101,6 +145,9 @@
             zone: zone?,
             listen: listen?,
             admin: admin?,
+            peer: peer?,
+            identity: IdentitySource::Files(identity?.0),
+            seeds,
             platform: platform?,
             deadline,
             service_deadline,
@@ -113,6 +160,20 @@
     }
 }
 
+struct PeerTls(PemFiles);
+
+impl FromJson for PeerTls {
+    const EXPECTED: &'static str = "the files by which processes know one another";
+
+    fn from_json(node: &Node<'_>) -> Option<PeerTls> {
+        let mut fields = node.fields(Self::EXPECTED)?;
+        let authority = fields.required("authority");
+        let certificate = fields.required("certificate");
+        let key = fields.required("key");
+        Some(PeerTls(PemFiles { authority: authority?, certificate: certificate?, key: key? }))
+    }
+}
+
 impl FromJson for TlsFiles {
     const EXPECTED: &'static str = "a certificate and its key";
 
--- a/bins/entry/src/supervisor.rs
+++ b/bins/entry/src/supervisor.rs
@@ -1,10 +1,20 @@
 //! The actor at the root: starts the others again when they fail.
+//!
+//! Authority and view stand and fall together: their machines keep promises
+//! that the process gave as one incarnation, and a restarted machine has
+//! forgotten them. So both begin again as a new incarnation.
 
 use std::{sync::Arc, time::Duration};
 
+use chervilgate_driver::{AuthorityActor, AuthorityMessage, ViewActor, ViewMessage};
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef, SupervisionEvent};
 
-use crate::{host::Host, keeper::Keeper, poller::Poller, registrar::Registrar};
+use crate::{
+    host::Host,
+    poller::Poller,
+    registrar::Registrar,
+    session::{authority_args, view_args},
+};
 
 /// Pause before a failed actor is started again.
 const RESTART_PAUSE: Duration = Duration::from_millis(200);
@@ -15,8 +25,8 @@
 /// The actors under supervision.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Part {
-    /// Keeps the view.
-    Keeper,
+    /// Runs session and view.
+    Coordination,
     /// Registers the host.
     Registrar,
     /// Reads engines' load.
@@ -45,7 +55,7 @@
         myself: ActorRef<SupervisorMessage>,
         host: Arc<Host>,
     ) -> Result<Running, ActorProcessingErr> {
-        for part in [Part::Keeper, Part::Registrar, Part::Poller] {
+        for part in [Part::Coordination, Part::Registrar, Part::Poller] {
             myself.cast(SupervisorMessage::Start(part))?;
         }
         Ok(Running { host, parts: Vec::new() })
@@ -58,9 +68,7 @@
         state: &mut Running,
     ) -> Result<(), ActorProcessingErr> {
         let SupervisorMessage::Start(part) = message;
-        let cell = start_part(part, state.host.clone(), myself.get_cell()).await?;
-        state.parts.push((cell, part));
-        Ok(())
+        state.start(part, myself.get_cell()).await
     }
 
     async fn handle_supervisor_evt(
@@ -72,11 +80,9 @@
         let SupervisionEvent::ActorFailed(cell, error) = event else {
             return Ok(());
         };
-        let index = state.parts.iter().position(|(known, _)| known.get_id() == cell.get_id());
-        let Some(index) = index else {
+        let Some(part) = state.take(&cell) else {
             return Ok(());
         };
-        let (_, part) = state.parts.swap_remove(index);
         log::error!(target: "supervisor", part:? = part, error:%; "actor failed; starting it again");
         tokio::time::sleep(RESTART_PAUSE).await;
         myself.cast(SupervisorMessage::Start(part))?;
@@ -84,15 +90,52 @@
     }
 }
 
-async fn start_part(
-    part: Part,
-    host: Arc<Host>,
-    parent: ActorCell,
-) -> Result<ActorCell, ActorProcessingErr> {
-    let cell = match part {
-        Part::Keeper => Actor::spawn_linked(None, Keeper, host, parent).await?.0.get_cell(),
-        Part::Registrar => Actor::spawn_linked(None, Registrar, host, parent).await?.0.get_cell(),
-        Part::Poller => Actor::spawn_linked(None, Poller, host, parent).await?.0.get_cell(),
-    };
-    Ok(cell)
+impl Running {
+    async fn start(&mut self, part: Part, parent: ActorCell) -> Result<(), ActorProcessingErr> {
+        let host = self.host.clone();
+        match part {
+            Part::Coordination => self.start_coordination(parent).await?,
+            Part::Registrar => {
+                let (actor, _) = Actor::spawn_linked(None, Registrar, host, parent).await?;
+                self.parts.push((actor.get_cell(), part));
+            }
+            Part::Poller => {
+                let (actor, _) = Actor::spawn_linked(None, Poller, host, parent).await?;
+                self.parts.push((actor.get_cell(), part));
+            }
+        }
+        Ok(())
+    }
+
+    async fn start_coordination(&mut self, parent: ActorCell) -> Result<(), ActorProcessingErr> {
+        let args = authority_args(&self.host);
+        let (authority, _): (ActorRef<AuthorityMessage>, _) =
+            Actor::spawn_linked(None, AuthorityActor, args, parent.clone()).await?;
+        let args = view_args(&self.host);
+        let (view, _): (ActorRef<ViewMessage>, _) =
+            Actor::spawn_linked(None, ViewActor, args, parent).await?;
+        self.parts.push((authority.get_cell(), Part::Coordination));
+        self.parts.push((view.get_cell(), Part::Coordination));
+        self.host.set_links(|links| {
+            links.authority = Some(authority);
+            links.view = Some(view);
+        });
+        Ok(())
+    }
+
+    /// The part that a failed actor belonged to; its other actors are ended.
+    fn take(&mut self, failed: &ActorCell) -> Option<Part> {
+        let index = self.parts.iter().position(|(cell, _)| cell.get_id() == failed.get_id())?;
+        let (_, part) = self.parts.swap_remove(index);
+        if part == Part::Coordination {
+            self.parts.retain(|(cell, other)| {
+                if *other == part {
+                    cell.kill();
+                }
+                *other != part
+            });
+            self.host.renew_incarnation();
+        }
+        Some(part)
+    }
 }
--- a/bins/entry/src/view.rs
+++ b/bins/entry/src/view.rs
@@ -1,30 +1,26 @@
 //! The configuration that this host acts on, and how sure it is of it.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
 };
 
 use chervilgate_clock::Time;
-use chervilgate_coord::Version;
-use chervilgate_model::{Config, Target};
+use chervilgate_coord::view::{KeyHash, Seq};
+use chervilgate_model::{Config, KeyRecord, Target};
 use chervilgate_policy::TargetId;
 use tokio::sync::watch;
 
-/// Keyed work is refused once the view has gone unconfirmed for this long.
-pub(crate) const FRESH_SPAN: Duration = Duration::from_secs(4);
-
 /// Numbers for names, the same for as long as the process lives.
 #[derive(Debug, Default)]
-pub struct Numbering {
+pub(crate) struct Numbering {
     numbers: Mutex<BTreeMap<String, u32>>,
 }
 
 impl Numbering {
     /// The number of `name`.
-    pub fn number(&self, name: &str) -> u32 {
+    pub(crate) fn number(&self, name: &str) -> u32 {
         let mut numbers = self.numbers.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(number) = numbers.get(name) {
             return *number;
@@ -37,59 +33,70 @@
 
 /// One configuration with what is derived from it.
 #[derive(Debug, Default)]
-pub struct View {
+pub(crate) struct View {
     /// Where it stands in the order of publications.
-    pub version: Version,
+    pub seq: Seq,
     /// The configuration.
     pub config: Config,
     targets: BTreeMap<TargetId, Target>,
 }
 
 impl View {
-    /// The view of `config` as published at `version`.
-    pub fn new(version: Version, config: Config, numbering: &Numbering) -> View {
+    /// The view of `config` at `seq`.
+    pub(crate) fn new(seq: Seq, config: Config, numbering: &Numbering) -> View {
         let number = |target: &Target| TargetId(numbering.number(target.name.as_str()));
         let targets =
             config.targets.values().map(|target| (number(target), target.clone())).collect();
-        View { version, config, targets }
+        View { seq, config, targets }
     }
 
     /// The target of this number.
-    pub fn target(&self, id: TargetId) -> Option<&Target> {
+    pub(crate) fn target(&self, id: TargetId) -> Option<&Target> {
         self.targets.get(&id)
     }
 
     /// The targets of `service` by number.
-    pub fn targets_of(&self, service: &str) -> impl Iterator<Item = (TargetId, &Target)> {
+    pub(crate) fn targets_of(&self, service: &str) -> impl Iterator<Item = (TargetId, &Target)> {
         let targets = self.targets.iter().map(|(id, target)| (*id, target));
         targets.filter(move |(_, target)| target.service == *service)
     }
 
     /// Where the target listens.
-    pub fn address(&self, id: TargetId) -> Option<SocketAddr> {
+    pub(crate) fn address(&self, id: TargetId) -> Option<SocketAddr> {
         self.target(id).map(|target| target.address)
     }
 }
 
-/// The present view and the time it was last confirmed at.
+/// The present view and how long it may be relied on.
 #[derive(Debug, Clone)]
-pub struct ViewState {
+pub(crate) struct ViewState {
     /// The view.
-    pub view: Arc<View>,
-    /// When it was last known to be the newest; none before the first time.
-    pub confirmed: Option<Time>,
+    pub(crate) view: Arc<View>,
+    /// Keys withdrawn as far as is known here.
+    pub(crate) withdrawn: Arc<BTreeSet<KeyHash>>,
+    /// Keyed work may be dispatched until then.
+    pub(crate) fresh_until: Time,
+    /// Whether the platform itself confirms the view.
+    pub(crate) by_platform: bool,
+    /// Whether this host watches the platform for others.
+    pub(crate) relay: bool,
 }
 
 impl ViewState {
     /// Whether keyed work may be dispatched on it at `now`.
-    pub fn is_fresh(&self, now: Time) -> bool {
-        self.confirmed.is_some_and(|confirmed| now.since(confirmed) < FRESH_SPAN)
+    pub(crate) fn is_fresh(&self, now: Time) -> bool {
+        now < self.fresh_until
+    }
+
+    /// Whether the key of this record is withdrawn.
+    pub(crate) fn is_withdrawn(&self, record: &KeyRecord) -> bool {
+        record.withdrawn || self.withdrawn.contains(&KeyHash(*record.hash.as_bytes()))
     }
 }
 
 /// Hands the view from its keeper to whoever serves.
 #[derive(Debug, Clone)]
-pub struct ViewCell {
+pub(crate) struct ViewCell {
     state: Arc<watch::Sender<ViewState>>,
 }
 
@@ -101,37 +108,45 @@
 
 impl ViewCell {
     /// A cell without a confirmed view.
-    pub fn new() -> ViewCell {
-        let empty = ViewState { view: Arc::new(View::default()), confirmed: None };
+    pub(crate) fn new() -> ViewCell {
+        let empty = ViewState {
+            view: Arc::new(View::default()),
+            withdrawn: Arc::default(),
+            fresh_until: Time::ZERO,
+            by_platform: false,
+            relay: false,
+        };
         ViewCell { state: Arc::new(watch::Sender::new(empty)) }
     }
 
     /// The present view.
-    pub fn get(&self) -> ViewState {
+    pub(crate) fn get(&self) -> ViewState {
         self.state.borrow().clone()
     }
 
-    /// Follows changes.
-    pub fn subscribe(&self) -> watch::Receiver<ViewState> {
-        self.state.subscribe()
-    }
-
-    /// Takes over a view unless a later one is already in force.
-    pub fn adopt(&self, view: View) -> bool {
-        self.state.send_if_modified(|state| {
-            let newer = view.version > state.view.version;
-            if newer {
+    /// Takes over a view, never an earlier one than that in force.
+    pub(crate) fn adopt(&self, view: View) {
+        self.state.send_modify(|state| {
+            if view.seq >= state.view.seq {
                 state.view = Arc::new(view);
             }
-            newer
-        })
+        });
+    }
+
+    /// Takes over withdrawals; they only ever grow.
+    pub(crate) fn withdraw(&self, keys: BTreeSet<KeyHash>) {
+        self.state.send_modify(|state| {
+            let all = state.withdrawn.union(&keys).copied().collect();
+            state.withdrawn = Arc::new(all);
+        });
     }
 
-    /// Notes that the view was the newest at `at`.
-    pub fn confirm(&self, at: Time) {
-        self.state.send_if_modified(|state| {
-            state.confirmed = state.confirmed.max(Some(at));
-            false
+    /// Takes over how long the view may be relied on.
+    pub(crate) fn confirm(&self, until: Time, by_platform: bool, relay: bool) {
+        self.state.send_modify(|state| {
+            state.fresh_until = until;
+            state.by_platform = by_platform;
+            state.relay = relay;
         });
     }
 }
--- a/bins/entry/tests/thin_path.rs
+++ b/bins/entry/tests/thin_path.rs
@@ -2,21 +2,24 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use chervilgate_entry::{CONFIG_KEY, Entry, Settings};
+use chervilgate_entry::{Entry, Settings};
 use chervilgate_standins::{Answer, Caller, Deployment, EngineFaults, EngineSpec, ServiceFaults};
+use chervilgate_wire::Authority;
 use hyper::{Method, StatusCode};
 use serde_json::json;
 
 /// Longest wait for a condition that comes about in milliseconds.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-fn loopback() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
-async fn start_entry(deployment: &Deployment, host: &str, zone: &str) -> Entry {
+async fn start_entry(
+    deployment: &Deployment,
+    authority: &Authority,
+    host: &str,
+    zone: &str,
+) -> Entry {
     let platform = deployment.platform.addr();
-    let mut settings = Settings::new(host, zone, loopback(), loopback(), platform);
+    let identity = authority.issue(host).expect("an identity");
+    let mut settings = Settings::new(host, zone, platform, identity);
     settings.deadline = PATIENCE;
     let entry = Entry::start(settings).await.expect("an entry");
     let caller = Caller::without_key();
@@ -39,7 +42,7 @@
 async fn start_deployment() -> (Deployment, Caller) {
     let mut deployment = Deployment::start(3, 2, &EngineSpec::default()).expect("stand-ins");
     let (secret, _) = deployment.add_organisation("mtatsminda");
-    deployment.publish(CONFIG_KEY).await.expect("published");
+    deployment.publish().await.expect("published");
     (deployment, Caller::new(secret.expose()))
 }
 
@@ -52,8 +55,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn can_locate_an_entry_and_stream_an_answer() {
     let (deployment, caller) = start_deployment().await;
-    let first = start_entry(&deployment, "h1", "a").await;
-    let second = start_entry(&deployment, "h2", "b").await;
+    let authority = Authority::generate().expect("an authority");
+    let first = start_entry(&deployment, &authority, "h1", "a").await;
+    let second = start_entry(&deployment, &authority, "h2", "b").await;
     eventually(|| async {
         let answer = caller.get(first.addr(), "/v1/locate?zone=b").await;
         answer.is_some_and(|answer| located(&answer).len() == 2)
@@ -71,7 +75,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_broken_stream_goes_on_elsewhere_with_no_token_lost_or_doubled() {
     let (deployment, caller) = start_deployment().await;
-    let entry = start_entry(&deployment, "h1", "a").await;
+    let authority = Authority::generate().expect("an authority");
+    let entry = start_entry(&deployment, &authority, "h1", "a").await;
     for engine in deployment.engines.iter().flatten().take(2) {
         let faults = EngineFaults { break_after: Some(5), ..EngineFaults::default() };
         engine.set_faults(faults);
@@ -92,7 +97,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_is_refused_or_honoured_and_never_reaches_a_target() {
     let (deployment, caller) = start_deployment().await;
-    let entry = start_entry(&deployment, "h1", "a").await;
+    let authority = Authority::generate().expect("an authority");
+    let entry = start_entry(&deployment, &authority, "h1", "a").await;
     let stranger = Caller::new("cgk_000000000000_wrong");
     let booking = json!({ "plug": 7 });
 
@@ -112,7 +118,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_booking_whose_answer_is_lost_runs_once_and_is_told_as_unknown() {
     let (deployment, caller) = start_deployment().await;
-    let entry = start_entry(&deployment, "h1", "a").await;
+    let authority = Authority::generate().expect("an authority");
+    let entry = start_entry(&deployment, &authority, "h1", "a").await;
     for service in deployment.services.iter().flatten() {
         service.set_faults(ServiceFaults { lose_answers: true, ..ServiceFaults::default() });
     }
--- a/components/driver/src/probe.rs
+++ b/components/driver/src/probe.rs
@@ -48,13 +48,14 @@
     Ok(Incarnation(stream.read_u64().await?))
 }
 
-/// Answers probes with this process's incarnation, for ever.
-pub async fn answer_probes(listener: TcpListener, incarnation: Incarnation) {
+/// Answers probes with this process's present incarnation, for ever.
+pub async fn answer_probes(listener: TcpListener, present: impl Fn() -> Incarnation) {
     loop {
         let Ok((mut stream, _)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        let incarnation = present();
         tokio::spawn(async move {
             let _ = timeout(PROBE_TIMEOUT, stream.write_u64(incarnation.0)).await;
         });
--- a/components/standins/src/deployment.rs
+++ b/components/standins/src/deployment.rs
@@ -1,13 +1,15 @@
 //! A small deployment: platform, engines and a plain service, with its objects.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, time::Duration};
 
-use chervilgate_clients::{HttpPlatform, ObjectStore};
-use chervilgate_coord::{Expect, StoreCall, StoreReply};
+use chervilgate_clients::HttpPlatform;
+use chervilgate_clock::BootClock;
+use chervilgate_coord::view::{Edit, Root};
 use chervilgate_model::{
     Access, Config, KeyRecord, Limits, Name, Object, Organisation, PayClass, Role, Route, Secret,
     Service, ServiceKind, Target, TargetKind, issue_key,
 };
+use chervilgate_publication::{RootWriter, WriteError, read_published};
 use smallvec::SmallVec;
 
 use crate::{EngineSpec, EngineStandin, PlatformStandin, ServiceStandin};
@@ -15,6 +17,9 @@
 /// The zones of the deployment.
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
 
+/// Time allowed for a publication.
+const PUBLISH_LIMIT: Duration = Duration::from_secs(10);
+
 /// A platform with engines of model `m1` and a plug desk, spread over three zones.
 pub struct Deployment {
     /// The platform.
@@ -69,22 +74,25 @@
         (secret, record)
     }
 
-    /// Publishes the objects under `key` of the platform's store.
+    /// Publishes the objects as an operator does.
     ///
     /// # Errors
-    /// What the store answered, if it did not take them.
-    pub async fn publish(&self, key: &str) -> Result<(), StoreReply> {
+    /// If the store did not take them.
+    pub async fn publish(&self) -> Result<Root, WriteError> {
         let store = HttpPlatform::new(self.platform.addr());
-        let found = match store.call(&StoreCall::Get { key: key.to_owned() }).await {
-            StoreReply::Found(found) => found,
-            other => return Err(other),
-        };
-        let expect = found.map_or(Expect::Absent, |object| Expect::At(object.version));
-        let value = self.config.to_bytes();
-        match store.call(&StoreCall::Put { key: key.to_owned(), expect, value }).await {
-            StoreReply::Written(_) => Ok(()),
-            other => Err(other),
-        }
+        let writer = RootWriter::new(&store, &BootClock, PUBLISH_LIMIT, rand::random());
+        let present = read_published(&store).await.map_err(|_| WriteError::NotMade)?;
+        writer.publish(present.manifest(), &self.config).await
+    }
+
+    /// Makes one edit of the view, such as a withdrawal.
+    ///
+    /// # Errors
+    /// If the store did not take it.
+    pub async fn edit(&self, edit: Edit) -> Result<Root, WriteError> {
+        let store = HttpPlatform::new(self.platform.addr());
+        let writer = RootWriter::new(&store, &BootClock, PUBLISH_LIMIT, rand::random());
+        writer.edit(edit).await
     }
 }
 
