Count usage in windows and mirror it between entries

Each entry keeps one meter a group of organisations, flushes it to the platform and sends it to a mirror in another zone between flushes; the mirror brings a gone entry's counters home.

--- a/bins/entry/src/complete.rs
+++ b/bins/entry/src/complete.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use chervilgate_clients::{Body, body::collect};
+use chervilgate_coord::window::Usage;
 use chervilgate_policy::{
     OrgId, Outcome as PolicyOutcome, Priority, Refusal, Request, ServiceId, TargetId,
 };
@@ -19,7 +20,6 @@
     completion::Completion,
     host::Host,
     lane::{Lane, Slot},
-    meter::Usage,
     outcome::{Failure, OUTCOME_HEADER, Outcome},
     refusal::to_failure,
     relay::relay_stream,
@@ -127,10 +127,10 @@
     }
 
     /// Counts usage for the organisation.
-    pub(crate) fn count(&self, output_tokens: u64) {
-        let prompt_tokens = u64::from(self.completion.prompt);
-        let usage = Usage { requests: 1, prompt_tokens, output_tokens };
-        self.host.meter.add(&self.organisation, usage);
+    pub(crate) fn count(&self, generated: u64) {
+        let prompt = u64::from(self.completion.prompt);
+        let usage = Usage { requests: 1, prompt, generated };
+        self.host.count(&self.organisation, usage);
     }
 
     fn note_error(&mut self, error: &AttemptError) {
--- a/bins/entry/src/entry.rs
+++ b/bins/entry/src/entry.rs
@@ -25,11 +25,14 @@
     session::follow_peers,
     settings::Settings,
     supervisor::{Supervisor, SupervisorMessage},
+    usage::UsageMessage,
 };
 
 /// Time for a leaving host's own record to reach the others.
 const LEAVE_MARGIN: Duration = Duration::from_secs(3);
 
+/// Time allowed for the last flush of usage.
+const FLUSH_WAIT: Duration = Duration::from_secs(2);
 /// Time allowed for the session to be given back.
 const RELEASE_WAIT: Duration = Duration::from_millis(500);
 /// Attempts to get the same port over UDP and TCP.
@@ -155,9 +158,14 @@
         self.host.peers.close();
     }
 
-    /// Gives the session back, so that nobody waits for it to lapse.
+    /// Flushes usage and gives the session back, so that nobody waits for it to lapse.
     async fn release(&self) {
-        if let Some(authority) = self.host.links().authority {
+        let links = self.host.links();
+        if let Some(usage) = links.usage {
+            let _ = usage.cast(UsageMessage::Hurry);
+            sleep(FLUSH_WAIT).await;
+        }
+        if let Some(authority) = links.authority {
             let _ = authority.cast(AuthorityMessage::Event(Event::Stop));
             sleep(RELEASE_WAIT).await;
         }
--- a/bins/entry/src/host.rs
+++ b/bins/entry/src/host.rs
@@ -11,7 +11,7 @@
 
 use chervilgate_clients::{Engine, HostList, HttpSender, ObjectStore};
 use chervilgate_clock::Clock;
-use chervilgate_coord::{Incarnation, Node};
+use chervilgate_coord::{Incarnation, Node, window::Usage};
 use chervilgate_driver::{AuthorityMessage, Prober, ViewMessage};
 use chervilgate_policy::{RouteSettings, Zone};
 use chervilgate_wire::Peers;
@@ -21,8 +21,8 @@
 use crate::{
     lane::{Lane, LaneCounts},
     member::Members,
-    meter::Meter,
     settings::Settings,
+    usage::UsageMessage,
     view::{Numbering, View, ViewCell},
 };
 
@@ -61,6 +61,8 @@
     pub authority: Option<ActorRef<AuthorityMessage>>,
     /// Runs the view.
     pub view: Option<ActorRef<ViewMessage>>,
+    /// Counts usage.
+    pub usage: Option<ActorRef<UsageMessage>>,
 }
 
 /// One entry's state.
@@ -73,8 +75,6 @@
     pub views: ViewCell,
     /// The other entries, as far as known.
     pub members: Members,
-    /// Usage since the last flush.
-    pub meter: Meter,
     /// The other processes.
     pub peers: Peers,
     links: Mutex<Links>,
@@ -98,7 +98,6 @@
             borders,
             views: ViewCell::new(),
             members: Members::default(),
-            meter: Meter::default(),
             peers,
             links: Mutex::default(),
             node: Mutex::new(node),
@@ -129,6 +128,15 @@
         change(&mut lock(&self.links));
     }
 
+    /// Counts usage of an organisation.
+    pub(crate) fn count(&self, organisation: &str, usage: Usage) {
+        let Some(keeper) = self.links().usage else {
+            return;
+        };
+        let organisation = organisation.to_owned();
+        let _ = keeper.cast(UsageMessage::Add { organisation, usage });
+    }
+
     /// Numbers for the names of a configuration.
     pub(crate) fn numbering(&self) -> &Numbering {
         &self.numbering
--- a/bins/entry/src/lib.rs
+++ b/bins/entry/src/lib.rs
@@ -17,7 +17,6 @@
 mod lane;
 mod locate;
 mod member;
-mod meter;
 mod outcome;
 mod plain;
 mod poller;
@@ -28,9 +27,11 @@
 mod settings;
 mod sse;
 mod supervisor;
+mod usage;
 mod view;
 
 pub use crate::{
     entry::{Entry, StartError},
     settings::{IdentitySource, Settings, TlsFiles},
+    usage::{USAGE_GROUPS, usage_shard},
 };
--- a/bins/entry/src/plain.rs
+++ b/bins/entry/src/plain.rs
@@ -14,6 +14,7 @@
     Body,
     body::{collect, full},
 };
+use chervilgate_coord::window::Usage;
 use chervilgate_policy::{OrgId, Outcome as PolicyOutcome, Priority, Request, ServiceId, TargetId};
 use hyper::{
     Response,
@@ -26,7 +27,6 @@
     attempt::{Call, REQUEST_ID, send_attempt},
     host::Host,
     lane::Lane,
-    meter::Usage,
     outcome::{Failure, OUTCOME_HEADER, Outcome},
     refusal::to_failure,
     view::View,
@@ -141,7 +141,7 @@
             return;
         };
         let usage = Usage { requests: 1, ..Usage::default() };
-        self.host.meter.add(organisation, usage);
+        self.host.count(organisation, usage);
     }
 }
 
--- a/bins/entry/src/registrar.rs
+++ b/bins/entry/src/registrar.rs
@@ -10,6 +10,7 @@
 use crate::{
     host::{Host, Phase},
     member::{MEMBER_PREFIX, Member},
+    usage::UsageMessage,
 };
 
 /// Pause between two rounds on a deployment of few hosts.
@@ -77,6 +78,9 @@
     let mut live: Vec<Node> = status.members;
     live.retain(|node| entries.contains(&node.incarnation) && *node != me);
     live.push(me);
+    if let Some(usage) = links.usage {
+        let _ = usage.cast(UsageMessage::Members(live.clone()));
+    }
     let _ = view.cast(ViewMessage::members(live));
 }
 
--- a/bins/entry/src/session.rs
+++ b/bins/entry/src/session.rs
@@ -13,7 +13,7 @@
 use chervilgate_wire::{Ask, Incoming, Message, Reply};
 use tokio::sync::mpsc;
 
-use crate::{host::Host, view::View};
+use crate::{host::Host, usage::UsageMessage, view::View};
 
 /// An entry gives no orders; it only has a session.
 struct NoOrders;
@@ -72,6 +72,11 @@
                     let _ = view.cast(ViewMessage::peer(from, message));
                 }
             }
+            Incoming::Told { message: Message::Mirror { entry, window, sheet }, .. } => {
+                if let Some(usage) = host.links().usage {
+                    let _ = usage.cast(UsageMessage::Mirror(entry, window, *sheet));
+                }
+            }
             Incoming::Asked { ask: Ask::Incarnation, answer, .. } => {
                 let _ = answer.send(Reply::Incarnation(host.node().incarnation.0));
             }
--- a/bins/entry/src/supervisor.rs
+++ b/bins/entry/src/supervisor.rs
@@ -14,6 +14,7 @@
     poller::Poller,
     registrar::Registrar,
     session::{authority_args, view_args},
+    usage::UsageKeeper,
 };
 
 /// Pause before a failed actor is started again.
@@ -31,6 +32,8 @@
     Registrar,
     /// Reads engines' load.
     Poller,
+    /// Counts usage.
+    Usage,
 }
 
 /// What the supervisor is told.
@@ -55,7 +58,7 @@
         myself: ActorRef<SupervisorMessage>,
         host: Arc<Host>,
     ) -> Result<Running, ActorProcessingErr> {
-        for part in [Part::Coordination, Part::Registrar, Part::Poller] {
+        for part in [Part::Coordination, Part::Registrar, Part::Poller, Part::Usage] {
             myself.cast(SupervisorMessage::Start(part))?;
         }
         Ok(Running { host, parts: Vec::new() })
@@ -99,6 +102,11 @@
                 let (actor, _) = Actor::spawn_linked(None, Registrar, host, parent).await?;
                 self.parts.push((actor.get_cell(), part));
             }
+            Part::Usage => {
+                let (actor, _) = Actor::spawn_linked(None, UsageKeeper, host, parent).await?;
+                self.parts.push((actor.get_cell(), part));
+                self.host.set_links(|links| links.usage = Some(actor));
+            }
             Part::Poller => {
                 let (actor, _) = Actor::spawn_linked(None, Poller, host, parent).await?;
                 self.parts.push((actor.get_cell(), part));
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -1,6 +1,10 @@
 //! What processes tell and ask one another, and its encoding.
 
-use chervilgate_coord::view::PeerMessage;
+use chervilgate_coord::{
+    Incarnation,
+    view::PeerMessage,
+    window::{Sheet, WindowId},
+};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use snafu::Snafu;
 
@@ -15,6 +19,15 @@
 pub enum Message {
     /// Views of the configuration.
     View(PeerMessage),
+    /// An entry's usage counters, to be held for it.
+    Mirror {
+        /// The entry.
+        entry: Incarnation,
+        /// The window that they were counted in.
+        window: WindowId,
+        /// The counters.
+        sheet: Box<Sheet>,
+    },
 }
 
 /// Something asked.
