Check again right before a request is handed to its target

A request may have waited: key, freshness and drain are checked on the newest view, and the request counts as on its way from before that check, so a drain is only acknowledged with nothing in hand. A new incarnation begins only once everything handed over by the former one has met its target.

--- a/bins/entry/src/caller.rs
+++ b/bins/entry/src/caller.rs
@@ -1,7 +1,7 @@
 //! Who calls: the key, and what must not travel on with the request.
 
 use chervilgate_clock::Time;
-use chervilgate_model::{KeyError, Name, Service};
+use chervilgate_model::{KeyError, KeyRecord, Name, Service};
 use hyper::{
     HeaderMap, Uri,
     header::{
@@ -42,7 +42,7 @@
     headers.get(KEY_HEADER)?.to_str().ok()
 }
 
-/// The organisation that a request runs for.
+/// The record of the key that a request runs under.
 ///
 /// # Errors
 /// If the view cannot be trusted at `now`, or the key is refused.
@@ -50,7 +50,7 @@
     now: Time,
     state: &'a ViewState,
     headers: &HeaderMap,
-) -> Result<&'a Name, Failure> {
+) -> Result<&'a KeyRecord, Failure> {
     if !state.is_fresh(now) {
         let message = "this host cannot confirm which keys are valid; try another";
         return Err(Failure::unavailable("view_not_fresh", message));
@@ -62,7 +62,7 @@
         Ok(record) if state.is_withdrawn(record) => {
             Err(Failure::unauthorized("the key has been withdrawn"))
         }
-        Ok(record) => Ok(&record.organisation),
+        Ok(record) => Ok(record),
         Err(KeyError::Withdrawn) => Err(Failure::unauthorized("the key has been withdrawn")),
         Err(KeyError::Unknown) => Err(Failure::unauthorized("the key is not known")),
         Err(KeyError::Malformed) => Err(Failure::unauthorized("this is not a key")),
--- a/bins/entry/src/caller_api.rs
+++ b/bins/entry/src/caller_api.rs
@@ -8,7 +8,7 @@
     Body, BodyError,
     body::{collect, full},
 };
-use chervilgate_model::Service;
+use chervilgate_model::{KeyRecord, Service};
 use chervilgate_serve::Handler;
 use hyper::{
     Method, Request, Response, StatusCode,
@@ -24,6 +24,7 @@
     caller::{authorize, check_access, check_address, forwarded_headers},
     complete::Job,
     completion::{Completion, Interface},
+    handover::Right,
     host::Host,
     locate::{json as json_response, locate},
     outcome::{Failure, Outcome},
@@ -76,9 +77,9 @@
 
     fn models(&self, head: &Parts) -> Result<Response<Body>, Failure> {
         let state = self.host.views.get();
-        let organisation = authorize(self.host.borders.clock.now(), &state, &head.headers)?;
+        let record = authorize(self.host.borders.clock.now(), &state, &head.headers)?;
         let services = state.view.config.services.values();
-        let admitted = services.filter(|service| service.admits(organisation));
+        let admitted = services.filter(|service| service.admits(&record.organisation));
         let models = admitted.filter_map(Service::model);
         let data: Vec<_> = models
             .map(|model| json!({ "id": model, "object": "model", "created": 0, "owned_by": "chervilgate" }))
@@ -99,20 +100,20 @@
         let completion = Completion::read(interface, &body)?;
         // The body may have been slow to come: what holds now counts.
         let state = self.host.views.get();
-        let organisation = self.authorized(&head, &state)?;
+        let record = self.authorized(&head, &state)?;
         let unknown = || {
             let message = format!("there is no model `{}`", completion.model);
             Failure::not_found("model_not_found", message).at("model")
         };
         let service = state.view.config.service_of_model(&completion.model).ok_or_else(unknown)?;
-        check_access(service, &organisation)?;
+        check_access(service, &record.organisation)?;
         let no_lane = || Failure::unavailable("starting", "this host has just started");
         let lane = self.host.lane(service.name.as_str()).ok_or_else(no_lane)?;
         let job = Job {
             host: self.host.clone(),
-            view: state.view.clone(),
             lane,
-            organisation: organisation.to_string(),
+            organisation: record.organisation.to_string(),
+            right: Right::Key(record.name),
             completion,
             headers: forwarded_headers(&head.headers),
             id: id.to_owned(),
@@ -157,20 +158,22 @@
         let (service, rest) = state.view.config.service_at(path).ok_or_else(gone)?;
         let method = head.method.as_str();
         let mut organisation = None;
+        let mut right = Right::Open;
         if !service.is_open(method, rest) {
             let caller = self.authorized(head, &state)?;
-            check_access(service, &caller)?;
-            organisation = Some(caller.to_string());
+            check_access(service, &caller.organisation)?;
+            organisation = Some(caller.organisation.to_string());
+            right = Right::Key(caller.name);
         }
         let no_lane = || Failure::unavailable("starting", "this host has just started");
         let lane = self.host.lane(service.name.as_str()).ok_or_else(no_lane)?;
         let query = head.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
         let job = PlainJob {
             host: self.host.clone(),
-            view: state.view.clone(),
             lane,
             service: service.name.to_string(),
             organisation,
+            right,
             call: Call {
                 method: head.method.clone(),
                 path: format!("{rest}{query}"),
@@ -183,11 +186,7 @@
         job.run().await
     }
 
-    fn authorized(
-        &self,
-        head: &Parts,
-        state: &ViewState,
-    ) -> Result<chervilgate_model::Name, Failure> {
+    fn authorized(&self, head: &Parts, state: &ViewState) -> Result<KeyRecord, Failure> {
         let now = self.host.borders.clock.now();
         authorize(now, state, &head.headers).cloned()
     }
--- a/bins/entry/src/complete.rs
+++ b/bins/entry/src/complete.rs
@@ -18,12 +18,12 @@
 use crate::{
     attempt::{AttemptError, Call, REQUEST_ID, engine_refused, send_attempt},
     completion::Completion,
+    handover::{Handover, Right},
     host::Host,
     lane::{Lane, Slot},
     outcome::{Failure, OUTCOME_HEADER, Outcome},
     refusal::to_failure,
     relay::relay_stream,
-    view::View,
 };
 
 /// Attempts at one request, the first one counted.
@@ -35,12 +35,12 @@
 pub(crate) struct Job {
     /// The host.
     pub host: Arc<Host>,
-    /// The view that it was checked against.
-    pub view: Arc<View>,
     /// The service's lane.
     pub lane: Arc<Lane>,
     /// The organisation.
     pub organisation: String,
+    /// What allows it to run.
+    pub(crate) right: Right,
     /// The request.
     pub completion: Completion,
     /// Headers that may go on.
@@ -100,7 +100,20 @@
             };
             let slot = admitted.map_err(|refusal| self.refused(&refusal))?;
             let target = slot.route().decode;
-            match self.try_target(target, sent).await {
+            let handover = match Handover::begin(&self.host, &self.right, target) {
+                Ok(handover) => handover,
+                Err(barred) => {
+                    self.note_failure(slot, PolicyOutcome::Cancelled);
+                    match barred.to_failure() {
+                        Some(failure) if self.worst == Outcome::NotRun => return Err(failure),
+                        Some(failure) => {
+                            return Err(Failure::target(self.worst, failure.message()));
+                        }
+                        None => continue,
+                    }
+                }
+            };
+            match self.send(&handover, sent).await {
                 Ok(response) if engine_refused(response.status()) => {
                     self.note_failure(slot, PolicyOutcome::Failed);
                 }
@@ -149,23 +162,14 @@
         Failure::target(self.worst, format!("an engine failed, then: {}", failure.message()))
     }
 
-    async fn try_target(
-        &self,
-        target: TargetId,
-        sent: u64,
-    ) -> Result<Response<Body>, AttemptError> {
-        let gone = || AttemptError {
-            outcome: Outcome::NotRun,
-            reason: "the target is no longer listed".to_owned(),
-        };
-        let addr = self.view.address(target).ok_or_else(gone)?;
+    async fn send(&self, handover: &Handover, sent: u64) -> Result<Response<Body>, AttemptError> {
         let call = Call {
             method: Method::POST,
             path: self.completion.interface.path().to_owned(),
             headers: self.headers.clone(),
             body: self.completion.to_body(&self.completion.model, sent),
         };
-        send_attempt(&self.host, addr, &call, &self.attempt_id()).await
+        send_attempt(&self.host, handover.addr(), &call, &self.attempt_id()).await
     }
 
     fn attempt_id(&self) -> String {
--- a/bins/entry/src/entry.rs
+++ b/bins/entry/src/entry.rs
@@ -112,6 +112,7 @@
         let probes = tokio::spawn(answer_probes(gate.probes, present));
         let (supervisor, _) =
             Actor::spawn(None, Supervisor, host.clone()).await.context(SpawnSnafu)?;
+        host.set_links(|links| links.supervisor = Some(supervisor.clone()));
         log::info!(target: "entry", host = host.settings.host.as_str(),
             listen:% = host.settings.listen, admin:% = host.settings.admin; "entry started");
         let callers = serve_callers(&host, listener);
@@ -166,6 +167,7 @@
             sleep(FLUSH_WAIT).await;
         }
         if let Some(authority) = links.authority {
+            let _ = authority.cast(AuthorityMessage::SetBusy(false));
             let _ = authority.cast(AuthorityMessage::Event(Event::Stop));
             sleep(RELEASE_WAIT).await;
         }
--- a/bins/entry/src/host.rs
+++ b/bins/entry/src/host.rs
@@ -4,14 +4,19 @@
     collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
 use chervilgate_clients::{Engine, HostList, HttpSender, ObjectStore};
 use chervilgate_clock::Clock;
-use chervilgate_coord::{Incarnation, Node, window::Usage};
+use chervilgate_coord::{
+    Incarnation, Node,
+    drain::{DrainMessage, Handovers},
+    view::Draining,
+    window::Usage,
+};
 use chervilgate_driver::{AuthorityMessage, Prober, ViewMessage};
 use chervilgate_policy::{RouteSettings, Zone};
 use chervilgate_wire::Peers;
@@ -22,10 +27,14 @@
     lane::{Lane, LaneCounts},
     member::Members,
     settings::Settings,
+    supervisor::SupervisorMessage,
     usage::UsageMessage,
     view::{Numbering, View, ViewCell},
 };
 
+/// Pause between two looks at the requests on their way.
+const HANDOVER_PAUSE: Duration = Duration::from_millis(20);
+
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -61,6 +70,8 @@
     pub authority: Option<ActorRef<AuthorityMessage>>,
     /// Runs the view.
     pub view: Option<ActorRef<ViewMessage>>,
+    /// Starts the others.
+    pub supervisor: Option<ActorRef<SupervisorMessage>>,
     /// Counts usage.
     pub usage: Option<ActorRef<UsageMessage>>,
 }
@@ -79,6 +90,8 @@
     pub peers: Peers,
     links: Mutex<Links>,
     node: Mutex<Node>,
+    handovers: Mutex<Handovers>,
+    gate: AtomicBool,
     numbering: Numbering,
     lanes: Mutex<BTreeMap<String, Arc<Lane>>>,
     phase: watch::Sender<Phase>,
@@ -101,6 +114,8 @@
             peers,
             links: Mutex::default(),
             node: Mutex::new(node),
+            handovers: Mutex::default(),
+            gate: AtomicBool::new(false),
             numbering: Numbering::default(),
             lanes: Mutex::default(),
             phase: watch::Sender::new(Phase::Serving),
@@ -128,6 +143,40 @@
         change(&mut lock(&self.links));
     }
 
+    /// Requests on their way to targets.
+    pub(crate) fn handovers(&self) -> MutexGuard<'_, Handovers> {
+        lock(&self.handovers)
+    }
+
+    /// Whether requests may be handed over at all.
+    pub(crate) fn gate_is_open(&self) -> bool {
+        self.gate.load(Ordering::SeqCst)
+    }
+
+    /// Hands requests over from now on.
+    pub(crate) fn open_gate(&self) {
+        self.gate.store(true, Ordering::SeqCst);
+    }
+
+    /// Hands nothing more over.
+    pub(crate) fn close_gate(&self) {
+        self.gate.store(false, Ordering::SeqCst);
+    }
+
+    /// Waits until no request is on its way to a target.
+    pub(crate) async fn wait_handed_over(&self) {
+        while !self.handovers().is_empty() {
+            tokio::time::sleep(HANDOVER_PAUSE).await;
+        }
+    }
+
+    /// The answer to whether this host holds a drain, if it can be given now.
+    pub(crate) fn answer_drain(&self, ask: &Draining) -> Option<DrainMessage> {
+        let view = self.views.get().view;
+        let by = self.node().incarnation;
+        self.handovers().answer(by, view.seq, &view.draining, ask)
+    }
+
     /// Counts usage of an organisation.
     pub(crate) fn count(&self, organisation: &str, usage: Usage) {
         let Some(keeper) = self.links().usage else {
--- a/bins/entry/src/lib.rs
+++ b/bins/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod completion;
 mod entry;
 mod fleet;
+mod handover;
 mod host;
 mod lane;
 mod locate;
--- a/bins/entry/src/plain.rs
+++ b/bins/entry/src/plain.rs
@@ -25,11 +25,11 @@
 
 use crate::{
     attempt::{Call, REQUEST_ID, send_attempt},
+    handover::{Handover, Right},
     host::Host,
     lane::Lane,
     outcome::{Failure, OUTCOME_HEADER, Outcome},
     refusal::to_failure,
-    view::View,
 };
 
 /// Attempts at one request that may be repeated, the first one counted.
@@ -41,14 +41,14 @@
 pub(crate) struct PlainJob {
     /// The host.
     pub host: Arc<Host>,
-    /// The view that it was checked against.
-    pub view: Arc<View>,
     /// The service's lane.
     pub lane: Arc<Lane>,
     /// The service.
     pub service: String,
     /// The organisation; none on open routes.
     pub organisation: Option<String>,
+    /// What allows it to run.
+    pub(crate) right: Right,
     /// What goes to a target.
     pub call: Call,
     /// The id that the caller knows the answer by.
@@ -80,8 +80,19 @@
                 }
             };
             let target = slot.route().decode;
-            let attempt = self.attempt(target, failed.len()).await;
-            match attempt {
+            let handover = match Handover::begin(&self.host, &self.right, target) {
+                Ok(handover) => handover,
+                Err(barred) => {
+                    slot.finish(PolicyOutcome::Cancelled);
+                    match barred.to_failure() {
+                        Some(failure) if worst == Outcome::NotRun => return Err(failure),
+                        Some(failure) => return Err(Failure::target(worst, failure.message())),
+                        None => failed.push(target),
+                    }
+                    continue;
+                }
+            };
+            match self.attempt(handover, failed.len()).await {
                 Ok(response) => {
                     slot.finish(PolicyOutcome::Done);
                     self.count();
@@ -100,13 +111,14 @@
         }
     }
 
-    async fn attempt(&self, target: TargetId, number: usize) -> Result<Response<Body>, Outcome> {
-        let addr = self.view.address(target).ok_or(Outcome::NotRun)?;
+    async fn attempt(&self, handover: Handover, number: usize) -> Result<Response<Body>, Outcome> {
         let id = format!("{}-{number}", self.id);
-        let response = send_attempt(&self.host, addr, &self.call, &id).await.map_err(|error| {
+        let sending = send_attempt(&self.host, handover.addr(), &self.call, &id);
+        let response = sending.await.map_err(|error| {
             log::info!(target: "plain", id, reason = error.reason.as_str(); "attempt failed");
             error.outcome
         })?;
+        drop(handover);
         let (head, body) = response.into_parts();
         match collect(body, ANSWER_LIMIT).await {
             Ok(bytes) => Ok(answer(head, bytes)),
--- a/bins/entry/src/registrar.rs
+++ b/bins/entry/src/registrar.rs
@@ -10,6 +10,7 @@
 use crate::{
     host::{Host, Phase},
     member::{MEMBER_PREFIX, Member},
+    supervisor::SupervisorMessage,
     usage::UsageMessage,
 };
 
@@ -72,6 +73,12 @@
     let Ok(status) = ractor::call_t!(authority, AuthorityMessage::Status, STATUS_TIMEOUT) else {
         return;
     };
+    if status.sealed {
+        if let Some(supervisor) = links.supervisor {
+            let _ = supervisor.cast(SupervisorMessage::Renew);
+        }
+        return;
+    }
     let entries: BTreeSet<Incarnation> =
         host.members.all().iter().map(|member| member.incarnation).collect();
     let me = host.node();
--- a/bins/entry/src/session.rs
+++ b/bins/entry/src/session.rs
@@ -6,6 +6,7 @@
 use chervilgate_clock::Time;
 use chervilgate_coord::{
     AuthorityConfig, CallIds, Guards, Notice, Order, OrderReply, Terms,
+    drain::DrainMessage,
     view::{Root, Snapshot},
 };
 use chervilgate_driver::{AuthorityArgs, OrderSender, ViewArgs, ViewMessage, ViewUpdate};
@@ -57,6 +58,7 @@
         seeds: host.settings.seeds.clone(),
         store: host.borders.store.clone(),
         peers: host.peers.clone(),
+        prober: host.borders.prober.clone(),
         clock: host.borders.clock.clone(),
         seed: rand::random(),
         updates,
@@ -72,6 +74,12 @@
                     let _ = view.cast(ViewMessage::peer(from, message));
                 }
             }
+            Incoming::Told { from, message: Message::Drain(DrainMessage::Ask(ask)) } => {
+                if let Some(answer) = host.answer_drain(&ask) {
+                    host.peers.tell(from, &Message::Drain(answer));
+                }
+            }
+            Incoming::Told { message: Message::Drain(DrainMessage::Holds { .. }), .. } => {}
             Incoming::Told { message: Message::Mirror { entry, window, sheet }, .. } => {
                 if let Some(usage) = host.links().usage {
                     let _ = usage.cast(UsageMessage::Mirror(entry, window, *sheet));
@@ -116,9 +124,10 @@
             return false;
         }
     };
+    let draining = root.draining.clone();
     let seq = root.seq;
     let published = Published { root, config };
-    let view = View::new(seq, published.in_force(), host.numbering());
+    let view = View::new(seq, published.in_force(), draining, host.numbering());
     host.apply_view(&view);
     host.views.adopt(view);
     true
--- a/bins/entry/src/supervisor.rs
+++ b/bins/entry/src/supervisor.rs
@@ -2,7 +2,9 @@
 //!
 //! Authority and view stand and fall together: their machines keep promises
 //! that the process gave as one incarnation, and a restarted machine has
-//! forgotten them. So both begin again as a new incarnation.
+//! forgotten them. So both begin again as a new incarnation, and not before
+//! every request that the former one handed over has met its target: the new
+//! incarnation proves to others that the former one has nothing under way.
 
 use std::{sync::Arc, time::Duration};
 
@@ -40,6 +42,8 @@
 pub(crate) enum SupervisorMessage {
     /// Start a part.
     Start(Part),
+    /// Begin again as a new incarnation: the session has been ended by others.
+    Renew,
 }
 
 /// The supervisor's state.
@@ -70,8 +74,14 @@
         message: SupervisorMessage,
         state: &mut Running,
     ) -> Result<(), ActorProcessingErr> {
-        let SupervisorMessage::Start(part) = message;
-        state.start(part, myself.get_cell()).await
+        match message {
+            SupervisorMessage::Start(part) => state.start(part, myself.get_cell()).await,
+            SupervisorMessage::Renew => {
+                log::warn!(target: "supervisor", "the session was ended by others; beginning again");
+                state.end_coordination();
+                state.start(Part::Coordination, myself.get_cell()).await
+            }
+        }
     }
 
     async fn handle_supervisor_evt(
@@ -116,6 +126,8 @@
     }
 
     async fn start_coordination(&mut self, parent: ActorCell) -> Result<(), ActorProcessingErr> {
+        self.host.wait_handed_over().await;
+        self.host.renew_incarnation();
         let args = authority_args(&self.host);
         let (authority, _): (ActorRef<AuthorityMessage>, _) =
             Actor::spawn_linked(None, AuthorityActor, args, parent.clone()).await?;
@@ -124,10 +136,13 @@
             Actor::spawn_linked(None, ViewActor, args, parent).await?;
         self.parts.push((authority.get_cell(), Part::Coordination));
         self.parts.push((view.get_cell(), Part::Coordination));
+        // Entries give no orders, but the requests that they hand over count.
+        authority.cast(AuthorityMessage::SetBusy(true))?;
         self.host.set_links(|links| {
             links.authority = Some(authority);
             links.view = Some(view);
         });
+        self.host.open_gate();
         Ok(())
     }
 
@@ -136,14 +151,22 @@
         let index = self.parts.iter().position(|(cell, _)| cell.get_id() == failed.get_id())?;
         let (_, part) = self.parts.swap_remove(index);
         if part == Part::Coordination {
-            self.parts.retain(|(cell, other)| {
-                if *other == part {
-                    cell.kill();
-                }
-                *other != part
-            });
-            self.host.renew_incarnation();
+            self.end_coordination();
         }
         Some(part)
     }
+
+    fn end_coordination(&mut self) {
+        self.host.close_gate();
+        self.parts.retain(|(cell, part)| {
+            if *part == Part::Coordination {
+                cell.kill();
+            }
+            *part != Part::Coordination
+        });
+        self.host.set_links(|links| {
+            links.authority = None;
+            links.view = None;
+        });
+    }
 }
--- a/bins/entry/src/view.rs
+++ b/bins/entry/src/view.rs
@@ -2,12 +2,11 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
 };
 
 use chervilgate_clock::Time;
-use chervilgate_coord::view::{KeyHash, Seq};
+use chervilgate_coord::view::{Draining, KeyHash, Seq};
 use chervilgate_model::{Config, KeyRecord, Target};
 use chervilgate_policy::TargetId;
 use tokio::sync::watch;
@@ -38,16 +37,23 @@
     pub seq: Seq,
     /// The configuration.
     pub config: Config,
+    /// Drains as the root lists them.
+    pub(crate) draining: Vec<Draining>,
     targets: BTreeMap<TargetId, Target>,
 }
 
 impl View {
     /// The view of `config` at `seq`.
-    pub(crate) fn new(seq: Seq, config: Config, numbering: &Numbering) -> View {
+    pub(crate) fn new(
+        seq: Seq,
+        config: Config,
+        draining: Vec<Draining>,
+        numbering: &Numbering,
+    ) -> View {
         let number = |target: &Target| TargetId(numbering.number(target.name.as_str()));
         let targets =
             config.targets.values().map(|target| (number(target), target.clone())).collect();
-        View { seq, config, targets }
+        View { seq, config, draining, targets }
     }
 
     /// The target of this number.
@@ -60,11 +66,6 @@
         let targets = self.targets.iter().map(|(id, target)| (*id, target));
         targets.filter(move |(_, target)| target.service == *service)
     }
-
-    /// Where the target listens.
-    pub(crate) fn address(&self, id: TargetId) -> Option<SocketAddr> {
-        self.target(id).map(|target| target.address)
-    }
 }
 
 /// The present view and how long it may be relied on.
--- a/components/coord/src/drain/handover.rs
+++ b/components/coord/src/drain/handover.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Whether no request is on its way.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
     /// The answer of process `by` to a question, if it can be given now.
     ///
     /// `held` is the view it holds, and `draining` that view's drains. A drain
--- a/components/driver/src/authority.rs
+++ b/components/driver/src/authority.rs
@@ -53,6 +53,8 @@
     Status(RpcReplyPort<AuthorityStatus>),
     /// Asks for the records of a shard's receivers.
     Records(ShardId, RpcReplyPort<Vec<(ReceiverId, ReceiverRecord)>>),
+    /// Tells whether the process has something of its own under way.
+    SetBusy(bool),
     /// Read the platform's list of hosts.
     ReadHosts,
 }
@@ -77,6 +79,8 @@
     pub members: Vec<Node>,
     /// Receivers that wait for proof about a former sender.
     pub frozen: Vec<ReceiverId>,
+    /// Whether another process has ended this one's session.
+    pub sealed: bool,
 }
 
 /// The actor's state.
@@ -146,6 +150,7 @@
                 let _ =
                     answer.send(records.map(|(id, record)| (id.clone(), record.clone())).collect());
             }
+            AuthorityMessage::SetBusy(busy) => state.machine.set_busy(busy),
             AuthorityMessage::ReadHosts => state.read_hosts(&myself),
         }
         let wake = AuthorityMessage::Event(Event::Wake);
@@ -162,6 +167,7 @@
             owned: owned.map(|(shard, epoch)| OwnedShard { shard: shard.clone(), epoch }).collect(),
             members: self.machine.members(now).cloned().collect(),
             frozen: self.machine.frozen().cloned().collect(),
+            sealed: self.machine.is_sealed(),
         }
     }
 
--- a/components/driver/src/view.rs
+++ b/components/driver/src/view.rs
@@ -19,7 +19,7 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::sync::mpsc;
 
-use crate::Alarm;
+use crate::{Alarm, Prober};
 
 /// Calls of the keeper are numbered apart from those of the authority.
 const FIRST_CALL: u64 = 1 << 32;
@@ -34,6 +34,8 @@
     pub store: Arc<dyn ObjectStore>,
     /// The other processes.
     pub peers: Peers,
+    /// Probes addresses of voters.
+    pub prober: Arc<dyn Prober>,
     /// The present time.
     pub clock: Arc<dyn Clock>,
     /// Seeds the jitter of delays.
@@ -81,6 +83,7 @@
     machine: Keeper,
     store: Arc<dyn ObjectStore>,
     peers: Peers,
+    prober: Arc<dyn Prober>,
     clock: Arc<dyn Clock>,
     updates: mpsc::UnboundedSender<ViewUpdate>,
     edits: BTreeMap<EditId, RpcReplyPort<EditOutcome>>,
@@ -109,6 +112,7 @@
             machine,
             store: args.store,
             peers: args.peers,
+            prober: args.prober,
             clock: args.clock,
             updates: args.updates,
             edits: BTreeMap::new(),
@@ -162,6 +166,14 @@
                 KeeperAction::Send { to, message, .. } => {
                     self.peers.tell(to, &Message::View(message));
                 }
+                KeeperAction::Probe { id, step, addr } => {
+                    log::debug!(target: "view", step:%, addr:%; "probing a voter");
+                    let (prober, myself) = (self.prober.clone(), myself.clone());
+                    tokio::spawn(async move {
+                        let reply = prober.probe(addr).await;
+                        let _ = myself.cast(ViewMessage::Event(KeeperEvent::Probed { id, reply }));
+                    });
+                }
                 KeeperAction::Accepted { edit, seq } => {
                     self.answer(edit, EditOutcome::Accepted(seq));
                 }
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -2,6 +2,7 @@
 
 use chervilgate_coord::{
     Incarnation,
+    drain::DrainMessage,
     view::PeerMessage,
     window::{Sheet, WindowId},
 };
@@ -19,6 +20,8 @@
 pub enum Message {
     /// Views of the configuration.
     View(PeerMessage),
+    /// Drains of targets.
+    Drain(DrainMessage),
     /// An entry's usage counters, to be held for it.
     Mirror {
         /// The entry.
