coord: answer every sender of a root; refusals count earlier attempts

An entry that refused a resend as "not run" knew only of its own attempt; an earlier one may have run, and a caller would do it anew by hand. A scoped request is now always decided by its keeper, an unscoped resend is refused as unknown, and the checker counts earlier runs against such a refusal.

--- a/components/coord/src/view/keeper.rs
+++ b/components/coord/src/view/keeper.rs
@@ -155,7 +155,8 @@
     fetching: BTreeMap<CallId, Digest>,
     probes: BTreeMap<CallId, Incarnation>,
     fetched_at: Option<Time>,
-    source: Option<SocketAddr>,
+    /// Who has sent the root that is on its way, and wants to hear of it.
+    sources: SmallVec<[SocketAddr; 4]>,
     wish: Option<(Vec<Node>, Time)>,
     next: Time,
 }
@@ -180,7 +181,7 @@
             fetching: BTreeMap::new(),
             probes: BTreeMap::new(),
             fetched_at: None,
-            source: None,
+            sources: SmallVec::new(),
             wish: None,
             next: Time::ZERO,
             guards: Guards::default(),
@@ -368,7 +369,7 @@
         self.acceptance.note_held(self.me.incarnation, root.seq);
         out.push(KeeperAction::Adopted(root.seq));
         self.send_root(&root, out);
-        if let Some(from) = self.source.take() {
+        for from in std::mem::take(&mut self.sources) {
             let beat = self.spread.answer(now, from);
             self.send_beats(now, [beat], out);
         }
@@ -379,7 +380,7 @@
 
     fn send_root(&mut self, root: &Root, out: &mut KeeperActions) {
         for to in self.spread.behind(root.seq) {
-            if self.source != Some(to) {
+            if !self.sources.contains(&to) {
                 self.spread.note_sent(to, root.seq);
                 send(out, to, "spread root", PeerMessage::Root(Box::new(root.clone())));
             }
@@ -391,10 +392,11 @@
             PeerMessage::Beat(beat) => self.hear_beat(now, from, &beat, out),
             PeerMessage::Root(root) => {
                 self.spread.note_sent(from, root.seq);
-                self.source = Some(from);
                 let offer = self.holder.offer(&root);
+                if offer != Offer::Known && !self.sources.contains(&from) {
+                    self.sources.push(from);
+                }
                 if offer == Offer::Known {
-                    self.source = None;
                     let beat = self.spread.answer(now, from);
                     self.send_beats(now, [beat], out);
                 }
@@ -484,8 +486,8 @@
 
     fn fetch(&mut self, now: Time, digests: Vec<Digest>, out: &mut KeeperActions) {
         self.fetched_at = Some(now);
-        if let Some(from) = self.source {
-            send(out, from, "want blobs", PeerMessage::Want(digests));
+        if let Some(from) = self.sources.last() {
+            send(out, *from, "want blobs", PeerMessage::Want(digests));
             return;
         }
         for digest in digests {
@@ -544,7 +546,7 @@
         if missing.is_empty() || !due {
             return;
         }
-        self.source = None;
+        self.sources.clear();
         for to in self.spread.neighbours(now) {
             send(out, to, "want blobs", PeerMessage::Want(missing.clone()));
         }
--- a/components/coord/tests/scenarios.rs
+++ b/components/coord/tests/scenarios.rs
@@ -17,7 +17,7 @@
         return Ok(());
     }
     let file = path.display();
-    eprintln!("{file}:\n{}\nlast facts:\n{}", findings.join("\n"), played.tail);
+    eprintln!("{file}:\n{}\nlast facts:\n{}", findings.join("\n"), played.tail());
     Err(format!("{} findings", findings.len()).into())
 }
 
--- /dev/null
+++ b/components/scenario/examples/figures.rs
@@ -0,0 +1,277 @@
+//! Prints the figures of the design notes on views, claims and windows.
+//!
+//!     cargo run --release -p chervilgate-scenario --example figures -- views
+//!     cargo run --release -p chervilgate-scenario --example figures -- traffic
+//!     cargo run --release -p chervilgate-scenario --example figures -- usage
+//!     cargo run --release -p chervilgate-scenario --example figures -- claims
+
+use std::collections::BTreeSet;
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{Guards, Version};
+use chervilgate_scenario::{Run, Told, parse, run};
+use chervilgate_testbed::{Fact, Outcome};
+
+/// Seeds that each figure is taken over.
+const SEEDS: u64 = 10;
+
+/// When an operator acts.
+const ACT: Time = Time::from_secs(60);
+
+/// The end of most runs.
+const END: Time = Time::from_secs(150);
+
+/// Bytes of the headers below a message between entries: IP, UDP and QUIC with
+/// its authentication tag.
+const PEER_HEADERS: u64 = 60;
+
+/// Bytes of the headers of one call on the store, both ways together.
+const STORE_HEADERS: u64 = 300;
+
+/// Faults that begin before the operator acts, with the entries that they cut
+/// off from everything.
+const FAULTS: [(&str, &str, &[usize]); 9] = [
+    ("none", "", &[]),
+    ("store slow for 20s", "at 59s store slow for 20s", &[]),
+    ("store down from 59s to 69s", "at 59s store down for 10s", &[]),
+    ("zone a cut from store", "at 50s cut e1 e2 e3 from store for 60s", &[]),
+    ("zones a, b cut from store", "at 50s cut e1 e2 e3 e4 e5 e6 from store for 60s", &[]),
+    ("one entry paused", "at 59s pause e4 for 20s", &[4]),
+    ("two entries killed", "at 59s kill e4\nat 59s kill e7", &[]),
+    ("zone a killed", "at 59s kill e1\nat 59s kill e2\nat 59s kill e3", &[]),
+    ("one entry partitioned", "at 59900ms partition e4 for 30s", &[4]),
+];
+
+fn main() {
+    match std::env::args().nth(1).as_deref() {
+        Some("views") => print_views(),
+        Some("traffic") => print_traffic(),
+        Some("usage") => print_usage(),
+        Some("claims") => print_claims(),
+        _ => eprintln!("usage: figures views|traffic|usage|claims"),
+    }
+}
+
+fn play(script: &str) -> Run {
+    let script = match parse("figures", script) {
+        Ok(script) => script,
+        Err(error) => panic!("{error}"),
+    };
+    let played = run(&script, Guards::default());
+    for breach in &played.breaches {
+        println!("broken: {breach}");
+    }
+    played
+}
+
+fn script(seed: u64, entries: usize, body: &str) -> String {
+    let mut text = format!("scenario \"figures\"\nseed {seed}\n");
+    for index in 1..=entries {
+        let zone = if entries > 9 { index % 6 } else { (index - 1) / 3 };
+        text += &format!("entries e{index} in z{zone}\n");
+    }
+    text += "service p1 in z0\nservice p2 in z1\nkey office of office\n";
+    text += "at 15s publish c1 through e1 setting portal=1\n";
+    text + body + "\nexpect config c1 accepted\nend at 150s\n"
+}
+
+fn worst(values: &[f64]) -> String {
+    let most = values.iter().copied().fold(f64::NAN, f64::max);
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    match sorted.get(sorted.len() / 2) {
+        Some(middle) => format!("{middle:6.2} {most:6.2}"),
+        None => "     -      -".to_owned(),
+    }
+}
+
+fn print_views() {
+    println!("nine entries, {SEEDS} seeds; seconds, median and worst");
+    println!("key: last dispatch under it; config: in force on every entry that can be reached");
+    println!(
+        "{:28} {:>13} {:>13} {:>13} {:>13} {:>13}",
+        "fault", "key accepted", "key, request", "key, accepted", "conf accepted", "conf, request"
+    );
+    for (name, fault, apart) in FAULTS {
+        let (mut accepted, mut since_request, mut since_accepted) = (vec![], vec![], vec![]);
+        let (mut conf_accepted, mut conf) = (vec![], vec![]);
+        for seed in 1..=SEEDS {
+            let body = format!(
+                "{fault}\nat 20s traffic with office on p1 p2 every 100ms for 120s\n\
+                 at 60s withdraw office through e9\nat 60s publish c2 from c1 through e8 setting a=1"
+            );
+            let played = play(&script(seed, 9, &body));
+            let told = |pick: &dyn Fn(&Told) -> bool| {
+                played.told.iter().find(|(_, told)| pick(told)).map(|(at, _)| *at)
+            };
+            let key = told(&|told| matches!(told, Told::Withdrawn { .. }));
+            let last = last_dispatch(&played).unwrap_or(ACT);
+            accepted.extend(key.map(|at| (at - ACT).as_secs_f64()));
+            since_request.push((last - ACT).as_secs_f64());
+            since_accepted.extend(key.map(|at| (last - at).as_secs_f64()));
+            let done =
+                told(&|told| matches!(told, Told::Accepted { config, .. } if config == "c2"));
+            conf_accepted.extend(done.map(|at| (at - ACT).as_secs_f64()));
+            conf.extend(in_force(&played, apart).map(|at| (at - ACT).as_secs_f64()));
+        }
+        println!(
+            "{name:28} {} {} {} {} {}",
+            worst(&accepted),
+            worst(&since_request),
+            worst(&since_accepted),
+            worst(&conf_accepted),
+            worst(&conf)
+        );
+    }
+}
+
+fn last_dispatch(played: &Run) -> Option<Time> {
+    let entries = played.history.entries.iter().rev();
+    let mut dispatched = entries.filter(|entry| matches!(entry.fact, Fact::Dispatched { .. }));
+    dispatched.next().map(|entry| entry.at)
+}
+
+/// When the last entry that can be reached had the second configuration.
+fn in_force(played: &Run, apart: &[usize]) -> Option<Time> {
+    let seq = played.told.iter().find_map(|(_, told)| match told {
+        Told::Accepted { config, seq } if config == "c2" => Some(Version(seq.0)),
+        _ => None,
+    })?;
+    let mut first = std::collections::BTreeMap::new();
+    for entry in &played.history.entries {
+        let (Some(host), Fact::Adopted { config }) = (entry.host, &entry.fact) else {
+            continue;
+        };
+        if *config >= seq && !apart.contains(&(host.0 + 1)) {
+            first.entry(host).or_insert(entry.at);
+        }
+    }
+    first.into_values().max()
+}
+
+fn print_traffic() {
+    println!("control bytes a second, content and with headers, 100 s without callers");
+    println!(
+        "{:>5} {:>9} {:>8} {:>8} {:>9} {:>9} {:>8} {:>8}",
+        "nodes", "state", "mean", "worst", "mean+hdr", "worst+hdr", "reads/s", "writes/s"
+    );
+    for nodes in [9, 30, 90, 330] {
+        for (state, fault) in [("platform", ""), ("outage", "at 40s store down for 110s")] {
+            let played = play(&script(1, nodes, fault));
+            print_spent(nodes, state, &played);
+        }
+    }
+}
+
+fn print_spent(nodes: usize, state: &str, played: &Run) {
+    let span = END.as_secs_f64();
+    let mut plain = Vec::new();
+    let mut full = Vec::new();
+    let mut sums = std::collections::BTreeMap::<_, (u64, u64)>::new();
+    for ((addr, name), spent) in played.traffic.spent() {
+        let peer = name.contains("peers") || name.starts_with("View.beat") || name.contains("root");
+        let headers = if peer { PEER_HEADERS } else { STORE_HEADERS / 2 };
+        let sum = sums.entry(addr).or_default();
+        sum.0 += spent.bytes;
+        sum.1 += spent.bytes + spent.messages * headers;
+    }
+    for (bytes, with_headers) in sums.values() {
+        plain.push(*bytes as f64 / span);
+        full.push(*with_headers as f64 / span);
+    }
+    let mean = |values: &[f64]| values.iter().sum::<f64>() / values.len().max(1) as f64;
+    let most = |values: &[f64]| values.iter().copied().fold(0.0, f64::max);
+    println!(
+        "{nodes:5} {state:>9} {:8.0} {:8.0} {:9.0} {:9.0} {:8.1} {:8.1}",
+        mean(&plain),
+        most(&plain),
+        mean(&full),
+        most(&full),
+        played.counts.reads as f64 / span,
+        played.counts.writes as f64 / span
+    );
+    let mut by_step = std::collections::BTreeMap::<String, u64>::new();
+    for ((_, name), spent) in played.traffic.spent() {
+        *by_step.entry(name).or_default() += spent.bytes;
+    }
+    let mut steps: Vec<(String, u64)> = by_step.into_iter().collect();
+    steps.sort_by_key(|(_, bytes)| std::cmp::Reverse(*bytes));
+    for (name, bytes) in steps.iter().take(5) {
+        println!("        {:24} {:8.1} bytes/s a node", name, *bytes as f64 / span / nodes as f64);
+    }
+}
+
+fn print_usage() {
+    println!("one entry vanishes at 60 s; requests answered and never billed, of {SEEDS} seeds");
+    let mut lost = Vec::new();
+    let mut answered = 0;
+    for seed in 1..=SEEDS {
+        let body = "at 20s traffic with office on p1 p2 every 50ms for 60s\nat 60s vanish e4";
+        let text = script(seed, 9, body).replace("end at 150s", "end at 400s");
+        let played = play(&text);
+        let (all, billed) = counted(&played);
+        answered = all;
+        lost.push(all as f64 - billed as f64);
+    }
+    println!("requests a run: {answered}; 20 a second at each entry");
+    println!("never billed, median and worst: {}", worst(&lost));
+}
+
+fn counted(played: &Run) -> (u64, u64) {
+    let answered: BTreeSet<u64> = played
+        .history
+        .entries
+        .iter()
+        .filter_map(|entry| match entry.fact {
+            Fact::Answered { request, .. } => Some(request.0),
+            _ => None,
+        })
+        .collect();
+    let windows: std::collections::BTreeMap<u64, u64> = played
+        .told
+        .iter()
+        .filter_map(|(_, told)| match told {
+            Told::Billed { window, requests } => Some((*window, *requests)),
+            _ => None,
+        })
+        .collect();
+    (answered.len() as u64, windows.values().sum())
+}
+
+fn print_claims() {
+    println!("200 requests that may not be repeated, each resent once through another entry");
+    println!("{:34} {:>9} {:>8} {:>8}", "fault, and how named", "answered", "not run", "unknown");
+    let cases = [
+        ("none, scoped", "scoped", ""),
+        ("none, unscoped", "unscoped", ""),
+        ("one entry killed, scoped", "scoped", "at 70s kill e4"),
+        ("one entry stopped, scoped", "scoped", "at 70s stop e4"),
+        ("store down for 60s, scoped", "scoped", "at 62s store down for 60s"),
+        ("store down for 60s, unscoped", "unscoped", "at 62s store down for 60s"),
+        ("one entry paused 30s, scoped", "scoped", "at 70s pause e4 for 30s"),
+    ];
+    for (name, kind, fault) in cases {
+        let mut body = format!("{fault}\n");
+        for index in 0..200 {
+            let (first, second) = (index % 9 + 1, (index + 4) % 9 + 1);
+            let at = 60_000 + index * 100;
+            let again = at + 20_000;
+            body += &format!(
+                "at {at}ms request r{index} with office through e{first} on p1 p2 taking 200ms \
+                 once {kind}\nat {again}ms resend r{index} through e{second}\n"
+            );
+        }
+        let played = play(&script(1, 9, &body));
+        let (mut answered, mut not_run, mut unknown) = (0, 0, 0);
+        let again = Time::from_secs(80);
+        for entry in played.history.entries.iter().filter(|entry| entry.at >= again) {
+            match entry.fact {
+                Fact::Answered { .. } => answered += 1,
+                Fact::Refused { outcome: Outcome::NotRun, .. } => not_run += 1,
+                Fact::Refused { outcome: Outcome::Unknown, .. } => unknown += 1,
+                _ => {}
+            }
+        }
+        println!("{name:34} {answered:9} {not_run:8} {unknown:8}");
+    }
+}
--- a/components/scenario/src/lib.rs
+++ b/components/scenario/src/lib.rs
@@ -11,10 +11,12 @@
 mod script;
 mod target;
 mod told;
+mod traffic;
 
 pub use crate::{
     parse::{Finding, ParseError, parse},
     runner::{Run, run},
     script::Script,
     told::{Ledger, Told},
+    traffic::{Spent, Traffic},
 };
--- a/components/scenario/src/node.rs
+++ b/components/scenario/src/node.rs
@@ -24,7 +24,7 @@
 use chervilgate_testbed::{Birth, Factory, Input, Output, Process};
 
 use self::{
-    calls::{Ended, Gate, Jobs, Waiter, admit_scoped, tell_caller},
+    calls::{Ended, Gate, Jobs, Waiter, admit_scoped, hash_key, tell_caller},
     message::{Call, Command, End, NodeMessage, Once},
     operators::Operators,
     owner::Owner,
@@ -264,14 +264,17 @@
     }
 
     fn take_call(&mut self, now: Time, call: Call, out: &mut Vec<Output>) {
-        if self.gate(now).admit(&call).is_none() || self.stop.refuses(now) {
-            out.push(tell_caller(&call, End::NotRun));
-            return;
-        }
+        let refused = self.gate(now).admit(&call).is_none() || self.stop.refuses(now);
         match &call.once {
+            None if refused => out.push(tell_caller(&call, End::NotRun)),
             None => {
                 self.jobs.add(call, Waiter::Caller, false);
             }
+            // What came of an earlier attempt is only known in the platform.
+            Some(Once::Unscoped(_)) if refused => {
+                let end = if call.first { End::NotRun } else { End::Unknown };
+                out.push(tell_caller(&call, end));
+            }
             Some(Once::Unscoped(key)) => {
                 let (key, owner) = (key.clone(), call.key.clone().unwrap_or_default());
                 let ticket = self.jobs.add(call, Waiter::Caller, true);
@@ -279,6 +282,8 @@
                 let actions = self.table.claim(now, ticket, &owner, &key, until);
                 self.act_on_table(actions, out);
             }
+            // Only its keeper knows what came of an earlier attempt, and its
+            // keeper checks the key.
             Some(Once::Scoped(key)) => match self.directory.find(key.scope) {
                 ClaimKeeper::Here => self.take_scoped(now, call, Waiter::Caller, out),
                 ClaimKeeper::At(node) => self.forward(now, call, &node, out),
@@ -291,6 +296,10 @@
         let Some(Once::Scoped(key)) = call.once.clone() else {
             return;
         };
+        if call.key.as_ref().is_some_and(|key| self.is_withdrawn(key)) {
+            tell_waiters(&Ended { call, waiters: vec![waiter], end: End::Unknown }, out);
+            return;
+        }
         let ended = admit_scoped(now, &mut self.memory, &mut self.jobs, call, &key, waiter);
         if let Some(ended) = ended {
             tell_waiters(&ended, out);
@@ -319,7 +328,10 @@
                 }
                 TableAction::Run(ticket) => self.jobs.claimed(ticket, None),
                 TableAction::Taken(ticket) => self.jobs.claimed(ticket, Some(End::Unknown)),
-                TableAction::Refused(ticket) => self.jobs.claimed(ticket, Some(End::NotRun)),
+                TableAction::Refused(ticket) => {
+                    let end = if self.jobs.is_first(ticket) { End::NotRun } else { End::Unknown };
+                    self.jobs.claimed(ticket, Some(end))
+                }
             };
             self.end_calls(ended.into_iter().collect(), out);
         }
@@ -343,6 +355,10 @@
         }
     }
 
+    fn is_withdrawn(&self, key: &str) -> bool {
+        self.keeper.holder().is_withdrawn(&hash_key(key))
+    }
+
     fn gate(&self, now: Time) -> Gate<'_> {
         Gate { verdict: self.keeper.check(now), holder: self.keeper.holder() }
     }
--- a/components/scenario/src/runner.rs
+++ b/components/scenario/src/runner.rs
@@ -12,8 +12,8 @@
     view::{Digest, Snapshot},
 };
 use chervilgate_testbed::{
-    Bed, Breach, Counts, Fact, FakeEngine, FakePlatform, HostId, RequestId, addr_of, check,
-    record_receivers,
+    Bed, Breach, Counts, Fact, FakeEngine, FakePlatform, History, HostId, RequestId, addr_of,
+    check, record_receivers,
 };
 
 use crate::{
@@ -25,7 +25,8 @@
     runner::act::Op,
     script::{Script, TargetKind},
     target::{FakeUsage, TargetState},
-    told::Ledger,
+    told::{Ledger, Told},
+    traffic::Traffic,
 };
 
 /// How long a usage window is open.
@@ -46,8 +47,21 @@
     pub breaches: Vec<Breach>,
     /// Calls that were made.
     pub counts: Counts,
-    /// The last part of the history, for a look after a failure.
-    pub tail: String,
+    /// Everything that happened.
+    pub history: History,
+    /// Everything that operators were told.
+    pub told: Vec<(Time, Told)>,
+    /// Bytes that each entry sent and received.
+    pub traffic: Traffic,
+}
+
+impl Run {
+    /// The last facts but calls, one a line.
+    pub fn tail(&self) -> String {
+        let mut history = self.history.clone();
+        history.entries.retain(|entry| !matches!(entry.fact, Fact::Called(_)));
+        history.tail(TAIL_FACTS)
+    }
 }
 
 /// A configuration that the script names.
@@ -60,10 +74,11 @@
 /// A run under way.
 struct Runner<'a> {
     script: &'a Script,
-    bed: Bed,
+    bed: &'a mut Bed,
     hosts: BTreeMap<&'a str, HostId>,
     targets: BTreeMap<&'a str, TargetState>,
     ledger: Ledger,
+    traffic: Traffic,
     configs: BTreeMap<String, Config>,
     latest: Option<String>,
     calls: BTreeMap<String, Call>,
@@ -73,20 +88,14 @@
 
 /// Runs a script to its end.
 pub fn run(script: &Script, guards: Guards) -> Run {
-    let mut runner = Runner::new(script, guards);
-    let mut ops = runner.plan();
-    ops.sort_by_key(|(at, _)| *at);
-    for (at, op) in ops {
-        runner.bed.run_until(at);
-        runner.act(op);
-    }
-    runner.bed.run_until(script.end);
+    let mut bed = Bed::new(script.seed);
+    let mut runner = Runner::new(script, &mut bed, guards);
+    runner.play();
     runner.judge()
 }
 
 impl<'a> Runner<'a> {
-    fn new(script: &'a Script, guards: Guards) -> Runner<'a> {
-        let mut bed = Bed::new(script.seed);
+    fn new(script: &'a Script, bed: &'a mut Bed, guards: Guards) -> Runner<'a> {
         bed.spans.restart = Duration::from_secs(5);
         bed.record_writes(Box::new(record_receivers));
         let mut zones: Vec<String> = script
@@ -97,9 +106,9 @@
             .collect();
         zones.sort();
         zones.dedup();
-        let targets = add_targets(&mut bed, script);
-        add_platform(&mut bed, &zones);
-        let ledger = Ledger::default();
+        let targets = add_targets(bed, script);
+        add_platform(bed, &zones);
+        let (ledger, traffic) = (Ledger::default(), Traffic::default());
         let setting = NodeSetting {
             seeds: (0..script.entries.len()).map(|index| addr_of(HostId(index))).collect(),
             zones,
@@ -109,7 +118,7 @@
         };
         let mut hosts = BTreeMap::new();
         for entry in &script.entries {
-            let id = bed.add_host(&entry.zone, EntryNode::factory(setting.clone()));
+            let id = bed.add_host(&entry.zone, traffic.meter(EntryNode::factory(setting.clone())));
             hosts.insert(entry.name.as_str(), id);
         }
         Runner {
@@ -118,6 +127,7 @@
             hosts,
             targets,
             ledger,
+            traffic,
             configs: BTreeMap::new(),
             latest: None,
             calls: BTreeMap::new(),
@@ -126,6 +136,16 @@
         }
     }
 
+    fn play(&mut self) {
+        let mut ops = self.plan();
+        ops.sort_by_key(|(at, _)| *at);
+        for (at, op) in ops {
+            self.bed.run_until(at);
+            self.act(op);
+        }
+        self.bed.run_until(self.script.end);
+    }
+
     fn plan(&self) -> Vec<(Time, Op)> {
         let deeds = self.script.events.iter().map(|event| (event.at, event.deed.clone()));
         let mut ops: Vec<(Time, Op)> = deeds.flat_map(|(at, deed)| act::expand(at, deed)).collect();
@@ -147,17 +167,12 @@
             failures: failures.collect(),
             breaches: report.breaches,
             counts: self.bed.counts,
-            tail: self.tail(),
+            history: self.bed.history.clone(),
+            told: self.ledger.entries(),
+            traffic: self.traffic.clone(),
         }
     }
 
-    /// The last facts but calls, one a line.
-    fn tail(&self) -> String {
-        let mut history = self.bed.history.clone();
-        history.entries.retain(|entry| !matches!(entry.fact, Fact::Called(_)));
-        history.tail(TAIL_FACTS)
-    }
-
     fn number_of(&self, name: &str) -> Option<RequestId> {
         self.calls.get(name).map(|call| RequestId(call.request))
     }
--- a/components/scenario/src/runner/act.rs
+++ b/components/scenario/src/runner/act.rs
@@ -179,8 +179,9 @@
             targets: request.targets,
             takes: request.takes,
             once,
+            first: true,
         };
-        self.calls.insert(request.name, call.clone());
+        self.calls.insert(request.name, Call { first: false, ..call.clone() });
         self.send_call(call, entry);
     }
 
@@ -214,6 +215,7 @@
                 targets: targets.clone(),
                 takes: Duration::from_millis(100),
                 once: None,
+                first: true,
             };
             self.send_call(call, &entry);
         }
--- a/components/testbed/src/check/request.rs
+++ b/components/testbed/src/check/request.rs
@@ -53,7 +53,9 @@
                 report.observe(Promise::TrueRefusal);
                 let known = self.requests.entry(*request).or_default();
                 known.denied = true;
-                if known.ran {
+                // A caller of a request that may not be repeated would do it
+                // anew under another name, so an earlier run counts as well.
+                if known.ran || (known.once && known.runs > 0) {
                     let what = format!("{request:?} ran before its refusal");
                     report.breach(Promise::TrueRefusal, at, what);
                 }
