--- a/bins/ctl/src/cmd.rs
+++ b/bins/ctl/src/cmd.rs
@@ -1,6 +1,7 @@
 //! The commands, one a module.
 
 mod apply;
+mod cert;
 mod check;
 mod diff;
 mod drain;
@@ -23,12 +24,15 @@
 /// # Errors
 /// If it could not do what was asked.
 pub(crate) async fn run(command: &Command) -> Result<Answer, Failure> {
-    if let Command::Check { paths, .. } = command {
-        return check::run(paths);
+    match command {
+        Command::Check { paths, .. } => return check::run(paths),
+        Command::Cert(command) => return cert::run(command),
+        _ => {}
     }
     let session = Session::open(&command.common().settings)?;
     match command {
         Command::Check { paths, .. } => check::run(paths),
+        Command::Cert(command) => cert::run(command),
         Command::Status { .. } => status::run(&session).await,
         Command::Diff { paths, prune, .. } => diff::run(&session, paths, *prune).await,
         Command::Apply { consent, prune, message, paths, .. } => {
--- a/bins/ctl/src/options.rs
+++ b/bins/ctl/src/options.rs
@@ -120,6 +120,9 @@
     /// Issues, withdraws and lists keys
     #[bpaf(command)]
     Key(#[bpaf(external(key_command))] KeyCommand),
+    /// Makes certificates for our own processes
+    #[bpaf(command)]
+    Cert(#[bpaf(external(cert_command))] CertCommand),
     /// Declares a process stopped for good, so that its orders are taken over
     #[bpaf(command)]
     Release {
@@ -169,6 +172,32 @@
     },
 }
 
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
+pub(crate) enum CertCommand {
+    /// Makes the authority that issues hosts' certificates
+    #[bpaf(command)]
+    Authority {
+        #[bpaf(external)]
+        common: Common,
+        /// Where its files go
+        #[bpaf(positional("FOLDER"))]
+        folder: PathBuf,
+    },
+    /// Issues a host's certificate
+    #[bpaf(command)]
+    Host {
+        #[bpaf(external)]
+        common: Common,
+        /// Where the authority's files are and the host's go
+        #[bpaf(positional("FOLDER"))]
+        folder: PathBuf,
+        /// The host
+        #[bpaf(positional("HOST"))]
+        name: String,
+    },
+}
+
 #[derive(Debug, Clone)]
 #[derive(Bpaf)]
 pub(crate) struct Common {
@@ -205,6 +234,9 @@
                 KeyCommand::Issue { common, .. }
                 | KeyCommand::Withdraw { common, .. }
                 | KeyCommand::List { common, .. },
+            )
+            | Command::Cert(
+                CertCommand::Authority { common, .. } | CertCommand::Host { common, .. },
             ) => common,
         }
     }
--- a/bins/ctl/src/settings.rs
+++ b/bins/ctl/src/settings.rs
@@ -46,3 +46,6 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/bins/ctl/tests/commands/fixture.rs
+++ b/bins/ctl/tests/commands/fixture.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    os::unix::fs::PermissionsExt,
     path::PathBuf,
     process::Command,
     sync::{
@@ -94,6 +95,17 @@
         std::fs::write(self.folder.join(name), text).expect("a file written");
     }
 
+    /// The text of a file in the folder.
+    pub(crate) fn read(&self, name: &str) -> String {
+        std::fs::read_to_string(self.folder.join(name)).expect("a file")
+    }
+
+    /// The access rights of a file in the folder.
+    pub(crate) fn mode(&self, name: &str) -> u32 {
+        let metadata = std::fs::metadata(self.folder.join(name)).expect("a file");
+        metadata.permissions().mode() & 0o777
+    }
+
     /// Runs the command in the folder.
     pub(crate) fn run(&self, args: &[&str]) -> Run {
         let mut command = Command::new(env!("CARGO_BIN_EXE_chervilgatectl"));
--- a/bins/ctl/tests/commands/main.rs
+++ b/bins/ctl/tests/commands/main.rs
@@ -245,6 +245,22 @@
     }
 }
 
+#[test]
+fn can_make_certificates_but_never_replaces_one() {
+    let bench = bench();
+
+    bench.run(&["cert", "authority", "peers"]).expect(DONE);
+    bench.run(&["cert", "host", "peers", "host-a1"]).expect(DONE);
+    let again = bench.run(&["cert", "host", "peers", "host-a1"]).expect(FAILED);
+    let path = bench.run(&["cert", "host", "peers", "../a"]).expect(FAILED);
+    let none = bench.run(&["cert", "host", "elsewhere", "host-a1"]).expect(FAILED);
+
+    assert!(bench.read("peers/host-a1.pem").contains("BEGIN CERTIFICATE"));
+    assert!(bench.read("peers/host-a1-key.pem").contains("PRIVATE KEY"));
+    assert!([&again, &path, &none].iter().all(|run| run.stderr.contains("next: ")));
+    assert_eq!(bench.mode("peers/host-a1-key.pem"), 0o600);
+}
+
 #[test]
 fn prints_json_on_demand_for_answers_and_failures() {
     let bench = published();
--- /dev/null
+++ b/bins/ctl/tests/pages.rs
@@ -0,0 +1,70 @@
+//! Links in the pages resolve, and samples check clean.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::Command,
+};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..").canonicalize().expect("the repository")
+}
+
+fn pages() -> Vec<PathBuf> {
+    let mut found = Vec::new();
+    collect(&root(), &mut found);
+    found
+}
+
+fn collect(folder: &Path, found: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(folder).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        let name = path.file_name().and_then(|name| name.to_str()).unwrap_or_default();
+        if path.is_dir() && !name.starts_with('.') && name != "target" {
+            collect(&path, found);
+        } else if name.ends_with(".md") {
+            found.push(path);
+        }
+    }
+}
+
+/// The targets of `[text](target)` outside of code.
+fn links(text: &str) -> Vec<String> {
+    let prose = text.lines().filter(|line| !line.starts_with("    ") && !line.starts_with("```"));
+    let parts = prose.flat_map(|line| line.split("](").skip(1));
+    parts.filter_map(|part| part.split_once(')')).map(|(target, _)| target.to_owned()).collect()
+}
+
+#[test]
+fn each_relative_link_resolves() {
+    let mut checked = 0;
+    let mut broken = Vec::new();
+
+    for page in pages() {
+        let folder = page.parent().expect("a folder");
+        for link in links(&fs::read_to_string(&page).expect("text")) {
+            let path = link.split('#').next().unwrap_or_default();
+            if link.contains("://") || path.is_empty() {
+                continue;
+            }
+            checked += 1;
+            if !folder.join(path).exists() {
+                broken.push(format!("{}: {link}", page.display()));
+            }
+        }
+    }
+
+    assert!(broken.is_empty(), "{broken:#?}");
+    assert!(checked > 20, "only {checked} links found");
+}
+
+#[test]
+fn sample_objects_check_clean() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_chervilgatectl"));
+
+    let output = command.args(["check", "objects"]).current_dir(root()).output().expect("a run");
+
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(text.ends_with("0 to mend, 0 to consider\n"), "{text}");
+    assert!(output.status.success());
+}
