--- a/bins/load/src/bound.rs
+++ b/bins/load/src/bound.rs
@@ -41,11 +41,12 @@
 }
 
 /// Most requests of `arrivals` that any scheme can end well.
-pub fn most_good(scenario: &Scenario, arrivals: &[Arrival], engines: usize) -> u64 {
+pub fn most_good(scenario: &Scenario, arrivals: &[Arrival]) -> u64 {
+    let engines = scenario.most_engines();
     let costs: Vec<Cost> = arrivals.iter().map(|a| least_cost(&scenario.profile, a)).collect();
     let end = Time::ZERO + scenario.workload.span + DRAIN;
-    let by_time = most_by_time(arrivals, &costs, engines as u64, end);
-    by_time.min(most_by_prefill(arrivals, &costs, engines as u64))
+    let by_time = most_by_time(arrivals, &costs, engines, end);
+    by_time.min(most_by_prefill(arrivals, &costs, engines))
 }
 
 /// The least engine time of one request.
--- a/bins/load/src/cmd/experiment.rs
+++ b/bins/load/src/cmd/experiment.rs
@@ -1,14 +1,18 @@
 //! `chervilgate-load experiment NAME`
 
-use std::path::{Path, PathBuf};
+use std::{
+    collections::BTreeMap,
+    path::{Path, PathBuf},
+};
 
 use bpaf::{Parser, construct, long, positional};
 use snafu::ResultExt;
 
 use crate::{
     cmd::{Error, WriteSnafu},
-    experiment::{self, Name},
+    experiment::{self, Name, Options},
     plot, table,
+    tally::Trace,
 };
 
 /// Arguments of the command.
@@ -18,6 +22,7 @@
     seeds: u64,
     json: Option<PathBuf>,
     plot: Option<PathBuf>,
+    trace: Option<PathBuf>,
     name: Name,
 }
 
@@ -26,13 +31,21 @@
     let seeds = long("seeds").help("Number of seeds").argument("N").fallback(3);
     let json = long("json").help("Write the figures as JSON").argument("FILE").optional();
     let plot = long("plot").help("Write plots as SVG").argument("DIR").optional();
+    let trace =
+        long("trace").help("Write the first seed's requests as JSON").argument("FILE").optional();
     let name = positional("NAME").help("The experiment");
-    construct!(Experiment { seed, seeds, json, plot, name })
+    construct!(Experiment { seed, seeds, json, plot, trace, name })
 }
 
 pub(super) fn run(options: &Experiment) -> Result<(), Error> {
-    let seeds: Vec<u64> = (options.seed..options.seed + options.seeds.max(1)).collect();
-    let report = experiment::run(options.name, &seeds, 1.0);
+    let report = experiment::run(
+        options.name,
+        &Options {
+            seeds: (options.seed..options.seed + options.seeds.max(1)).collect(),
+            scale: 1.0,
+            trace: options.trace.is_some(),
+        },
+    );
     if let Some(path) = &options.json {
         let text = serde_json::to_string_pretty(&report.figures()).unwrap_or_default();
         write(path, &text)?;
@@ -41,6 +54,13 @@
         std::fs::create_dir_all(dir).context(WriteSnafu { path: dir.display().to_string() })?;
         plot::draw(&report, dir)?;
     }
+    if let Some(path) = &options.trace {
+        let runs = report.rows.iter().zip(&report.runs);
+        let traces: BTreeMap<&str, &[Trace]> = runs
+            .filter_map(|(row, runs)| Some((row.name.as_str(), &*runs.tallies.first()?.traces)))
+            .collect();
+        write(path, &serde_json::to_string(&traces).unwrap_or_default())?;
+    }
     print!("{}", table::render(&report));
     Ok(())
 }
--- a/bins/load/src/experiment.rs
+++ b/bins/load/src/experiment.rs
@@ -4,12 +4,16 @@
 mod report;
 mod runs;
 mod shift;
+mod sites;
+mod stale;
+mod surge;
+mod tenant;
 
 use std::str::FromStr;
 
 pub use crate::experiment::{
     report::{Figures, Report, Row, Spread, Verdict},
-    runs::{Runs, run_all},
+    runs::{Draw, Runs, draw, draw_with, run_all},
 };
 
 /// An experiment's name.
@@ -17,11 +21,31 @@
 pub enum Name {
     /// The prompt share swings by half within minutes.
     Shift,
+    /// Demand at three times the capacity.
+    Surge,
+    /// One organisation at ten times its share.
+    Tenant,
+    /// Load reports lag and stop.
+    Stale,
+    /// Mtatsminda's deployment.
+    Mtatsminda,
+    /// Jadranska's deployment.
+    Jadranska,
+    /// The size to design for.
+    Letter,
 }
 
 impl Name {
     /// Every experiment.
-    pub const ALL: [(&'static str, Name); 1] = [("shift", Name::Shift)];
+    pub const ALL: [(&'static str, Name); 7] = [
+        ("shift", Name::Shift),
+        ("surge", Name::Surge),
+        ("tenant", Name::Tenant),
+        ("stale", Name::Stale),
+        ("mtatsminda", Name::Mtatsminda),
+        ("jadranska", Name::Jadranska),
+        ("letter", Name::Letter),
+    ];
 }
 
 impl FromStr for Name {
@@ -36,9 +60,26 @@
     }
 }
 
-/// Runs an experiment; `scale` shortens its span, 1 for the whole.
-pub fn run(name: Name, seeds: &[u64], scale: f64) -> Report {
+/// How an experiment is run.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The seeds.
+    pub seeds: Vec<u64>,
+    /// Factor on the spans of time; 1 for the whole.
+    pub scale: f64,
+    /// Whether each request is traced.
+    pub trace: bool,
+}
+
+/// Runs an experiment.
+pub fn run(name: Name, options: &Options) -> Report {
     match name {
-        Name::Shift => shift::run(seeds, scale),
+        Name::Shift => shift::run(options),
+        Name::Surge => surge::run(options),
+        Name::Tenant => tenant::run(options),
+        Name::Stale => stale::run(options),
+        Name::Mtatsminda => sites::mtatsminda(options),
+        Name::Jadranska => sites::jadranska(options),
+        Name::Letter => sites::letter(options),
     }
 }
--- a/bins/load/src/experiment/fleets.rs
+++ b/bins/load/src/experiment/fleets.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     scenario::{GAP_LIMIT, Scenario, steady_fleet},
-    workload::{Caller, Mix, Workload},
+    workload::{Caller, Callers, Mix, Workload},
 };
 
 /// The mix whose work has `share` of prefill, with `rate` requests a second of
@@ -27,6 +27,25 @@
     engines as f64 * useful * load / work
 }
 
+/// A workload of eight organisations that does not change for `span` seconds.
+pub(super) fn constant(mix: Mix, span: f64) -> Workload {
+    Workload {
+        span: Duration::from_secs_f64(span),
+        entries: 9,
+        mix: Box::new(move |_| mix),
+        peak: mix.rate,
+        callers: Box::new(|_| eight_callers()),
+        firm: 0.0,
+    }
+}
+
+/// `count` organisations whose shares fall with their number.
+pub(super) fn many_callers(count: u32) -> Callers {
+    let caller = |org: u32| Caller { org, share: 1.0 / f64::from(org).sqrt() };
+    let callers: Vec<Caller> = (1..=count).map(caller).collect();
+    Box::new(move |_| callers.clone())
+}
+
 /// Eight organisations, a few of them large.
 pub(super) fn eight_callers() -> Vec<Caller> {
     let shares = [30.0, 22.0, 16.0, 10.0, 8.0, 6.0, 5.0, 3.0];
--- a/bins/load/src/experiment/report.rs
+++ b/bins/load/src/experiment/report.rs
@@ -3,7 +3,11 @@
 use serde::Serialize;
 
 use crate::{
-    experiment::runs::Runs,
+    experiment::{
+        Options,
+        runs::{Draw, Runs, run_all},
+    },
+    scenario::Scenario,
     scheme::Scheme,
     tally::{Ending, Tally},
 };
@@ -57,8 +61,6 @@
     pub retries: f64,
     /// Answers with wrong tokens, doubled runs, and lost repeatable requests, in all runs.
     pub faults: [u64; 3],
-    /// Mean share of time that engines spent in steps, in percent.
-    pub busy: f64,
     /// Cost of the targets a run, in cents.
     pub cost: Spread,
 }
@@ -83,12 +85,10 @@
     pub about: String,
     /// The seeds.
     pub seeds: Vec<u64>,
-    /// Good requests that the bound allows, by seed.
-    pub bounds: Vec<u64>,
-    /// The runs, with the names of their rows.
-    pub runs: Vec<(String, Runs)>,
     /// The rows of the table.
     pub rows: Vec<Row>,
+    /// The runs, in the order of the rows.
+    pub runs: Vec<Runs>,
     /// Its targets.
     pub verdicts: Vec<Verdict>,
     /// The last line of the output.
@@ -101,7 +101,6 @@
     name: &'a str,
     about: &'a str,
     seeds: &'a [u64],
-    bounds: &'a [u64],
     rows: &'a [Row],
     verdicts: &'a [Verdict],
     line: &'a str,
@@ -114,7 +113,6 @@
             name: self.name,
             about: &self.about,
             seeds: &self.seeds,
-            bounds: &self.bounds,
             rows: &self.rows,
             verdicts: &self.verdicts,
             line: &self.line,
@@ -122,17 +120,90 @@
     }
 }
 
-/// The row of one scheme's runs over `span` seconds on `engines` engines.
-pub(super) fn row(name: &str, runs: &Runs, bounds: &[u64], span: f64, engines: usize) -> Row {
+impl Report {
+    /// A report without rows.
+    pub(super) fn new(name: &'static str, about: String, options: &Options) -> Report {
+        Report {
+            name,
+            about,
+            seeds: options.seeds.clone(),
+            rows: Vec::new(),
+            runs: Vec::new(),
+            verdicts: Vec::new(),
+            line: String::new(),
+        }
+    }
+
+    /// Runs `schemes` over `draws` and adds a row for each.
+    pub(super) fn compare(&mut self, scenario: &Scenario, schemes: &[Scheme], draws: &[Draw]) {
+        for runs in run_all(scenario, schemes, draws) {
+            self.push(runs.scheme.name(), runs, scenario, draws);
+        }
+    }
+
+    /// Runs `scheme` over `draws` and adds a row named `name`.
+    pub(super) fn add(&mut self, name: &str, scheme: Scheme, scenario: &Scenario, draws: &[Draw]) {
+        for runs in run_all(scenario, &[scheme], draws) {
+            self.push(name, runs, scenario, draws);
+        }
+    }
+
+    fn push(&mut self, name: &str, runs: Runs, scenario: &Scenario, draws: &[Draw]) {
+        self.rows.push(row(name, &runs, draws, scenario));
+        self.runs.push(runs);
+    }
+
+    /// The row named `name`.
+    pub(super) fn row(&self, name: &str) -> Option<&Row> {
+        self.rows.iter().find(|row| row.name == name)
+    }
+
+    /// The tallies of the row named `name`.
+    pub(super) fn tallies(&self, name: &str) -> &[Tally] {
+        let index = self.rows.iter().position(|row| row.name == name);
+        index.map_or(&[], |index| &self.runs[index].tallies)
+    }
+
+    /// The policy's row and that of the baseline with the most good requests.
+    pub(super) fn leaders(&self) -> Option<(&Row, &Row)> {
+        let baselines = Scheme::ALL.iter().skip(1).filter_map(|scheme| self.row(scheme.name()));
+        let best = baselines.max_by(|a, b| a.good.mean.total_cmp(&b.good.mean))?;
+        Some((self.row(Scheme::Policy.name())?, best))
+    }
+
+    /// Adds a verdict.
+    pub(super) fn judge(&mut self, target: &str, measured: String, met: bool) {
+        self.verdicts.push(Verdict { target: target.to_owned(), measured, met });
+    }
+
+    /// Sets the last line to goodput and role changes, and judges goodput against the baselines.
+    pub(super) fn conclude(&mut self) {
+        let Some((policy, best)) = self.leaders() else { return };
+        let (good, other) = (policy.good.mean, best.good.mean);
+        let changes = policy.changes.mean;
+        let greedy = self.row(Scheme::GreedyRoles.name()).map_or(0.0, |row| row.changes.mean);
+        let measured = format!("{good:.1}% against {other:.1}% ({})", best.name);
+        self.line = format!(
+            "{}: goodput {good:.1}% of bound, best baseline {other:.1}%, \
+             role changes {changes:.1} vs greedy {greedy:.1}",
+            self.name
+        );
+        self.judge("goodput above each baseline", measured, good > other);
+    }
+}
+
+/// The row of one scheme's runs.
+fn row(name: &str, runs: &Runs, draws: &[Draw], scenario: &Scenario) -> Row {
     let tallies = &runs.tallies;
+    let span = scenario.span();
     let share = |ending: Ending| mean(tallies, |t| percent(t.count(ending), t.offered()));
     let first = |q: f64| mean(tallies, |t| t.first.value_at_quantile(q) as f64 / 1e3);
     let gap = |q: f64| mean(tallies, |t| t.gaps.value_at_quantile(q) as f64 / 1e3);
-    let good = tallies.iter().zip(bounds);
+    let good = tallies.iter().zip(draws);
     let all = |count: fn(&Tally) -> u64| tallies.iter().map(count).sum();
     Row {
         name: name.to_owned(),
-        good: Spread::of(good.map(|(t, bound)| percent(t.count(Ending::Good), *bound))),
+        good: Spread::of(good.map(|(t, draw)| percent(t.count(Ending::Good), draw.bound))),
         rate: mean(tallies, |t| t.count(Ending::Good) as f64 / span),
         first: [first(0.5), first(0.99)],
         gap: [gap(0.5), gap(0.95), gap(0.99)],
@@ -142,27 +213,10 @@
         changes: Spread::of(tallies.iter().map(|t| t.role_changes as f64)),
         retries: mean(tallies, |t| t.retries as f64),
         faults: [all(|t| t.wrong), all(|t| t.doubled), all(|t| t.lost_repeatable)],
-        busy: mean(tallies, |t| t.busy / span / engines as f64 * 100.0),
         cost: Spread::of(tallies.iter().map(|t| t.cost)),
     }
 }
 
-/// The row of `scheme`, if it ran.
-pub(super) fn find(rows: &[Row], scheme: Scheme) -> Option<&Row> {
-    rows.iter().find(|row| row.name == scheme.name())
-}
-
-/// The baseline with the most good requests.
-pub(super) fn best_baseline(rows: &[Row]) -> Option<&Row> {
-    let baselines = rows.iter().filter(|row| row.name != Scheme::Policy.name());
-    baselines.max_by(|a, b| a.good.mean.total_cmp(&b.good.mean))
-}
-
-/// A verdict on `met`.
-pub(super) fn verdict(target: &str, measured: String, met: bool) -> Verdict {
-    Verdict { target: target.to_owned(), measured, met }
-}
-
 fn mean(tallies: &[Tally], value: impl Fn(&Tally) -> f64) -> f64 {
     Spread::of(tallies.iter().map(value)).mean
 }
--- a/bins/load/src/experiment/runs.rs
+++ b/bins/load/src/experiment/runs.rs
@@ -6,7 +6,8 @@
 };
 
 use crate::{
-    bound::most_good, scenario::Scenario, scheme::Scheme, sim, tally::Tally, workload::Arrival,
+    bound::most_good, experiment::Options, scenario::Scenario, scheme::Scheme, sim, tally::Tally,
+    workload::Arrival,
 };
 
 /// Threads that run schemes side by side.
@@ -21,35 +22,66 @@
     pub tallies: Vec<Tally>,
 }
 
-/// The runs of every scheme, and the bound on good requests a seed.
-pub fn run_all(scenario: &Scenario, schemes: &[Scheme], seeds: &[u64]) -> (Vec<Runs>, Vec<u64>) {
-    let arrivals: Vec<Vec<Arrival>> =
-        seeds.iter().map(|seed| scenario.workload.draw(*seed)).collect();
-    let bounds = arrivals.iter().map(|a| most_good(scenario, a, scenario.fleet.len())).collect();
-    let jobs = schemes.len() * seeds.len();
+/// The arrivals of one seed, and the most of them that can end well.
+#[derive(Debug, Clone)]
+pub struct Draw {
+    /// The seed.
+    pub seed: u64,
+    /// The arrivals, in order of time.
+    pub arrivals: Vec<Arrival>,
+    /// The bound on good requests.
+    pub bound: u64,
+    /// Whether each request is traced.
+    pub trace: bool,
+}
+
+/// The arrivals of `scenario` for each seed.
+pub fn draw(scenario: &Scenario, options: &Options) -> Vec<Draw> {
+    draw_with(scenario, options, |seed| scenario.workload.draw(seed))
+}
+
+/// As [`draw`], with arrivals from elsewhere.
+pub fn draw_with(
+    scenario: &Scenario,
+    options: &Options,
+    arrivals: impl Fn(u64) -> Vec<Arrival>,
+) -> Vec<Draw> {
+    let one = |seed: &u64| {
+        let arrivals = arrivals(*seed);
+        let bound = most_good(scenario, &arrivals);
+        Draw { seed: *seed, arrivals, bound, trace: options.trace }
+    };
+    options.seeds.iter().map(one).collect()
+}
+
+/// The runs of every scheme over every draw.
+pub fn run_all(scenario: &Scenario, schemes: &[Scheme], draws: &[Draw]) -> Vec<Runs> {
+    let jobs = schemes.len() * draws.len();
     let next = AtomicUsize::new(0);
     let results: Mutex<Vec<Option<Tally>>> = Mutex::new(vec![None; jobs]);
+    let work = || {
+        loop {
+            let job = next.fetch_add(1, Ordering::Relaxed);
+            if job >= jobs {
+                return;
+            }
+            let draw = &draws[job % draws.len()];
+            let scheme = schemes[job / draws.len()];
+            let tally = sim::run(scenario, scheme, draw);
+            if let Ok(mut results) = results.lock() {
+                results[job] = Some(tally);
+            }
+        }
+    };
     std::thread::scope(|scope| {
         for _ in 0..THREADS.min(jobs) {
-            scope.spawn(|| {
-                loop {
-                    let job = next.fetch_add(1, Ordering::Relaxed);
-                    if job >= jobs {
-                        return;
-                    }
-                    let (scheme, seed) = (schemes[job / seeds.len()], job % seeds.len());
-                    let tally = sim::run(scenario, scheme, &arrivals[seed], seeds[seed]);
-                    if let Ok(mut results) = results.lock() {
-                        results[job] = Some(tally);
-                    }
-                }
-            });
+            scope.spawn(work);
         }
     });
     let mut tallies = results.into_inner().unwrap_or_default().into_iter().flatten();
     let runs = schemes.iter().map(|scheme| Runs {
         scheme: *scheme,
-        tallies: tallies.by_ref().take(seeds.len()).collect(),
+        tallies: tallies.by_ref().take(draws.len()).collect(),
     });
-    (runs.collect(), bounds)
+    runs.collect()
 }
--- a/bins/load/src/experiment/shift.rs
+++ b/bins/load/src/experiment/shift.rs
@@ -6,10 +6,8 @@
 
 use crate::{
     experiment::{
-        Report,
+        Options, Report, draw,
         fleets::{eight_callers, mix, rate, scenario, swing},
-        report::{best_baseline, find, row, verdict},
-        run_all,
     },
     scenario::Scenario,
     scheme::Scheme,
@@ -53,52 +51,24 @@
     Scenario { share: SHARES.0, ..scenario("shift", profile, ENGINES, workload) }
 }
 
-pub(super) fn run(seeds: &[u64], scale: f64) -> Report {
+pub(super) fn run(options: &Options) -> Report {
+    let scale = options.scale;
     let scene = scene(scale);
-    let (runs, bounds) = run_all(&scene, &Scheme::ALL, seeds);
-    let span = scene.workload.span.as_secs_f64();
-    let rows: Vec<_> =
-        runs.iter().map(|r| row(r.scheme.name(), r, &bounds, span, ENGINES)).collect();
-    let mut report = Report {
-        name: "shift",
-        about: format!(
-            "{ENGINES} engines, 9 entries, prefill share {} to {} and back every {} s, load {LOAD}",
-            SHARES.0, SHARES.1, PERIOD.0
-        ),
-        seeds: seeds.to_vec(),
-        bounds,
-        runs: runs.into_iter().map(|r| (r.scheme.name().to_owned(), r)).collect(),
-        rows,
-        verdicts: Vec::new(),
-        line: String::new(),
-    };
-    judge(&mut report);
-    report
-}
-
-fn judge(report: &mut Report) {
-    let rows = &report.rows;
-    let (Some(policy), Some(best)) = (find(rows, Scheme::Policy), best_baseline(rows)) else {
-        return;
-    };
-    let changes = policy.changes.mean;
-    let greedy = find(rows, Scheme::GreedyRoles).map_or(0.0, |row| row.changes.mean);
-    let (good, other) = (policy.good.mean, best.good.mean);
-    report.verdicts = vec![
-        verdict("goodput at least 90% of the bound", format!("{good:.1}%"), good >= 90.0),
-        verdict(
-            "goodput above each baseline",
-            format!("{good:.1}% against {other:.1}% ({})", best.name),
-            good > other,
-        ),
-        verdict(
-            "role changes at most a quarter of greedy's",
-            format!("{changes:.1} against {greedy:.1}"),
-            changes <= greedy / 4.0,
-        ),
-    ];
-    report.line = format!(
-        "shift: goodput {good:.1}% of bound, best baseline {other:.1}%, \
-         role changes {changes:.1} vs greedy {greedy:.1}"
+    let about = format!(
+        "{ENGINES} engines, 9 entries, prefill share {} to {} and back every {} s, load {LOAD}",
+        SHARES.0, SHARES.1, PERIOD.0
+    );
+    let mut report = Report::new("shift", about, options);
+    report.compare(&scene, &Scheme::ALL, &draw(&scene, options));
+    let Some((policy, _)) = report.leaders() else { return report };
+    let (good, changes) = (policy.good.mean, policy.changes.mean);
+    let greedy = report.row(Scheme::GreedyRoles.name()).map_or(0.0, |row| row.changes.mean);
+    report.judge("goodput at least 90% of the bound", format!("{good:.1}%"), good >= 90.0);
+    report.conclude();
+    report.judge(
+        "role changes at most a quarter of greedy's",
+        format!("{changes:.1} against {greedy:.1}"),
+        changes <= greedy / 4.0,
     );
+    report
 }
--- /dev/null
+++ b/bins/load/src/experiment/sites.rs
@@ -0,0 +1,139 @@
+//! The users' two deployments, and one of the size to design for.
+
+use std::time::Duration;
+
+use chervilgate_clock::Time;
+use chervilgate_engines::Profile;
+
+use crate::{
+    experiment::{
+        Options, Report, draw,
+        fleets::{constant, eight_callers, many_callers, mix, rate, scenario, swing},
+    },
+    scenario::{Fault, Scenario},
+    scheme::Scheme,
+    workload::Workload,
+};
+
+/// `mtatsminda`: 20 runners in three zones a millisecond apart; one crashes.
+pub(super) fn mtatsminda(options: &Options) -> Report {
+    let scale = options.scale;
+    let scene = mtatsminda_scene(scale);
+    let about = "20 engines in 3 zones, 9 entries, prefill share 0.25 to 0.5, one crash".to_owned();
+    let mut report = compare("mtatsminda", about, &scene, &Scheme::ALL, options);
+    let Some((policy, best)) = report.leaders() else { return report };
+    let (worst, other) = (policy.worst.mean, best.worst.mean);
+    let measured = format!("{worst:.1}% against {other:.1}% ({})", best.name);
+    report.judge(
+        "worst-served organisation no worse off than with the best baseline",
+        measured,
+        worst >= other,
+    );
+    report
+}
+
+/// `jadranska`: 12 runners in three zones a millisecond and a half apart, with a fast swing.
+pub(super) fn jadranska(options: &Options) -> Report {
+    let scale = options.scale;
+    let scene = jadranska_scene(scale);
+    let about = "12 engines in 3 zones, 8 entries, prefill share 0.2 to 0.7 within 40 s".to_owned();
+    compare("jadranska", about, &scene, &Scheme::ALL, options)
+}
+
+/// `letter`: 330 entries before 610 runners, at the peak.
+pub(super) fn letter(options: &Options) -> Report {
+    let scale = options.scale;
+    let scene = letter_scene(scale);
+    let about = format!(
+        "610 engines in 6 zones, 330 entries, 1200 organisations, {} s at 3700 requests/s",
+        LETTER_SPAN * scale
+    );
+    compare("letter", about, &scene, &LETTER_SCHEMES, options)
+}
+
+/// The schemes that are run at the letter's size.
+const LETTER_SCHEMES: [Scheme; 5] = [
+    Scheme::Policy,
+    Scheme::StaticSplit,
+    Scheme::GreedyRoles,
+    Scheme::LeastLoaded,
+    Scheme::RoundRobin,
+];
+
+/// Span of the arrivals, in seconds.
+const LETTER_SPAN: f64 = 12.0;
+
+fn compare(
+    name: &'static str,
+    about: String,
+    scene: &Scenario,
+    schemes: &[Scheme],
+    options: &Options,
+) -> Report {
+    let mut report = Report::new(name, about, options);
+    report.compare(scene, schemes, &draw(scene, options));
+    report.conclude();
+    report
+}
+
+fn swinging(profile: &Profile, rate: f64, shares: (f64, f64), period: f64, ramp: f64) -> Workload {
+    const WORK: f64 = 0.102;
+
+    let speeds = profile.clone();
+    Workload {
+        span: Duration::from_secs(600),
+        entries: 9,
+        mix: Box::new(move |now| {
+            mix(&speeds, rate, WORK, swing(now, shares.0, shares.1, period, ramp))
+        }),
+        peak: rate,
+        callers: Box::new(|_| eight_callers()),
+        firm: 0.05,
+    }
+}
+
+fn mtatsminda_scene(scale: f64) -> Scenario {
+    let profile = Profile::large();
+    let rate = rate(&profile, 20, 0.75, 0.102);
+    let workload = swinging(&profile, rate, (0.25, 0.5), 240.0, 60.0);
+    let span = workload.span.mul_f64(scale);
+    let crash = (Time::ZERO + span.mul_f64(0.4), Fault::Crash(7));
+    let workload = Workload { span, ..workload };
+    Scenario {
+        far: Duration::from_millis(1),
+        faults: vec![crash],
+        ..scenario("mtatsminda", profile, 20, workload)
+    }
+}
+
+fn jadranska_scene(scale: f64) -> Scenario {
+    let profile = Profile::large();
+    let rate = rate(&profile, 12, 0.75, 0.102);
+    let workload = swinging(&profile, rate, (0.2, 0.7), 200.0, 40.0);
+    let span = workload.span.mul_f64(scale);
+    let workload = Workload { span, entries: 8, ..workload };
+    Scenario { share: 0.2, ..scenario("jadranska", profile, 12, workload) }
+}
+
+fn letter_scene(scale: f64) -> Scenario {
+    const REQUESTS: f64 = 3_700.0;
+    const TOKENS: f64 = 950_000.0;
+    const SHARE: f64 = 0.31;
+
+    let profile = Profile::large();
+    let output = TOKENS / REQUESTS;
+    let decode = output * profile.decode_ns as f64 / 1e9;
+    let mix = mix(&profile, REQUESTS, decode / (1.0 - SHARE), SHARE);
+    let workload = Workload {
+        entries: 330,
+        callers: many_callers(1_200),
+        ..constant(mix, LETTER_SPAN * scale)
+    };
+    Scenario {
+        fleet: crate::scenario::steady_fleet(610, 6),
+        zones: 6,
+        far: Duration::from_millis(1),
+        every: Duration::from_secs(1),
+        ..scenario("letter", profile, 610, workload)
+    }
+}
--- a/bins/load/src/plot.rs
+++ b/bins/load/src/plot.rs
@@ -32,7 +32,8 @@
 }
 
 fn lines(report: &Report, points: impl Fn(&Tally) -> Vec<(f64, f64)>) -> Vec<Line> {
-    let first = report.runs.iter().filter_map(|(name, runs)| Some((name, runs.tallies.first()?)));
+    let first = report.rows.iter().zip(&report.runs);
+    let first = first.filter_map(|(row, runs)| Some((&row.name, runs.tallies.first()?)));
     first.map(|(name, tally)| (name.clone(), points(tally))).collect()
 }
 
--- a/bins/load/src/scenario.rs
+++ b/bins/load/src/scenario.rs
@@ -79,6 +79,19 @@
     pub spend: Option<Spend>,
 }
 
+impl Scenario {
+    /// Most engines that can serve at once.
+    pub fn most_engines(&self) -> u64 {
+        let ordered = self.spend.map_or(0, |spend| u64::from(spend.ceiling));
+        ordered.max(self.fleet.len() as u64)
+    }
+
+    /// Span of the arrivals, in seconds.
+    pub fn span(&self) -> f64 {
+        self.workload.span.as_secs_f64()
+    }
+}
+
 /// Target orders of an experiment.
 #[derive(Debug, Clone, Copy)]
 pub struct Spend {
--- a/bins/load/src/scheme.rs
+++ b/bins/load/src/scheme.rs
@@ -69,11 +69,11 @@
         }
     }
 
-    /// The decisions of one entry.
-    pub fn dispatch(self, route: RouteSettings) -> Box<dyn Dispatch> {
+    /// The decisions of the entry numbered `index`.
+    pub fn dispatch(self, index: usize, route: RouteSettings) -> Box<dyn Dispatch> {
         match self {
             Scheme::LeastLoaded => Box::new(FifoDispatch::new(Box::new(LeastLoaded::default()))),
-            Scheme::RoundRobin => Box::new(FifoDispatch::new(Box::new(RoundRobin::default()))),
+            Scheme::RoundRobin => Box::new(FifoDispatch::new(Box::new(RoundRobin::new(index)))),
             Scheme::FirstCome => {
                 Box::new(FifoDispatch::new(Box::new(PolicyPick::new(Router::new(route)))))
             }
--- a/bins/load/src/scheme/pick.rs
+++ b/bins/load/src/scheme/pick.rs
@@ -1,6 +1,9 @@
 //! Ways to pick a target.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use chervilgate_clock::Time;
 use chervilgate_policy::{
@@ -98,11 +101,17 @@
     targets: BTreeMap<TargetId, Loaded>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Loaded {
     serving: bool,
     reported: u32,
-    sent: u32,
+    sent: VecDeque<Time>,
+}
+
+impl Loaded {
+    fn load(&self) -> usize {
+        self.reported as usize + self.sent.len()
+    }
 }
 
 impl Pick for LeastLoaded {
@@ -111,43 +120,48 @@
         _now: Time,
         _request: &Request,
         except: &[TargetId],
-        _rng: &mut dyn Rng,
+        rng: &mut dyn Rng,
     ) -> Result<Route, Refusal> {
         let usable = self.targets.iter().filter(|(id, t)| t.serving && !except.contains(id));
-        let least = usable.min_by_key(|(_, target)| target.reported + target.sent);
+        // Entries with the same reports must not all choose the same of two equals.
+        let least = usable.min_by_key(|(_, target)| (target.load(), rng.next_u32()));
         least.map(|(id, _)| whole(*id)).ok_or_else(no_target)
     }
 
-    fn start(&mut self, _: Time, _: Ticket, _: &Request, route: &Route) {
+    fn start(&mut self, now: Time, _: Ticket, _: &Request, route: &Route) {
         if let Some(target) = self.targets.get_mut(&route.decode) {
-            target.sent += 1;
+            target.sent.push_back(now);
         }
     }
 
     fn set_target(&mut self, _: Time, target: Target) {
-        let entry = self.targets.entry(target.id).or_insert(Loaded {
-            serving: false,
-            reported: 0,
-            sent: 0,
-        });
-        entry.serving = target.state == State::Serving;
-    }
-
-    fn report(&mut self, _: Time, id: TargetId, report: LoadReport) {
-        if let Some(target) = self.targets.get_mut(&id) {
-            target.reported = report.running + report.waiting;
-            target.sent = 0;
+        self.targets.entry(target.id).or_default().serving = target.state == State::Serving;
+    }
+
+    fn report(&mut self, now: Time, id: TargetId, report: LoadReport) {
+        let Some(target) = self.targets.get_mut(&id) else { return };
+        target.reported = report.running + report.waiting;
+        let measured = now.before(report.age);
+        while target.sent.front().is_some_and(|at| *at <= measured) {
+            target.sent.pop_front();
         }
     }
 }
 
 /// Picks the targets in turn.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RoundRobin {
     serving: Vec<TargetId>,
     turn: usize,
 }
 
+impl RoundRobin {
+    /// Starts at the target numbered `turn`.
+    pub fn new(turn: usize) -> RoundRobin {
+        RoundRobin { serving: Vec::new(), turn }
+    }
+}
+
 impl Pick for RoundRobin {
     fn pick(
         &mut self,
--- a/bins/load/src/sim.rs
+++ b/bins/load/src/sim.rs
@@ -10,17 +10,19 @@
 mod entries;
 mod live;
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use chervilgate_clock::Time;
 use chervilgate_engines::{Load, Queue, Supply, Tariff, WeightStore};
 use chervilgate_policy::{
-    CacheEvent, LoadReport, Outcome, Role, RouteSettings, Target, TargetId, Zone,
+    CacheEvent, HostId, LoadReport, Outcome, Place, Role, RouteSettings, Target, TargetId, Zone,
+    choose_view,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
 use crate::{
+    experiment::Draw,
     scenario::{DRAIN, Fault, GAP_LIMIT, Scenario},
     scheme::{Dispatch, Scheme},
     sim::{control::Control, engines::Unit, live::Live},
@@ -28,6 +30,9 @@
     workload::Arrival,
 };
 
+/// Targets that one entry knows of, at most.
+const VIEW_SIZE: usize = 64;
+
 /// Times at which broadcasts reach the entries, one group after the other.
 const WAVES: usize = 3;
 
@@ -78,11 +83,19 @@
 struct Entry {
     zone: u8,
     dispatch: Box<dyn Dispatch>,
+    /// Targets that it knows of, by number.
+    view: BTreeSet<u32>,
     check: Time,
     /// Tokens produced for each token of the callers' limits, lately.
     ratio: f64,
 }
 
+impl Entry {
+    fn sees(&self, target: TargetId) -> bool {
+        self.view.contains(&target.0)
+    }
+}
+
 struct World<'a> {
     scenario: &'a Scenario,
     arrivals: Vec<Arrival>,
@@ -96,12 +109,15 @@
     supply: Supply,
     silent_until: Time,
     lag: Duration,
+    /// Requests not closed yet.
+    open: usize,
+    trace: bool,
     tally: Tally,
 }
 
-/// Runs `scheme` over `arrivals` and returns what was measured.
-pub fn run(scenario: &Scenario, scheme: Scheme, arrivals: &[Arrival], seed: u64) -> Tally {
-    let mut world = World::new(scenario, scheme, arrivals, seed);
+/// Runs `scheme` over `draw` and returns what was measured.
+pub fn run(scenario: &Scenario, scheme: Scheme, draw: &Draw) -> Tally {
+    let mut world = World::new(scenario, scheme, draw);
     world.begin(scheme);
     let end = Time::ZERO + scenario.workload.span + DRAIN;
     while let Some((at, happening)) = world.queue.pop() {
@@ -110,6 +126,9 @@
         }
         world.now = at;
         world.handle(happening);
+        if world.open == 0 {
+            break;
+        }
     }
     world.now = end;
     world.close_rest();
@@ -117,7 +136,7 @@
 }
 
 impl<'a> World<'a> {
-    fn new(scenario: &'a Scenario, scheme: Scheme, arrivals: &[Arrival], seed: u64) -> World<'a> {
+    fn new(scenario: &'a Scenario, scheme: Scheme, draw: &Draw) -> World<'a> {
         let tariff = scenario.spend.map_or(Tariff { steady: 0, cheap: 0 }, |spend| Tariff {
             steady: spend.steady,
             cheap: spend.cheap,
@@ -131,22 +150,24 @@
                 gap: GAP_LIMIT,
                 ..RouteSettings::default()
             };
-            let dispatch = scheme.dispatch(route);
-            Entry { zone, dispatch, check: Time::NEVER, ratio: 0.67 }
+            let dispatch = scheme.dispatch(index, route);
+            Entry { zone, dispatch, view: BTreeSet::new(), check: Time::NEVER, ratio: 0.67 }
         });
         World {
             scenario,
-            arrivals: arrivals.to_vec(),
+            arrivals: draw.arrivals.clone(),
             now: Time::ZERO,
             queue: Queue::default(),
-            rng: Pcg64::seed_from_u64(seed ^ 0x5eed),
+            rng: Pcg64::seed_from_u64(draw.seed ^ 0x5eed),
             units: Vec::new(),
             entries: entries.collect(),
-            live: arrivals.iter().map(|_| Live::new()).collect(),
+            live: draw.arrivals.iter().map(|_| Live::new()).collect(),
             control: Control::new(scheme, scenario),
             supply: Supply::new(tariff, WeightStore::new(rate)),
             silent_until: Time::ZERO,
             lag: scenario.lag,
+            open: draw.arrivals.len(),
+            trace: draw.trace,
             tally: Tally::new(),
         }
     }
@@ -158,9 +179,10 @@
             let unit = Unit::new(self.scenario, *place, role, rental);
             self.units.push(unit);
         }
+        self.choose_views();
         for engine in 0..self.units.len() {
             let target = self.units[engine].target(engine, self.scenario);
-            for entry in &mut self.entries {
+            for entry in self.entries.iter_mut().filter(|entry| entry.sees(target.id)) {
                 entry.dispatch.set_target(self.now, target.clone());
             }
         }
@@ -174,6 +196,20 @@
         }
     }
 
+    /// Gives each entry its part of the fleet.
+    fn choose_views(&mut self) {
+        let place = |(index, unit): (usize, &Unit)| Place {
+            id: TargetId(index as u32),
+            zone: Zone(unit.place.zone),
+        };
+        let places: Vec<Place> = self.units.iter().enumerate().map(place).collect();
+        for (index, entry) in self.entries.iter_mut().enumerate() {
+            let host = HostId(index as u32);
+            let chosen = choose_view(host, Zone(entry.zone), &places, VIEW_SIZE);
+            entry.view = chosen.into_iter().map(|id| id.0).collect();
+        }
+    }
+
     fn handle(&mut self, happening: Happening) {
         match happening {
             Happening::Arrive(request) => {
@@ -194,7 +230,8 @@
                 self.report(engine, load, measured, wave);
             }
             Happening::Cache(event, wave) => {
-                for entry in self.entries.iter_mut().skip(wave).step_by(WAVES) {
+                let entries = self.entries.iter_mut().skip(wave).step_by(WAVES);
+                for entry in entries.filter(|entry| entry.sees(event.target)) {
                     entry.dispatch.cache_event(&event);
                 }
             }
@@ -217,7 +254,8 @@
 
     fn show(&mut self, target: &Target, wave: usize) {
         let now = self.now;
-        for entry in self.entries.iter_mut().skip(wave).step_by(WAVES) {
+        let entries = self.entries.iter_mut().skip(wave).step_by(WAVES);
+        for entry in entries.filter(|entry| entry.sees(target.id)) {
             entry.dispatch.set_target(now, target.clone());
         }
         self.check_wave(wave);
@@ -235,8 +273,10 @@
             prompt_queue: load.prompt_queue,
             kv_used: u64::from(load.kv_used),
         };
-        for entry in self.entries.iter_mut().skip(wave).step_by(WAVES) {
-            entry.dispatch.report(now, TargetId(engine as u32), report);
+        let id = TargetId(engine as u32);
+        let entries = self.entries.iter_mut().skip(wave).step_by(WAVES);
+        for entry in entries.filter(|entry| entry.sees(id)) {
+            entry.dispatch.report(now, id, report);
         }
     }
 
@@ -264,7 +304,11 @@
             return;
         }
         live.closed = true;
+        self.open -= 1;
         let arrival = &self.arrivals[request];
+        if self.trace {
+            self.tally.traces.push(live.trace(arrival, ending));
+        }
         if arrival.repeatable && !arrival.poison && ending == Ending::Lost {
             self.tally.lost_repeatable += 1;
         }
@@ -278,7 +322,5 @@
             self.close(request, Ending::Lost);
         }
         self.tally.cost = self.supply.cost(Time::ZERO + self.scenario.workload.span);
-        let busy = self.units.iter().map(|unit| unit.engine.busy().as_secs_f64());
-        self.tally.busy = busy.sum();
     }
 }
--- a/bins/load/src/sim/engines.rs
+++ b/bins/load/src/sim/engines.rs
@@ -198,7 +198,7 @@
             Event::Stepped { gap, seqs } => {
                 self.tally.gaps.saturating_record_n(gap.as_micros() as u64, u64::from(seqs));
             }
-            Event::First { id, .. } => self.take_first(engine, Attempt::of_job(id)),
+            Event::First { id, cached } => self.take_first(engine, Attempt::of_job(id), cached),
             Event::Exportable { id } => self.export(engine, Attempt::of_job(id)),
             Event::Done { id, tokens, slow, joined } => {
                 self.take_done(engine, Attempt::of_job(id), tokens, slow, joined);
@@ -212,7 +212,7 @@
         }
     }
 
-    fn take_first(&mut self, engine: usize, attempt: Attempt) {
+    fn take_first(&mut self, engine: usize, attempt: Attempt, cached: u32) {
         if !self.is_current(attempt) {
             return;
         }
@@ -220,6 +220,7 @@
         let at = self.now + self.distance(entry, engine);
         let live = &mut self.live[attempt.request];
         let fresh = live.first.is_none();
+        live.cached = cached;
         let gap = live.note_token(at);
         if fresh {
             let first = at.since(self.arrivals[attempt.request].at);
--- a/bins/load/src/sim/entries.rs
+++ b/bins/load/src/sim/entries.rs
@@ -82,7 +82,9 @@
 
     fn send(&mut self, attempt: Attempt, route: Route) {
         self.control.note_route(self.now, &route);
-        self.live[attempt.request].route = Some(route);
+        let live = &mut self.live[attempt.request];
+        live.route = Some(route);
+        live.sent.get_or_insert(self.now);
         let entry = self.arrivals[attempt.request].entry;
         let mut at = self.now + self.distance(entry, route.prefill.0 as usize);
         if let Some(fetch) = route.fetch {
@@ -109,7 +111,8 @@
             host.ratio += RATIO_WEIGHT * (ratio - host.ratio);
         } else if self.is_current(attempt) {
             self.live[attempt.request].failed.extend(target);
-            if outcome == Outcome::Crashed && !repeatable {
+            let ran = self.live[attempt.request].runs > 0;
+            if ran && !repeatable {
                 self.close(attempt.request, Ending::Unknown);
             } else {
                 self.tally.retries += 1;
--- a/bins/load/src/sim/live.rs
+++ b/bins/load/src/sim/live.rs
@@ -8,7 +8,8 @@
 
 use crate::{
     scenario::{FIRST_LIMIT, GAP_LIMIT, SLOW_SHARE},
-    tally::Ending,
+    tally::{Ending, Trace},
+    workload::{Arrival, BLOCK_TOKENS},
 };
 
 /// What the simulation keeps of a request.
@@ -27,6 +28,10 @@
     pub(super) gaps: u32,
     pub(super) slow: u32,
     pub(super) closed: bool,
+    /// When the first attempt was sent.
+    pub(super) sent: Option<Time>,
+    /// Prompt tokens found in the cache.
+    pub(super) cached: u32,
     /// Targets that failed it.
     pub(super) failed: SmallVec<[TargetId; 2]>,
 }
@@ -43,6 +48,8 @@
             gaps: 0,
             slow: 0,
             closed: false,
+            sent: None,
+            cached: 0,
             failed: SmallVec::new(),
         }
     }
@@ -78,4 +85,27 @@
         }
         Ending::Good
     }
+
+    /// What happened to it.
+    pub(super) fn trace(&self, arrival: &Arrival, ending: Ending) -> Trace {
+        let millis = |span: Duration| span.as_secs_f64() * 1e3;
+        let sent = self.sent.unwrap_or(arrival.at);
+        let route = self.route.as_ref();
+        Trace {
+            at: arrival.at.as_secs_f64(),
+            entry: arrival.entry,
+            org: arrival.org,
+            prompt: arrival.prompt,
+            output: arrival.output,
+            shared: arrival.blocks.len() as u32 * BLOCK_TOKENS,
+            queued: millis(sent.since(arrival.at)),
+            route: route.map(|route| (route.prefill.0, route.decode.0)),
+            expected: route.map_or(0, |route| route.cached),
+            cached: self.cached,
+            predicted: route.map_or(0.0, |route| millis(route.first)),
+            first: self.first.map_or(-1.0, |first| millis(first.since(sent))),
+            slow: (self.slow, self.gaps),
+            ending: format!("{ending:?}"),
+        }
+    }
 }
--- a/bins/load/src/table.rs
+++ b/bins/load/src/table.rs
@@ -9,8 +9,8 @@
     let mut text = format!("{}: {}; seeds {:?}\n\n", report.name, report.about, report.seeds);
     text += "| scheme | good % of bound (min-max) | good/s | first p50/p99 ms | gap p50/p95/p99 ms \
              | refused/late/slow/unknown/lost % | worst organisation % | role changes | retries \
-             | wrong/doubled/lost | busy % | cost |\n";
-    text += "|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+             | wrong/doubled/lost | cost, cents |\n";
+    text += "|---|---|---|---|---|---|---|---|---|---|---|\n";
     for row in &report.rows {
         push_row(&mut text, row);
     }
@@ -31,7 +31,7 @@
     let _ = writeln!(
         text,
         "| {} | {} | {:.1} | {first:.0}/{first_tail:.0} | {gap:.0}/{gap_high:.0}/{gap_tail:.0} \
-         | {} | {} | {:.1} | {:.0} | {faults} | {:.0} | {:.2} |",
+         | {} | {} | {:.1} | {:.0} | {faults} | {:.1} |",
         row.name,
         spread(row.good),
         row.rate,
@@ -39,7 +39,6 @@
         spread(row.worst),
         row.changes.mean,
         row.retries,
-        row.busy,
         row.cost.mean,
     );
 }
--- a/bins/load/src/tally.rs
+++ b/bins/load/src/tally.rs
@@ -5,6 +5,7 @@
 use chervilgate_clock::Time;
 use chervilgate_policy::Reason;
 use hdrhistogram::Histogram;
+use serde::Serialize;
 
 /// Length of a point of the timeline.
 pub const SLICE: Duration = Duration::from_secs(5);
@@ -42,6 +43,40 @@
     }
 }
 
+/// One request's way through a run.
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
+pub struct Trace {
+    /// When it arrived, in seconds.
+    pub at: f64,
+    /// Its entry.
+    pub entry: usize,
+    /// Its organisation.
+    pub org: u32,
+    /// Prompt tokens.
+    pub prompt: u32,
+    /// Tokens of the answer.
+    pub output: u32,
+    /// Tokens of its shareable prefix.
+    pub shared: u32,
+    /// Time in the entry's queue, in milliseconds.
+    pub queued: f64,
+    /// The prefill and the decode engine, if it was sent.
+    pub route: Option<(u32, u32)>,
+    /// Prompt tokens that the route expected to be cached.
+    pub expected: u32,
+    /// Prompt tokens that were cached.
+    pub cached: u32,
+    /// Time to the first token after the queue, as predicted, in milliseconds.
+    pub predicted: f64,
+    /// Time to the first token after the queue, in milliseconds; negative if none came.
+    pub first: f64,
+    /// Gaps longer than the limit, and all gaps.
+    pub slow: (u32, u32),
+    /// How it ended.
+    pub ending: String,
+}
+
 /// The figures of one run.
 #[derive(Debug, Clone)]
 pub struct Tally {
@@ -71,8 +106,8 @@
     pub poisoned: BTreeMap<u64, u64>,
     /// What the targets cost, in cents.
     pub cost: f64,
-    /// Time that engines spent in steps, in seconds.
-    pub busy: f64,
+    /// Each request, where it was asked for.
+    pub traces: Vec<Trace>,
 }
 
 impl Tally {
@@ -92,7 +127,7 @@
             doubled: 0,
             poisoned: BTreeMap::new(),
             cost: 0.0,
-            busy: 0.0,
+            traces: Vec::new(),
         }
     }
 
--- a/bins/load/src/workload.rs
+++ b/bins/load/src/workload.rs
@@ -63,6 +63,9 @@
     pub share: f64,
 }
 
+/// The organisations at a moment.
+pub type Callers = Box<dyn Fn(Time) -> Vec<Caller> + Send + Sync>;
+
 /// The workload of one experiment.
 pub struct Workload {
     /// Span over which requests arrive.
@@ -74,7 +77,7 @@
     /// Highest rate that `mix` gives.
     pub peak: f64,
     /// The organisations at a moment.
-    pub callers: Box<dyn Fn(Time) -> Vec<Caller> + Send + Sync>,
+    pub callers: Callers,
     /// Share of the requests that may not be repeated.
     pub firm: f64,
 }
--- a/bins/load/tests/experiment.rs
+++ b/bins/load/tests/experiment.rs
@@ -1,9 +1,9 @@
 //! Experiments on a short span of time.
 
-use chervilgate_load::experiment::{self, Name, Report};
+use chervilgate_load::experiment::{self, Name, Options, Report};
 
 fn short(name: Name, seed: u64) -> Report {
-    experiment::run(name, &[seed], 0.05)
+    experiment::run(name, &Options { seeds: vec![seed], scale: 0.05, trace: false })
 }
 
 fn text(report: &Report) -> String {
