--- a/bins/ctl/tests/pages.rs
+++ b/bins/ctl/tests/pages.rs
@@ -68,3 +68,22 @@
     assert!(text.ends_with("0 to mend, 0 to consider\n"), "{text}");
     assert!(output.status.success());
 }
+
+#[test]
+fn sample_settings_of_the_entry_check_clean() {
+    let sample = root().join("settings/entry.json");
+
+    let settings = chervilgate_settings::load::<chervilgate_entry::Settings>(&sample);
+
+    let settings = settings.unwrap_or_else(|report| panic!("{report}"));
+    assert_eq!(settings.host, "entry-a1");
+}
+
+#[test]
+fn each_sample_is_checked() {
+    let samples = fs::read_dir(root().join("settings")).expect("a folder");
+    let mut names: Vec<_> = samples.map(|sample| sample.expect("an entry").file_name()).collect();
+    names.sort();
+
+    assert_eq!(names, ["chervilgatectl.json", "entry.json"]);
+}
