coord: a fault matrix over sessions, shards, orders and takeover

Steps are taken from recorded runs and struck by every fault, singly and with a second fault on another host. It found two faults of this code: a repeated hand-over was written on a newer version and put an old epoch back, and a bed that never woke a resumed host.

--- a/components/coord/src/shard/duty.rs
+++ b/components/coord/src/shard/duty.rs
@@ -117,18 +117,15 @@
         match reply {
             StoreReply::Written(version) => {
                 self.backoff.reset();
-                self.giving = false;
                 let record = std::mem::take(&mut self.written);
                 self.set(now, record, Some(*version));
             }
             StoreReply::Found(Some(object)) | StoreReply::Conflict(Some(object)) => {
                 self.backoff.reset();
-                self.giving = false;
                 self.see(now, object);
             }
             StoreReply::Found(None) | StoreReply::Conflict(None) => {
-                self.giving = false;
-                self.set(now, ShardRecord::default(), None);
+                self.retry = now + self.backoff.fail();
             }
             _ if self.giving => self.retry = now + self.backoff.fail(),
             StoreReply::Refused if matches!(pending, Pending::Write(_)) => {
@@ -143,9 +140,6 @@
     }
 
     pub(super) fn see(&mut self, now: Time, object: &Object) {
-        if self.version.is_some_and(|version| version >= object.version) {
-            return;
-        }
         match decode::<ShardRecord>(&object.value) {
             Ok(record) => self.set(now, record, Some(object.version)),
             Err(error) => {
@@ -160,7 +154,12 @@
         }
     }
 
+    /// Takes a newer state, after which no write on the older one can succeed.
     fn set(&mut self, now: Time, record: ShardRecord, version: Option<Version>) {
+        if version.is_some() && version <= self.version {
+            return;
+        }
+        self.giving = false;
         if record.owner != self.record.owner {
             self.free = record.owner.is_none().then_some(now);
             self.leaving = false;
--- a/components/coord/src/takeover.rs
+++ b/components/coord/src/takeover.rs
@@ -132,7 +132,7 @@
         let at = |suspect: &Suspect| match suspect.proof {
             Some(_) if suspect.told => Time::NEVER,
             Some((Proof::Released, since)) => since,
-            Some((_, since)) => since + self.terms.flight,
+            Some((_, since)) => suspect.next.min(since + self.terms.flight),
             None => suspect.next,
         };
         self.suspects.values().map(at).fold(Time::NEVER, Time::min)
@@ -140,7 +140,7 @@
 
     pub(crate) fn wake(&mut self, now: Time, out: &mut Outbox) {
         for suspect in self.suspects.values_mut() {
-            if suspect.proof.is_some() || now < suspect.next {
+            if suspect.told || now < suspect.next {
                 continue;
             }
             suspect.next = now + self.terms.probe;
@@ -215,7 +215,8 @@
     }
 
     fn prove(&mut self, now: Time, proof: Proof) {
-        if self.proof.is_none() {
+        let better = proof == Proof::Released && self.proof.is_some_and(|(old, _)| old != proof);
+        if self.proof.is_none() || better {
             log::info!(
                 target: "takeover",
                 "former owner is out; incarnation={} proof={proof:?}",
--- /dev/null
+++ b/components/coord/tests/fault_matrix.rs
@@ -0,0 +1,73 @@
+//! Every fault at every step, singly and in pairs, judged by one checker.
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{Protocol, Step};
+use chervilgate_testbed::{
+    AuthorityScene, Fault, HostId, MatrixReport, Scene, Strike, WorldSetting, pair_cells,
+    run_cells, single_cells,
+};
+
+const SEND: Step = Step::new(Protocol::Order, "send");
+
+/// Faults that strike second in a pair.
+const SECOND_FAULTS: [Fault; 6] = [
+    Fault::KilledAfter,
+    Fault::PausedBefore,
+    Fault::Partitioned,
+    Fault::CallLost,
+    Fault::AnswerLost,
+    Fault::StoreDown,
+];
+
+/// Failed cells that are shown in full.
+const SHOWN: usize = 3;
+
+fn scene(name: &'static str, strikes: Vec<Strike>) -> AuthorityScene {
+    AuthorityScene { name, world: WorldSetting::default(), strikes, stop: None }
+}
+
+fn sent(nth: usize, fault: Fault) -> Strike {
+    Strike { step: SEND, nth, host: None, fault }
+}
+
+fn scenes() -> Vec<AuthorityScene> {
+    let mut stop = scene("planned stop", Vec::new());
+    stop.stop = Some((Time::from_secs(12), HostId(0)));
+    vec![
+        stop,
+        scene("killed sender", vec![sent(4, Fault::KilledAfter)]),
+        scene("paused sender", vec![sent(4, Fault::PausedBefore)]),
+        scene("vanished sender", vec![sent(4, Fault::Vanished)]),
+    ]
+}
+
+fn show(report: &MatrixReport) {
+    println!("{report}");
+    println!("steps struck: {}, receivers frozen: {}", report.steps.len(), report.frozen);
+    for (promise, count) in &report.observed {
+        println!("  {promise:?}: {count} observations");
+    }
+    for failure in report.failures.iter().take(SHOWN) {
+        println!("{failure}");
+    }
+    for failure in report.failures.iter().skip(SHOWN) {
+        println!(
+            "also failed: {} {:?} {:?}",
+            failure.scene, failure.cell.strikes, failure.findings
+        );
+    }
+}
+
+#[test]
+fn promises_hold_under_every_fault_at_every_step() {
+    let scenes = scenes();
+    let scenes: Vec<&dyn Scene> = scenes.iter().map(|scene| scene as &dyn Scene).collect();
+    let singles = single_cells(&scenes);
+    let pairs = pair_cells(&scenes, &singles, &SECOND_FAULTS);
+
+    let cells = [singles, pairs].concat();
+    let report = run_cells(&scenes, &cells);
+
+    show(&report);
+    assert!(report.failures.is_empty(), "{} cells failed", report.failures.len());
+}
--- a/components/testbed/src/bed/calls.rs
+++ b/components/testbed/src/bed/calls.rs
@@ -31,6 +31,9 @@
 /// How late a late answer comes: past every timeout but a watch's.
 const LATE_DELAY: Duration = Duration::from_secs(4);
 
+/// How late a late call arrives: past its timeout, within `Terms::flight`.
+const LATE_CALL_DELAY: Duration = Duration::from_millis(2_500);
+
 /// How late the second copy of something doubled comes.
 pub(super) const DOUBLE_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -39,6 +42,7 @@
 pub(crate) enum Passage {
     Never,
     Once,
+    Late,
     Twice,
 }
 
@@ -63,10 +67,16 @@
         let Some(event) = self.arrival(host, life, output) else {
             return;
         };
-        if passage == Passage::Twice {
-            self.push(self.now + delay + DOUBLE_DELAY, event.clone());
+        let at = self.now + delay;
+        match passage {
+            Passage::Never => {}
+            Passage::Once => self.push(at, event),
+            Passage::Late => self.push(at + LATE_CALL_DELAY, event),
+            Passage::Twice => {
+                self.push(at, event.clone());
+                self.push(at + DOUBLE_DELAY, event);
+            }
         }
-        self.push(self.now + delay, event);
     }
 
     fn place_of(&self, output: &Output) -> Option<Place> {
--- a/components/testbed/src/bed/faults.rs
+++ b/components/testbed/src/bed/faults.rs
@@ -83,6 +83,10 @@
             Fault::AnswerLost => self.mark(host, life, output, Mark::Lost),
             Fault::AnswerDoubled => self.mark(host, life, output, Mark::Doubled),
             Fault::AnswerLate => self.mark(host, life, output, Mark::Late),
+            Fault::CallDoubled if matches!(output, Output::Call { .. }) => {
+                self.mark(host, life, output, Mark::Doubled);
+            }
+            Fault::CallLate => self.leave(host, life, output, Passage::Late),
             Fault::CallDoubled => {
                 self.leave(host, life, output, Passage::Twice);
             }
--- a/components/testbed/src/bed/hosts.rs
+++ b/components/testbed/src/bed/hosts.rs
@@ -62,7 +62,7 @@
 }
 
 impl Bed {
-    /// Adds a host and starts its process.
+    /// Adds a host; its process starts with the next run.
     pub fn add_host(&mut self, zone: &str, factory: Factory) -> HostId {
         let id = HostId(self.hosts.len());
         self.hosts.push(Host {
@@ -78,7 +78,7 @@
             held: Vec::new(),
             restarts: true,
         });
-        self.start(id);
+        self.push(self.now, Event::Start(id));
         id
     }
 
@@ -197,6 +197,9 @@
             if self.hosts[id.0].state != HostState::Up || self.hosts[id.0].life != life {
                 break;
             }
+            if input == Input::Wake {
+                self.hosts[id.0].wake = Time::NEVER;
+            }
             self.handle(id, input);
         }
     }
@@ -240,6 +243,7 @@
     }
 
     fn end_life(&mut self, id: HostId, state: HostState) {
+        self.record(id, Fact::Died);
         let host = &mut self.hosts[id.0];
         host.life += 1;
         host.process = None;
--- a/components/testbed/src/check/authority.rs
+++ b/components/testbed/src/check/authority.rs
@@ -138,6 +138,11 @@
             (Fact::Yields { shard }, Some(process)) => {
                 self.shards.entry(shard.clone()).or_default().beliefs.remove(&process);
             }
+            (Fact::Died, Some(process)) => {
+                for shard in self.shards.values_mut() {
+                    shard.beliefs.remove(&process);
+                }
+            }
             (Fact::TargetOrdered { order }, _) => self.order_targets(entry.at, order, report),
             _ => {}
         }
--- a/components/testbed/src/fault.rs
+++ b/components/testbed/src/fault.rs
@@ -29,8 +29,11 @@
     AnswerDoubled,
     /// The answer comes after the caller has given up on it.
     AnswerLate,
-    /// The call arrives twice, the second time late.
+    /// The call arrives twice, the second time late; of an order, which goes
+    /// over a connection, only the answer comes twice.
     CallDoubled,
+    /// The call arrives after the caller has given up on it.
+    CallLate,
     /// The store is slow for a while.
     StoreSlow,
     /// The store is down for a while.
@@ -39,7 +42,7 @@
 
 impl Fault {
     /// Every fault.
-    pub const ALL: [Fault; 13] = [
+    pub const ALL: [Fault; 14] = [
         Fault::KilledBefore,
         Fault::KilledAfter,
         Fault::Vanished,
@@ -51,6 +54,7 @@
         Fault::AnswerDoubled,
         Fault::AnswerLate,
         Fault::CallDoubled,
+        Fault::CallLate,
         Fault::StoreSlow,
         Fault::StoreDown,
     ];
--- a/components/testbed/src/history.rs
+++ b/components/testbed/src/history.rs
@@ -40,6 +40,8 @@
     Called(Step),
     /// A fault was caused.
     Faulted(String),
+    /// The process is gone.
+    Died,
     /// The process believes that it owns the shard.
     Holds {
         /// The shard.
--- a/components/testbed/src/lib.rs
+++ b/components/testbed/src/lib.rs
@@ -8,11 +8,13 @@
 mod check;
 mod fault;
 mod history;
+mod matrix;
 mod network;
 mod owner;
 mod process;
 mod queue;
 mod receiver;
+mod scene;
 mod store;
 mod world;
 
@@ -24,10 +26,15 @@
     check::{Breach, Promise, Report, check},
     fault::{Fault, Spans, Strike},
     history::{CutCause, Entry, Fact, History, Outcome, RequestId},
+    matrix::{
+        Cell, Failure, MATRIX_SEED, MatrixReport, Scene, pair_cells, run_cell, run_cells,
+        single_cells,
+    },
     network::{HostId, Network, Place},
     owner::{Owner, OwnerSetting, ReceiverSetting, order_reply, record_receivers, translate},
     process::{Answer, Birth, Endpoint, Factory, Input, Output, Process, Request},
     receiver::{FakeEngine, FakePlatform},
+    scene::{AuthorityScene, override_vanished},
     store::{FakeStore, Served},
     world::{WorldSetting, build_world},
 };
--- a/components/testbed/src/world.rs
+++ b/components/testbed/src/world.rs
@@ -39,7 +39,7 @@
             hosts: 3,
             engine_shards: 1,
             zone_shards: 1,
-            order_period: Duration::from_secs(3),
+            order_period: Duration::from_millis(1_500),
             terms: Terms::default(),
             guards: Guards::default(),
             trust_list: false,
