--- a/components/coord/src/authority.rs
+++ b/components/coord/src/authority.rs
@@ -102,9 +102,9 @@
     pub fn new(config: AuthorityConfig) -> Authority {
         let AuthorityConfig { node, shards, terms, guards, trust_list, seed, calls } = config;
         Authority {
+            shards: Shards::new(&node, shards, terms, guards, seed ^ 1),
             session: Session::new(node, terms, seed),
             observer: Observer::new(terms),
-            shards: Shards::new(shards, terms, guards, seed ^ 1),
             orders: Orders::new(terms, guards, seed ^ 2),
             proofs: Proofs::new(terms, guards, trust_list),
             out: Outbox::new(calls),
@@ -189,7 +189,7 @@
 
     /// Processes whose sessions are live, as far as is known.
     pub fn members(&self, now: Time) -> impl Iterator<Item = &Node> {
-        self.observer.live(now).map(|(node, _)| node)
+        self.observer.live(now).map(|member| member.node)
     }
 
     /// Tells whether the embedding program has something of its own under way.
--- a/components/coord/src/lib.rs
+++ b/components/coord/src/lib.rs
@@ -37,7 +37,6 @@
     ident::{Incarnation, Node, Zone},
     order::{Epoch, Fence, Order, OrderId, OrderReply, ProbeReply, ReceiverId, ShardId},
     outbox::{Action, Actions, Notice},
-    rank::{rank, weigh},
     step::{Protocol, Step},
     store::{CallId, CallIds, Change, Expect, Key, Object, StoreCall, StoreReply, Version},
     takeover::{OVERRIDE_PREFIX, Proof, override_key},
--- a/components/coord/src/observer.rs
+++ b/components/coord/src/observer.rs
@@ -15,6 +15,7 @@
     ident::{Incarnation, Node},
     membership::Sighting,
     outbox::Outbox,
+    rank::NameDigest,
     session::{SESSION_PREFIX, SessionRecord, SessionState, session_key},
     step::{Protocol, Step},
     store::{CallId, Expect, Object, StoreCall, StoreReply, Version},
@@ -38,9 +39,19 @@
     Over,
 }
 
+/// A process whose session is live, as far as is known.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Member<'a> {
+    pub(crate) node: &'a Node,
+    pub(crate) digest: NameDigest,
+    /// When it was first seen.
+    pub(crate) since: Time,
+}
+
 #[derive(Debug, Clone)]
 struct Seen {
     node: Node,
+    digest: NameDigest,
     version: Version,
     state: SessionState,
     /// When this version was first seen, or seen again after a gap.
@@ -88,13 +99,13 @@
         self.listed
     }
 
-    /// Processes whose sessions have moved lately, and since when each is known.
-    pub(crate) fn live(&self, now: Time) -> impl Iterator<Item = (&Node, Time)> {
+    /// Processes whose sessions have moved lately.
+    pub(crate) fn live(&self, now: Time) -> impl Iterator<Item = Member<'_>> {
         let limit = self.terms.patience() + self.list_period();
         self.seen
             .values()
             .filter(move |seen| seen.state == SessionState::Live && now - seen.moved < limit)
-            .map(|seen| (&seen.node, seen.first))
+            .map(|seen| Member { node: &seen.node, digest: seen.digest, since: seen.first })
     }
 
     /// Every session as it was last read.
@@ -243,8 +254,9 @@
             return;
         };
         let gap = self.gap();
-        let fresh = Seen {
+        let fresh = || Seen {
             node: record.node.clone(),
+            digest: NameDigest::of_node(&record.node),
             version: object.version,
             state: record.state,
             since: now,
@@ -252,7 +264,7 @@
             read: now,
             first: now,
         };
-        let seen = self.seen.entry(record.node.incarnation).or_insert(fresh);
+        let seen = self.seen.entry(record.node.incarnation).or_insert_with(fresh);
         if object.version < seen.version {
             return;
         }
--- a/components/coord/src/shard.rs
+++ b/components/coord/src/shard.rs
@@ -21,10 +21,10 @@
     budget::Backoff,
     guards::Guards,
     ident::{Incarnation, Node},
-    observer::{Observer, Standing},
+    observer::{Member, Observer, Standing},
     order::{Epoch, ShardId},
     outbox::{Notice, Outbox},
-    rank::rank,
+    rank::{NameDigest, weigh},
     session::Session,
     step::{Protocol, Step},
     store::{CallId, Change, Key, StoreCall, StoreReply, Version},
@@ -74,6 +74,7 @@
 pub(crate) struct Shards {
     terms: Terms,
     guards: Guards,
+    digest: NameDigest,
     duties: Vec<Duty>,
     read: Option<CallId>,
     read_next: Time,
@@ -85,7 +86,13 @@
 
 impl Shards {
     /// Shards by name, none of them read yet.
-    pub(crate) fn new(shards: Vec<ShardId>, terms: Terms, guards: Guards, seed: u64) -> Shards {
+    pub(crate) fn new(
+        me: &Node,
+        shards: Vec<ShardId>,
+        terms: Terms,
+        guards: Guards,
+        seed: u64,
+    ) -> Shards {
         let (first, most) = terms.backoff;
         let duty = |(index, id)| {
             let seed = seed.wrapping_add(1 + index as u64);
@@ -94,6 +101,7 @@
         Shards {
             terms,
             guards,
+            digest: NameDigest::of_node(me),
             duties: shards.into_iter().enumerate().map(duty).collect(),
             read: None,
             read_next: Time::ZERO,
@@ -262,17 +270,17 @@
     /// Follows the sessions of owners whose shards are this process's to take.
     fn follow(&self, now: Time, session: &Session, observer: &mut Observer) {
         let me = session.me();
-        let others: Vec<Node> = observer.live(now).map(|(node, _)| node.clone()).collect();
+        let others: Vec<Member<'_>> =
+            observer.live(now).filter(|member| !same(member.node, me)).collect();
         let wanted: BTreeSet<Incarnation> = self
             .duties
             .iter()
             .filter_map(|duty| {
-                let owner = duty.record.owner.as_ref()?;
-                let rivals = others
-                    .iter()
-                    .filter(|node| node.incarnation != owner.incarnation && !same(node, me));
-                let mine = owner.incarnation == me.incarnation;
-                (!mine && rank(&duty.id, me, rivals) < CHALLENGERS).then_some(owner.incarnation)
+                let owner = duty.record.owner.as_ref()?.incarnation;
+                let rivals = others.iter().filter(|member| member.node.incarnation != owner);
+                let mine = owner == me.incarnation;
+                let place = place(duty, (self.digest, me), rivals);
+                (!mine && place < CHALLENGERS).then_some(owner)
             })
             .collect();
         observer.follow(now, &wanted);
@@ -304,7 +312,7 @@
         if self.stopping {
             return;
         }
-        let turn = turn(now, duty, me, observer, self.terms.stagger);
+        let turn = turn(now, duty, (self.digest, me), observer, self.terms.stagger);
         let owner = duty.record.owner.as_ref().map(|node| node.incarnation);
         let standing = owner.map_or(Standing::Over, |id| observer.standing(now, id));
         let open = match (standing, owner) {
@@ -340,12 +348,15 @@
         let stopping = self.stopping;
         let span = self.terms.handover;
         let duty = &mut self.duties[index];
+        let settled = |member: &Member<'_>| stopping || now - member.since >= span;
         let heir = observer
             .live(now)
-            .filter(|(node, since)| !same(node, me) && (stopping || now - *since >= span))
-            .map(|(node, _)| node)
-            .max_by_key(|node| (crate::rank::weigh(&duty.id, node), node.incarnation));
-        let better = heir.filter(|node| stopping || rank(&duty.id, me, [*node]) > 0);
+            .filter(|member| !same(member.node, me) && settled(member))
+            .max_by_key(|member| weight(duty, member.digest, member.node));
+        let mine = weight(duty, self.digest, me);
+        let better = heir
+            .filter(|heir| stopping || weight(duty, heir.digest, heir.node) > mine)
+            .map(|heir| heir.node);
         duty.leaving = stopping || better.is_some();
         if !duty.leaving || busy(&duty.id) {
             return;
@@ -361,19 +372,38 @@
     a.addr == b.addr
 }
 
+/// What orders the candidates for a shard.
+fn weight(duty: &Duty, digest: NameDigest, node: &Node) -> (u64, Incarnation) {
+    (weigh(duty.digest, digest), node.incarnation)
+}
+
+/// How many of the others come before a node as owner of a shard.
+fn place<'a>(
+    duty: &Duty,
+    (digest, node): (NameDigest, &Node),
+    others: impl IntoIterator<Item = &'a Member<'a>>,
+) -> usize {
+    let mine = weight(duty, digest, node);
+    others.into_iter().filter(|member| weight(duty, member.digest, member.node) > mine).count()
+}
+
 /// How long this process waits before it tries for a free shard.
-fn turn(now: Time, duty: &Duty, me: &Node, observer: &Observer, stagger: Duration) -> Duration {
+fn turn(
+    now: Time,
+    duty: &Duty,
+    (digest, me): (NameDigest, &Node),
+    observer: &Observer,
+    stagger: Duration,
+) -> Duration {
     let owned = |node: &Node| duty.names(node.incarnation);
-    let others: Vec<&Node> = observer
-        .live(now)
-        .map(|(node, _)| node)
-        .filter(|node| !same(node, me) && !owned(node))
-        .collect();
-    let place = rank(&duty.id, me, others.iter().copied());
-    let wait = stagger * u32::try_from(place).unwrap_or(u32::MAX);
+    let others: Vec<Member<'_>> =
+        observer.live(now).filter(|member| !same(member.node, me) && !owned(member.node)).collect();
+    let wait = stagger * u32::try_from(place(duty, (digest, me), &others)).unwrap_or(u32::MAX);
     match duty.record.offer {
         Some(heir) if heir == me.incarnation => Duration::ZERO,
-        Some(heir) if others.iter().any(|node| node.incarnation == heir) => OFFER_WAIT + wait,
+        Some(heir) if others.iter().any(|member| member.node.incarnation == heir) => {
+            OFFER_WAIT + wait
+        }
         _ => wait,
     }
 }
--- a/components/coord/src/shard/duty.rs
+++ b/components/coord/src/shard/duty.rs
@@ -10,6 +10,7 @@
     ident::Incarnation,
     order::{Epoch, ShardId},
     outbox::Outbox,
+    rank::NameDigest,
     session::Session,
     shard::{ShardRecord, shard_key},
     step::Step,
@@ -26,6 +27,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Duty {
     pub(super) id: ShardId,
+    pub(super) digest: NameDigest,
     pub(super) record: ShardRecord,
     /// The version of `record`; none if there is no such object.
     pub(super) version: Option<Version>,
@@ -45,6 +47,7 @@
 impl Duty {
     pub(super) fn new(id: ShardId, backoff: Backoff) -> Duty {
         Duty {
+            digest: NameDigest::of_shard(&id),
             id,
             record: ShardRecord::default(),
             version: None,
--- a/components/coord/src/takeover.rs
+++ b/components/coord/src/takeover.rs
@@ -66,7 +66,7 @@
     ordered: Option<CallId>,
     probe: Option<CallId>,
     proof: Option<(Proof, Time)>,
-    /// The proof has been reported as counting.
+    /// The proof counts: there is no need to search on.
     told: bool,
 }
 
@@ -104,9 +104,8 @@
             told: false,
         });
         let (proof, since) = suspect.proof?;
-        let settled = proof == Proof::Released || !self.guards.flight || now - since >= flight;
-        suspect.told = settled;
-        settled.then_some(proof)
+        let counts = proof == Proof::Released || !self.guards.flight || now - since >= flight;
+        counts.then_some(proof)
     }
 
     /// Keeps only these suspects.
@@ -140,6 +139,9 @@
 
     pub(crate) fn wake(&mut self, now: Time, out: &mut Outbox) {
         for suspect in self.suspects.values_mut() {
+            suspect.told |= suspect.proof.is_some_and(|(proof, since)| {
+                proof == Proof::Released || now - since >= self.terms.flight
+            });
             if suspect.told || now < suspect.next {
                 continue;
             }
--- a/components/testbed/src/bed.rs
+++ b/components/testbed/src/bed.rs
@@ -82,6 +82,8 @@
     /// Calls made so far.
     pub counts: Counts,
     now: Time,
+    /// Events handled without the clock moving.
+    steady: usize,
     seed: u64,
     rng: Pcg32,
     queue: BinaryHeap<Scheduled>,
@@ -97,6 +99,9 @@
     recorder: Option<Recorder>,
 }
 
+/// More events than this at one moment mean a process that never rests.
+const SPIN_LIMIT: usize = 100_000;
+
 /// Turns a write to the store into a fact.
 pub type Recorder = Box<dyn Fn(&str, &[u8]) -> Option<Fact>>;
 
@@ -110,6 +115,7 @@
             spans: Spans::default(),
             counts: Counts::default(),
             now: Time::from_secs(1),
+            steady: 0,
             seed,
             rng: Pcg32::new(seed, 1),
             queue: BinaryHeap::new(),
@@ -168,6 +174,9 @@
             let Some(next) = self.queue.pop() else {
                 break;
             };
+            self.steady = if next.at == self.now { self.steady + 1 } else { 0 };
+            let rests = self.steady < SPIN_LIMIT;
+            assert!(rests, "{:?} spins after\n{}", next.event, self.history.tail(30));
             self.now = next.at;
             self.happen(next.event);
         }
--- a/components/testbed/src/scene.rs
+++ b/components/testbed/src/scene.rs
@@ -30,10 +30,10 @@
 const STRIKE_UNTIL: Time = Time::from_secs(35);
 
 /// An operator declares vanished hosts dead.
-const OVERRIDE_AT: Time = Time::from_secs(100);
+const OVERRIDE_AT: Time = Time::from_secs(85);
 
 /// The end of the run.
-const END: Time = Time::from_secs(125);
+const END: Time = Time::from_secs(108);
 
 /// How recently a receiver must have finished an order at the end.
 const RECENT: Duration = Duration::from_secs(12);
