coord: a live former owner yields a shard in its session

Cause: an intent whose write took effect after its writer had given the shard up froze the receiver for good, for the writer lived on and wrote no release. Change: a session names the shards its holder acts for; an intent names the session attempt it was written under. A later attempt that leaves the shard out is the holder's own word that nothing is under way. A shard whose records are unread counts as busy.

--- a/components/coord/src/authority.rs
+++ b/components/coord/src/authority.rs
@@ -10,7 +10,7 @@
 //! [`Terms::flight`] (`TCP_USER_TIMEOUT`). A process must listen at its node's
 //! address before the first event, and until [`Notice::Ended`].
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use chervilgate_clock::Time;
 
@@ -243,6 +243,7 @@
         if self.ended {
             return;
         }
+        self.session.set_acting(self.acting(now));
         self.session.wake(now, &mut self.out);
         self.observer.wake(now, &mut self.out);
         self.advance_shards(now);
@@ -260,6 +261,14 @@
         self.shards.wake(now, &self.session, &mut self.observer, &busy, &mut self.out);
     }
 
+    /// Shards that this process owns, or has something under way for.
+    fn acting(&self, now: Time) -> Vec<ShardId> {
+        let me = self.session.me().incarnation;
+        let shards: BTreeSet<&ShardId> =
+            self.shards.named(me).chain(self.orders.unsettled(now)).collect();
+        shards.into_iter().cloned().collect()
+    }
+
     /// Lets the orders follow the ownership of shards.
     fn sync(&mut self, now: Time) {
         let gone: Vec<ShardId> = self
--- a/components/coord/src/intent.rs
+++ b/components/coord/src/intent.rs
@@ -83,6 +83,7 @@
 /// What a receiver's machine needs to know of its owner.
 pub(super) struct Owner<'a> {
     pub(super) me: &'a Node,
+    pub(super) attempt: u64,
     pub(super) epoch: Epoch,
     /// An order must have left before this time.
     pub(super) deadline: Time,
@@ -163,8 +164,18 @@
         self.reads.keys()
     }
 
-    /// Whether an order of this process to a receiver of the shard is open.
+    /// Shards for which something that this process sent may be under way.
+    pub(crate) fn unsettled(&self, now: Time) -> impl Iterator<Item = &ShardId> {
+        let quiet = self.quiet.iter().filter(move |(_, quiet)| now < **quiet).map(|(id, _)| id);
+        self.sends.values().chain(quiet).map(|id| &id.shard)
+    }
+
+    /// Whether an order of this process to a receiver of the shard is open, or
+    /// may be for all that has been read.
     pub(crate) fn busy(&self, shard: &ShardId, me: Incarnation) -> bool {
+        if self.reads.get(shard).is_some_and(|read| !read.done) {
+            return true;
+        }
         self.receivers.iter().any(|(id, receiver)| id.shard == *shard && receiver.busy(me))
     }
 
@@ -249,6 +260,7 @@
             };
             let owner = Owner {
                 me: session.me(),
+                attempt: session.attempt(),
                 epoch: read.epoch,
                 deadline,
                 terms: &self.terms,
--- a/components/coord/src/intent/receiver.rs
+++ b/components/coord/src/intent/receiver.rs
@@ -126,7 +126,7 @@
             return self.proceed(now, owner, out);
         }
         if !mine && !open.fencing {
-            let Some(proof) = proofs.find(now, &open.sender) else {
+            let Some(proof) = proofs.find(now, &self.id.shard, open) else {
                 if !self.frozen {
                     self.frozen = true;
                     note_frozen(&self.id, open.sender.incarnation, out);
@@ -138,7 +138,7 @@
             }
             self.frozen = false;
         }
-        let taken = OpenIntent { sender: owner.me.clone(), ..open.clone() };
+        let taken = OpenIntent { sender: owner.me.clone(), attempt: owner.attempt, ..open.clone() };
         self.adopted = true;
         self.progress = Progress::Unsent;
         self.write(self.record.with(owner.epoch, taken), ADOPT, out);
@@ -196,8 +196,12 @@
             self.retry = now + self.backoff.fail();
             return None;
         }
-        let open =
-            OpenIntent { sender: owner.me.clone(), fencing: wish.fencing, body: wish.body.clone() };
+        let open = OpenIntent {
+            sender: owner.me.clone(),
+            attempt: owner.attempt,
+            fencing: wish.fencing,
+            body: wish.body.clone(),
+        };
         let mut record = self.record.with(owner.epoch, open);
         record.seq += 1;
         record.cause = wish.cause.unwrap_or(record.cause);
--- a/components/coord/src/intent/record.rs
+++ b/components/coord/src/intent/record.rs
@@ -10,6 +10,8 @@
 pub struct OpenIntent {
     /// The only process that may be sending it.
     pub sender: Node,
+    /// The sender's last attempt to write its session before this.
+    pub attempt: u64,
     /// Whether the receiver refuses old fencing tokens.
     pub fencing: bool,
     /// The order's content.
--- a/components/coord/src/observer.rs
+++ b/components/coord/src/observer.rs
@@ -162,8 +162,12 @@
         if follow.seal.is_some() {
             return;
         }
-        let record =
-            SessionRecord { node: seen.node.clone(), attempt: 0, state: SessionState::Sealed };
+        let record = SessionRecord {
+            node: seen.node.clone(),
+            attempt: 0,
+            state: SessionState::Sealed,
+            acting: Vec::new(),
+        };
         let key = session_key(incarnation);
         let expect = Expect::At(seen.version);
         follow.seal = Some(out.call(SEAL, StoreCall::Put { key, expect, value: encode(&record) }));
--- a/components/coord/src/session.rs
+++ b/components/coord/src/session.rs
@@ -5,6 +5,10 @@
 //! tells whether an attempt without an answer took effect. Authority counts
 //! from the *sending* of the attempt that took effect.
 //!
+//! Each attempt also names the shards that its holder acts for. A shard that a
+//! later attempt no longer names is one for which nothing of the holder is
+//! under way: a new owner need not wait for the end of a holder that lives on.
+//!
 //! A session ends in one of two ways. Its holder releases it, once nothing of
 //! it is under way. Or a challenger seals it after the version has stood still
 //! for the term and a guard; since sealing is conditional on that version, no
@@ -18,6 +22,7 @@
     budget::Backoff,
     codec::{decode, encode},
     ident::{Incarnation, Node},
+    order::ShardId,
     outbox::{Notice, Outbox},
     step::{Protocol, Step},
     store::{CallId, Expect, Key, Object, StoreCall, StoreReply, Version},
@@ -58,6 +63,9 @@
     pub attempt: u64,
     /// Whether it may be renewed.
     pub state: SessionState,
+    /// Shards that the holder owned, or had an order under way for, when it
+    /// wrote this.
+    pub acting: Vec<ShardId>,
 }
 
 /// Where a session stands in its life.
@@ -88,6 +96,7 @@
     terms: Terms,
     phase: Phase,
     version: Option<Version>,
+    acting: Vec<ShardId>,
     attempt: u64,
     sent: Time,
     releases: bool,
@@ -107,6 +116,7 @@
             terms,
             phase: Phase::Joining,
             version: None,
+            acting: Vec::new(),
             attempt: 0,
             sent: Time::ZERO,
             releases: false,
@@ -141,6 +151,16 @@
         now < self.until()
     }
 
+    /// The number of the last attempt to write the session.
+    pub(crate) fn attempt(&self) -> u64 {
+        self.attempt
+    }
+
+    /// Sets the shards that the next attempt names.
+    pub(crate) fn set_acting(&mut self, acting: Vec<ShardId>) {
+        self.acting = acting;
+    }
+
     /// Ends authority now; the store is told with the next wake-up.
     pub(crate) fn release(&mut self, now: Time) {
         if self.phase != Phase::Released && self.phase != Phase::Releasing {
@@ -199,7 +219,12 @@
         self.sent = now;
         self.releases = self.phase == Phase::Releasing;
         let state = if self.releases { SessionState::Released } else { SessionState::Live };
-        let record = SessionRecord { node: self.me.clone(), attempt: self.attempt, state };
+        let record = SessionRecord {
+            node: self.me.clone(),
+            attempt: self.attempt,
+            state,
+            acting: self.acting.clone(),
+        };
         let expect = self.version.map_or(Expect::Absent, Expect::At);
         let key = session_key(self.me.incarnation);
         let call = StoreCall::Put { key, expect, value: encode(&record) };
--- a/components/coord/src/shard.rs
+++ b/components/coord/src/shard.rs
@@ -126,6 +126,11 @@
         self.duties.iter().find(|duty| duty.id == *shard)?.owned(now, session)
     }
 
+    /// Shards whose record names this process, as far as it has seen.
+    pub(crate) fn named(&self, me: Incarnation) -> impl Iterator<Item = &ShardId> {
+        self.duties.iter().filter(move |duty| duty.names(me)).map(|duty| &duty.id)
+    }
+
     /// Whether a shard's owner is about to give it up.
     pub(crate) fn leaving(&self, shard: &ShardId) -> bool {
         self.stopping || self.duties.iter().any(|duty| duty.id == *shard && duty.leaving)
--- a/components/coord/src/takeover.rs
+++ b/components/coord/src/takeover.rs
@@ -3,7 +3,8 @@
 //! An order that a former owner wrote down and may have sent, or may be about
 //! to send, cannot be shut out at a receiver that does not check fencing
 //! tokens. Nothing else may be sent there until the former owner is proved
-//! unable to send: by its own release, a newer incarnation at its address, a
+//! unable to send: by its own release, or its own word in its session that it
+//! does not act for the shard any more, a newer incarnation at its address, a
 //! refused connection there, an operator's override, or, where the settings
 //! say so, its host's disappearance from the platform's list. That time has
 //! passed is never proof.
@@ -23,7 +24,8 @@
     codec::decode,
     guards::Guards,
     ident::{Incarnation, Node},
-    order::ProbeReply,
+    intent::OpenIntent,
+    order::{ProbeReply, ShardId},
     outbox::Outbox,
     session::{SessionRecord, SessionState, session_key},
     step::{Protocol, Step},
@@ -48,6 +50,8 @@
 pub enum Proof {
     /// It wrote its release, or its session was cleared away after one.
     Released,
+    /// It lives on, and wrote that it does not act for the shard any more.
+    Yielded,
     /// A newer incarnation answers at its address.
     Replaced,
     /// Its address refuses connections.
@@ -68,6 +72,8 @@
     proof: Option<(Proof, Time)>,
     /// The proof counts: there is no need to search on.
     told: bool,
+    /// Its session as last read.
+    session: Option<SessionRecord>,
 }
 
 /// Searches proof about former owners.
@@ -86,10 +92,11 @@
         Proofs { terms, guards, suspects: BTreeMap::new(), trust_list, listed: BTreeSet::new() }
     }
 
-    /// The proof that a process is out, once it counts.
+    /// The proof that the sender of an open intent is out, once it counts.
     ///
     /// Searches for one from now on if there is none.
-    pub(crate) fn find(&mut self, now: Time, node: &Node) -> Option<Proof> {
+    pub(crate) fn find(&mut self, now: Time, shard: &ShardId, open: &OpenIntent) -> Option<Proof> {
+        let node = &open.sender;
         if !self.guards.proof {
             return Some(Proof::Refused);
         }
@@ -102,7 +109,11 @@
             probe: None,
             proof: None,
             told: false,
+            session: None,
         });
+        if suspect.session.as_ref().is_some_and(|session| yields(session, shard, open)) {
+            return Some(Proof::Yielded);
+        }
         let (proof, since) = suspect.proof?;
         let counts = proof == Proof::Released || !self.guards.flight || now - since >= flight;
         counts.then_some(proof)
@@ -203,19 +214,23 @@
     }
 
     fn read_release(&mut self, now: Time, reply: &StoreReply) {
-        let released = |object: &Object| {
-            decode::<SessionRecord>(&object.value)
-                .is_ok_and(|record| record.state == SessionState::Released)
-        };
         match reply {
-            StoreReply::Found(Some(object)) if released(object) => {
-                self.prove(now, Proof::Released);
-            }
+            StoreReply::Found(Some(object)) => self.read_session(now, object),
             StoreReply::Found(None) => self.prove(now, Proof::Released),
             _ => {}
         }
     }
 
+    fn read_session(&mut self, now: Time, object: &Object) {
+        let Ok(session) = decode::<SessionRecord>(&object.value) else {
+            return;
+        };
+        if session.state == SessionState::Released {
+            self.prove(now, Proof::Released);
+        }
+        self.session = Some(session);
+    }
+
     fn prove(&mut self, now: Time, proof: Proof) {
         let better = proof == Proof::Released && self.proof.is_some_and(|(old, _)| old != proof);
         if self.proof.is_none() || better {
@@ -228,3 +243,13 @@
         }
     }
 }
+
+/// Whether a live sender wrote, after an intent, that it acts no more for it.
+///
+/// It may act for the shard again later, but then under a new epoch, and it
+/// sends only what it has written down under its own epoch.
+fn yields(session: &SessionRecord, shard: &ShardId, open: &OpenIntent) -> bool {
+    session.state == SessionState::Live
+        && session.attempt > open.attempt
+        && !session.acting.contains(shard)
+}
