Add experiments poison, reclaim and cold

Entries run the policy's retry budget, demand meter and poison detection, and tell each other of crashes and suspects; the controller places target orders. least_price is a lower bound on spending: the planner's floor of steady targets, and the fraction of a cheap target for all other work.

--- a/bins/load/src/bound.rs
+++ b/bins/load/src/bound.rs
@@ -24,7 +24,7 @@
 use chervilgate_engines::Profile;
 
 use crate::{
-    scenario::{DRAIN, FIRST_LIMIT, GAP_LIMIT, SLOW_SHARE, Scenario},
+    scenario::{DRAIN, FIRST_LIMIT, GAP_LIMIT, SLOW_SHARE, Scenario, Spend},
     workload::{Arrival, BLOCK_TOKENS},
 };
 
@@ -43,10 +43,11 @@
 /// Most requests of `arrivals` that any scheme can end well.
 pub fn most_good(scenario: &Scenario, arrivals: &[Arrival]) -> u64 {
     let engines = scenario.most_engines();
+    let arrivals: Vec<&Arrival> = arrivals.iter().filter(|arrival| !arrival.poison).collect();
     let costs: Vec<Cost> = arrivals.iter().map(|a| least_cost(&scenario.profile, a)).collect();
     let end = Time::ZERO + scenario.workload.span + DRAIN;
-    let by_time = most_by_time(arrivals, &costs, engines, end);
-    by_time.min(most_by_prefill(arrivals, &costs, engines))
+    let by_time = most_by_time(&arrivals, &costs, engines, end);
+    by_time.min(most_by_prefill(&arrivals, &costs, engines))
 }
 
 /// The least engine time of one request.
@@ -74,7 +75,7 @@
     stretch.min().unwrap_or(1_000)
 }
 
-fn most_by_time(arrivals: &[Arrival], costs: &[Cost], engines: u64, end: Time) -> u64 {
+fn most_by_time(arrivals: &[&Arrival], costs: &[Cost], engines: u64, end: Time) -> u64 {
     let mut chosen = BinaryHeap::new();
     let mut total = 0;
     for (arrival, cost) in arrivals.iter().zip(costs).rev() {
@@ -90,13 +91,13 @@
     chosen.len() as u64
 }
 
-fn most_by_prefill(arrivals: &[Arrival], costs: &[Cost], engines: u64) -> u64 {
+fn most_by_prefill(arrivals: &[&Arrival], costs: &[Cost], engines: u64) -> u64 {
     let room = engines * (WINDOW + FIRST_LIMIT).as_nanos() as u64;
     let window = |arrival: &Arrival| arrival.at.as_micros() / WINDOW.as_micros() as u64;
     let mut count = 0;
     let mut start = 0;
     while start < arrivals.len() {
-        let this = window(&arrivals[start]);
+        let this = window(arrivals[start]);
         let length = arrivals[start..].iter().take_while(|a| window(a) == this).count();
         let mut prefills: Vec<u64> =
             costs[start..start + length].iter().map(|cost| cost.prefill).collect();
@@ -115,3 +116,29 @@
     });
     fits.count() as u64
 }
+
+/// Length of the periods over which [`least_price`] averages work.
+const PERIOD: Duration = Duration::from_secs(60);
+
+/// The least that any scheme can pay to end well every request of `arrivals`, in cents.
+///
+/// Work is spread over whole periods and priced by the fraction of a target; the
+/// planner's floor is kept on steady targets and all else runs on cheap ones, as if
+/// they could be had at any time, at once.
+pub fn least_price(scenario: &Scenario, spend: &Spend, arrivals: &[Arrival]) -> f64 {
+    let period = PERIOD.as_secs_f64();
+    let periods = (scenario.span() / period).ceil() as usize;
+    let mut work = vec![0.0; periods.max(1)];
+    for arrival in arrivals {
+        let cost = least_cost(&scenario.profile, arrival);
+        let index = (arrival.at.as_secs_f64() / period) as usize;
+        work[index] += (cost.prefill + cost.decode) as f64 / 1e9;
+    }
+    let price = |(index, work): (usize, &f64)| {
+        let length = (scenario.span() - index as f64 * period).min(period);
+        let cheap = (work / length - f64::from(spend.floor)).max(0.0);
+        let rate = f64::from(spend.floor) * spend.steady as f64 + cheap * spend.cheap as f64;
+        rate * length / 3_600.0
+    };
+    work.iter().enumerate().map(price).sum()
+}
--- a/bins/load/src/experiment.rs
+++ b/bins/load/src/experiment.rs
@@ -1,6 +1,8 @@
 //! The experiments: a scenario, the schemes it compares, and its targets.
 
 mod fleets;
+mod orders;
+mod poison;
 mod report;
 mod runs;
 mod shift;
@@ -25,8 +27,14 @@
     Surge,
     /// One organisation at ten times its share.
     Tenant,
+    /// A zone of cheap targets vanishes.
+    Reclaim,
     /// Load reports lag and stop.
     Stale,
+    /// Requests that crash the engines that run them.
+    Poison,
+    /// Swings shorter than a cold start.
+    Cold,
     /// Mtatsminda's deployment.
     Mtatsminda,
     /// Jadranska's deployment.
@@ -37,11 +45,14 @@
 
 impl Name {
     /// Every experiment.
-    pub const ALL: [(&'static str, Name); 7] = [
+    pub const ALL: [(&'static str, Name); 10] = [
         ("shift", Name::Shift),
         ("surge", Name::Surge),
         ("tenant", Name::Tenant),
+        ("reclaim", Name::Reclaim),
         ("stale", Name::Stale),
+        ("poison", Name::Poison),
+        ("cold", Name::Cold),
         ("mtatsminda", Name::Mtatsminda),
         ("jadranska", Name::Jadranska),
         ("letter", Name::Letter),
@@ -77,7 +88,10 @@
         Name::Shift => shift::run(options),
         Name::Surge => surge::run(options),
         Name::Tenant => tenant::run(options),
+        Name::Reclaim => orders::reclaim(options),
         Name::Stale => stale::run(options),
+        Name::Poison => poison::run(options),
+        Name::Cold => orders::cold(options),
         Name::Mtatsminda => sites::mtatsminda(options),
         Name::Jadranska => sites::jadranska(options),
         Name::Letter => sites::letter(options),
--- a/bins/load/src/scenario.rs
+++ b/bins/load/src/scenario.rs
@@ -101,6 +101,8 @@
     pub cheap: u64,
     /// Bytes a second of the weight store.
     pub store_rate: u64,
+    /// Time from an order to a target that serves, as the planner expects it.
+    pub cold_start: Duration,
     /// Targets kept at least.
     pub floor: u32,
     /// Targets ordered at most.
--- a/bins/load/src/scheme.rs
+++ b/bins/load/src/scheme.rs
@@ -6,15 +6,20 @@
 mod dispatch;
 mod pick;
 mod roles;
+mod spending;
 
 use chervilgate_policy::{
-    Queue, QueueSettings, Role, RolePlanner, RoleSettings, RouteSettings, Router,
+    Queue, QueueSettings, Role, RolePlanner, RoleSettings, RouteSettings, Router, SpendSettings,
+    TargetPlanner,
 };
 
+use crate::scenario::Spend;
+
 pub use crate::scheme::{
     dispatch::{Dispatch, FifoDispatch, PolicyDispatch},
     pick::{LeastLoaded, Pick, PolicyPick, RoundRobin},
     roles::{FixedRoles, GreedyRoles, PlanRoles, initial_roles},
+    spending::{CheapestFirst, FixedFleet, PlanTargets},
 };
 
 /// The name of a way of serving.
@@ -34,6 +39,14 @@
     RoundRobin,
     /// Requests in order of arrival, whatever their organisation.
     FirstCome,
+    /// Requests that crash targets are not found.
+    NoQuarantine,
+    /// No target is ordered or returned.
+    FixedFleet,
+    /// The cheapest targets, as many as the present load asks for.
+    CheapestFirst,
+    /// Steady targets only, otherwise the policy.
+    SteadyOnly,
 }
 
 impl Scheme {
@@ -48,6 +61,10 @@
         Scheme::FirstCome,
     ];
 
+    /// The schemes that differ in target orders, the policy first.
+    pub const SPENDING: [Scheme; 4] =
+        [Scheme::Policy, Scheme::FixedFleet, Scheme::CheapestFirst, Scheme::SteadyOnly];
+
     /// The name in tables.
     pub fn name(self) -> &'static str {
         match self {
@@ -58,6 +75,10 @@
             Scheme::LeastLoaded => "least loaded",
             Scheme::RoundRobin => "round robin",
             Scheme::FirstCome => "first come",
+            Scheme::NoQuarantine => "no quarantine",
+            Scheme::FixedFleet => "fixed fleet",
+            Scheme::CheapestFirst => "cheapest first",
+            Scheme::SteadyOnly => "steady only",
         }
     }
 
@@ -87,11 +108,32 @@
     /// The decisions on roles.
     pub fn roles(self) -> Box<dyn PlanRoles> {
         match self {
-            Scheme::Policy | Scheme::FirstCome => {
-                Box::new(RolePlanner::new(RoleSettings::default()))
-            }
             Scheme::GreedyRoles => Box::new(GreedyRoles),
-            _ => Box::new(FixedRoles),
+            Scheme::StaticSplit | Scheme::NoSplit | Scheme::LeastLoaded | Scheme::RoundRobin => {
+                Box::new(FixedRoles)
+            }
+            _ => Box::new(RolePlanner::new(RoleSettings::default())),
+        }
+    }
+
+    /// The decisions on target orders.
+    pub fn spending(self, spend: Spend) -> Box<dyn PlanTargets> {
+        let settings = SpendSettings {
+            cold_start: spend.cold_start,
+            floor: spend.floor,
+            ceiling: spend.ceiling,
+            cheap: self != Scheme::SteadyOnly,
+            ..SpendSettings::default()
+        };
+        match self {
+            Scheme::FixedFleet => Box::new(FixedFleet),
+            Scheme::CheapestFirst => Box::new(CheapestFirst::new(settings)),
+            _ => Box::new(TargetPlanner::new(settings)),
         }
     }
+
+    /// Whether requests that crash targets are looked for.
+    pub fn finds_poison(self) -> bool {
+        !matches!(self, Scheme::NoQuarantine | Scheme::LeastLoaded | Scheme::RoundRobin)
+    }
 }
--- a/bins/load/src/scheme/dispatch.rs
+++ b/bins/load/src/scheme/dispatch.rs
@@ -5,7 +5,7 @@
 use chervilgate_clock::Time;
 use chervilgate_policy::{
     Action, CacheEvent, LoadReport, Outcome, Queue, Reason, Refusal, Request, Route, Router,
-    Target, TargetId, Ticket,
+    Running, Target, TargetId, Ticket,
 };
 use rand::Rng;
 use smallvec::SmallVec;
@@ -55,6 +55,14 @@
 
     /// Notes the end of an attempt.
     fn finish(&mut self, now: Time, ticket: Ticket, outcome: Outcome, at: Option<TargetId>);
+
+    /// This entry's attempts that run on a target.
+    fn running(&self, _target: TargetId) -> Vec<Running> {
+        Vec::new()
+    }
+
+    /// Keeps unproven requests off a target on which another entry runs a suspect.
+    fn hold(&mut self, _now: Time, _target: TargetId) {}
 }
 
 /// The policy's queue and router.
@@ -116,6 +124,14 @@
     fn finish(&mut self, now: Time, ticket: Ticket, outcome: Outcome, at: Option<TargetId>) {
         self.router.finish(now, ticket, outcome, at);
     }
+
+    fn running(&self, target: TargetId) -> Vec<Running> {
+        self.router.running(target)
+    }
+
+    fn hold(&mut self, now: Time, target: TargetId) {
+        self.router.hold(now, target);
+    }
 }
 
 /// One queue in order of arrival, before any way to pick a target.
--- /dev/null
+++ b/bins/load/src/scheme/spending.rs
@@ -0,0 +1,99 @@
+//! Baselines for target orders.
+
+use std::time::Duration;
+
+use chervilgate_clock::Time;
+use chervilgate_policy::{
+    Change, Fleet, Kind, Order, Orders, SpendSettings, State, TargetPlanner, Work, Zone,
+};
+
+/// Time for which there are too many targets before one is returned.
+const RETURN_AFTER: Duration = Duration::from_secs(20);
+
+/// Decides on target orders.
+pub trait PlanTargets {
+    /// The orders to place now.
+    fn plan(&mut self, now: Time, work: Work, fleet: Fleet<'_>) -> Orders;
+
+    /// Notes that a zone had no target of a kind.
+    fn unavailable(&mut self, now: Time, zone: Zone, kind: Kind);
+}
+
+impl PlanTargets for TargetPlanner {
+    fn plan(&mut self, now: Time, work: Work, fleet: Fleet<'_>) -> Orders {
+        self.plan_targets(now, work, fleet)
+    }
+
+    fn unavailable(&mut self, now: Time, zone: Zone, kind: Kind) {
+        TargetPlanner::unavailable(self, now, zone, kind);
+    }
+}
+
+/// Orders and returns nothing.
+#[derive(Debug, Clone, Copy)]
+pub struct FixedFleet;
+
+impl PlanTargets for FixedFleet {
+    fn plan(&mut self, _: Time, _: Work, _: Fleet<'_>) -> Orders {
+        Orders::new()
+    }
+
+    fn unavailable(&mut self, _: Time, _: Zone, _: Kind) {}
+}
+
+/// Keeps as many targets as the present load asks for; cheap ones in the first zone
+/// that has any, steady ones otherwise.
+#[derive(Debug)]
+pub struct CheapestFirst {
+    settings: SpendSettings,
+    refused: Vec<(Time, Zone)>,
+    /// Since when there have been too many targets.
+    spare: Option<Time>,
+}
+
+impl CheapestFirst {
+    /// A planner within the limits of `settings`.
+    pub fn new(settings: SpendSettings) -> CheapestFirst {
+        CheapestFirst { settings, refused: Vec::new(), spare: None }
+    }
+
+    fn place(&self, fleet: Fleet<'_>) -> Option<(Zone, Kind)> {
+        let refuses = |zone: &&Zone| self.refused.iter().any(|(_, refused)| refused == *zone);
+        let cheap = fleet.zones.iter().find(|zone| !refuses(zone));
+        let steady = fleet.zones.first().map(|zone| (*zone, Kind::Steady));
+        cheap.map(|zone| (*zone, Kind::Cheap)).or(steady)
+    }
+}
+
+impl PlanTargets for CheapestFirst {
+    fn plan(&mut self, now: Time, work: Work, fleet: Fleet<'_>) -> Orders {
+        self.refused.retain(|(at, _)| now.since(*at) < self.settings.refused);
+        let SpendSettings { fill, floor, ceiling, .. } = self.settings;
+        let wanted = ((work.load / fill).ceil() as u32).clamp(floor, ceiling) as usize;
+        let staying: Vec<_> =
+            fleet.targets.iter().filter(|paid| paid.target.state != State::Draining).collect();
+        if staying.len() <= wanted {
+            self.spare = None;
+            let count = (wanted - staying.len()) as u32;
+            let place = self.place(fleet).filter(|_| count > 0);
+            let order = |(zone, kind)| Order { zone, kind, change: Change::Order { count } };
+            return place.map(order).into_iter().collect();
+        }
+        if now.since(*self.spare.get_or_insert(now)) < RETURN_AFTER {
+            return Orders::new();
+        }
+        self.spare = None;
+        let serving = staying.iter().filter(|paid| paid.target.state == State::Serving);
+        let dearest = serving.min_by_key(|paid| (paid.target.kind, paid.target.id));
+        let order = |paid: &&chervilgate_policy::Paid<'_>| Order {
+            zone: paid.target.zone,
+            kind: paid.target.kind,
+            change: Change::Return { target: paid.target.id },
+        };
+        dearest.map(order).into_iter().collect()
+    }
+
+    fn unavailable(&mut self, now: Time, zone: Zone, _: Kind) {
+        self.refused.push((now, zone));
+    }
+}
--- a/bins/load/src/sim.rs
+++ b/bins/load/src/sim.rs
@@ -9,14 +9,16 @@
 mod engines;
 mod entries;
 mod live;
+mod orders;
+mod suspects;
 
 use std::{collections::BTreeSet, time::Duration};
 
 use chervilgate_clock::Time;
 use chervilgate_engines::{Load, Queue, Supply, Tariff, WeightStore};
 use chervilgate_policy::{
-    CacheEvent, HostId, LoadReport, Outcome, Place, Role, RouteSettings, Target, TargetId, Zone,
-    choose_view,
+    CacheEvent, HostId, LoadReport, Meter, Notice, Outcome, Place, Poison, PoisonSettings,
+    RetryBudget, RetrySettings, Role, RouteSettings, Target, TargetId, Zone, choose_view,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -61,6 +63,10 @@
         wave: usize,
     },
     Cache(Box<CacheEvent>, usize),
+    /// An entry hears what ran at a crash.
+    Notice(Box<Notice>, usize),
+    /// An entry hears that another one runs a suspect on a target.
+    Hold(TargetId, usize),
     /// Engines take load reports.
     Sample,
     /// The controller decides.
@@ -86,11 +92,33 @@
     /// Targets that it knows of, by number.
     view: BTreeSet<u32>,
     check: Time,
+    budget: RetryBudget,
+    meter: Meter,
+    /// As `meter`, for requests that may not be repeated.
+    firm: Meter,
+    poison: Option<Poison>,
+    /// Crashes that it noted, as target and incarnation.
+    crashes: BTreeSet<(usize, u64)>,
     /// Tokens produced for each token of the callers' limits, lately.
     ratio: f64,
 }
 
 impl Entry {
+    fn new(scheme: Scheme, zone: u8, dispatch: Box<dyn Dispatch>) -> Entry {
+        Entry {
+            zone,
+            dispatch,
+            view: BTreeSet::new(),
+            check: Time::NEVER,
+            budget: RetryBudget::new(RetrySettings::default()),
+            meter: Meter::new(Time::ZERO, control::WINDOW),
+            firm: Meter::new(Time::ZERO, control::WINDOW),
+            poison: scheme.finds_poison().then(|| Poison::new(PoisonSettings::default())),
+            crashes: BTreeSet::new(),
+            ratio: 0.67,
+        }
+    }
+
     fn sees(&self, target: TargetId) -> bool {
         self.view.contains(&target.0)
     }
@@ -151,7 +179,7 @@
                 ..RouteSettings::default()
             };
             let dispatch = scheme.dispatch(index, route);
-            Entry { zone, dispatch, view: BTreeSet::new(), check: Time::NEVER, ratio: 0.67 }
+            Entry::new(scheme, zone, dispatch)
         });
         World {
             scenario,
@@ -235,6 +263,10 @@
                     entry.dispatch.cache_event(&event);
                 }
             }
+            Happening::Notice(notice, entry) => self.hear(&notice, entry),
+            Happening::Hold(target, entry) => {
+                self.entries[entry].dispatch.hold(self.now, target);
+            }
             Happening::Sample => self.sample(),
             Happening::Plan => self.plan(),
             Happening::StartChange(engine, role) => self.start_change(engine, role),
--- a/bins/load/src/sim/control.rs
+++ b/bins/load/src/sim/control.rs
@@ -1,70 +1,39 @@
 //! The controller's side of the simulation.
 
-use std::{collections::VecDeque, time::Duration};
+use std::time::Duration;
 
-use chervilgate_clock::Time;
-use chervilgate_policy::{Demand, Member, Request, Role, Route, State};
+use chervilgate_policy::{Demand, Member, Role, State};
 
 use crate::{
     scenario::{Scenario, engine_role},
-    scheme::{PlanRoles, Scheme},
-    sim::{Happening, WAVES, World, engines::VIEW_LAG},
+    scheme::{PlanRoles, PlanTargets, Scheme},
+    sim::{Happening, WAVES, World},
 };
 
 /// Time between two decisions.
 pub(super) const EVERY: Duration = Duration::from_secs(1);
 
-/// Seconds over which demand is averaged.
-const WINDOW: usize = 5;
+/// Time over which entries average demand.
+pub(super) const WINDOW: Duration = Duration::from_secs(5);
 
 /// Time from a drain order to the role change: every entry knows of it by then.
-const DRAIN_NOTICE: Duration = Duration::from_millis(1_600);
+pub(super) const DRAIN_NOTICE: Duration = Duration::from_millis(1_600);
 
-/// Work offered in one second.
-#[derive(Debug, Clone, Copy, Default)]
-struct Offered {
-    prompt: f64,
-    cached: f64,
-    output: f64,
-}
-
-/// The controller and what it measures.
+/// The controller and what it heard.
 pub(super) struct Control {
-    roles: Box<dyn PlanRoles>,
-    offered: VecDeque<Offered>,
+    pub(super) roles: Box<dyn PlanRoles>,
+    pub(super) spending: Option<Box<dyn PlanTargets>>,
+    /// Demand as the entries told it a decision earlier.
+    heard: (Demand, Demand),
 }
 
 impl Control {
-    pub(super) fn new(scheme: Scheme, _scenario: &Scenario) -> Control {
-        Control { roles: scheme.roles(), offered: VecDeque::from([Offered::default()]) }
-    }
-
-    pub(super) fn note_offer(&mut self, _now: Time, request: &Request) {
-        let Some(present) = self.offered.back_mut() else { return };
-        present.prompt += f64::from(request.prompt);
-        present.output += f64::from(request.output);
-    }
-
-    pub(super) fn note_route(&mut self, _now: Time, route: &Route) {
-        let Some(present) = self.offered.back_mut() else { return };
-        present.cached += f64::from(route.cached);
-    }
-
-    /// Mean demand of the last full seconds.
-    fn demand(&mut self, now: Time) -> Demand {
-        let seconds = self.offered.len().min(WINDOW) as f64;
-        let sum =
-            self.offered.iter().rev().take(WINDOW).fold(Offered::default(), |sum, one| Offered {
-                prompt: sum.prompt + one.prompt,
-                cached: sum.cached + one.cached,
-                output: sum.output + one.output,
-            });
-        self.offered.push_back(Offered::default());
-        if self.offered.len() > WINDOW + 1 {
-            self.offered.pop_front();
+    pub(super) fn new(scheme: Scheme, scenario: &Scenario) -> Control {
+        Control {
+            roles: scheme.roles(),
+            spending: scenario.spend.map(|spend| scheme.spending(spend)),
+            heard: (Demand::default(), Demand::default()),
         }
-        let prompt = (sum.prompt - sum.cached).max(0.0) / seconds;
-        Demand { at: now, prompt, output: sum.output / seconds }
     }
 }
 
@@ -88,7 +57,9 @@
 
     pub(super) fn plan(&mut self) {
         self.queue.push(self.now + EVERY, Happening::Plan);
-        let demand = self.control.demand(self.now);
+        let heard = self.sum_demand();
+        let (demand, firm) = std::mem::replace(&mut self.control.heard, heard);
+        self.plan_targets(demand, firm);
         let members: Vec<Member> = self.members();
         for change in self.control.roles.plan(self.now, demand, &members) {
             let engine = change.target.0 as usize;
@@ -102,6 +73,18 @@
         }
     }
 
+    /// The demand that the entries measure, and the part that may not be repeated.
+    fn sum_demand(&mut self) -> (Demand, Demand) {
+        let now = self.now;
+        let mut sums =
+            (Demand { at: now, ..Demand::default() }, Demand { at: now, ..Demand::default() });
+        for entry in &mut self.entries {
+            sums.0 += entry.meter.demand(now);
+            sums.1 += entry.firm.demand(now);
+        }
+        sums
+    }
+
     fn members(&self) -> Vec<Member> {
         let units = self.units.iter().enumerate();
         let present = units.filter(|(_, unit)| unit.state != State::Reclaimed);
@@ -124,19 +107,4 @@
         }
         self.touch(engine);
     }
-
-    pub(super) fn return_target(&mut self, engine: usize) {
-        let unit = &mut self.units[engine];
-        if unit.state != State::Draining {
-            return;
-        }
-        if unit.engine.jobs() > 0 {
-            self.queue.push(self.now + VIEW_LAG, Happening::Return(engine));
-            return;
-        }
-        unit.engine.crash();
-        let rental = unit.rental;
-        self.supply.give_back(self.now, rental);
-        self.set_state(engine, State::Reclaimed);
-    }
 }
--- a/bins/load/src/sim/engines.rs
+++ b/bins/load/src/sim/engines.rs
@@ -36,6 +36,8 @@
     pub(super) role: Role,
     /// The load that the controller last heard of, and when it was measured.
     pub(super) seen: (Load, Time),
+    /// Counts the engine's crashes.
+    pub(super) incarnation: u64,
     /// Since when nothing runs.
     pub(super) idle: Time,
     wake: Time,
@@ -53,6 +55,7 @@
             state: State::Serving,
             role,
             seen: (Load::default(), Time::ZERO),
+            incarnation: 0,
             idle: Time::ZERO,
             wake: Time::NEVER,
             cache_seq: 0,
@@ -60,6 +63,14 @@
         }
     }
 
+    /// An engine on order, which serves once its weights are loaded.
+    pub(super) fn ordered(scenario: &Scenario, place: Place, rental: u32) -> Unit {
+        let mut unit = Unit::new(scenario, place, Role::Mixed, rental);
+        unit.engine.crash();
+        unit.state = State::Starting;
+        unit
+    }
+
     /// The target as the configuration shows it.
     pub(super) fn target(&self, index: usize, scenario: &Scenario) -> Target {
         Target {
@@ -208,7 +219,11 @@
                 self.units[engine].role = policy_role(role);
                 self.set_state(engine, State::Serving);
             }
-            Event::Crashed(lost) => self.take_crash(engine, &lost),
+            Event::Crashed { by, lost } => {
+                let culprit = self.arrivals[Attempt::of_job(by).request].fingerprint;
+                *self.tally.poisoned.entry(culprit).or_default() += 1;
+                self.take_crash(engine, &lost);
+            }
         }
     }
 
@@ -282,6 +297,7 @@
 
     /// Tells the callers of lost jobs; the engine comes back if it is still ours.
     fn take_crash(&mut self, engine: usize, lost: &[Lost]) {
+        self.units[engine].incarnation += 1;
         for lost in lost {
             self.lose(engine, lost);
         }
--- a/bins/load/src/sim/entries.rs
+++ b/bins/load/src/sim/entries.rs
@@ -4,7 +4,8 @@
 
 use chervilgate_clock::Time;
 use chervilgate_policy::{
-    Action, BlockHash, OrgId, Outcome, Priority, Request, Route, ServiceId, TargetId, Ticket,
+    Action, BlockHash, OrgId, Outcome, Priority, Request, Route, ServiceId, Standing, TargetId,
+    Ticket,
 };
 
 use crate::{
@@ -13,9 +14,6 @@
     tally::Ending,
 };
 
-/// Attempts at a request, the first one counted.
-const ATTEMPTS: u32 = 5;
-
 /// Time between two looks for a target that takes a broken stream.
 const RETRY_EVERY: Duration = Duration::from_millis(100);
 
@@ -28,18 +26,32 @@
 impl World<'_> {
     pub(super) fn arrive(&mut self, request: usize) {
         let entry = self.arrivals[request].entry;
+        if self.refuse_quarantined(request) {
+            return;
+        }
         let wanted = self.request(request);
-        self.control.note_offer(self.now, &wanted);
+        self.entries[entry].budget.earn();
         let ticket = Ticket(Attempt { request, number: 0 }.job());
         match self.entries[entry].dispatch.offer(self.now, ticket, wanted) {
             Ok(()) => self.poll(entry),
             Err(refusal) => {
+                self.count_demand(request, 0);
                 self.tally.refuse(refusal.reason);
                 self.close(request, Ending::Refused);
             }
         }
     }
 
+    /// Counts the work of a request with `cached` tokens known to be cached.
+    fn count_demand(&mut self, request: usize, cached: u32) {
+        let wanted = self.request(request);
+        let host = &mut self.entries[self.arrivals[request].entry];
+        host.meter.count(self.now, &wanted, cached);
+        if !wanted.repeatable {
+            host.firm.count(self.now, &wanted, cached);
+        }
+    }
+
     pub(super) fn check(&mut self, entry: usize) {
         if self.entries[entry].check == self.now {
             self.entries[entry].check = Time::NEVER;
@@ -61,6 +73,7 @@
                 Action::Refuse(ticket, refusal) => {
                     let attempt = Attempt::of_job(ticket.0);
                     if !self.live[attempt.request].closed {
+                        self.count_demand(attempt.request, 0);
                         self.tally.refuse(refusal.reason);
                     }
                     self.close(attempt.request, Ending::Refused);
@@ -81,7 +94,10 @@
     }
 
     fn send(&mut self, attempt: Attempt, route: Route) {
-        self.control.note_route(self.now, &route);
+        self.announce_suspect(attempt, &route);
+        if self.live[attempt.request].sent.is_none() {
+            self.count_demand(attempt.request, route.cached);
+        }
         let live = &mut self.live[attempt.request];
         live.route = Some(route);
         live.sent.get_or_insert(self.now);
@@ -101,34 +117,44 @@
 
     pub(super) fn end_attempt(&mut self, attempt: Attempt, outcome: Outcome, at: Option<usize>) {
         let arrival = &self.arrivals[attempt.request];
-        let (entry, repeatable) = (arrival.entry, arrival.repeatable);
+        let (entry, ratio) =
+            (arrival.entry, f64::from(arrival.output) / f64::from(arrival.limit.max(1)));
         let target = at.map(|engine| TargetId(engine as u32));
         let ended = target.filter(|_| outcome != Outcome::Done);
+        if let (Outcome::Crashed, Some(engine)) = (outcome, at) {
+            self.note_crash(entry, engine);
+        }
         let host = &mut self.entries[entry];
         host.dispatch.finish(self.now, Ticket(attempt.job()), outcome, ended);
         if outcome == Outcome::Done {
-            let ratio = f64::from(arrival.output) / f64::from(arrival.limit.max(1));
             host.ratio += RATIO_WEIGHT * (ratio - host.ratio);
+            self.clear_suspect(attempt.request);
         } else if self.is_current(attempt) {
             self.live[attempt.request].failed.extend(target);
-            let ran = self.live[attempt.request].runs > 0;
-            if ran && !repeatable {
-                self.close(attempt.request, Ending::Unknown);
-            } else {
-                self.tally.retries += 1;
-                self.retry_next(attempt);
-            }
+            self.try_again(attempt);
         }
         self.poll(entry);
     }
 
-    /// Tries a request anew, under the next attempt's number.
-    fn retry_next(&mut self, attempt: Attempt) {
+    /// Tries a request anew, under the next attempt's number, if the budget grants it.
+    fn try_again(&mut self, attempt: Attempt) {
+        let wanted = self.request(attempt.request);
+        let entry = self.arrivals[attempt.request].entry;
+        let ran = self.live[attempt.request].runs > 0;
+        if self.refuse_quarantined(attempt.request) {
+            return;
+        }
         let number = attempt.number + 1;
-        if number >= ATTEMPTS {
-            self.close(attempt.request, Ending::Lost);
+        if !self.entries[entry].budget.grant(self.now, &wanted, number, ran) {
+            let ending = match (ran, wanted.repeatable) {
+                (false, _) => Ending::Refused,
+                (true, true) => Ending::Lost,
+                (true, false) => Ending::Unknown,
+            };
+            self.close(attempt.request, ending);
             return;
         }
+        self.tally.retries += 1;
         self.live[attempt.request].number = number;
         self.retry(Attempt { number, ..attempt });
     }
@@ -180,7 +206,7 @@
             priority: Priority::Normal,
             repeatable: arrival.repeatable,
             digest: arrival.fingerprint,
-            suspect: false,
+            suspect: self.standing(request) == Standing::Suspect,
         }
     }
 }
--- /dev/null
+++ b/bins/load/src/sim/orders.rs
@@ -0,0 +1,99 @@
+//! Target orders in the simulation.
+
+use std::time::Duration;
+
+use chervilgate_policy::{Change, Demand, Fleet, Order, Paid, State, Target, Work, Zone};
+
+use crate::{
+    scenario::{GAP_LIMIT, Place, engine_tier},
+    sim::{
+        Happening, World,
+        control::DRAIN_NOTICE,
+        engines::{Unit, VIEW_LAG},
+    },
+};
+
+impl World<'_> {
+    pub(super) fn plan_targets(&mut self, demand: Demand, firm: Demand) {
+        let Some(mut planner) = self.control.spending.take() else { return };
+        let work = Work { load: self.load(demand), firm: self.load(firm) };
+        let targets = self.paid_targets();
+        let paid: Vec<Paid<'_>> =
+            targets.iter().map(|(target, idle)| Paid { target, idle: *idle }).collect();
+        let zones: Vec<Zone> = (0..self.scenario.zones).map(Zone).collect();
+        let fleet = Fleet { targets: &paid, zones: &zones };
+        for order in planner.plan(self.now, work, fleet) {
+            if !self.place_order(order) {
+                planner.unavailable(self.now, order.zone, order.kind);
+            }
+        }
+        self.control.spending = Some(planner);
+    }
+
+    /// Work in targets that are kept busy in steps as long as the gap limit.
+    fn load(&self, demand: Demand) -> f64 {
+        let profile = &self.scenario.profile;
+        let limit = GAP_LIMIT.as_secs_f64();
+        let useful = (limit - profile.mixed.base.as_secs_f64()) / limit;
+        let prompt = demand.prompt * profile.prefill_ns as f64 / 1e9;
+        let output = demand.output * profile.decode_ns as f64 / 1e9;
+        (prompt + output) / useful
+    }
+
+    fn paid_targets(&self) -> Vec<(Target, Duration)> {
+        let units = self.units.iter().enumerate();
+        let paid = units.filter(|(_, unit)| unit.state != State::Reclaimed);
+        let target = paid.map(|(index, unit)| {
+            let busy = unit.engine.jobs() > 0;
+            let idle = if busy { Duration::ZERO } else { self.now.since(unit.idle) };
+            (unit.target(index, self.scenario), idle)
+        });
+        target.collect()
+    }
+
+    /// Places an order; false if the zone has no such target.
+    fn place_order(&mut self, order: Order) -> bool {
+        match order.change {
+            Change::Order { count } => (0..count).all(|_| self.order_target(order)),
+            Change::Return { target } => {
+                let engine = target.0 as usize;
+                if self.units[engine].state == State::Serving {
+                    self.set_state(engine, State::Draining);
+                    self.queue.push(self.now + DRAIN_NOTICE, Happening::Return(engine));
+                }
+                true
+            }
+        }
+    }
+
+    fn order_target(&mut self, order: Order) -> bool {
+        let tier = engine_tier(order.kind);
+        let zone = order.zone.0;
+        let ordered = self.supply.order(self.now, zone, tier, &self.scenario.profile);
+        let Ok(ordered) = ordered else { return false };
+        let engine = self.units.len();
+        self.units.push(Unit::ordered(self.scenario, Place { zone, tier }, ordered.id));
+        self.queue.push(ordered.ready, Happening::Ready(engine));
+        for entry in &mut self.entries {
+            entry.view.insert(engine as u32);
+        }
+        self.set_state(engine, State::Starting);
+        true
+    }
+
+    /// Gives a drained target back, once nothing runs there.
+    pub(super) fn return_target(&mut self, engine: usize) {
+        let unit = &mut self.units[engine];
+        if unit.state != State::Draining {
+            return;
+        }
+        if unit.engine.jobs() > 0 {
+            self.queue.push(self.now + VIEW_LAG, Happening::Return(engine));
+            return;
+        }
+        unit.engine.crash();
+        let rental = unit.rental;
+        self.supply.give_back(self.now, rental);
+        self.set_state(engine, State::Reclaimed);
+    }
+}
--- /dev/null
+++ b/bins/load/src/sim/suspects.rs
@@ -0,0 +1,85 @@
+//! Requests that crash engines, as the entries find them.
+
+use std::time::Duration;
+
+use chervilgate_policy::{CrashId, Fingerprint, Notice, OrgId, Reason, Route, Standing, TargetId};
+
+use crate::{
+    sim::{Attempt, Happening, World},
+    tally::Ending,
+};
+
+/// Time from one entry to all others.
+const GOSSIP: Duration = Duration::from_millis(10);
+
+impl World<'_> {
+    /// How a request stands with its entry.
+    pub(super) fn standing(&self, request: usize) -> Standing {
+        let arrival = &self.arrivals[request];
+        let poison = self.entries[arrival.entry].poison.as_ref();
+        poison.map_or(Standing::Clear, |poison| poison.check(self.now, self.fingerprint(request)))
+    }
+
+    pub(super) fn fingerprint(&self, request: usize) -> Fingerprint {
+        let arrival = &self.arrivals[request];
+        Fingerprint { org: OrgId(arrival.org), digest: arrival.fingerprint }
+    }
+
+    /// Closes a request that is quarantined; true if it was.
+    pub(super) fn refuse_quarantined(&mut self, request: usize) -> bool {
+        if !matches!(self.standing(request), Standing::Quarantined(_)) {
+            return false;
+        }
+        if !self.arrivals[request].poison {
+            self.tally.refuse(Reason::Quarantined);
+        }
+        self.close(request, Ending::Refused);
+        true
+    }
+
+    /// An entry notices that an engine crashed under one of its attempts.
+    pub(super) fn note_crash(&mut self, entry: usize, engine: usize) {
+        let incarnation = self.units[engine].incarnation;
+        let host = &mut self.entries[entry];
+        if !host.crashes.insert((engine, incarnation)) {
+            return;
+        }
+        let Some(poison) = &mut host.poison else { return };
+        let target = TargetId(engine as u32);
+        let running = host.dispatch.running(target);
+        let notice = poison.crashed(self.now, CrashId { target, incarnation }, &running);
+        self.tell_others(entry, |other| Happening::Notice(Box::new(notice.clone()), other));
+    }
+
+    pub(super) fn hear(&mut self, notice: &Notice, entry: usize) {
+        if let Some(poison) = &mut self.entries[entry].poison {
+            poison.hear(self.now, notice);
+        }
+    }
+
+    /// Tells the other entries that a suspect runs along `route`.
+    pub(super) fn announce_suspect(&mut self, attempt: Attempt, route: &Route) {
+        if self.standing(attempt.request) != Standing::Suspect {
+            return;
+        }
+        let entry = self.arrivals[attempt.request].entry;
+        for target in [route.prefill, route.decode] {
+            self.tell_others(entry, |other| Happening::Hold(target, other));
+        }
+    }
+
+    /// A suspect that was answered whole is none.
+    pub(super) fn clear_suspect(&mut self, request: usize) {
+        let (now, fingerprint) = (self.now, self.fingerprint(request));
+        let entry = self.arrivals[request].entry;
+        if let Some(poison) = &mut self.entries[entry].poison {
+            poison.clear(now, fingerprint);
+        }
+    }
+
+    fn tell_others(&mut self, entry: usize, happening: impl Fn(usize) -> Happening) {
+        for other in (0..self.entries.len()).filter(|other| *other != entry) {
+            self.queue.push(self.now + GOSSIP, happening(other));
+        }
+    }
+}
--- a/components/engines/src/engine.rs
+++ b/components/engines/src/engine.rs
@@ -62,8 +62,13 @@
     Cached(Vec<CacheChange>),
     /// The role change is complete.
     Changed(Role),
-    /// The engine crashed; these jobs are lost.
-    Crashed(Vec<Lost>),
+    /// A poison job crashed the engine.
+    Crashed {
+        /// The poison job.
+        by: u64,
+        /// Every job that is lost.
+        lost: Vec<Lost>,
+    },
 }
 
 /// A job that a crash, a reclaim or a cancel ended.
--- a/components/engines/src/engine/batch.rs
+++ b/components/engines/src/engine/batch.rs
@@ -193,7 +193,7 @@
         }
         if seq.job.poison {
             let lost = self.crash();
-            events.push(Event::Crashed(lost));
+            events.push(Event::Crashed { by: id, lost });
             return true;
         }
         let (place, stage, cached) = (seq.place, seq.job.stage, seq.cached);
--- a/components/engines/tests/engine.rs
+++ b/components/engines/tests/engine.rs
@@ -243,7 +243,7 @@
 
     let log = run(&mut engine);
 
-    let Some((_, Event::Crashed(lost))) = log.last() else { panic!("no crash: {log:?}") };
+    let Some((_, Event::Crashed { by: 2, lost })) = log.last() else { panic!("no crash: {log:?}") };
     assert_eq!(lost.iter().map(|lost| lost.id).collect::<Vec<_>>(), [1, 2]);
     assert!(engine.is_down());
 }
