Predict a lane's wait by its tag

Cause: in tenant, an organisation within its share was refused as if each other lane were served as much as its own before its turn, though its tag was lower than theirs. Counted by tags, only lanes that come first are ahead. And an organisation counts as over its share only when its use is among the highest: a large one was held back though another took more.

--- a/components/policy/src/admission/lane.rs
+++ b/components/policy/src/admission/lane.rs
@@ -17,8 +17,8 @@
 /// Time constant of an organisation's measured use, in seconds.
 const USE_WINDOW: f64 = 5.0;
 
-/// Use above the fair share at which an organisation counts as over it.
-const OVER: f64 = 1.25;
+/// Share of the highest use, by weight, at which an organisation counts as over.
+const TOP: f64 = 0.8;
 
 /// Least weight, so that each lane has its turn.
 const WEIGHT_FLOOR: f64 = 0.05;
@@ -139,30 +139,39 @@
         self.lanes.get(&org)?.last()
     }
 
-    /// Cost served before a new request of `org` and cost `cost` has its turn.
+    /// Cost served before a new request of `org` has its turn, its own included.
     ///
-    /// While a lane's backlog is served, each other lane is served as much by
-    /// weight, or until it is empty.
+    /// Each other lane is served until its tag reaches the tag that the request
+    /// will have, or until it is empty.
     pub(super) fn ahead(&self, org: OrgId, cost: u64) -> u64 {
-        let own = self.lanes.get(&org);
-        let weight = own.map_or(Share::default(), Lane::share).weight;
-        let backlog = own.map_or(0, |lane| lane.backlog);
-        let finish = (backlog + cost) as f64 / weight;
-        let others = self.turns.iter().filter(|(_, other)| *other != org);
-        let served = others.map(|(_, other)| {
+        let idle = Lane::default();
+        let own = self.lanes.get(&org).unwrap_or(&idle);
+        let tag = if own.is_empty() { self.entry_tag(own) } else { own.tag };
+        let turn = tag + own.tag_units(own.backlog);
+        let others = self.turns.iter().take_while(|(tag, _)| *tag < turn);
+        let others = others.filter(|(_, other)| *other != org);
+        let served = others.map(|(tag, other)| {
             let lane = &self.lanes[other];
-            (lane.backlog as f64).min(finish * lane.share().weight)
+            let until_turn = (turn - tag) as f64 * lane.share().weight / TAG_SCALE;
+            lane.backlog.min(until_turn as u64)
         });
-        backlog + served.sum::<f64>() as u64
+        own.backlog + cost + served.sum::<u64>()
+    }
+
+    /// The tag of a lane that begins to wait: a quiet one is ahead by its burst.
+    fn entry_tag(&self, lane: &Lane) -> u64 {
+        let burst = lane.tag_units(lane.share().burst);
+        lane.tag.max(self.tag.saturating_sub(burst))
     }
 
     pub(super) fn push(&mut self, now: Time, ticket: Ticket, request: &Request) {
         self.sweep(now);
         let cost = request.cost();
+        let idle = Lane::default();
+        let tag = self.entry_tag(self.lanes.get(&request.org).unwrap_or(&idle));
         let lane = self.lanes.entry(request.org).or_default();
         if lane.is_empty() {
-            let burst = lane.tag_units(lane.share().burst);
-            lane.tag = lane.tag.max(self.tag.saturating_sub(burst));
+            lane.tag = tag;
             self.turns.insert((lane.tag, request.org));
         }
         lane.ranks[rank(request.priority)].push_back((ticket, cost));
@@ -204,23 +213,24 @@
         }
     }
 
-    /// Whether an organisation was served more than its share of late, while
-    /// others wait or were served too.
+    /// Whether an organisation was served most of late, by weight, and more than an
+    /// equal share, while others wait or were served too.
     pub(super) fn is_over(&self, now: Time, org: OrgId) -> bool {
         let Some(lane) = self.lanes.get(&org) else { return false };
         let used = lane.used(now);
-        let share = lane.share();
-        if used <= share.burst as f64 {
+        if used <= lane.share().burst as f64 {
             return false;
         }
-        let (mut weights, mut orgs) = (0.0, 0u32);
+        let level = used / lane.share().weight;
+        let (mut weights, mut highest) = (0.0, level);
         for other in self.lanes.values() {
-            if !other.is_empty() || other.used(now) > 0.01 * used {
-                weights += other.share().weight;
-                orgs += 1;
+            let (used, weight) = (other.used(now), other.share().weight);
+            if !other.is_empty() || used >= 1.0 {
+                weights += weight;
+                highest = highest.max(used / weight);
             }
         }
-        orgs > 1 && used > OVER * self.total_used(now) * share.weight / weights
+        level > self.total_used(now) / weights && level >= TOP * highest
     }
 
     fn total_used(&self, now: Time) -> f64 {
