Share the room that a load report shows

Cause: in surge, 2.8% of the requests had long gaps: nine hosts saw the same room in the same report, and each filled it. A host now takes what others send and see leave to be like its own, by its part in the work, and waits for the room that its place, drawn anew with each report, needs.

--- a/components/policy/src/router.rs
+++ b/components/policy/src/router.rs
@@ -242,7 +242,13 @@
         if request.suspect && !self.may_isolate(now, request) {
             return Err(Refusal::new(Reason::Full, FULL));
         }
-        let query = Query { now, request, settings: &self.settings, fill };
+        let query = Query {
+            now,
+            request,
+            settings: &self.settings,
+            fill,
+            part: self.fleet.part(self.attempts.len()),
+        };
         if let Some(twin) = self.attempts.twin(request.fingerprint()) {
             return self.beside(&query, twin, except);
         }
@@ -256,6 +262,7 @@
 
     /// Counts an attempt as sent along `route`.
     pub fn start(&mut self, now: Time, ticket: Ticket, request: &Request, route: &Route) {
+        self.fleet.count_start();
         let attempt = Attempt {
             prefill: route.prefill,
             decode: route.decode,
--- a/components/policy/src/router/attempts.rs
+++ b/components/policy/src/router/attempts.rs
@@ -48,6 +48,10 @@
         self.open.insert(ticket, attempt);
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.open.len()
+    }
+
     pub(super) fn get(&self, ticket: Ticket) -> Option<&Attempt> {
         self.open.get(&ticket)
     }
--- a/components/policy/src/router/fleet.rs
+++ b/components/policy/src/router/fleet.rs
@@ -1,6 +1,10 @@
 //! The targets of the host's view, grouped for sampling.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    time::Duration,
+};
 
 use chervilgate_clock::Time;
 use rand::{Rng, RngExt};
@@ -20,6 +24,9 @@
 /// Least share of its full work that a new target takes.
 const SLOW_FLOOR: f64 = 0.1;
 
+/// Least part of all work that a host is taken to have.
+const PART_FLOOR: f64 = 1.0 / 64.0;
+
 /// Samples drawn for each target wanted, before ejected ones are taken too.
 const TRIES: usize = 3;
 
@@ -63,6 +70,8 @@
     pools: [[Vec<TargetId>; 2]; ROLES],
     typical: [Typical; ROLES],
     ejected: Vec<TargetId>,
+    /// Attempts started by this host; tells its draws from those of others.
+    started: u64,
 }
 
 impl Fleet {
@@ -73,6 +82,7 @@
             pools: Default::default(),
             typical: Default::default(),
             ejected: Vec::new(),
+            started: 0,
         }
     }
 
@@ -130,12 +140,29 @@
 
     /// Takes in a load report.
     pub(super) fn report(&mut self, now: Time, id: TargetId, report: LoadReport) {
+        let place = draw_place(self.started, id, now);
         let Some(entry) = self.entries.get_mut(&id) else { return };
-        if entry.load.report(now.before(report.age), report) {
+        if entry.load.report(now.before(report.age), report, place) {
             self.typical[number(entry.target.role)].update(&report);
         }
     }
 
+    /// Notes that this host started an attempt.
+    pub(super) fn count_start(&mut self) {
+        self.started += 1;
+    }
+
+    /// This host's part in the work of all hosts, when it has `open` attempts.
+    pub(super) fn part(&self, open: usize) -> f64 {
+        let generating = [Role::Mixed, Role::Decode]
+            .map(|role| self.typical(role).seqs() * self.count(role) as f64);
+        let all: f64 = generating.iter().sum();
+        if all < 1.0 {
+            return 1.0;
+        }
+        (open as f64 / all).clamp(PART_FLOOR, 1.0)
+    }
+
     /// Notes a failed attempt; ejects the target if it fails again and again.
     pub(super) fn fail(&mut self, now: Time, id: TargetId) {
         let entries = &self.entries;
@@ -215,3 +242,10 @@
         Role::Mixed => 2,
     }
 }
+
+/// A number from 0 to 1 that differs by host, target and report.
+fn draw_place(started: u64, id: TargetId, now: Time) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    (started, id, now).hash(&mut hasher);
+    hasher.finish() as f64 / u64::MAX as f64
+}
--- a/components/policy/src/router/load.rs
+++ b/components/policy/src/router/load.rs
@@ -34,6 +34,10 @@
     pub(super) prompt: u64,
     /// KV memory in use, in tokens.
     pub(super) kv: u64,
+    /// Sequences of this host that came and went since the report.
+    pub(super) net: i64,
+    /// This host's place among those that share the room left, from 0 to 1.
+    pub(super) place: f64,
 }
 
 /// Mean load over the targets of one role.
@@ -45,6 +49,11 @@
 }
 
 impl Typical {
+    /// Mean number of sequences.
+    pub(super) fn seqs(&self) -> f64 {
+        self.seqs
+    }
+
     /// Takes in one target's report.
     pub(super) fn update(&mut self, report: &LoadReport) {
         let seqs = f64::from(report.running + report.waiting);
@@ -82,6 +91,7 @@
     report: Option<(Time, LoadReport)>,
     since: VecDeque<(Time, Delta)>,
     net: Delta,
+    place: f64,
     open: u32,
     transit: u32,
     pending: u64,
@@ -89,10 +99,13 @@
 
 impl Load {
     /// Takes in a report measured at `measured`; false if a later one is known.
-    pub(super) fn report(&mut self, measured: Time, report: LoadReport) -> bool {
+    ///
+    /// `place` is drawn anew for each report, differently on each host.
+    pub(super) fn report(&mut self, measured: Time, report: LoadReport, place: f64) -> bool {
         if self.report.is_some_and(|(last, _)| last > measured) {
             return false;
         }
+        self.place = place;
         self.report = Some((measured, report));
         self.drop_until(measured);
         true
@@ -156,6 +169,8 @@
             seqs: (seqs.max(0.0) as u32 + self.transit).max(self.open),
             prompt: (prompt.max(0.0) as u64).max(self.pending),
             kv: kv.max(0) as u64,
+            net: self.net.seqs,
+            place: self.place,
         }
     }
 
@@ -164,6 +179,8 @@
             seqs: typical.seqs as u32 + self.open,
             prompt: typical.prompt as u64 + self.pending,
             kv: typical.kv as u64,
+            net: 0,
+            place: 0.0,
         }
     }
 
--- a/components/policy/src/router/score.rs
+++ b/components/policy/src/router/score.rs
@@ -40,6 +40,8 @@
     pub(super) request: &'a Request,
     pub(super) settings: &'a RouteSettings,
     pub(super) fill: Fill,
+    /// This host's part in the work of all hosts, from 0 to 1.
+    pub(super) part: f64,
 }
 
 /// A target's answer: it has room, and the work would take so long.
@@ -120,9 +122,20 @@
         let gap = self.settings.gap.mul_f64(GAP_SHARE).saturating_sub(chunk);
         let warmth = entry.warmth(self.now, self.settings.slow_start);
         let limit = f64::from(specs.batch(gap)) * self.fill.seqs * warmth;
+        let room = limit.max(1.0) - f64::from(load.seqs);
         let kv = load.kv + u64::from(self.request.prompt + self.request.output);
         let kv_limit = specs.kv_tokens as f64 * KV_SHARE;
-        load.seqs < (limit as u32).max(1) && kv as f64 <= kv_limit
+        room >= self.room_needed(load) && kv as f64 <= kv_limit
+    }
+
+    /// Room that the estimate has to show before one more sequence is sent.
+    ///
+    /// All hosts see the same room in the same report. Each takes what others send
+    /// and see leave to be like its own, by its part in the work, and waits for the
+    /// room that its place among them needs; together they fill the room once.
+    fn room_needed(&self, load: &Estimate) -> f64 {
+        let others = 1.0 / self.part - 1.0;
+        (1.0 + others * (load.net as f64 + load.place)).max(1.0)
     }
 
     fn crowding(&self, entry: &Entry, load: &Estimate) -> Duration {
