Reserve time for prompts as often as they come

Cause: a mixed engine kept the time of a whole chunk free in each step as soon as one prompt was queued anywhere in its role, which cost a quarter of its sequences.

--- a/components/policy/src/router/score.rs
+++ b/components/policy/src/router/score.rs
@@ -24,6 +24,9 @@
 /// Output, in tokens, from which one long gap is within the good share of gaps.
 const TRANSFER_OUTPUT: u32 = 40;
 
+/// Mean queue, in chunks, from which prompts count as computed all the time.
+const OFTEN: f64 = 0.2;
+
 /// How far a target may be filled.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Fill {
@@ -72,7 +75,7 @@
     pub(super) fn decode(&self, fleet: &Fleet, entry: &Entry) -> Option<Offer> {
         let specs = &entry.target.specs;
         let load = self.load(fleet, entry);
-        let chunk = if load.prompt > 0 { chunk_time(specs) } else { Duration::ZERO };
+        let chunk = chunk_share(specs, &load);
         if !self.has_room(entry, &load, chunk) {
             return None;
         }
@@ -85,7 +88,7 @@
     pub(super) fn whole(&self, fleet: &Fleet, entry: &Entry, cached: u32) -> Option<Offer> {
         let specs = &entry.target.specs;
         let load = self.load(fleet, entry);
-        if !self.has_room(entry, &load, chunk_time(specs)) {
+        if !self.has_room(entry, &load, chunk_share(specs, &load)) {
             return None;
         }
         let rate = chunk_rate(specs, load.seqs);
@@ -151,6 +154,14 @@
     specs.prefill(specs.chunk.into())
 }
 
+/// Time that prompts add to the steps that count: all of a chunk when prompts are
+/// often computed, next to none when that is rare enough to be among the long gaps
+/// that a good answer may have.
+fn chunk_share(specs: &Specs, load: &Estimate) -> Duration {
+    let often = f64::from(specs.chunk) * OFTEN;
+    chunk_time(specs).mul_f64((load.prompt as f64 / often.max(1.0)).min(1.0))
+}
+
 /// Prompt tokens a second beside `seqs` sequences.
 fn chunk_rate(specs: &Specs, seqs: u32) -> f64 {
     let step = specs.step(seqs) + chunk_time(specs);
