Price a prompt's time on a full engine

Cause: short prompts went to mixed engines even when those were full and prefill engines were idle, as the first token came a little sooner there. Computing a prompt beside many sequences now costs more the fuller the engine is. And a role change is judged by its gain against the work done, so that it counts as much when only a third of the demand is carried.

--- a/components/policy/src/roles.rs
+++ b/components/policy/src/roles.rs
@@ -25,6 +25,9 @@
 /// Generating engines that serve at any time.
 const SERVING_FLOOR: usize = 2;
 
+/// Least worth that gains are compared with.
+const SCALE_FLOOR: f64 = 0.05;
+
 /// Changes that can be weighed.
 const MOVES: [(Role, Role); 6] = [
     (Role::Prefill, Role::Decode),
@@ -231,14 +234,14 @@
         best
     }
 
-    /// Share of the demand gained by a move, summed over the horizon, in seconds.
+    /// Work gained by a move against the work done without, over the horizon, in seconds.
     fn gain(&self, capacity: Capacity, from: Role, to: Role, members: &[Member]) -> f64 {
         let cost = self.settings.cost.as_secs_f64();
         let rest = self.settings.horizon.as_secs_f64() - cost;
         let before = self.outlook.worth(&capacity);
         let during = self.outlook.worth(&capacity.minus(self.one(from, members)));
         let after = self.outlook.worth(&self.moved(capacity, from, to, members));
-        (after - before) * rest - (before - during) * cost
+        ((after - before) * rest - (before - during) * cost) / before.clamp(SCALE_FLOOR, 1.0)
     }
 
     /// Whether the same move has been the best for long enough.
--- a/components/policy/src/router/score.rs
+++ b/components/policy/src/router/score.rs
@@ -24,6 +24,10 @@
 /// Output, in tokens, from which one long gap is within the good share of gaps.
 const TRANSFER_OUTPUT: u32 = 40;
 
+/// Price of a prompt's time on a full engine that generates, against its time on a
+/// prefill engine.
+const PROMPT_PRICE: f64 = 8.0;
+
 /// Mean queue, in chunks, from which prompts count as computed all the time.
 const OFTEN: f64 = 0.2;
 
@@ -99,7 +103,15 @@
         let missing = self.request.prompt.saturating_sub(cached);
         let compute = Duration::from_secs_f64(f64::from(missing) / rate);
         let time = self.distance(fleet, entry) + wait + compute + specs.step(load.seqs + 1);
-        Some(Offer { time, score: time + self.crowding(entry, &load) })
+        let price = self.crowding(entry, &load) + self.price(entry, &load, missing);
+        Some(Offer { time, score: time + price })
+    }
+
+    /// What computing `missing` prompt tokens costs the sequences that run there.
+    fn price(&self, entry: &Entry, load: &Estimate, missing: u32) -> Duration {
+        let specs = &entry.target.specs;
+        let share = f64::from(load.seqs) / f64::from(specs.batch(self.settings.gap));
+        specs.prefill(missing.into()).mul_f64(PROMPT_PRICE * share * share)
     }
 
     /// Whether the gap that a KV transfer leaves after the first token is good, or
