--- a/bins/entry/src/entry.rs
+++ b/bins/entry/src/entry.rs
@@ -5,17 +5,12 @@
 use chervilgate_clients::{HttpEngine, HttpPlatform, HttpPool};
 use chervilgate_clock::BootClock;
 use chervilgate_coord::Event;
-use chervilgate_driver::{AuthorityMessage, TcpProber, answer_probes};
+use chervilgate_driver::{AuthorityMessage, Gate, TcpProber, answer_probes};
 use chervilgate_serve::{Limits, serve};
-use chervilgate_wire::{Identity, IdentityError, Incoming, Peers, WireError};
+use chervilgate_wire::{IdentityError, WireError};
 use ractor::{Actor, ActorRef};
 use snafu::{ResultExt, Snafu};
-use tokio::{
-    net::TcpListener,
-    sync::{mpsc, watch},
-    task::JoinHandle,
-    time::sleep,
-};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle, time::sleep};
 
 use crate::{
     admin_api::AdminApi,
@@ -35,8 +30,6 @@
 const FLUSH_WAIT: Duration = Duration::from_secs(2);
 /// Time allowed for the session to be given back.
 const RELEASE_WAIT: Duration = Duration::from_millis(500);
-/// Attempts to get the same port over UDP and TCP.
-const PORT_ATTEMPTS: usize = 16;
 
 /// Why an entry did not start.
 #[derive(Debug, Snafu)]
@@ -79,13 +72,6 @@
     probes: JoinHandle<()>,
 }
 
-/// What peers reach.
-struct Gate {
-    peers: Peers,
-    incoming: mpsc::Receiver<Incoming>,
-    probes: TcpListener,
-}
-
 impl Entry {
     /// Starts an entry against the systems that its settings name.
     ///
@@ -95,7 +81,8 @@
         let listener = listen(&mut settings.listen).await?;
         let admin = listen(&mut settings.admin).await?;
         let identity = settings.identity.load().context(BadIdentitySnafu)?;
-        let gate = bind_peers(&mut settings, &identity).await?;
+        let gate = Gate::open(settings.peer, &identity).await.context(PeerSnafu)?;
+        settings.peer = gate.addr;
         let platform = Arc::new(HttpPlatform::new(settings.platform));
         let borders = Borders {
             store: platform.clone(),
@@ -181,25 +168,6 @@
     Ok(listener)
 }
 
-/// Listens for peers over UDP and for probes over TCP at the same port.
-async fn bind_peers(settings: &mut Settings, identity: &Identity) -> Result<Gate, StartError> {
-    let wanted = settings.peer;
-    let mut attempts = if wanted.port() == 0 { PORT_ATTEMPTS } else { 1 };
-    loop {
-        let (peers, incoming) = Peers::bind(wanted, identity).context(PeerSnafu)?;
-        let addr = peers.local_addr().context(ListenSnafu { addr: wanted })?;
-        attempts -= 1;
-        match TcpListener::bind(addr).await {
-            Ok(probes) => {
-                settings.peer = addr;
-                return Ok(Gate { peers, incoming, probes });
-            }
-            Err(_) if attempts > 0 => peers.close(),
-            Err(source) => return Err(StartError::Listen { addr, source }),
-        }
-    }
-}
-
 fn serve_callers(host: &Arc<Host>, listener: TcpListener) -> JoinHandle<()> {
     let handler = Arc::new(CallerApi::new(host.clone()));
     let mut phase = host.phase();
--- a/bins/entry/src/lib.rs
+++ b/bins/entry/src/lib.rs
@@ -33,6 +33,6 @@
 
 pub use crate::{
     entry::{Entry, StartError},
-    settings::{IdentitySource, Settings, TlsFiles},
+    settings::{Settings, TlsFiles},
     usage::{USAGE_GROUPS, usage_shard},
 };
--- a/bins/entry/src/settings.rs
+++ b/bins/entry/src/settings.rs
@@ -1,14 +1,14 @@
 //! Settings of an entry.
 
 use std::{
-    fmt,
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     time::Duration,
 };
 
+use chervilgate_driver::IdentitySource;
 use chervilgate_settings::{FromJson, Node};
-use chervilgate_wire::{Identity, IdentityError, PemFiles};
+use chervilgate_wire::Identity;
 
 /// Time to the first token, or to a plain service's answer.
 const DEADLINE: Duration = Duration::from_millis(870);
@@ -56,37 +56,6 @@
     pub metrics: Option<SocketAddr>,
 }
 
-/// Where the certificate shown to other processes comes from.
-#[derive(Clone)]
-pub enum IdentitySource {
-    /// Files, read again when they change.
-    Files(PemFiles),
-    /// An identity made in this process.
-    Made(Identity),
-}
-
-impl fmt::Debug for IdentitySource {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            IdentitySource::Files(files) => f.debug_tuple("Files").field(files).finish(),
-            IdentitySource::Made(_) => f.write_str("Made(…)"),
-        }
-    }
-}
-
-impl IdentitySource {
-    /// The identity as it is now.
-    ///
-    /// # Errors
-    /// If a file cannot be read.
-    pub fn load(&self) -> Result<Identity, IdentityError> {
-        match self {
-            IdentitySource::Files(files) => Identity::load(files),
-            IdentitySource::Made(identity) => Ok(identity.clone()),
-        }
-    }
-}
-
 /// The files of a certificate, in PEM.
 #[derive(Debug, Clone)]
 pub struct TlsFiles {
@@ -130,7 +99,7 @@
         let listen = fields.required("listen");
         let admin = fields.required("admin");
         let peer = fields.required("peer");
-        let identity: Option<PeerTls> = fields.required("peer_tls");
+        let identity = fields.required("peer_tls");
         let seeds = fields.or("seeds", Vec::new());
         let platform = fields.required("platform");
         let deadline = fields.or("deadline", DEADLINE);
@@ -146,7 +115,7 @@
             listen: listen?,
             admin: admin?,
             peer: peer?,
-            identity: IdentitySource::Files(identity?.0),
+            identity: identity?,
             seeds,
             platform: platform?,
             deadline,
@@ -160,20 +129,6 @@
     }
 }
 
-struct PeerTls(PemFiles);
-
-impl FromJson for PeerTls {
-    const EXPECTED: &'static str = "the files by which processes know one another";
-
-    fn from_json(node: &Node<'_>) -> Option<PeerTls> {
-        let mut fields = node.fields(Self::EXPECTED)?;
-        let authority = fields.required("authority");
-        let certificate = fields.required("certificate");
-        let key = fields.required("key");
-        Some(PeerTls(PemFiles { authority: authority?, certificate: certificate?, key: key? }))
-    }
-}
-
 impl FromJson for TlsFiles {
     const EXPECTED: &'static str = "a certificate and its key";
 
--- a/components/driver/src/lib.rs
+++ b/components/driver/src/lib.rs
@@ -5,6 +5,8 @@
 
 mod alarm;
 mod authority;
+mod gate;
+mod identity;
 mod probe;
 mod view;
 
@@ -13,6 +15,8 @@
     authority::{
         AuthorityActor, AuthorityArgs, AuthorityMessage, AuthorityStatus, OrderSender, OwnedShard,
     },
+    gate::Gate,
+    identity::IdentitySource,
     probe::{Prober, TcpProber, answer_probes},
     view::{EditOutcome, ViewActor, ViewArgs, ViewMessage, ViewUpdate},
 };
