Bring usage home on a planned stop

A stopping entry flushed its counters into a window that had been sealed before, and they were lost: the controller's test saw no report in 60 s. A hurried meter now looks for the seal after each flush and goes on in the next window until it is in an open one; a new mirror gets the state again. A new meter begins at the first unreported window rather than walking from the first.

--- a/bins/controller/src/main.rs
+++ b/bins/controller/src/main.rs
@@ -49,12 +49,13 @@
     loop {
         let mut controller = start(&settings).await?;
         tokio::select! {
-            _ = terminate.recv() => return Ok(controller.stop().await),
-            _ = interrupt.recv() => return Ok(controller.stop().await),
+            _ = terminate.recv() => break controller.stop().await,
+            _ = interrupt.recv() => break controller.stop().await,
             () = controller.wait_ended() => controller.kill(),
         }
         log::warn!(target: "controller", "this incarnation is over; starting anew");
     }
+    Ok(())
 }
 
 /// Starts a controller; its port may take a moment to become free again.
--- a/bins/controller/tests/duty.rs
+++ b/bins/controller/tests/duty.rs
@@ -37,6 +37,19 @@
     controllers
 }
 
+async fn start_entry(
+    deployment: &Deployment,
+    authority: &Authority,
+    host: &str,
+    zone: &str,
+) -> Entry {
+    let identity = authority.issue(host).expect("an identity");
+    let mut settings = EntrySettings::new(host, zone, deployment.platform.addr(), identity);
+    settings.deadline = PATIENCE;
+    settings.locate_ttl = Duration::ZERO;
+    Entry::start(settings).await.expect("an entry")
+}
+
 async fn state_of(controller: &Controller) -> serde_json::Value {
     let answer = Caller::without_key().get(controller.admin_addr(), "/admin/state").await;
     answer.map(|answer| answer.json()).unwrap_or_default()
@@ -97,12 +110,8 @@
     let authority = Authority::generate().expect("an authority");
     deployment.publish().await.expect("published");
     let controllers = start_controllers(&deployment, &authority, 3).await;
-    let identity = authority.issue("h1").expect("an identity");
-    let platform = deployment.platform.addr();
-    let mut settings = EntrySettings::new("h1", "a", platform, identity);
-    settings.deadline = PATIENCE;
-    settings.locate_ttl = Duration::ZERO;
-    let entry = Entry::start(settings).await.expect("an entry");
+    let entry = start_entry(&deployment, &authority, "h1", "a").await;
+    let _mirror = start_entry(&deployment, &authority, "h2", "b").await;
     let caller = Caller::new(secret.expose());
     eventually(|| async {
         let answer = caller.get(entry.addr(), "/readyz").await;
@@ -136,10 +145,7 @@
     let authority = Authority::generate().expect("an authority");
     deployment.publish().await.expect("published");
     let controllers = start_controllers(&deployment, &authority, 2).await;
-    let identity = authority.issue("h1").expect("an identity");
-    let mut settings = EntrySettings::new("h1", "a", deployment.platform.addr(), identity);
-    settings.deadline = PATIENCE;
-    let entry = Entry::start(settings).await.expect("an entry");
+    let entry = start_entry(&deployment, &authority, "h1", "a").await;
     let caller = Caller::new(secret.expose());
     eventually(|| async {
         caller.get(entry.addr(), "/readyz").await.is_some_and(|answer| answer.status.is_success())
--- a/bins/entry/src/entry.rs
+++ b/bins/entry/src/entry.rs
@@ -26,8 +26,8 @@
 /// Time for a leaving host's own record to reach the others.
 const LEAVE_MARGIN: Duration = Duration::from_secs(3);
 
-/// Time allowed for the last flush of usage.
-const FLUSH_WAIT: Duration = Duration::from_secs(2);
+/// Time allowed for the last flush of usage, in milliseconds.
+const FLUSH_TIMEOUT: u64 = 10_000;
 /// Time allowed for the session to be given back.
 const RELEASE_WAIT: Duration = Duration::from_millis(500);
 
@@ -149,9 +149,10 @@
     /// Flushes usage and gives the session back, so that nobody waits for it to lapse.
     async fn release(&self) {
         let links = self.host.links();
-        if let Some(usage) = links.usage {
-            let _ = usage.cast(UsageMessage::Hurry);
-            sleep(FLUSH_WAIT).await;
+        if let Some(usage) = links.usage
+            && ractor::call_t!(usage, UsageMessage::Hurry, FLUSH_TIMEOUT).is_err()
+        {
+            log::warn!(target: "entry", "usage not flushed in time; its mirror has to");
         }
         if let Some(authority) = links.authority {
             let _ = authority.cast(AuthorityMessage::SetBusy(false));
--- a/bins/entry/src/lib.rs
+++ b/bins/entry/src/lib.rs
@@ -34,5 +34,5 @@
 pub use crate::{
     entry::{Entry, StartError},
     settings::{Settings, TlsFiles},
-    usage::{USAGE_GROUPS, usage_shard},
+    usage::{USAGE_GROUPS, USAGE_RECEIVER, usage_shard},
 };
--- a/bins/entry/src/usage.rs
+++ b/bins/entry/src/usage.rs
@@ -8,17 +8,20 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
+    time::Duration,
 };
 
 use chervilgate_clock::Time;
 use chervilgate_coord::{
-    CallId, CallIds, Incarnation, Node, ShardId, StoreCall, StoreReply, weigh,
-    window::{Meter, MeterAction, Mirror, MirrorAction, Sheet, Usage, WindowId},
+    CallId, CallIds, Incarnation, Node, ReceiverId, ShardId, StoreCall, StoreReply, decode,
+    intent::{ReceiverRecord, receiver_key},
+    window::{Meter, MeterAction, Mirror, MirrorAction, Sheet, Tally, Usage, WindowId},
 };
 use chervilgate_driver::Alarm;
 use chervilgate_wire::Message;
-use ractor::{Actor, ActorProcessingErr, ActorRef};
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use sha2::{Digest, Sha256};
+use tokio::time::sleep;
 
 use crate::host::Host;
 
@@ -27,6 +30,11 @@
 /// Calls of this actor are numbered apart from those of the others.
 const FIRST_CALL: u64 = 2 << 32;
 
+/// The receiver of a usage shard's reports.
+pub const USAGE_RECEIVER: &str = "reports";
+/// Pause before a shard's last reported window is looked for again.
+const LOOK_PAUSE: Duration = Duration::from_secs(1);
+
 /// The shard that an organisation's windows belong to.
 pub fn usage_shard(organisation: &str) -> ShardId {
     let digest = Sha256::digest(organisation.as_bytes());
@@ -49,12 +57,14 @@
     Wake,
     /// A reply of the platform's store.
     Reply(CallId, StoreReply),
+    /// The first window of a shard that has not been reported.
+    Open(ShardId, u64),
     /// Another entry's counters, to be mirrored.
     Mirror(Incarnation, WindowId, Sheet),
     /// The entries that are believed live.
     Members(Vec<Node>),
-    /// Flush at once, for a planned stop.
-    Hurry,
+    /// Flush at once, for a planned stop; answered once all is home.
+    Hurry(RpcReplyPort<()>),
 }
 
 /// The keeper's state.
@@ -62,8 +72,11 @@
     host: Arc<Host>,
     node: Node,
     meters: BTreeMap<ShardId, Meter>,
+    /// Counted before the shard's open window is known.
+    early: BTreeMap<ShardId, Tally>,
     mirror: Mirror,
     members: Vec<Node>,
+    stop: Option<RpcReplyPort<()>>,
     ids: CallIds,
     alarm: Alarm,
 }
@@ -82,8 +95,10 @@
             node: host.node(),
             host,
             meters: BTreeMap::new(),
+            early: BTreeMap::new(),
             mirror: Mirror::default(),
             members: Vec::new(),
+            stop: None,
             ids: CallIds::from(FIRST_CALL),
             alarm: Alarm::default(),
         })
@@ -97,28 +112,43 @@
     ) -> Result<(), ActorProcessingErr> {
         let now = state.host.borders.clock.now();
         match message {
-            UsageMessage::Add { organisation, usage } => state.add(now, &organisation, usage),
+            UsageMessage::Add { organisation, usage } => state.add(&myself, &organisation, usage),
+            UsageMessage::Open(shard, number) => state.open(now, shard, number),
             UsageMessage::Wake => {}
             UsageMessage::Reply(id, reply) => state.reply(now, &myself, id, &reply),
             UsageMessage::Mirror(entry, window, sheet) => state.mirror.note(entry, window, sheet),
             UsageMessage::Members(members) => state.set_members(now, members),
-            UsageMessage::Hurry => state.hurry(now),
+            UsageMessage::Hurry(answer) => state.hurry(now, answer),
         }
         state.advance(now, &myself);
+        state.tell_home();
         state.alarm.set(now, state.wake_at(), &myself, UsageMessage::Wake);
         Ok(())
     }
 }
 
 impl UsageState {
-    fn add(&mut self, now: Time, organisation: &str, usage: Usage) {
+    fn add(&mut self, myself: &ActorRef<UsageMessage>, organisation: &str, usage: Usage) {
         let shard = usage_shard(organisation);
+        if let Some(meter) = self.meters.get_mut(&shard) {
+            meter.add(organisation, usage);
+            return;
+        }
+        if !self.early.contains_key(&shard) {
+            tokio::spawn(find_open(self.host.clone(), shard.clone(), myself.clone()));
+        }
+        self.early.entry(shard).or_default().add(organisation, usage);
+    }
+
+    /// Counts in window `number` of a shard from now on.
+    fn open(&mut self, now: Time, shard: ShardId, number: u64) {
+        let early = self.early.remove(&shard).unwrap_or_default();
         let me = self.node.incarnation;
-        let meter = self
-            .meters
-            .entry(shard.clone())
-            .or_insert_with(|| Meter::new(me, shard, 1, now, rand::random()));
-        meter.add(organisation, usage);
+        let mut meter = Meter::new(me, shard.clone(), number, now, rand::random());
+        for (organisation, usage) in early.usage {
+            meter.add(&organisation, usage);
+        }
+        self.meters.insert(shard, meter);
     }
 
     /// Brings home the counters of entries that are live no more.
@@ -128,10 +158,26 @@
         for node in gone {
             self.mirror.take_over(now, node.incarnation, rand::random());
         }
+        let former = choose_mirror(&self.node, &self.members).cloned();
         self.members = members;
+        if choose_mirror(&self.node, &self.members) == former.as_ref() {
+            return;
+        }
+        for meter in self.meters.values_mut() {
+            meter.mirror_anew(now);
+        }
     }
 
-    fn hurry(&mut self, now: Time) {
+    /// Tells whoever stops this host that everything counted is home.
+    fn tell_home(&mut self) {
+        let home = self.early.is_empty() && self.meters.values().all(Meter::is_home);
+        if home && let Some(answer) = self.stop.take() {
+            let _ = answer.send(());
+        }
+    }
+
+    fn hurry(&mut self, now: Time, answer: RpcReplyPort<()>) {
+        self.stop = Some(answer);
         for meter in self.meters.values_mut() {
             meter.hurry(now);
         }
@@ -206,9 +252,31 @@
     }
 }
 
-/// The member that mirrors this one; in another zone if there is one.
+/// Finds the first window of a shard that has not been reported.
+///
+/// Later ones may be sealed already; the meter finds that out by itself.
+async fn find_open(host: Arc<Host>, shard: ShardId, myself: ActorRef<UsageMessage>) {
+    let receiver = ReceiverId { shard: shard.clone(), name: USAGE_RECEIVER.to_owned() };
+    let call = StoreCall::Get { key: receiver_key(&receiver) };
+    loop {
+        match host.borders.store.call(&call).await {
+            StoreReply::Found(object) => {
+                let record = object.and_then(|object| decode::<ReceiverRecord>(&object.value).ok());
+                let reported = record.map_or(0, |record| record.cause);
+                let _ = myself.cast(UsageMessage::Open(shard, reported + 1));
+                return;
+            }
+            _ => sleep(LOOK_PAUSE).await,
+        }
+    }
+}
+
+/// The member that mirrors this one: in another zone if there is one, and
+/// there the incarnation next to its own, so that mirrors spread.
 fn choose_mirror<'a>(me: &Node, members: &'a [Node]) -> Option<&'a Node> {
-    let place = ShardId(format!("mirror/{}", me.addr));
     let others = members.iter().filter(|node| node.incarnation != me.incarnation);
-    others.max_by_key(|node| (node.zone != me.zone, weigh(&place, node)))
+    others.min_by_key(|node| {
+        let near = node.zone == me.zone;
+        (near, node.incarnation.0.wrapping_sub(me.incarnation.0))
+    })
 }
--- a/components/coord/src/window/meter.rs
+++ b/components/coord/src/window/meter.rs
@@ -82,6 +82,10 @@
     overtaken: bool,
     flight: Option<(CallId, Asked)>,
     sealed: Option<Seal>,
+    /// Planned to stop soon.
+    hurries: bool,
+    /// The flushed state after which the window was still seen open.
+    open_after: Option<u64>,
     flush_at: Time,
     seal_at: Time,
     mirror_at: Time,
@@ -106,6 +110,8 @@
             overtaken: false,
             flight: None,
             sealed: None,
+            hurries: false,
+            open_after: None,
             flush_at: now + FLUSH_SPAN.saturating_sub(spread),
             seal_at: now,
             mirror_at: now,
@@ -154,9 +160,29 @@
         self.flushed == self.sheet.state
     }
 
-    /// Flushes as soon as possible, for a planned stop.
+    /// Flushes and mirrors as soon as possible, for a planned stop.
+    ///
+    /// Each flush is then followed by a look for the window's seal, since a
+    /// seal taken before the flush lacks it; [`Meter::is_home`] tells the end.
     pub fn hurry(&mut self, now: Time) {
+        self.hurries = true;
         self.flush_at = now;
+        self.seal_at = now;
+        self.mirror_anew(now);
+    }
+
+    /// Sends the state to the mirror again, as after a change of the mirror.
+    pub fn mirror_anew(&mut self, now: Time) {
+        self.mirrored = 0;
+        self.mirror_at = now;
+    }
+
+    /// Whether a hurried meter has brought everything into an open window.
+    ///
+    /// A seal that is being made at this very moment may still lack it; then
+    /// the mirror brings it home.
+    pub fn is_home(&self) -> bool {
+        self.sheet.tally.is_empty() || (self.is_flushed() && self.open_after == Some(self.flushed))
     }
 
     /// When [`Meter::advance`] is due again.
@@ -211,8 +237,9 @@
             (Asked::Seal, StoreReply::Found(object)) => {
                 self.backoff.reset();
                 let seal = object.as_ref().and_then(|object| decode::<Seal>(&object.value).ok());
-                if let Some(seal) = seal {
-                    self.note_sealed(now, seal);
+                match seal {
+                    Some(seal) => self.note_sealed(now, seal),
+                    None => self.open_after = Some(self.flushed),
                 }
             }
             (Asked::Sealed, StoreReply::Found(Some(object))) => {
@@ -228,7 +255,8 @@
                 self.version = Some(*version);
                 self.flush_at = now + FLUSH_SPAN;
                 // A window sealed meanwhile is found by a look after the flush.
-                self.seal_at = self.seal_at.min(now + FLUSH_SPAN / 2);
+                let look_at = if self.hurries { now } else { now + FLUSH_SPAN / 2 };
+                self.seal_at = self.seal_at.min(look_at);
             }
             (Asked::Flush { .. }, StoreReply::Conflict(object)) => {
                 self.note_stored(object.as_ref());
@@ -292,6 +320,10 @@
         self.version = None;
         self.known = true;
         self.sealed = None;
+        self.open_after = None;
+        if self.hurries {
+            self.flush_at = now;
+        }
         // The next window may be sealed as well, if this entry was away; what is
         // left over must not miss one window after another.
         self.seal_at = now;
