--- a/bins/ctl/src/accept.rs
+++ b/bins/ctl/src/accept.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     answer::Exit,
-    entries::{Asked, ask_all},
+    entries::{Asked, EntryState, ask_all},
     screen::Screen,
     session::Session,
 };
@@ -48,7 +48,7 @@
 }
 
 /// Judges by what the entries say.
-pub(crate) fn judge(root: &Root, asked: &[Asked]) -> Standing {
+pub(crate) fn judge(root: &Root, asked: &[Asked<EntryState>]) -> Standing {
     let states = || asked.iter().filter_map(|asked| asked.state.as_ref().ok());
     let held = states().filter(|state| state.view.seq >= root.seq.0).count();
     let accepted = if root.voters.current.is_empty() {
--- a/bins/ctl/src/cmd/hosts.rs
+++ b/bins/ctl/src/cmd/hosts.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     answer::{Answer, Failure},
-    entries::{Asked, ask_all},
+    entries::{Asked, EntryState, ask_all},
     screen::Screen,
     session::Session,
 };
@@ -34,7 +34,7 @@
     Ok(Answer::done(text, json))
 }
 
-fn describe(asked: &Asked) -> String {
+fn describe(asked: &Asked<EntryState>) -> String {
     match &asked.state {
         Ok(state) => {
             let fresh = if state.view.fresh { "" } else { ", view not fresh" };
@@ -47,6 +47,6 @@
     }
 }
 
-fn is_asked(asked: &[Asked], addr: IpAddr) -> bool {
+fn is_asked(asked: &[Asked<EntryState>], addr: IpAddr) -> bool {
     asked.iter().any(|asked| asked.addr.ip() == addr)
 }
--- a/bins/ctl/src/cmd/status.rs
+++ b/bins/ctl/src/cmd/status.rs
@@ -9,7 +9,7 @@
 use crate::{
     accept::judge,
     answer::{Answer, Exit, Failure},
-    entries::{Asked, ask_all},
+    entries::{Asked, ControllerState, DrainState, EntryState, ask_all},
     screen::Screen,
     session::Session,
 };
@@ -25,7 +25,10 @@
 pub(super) async fn run(session: &Session) -> Result<Answer, Failure> {
     let entries = ask_all(&session.pool, &session.settings.entries);
     let published = read_published(&session.platform);
-    let (asked, published, hosts) = tokio::join!(entries, published, session.platform.hosts());
+    let controllers = ask_all(&session.pool, &session.settings.controllers);
+    let hosts = session.platform.hosts();
+    let (asked, controllers, published, hosts) =
+        tokio::join!(entries, controllers, published, hosts);
 
     let mut troubles = Vec::new();
     let mut facts = Screen::default();
@@ -37,6 +40,9 @@
         )),
     }
     look_at_entries(&asked, &mut facts, &mut troubles);
+    if !controllers.is_empty() {
+        look_at_controllers(&controllers, &mut facts, &mut troubles);
+    }
     if let Ok(hosts) = &hosts {
         let leaving = hosts.iter().filter(|host| host.leaving).count();
         facts.line(format!("hosts    {} listed, {leaving} leaving", hosts.len()));
@@ -57,7 +63,7 @@
 
 fn look_at_view(
     published: &Published,
-    asked: &[Asked],
+    asked: &[Asked<EntryState>],
     facts: &mut Screen,
     troubles: &mut Vec<Trouble>,
 ) {
@@ -101,7 +107,7 @@
     })
 }
 
-fn look_at_entries(asked: &[Asked], facts: &mut Screen, troubles: &mut Vec<Trouble>) {
+fn look_at_entries(asked: &[Asked<EntryState>], facts: &mut Screen, troubles: &mut Vec<Trouble>) {
     let serving = asked.iter().filter(|asked| phase(asked) == Some("serving")).count();
     let silent = asked.iter().filter(|asked| asked.state.is_err()).count();
     let leaving = asked.len() - serving - silent;
@@ -109,7 +115,7 @@
     for asked in asked {
         match &asked.state {
             Err(problem) => troubles.push(trouble(
-                format!("entry {}: {problem}", asked.addr),
+                format!("entry {} is silent: {problem}", asked.addr),
                 "callers use the others; docs/operating/host-replaced.md",
             )),
             Ok(state) if !state.view.fresh => troubles.push(trouble(
@@ -121,7 +127,37 @@
     }
 }
 
-fn phase(asked: &Asked) -> Option<&str> {
+fn look_at_controllers(
+    asked: &[Asked<ControllerState>],
+    facts: &mut Screen,
+    troubles: &mut Vec<Trouble>,
+) {
+    let states = || asked.iter().filter_map(|asked| asked.state.as_ref().ok());
+    let owned: usize = states().map(|state| state.owned.len()).sum();
+    let silent = asked.len() - states().count();
+    facts.line(format!("control  {} up, {silent} silent, {owned} shards owned", states().count()));
+    for state in states() {
+        for DrainState { target, waiting } in &state.draining {
+            facts.line(format!("draining {target}, waiting for {} processes", waiting.len()));
+        }
+        troubles.extend(state.frozen.iter().map(|receiver| {
+            trouble(
+                format!("{receiver} gets no orders until a former sender is proved out"),
+                "it serves as it is; chervilgatectl release, docs/operating/frozen-engine.md",
+            )
+        }));
+    }
+    for asked in asked {
+        if let Err(problem) = &asked.state {
+            troubles.push(trouble(
+                format!("controller {} is silent: {problem}", asked.addr),
+                "others take its shards over; docs/operating/host-replaced.md",
+            ));
+        }
+    }
+}
+
+fn phase(asked: &Asked<EntryState>) -> Option<&str> {
     asked.state.as_ref().ok().map(|state| state.phase.as_str())
 }
 
--- a/bins/ctl/src/entries.rs
+++ b/bins/ctl/src/entries.rs
@@ -1,12 +1,12 @@
-//! What entries say of themselves.
+//! What entries and controllers say of themselves.
 
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use chervilgate_clients::{HttpPool, HttpSender, body::collect};
+use chervilgate_clients::{HttpPool, HttpSender, SendError, body::collect};
 use futures_util::future::join_all;
 use hyper::{Request, header::HOST};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::time::timeout;
 
 /// Time allowed for an entry's answer.
@@ -36,28 +36,56 @@
     pub(crate) fresh: bool,
 }
 
-/// An entry's address and its answer, if there was one.
+/// A controller's answer to `GET /admin/state`, as far as it is needed here.
 #[derive(Debug, Clone)]
-pub(crate) struct Asked {
+#[derive(Serialize, Deserialize)]
+pub(crate) struct ControllerState {
+    pub(crate) host: String,
+    /// Shards that it owns.
+    pub(crate) owned: Vec<String>,
+    /// Receivers that get no orders until a former sender is proved out.
+    pub(crate) frozen: Vec<String>,
+    /// Drains under way.
+    pub(crate) draining: Vec<DrainState>,
+}
+
+/// A drain as its controller sees it.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct DrainState {
+    pub(crate) target: String,
+    /// Processes that may still send to the target.
+    pub(crate) waiting: Vec<SocketAddr>,
+}
+
+/// A process's admin address and its answer, if there was one.
+#[derive(Debug, Clone)]
+pub(crate) struct Asked<T> {
     pub(crate) addr: SocketAddr,
-    pub(crate) state: Result<EntryState, String>,
+    pub(crate) state: Result<T, String>,
 }
 
-/// Asks all entries at the same time.
-pub(crate) async fn ask_all(pool: &HttpPool, addrs: &[SocketAddr]) -> Vec<Asked> {
+/// Asks all processes at the same time.
+pub(crate) async fn ask_all<T: DeserializeOwned>(
+    pool: &HttpPool,
+    addrs: &[SocketAddr],
+) -> Vec<Asked<T>> {
     join_all(addrs.iter().map(|addr| ask(pool, *addr))).await
 }
 
-async fn ask(pool: &HttpPool, addr: SocketAddr) -> Asked {
+async fn ask<T: DeserializeOwned>(pool: &HttpPool, addr: SocketAddr) -> Asked<T> {
     let answer = timeout(ANSWER_TIMEOUT, fetch(pool, addr)).await;
     let state = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
     Asked { addr, state }
 }
 
-async fn fetch(pool: &HttpPool, addr: SocketAddr) -> Result<EntryState, String> {
+async fn fetch<T: DeserializeOwned>(pool: &HttpPool, addr: SocketAddr) -> Result<T, String> {
     let request = Request::get("/admin/state").header(HOST, addr.to_string()).body(Bytes::new());
     let request = request.map_err(|error| error.to_string())?;
-    let response = pool.send(addr, request).await.map_err(|error| error.to_string())?;
+    let response = pool.send(addr, request).await.map_err(|error| match error {
+        SendError::NotSent { reason, .. } => reason,
+        SendError::Unanswered { source, .. } => source.to_string(),
+    })?;
     let status = response.status();
     if !status.is_success() {
         return Err(format!("answered {status}"));
--- a/bins/ctl/src/settings.rs
+++ b/bins/ctl/src/settings.rs
@@ -16,6 +16,8 @@
     pub(crate) platform: SocketAddr,
     /// The entries' admin addresses.
     pub(crate) entries: Vec<SocketAddr>,
+    /// The controllers' admin addresses.
+    pub(crate) controllers: Vec<SocketAddr>,
     /// Who is at work, for the history.
     pub(crate) operator: String,
     /// Time for one change to be made.
@@ -31,6 +33,7 @@
         let mut fields = node.fields(Self::EXPECTED)?;
         let platform = fields.required("platform");
         let entries: Option<Vec<SocketAddr>> = fields.required("entries");
+        let controllers = fields.or("controllers", Vec::new());
         let operator = fields.or("operator", String::new());
         let change_limit = fields.or("change_limit", CHANGE_LIMIT);
         let accept_limit = fields.or("accept_limit", ACCEPT_LIMIT);
@@ -40,6 +43,7 @@
         Some(Settings {
             platform: platform?,
             entries: entries?,
+            controllers,
             operator,
             change_limit,
             accept_limit,
--- a/bins/ctl/tests/pages.rs
+++ b/bins/ctl/tests/pages.rs
@@ -79,11 +79,21 @@
     assert_eq!(settings.host, "entry-a1");
 }
 
+#[test]
+fn sample_settings_of_the_controller_check_clean() {
+    let sample = root().join("settings/controller.json");
+
+    let settings = chervilgate_settings::load::<chervilgate_controller::Settings>(&sample);
+
+    let settings = settings.unwrap_or_else(|report| panic!("{report}"));
+    assert!(!settings.trust_list);
+}
+
 #[test]
 fn each_sample_is_checked() {
     let samples = fs::read_dir(root().join("settings")).expect("a folder");
     let mut names: Vec<_> = samples.map(|sample| sample.expect("an entry").file_name()).collect();
     names.sort();
 
-    assert_eq!(names, ["chervilgatectl.json", "entry.json"]);
+    assert_eq!(names, ["chervilgatectl.json", "controller.json", "entry.json"]);
 }
--- a/bins/ctl/tests/whole.rs
+++ b/bins/ctl/tests/whole.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, process::Command, time::Duration};
 
+use chervilgate_controller::{Controller, Settings as ControllerSettings};
 use chervilgate_entry::{Entry, Settings};
 use chervilgate_standins::{Caller, Deployment, EngineSpec};
 use chervilgate_wire::Authority;
@@ -15,6 +16,7 @@
 struct Whole {
     deployment: Deployment,
     entries: Vec<Entry>,
+    controller: Controller,
     folder: PathBuf,
 }
 
@@ -31,10 +33,14 @@
             let settings = Settings { deadline: PATIENCE, ..settings };
             entries.push(Entry::start(settings).await.expect("an entry"));
         }
+        let identity = authority.issue("c1").expect("an identity");
+        let platform = deployment.platform.addr();
+        let settings = ControllerSettings::new("c1", "a", platform, identity);
+        let controller = Controller::start(settings).await.expect("a controller");
         let folder = format!("whole-{name}-{}", std::process::id());
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(folder);
         std::fs::create_dir_all(&folder).expect("a folder");
-        let whole = Whole { deployment, entries, folder };
+        let whole = Whole { deployment, entries, controller, folder };
         whole.write_files();
         whole
     }
@@ -46,6 +52,7 @@
         let settings = json!({
             "platform": self.deployment.platform.addr(),
             "entries": admins,
+            "controllers": [self.controller.admin_addr()],
             "accept_limit": "60s",
         });
         let write = |name: &str, value: &Value| {
@@ -56,13 +63,24 @@
     }
 
     async fn run(&self, args: &[&str]) -> Value {
+        let (success, answer, problem) = self.try_run(args).await;
+        assert!(success, "{args:?}: {problem}");
+        answer
+    }
+
+    async fn try_run(&self, args: &[&str]) -> (bool, Value, String) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_chervilgatectl"));
         command.args(args).arg("--json").current_dir(&self.folder).env_remove("CHERVILGATECTL");
         let running = tokio::task::spawn_blocking(move || command.output());
         let output = running.await.expect("a task").expect("the command runs");
-        let stderr = String::from_utf8_lossy(&output.stderr);
-        assert!(output.status.success(), "{args:?}: {}, {stderr}", output.status);
-        serde_json::from_slice(&output.stdout).expect("JSON")
+        let answer = serde_json::from_slice(&output.stdout).unwrap_or_default();
+        let problem = String::from_utf8_lossy(&output.stderr).into_owned();
+        (output.status.success(), answer, problem)
+    }
+
+    /// Waits until `status` finds nothing wrong; members are recorded anew meanwhile.
+    async fn until_well(&self) {
+        eventually(|| async { self.try_run(&["status"]).await.1["well"] == true }).await;
     }
 
     async fn issue(&self) -> (String, Caller) {
@@ -109,6 +127,7 @@
 
     assert_eq!(withdrawn["standing"]["accepted"], true);
     whole.until_all(&caller, StatusCode::UNAUTHORIZED).await;
+    whole.until_well().await;
     whole.run(&["rollback", "--yes", "1"]).await;
     whole.until_all(&caller, StatusCode::UNAUTHORIZED).await;
 }
