Drive a running system over HTTP, and compare an entry with the direct path

chervilgate-load http sends chats side by side and checks each answer byte for byte. chervilgate-load bench runs an entry, its callers and engine stand-ins in one process and tells the entry's processor time by its threads' name; answers of one and of 40 tokens tell a request's cost from a token's.

--- a/bins/load/src/cmd.rs
+++ b/bins/load/src/cmd.rs
@@ -1,17 +1,23 @@
 //! The commands of `chervilgate-load`.
 
+mod bench;
 mod experiment;
+mod http;
 
 use bpaf::{OptionParser, Parser, construct};
 use snafu::Snafu;
 
-pub use crate::cmd::experiment::Experiment;
+pub use crate::cmd::{bench::BenchOptions, experiment::Experiment, http::Http};
 
 /// A command with its arguments.
 #[derive(Debug, Clone)]
 pub enum Command {
     /// Runs an experiment in virtual time.
     Experiment(Experiment),
+    /// Drives a running system over HTTP.
+    Http(Http),
+    /// Compares an entry with going straight to the engines.
+    Bench(BenchOptions),
 }
 
 /// Why a command failed.
@@ -34,6 +40,12 @@
         /// The cause.
         message: String,
     },
+    /// A run did not come about, or found a fault.
+    #[snafu(display("{message}"))]
+    Failed {
+        /// The cause.
+        message: String,
+    },
 }
 
 /// The parser of the command line.
@@ -43,7 +55,11 @@
         .to_options()
         .descr("Run the policy and its baselines in virtual time")
         .command("experiment");
-    construct!([experiment]).to_options().descr("Load and experiments")
+    let http = http::options().map(Command::Http).to_options();
+    let http = http.descr("Drive a running system and check each answer").command("http");
+    let bench = bench::options().map(Command::Bench).to_options();
+    let bench = bench.descr("Compare an entry with going straight to the engines").command("bench");
+    construct!([experiment, http, bench]).to_options().descr("Load and experiments")
 }
 
 /// Runs a command.
@@ -54,5 +70,7 @@
 pub fn run(command: Command) -> Result<(), Error> {
     match command {
         Command::Experiment(options) => experiment::run(&options),
+        Command::Http(options) => http::run(options),
+        Command::Bench(options) => bench::run(&options),
     }
 }
