--- a/bins/ctl/src/cmd/hosts.rs
+++ b/bins/ctl/src/cmd/hosts.rs
@@ -28,8 +28,7 @@
         }
         Err(error) => drop(text.line(format!("the platform's list: {error}"))),
     }
-    let entries: Vec<_> =
-        asked.iter().map(|asked| json!({ "address": asked.addr, "state": asked.state })).collect();
+    let entries: Vec<_> = asked.iter().map(Asked::to_json).collect();
     let json = json!({ "entries": entries, "listed": listed.ok() });
     Ok(Answer::done(text, json))
 }
--- a/bins/ctl/src/cmd/status.rs
+++ b/bins/ctl/src/cmd/status.rs
@@ -58,7 +58,14 @@
         text.line(format!("! {what}")).line(format!("  do: {help}"));
     }
     let exit = if troubles.is_empty() { Exit::Done } else { Exit::Unwell };
-    Ok(Answer { text, json: json!({ "well": troubles.is_empty(), "troubles": troubles }), exit })
+    let json = json!({
+        "well": troubles.is_empty(),
+        "troubles": troubles,
+        "publication": published.as_ref().ok().and_then(|published| published.root.publication()),
+        "entries": asked.iter().map(Asked::to_json).collect::<Vec<_>>(),
+        "controllers": controllers.iter().map(Asked::to_json).collect::<Vec<_>>(),
+    });
+    Ok(Answer { text, json, exit })
 }
 
 fn look_at_view(
@@ -140,6 +147,7 @@
         for DrainState { target, waiting } in &state.draining {
             facts.line(format!("draining {target}, waiting for {} processes", waiting.len()));
         }
+        facts.lines(state.quiet.iter().map(|name| format!("drained  {name}, may be stopped")));
         troubles.extend(state.frozen.iter().map(|receiver| {
             trouble(
                 format!("{receiver} gets no orders until a former sender is proved out"),
--- a/bins/ctl/src/entries.rs
+++ b/bins/ctl/src/entries.rs
@@ -7,6 +7,7 @@
 use futures_util::future::join_all;
 use hyper::{Request, header::HOST};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_json::{Value, json};
 use tokio::time::timeout;
 
 /// Time allowed for an entry's answer.
@@ -45,6 +46,9 @@
     pub(crate) owned: Vec<String>,
     /// Receivers that get no orders until a former sender is proved out.
     pub(crate) frozen: Vec<String>,
+    /// Targets that run nothing and get nothing.
+    #[serde(default)]
+    pub(crate) quiet: Vec<String>,
     /// Drains under way.
     pub(crate) draining: Vec<DrainState>,
 }
@@ -65,6 +69,16 @@
     pub(crate) state: Result<T, String>,
 }
 
+impl<T: Serialize> Asked<T> {
+    /// Its JSON: the address, and the state or the problem.
+    pub(crate) fn to_json(&self) -> Value {
+        match &self.state {
+            Ok(state) => json!({ "address": self.addr, "state": state }),
+            Err(problem) => json!({ "address": self.addr, "problem": problem }),
+        }
+    }
+}
+
 /// Asks all processes at the same time.
 pub(crate) async fn ask_all<T: DeserializeOwned>(
     pool: &HttpPool,
--- a/bins/ctl/tests/whole.rs
+++ b/bins/ctl/tests/whole.rs
@@ -144,6 +144,12 @@
     }
 
     whole.until_all(&caller, StatusCode::TOO_MANY_REQUESTS).await;
+    eventually(|| async {
+        let status = whole.try_run(&["status"]).await.1;
+        let quiet = status["controllers"][0]["state"]["quiet"].as_array().cloned();
+        quiet.is_some_and(|quiet| quiet.len() == 3)
+    })
+    .await;
     whole.run(&["undrain", "engine-1"]).await;
     whole.until_all(&caller, StatusCode::OK).await;
 }
