--- a/bins/ctl/tests/commands/main.rs
+++ b/bins/ctl/tests/commands/main.rs
@@ -199,6 +199,20 @@
     assert!(status.stdout.contains("2 serving, 0 leaving, 1 silent"));
 }
 
+#[test]
+fn names_an_address_that_is_no_entry() {
+    let bench = published();
+    let settings = bench.read("chervilgatectl.json");
+    let mut settings: Value = serde_json::from_str(&settings).expect("JSON");
+    settings["entries"][0] = settings["platform"].clone();
+    bench.write("chervilgatectl.json", &settings.to_string());
+
+    let status = bench.run(&["status"]).expect(UNWELL);
+
+    assert!(status.stdout.contains("answered 404"), "{}", status.stdout);
+    assert!(status.stdout.contains("1 silent"), "{}", status.stdout);
+}
+
 #[test]
 fn errors_on_unknown_names_with_what_to_do() {
     let bench = published();
