coord: a fault matrix over views, drains, claims and windows

A node whose missing blobs were asked of a peer that had gone asked it for ever, because each later offer put the retry off; after a pause it stayed on its old view. And an unscoped request refused as "not run" after a pause had run meanwhile through another entry: without the platform nobody can tell, so it is now answered "unknown".

A publisher brings its root to the voters as soon as it holds it itself.

--- a/components/coord/src/claim.rs
+++ b/components/coord/src/claim.rs
@@ -4,7 +4,8 @@
 //! the locate answer, one incarnation remembers the key: every entry forwards
 //! the request there, and when that incarnation or its heir cannot be asked the
 //! answer is "unknown", never a second run. Without a scope, a claim is written
-//! to the platform before the request is dispatched.
+//! to the platform before the request is dispatched, and without the platform
+//! nothing is dispatched.
 //!
 //! Memory is bounded: a scope stays open for [`SCOPE_SPAN`], and its keys are
 //! remembered for [`RETENTION`]. A key of a forgotten scope is answered
--- a/components/coord/src/claim/table.rs
+++ b/components/coord/src/claim/table.rs
@@ -1,9 +1,8 @@
 //! Claims requests in the platform before they are dispatched.
 //!
 //! Requests of one stripe that wait share a write. A request whose claim is not
-//! certain by its deadline is refused as not run, which is true because nothing
-//! was dispatched; its claim may stand in the platform, and then a resend is
-//! answered "unknown" rather than run.
+//! certain by its deadline is not dispatched. Its claim may stand in the
+//! platform, and another attempt may have run: the answer is "unknown".
 
 use std::collections::BTreeMap;
 
@@ -43,7 +42,9 @@
     Run(Ticket),
     /// Answer "unknown": the request was claimed before.
     Taken(Ticket),
-    /// Answer "not run": no claim could be made in time, or there is no room.
+    /// Nothing was dispatched: no claim could be made in time, or there is no
+    /// room. Whether another attempt of the caller ran is not known, so answer
+    /// "unknown"; a resend under the same key is safe.
     Refused(Ticket),
 }
 
--- a/components/coord/src/view/keeper.rs
+++ b/components/coord/src/view/keeper.rs
@@ -363,6 +363,10 @@
             return;
         };
         self.fetched_at = None;
+        if !self.written.is_empty() {
+            // Brings what was written here to the voters at once.
+            self.next = now;
+        }
         self.freshness.adopt(&root.voters);
         self.spread.set_voters(&root.voters);
         self.acceptance.retain(&root.voters);
@@ -485,7 +489,8 @@
     }
 
     fn fetch(&mut self, now: Time, digests: Vec<Digest>, out: &mut KeeperActions) {
-        self.fetched_at = Some(now);
+        // Later offers do not put the next attempt off: the source may be gone.
+        self.fetched_at.get_or_insert(now);
         if let Some(from) = self.sources.last() {
             send(out, *from, "want blobs", PeerMessage::Want(digests));
             return;
@@ -547,6 +552,7 @@
             return;
         }
         self.sources.clear();
+        self.fetched_at = Some(now);
         for to in self.spread.neighbours(now) {
             send(out, to, "want blobs", PeerMessage::Want(missing.clone()));
         }
--- /dev/null
+++ b/components/coord/tests/view_matrix.rs
@@ -0,0 +1,95 @@
+//! Every fault at every step of views, drains, claims and windows.
+
+use chervilgate_clock::Time;
+use chervilgate_coord::Protocol;
+use chervilgate_scenario::{ScriptScene, parse};
+use chervilgate_testbed::{Cell, Fault, MatrixReport, Scene, pair_cells, run_cells, single_cells};
+
+/// Faults that strike second in a pair.
+const SECOND_FAULTS: [Fault; 2] = [Fault::KilledAfter, Fault::AnswerLost];
+
+/// Every how many pairs one is run.
+const PAIR_STRIDE: usize = 23;
+
+/// Protocols whose steps are struck here; the others have a matrix of theirs.
+const PROTOCOLS: [Protocol; 7] = [
+    Protocol::Publication,
+    Protocol::Withdrawal,
+    Protocol::View,
+    Protocol::Membership,
+    Protocol::Drain,
+    Protocol::Claim,
+    Protocol::Window,
+];
+
+/// Failed cells that are shown in full.
+const SHOWN: usize = 3;
+
+const SCRIPT: &str = "
+scenario \"views, drains, claims and windows\"
+entries e1 e2 in a
+entries e3 e4 in b
+entries e5 in c
+service p1 in a
+service p2 in b
+key office of office
+key desk of desk
+at 12s publish c1 through e1 setting portal=1
+at 16s traffic with office on p1 p2 every 1s for 70s
+at 16s traffic with desk on p1 p2 every 1s for 70s
+at 18s request unscoped with desk through e2 on p2 taking 1s once unscoped
+at 19s request scoped with desk through e3 on p2 taking 1s once scoped
+at 20s publish c2 from c1 through e4 setting portal=2
+at 21s withdraw office through e5
+at 22s resend scoped through e1
+at 23s drain p1 through e2
+at 24s resend unscoped through e4
+at 25s stop e3
+at 75s publish c3 from c2 through e4 setting portal=3
+expect config c3 in force
+end at 100s
+";
+
+fn is_ours(cell: &Cell) -> bool {
+    cell.strikes.iter().all(|strike| PROTOCOLS.contains(&strike.step.protocol))
+}
+
+fn show(report: &MatrixReport) {
+    println!("{report}");
+    println!("steps struck: {}", report.steps.len());
+    for (promise, count) in &report.observed {
+        println!("  {promise:?}: {count} observations");
+    }
+    for failure in report.failures.iter().take(SHOWN) {
+        println!("{failure}");
+    }
+    for failure in report.failures.iter().skip(SHOWN) {
+        println!("also failed: {:?} {:?}", failure.cell.strikes, failure.findings);
+    }
+}
+
+#[test]
+fn promises_hold_under_every_fault_at_every_step_of_views() {
+    let script = parse("matrix", SCRIPT).expect("the script follows the language");
+    let scene = ScriptScene::new(script, Time::from_secs(45));
+    let scenes: Vec<&dyn Scene> = vec![&scene];
+    let mut singles = single_cells(&scenes);
+    singles.retain(is_ours);
+
+    let pairs = pair_cells(&scenes, &first_of_each(&singles), &SECOND_FAULTS);
+    let pairs = pairs.into_iter().filter(is_ours).step_by(PAIR_STRIDE);
+    let cells: Vec<Cell> = singles.into_iter().chain(pairs).collect();
+    let report = run_cells(&scenes, &cells);
+
+    show(&report);
+    assert!(report.failures.is_empty(), "{} cells failed", report.failures.len());
+}
+
+/// The first occurrence of each step under each fault.
+fn first_of_each(cells: &[Cell]) -> Vec<Cell> {
+    let mut seen = std::collections::BTreeSet::new();
+    let first = |cell: &&Cell| {
+        cell.strikes.first().is_some_and(|strike| seen.insert((strike.step, strike.fault)))
+    };
+    cells.iter().filter(first).cloned().collect()
+}
--- a/components/scenario/src/lib.rs
+++ b/components/scenario/src/lib.rs
@@ -8,6 +8,7 @@
 mod node;
 mod parse;
 mod runner;
+mod scene;
 mod script;
 mod target;
 mod told;
@@ -16,6 +17,7 @@
 pub use crate::{
     parse::{Finding, ParseError, parse},
     runner::{Run, run},
+    scene::ScriptScene,
     script::Script,
     told::{Ledger, Told},
     traffic::{Spent, Traffic},
--- a/components/scenario/src/node.rs
+++ b/components/scenario/src/node.rs
@@ -270,11 +270,8 @@
             None => {
                 self.jobs.add(call, Waiter::Caller, false);
             }
-            // What came of an earlier attempt is only known in the platform.
-            Some(Once::Unscoped(_)) if refused => {
-                let end = if call.first { End::NotRun } else { End::Unknown };
-                out.push(tell_caller(&call, end));
-            }
+            // What came of another attempt is only known in the platform.
+            Some(Once::Unscoped(_)) if refused => out.push(tell_caller(&call, End::Unknown)),
             Some(Once::Unscoped(key)) => {
                 let (key, owner) = (key.clone(), call.key.clone().unwrap_or_default());
                 let ticket = self.jobs.add(call, Waiter::Caller, true);
@@ -328,10 +325,7 @@
                 }
                 TableAction::Run(ticket) => self.jobs.claimed(ticket, None),
                 TableAction::Taken(ticket) => self.jobs.claimed(ticket, Some(End::Unknown)),
-                TableAction::Refused(ticket) => {
-                    let end = if self.jobs.is_first(ticket) { End::NotRun } else { End::Unknown };
-                    self.jobs.claimed(ticket, Some(end))
-                }
+                TableAction::Refused(ticket) => self.jobs.claimed(ticket, Some(End::Unknown)),
             };
             self.end_calls(ended.into_iter().collect(), out);
         }
--- a/components/scenario/src/node/calls.rs
+++ b/components/scenario/src/node/calls.rs
@@ -122,11 +122,6 @@
         true
     }
 
-    /// Whether the caller of a waiting request sends it for the first time.
-    pub(super) fn is_first(&self, ticket: Ticket) -> bool {
-        self.jobs.get(&ticket.0).is_some_and(|job| job.call.first)
-    }
-
     pub(super) fn count(&self) -> usize {
         self.jobs.len()
     }
--- a/components/scenario/src/node/message.rs
+++ b/components/scenario/src/node/message.rs
@@ -20,8 +20,6 @@
     pub(crate) targets: Vec<String>,
     pub(crate) takes: Duration,
     pub(crate) once: Option<Once>,
-    /// Whether the caller sends it for the first time.
-    pub(crate) first: bool,
 }
 
 /// How a request that may not be repeated is named.
--- a/components/scenario/src/runner.rs
+++ b/components/scenario/src/runner.rs
@@ -72,7 +72,7 @@
 }
 
 /// A run under way.
-struct Runner<'a> {
+pub(crate) struct Runner<'a> {
     script: &'a Script,
     bed: &'a mut Bed,
     hosts: BTreeMap<&'a str, HostId>,
@@ -95,7 +95,7 @@
 }
 
 impl<'a> Runner<'a> {
-    fn new(script: &'a Script, bed: &'a mut Bed, guards: Guards) -> Runner<'a> {
+    pub(crate) fn new(script: &'a Script, bed: &'a mut Bed, guards: Guards) -> Runner<'a> {
         bed.spans.restart = Duration::from_secs(5);
         bed.record_writes(Box::new(record_receivers));
         let mut zones: Vec<String> = script
@@ -136,8 +136,9 @@
         }
     }
 
-    fn play(&mut self) {
+    pub(crate) fn play(&mut self) {
         let mut ops = self.plan();
+        ops.retain(|(at, _)| *at <= self.script.end);
         ops.sort_by_key(|(at, _)| *at);
         for (at, op) in ops {
             self.bed.run_until(at);
--- a/components/scenario/src/runner/act.rs
+++ b/components/scenario/src/runner/act.rs
@@ -179,9 +179,8 @@
             targets: request.targets,
             takes: request.takes,
             once,
-            first: true,
         };
-        self.calls.insert(request.name, Call { first: false, ..call.clone() });
+        self.calls.insert(request.name, call.clone());
         self.send_call(call, entry);
     }
 
@@ -215,7 +214,6 @@
                 targets: targets.clone(),
                 takes: Duration::from_millis(100),
                 once: None,
-                first: true,
             };
             self.send_call(call, &entry);
         }
