--- a/components/policy/src/roles.rs
+++ b/components/policy/src/roles.rs
@@ -71,7 +71,7 @@
     pub hold: Duration,
     /// Time that an engine keeps a role at least.
     pub keep: Duration,
-    /// Share of the demand that a change has to gain, net, over the horizon.
+    /// Part of one engine's work that a change has to gain, net, over the horizon.
     pub gain: f64,
     /// Changes of one service under way at once.
     pub at_once: usize,
@@ -88,7 +88,7 @@
             horizon: Duration::from_secs(300),
             hold: Duration::from_secs(8),
             keep: Duration::from_secs(60),
-            gain: 0.01,
+            gain: 0.1,
             at_once: 2,
             stale: Duration::from_secs(6),
             gap: Duration::from_millis(60),
@@ -220,7 +220,8 @@
     ) -> Option<(Role, Role)> {
         let horizon = self.settings.horizon.as_secs_f64();
         let mut best = None;
-        let mut best_gain = self.settings.gain * horizon;
+        let engines = members.len().max(1) as f64;
+        let mut best_gain = self.settings.gain * horizon / engines;
         for (from, to) in MOVES {
             if !may_leave(from, members, taken) {
                 continue;
