Keep a lane's place when it finds no room, and let it burst

A lane within its share now stops the poll; only lanes above theirs are passed over. And a burst of 20,000 tokens, four requests, was too little for an organisation near its share: it now is 200,000.

--- a/components/policy/src/admission.rs
+++ b/components/policy/src/admission.rs
@@ -33,11 +33,11 @@
 #[cfg(test)]
 mod tests;
 
-/// Lanes without room that are tried in one poll.
+/// Lanes above their share that are passed over in one poll.
 const BLOCKED_LANES: usize = 8;
 
-/// Tries, with new samples, before a request is refused as late.
-const LATE_TRIES: usize = 2;
+/// Tries, with new samples, before a request waits or is refused as late.
+const TRIES: usize = 2;
 
 /// Share of the time in hand that a new request may be predicted to wait.
 const ACCEPTED_WAIT: f64 = 0.75;
@@ -229,11 +229,20 @@
         while blocked.len() < BLOCKED_LANES {
             let Some((org, ticket)) = self.lanes.next(&blocked) else { return };
             let Some(waiting) = self.waiting.get(&ticket) else { return };
-            let fill = self.fill(now, org, router);
+            let over = self.lanes.is_over(now, org);
+            if over && !blocked.is_empty() {
+                blocked.push(org);
+                continue;
+            }
+            let fill = self.fill(over, router);
             match try_route(now, router, &waiting.request, fill, rng) {
                 Ok(route) => self.start(now, ticket, route, router, actions),
-                Err(refusal) if refusal.reason == Reason::Full => blocked.push(org),
-                Err(refusal) => self.give_up(ticket, refusal, actions),
+                Err(refusal) if refusal.reason != Reason::Full => {
+                    self.give_up(ticket, refusal, actions);
+                }
+                // A lane further back would take the room that this one waits for.
+                Err(_) if !over => return,
+                Err(_) => blocked.push(org),
             }
         }
     }
@@ -287,8 +296,8 @@
         Some(waiting)
     }
 
-    fn fill(&self, now: Time, org: OrgId, router: &Router) -> Fill {
-        let share = if self.lanes.is_over(now, org) { self.settings.over_fill } else { 1.0 };
+    fn fill(&self, over: bool, router: &Router) -> Fill {
+        let share = if over { self.settings.over_fill } else { 1.0 };
         Fill { seqs: share, backlog: router.settings().backlog.mul_f64(share) }
     }
 
@@ -309,10 +318,9 @@
     rng: &mut dyn Rng,
 ) -> Result<Route, Refusal> {
     let mut result = router.route_within(now, request, &[], fill, rng);
-    for _ in 1..LATE_TRIES {
-        match result {
-            Err(refusal) if refusal.reason == Reason::Late => {}
-            _ => return result,
+    for _ in 1..TRIES {
+        if result.is_ok() {
+            return result;
         }
         result = router.route_within(now, request, &[], fill, rng);
     }
--- a/components/policy/src/admission/lane.rs
+++ b/components/policy/src/admission/lane.rs
@@ -43,7 +43,7 @@
 
 impl Default for Share {
     fn default() -> Share {
-        Share { weight: 1.0, burst: 20_000 }
+        Share { weight: 1.0, burst: 200_000 }
     }
 }
 
@@ -217,11 +217,7 @@
     /// equal share, while others wait or were served too.
     pub(super) fn is_over(&self, now: Time, org: OrgId) -> bool {
         let Some(lane) = self.lanes.get(&org) else { return false };
-        let used = lane.used(now);
-        if used <= lane.share().burst as f64 {
-            return false;
-        }
-        let level = used / lane.share().weight;
+        let level = lane.used(now) / lane.share().weight;
         let (mut weights, mut highest) = (0.0, level);
         for other in self.lanes.values() {
             let (used, weight) = (other.used(now), other.share().weight);
