--- a/components/coord/src/guards.rs
+++ b/components/coord/src/guards.rs
@@ -12,8 +12,6 @@
     pub intent: bool,
     /// A receiver that does not check fencing tokens waits for proof.
     pub proof: bool,
-    /// An order is sent only while its owner's authority lasts.
-    pub deadline: bool,
     /// A lapsed session is sealed in the store before its shards are taken.
     pub session_seal: bool,
     /// An unanswered order's connection is given time to end.
@@ -34,7 +32,6 @@
             epoch: true,
             intent: true,
             proof: true,
-            deadline: true,
             session_seal: true,
             flight: true,
             freshness: true,
--- a/components/coord/src/intent.rs
+++ b/components/coord/src/intent.rs
@@ -245,10 +245,7 @@
             read.call = Some(out.call(LIST, StoreCall::List { prefix }));
         }
         self.quiet.retain(|_, quiet| now < *quiet);
-        let deadline = match self.guards.deadline {
-            true => session.until().before(self.terms.send_budget),
-            false => Time::NEVER,
-        };
+        let deadline = session.until().before(self.terms.send_budget);
         for (id, receiver) in &mut self.receivers {
             let Some(read) = self.reads.get(&id.shard).filter(|read| read.done) else {
                 continue;
