--- a/components/coord/src/shard.rs
+++ b/components/coord/src/shard.rs
@@ -317,24 +317,24 @@
         if self.stopping {
             return;
         }
-        let turn = turn(now, duty, (self.digest, me), observer, self.terms.stagger);
         let owner = duty.record.owner.as_ref().map(|node| node.incarnation);
         let standing = owner.map_or(Standing::Over, |id| observer.standing(now, id));
+        if matches!(standing, Standing::Live | Standing::Unknown) {
+            duty.free = None;
+            return;
+        }
+        let turn = turn(now, duty, (self.digest, me), observer, self.terms.stagger);
+        if !duty.waited(now, turn) {
+            return;
+        }
         let open = match (standing, owner) {
-            (Standing::Over, _) => true,
-            (Standing::Lapsed, _) if !self.guards.session_seal => true,
-            (Standing::Lapsed, Some(owner)) if duty.waited(now, turn) => {
+            (Standing::Lapsed, Some(owner)) if self.guards.session_seal => {
                 observer.seal(owner, out);
-                return;
+                false
             }
-            (Standing::Lapsed, _) => return,
-            (Standing::Live | Standing::Unknown, _) => false,
+            _ => true,
         };
-        if !open {
-            duty.free = None;
-            return;
-        }
-        if duty.waited(now, turn) {
+        if open {
             let epoch = Epoch(duty.record.epoch.0 + 1);
             let record = ShardRecord { owner: Some(me.clone()), epoch, offer: None };
             duty.write(record, TAKE, out);
--- a/components/testbed/src/bed.rs
+++ b/components/testbed/src/bed.rs
@@ -157,6 +157,11 @@
         self.seen.get(&(step, host)).copied().unwrap_or_default()
     }
 
+    /// Forgets the faults whose step has not come yet.
+    pub fn clear_strikes(&mut self) {
+        self.strikes.clear();
+    }
+
     /// Faults whose step has not come yet.
     pub fn pending_strikes(&self) -> &[Strike] {
         &self.strikes
@@ -168,6 +173,12 @@
         self.history.add(self.now, Fact::Faulted(format!("store {mode:?}")));
     }
 
+    /// Sets how the store answers, for a span of time.
+    pub fn disturb_store_for(&mut self, mode: StoreMode, span: Duration) {
+        self.set_store(mode);
+        self.push(self.now + span, Event::StoreUp);
+    }
+
     /// Runs until `end`.
     pub fn run_until(&mut self, end: Time) {
         while self.queue.peek().is_some_and(|next| next.at <= end) {
--- a/components/testbed/src/bed/faults.rs
+++ b/components/testbed/src/bed/faults.rs
@@ -1,6 +1,5 @@
 //! The last check of a call, and the fault that strikes there.
 
-use chervilgate_clock::Time;
 use chervilgate_coord::{CallId, Step};
 
 use crate::{
@@ -103,9 +102,7 @@
     }
 
     fn disturb_store(&mut self, host: HostId, life: u64, output: Output, mode: StoreMode) {
-        self.set_store(mode);
-        let end: Time = self.now + self.spans.outage;
-        self.push(end, Event::StoreUp);
+        self.disturb_store_for(mode, self.spans.outage);
         if self.hosts[host.0].state == HostState::Up {
             self.leave(host, life, output, Passage::Once);
         }
--- a/components/testbed/src/bed/hosts.rs
+++ b/components/testbed/src/bed/hosts.rs
@@ -110,6 +110,9 @@
 
     /// Kills the host's process; it is started again after `restart`, if given.
     pub fn kill(&mut self, id: HostId, restart: Option<Duration>) {
+        if !matches!(self.hosts[id.0].state, HostState::Up | HostState::Paused) {
+            return;
+        }
         self.fault(id, "killed");
         self.end_life(id, HostState::Empty);
         if let Some(span) = restart {
--- a/components/testbed/src/scene.rs
+++ b/components/testbed/src/scene.rs
@@ -1,9 +1,12 @@
 //! Scenes of authority: owners that give orders while something happens.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use chervilgate_clock::Time;
-use chervilgate_coord::{Expect, ReceiverId, ShardId, StoreCall, override_key};
+use chervilgate_coord::{Expect, Incarnation, ReceiverId, ShardId, StoreCall, override_key};
 
 use crate::{
     bed::{Bed, hosts::HostState},
@@ -66,19 +69,29 @@
     }
 
     fn complaints(&self, bed: &Bed) -> Vec<String> {
+        if bed.hosts().all(|host| bed.state(host) == HostState::Gone) {
+            return Vec::new();
+        }
         let mut complaints = unowned(bed);
         complaints.extend(idle(bed));
         complaints
     }
 }
 
-/// An operator declares every process on a vanished host dead.
+/// An operator declares every process that ran on a vanished host dead.
+///
+/// Earlier ones too: an intent may name a process that was killed there and
+/// started anew before the host went.
 pub fn override_vanished(bed: &mut Bed) {
-    for host in bed.hosts() {
-        if bed.state(host) != HostState::Gone {
-            continue;
-        }
-        let key = override_key(bed.incarnation(host));
+    let vanished: BTreeSet<Incarnation> = bed
+        .history
+        .entries
+        .iter()
+        .filter(|entry| entry.host.is_some_and(|host| bed.state(host) == HostState::Gone))
+        .filter_map(|entry| entry.process)
+        .collect();
+    for incarnation in vanished {
+        let key = override_key(incarnation);
         let call = StoreCall::Put { key, expect: Expect::Absent, value: Vec::new() };
         bed.store.serve(&call);
     }
--- a/components/testbed/src/store.rs
+++ b/components/testbed/src/store.rs
@@ -102,12 +102,15 @@
         if after < self.compacted {
             return Served::Reply(StoreReply::Compacted);
         }
-        let changes: Vec<Change> = self
+        let mut changes: Vec<Change> = self
             .log
             .iter()
-            .filter(|change| version_of(change) > after && key_of(change).starts_with(prefix))
+            .rev()
+            .take_while(|change| version_of(change) > after)
+            .filter(|change| key_of(change).starts_with(prefix))
             .cloned()
             .collect();
+        changes.reverse();
         if changes.is_empty() {
             return Served::Waits { prefix: prefix.clone(), after };
         }
