--- /dev/null
+++ b/components/coord/tests/target_orders.rs
@@ -0,0 +1,98 @@
+//! A reclaimed zone gets one bounded replacement, whatever fails meanwhile.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{OrderId, Protocol, Step, Zone, decode, encode, target_order::TargetOrder};
+use chervilgate_testbed::{
+    Bed, Fact, Fault, Input, Promise, REPLACEMENT_LIMIT, ReclaimNews, Strike, WorldSetting,
+    build_world, check, override_vanished,
+};
+
+const STEPS: [Step; 3] = [
+    Step::new(Protocol::Order, "open"),
+    Step::new(Protocol::Order, "send"),
+    Step::new(Protocol::Order, "close"),
+];
+
+/// Owners without orders of their own, but for the first.
+fn world() -> Bed {
+    let setting = WorldSetting { order_period: Duration::from_secs(1_000), ..Default::default() };
+    let mut bed = build_world(&setting);
+    bed.run_until(Time::from_secs(10));
+    bed
+}
+
+/// Tells every running process, again and again, as a list of targets would.
+fn tell(bed: &mut Bed, number: u64, lost: u32) {
+    let news = ReclaimNews { zone: Zone("0".to_owned()), pool: "pool".to_owned(), number, lost };
+    for host in bed.hosts() {
+        bed.give(host, Input::Command(encode(&news)));
+    }
+}
+
+fn replacements(bed: &Bed) -> BTreeSet<(OrderId, u32)> {
+    let orders = bed.history.entries.iter().filter_map(|entry| match &entry.fact {
+        Fact::TargetOrdered { order } => Some(order),
+        _ => None,
+    });
+    orders
+        .filter_map(|order| match decode(&order.body) {
+            Ok(TargetOrder::Add { count }) => Some((order.id.clone(), count)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn run(strike: Option<Strike>) -> Bed {
+    let mut bed = world();
+    if let Some(strike) = strike {
+        bed.strike(strike);
+    }
+    for _ in 0..18 {
+        tell(&mut bed, 1, 9);
+        bed.run_for(Duration::from_secs(5));
+    }
+    override_vanished(&mut bed);
+    for _ in 0..6 {
+        tell(&mut bed, 1, 9);
+        bed.run_for(Duration::from_secs(5));
+    }
+    bed
+}
+
+fn calls(bed: &Bed, step: Step) -> usize {
+    bed.history.entries.iter().filter(|entry| entry.fact == Fact::Called(step)).count()
+}
+
+#[test]
+fn a_reclaim_is_answered_once_under_every_fault() {
+    let before = world();
+    for step in STEPS {
+        for fault in Fault::ALL {
+            let strike = Strike { step, nth: calls(&before, step), host: None, fault };
+
+            let bed = run(Some(strike));
+
+            let report = check(&bed.history);
+            assert!(bed.pending_strikes().is_empty(), "{strike} did not come");
+            assert!(report.breaches.is_empty(), "{strike}: {:?}", report.breaches);
+            assert!(report.kept(Promise::OneOrderer));
+            let found = replacements(&bed);
+            assert_eq!(found.len(), 1, "{strike}: {found:?}");
+            assert!(found.iter().all(|(_, count)| *count == REPLACEMENT_LIMIT));
+        }
+    }
+}
+
+#[test]
+fn two_reclaims_are_answered_one_by_one() {
+    let mut bed = world();
+
+    tell(&mut bed, 1, 2);
+    tell(&mut bed, 2, 3);
+    bed.run_for(Duration::from_secs(30));
+
+    let counts: Vec<u32> = replacements(&bed).into_iter().map(|(_, count)| count).collect();
+    assert_eq!(counts, [2, 3]);
+}
--- a/components/testbed/src/lib.rs
+++ b/components/testbed/src/lib.rs
@@ -31,7 +31,10 @@
         single_cells,
     },
     network::{HostId, Network, Place},
-    owner::{Owner, OwnerSetting, ReceiverSetting, order_reply, record_receivers, translate},
+    owner::{
+        Owner, OwnerSetting, REPLACEMENT_LIMIT, ReceiverSetting, ReclaimNews, order_reply,
+        record_receivers, translate,
+    },
     process::{Answer, Birth, Endpoint, Factory, Input, Output, Process, Request},
     receiver::{FakeEngine, FakePlatform},
     scene::{AuthorityScene, override_vanished},
--- a/components/testbed/src/owner.rs
+++ b/components/testbed/src/owner.rs
@@ -1,13 +1,15 @@
 //! A process that owns shards and gives orders, for tests of authority.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use chervilgate_clock::Time;
 use chervilgate_coord::{
     Action, Actions, Authority, AuthorityConfig, CallIds, Epoch, Event, Guards, Notice, OrderReply,
-    ReceiverId, ShardId, Terms,
+    ReceiverId, ShardId, Terms, Zone,
     intent::{RECEIVER_PREFIX, ReceiverRecord, Wish},
+    target_order::{Reclaim, ZoneOrders},
 };
+use serde::{Deserialize, Serialize};
 
 use crate::{
     history::Fact,
@@ -40,6 +42,23 @@
     pub trust_list: bool,
 }
 
+/// A reclaim of targets, as a test tells it to every owner.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub struct ReclaimNews {
+    /// The zone.
+    pub zone: Zone,
+    /// The pool in it.
+    pub pool: String,
+    /// The reclaim's number in the pool.
+    pub number: u64,
+    /// Targets lost.
+    pub lost: u32,
+}
+
+/// The most targets that one replacement is for.
+pub const REPLACEMENT_LIMIT: u32 = 4;
+
 /// Owns what it can and gives each receiver a new order from time to time.
 ///
 /// Its orders carry its own name, so that two owners never wish the same.
@@ -47,6 +66,7 @@
     authority: Authority,
     name: String,
     receivers: Vec<ReceiverSetting>,
+    zones: BTreeMap<Zone, ZoneOrders>,
     next: Vec<Time>,
     held: Vec<(ShardId, Epoch)>,
     until: Time,
@@ -73,6 +93,7 @@
             authority,
             name: birth.incarnation().to_string(),
             receivers: setting.receivers,
+            zones: BTreeMap::new(),
             next,
             held: Vec::new(),
             until: Time::ZERO,
@@ -97,6 +118,28 @@
         }
     }
 
+    fn hear_reclaim(&mut self, news: ReclaimNews) {
+        let ReclaimNews { zone, pool, number, lost } = news;
+        let orders = self
+            .zones
+            .entry(zone.clone())
+            .or_insert_with(|| ZoneOrders::new(zone, REPLACEMENT_LIMIT));
+        orders.reclaim(&pool, Reclaim { number, lost });
+    }
+
+    fn replace_targets(&mut self, now: Time, out: &mut Vec<Output>) {
+        for orders in self.zones.values_mut() {
+            let due: Vec<Wish> = orders.due().collect();
+            for wish in due {
+                let result = self.authority.order(now, wish.clone());
+                orders.offered(&wish, result.as_ref().map(|_| ()).map_err(|error| *error));
+                if let Ok(actions) = result {
+                    translate(actions, out);
+                }
+            }
+        }
+    }
+
     /// Records what the process believes to own, when that has changed.
     fn record_beliefs(&mut self, now: Time, out: &mut Vec<Output>) {
         let held: Vec<(ShardId, Epoch)> =
@@ -121,6 +164,11 @@
 
 impl Process for Owner {
     fn handle(&mut self, now: Time, input: Input) -> Vec<Output> {
+        if let Input::Command(body) = &input
+            && let Ok(news) = chervilgate_coord::decode(body)
+        {
+            self.hear_reclaim(news);
+        }
         let event = match input {
             Input::Store { id, reply } => Event::Reply { id, reply },
             Input::Answer { id, reply } => Event::Answer { id, reply: order_reply(&reply) },
@@ -131,6 +179,7 @@
         };
         let mut out = Vec::new();
         translate(self.authority.handle(now, event), &mut out);
+        self.replace_targets(now, &mut out);
         self.give_orders(now, &mut out);
         self.record_beliefs(now, &mut out);
         out
