--- a/components/coord/src/view/keeper.rs
+++ b/components/coord/src/view/keeper.rs
@@ -1,10 +1,9 @@
 //! Keeps one node's view: adopts, confirms, spreads and edits it.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    time::Duration,
-};
+mod beats;
+mod duties;
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use chervilgate_clock::Time;
 use smallvec::SmallVec;
@@ -18,13 +17,13 @@
     store::{CallId, CallIds, StoreCall, StoreReply},
     view::{
         acceptance::Acceptance,
-        beat::{Beat, PeerMessage, VoterAge, fold_keys, millis_up},
+        beat::PeerMessage,
         blob::{Blob, Digest, blob_key},
         freshness::{Freshness, Verdict},
         holder::{Holder, Offer},
-        overlay::{Overlay, elect_voters},
-        root::{Edit, EditError, KeyHash, ROOT_KEY, Root, Seq},
-        spread::{Spread, SpreadAction},
+        overlay::Overlay,
+        root::{Edit, EditError, ROOT_KEY, Root, Seq},
+        spread::Spread,
         watch::{RootWatch, WatchAction},
     },
 };
@@ -431,54 +430,6 @@
         }
     }
 
-    fn hear_beat(&mut self, now: Time, from: SocketAddr, beat: &Beat, out: &mut KeeperActions) {
-        let at = self.spread.hear(now, from, beat);
-        self.acceptance.note_held(beat.from, beat.seq);
-        let held = self.holder.seq();
-        if beat.seq < held
-            && let Some(root) = self.holder.root().cloned()
-        {
-            self.spread.note_sent(from, root.seq);
-            send(out, from, "spread root", PeerMessage::Root(Box::new(root)));
-        }
-        if beat.pending != fold_keys(self.holder.pending()) && !self.holder.pending().is_empty() {
-            let keys = self.holder.pending().clone();
-            send(out, from, "spread withdrawn", PeerMessage::Withdrawn(keys));
-        }
-        if beat.follows {
-            let answer = self.spread.answer(now, from);
-            self.send_beats(now, [answer], out);
-        }
-        let Some(at) = at.filter(|_| beat.seq <= held) else {
-            return;
-        };
-        self.freshness.confirm_voter(beat.from, at);
-        if beat.seq == held {
-            self.take_ages(at, beat);
-        }
-        if let Some(age) = beat.platform {
-            let at = at.before(Duration::from_millis(u64::from(age)));
-            self.confirm(now, beat.seq, at, out);
-        }
-        if !beat.voters.is_empty() {
-            let beats = self.spread.pass_on(now);
-            self.send_beats(now, beats, out);
-        }
-    }
-
-    fn take_ages(&mut self, at: Time, beat: &Beat) {
-        let Some(root) = self.holder.root() else {
-            return;
-        };
-        for age in &beat.voters {
-            let Some(voter) = root.voters.current.get(usize::from(age.index)) else {
-                continue;
-            };
-            let at = at.before(Duration::from_millis(u64::from(age.millis)));
-            self.freshness.confirm_voter(voter.incarnation, at);
-        }
-    }
-
     fn tell_pending(&mut self, now: Time, except: Option<SocketAddr>, out: &mut KeeperActions) {
         for to in self.spread.neighbours(now) {
             if Some(to) != except {
@@ -544,133 +495,6 @@
             self.keep_voters(now);
         }
     }
-
-    fn retry_fetch(&mut self, now: Time, out: &mut KeeperActions) {
-        let missing = self.holder.missing();
-        let due = self.fetched_at.is_none_or(|at| now - at >= RETRY_SPAN);
-        if missing.is_empty() || !due {
-            return;
-        }
-        self.sources.clear();
-        self.fetched_at = Some(now);
-        for to in self.spread.neighbours(now) {
-            send(out, to, "want blobs", PeerMessage::Want(missing.clone()));
-        }
-        self.fetch(now, missing, out);
-    }
-
-    /// Brings written edits to the voters that are not known to hold them.
-    fn push_to_voters(&mut self, out: &mut KeeperActions) {
-        let Some(root) = self.holder.root().cloned() else {
-            return;
-        };
-        let settles = self.overlay.first && !root.voters.prior.is_empty();
-        let settling = settles.then_some(root.voters.since);
-        let due = self.written.iter().map(|(_, seq)| *seq).chain(settling).max();
-        let Some(seq) = due.filter(|seq| *seq <= root.seq) else {
-            return;
-        };
-        self.probes.clear();
-        for voter in self.acceptance.lagging(&root.voters, seq) {
-            send(out, voter.addr, "push root", PeerMessage::Root(Box::new(root.clone())));
-            let id = self.ids.next_id();
-            self.probes.insert(id, voter.incarnation);
-            let step = Step::new(Protocol::View, "probe voter");
-            out.push(KeeperAction::Probe { id, step, addr: voter.addr });
-        }
-    }
-
-    /// A voter that is proved out vouches for no older view any more.
-    fn probed(&mut self, id: CallId, reply: &ProbeReply) {
-        let Some(voter) = self.probes.remove(&id) else {
-            return;
-        };
-        let out = match reply {
-            ProbeReply::Answers(other) => *other != voter,
-            ProbeReply::Refused => true,
-            ProbeReply::Silent => false,
-        };
-        if out {
-            self.acceptance.note_out(voter);
-        }
-    }
-
-    /// Takes over withdrawals whose first holder may be gone.
-    fn write_pending(&mut self) {
-        if self.writer.is_busy() || self.holder.pending().is_empty() {
-            return;
-        }
-        let keys: BTreeSet<KeyHash> = self.holder.pending().clone();
-        self.writer.submit(OWN_EDIT, Edit::Withdraw(keys));
-    }
-
-    fn keep_voters(&mut self, now: Time) {
-        let root = self.holder.root().cloned().unwrap_or_default();
-        if self.writer.is_busy() || !matches!(self.check(now), Verdict::Platform(_)) {
-            return;
-        }
-        if !root.voters.prior.is_empty() {
-            if self.acceptance.accepts(&root.voters, root.voters.since) {
-                self.writer.submit(OWN_EDIT, Edit::Settle(root.voters.since));
-            }
-            return;
-        }
-        let voters = elect_voters(&root.voters, &self.members);
-        if voters.is_empty() || voters == root.voters.current {
-            self.wish = None;
-            return;
-        }
-        match &self.wish {
-            Some((wish, since)) if *wish == voters => {
-                if now - *since >= ELECT_SPAN {
-                    self.writer.submit(OWN_EDIT, Edit::Elect(voters));
-                }
-            }
-            _ => self.wish = Some((voters, now)),
-        }
-    }
-
-    fn send_beats(
-        &mut self,
-        now: Time,
-        beats: impl IntoIterator<Item = SpreadAction>,
-        out: &mut KeeperActions,
-    ) {
-        for beat in beats {
-            let message = PeerMessage::Beat(self.beat(now, &beat));
-            send(out, beat.to, "beat", message);
-        }
-    }
-
-    fn beat(&self, now: Time, to: &SpreadAction) -> Beat {
-        let age = self.freshness.platform().map(|at| now - at);
-        let voters = match age {
-            Some(age) if age <= VOTERS_SPAN => Vec::new(),
-            _ => self.voter_ages(now),
-        };
-        Beat {
-            from: self.me.incarnation,
-            follows: to.follows,
-            stamp: now.as_micros(),
-            echo: to.echo,
-            seq: self.holder.seq(),
-            platform: age.and_then(|age| u32::try_from(millis_up(age)).ok()),
-            voters,
-            pending: fold_keys(self.holder.pending()),
-        }
-    }
-
-    fn voter_ages(&self, now: Time) -> Vec<VoterAge> {
-        let Some(root) = self.holder.root() else {
-            return Vec::new();
-        };
-        let ages = root.voters.current.iter().enumerate().filter_map(|(index, voter)| {
-            let at = self.freshness.voter(now, voter.incarnation)?;
-            let millis = u16::try_from(millis_up(now - at)).ok()?;
-            Some(VoterAge { index: u8::try_from(index).ok()?, millis })
-        });
-        ages.collect()
-    }
 }
 
 fn send(out: &mut KeeperActions, to: SocketAddr, name: &'static str, message: PeerMessage) {
--- /dev/null
+++ b/components/coord/tests/views.rs
@@ -0,0 +1,202 @@
+//! Rules of single machines: budget, echoes, memory, overlay.
+
+use std::{net::SocketAddr, time::Duration};
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{
+    Incarnation, Node, Zone,
+    budget::{BreakerState, Budget, CallKind, Flights, Permit, Urgency},
+    claim::{Admission, Memory, RETENTION, Record, SCOPE_SPAN, ScopedKey},
+    view::{Beat, Echo, Freshness, Overlay, Seq, Spread, Verdict, Voters, elect_voters},
+};
+
+fn node(number: u64, zone: &str) -> Node {
+    let [high, low] = (number as u16).to_be_bytes();
+    Node {
+        incarnation: Incarnation(number.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+        addr: SocketAddr::from(([10, 0, high, low], 7000)),
+        zone: Zone(zone.to_owned()),
+    }
+}
+
+fn fleet(count: u64) -> Vec<Node> {
+    (1..=count).map(|number| node(number, ["a", "b", "c"][number as usize % 3])).collect()
+}
+
+fn key(memory: &mut Memory, now: Time, name: &str) -> ScopedKey {
+    let scope = memory.scope(now).expect("the memory is open");
+    ScopedKey { scope, organisation: "office".to_owned(), key: name.to_owned() }
+}
+
+fn beat(from: &Node, echo: Option<Echo>) -> Beat {
+    Beat {
+        from: from.incarnation,
+        follows: false,
+        stamp: 1,
+        echo,
+        seq: Seq(1),
+        platform: None,
+        voters: Vec::new(),
+        pending: 0,
+    }
+}
+
+#[test]
+fn can_spend_no_more_than_a_nodes_share() {
+    let start = Time::from_secs(1);
+    let mut budget = Budget::new(start, 330);
+
+    let mut permits = 0;
+    for millis in 0..60_000 {
+        let now = start + Duration::from_millis(millis);
+        if budget.ask(now, CallKind::Write, Urgency::Ordinary) == Permit::Now {
+            permits += 1;
+        }
+    }
+
+    let fleet_rate = f64::from(permits - 10) / 60.0 * 330.0;
+    assert!((200.0..=300.0).contains(&fleet_rate), "{fleet_rate} writes a second");
+}
+
+#[test]
+fn can_renew_although_the_budget_is_spent() {
+    let now = Time::from_secs(1);
+    let mut budget = Budget::new(now, 330);
+    while budget.ask(now, CallKind::Write, Urgency::Ordinary) == Permit::Now {}
+
+    let renewal = budget.ask(now, CallKind::Write, Urgency::Renewal);
+
+    assert_eq!(renewal, Permit::Now);
+}
+
+#[test]
+fn can_try_one_call_after_failures() {
+    let now = Time::from_secs(1);
+    let mut budget = Budget::new(now, 9);
+    (0..4).for_each(|_| budget.note_failure(now));
+    let BreakerState::Open(until) = budget.state() else {
+        panic!("the breaker is open");
+    };
+
+    let early = budget.ask(now, CallKind::Read, Urgency::Renewal);
+    let trial = budget.ask(until, CallKind::Read, Urgency::Ordinary);
+    let second = budget.ask(until, CallKind::Read, Urgency::Ordinary);
+    budget.note_answer();
+
+    assert_eq!(early, Permit::At(until));
+    assert_eq!(trial, Permit::Now);
+    assert!(matches!(second, Permit::At(_)));
+    assert_eq!(budget.state(), BreakerState::Closed);
+}
+
+#[test]
+fn can_share_a_call_that_has_not_left() {
+    let mut flights = Flights::new();
+    flights.join("root", 1);
+    flights.join("root", 2);
+    let first = flights.depart();
+    flights.join("root", 3);
+
+    let early = flights.depart();
+    let served = flights.land(&"root");
+    let next = flights.depart();
+
+    assert_eq!(first, Some("root"));
+    assert_eq!(early, None);
+    assert_eq!(served, [1, 2]);
+    assert_eq!(next, Some("root"));
+}
+
+#[test]
+fn errors_on_a_majority_with_a_restarted_voter() {
+    let nodes = fleet(3);
+    let mut fresh = Freshness::new(nodes[2].incarnation);
+    fresh.adopt(&Voters { current: nodes.clone(), prior: Vec::new(), since: Seq(1) });
+    let now = Time::from_secs(100);
+    let restarted = Incarnation(77);
+
+    fresh.confirm_voter(restarted, now);
+    let alone = fresh.check(now);
+    fresh.confirm_voter(nodes[0].incarnation, now);
+    let two = fresh.check(now);
+    let later = fresh.check(now + Duration::from_secs(5));
+
+    assert_eq!(alone, Verdict::Stale);
+    assert!(matches!(two, Verdict::Majority(_)));
+    assert_eq!(later, Verdict::Stale);
+}
+
+#[test]
+fn can_date_a_message_by_its_echo_alone() {
+    let nodes = fleet(2);
+    let mut spread = Spread::new(nodes[0].clone(), Vec::new());
+    let now = Time::from_secs(100);
+    let echo = |of| Echo { of, stamp: 90_000_000, held: 4_000_000 };
+    let mine = beat(&nodes[1], Some(echo(nodes[0].incarnation)));
+    let other = beat(&nodes[1], Some(echo(Incarnation(5))));
+
+    let dated = spread.hear(now, nodes[1].addr, &mine);
+    let foreign = spread.hear(now, nodes[1].addr, &other);
+
+    assert_eq!(dated, Some(Time::from_secs(94)));
+    assert_eq!(foreign, None);
+}
+
+#[test]
+fn can_elect_voters_that_stay_when_others_go() {
+    let nodes = fleet(60);
+    let first = elect_voters(&Voters::default(), &nodes);
+    let present = Voters { current: first.clone(), prior: Vec::new(), since: Seq(1) };
+    let rest: Vec<Node> = nodes.iter().filter(|node| **node != first[0]).cloned().collect();
+
+    let second = elect_voters(&present, &rest);
+
+    assert_eq!(first.len(), 9);
+    assert_eq!(second.len(), 9);
+    assert_eq!(second.iter().filter(|node| first.contains(node)).count(), 8);
+}
+
+#[test]
+fn can_follow_two_parents_below_two_relays_a_zone() {
+    let nodes = fleet(90);
+
+    let plans: Vec<Overlay> = nodes.iter().map(|node| Overlay::plan(node, &nodes)).collect();
+
+    assert_eq!(plans.iter().filter(|plan| plan.relay).count(), 6);
+    assert_eq!(plans.iter().filter(|plan| plan.first).count(), 1);
+    assert!(plans.iter().all(|plan| plan.relay || plan.parents.len() >= 2));
+}
+
+#[test]
+fn errors_on_running_a_key_at_an_heir() {
+    let now = Time::from_secs(1);
+    let mut keeper = Memory::new(Incarnation(1), now);
+    let (ran, unseen) = (key(&mut keeper, now, "ran"), key(&mut keeper, now, "unseen"));
+    assert_eq!(keeper.admit(now, &ran), Ok(Admission::Run));
+    keeper.finish(&ran, Record::Ran(None));
+    keeper.seal();
+    let mut heir = Memory::new(Incarnation(2), now);
+    keeper.legacies().into_iter().for_each(|legacy| heir.inherit(now, legacy));
+
+    let seen = heir.admit(now, &ran);
+    let refused = heir.admit(now, &unseen);
+
+    assert_eq!(seen, Ok(Admission::Seen(Record::Ran(None))));
+    assert_eq!(refused, Ok(Admission::NotRun));
+}
+
+#[test]
+fn errors_on_a_key_after_its_retention() {
+    let start = Time::from_secs(1);
+    let mut memory = Memory::new(Incarnation(1), start);
+    let old = key(&mut memory, start, "old");
+    assert_eq!(memory.admit(start, &old), Ok(Admission::Run));
+    let turned = start + SCOPE_SPAN;
+    memory.scope(turned);
+
+    let kept = memory.admit(turned + (RETENTION - Duration::from_secs(1)), &old);
+    let gone = memory.admit(turned + RETENTION, &old);
+
+    assert_eq!(kept, Ok(Admission::Seen(Record::Running)));
+    assert_eq!(gone, Ok(Admission::Forgotten));
+}
