--- /dev/null
+++ b/bins/demo/src/cast.rs
@@ -0,0 +1,123 @@
+//! The deployment: three zones, three entries, a controller on each host.
+
+use std::time::Duration;
+
+use chervilgate_controller::{Controller, Settings as ControllerSettings};
+use chervilgate_entry::{Entry, Settings as EntrySettings};
+use chervilgate_model::{Object, Placement, ZoneCount};
+use chervilgate_standins::{Caller, Deployment, EngineSpec, ZONES, name};
+use chervilgate_wire::Authority;
+
+/// Length of a usage window.
+const USAGE_WINDOW: Duration = Duration::from_secs(3);
+/// How long callers keep a located address.
+const LOCATE_TTL: Duration = Duration::from_secs(1);
+/// Time to the first token after which a request is not worth starting.
+const DEADLINE: Duration = Duration::from_secs(10);
+/// Longest wait for a condition.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Any failure to set the demo up.
+pub(crate) type Error = Box<dyn std::error::Error + Send + Sync>;
+
+/// Everything that runs.
+pub(crate) struct Cast {
+    /// Platform, engines, services.
+    pub(crate) deployment: Deployment,
+    /// Makes certificates.
+    pub(crate) authority: Authority,
+    /// The entries, by zone.
+    pub(crate) entries: Vec<Option<Entry>>,
+    /// The controllers, by zone.
+    pub(crate) controllers: Vec<Option<Controller>>,
+    /// Callers of the two organisations.
+    pub(crate) callers: Vec<Caller>,
+    /// Keys that were issued, to be withdrawn.
+    pub(crate) records: Vec<chervilgate_model::KeyRecord>,
+}
+
+impl Cast {
+    /// Starts everything and waits until it serves.
+    pub(crate) async fn start() -> Result<Cast, Error> {
+        let spec = EngineSpec { token_time: Duration::from_millis(5), ..EngineSpec::default() };
+        let mut deployment = Deployment::start(6, 3, &spec)?;
+        let mut callers = Vec::new();
+        let mut records = Vec::new();
+        for organisation in ["mtatsminda", "jadranska", "short-lived"] {
+            let (secret, record) = deployment.add_organisation(organisation);
+            callers.push(Caller::new(secret.expose()));
+            records.push(record);
+        }
+        deployment.config.insert(placement(2));
+        deployment.publish().await?;
+        let authority = Authority::generate()?;
+        let (entries, controllers) = (Vec::new(), Vec::new());
+        let mut cast = Cast { deployment, authority, entries, controllers, callers, records };
+        for zone in ZONES {
+            let entry = cast.start_entry(zone).await?;
+            cast.entries.push(Some(entry));
+            let controller = cast.start_controller(zone).await?;
+            cast.controllers.push(Some(controller));
+        }
+        cast.wait_ready().await;
+        Ok(cast)
+    }
+
+    /// Starts an entry in `zone`.
+    pub(crate) async fn start_entry(&self, zone: &str) -> Result<Entry, Error> {
+        let host = format!("host-{zone}");
+        let identity = self.authority.issue(&host)?;
+        let platform = self.deployment.platform.addr();
+        let mut settings = EntrySettings::new(&host, zone, platform, identity);
+        settings.deadline = DEADLINE;
+        settings.locate_ttl = LOCATE_TTL;
+        Ok(Entry::start(settings).await?)
+    }
+
+    async fn start_controller(&self, zone: &str) -> Result<Controller, Error> {
+        let host = format!("host-{zone}");
+        let identity = self.authority.issue(&host)?;
+        let platform = self.deployment.platform.addr();
+        let mut settings = ControllerSettings::new(&host, zone, platform, identity);
+        settings.usage_window = USAGE_WINDOW;
+        Ok(Controller::start(settings).await?)
+    }
+
+    /// The entries that run.
+    pub(crate) fn serving(&self) -> Vec<std::net::SocketAddr> {
+        self.entries.iter().flatten().map(Entry::addr).collect()
+    }
+
+    async fn wait_ready(&self) {
+        for entry in self.serving() {
+            let caller = Caller::without_key();
+            eventually(|| async {
+                let answer = caller.get(entry, "/readyz").await;
+                answer.is_some_and(|answer| answer.status.is_success())
+            })
+            .await;
+        }
+    }
+}
+
+/// The placement of the model service: so many engines in each zone.
+pub(crate) fn placement(count: u32) -> Object {
+    let zones = ZONES.iter().map(|zone| (name(zone), ZoneCount { steady: count, cheap: 0 }));
+    Object::Placement(Placement {
+        name: name("chat-main"),
+        service: name("chat"),
+        version: None,
+        zones: zones.collect(),
+        checks_fencing: true,
+    })
+}
+
+/// Waits for a condition; whether it came about.
+pub(crate) async fn eventually<F: Future<Output = bool>>(mut condition: impl FnMut() -> F) -> bool {
+    let wait = async {
+        while !condition().await {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait).await.is_ok()
+}
