Only candidates count among the owners of shards

The demo saw a zone's orders without an owner for 30 s after a controller was killed: entries have sessions too, took candidates' places in the ranking and were offered shards that they never take. A session now says whether its holder may own shards.

--- a/bins/controller/tests/duty.rs
+++ b/bins/controller/tests/duty.rs
@@ -81,6 +81,12 @@
     deployment.config.insert(placement(2));
     deployment.publish().await.expect("published");
     let mut controllers = start_controllers(&deployment, &authority, 3).await;
+    // Sessions of processes that own nothing must not stand in anyone's way.
+    let mut entries = Vec::new();
+    for zone in ZONES.iter().chain(&ZONES).chain(&ZONES) {
+        let host = format!("h{}", entries.len());
+        entries.push(start_entry(&deployment, &authority, &host, zone).await);
+    }
     let granted = |count: u32| {
         let orders = deployment.platform.record().orders;
         let zones = orders.values().filter(|order| !order.cheap && order.count == count);
@@ -89,7 +95,9 @@
 
     eventually(|| async { granted(2) == ZONES.len() }).await;
     let ordered = deployment.platform.record().orders.len();
-    controllers.remove(0).kill();
+    for owner in controllers.drain(1..) {
+        owner.kill();
+    }
     deployment.config.insert(placement(3));
     deployment.publish().await.expect("published");
     eventually(|| async { granted(3) == ZONES.len() }).await;
--- a/bins/entry/src/caller_api.rs
+++ b/bins/entry/src/caller_api.rs
@@ -118,6 +118,7 @@
             headers: forwarded_headers(&head.headers),
             id: id.to_owned(),
             failed: SmallVec::new(),
+            begun: 0,
             worst: Outcome::NotRun,
         };
         job.run().await
--- a/bins/entry/src/complete.rs
+++ b/bins/entry/src/complete.rs
@@ -26,8 +26,8 @@
     relay::relay_stream,
 };
 
-/// Attempts at one request, the first one counted.
-const MAX_ATTEMPTS: usize = 3;
+/// Attempts at one request that an engine may have begun, the first one counted.
+const MAX_ATTEMPTS: usize = 4;
 /// The longest answer that is not streamed, in bytes.
 const ANSWER_LIMIT: usize = 64 << 20;
 
@@ -49,6 +49,8 @@
     pub id: String,
     /// Engines that failed it.
     pub failed: SmallVec<[TargetId; 4]>,
+    /// Attempts that an engine may have begun.
+    pub(crate) begun: usize,
     /// What the caller will be told if all attempts fail.
     pub worst: Outcome,
 }
@@ -89,7 +91,7 @@
     /// If attempts have run out, or the policy refuses.
     pub(crate) async fn begin(&mut self, sent: u64) -> Result<Attempt, Failure> {
         loop {
-            if self.failed.len() >= MAX_ATTEMPTS {
+            if self.begun >= MAX_ATTEMPTS {
                 return Err(Failure::target(self.worst, "no engine finished the request"));
             }
             let request = self.policy_request(sent);
@@ -117,7 +119,10 @@
                 Ok(response) if engine_refused(response.status()) => {
                     self.note_failure(slot, PolicyOutcome::Failed);
                 }
-                Ok(response) => return Ok(Attempt { slot, response }),
+                Ok(response) => {
+                    self.begun += 1;
+                    return Ok(Attempt { slot, response });
+                }
                 Err(error) => {
                     self.note_error(&error);
                     self.note_failure(slot, PolicyOutcome::Crashed);
@@ -150,6 +155,7 @@
         log::info!(target: "complete", id = self.id.as_str(), reason = error.reason.as_str();
             "attempt failed");
         if error.outcome != Outcome::NotRun {
+            self.begun += 1;
             self.note_ran(error.outcome);
         }
     }
--- a/components/coord/src/authority.rs
+++ b/components/coord/src/authority.rs
@@ -37,7 +37,9 @@
 pub struct AuthorityConfig {
     /// This process.
     pub node: Node,
-    /// Every shard there is; the same on all processes.
+    /// Every shard there is; the same on all candidates.
+    ///
+    /// A process that is given none has a session and is no candidate.
     pub shards: Vec<ShardId>,
     /// Spans of time; the same on all processes.
     pub terms: Terms,
@@ -101,9 +103,10 @@
     /// An authority that begins with the first event.
     pub fn new(config: AuthorityConfig) -> Authority {
         let AuthorityConfig { node, shards, terms, guards, trust_list, seed, calls } = config;
+        let candidate = !shards.is_empty();
         Authority {
             shards: Shards::new(&node, shards, terms, guards, seed ^ 1),
-            session: Session::new(node, terms, seed),
+            session: Session::new(node, candidate, terms, seed),
             observer: Observer::new(terms),
             orders: Orders::new(terms, guards, seed ^ 2),
             proofs: Proofs::new(terms, guards, trust_list),
--- a/components/coord/src/observer.rs
+++ b/components/coord/src/observer.rs
@@ -44,6 +44,8 @@
 pub(crate) struct Member<'a> {
     pub(crate) node: &'a Node,
     pub(crate) digest: NameDigest,
+    /// Whether it may own shards.
+    pub(crate) candidate: bool,
     /// When it was first seen.
     pub(crate) since: Time,
 }
@@ -52,6 +54,7 @@
 struct Seen {
     node: Node,
     digest: NameDigest,
+    candidate: bool,
     version: Version,
     state: SessionState,
     /// When this version was first seen, or seen again after a gap.
@@ -105,7 +108,17 @@
         self.seen
             .values()
             .filter(move |seen| seen.state == SessionState::Live && now - seen.moved < limit)
-            .map(|seen| Member { node: &seen.node, digest: seen.digest, since: seen.first })
+            .map(|seen| Member {
+                node: &seen.node,
+                digest: seen.digest,
+                candidate: seen.candidate,
+                since: seen.first,
+            })
+    }
+
+    /// Those of the live processes that may own shards.
+    pub(crate) fn candidates(&self, now: Time) -> impl Iterator<Item = Member<'_>> {
+        self.live(now).filter(|member| member.candidate)
     }
 
     /// Every session as it was last read.
@@ -166,6 +179,7 @@
             node: seen.node.clone(),
             attempt: 0,
             state: SessionState::Sealed,
+            candidate: seen.candidate,
             acting: Vec::new(),
         };
         let key = session_key(incarnation);
@@ -261,6 +275,7 @@
         let fresh = || Seen {
             node: record.node.clone(),
             digest: NameDigest::of_node(&record.node),
+            candidate: record.candidate,
             version: object.version,
             state: record.state,
             since: now,
--- a/components/coord/src/session.rs
+++ b/components/coord/src/session.rs
@@ -63,6 +63,8 @@
     pub attempt: u64,
     /// Whether it may be renewed.
     pub state: SessionState,
+    /// Whether the holder may own shards.
+    pub candidate: bool,
     /// Shards that the holder owned, or had an order under way for, when it
     /// wrote this.
     pub acting: Vec<ShardId>,
@@ -93,6 +95,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Session {
     me: Node,
+    candidate: bool,
     terms: Terms,
     phase: Phase,
     version: Option<Version>,
@@ -109,10 +112,11 @@
 
 impl Session {
     /// A session that begins with the next wake-up.
-    pub(crate) fn new(me: Node, terms: Terms, seed: u64) -> Session {
+    pub(crate) fn new(me: Node, candidate: bool, terms: Terms, seed: u64) -> Session {
         let (first, most) = terms.backoff;
         Session {
             me,
+            candidate,
             terms,
             phase: Phase::Joining,
             version: None,
@@ -223,6 +227,7 @@
             node: self.me.clone(),
             attempt: self.attempt,
             state,
+            candidate: self.candidate,
             acting: self.acting.clone(),
         };
         let expect = self.version.map_or(Expect::Absent, Expect::At);
--- a/components/coord/src/shard.rs
+++ b/components/coord/src/shard.rs
@@ -276,7 +276,7 @@
     fn follow(&self, now: Time, session: &Session, observer: &mut Observer) {
         let me = session.me();
         let others: Vec<Member<'_>> =
-            observer.live(now).filter(|member| !same(member.node, me)).collect();
+            observer.candidates(now).filter(|member| !same(member.node, me)).collect();
         let wanted: BTreeSet<Incarnation> = self
             .duties
             .iter()
@@ -355,7 +355,7 @@
         let duty = &mut self.duties[index];
         let settled = |member: &Member<'_>| stopping || now - member.since >= span;
         let heir = observer
-            .live(now)
+            .candidates(now)
             .filter(|member| !same(member.node, me) && settled(member))
             .max_by_key(|member| weight(duty, member.digest, member.node));
         let mine = weight(duty, self.digest, me);
@@ -401,8 +401,10 @@
     stagger: Duration,
 ) -> Duration {
     let owned = |node: &Node| duty.names(node.incarnation);
-    let others: Vec<Member<'_>> =
-        observer.live(now).filter(|member| !same(member.node, me) && !owned(member.node)).collect();
+    let others: Vec<Member<'_>> = observer
+        .candidates(now)
+        .filter(|member| !same(member.node, me) && !owned(member.node))
+        .collect();
     let wait = stagger * u32::try_from(place(duty, (digest, me), &others)).unwrap_or(u32::MAX);
     match duty.record.offer {
         Some(heir) if heir == me.incarnation => Duration::ZERO,
