--- a/bins/ctl/tests/commands/main.rs
+++ b/bins/ctl/tests/commands/main.rs
@@ -50,7 +50,9 @@
     let incarnation = Incarnation(number);
     let addr = "10.0.0.9:9000".parse().expect("an address");
     let node = Node { incarnation, addr, zone: Zone("a".to_owned()) };
-    let session = SessionRecord { node: node.clone(), attempt: 1, acting: Vec::new(), state };
+    let holder = node.clone();
+    let acting = Vec::new();
+    let session = SessionRecord { node: holder, attempt: 1, candidate: true, acting, state };
     bench.store(session_key(incarnation), encode(&session));
     let open = OpenIntent { sender: node, attempt: 1, fencing: false, body: Vec::new() };
     let record = ReceiverRecord { open: Some(open), ..ReceiverRecord::default() };
