Work out the design size from measured slopes

chervilgate-load capacity prints counts of messages, bytes, calls and state at several sizes with their fit, and memory and processor time of real entries.

--- /dev/null
+++ b/bins/load/src/capacity/daemons.rs
@@ -0,0 +1,93 @@
+//! Memory and processor time of real entries, several in one process.
+//!
+//! They run against the platform stand-in with the configuration of the design
+//! size, without callers. The figures depend on the computer.
+
+use std::{fs, io, time::Duration};
+
+use chervilgate_entry::{Entry, Settings};
+use chervilgate_standins::{Caller, Deployment, EngineSpec, ZONES};
+use chervilgate_wire::Authority;
+use tokio::time::sleep;
+
+use super::{Point, Slope, state::organisations};
+
+/// Entries started one after another; measured after each of these counts.
+const COUNTS: [usize; 4] = [1, 3, 6, 9];
+/// Organisations of the configuration.
+const ORGANISATIONS: usize = 1_200;
+/// Time for a new entry to settle.
+const SETTLE: Duration = Duration::from_secs(3);
+/// Time over which processor time is counted.
+const SPAN: Duration = Duration::from_secs(5);
+/// Clock ticks a second, as the kernel counts processor time.
+const TICKS: f64 = 100.0;
+
+/// Any failure to set the entries up.
+type Error = Box<dyn std::error::Error>;
+
+/// Memory and processor time by the number of entries.
+///
+/// # Errors
+/// If an entry does not start.
+pub(super) async fn slopes() -> Result<Vec<Slope>, Error> {
+    let mut deployment = Deployment::start(0, 0, &EngineSpec::default())?;
+    for object in organisations(ORGANISATIONS).objects().into_values() {
+        deployment.config.insert(object);
+    }
+    deployment.publish().await?;
+    let authority = Authority::generate()?;
+    let (mut memory, mut busy, mut entries) = (Vec::new(), Vec::new(), Vec::new());
+    for count in COUNTS {
+        while entries.len() < count {
+            entries.push(start(&deployment, &authority, entries.len()).await?);
+        }
+        sleep(SETTLE).await;
+        let before = processor_seconds()?;
+        sleep(SPAN).await;
+        let share = (processor_seconds()? - before) / SPAN.as_secs_f64();
+        memory.push(Point { size: count as f64, value: resident_bytes()? / f64::from(1 << 20) });
+        busy.push(Point { size: count as f64, value: 100.0 * share });
+    }
+    for entry in entries {
+        entry.kill();
+    }
+    let slope = |name, points| Slope { name, by: "entries in one process", points, design: 1.0 };
+    Ok(vec![slope("resident memory, MB", memory), slope("processor, % of a core", busy)])
+}
+
+async fn start(
+    deployment: &Deployment,
+    authority: &Authority,
+    number: usize,
+) -> Result<Entry, Error> {
+    let host = format!("h{number}");
+    let identity = authority.issue(&host)?;
+    let zone = ZONES[number % ZONES.len()];
+    let entry =
+        Entry::start(Settings::new(&host, zone, deployment.platform.addr(), identity)).await?;
+    let caller = Caller::without_key();
+    loop {
+        let answer = caller.get(entry.addr(), "/readyz").await;
+        if answer.is_some_and(|answer| answer.status.is_success()) {
+            return Ok(entry);
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+fn resident_bytes() -> io::Result<f64> {
+    let pages = field("/proc/self/statm", 1)?;
+    Ok(pages * 4_096.0)
+}
+
+fn processor_seconds() -> io::Result<f64> {
+    Ok((field("/proc/self/stat", 13)? + field("/proc/self/stat", 14)?) / TICKS)
+}
+
+fn field(path: &str, index: usize) -> io::Result<f64> {
+    let text = fs::read_to_string(path)?;
+    let missing = || io::Error::new(io::ErrorKind::InvalidData, path.to_owned());
+    let field = text.split_whitespace().nth(index).ok_or_else(missing)?;
+    field.parse().map_err(|_| missing())
+}
--- a/bins/load/src/cmd.rs
+++ b/bins/load/src/cmd.rs
@@ -1,13 +1,16 @@
 //! The commands of `chervilgate-load`.
 
 mod bench;
+mod capacity;
 mod experiment;
 mod http;
 
 use bpaf::{OptionParser, Parser, construct};
 use snafu::Snafu;
 
-pub use crate::cmd::{bench::BenchOptions, experiment::Experiment, http::Http};
+pub use crate::cmd::{
+    bench::BenchOptions, capacity::CapacityOptions, experiment::Experiment, http::Http,
+};
 
 /// A command with its arguments.
 #[derive(Debug, Clone)]
@@ -18,6 +21,8 @@
     Http(Http),
     /// Compares an entry with going straight to the engines.
     Bench(BenchOptions),
+    /// Measures the slopes behind docs/CAPACITY.md.
+    Capacity(CapacityOptions),
 }
 
 /// Why a command failed.
@@ -59,7 +64,10 @@
     let http = http.descr("Drive a running system and check each answer").command("http");
     let bench = bench::options().map(Command::Bench).to_options();
     let bench = bench.descr("Compare an entry with going straight to the engines").command("bench");
-    construct!([experiment, http, bench]).to_options().descr("Load and experiments")
+    let capacity = capacity::options().map(Command::Capacity).to_options();
+    let capacity =
+        capacity.descr("Measure slopes and work out the design size").command("capacity");
+    construct!([experiment, http, bench, capacity]).to_options().descr("Load and experiments")
 }
 
 /// Runs a command.
@@ -72,5 +80,6 @@
         Command::Experiment(options) => experiment::run(&options),
         Command::Http(options) => http::run(options),
         Command::Bench(options) => bench::run(&options),
+        Command::Capacity(options) => capacity::run(&options),
     }
 }
--- a/bins/load/src/lib.rs
+++ b/bins/load/src/lib.rs
@@ -5,6 +5,7 @@
 //! drives a running system and checks each answer byte for byte.
 
 pub mod bound;
+pub mod capacity;
 pub mod cmd;
 pub mod experiment;
 pub mod http;
