Run a request with an idempotency key at most once

A key within the scope that locate hands out is remembered by that process; another entry passes a resend on to it and answers "unknown" if it cannot be asked. A key without a scope is claimed in the platform before dispatch. Before, a resend ran a second time; the four new tests count one run. Handing the memory to an heir on a planned stop is still missing: such resends are told unknown.

--- a/bins/entry/src/caller_api.rs
+++ b/bins/entry/src/caller_api.rs
@@ -27,6 +27,8 @@
     handover::Right,
     host::Host,
     locate::{json as json_response, locate},
+    once::OnceKey,
+    once_job::run_once,
     outcome::{Failure, Outcome},
     plain::PlainJob,
     view::ViewState,
@@ -184,7 +186,10 @@
             id: id.to_owned(),
             repeatable: !service.is_once(method, rest),
         };
-        job.run().await
+        match OnceKey::read(&head.headers)? {
+            Some(once) if !job.repeatable => run_once(job, once, head).await,
+            _ => job.run().await,
+        }
     }
 
     fn authorized(&self, head: &Parts, state: &ViewState) -> Result<KeyRecord, Failure> {
--- a/bins/entry/src/entry.rs
+++ b/bins/entry/src/entry.rs
@@ -122,10 +122,12 @@
     pub async fn stop(mut self) {
         log::info!(target: "entry", "leaving");
         self.host.enter(Phase::Leaving);
+        self.host.memory().close();
         let heard = round_pause(self.host.members.all().len()) + LEAVE_MARGIN;
         sleep(self.host.settings.locate_ttl + heard).await;
         log::info!(target: "entry", "finishing what runs");
         self.host.enter(Phase::Finishing);
+        self.host.memory().seal();
         let _ = (&mut self.callers).await;
         self.release().await;
         self.supervisor.stop(None);
--- a/bins/entry/src/host.rs
+++ b/bins/entry/src/host.rs
@@ -13,6 +13,7 @@
 use chervilgate_clock::Clock;
 use chervilgate_coord::{
     Incarnation, Node,
+    claim::Memory,
     drain::{DrainMessage, Handovers},
     view::Draining,
     window::Usage,
@@ -24,6 +25,7 @@
 use tokio::sync::watch;
 
 use crate::{
+    claims::ClaimMessage,
     lane::{Lane, LaneCounts},
     member::Members,
     settings::Settings,
@@ -72,6 +74,8 @@
     pub view: Option<ActorRef<ViewMessage>>,
     /// Starts the others.
     pub supervisor: Option<ActorRef<SupervisorMessage>>,
+    /// Claims requests.
+    pub claims: Option<ActorRef<ClaimMessage>>,
     /// Counts usage.
     pub usage: Option<ActorRef<UsageMessage>>,
 }
@@ -91,6 +95,8 @@
     links: Mutex<Links>,
     node: Mutex<Node>,
     handovers: Mutex<Handovers>,
+    memory_id: Incarnation,
+    memory: Mutex<Memory>,
     gate: AtomicBool,
     numbering: Numbering,
     lanes: Mutex<BTreeMap<String, Arc<Lane>>>,
@@ -106,6 +112,8 @@
             addr: settings.peer,
             zone: chervilgate_coord::Zone(settings.zone.clone()),
         };
+        let memory_id = Incarnation(rand::random());
+        let memory = Memory::new(memory_id, borders.clock.now());
         Arc::new(Host {
             settings,
             borders,
@@ -115,6 +123,8 @@
             links: Mutex::default(),
             node: Mutex::new(node),
             handovers: Mutex::default(),
+            memory_id,
+            memory: Mutex::new(memory),
             gate: AtomicBool::new(false),
             numbering: Numbering::default(),
             lanes: Mutex::default(),
@@ -143,6 +153,16 @@
         change(&mut lock(&self.links));
     }
 
+    /// Names this process in the scopes of idempotency keys.
+    pub(crate) fn memory_id(&self) -> Incarnation {
+        self.memory_id
+    }
+
+    /// The idempotency keys that this process remembers.
+    pub(crate) fn memory(&self) -> MutexGuard<'_, Memory> {
+        lock(&self.memory)
+    }
+
     /// Requests on their way to targets.
     pub(crate) fn handovers(&self) -> MutexGuard<'_, Handovers> {
         lock(&self.handovers)
--- a/bins/entry/src/locate.rs
+++ b/bins/entry/src/locate.rs
@@ -12,6 +12,7 @@
 use crate::{
     host::{Host, Phase},
     member::Member,
+    once::scope_text,
 };
 
 /// Weight of a host in the caller's own zone.
@@ -25,7 +26,7 @@
     /// How long to keep this answer, in milliseconds.
     ttl_ms: u64,
     /// Names the process that remembers idempotency keys.
-    scope: String,
+    scope: Option<String>,
 }
 
 #[derive(Debug, Serialize)]
@@ -47,7 +48,7 @@
     let located = Located {
         addresses,
         ttl_ms: u64::try_from(ttl).unwrap_or(u64::MAX),
-        scope: own.to_string(),
+        scope: scope_text(&mut host.memory(), host.borders.clock.now()),
     };
     json(&located)
 }
--- a/bins/entry/src/member.rs
+++ b/bins/entry/src/member.rs
@@ -23,6 +23,8 @@
     pub address: SocketAddr,
     /// The process.
     pub incarnation: Incarnation,
+    /// Names its memory of idempotency keys.
+    pub(crate) memory: Incarnation,
     /// Whether it is about to go.
     pub leaving: bool,
 }
--- a/bins/entry/src/outcome.rs
+++ b/bins/entry/src/outcome.rs
@@ -97,6 +97,18 @@
         Failure { retry_after: Some(Duration::from_secs(1)), ..failure }
     }
 
+    /// The same request was sent before, and nobody can say how it ended.
+    pub(crate) fn repeated(message: impl Into<String>) -> Failure {
+        let status = StatusCode::CONFLICT;
+        let failure = Failure::new(status, "invalid_request_error", "sent_before", message);
+        Failure { outcome: Outcome::Unknown, ..failure }
+    }
+
+    /// The same request ran before, and its answer is not kept.
+    pub(crate) fn ran_before(message: impl Into<String>) -> Failure {
+        Failure { outcome: Outcome::Ran, ..Failure::repeated(message) }
+    }
+
     /// The target failed; `outcome` says what became of the request.
     pub(crate) fn target(outcome: Outcome, message: impl Into<String>) -> Failure {
         let failure =
--- a/bins/entry/src/registrar.rs
+++ b/bins/entry/src/registrar.rs
@@ -111,6 +111,7 @@
         zone: host.settings.zone.clone(),
         address: host.settings.listen,
         incarnation: host.node().incarnation,
+        memory: host.memory_id(),
         leaving: *host.phase().borrow() > Phase::Serving,
     }
 }
--- a/bins/entry/src/supervisor.rs
+++ b/bins/entry/src/supervisor.rs
@@ -12,6 +12,7 @@
 use ractor::{Actor, ActorCell, ActorProcessingErr, ActorRef, SupervisionEvent};
 
 use crate::{
+    claims::ClaimKeeper,
     host::Host,
     poller::Poller,
     registrar::Registrar,
@@ -36,6 +37,8 @@
     Poller,
     /// Counts usage.
     Usage,
+    /// Claims requests.
+    Claims,
 }
 
 /// What the supervisor is told.
@@ -62,7 +65,7 @@
         myself: ActorRef<SupervisorMessage>,
         host: Arc<Host>,
     ) -> Result<Running, ActorProcessingErr> {
-        for part in [Part::Coordination, Part::Registrar, Part::Poller, Part::Usage] {
+        for part in [Part::Coordination, Part::Registrar, Part::Poller, Part::Usage, Part::Claims] {
             myself.cast(SupervisorMessage::Start(part))?;
         }
         Ok(Running { host, parts: Vec::new() })
@@ -112,6 +115,11 @@
                 let (actor, _) = Actor::spawn_linked(None, Registrar, host, parent).await?;
                 self.parts.push((actor.get_cell(), part));
             }
+            Part::Claims => {
+                let (actor, _) = Actor::spawn_linked(None, ClaimKeeper, host, parent).await?;
+                self.parts.push((actor.get_cell(), part));
+                self.host.set_links(|links| links.claims = Some(actor));
+            }
             Part::Usage => {
                 let (actor, _) = Actor::spawn_linked(None, UsageKeeper, host, parent).await?;
                 self.parts.push((actor.get_cell(), part));
--- /dev/null
+++ b/bins/entry/tests/entry/main.rs
@@ -0,0 +1,5 @@
+//! One or several entries against the stand-ins, over loopback.
+
+mod fixture;
+mod once;
+mod path;
--- a/bins/entry/tests/thin_path.rs
+++ b/bins/entry/tests/entry/path.rs
@@ -1,50 +1,13 @@
-//! A request from end to end, against the stand-ins.
+//! A request from end to end.
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
-use chervilgate_entry::{Entry, Settings};
-use chervilgate_standins::{Answer, Caller, Deployment, EngineFaults, EngineSpec, ServiceFaults};
+use chervilgate_standins::{Answer, Caller, EngineFaults, ServiceFaults};
 use chervilgate_wire::Authority;
 use hyper::{Method, StatusCode};
 use serde_json::json;
 
-/// Longest wait for a condition that comes about in milliseconds.
-const PATIENCE: Duration = Duration::from_secs(30);
-
-async fn start_entry(
-    deployment: &Deployment,
-    authority: &Authority,
-    host: &str,
-    zone: &str,
-) -> Entry {
-    let platform = deployment.platform.addr();
-    let identity = authority.issue(host).expect("an identity");
-    let mut settings = Settings::new(host, zone, platform, identity);
-    settings.deadline = PATIENCE;
-    let entry = Entry::start(settings).await.expect("an entry");
-    let caller = Caller::without_key();
-    eventually(|| async {
-        caller.get(entry.addr(), "/readyz").await.is_some_and(|answer| answer.status.is_success())
-    })
-    .await;
-    entry
-}
-
-async fn eventually<F: Future<Output = bool>>(mut condition: impl FnMut() -> F) {
-    let wait = async {
-        while !condition().await {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    tokio::time::timeout(PATIENCE, wait).await.expect("the condition comes about");
-}
-
-async fn start_deployment() -> (Deployment, Caller) {
-    let mut deployment = Deployment::start(3, 2, &EngineSpec::default()).expect("stand-ins");
-    let (secret, _) = deployment.add_organisation("mtatsminda");
-    deployment.publish().await.expect("published");
-    (deployment, Caller::new(secret.expose()))
-}
+use crate::fixture::{eventually, start_deployment, start_entry};
 
 fn located(answer: &Answer) -> Vec<SocketAddr> {
     let json = answer.json();
