--- /dev/null
+++ b/bins/entry/tests/processes/main.rs
@@ -0,0 +1,149 @@
+//! Entries as processes of their own, stopped, killed and paused under load.
+
+mod process;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use chervilgate_standins::{Answer, Caller, Deployment, EngineSpec};
+use chervilgate_wire::Authority;
+use rustix::process::Signal;
+use tokio::{task::JoinHandle, time::sleep};
+
+use crate::process::{EntryProcess, PATIENCE, eventually, is_ready};
+
+/// Tokens of each answer of the load.
+const TOKENS: u64 = 60;
+
+/// A stream after another at one entry; each ends in one of three ways.
+#[derive(Debug, Default, Clone, Copy)]
+struct Seen {
+    whole: u32,
+    refused: u32,
+    cut: u32,
+}
+
+struct Load {
+    stop: Arc<AtomicBool>,
+    task: JoinHandle<Seen>,
+}
+
+impl Load {
+    fn start(caller: &Caller, entry: SocketAddr) -> Load {
+        let stop = Arc::new(AtomicBool::new(false));
+        let (caller, stopped) = (caller.clone(), stop.clone());
+        let task = tokio::spawn(async move {
+            let mut seen = Seen::default();
+            while !stopped.load(Ordering::Relaxed) {
+                let answer = caller.chat(entry, "monthly arrivals", TOKENS).await;
+                count(&mut seen, answer);
+                sleep(Duration::from_millis(5)).await;
+            }
+            seen
+        });
+        Load { stop, task }
+    }
+
+    async fn end(self) -> Seen {
+        self.stop.store(true, Ordering::Relaxed);
+        self.task.await.expect("the load ends")
+    }
+}
+
+fn count(seen: &mut Seen, answer: Option<Answer>) {
+    match answer {
+        Some(answer) if answer.is_chat("monthly arrivals", TOKENS) => seen.whole += 1,
+        Some(answer) if answer.outcome() == Some("not-run") => seen.refused += 1,
+        // A connection that is refused has run nothing.
+        None => seen.refused += 1,
+        Some(_) => seen.cut += 1,
+    }
+}
+
+async fn start_deployment() -> (Deployment, Caller, Authority) {
+    let spec = EngineSpec { token_time: Duration::from_millis(10), ..EngineSpec::default() };
+    let mut deployment = Deployment::start(4, 1, &spec).expect("stand-ins");
+    let (secret, _) = deployment.add_organisation("mtatsminda");
+    deployment.publish().await.expect("published");
+    let authority = Authority::generate().expect("an authority");
+    (deployment, Caller::new(secret.expose()), authority)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_terminated_entry_cuts_no_stream_and_exits_by_itself() {
+    let (deployment, caller, authority) = start_deployment().await;
+    let mut entry = EntryProcess::start(&deployment, &authority, "h1").await;
+    let streams: Vec<Load> = (0..4).map(|_| Load::start(&caller, entry.addr)).collect();
+    sleep(Duration::from_millis(300)).await;
+
+    entry.signal(Signal::TERM);
+    let exited = entry.wait_exit().await;
+    let mut seen = Seen::default();
+    for load in streams {
+        let part = load.end().await;
+        seen.whole += part.whole;
+        seen.cut += part.cut;
+    }
+
+    assert!(exited.success(), "{exited}");
+    assert!(seen.whole > 0);
+    assert_eq!(seen.cut, 0, "{seen:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_entry_leaves_the_others_serving() {
+    let (deployment, caller, authority) = start_deployment().await;
+    let killed = EntryProcess::start(&deployment, &authority, "h1").await;
+    let other = EntryProcess::start(&deployment, &authority, "h2").await;
+    let load = Load::start(&caller, other.addr);
+
+    killed.signal(Signal::KILL);
+    // Longer than a view stays fresh.
+    sleep(Duration::from_secs(6)).await;
+    let seen = load.end().await;
+
+    assert!(seen.whole > 0);
+    assert_eq!((seen.refused, seen.cut), (0, 0), "{seen:?}");
+    assert!(caller.get(killed.addr, "/healthz").await.is_none());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_entry_refuses_a_key_withdrawn_meanwhile() {
+    let (mut deployment, caller, authority) = start_deployment().await;
+    let (secret, record) = deployment.add_organisation("jadranska");
+    deployment.publish().await.expect("published");
+    let withdrawn = Caller::new(secret.expose());
+    let entry = EntryProcess::start(&deployment, &authority, "h1").await;
+    eventually(|| async {
+        let answer = withdrawn.chat(entry.addr, "before", 2).await;
+        answer.is_some_and(|answer| answer.is_chat("before", 2))
+    })
+    .await;
+
+    entry.signal(Signal::STOP);
+    let late = tokio::spawn({
+        let (caller, addr) = (withdrawn.clone(), entry.addr);
+        async move { caller.chat(addr, "sent while paused", 2).await }
+    });
+    let hash = chervilgate_coord::view::KeyHash(*record.hash.as_bytes());
+    let edit = chervilgate_coord::view::Edit::Withdraw([hash].into());
+    deployment.edit(edit).await.expect("withdrawn");
+    // Longer than a view stays fresh, so that the pause outlasts it.
+    sleep(Duration::from_secs(5)).await;
+    entry.signal(Signal::CONT);
+    let late = late.await.expect("the call ends");
+
+    assert!(late.is_some_and(|answer| answer.outcome() == Some("not-run")));
+    let served = tokio::time::timeout(PATIENCE, is_ready(entry.addr)).await;
+    assert!(served.is_ok(), "the entry serves again");
+    let valid = caller.chat(entry.addr, "after", 2).await.expect("an answer");
+    let refused = withdrawn.chat(entry.addr, "after", 2).await.expect("an answer");
+    assert!(valid.is_chat("after", 2), "{valid:?}");
+    assert_eq!(refused.status, 401);
+}
--- /dev/null
+++ b/bins/entry/tests/processes/process.rs
@@ -0,0 +1,127 @@
+//! One entry as a process, with its settings and certificates in files.
+
+use std::{
+    fs,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
+
+use chervilgate_standins::{Caller, Deployment};
+use chervilgate_wire::Authority;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+use tokio::time::sleep;
+
+/// Longest wait for a condition that comes about in seconds.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+
+static STARTED: AtomicU32 = AtomicU32::new(0);
+
+/// A running entry; killed when it is dropped.
+pub(crate) struct EntryProcess {
+    /// Where callers reach it.
+    pub(crate) addr: SocketAddr,
+    child: Child,
+    folder: PathBuf,
+}
+
+impl EntryProcess {
+    /// Starts an entry and waits until it is ready.
+    pub(crate) async fn start(
+        deployment: &Deployment,
+        authority: &Authority,
+        host: &str,
+    ) -> EntryProcess {
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let name = format!("chervilgate-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(&folder).expect("a folder");
+        let identity = authority.issue(host).expect("an identity");
+        let write = |name: &str, text: &str| {
+            let path = folder.join(name);
+            fs::write(&path, text).expect("a file");
+            path
+        };
+        let (listen, admin, peer) = (free_addr(), free_addr(), free_addr());
+        let settings = json!({
+            "host": host, "zone": "a",
+            "listen": listen, "admin": admin, "peer": peer,
+            "peer_tls": {
+                "authority": write("authority.pem", &identity.authority),
+                "certificate": write("certificate.pem", &identity.certificate),
+                "key": write("key.pem", &identity.key),
+            },
+            "platform": deployment.platform.addr(),
+            "deadline": "30s", "locate_ttl": "1s",
+        });
+        let settings = write("entry.json", &settings.to_string());
+        let child = Command::new(env!("CARGO_BIN_EXE_chervilgate-entry"))
+            .arg(settings)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("a process");
+        let process = EntryProcess { addr: listen, child, folder };
+        is_ready(listen).await;
+        process
+    }
+
+    /// Sends the process a signal.
+    pub(crate) fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw).expect("a process");
+        kill_process(pid, signal).expect("a running process");
+    }
+
+    /// Waits until the process has ended.
+    pub(crate) async fn wait_exit(&mut self) -> ExitStatus {
+        let wait = async {
+            loop {
+                if let Some(status) = self.child.try_wait().expect("a child") {
+                    return status;
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, wait).await.expect("the process ends")
+    }
+}
+
+impl Drop for EntryProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until an entry is ready.
+pub(crate) async fn is_ready(entry: SocketAddr) {
+    let caller = Caller::without_key();
+    eventually(|| async {
+        caller.get(entry, "/readyz").await.is_some_and(|answer| answer.status.is_success())
+    })
+    .await;
+}
+
+/// Waits for a condition.
+pub(crate) async fn eventually<F: Future<Output = bool>>(mut condition: impl FnMut() -> F) {
+    let wait = async {
+        while !condition().await {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait).await.expect("the condition comes about");
+}
+
+/// An address that was free a moment ago, over UDP as well.
+fn free_addr() -> SocketAddr {
+    loop {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        if std::net::UdpSocket::bind(addr).is_ok() {
+            return addr;
+        }
+    }
+}
