--- a/bins/demo/src/act.rs
+++ b/bins/demo/src/act.rs
@@ -139,18 +139,23 @@
         service.set_faults(ServiceFaults { lose_answers: true, ..ServiceFaults::default() });
     }
     sleep(STEP_TIME).await;
+    heal(cast);
+    sleep(STEP_TIME).await;
     cast.deployment.engines[3] = None;
     sleep(2 * STEP_TIME).await;
+    let whole = load.tally().whole;
+    sleep(STEP_TIME).await;
+    let more = load.tally().whole;
+    ledger.check(Promise::Whole, more > whole, || "no answer after the engines' faults".to_owned());
+}
+
+fn heal(cast: &Cast) {
     for engine in cast.deployment.engines.iter().flatten() {
         engine.set_faults(EngineFaults::default());
     }
     for service in cast.deployment.services.iter().flatten() {
         service.set_faults(ServiceFaults::default());
     }
-    let whole = load.tally().whole;
-    sleep(STEP_TIME).await;
-    let more = load.tally().whole;
-    ledger.check(Promise::Whole, more > whole, || "no answer after the engines' faults".to_owned());
 }
 
 async fn refuse_stale_order(cast: &Cast, ledger: &mut Ledger) {
--- a/bins/entry/src/attempt.rs
+++ b/bins/entry/src/attempt.rs
@@ -32,6 +32,8 @@
 pub(crate) struct AttemptError {
     /// What became of the request there.
     pub outcome: Outcome,
+    /// Whether the target broke off: the request may have made it crash.
+    pub crashed: bool,
     /// What went wrong.
     pub reason: String,
 }
@@ -46,14 +48,17 @@
     call: &Call,
     id: &str,
 ) -> Result<Response<Body>, AttemptError> {
-    let request = build_request(addr, call, id)
-        .map_err(|error| AttemptError { outcome: Outcome::NotRun, reason: error.to_string() })?;
+    let request = build_request(addr, call, id).map_err(|error| AttemptError {
+        outcome: Outcome::NotRun,
+        crashed: false,
+        reason: error.to_string(),
+    })?;
     let response = host.borders.sender.send(addr, request).await.map_err(send_error)?;
     let crossed = response.headers().get(REQUEST_ID).is_some_and(|found| found != id);
     if crossed {
         log::warn!(target: "attempt", addr:%, id; "dropped an answer to another request");
         let reason = "the target answered another request".to_owned();
-        return Err(AttemptError { outcome: Outcome::Unknown, reason });
+        return Err(AttemptError { outcome: Outcome::Unknown, crashed: false, reason });
     }
     Ok(response)
 }
@@ -64,8 +69,9 @@
 }
 
 fn send_error(error: SendError) -> AttemptError {
-    let outcome = if error.not_run() { Outcome::NotRun } else { Outcome::Unknown };
-    AttemptError { outcome, reason: error.to_string() }
+    let crashed = !error.not_run();
+    let outcome = if crashed { Outcome::Unknown } else { Outcome::NotRun };
+    AttemptError { outcome, crashed, reason: error.to_string() }
 }
 
 fn build_request(
--- a/bins/entry/src/caller_api.rs
+++ b/bins/entry/src/caller_api.rs
@@ -121,6 +121,7 @@
             id: id.to_owned(),
             failed: SmallVec::new(),
             begun: 0,
+            crashes: 0,
             worst: Outcome::NotRun,
         };
         job.run().await
--- a/bins/entry/src/complete.rs
+++ b/bins/entry/src/complete.rs
@@ -28,6 +28,9 @@
 
 /// Attempts at one request that an engine may have begun, the first one counted.
 const MAX_ATTEMPTS: usize = 4;
+/// Engines that may break off without a token of one request, which may be what
+/// makes them crash.
+const MAX_CRASHES: usize = 2;
 /// The longest answer that is not streamed, in bytes.
 const ANSWER_LIMIT: usize = 64 << 20;
 
@@ -51,6 +54,8 @@
     pub failed: SmallVec<[TargetId; 4]>,
     /// Attempts that an engine may have begun.
     pub(crate) begun: usize,
+    /// Engines that broke off under it.
+    pub(crate) crashes: usize,
     /// What the caller will be told if all attempts fail.
     pub worst: Outcome,
 }
@@ -91,7 +96,7 @@
     /// If attempts have run out, or the policy refuses.
     pub(crate) async fn begin(&mut self, sent: u64) -> Result<Attempt, Failure> {
         loop {
-            if self.begun >= MAX_ATTEMPTS {
+            if self.begun >= MAX_ATTEMPTS || self.crashes >= MAX_CRASHES {
                 return Err(Failure::target(self.worst, "no engine finished the request"));
             }
             let request = self.policy_request(sent);
@@ -154,6 +159,7 @@
     fn note_error(&mut self, error: &AttemptError) {
         log::info!(target: "complete", id = self.id.as_str(), reason = error.reason.as_str();
             "attempt failed");
+        self.crashes += usize::from(error.crashed);
         if error.outcome != Outcome::NotRun {
             self.begun += 1;
             self.note_ran(error.outcome);
@@ -212,6 +218,7 @@
             }
             Err(error) => {
                 log::info!(target: "complete", id = self.id.as_str(), error:%; "answer broke off");
+                self.crashes += 1;
                 self.note_ran(Outcome::Ran);
                 self.note_failure(slot, PolicyOutcome::Crashed);
                 Ok(None)
--- a/bins/entry/src/relay.rs
+++ b/bins/entry/src/relay.rs
@@ -42,6 +42,8 @@
     body: Body,
     reader: EventReader,
     sent: u64,
+    /// Tokens sent when the present attempt began.
+    resumed: u64,
     opened: bool,
     finished: bool,
     ended: bool,
@@ -55,6 +57,7 @@
             body: attempt.response.into_body(),
             reader: EventReader::default(),
             sent: 0,
+            resumed: 0,
             opened: false,
             finished: false,
             ended: false,
@@ -128,6 +131,9 @@
         log::info!(target: "relay", id = self.job.id.as_str(), reason, sent = self.sent;
             "stream broke off");
         self.job.note_ran(Outcome::Ran);
+        // An engine that got further was hardly broken by the prompt.
+        self.job.crashes += usize::from(self.sent == self.resumed);
+        self.resumed = self.sent;
         if let Some(slot) = self.slot.take() {
             self.job.note_failure(slot, PolicyOutcome::Crashed);
         }
--- a/bins/entry/tests/entry/path.rs
+++ b/bins/entry/tests/entry/path.rs
@@ -98,3 +98,29 @@
     assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
     assert_ne!(answer.outcome(), Some("not-run"));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_breaks_engines_is_given_up_after_the_second() {
+    let (deployment, caller) = start_deployment().await;
+    let authority = Authority::generate().expect("an authority");
+    let entry = start_entry(&deployment, &authority, "h1", "a").await;
+    for engine in deployment.engines.iter().flatten() {
+        let poison = Some("crash".to_owned());
+        engine.set_faults(EngineFaults { poison, ..EngineFaults::default() });
+    }
+
+    let poisoned = caller.chat(entry.addr(), "crash please", 20).await.expect("an answer");
+    let healthy = caller.chat(entry.addr(), "good morning", 20).await.expect("an answer");
+
+    let runs = deployment.engines.iter().flatten().map(|engine| {
+        let runs = engine.record().runs;
+        runs.keys().filter(|id| id.starts_with(request_id(&poisoned))).count()
+    });
+    assert_eq!(runs.sum::<usize>(), 2);
+    assert!(poisoned.streamed_text().is_none());
+    assert!(healthy.is_chat("good morning", 20));
+}
+
+fn request_id(answer: &Answer) -> &str {
+    answer.headers["x-request-id"].to_str().expect("an id")
+}
