--- a/bins/demo/src/act.rs
+++ b/bins/demo/src/act.rs
@@ -6,7 +6,7 @@
 use chervilgate_coord::view::{Edit, KeyHash};
 use chervilgate_standins::ServiceStandin;
 use chervilgate_standins::{Caller, EngineFaults, EngineStandin, PlatformFaults, ServiceFaults};
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::time::sleep;
 
 use crate::{
@@ -27,6 +27,7 @@
     sleep(STEP_TIME).await;
 
     use_keys(&cast, &mut ledger).await;
+    refuse_truthfully(&cast, &mut ledger).await;
     publish_change(&mut cast, &mut ledger).await?;
     withdraw_key(&cast, &mut ledger).await?;
     drain_target(&cast, &load, &mut ledger).await?;
@@ -62,6 +63,20 @@
     }
 }
 
+/// A refused request has run on no target.
+async fn refuse_truthfully(cast: &Cast, ledger: &mut Ledger) {
+    let stranger = Caller::new("cgk_000000000000_0000");
+    for entry in cast.serving() {
+        let content = json!({ "booking": entry.to_string() });
+        let answer = stranger.post(entry, "/svc/plugs/bookings", &content).await;
+        let refused = answer.is_some_and(|answer| is_refused(&answer));
+        let call = format!("POST /bookings {content}");
+        let services = cast.deployment.services.iter().flatten();
+        let ran = services.filter(|service| service.runs().contains_key(&call)).count();
+        ledger.check(Promise::NotRun, refused && ran == 0, || format!("{content} ran {ran} times"));
+    }
+}
+
 async fn publish_change(cast: &mut Cast, ledger: &mut Ledger) -> Result<(), Error> {
     step("publishing a change under load");
     cast.deployment.config.insert(placement(3));
