Serve callers over TLS, renewed without a restart, and send metrics

The settings named both and neither took effect. New connections are shown a renewed certificate within five seconds; a pair that does not fit leaves the former one in force. Requests by their end, tokens, breaks and first tokens go to a statsd daemon.

--- a/bins/entry/src/caller_api.rs
+++ b/bins/entry/src/caller_api.rs
@@ -10,6 +10,7 @@
 };
 use chervilgate_model::{KeyRecord, Service};
 use chervilgate_serve::Handler;
+use chervilgate_telemetry::RequestEnd;
 use hyper::{
     Method, Request, Response, StatusCode,
     body::Incoming,
@@ -117,6 +118,7 @@
             organisation: record.organisation.to_string(),
             right: Right::Key(record.name),
             completion,
+            arrived: self.host.borders.clock.now(),
             headers: forwarded_headers(&head.headers),
             id: id.to_owned(),
             failed: SmallVec::new(),
@@ -223,6 +225,10 @@
     async fn handle(&self, peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
         let id = self.host.request_id();
         let answered = self.answer(request, &id).await;
+        let end = answered
+            .as_ref()
+            .map_or_else(|failure| failure.outcome().to_end(), |_| RequestEnd::Answered);
+        self.host.metrics.count_request(end);
         let mut response = answered.unwrap_or_else(|failure| {
             log::info!(target: "caller", peer:%, id = id.as_str(),
                 status = failure.status().as_u16(), outcome = failure.outcome().as_str();
--- a/bins/entry/src/complete.rs
+++ b/bins/entry/src/complete.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use chervilgate_clients::{Body, body::collect};
+use chervilgate_clock::Time;
 use chervilgate_coord::window::Usage;
 use chervilgate_policy::{
     OrgId, Outcome as PolicyOutcome, Priority, Refusal, Request, ServiceId, TargetId,
@@ -46,6 +47,8 @@
     pub(crate) right: Right,
     /// The request.
     pub completion: Completion,
+    /// When it had come in whole.
+    pub(crate) arrived: Time,
     /// Headers that may go on.
     pub headers: HeaderMap,
     /// The id that the caller knows the answer by.
@@ -153,6 +156,7 @@
     pub(crate) fn count(&self, generated: u64) {
         let prompt = u64::from(self.completion.prompt);
         let usage = Usage { requests: 1, prompt, generated };
+        self.host.metrics.count_tokens(generated);
         self.host.count(&self.organisation, usage);
     }
 
--- a/bins/entry/src/entry.rs
+++ b/bins/entry/src/entry.rs
@@ -7,6 +7,7 @@
 use chervilgate_coord::Event;
 use chervilgate_driver::{AuthorityMessage, Gate, TcpProber, answer_probes};
 use chervilgate_serve::{Limits, serve};
+use chervilgate_telemetry::{Metrics, MetricsError};
 use chervilgate_wire::{IdentityError, WireError};
 use ractor::{Actor, ActorRef};
 use snafu::{ResultExt, Snafu};
@@ -20,6 +21,7 @@
     session::follow_peers,
     settings::Settings,
     supervisor::{Supervisor, SupervisorMessage},
+    tls::{CallerTls, TlsError, follow_files, load_tls},
     usage::UsageMessage,
 };
 
@@ -42,6 +44,18 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The certificate for callers is not usable.
+    #[snafu(display("{source}"))]
+    BadTls {
+        /// What is wrong.
+        source: TlsError,
+    },
+    /// Metrics cannot be sent.
+    #[snafu(display("{source}"))]
+    BadMetrics {
+        /// What is wrong.
+        source: MetricsError,
+    },
     /// The certificate for peers is not usable.
     #[snafu(display("cannot read the certificate for peers: {source}"))]
     BadIdentity {
@@ -80,6 +94,11 @@
     pub async fn start(mut settings: Settings) -> Result<Entry, StartError> {
         let listener = listen(&mut settings.listen).await?;
         let admin = listen(&mut settings.admin).await?;
+        let tls = settings.tls.as_ref().map(load_tls).transpose().context(BadTlsSnafu)?;
+        let metrics = match settings.metrics {
+            Some(addr) => Metrics::to(addr).context(BadMetricsSnafu)?,
+            None => Metrics::none(),
+        };
         let identity = settings.identity.load().context(BadIdentitySnafu)?;
         let gate = Gate::open(settings.peer, &identity).await.context(PeerSnafu)?;
         settings.peer = gate.addr;
@@ -92,7 +111,7 @@
             engines: Arc::new(HttpEngine::new()),
             clock: Arc::new(BootClock),
         };
-        let host = Host::new(settings, borders, gate.peers);
+        let host = Host::new(settings, borders, gate.peers, metrics);
         let peers = tokio::spawn(follow_peers(host.clone(), gate.incoming));
         let answering = host.clone();
         let present = move || answering.node().incarnation;
@@ -102,7 +121,7 @@
         host.set_links(|links| links.supervisor = Some(supervisor.clone()));
         log::info!(target: "entry", host = host.settings.host.as_str(),
             listen:% = host.settings.listen, admin:% = host.settings.admin; "entry started");
-        let callers = serve_callers(&host, listener);
+        let callers = serve_callers(&host, listener, tls);
         let admin = serve_operators(&host, admin);
         Ok(Entry { host, supervisor, callers, admin, peers, probes })
     }
@@ -171,20 +190,28 @@
     Ok(listener)
 }
 
-fn serve_callers(host: &Arc<Host>, listener: TcpListener) -> JoinHandle<()> {
+fn serve_callers(host: &Arc<Host>, listener: TcpListener, tls: CallerTls) -> JoinHandle<()> {
+    let files = host.settings.tls.clone();
     let handler = Arc::new(CallerApi::new(host.clone()));
     let mut phase = host.phase();
     let (stop, stopped) = watch::channel(false);
-    let (_no_tls, tls) = watch::channel(None);
+    let (show, shown) = watch::channel(tls);
     tokio::spawn(async move {
+        let renew = async {
+            match files {
+                Some(files) => follow_files(files, show).await,
+                None => std::future::pending().await,
+            }
+        };
         let follow = async {
             let _ = phase.wait_for(|phase| *phase == Phase::Finishing).await;
             let _ = stop.send(true);
             std::future::pending::<()>().await;
         };
         tokio::select! {
-            () = serve(listener, handler, Limits::default(), tls, stopped) => {}
+            () = serve(listener, handler, Limits::default(), shown, stopped) => {}
             () = follow => {}
+            () = renew => {}
         }
     })
 }
--- a/bins/entry/src/host.rs
+++ b/bins/entry/src/host.rs
@@ -20,6 +20,7 @@
 };
 use chervilgate_driver::{AuthorityMessage, Prober, ViewMessage};
 use chervilgate_policy::{RouteSettings, Zone};
+use chervilgate_telemetry::Metrics;
 use chervilgate_wire::Peers;
 use ractor::ActorRef;
 use tokio::sync::watch;
@@ -92,6 +93,8 @@
     pub members: Members,
     /// The other processes.
     pub peers: Peers,
+    /// What operators watch.
+    pub metrics: Metrics,
     links: Mutex<Links>,
     node: Mutex<Node>,
     handovers: Mutex<Handovers>,
@@ -106,7 +109,12 @@
 
 impl Host {
     /// An entry that has not read any configuration yet.
-    pub(crate) fn new(settings: Settings, borders: Borders, peers: Peers) -> Arc<Host> {
+    pub(crate) fn new(
+        settings: Settings,
+        borders: Borders,
+        peers: Peers,
+        metrics: Metrics,
+    ) -> Arc<Host> {
         let node = Node {
             incarnation: Incarnation(rand::random()),
             addr: settings.peer,
@@ -120,6 +128,7 @@
             views: ViewCell::new(),
             members: Members::default(),
             peers,
+            metrics,
             links: Mutex::default(),
             node: Mutex::new(node),
             handovers: Mutex::default(),
--- a/bins/entry/src/lib.rs
+++ b/bins/entry/src/lib.rs
@@ -31,11 +31,13 @@
 mod settings;
 mod sse;
 mod supervisor;
+mod tls;
 mod usage;
 mod view;
 
 pub use crate::{
     entry::{Entry, StartError},
     settings::{Settings, TlsFiles},
+    tls::TlsError,
     usage::{USAGE_GROUPS, USAGE_RECEIVER, usage_shard},
 };
--- a/bins/entry/src/outcome.rs
+++ b/bins/entry/src/outcome.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use chervilgate_clients::{Body, body::full};
+use chervilgate_telemetry::RequestEnd;
 use hyper::{
     Response, StatusCode,
     header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
@@ -27,6 +28,15 @@
 }
 
 impl Outcome {
+    /// How its metric is tagged.
+    pub(crate) fn to_end(self) -> RequestEnd {
+        match self {
+            Outcome::NotRun => RequestEnd::NotRun,
+            Outcome::Ran => RequestEnd::Ran,
+            Outcome::Unknown => RequestEnd::Unknown,
+        }
+    }
+
     /// Its text in headers and bodies.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
--- a/bins/entry/src/relay.rs
+++ b/bins/entry/src/relay.rs
@@ -130,6 +130,7 @@
     async fn recover(&mut self, reason: &str) -> Option<Bytes> {
         log::info!(target: "relay", id = self.job.id.as_str(), reason, sent = self.sent;
             "stream broke off");
+        self.job.host.metrics.count_break();
         self.job.note_ran(Outcome::Ran);
         // An engine that got further was hardly broken by the prompt.
         self.job.crashes += usize::from(self.sent == self.resumed);
@@ -164,6 +165,8 @@
     }
 
     fn note_first(&self) {
+        let now = self.job.host.borders.clock.now();
+        self.job.host.metrics.time_first(now.since(self.job.arrived));
         if let Some(slot) = &self.slot {
             slot.first_token();
         }
--- /dev/null
+++ b/bins/entry/src/tls.rs
@@ -0,0 +1,89 @@
+//! The certificate shown to callers, renewed without a restart.
+
+use std::{fs, io, path::PathBuf, sync::Arc, time::Duration};
+
+use rustls::{
+    ServerConfig,
+    pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject},
+};
+use snafu::{ResultExt, Snafu};
+use tokio::{sync::watch, time::sleep};
+
+use crate::settings::TlsFiles;
+
+/// From one look at the files to the next.
+const LOOK_PERIOD: Duration = Duration::from_secs(5);
+
+/// The configuration for callers' connections; none without TLS.
+pub(crate) type CallerTls = Option<Arc<ServerConfig>>;
+
+/// Why a certificate cannot be used.
+#[derive(Debug, Snafu)]
+pub enum TlsError {
+    /// A file cannot be read.
+    #[snafu(display("cannot read {}: {source}", path.display()))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// A file is not PEM of the expected kind.
+    #[snafu(display("{}: {source}", path.display()))]
+    Pem {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        source: rustls::pki_types::pem::Error,
+    },
+    /// Certificate and key do not go together.
+    #[snafu(display("{}: {source}", path.display()))]
+    Use {
+        /// The certificate's file.
+        path: PathBuf,
+        /// What is wrong.
+        source: rustls::Error,
+    },
+}
+
+/// Reads certificate and key.
+///
+/// # Errors
+/// If a file is not what it should be; the error names it.
+pub(crate) fn load_tls(files: &TlsFiles) -> Result<Arc<ServerConfig>, TlsError> {
+    let path = &files.certificate;
+    let pem = fs::read(path).context(ReadSnafu { path })?;
+    let chain: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(&pem).collect();
+    let chain = chain.context(PemSnafu { path })?;
+    let key_pem = fs::read(&files.key).context(ReadSnafu { path: &files.key })?;
+    let key = PrivateKeyDer::from_pem_slice(&key_pem).context(PemSnafu { path: &files.key })?;
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let config = ServerConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .context(UseSnafu { path })?
+        .with_no_client_auth()
+        .with_single_cert(chain, key)
+        .context(UseSnafu { path })?;
+    Ok(Arc::new(config))
+}
+
+/// Shows renewed files to new connections; a bad pair leaves the former in force.
+pub(crate) async fn follow_files(files: TlsFiles, shown: watch::Sender<CallerTls>) {
+    let read = || (fs::read(&files.certificate).ok(), fs::read(&files.key).ok());
+    let mut known = read();
+    loop {
+        sleep(LOOK_PERIOD).await;
+        let present = read();
+        if present == known {
+            continue;
+        }
+        match load_tls(&files) {
+            Ok(config) => {
+                log::info!(target: "tls", "certificate renewed");
+                known = present;
+                let _ = shown.send(Some(config));
+            }
+            Err(error) => log::warn!(target: "tls", error:%; "keeping the former certificate"),
+        }
+    }
+}
--- a/bins/entry/tests/entry/fixture.rs
+++ b/bins/entry/tests/entry/fixture.rs
@@ -9,6 +9,19 @@
 /// Longest wait for a condition that comes about in milliseconds.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Settings of an entry that refuses nothing for being late.
+pub(crate) fn settings(
+    deployment: &Deployment,
+    authority: &Authority,
+    host: &str,
+    zone: &str,
+) -> Settings {
+    let identity = authority.issue(host).expect("an identity");
+    let mut settings = Settings::new(host, zone, deployment.platform.addr(), identity);
+    settings.deadline = PATIENCE;
+    settings
+}
+
 /// Starts an entry and waits until it is ready.
 pub(crate) async fn start_entry(
     deployment: &Deployment,
@@ -16,10 +29,7 @@
     host: &str,
     zone: &str,
 ) -> Entry {
-    let platform = deployment.platform.addr();
-    let identity = authority.issue(host).expect("an identity");
-    let mut settings = Settings::new(host, zone, platform, identity);
-    settings.deadline = PATIENCE;
+    let settings = settings(deployment, authority, host, zone);
     let entry = Entry::start(settings).await.expect("an entry");
     let caller = Caller::without_key();
     eventually(|| async {
--- a/bins/entry/tests/entry/main.rs
+++ b/bins/entry/tests/entry/main.rs
@@ -3,3 +3,4 @@
 mod fixture;
 mod once;
 mod path;
+mod tls;
