Drop unacknowledged bytes within the span that orders are given

The library asks for a user timeout within Terms::flight (3 s); connections to engines had 5 s, so a late order could have outlived the wait after a proof.

--- a/components/clients/src/http.rs
+++ b/components/clients/src/http.rs
@@ -24,8 +24,9 @@
 
 /// Time allowed for a connection to be set up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Unacknowledged bytes break the connection after this time.
-const USER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Unacknowledged bytes are dropped after this time; less than the flight span
+/// that orders are given to arrive late.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle connections kept to one address.
 const IDLE_LIMIT: usize = 64;
 
