Treat a garbled event of an engine's stream as a break

Such an event was passed over, and the answer came without its token though with its end mark. The stream now goes on from another engine after the tokens sent; the new test fails without the change.

--- a/bins/entry/src/relay.rs
+++ b/bins/entry/src/relay.rs
@@ -112,7 +112,11 @@
         loop {
             let event = self.reader.next_event().map_err(|_| "an event too long".to_owned())?;
             if let Some(event) = event {
-                return Ok(Chunk::read(&event));
+                // A garbled event may have held a token: the answer would not be whole.
+                return match Chunk::read(&event) {
+                    Chunk::Malformed => Err("a garbled event".to_owned()),
+                    chunk => Ok(chunk),
+                };
             }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
--- a/bins/entry/tests/entry/path.rs
+++ b/bins/entry/tests/entry/path.rs
@@ -99,6 +99,27 @@
     assert_ne!(answer.outcome(), Some("not-run"));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_garbled_event_costs_the_answer_no_token() {
+    let (deployment, caller) = start_deployment().await;
+    let authority = Authority::generate().expect("an authority");
+    let entry = start_entry(&deployment, &authority, "h1", "a").await;
+    for engine in deployment.engines.iter().flatten().take(2) {
+        engine.set_faults(EngineFaults { garble_at: Some(3), ..EngineFaults::default() });
+    }
+
+    let mut answers = Vec::new();
+    for number in 0..6 {
+        let prompt = format!("request {number}");
+        let answer = caller.chat(entry.addr(), &prompt, 8).await.expect("an answer");
+        answers.push((prompt, answer));
+    }
+
+    for (prompt, answer) in answers {
+        assert!(answer.is_chat(&prompt, 8), "{prompt}: {:?}", answer.body);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_breaks_engines_is_given_up_after_the_second() {
     let (deployment, caller) = start_deployment().await;
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -49,6 +49,8 @@
 pub struct EngineFaults {
     /// Breaks each stream after so many of its tokens.
     pub break_after: Option<u64>,
+    /// Garbles the event of this token of each answer.
+    pub garble_at: Option<u64>,
     /// Answers carry another request's id.
     pub cross_answers: bool,
     /// A prompt holding this text breaks every stream on the engine at once.
--- a/components/standins/src/engine/api.rs
+++ b/components/standins/src/engine/api.rs
@@ -112,7 +112,7 @@
         }
         let sent_id = if faults.cross_answers { format!("{id}-crossed") } else { id.to_owned() };
         let mut response = if request.stream {
-            run.stream(request, faults.break_after)
+            run.stream(request, faults.break_after, faults.garble_at)
         } else {
             run.whole(request, faults.break_after).await
         };
@@ -161,9 +161,15 @@
         response
     }
 
-    fn stream(self, request: CompletionRequest, break_after: Option<u64>) -> Response<Body> {
+    fn stream(
+        self,
+        request: CompletionRequest,
+        break_after: Option<u64>,
+        garble_at: Option<u64>,
+    ) -> Response<Body> {
         let first = request.resume_from;
-        let state = Stream { run: self, request, index: first, first, break_after, done: false };
+        let (index, done) = (first, false);
+        let state = Stream { run: self, request, index, first, break_after, garble_at, done };
         let frames = stream::unfold(state, |mut state| async move {
             let frame = state.next().await?;
             Some((frame, state))
@@ -189,6 +195,7 @@
     index: u64,
     first: u64,
     break_after: Option<u64>,
+    garble_at: Option<u64>,
     done: bool,
 }
 
@@ -209,7 +216,10 @@
             self.run.finished = true;
             return Some(Ok(Frame::data(self.request.last_events(&self.run.id))));
         }
-        let event = self.request.token_event(&self.run.id, self.index);
+        let mut event = self.request.token_event(&self.run.id, self.index);
+        if self.garble_at == Some(self.index) {
+            event = Bytes::from_static(b"data: {\"choices\n\n");
+        }
         self.index += 1;
         self.run.shared.lock().record.tokens += 1;
         Some(Ok(Frame::data(event)))
