--- a/components/policy/src/router.rs
+++ b/components/policy/src/router.rs
@@ -13,12 +13,10 @@
 
 use chervilgate_clock::Time;
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::{
-    BLOCK_TOKENS, CacheEvent, Fingerprint, LoadReport, Reason, Refusal, Request, Role, Target,
-    TargetId, Ticket, Zone,
+    BLOCK_TOKENS, CacheEvent, LoadReport, Reason, Refusal, Request, Role, Target, TargetId, Ticket,
     prefix::{Match, Matches, PrefixIndex},
     router::{
         attempts::{Attempt, Attempts},
@@ -28,12 +26,18 @@
 };
 
 pub(crate) use crate::router::score::Fill;
+pub use crate::router::{
+    route::{Fetch, Outcome, Route, Running},
+    settings::RouteSettings,
+};
 
 mod attempts;
 mod fleet;
 mod health;
 mod load;
+mod route;
 mod score;
+mod settings;
 #[cfg(test)]
 mod tests;
 
@@ -52,91 +56,6 @@
 /// Retry time told when all targets looked at are full.
 const FULL: Duration = Duration::from_millis(250);
 
-/// Limits and weights of routing.
-#[derive(Debug, Clone, PartialEq)]
-pub struct RouteSettings {
-    /// This host's zone.
-    pub zone: Zone,
-    /// Extra one-way time to a target in another zone.
-    pub far: Duration,
-    /// Longest time between tokens that is still good.
-    pub gap: Duration,
-    /// Targets sampled for each part of a decision.
-    pub choices: usize,
-    /// Prompt work that may wait at a target.
-    pub backlog: Duration,
-    /// Age after which a load report no longer counts.
-    pub stale: Duration,
-    /// Time over which a new target's share of work grows to full.
-    pub slow_start: Duration,
-    /// Cached blocks remembered, over all targets.
-    pub index_blocks: usize,
-}
-
-impl Default for RouteSettings {
-    fn default() -> RouteSettings {
-        RouteSettings {
-            zone: Zone(0),
-            far: Duration::from_micros(1_500),
-            gap: Duration::from_millis(60),
-            choices: 4,
-            backlog: Duration::from_millis(400),
-            stale: Duration::from_secs(5),
-            slow_start: Duration::from_secs(10),
-            index_blocks: 65_536,
-        }
-    }
-}
-
-/// KV cache to import before the rest of the prompt is computed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct Fetch {
-    /// The engine that holds it.
-    pub from: TargetId,
-    /// Prompt tokens that it covers.
-    pub tokens: u32,
-}
-
-/// Where a request runs.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Route {
-    /// Computes the prompt.
-    pub prefill: TargetId,
-    /// Generates the output; imports the KV cache when it is another target.
-    pub decode: TargetId,
-    /// Prompt tokens that need no computing: cached there, or fetched.
-    pub cached: u32,
-    /// Prefix KV cache that `prefill` imports from a third engine first.
-    pub fetch: Option<Fetch>,
-    /// Predicted time to the first token.
-    pub first: Duration,
-}
-
-/// How an attempt ended, as far as its target is concerned.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Outcome {
-    /// Answered.
-    Done,
-    /// Cancelled by the caller or by this host.
-    Cancelled,
-    /// Refused or failed by the target, or unreachable.
-    Failed,
-    /// The target crashed.
-    Crashed,
-}
-
-/// An attempt that runs on a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Running {
-    /// The attempt.
-    pub ticket: Ticket,
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// Whether its first token was seen in this attempt.
-    pub proven: bool,
-}
-
 /// Chooses targets for one service on one host.
 #[derive(Debug)]
 pub struct Router {
--- a/components/policy/src/router/tests.rs
+++ b/components/policy/src/router/tests.rs
@@ -5,7 +5,7 @@
 use rand_pcg::Pcg64;
 
 use super::*;
-use crate::{BlockHash, CacheChange, Kind, OrgId, Priority, ServiceId, Specs, State};
+use crate::{BlockHash, CacheChange, Kind, OrgId, Priority, ServiceId, Specs, State, Zone};
 
 fn target(id: u32, role: Role) -> Target {
     Target {
