--- a/components/clients/src/lib.rs
+++ b/components/clients/src/lib.rs
@@ -13,7 +13,7 @@
     http::{HttpPool, HttpSender, SendError},
     platform::{
         HostEntry, HostList, HttpPlatform, ObjectStore, OrderReceipt, PlatformError, TargetOrder,
-        TargetOrders, UsageReport, UsageReports,
+        TargetOrders, UsageReport, UsageReports, WindowReport, WindowReports,
     },
     target::{
         Engine, EngineError, EngineOrder, HttpEngine, LoadReport, OrderOutcome, OrderRequest,
--- a/components/clients/src/platform.rs
+++ b/components/clients/src/platform.rs
@@ -3,7 +3,7 @@
 mod http;
 mod objects;
 
-use std::net::IpAddr;
+use std::{collections::BTreeMap, net::IpAddr};
 
 use async_trait::async_trait;
 use chervilgate_coord::{StoreCall, StoreReply};
@@ -37,6 +37,16 @@
 pub trait ObjectStore: Send + Sync {
     /// Makes one call; failures are part of the reply.
     async fn call(&self, call: &StoreCall) -> StoreReply;
+
+    /// Reads one object, possibly as it was seconds ago, where that costs less.
+    async fn get_lagging(&self, key: &str) -> StoreReply {
+        self.call(&StoreCall::Get { key: key.to_owned() }).await
+    }
+
+    /// Lists objects, possibly as they were seconds ago, where that costs less.
+    async fn list_lagging(&self, prefix: &str) -> StoreReply {
+        self.call(&StoreCall::List { prefix: prefix.to_owned() }).await
+    }
 }
 
 /// A host as the platform lists it; the list lags.
@@ -119,3 +129,21 @@
     /// Hands in one window's report.
     async fn report(&self, report: &UsageReport) -> Result<(), PlatformError>;
 }
+
+/// Requests begun in one window, for all organisations together; billed once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WindowReport {
+    /// The window's number.
+    pub window: u64,
+    /// The epoch of the reporter.
+    pub epoch: u64,
+    /// Requests begun by organisation.
+    pub counts: BTreeMap<String, u64>,
+}
+
+/// Accepts reports of whole windows.
+#[async_trait]
+pub trait WindowReports: Send + Sync {
+    /// Hands in one window's report.
+    async fn report(&self, report: &WindowReport) -> Result<(), PlatformError>;
+}
--- /dev/null
+++ b/components/gateway/src/directory.rs
@@ -0,0 +1,64 @@
+//! Tells callers which hosts to use, and the platform whether this one is ready.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use chervilgate_clients::{Body, body::empty, body::full};
+use chervilgate_serve::Handler;
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+
+use crate::state::Shared;
+
+/// Time for which callers keep an answer: some keep it three times as long, which
+/// has to end before a host that stops is gone.
+const KEEP: Duration = Duration::from_secs(2);
+
+/// Answers questions for addresses and readiness.
+pub(crate) struct Directory {
+    pub(crate) shared: Arc<Shared>,
+}
+
+#[async_trait]
+impl Handler for Directory {
+    async fn handle(&self, _peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path();
+        if self.shared.protocol.is_ready_path(path) {
+            return self.readiness();
+        }
+        let query = request.uri().query().unwrap_or_default();
+        let Some(locate) = self.shared.protocol.locate(path, query) else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        let zone = locate.zone.as_deref().unwrap_or(&self.shared.settings.zone);
+        let now = self.shared.now();
+        let own = self.shared.is_ready(now).then(|| self.shared.entry(0));
+        let addrs = self.shared.state().members.addresses(now, zone, own.as_ref());
+        if addrs.is_empty() {
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let keep = KEEP.min(self.shared.settings.bounds.keep);
+        let mut response = Response::new(full(self.shared.protocol.located(&addrs, keep)));
+        let json = HeaderValue::from_static("application/json");
+        response.headers_mut().insert(CONTENT_TYPE, json);
+        response
+    }
+}
+
+impl Directory {
+    fn readiness(&self) -> Response<Body> {
+        if self.shared.is_ready(self.shared.now()) {
+            return status(StatusCode::OK);
+        }
+        status(StatusCode::SERVICE_UNAVAILABLE)
+    }
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/components/gateway/src/duty.rs
@@ -0,0 +1,261 @@
+//! Usage sheets, and the duties that one host at a time performs.
+
+use std::{sync::Arc, time::Duration};
+
+use chervilgate_clients::{WindowReport, WindowReports};
+use chervilgate_clock::Time;
+use chervilgate_coord::{Expect, Object, StoreCall, StoreReply, Version};
+use tokio::time::sleep;
+
+use crate::{
+    lease::{Lease, LeaseDoc},
+    state::Shared,
+    usage::{Sheet, sum},
+    watch::own,
+};
+
+/// Start of the keys of hosts' usage sheets.
+const SHEETS: &str = "usage/";
+
+/// The lease object.
+const LEASE: &str = "duty/lease";
+
+/// Time between two writes of a host's sheet; what a killed host loses of its
+/// counts has to stay within the tolerance of a report.
+const SHEET_PACE: Duration = Duration::from_secs(1);
+
+/// Time between two looks at the lease.
+const LEASE_PACE: Duration = Duration::from_millis(500);
+
+/// Time from a window's end until it is sealed: sheets are written once a second and
+/// a call to a slow store takes up to a second more.
+const SEAL_DELAY: Duration = Duration::from_millis(3_500);
+
+/// Time before a report is due at which a window is sealed even if sheets could not
+/// be read completely.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest random delay of a challenger.
+const CHALLENGE_SPREAD: Duration = Duration::from_millis(800);
+
+/// Writes an object; returns its new version, or none where the outcome leaves the
+/// version as it was known.
+///
+/// A conflict or a lost answer is followed by a read, so that the next write names
+/// the version that the object has.
+pub(crate) async fn put(
+    shared: &Shared,
+    key: &str,
+    version: Option<Version>,
+    value: Vec<u8>,
+) -> Option<Option<Version>> {
+    let expect = version.map_or(Expect::Absent, Expect::At);
+    let call = StoreCall::Put { key: key.to_owned(), expect, value };
+    match shared.store.call(&call).await {
+        StoreReply::Written(version) => Some(Some(version)),
+        StoreReply::Conflict(object) => Some(object.map(|object| object.version)),
+        StoreReply::Refused => None,
+        _ => match shared.store.call(&StoreCall::Get { key: key.to_owned() }).await {
+            StoreReply::Found(object) => Some(object.map(|object| object.version)),
+            _ => None,
+        },
+    }
+}
+
+/// Writes this host's usage sheet whenever it has changed.
+pub(crate) async fn keep_sheet(shared: Arc<Shared>) {
+    let key = format!("{SHEETS}{}", shared.settings.name);
+    let mut version = loop {
+        match shared.store.call(&StoreCall::Get { key: key.clone() }).await {
+            StoreReply::Found(object) => {
+                break object.map(|object| take_over(&shared, &object));
+            }
+            _ => sleep(SHEET_PACE).await,
+        }
+    };
+    loop {
+        sleep(SHEET_PACE).await;
+        let value = shared.state().meter.changed().map(serde_json::to_vec);
+        let Some(Ok(value)) = value else { continue };
+        let expect = version.map_or(Expect::Absent, Expect::At);
+        let call = StoreCall::Put { key: key.clone(), expect, value };
+        match shared.store.call(&call).await {
+            StoreReply::Written(written) => version = Some(written),
+            StoreReply::Conflict(object) => {
+                version = object.map(|object| take_over(&shared, &object));
+                shared.state().meter.keep_changed();
+            }
+            reply => {
+                log::info!(target: "usage", reply:?; "sheet not written");
+                shared.state().meter.keep_changed();
+            }
+        }
+    }
+}
+
+/// Adds what an earlier process of this host counted; returns the sheet's version.
+fn take_over(shared: &Shared, object: &Object) -> Version {
+    if let Some((_, sheet)) = own::<Sheet>(std::slice::from_ref(object)).first() {
+        shared.state().meter.take_over(sheet);
+    }
+    object.version
+}
+
+/// The duties of one host at a time.
+pub(crate) struct Duties {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) reports: Arc<dyn WindowReports>,
+    lease: Lease,
+}
+
+impl Duties {
+    /// Not in charge.
+    pub(crate) fn new(shared: Arc<Shared>, reports: Arc<dyn WindowReports>) -> Duties {
+        let lease = Lease::new(&shared.settings.name, shared.boot, shared.settings.bounds.lease);
+        Duties { shared, reports, lease }
+    }
+
+    /// Stands for the lease, and performs the duties while it is held.
+    pub(crate) async fn run(mut self) {
+        loop {
+            let delay = CHALLENGE_SPREAD.mul_f64(rand::random());
+            self.step(delay).await;
+            sleep(LEASE_PACE).await;
+        }
+    }
+
+    async fn step(&mut self, delay: Duration) {
+        if !self.lease.is_holder() {
+            self.look().await;
+        }
+        let now = self.shared.now();
+        if self.shared.state().leaving {
+            return self.release().await;
+        }
+        if self.lease.may_act(now) {
+            self.report(now).await;
+        }
+        if let Some(doc) = self.lease.due(self.shared.now(), delay) {
+            self.write(doc).await;
+        }
+    }
+
+    /// Reads the lease; a lagging read only makes a challenger wait longer.
+    async fn look(&mut self) {
+        let reply = self.shared.store.get_lagging(LEASE).await;
+        let StoreReply::Found(Some(object)) = reply else { return };
+        self.observe(&object);
+    }
+
+    fn observe(&mut self, object: &Object) {
+        if let Some((_, doc)) = own::<LeaseDoc>(std::slice::from_ref(object)).pop() {
+            self.lease.observe(self.shared.now(), object.version, doc);
+        }
+    }
+
+    async fn write(&mut self, doc: LeaseDoc) -> bool {
+        let Ok(value) = serde_json::to_vec(&doc) else { return false };
+        let expect = self.lease.version().map_or(Expect::Absent, Expect::At);
+        let sent = self.shared.now();
+        let call = StoreCall::Put { key: LEASE.to_owned(), expect, value };
+        match self.shared.store.call(&call).await {
+            StoreReply::Written(version) => {
+                let taken = !self.lease.is_holder();
+                let epoch = doc.epoch;
+                self.lease.written(self.shared.now(), sent, version, doc);
+                if taken {
+                    log::info!(target: "duty", epoch; "lease taken");
+                }
+                true
+            }
+            StoreReply::Conflict(Some(object)) => {
+                self.observe(&object);
+                false
+            }
+            reply => {
+                log::info!(target: "duty", reply:?; "lease not written");
+                let get = StoreCall::Get { key: LEASE.to_owned() };
+                if let StoreReply::Found(Some(object)) = self.shared.store.call(&get).await {
+                    self.observe(&object);
+                }
+                false
+            }
+        }
+    }
+
+    async fn release(&mut self) {
+        if !self.lease.is_holder() {
+            return;
+        }
+        let doc = LeaseDoc { released: true, ..self.lease.doc().clone() };
+        if self.write(doc).await {
+            log::info!(target: "duty", "lease released");
+        }
+    }
+
+    /// Seals the windows that have ended, and reports those that are sealed.
+    async fn report(&mut self, now: Time) {
+        let length = self.shared.settings.bounds.window;
+        let current = self.shared.time.window(now, length);
+        let into = self.shared.time.at(now).as_micros() % length.as_micros().max(1);
+        let delay = SEAL_DELAY.as_micros();
+        // The last window that ended at least the delay ago.
+        let behind = 1 + (delay.saturating_sub(into)).div_ceil(length.as_micros().max(1)) as u64;
+        let newest = current.saturating_sub(behind);
+        let known = self.lease.doc().sealed.last().map(|sealed| sealed.window);
+        if known.is_none_or(|known| known < newest) && !self.seal(known, newest).await {
+            return;
+        }
+        let waiting: Vec<_> =
+            self.lease.doc().sealed.iter().filter(|sealed| !sealed.reported).cloned().collect();
+        for sealed in waiting {
+            if !self.lease.may_act(self.shared.now()) {
+                return;
+            }
+            let window = sealed.window;
+            let report =
+                WindowReport { window, epoch: self.lease.doc().epoch, counts: sealed.counts };
+            let sent = tokio::time::timeout(REPORT_TIMEOUT, self.reports.report(&report)).await;
+            match sent {
+                Ok(Ok(())) => self.note_reported(window).await,
+                Ok(Err(error)) => {
+                    log::warn!(target: "usage", window, error:%; "window not reported");
+                    return;
+                }
+                Err(_) => {
+                    log::warn!(target: "usage", window; "no answer to a report in time");
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn note_reported(&mut self, window: u64) {
+        log::info!(target: "usage", window; "window reported");
+        let mut doc = self.lease.doc().clone();
+        doc.beat += 1;
+        for sealed in doc.sealed.iter_mut().filter(|sealed| sealed.window == window) {
+            sealed.reported = true;
+        }
+        // A repeat of the same figures is harmless, so a failed write is too.
+        self.write(doc).await;
+    }
+
+    /// Makes the counts of the windows after `known` up to `newest` final.
+    async fn seal(&mut self, known: Option<u64>, newest: u64) -> bool {
+        let list = StoreCall::List { prefix: SHEETS.to_owned() };
+        let StoreReply::Listed { objects, .. } = self.shared.store.call(&list).await else {
+            return false;
+        };
+        let sheets: Vec<Sheet> =
+            own::<Sheet>(&objects).into_iter().map(|(_, sheet)| sheet).collect();
+        let oldest = sheets.iter().filter_map(|sheet| sheet.windows.front()).map(|(w, _)| *w).min();
+        let first = known.map_or(oldest.unwrap_or(newest), |known| known + 1);
+        let mut doc = self.lease.doc().clone();
+        doc.beat += 1;
+        for window in first.max(newest.saturating_sub(3))..=newest {
+            doc.seal(window, sum(&sheets, window));
+        }
+        self.write(doc).await
+    }
+}
--- /dev/null
+++ b/components/gateway/src/state.rs
@@ -0,0 +1,147 @@
+//! What the parts of one host share.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use chervilgate_clients::{HttpPool, ObjectStore};
+use chervilgate_clock::{BootClock, Clock, Time};
+use chervilgate_policy::{RetryBudget, RetrySettings};
+
+use crate::{
+    fleet::Fleet,
+    members::{HostEntry, Members},
+    protocol::{Decoder, Protocol},
+    settings::HostSettings,
+    usage::{Meter, TrueTime},
+    view::View,
+};
+
+/// Share of the retry budget of all hosts that is used; the rest is kept for hosts
+/// that disagree about how many they are.
+const BUDGET_SHARE: f64 = 0.7;
+
+/// What the parts of one host share.
+pub(crate) struct Shared {
+    pub(crate) settings: HostSettings,
+    pub(crate) protocol: Arc<dyn Protocol>,
+    pub(crate) decoder: Arc<dyn Decoder>,
+    pub(crate) store: Arc<dyn ObjectStore>,
+    pub(crate) targets: HttpPool,
+    pub(crate) boot: u64,
+    pub(crate) time: TrueTime,
+    state: Mutex<State>,
+}
+
+/// What this host knows.
+pub(crate) struct State {
+    pub(crate) view: View,
+    pub(crate) fleet: Fleet,
+    /// Whether the targets' entries have been read once.
+    pub(crate) listed: bool,
+    pub(crate) members: Members,
+    pub(crate) meter: Meter,
+    /// Whether this host has been told to stop.
+    pub(crate) leaving: bool,
+    budgets: HashMap<Arc<str>, RetryBudget>,
+}
+
+impl Shared {
+    /// Nothing known yet.
+    pub(crate) fn new(
+        settings: HostSettings,
+        protocol: Arc<dyn Protocol>,
+        decoder: Arc<dyn Decoder>,
+        store: Arc<dyn ObjectStore>,
+    ) -> Shared {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        let boot = wall.as_micros() as u64;
+        let bounds = &settings.bounds;
+        let state = State {
+            view: View::new(bounds.revoke, bounds.refuse_stale),
+            fleet: Fleet::new(&settings.zone, bounds.drain),
+            listed: false,
+            members: Members::new(&settings.name),
+            meter: Meter::new(boot),
+            leaving: false,
+            budgets: HashMap::new(),
+        };
+        Shared {
+            time: TrueTime::new(BootClock.now(), wall),
+            boot,
+            state: Mutex::new(state),
+            targets: HttpPool::new(),
+            settings,
+            protocol,
+            decoder,
+            store,
+        }
+    }
+
+    /// The present time.
+    pub(crate) fn now(&self) -> Time {
+        BootClock.now()
+    }
+
+    /// What this host knows.
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether callers should come here.
+    pub(crate) fn is_ready(&self, now: Time) -> bool {
+        let state = self.state();
+        state.listed && !state.leaving && state.view.is_fresh(now)
+    }
+
+    /// This host's entry among those that serve callers.
+    pub(crate) fn entry(&self, beat: u64) -> HostEntry {
+        HostEntry {
+            addr: self.settings.callers,
+            zone: self.settings.zone.clone(),
+            leaving: self.state().leaving,
+            beat,
+        }
+    }
+
+    /// Counts a request of `org` that a target began at `at`.
+    pub(crate) fn count(&self, org: Option<&str>, at: Time) {
+        let Some(org) = org else { return };
+        let window = self.time.window(at, self.settings.bounds.window);
+        self.state().meter.count(window, org);
+    }
+
+    /// Counts a request for `service` towards its retry budget.
+    pub(crate) fn earn(&self, now: Time, service: &Arc<str>) {
+        self.with_budget(now, service, RetryBudget::earn);
+    }
+
+    /// Takes a second attempt from the budget of `service`, if one is left.
+    pub(crate) fn spend(&self, now: Time, service: &Arc<str>) -> bool {
+        self.with_budget(now, service, |budget| budget.spend(now))
+    }
+
+    fn with_budget<T>(
+        &self,
+        now: Time,
+        service: &Arc<str>,
+        act: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut state = self.state();
+        if !state.budgets.contains_key(service) {
+            let hosts = state.members.count(now) as f64;
+            let bounds = &self.settings.bounds;
+            let settings = RetrySettings {
+                ratio: bounds.retry_ratio * BUDGET_SHARE,
+                floor: 0.0,
+                saved: bounds.retry_slack * BUDGET_SHARE / hosts,
+                ..RetrySettings::default()
+            };
+            state.budgets.insert(service.clone(), RetryBudget::new(settings));
+        }
+        let budget = state.budgets.get_mut(service).expect("inserted above");
+        act(budget)
+    }
+}
--- /dev/null
+++ b/components/gateway/src/usage.rs
@@ -0,0 +1,134 @@
+//! Requests begun, counted by usage window and organisation.
+//!
+//! Each host writes its counts to the store; the holder of the reporting duty adds
+//! them up, seals the sum and reports it. Windows follow true time: a host's wall
+//! clock may jump, so the wall time read at the start is carried on by the
+//! monotonic clock.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use chervilgate_clock::Time;
+use serde::{Deserialize, Serialize};
+
+/// Windows kept on a sheet; older ones have been reported.
+const WINDOWS: usize = 5;
+
+/// Requests begun in one window by organisation.
+pub type Counts = BTreeMap<String, u64>;
+
+/// Wall time, carried on by the monotonic clock.
+#[derive(Debug, Clone, Copy)]
+pub struct TrueTime {
+    /// Wall time less monotonic time, in microseconds.
+    offset: i128,
+}
+
+impl TrueTime {
+    /// Ties the wall time `wall`, counted from 1970, to `now`.
+    pub fn new(now: Time, wall: Duration) -> TrueTime {
+        TrueTime { offset: wall.as_micros() as i128 - i128::from(now.as_micros()) }
+    }
+
+    /// Wall time at `now`, counted from 1970.
+    pub fn at(&self, now: Time) -> Duration {
+        let micros = i128::from(now.as_micros()) + self.offset;
+        Duration::from_micros(u64::try_from(micros).unwrap_or(0))
+    }
+
+    /// The window that `now` falls into.
+    pub fn window(&self, now: Time, length: Duration) -> u64 {
+        (self.at(now).as_micros() / length.as_micros().max(1)) as u64
+    }
+}
+
+/// One host's counts in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct Sheet {
+    /// The process that wrote it.
+    pub boot: u64,
+    /// Counts by window.
+    pub windows: VecDeque<(u64, Counts)>,
+}
+
+impl Sheet {
+    /// Counts of one window.
+    pub fn window(&self, window: u64) -> Option<&Counts> {
+        self.windows.iter().find(|(known, _)| *known == window).map(|(_, counts)| counts)
+    }
+
+    fn add(&mut self, window: u64, org: &str, count: u64) {
+        let at = self.windows.iter().position(|(known, _)| *known == window);
+        let at = at.unwrap_or_else(|| {
+            self.windows.push_back((window, Counts::new()));
+            self.windows.len() - 1
+        });
+        let Some((_, counts)) = self.windows.get_mut(at) else { return };
+        if let Some(known) = counts.get_mut(org) {
+            *known += count;
+        } else {
+            counts.insert(org.to_owned(), count);
+        }
+        while self.windows.len() > WINDOWS {
+            self.windows.pop_front();
+        }
+    }
+}
+
+/// Counts what this host's requests begin.
+#[derive(Debug, Default)]
+pub struct Meter {
+    sheet: Sheet,
+    changed: bool,
+}
+
+impl Meter {
+    /// Nothing counted yet by the process `boot`.
+    pub fn new(boot: u64) -> Meter {
+        Meter { sheet: Sheet { boot, windows: VecDeque::new() }, changed: false }
+    }
+
+    /// Counts a request of `org` that began in `window`.
+    pub fn count(&mut self, window: u64, org: &str) {
+        self.sheet.add(window, org, 1);
+        self.changed = true;
+    }
+
+    /// Adds what an earlier process of this host had counted.
+    pub fn take_over(&mut self, earlier: &Sheet) {
+        if earlier.boot == self.sheet.boot {
+            return;
+        }
+        for (window, counts) in &earlier.windows {
+            for (org, count) in counts {
+                self.sheet.add(*window, org, *count);
+            }
+        }
+        self.sheet.windows.make_contiguous().sort_by_key(|(window, _)| *window);
+        self.changed = true;
+    }
+
+    /// The sheet, if it changed since the last call.
+    pub fn changed(&mut self) -> Option<&Sheet> {
+        std::mem::take(&mut self.changed).then_some(&self.sheet)
+    }
+
+    /// Notes that the sheet has still to be written.
+    pub fn keep_changed(&mut self) {
+        self.changed = true;
+    }
+}
+
+/// The sum of one window over all sheets.
+pub fn sum(sheets: &[Sheet], window: u64) -> Counts {
+    let mut total = Counts::new();
+    for counts in sheets.iter().filter_map(|sheet| sheet.window(window)) {
+        for (org, count) in counts {
+            *total.entry(org.clone()).or_default() += count;
+        }
+    }
+    total
+}
--- /dev/null
+++ b/components/gateway/src/watch.rs
@@ -0,0 +1,245 @@
+//! Follows the configuration, the targets and the other hosts in the store.
+
+use std::{sync::Arc, time::Duration};
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{Change, Object, StoreCall, StoreReply, Version};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tokio::time::sleep;
+
+use crate::{
+    members::{BEAT, HostEntry},
+    protocol::Undecodable,
+    state::Shared,
+};
+
+/// Pause after a call that failed.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Start of the keys of hosts' entries.
+const HOSTS: &str = "hosts/";
+
+/// A part of the store that is followed.
+pub(crate) trait Followed: Send {
+    /// The start of its keys.
+    fn prefix(&self) -> String;
+
+    /// Takes over a whole list.
+    fn replace(&self, shared: &Shared, now: Time, objects: &[Object]);
+
+    /// Takes over one change.
+    fn change(&self, shared: &Shared, now: Time, change: &Change);
+
+    /// Notes that all changes up to `at` are known.
+    fn confirm(&self, _shared: &Shared, _at: Time) {}
+}
+
+/// Lists, then watches, and begins again when history is gone.
+pub(crate) async fn follow(shared: Arc<Shared>, part: Box<dyn Followed>) {
+    let prefix = part.prefix();
+    let mut known: Option<Version> = None;
+    let mut lost = false;
+    loop {
+        let sent = shared.now();
+        let call = match known {
+            None => StoreCall::List { prefix: prefix.clone() },
+            Some(after) => StoreCall::Watch { prefix: prefix.clone(), after },
+        };
+        let reply = shared.store.call(&call).await;
+        let now = shared.now();
+        let answered = !matches!(reply, StoreReply::Refused | StoreReply::Unknown);
+        if lost && answered {
+            log::warn!(target: "store", prefix; "store regained");
+            shared.state().fleet.store_back(now);
+            lost = false;
+        }
+        match reply {
+            StoreReply::Listed { objects, version } => {
+                part.replace(&shared, now, &objects);
+                part.confirm(&shared, sent);
+                known = Some(version);
+            }
+            StoreReply::Changed { changes, version } => {
+                for change in &changes {
+                    part.change(&shared, now, change);
+                }
+                part.confirm(&shared, sent);
+                known = Some(version);
+            }
+            StoreReply::Compacted => {
+                log::info!(target: "store", prefix; "history is gone; listing again");
+                known = None;
+            }
+            other => {
+                if !lost {
+                    log::warn!(target: "store", prefix, reply:? = other; "store lost");
+                    lost = true;
+                }
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// The configuration object.
+pub(crate) struct ConfigPart;
+
+impl ConfigPart {
+    fn take(shared: &Shared, object: &Object) {
+        if object.key != shared.decoder.config_key() {
+            return;
+        }
+        let config = decode(&object.value).and_then(|value| shared.decoder.config(&value));
+        match config {
+            Ok(config) => {
+                let version = config.version;
+                if shared.state().view.adopt(config) {
+                    log::info!(target: "view", version; "configuration adopted");
+                }
+            }
+            Err(error) => {
+                log::error!(target: "view", key = object.key, error:%; "configuration not read");
+            }
+        }
+    }
+}
+
+impl Followed for ConfigPart {
+    fn prefix(&self) -> String {
+        "config/".to_owned()
+    }
+
+    fn replace(&self, shared: &Shared, _now: Time, objects: &[Object]) {
+        for object in objects {
+            ConfigPart::take(shared, object);
+        }
+    }
+
+    fn change(&self, shared: &Shared, _now: Time, change: &Change) {
+        if let Change::Put(object) = change {
+            ConfigPart::take(shared, object);
+        }
+    }
+
+    fn confirm(&self, shared: &Shared, at: Time) {
+        shared.state().view.confirm(at);
+    }
+}
+
+/// The targets' entries.
+pub(crate) struct TargetPart {
+    pub(crate) prefix: String,
+}
+
+impl TargetPart {
+    fn read(
+        &self,
+        shared: &Shared,
+        object: &Object,
+    ) -> Result<crate::fleet::TargetEntry, Undecodable> {
+        let id = object.key.strip_prefix(&self.prefix).unwrap_or(&object.key);
+        decode(&object.value).and_then(|value| shared.decoder.target(id.into(), &value))
+    }
+
+    fn log_skipped(object: &Object, error: &Undecodable) {
+        log::info!(target: "fleet", key = object.key, error:%; "target's entry skipped");
+    }
+}
+
+impl Followed for TargetPart {
+    fn prefix(&self) -> String {
+        self.prefix.clone()
+    }
+
+    fn replace(&self, shared: &Shared, now: Time, objects: &[Object]) {
+        let mut entries = Vec::with_capacity(objects.len());
+        for object in objects {
+            match self.read(shared, object) {
+                Ok(entry) => entries.push(entry),
+                Err(error) => TargetPart::log_skipped(object, &error),
+            }
+        }
+        log::info!(target: "fleet", targets = entries.len(); "targets listed");
+        let mut state = shared.state();
+        state.fleet.replace(now, entries);
+        state.listed = true;
+    }
+
+    fn change(&self, shared: &Shared, now: Time, change: &Change) {
+        match change {
+            Change::Put(object) => match self.read(shared, object) {
+                Ok(entry) => {
+                    let (id, draining) = (entry.id.clone(), entry.draining);
+                    log::info!(
+                        target: "fleet", id, service = entry.service, stage:? = entry.stage,
+                        zone = entry.zone, draining, cheap = entry.cheap; "target"
+                    );
+                    shared.state().fleet.set(now, entry);
+                }
+                Err(error) => {
+                    TargetPart::log_skipped(object, &error);
+                    let id = object.key.strip_prefix(&self.prefix).unwrap_or(&object.key);
+                    shared.state().fleet.remove(now, id);
+                }
+            },
+            Change::Delete { key, .. } => {
+                let id = key.strip_prefix(&self.prefix).unwrap_or(key);
+                log::info!(target: "fleet", id; "target's entry gone");
+                shared.state().fleet.remove(now, id);
+            }
+        }
+    }
+}
+
+/// Parses an object's content.
+pub(crate) fn decode(value: &[u8]) -> Result<Value, Undecodable> {
+    serde_json::from_slice(value)
+        .map_err(|error| Undecodable { place: "content".to_owned(), reason: error.to_string() })
+}
+
+/// Parses objects of the gateway's own; unreadable ones are left out.
+pub(crate) fn own<T: DeserializeOwned>(objects: &[Object]) -> Vec<(&Object, T)> {
+    let read = objects.iter().filter_map(|object| match serde_json::from_slice(&object.value) {
+        Ok(content) => Some((object, content)),
+        Err(error) => {
+            log::warn!(target: "store", key = object.key, error:%; "object not read");
+            None
+        }
+    });
+    read.collect()
+}
+
+/// Keeps this host's entry and the list of the others up to date.
+pub(crate) async fn keep_membership(shared: Arc<Shared>, leaving: Arc<tokio::sync::Notify>) {
+    let mut beat = 0;
+    let mut version: Option<Version> = None;
+    loop {
+        beat += 1;
+        let entry = shared.entry(beat);
+        version = write_entry(&shared, &entry, version).await;
+        let listed = shared.store.list_lagging(HOSTS).await;
+        if let StoreReply::Listed { objects, .. } = listed {
+            let entries = own::<HostEntry>(&objects).into_iter().map(|(object, entry)| {
+                let name = object.key.strip_prefix(HOSTS).unwrap_or(&object.key);
+                (name.to_owned(), object.version, entry)
+            });
+            let entries = entries.collect();
+            shared.state().members.update(shared.now(), entries);
+        }
+        tokio::select! {
+            () = sleep(BEAT) => {}
+            () = leaving.notified() => {}
+        }
+    }
+}
+
+async fn write_entry(
+    shared: &Shared,
+    entry: &HostEntry,
+    version: Option<Version>,
+) -> Option<Version> {
+    let key = format!("{HOSTS}{}", shared.settings.name);
+    let Ok(value) = serde_json::to_vec(entry) else { return version };
+    crate::duty::put(shared, &key, version, value).await.unwrap_or(version)
+}
