Place by predicted time to first token, with the other hosts' open work

Cause: engines that compute prompts were overloaded while those that generate read none, and each host saw its own queue only; pending work of ended calls was never taken off. Change: one cost over all engines (wait, read, reread of shared parts, split), open work told between hosts by datagram ten times a second.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -32,8 +32,6 @@
     pub(crate) service: Arc<str>,
     pub(crate) org: Option<Arc<str>>,
     pub(crate) priority: u8,
-    /// When the request arrived.
-    pub(crate) begun: Time,
     /// When the request needs its final answer.
     pub(crate) end: Time,
 }
@@ -42,6 +40,7 @@
 pub(crate) struct Open {
     shared: Arc<Shared>,
     pub(crate) place: Place,
+    computed: bool,
     /// How the target did.
     pub(crate) outcome: Outcome,
 }
@@ -51,17 +50,20 @@
     pub(crate) fn new(shared: &Arc<Shared>, place: Place, call: &Call) -> Open {
         let now = shared.now();
         shared.state().fleet.start(now, &place, &call.ask.prompt);
-        Open { shared: shared.clone(), place, outcome: Outcome::Neutral }
+        Open { shared: shared.clone(), place, computed: false, outcome: Outcome::Neutral }
     }
 
     /// Counts the prompt as computed.
-    pub(crate) fn computed(&self) {
-        self.shared.state().fleet.computed(&self.place);
+    pub(crate) fn computed(&mut self) {
+        if !std::mem::replace(&mut self.computed, true) {
+            self.shared.state().fleet.computed(&self.place);
+        }
     }
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
+        self.computed();
         let now = self.shared.now();
         self.shared.state().fleet.finish(now, &self.place, self.outcome);
     }
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -12,6 +12,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use chervilgate_clock::Time;
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::{
@@ -45,9 +46,23 @@
 /// failure rate; above any queue that is worth waiting in.
 const FAILURE_COST: f64 = 2_000.0;
 
-/// Prompt tokens to compute from which a prefill engine does it, if there is one:
-/// below, the transfer and the extra call cost more than the slower computation.
-const SPLIT_TOKENS: u32 = 1_500;
+/// Time that attention adds, in milliseconds for each million pairs of a computed
+/// token and a token before it; from the users' sheets.
+const PAIRS_COST: f64 = 0.367;
+
+/// Cost of computing a prompt on one engine and generating on another, in
+/// milliseconds: a second call, the transfer of the KV cache and its price.
+const SPLIT_COST: f64 = 25.0;
+
+/// Weight of computing a shared part again: its price comes on top of its time.
+const REREAD_WEIGHT: f64 = 2.0;
+
+/// Rendezvous weight of an engine that only computes prompts, against one that
+/// generates: their speeds with prompts.
+const PREFILL_WEIGHT: f64 = 2.0;
+
+/// Time for which what another host told of its open work counts.
+const HEARD_SPAN: Duration = Duration::from_millis(1_500);
 
 /// Parts of prompts remembered for each target.
 const PARTS: usize = 512;
@@ -112,10 +127,31 @@
     pub zone: Arc<str>,
     /// Prompt tokens that it is expected to compute.
     pub compute: u32,
+    /// Time that this is expected to take, in milliseconds.
+    pub read: f64,
+    /// Time until it begins, in milliseconds.
+    pub wait: f64,
     /// Its predicted cost in milliseconds.
     pub cost: f64,
 }
 
+/// Where a request runs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    /// The target that answers the caller.
+    pub place: Place,
+    /// The target that computes the prompt first, if it is another one.
+    pub prefill: Option<Place>,
+}
+
+impl Plan {
+    /// Time until the first token, in milliseconds.
+    pub fn first_token(&self) -> f64 {
+        let first = self.prefill.as_ref().unwrap_or(&self.place);
+        first.wait + first.read
+    }
+}
+
 /// How a target did with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -131,9 +167,32 @@
     Neutral,
 }
 
+/// One host's open work at one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct OpenWork {
+    /// Stands for the target's id.
+    pub target: u32,
+    /// Prompt computation that is not done, in milliseconds.
+    pub pending: u16,
+    /// Requests.
+    pub open: u16,
+}
+
+#[derive(Debug)]
+struct Heard {
+    at: Time,
+    work: Vec<OpenWork>,
+}
+
 #[derive(Debug)]
 struct Member {
     entry: TargetEntry,
+    key: u32,
+    /// Open requests of the other hosts.
+    others_open: u32,
+    /// Prompt computation of the other hosts, in milliseconds.
+    others_pending: f64,
     open: u32,
     /// Prompt computation sent and not known to be done, in milliseconds.
     pending: f64,
@@ -148,13 +207,20 @@
     zone: Arc<str>,
     drain: Duration,
     members: HashMap<Arc<str>, Member>,
+    heard: HashMap<u32, Heard>,
     back: Option<Time>,
 }
 
 impl Fleet {
     /// A fleet without targets, as seen from `zone`.
     pub fn new(zone: &str, drain: Duration) -> Fleet {
-        Fleet { zone: zone.into(), drain, members: HashMap::new(), back: None }
+        Fleet {
+            zone: zone.into(),
+            drain,
+            members: HashMap::new(),
+            heard: HashMap::new(),
+            back: None,
+        }
     }
 
     /// Notes that the store answers again after it did not.
@@ -166,6 +232,9 @@
     pub fn set(&mut self, now: Time, entry: TargetEntry) {
         let Some(known) = self.members.get_mut(&entry.id) else {
             let member = Member {
+                key: short_key(&entry.id),
+                others_open: 0,
+                others_pending: 0.0,
                 open: 0,
                 pending: 0.0,
                 parts: HashMap::new(),
@@ -225,39 +294,61 @@
         self.members.get(id).map_or(0, |member| member.open)
     }
 
-    /// Where to run all of a request, or to generate its output.
-    pub fn place(&self, now: Time, need: &Need<'_>) -> Option<Place> {
-        let generates = |stage| stage != Stage::Prefill;
-        self.best(now, need, generates, |member, compute| {
-            let read = f64::from(compute) / PREFILL_RATE * DECODE_SLOWDOWN;
-            member.pending + read + self.crowding(member)
-        })
-    }
-
-    /// Where to compute the prompt of a request whose output is generated
-    /// elsewhere; none if that does not pay.
-    pub fn place_prefill(&self, now: Time, need: &Need<'_>) -> Option<Place> {
-        let place = self.best(
-            now,
-            need,
-            |stage| stage == Stage::Prefill,
-            |member, compute| member.pending + f64::from(compute) / PREFILL_RATE,
-        )?;
-        (need.prompt.tokens >= SPLIT_TOKENS).then_some(place)
+    /// Where to run a request, and where to compute its prompt first if that is to be
+    /// another target.
+    pub fn place(&self, now: Time, need: &Need<'_>) -> Option<Plan> {
+        let whole = self.best(now, need, |stage| stage != Stage::Prefill);
+        if need.prompt.tokens == 0 {
+            return whole.map(|place| Plan { place, prefill: None });
+        }
+        let prefill = self.best(now, need, |stage| stage == Stage::Prefill);
+        let decode = self.place_decode(now, need);
+        match (whole, prefill, decode) {
+            (Some(whole), Some(prefill), Some(place)) if prefill.cost + SPLIT_COST < whole.cost => {
+                Some(Plan { place, prefill: Some(prefill) })
+            }
+            (whole, ..) => whole.map(|place| Plan { place, prefill: None }),
+        }
     }
 
     /// Where to generate from an exported KV cache: no prompt is computed there.
     pub fn place_decode(&self, now: Time, need: &Need<'_>) -> Option<Place> {
         let bare = Prompt::default();
         let need = Need { prompt: &bare, ..*need };
-        self.best(now, &need, |stage| stage == Stage::Decode, |member, _| self.crowding(member))
+        self.best(now, &need, |stage| stage == Stage::Decode)
+    }
+
+    /// This host's open work, to tell the other hosts.
+    pub fn open_work(&self) -> Vec<OpenWork> {
+        let busy = self.members.values().filter(|member| member.open > 0);
+        let work = busy.map(|member| OpenWork {
+            target: member.key,
+            pending: member.pending.min(f64::from(u16::MAX)) as u16,
+            open: u16::try_from(member.open).unwrap_or(u16::MAX),
+        });
+        work.collect()
+    }
+
+    /// Takes in another host's open work in place of what it told before.
+    pub fn hear(&mut self, now: Time, host: u32, work: Vec<OpenWork>) {
+        self.heard.insert(host, Heard { at: now, work });
+        self.heard.retain(|_, heard| now.since(heard.at) < HEARD_SPAN);
+        for member in self.members.values_mut() {
+            let told = self.heard.values().flat_map(|heard| &heard.work);
+            let told = told.filter(|work| work.target == member.key);
+            let (open, pending) = told.fold((0, 0.0), |(open, pending), work| {
+                (open + u32::from(work.open), pending + f64::from(work.pending))
+            });
+            member.others_open = open;
+            member.others_pending = pending;
+        }
     }
 
     /// Counts a request as sent to its place.
     pub fn start(&mut self, now: Time, place: &Place, prompt: &Prompt) {
         let Some(member) = self.members.get_mut(&place.id) else { return };
         member.open += 1;
-        member.pending += member.compute_time(place.compute);
+        member.pending += place.read;
         for part in &prompt.parts {
             member.parts.insert(part.id, now);
         }
@@ -272,88 +363,105 @@
     /// Counts a request's prompt as computed.
     pub fn computed(&mut self, place: &Place) {
         let Some(member) = self.members.get_mut(&place.id) else { return };
-        let time = member.compute_time(place.compute);
-        member.pending = (member.pending - time).max(0.0);
+        member.pending = (member.pending - place.read).max(0.0);
     }
 
     /// Counts a request as ended.
     pub fn finish(&mut self, now: Time, place: &Place, outcome: Outcome) {
         let Some(member) = self.members.get_mut(&place.id) else { return };
         member.open = member.open.saturating_sub(1);
-        if member.open == 0 {
-            member.pending = 0.0;
-        }
         member.health.note(now, outcome);
         if outcome == Outcome::Unreachable {
             member.parts.clear();
         }
     }
 
-    fn best(
-        &self,
-        now: Time,
-        need: &Need<'_>,
-        stage: impl Fn(Stage) -> bool,
-        cost: impl Fn(&Member, u32) -> f64,
-    ) -> Option<Place> {
+    fn best(&self, now: Time, need: &Need<'_>, stage: impl Fn(Stage) -> bool) -> Option<Place> {
         let key = affinity(need.prompt);
-        let fits = |member: &&Member| {
+        let serves = |member: &&Member| {
             let entry = &member.entry;
             &*entry.service == need.service
                 && !entry.draining
                 && member.lapses.is_none_or(|lapses| now < lapses)
-                && stage(entry.stage)
-                && !need.except.contains(&entry.id)
         };
-        let fitting: SmallVec<[&Member; 16]> = self.members.values().filter(fits).collect();
-        let owner =
-            fitting.iter().max_by_key(|member| rank(key, &member.entry.id))?.entry.id.clone();
-        let offers = fitting.into_iter().map(|member| {
-            let compute = member.missing(need.prompt, member.entry.id == owner);
+        let serving: SmallVec<[&Member; 32]> = self.members.values().filter(serves).collect();
+        let rank = |member: &Member| {
+            let weight = if member.entry.stage == Stage::Prefill { PREFILL_WEIGHT } else { 1.0 };
+            rank(key, &member.entry.id, weight)
+        };
+        let owner = serving.iter().max_by(|a, b| rank(a).total_cmp(&rank(b)))?.entry.id.clone();
+        let fitting = serving
+            .into_iter()
+            .filter(|member| stage(member.entry.stage) && !need.except.contains(&member.entry.id));
+        let offers = fitting.map(|member| {
+            let missing = member.missing(need.prompt, member.entry.id == owner);
             let far = if member.entry.zone == self.zone { 0.0 } else { ZONE_COST };
             let failing = FAILURE_COST * member.health.rate(now);
-            (member, compute, cost(member, compute) + far + failing)
+            let read = member.read_time(missing.shared, need.prompt.tokens) * REREAD_WEIGHT
+                + member.read_time(missing.own, need.prompt.tokens);
+            (member, missing, member.wait() + read + far + failing)
         });
-        let (member, compute, cost) = offers.min_by(|a, b| {
-            let tie = || rank(key, &b.0.entry.id).cmp(&rank(key, &a.0.entry.id));
-            a.2.total_cmp(&b.2).then_with(tie)
-        })?;
+        let (member, missing, cost) = offers
+            .min_by(|a, b| a.2.total_cmp(&b.2).then_with(|| rank(b.0).total_cmp(&rank(a.0))))?;
+        let compute = missing.shared + missing.own;
         Some(Place {
             id: member.entry.id.clone(),
             addr: member.entry.addr,
             zone: member.entry.zone.clone(),
             compute,
+            read: member.read_time(compute, need.prompt.tokens),
+            wait: member.wait(),
             cost,
         })
     }
+}
 
-    fn crowding(&self, member: &Member) -> f64 {
-        let open = f64::from(member.open);
-        if member.entry.stage == Stage::Whole {
-            return open * PLAIN_COST / f64::from(member.entry.slots.max(1));
-        }
-        open * OPEN_COST
-    }
+/// Prompt tokens that a target has to compute.
+#[derive(Debug, Clone, Copy, Default)]
+struct Missing {
+    /// Of parts that other requests share.
+    shared: u32,
+    /// Of the request's own.
+    own: u32,
 }
 
 impl Member {
     /// Prompt tokens to compute: all after the first part that is not cached.
-    fn missing(&self, prompt: &Prompt, owner: bool) -> u32 {
-        let mut cached = 0;
-        let shared = prompt.parts.len().saturating_sub(1);
+    fn missing(&self, prompt: &Prompt, owner: bool) -> Missing {
+        let (mut cached, mut shared) = (0, 0);
+        let last = prompt.parts.len().saturating_sub(1);
+        let mut whole = true;
         for (index, part) in prompt.parts.iter().enumerate() {
-            let known = self.parts.contains_key(&part.id) || (owner && index < shared);
-            if !known {
-                break;
+            whole &= self.parts.contains_key(&part.id) || (owner && index < last);
+            if whole {
+                cached += part.tokens;
+            } else if index < last {
+                shared += part.tokens;
             }
-            cached += part.tokens;
         }
-        prompt.tokens.saturating_sub(cached).max(u32::from(prompt.tokens > 0))
+        let own = prompt.tokens.saturating_sub(cached + shared);
+        Missing { shared, own: own.max(u32::from(prompt.tokens > 0)) }
     }
 
-    /// Time to compute `tokens` prompt tokens, in milliseconds.
-    fn compute_time(&self, tokens: u32) -> f64 {
+    /// Time to compute `tokens` of a prompt of `all` tokens, in milliseconds.
+    fn read_time(&self, tokens: u32, all: u32) -> f64 {
         let slowdown = if self.entry.stage == Stage::Decode { DECODE_SLOWDOWN } else { 1.0 };
-        f64::from(tokens) / PREFILL_RATE * slowdown
+        let pairs = f64::from(tokens) * f64::from(all) / 1e6;
+        (f64::from(tokens) / PREFILL_RATE + pairs * PAIRS_COST) * slowdown
     }
+
+    /// Time until the target begins with a new request, in milliseconds.
+    fn wait(&self) -> f64 {
+        let open = f64::from(self.open + self.others_open);
+        if self.entry.stage == Stage::Whole {
+            return open * PLAIN_COST / f64::from(self.entry.slots.max(1));
+        }
+        let crowding = if self.entry.stage == Stage::Decode { open * OPEN_COST } else { 0.0 };
+        self.pending + self.others_pending + crowding
+    }
+}
+
+/// A number that stands for a target's id between hosts.
+fn short_key(id: &str) -> u32 {
+    rank::hash(&id) as u32
 }
--- a/components/gateway/src/fleet/rank.rs
+++ b/components/gateway/src/fleet/rank.rs
@@ -11,10 +11,16 @@
     prompt.parts[..shared].last().or(prompt.parts.last()).map_or(0, |part| part.id)
 }
 
-/// The rank of a target for an affinity; the highest one owns it.
-pub(super) fn rank(affinity: u64, target: &str) -> u64 {
+/// The rank of a target for an affinity; the highest one owns it, and a target with
+/// twice the weight owns twice as many.
+pub(super) fn rank(affinity: u64, target: &str, weight: f64) -> f64 {
+    let uniform = (hash(&(affinity, target)) >> 11) as f64 / (1u64 << 53) as f64;
+    -weight / uniform.max(f64::MIN_POSITIVE).ln()
+}
+
+/// The same on every host.
+pub(super) fn hash(value: &impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
-    affinity.hash(&mut hasher);
-    target.hash(&mut hasher);
+    value.hash(&mut hasher);
     hasher.finish()
 }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -75,8 +75,8 @@
         }
         let need = Need { service: &call.service, prompt: &call.ask.prompt, except: &tries.tried };
         let place = shared.state().fleet.place(now, &need);
-        let Some(place) = place else { return Err(tries.failure(Failure::NoTarget)) };
-        let mut open = Open::new(shared, place, call);
+        let Some(plan) = place else { return Err(tries.failure(Failure::NoTarget)) };
+        let mut open = Open::new(shared, plan.place, call);
         tries.tried.push(open.place.id.clone());
         match send(shared, call, &mut open, Work::Whole, None).await {
             Taken::Answered(response) => {
--- /dev/null
+++ b/components/gateway/src/gossip.rs
@@ -0,0 +1,73 @@
+//! Hosts tell each other what work they have open at the targets.
+//!
+//! A lost or late datagram costs a worse guess at a target's queue, nothing else, so
+//! plain datagrams do. Each round goes to a few hosts only, so that its cost does
+//! not grow with their number.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use tokio::{net::UdpSocket, time::sleep};
+
+use crate::{fleet::OpenWork, state::Shared};
+
+/// Time between two rounds: requests last a few hundred milliseconds.
+const PACE: Duration = Duration::from_millis(100);
+
+/// Hosts told in one round.
+const FANOUT: usize = 12;
+
+/// Longest datagram, in bytes.
+const DATAGRAM: usize = 1_400;
+
+#[derive(Serialize, Deserialize)]
+struct Told {
+    /// Stands for the host that tells.
+    host: u32,
+    work: Vec<OpenWork>,
+}
+
+/// Tells other hosts of this host's open work.
+pub(crate) async fn tell(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let host = shared.boot as u32;
+    let mut idle = false;
+    loop {
+        sleep(PACE).await;
+        let (work, peers) = {
+            let state = shared.state();
+            (state.fleet.open_work(), state.members.gossip_addrs(shared.now()))
+        };
+        // One empty round takes back what was told last.
+        if work.is_empty() && std::mem::replace(&mut idle, work.is_empty()) {
+            continue;
+        }
+        idle = work.is_empty();
+        let Ok(told) = postcard::to_stdvec(&Told { host, work }) else { continue };
+        let chosen: Vec<SocketAddr> = peers.sample(&mut rand::rng(), FANOUT).copied().collect();
+        for peer in chosen {
+            if let Err(error) = socket.send_to(&told, peer).await {
+                log::debug!(target: "gossip", peer:%, error:%; "not told");
+            }
+        }
+    }
+}
+
+/// Takes in what other hosts tell.
+pub(crate) async fn hear(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut buffer = [0; DATAGRAM];
+    loop {
+        let length = match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => length,
+            Err(error) => {
+                log::debug!(target: "gossip", error:%; "nothing heard");
+                sleep(PACE).await;
+                continue;
+            }
+        };
+        match postcard::from_bytes::<Told>(&buffer[..length]) {
+            Ok(told) => shared.state().fleet.hear(shared.now(), told.host, told.work),
+            Err(error) => log::info!(target: "gossip", error:%; "datagram not read"),
+        }
+    }
+}
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -6,7 +6,7 @@
 use chervilgate_serve::{Handler, Limits, serve};
 use snafu::{ResultExt, Snafu};
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, UdpSocket},
     sync::{Notify, watch},
     task::JoinHandle,
     time::sleep,
@@ -15,6 +15,7 @@
 use crate::{
     directory::Directory,
     duty::{Duties, keep_sheet},
+    gossip,
     protocol::{Decoder, Protocol},
     serve::Callers,
     settings::HostSettings,
@@ -94,6 +95,12 @@
             let serving = serve(listener, handler, limits, no_tls, stopped.clone());
             listeners.push(tokio::spawn(serving));
         }
+        let addr = shared.settings.gossip;
+        let socket =
+            UdpSocket::bind(addr).await.context(ListenSnafu { addr, purpose: "other hosts" })?;
+        let socket = Arc::new(socket);
+        tokio::spawn(gossip::tell(shared.clone(), socket.clone()));
+        tokio::spawn(gossip::hear(shared.clone(), socket));
         let leaving = Arc::new(Notify::new());
         tokio::spawn(follow(shared.clone(), Box::new(ConfigPart)));
         tokio::spawn(follow(shared.clone(), Box::new(TargetPart { prefix })));
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod events;
 pub mod fleet;
 mod forward;
+mod gossip;
 mod host;
 pub mod lease;
 pub mod members;
--- a/components/gateway/src/members.rs
+++ b/components/gateway/src/members.rs
@@ -26,6 +26,8 @@
 pub struct HostEntry {
     /// Where it serves callers.
     pub addr: SocketAddr,
+    /// Where it hears of other hosts' open work.
+    pub gossip: SocketAddr,
     /// Its availability zone.
     pub zone: String,
     /// Whether it is about to stop.
@@ -87,6 +89,11 @@
         serving.iter().map(|entry| entry.addr).collect()
     }
 
+    /// Where the other hosts hear of this host's open work.
+    pub fn gossip_addrs(&self, now: Time) -> Vec<SocketAddr> {
+        self.serving(now).map(|entry| entry.gossip).collect()
+    }
+
     fn serving(&self, now: Time) -> impl Iterator<Item = &HostEntry> {
         self.known
             .values()
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -106,7 +106,6 @@
             service,
             org: org.map(|org| org.name),
             priority,
-            begun,
             end,
         };
         if call.route.kind.is_stream() {
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -15,6 +15,8 @@
     pub callers: SocketAddr,
     /// Where readiness is asked for.
     pub ready: SocketAddr,
+    /// Where other hosts tell of their open work.
+    pub gossip: SocketAddr,
     /// Where callers ask for addresses; none if this host does not tell.
     pub directory: Option<SocketAddr>,
     /// The platform's object store.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -100,6 +100,7 @@
     pub(crate) fn entry(&self, beat: u64) -> HostEntry {
         HostEntry {
             addr: self.settings.callers,
+            gossip: self.settings.gossip,
             zone: self.settings.zone.clone(),
             leaving: self.state().leaving,
             beat,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -15,9 +15,9 @@
 
 use crate::{
     answer::Failure,
-    attempt::{Call, NotRun, Open, Taken, prefill, send},
+    attempt::{Call, Export, NotRun, Open, Taken, prefill, send},
     events::EventSplitter,
-    fleet::{Need, Outcome, Place},
+    fleet::{Need, Outcome, Place, Plan},
     forward::Tries,
     protocol::Work,
     state::Shared,
@@ -106,12 +106,8 @@
             if now >= self.call.end {
                 return Err(if self.tries.ran > 0 { Failure::TimedOut } else { Failure::Expired });
             }
-            let export = match self.prefill_place() {
-                Some(place) => prefill(&self.shared, &self.call, place).await,
-                None => None,
-            };
-            let place = self.place(export.is_some());
-            let Some(place) = place else { return Err(self.tries.failure(Failure::NoTarget)) };
+            let Some(plan) = self.plan() else { return Err(self.tries.failure(Failure::NoTarget)) };
+            let (export, place) = self.prefill(plan).await?;
             let (shared, call) = (self.shared.clone(), self.call.clone());
             log::info!(
                 target: "gateway", id = call.ask.id, target = place.id, zone = place.zone,
@@ -158,16 +154,22 @@
         }
     }
 
-    fn prefill_place(&mut self) -> Option<Place> {
-        if self.prefills == PREFILLS {
-            return None;
-        }
-        self.prefills += 1;
-        let need = Need { service: &self.call.service, prompt: &self.call.ask.prompt, except: &[] };
-        self.shared.state().fleet.place_prefill(self.shared.now(), &need)
+    fn plan(&self) -> Option<Plan> {
+        let need = Need {
+            service: &self.call.service,
+            prompt: &self.call.ask.prompt,
+            except: &self.tries.tried,
+        };
+        self.shared.state().fleet.place(self.shared.now(), &need)
     }
 
-    fn place(&self, exported: bool) -> Option<Place> {
+    /// Has the prompt computed where the plan says so, and places the rest anew.
+    async fn prefill(&mut self, plan: Plan) -> Result<(Option<Export>, Place), Failure> {
+        let Some(place) = plan.prefill.filter(|_| self.prefills < PREFILLS) else {
+            return Ok((None, plan.place));
+        };
+        self.prefills += 1;
+        let export = prefill(&self.shared, &self.call, place).await;
         let need = Need {
             service: &self.call.service,
             prompt: &self.call.ask.prompt,
@@ -175,7 +177,12 @@
         };
         let now = self.shared.now();
         let state = self.shared.state();
-        if exported { state.fleet.place_decode(now, &need) } else { state.fleet.place(now, &need) }
+        let place = match &export {
+            Some(_) => state.fleet.place_decode(now, &need),
+            None => state.fleet.place(now, &need).map(|plan| plan.place),
+        };
+        let place = place.ok_or_else(|| self.tries.failure(Failure::NoTarget))?;
+        Ok((export, place))
     }
 
     /// Counts the request as begun, once.
