--- a/bins/host/src/main.rs
+++ b/bins/host/src/main.rs
@@ -3,7 +3,7 @@
 use std::{env, path::PathBuf, process::ExitCode, sync::Arc};
 
 use bpaf::Bpaf;
-use chervilgate_gateway::{Host, HostSettings, Outside};
+use chervilgate_gateway::{DutyCalls, Host, HostSettings, Outside};
 use chervilgate_platform::{
     PlatformDecoder, PlatformDuties, PlatformProtocol, PlatformStore, SETTINGS_VAR, read_settings,
 };
@@ -66,7 +66,10 @@
         protocol: Arc::new(PlatformProtocol),
         decoder: Arc::new(PlatformDecoder),
         store: Arc::new(PlatformStore::new(settings.store)),
-        reports: duties.map(|duties| Arc::new(duties) as _),
+        duties: duties.map(|duties| DutyCalls {
+            reports: Arc::new(duties.clone()),
+            orders: Arc::new(duties),
+        }),
     };
     let host = Host::start(settings, outside).await?;
     loop {
--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use chervilgate_clients::{WindowReport, WindowReports};
+use chervilgate_clients::{TargetOrder, TargetOrders, WindowReport, WindowReports};
 use chervilgate_clock::Time;
 use chervilgate_coord::{Expect, Object, StoreCall, StoreReply, Version};
 use tokio::time::sleep;
@@ -10,6 +10,7 @@
 use crate::{
     lease::{Lease, LeaseDoc},
     state::Shared,
+    supply::{Scaled, Supply},
     usage::{Sheet, sum},
     watch::own,
 };
@@ -105,14 +106,20 @@
 pub(crate) struct Duties {
     pub(crate) shared: Arc<Shared>,
     pub(crate) reports: Arc<dyn WindowReports>,
+    pub(crate) orders: Arc<dyn TargetOrders>,
     lease: Lease,
+    supply: Supply,
 }
 
 impl Duties {
     /// Not in charge.
-    pub(crate) fn new(shared: Arc<Shared>, reports: Arc<dyn WindowReports>) -> Duties {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        reports: Arc<dyn WindowReports>,
+        orders: Arc<dyn TargetOrders>,
+    ) -> Duties {
         let lease = Lease::new(&shared.settings.name, shared.boot, shared.settings.bounds.lease);
-        Duties { shared, reports, lease }
+        Duties { shared, reports, orders, lease, supply: Supply::new() }
     }
 
     /// Stands for the lease, and performs the duties while it is held.
@@ -134,6 +141,9 @@
         }
         if self.lease.may_act(now) {
             self.report(now).await;
+            self.order_targets().await;
+        } else if !self.lease.is_holder() {
+            self.supply = Supply::new();
         }
         if let Some(doc) = self.lease.due(self.shared.now(), delay) {
             self.write(doc).await;
@@ -230,6 +240,45 @@
         }
     }
 
+    /// Orders targets for the services that are ordered.
+    async fn order_targets(&mut self) {
+        let now = self.shared.now();
+        let orders = {
+            let state = self.shared.state();
+            let Some(config) = state.view.config().cloned() else { return };
+            let scaled = config
+                .services
+                .iter()
+                .filter_map(|(name, service)| Some((name.clone(), service.scaling.clone()?)));
+            let scaled: Vec<Scaled> = scaled.collect();
+            let mut orders = Vec::new();
+            for (service, scaling) in &scaled {
+                let entries = state.fleet.entries();
+                orders.extend(self.supply.plan(now, service, scaling, entries));
+            }
+            orders
+        };
+        for order in orders {
+            if !self.lease.may_act(self.shared.now()) {
+                return;
+            }
+            self.place_order(order).await;
+        }
+    }
+
+    async fn place_order(&mut self, mut order: TargetOrder) {
+        order.epoch = self.lease.doc().epoch;
+        let result = self.orders.order(&order).await;
+        let TargetOrder { service, zone, count, cheap, .. } = &order;
+        match &result {
+            Ok(_) => log::info!(target: "duty", service, zone, count, cheap; "targets ordered"),
+            Err(error) => {
+                log::warn!(target: "duty", service, zone, count, cheap, error:%; "order failed");
+            }
+        }
+        self.supply.note(&order, result.is_ok());
+    }
+
     async fn note_reported(&mut self, window: u64) {
         log::info!(target: "usage", window; "window reported");
         let mut doc = self.lease.doc().clone();
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use chervilgate_clients::{ObjectStore, WindowReports};
+use chervilgate_clients::{ObjectStore, TargetOrders, WindowReports};
 use chervilgate_serve::{Handler, Limits, serve};
 use snafu::{ResultExt, Snafu};
 use tokio::{
@@ -56,8 +56,16 @@
     pub decoder: Arc<dyn Decoder>,
     /// The store.
     pub store: Arc<dyn ObjectStore>,
-    /// Takes usage reports; none if there is no such duty.
-    pub reports: Option<Arc<dyn WindowReports>>,
+    /// What one host at a time does; none if there is no such duty.
+    pub duties: Option<DutyCalls>,
+}
+
+/// The calls of one host at a time.
+pub struct DutyCalls {
+    /// Takes usage reports.
+    pub reports: Arc<dyn WindowReports>,
+    /// Takes orders for targets.
+    pub orders: Arc<dyn TargetOrders>,
 }
 
 /// A running host.
@@ -74,7 +82,7 @@
     /// # Errors
     /// If an address cannot be listened at.
     pub async fn start(settings: HostSettings, outside: Outside) -> Result<Host, HostError> {
-        let Outside { protocol, decoder, store, reports } = outside;
+        let Outside { protocol, decoder, store, duties } = outside;
         let prefix = decoder.target_prefix().to_owned();
         let shared = Arc::new(Shared::new(settings, protocol, decoder, store));
         let (stop, stopped) = watch::channel(false);
@@ -105,9 +113,9 @@
         tokio::spawn(follow(shared.clone(), Box::new(ConfigPart)));
         tokio::spawn(follow(shared.clone(), Box::new(TargetPart { prefix })));
         tokio::spawn(keep_membership(shared.clone(), leaving.clone()));
-        if let Some(reports) = reports {
+        if let Some(DutyCalls { reports, orders }) = duties {
             tokio::spawn(keep_sheet(shared.clone()));
-            tokio::spawn(Duties::new(shared.clone(), reports).run());
+            tokio::spawn(Duties::new(shared.clone(), reports, orders).run());
         }
         log::info!(target: "host", name = shared.settings.name, boot = shared.boot; "started");
         Ok(Host { shared, leaving, stop, listeners })
--- a/components/gateway/src/lease.rs
+++ b/components/gateway/src/lease.rs
@@ -81,8 +81,8 @@
 struct Held {
     /// When the last write that took effect was sent.
     sent: Time,
-    /// When this process took the lease.
-    since: Time,
+    /// When this process may act first.
+    ready: Time,
 }
 
 impl Lease {
@@ -122,7 +122,7 @@
             self.held = None;
         } else if self.held.is_none() {
             // A write whose answer was lost took effect; the next one lets it act.
-            self.held = Some(Held { sent: Time::ZERO, since: now });
+            self.held = Some(Held { sent: Time::ZERO, ready: now + self.span });
         }
         self.seen = Some((version, now));
         self.doc = doc;
@@ -136,7 +136,7 @@
     /// Whether this process may act now.
     pub fn may_act(&self, now: Time) -> bool {
         self.held.is_some_and(|held| {
-            now < held.sent + self.span.mul_f64(HELD_SHARE) && now >= held.since + self.span
+            now < held.sent + self.span.mul_f64(HELD_SHARE) && now >= held.ready
         })
     }
 
@@ -170,8 +170,11 @@
             return;
         }
         self.seen = Some((version, now));
-        let since = self.held.map_or(sent, |held| held.since);
-        self.held = (!doc.released).then_some(Held { sent, since });
+        // Nobody can act beside the first holder ever.
+        let first = self.doc.epoch == 0;
+        let ready = if first { sent } else { sent + self.span };
+        let ready = self.held.map_or(ready, |held| held.ready);
+        self.held = (!doc.released).then_some(Held { sent, ready });
         self.doc = doc;
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -26,13 +26,14 @@
 mod settings;
 mod state;
 mod stream;
+pub mod supply;
 pub mod usage;
 pub mod view;
 mod watch;
 
 pub use crate::{
     events::EventSplitter,
-    host::{Host, HostError, Outside},
+    host::{DutyCalls, Host, HostError, Outside},
     protocol::{
         AnswerHead, Ask, BadAsk, Decoder, Handover, Locate, Part, Prefilled, Prompt, Protocol,
         Undecodable, Work,
