--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -1,6 +1,6 @@
 //! Usage sheets, and the duties that one host at a time performs.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use chervilgate_clients::{TargetOrder, TargetOrders, WindowReport, WindowReports};
 use chervilgate_clock::Time;
@@ -11,7 +11,7 @@
     lease::{Lease, LeaseDoc},
     state::Shared,
     supply::{Scaled, Supply},
-    usage::{Sheet, sum},
+    usage::{Sheet, is_complete, sum},
     watch::own,
 };
 
@@ -21,19 +21,29 @@
 /// The lease object.
 const LEASE: &str = "duty/lease";
 
-/// Time between two writes of a host's sheet; what a killed host loses of its
-/// counts has to stay within the tolerance of a report.
-const SHEET_PACE: Duration = Duration::from_secs(1);
+/// Time between two writes of a host's sheet, for each host: what a killed host loses
+/// of its counts has to stay within the tolerance of a report, and its part of the
+/// counts is smaller the more hosts there are.
+const SHEET_PACE: Duration = Duration::from_millis(100);
 
-/// Time between two looks at the lease.
-const LEASE_PACE: Duration = Duration::from_millis(500);
+/// Bounds of the time between two writes of a host's sheet.
+const SHEET_PACES: (Duration, Duration) =
+    (Duration::from_millis(900), Duration::from_millis(2_500));
 
-/// Time from a window's end until it is sealed: sheets are written once a second and
-/// a call to a slow store takes up to a second more.
-const SEAL_DELAY: Duration = Duration::from_millis(3_500);
+/// Time between two steps of the holder.
+const HOLDER_PACE: Duration = Duration::from_millis(500);
 
-/// Time before a report is due at which a window is sealed even if sheets could not
-/// be read completely.
+/// Time between two looks of a challenger.
+const CHALLENGER_PACE: Duration = Duration::from_secs(1);
+
+/// Time from a window's end until it may be sealed.
+const SEAL_DELAY: Duration = Duration::from_millis(1_200);
+
+/// Time before a report is due at which a window is sealed although sheets are not
+/// complete.
+const SEAL_MARGIN: Duration = Duration::from_millis(1_800);
+
+/// Time allowed for a report.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Longest random delay of a challenger.
@@ -71,12 +81,15 @@
             StoreReply::Found(object) => {
                 break object.map(|object| take_over(&shared, &object));
             }
-            _ => sleep(SHEET_PACE).await,
+            _ => sleep(SHEET_PACES.0).await,
         }
     };
     loop {
-        sleep(SHEET_PACE).await;
-        let value = shared.state().meter.changed().map(serde_json::to_vec);
+        let now = shared.now();
+        let hosts = shared.state().members.count(now) as u32;
+        sleep((SHEET_PACE * hosts).clamp(SHEET_PACES.0, SHEET_PACES.1)).await;
+        let window = shared.time.window(shared.now(), shared.settings.bounds.window);
+        let value = shared.state().meter.changed(window).map(serde_json::to_vec);
         let Some(Ok(value)) = value else { continue };
         let expect = version.map_or(Expect::Absent, Expect::At);
         let call = StoreCall::Put { key: key.clone(), expect, value };
@@ -127,7 +140,7 @@
         loop {
             let delay = CHALLENGE_SPREAD.mul_f64(rand::random());
             self.step(delay).await;
-            sleep(LEASE_PACE).await;
+            sleep(if self.lease.is_holder() { HOLDER_PACE } else { CHALLENGER_PACE }).await;
         }
     }
 
@@ -207,14 +220,13 @@
     async fn report(&mut self, now: Time) {
         let length = self.shared.settings.bounds.window;
         let current = self.shared.time.window(now, length);
-        let into = self.shared.time.at(now).as_micros() % length.as_micros().max(1);
-        let delay = SEAL_DELAY.as_micros();
+        let into = (self.shared.time.at(now).as_micros() % length.as_micros().max(1)) as u64;
         // The last window that ended at least the delay ago.
-        let behind = 1 + (delay.saturating_sub(into)).div_ceil(length.as_micros().max(1)) as u64;
-        let newest = current.saturating_sub(behind);
+        let late = Duration::from_micros(into) < SEAL_DELAY;
+        let newest = current.saturating_sub(1 + u64::from(late));
         let known = self.lease.doc().sealed.last().map(|sealed| sealed.window);
-        if known.is_none_or(|known| known < newest) && !self.seal(known, newest).await {
-            return;
+        if known.is_none_or(|known| known < newest) {
+            self.seal(now, known, newest).await;
         }
         let waiting: Vec<_> =
             self.lease.doc().sealed.iter().filter(|sealed| !sealed.reported).cloned().collect();
@@ -290,21 +302,50 @@
         self.write(doc).await;
     }
 
-    /// Makes the counts of the windows after `known` up to `newest` final.
-    async fn seal(&mut self, known: Option<u64>, newest: u64) -> bool {
+    /// Makes the counts of the windows after `known` up to `newest` final, as far as
+    /// they are complete or their reports are nearly due.
+    async fn seal(&mut self, now: Time, known: Option<u64>, newest: u64) {
         let list = StoreCall::List { prefix: SHEETS.to_owned() };
         let StoreReply::Listed { objects, .. } = self.shared.store.call(&list).await else {
-            return false;
+            return;
         };
-        let sheets: Vec<Sheet> =
-            own::<Sheet>(&objects).into_iter().map(|(_, sheet)| sheet).collect();
-        let oldest = sheets.iter().filter_map(|sheet| sheet.windows.front()).map(|(w, _)| *w).min();
+        let named = own::<Sheet>(&objects).into_iter().map(|(object, sheet)| {
+            let name = object.key.strip_prefix(SHEETS).unwrap_or(&object.key);
+            (name.to_owned(), sheet)
+        });
+        let sheets: HashMap<String, Sheet> = named.collect();
+        let oldest =
+            sheets.values().filter_map(|sheet| sheet.windows.front()).map(|(w, _)| *w).min();
         let first = known.map_or(oldest.unwrap_or(newest), |known| known + 1);
         let mut doc = self.lease.doc().clone();
         doc.beat += 1;
-        for window in first.max(newest.saturating_sub(3))..=newest {
+        let before = doc.sealed.len();
+        for window in first.max(newest.saturating_sub(SEALED_BACK))..=newest {
+            let complete = {
+                let state = self.shared.state();
+                let hosts = state.members.names(now).chain([self.shared.settings.name.as_str()]);
+                is_complete(&sheets, window, hosts)
+            };
+            if !complete && !self.is_nearly_due(now, window) {
+                break;
+            }
+            if !complete {
+                log::warn!(target: "usage", window; "sealed without all sheets");
+            }
             doc.seal(window, sum(&sheets, window));
         }
-        self.write(doc).await
+        if doc.sealed.len() != before || doc.sealed.last() != self.lease.doc().sealed.last() {
+            self.write(doc).await;
+        }
+    }
+
+    fn is_nearly_due(&self, now: Time, window: u64) -> bool {
+        let bounds = &self.shared.settings.bounds;
+        let end = bounds.window * u32::try_from(window + 1).unwrap_or(u32::MAX);
+        let due = end + bounds.report_due.saturating_sub(SEAL_MARGIN);
+        self.shared.time.at(now) >= due
     }
 }
+
+/// Windows before the newest that are still sealed by a new holder.
+const SEALED_BACK: u64 = 3;
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -1,4 +1,4 @@
-//! Hosts tell each other what work they have open at the targets.
+//! Hosts tell each other that they live and what work they have open at the targets.
 //!
 //! A lost or late datagram costs a worse guess at a target's queue, nothing else, so
 //! plain datagrams do. Each round goes to a few hosts only, so that its cost does
@@ -18,6 +18,9 @@
 /// Hosts told in one round.
 const FANOUT: usize = 12;
 
+/// Rounds of which one is told while there is no open work.
+const IDLE_ROUNDS: u32 = 4;
+
 /// Longest datagram, in bytes.
 const DATAGRAM: usize = 1_400;
 
@@ -30,19 +33,20 @@
 
 /// Tells other hosts of this host's open work.
 pub(crate) async fn tell(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
-    let host = shared.boot as u32;
-    let mut idle = false;
+    let host = shared.id();
+    let mut idle = 0;
     loop {
         sleep(PACE).await;
         let (work, peers) = {
             let state = shared.state();
             (state.fleet.open_work(), state.members.gossip_addrs(shared.now()))
         };
-        // One empty round takes back what was told last.
-        if work.is_empty() && std::mem::replace(&mut idle, work.is_empty()) {
+        // The first empty round takes back what was told last; later ones tell that
+        // this host lives.
+        idle = if work.is_empty() { idle + 1 } else { 0 };
+        if idle % IDLE_ROUNDS > 1 {
             continue;
         }
-        idle = work.is_empty();
         let Ok(told) = postcard::to_stdvec(&Told { host, work }) else { continue };
         let chosen: Vec<SocketAddr> = peers.sample(&mut rand::rng(), FANOUT).copied().collect();
         for peer in chosen {
@@ -66,7 +70,12 @@
             }
         };
         match postcard::from_bytes::<Told>(&buffer[..length]) {
-            Ok(told) => shared.state().fleet.hear(shared.now(), told.host, told.work),
+            Ok(told) => {
+                let now = shared.now();
+                let mut state = shared.state();
+                state.members.hear(now, told.host);
+                state.fleet.hear(now, told.host, told.work);
+            }
             Err(error) => log::info!(target: "gossip", error:%; "datagram not read"),
         }
     }
--- a/components/gateway/src/members.rs
+++ b/components/gateway/src/members.rs
@@ -1,8 +1,8 @@
 //! The hosts that serve callers, as they enter themselves in the store.
 //!
-//! Each host rewrites its entry at a fixed pace. A host whose entry has not
-//! changed for a while, by this host's clock, is taken as gone; while the store
-//! does not answer, nothing is concluded.
+//! An entry says that a host exists and where; that it lives is heard from itself.
+//! A host that fell silent while others are heard is left out at once; a host that
+//! hears nobody keeps to the entries, since it is more likely cut off than alone.
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
@@ -11,11 +11,15 @@
 use serde::{Deserialize, Serialize};
 
 /// Time between two writes of a host's entry.
-pub const BEAT: Duration = Duration::from_secs(2);
+pub const BEAT: Duration = Duration::from_secs(4);
 
-/// Time without a change after which a host is taken as gone: two beats and the
-/// lag of a read that may be old.
-const SILENCE: Duration = Duration::from_secs(6);
+/// Time without a change of its entry after which a host is taken as gone: three
+/// beats and the lag of a read that may be old.
+const OLD: Duration = Duration::from_secs(14);
+
+/// Time without hearing from a host after which it is taken as gone, as long as
+/// others are heard. Each host tells a few others ten times a second.
+const SILENCE: Duration = Duration::from_secs(3);
 
 /// Hosts of the asker's zone below which it is told of hosts elsewhere too.
 const NEAR_FLOOR: usize = 2;
@@ -28,6 +32,8 @@
     pub addr: SocketAddr,
     /// Where it hears of other hosts' open work.
     pub gossip: SocketAddr,
+    /// Stands for the process in what it tells other hosts.
+    pub id: u32,
     /// Its availability zone.
     pub zone: String,
     /// Whether it is about to stop.
@@ -41,6 +47,8 @@
     entry: HostEntry,
     version: Version,
     changed: Time,
+    /// When it was first listed or last heard.
+    heard: Time,
 }
 
 /// The other hosts that serve callers.
@@ -48,12 +56,14 @@
 pub struct Members {
     own: String,
     known: HashMap<String, Known>,
+    /// When any other host was last heard.
+    any: Option<Time>,
 }
 
 impl Members {
     /// No other host known to the one named `own`.
     pub fn new(own: &str) -> Members {
-        Members { own: own.to_owned(), known: HashMap::new() }
+        Members { own: own.to_owned(), known: HashMap::new(), any: None }
     }
 
     /// Takes in the entries that the store lists.
@@ -65,14 +75,31 @@
             }
             match self.known.get_mut(&name) {
                 Some(known) if known.version >= version => {}
-                Some(known) => *known = Known { entry, version, changed: now },
+                Some(known) => {
+                    let heard = if known.entry.id == entry.id { known.heard } else { now };
+                    *known = Known { entry, version, changed: now, heard };
+                }
                 None => {
-                    self.known.insert(name, Known { entry, version, changed: now });
+                    self.known.insert(name, Known { entry, version, changed: now, heard: now });
                 }
             }
         }
     }
 
+    /// Notes that the host that `id` stands for lives.
+    pub fn hear(&mut self, now: Time, id: u32) {
+        self.any = Some(now);
+        for known in self.known.values_mut().filter(|known| known.entry.id == id) {
+            known.heard = now;
+        }
+    }
+
+    /// Names of the other hosts that serve.
+    pub fn names(&self, now: Time) -> impl Iterator<Item = &str> {
+        let serving = self.known.iter().filter(move |(_, known)| self.serves(now, known));
+        serving.map(|(name, _)| name.as_str())
+    }
+
     /// Hosts that serve, this one included.
     pub fn count(&self, now: Time) -> usize {
         1 + self.serving(now).count()
@@ -95,9 +122,18 @@
     }
 
     fn serving(&self, now: Time) -> impl Iterator<Item = &HostEntry> {
-        self.known
-            .values()
-            .filter(move |known| !known.entry.leaving && now.since(known.changed) < SILENCE)
-            .map(|known| &known.entry)
+        let serving = self.known.values().filter(move |known| self.serves(now, known));
+        serving.map(|known| &known.entry)
+    }
+
+    fn serves(&self, now: Time, known: &Known) -> bool {
+        if known.entry.leaving {
+            return false;
+        }
+        let hears = self.any.is_some_and(|any| now.since(any) < SILENCE);
+        if hears {
+            return now.since(known.heard) < SILENCE;
+        }
+        now.since(known.changed) < OLD
     }
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -90,6 +90,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Stands for this process in what it tells other hosts.
+    pub(crate) fn id(&self) -> u32 {
+        self.boot as u32
+    }
+
     /// Whether callers should come here.
     pub(crate) fn is_ready(&self, now: Time) -> bool {
         let state = self.state();
@@ -101,6 +106,7 @@
         HostEntry {
             addr: self.settings.callers,
             gossip: self.settings.gossip,
+            id: self.id(),
             zone: self.settings.zone.clone(),
             leaving: self.state().leaving,
             beat,
--- a/components/gateway/src/usage.rs
+++ b/components/gateway/src/usage.rs
@@ -6,7 +6,7 @@
 //! monotonic clock.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
     time::Duration,
 };
 
@@ -50,6 +50,8 @@
 pub struct Sheet {
     /// The process that wrote it.
     pub boot: u64,
+    /// The window that was current when it was written; earlier ones are complete.
+    pub current: u64,
     /// Counts by window.
     pub windows: VecDeque<(u64, Counts)>,
 }
@@ -88,7 +90,7 @@
 impl Meter {
     /// Nothing counted yet by the process `boot`.
     pub fn new(boot: u64) -> Meter {
-        Meter { sheet: Sheet { boot, windows: VecDeque::new() }, changed: false }
+        Meter { sheet: Sheet { boot, current: 0, windows: VecDeque::new() }, changed: false }
     }
 
     /// Counts a request of `org` that began in `window`.
@@ -111,8 +113,12 @@
         self.changed = true;
     }
 
-    /// The sheet, if it changed since the last call.
-    pub fn changed(&mut self) -> Option<&Sheet> {
+    /// The sheet, if it or the window changed since the last call.
+    pub fn changed(&mut self, current: u64) -> Option<&Sheet> {
+        if self.sheet.current != current {
+            self.sheet.current = current;
+            self.changed = true;
+        }
         std::mem::take(&mut self.changed).then_some(&self.sheet)
     }
 
@@ -122,10 +128,19 @@
     }
 }
 
+/// Whether the sheets of all `hosts` hold all of a window.
+pub fn is_complete<'a>(
+    sheets: &HashMap<String, Sheet>,
+    window: u64,
+    mut hosts: impl Iterator<Item = &'a str>,
+) -> bool {
+    hosts.all(|host| sheets.get(host).is_some_and(|sheet| sheet.current > window))
+}
+
 /// The sum of one window over all sheets.
-pub fn sum(sheets: &[Sheet], window: u64) -> Counts {
+pub fn sum(sheets: &HashMap<String, Sheet>, window: u64) -> Counts {
     let mut total = Counts::new();
-    for counts in sheets.iter().filter_map(|sheet| sheet.window(window)) {
+    for counts in sheets.values().filter_map(|sheet| sheet.window(window)) {
         for (org, count) in counts {
             *total.entry(org.clone()).or_default() += count;
         }
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -17,6 +17,10 @@
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(200);
 
+/// Pause after changes of targets, as a share of the time in which a leaving target may
+/// still get work.
+const GATHER_SHARE: f64 = 0.2;
+
 /// Start of the keys of hosts' entries.
 const HOSTS: &str = "hosts/";
 
@@ -31,6 +35,11 @@
     /// Takes over one change.
     fn change(&self, shared: &Shared, now: Time, change: &Change);
 
+    /// Pause after changes, in which further ones gather for one answer.
+    fn gather(&self, _shared: &Shared) -> Duration {
+        Duration::ZERO
+    }
+
     /// Notes that all changes up to `at` are known.
     fn confirm(&self, _shared: &Shared, _at: Time) {}
 }
@@ -66,6 +75,9 @@
                 }
                 part.confirm(&shared, sent);
                 known = Some(version);
+                if !changes.is_empty() {
+                    sleep(part.gather(&shared)).await;
+                }
             }
             StoreReply::Compacted => {
                 log::info!(target: "store", prefix; "history is gone; listing again");
@@ -166,6 +178,10 @@
         state.listed = true;
     }
 
+    fn gather(&self, shared: &Shared) -> Duration {
+        shared.settings.bounds.drain.mul_f64(GATHER_SHARE)
+    }
+
     fn change(&self, shared: &Shared, now: Time, change: &Change) {
         match change {
             Change::Put(object) => match self.read(shared, object) {
