--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -111,7 +111,8 @@
             let (shared, call) = (self.shared.clone(), self.call.clone());
             log::info!(
                 target: "gateway", id = call.ask.id, target = place.id, zone = place.zone,
-                compute = place.compute, cost = place.cost as u64, export = export.is_some();
+                wait = place.wait as u64, read = place.read as u64, compute = place.compute,
+                export = export.is_some();
                 "placed"
             );
             let mut open = Open::new(&shared, place, &call);
@@ -169,6 +170,11 @@
             return Ok((None, plan.place));
         };
         self.prefills += 1;
+        log::info!(
+            target: "gateway", id = self.call.ask.id, target = place.id, zone = place.zone,
+            wait = place.wait as u64, read = place.read as u64, compute = place.compute;
+            "prompt placed"
+        );
         let export = prefill(&self.shared, &self.call, place).await;
         let need = Need {
             service: &self.call.service,
--- a/components/gateway/src/supply.rs
+++ b/components/gateway/src/supply.rs
@@ -17,8 +17,8 @@
 /// Time after which an order that has not had its effect is placed again.
 const REPEAT: Duration = Duration::from_secs(3);
 
-/// Share of the service's largest fleet below which steady targets are ordered.
-const FLOOR: f64 = 0.5;
+/// Share of a zone's limit that is steady while no reclaimable target is to be had.
+const DRY_SHARE: f64 = 0.5;
 
 /// Share of a zone's limit that is steady: with it, what two reclaimed zones leave is
 /// what the users' sheets start with.
@@ -82,16 +82,13 @@
         let cheap = scaling.cheap_price.is_some_and(|price| price <= CHEAP_ENOUGH);
         let used: Vec<&str> =
             zones.into_iter().filter(|zone| self.is_used(service, zone, &stock[zone])).collect();
-        let most = scaling.max * used.len() as u32;
-        let serving: u32 = stock.values().map(|stock| stock.steady + stock.cheap).sum();
-        let short = f64::from(serving) < FLOOR * f64::from(most);
         let mut orders = Vec::new();
         for zone in used.into_iter().filter(|_| cheap) {
             let have = stock[zone];
             let kept = ((f64::from(scaling.max) * STEADY_SHARE).ceil() as u32).max(scaling.min);
             let dry = have.cheap == 0 && self.is_refused(service, zone, true);
-            let steady = if dry && short {
-                kept.max(scaling.max / 2)
+            let steady = if dry {
+                kept.max((f64::from(scaling.max) * DRY_SHARE) as u32)
             } else if have.cheap >= have.steady.min(scaling.max - kept) {
                 kept
             } else {
