--- a/components/gateway/src/supply.rs
+++ b/components/gateway/src/supply.rs
@@ -22,7 +22,7 @@
 
 /// Share of a zone's limit that is steady: with it, what two reclaimed zones leave is
 /// what the users' sheets start with.
-const STEADY_SHARE: f64 = 0.25;
+const STEADY_SHARE: f64 = 0.3;
 
 /// Highest price of a reclaimable target, against a steady one, at which it is
 /// preferred.
