--- a/bins/host/src/main.rs
+++ b/bins/host/src/main.rs
@@ -1,13 +1,13 @@
 //! Runs one host of the gateway on the users' platform.
 
-use std::{env, path::PathBuf, process::ExitCode, sync::Arc};
+use std::{env, net::SocketAddr, path::PathBuf, process::ExitCode, sync::Arc};
 
 use bpaf::Bpaf;
 use chervilgate_gateway::{DutyCalls, Host, HostSettings, Outside};
 use chervilgate_platform::{
     PlatformDecoder, PlatformDuties, PlatformProtocol, PlatformStore, SETTINGS_VAR, read_settings,
 };
-use env_logger::{Builder, Env, Target};
+use chervilgate_telemetry::start_logs;
 use tokio::{
     runtime,
     signal::unix::{SignalKind, signal},
@@ -20,6 +20,9 @@
 struct Options {
     /// Only checks the settings
     check: bool,
+    /// Port on which metrics are served under /metrics
+    #[bpaf(argument("PORT"))]
+    metrics: Option<u16>,
     /// Settings as the platform writes them; by default the file that the
     /// environment names
     #[bpaf(positional("SETTINGS"))]
@@ -28,19 +31,20 @@
 
 fn main() -> ExitCode {
     let options = options().run();
-    Builder::from_env(Env::default().default_filter_or("info")).target(Target::Stdout).init();
+    start_logs();
     let path = options.settings.or_else(|| env::var_os(SETTINGS_VAR).map(PathBuf::from));
     let Some(path) = path else {
         log::error!(target: "host", variable = SETTINGS_VAR; "no settings file is named");
         return ExitCode::FAILURE;
     };
-    let settings = match read_settings(&path) {
+    let mut settings = match read_settings(&path) {
         Ok(settings) => settings,
         Err(error) => {
             log::error!(target: "host", error:%; "cannot use the settings");
             return ExitCode::FAILURE;
         }
     };
+    settings.metrics = options.metrics.map(|port| SocketAddr::new(settings.callers.ip(), port));
     if options.check {
         return ExitCode::SUCCESS;
     }
--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -33,6 +33,8 @@
     Expired,
     /// Its time ran out; it may have run.
     TimedOut,
+    /// It broke the targets that ran it.
+    Suspect,
     /// A target broke off; it may have run.
     Broken,
 }
@@ -48,7 +50,7 @@
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Failure::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Failure::Broken => StatusCode::BAD_GATEWAY,
+            Failure::Broken | Failure::Suspect => StatusCode::BAD_GATEWAY,
         }
     }
 
@@ -76,6 +78,7 @@
             Failure::Full => "full",
             Failure::Expired => "expired",
             Failure::TimedOut => "timed-out",
+            Failure::Suspect => "suspect",
             Failure::Broken => "broken",
         }
     }
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -16,6 +16,7 @@
     fleet::{Outcome, Place},
     protocol::{AnswerHead, Ask, Handover, Work},
     state::Shared,
+    suspects::Fingerprint,
 };
 
 /// Time that a target gets for the prompt's computation before it is done elsewhere.
@@ -28,6 +29,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) ask: Ask,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
     pub(crate) org: Option<Arc<str>>,
@@ -118,13 +120,13 @@
     };
     let response = match sent {
         Ok(response) => response,
-        Err(error) => return failed(open, call, &error),
+        Err(error) => return failed(shared, open, call, &error),
     };
     let head = shared.protocol.answer(response.status(), response.headers());
     judge(open, call, response, &head)
 }
 
-fn failed(open: &mut Open, call: &Call, error: &SendError) -> Taken {
+fn failed(shared: &Shared, open: &mut Open, call: &Call, error: &SendError) -> Taken {
     let (id, target) = (&call.ask.id, &open.place.id);
     log::warn!(target: "gateway", id, target, addr:% = open.place.addr, error:%; "target failed");
     if error.not_run() {
@@ -132,6 +134,7 @@
         return Taken::NotRun(NotRun::Unreachable);
     }
     open.outcome = Outcome::Failed;
+    shared.note_broken(call.fingerprint);
     Taken::Unknown
 }
 
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -17,7 +17,10 @@
 /// has to end before a host that stops is gone.
 const KEEP: Duration = Duration::from_secs(2);
 
-/// Answers questions for addresses and readiness.
+/// Where metrics are read.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers questions for addresses, readiness and metrics.
 pub(crate) struct Directory {
     pub(crate) shared: Arc<Shared>,
 }
@@ -26,6 +29,9 @@
 impl Handler for Directory {
     async fn handle(&self, _peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path();
+        if path == METRICS_PATH {
+            return self.metrics();
+        }
         if self.shared.protocol.is_ready_path(path) {
             return self.readiness();
         }
@@ -49,6 +55,21 @@
 }
 
 impl Directory {
+    fn metrics(&self) -> Response<Body> {
+        let now = self.shared.now();
+        let metrics = &self.shared.metrics;
+        metrics.ready.set(self.shared.is_ready(now).into());
+        {
+            let state = self.shared.state();
+            let age = state.view.age(now).map_or(-1, |age| age.as_millis() as i64);
+            metrics.view_age.set(age);
+            let targets = state.fleet.entries().filter(|entry| !entry.draining);
+            metrics.targets.set(targets.count() as i64);
+            metrics.hosts.set(state.members.count(now) as i64);
+        }
+        Response::new(full(metrics.text()))
+    }
+
     fn readiness(&self) -> Response<Body> {
         if self.shared.is_ready(self.shared.now()) {
             return status(StatusCode::OK);
--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -88,7 +88,7 @@
         let now = shared.now();
         let hosts = shared.state().members.count(now) as u32;
         sleep((SHEET_PACE * hosts).clamp(SHEET_PACES.0, SHEET_PACES.1)).await;
-        let window = shared.time.window(shared.now(), shared.settings.bounds.window);
+        let window = shared.time().window(shared.now(), shared.settings.bounds.window);
         let value = shared.state().meter.changed(window).map(serde_json::to_vec);
         let Some(Ok(value)) = value else { continue };
         let expect = version.map_or(Expect::Absent, Expect::At);
@@ -219,8 +219,8 @@
     /// Seals the windows that have ended, and reports those that are sealed.
     async fn report(&mut self, now: Time) {
         let length = self.shared.settings.bounds.window;
-        let current = self.shared.time.window(now, length);
-        let into = (self.shared.time.at(now).as_micros() % length.as_micros().max(1)) as u64;
+        let current = self.shared.time().window(now, length);
+        let into = (self.shared.time().at(now).as_micros() % length.as_micros().max(1)) as u64;
         // The last window that ended at least the delay ago.
         let late = Duration::from_micros(into) < SEAL_DELAY;
         let newest = current.saturating_sub(1 + u64::from(late));
@@ -293,6 +293,7 @@
 
     async fn note_reported(&mut self, window: u64) {
         log::info!(target: "usage", window; "window reported");
+        self.shared.metrics.count_window();
         let mut doc = self.lease.doc().clone();
         doc.beat += 1;
         for sealed in doc.sealed.iter_mut().filter(|sealed| sealed.window == window) {
@@ -343,7 +344,7 @@
         let bounds = &self.shared.settings.bounds;
         let end = bounds.window * u32::try_from(window + 1).unwrap_or(u32::MAX);
         let due = end + bounds.report_due.saturating_sub(SEAL_MARGIN);
-        self.shared.time.at(now) >= due
+        self.shared.time().at(now) >= due
     }
 }
 
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -40,10 +40,12 @@
     pub(crate) fn not_run(&mut self, shared: &Shared, call: &Call, why: NotRun) -> bool {
         match why {
             NotRun::Unreachable => {
+                shared.metrics.count_retry("unreachable");
                 self.unreachable += 1;
                 self.unreachable <= UNREACHABLE_LIMIT
             }
             NotRun::Refused => {
+                shared.metrics.count_retry("refused");
                 self.refused += 1;
                 self.refused <= REFUSED_LIMIT && shared.spend(shared.now(), &call.service)
             }
@@ -53,9 +55,11 @@
     /// Counts a run that failed; true if the request may run once more.
     pub(crate) fn ran(&mut self, shared: &Shared, call: &Call) -> bool {
         self.ran += 1;
+        shared.metrics.count_retry("broken");
         call.route.kind.is_repeatable()
             && self.ran < call.route.attempts
             && call.end.since(shared.now()) > Duration::ZERO
+            && shared.state().suspects.may_run(shared.now(), call.fingerprint)
             && shared.spend(shared.now(), &call.service)
     }
 
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
 
-use crate::{fleet::OpenWork, state::Shared};
+use crate::{fleet::OpenWork, state::Shared, suspects::BrokenRun};
 
 /// Time between two rounds: requests last a few hundred milliseconds.
 const PACE: Duration = Duration::from_millis(100);
@@ -28,7 +28,11 @@
 struct Told {
     /// Stands for the host that tells.
     host: u32,
+    /// What the host takes for true time, in microseconds since 1970.
+    time: u64,
     work: Vec<OpenWork>,
+    /// Runs that broke off of late.
+    broken: Vec<BrokenRun>,
 }
 
 /// Tells other hosts of this host's open work.
@@ -37,17 +41,21 @@
     let mut idle = 0;
     loop {
         sleep(PACE).await;
-        let (work, peers) = {
+        set_time(&shared);
+        let now = shared.now();
+        let time = shared.time().at(now).as_micros() as u64;
+        let (work, broken, peers) = {
             let state = shared.state();
-            (state.fleet.open_work(), state.members.gossip_addrs(shared.now()))
+            let broken = state.suspects.to_tell(now);
+            (state.fleet.open_work(), broken, state.members.gossip_addrs(now))
         };
         // The first empty round takes back what was told last; later ones tell that
         // this host lives.
-        idle = if work.is_empty() { idle + 1 } else { 0 };
+        idle = if work.is_empty() && broken.is_empty() { idle + 1 } else { 0 };
         if idle % IDLE_ROUNDS > 1 {
             continue;
         }
-        let Ok(told) = postcard::to_stdvec(&Told { host, work }) else { continue };
+        let Ok(told) = postcard::to_stdvec(&Told { host, time, work, broken }) else { continue };
         let chosen: Vec<SocketAddr> = peers.sample(&mut rand::rng(), FANOUT).copied().collect();
         for peer in chosen {
             if let Err(error) = socket.send_to(&told, peer).await {
@@ -57,6 +65,17 @@
     }
 }
 
+/// Sets this host's true time right, if most other hosts disagree with it.
+fn set_time(shared: &Shared) {
+    let now = shared.now();
+    let mut times = shared.state().members.times(now);
+    let shift = shared.time().follow(&mut times);
+    if let Some(shift) = shift {
+        log::warn!(target: "usage", shift_ms = shift / 1_000; "true time set right");
+        shared.state().members.forget_times();
+    }
+}
+
 /// Takes in what other hosts tell.
 pub(crate) async fn hear(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buffer = [0; DATAGRAM];
@@ -72,8 +91,12 @@
         match postcard::from_bytes::<Told>(&buffer[..length]) {
             Ok(told) => {
                 let now = shared.now();
+                let own = shared.time().at(now).as_micros() as i64;
                 let mut state = shared.state();
-                state.members.hear(now, told.host);
+                state.members.hear(now, told.host, told.time as i64 - own);
+                for run in told.broken {
+                    state.suspects.note(now, run);
+                }
                 state.fleet.hear(now, told.host, told.work);
             }
             Err(error) => log::info!(target: "gossip", error:%; "datagram not read"),
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -91,6 +91,7 @@
         let addrs = [
             (Some(shared.settings.callers), "callers", callers),
             (Some(shared.settings.ready), "readiness", directory.clone()),
+            (shared.settings.metrics, "metrics", directory.clone()),
             (shared.settings.directory, "the directory", directory),
         ];
         let connections = shared.settings.descriptors.saturating_sub(OTHER_DESCRIPTORS).max(64);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,7 +3,8 @@
 //! One process a host serves callers, tells them which hosts to use, and stands
 //! as candidate for the duties that one process at a time performs. What is
 //! decided lives in modules without I/O or clocks ([`config`], [`fleet`],
-//! [`lease`], [`members`], [`usage`], [`view`]); the others run it.
+//! [`lease`], [`members`], [`supply`], [`suspects`], [`usage`],
+//! [`view`]); the others run it.
 //!
 //! The outside is met through traits: [`Protocol`] for the headers of callers and
 //! targets, [`Decoder`] for what the store holds, and the clients' traits for
@@ -21,12 +22,14 @@
 mod host;
 pub mod lease;
 pub mod members;
+mod metrics;
 mod protocol;
 mod serve;
 mod settings;
 mod state;
 mod stream;
 pub mod supply;
+pub mod suspects;
 pub mod usage;
 pub mod view;
 mod watch;
--- a/components/gateway/src/members.rs
+++ b/components/gateway/src/members.rs
@@ -49,6 +49,8 @@
     changed: Time,
     /// When it was first listed or last heard.
     heard: Time,
+    /// Its true time less this host's when last heard, in microseconds.
+    ahead: Option<i64>,
 }
 
 /// The other hosts that serve callers.
@@ -76,21 +78,41 @@
             match self.known.get_mut(&name) {
                 Some(known) if known.version >= version => {}
                 Some(known) => {
-                    let heard = if known.entry.id == entry.id { known.heard } else { now };
-                    *known = Known { entry, version, changed: now, heard };
+                    let same = known.entry.id == entry.id;
+                    let heard = if same { known.heard } else { now };
+                    let ahead = known.ahead.filter(|_| same);
+                    *known = Known { entry, version, changed: now, heard, ahead };
                 }
                 None => {
-                    self.known.insert(name, Known { entry, version, changed: now, heard: now });
+                    self.known.insert(
+                        name,
+                        Known { entry, version, changed: now, heard: now, ahead: None },
+                    );
                 }
             }
         }
     }
 
-    /// Notes that the host that `id` stands for lives.
-    pub fn hear(&mut self, now: Time, id: u32) {
+    /// Notes that the host that `id` stands for lives, and that its true time is
+    /// `ahead` microseconds of this host's.
+    pub fn hear(&mut self, now: Time, id: u32, ahead: i64) {
         self.any = Some(now);
         for known in self.known.values_mut().filter(|known| known.entry.id == id) {
             known.heard = now;
+            known.ahead = Some(ahead);
+        }
+    }
+
+    /// What the hosts heard of late take for true time, less this host's.
+    pub fn times(&self, now: Time) -> Vec<i64> {
+        let heard = self.known.values().filter(|known| now.since(known.heard) < SILENCE);
+        heard.filter_map(|known| known.ahead).collect()
+    }
+
+    /// Forgets the other hosts' times, after this host's was set right.
+    pub fn forget_times(&mut self) {
+        for known in self.known.values_mut() {
+            known.ahead = None;
         }
     }
 
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -22,6 +22,7 @@
     protocol::Ask,
     state::Shared,
     stream::stream,
+    suspects::Fingerprint,
 };
 
 /// Answers callers.
@@ -48,11 +49,13 @@
             Ok(response) => {
                 let status = response.status().as_u16();
                 log::info!(target: "gateway", id, status, ms = took; "answered");
+                self.shared.metrics.count_end("answered");
                 response
             }
             Err(failure) => {
                 let reason = failure.as_str();
                 log::warn!(target: "gateway", id, reason, ms = took; "failed");
+                self.shared.metrics.count_end(reason);
                 failure.answer(&*self.shared.protocol, &id)
             }
         };
@@ -96,7 +99,12 @@
         let service = route.service(rand::random()).cloned().ok_or(Failure::NoTarget)?;
         self.shared.earn(begun, &service);
         let priority = org.as_ref().and_then(|org| org.priority).unwrap_or(route.priority);
+        let fingerprint = Fingerprint::new(head.uri.path(), ask.key.as_deref(), &body);
+        if !self.shared.state().suspects.may_run(self.shared.now(), fingerprint) {
+            return Err(Failure::Suspect);
+        }
         let call = Call {
+            fingerprint,
             method: head.method,
             path: head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/")),
             headers: head.headers,
@@ -108,11 +116,14 @@
             priority,
             end,
         };
-        if call.route.kind.is_stream() {
-            stream(&self.shared, call).await
+        let is_stream = call.route.kind.is_stream();
+        let response = if is_stream {
+            stream(&self.shared, call).await?
         } else {
-            forward(&self.shared, &call).await
-        }
+            forward(&self.shared, &call).await?
+        };
+        self.shared.metrics.time(is_stream, self.shared.now().since(begun));
+        Ok(response)
     }
 
     fn admit(&self, now: Time, head: &Parts, ask: &Ask) -> Result<Admitted, Failure> {
@@ -123,9 +134,13 @@
         }
         let host = head.headers.get(HOST).and_then(|value| value.to_str().ok());
         let host = host.or_else(|| head.uri.host()).ok_or(Failure::Malformed)?;
-        let route = config.route(host, head.uri.path()).ok_or(Failure::NoRoute)?.clone();
-        let org = org_of(config, &route, ask)?;
-        if org.is_some() && !state.view.is_fresh(now) {
+        let fresh = state.view.is_fresh(now);
+        // A route or key that an old view does not know may have come since.
+        let unknown = |failure| if fresh { failure } else { Failure::StaleView };
+        let route = config.route(host, head.uri.path());
+        let route = route.ok_or_else(|| unknown(Failure::NoRoute))?.clone();
+        let org = org_of(config, &route, ask).map_err(unknown)?;
+        if org.is_some() && !fresh {
             return Err(Failure::StaleView);
         }
         Ok(Admitted { route, org, body_limit: config.limits.body })
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -19,6 +19,8 @@
     pub gossip: SocketAddr,
     /// Where callers ask for addresses; none if this host does not tell.
     pub directory: Option<SocketAddr>,
+    /// Where metrics are served; none if they are not.
+    pub metrics: Option<SocketAddr>,
     /// The platform's object store.
     pub store: SocketAddr,
     /// Where orders for targets and usage reports go; none if there are no duties.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -13,8 +13,10 @@
 use crate::{
     fleet::Fleet,
     members::{HostEntry, Members},
+    metrics::Metrics,
     protocol::{Decoder, Protocol},
     settings::HostSettings,
+    suspects::{BrokenRun, Fingerprint, Suspects},
     usage::{Meter, TrueTime},
     view::View,
 };
@@ -30,8 +32,9 @@
     pub(crate) decoder: Arc<dyn Decoder>,
     pub(crate) store: Arc<dyn ObjectStore>,
     pub(crate) targets: HttpPool,
+    pub(crate) metrics: Metrics,
     pub(crate) boot: u64,
-    pub(crate) time: TrueTime,
+    time: Mutex<TrueTime>,
     state: Mutex<State>,
 }
 
@@ -43,6 +46,7 @@
     pub(crate) listed: bool,
     pub(crate) members: Members,
     pub(crate) meter: Meter,
+    pub(crate) suspects: Suspects,
     /// Whether this host has been told to stop.
     pub(crate) leaving: bool,
     budgets: HashMap<Arc<str>, RetryBudget>,
@@ -65,14 +69,16 @@
             listed: false,
             members: Members::new(&settings.name),
             meter: Meter::new(boot),
+            suspects: Suspects::default(),
             leaving: false,
             budgets: HashMap::new(),
         };
         Shared {
-            time: TrueTime::new(BootClock.now(), wall),
+            time: Mutex::new(TrueTime::new(BootClock.now(), wall)),
             boot,
             state: Mutex::new(state),
             targets: HttpPool::new(),
+            metrics: Metrics::new(),
             settings,
             protocol,
             decoder,
@@ -85,6 +91,11 @@
         BootClock.now()
     }
 
+    /// True time as this host knows it.
+    pub(crate) fn time(&self) -> MutexGuard<'_, TrueTime> {
+        self.time.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// What this host knows.
     pub(crate) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -116,10 +127,16 @@
     /// Counts a request of `org` that a target began at `at`.
     pub(crate) fn count(&self, org: Option<&str>, at: Time) {
         let Some(org) = org else { return };
-        let window = self.time.window(at, self.settings.bounds.window);
+        let window = self.time().window(at, self.settings.bounds.window);
         self.state().meter.count(window, org);
     }
 
+    /// Notes that a run of `request` broke off.
+    pub(crate) fn note_broken(&self, request: Fingerprint) {
+        let run = BrokenRun { request, run: rand::random() };
+        self.state().suspects.note(self.now(), run);
+    }
+
     /// Counts a request for `service` towards its retry budget.
     pub(crate) fn earn(&self, now: Time, service: &Arc<str>) {
         self.with_budget(now, service, RetryBudget::earn);
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -93,6 +93,8 @@
                 return Ok((source, next));
             }
             source.open.outcome = Outcome::Failed;
+            self.shared.note_broken(self.call.fingerprint);
+            self.tries.tried.push(source.open.place.id.clone());
             if !self.tries.ran(&self.shared, &self.call) {
                 return Err(Failure::Broken);
             }
@@ -280,6 +282,7 @@
                 Some(Err(error)) => {
                     let (id, target) = (&call.ask.id, &self.open.place.id);
                     log::warn!(target: "gateway", id, target, error:%; "stream broke off");
+                    shared.metrics.count_break();
                     return Next::Broken;
                 }
                 None if self.events.rest() > 0 && self.status.is_success() => return Next::Broken,
--- a/components/gateway/src/usage.rs
+++ b/components/gateway/src/usage.rs
@@ -16,6 +16,13 @@
 /// Windows kept on a sheet; older ones have been reported.
 const WINDOWS: usize = 5;
 
+/// Other hosts that are needed to tell that this host's time is wrong.
+const QUORUM: usize = 2;
+
+/// Difference from the other hosts at which this host's time is taken as wrong: above
+/// what a slow link or a busy host adds.
+const FAR_OFF: Duration = Duration::from_millis(400);
+
 /// Requests begun in one window by organisation.
 pub type Counts = BTreeMap<String, u64>;
 
@@ -38,6 +45,22 @@
         Duration::from_micros(u64::try_from(micros).unwrap_or(0))
     }
 
+    /// Follows the median of what other hosts take for true time, where it is far off.
+    ///
+    /// `others` are their times less this host's, in microseconds. Returns the shift.
+    pub fn follow(&mut self, others: &mut [i64]) -> Option<i64> {
+        if others.len() < QUORUM {
+            return None;
+        }
+        let middle = others.len() / 2;
+        let median = *others.select_nth_unstable(middle).1;
+        if median.unsigned_abs() < FAR_OFF.as_micros() as u64 {
+            return None;
+        }
+        self.offset += i128::from(median);
+        Some(median)
+    }
+
     /// The window that `now` falls into.
     pub fn window(&self, now: Time, length: Duration) -> u64 {
         (self.at(now).as_micros() / length.as_micros().max(1)) as u64
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -86,6 +86,7 @@
             other => {
                 if !lost {
                     log::warn!(target: "store", prefix, reply:? = other; "store lost");
+                    shared.metrics.count_store_loss();
                     lost = true;
                 }
                 sleep(PAUSE).await;
--- a/components/serve/src/accept.rs
+++ b/components/serve/src/accept.rs
@@ -6,8 +6,14 @@
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
-use chervilgate_clients::Body;
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use chervilgate_clients::{Body, body::empty};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue, TRANSFER_ENCODING},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
@@ -20,7 +26,10 @@
 };
 use tokio_rustls::TlsAcceptor;
 
-use crate::Limits;
+use crate::{
+    Limits,
+    framing::{HeadTap, Tapped},
+};
 
 /// Pause after a failed accept, such as when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -117,10 +126,24 @@
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
         let Connection { peer, handler, limits, permit } = self;
-        let service = service_fn(move |request| {
+        let tap = HeadTap::default();
+        let heads = tap.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
             let handler = handler.clone();
-            async move { Ok::<_, Infallible>(handler.handle(peer, request).await) }
+            let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
+            let is_ambiguous = heads.take_is_ambiguous();
+            let heads = heads.clone();
+            async move {
+                if is_chunked && is_ambiguous {
+                    log::warn!(target: "serve", peer:%; "request with two lengths refused");
+                    return Ok(refuse_framing());
+                }
+                let response = handler.handle(peer, request).await;
+                heads.clear();
+                Ok::<_, Infallible>(response)
+            }
         });
+        let stream = Tapped::new(stream, tap, limits.head_size);
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.head_timeout)
@@ -132,3 +155,11 @@
         drop(permit);
     }
 }
+
+/// Refuses a request and closes its connection: what follows it cannot be told apart.
+fn refuse_framing() -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,8 +1,12 @@
-//! Metrics of the daemons.
+//! Logs and metrics of the daemons.
 //!
 //! Logs go through `log` with a target for each part. Metrics go to a statsd
 //! daemon over UDP, if settings name one.
 
+mod logs;
 mod metrics;
 
-pub use crate::metrics::{Metrics, MetricsError, RequestEnd};
+pub use crate::{
+    logs::start_logs,
+    metrics::{Metrics, MetricsError, RequestEnd},
+};
--- /dev/null
+++ b/components/telemetry/src/logs.rs
@@ -0,0 +1,144 @@
+//! Log lines on standard output that never hold the program up.
+//!
+//! A thread of its own writes them. When it falls behind, or lines come faster than
+//! the ceiling, lines are left out and their number is told. Failures have a ceiling
+//! of their own, so that ordinary lines cannot crowd them out.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use env_logger::{Builder, Env, Target};
+use log::Level;
+
+/// Lines that wait for the writer.
+const WAITING: usize = 4_096;
+
+/// Lines a second of level `info` and below; at a hundred bytes a line 40 KB/s.
+const ORDINARY: u32 = 400;
+
+/// Lines a second of levels `warn` and `error`.
+const FAILURES: u32 = 400;
+
+/// Starts logging to standard output; `RUST_LOG` sets what is logged.
+pub fn start_logs() {
+    let lost = Arc::new(AtomicU64::new(0));
+    let (lines, waiting) = sync_channel(WAITING);
+    let told = lost.clone();
+    thread::spawn(move || write_lines(&waiting, &told));
+    let sink = LineSink { lines, lost: lost.clone() };
+    let budget = Budget::new(lost);
+    let mut logger = Builder::from_env(Env::default().default_filter_or("info"));
+    let logger = logger.target(Target::Pipe(Box::new(sink))).build();
+    let level = logger.filter();
+    if log::set_boxed_logger(Box::new(Limited { logger, budget })).is_ok() {
+        log::set_max_level(level);
+    }
+}
+
+/// A logger that leaves out lines above the ceiling.
+struct Limited {
+    logger: env_logger::Logger,
+    budget: Budget,
+}
+
+impl log::Log for Limited {
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        self.logger.enabled(metadata)
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        if self.logger.matches(record) && self.budget.spend(record.level()) {
+            self.logger.log(record);
+        }
+    }
+
+    fn flush(&self) {
+        self.logger.flush();
+    }
+}
+
+/// Lines left in the present second.
+struct Budget {
+    start: Instant,
+    second: AtomicU64,
+    ordinary: AtomicU64,
+    failures: AtomicU64,
+    lost: Arc<AtomicU64>,
+}
+
+impl Budget {
+    fn new(lost: Arc<AtomicU64>) -> Budget {
+        Budget {
+            start: Instant::now(),
+            second: AtomicU64::new(0),
+            ordinary: AtomicU64::new(0),
+            failures: AtomicU64::new(0),
+            lost,
+        }
+    }
+
+    fn spend(&self, level: Level) -> bool {
+        let second = self.start.elapsed().as_secs();
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.ordinary.store(0, Ordering::Relaxed);
+            self.failures.store(0, Ordering::Relaxed);
+        }
+        let (used, limit) = match level {
+            Level::Error | Level::Warn => (&self.failures, FAILURES),
+            _ => (&self.ordinary, ORDINARY),
+        };
+        let within = used.fetch_add(1, Ordering::Relaxed) < u64::from(limit);
+        if !within {
+            self.lost.fetch_add(1, Ordering::Relaxed);
+        }
+        within
+    }
+}
+
+/// Hands whole lines to the writer, and drops them when it is behind.
+struct LineSink {
+    lines: SyncSender<Vec<u8>>,
+    lost: Arc<AtomicU64>,
+}
+
+impl Write for LineSink {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if self.lines.try_send(bytes.to_vec()).is_err() {
+            self.lost.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Time between two writes, in which lines gather for one.
+const GATHER: Duration = Duration::from_millis(50);
+
+fn write_lines(waiting: &Receiver<Vec<u8>>, lost: &AtomicU64) {
+    let mut out = io::stdout();
+    while let Ok(mut text) = waiting.recv() {
+        thread::sleep(GATHER);
+        while let Ok(line) = waiting.try_recv() {
+            text.extend_from_slice(&line);
+        }
+        let lost = lost.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            text.extend_from_slice(format!("lines left out lost={lost}\n").as_bytes());
+        }
+        // Nobody is left to tell of a closed standard output.
+        if out.write_all(&text).and_then(|()| out.flush()).is_err() {
+            return;
+        }
+    }
+}
