--- /dev/null
+++ b/bins/host/tests/path/bed.rs
@@ -0,0 +1,189 @@
+//! A host with its store and targets on loopback addresses.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use chervilgate_clients::{HttpPool, HttpSender, body::collect};
+use chervilgate_gateway::{Bounds, DutyCalls, Host, HostSettings, Outside};
+use chervilgate_platform::{PlatformDecoder, PlatformDuties, PlatformProtocol, PlatformStore};
+use chervilgate_serve::{Handler, Limits, serve};
+use hyper::{HeaderMap, Request, StatusCode};
+use serde_json::{Value, json};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::watch,
+    time::sleep,
+};
+
+use crate::{runner::Runner, store::Store};
+
+/// A host with two targets of one plain service and two engines.
+pub(crate) struct Bed {
+    pub(crate) store: Store,
+    pub(crate) plain: [Runner; 2],
+    pub(crate) engines: [Runner; 2],
+    pub(crate) callers: SocketAddr,
+    pub(crate) directory: SocketAddr,
+    pub(crate) host: Host,
+    pool: HttpPool,
+    _stop: watch::Sender<bool>,
+}
+
+/// An answer as a caller gets it.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    /// None if the answer broke off.
+    pub(crate) body: Option<Bytes>,
+}
+
+/// A configuration of this version with these keys.
+pub(crate) fn config(version: u64, keys: &[&str]) -> Value {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "host": "h.example", "path_prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 2000, "target_latency_ms": 300, "priority": 1, "service": service,
+            "attempts": 2, "resumable": name == "resumed",
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("safe", "safe", "plain"), route("once", "non_idempotent", "plain"),
+            route("stream", "streaming", "llm"), route("resumed", "streaming", "llm"),
+        ],
+        "services": [{"name": "plain"}, {"name": "llm"}],
+        "tenants": [{"name": "org-1", "api_keys": keys}],
+    })
+}
+
+async fn listen(handler: Arc<dyn Handler>, stop: &watch::Receiver<bool>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (_, no_tls) = watch::channel(None);
+    tokio::spawn(serve(listener, handler, Limits::default(), no_tls, stop.clone()));
+    addr
+}
+
+/// An address that nothing listens at yet.
+async fn free_addr() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+}
+
+impl Bed {
+    /// Starts all, and waits until the host is ready.
+    pub(crate) async fn start() -> Bed {
+        let (stop, stopped) = watch::channel(false);
+        let store = Store::default();
+        let runners: [Runner; 4] = Default::default();
+        for (index, runner) in runners.iter().enumerate() {
+            let addr = listen(Arc::new(runner.clone()), &stopped).await;
+            let service = if index < 2 { "plain" } else { "llm" };
+            let entry = json!({
+                "service": service, "address": addr.to_string(), "zone": "a", "slots": 4, "state": "ready",
+            });
+            store.put("servers", &format!("i-{index}"), entry);
+        }
+        store.put("config", "main", config(1, &["k1"]));
+        let platform = listen(Arc::new(store.clone()), &stopped).await;
+        let gossip = UdpSocket::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let settings = HostSettings {
+            name: "host-1".to_owned(),
+            zone: "a".to_owned(),
+            region: "r".to_owned(),
+            callers: free_addr().await,
+            ready: free_addr().await,
+            gossip,
+            directory: Some(free_addr().await),
+            metrics: None,
+            store: platform,
+            duties: Some(platform),
+            descriptors: 1_000,
+            bounds: Bounds { grace: Duration::from_secs(2), ..Bounds::default() },
+        };
+        let (callers, directory) = (settings.callers, settings.directory.unwrap());
+        let duties = PlatformDuties::new(platform, &settings.name);
+        let outside = Outside {
+            protocol: Arc::new(PlatformProtocol),
+            decoder: Arc::new(PlatformDecoder),
+            store: Arc::new(PlatformStore::new(platform)),
+            duties: Some(DutyCalls { reports: Arc::new(duties.clone()), orders: Arc::new(duties) }),
+        };
+        let host = Host::start(settings, outside).await.unwrap();
+        let [first, second, third, fourth] = runners;
+        let bed = Bed {
+            store,
+            plain: [first, second],
+            engines: [third, fourth],
+            callers,
+            directory,
+            host,
+            pool: HttpPool::new(),
+            _stop: stop,
+        };
+        bed.wait_until_ready(true).await;
+        bed
+    }
+
+    /// Waits until the host says that it is ready, or is not.
+    pub(crate) async fn wait_until_ready(&self, ready: bool) {
+        for _ in 0..1_000 {
+            let asked = self.ask(self.directory, "/api/readiness", &[], b"").await;
+            if asked.is_some_and(|answer| answer.status.is_success() == ready) {
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the host did not become ready: {ready}");
+    }
+
+    /// Sends a caller's request with the first key.
+    pub(crate) async fn call(&self, path: &str) -> Answer {
+        self.call_with("k1", path).await
+    }
+
+    /// Sends a caller's request with `key`.
+    pub(crate) async fn call_with(&self, key: &str, path: &str) -> Answer {
+        let key = format!("Bearer {key}");
+        let headers = [
+            ("host", "h.example"),
+            ("x-attempt-id", "a1"),
+            ("x-deadline-remaining-ms", "1500"),
+            ("authorization", &*key),
+            ("x-tenant", "forged"),
+        ];
+        self.ask(self.callers, path, &headers, b"content").await.unwrap()
+    }
+
+    /// Sends a request; none if no answer came.
+    pub(crate) async fn ask(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &'static [u8],
+    ) -> Option<Answer> {
+        let method = if body.is_empty() { "GET" } else { "POST" };
+        let mut request = Request::builder().method(method).uri(path);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let response = self.pool.send(addr, request.body(Bytes::from_static(body)).unwrap()).await;
+        let (head, body) = response.ok()?.into_parts();
+        let body = collect(body, 1 << 20).await.ok();
+        Some(Answer { status: head.status, headers: head.headers, body })
+    }
+
+    /// Lets all targets of a kind do the same.
+    pub(crate) fn script(runners: &[Runner; 2], acts: &[crate::runner::Act]) {
+        for runner in runners {
+            runner.script(acts);
+        }
+    }
+}
+
+/// Requests that reached any of `runners`.
+pub(crate) fn arrivals(runners: &[Runner; 2]) -> usize {
+    runners.iter().map(|runner| runner.got().len()).sum()
+}
--- /dev/null
+++ b/bins/host/tests/path/main.rs
@@ -0,0 +1,221 @@
+//! The whole path over real connections: callers, a host, its store and targets.
+
+mod bed;
+mod runner;
+mod store;
+
+use std::time::Duration;
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    bed::{Bed, arrivals, config},
+    runner::Act,
+};
+
+const FIRST: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const REST: &str = "id: 3\ndata: c\n\n";
+
+#[tokio::test]
+async fn requests_reach_a_target_unchanged_and_answers_come_back() {
+    let bed = Bed::start().await;
+
+    let answer = bed.call("/safe/x?y=1").await;
+
+    let got = [bed.plain[0].got(), bed.plain[1].got()].concat();
+    assert_eq!((answer.status.as_u16(), answer.body.as_deref()), (200, Some(&b"ok"[..])));
+    assert_eq!(answer.headers["x-response-signature"], "sig");
+    assert_eq!((&*got[0].path, &*got[0].body), ("/safe/x?y=1", &b"content"[..]));
+    assert_eq!(got[0].headers["x-tenant"], "org-1");
+    assert!(!got[0].headers.contains_key("authorization"));
+}
+
+#[tokio::test]
+async fn unknown_routes_and_keys_are_refused() {
+    let bed = Bed::start().await;
+
+    assert_eq!(bed.call("/nowhere/x").await.status, 404);
+    assert_eq!(bed.call_with("k2", "/safe/x").await.status, 401);
+    assert_eq!(arrivals(&bed.plain), 0);
+}
+
+#[tokio::test]
+async fn a_withdrawn_key_stops_and_a_new_one_works() {
+    let bed = Bed::start().await;
+
+    bed.store.put("config", "main", config(2, &["k2"]));
+    sleep(Duration::from_millis(500)).await;
+
+    assert_eq!(bed.call_with("k1", "/safe/x").await.status, 401);
+    assert_eq!(bed.call_with("k2", "/safe/x").await.status, 200);
+}
+
+#[tokio::test]
+async fn keys_are_refused_as_not_run_once_the_view_is_old() {
+    let bed = Bed::start().await;
+
+    bed.store.set_down(true);
+    bed.wait_until_ready(false).await;
+    let answer = bed.call("/safe/x").await;
+    let unknown = bed.call("/nowhere/x").await;
+    bed.store.set_down(false);
+    bed.wait_until_ready(true).await;
+
+    assert_eq!((answer.status.as_u16(), unknown.status.as_u16()), (503, 503));
+    assert!(answer.headers.contains_key("retry-after"));
+    assert_eq!(bed.call("/safe/x").await.status, 200);
+}
+
+#[tokio::test]
+async fn a_request_that_may_run_once_is_not_sent_again_after_a_break() {
+    let bed = Bed::start().await;
+    Bed::script(&bed.plain, &[Act::Reset]);
+
+    let answer = bed.call("/once/x").await;
+
+    assert_eq!((answer.status.as_u16(), arrivals(&bed.plain)), (502, 1));
+}
+
+#[tokio::test]
+async fn a_request_that_may_run_once_is_sent_again_if_it_did_not_run() {
+    let bed = Bed::start().await;
+    Bed::script(&bed.plain, &[Act::Refuse, Act::Answer(200, "ok")]);
+    bed.plain[1].script(&[Act::Answer(200, "ok")]);
+    bed.plain[0].script(&[Act::Refuse]);
+
+    let answers = [bed.call("/once/x").await, bed.call("/once/x").await];
+
+    assert!(answers.iter().all(|answer| answer.status == 200), "{answers:?}");
+}
+
+#[tokio::test]
+async fn a_refusal_by_all_targets_says_not_run() {
+    let bed = Bed::start().await;
+    Bed::script(&bed.plain, &[Act::Refuse]);
+
+    let answer = bed.call("/once/x").await;
+
+    assert_eq!((answer.status.as_u16(), arrivals(&bed.plain)), (503, 2));
+    assert!(answer.headers.contains_key("retry-after"));
+}
+
+#[tokio::test]
+async fn an_answer_to_another_request_is_not_passed_on() {
+    let bed = Bed::start().await;
+    Bed::script(&bed.plain, &[Act::Foreign]);
+
+    let once = bed.call("/once/x").await;
+
+    assert_eq!((once.status.as_u16(), arrivals(&bed.plain)), (502, 1));
+    assert_eq!(once.body.as_deref(), Some(&b""[..]));
+}
+
+#[tokio::test]
+async fn a_repeatable_request_is_sent_again_after_a_failure() {
+    let bed = Bed::start().await;
+    bed.plain[0].script(&[Act::Answer(500, "failed")]);
+    bed.plain[1].script(&[Act::Reset, Act::Answer(200, "ok")]);
+
+    bed.call("/safe/x").await;
+    let answers = [bed.call("/safe/x").await, bed.call("/safe/x").await];
+
+    assert!(answers.iter().any(|answer| answer.status == 200), "{answers:?}");
+}
+
+#[tokio::test]
+async fn time_that_runs_out_ends_a_request_at_once() {
+    let bed = Bed::start().await;
+    Bed::script(&bed.plain, &[Act::Slow(Duration::from_secs(60))]);
+
+    let answer = timeout(Duration::from_secs(5), bed.call("/safe/x")).await.unwrap();
+
+    assert_eq!(answer.status, 504);
+}
+
+#[tokio::test]
+async fn a_broken_stream_goes_on_elsewhere_where_that_is_allowed() {
+    let bed = Bed::start().await;
+    Bed::script(&bed.engines, &[Act::Breaking(vec![FIRST, "id: 3\nda"], REST)]);
+
+    let answer = bed.call("/resumed/x").await;
+
+    let got = [bed.engines[0].got(), bed.engines[1].got()].concat();
+    let last: Vec<_> = got.iter().filter_map(|got| got.headers.get("last-event-id")).collect();
+    assert_eq!(answer.body.as_deref(), Some([FIRST, REST].concat().as_bytes()));
+    assert_eq!((arrivals(&bed.engines), last), (2, vec!["2"]));
+}
+
+#[tokio::test]
+async fn a_broken_stream_that_may_not_go_on_does_not_look_complete() {
+    let bed = Bed::start().await;
+    Bed::script(&bed.engines, &[Act::Stream(vec![FIRST], false)]);
+
+    let answer = bed.call("/stream/x").await;
+
+    assert_eq!((answer.body, arrivals(&bed.engines)), (None, 1));
+}
+
+#[tokio::test]
+async fn a_request_that_breaks_targets_is_not_run_for_ever() {
+    let bed = Bed::start().await;
+    Bed::script(&bed.plain, &[Act::Reset]);
+
+    for _ in 0..6 {
+        assert_eq!(bed.call("/safe/poison").await.status, 502);
+    }
+
+    assert_eq!(arrivals(&bed.plain), 3);
+}
+
+#[tokio::test]
+async fn a_request_with_two_lengths_is_refused_and_what_follows_is_not_read() {
+    let bed = Bed::start().await;
+    let mut stream = TcpStream::connect(bed.callers).await.unwrap();
+    let head = "host: h.example\r\nauthorization: Bearer k1\r\nx-attempt-id: a1\r\n";
+    let sent = format!(
+        "POST /safe/x HTTP/1.1\r\n{head}transfer-encoding: chunked\r\ncontent-length: 5\r\n\r\n0\r\n\r\n\
+         POST /safe/smuggled HTTP/1.1\r\n{head}content-length: 0\r\n\r\n"
+    );
+
+    stream.write_all(sent.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    // A reset is as good as an end: the connection was closed with unread bytes.
+    timeout(Duration::from_secs(5), stream.read_to_string(&mut answer)).await.unwrap().ok();
+
+    assert!(answer.starts_with("HTTP/1.1 400") || answer.is_empty(), "{answer}");
+    assert_eq!(arrivals(&bed.plain), 0);
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_ends_its_request_at_the_target() {
+    let bed = Bed::start().await;
+    Bed::script(&bed.plain, &[Act::Slow(Duration::from_secs(60))]);
+
+    let left = timeout(Duration::from_millis(300), bed.call("/safe/x")).await;
+    Bed::script(&bed.plain, &[Act::Answer(200, "ok")]);
+
+    assert!(left.is_err());
+    assert_eq!(bed.call("/safe/x").await.status, 200);
+}
+
+#[tokio::test]
+async fn a_host_that_stops_serves_on_and_says_that_it_closes() {
+    let bed = Bed::start().await;
+    let Bed { callers, .. } = bed;
+    let stopping = tokio::spawn(bed.host.stop());
+    sleep(Duration::from_millis(200)).await;
+
+    let mut stream = TcpStream::connect(callers).await.unwrap();
+    let sent = "POST /safe/x HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer k1\r\n\
+                x-attempt-id: a1\r\ncontent-length: 0\r\n\r\n";
+    stream.write_all(sent.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    timeout(Duration::from_secs(5), stream.read_to_string(&mut answer)).await.unwrap().unwrap();
+    timeout(Duration::from_secs(5), stopping).await.unwrap().unwrap();
+
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("connection: close"), "{answer}");
+}
