--- a/bins/host/tests/path/main.rs
+++ b/bins/host/tests/path/main.rs
@@ -146,7 +146,8 @@
     let got = [bed.engines[0].got(), bed.engines[1].got()].concat();
     let last: Vec<_> = got.iter().filter_map(|got| got.headers.get("last-event-id")).collect();
     assert_eq!(answer.body.as_deref(), Some([FIRST, REST].concat().as_bytes()));
-    assert_eq!((arrivals(&bed.engines), last), (2, vec!["2"]));
+    assert_eq!((arrivals(&bed.engines), last.len()), (2, 1));
+    assert_eq!(last[0], "2");
 }
 
 #[tokio::test]
