--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -61,6 +61,13 @@
 /// generates: their speeds with prompts.
 const PREFILL_WEIGHT: f64 = 2.0;
 
+/// Probability that the first-ranked engine holds a shared part that this host has not
+/// sent there: all hosts send it there first.
+const OWNER_CACHED: f64 = 1.0;
+
+/// The same for the second-ranked one, which takes over while the first is busy.
+const SECOND_CACHED: f64 = 0.5;
+
 /// Time for which what another host told of its open work counts.
 const HEARD_SPAN: Duration = Duration::from_millis(1_500);
 
@@ -389,12 +396,19 @@
             let weight = if member.entry.stage == Stage::Prefill { PREFILL_WEIGHT } else { 1.0 };
             rank(key, &member.entry.id, weight)
         };
-        let owner = serving.iter().max_by(|a, b| rank(a).total_cmp(&rank(b)))?.entry.id.clone();
+        let mut ranks: SmallVec<[f64; 32]> = serving.iter().map(|member| rank(member)).collect();
+        ranks.sort_unstable_by(|a, b| b.total_cmp(a));
+        let (first, second) = (*ranks.first()?, ranks.get(1).copied());
+        let likely = |member: &Member| match rank(member) {
+            own if own == first => OWNER_CACHED,
+            own if Some(own) == second => SECOND_CACHED,
+            _ => 0.0,
+        };
         let fitting = serving
             .into_iter()
             .filter(|member| stage(member.entry.stage) && !need.except.contains(&member.entry.id));
         let offers = fitting.map(|member| {
-            let missing = member.missing(need.prompt, member.entry.id == owner);
+            let missing = member.missing(need.prompt, likely(member));
             let far = if member.entry.zone == self.zone { 0.0 } else { ZONE_COST };
             let failing = FAILURE_COST * member.health.rate(now);
             let read = member.read_time(missing.shared, need.prompt.tokens) * REREAD_WEIGHT
@@ -427,12 +441,14 @@
 
 impl Member {
     /// Prompt tokens to compute: all after the first part that is not cached.
-    fn missing(&self, prompt: &Prompt, owner: bool) -> Missing {
+    ///
+    /// Shared parts that this host has not sent here are there with probability `likely`.
+    fn missing(&self, prompt: &Prompt, likely: f64) -> Missing {
         let (mut cached, mut shared) = (0, 0);
         let last = prompt.parts.len().saturating_sub(1);
         let mut whole = true;
         for (index, part) in prompt.parts.iter().enumerate() {
-            whole &= self.parts.contains_key(&part.id) || (owner && index < last);
+            whole &= self.parts.contains_key(&part.id);
             if whole {
                 cached += part.tokens;
             } else if index < last {
@@ -440,6 +456,7 @@
             }
         }
         let own = prompt.tokens.saturating_sub(cached + shared);
+        let shared = (f64::from(shared) * (1.0 - likely)) as u32;
         Missing { shared, own: own.max(u32::from(prompt.tokens > 0)) }
     }
 
