--- a/components/clients/src/platform.rs
+++ b/components/clients/src/platform.rs
@@ -3,7 +3,7 @@
 mod http;
 mod objects;
 
-use std::{collections::BTreeMap, net::IpAddr};
+use std::{collections::BTreeMap, net::IpAddr, time::Duration};
 
 use async_trait::async_trait;
 use chervilgate_coord::{StoreCall, StoreReply};
@@ -38,6 +38,12 @@
     /// Makes one call; failures are part of the reply.
     async fn call(&self, call: &StoreCall) -> StoreReply;
 
+    /// Time for which a watch without changes waits at the store before it is answered;
+    /// zero if that is not known.
+    fn watch_wait(&self) -> Duration {
+        Duration::ZERO
+    }
+
     /// Reads one object, possibly as it was seconds ago, where that costs less.
     async fn get_lagging(&self, key: &str) -> StoreReply {
         self.call(&StoreCall::Get { key: key.to_owned() }).await
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -65,7 +65,7 @@
             metrics.view_age.set(age);
             let targets = state.fleet.entries().filter(|entry| !entry.draining);
             metrics.targets.set(targets.count() as i64);
-            metrics.hosts.set(state.members.count(now) as i64);
+            metrics.hosts.set(state.members.count() as i64);
         }
         Response::new(full(metrics.text()))
     }
--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -85,8 +85,7 @@
         }
     };
     loop {
-        let now = shared.now();
-        let hosts = shared.state().members.count(now) as u32;
+        let hosts = shared.state().members.count() as u32;
         sleep((SHEET_PACE * hosts).clamp(SHEET_PACES.0, SHEET_PACES.1)).await;
         let window = shared.time().window(shared.now(), shared.settings.bounds.window);
         let value = shared.state().meter.changed(window).map(serde_json::to_vec);
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -8,7 +8,7 @@
 
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
-use tokio::{net::UdpSocket, time::sleep};
+use tokio::{net::UdpSocket, sync::Notify, time::sleep};
 
 use crate::{fleet::OpenWork, state::Shared, suspects::BrokenRun};
 
@@ -47,7 +47,7 @@
         let (work, broken, peers) = {
             let state = shared.state();
             let broken = state.suspects.to_tell(now);
-            (state.fleet.open_work(), broken, state.members.gossip_addrs(now))
+            (state.fleet.open_work(), broken, state.members.gossip_addrs())
         };
         // The first empty round takes back what was told last; later ones tell that
         // this host lives.
@@ -77,7 +77,9 @@
 }
 
 /// Takes in what other hosts tell.
-pub(crate) async fn hear(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+///
+/// `listing` is told of hosts whose entries are not known.
+pub(crate) async fn hear(shared: Arc<Shared>, socket: Arc<UdpSocket>, listing: Arc<Notify>) {
     let mut buffer = [0; DATAGRAM];
     loop {
         let length = match socket.recv_from(&mut buffer).await {
@@ -93,7 +95,10 @@
                 let now = shared.now();
                 let own = shared.time().at(now).as_micros() as i64;
                 let mut state = shared.state();
-                state.members.hear(now, told.host, told.time as i64 - own);
+                let is_known = state.members.hear(now, told.host, told.time as i64 - own);
+                if !is_known {
+                    listing.notify_one();
+                }
                 for run in told.broken {
                     state.suspects.note(now, run);
                 }
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -71,7 +71,7 @@
 /// A running host.
 pub struct Host {
     shared: Arc<Shared>,
-    leaving: Arc<Notify>,
+    membership: Arc<Notify>,
     stop: watch::Sender<bool>,
     listeners: Vec<JoinHandle<()>>,
 }
@@ -109,17 +109,17 @@
             UdpSocket::bind(addr).await.context(ListenSnafu { addr, purpose: "other hosts" })?;
         let socket = Arc::new(socket);
         tokio::spawn(gossip::tell(shared.clone(), socket.clone()));
-        tokio::spawn(gossip::hear(shared.clone(), socket));
-        let leaving = Arc::new(Notify::new());
+        let membership = Arc::new(Notify::new());
+        tokio::spawn(gossip::hear(shared.clone(), socket, membership.clone()));
         tokio::spawn(follow(shared.clone(), Box::new(ConfigPart)));
         tokio::spawn(follow(shared.clone(), Box::new(TargetPart { prefix })));
-        tokio::spawn(keep_membership(shared.clone(), leaving.clone()));
+        tokio::spawn(keep_membership(shared.clone(), membership.clone()));
         if let Some(DutyCalls { reports, orders }) = duties {
             tokio::spawn(keep_sheet(shared.clone()));
             tokio::spawn(Duties::new(shared.clone(), reports, orders).run());
         }
         log::info!(target: "host", name = shared.settings.name, boot = shared.boot; "started");
-        Ok(Host { shared, leaving, stop, listeners })
+        Ok(Host { shared, membership, stop, listeners })
     }
 
     /// Leaves the directory, serves callers until they have moved, and finishes what
@@ -128,7 +128,7 @@
         log::info!(target: "host", "stopping");
         let grace = self.shared.settings.bounds.grace;
         self.shared.state().leaving = true;
-        self.leaving.notify_one();
+        self.membership.notify_one();
         let accept = grace.mul_f64(ACCEPT_SHARE);
         sleep(accept).await;
         self.stop.send_replace(true);
--- a/components/gateway/src/lease.rs
+++ b/components/gateway/src/lease.rs
@@ -118,7 +118,8 @@
         if self.seen.is_some_and(|(known, _)| version <= known) {
             return;
         }
-        if doc.boot != self.boot || doc.released {
+        let own = doc.boot == self.boot && doc.holder == self.host;
+        if !own || doc.released {
             self.held = None;
         } else if self.held.is_none() {
             // A write whose answer was lost took effect; the next one lets it act.
--- a/components/gateway/src/members.rs
+++ b/components/gateway/src/members.rs
@@ -1,8 +1,9 @@
 //! The hosts that serve callers, as they enter themselves in the store.
 //!
 //! An entry says that a host exists and where; that it lives is heard from itself.
-//! A host that fell silent while others are heard is left out at once; a host that
-//! hears nobody keeps to the entries, since it is more likely cut off than alone.
+//! Only hosts heard of late are told to callers: an entry may outlive its host, and a
+//! process that has just started cannot tell how old it is. A host that hears nobody
+//! tells of itself alone.
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
@@ -11,14 +12,10 @@
 use serde::{Deserialize, Serialize};
 
 /// Time between two writes of a host's entry.
-pub const BEAT: Duration = Duration::from_secs(4);
+pub const BEAT: Duration = Duration::from_secs(6);
 
-/// Time without a change of its entry after which a host is taken as gone: three
-/// beats and the lag of a read that may be old.
-const OLD: Duration = Duration::from_secs(14);
-
-/// Time without hearing from a host after which it is taken as gone, as long as
-/// others are heard. Each host tells a few others ten times a second.
+/// Time without hearing from a host after which it is taken as gone. Each host tells a
+/// few others ten times a second.
 const SILENCE: Duration = Duration::from_secs(3);
 
 /// Hosts of the asker's zone below which it is told of hosts elsewhere too.
@@ -46,9 +43,8 @@
 struct Known {
     entry: HostEntry,
     version: Version,
-    changed: Time,
-    /// When it was first listed or last heard.
-    heard: Time,
+    /// When it was last heard.
+    heard: Option<Time>,
     /// Its true time less this host's when last heard, in microseconds.
     ahead: Option<i64>,
 }
@@ -58,18 +54,18 @@
 pub struct Members {
     own: String,
     known: HashMap<String, Known>,
-    /// When any other host was last heard.
-    any: Option<Time>,
+    listed: bool,
 }
 
 impl Members {
     /// No other host known to the one named `own`.
     pub fn new(own: &str) -> Members {
-        Members { own: own.to_owned(), known: HashMap::new(), any: None }
+        Members { own: own.to_owned(), known: HashMap::new(), listed: false }
     }
 
     /// Takes in the entries that the store lists.
-    pub fn update(&mut self, now: Time, entries: Vec<(String, Version, HostEntry)>) {
+    pub fn update(&mut self, entries: Vec<(String, Version, HostEntry)>) {
+        self.listed = true;
         self.known.retain(|name, _| entries.iter().any(|(listed, ..)| listed == name));
         for (name, version, entry) in entries {
             if name == self.own {
@@ -79,33 +75,37 @@
                 Some(known) if known.version >= version => {}
                 Some(known) => {
                     let same = known.entry.id == entry.id;
-                    let heard = if same { known.heard } else { now };
+                    let heard = known.heard.filter(|_| same);
                     let ahead = known.ahead.filter(|_| same);
-                    *known = Known { entry, version, changed: now, heard, ahead };
+                    *known = Known { entry, version, heard, ahead };
                 }
                 None => {
-                    self.known.insert(
-                        name,
-                        Known { entry, version, changed: now, heard: now, ahead: None },
-                    );
+                    self.known.insert(name, Known { entry, version, heard: None, ahead: None });
                 }
             }
         }
     }
 
+    /// Whether the entries have been listed once.
+    pub fn is_listed(&self) -> bool {
+        self.listed
+    }
+
     /// Notes that the host that `id` stands for lives, and that its true time is
-    /// `ahead` microseconds of this host's.
-    pub fn hear(&mut self, now: Time, id: u32, ahead: i64) {
-        self.any = Some(now);
+    /// `ahead` microseconds of this host's. False if its entry is not known.
+    pub fn hear(&mut self, now: Time, id: u32, ahead: i64) -> bool {
+        let mut is_known = false;
         for known in self.known.values_mut().filter(|known| known.entry.id == id) {
-            known.heard = now;
+            known.heard = Some(now);
             known.ahead = Some(ahead);
+            is_known = true;
         }
+        is_known
     }
 
     /// What the hosts heard of late take for true time, less this host's.
     pub fn times(&self, now: Time) -> Vec<i64> {
-        let heard = self.known.values().filter(|known| now.since(known.heard) < SILENCE);
+        let heard = self.known.values().filter(|known| known.is_heard(now));
         heard.filter_map(|known| known.ahead).collect()
     }
 
@@ -118,13 +118,13 @@
 
     /// Names of the other hosts that serve.
     pub fn names(&self, now: Time) -> impl Iterator<Item = &str> {
-        let serving = self.known.iter().filter(move |(_, known)| self.serves(now, known));
+        let serving = self.known.iter().filter(move |(_, known)| known.serves(now));
         serving.map(|(name, _)| name.as_str())
     }
 
-    /// Hosts that serve, this one included.
-    pub fn count(&self, now: Time) -> usize {
-        1 + self.serving(now).count()
+    /// Hosts that may serve, this one included: also those not heard yet.
+    pub fn count(&self) -> usize {
+        1 + self.known.values().filter(|known| !known.entry.leaving).count()
     }
 
     /// Addresses for a caller in `zone`, `own` among them if this host serves.
@@ -138,24 +138,24 @@
         serving.iter().map(|entry| entry.addr).collect()
     }
 
-    /// Where the other hosts hear of this host's open work.
-    pub fn gossip_addrs(&self, now: Time) -> Vec<SocketAddr> {
-        self.serving(now).map(|entry| entry.gossip).collect()
+    /// Where the other hosts hear of this host's open work; also those not heard yet.
+    pub fn gossip_addrs(&self) -> Vec<SocketAddr> {
+        let staying = self.known.values().filter(|known| !known.entry.leaving);
+        staying.map(|known| known.entry.gossip).collect()
     }
 
     fn serving(&self, now: Time) -> impl Iterator<Item = &HostEntry> {
-        let serving = self.known.values().filter(move |known| self.serves(now, known));
+        let serving = self.known.values().filter(move |known| known.serves(now));
         serving.map(|known| &known.entry)
     }
+}
+
+impl Known {
+    fn is_heard(&self, now: Time) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) < SILENCE)
+    }
 
-    fn serves(&self, now: Time, known: &Known) -> bool {
-        if known.entry.leaving {
-            return false;
-        }
-        let hears = self.any.is_some_and(|any| now.since(any) < SILENCE);
-        if hears {
-            return now.since(known.heard) < SILENCE;
-        }
-        now.since(known.changed) < OLD
+    fn serves(&self, now: Time) -> bool {
+        !self.entry.leaving && self.is_heard(now)
     }
 }
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -97,7 +97,7 @@
         };
         let org = org.and(still);
         let service = route.service(rand::random()).cloned().ok_or(Failure::NoTarget)?;
-        self.shared.earn(begun, &service);
+        self.shared.earn(&service);
         let priority = org.as_ref().and_then(|org| org.priority).unwrap_or(route.priority);
         let fingerprint = Fingerprint::new(head.uri.path(), ask.key.as_deref(), &body);
         if !self.shared.state().suspects.may_run(self.shared.now(), fingerprint) {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -61,7 +61,7 @@
         store: Arc<dyn ObjectStore>,
     ) -> Shared {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-        let boot = wall.as_micros() as u64;
+        let boot = rand::random();
         let bounds = &settings.bounds;
         let state = State {
             view: View::new(bounds.revoke, bounds.refuse_stale),
@@ -109,7 +109,7 @@
     /// Whether callers should come here.
     pub(crate) fn is_ready(&self, now: Time) -> bool {
         let state = self.state();
-        state.listed && !state.leaving && state.view.is_fresh(now)
+        state.listed && state.members.is_listed() && !state.leaving && state.view.is_fresh(now)
     }
 
     /// This host's entry among those that serve callers.
@@ -138,24 +138,19 @@
     }
 
     /// Counts a request for `service` towards its retry budget.
-    pub(crate) fn earn(&self, now: Time, service: &Arc<str>) {
-        self.with_budget(now, service, RetryBudget::earn);
+    pub(crate) fn earn(&self, service: &Arc<str>) {
+        self.with_budget(service, RetryBudget::earn);
     }
 
     /// Takes a second attempt from the budget of `service`, if one is left.
     pub(crate) fn spend(&self, now: Time, service: &Arc<str>) -> bool {
-        self.with_budget(now, service, |budget| budget.spend(now))
+        self.with_budget(service, |budget| budget.spend(now))
     }
 
-    fn with_budget<T>(
-        &self,
-        now: Time,
-        service: &Arc<str>,
-        act: impl FnOnce(&mut RetryBudget) -> T,
-    ) -> T {
+    fn with_budget<T>(&self, service: &Arc<str>, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut state = self.state();
         if !state.budgets.contains_key(service) {
-            let hosts = state.members.count(now) as f64;
+            let hosts = state.members.count() as f64;
             let bounds = &self.settings.bounds;
             let settings = RetrySettings {
                 ratio: bounds.retry_ratio * BUDGET_SHARE,
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -6,7 +6,7 @@
 use chervilgate_coord::{Change, Object, StoreCall, StoreReply, Version};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use tokio::time::sleep;
+use tokio::{sync::Notify, time::sleep};
 
 use crate::{
     members::{BEAT, HostEntry},
@@ -15,11 +15,14 @@
 };
 
 /// Pause after a call that failed.
-const PAUSE: Duration = Duration::from_millis(200);
+const PAUSE: Duration = Duration::from_millis(350);
 
 /// Pause after changes of targets, as a share of the time in which a leaving target may
 /// still get work.
-const GATHER_SHARE: f64 = 0.2;
+const GATHER_SHARE: f64 = 0.3;
+
+/// Time between two lists of hosts at least.
+const LIST_PAUSE: Duration = Duration::from_millis(300);
 
 /// Start of the keys of hosts' entries.
 const HOSTS: &str = "hosts/";
@@ -73,9 +76,12 @@
                 for change in &changes {
                     part.change(&shared, now, change);
                 }
-                part.confirm(&shared, sent);
                 known = Some(version);
-                if !changes.is_empty() {
+                if changes.is_empty() {
+                    // The store waited that long for a change before it answered.
+                    part.confirm(&shared, sent + shared.store.watch_wait());
+                } else {
+                    part.confirm(&shared, sent);
                     sleep(part.gather(&shared)).await;
                 }
             }
@@ -89,6 +95,8 @@
                     shared.metrics.count_store_loss();
                     lost = true;
                 }
+                // A list is answered at once when the store is back; a watch would wait.
+                known = None;
                 sleep(PAUSE).await;
             }
         }
@@ -228,13 +236,23 @@
 }
 
 /// Keeps this host's entry and the list of the others up to date.
-pub(crate) async fn keep_membership(shared: Arc<Shared>, leaving: Arc<tokio::sync::Notify>) {
+///
+/// `early` asks for that before its time: this host leaves, or an unknown one was heard.
+pub(crate) async fn keep_membership(shared: Arc<Shared>, early: Arc<Notify>) {
     let mut beat = 0;
     let mut version: Option<Version> = None;
+    let mut written: Option<(HostEntry, Time)> = None;
     loop {
-        beat += 1;
+        let now = shared.now();
         let entry = shared.entry(beat);
-        version = write_entry(&shared, &entry, version).await;
+        let due = written.as_ref().is_none_or(|(known, at)| *known != entry || now >= *at + BEAT);
+        if due {
+            beat += 1;
+            let entry = shared.entry(beat);
+            let known = write_entry(&shared, &entry, version).await;
+            written = (known != version).then(|| (entry, now));
+            version = known;
+        }
         let listed = shared.store.list_lagging(HOSTS).await;
         if let StoreReply::Listed { objects, .. } = listed {
             let entries = own::<HostEntry>(&objects).into_iter().map(|(object, entry)| {
@@ -242,11 +260,11 @@
                 (name.to_owned(), object.version, entry)
             });
             let entries = entries.collect();
-            shared.state().members.update(shared.now(), entries);
+            shared.state().members.update(entries);
         }
         tokio::select! {
-            () = sleep(BEAT) => {}
-            () = leaving.notified() => {}
+            () = sleep(if written.is_some() { BEAT } else { LIST_PAUSE }) => {}
+            () = early.notified() => sleep(LIST_PAUSE).await,
         }
     }
 }
--- a/components/gateway/tests/duties.rs
+++ b/components/gateway/tests/duties.rs
@@ -73,6 +73,18 @@
     assert!(!held.is_holder() && !held.may_act(millis(110)));
 }
 
+// Two hosts drew the same boot number from a clock that they read in the same microsecond; each took
+// the other's lease for its own: tbilisi-arrivals scale-1 --seed 194874090585.
+#[test]
+fn hosts_with_the_same_boot_number_do_not_share_a_lease() {
+    let held = holder("a");
+    let mut other = Lease::new("b", 1, SPAN);
+
+    other.observe(millis(100), Version(1), held.doc().clone());
+
+    assert!(!other.is_holder() && !other.may_act(millis(110)));
+}
+
 #[test]
 fn a_released_lease_is_free_but_the_next_holder_waits() {
     let mut held = holder("a");
