--- a/components/gateway/src/config.rs
+++ b/components/gateway/src/config.rs
@@ -30,6 +30,9 @@
     }
 }
 
+/// Services with their weights.
+pub type Split = SmallVec<[(Arc<str>, u32); 2]>;
+
 /// One route of one host name.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Route {
@@ -50,7 +53,7 @@
     /// Rank; 0 goes first.
     pub priority: u8,
     /// Services with the weights by which requests are split.
-    pub services: SmallVec<[(Arc<str>, u32); 2]>,
+    pub services: Split,
     /// Whether requests without a key are served.
     pub open: bool,
 }
--- a/components/gateway/src/supply.rs
+++ b/components/gateway/src/supply.rs
@@ -7,7 +7,11 @@
 //! returned once reclaimable ones serve in their place, and ordered again where none
 //! are to be had and too few serve elsewhere.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use chervilgate_clients::TargetOrder;
 use chervilgate_clock::Time;
@@ -33,8 +37,14 @@
 struct Stock {
     steady: u32,
     cheap: u32,
-    /// Reclaimable targets that are about to leave.
-    leaving: u32,
+}
+
+/// What an order is for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Subject {
+    service: String,
+    zone: String,
+    cheap: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -47,7 +57,7 @@
 /// Orders of one process that holds the duty.
 #[derive(Debug, Default)]
 pub struct Supply {
-    placed: HashMap<(String, String, bool), Placed>,
+    placed: HashMap<Subject, Placed>,
 }
 
 impl Supply {
@@ -64,40 +74,22 @@
         scaling: &Scaling,
         entries: impl Iterator<Item = &'a TargetEntry>,
     ) -> Vec<TargetOrder> {
-        let mut zones: Vec<&str> = scaling.zone_prices.keys().map(String::as_str).collect();
-        zones.sort_unstable();
-        let mut stock: HashMap<&str, Stock> =
-            zones.iter().map(|&zone| (zone, Stock::default())).collect();
-        let entries: Vec<&TargetEntry> =
-            entries.filter(|entry| &*entry.service == service).collect();
-        for entry in &entries {
-            let Some(stock) = stock.get_mut(&*entry.zone) else { continue };
-            match (entry.cheap, entry.draining) {
-                (true, true) => stock.leaving += 1,
-                (true, false) => stock.cheap += 1,
-                (false, false) => stock.steady += 1,
-                (false, true) => {}
-            }
+        if scaling.cheap_price.is_none_or(|price| price > CHEAP_ENOUGH) {
+            return Vec::new();
         }
-        let cheap = scaling.cheap_price.is_some_and(|price| price <= CHEAP_ENOUGH);
-        let used: Vec<&str> =
-            zones.into_iter().filter(|zone| self.is_used(service, zone, &stock[zone])).collect();
         let mut orders = Vec::new();
-        for zone in used.into_iter().filter(|_| cheap) {
-            let have = stock[zone];
-            let kept = ((f64::from(scaling.max) * STEADY_SHARE).ceil() as u32).max(scaling.min);
-            let dry = have.cheap == 0 && self.is_refused(service, zone, true);
-            let steady = if dry {
-                kept.max((f64::from(scaling.max) * DRY_SHARE) as u32)
-            } else if have.cheap >= have.steady.min(scaling.max - kept) {
-                kept
-            } else {
-                have.steady
-            };
-            let wanted = scaling.max.saturating_sub(have.steady.max(steady));
-            self.want(now, service, zone, true, wanted, have.cheap, &mut orders);
-            if steady != have.steady || self.was_ordered(service, zone, false) {
-                self.want(now, service, zone, false, steady, have.steady, &mut orders);
+        for (zone, have) in stock(service, scaling, entries) {
+            let cheap = Subject { service: service.to_owned(), zone: zone.to_owned(), cheap: true };
+            let steady = Subject { cheap: false, ..cheap.clone() };
+            if have == Stock::default() && !self.placed.contains_key(&cheap) {
+                // The service does not run in this zone.
+                continue;
+            }
+            let kept = self.steady(scaling, &have, &cheap);
+            let wanted = scaling.max.saturating_sub(have.steady.max(kept));
+            orders.extend(self.want(now, cheap, wanted, have.cheap));
+            if kept != have.steady || self.placed.contains_key(&steady) {
+                orders.extend(self.want(now, steady, kept, have.steady));
             }
         }
         orders
@@ -105,53 +97,65 @@
 
     /// Notes that an order was refused or accepted.
     pub fn note(&mut self, order: &TargetOrder, accepted: bool) {
-        let key = (order.service.clone(), order.zone.clone(), order.cheap);
-        if let Some(placed) = self.placed.get_mut(&key) {
+        let TargetOrder { service, zone, cheap, .. } = order;
+        let subject = Subject { service: service.clone(), zone: zone.clone(), cheap: *cheap };
+        if let Some(placed) = self.placed.get_mut(&subject) {
             placed.refused = !accepted;
         }
     }
 
-    /// Whether the service runs in a zone, as far as can be seen.
-    fn is_used(&self, service: &str, zone: &str, stock: &Stock) -> bool {
-        *stock != Stock::default() || self.was_ordered(service, zone, true)
-    }
-
-    fn is_refused(&self, service: &str, zone: &str, cheap: bool) -> bool {
-        let key = (service.to_owned(), zone.to_owned(), cheap);
-        self.placed.get(&key).is_some_and(|placed| placed.refused)
-    }
-
-    fn was_ordered(&self, service: &str, zone: &str, cheap: bool) -> bool {
-        self.placed.contains_key(&(service.to_owned(), zone.to_owned(), cheap))
+    /// Steady targets that a zone is to have.
+    fn steady(&self, scaling: &Scaling, have: &Stock, cheap: &Subject) -> u32 {
+        let share = |share: f64| (f64::from(scaling.max) * share).ceil() as u32;
+        let kept = share(STEADY_SHARE).max(scaling.min).max(1);
+        let refused = self.placed.get(cheap).is_some_and(|placed| placed.refused);
+        if have.cheap == 0 && refused {
+            return kept.max(share(DRY_SHARE));
+        }
+        if have.cheap >= have.steady.min(scaling.max.saturating_sub(kept)) {
+            return kept;
+        }
+        have.steady
     }
 
-    fn want(
-        &mut self,
-        now: Time,
-        service: &str,
-        zone: &str,
-        cheap: bool,
-        wanted: u32,
-        have: u32,
-        orders: &mut Vec<TargetOrder>,
-    ) {
-        let key = (service.to_owned(), zone.to_owned(), cheap);
-        let due = self.placed.get(&key).is_none_or(|placed| {
+    /// The order to place for `subject`, if one is due.
+    fn want(&mut self, now: Time, subject: Subject, wanted: u32, have: u32) -> Option<TargetOrder> {
+        let due = self.placed.get(&subject).is_none_or(|placed| {
             placed.count != wanted || (have != wanted && now.since(placed.at) >= REPEAT)
         });
         if !due {
-            return;
+            return None;
         }
-        self.placed.insert(key, Placed { count: wanted, at: now, refused: false });
-        orders.push(TargetOrder {
+        let order = TargetOrder {
             id: String::new(),
             epoch: 0,
-            zone: zone.to_owned(),
-            service: service.to_owned(),
+            zone: subject.zone.clone(),
+            service: subject.service.clone(),
             count: wanted,
-            cheap,
-        });
+            cheap: subject.cheap,
+        };
+        self.placed.insert(subject, Placed { count: wanted, at: now, refused: false });
+        Some(order)
+    }
+}
+
+/// What each zone has of `service`, in order of the zones' names.
+fn stock<'a, 'b>(
+    service: &str,
+    scaling: &'b Scaling,
+    entries: impl Iterator<Item = &'a TargetEntry>,
+) -> BTreeMap<&'b str, Stock> {
+    let zones = scaling.zone_prices.keys().map(|zone| (zone.as_str(), Stock::default()));
+    let mut stock: BTreeMap<&str, Stock> = zones.collect();
+    for entry in entries.filter(|entry| &*entry.service == service && !entry.draining) {
+        let Some(stock) = stock.get_mut(&*entry.zone) else { continue };
+        if entry.cheap {
+            stock.cheap += 1;
+        } else {
+            stock.steady += 1;
+        }
     }
+    stock
 }
 
 /// A service with how it is ordered.
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -250,7 +250,7 @@
             beat += 1;
             let entry = shared.entry(beat);
             let known = write_entry(&shared, &entry, version).await;
-            written = (known != version).then(|| (entry, now));
+            written = (known != version).then_some((entry, now));
             version = known;
         }
         let listed = shared.store.list_lagging(HOSTS).await;
--- a/components/gateway/tests/members.rs
+++ b/components/gateway/tests/members.rs
@@ -21,17 +21,17 @@
     format!("10.0.0.{id}:80").parse().unwrap()
 }
 
-/// Hosts 1 to 3 as listed at `now`, seen from another one.
-fn members(now: Time) -> Members {
+/// Hosts 1 to 3 as listed, seen from another one.
+fn listed() -> Members {
     let mut members = Members::new("own");
-    let listed = (1..=3).map(|id| (format!("host-{id}"), Version(u64::from(id)), entry(id, "a")));
-    members.update(listed.collect());
+    let entries = (1..=3).map(|id| (format!("host-{id}"), Version(u64::from(id)), entry(id, "a")));
+    members.update(entries.collect());
     members
 }
 
 /// The same, all of them heard.
 fn heard(now: Time) -> Members {
-    let mut members = members(now);
+    let mut members = listed();
     for id in 1..=3 {
         members.hear(now, id, 0);
     }
@@ -65,7 +65,7 @@
 #[test]
 fn a_host_that_was_never_heard_is_not_told() {
     let start = Time::from_secs(10);
-    let members = members(start);
+    let members = listed();
 
     assert!(told(&members, start).is_empty());
     assert_eq!(members.gossip_addrs().len(), 3);
@@ -73,15 +73,13 @@
 
 #[test]
 fn hosts_are_counted_before_they_are_heard() {
-    let start = Time::from_secs(10);
-
-    assert_eq!(members(start).count(), 4);
+    assert_eq!(listed().count(), 4);
 }
 
 #[test]
 fn an_unknown_host_is_noticed() {
     let start = Time::from_secs(10);
-    let mut members = members(start);
+    let mut members = listed();
 
     assert!(members.hear(start, 3, 0));
     assert!(!members.hear(start, 9, 0));
@@ -104,7 +102,7 @@
 #[test]
 fn an_older_read_reverts_nothing() {
     let start = Time::from_secs(10);
-    let mut members = members(start);
+    let mut members = listed();
     let leaving = HostEntry { leaving: true, ..entry(2, "a") };
     members.update(vec![("host-2".to_owned(), Version(9), leaving)]);
 
@@ -116,7 +114,7 @@
 #[test]
 fn callers_are_told_of_their_zone_if_it_has_hosts_enough() {
     let start = Time::from_secs(10);
-    let mut members = members(start);
+    let mut members = listed();
     let far = entry(4, "b");
     let listed = (1..=3).map(|id| (format!("host-{id}"), Version(u64::from(id)), entry(id, "a")));
     members.update(listed.chain([("host-4".to_owned(), Version(4), far)]).collect());
