--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -13,13 +13,14 @@
 
 use crate::{
     config::Route,
-    fleet::{Outcome, Place},
+    fleet::{Outcome, Place, Ticket},
     protocol::{AnswerHead, Ask, Handover, Work},
     state::Shared,
     suspects::Fingerprint,
 };
 
-/// Time that a target gets for the prompt's computation before it is done elsewhere.
+/// Longest time that a target gets for a prompt's computation before it is done
+/// elsewhere.
 const PREFILL_LIMIT: Duration = Duration::from_millis(2_500);
 
 /// A caller's request, read whole.
@@ -42,7 +43,7 @@
 pub(crate) struct Open {
     shared: Arc<Shared>,
     pub(crate) place: Place,
-    computed: bool,
+    ticket: Ticket,
     /// How the target did.
     pub(crate) outcome: Outcome,
 }
@@ -51,23 +52,20 @@
     /// Counts `call` at `place`.
     pub(crate) fn new(shared: &Arc<Shared>, place: Place, call: &Call) -> Open {
         let now = shared.now();
-        shared.state().fleet.start(now, &place, &call.ask.prompt);
-        Open { shared: shared.clone(), place, computed: false, outcome: Outcome::Neutral }
+        let ticket = shared.state().fleet.start(now, &place, &call.ask.prompt);
+        Open { shared: shared.clone(), place, ticket, outcome: Outcome::Neutral }
     }
 
     /// Counts the prompt as computed.
-    pub(crate) fn computed(&mut self) {
-        if !std::mem::replace(&mut self.computed, true) {
-            self.shared.state().fleet.computed(&self.place);
-        }
+    pub(crate) fn computed(&self) {
+        self.shared.state().fleet.computed(&self.place, self.ticket);
     }
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
-        self.computed();
         let now = self.shared.now();
-        self.shared.state().fleet.finish(now, &self.place, self.outcome);
+        self.shared.state().fleet.finish(now, &self.place, self.ticket, self.outcome);
     }
 }
 
@@ -206,8 +204,13 @@
 /// Has the prompt of `call` computed at `place`; none if that failed.
 pub(crate) async fn prefill(shared: &Arc<Shared>, call: &Call, place: Place) -> Option<Export> {
     let mut open = Open::new(shared, place, call);
-    let sent = send(shared, call, &mut open, Work::Prefill, None);
-    let Ok(Taken::Answered(response)) = timeout(PREFILL_LIMIT, sent).await else { return None };
+    let sent = timeout(PREFILL_LIMIT, send(shared, call, &mut open, Work::Prefill, None)).await;
+    let Ok(taken) = sent else {
+        log::warn!(target: "gateway", id = call.ask.id, target = open.place.id; "prompt is late");
+        open.outcome = Outcome::Failed;
+        return None;
+    };
+    let Taken::Answered(response) = taken else { return None };
     if !response.status().is_success() {
         return None;
     }
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -68,14 +68,26 @@
 /// The same for the second-ranked one, which takes over while the first is busy.
 const SECOND_CACHED: f64 = 0.5;
 
+/// Time beyond a prediction after which a request without a first token counts as
+/// overdue: several steps of a full batch.
+const OVERDUE_GRACE: Duration = Duration::from_millis(1_000);
+
+/// What a target's failures, as another host tells of them, cost in milliseconds for
+/// each unit of its failure rate: less than own experience, since the fault may lie
+/// between that host and the target.
+const TOLD_FAILURE_COST: f64 = 400.0;
+
+/// Failure rate from which other hosts are told.
+const TOLD_FAILURE_RATE: f64 = 0.3;
+
 /// Time for which what another host told of its open work counts.
 const HEARD_SPAN: Duration = Duration::from_millis(1_500);
 
 /// Parts of prompts remembered for each target.
 const PARTS: usize = 512;
 
-/// Time after which an entry that was deleted while the store was just back is
-/// given up, as a share of the time in which a leaving target may get work.
+/// Time after an outage of the store for which a target without an entry is kept, as
+/// a share of the time in which a leaving target may get work.
 const LAPSED_SHARE: f64 = 0.9;
 
 /// What an engine is set up to do.
@@ -151,11 +163,10 @@
     pub prefill: Option<Place>,
 }
 
-impl Plan {
-    /// Time until the first token, in milliseconds.
-    pub fn first_token(&self) -> f64 {
-        let first = self.prefill.as_ref().unwrap_or(&self.place);
-        first.wait + first.read
+impl Place {
+    /// Time until the prompt is computed.
+    pub fn predicted(&self) -> Duration {
+        Duration::from_secs_f64((self.wait + self.read).max(0.0) / 1e3)
     }
 }
 
@@ -203,6 +214,8 @@
     open: u32,
     /// Prompt computation sent and not known to be done, in milliseconds.
     pending: f64,
+    /// When each request without a first token is overdue.
+    due: SmallVec<[(Ticket, Time); 4]>,
     parts: HashMap<u64, Time>,
     health: Health,
     lapses: Option<Time>,
@@ -216,8 +229,13 @@
     members: HashMap<Arc<str>, Member>,
     heard: HashMap<u32, Heard>,
     back: Option<Time>,
+    tickets: u64,
 }
 
+/// One request at one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ticket(u64);
+
 impl Fleet {
     /// A fleet without targets, as seen from `zone`.
     pub fn new(zone: &str, drain: Duration) -> Fleet {
@@ -227,6 +245,7 @@
             members: HashMap::new(),
             heard: HashMap::new(),
             back: None,
+            tickets: 0,
         }
     }
 
@@ -244,6 +263,7 @@
                 others_pending: 0.0,
                 open: 0,
                 pending: 0.0,
+                due: SmallVec::new(),
                 parts: HashMap::new(),
                 health: Health::new(now),
                 lapses: None,
@@ -260,35 +280,29 @@
         known.entry = entry;
     }
 
-    /// Takes a target out whose entry is gone.
-    ///
-    /// Entries that lapsed during an outage of the store come back soon after it;
-    /// until then the target is kept, but no longer than a leaving one may be.
-    pub fn remove(&mut self, now: Time, id: &str) {
-        let hold = self.drain.mul_f64(LAPSED_SHARE);
-        let recent = self.back.is_some_and(|back| now.since(back) < hold);
-        if !recent {
-            self.members.remove(id);
-            return;
-        }
-        if let Some(member) = self.members.get_mut(id)
-            && member.lapses.is_none()
-        {
-            member.lapses = Some(now + hold);
-        }
+    /// Takes a target out whose entry was deleted.
+    pub fn remove(&mut self, id: &str) {
+        self.members.remove(id);
     }
 
     /// Takes over a whole list of entries; targets that it leaves out are removed.
+    ///
+    /// Entries that lapsed during an outage of the store come back soon after it;
+    /// until then their targets are kept, but no longer than a leaving one may be.
     pub fn replace(&mut self, now: Time, entries: Vec<TargetEntry>) {
-        let kept: Vec<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let listed: Vec<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
         for entry in entries {
             self.set(now, entry);
         }
-        let gone: Vec<Arc<str>> =
-            self.members.keys().filter(|id| !kept.contains(id)).cloned().collect();
-        for id in gone {
-            self.remove(now, &id);
-        }
+        let hold = self.drain.mul_f64(LAPSED_SHARE);
+        let until = self.back.map(|back| back + hold).filter(|until| now < *until);
+        self.members.retain(|id, member| {
+            if listed.contains(id) {
+                return true;
+            }
+            member.lapses = member.lapses.or(until);
+            member.lapses.is_some_and(|lapses| now < lapses)
+        });
     }
 
     /// Every target's entry.
@@ -326,11 +340,12 @@
     }
 
     /// This host's open work, to tell the other hosts.
-    pub fn open_work(&self) -> Vec<OpenWork> {
-        let busy = self.members.values().filter(|member| member.open > 0);
-        let work = busy.map(|member| OpenWork {
+    pub fn open_work(&self, now: Time) -> Vec<OpenWork> {
+        let failing = |member: &Member| member.health.rate(now) >= TOLD_FAILURE_RATE;
+        let told = self.members.values().filter(|member| member.open > 0 || failing(member));
+        let work = told.map(|member| OpenWork {
             target: member.key,
-            pending: member.pending.min(f64::from(u16::MAX)) as u16,
+            pending: member.told(now).min(f64::from(u16::MAX)) as u16,
             open: u16::try_from(member.open).unwrap_or(u16::MAX),
         });
         work.collect()
@@ -340,6 +355,7 @@
     pub fn hear(&mut self, now: Time, host: u32, work: Vec<OpenWork>) {
         self.heard.insert(host, Heard { at: now, work });
         self.heard.retain(|_, heard| now.since(heard.at) < HEARD_SPAN);
+        self.members.retain(|_, member| member.lapses.is_none_or(|lapses| now < lapses));
         for member in self.members.values_mut() {
             let told = self.heard.values().flat_map(|heard| &heard.work);
             let told = told.filter(|work| work.target == member.key);
@@ -352,10 +368,13 @@
     }
 
     /// Counts a request as sent to its place.
-    pub fn start(&mut self, now: Time, place: &Place, prompt: &Prompt) {
-        let Some(member) = self.members.get_mut(&place.id) else { return };
+    pub fn start(&mut self, now: Time, place: &Place, prompt: &Prompt) -> Ticket {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        let Some(member) = self.members.get_mut(&place.id) else { return ticket };
         member.open += 1;
         member.pending += place.read;
+        member.due.push((ticket, now + place.predicted() * 2 + OVERDUE_GRACE));
         for part in &prompt.parts {
             member.parts.insert(part.id, now);
         }
@@ -365,16 +384,20 @@
             let median = *times.select_nth_unstable(middle).1;
             member.parts.retain(|_, used| *used > median);
         }
+        ticket
     }
 
-    /// Counts a request's prompt as computed.
-    pub fn computed(&mut self, place: &Place) {
+    /// Counts a request's prompt as computed; doing so again changes nothing.
+    pub fn computed(&mut self, place: &Place, ticket: Ticket) {
         let Some(member) = self.members.get_mut(&place.id) else { return };
+        let Some(at) = member.due.iter().position(|(known, _)| *known == ticket) else { return };
+        member.due.remove(at);
         member.pending = (member.pending - place.read).max(0.0);
     }
 
     /// Counts a request as ended.
-    pub fn finish(&mut self, now: Time, place: &Place, outcome: Outcome) {
+    pub fn finish(&mut self, now: Time, place: &Place, ticket: Ticket, outcome: Outcome) {
+        self.computed(place, ticket);
         let Some(member) = self.members.get_mut(&place.id) else { return };
         member.open = member.open.saturating_sub(1);
         member.health.note(now, outcome);
@@ -413,7 +436,7 @@
             let failing = FAILURE_COST * member.health.rate(now);
             let read = member.read_time(missing.shared, need.prompt.tokens) * REREAD_WEIGHT
                 + member.read_time(missing.own, need.prompt.tokens);
-            (member, missing, member.wait() + read + far + failing)
+            (member, missing, member.wait(now) + read + far + failing)
         });
         let (member, missing, cost) = offers
             .min_by(|a, b| a.2.total_cmp(&b.2).then_with(|| rank(b.0).total_cmp(&rank(a.0))))?;
@@ -424,7 +447,7 @@
             zone: member.entry.zone.clone(),
             compute,
             read: member.read_time(compute, need.prompt.tokens),
-            wait: member.wait(),
+            wait: member.wait(now),
             cost,
         })
     }
@@ -468,13 +491,27 @@
     }
 
     /// Time until the target begins with a new request, in milliseconds.
-    fn wait(&self) -> f64 {
+    fn wait(&self, now: Time) -> f64 {
         let open = f64::from(self.open + self.others_open);
+        let late = self.overdue(now) + self.others_pending;
         if self.entry.stage == Stage::Whole {
-            return open * PLAIN_COST / f64::from(self.entry.slots.max(1));
+            return open * PLAIN_COST / f64::from(self.entry.slots.max(1)) + late;
         }
         let crowding = if self.entry.stage == Stage::Decode { open * OPEN_COST } else { 0.0 };
-        self.pending + self.others_pending + crowding
+        self.pending + late + crowding
+    }
+
+    /// How long the oldest request without a first token is overdue, in milliseconds.
+    ///
+    /// A target may accept requests and stay silent; nothing else shows it.
+    fn overdue(&self, now: Time) -> f64 {
+        let oldest = self.due.iter().map(|(_, due)| *due).min();
+        oldest.map_or(0.0, |due| now.since(due).as_secs_f64() * 1e3)
+    }
+
+    /// What other hosts are told of the work in front of the target.
+    fn told(&self, now: Time) -> f64 {
+        self.pending + self.overdue(now) + TOLD_FAILURE_COST * self.health.rate(now)
     }
 }
 
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -47,7 +47,7 @@
         let (work, broken, peers) = {
             let state = shared.state();
             let broken = state.suspects.to_tell(now);
-            (state.fleet.open_work(), broken, state.members.gossip_addrs())
+            (state.fleet.open_work(now), broken, state.members.gossip_addrs())
         };
         // The first empty round takes back what was told last; later ones tell that
         // this host lives.
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -205,13 +205,13 @@
                 Err(error) => {
                     TargetPart::log_skipped(object, &error);
                     let id = object.key.strip_prefix(&self.prefix).unwrap_or(&object.key);
-                    shared.state().fleet.remove(now, id);
+                    shared.state().fleet.remove(id);
                 }
             },
             Change::Delete { key, .. } => {
                 let id = key.strip_prefix(&self.prefix).unwrap_or(key);
                 log::info!(target: "fleet", id; "target's entry gone");
-                shared.state().fleet.remove(now, id);
+                shared.state().fleet.remove(id);
             }
         }
     }
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -91,7 +91,7 @@
     let place = Place { read: 5_000.0, ..owner.clone() };
     told.start(now, &place, &asked);
 
-    busy.hear(now, 1, told.open_work());
+    busy.hear(now, 1, told.open_work(now));
 
     assert_ne!(reader(&busy, now, &asked).id, owner.id);
 }
@@ -105,7 +105,7 @@
     let mut teller = Fleet::new("a", DRAIN);
     teller.set(now, entry(&owner.id, Stage::Decode, "a"));
     teller.start(now, &Place { read: 5_000.0, ..owner.clone() }, &asked);
-    fleet.hear(now, 1, teller.open_work());
+    fleet.hear(now, 1, teller.open_work(now));
 
     fleet.hear(now, 1, Vec::<OpenWork>::new());
 
@@ -119,11 +119,11 @@
     let mut fleet = fleet(&engines(4, 8));
     let before = reader(&fleet, now, &asked);
 
-    fleet.start(now, &before, &asked);
-    fleet.computed(&before);
-    fleet.finish(now, &before, Outcome::Answered);
+    let ticket = fleet.start(now, &before, &asked);
+    fleet.computed(&before, ticket);
+    fleet.finish(now, &before, ticket, Outcome::Answered);
 
-    assert!(fleet.open_work().is_empty());
+    assert!(fleet.open_work(now).is_empty());
     let after = reader(&fleet, now, &asked);
     assert_eq!((after.id, after.wait), (before.id, 0.0));
 }
@@ -158,8 +158,8 @@
     let mut fleet = fleet(&entries);
     let near = fleet.place(now, &need(&asked, &[])).unwrap().place;
 
-    fleet.start(now, &near, &asked);
-    fleet.finish(now, &near, Outcome::Unreachable);
+    let ticket = fleet.start(now, &near, &asked);
+    fleet.finish(now, &near, ticket, Outcome::Unreachable);
 
     let next = fleet.place(now, &need(&asked, &[])).unwrap().place;
     let later = now + Duration::from_secs(30);
@@ -167,12 +167,30 @@
     assert_eq!(&*fleet.place(later, &need(&asked, &[])).unwrap().place.id, "s0");
 }
 
+// Seven engines accepted requests and never answered; each host went on sending to them until the
+// first ones ran out of time: tbilisi-arrivals-grown trouble-1.
+#[test]
+fn a_silent_target_is_avoided_on_every_host() {
+    let now = Time::from_secs(2);
+    let asked = prompt(7, 8);
+    let mut here = fleet(&engines(4, 8));
+    let mut there = fleet(&engines(4, 8));
+    let silent = reader(&here, now, &asked);
+    here.start(now, &silent, &asked);
+    let later = now + Duration::from_secs(2);
+
+    there.hear(later, 1, here.open_work(later));
+
+    assert_ne!(reader(&here, later, &asked).id, silent.id);
+    assert_ne!(reader(&there, later, &asked).id, silent.id);
+}
+
 #[test]
 fn deleted_targets_are_gone_at_once() {
     let now = Time::from_secs(2);
     let mut fleet = fleet(&engines(0, 1));
 
-    fleet.remove(now, "d0");
+    fleet.remove("d0");
 
     assert!(fleet.place(now, &need(&prompt(1, 2), &[])).is_none());
 }
@@ -192,14 +210,28 @@
     assert!(fleet.place(late, &need(&asked, &[])).is_none());
 }
 
+// A target that left 0.7 s after a host had reached the store again was kept for 1.8 s more, and got
+// a request 2.2 s after it had left: tbilisi-arrivals quiet-1 --seed 11.
+#[test]
+fn targets_deleted_after_an_outage_are_gone_at_once() {
+    let now = Time::from_secs(20);
+    let mut fleet = fleet(&engines(0, 1));
+    fleet.store_back(now);
+    fleet.replace(now, engines(0, 1));
+
+    fleet.remove("d0");
+
+    assert!(fleet.place(now, &need(&prompt(1, 2), &[])).is_none());
+}
+
 #[test]
 fn a_restart_under_the_same_id_has_no_cache() {
     let now = Time::from_secs(2);
     let asked = prompt(1, 2);
     let mut fleet = fleet(&engines(0, 1));
     let place = reader(&fleet, now, &asked);
-    fleet.start(now, &place, &asked);
-    fleet.finish(now, &place, Outcome::Answered);
+    let ticket = fleet.start(now, &place, &asked);
+    fleet.finish(now, &place, ticket, Outcome::Answered);
     let cached = reader(&fleet, now, &asked).compute;
 
     fleet.set(now, TargetEntry { born: 2, ..entry("d0", Stage::Decode, "a") });
