--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -69,7 +69,7 @@
 fn set_time(shared: &Shared) {
     let now = shared.now();
     let mut times = shared.state().members.times(now);
-    let shift = shared.time().follow(&mut times);
+    let shift = shared.time().follow(now, &mut times);
     if let Some(shift) = shift {
         log::warn!(target: "usage", shift_ms = shift / 1_000; "true time set right");
         shared.state().members.forget_times();
--- a/components/gateway/src/usage.rs
+++ b/components/gateway/src/usage.rs
@@ -23,6 +23,10 @@
 /// what a slow link or a busy host adds.
 const FAR_OFF: Duration = Duration::from_millis(400);
 
+/// Time for which the other hosts have to disagree: a host that was suspended first
+/// reads datagrams that waited for it.
+const OFF_SPAN: Duration = Duration::from_secs(2);
+
 /// Requests begun in one window by organisation.
 pub type Counts = BTreeMap<String, u64>;
 
@@ -31,12 +35,14 @@
 pub struct TrueTime {
     /// Wall time less monotonic time, in microseconds.
     offset: i128,
+    /// Since when the other hosts have disagreed.
+    off: Option<Time>,
 }
 
 impl TrueTime {
     /// Ties the wall time `wall`, counted from 1970, to `now`.
     pub fn new(now: Time, wall: Duration) -> TrueTime {
-        TrueTime { offset: wall.as_micros() as i128 - i128::from(now.as_micros()) }
+        TrueTime { offset: wall.as_micros() as i128 - i128::from(now.as_micros()), off: None }
     }
 
     /// Wall time at `now`, counted from 1970.
@@ -45,18 +51,25 @@
         Duration::from_micros(u64::try_from(micros).unwrap_or(0))
     }
 
-    /// Follows the median of what other hosts take for true time, where it is far off.
+    /// Follows the median of what other hosts take for true time, where it has been far
+    /// off for a while.
     ///
     /// `others` are their times less this host's, in microseconds. Returns the shift.
-    pub fn follow(&mut self, others: &mut [i64]) -> Option<i64> {
+    pub fn follow(&mut self, now: Time, others: &mut [i64]) -> Option<i64> {
         if others.len() < QUORUM {
             return None;
         }
         let middle = others.len() / 2;
         let median = *others.select_nth_unstable(middle).1;
         if median.unsigned_abs() < FAR_OFF.as_micros() as u64 {
+            self.off = None;
+            return None;
+        }
+        let off = *self.off.get_or_insert(now);
+        if now.since(off) < OFF_SPAN {
             return None;
         }
+        self.off = None;
         self.offset += i128::from(median);
         Some(median)
     }
