--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -144,8 +144,9 @@
     }
 
     async fn step(&mut self, delay: Duration) {
-        if !self.lease.is_holder() {
-            self.look().await;
+        if !self.lease.is_holder() && !self.look().await {
+            // Nothing can be taken while the store does not answer.
+            return;
         }
         let now = self.shared.now();
         if self.shared.state().leaving {
@@ -163,10 +164,16 @@
     }
 
     /// Reads the lease; a lagging read only makes a challenger wait longer.
-    async fn look(&mut self) {
-        let reply = self.shared.store.get_lagging(LEASE).await;
-        let StoreReply::Found(Some(object)) = reply else { return };
-        self.observe(&object);
+    ///
+    /// Returns whether the store answered.
+    async fn look(&mut self) -> bool {
+        let StoreReply::Found(object) = self.shared.store.get_lagging(LEASE).await else {
+            return false;
+        };
+        if let Some(object) = object {
+            self.observe(&object);
+        }
+        true
     }
 
     fn observe(&mut self, object: &Object) {
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -24,6 +24,9 @@
 /// Time between two lists of hosts at least.
 const LIST_PAUSE: Duration = Duration::from_millis(300);
 
+/// Time until a host's entry that could not be written is tried again.
+const REWRITE_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// Start of the keys of hosts' entries.
 const HOSTS: &str = "hosts/";
 
@@ -263,7 +266,7 @@
             shared.state().members.update(entries);
         }
         tokio::select! {
-            () = sleep(if written.is_some() { BEAT } else { LIST_PAUSE }) => {}
+            () = sleep(if written.is_some() { BEAT } else { REWRITE_PAUSE }) => {}
             () = early.notified() => sleep(LIST_PAUSE).await,
         }
     }
