--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -7,6 +7,7 @@
 //! wait costs more than reading the part again elsewhere.
 
 mod health;
+mod member;
 mod rank;
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
@@ -17,39 +18,19 @@
 
 use crate::{
     fleet::{
-        health::Health,
+        member::Member,
         rank::{affinity, rank},
     },
     protocol::Prompt,
 };
 
-/// Prompt tokens that an engine computes in a millisecond with nothing else to do;
-/// from the users' sheets, both of which state the same engine.
-const PREFILL_RATE: f64 = 60.0;
-
-/// How much slower an engine that generates computes prompts than one that only
-/// computes prompts; the platform's documented factor.
-const DECODE_SLOWDOWN: f64 = 2.0;
-
 /// Cost of a hop to another availability zone and back, in milliseconds.
 const ZONE_COST: f64 = 4.0;
 
-/// What one open request costs the next one at an engine that generates, in
-/// milliseconds: a few steps of its batch.
-const OPEN_COST: f64 = 6.0;
-
-/// What one open request costs the next one at a plain service, in milliseconds,
-/// divided by its slots; the order of one request's work there.
-const PLAIN_COST: f64 = 40.0;
-
 /// Cost of a target that failed of late, in milliseconds for each unit of its
 /// failure rate; above any queue that is worth waiting in.
 const FAILURE_COST: f64 = 2_000.0;
 
-/// Time that attention adds, in milliseconds for each million pairs of a computed
-/// token and a token before it; from the users' sheets.
-const PAIRS_COST: f64 = 0.367;
-
 /// Cost of computing a prompt on one engine and generating on another, in
 /// milliseconds: a second call, the transfer of the KV cache and its price.
 const SPLIT_COST: f64 = 25.0;
@@ -68,24 +49,12 @@
 /// The same for the second-ranked one, which takes over while the first is busy.
 const SECOND_CACHED: f64 = 0.5;
 
-/// Time beyond a prediction after which a request without a first token counts as
-/// overdue: several steps of a full batch.
-const OVERDUE_GRACE: Duration = Duration::from_millis(1_000);
-
-/// What a target's failures, as another host tells of them, cost in milliseconds for
-/// each unit of its failure rate: less than own experience, since the fault may lie
-/// between that host and the target.
-const TOLD_FAILURE_COST: f64 = 400.0;
-
 /// Failure rate from which other hosts are told.
 const TOLD_FAILURE_RATE: f64 = 0.3;
 
 /// Time for which what another host told of its open work counts.
 const HEARD_SPAN: Duration = Duration::from_millis(1_500);
 
-/// Parts of prompts remembered for each target.
-const PARTS: usize = 512;
-
 /// Time after an outage of the store for which a target without an entry is kept, as
 /// a share of the time in which a leaving target may get work.
 const LAPSED_SHARE: f64 = 0.9;
@@ -203,24 +172,6 @@
     work: Vec<OpenWork>,
 }
 
-#[derive(Debug)]
-struct Member {
-    entry: TargetEntry,
-    key: u32,
-    /// Open requests of the other hosts.
-    others_open: u32,
-    /// Prompt computation of the other hosts, in milliseconds.
-    others_pending: f64,
-    open: u32,
-    /// Prompt computation sent and not known to be done, in milliseconds.
-    pending: f64,
-    /// When each request without a first token is overdue.
-    due: SmallVec<[(Ticket, Time); 4]>,
-    parts: HashMap<u64, Time>,
-    health: Health,
-    lapses: Option<Time>,
-}
-
 /// The targets that this host knows.
 #[derive(Debug)]
 pub struct Fleet {
@@ -256,28 +207,12 @@
 
     /// Adds a target or takes over its new entry.
     pub fn set(&mut self, now: Time, entry: TargetEntry) {
-        let Some(known) = self.members.get_mut(&entry.id) else {
-            let member = Member {
-                key: short_key(&entry.id),
-                others_open: 0,
-                others_pending: 0.0,
-                open: 0,
-                pending: 0.0,
-                due: SmallVec::new(),
-                parts: HashMap::new(),
-                health: Health::new(now),
-                lapses: None,
-                entry,
-            };
-            self.members.insert(member.entry.id.clone(), member);
-            return;
-        };
-        if known.entry.born != entry.born || known.entry.addr != entry.addr {
-            known.parts.clear();
-            known.health = Health::new(now);
+        match self.members.get_mut(&entry.id) {
+            Some(known) => known.set(now, entry),
+            None => {
+                self.members.insert(entry.id.clone(), Member::new(now, entry));
+            }
         }
-        known.lapses = None;
-        known.entry = entry;
     }
 
     /// Takes a target out whose entry was deleted.
@@ -310,11 +245,6 @@
         self.members.values().map(|member| &member.entry)
     }
 
-    /// Requests of this host that are open at a target.
-    pub fn open(&self, id: &str) -> u32 {
-        self.members.get(id).map_or(0, |member| member.open)
-    }
-
     /// Where to run a request, and where to compute its prompt first if that is to be
     /// another target.
     pub fn place(&self, now: Time, need: &Need<'_>) -> Option<Plan> {
@@ -371,50 +301,31 @@
     pub fn start(&mut self, now: Time, place: &Place, prompt: &Prompt) -> Ticket {
         self.tickets += 1;
         let ticket = Ticket(self.tickets);
-        let Some(member) = self.members.get_mut(&place.id) else { return ticket };
-        member.open += 1;
-        member.pending += place.read;
-        member.due.push((ticket, now + place.predicted() * 2 + OVERDUE_GRACE));
-        for part in &prompt.parts {
-            member.parts.insert(part.id, now);
-        }
-        if member.parts.len() > PARTS {
-            let mut times: Vec<Time> = member.parts.values().copied().collect();
-            let middle = times.len() / 2;
-            let median = *times.select_nth_unstable(middle).1;
-            member.parts.retain(|_, used| *used > median);
+        if let Some(member) = self.members.get_mut(&place.id) {
+            member.start(now, ticket, place, prompt);
         }
         ticket
     }
 
     /// Counts a request's prompt as computed; doing so again changes nothing.
     pub fn computed(&mut self, place: &Place, ticket: Ticket) {
-        let Some(member) = self.members.get_mut(&place.id) else { return };
-        let Some(at) = member.due.iter().position(|(known, _)| *known == ticket) else { return };
-        member.due.remove(at);
-        member.pending = (member.pending - place.read).max(0.0);
+        if let Some(member) = self.members.get_mut(&place.id) {
+            member.computed(ticket, place);
+        }
     }
 
     /// Counts a request as ended.
     pub fn finish(&mut self, now: Time, place: &Place, ticket: Ticket, outcome: Outcome) {
-        self.computed(place, ticket);
-        let Some(member) = self.members.get_mut(&place.id) else { return };
-        member.open = member.open.saturating_sub(1);
-        member.health.note(now, outcome);
-        if outcome == Outcome::Unreachable {
-            member.parts.clear();
+        if let Some(member) = self.members.get_mut(&place.id) {
+            member.computed(ticket, place);
+            member.finish(now, outcome);
         }
     }
 
     fn best(&self, now: Time, need: &Need<'_>, stage: impl Fn(Stage) -> bool) -> Option<Place> {
         let key = affinity(need.prompt);
-        let serves = |member: &&Member| {
-            let entry = &member.entry;
-            &*entry.service == need.service
-                && !entry.draining
-                && member.lapses.is_none_or(|lapses| now < lapses)
-        };
-        let serving: SmallVec<[&Member; 32]> = self.members.values().filter(serves).collect();
+        let serving = self.members.values().filter(|member| member.serves(now, need.service));
+        let serving: SmallVec<[&Member; 32]> = serving.collect();
         let rank = |member: &Member| {
             let weight = if member.entry.stage == Stage::Prefill { PREFILL_WEIGHT } else { 1.0 };
             rank(key, &member.entry.id, weight)
@@ -452,70 +363,3 @@
         })
     }
 }
-
-/// Prompt tokens that a target has to compute.
-#[derive(Debug, Clone, Copy, Default)]
-struct Missing {
-    /// Of parts that other requests share.
-    shared: u32,
-    /// Of the request's own.
-    own: u32,
-}
-
-impl Member {
-    /// Prompt tokens to compute: all after the first part that is not cached.
-    ///
-    /// Shared parts that this host has not sent here are there with probability `likely`.
-    fn missing(&self, prompt: &Prompt, likely: f64) -> Missing {
-        let (mut cached, mut shared) = (0, 0);
-        let last = prompt.parts.len().saturating_sub(1);
-        let mut whole = true;
-        for (index, part) in prompt.parts.iter().enumerate() {
-            whole &= self.parts.contains_key(&part.id);
-            if whole {
-                cached += part.tokens;
-            } else if index < last {
-                shared += part.tokens;
-            }
-        }
-        let own = prompt.tokens.saturating_sub(cached + shared);
-        let shared = (f64::from(shared) * (1.0 - likely)) as u32;
-        Missing { shared, own: own.max(u32::from(prompt.tokens > 0)) }
-    }
-
-    /// Time to compute `tokens` of a prompt of `all` tokens, in milliseconds.
-    fn read_time(&self, tokens: u32, all: u32) -> f64 {
-        let slowdown = if self.entry.stage == Stage::Decode { DECODE_SLOWDOWN } else { 1.0 };
-        let pairs = f64::from(tokens) * f64::from(all) / 1e6;
-        (f64::from(tokens) / PREFILL_RATE + pairs * PAIRS_COST) * slowdown
-    }
-
-    /// Time until the target begins with a new request, in milliseconds.
-    fn wait(&self, now: Time) -> f64 {
-        let open = f64::from(self.open + self.others_open);
-        let late = self.overdue(now) + self.others_pending;
-        if self.entry.stage == Stage::Whole {
-            return open * PLAIN_COST / f64::from(self.entry.slots.max(1)) + late;
-        }
-        let crowding = if self.entry.stage == Stage::Decode { open * OPEN_COST } else { 0.0 };
-        self.pending + late + crowding
-    }
-
-    /// How long the oldest request without a first token is overdue, in milliseconds.
-    ///
-    /// A target may accept requests and stay silent; nothing else shows it.
-    fn overdue(&self, now: Time) -> f64 {
-        let oldest = self.due.iter().map(|(_, due)| *due).min();
-        oldest.map_or(0.0, |due| now.since(due).as_secs_f64() * 1e3)
-    }
-
-    /// What other hosts are told of the work in front of the target.
-    fn told(&self, now: Time) -> f64 {
-        self.pending + self.overdue(now) + TOLD_FAILURE_COST * self.health.rate(now)
-    }
-}
-
-/// A number that stands for a target's id between hosts.
-fn short_key(id: &str) -> u32 {
-    rank::hash(&id) as u32
-}
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -84,6 +84,7 @@
     pub async fn start(settings: HostSettings, outside: Outside) -> Result<Host, HostError> {
         let Outside { protocol, decoder, store, duties } = outside;
         let prefix = decoder.target_prefix().to_owned();
+        let config = decoder.config_prefix().to_owned();
         let shared = Arc::new(Shared::new(settings, protocol, decoder, store));
         let (stop, stopped) = watch::channel(false);
         let callers: Arc<dyn Handler> = Arc::new(Callers { shared: shared.clone() });
@@ -111,7 +112,7 @@
         tokio::spawn(gossip::tell(shared.clone(), socket.clone()));
         let membership = Arc::new(Notify::new());
         tokio::spawn(gossip::hear(shared.clone(), socket, membership.clone()));
-        tokio::spawn(follow(shared.clone(), Box::new(ConfigPart)));
+        tokio::spawn(follow(shared.clone(), Box::new(ConfigPart { prefix: config })));
         tokio::spawn(follow(shared.clone(), Box::new(TargetPart { prefix })));
         tokio::spawn(keep_membership(shared.clone(), membership.clone()));
         if let Some(DutyCalls { reports, orders }) = duties {
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -166,6 +166,9 @@
     /// The key of the configuration object.
     fn config_key(&self) -> &str;
 
+    /// The start of the keys among which it is.
+    fn config_prefix(&self) -> &str;
+
     /// The start of the keys of targets' entries; the rest is the target's id.
     fn target_prefix(&self) -> &str;
 
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -107,7 +107,9 @@
 }
 
 /// The configuration object.
-pub(crate) struct ConfigPart;
+pub(crate) struct ConfigPart {
+    pub(crate) prefix: String,
+}
 
 impl ConfigPart {
     fn take(shared: &Shared, object: &Object) {
@@ -131,7 +133,7 @@
 
 impl Followed for ConfigPart {
     fn prefix(&self) -> String {
-        "config/".to_owned()
+        self.prefix.clone()
     }
 
     fn replace(&self, shared: &Shared, _now: Time, objects: &[Object]) {
