Tell all hosts of long prompts at once; leave targets that another process answers for; count store calls

And after a crash 34 engines were back under new ids at their old addresses while their entries still stood; a host gave a request up after the second 421 and went on asking.

Change: a prompt of 50 ms and more, and a target that begins to fail, are told to all hosts at once; other rounds take the hosts in turn instead of at random. A 421 takes the target out until its entry changes, four seconds at most, and is counted like a connection that failed.

--- a/bins/host/src/main.rs
+++ b/bins/host/src/main.rs
@@ -7,7 +7,7 @@
 use chervilgate_platform::{
     PlatformDecoder, PlatformDuties, PlatformProtocol, PlatformStore, SETTINGS_VAR, read_settings,
 };
-use chervilgate_telemetry::start_logs;
+use chervilgate_telemetry::{lines_lost, start_logs};
 use tokio::{
     runtime,
     signal::unix::{SignalKind, signal},
@@ -70,6 +70,7 @@
         protocol: Arc::new(PlatformProtocol),
         decoder: Arc::new(PlatformDecoder),
         store: Arc::new(PlatformStore::new(settings.store)),
+        lines_lost,
         duties: duties.map(|duties| DutyCalls {
             reports: Arc::new(duties.clone()),
             orders: Arc::new(duties),
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -6,7 +6,7 @@
 use chervilgate_clients::{Body, HttpSender, SendError};
 use chervilgate_clock::Time;
 use hyper::{
-    HeaderMap, Method, Request, Response,
+    HeaderMap, Method, Request, Response, StatusCode,
     http::uri::{PathAndQuery, Uri},
 };
 use tokio::time::timeout;
@@ -52,20 +52,30 @@
     /// Counts `call` at `place`.
     pub(crate) fn new(shared: &Arc<Shared>, place: Place, call: &Call) -> Open {
         let now = shared.now();
+        shared.metrics.time_queue(place.wait);
         let ticket = shared.state().fleet.start(now, &place, &call.ask.prompt);
+        if place.is_long() {
+            shared.urgent.notify_one();
+        }
         Open { shared: shared.clone(), place, ticket, outcome: Outcome::Neutral }
     }
 
     /// Counts the prompt as computed.
     pub(crate) fn computed(&self) {
-        self.shared.state().fleet.computed(&self.place, self.ticket);
+        let first = self.shared.state().fleet.computed(&self.place, self.ticket);
+        if first && self.place.is_long() {
+            self.shared.urgent.notify_one();
+        }
     }
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
         let now = self.shared.now();
-        self.shared.state().fleet.finish(now, &self.place, self.ticket, self.outcome);
+        let failing = self.shared.state().fleet.finish(now, &self.place, self.ticket, self.outcome);
+        if failing {
+            self.shared.urgent.notify_one();
+        }
     }
 }
 
@@ -86,8 +96,10 @@
 pub(crate) enum NotRun {
     /// It could not be reached.
     Unreachable,
-    /// It had no room, or is not the one that was meant.
+    /// It had no room.
     Refused,
+    /// It is not the one that was meant.
+    Gone,
 }
 
 /// Sends `call` to `place` once and waits for the head of the answer.
@@ -141,6 +153,10 @@
     let status = response.status().as_u16();
     if head.not_run {
         log::info!(target: "gateway", id, target, status; "target refused");
+        if response.status() == StatusCode::MISDIRECTED_REQUEST {
+            open.outcome = Outcome::Gone;
+            return Taken::NotRun(NotRun::Gone);
+        }
         open.outcome = Outcome::Full;
         return Taken::NotRun(NotRun::Refused);
     }
--- /dev/null
+++ b/components/gateway/src/counted.rs
@@ -0,0 +1,55 @@
+//! The store with its calls counted: each call has a price.
+
+use std::{sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use chervilgate_clients::ObjectStore;
+use chervilgate_coord::{StoreCall, StoreReply};
+
+use crate::metrics::Metrics;
+
+/// A store whose calls are counted by kind and reply.
+pub(crate) struct CountedStore {
+    pub(crate) store: Arc<dyn ObjectStore>,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+impl CountedStore {
+    fn count(&self, call: &'static str, reply: StoreReply) -> StoreReply {
+        let name = match &reply {
+            StoreReply::Refused => "refused",
+            StoreReply::Unknown => "unknown",
+            StoreReply::Conflict(_) => "conflict",
+            StoreReply::Compacted => "compacted",
+            _ => "answered",
+        };
+        self.metrics.count_store_call(call, name);
+        reply
+    }
+}
+
+#[async_trait]
+impl ObjectStore for CountedStore {
+    async fn call(&self, call: &StoreCall) -> StoreReply {
+        let name = match call {
+            StoreCall::Get { .. } => "get",
+            StoreCall::Put { .. } => "put",
+            StoreCall::Delete { .. } => "delete",
+            StoreCall::List { .. } => "list",
+            StoreCall::Watch { .. } => "watch",
+        };
+        self.count(name, self.store.call(call).await)
+    }
+
+    fn watch_wait(&self) -> Duration {
+        self.store.watch_wait()
+    }
+
+    async fn get_lagging(&self, key: &str) -> StoreReply {
+        self.count("lagging-get", self.store.get_lagging(key).await)
+    }
+
+    async fn list_lagging(&self, prefix: &str) -> StoreReply {
+        self.count("lagging-list", self.store.list_lagging(prefix).await)
+    }
+}
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -63,11 +63,10 @@
             let state = self.shared.state();
             let age = state.view.age(now).map_or(-1, |age| age.as_millis() as i64);
             metrics.view_age.set(age);
-            let targets = state.fleet.entries().filter(|entry| !entry.draining);
-            metrics.targets.set(targets.count() as i64);
+            metrics.set_targets(state.fleet.census(now));
             metrics.hosts.set(state.members.count() as i64);
         }
-        Response::new(full(metrics.text()))
+        Response::new(full(metrics.text((self.shared.lines_lost)())))
     }
 
     fn readiness(&self) -> Response<Body> {
--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -287,6 +287,7 @@
     async fn place_order(&mut self, mut order: TargetOrder) {
         order.epoch = self.lease.doc().epoch;
         let result = self.orders.order(&order).await;
+        self.shared.metrics.count_order(result.is_ok());
         let TargetOrder { service, zone, count, cheap, .. } = &order;
         match &result {
             Ok(_) => log::info!(target: "duty", service, zone, count, cheap; "targets ordered"),
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -35,6 +35,10 @@
 /// milliseconds: a second call, the transfer of the KV cache and its price.
 const SPLIT_COST: f64 = 25.0;
 
+/// Computation of a prompt from which all hosts are told of it at once, in
+/// milliseconds: about what a short prompt may wait and still be on time.
+const LONG_READ: f64 = 50.0;
+
 /// Weight of computing a shared part again: its price comes on top of its time.
 const REREAD_WEIGHT: f64 = 2.0;
 
@@ -49,9 +53,6 @@
 /// The same for the second-ranked one, which takes over while the first is busy.
 const SECOND_CACHED: f64 = 0.5;
 
-/// Failure rate from which other hosts are told.
-const TOLD_FAILURE_RATE: f64 = 0.3;
-
 /// Time for which what another host told of its open work counts.
 const HEARD_SPAN: Duration = Duration::from_millis(1_500);
 
@@ -93,6 +94,17 @@
     pub cheap: bool,
 }
 
+/// How many targets are in which state; a failing one is also serving.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Census {
+    /// May get requests.
+    pub serving: u32,
+    /// About to leave.
+    pub draining: u32,
+    /// Failed so often of late that other hosts are told.
+    pub failing: u32,
+}
+
 /// What a request needs of a target.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Need<'a> {
@@ -137,6 +149,11 @@
     pub fn predicted(&self) -> Duration {
         Duration::from_secs_f64((self.wait + self.read).max(0.0) / 1e3)
     }
+
+    /// Whether its prompt holds up others for so long that all hosts are told at once.
+    pub fn is_long(&self) -> bool {
+        self.read >= LONG_READ
+    }
 }
 
 /// How a target did with a request.
@@ -150,6 +167,8 @@
     Failed,
     /// It could not be reached.
     Unreachable,
+    /// Another process answers at its address, or it no longer does what its entry says.
+    Gone,
     /// The request ended for a reason of its own.
     Neutral,
 }
@@ -245,6 +264,18 @@
         self.members.values().map(|member| &member.entry)
     }
 
+    /// How many targets are in which state.
+    pub fn census(&self, now: Time) -> Census {
+        let mut census = Census::default();
+        for member in self.members.values() {
+            let draining = member.entry.draining;
+            census.serving += u32::from(!draining);
+            census.draining += u32::from(draining);
+            census.failing += u32::from(member.is_failing(now));
+        }
+        census
+    }
+
     /// Where to run a request, and where to compute its prompt first if that is to be
     /// another target.
     pub fn place(&self, now: Time, need: &Need<'_>) -> Option<Plan> {
@@ -271,8 +302,8 @@
 
     /// This host's open work, to tell the other hosts.
     pub fn open_work(&self, now: Time) -> Vec<OpenWork> {
-        let failing = |member: &Member| member.health.rate(now) >= TOLD_FAILURE_RATE;
-        let told = self.members.values().filter(|member| member.open > 0 || failing(member));
+        let told = self.members.values();
+        let told = told.filter(|member| member.open > 0 || member.is_failing(now));
         let work = told.map(|member| OpenWork {
             target: member.key,
             pending: member.told(now).min(f64::from(u16::MAX)) as u16,
@@ -308,18 +339,22 @@
     }
 
     /// Counts a request's prompt as computed; doing so again changes nothing.
-    pub fn computed(&mut self, place: &Place, ticket: Ticket) {
-        if let Some(member) = self.members.get_mut(&place.id) {
-            member.computed(ticket, place);
-        }
+    ///
+    /// Returns whether it was not counted so before.
+    pub fn computed(&mut self, place: &Place, ticket: Ticket) -> bool {
+        let member = self.members.get_mut(&place.id);
+        member.is_some_and(|member| member.computed(ticket, place))
     }
 
     /// Counts a request as ended.
-    pub fn finish(&mut self, now: Time, place: &Place, ticket: Ticket, outcome: Outcome) {
-        if let Some(member) = self.members.get_mut(&place.id) {
-            member.computed(ticket, place);
-            member.finish(now, outcome);
-        }
+    ///
+    /// Returns whether the target is failing and was not before.
+    pub fn finish(&mut self, now: Time, place: &Place, ticket: Ticket, outcome: Outcome) -> bool {
+        let Some(member) = self.members.get_mut(&place.id) else { return false };
+        let before = member.is_failing(now);
+        member.computed(ticket, place);
+        member.finish(now, outcome);
+        member.is_failing(now) && !before
     }
 
     fn best(&self, now: Time, need: &Need<'_>, stage: impl Fn(Stage) -> bool) -> Option<Place> {
--- a/components/gateway/src/fleet/health.rs
+++ b/components/gateway/src/fleet/health.rs
@@ -14,6 +14,9 @@
 /// Weight of a failed connection in the failure rate.
 const UNREACHABLE_GAIN: f64 = 0.6;
 
+/// Weight of an answer by another process: certain.
+const GONE_GAIN: f64 = 1.0;
+
 /// Weight of a refusal for lack of room in the failure rate.
 const FULL_GAIN: f64 = 0.1;
 
@@ -46,6 +49,7 @@
             Outcome::Answered => (GAIN, 0.0),
             Outcome::Failed => (GAIN, 1.0),
             Outcome::Unreachable => (UNREACHABLE_GAIN, 1.0),
+            Outcome::Gone => (GONE_GAIN, 1.0),
             Outcome::Full => (FULL_GAIN, 1.0),
             Outcome::Neutral => return,
         };
--- a/components/gateway/src/fleet/member.rs
+++ b/components/gateway/src/fleet/member.rs
@@ -39,6 +39,13 @@
 /// between that host and the target.
 const TOLD_FAILURE_COST: f64 = 400.0;
 
+/// Failure rate from which other hosts are told.
+const TOLD_FAILURE_RATE: f64 = 0.3;
+
+/// Time for which a target that another process answers for gets nothing, unless its
+/// entry changes: entries of targets that are gone lapse within it.
+const GONE_SPAN: Duration = Duration::from_secs(4);
+
 /// Parts of prompts remembered for each target.
 const PARTS: usize = 512;
 
@@ -63,6 +70,8 @@
     pub(super) parts: HashMap<u64, Time>,
     /// How it did of late.
     pub(super) health: Health,
+    /// Until when it gets nothing although its entry stands.
+    gone: Option<Time>,
     /// Until when it is kept without an entry.
     pub(super) lapses: Option<Time>,
 }
@@ -88,6 +97,7 @@
             due: SmallVec::new(),
             parts: HashMap::new(),
             health: Health::new(now),
+            gone: None,
             lapses: None,
             entry,
         }
@@ -99,6 +109,12 @@
             self.parts.clear();
             self.health = Health::new(now);
         }
+        if self.entry.born != entry.born
+            || self.entry.addr != entry.addr
+            || self.entry.stage != entry.stage
+        {
+            self.gone = None;
+        }
         self.lapses = None;
         self.entry = entry;
     }
@@ -108,6 +124,7 @@
         let entry = &self.entry;
         &*entry.service == service
             && !entry.draining
+            && self.gone.is_none_or(|until| now >= until)
             && self.lapses.is_none_or(|lapses| now < lapses)
     }
 
@@ -132,20 +149,26 @@
         self.parts.retain(|_, used| *used > median);
     }
 
-    /// Counts a prompt as computed; doing so again changes nothing.
-    pub(super) fn computed(&mut self, ticket: Ticket, place: &Place) {
-        let Some(at) = self.due.iter().position(|(known, _)| *known == ticket) else { return };
+    /// Counts a prompt as computed; doing so again changes nothing and returns false.
+    pub(super) fn computed(&mut self, ticket: Ticket, place: &Place) -> bool {
+        let Some(at) = self.due.iter().position(|(known, _)| *known == ticket) else {
+            return false;
+        };
         self.due.remove(at);
         self.pending = (self.pending - place.read).max(0.0);
+        true
     }
 
     /// Counts a request as ended.
     pub(super) fn finish(&mut self, now: Time, outcome: Outcome) {
         self.open = self.open.saturating_sub(1);
         self.health.note(now, outcome);
-        if outcome == Outcome::Unreachable {
+        if matches!(outcome, Outcome::Unreachable | Outcome::Gone) {
             self.parts.clear();
         }
+        if outcome == Outcome::Gone {
+            self.gone = Some(now + GONE_SPAN);
+        }
     }
 
     /// Prompt tokens to compute: all after the first part that is not cached.
@@ -194,6 +217,11 @@
         oldest.map_or(0.0, |due| now.since(due).as_secs_f64() * 1e3)
     }
 
+    /// Whether it failed so often of late that other hosts are told.
+    pub(super) fn is_failing(&self, now: Time) -> bool {
+        self.health.rate(now) >= TOLD_FAILURE_RATE
+    }
+
     /// What other hosts are told of the work in front of the target.
     pub(super) fn told(&self, now: Time) -> f64 {
         self.pending + self.overdue(now) + TOLD_FAILURE_COST * self.health.rate(now)
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -15,7 +15,7 @@
     state::Shared,
 };
 
-/// Targets tried that could not be reached.
+/// Targets tried that could not be reached or were gone.
 pub(crate) const UNREACHABLE_LIMIT: u32 = 3;
 
 /// Targets tried that refused.
@@ -44,6 +44,11 @@
                 self.unreachable += 1;
                 self.unreachable <= UNREACHABLE_LIMIT
             }
+            NotRun::Gone => {
+                shared.metrics.count_retry("gone");
+                self.unreachable += 1;
+                self.unreachable <= UNREACHABLE_LIMIT && shared.spend(shared.now(), &call.service)
+            }
             NotRun::Refused => {
                 shared.metrics.count_retry("refused");
                 self.refused += 1;
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -1,14 +1,19 @@
 //! Hosts tell each other that they live and what work they have open at the targets.
 //!
 //! A lost or late datagram costs a worse guess at a target's queue, nothing else, so
-//! plain datagrams do. Each round goes to a few hosts only, so that its cost does
-//! not grow with their number.
+//! plain datagrams do. Each round goes to a few hosts only, in turn, so that its cost
+//! does not grow with their number. A long prompt holds up whatever comes to its
+//! target next, so all hosts are told at once when one begins or is done.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
-use tokio::{net::UdpSocket, sync::Notify, time::sleep};
+use tokio::{
+    net::UdpSocket,
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 use crate::{fleet::OpenWork, state::Shared, suspects::BrokenRun};
 
@@ -21,6 +26,9 @@
 /// Rounds of which one is told while there is no open work.
 const IDLE_ROUNDS: u32 = 4;
 
+/// Time between two tellings of all hosts at least.
+const URGENT_GAP: Duration = Duration::from_millis(20);
+
 /// Longest datagram, in bytes.
 const DATAGRAM: usize = 1_400;
 
@@ -39,8 +47,10 @@
 pub(crate) async fn tell(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let host = shared.id();
     let mut idle = 0;
+    let mut turns = Turns::default();
     loop {
-        sleep(PACE).await;
+        sleep(URGENT_GAP).await;
+        let urgent = timeout(PACE - URGENT_GAP, shared.urgent.notified()).await.is_ok();
         set_time(&shared);
         let now = shared.now();
         let time = shared.time().at(now).as_micros() as u64;
@@ -52,11 +62,11 @@
         // The first empty round takes back what was told last; later ones tell that
         // this host lives.
         idle = if work.is_empty() && broken.is_empty() { idle + 1 } else { 0 };
-        if idle % IDLE_ROUNDS > 1 {
+        if idle % IDLE_ROUNDS > 1 && !urgent {
             continue;
         }
         let Ok(told) = postcard::to_stdvec(&Told { host, time, work, broken }) else { continue };
-        let chosen: Vec<SocketAddr> = peers.sample(&mut rand::rng(), FANOUT).copied().collect();
+        let chosen = if urgent { peers } else { turns.next(peers) };
         for peer in chosen {
             if let Err(error) = socket.send_to(&told, peer).await {
                 log::debug!(target: "gossip", peer:%, error:%; "not told");
@@ -65,6 +75,26 @@
     }
 }
 
+/// Takes the other hosts in turn.
+#[derive(Default)]
+struct Turns {
+    waiting: Vec<SocketAddr>,
+}
+
+impl Turns {
+    /// The hosts to tell in this round, of `peers`.
+    fn next(&mut self, mut peers: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        if peers.len() <= FANOUT {
+            return peers;
+        }
+        if self.waiting.len() < FANOUT {
+            peers.shuffle(&mut rand::rng());
+            self.waiting.extend(peers);
+        }
+        self.waiting.drain(..FANOUT).collect()
+    }
+}
+
 /// Sets this host's true time right, if most other hosts disagree with it.
 fn set_time(shared: &Shared) {
     let now = shared.now();
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -56,6 +56,8 @@
     pub decoder: Arc<dyn Decoder>,
     /// The store.
     pub store: Arc<dyn ObjectStore>,
+    /// Log lines left out so far.
+    pub lines_lost: fn() -> u64,
     /// What one host at a time does; none if there is no such duty.
     pub duties: Option<DutyCalls>,
 }
@@ -82,10 +84,10 @@
     /// # Errors
     /// If an address cannot be listened at.
     pub async fn start(settings: HostSettings, outside: Outside) -> Result<Host, HostError> {
-        let Outside { protocol, decoder, store, duties } = outside;
+        let Outside { protocol, decoder, store, lines_lost, duties } = outside;
         let prefix = decoder.target_prefix().to_owned();
         let config = decoder.config_prefix().to_owned();
-        let shared = Arc::new(Shared::new(settings, protocol, decoder, store));
+        let shared = Arc::new(Shared::new(settings, protocol, decoder, store, lines_lost));
         let (stop, stopped) = watch::channel(false);
         let callers: Arc<dyn Handler> = Arc::new(Callers { shared: shared.clone() });
         let directory: Arc<dyn Handler> = Arc::new(Directory { shared: shared.clone() });
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod answer;
 mod attempt;
 pub mod config;
+mod counted;
 mod directory;
 mod duty;
 mod events;
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -9,8 +9,10 @@
 use chervilgate_clients::{HttpPool, ObjectStore};
 use chervilgate_clock::{BootClock, Clock, Time};
 use chervilgate_policy::{RetryBudget, RetrySettings};
+use tokio::sync::Notify;
 
 use crate::{
+    counted::CountedStore,
     fleet::Fleet,
     members::{HostEntry, Members},
     metrics::Metrics,
@@ -32,8 +34,12 @@
     pub(crate) decoder: Arc<dyn Decoder>,
     pub(crate) store: Arc<dyn ObjectStore>,
     pub(crate) targets: HttpPool,
-    pub(crate) metrics: Metrics,
+    pub(crate) metrics: Arc<Metrics>,
+    /// Log lines left out so far.
+    pub(crate) lines_lost: fn() -> u64,
     pub(crate) boot: u64,
+    /// Asks that all hosts are told of this host's open work now.
+    pub(crate) urgent: Notify,
     time: Mutex<TrueTime>,
     state: Mutex<State>,
 }
@@ -59,7 +65,10 @@
         protocol: Arc<dyn Protocol>,
         decoder: Arc<dyn Decoder>,
         store: Arc<dyn ObjectStore>,
+        lines_lost: fn() -> u64,
     ) -> Shared {
+        let metrics = Arc::new(Metrics::new());
+        let store = Arc::new(CountedStore { store, metrics: metrics.clone() });
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
         let boot = rand::random();
         let bounds = &settings.bounds;
@@ -78,7 +87,9 @@
             boot,
             state: Mutex::new(state),
             targets: HttpPool::new(),
-            metrics: Metrics::new(),
+            metrics,
+            lines_lost,
+            urgent: Notify::new(),
             settings,
             protocol,
             decoder,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -205,12 +205,16 @@
     async fn run(mut self, mut source: Source, first: Next, events: Events) {
         let mut next = first;
         let id = self.call.ask.id.clone();
+        let mut passed = self.shared.now();
         loop {
             match next {
                 Next::Events(bytes) => {
                     source.open.computed();
                     self.count();
                     self.last = source.events.last();
+                    let now = self.shared.now();
+                    self.shared.metrics.time_pause(now.since(passed));
+                    passed = now;
                     if events.send(Ok(Frame::data(bytes))).await.is_err() {
                         log::info!(target: "gateway", id; "caller left");
                         return;
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -239,3 +239,37 @@
     assert_eq!(cached, 1);
     assert_eq!(reader(&fleet, now, &asked).compute, 3_700);
 }
+
+#[test]
+fn a_target_that_another_process_answers_for_gets_nothing_until_its_entry_changes() {
+    let now = Time::from_secs(2);
+    let asked = prompt(1, 2);
+    let mut fleet = fleet(&engines(0, 1));
+    let place = reader(&fleet, now, &asked);
+    let ticket = fleet.start(now, &place, &asked);
+
+    let failing = fleet.finish(now, &place, ticket, Outcome::Gone);
+    let before = fleet.place(now, &need(&asked, &[]));
+    fleet.set(now, TargetEntry { born: 2, ..entry("d0", Stage::Decode, "a") });
+
+    assert!(failing && before.is_none());
+    assert!(fleet.place(now, &need(&asked, &[])).is_some());
+}
+
+#[test]
+fn a_target_that_begins_to_fail_is_told_of_once() {
+    let now = Time::from_secs(2);
+    let asked = prompt(1, 2);
+    let mut fleet = fleet(&engines(0, 1));
+    let place = reader(&fleet, now, &asked);
+
+    let failing: Vec<bool> = (0..3)
+        .map(|_| {
+            let ticket = fleet.start(now, &place, &asked);
+            fleet.finish(now, &place, ticket, Outcome::Unreachable)
+        })
+        .collect();
+
+    assert_eq!(failing, [true, false, false]);
+    assert_eq!(fleet.census(now).failing, 1);
+}
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -7,6 +7,6 @@
 mod metrics;
 
 pub use crate::{
-    logs::start_logs,
+    logs::{lines_lost, start_logs},
     metrics::{Metrics, MetricsError, RequestEnd},
 };
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -7,7 +7,6 @@
 use std::{
     io::{self, Write},
     sync::{
-        Arc,
         atomic::{AtomicU64, Ordering},
         mpsc::{Receiver, SyncSender, sync_channel},
     },
@@ -27,14 +26,20 @@
 /// Lines a second of levels `warn` and `error`.
 const FAILURES: u32 = 400;
 
+/// Lines left out since the start.
+static LOST: AtomicU64 = AtomicU64::new(0);
+
+/// Lines left out since the start: above a ceiling, or while the writer was behind.
+pub fn lines_lost() -> u64 {
+    LOST.load(Ordering::Relaxed)
+}
+
 /// Starts logging to standard output; `RUST_LOG` sets what is logged.
 pub fn start_logs() {
-    let lost = Arc::new(AtomicU64::new(0));
     let (lines, waiting) = sync_channel(WAITING);
-    let told = lost.clone();
-    thread::spawn(move || write_lines(&waiting, &told));
-    let sink = LineSink { lines, lost: lost.clone() };
-    let budget = Budget::new(lost);
+    thread::spawn(move || write_lines(&waiting));
+    let sink = LineSink { lines };
+    let budget = Budget::new();
     let mut logger = Builder::from_env(Env::default().default_filter_or("info"));
     let logger = logger.target(Target::Pipe(Box::new(sink))).build();
     let level = logger.filter();
@@ -71,17 +76,15 @@
     second: AtomicU64,
     ordinary: AtomicU64,
     failures: AtomicU64,
-    lost: Arc<AtomicU64>,
 }
 
 impl Budget {
-    fn new(lost: Arc<AtomicU64>) -> Budget {
+    fn new() -> Budget {
         Budget {
             start: Instant::now(),
             second: AtomicU64::new(0),
             ordinary: AtomicU64::new(0),
             failures: AtomicU64::new(0),
-            lost,
         }
     }
 
@@ -97,7 +100,7 @@
         };
         let within = used.fetch_add(1, Ordering::Relaxed) < u64::from(limit);
         if !within {
-            self.lost.fetch_add(1, Ordering::Relaxed);
+            LOST.fetch_add(1, Ordering::Relaxed);
         }
         within
     }
@@ -106,13 +109,12 @@
 /// Hands whole lines to the writer, and drops them when it is behind.
 struct LineSink {
     lines: SyncSender<Vec<u8>>,
-    lost: Arc<AtomicU64>,
 }
 
 impl Write for LineSink {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         if self.lines.try_send(bytes.to_vec()).is_err() {
-            self.lost.fetch_add(1, Ordering::Relaxed);
+            LOST.fetch_add(1, Ordering::Relaxed);
         }
         Ok(bytes.len())
     }
@@ -125,16 +127,18 @@
 /// Time between two writes, in which lines gather for one.
 const GATHER: Duration = Duration::from_millis(50);
 
-fn write_lines(waiting: &Receiver<Vec<u8>>, lost: &AtomicU64) {
+fn write_lines(waiting: &Receiver<Vec<u8>>) {
     let mut out = io::stdout();
+    let mut told = 0;
     while let Ok(mut text) = waiting.recv() {
         thread::sleep(GATHER);
         while let Ok(line) = waiting.try_recv() {
             text.extend_from_slice(&line);
         }
-        let lost = lost.swap(0, Ordering::Relaxed);
-        if lost > 0 {
-            text.extend_from_slice(format!("lines left out lost={lost}\n").as_bytes());
+        let lost = lines_lost();
+        if lost > told {
+            text.extend_from_slice(format!("lines left out lost={}\n", lost - told).as_bytes());
+            told = lost;
         }
         // Nobody is left to tell of a closed standard output.
         if out.write_all(&text).and_then(|()| out.flush()).is_err() {
