Call the store less often: long watches of targets, deputies for the lease, entries written once

Change: the watch of the targets waits for 20 s. Whether the store still answers is told by the watch of the configuration, which waits as before; when that one is answered again after a loss, the targets are listed anew. Connections are probed by the system each second. An entry is written when it changes only; one that an earlier process left is replaced after 0.3 s instead of 6 s. Only the eight living hosts after the holder look at the lease each second, the others every 8 s.

Ruled out: a longer watch of the configuration, since it bounds how long a silent connection goes unnoticed.

--- a/components/clients/src/http.rs
+++ b/components/clients/src/http.rs
@@ -17,6 +17,7 @@
 use http_body_util::Full;
 use hyper::{Request, Response, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use rustix::net::sockopt;
 use snafu::{ResultExt, Snafu};
 use tokio::{net::TcpStream, time::timeout};
 
@@ -27,6 +28,8 @@
 /// Unacknowledged bytes are dropped after this time; less than the flight span
 /// that orders are given to arrive late.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time without a byte after which the system asks whether the peer is still there.
+const PROBE_PACE: Duration = Duration::from_secs(1);
 /// Idle connections kept to one address.
 const IDLE_LIMIT: usize = 64;
 
@@ -170,10 +173,17 @@
 /// Bounds how long a dead peer can go unnoticed; best effort.
 fn bound_silence(stream: &TcpStream) {
     let millis = u32::try_from(USER_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
-    let set = rustix::net::sockopt::set_tcp_user_timeout(stream, millis);
+    let set = sockopt::set_tcp_user_timeout(stream, millis);
     if let Err(error) = set {
         log::debug!(target: "http", error:%; "no TCP user timeout");
     }
+    // A connection may fall silent while an answer is awaited; nothing else shows it.
+    let probed = sockopt::set_socket_keepalive(stream, true)
+        .and_then(|()| sockopt::set_tcp_keepidle(stream, PROBE_PACE))
+        .and_then(|()| sockopt::set_tcp_keepintvl(stream, PROBE_PACE));
+    if let Err(error) = probed {
+        log::debug!(target: "http", error:%; "no TCP keep-alive");
+    }
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "http", error:%; "no TCP_NODELAY");
     }
--- a/components/clients/src/platform.rs
+++ b/components/clients/src/platform.rs
@@ -6,7 +6,7 @@
 use std::{collections::BTreeMap, net::IpAddr, time::Duration};
 
 use async_trait::async_trait;
-use chervilgate_coord::{StoreCall, StoreReply};
+use chervilgate_coord::{StoreCall, StoreReply, Version};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -38,12 +38,17 @@
     /// Makes one call; failures are part of the reply.
     async fn call(&self, call: &StoreCall) -> StoreReply;
 
-    /// Time for which a watch without changes waits at the store before it is answered;
-    /// zero if that is not known.
-    fn watch_wait(&self) -> Duration {
+    /// Time for which a watch without changes waits at the store before it is answered,
+    /// if it is to wait for `wished`; zero if that is not known.
+    fn watch_wait(&self, _wished: Duration) -> Duration {
         Duration::ZERO
     }
 
+    /// Watches for changes, and waits for `wished` where the store can be told.
+    async fn watch(&self, prefix: &str, after: Version, _wished: Duration) -> StoreReply {
+        self.call(&StoreCall::Watch { prefix: prefix.to_owned(), after }).await
+    }
+
     /// Reads one object, possibly as it was seconds ago, where that costs less.
     async fn get_lagging(&self, key: &str) -> StoreReply {
         self.call(&StoreCall::Get { key: key.to_owned() }).await
--- a/components/gateway/src/counted.rs
+++ b/components/gateway/src/counted.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use chervilgate_clients::ObjectStore;
-use chervilgate_coord::{StoreCall, StoreReply};
+use chervilgate_coord::{StoreCall, StoreReply, Version};
 
 use crate::metrics::Metrics;
 
@@ -41,8 +41,12 @@
         self.count(name, self.store.call(call).await)
     }
 
-    fn watch_wait(&self) -> Duration {
-        self.store.watch_wait()
+    fn watch_wait(&self, wished: Duration) -> Duration {
+        self.store.watch_wait(wished)
+    }
+
+    async fn watch(&self, prefix: &str, after: Version, wished: Duration) -> StoreReply {
+        self.count("watch", self.store.watch(prefix, after, wished).await)
     }
 
     async fn get_lagging(&self, key: &str) -> StoreReply {
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -41,7 +41,7 @@
         };
         let zone = locate.zone.as_deref().unwrap_or(&self.shared.settings.zone);
         let now = self.shared.now();
-        let own = self.shared.is_ready(now).then(|| self.shared.entry(0));
+        let own = self.shared.is_ready(now).then(|| self.shared.entry());
         let addrs = self.shared.state().members.addresses(now, zone, own.as_ref());
         if addrs.is_empty() {
             return status(StatusCode::SERVICE_UNAVAILABLE);
--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    lease::{Lease, LeaseDoc},
+    lease::{Lease, LeaseDoc, is_deputy},
     state::Shared,
     supply::{Scaled, Supply},
     usage::{Sheet, is_complete, sum},
@@ -33,8 +33,11 @@
 /// Time between two steps of the holder.
 const HOLDER_PACE: Duration = Duration::from_millis(500);
 
-/// Time between two looks of a challenger.
-const CHALLENGER_PACE: Duration = Duration::from_secs(1);
+/// Time between two looks of a deputy.
+const DEPUTY_PACE: Duration = Duration::from_secs(1);
+
+/// Time between two looks of the other hosts, which learn from them who the holder is.
+const OTHERS_PACE: Duration = Duration::from_secs(8);
 
 /// Time from a window's end until it may be sealed.
 const SEAL_DELAY: Duration = Duration::from_millis(1_200);
@@ -49,28 +52,33 @@
 /// Longest random delay of a challenger.
 const CHALLENGE_SPREAD: Duration = Duration::from_millis(800);
 
-/// Writes an object; returns its new version, or none where the outcome leaves the
-/// version as it was known.
+/// Writes an object whose version was last known as `version`, and takes over the
+/// version that it has then. Returns whether `value` is known to be written.
 ///
-/// A conflict or a lost answer is followed by a read, so that the next write names
-/// the version that the object has.
+/// A lost answer is followed by a read, so that the next write names the version that
+/// the object has.
 pub(crate) async fn put(
     shared: &Shared,
     key: &str,
-    version: Option<Version>,
+    version: &mut Option<Version>,
     value: Vec<u8>,
-) -> Option<Option<Version>> {
+) -> bool {
     let expect = version.map_or(Expect::Absent, Expect::At);
     let call = StoreCall::Put { key: key.to_owned(), expect, value };
-    match shared.store.call(&call).await {
-        StoreReply::Written(version) => Some(Some(version)),
-        StoreReply::Conflict(object) => Some(object.map(|object| object.version)),
-        StoreReply::Refused => None,
+    let known = match shared.store.call(&call).await {
+        StoreReply::Written(written) => {
+            *version = Some(written);
+            return true;
+        }
+        StoreReply::Refused => return false,
+        StoreReply::Conflict(object) => object,
         _ => match shared.store.call(&StoreCall::Get { key: key.to_owned() }).await {
-            StoreReply::Found(object) => Some(object.map(|object| object.version)),
-            _ => None,
+            StoreReply::Found(object) => object,
+            _ => return false,
         },
-    }
+    };
+    *version = known.map(|object| object.version);
+    false
 }
 
 /// Writes this host's usage sheet whenever it has changed.
@@ -139,7 +147,21 @@
         loop {
             let delay = CHALLENGE_SPREAD.mul_f64(rand::random());
             self.step(delay).await;
-            sleep(if self.lease.is_holder() { HOLDER_PACE } else { CHALLENGER_PACE }).await;
+            sleep(self.pace()).await;
+        }
+    }
+
+    fn pace(&self) -> Duration {
+        if self.lease.is_holder() {
+            return HOLDER_PACE;
+        }
+        let now = self.shared.now();
+        let state = self.shared.state();
+        let holder = &self.lease.doc().holder;
+        if is_deputy(holder, &self.shared.settings.name, state.members.names(now)) {
+            DEPUTY_PACE
+        } else {
+            OTHERS_PACE
         }
     }
 
--- a/components/gateway/src/lease.rs
+++ b/components/gateway/src/lease.rs
@@ -23,6 +23,10 @@
 /// Time that the holder acts after a write was sent, as a share of the lease.
 const HELD_SHARE: f64 = 0.7;
 
+/// Hosts that look at the lease often: more than are lost at once but with a whole
+/// zone, and then the next ones follow once the lost ones are not heard.
+const DEPUTIES: usize = 8;
+
 /// Sealed windows kept.
 const SEALED: usize = 6;
 
@@ -38,6 +42,14 @@
     pub reported: bool,
 }
 
+/// Whether the host `own` is among those that look at the lease often: the next ones
+/// after the holder in the order of names. `others` are the other hosts that live.
+pub fn is_deputy<'a>(holder: &str, own: &str, others: impl Iterator<Item = &'a str>) -> bool {
+    let place = |name: &str| (name <= holder, name.to_owned());
+    let own = place(own);
+    others.filter(|name| *name != holder && place(name) < own).count() < DEPUTIES
+}
+
 /// The lease object.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 #[derive(Serialize, Deserialize)]
--- a/components/gateway/src/members.rs
+++ b/components/gateway/src/members.rs
@@ -11,8 +11,8 @@
 use chervilgate_coord::Version;
 use serde::{Deserialize, Serialize};
 
-/// Time between two writes of a host's entry.
-pub const BEAT: Duration = Duration::from_secs(6);
+/// Time between two lists of the hosts' entries.
+pub(crate) const LIST_PACE: Duration = Duration::from_secs(6);
 
 /// Time without hearing from a host after which it is taken as gone. Each host tells a
 /// few others ten times a second.
@@ -35,8 +35,6 @@
     pub zone: String,
     /// Whether it is about to stop.
     pub leaving: bool,
-    /// Counts up with each write.
-    pub beat: u64,
 }
 
 #[derive(Debug)]
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -38,6 +38,8 @@
     /// Log lines left out so far.
     pub(crate) lines_lost: fn() -> u64,
     pub(crate) boot: u64,
+    /// Tells that the store answers again after it did not.
+    pub(crate) store_back: Notify,
     /// Asks that all hosts are told of this host's open work now.
     pub(crate) urgent: Notify,
     time: Mutex<TrueTime>,
@@ -89,6 +91,7 @@
             targets: HttpPool::new(),
             metrics,
             lines_lost,
+            store_back: Notify::new(),
             urgent: Notify::new(),
             settings,
             protocol,
@@ -124,14 +127,13 @@
     }
 
     /// This host's entry among those that serve callers.
-    pub(crate) fn entry(&self, beat: u64) -> HostEntry {
+    pub(crate) fn entry(&self) -> HostEntry {
         HostEntry {
             addr: self.settings.callers,
             gossip: self.settings.gossip,
             id: self.id(),
             zone: self.settings.zone.clone(),
             leaving: self.state().leaving,
-            beat,
         }
     }
 
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -9,7 +9,7 @@
 use tokio::{sync::Notify, time::sleep};
 
 use crate::{
-    members::{BEAT, HostEntry},
+    members::{HostEntry, LIST_PACE},
     protocol::Undecodable,
     state::Shared,
 };
@@ -27,14 +27,30 @@
 /// Time until a host's entry that could not be written is tried again.
 const REWRITE_PAUSE: Duration = Duration::from_millis(1_500);
 
+/// Time that the watch of the configuration waits: with the time allowed for a call it
+/// stays below the users' shortest bound for withdrawn keys, 5 s, less one more call.
+const CONFIG_WAIT: Duration = Duration::from_millis(2_500);
+
+/// Time that the watch of the targets waits. Each call has a price; whether the store
+/// still answers is told by the other watch.
+const TARGETS_WAIT: Duration = Duration::from_secs(20);
+
 /// Start of the keys of hosts' entries.
 const HOSTS: &str = "hosts/";
 
 /// A part of the store that is followed.
-pub(crate) trait Followed: Send {
+pub(crate) trait Followed: Send + Sync {
     /// The start of its keys.
     fn prefix(&self) -> String;
 
+    /// Time for which a watch waits for changes.
+    fn wait(&self) -> Duration;
+
+    /// Whether its calls tell how the store does, for the other parts too.
+    fn is_sounding(&self) -> bool {
+        false
+    }
+
     /// Takes over a whole list.
     fn replace(&self, shared: &Shared, now: Time, objects: &[Object]);
 
@@ -57,17 +73,29 @@
     let mut lost = false;
     loop {
         let sent = shared.now();
-        let call = match known {
-            None => StoreCall::List { prefix: prefix.clone() },
-            Some(after) => StoreCall::Watch { prefix: prefix.clone(), after },
+        let call = async {
+            match known {
+                None => shared.store.call(&StoreCall::List { prefix: prefix.clone() }).await,
+                Some(after) => shared.store.watch(&prefix, after, part.wait()).await,
+            }
+        };
+        let reply = tokio::select! {
+            reply = call => reply,
+            () = shared.store_back.notified(), if !part.is_sounding() => {
+                known = None;
+                continue;
+            }
         };
-        let reply = shared.store.call(&call).await;
         let now = shared.now();
         let answered = !matches!(reply, StoreReply::Refused | StoreReply::Unknown);
         if lost && answered {
             log::warn!(target: "store", prefix; "store regained");
             shared.state().fleet.store_back(now);
             lost = false;
+            if part.is_sounding() {
+                // A watch that was sent before may never be answered.
+                shared.store_back.notify_one();
+            }
         }
         match reply {
             StoreReply::Listed { objects, version } => {
@@ -82,7 +110,7 @@
                 known = Some(version);
                 if changes.is_empty() {
                     // The store waited that long for a change before it answered.
-                    part.confirm(&shared, sent + shared.store.watch_wait());
+                    part.confirm(&shared, sent + shared.store.watch_wait(part.wait()));
                 } else {
                     part.confirm(&shared, sent);
                     sleep(part.gather(&shared)).await;
@@ -136,6 +164,14 @@
         self.prefix.clone()
     }
 
+    fn wait(&self) -> Duration {
+        CONFIG_WAIT
+    }
+
+    fn is_sounding(&self) -> bool {
+        true
+    }
+
     fn replace(&self, shared: &Shared, _now: Time, objects: &[Object]) {
         for object in objects {
             ConfigPart::take(shared, object);
@@ -178,6 +214,10 @@
         self.prefix.clone()
     }
 
+    fn wait(&self) -> Duration {
+        TARGETS_WAIT
+    }
+
     fn replace(&self, shared: &Shared, now: Time, objects: &[Object]) {
         let mut entries = Vec::with_capacity(objects.len());
         for object in objects {
@@ -244,19 +284,14 @@
 ///
 /// `early` asks for that before its time: this host leaves, or an unknown one was heard.
 pub(crate) async fn keep_membership(shared: Arc<Shared>, early: Arc<Notify>) {
-    let mut beat = 0;
     let mut version: Option<Version> = None;
-    let mut written: Option<(HostEntry, Time)> = None;
+    let mut written: Option<HostEntry> = None;
     loop {
-        let now = shared.now();
-        let entry = shared.entry(beat);
-        let due = written.as_ref().is_none_or(|(known, at)| *known != entry || now >= *at + BEAT);
-        if due {
-            beat += 1;
-            let entry = shared.entry(beat);
-            let known = write_entry(&shared, &entry, version).await;
-            written = (known != version).then_some((entry, now));
-            version = known;
+        let entry = shared.entry();
+        let before = version;
+        if written.as_ref() != Some(&entry) {
+            let done = write_entry(&shared, &entry, &mut version).await;
+            written = done.then_some(entry);
         }
         let listed = shared.store.list_lagging(HOSTS).await;
         if let StoreReply::Listed { objects, .. } = listed {
@@ -267,19 +302,26 @@
             let entries = entries.collect();
             shared.state().members.update(entries);
         }
+        let pause = match &written {
+            Some(_) => LIST_PACE,
+            // An entry of an earlier process stands, or the answer was lost.
+            None if version != before => LIST_PAUSE,
+            None => REWRITE_PAUSE,
+        };
         tokio::select! {
-            () = sleep(if written.is_some() { BEAT } else { REWRITE_PAUSE }) => {}
+            () = sleep(pause) => {}
             () = early.notified() => sleep(LIST_PAUSE).await,
         }
     }
 }
 
-async fn write_entry(
-    shared: &Shared,
-    entry: &HostEntry,
-    version: Option<Version>,
-) -> Option<Version> {
+async fn write_entry(shared: &Shared, entry: &HostEntry, version: &mut Option<Version>) -> bool {
     let key = format!("{HOSTS}{}", shared.settings.name);
-    let Ok(value) = serde_json::to_vec(entry) else { return version };
-    crate::duty::put(shared, &key, version, value).await.unwrap_or(version)
+    match serde_json::to_vec(entry) {
+        Ok(value) => crate::duty::put(shared, &key, version, value).await,
+        Err(error) => {
+            log::error!(target: "store", key, error:%; "entry not written");
+            true
+        }
+    }
 }
--- a/components/gateway/tests/duties.rs
+++ b/components/gateway/tests/duties.rs
@@ -8,7 +8,7 @@
 use chervilgate_gateway::{
     config::Scaling,
     fleet::{Stage, TargetEntry},
-    lease::{Lease, LeaseDoc},
+    lease::{Lease, LeaseDoc, is_deputy},
     supply::Supply,
     usage::{Meter, Sheet, TrueTime, is_complete, sum},
 };
@@ -259,3 +259,22 @@
         }
     }
 }
+
+#[test]
+fn the_next_hosts_by_name_are_deputies_of_the_holder() {
+    let names: Vec<String> = (10..40).map(|n| format!("host-{n}")).collect();
+    let is_deputy_of = |holder: &str, own: &str, gone: &[&str]| {
+        let others = names.iter().map(String::as_str);
+        is_deputy(holder, own, others.filter(|name| *name != own && !gone.contains(name)))
+    };
+
+    let of_first = names.iter().filter(|name| is_deputy_of("host-09", name, &[])).count();
+    let of_last: Vec<_> =
+        names.iter().filter(|name| is_deputy_of("host-37", name, &[])).cloned().collect();
+
+    assert_eq!(of_first, 8);
+    assert_eq!(of_last.first().map(String::as_str), Some("host-10"));
+    assert_eq!(of_last.len(), 8);
+    assert!(!is_deputy_of("host-10", "host-19", &[]));
+    assert!(is_deputy_of("host-10", "host-19", &["host-11"]));
+}
--- a/components/gateway/tests/members.rs
+++ b/components/gateway/tests/members.rs
@@ -7,14 +7,7 @@
 use chervilgate_gateway::members::{HostEntry, Members};
 
 fn entry(id: u32, zone: &str) -> HostEntry {
-    HostEntry {
-        addr: addr(id),
-        gossip: addr(id),
-        id,
-        zone: zone.to_owned(),
-        leaving: false,
-        beat: 1,
-    }
+    HostEntry { addr: addr(id), gossip: addr(id), id, zone: zone.to_owned(), leaving: false }
 }
 
 fn addr(id: u32) -> SocketAddr {
