Tell other hosts where shared parts of prompts were sent

Cause: a host took a shared part to be cached at the engine with the first rank, which is wrong after each change of the engines, and could not know of copies that others had sent elsewhere.

Change: each datagram carries the parts sent since the host told was last told; a part that nobody told of counts as cached at the first-ranked engine with probability 0.5, at the second with 0.25.

--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -2,15 +2,21 @@
 //!
 //! Each host decides alone. Requests that share a part of their prompt rank the
 //! engines alike on every host (rendezvous hashing over the part and the target's
-//! id), so that the part stays in few caches without any exchange between hosts.
-//! A target with work in front of it loses its rank's advantage as soon as the
-//! wait costs more than reading the part again elsewhere.
+//! id), so that the part stays in few caches. A target with work in front of it
+//! loses its rank's advantage as soon as the wait costs more than computing the part
+//! again elsewhere. Hosts tell each other where they sent which parts; the rank
+//! decides only about parts that nobody told of.
 
 mod health;
 mod member;
 mod rank;
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use chervilgate_clock::Time;
 use serde::{Deserialize, Serialize};
@@ -46,16 +52,22 @@
 /// generates: their speeds with prompts.
 const PREFILL_WEIGHT: f64 = 2.0;
 
-/// Probability that the first-ranked engine holds a shared part that this host has not
-/// sent there: all hosts send it there first.
-const OWNER_CACHED: f64 = 1.0;
+/// Probability that the first-ranked engine holds a shared part that no host told of:
+/// others may be sending it there right now.
+const OWNER_CACHED: f64 = 0.5;
 
 /// The same for the second-ranked one, which takes over while the first is busy.
-const SECOND_CACHED: f64 = 0.5;
+const SECOND_CACHED: f64 = 0.25;
 
 /// Time for which what another host told of its open work counts.
 const HEARD_SPAN: Duration = Duration::from_millis(1_500);
 
+/// Targets told of at most, so that all fits into one datagram; those with most work.
+const TARGETS_TOLD: usize = 80;
+
+/// Parts told of at most, so that all fits into one datagram; the latest.
+const PARTS_TOLD: usize = 40;
+
 /// Time after an outage of the store for which a target without an entry is kept, as
 /// a share of the time in which a leaving target may get work.
 const LAPSED_SHARE: f64 = 0.9;
@@ -185,12 +197,29 @@
     pub open: u16,
 }
 
+/// A part of a prompt at a target that was sent it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct CachedPart {
+    /// Stands for the target's id.
+    pub target: u32,
+    /// The part.
+    pub part: u64,
+}
+
 #[derive(Debug)]
 struct Heard {
     at: Time,
     work: Vec<OpenWork>,
 }
 
+/// Open work of the other hosts at one target.
+#[derive(Debug, Clone, Copy, Default)]
+struct Load {
+    open: u32,
+    pending: u32,
+}
+
 /// The targets that this host knows.
 #[derive(Debug)]
 pub struct Fleet {
@@ -198,6 +227,12 @@
     drain: Duration,
     members: HashMap<Arc<str>, Member>,
     heard: HashMap<u32, Heard>,
+    /// What was heard, by target.
+    loads: HashMap<u32, Load>,
+    /// Targets by what stands for them.
+    keys: HashMap<u32, Arc<str>>,
+    /// Parts that this host sent of late, in order of time.
+    sent: VecDeque<(Time, CachedPart)>,
     back: Option<Time>,
     tickets: u64,
 }
@@ -214,6 +249,9 @@
             drain,
             members: HashMap::new(),
             heard: HashMap::new(),
+            loads: HashMap::new(),
+            keys: HashMap::new(),
+            sent: VecDeque::new(),
             back: None,
             tickets: 0,
         }
@@ -229,14 +267,18 @@
         match self.members.get_mut(&entry.id) {
             Some(known) => known.set(now, entry),
             None => {
-                self.members.insert(entry.id.clone(), Member::new(now, entry));
+                let member = Member::new(now, entry);
+                self.keys.insert(member.key, member.entry.id.clone());
+                self.members.insert(member.entry.id.clone(), member);
             }
         }
     }
 
     /// Takes a target out whose entry was deleted.
     pub fn remove(&mut self, id: &str) {
-        self.members.remove(id);
+        if let Some(member) = self.members.remove(id) {
+            self.keys.remove(&member.key);
+        }
     }
 
     /// Takes over a whole list of entries; targets that it leaves out are removed.
@@ -257,6 +299,7 @@
             member.lapses = member.lapses.or(until);
             member.lapses.is_some_and(|lapses| now < lapses)
         });
+        self.keys.retain(|_, id| self.members.contains_key(id));
     }
 
     /// Every target's entry.
@@ -309,31 +352,81 @@
             pending: member.told(now).min(f64::from(u16::MAX)) as u16,
             open: u16::try_from(member.open).unwrap_or(u16::MAX),
         });
-        work.collect()
+        let mut work: Vec<OpenWork> = work.collect();
+        if work.len() > TARGETS_TOLD {
+            work.sort_unstable_by_key(|work| std::cmp::Reverse(work.pending));
+            work.truncate(TARGETS_TOLD);
+        }
+        work
     }
 
     /// Takes in another host's open work in place of what it told before.
     pub fn hear(&mut self, now: Time, host: u32, work: Vec<OpenWork>) {
-        self.heard.insert(host, Heard { at: now, work });
-        self.heard.retain(|_, heard| now.since(heard.at) < HEARD_SPAN);
+        self.count_heard(&work, true);
+        let before = self.heard.insert(host, Heard { at: now, work });
+        let old = self.heard.extract_if(|_, heard| now.since(heard.at) >= HEARD_SPAN);
+        let old: Vec<Heard> = old.map(|(_, heard)| heard).chain(before).collect();
+        for heard in old {
+            self.count_heard(&heard.work, false);
+        }
         self.members.retain(|_, member| member.lapses.is_none_or(|lapses| now < lapses));
-        for member in self.members.values_mut() {
-            let told = self.heard.values().flat_map(|heard| &heard.work);
-            let told = told.filter(|work| work.target == member.key);
-            let (open, pending) = told.fold((0, 0.0), |(open, pending), work| {
-                (open + u32::from(work.open), pending + f64::from(work.pending))
-            });
-            member.others_open = open;
-            member.others_pending = pending;
+    }
+
+    fn count_heard(&mut self, work: &[OpenWork], add: bool) {
+        for work in work {
+            let load = self.loads.entry(work.target).or_default();
+            let (open, pending) = (u32::from(work.open), u32::from(work.pending));
+            if add {
+                load.open += open;
+                load.pending += pending;
+                continue;
+            }
+            load.open = load.open.saturating_sub(open);
+            load.pending = load.pending.saturating_sub(pending);
+            if load.open == 0 && load.pending == 0 {
+                self.loads.remove(&work.target);
+            }
+        }
+    }
+
+    /// Parts of prompts that this host has sent to targets within `span`.
+    pub fn sent_parts(&mut self, now: Time, span: Duration) -> Vec<CachedPart> {
+        while self.sent.front().is_some_and(|(at, _)| now.since(*at) >= span) {
+            self.sent.pop_front();
+        }
+        self.sent.iter().rev().take(PARTS_TOLD).map(|(_, part)| *part).collect()
+    }
+
+    /// Notes that all hosts have been told of the parts sent so far.
+    pub fn told_all(&mut self) {
+        self.sent.clear();
+    }
+
+    /// Takes in parts of prompts that another host has sent to targets.
+    pub fn hear_parts(&mut self, now: Time, parts: &[CachedPart]) {
+        for cached in parts {
+            let member = self.keys.get(&cached.target).and_then(|id| self.members.get_mut(id));
+            if let Some(member) = member {
+                member.keep_part(now, cached.part);
+            }
         }
     }
 
+    /// Time until `member` begins with a new request, in milliseconds.
+    fn wait(&self, now: Time, member: &Member) -> f64 {
+        let others = self.loads.get(&member.key).copied().unwrap_or_default();
+        member.wait(now, others.open, f64::from(others.pending))
+    }
+
     /// Counts a request as sent to its place.
     pub fn start(&mut self, now: Time, place: &Place, prompt: &Prompt) -> Ticket {
         self.tickets += 1;
         let ticket = Ticket(self.tickets);
         if let Some(member) = self.members.get_mut(&place.id) {
             member.start(now, ticket, place, prompt);
+            let target = member.key;
+            let parts = prompt.parts.iter().map(|part| CachedPart { target, part: part.id });
+            self.sent.extend(parts.map(|part| (now, part)));
         }
         ticket
     }
@@ -382,7 +475,7 @@
             let failing = FAILURE_COST * member.health.rate(now);
             let read = member.read_time(missing.shared, need.prompt.tokens) * REREAD_WEIGHT
                 + member.read_time(missing.own, need.prompt.tokens);
-            (member, missing, member.wait(now) + read + far + failing)
+            (member, missing, self.wait(now, member) + read + far + failing)
         });
         let (member, missing, cost) = offers
             .min_by(|a, b| a.2.total_cmp(&b.2).then_with(|| rank(b.0).total_cmp(&rank(a.0))))?;
@@ -393,7 +486,7 @@
             zone: member.entry.zone.clone(),
             compute,
             read: member.read_time(compute, need.prompt.tokens),
-            wait: member.wait(now),
+            wait: self.wait(now, member),
             cost,
         })
     }
--- a/components/gateway/src/fleet/member.rs
+++ b/components/gateway/src/fleet/member.rs
@@ -56,18 +56,14 @@
     pub(super) entry: TargetEntry,
     /// Stands for its id between hosts.
     pub(super) key: u32,
-    /// Open requests of the other hosts.
-    pub(super) others_open: u32,
-    /// Prompt computation of the other hosts, in milliseconds.
-    pub(super) others_pending: f64,
     /// Open requests of this host.
     pub(super) open: u32,
     /// Prompt computation sent and not known to be done, in milliseconds.
     pub(super) pending: f64,
     /// When each request without a first token is overdue.
     due: SmallVec<[(Ticket, Time); 4]>,
-    /// Parts of prompts that this host sent there, with the last time.
-    pub(super) parts: HashMap<u64, Time>,
+    /// Parts of prompts that hosts sent there, with the last time.
+    parts: HashMap<u64, Time>,
     /// How it did of late.
     pub(super) health: Health,
     /// Until when it gets nothing although its entry stands.
@@ -90,8 +86,6 @@
     pub(super) fn new(now: Time, entry: TargetEntry) -> Member {
         Member {
             key: rank::hash(&&*entry.id) as u32,
-            others_open: 0,
-            others_pending: 0.0,
             open: 0,
             pending: 0.0,
             due: SmallVec::new(),
@@ -134,8 +128,13 @@
         self.pending += place.read;
         self.due.push((ticket, now + place.predicted() * 2 + OVERDUE_GRACE));
         for part in &prompt.parts {
-            self.parts.insert(part.id, now);
+            self.keep_part(now, part.id);
         }
+    }
+
+    /// Takes a part as cached.
+    pub(super) fn keep_part(&mut self, now: Time, part: u64) {
+        self.parts.insert(part, now);
         if self.parts.len() > PARTS {
             self.forget_parts();
         }
@@ -173,7 +172,7 @@
 
     /// Prompt tokens to compute: all after the first part that is not cached.
     ///
-    /// Shared parts that this host has not sent here are there with probability `likely`.
+    /// Shared parts that are not known to be here are so with probability `likely`.
     pub(super) fn missing(&self, prompt: &Prompt, likely: f64) -> Missing {
         let (mut cached, mut shared) = (0, 0);
         let last = prompt.parts.len().saturating_sub(1);
@@ -198,10 +197,12 @@
         (f64::from(tokens) / PREFILL_RATE + pairs * PAIRS_COST) * slowdown
     }
 
-    /// Time until the target begins with a new request, in milliseconds.
-    pub(super) fn wait(&self, now: Time) -> f64 {
-        let open = f64::from(self.open + self.others_open);
-        let late = self.overdue(now) + self.others_pending;
+    /// Time until the target begins with a new request, in milliseconds, with
+    /// `others_open` requests and `others_pending` milliseconds of prompt computation of
+    /// the other hosts.
+    pub(super) fn wait(&self, now: Time, others_open: u32, others_pending: f64) -> f64 {
+        let open = f64::from(self.open + others_open);
+        let late = self.overdue(now) + others_pending;
         if self.entry.stage == Stage::Whole {
             return open * PLAIN_COST / f64::from(self.entry.slots.max(1)) + late;
         }
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -15,7 +15,11 @@
     time::{sleep, timeout},
 };
 
-use crate::{fleet::OpenWork, state::Shared, suspects::BrokenRun};
+use crate::{
+    fleet::{CachedPart, OpenWork},
+    state::Shared,
+    suspects::BrokenRun,
+};
 
 /// Time between two rounds: requests last a few hundred milliseconds.
 const PACE: Duration = Duration::from_millis(100);
@@ -39,6 +43,8 @@
     /// What the host takes for true time, in microseconds since 1970.
     time: u64,
     work: Vec<OpenWork>,
+    /// Parts of prompts sent since each host was told last.
+    parts: Vec<CachedPart>,
     /// Runs that broke off of late.
     broken: Vec<BrokenRun>,
 }
@@ -54,18 +60,25 @@
         set_time(&shared);
         let now = shared.now();
         let time = shared.time().at(now).as_micros() as u64;
-        let (work, broken, peers) = {
-            let state = shared.state();
+        let (work, parts, broken, peers) = {
+            let mut state = shared.state();
             let broken = state.suspects.to_tell(now);
-            (state.fleet.open_work(now), broken, state.members.gossip_addrs())
+            let peers = state.members.gossip_addrs();
+            let parts = state.fleet.sent_parts(now, turn_span(peers.len()));
+            (state.fleet.open_work(now), parts, broken, peers)
         };
         // The first empty round takes back what was told last; later ones tell that
         // this host lives.
-        idle = if work.is_empty() && broken.is_empty() { idle + 1 } else { 0 };
+        idle = if work.is_empty() && parts.is_empty() && broken.is_empty() { idle + 1 } else { 0 };
         if idle % IDLE_ROUNDS > 1 && !urgent {
             continue;
         }
-        let Ok(told) = postcard::to_stdvec(&Told { host, time, work, broken }) else { continue };
+        let Ok(told) = postcard::to_stdvec(&Told { host, time, work, parts, broken }) else {
+            continue;
+        };
+        if urgent {
+            shared.state().fleet.told_all();
+        }
         let chosen = if urgent { peers } else { turns.next(peers) };
         for peer in chosen {
             if let Err(error) = socket.send_to(&told, peer).await {
@@ -75,6 +88,11 @@
     }
 }
 
+/// Time in which each of `peers` hosts is told, with a round to spare.
+fn turn_span(peers: usize) -> Duration {
+    PACE * u32::try_from(peers.div_ceil(FANOUT) + 1).unwrap_or(u32::MAX)
+}
+
 /// Takes the other hosts in turn.
 #[derive(Default)]
 struct Turns {
@@ -132,6 +150,7 @@
                 for run in told.broken {
                     state.suspects.note(now, run);
                 }
+                state.fleet.hear_parts(now, &told.parts);
                 state.fleet.hear(now, told.host, told.work);
             }
             Err(error) => log::info!(target: "gossip", error:%; "datagram not read"),
