--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -118,7 +118,7 @@
         tokio::spawn(follow(shared.clone(), Box::new(TargetPart { prefix })));
         tokio::spawn(keep_membership(shared.clone(), membership.clone()));
         if let Some(DutyCalls { reports, orders }) = duties {
-            tokio::spawn(gossip::tell_counts(shared.clone(), socket.clone()));
+            tokio::spawn(gossip::tell_counts(shared.clone(), socket));
             tokio::spawn(keep_sheet(shared.clone()));
             tokio::spawn(Duties::new(shared.clone(), reports, orders).run());
         }
