--- a/bins/host/src/main.rs
+++ b/bins/host/src/main.rs
@@ -7,7 +7,7 @@
 use chervilgate_platform::{
     PlatformDecoder, PlatformDuties, PlatformProtocol, PlatformStore, SETTINGS_VAR, read_settings,
 };
-use chervilgate_telemetry::{lines_lost, start_logs};
+use chervilgate_telemetry::{finish_logs, lines_lost, start_logs};
 use tokio::{
     runtime,
     signal::unix::{SignalKind, signal},
@@ -32,6 +32,12 @@
 fn main() -> ExitCode {
     let options = options().run();
     start_logs();
+    let code = start(options);
+    finish_logs();
+    code
+}
+
+fn start(options: Options) -> ExitCode {
     let path = options.settings.or_else(|| env::var_os(SETTINGS_VAR).map(PathBuf::from));
     let Some(path) = path else {
         log::error!(target: "host", variable = SETTINGS_VAR; "no settings file is named");
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -7,6 +7,6 @@
 mod metrics;
 
 pub use crate::{
-    logs::{lines_lost, start_logs},
+    logs::{finish_logs, lines_lost, start_logs},
     metrics::{Metrics, MetricsError, RequestEnd},
 };
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -34,6 +34,21 @@
     LOST.load(Ordering::Relaxed)
 }
 
+/// Lines that wait for the writer or are being written.
+static UNWRITTEN: AtomicU64 = AtomicU64::new(0);
+
+/// Longest time for which the end of the program waits for the last lines: several
+/// rounds of the writer.
+const LAST_LINES: Duration = Duration::from_millis(300);
+
+/// Waits until the last lines are written, or standard output turns out to be blocked.
+pub fn finish_logs() {
+    let until = Instant::now() + LAST_LINES;
+    while UNWRITTEN.load(Ordering::Acquire) > 0 && Instant::now() < until {
+        thread::sleep(GATHER / 10);
+    }
+}
+
 /// Starts logging to standard output; `RUST_LOG` sets what is logged.
 pub fn start_logs() {
     let (lines, waiting) = sync_channel(WAITING);
@@ -113,7 +128,9 @@
 
 impl Write for LineSink {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        UNWRITTEN.fetch_add(1, Ordering::AcqRel);
         if self.lines.try_send(bytes.to_vec()).is_err() {
+            UNWRITTEN.fetch_sub(1, Ordering::AcqRel);
             LOST.fetch_add(1, Ordering::Relaxed);
         }
         Ok(bytes.len())
@@ -132,8 +149,10 @@
     let mut told = 0;
     while let Ok(mut text) = waiting.recv() {
         thread::sleep(GATHER);
+        let mut count = 1;
         while let Ok(line) = waiting.try_recv() {
             text.extend_from_slice(&line);
+            count += 1;
         }
         let lost = lines_lost();
         if lost > told {
@@ -144,5 +163,6 @@
         if out.write_all(&text).and_then(|()| out.flush()).is_err() {
             return;
         }
+        UNWRITTEN.fetch_sub(count, Ordering::AcqRel);
     }
 }
