--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -134,6 +134,8 @@
     pub(crate) orders: Arc<dyn TargetOrders>,
     lease: Lease,
     supply: Supply,
+    /// Whether the store did not take the last write of the lease.
+    failed: bool,
 }
 
 impl Duties {
@@ -144,7 +146,7 @@
         orders: Arc<dyn TargetOrders>,
     ) -> Duties {
         let lease = Lease::new(&shared.settings.name, shared.boot, shared.settings.bounds.lease);
-        Duties { shared, reports, orders, lease, supply: Supply::new() }
+        Duties { shared, reports, orders, lease, supply: Supply::new(), failed: false }
     }
 
     /// Stands for the lease, and performs the duties while it is held.
@@ -159,7 +161,7 @@
 
     fn pace(&self) -> Duration {
         if self.lease.is_holder() {
-            return HOLDER_PACE;
+            return if self.failed { DEPUTY_PACE } else { HOLDER_PACE };
         }
         let now = self.shared.now();
         let state = self.shared.state();
@@ -215,7 +217,9 @@
         let expect = self.lease.version().map_or(Expect::Absent, Expect::At);
         let sent = self.shared.now();
         let call = StoreCall::Put { key: LEASE.to_owned(), expect, value };
-        match self.shared.store.call(&call).await {
+        let reply = self.shared.store.call(&call).await;
+        self.failed = matches!(reply, StoreReply::Refused | StoreReply::Unknown);
+        match reply {
             StoreReply::Written(version) => {
                 let taken = !self.lease.is_holder();
                 let epoch = doc.epoch;
@@ -229,6 +233,10 @@
                 self.observe(&object);
                 false
             }
+            StoreReply::Refused => {
+                log::info!(target: "duty", "lease not written: the store refused");
+                false
+            }
             reply => {
                 log::info!(target: "duty", reply:?; "lease not written");
                 let get = StoreCall::Get { key: LEASE.to_owned() };
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -12,7 +12,7 @@
 mod rank;
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -286,7 +286,7 @@
     /// Entries that lapsed during an outage of the store come back soon after it;
     /// until then their targets are kept, but no longer than a leaving one may be.
     pub fn replace(&mut self, now: Time, entries: Vec<TargetEntry>) {
-        let listed: Vec<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let listed: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
         for entry in entries {
             self.set(now, entry);
         }
@@ -453,32 +453,34 @@
     fn best(&self, now: Time, need: &Need<'_>, stage: impl Fn(Stage) -> bool) -> Option<Place> {
         let key = affinity(need.prompt);
         let serving = self.members.values().filter(|member| member.serves(now, need.service));
-        let serving: SmallVec<[&Member; 32]> = serving.collect();
-        let rank = |member: &Member| {
+        let ranked = serving.map(|member| {
             let weight = if member.entry.stage == Stage::Prefill { PREFILL_WEIGHT } else { 1.0 };
-            rank(key, &member.entry.id, weight)
-        };
-        let mut ranks: SmallVec<[f64; 32]> = serving.iter().map(|member| rank(member)).collect();
-        ranks.sort_unstable_by(|a, b| b.total_cmp(a));
-        let (first, second) = (*ranks.first()?, ranks.get(1).copied());
-        let likely = |member: &Member| match rank(member) {
-            own if own == first => OWNER_CACHED,
-            own if Some(own) == second => SECOND_CACHED,
+            (member, rank(key, &member.entry.id, weight))
+        });
+        let ranked: SmallVec<[(&Member, f64); 32]> = ranked.collect();
+        let (mut first, mut second) = (f64::MIN, f64::MIN);
+        for (_, rank) in &ranked {
+            second = second.max(rank.min(first));
+            first = first.max(*rank);
+        }
+        let likely = |rank: f64| match rank {
+            rank if rank == first => OWNER_CACHED,
+            rank if rank == second => SECOND_CACHED,
             _ => 0.0,
         };
-        let fitting = serving
-            .into_iter()
-            .filter(|member| stage(member.entry.stage) && !need.except.contains(&member.entry.id));
-        let offers = fitting.map(|member| {
-            let missing = member.missing(need.prompt, likely(member));
+        let fitting = ranked.into_iter().filter(|(member, _)| {
+            stage(member.entry.stage) && !need.except.contains(&member.entry.id)
+        });
+        let offers = fitting.map(|(member, rank)| {
+            let missing = member.missing(need.prompt, likely(rank));
             let far = if member.entry.zone == self.zone { 0.0 } else { ZONE_COST };
             let failing = FAILURE_COST * member.health.rate(now);
             let read = member.read_time(missing.shared, need.prompt.tokens) * REREAD_WEIGHT
                 + member.read_time(missing.own, need.prompt.tokens);
-            (member, missing, self.wait(now, member) + read + far + failing)
+            (member, rank, missing, self.wait(now, member) + read + far + failing)
         });
-        let (member, missing, cost) = offers
-            .min_by(|a, b| a.2.total_cmp(&b.2).then_with(|| rank(b.0).total_cmp(&rank(a.0))))?;
+        let (member, _, missing, cost) =
+            offers.min_by(|a, b| a.3.total_cmp(&b.3).then_with(|| b.1.total_cmp(&a.1)))?;
         let compute = missing.shared + missing.own;
         Some(Place {
             id: member.entry.id.clone(),
--- a/components/gateway/src/fleet/health.rs
+++ b/components/gateway/src/fleet/health.rs
@@ -39,6 +39,9 @@
 
     /// The failure rate, from 0 to 1.
     pub(super) fn rate(&self, now: Time) -> f64 {
+        if self.rate == 0.0 {
+            return 0.0;
+        }
         let halves = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
         self.rate * 0.5f64.powf(halves)
     }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -54,6 +54,8 @@
 pub(crate) struct State {
     pub(crate) view: View,
     pub(crate) fleet: Fleet,
+    /// Whether the watch of the configuration finds the store lost.
+    pub(crate) store_lost: bool,
     /// Whether the targets' entries have been read once.
     pub(crate) listed: bool,
     pub(crate) members: Members,
@@ -87,6 +89,7 @@
         let state = State {
             view: View::new(bounds.revoke, bounds.refuse_stale),
             fleet: Fleet::new(&settings.zone, bounds.drain),
+            store_lost: false,
             listed: false,
             members: Members::new(&settings.name),
             meter: Meter::new(boot),
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -6,7 +6,10 @@
 use chervilgate_coord::{Change, Object, StoreCall, StoreReply, Version};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use tokio::{sync::Notify, time::sleep};
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 use crate::{
     members::{HostEntry, LIST_PACE},
@@ -14,16 +17,27 @@
     state::Shared,
 };
 
-/// Pause after a call that failed.
-const PAUSE: Duration = Duration::from_millis(350);
+/// Pause after a call that failed, and after several in a row, each twice as long: calls
+/// that fail are priced too, and a store that is back must be found within a second.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(1));
+
+/// Longest time for which a part waits for the other one to find the store back.
+const BACK_WAIT: Duration = Duration::from_secs(5);
 
 /// Pause after changes of targets, as a share of the time in which a leaving target may
 /// still get work.
 const GATHER_SHARE: f64 = 0.3;
 
+/// Changes in one answer from which no further ones are waited for: so many take their
+/// time to arrive, and a target that leaves may be among the next.
+const BULK: usize = 100;
+
 /// Time between two lists of hosts at least.
 const LIST_PAUSE: Duration = Duration::from_millis(300);
 
+/// The same for each host: all list, and each list names all.
+const LIST_SHARE: Duration = Duration::from_millis(10);
+
 /// Time until a host's entry that could not be written is tried again.
 const REWRITE_PAUSE: Duration = Duration::from_millis(1_500);
 
@@ -71,6 +85,7 @@
     let prefix = part.prefix();
     let mut known: Option<Version> = None;
     let mut lost = false;
+    let mut pause = PAUSES.0;
     loop {
         let sent = shared.now();
         let call = async {
@@ -92,7 +107,9 @@
             log::warn!(target: "store", prefix; "store regained");
             shared.state().fleet.store_back(now);
             lost = false;
+            pause = PAUSES.0;
             if part.is_sounding() {
+                shared.state().store_lost = false;
                 // A watch that was sent before may never be answered.
                 shared.store_back.notify_one();
             }
@@ -113,7 +130,9 @@
                     part.confirm(&shared, sent + shared.store.watch_wait(part.wait()));
                 } else {
                     part.confirm(&shared, sent);
-                    sleep(part.gather(&shared)).await;
+                    if changes.len() < BULK {
+                        sleep(part.gather(&shared)).await;
+                    }
                 }
             }
             StoreReply::Compacted => {
@@ -125,10 +144,17 @@
                     log::warn!(target: "store", prefix, reply:? = other; "store lost");
                     shared.metrics.count_store_loss();
                     lost = true;
+                    shared.state().store_lost |= part.is_sounding();
                 }
                 // A list is answered at once when the store is back; a watch would wait.
                 known = None;
-                sleep(PAUSE).await;
+                if !part.is_sounding() && shared.state().store_lost {
+                    // Whether the store is back before is told by the other part.
+                    timeout(BACK_WAIT, shared.store_back.notified()).await.ok();
+                    continue;
+                }
+                sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+                pause = (pause * 2).min(PAUSES.1);
             }
         }
     }
@@ -310,7 +336,10 @@
         };
         tokio::select! {
             () = sleep(pause) => {}
-            () = early.notified() => sleep(LIST_PAUSE).await,
+            () = early.notified() => {
+                let hosts = shared.state().members.count() as u32;
+                sleep(LIST_PAUSE.max(LIST_SHARE * hosts)).await;
+            }
         }
     }
 }
