Choose the deputies of a holder all over the fleet

The lease went from front-tb-a-16 to -18, -21 and -23, each told to stop within seconds, and two windows were reported after they were due. Ruled out: the store, which was back 4 s before.

--- a/components/gateway/src/fleet/member.rs
+++ b/components/gateway/src/fleet/member.rs
@@ -6,7 +6,8 @@
 use smallvec::SmallVec;
 
 use crate::{
-    fleet::{Outcome, Place, Stage, TargetEntry, Ticket, health::Health, rank},
+    fleet::{Outcome, Place, Stage, TargetEntry, Ticket, health::Health},
+    hash::hash,
     protocol::Prompt,
 };
 
@@ -85,7 +86,7 @@
     /// A target without work.
     pub(super) fn new(now: Time, entry: TargetEntry) -> Member {
         Member {
-            key: rank::hash(&&*entry.id) as u32,
+            key: hash(&&*entry.id) as u32,
             open: 0,
             pending: 0.0,
             due: SmallVec::new(),
--- a/components/gateway/src/fleet/rank.rs
+++ b/components/gateway/src/fleet/rank.rs
@@ -1,8 +1,6 @@
 //! Rendezvous hashing of shared prompt parts over targets.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
-
-use crate::protocol::Prompt;
+use crate::{hash::hash, protocol::Prompt};
 
 /// What requests that should share a cache have in common: the last part of the
 /// prompt that is not the request's own.
@@ -17,10 +15,3 @@
     let uniform = (hash(&(affinity, target)) >> 11) as f64 / (1u64 << 53) as f64;
     -weight / uniform.max(f64::MIN_POSITIVE).ln()
 }
-
-/// The same on every host.
-pub(super) fn hash(value: &impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    value.hash(&mut hasher);
-    hasher.finish()
-}
--- a/components/gateway/src/lease.rs
+++ b/components/gateway/src/lease.rs
@@ -15,7 +15,7 @@
 use chervilgate_coord::Version;
 use serde::{Deserialize, Serialize};
 
-use crate::usage::Counts;
+use crate::{hash::hash, usage::Counts};
 
 /// Time between two writes of the holder, as a share of the lease.
 const RENEW_SHARE: f64 = 0.3;
@@ -42,10 +42,13 @@
     pub reported: bool,
 }
 
-/// Whether the host `own` is among those that look at the lease often: the next ones
-/// after the holder in the order of names. `others` are the other hosts that live.
+/// Whether the host `own` is among those that look at the lease often. `others` are the
+/// other hosts that live.
+///
+/// Each holder has deputies of its own all over the fleet: hosts that are restarted one
+/// after the other in the order of their names must not hand the lease to the next one.
 pub fn is_deputy<'a>(holder: &str, own: &str, others: impl Iterator<Item = &'a str>) -> bool {
-    let place = |name: &str| (name <= holder, name.to_owned());
+    let place = |name: &str| hash(&(holder, name));
     let own = place(own);
     others.filter(|name| *name != holder && place(name) < own).count() < DEPUTIES
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod fleet;
 mod forward;
 mod gossip;
+mod hash;
 mod host;
 pub mod lease;
 pub mod members;
