--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -29,7 +29,8 @@
 /// Seeds that broke a promise in a run of 30 s with 4 hosts and 12 callers.
 ///
 /// 132: the soak gave a host a port that the system then gave to a connection.
-const ONCE_BROKEN: [u64; 1] = [132];
+/// 1017: the soak gave two listeners one port.
+const ONCE_BROKEN: [u64; 2] = [132, 1017];
 
 #[tokio::test(flavor = "multi_thread")]
 async fn seeds_that_once_broke_a_promise_keep_them() {
