--- a/bins/host/tests/logs.rs
+++ b/bins/host/tests/logs.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use chervilgate_clients::{HttpPool, HttpSender, body::collect};
-use chervilgate_soak::{Fault, Fleet, Manner};
+use chervilgate_soak::{Fault, Fleet, Manner, ask_once};
 use hyper::Request;
 use tokio::time::{sleep, timeout};
 
@@ -47,16 +47,8 @@
 
 /// Status and body of an answer; no body if it broke off, nothing if there is none.
 async fn ask(fleet: &Fleet, id: &str, path: &str) -> Option<(u16, Option<Bytes>)> {
-    let request = Request::post(path)
-        .header("host", "h.example")
-        .header("x-attempt-id", id)
-        .header("x-deadline-remaining-ms", "2500")
-        .header("authorization", "Bearer k1")
-        .body(Bytes::from(id.to_owned()));
     let (_, addr, _) = fleet.doors()[0];
-    let response = HttpPool::new().send(addr, request.unwrap()).await.ok()?;
-    let (head, body) = response.into_parts();
-    Some((head.status.as_u16(), collect(body, 1 << 20).await.ok()))
+    ask_once(&HttpPool::new(), addr, id, path).await
 }
 
 /// The value of a key in a line.
@@ -160,13 +152,9 @@
     let one = async || {
         let mut count = 0;
         while Instant::now() < until {
-            let request = Request::post("/nowhere/x")
-                .header("host", "h.example")
-                .header("x-attempt-id", "flood-of-requests-on-no-route-with-a-rather-long-id")
-                .body(Bytes::new());
-            let sent = timeout(Duration::from_secs(1), pool.send(addr, request.unwrap())).await;
-            let response = sent.expect("answered within a second").unwrap();
-            collect(response.into_body(), 1 << 10).await.unwrap();
+            let id = "flood-of-requests-on-no-route-with-a-rather-long-id";
+            let sent = timeout(Duration::from_secs(1), ask_once(&pool, addr, id, "/nowhere/x"));
+            assert_eq!(sent.await.expect("answered within a second").map(|sent| sent.0), Some(404));
             count += 1;
         }
         count
--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -22,9 +22,8 @@
 const LEASE: &str = "duty/lease";
 
 /// Time between two writes of a host's sheet, for each host, while no holder hears its
-/// counts: what a killed host loses
-/// of its counts has to stay within the tolerance of a report, and its part of the
-/// counts is smaller the more hosts there are.
+/// counts: what a killed host loses of them has to stay within the tolerance of a report,
+/// and its part of the counts is smaller the more hosts there are.
 const SHEET_PACE: Duration = Duration::from_millis(100);
 
 /// Bounds of the time between two writes of a host's sheet.
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -8,6 +8,7 @@
 //! decides only about parts that nobody told of.
 
 mod health;
+mod heard;
 mod member;
 mod rank;
 
@@ -24,12 +25,15 @@
 
 use crate::{
     fleet::{
+        heard::Heard,
         member::Member,
         rank::{affinity, rank},
     },
     protocol::Prompt,
 };
 
+pub use crate::fleet::heard::OpenWork;
+
 /// Cost of a hop to another availability zone and back, in milliseconds.
 const ZONE_COST: f64 = 4.0;
 
@@ -59,9 +63,6 @@
 /// The same for the second-ranked one, which takes over while the first is busy.
 const SECOND_CACHED: f64 = 0.25;
 
-/// Time for which what another host told of its open work counts.
-const HEARD_SPAN: Duration = Duration::from_millis(1_500);
-
 /// Targets told of at most, so that all fits into one datagram; those with most work.
 const TARGETS_TOLD: usize = 80;
 
@@ -193,18 +194,6 @@
     Neutral,
 }
 
-/// One host's open work at one target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct OpenWork {
-    /// Stands for the target's id.
-    pub target: u32,
-    /// Prompt computation that is not done, in milliseconds.
-    pub pending: u16,
-    /// Requests.
-    pub open: u16,
-}
-
 /// A part of a prompt at a target that was sent it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -215,28 +204,13 @@
     pub part: u64,
 }
 
-#[derive(Debug)]
-struct Heard {
-    at: Time,
-    work: Vec<OpenWork>,
-}
-
-/// Open work of the other hosts at one target.
-#[derive(Debug, Clone, Copy, Default)]
-struct Load {
-    open: u32,
-    pending: u32,
-}
-
 /// The targets that this host knows.
 #[derive(Debug)]
 pub struct Fleet {
     zone: Arc<str>,
     drain: Duration,
     members: HashMap<Arc<str>, Member>,
-    heard: HashMap<u32, Heard>,
-    /// What was heard, by target.
-    loads: HashMap<u32, Load>,
+    heard: Heard,
     /// Targets by what stands for them.
     keys: HashMap<u32, Arc<str>>,
     /// Parts that this host sent of late, in order of time.
@@ -256,8 +230,7 @@
             zone: zone.into(),
             drain,
             members: HashMap::new(),
-            heard: HashMap::new(),
-            loads: HashMap::new(),
+            heard: Heard::default(),
             keys: HashMap::new(),
             sent: VecDeque::new(),
             back: None,
@@ -370,33 +343,10 @@
 
     /// Takes in another host's open work in place of what it told before.
     pub fn hear(&mut self, now: Time, host: u32, work: Vec<OpenWork>) {
-        self.count_heard(&work, true);
-        let before = self.heard.insert(host, Heard { at: now, work });
-        let old = self.heard.extract_if(|_, heard| now.since(heard.at) >= HEARD_SPAN);
-        let old: Vec<Heard> = old.map(|(_, heard)| heard).chain(before).collect();
-        for heard in old {
-            self.count_heard(&heard.work, false);
-        }
+        self.heard.hear(now, host, work);
         self.members.retain(|_, member| member.lapses.is_none_or(|lapses| now < lapses));
     }
 
-    fn count_heard(&mut self, work: &[OpenWork], add: bool) {
-        for work in work {
-            let load = self.loads.entry(work.target).or_default();
-            let (open, pending) = (u32::from(work.open), u32::from(work.pending));
-            if add {
-                load.open += open;
-                load.pending += pending;
-                continue;
-            }
-            load.open = load.open.saturating_sub(open);
-            load.pending = load.pending.saturating_sub(pending);
-            if load.open == 0 && load.pending == 0 {
-                self.loads.remove(&work.target);
-            }
-        }
-    }
-
     /// Parts of prompts that this host has sent to targets within `span`.
     pub fn sent_parts(&mut self, now: Time, span: Duration) -> Vec<CachedPart> {
         while self.sent.front().is_some_and(|(at, _)| now.since(*at) >= span) {
@@ -422,7 +372,7 @@
 
     /// Time until `member` begins with a new request, in milliseconds.
     fn wait(&self, now: Time, member: &Member) -> f64 {
-        let others = self.loads.get(&member.key).copied().unwrap_or_default();
+        let others = self.heard.load(member.key);
         member.wait(now, others.open, f64::from(others.pending))
     }
 
