--- a/bins/entry/tests/processes/main.rs
+++ b/bins/entry/tests/processes/main.rs
@@ -139,7 +139,7 @@
     entry.signal(Signal::CONT);
     let late = late.await.expect("the call ends");
 
-    assert!(late.is_some_and(|answer| answer.outcome() == Some("not-run")));
+    assert!(late.as_ref().is_some_and(|answer| answer.outcome() == Some("not-run")), "{late:?}");
     let served = tokio::time::timeout(PATIENCE, is_ready(entry.addr)).await;
     assert!(served.is_ok(), "the entry serves again");
     let valid = caller.chat(entry.addr, "after", 2).await.expect("an answer");
