--- a/bins/host/tests/logs.rs
+++ b/bins/host/tests/logs.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use chervilgate_clients::{HttpPool, HttpSender, body::collect};
+use chervilgate_platform_standins::free_addr;
 use chervilgate_soak::{Fault, Fleet, Manner, ask_once};
 use hyper::Request;
 use tokio::time::{sleep, timeout};
@@ -163,10 +164,6 @@
     a + b + c + d
 }
 
-fn free_port() -> u16 {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
-}
-
 async fn metric(port: u16, name: &str) -> f64 {
     let request = Request::get("/metrics").header("host", "h").body(Bytes::new()).unwrap();
     let addr = ([127, 0, 0, 1], port).into();
@@ -180,7 +177,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_blocked_output_holds_nothing_up() {
     let mut fleet = start("log-blocked").await;
-    let port = free_port();
+    let port = free_addr().unwrap().port();
     let mut host = replace(&mut fleet, Stdio::piped(), port).await;
 
     // Nobody reads the pipe, which holds 64 KiB.
@@ -200,7 +197,7 @@
     let mut fleet = start("log-flood").await;
     let path = out("log-flood").join("flood.log");
     let stdout = File::create(&path).unwrap();
-    let mut host = replace(&mut fleet, stdout.into(), free_port()).await;
+    let mut host = replace(&mut fleet, stdout.into(), free_addr().unwrap().port()).await;
     let span = Duration::from_secs(3);
 
     let sent = flood(&fleet, span).await;
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -5,15 +5,13 @@
 //! the others; a request whose runs broke off as often as the limit is not run again.
 //! Runs that break off for another reason rarely meet the same request thrice.
 
-use std::{
-    collections::HashMap,
-    hash::{DefaultHasher, Hash, Hasher},
-    time::Duration,
-};
+use std::{collections::HashMap, time::Duration};
 
 use chervilgate_clock::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::hash::hash;
+
 /// Runs that broke off after which a request is not run again; the users' rules
 /// stand for three.
 const LIMIT: usize = 3;
@@ -35,9 +33,7 @@
 impl Fingerprint {
     /// Of a request to `path` by the caller with `key`.
     pub fn new(path: &str, key: Option<&str>, body: &[u8]) -> Fingerprint {
-        let mut hasher = DefaultHasher::new();
-        (path, key, body).hash(&mut hasher);
-        Fingerprint(hasher.finish())
+        Fingerprint(hash(&(path, key, body)))
     }
 }
 
