Confirm the configuration only for the wait that a watch has had

Change: a reply before the end of the wait confirms its start only. Test: a_watch_without_changes_confirms_no_more_than_its_wait.

--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -49,6 +49,16 @@
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
+    /// Records a reply without changes, read at `now`, to a watch that was sent at `sent` and
+    /// waits `hold_time` for a change.
+    ///
+    /// The reply may have waited in a socket while this process was suspended, so the time of
+    /// reading proves nothing. A reply before the end of the wait only confirms its start.
+    pub fn confirm_unchanged(&mut self, now: Time, sent: Time, hold_time: Duration) {
+        let held_until = sent + hold_time;
+        self.confirm(if now < held_until { sent } else { held_until });
+    }
+
     /// Whether the configuration is fresh enough to start requests with API keys.
     pub fn is_fresh(&self, now: Time) -> bool {
         if !self.refuse_stale {
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -82,6 +82,9 @@
 
     /// Records that all changes up to `at` are known.
     fn confirm(&self, _shared: &Shared, _at: Time) {}
+
+    /// Records a reply without changes, read at `now`, to a watch sent at `sent`.
+    fn confirm_unchanged(&self, _shared: &Shared, _now: Time, _sent: Time, _hold_time: Duration) {}
 }
 
 /// Lists the objects, then watches for changes; lists again when the store has
@@ -131,11 +134,8 @@
                 }
                 known = Some(version);
                 if changes.is_empty() {
-                    // An empty reply means that the store had waited that long for a change.
-                    watched.confirm(
-                        &shared,
-                        sent + shared.store.watch_hold_time(watched.watch_timeout()),
-                    );
+                    let hold_time = shared.store.watch_hold_time(watched.watch_timeout());
+                    watched.confirm_unchanged(&shared, now, sent, hold_time);
                 } else {
                     watched.confirm(&shared, sent);
                     if changes.len() < LARGE_BATCH {
@@ -222,6 +222,10 @@
     fn confirm(&self, shared: &Shared, at: Time) {
         shared.state().view.confirm(at);
     }
+
+    fn confirm_unchanged(&self, shared: &Shared, now: Time, sent: Time, hold_time: Duration) {
+        shared.state().view.confirm_unchanged(now, sent, hold_time);
+    }
 }
 
 /// Watches the targets' entries.
--- a/components/gateway/tests/parts.rs
+++ b/components/gateway/tests/parts.rs
@@ -71,6 +71,25 @@
     assert!(view.is_fresh(Time::from_millis(104_600)));
 }
 
+// Guards against a view that counts as fresh for the whole wait of a watch, although the store
+// answered at once and the process was suspended before it read the reply.
+#[test]
+fn a_watch_without_changes_confirms_no_more_than_its_wait() {
+    let (sent, wait) = (Time::from_secs(100), Duration::from_millis(2_500));
+    let fresh_view = |read: Time| {
+        let mut view = ConfigView::new(Duration::from_secs(5), true);
+        view.confirm_unchanged(read, sent, wait);
+        view
+    };
+
+    let (early, late) = (fresh_view(Time::from_secs(101)), fresh_view(Time::from_secs(200)));
+
+    assert!(early.is_fresh(Time::from_millis(104_600)));
+    assert!(!early.is_fresh(Time::from_millis(104_700)));
+    assert!(late.is_fresh(Time::from_millis(107_100)));
+    assert!(!late.is_fresh(Time::from_millis(107_200)));
+}
+
 #[test]
 fn events_pass_whole_and_once() {
     let mut events = EventSplitter::after(Some(2));
