--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -220,6 +220,7 @@
         let mut next = first_read;
         let id = self.call.ask.id.clone();
         let mut last_sent = self.shared.now();
+        let mut longest_pause = Duration::ZERO;
         loop {
             match next {
                 ReadOutcome::Events(bytes) => {
@@ -227,7 +228,9 @@
                     self.count_usage_once();
                     self.last_delivered = target_stream.splitter.last_id();
                     let now = self.shared.now();
-                    self.shared.metrics.observe_pause(now.since(last_sent));
+                    let pause = now.since(last_sent);
+                    self.shared.metrics.observe_pause(pause);
+                    longest_pause = longest_pause.max(pause);
                     last_sent = now;
                     if event_sender.send(Ok(Frame::data(bytes))).await.is_err() {
                         log::info!(target: "gateway", id; "caller left");
@@ -235,7 +238,8 @@
                     }
                 }
                 ReadOutcome::End => {
-                    log::info!(target: "gateway", id; "stream ended");
+                    let pause = longest_pause.as_millis() as u64;
+                    log::info!(target: "gateway", id, pause; "stream ended");
                     return;
                 }
                 ReadOutcome::TimedOut => {
