Charge prompts on decode engines for the streams that they delay

Cause: a prompt computed on a decode engine holds up every stream that the engine generates, and placing did not count that.

Change: the cost of computing a prompt on a decode engine grows with the streams there times the predicted time. Answers the load of long-prompt bursts on decode engines with small batches.

--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -27,7 +27,7 @@
     fleet::{
         peer_loads::PeerLoads,
         rank::{affinity, rank},
-        target::TargetState,
+        target::{TargetState, UncachedTokens},
     },
     protocol::Prompt,
 };
@@ -58,6 +58,10 @@
 /// addition to its time.
 const RECOMPUTE_WEIGHT: f64 = 2.0;
 
+/// Weight of the time by which a prompt computed on a decode engine delays each stream there;
+/// a delayed stream is often still on time.
+const STREAM_DELAY_WEIGHT: f64 = 0.5;
+
 /// Rendezvous weight of a prefill engine relative to a decode engine: the ratio of
 /// their prefill speeds.
 const PREFILL_WEIGHT: f64 = 2.0;
@@ -389,6 +393,18 @@
         (PEER_FAILURE_COST_MS * rate).min(FAILURE_COST_MS)
     }
 
+    /// Cost of the delay that computing a prompt on a decode engine causes to the streams that
+    /// it generates meanwhile, in milliseconds.
+    fn stream_delay_cost(&self, state: &TargetState, missing: UncachedTokens, tokens: u32) -> f64 {
+        if state.entry.role != TargetRole::Decode {
+            return 0.0;
+        }
+        let others = self.peer_loads.load(state.id_hash);
+        let streams = state.in_flight + others.in_flight;
+        let delay = state.prefill_time_ms(missing.shared + missing.own, tokens);
+        delay * f64::from(streams) * STREAM_DELAY_WEIGHT
+    }
+
     /// Predicted time until a target starts a new request, in milliseconds.
     fn expected_wait(&self, now: Time, state: &TargetState) -> f64 {
         let others = self.peer_loads.load(state.id_hash);
@@ -465,7 +481,8 @@
             let failing = FAILURE_COST_MS * state.health.rate(now) + self.peer_failure_cost(state);
             let prefill_cost = state.prefill_time_ms(missing.shared, query.prompt.tokens)
                 * RECOMPUTE_WEIGHT
-                + state.prefill_time_ms(missing.own, query.prompt.tokens);
+                + state.prefill_time_ms(missing.own, query.prompt.tokens)
+                + self.stream_delay_cost(state, missing, query.prompt.tokens);
             (
                 state,
                 rank,
--- a/components/gateway/tests/load/main.rs
+++ b/components/gateway/tests/load/main.rs
@@ -7,7 +7,7 @@
 
 mod simulation;
 
-use crate::simulation::{GossipMode, Simulation};
+use crate::simulation::{GossipMode, Sheet, Simulation};
 
 /// Share of first events within their latency target from which the users' sheets pay
 /// in full. The rest is lost to cold caches at the start of a run.
@@ -19,7 +19,7 @@
 #[test]
 fn hosts_with_full_gossip_serve_the_sheets_load_in_time() {
     for seed in [1, 2, 3] {
-        let results = Simulation::new(seed, GossipMode::All).run();
+        let results = Simulation::new(Sheet::reports(), seed, GossipMode::All).run();
 
         for (name, class) in results.classes() {
             assert!(class.on_time_share() >= MIN_ON_TIME, "seed {seed}, {name}: {class:?}");
@@ -28,11 +28,25 @@
     }
 }
 
+// Guards against streams that pause: in a burst of long prompts, hosts computed so many of them on
+// the engines that generate that a third of the streams there paused for longer than callers accept.
+#[test]
+fn streams_keep_their_pace_in_a_burst_of_long_prompts() {
+    for seed in [1, 2, 3] {
+        let results = Simulation::new(Sheet::long_prompt_burst(), seed, GossipMode::All).run();
+
+        for (name, class) in results.classes() {
+            assert!(class.pace_share() >= MIN_ON_TIME, "seed {seed}, {name}: {class:?}");
+            assert_eq!(class.lost, 0, "seed {seed}, {name}: {class:?}");
+        }
+    }
+}
+
 #[test]
 fn each_kind_of_gossip_reduces_late_requests() {
     for (seed, crashes) in [(1, false), (2, false), (3, true), (4, true)] {
         let late = |mode| {
-            let mut simulation = Simulation::new(seed, mode);
+            let mut simulation = Simulation::new(Sheet::reports(), seed, mode);
             if crashes {
                 simulation.crash_third();
             }
@@ -49,7 +63,7 @@
 #[test]
 fn a_crash_of_a_third_of_the_engines_is_tolerated() {
     for seed in [4, 5] {
-        let mut simulation = Simulation::new(seed, GossipMode::All);
+        let mut simulation = Simulation::new(Sheet::reports(), seed, GossipMode::All);
         simulation.crash_third();
 
         let results = simulation.run();
--- a/components/gateway/tests/load/simulation.rs
+++ b/components/gateway/tests/load/simulation.rs
@@ -3,7 +3,9 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use chervilgate_clock::Time;
-use chervilgate_engines::{Engine, Event, EventQueue, Job, Profile, Role, Stage as JobStage};
+use chervilgate_engines::{
+    Engine, Event, EventQueue, Job, Profile, Role, RoleLimits, Stage as JobStage,
+};
 use chervilgate_gateway::{
     Prompt, PromptPart,
     fleet::{
@@ -14,10 +16,6 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
-const HOSTS: usize = 37;
-const PREFILL_ENGINES: usize = 15;
-const DECODE_ENGINES: usize = 30;
-
 /// Time in which requests arrive.
 const ARRIVAL_TIME: Duration = Duration::from_secs(12);
 
@@ -34,13 +32,117 @@
 /// Maximum number of attempts per request, as in the daemon.
 const MAX_ATTEMPTS: usize = 4;
 
-/// Name, requests per second, shared and own prompt tokens, output tokens, latency
-/// target in milliseconds, and number of shared parts: half of tbilisi-arrivals-grown.
-const CLASSES: [(&str, f64, u32, u32, u32, u64, u64); 3] = [
-    ("monthly-report", 37.0, 13_300, 3_720, 10, 600, 30),
-    ("border-batch", 30.0, 6_300, 2_890, 4, 500, 30),
-    ("quick-query", 63.0, 350, 1_110, 14, 300, 60),
-];
+/// A kind of request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Class {
+    pub(crate) name: &'static str,
+    /// Requests per second outside bursts, and the factor in bursts.
+    rate: (f64, f64),
+    /// Shared and own prompt tokens.
+    prompt: (u32, u32),
+    output: u32,
+    latency_target_ms: u64,
+    /// Number of shared parts.
+    parts: u64,
+}
+
+/// A deployment and its load.
+#[derive(Debug, Clone)]
+pub(crate) struct Sheet {
+    hosts: usize,
+    prefill_engines: usize,
+    decode_engines: usize,
+    profile: Profile,
+    /// Longest mean time between two tokens at which a stream is still on time.
+    max_token_gap: Duration,
+    /// Start and end of the burst.
+    burst: (Duration, Duration),
+    classes: &'static [Class],
+}
+
+impl Sheet {
+    /// Half of tbilisi-arrivals-grown.
+    pub(crate) fn reports() -> Sheet {
+        const CLASSES: [Class; 3] = [
+            Class {
+                name: "monthly-report",
+                rate: (37.0, 1.0),
+                prompt: (13_300, 3_720),
+                output: 10,
+                latency_target_ms: 600,
+                parts: 30,
+            },
+            Class {
+                name: "border-batch",
+                rate: (30.0, 1.0),
+                prompt: (6_300, 2_890),
+                output: 4,
+                latency_target_ms: 500,
+                parts: 30,
+            },
+            Class {
+                name: "quick-query",
+                rate: (63.0, 1.0),
+                prompt: (350, 1_110),
+                output: 14,
+                latency_target_ms: 300,
+                parts: 60,
+            },
+        ];
+        Sheet {
+            hosts: 37,
+            prefill_engines: 15,
+            decode_engines: 30,
+            profile: Profile::from_benchmark(),
+            max_token_gap: Duration::from_millis(250),
+            burst: (Duration::ZERO, Duration::ZERO),
+            classes: &CLASSES,
+        }
+    }
+
+    /// Half of frasercold-bc-grown with all targets that can be ordered, and a burst of long
+    /// prompts.
+    pub(crate) fn long_prompt_burst() -> Sheet {
+        const CLASSES: [Class; 2] = [
+            Class {
+                name: "spec-commission",
+                rate: (43.0, 4.0),
+                prompt: (13_300, 3_720),
+                output: 15,
+                latency_target_ms: 600,
+                parts: 51,
+            },
+            Class {
+                name: "part-lookup",
+                rate: (342.0, 0.4),
+                prompt: (92, 291),
+                output: 6,
+                latency_target_ms: 300,
+                parts: 500,
+            },
+        ];
+        let engine = Profile::from_benchmark();
+        let step = Duration::from_micros(5_950);
+        // Attention makes long prompts slower than the 19.7 us a token of short ones.
+        let profile = Profile {
+            prefill_ns: 26_000,
+            prefill: RoleLimits { base: step, ..engine.prefill },
+            decode: RoleLimits { base: step, batch: 16, ..engine.decode },
+            kv_tokens: 338_151,
+            ..engine
+        };
+        Sheet {
+            hosts: 29,
+            prefill_engines: 20,
+            decode_engines: 44,
+            profile,
+            // An event every 150 ms, of eight tokens.
+            max_token_gap: Duration::from_micros(18_750),
+            burst: (Duration::from_secs(5), Duration::from_secs(8)),
+            classes: &CLASSES,
+        }
+    }
+}
 
 /// Content of the gossip between hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,6 +164,8 @@
     pub(crate) late: u32,
     pub(crate) lost: u32,
     pub(crate) refused: u32,
+    /// Streams that ended with a mean time between tokens above the limit.
+    pub(crate) slow: u32,
 }
 
 impl ClassResult {
@@ -69,19 +173,24 @@
     pub(crate) fn on_time_share(&self) -> f64 {
         f64::from(self.in_time) / f64::from(self.sent.max(1))
     }
+
+    /// Share of the requests whose stream kept its pace.
+    pub(crate) fn pace_share(&self) -> f64 {
+        1.0 - f64::from(self.slow) / f64::from(self.sent.max(1))
+    }
 }
 
 /// Results of all classes.
-#[derive(Debug, Default)]
-pub(crate) struct Results([ClassResult; CLASSES.len()]);
+#[derive(Debug)]
+pub(crate) struct Results(Vec<(&'static str, ClassResult)>);
 
 impl Results {
     pub(crate) fn classes(&self) -> impl Iterator<Item = (&str, &ClassResult)> {
-        CLASSES.iter().map(|class| class.0).zip(&self.0)
+        self.0.iter().map(|(name, class)| (*name, class))
     }
 
     pub(crate) fn late(&self) -> u32 {
-        self.0.iter().map(|class| class.late).sum()
+        self.0.iter().map(|(_, class)| class.late).sum()
     }
 }
 
@@ -101,11 +210,12 @@
     prompt: Prompt,
     placement: Option<(Placement, AttemptId)>,
     tried: Vec<Arc<str>>,
-    answered: bool,
+    first_token_at: Option<Time>,
 }
 
 /// One simulation run.
 pub(crate) struct Simulation {
+    sheet: Sheet,
     mode: GossipMode,
     rng: Pcg64,
     events: EventQueue<SimEvent>,
@@ -117,50 +227,54 @@
     results: Results,
 }
 
-fn engine_entry(index: usize) -> TargetEntry {
+fn engine_entry(sheet: &Sheet, index: usize) -> TargetEntry {
     TargetEntry {
         id: format!("e-{index}").into(),
         service: "llm".into(),
         addr: ([10, 0, 0, index as u8], 80).into(),
         zone: format!("z-{}", index % 3).into(),
-        slots: 64,
+        slots: sheet.profile.decode.batch,
         draining: false,
-        role: if index < PREFILL_ENGINES { TargetRole::Prefill } else { TargetRole::Decode },
+        role: if index < sheet.prefill_engines { TargetRole::Prefill } else { TargetRole::Decode },
         incarnation: 1,
         reclaimable: false,
     }
 }
 
 impl Simulation {
-    pub(crate) fn new(seed: u64, mode: GossipMode) -> Simulation {
+    pub(crate) fn new(sheet: Sheet, seed: u64, mode: GossipMode) -> Simulation {
+        let engines = sheet.prefill_engines + sheet.decode_engines;
         let entries: Vec<TargetEntry> =
-            (0..PREFILL_ENGINES + DECODE_ENGINES).map(engine_entry).collect();
-        let hosts = (0..HOSTS).map(|host| {
+            (0..engines).map(|index| engine_entry(&sheet, index)).collect();
+        let hosts = (0..sheet.hosts).map(|host| {
             let mut fleet = Fleet::new(&format!("z-{}", host % 3), Duration::from_secs(2));
             fleet.replace(Time::ZERO, entries.clone());
             fleet
         });
-        let engines = (0..PREFILL_ENGINES + DECODE_ENGINES).map(|index| {
-            let role = if index < PREFILL_ENGINES { Role::Prefill } else { Role::Decode };
-            Engine::new(Profile::from_benchmark(), role, Duration::from_millis(250))
+        let engines = (0..engines).map(|index| {
+            let role = if index < sheet.prefill_engines { Role::Prefill } else { Role::Decode };
+            Engine::new(sheet.profile.clone(), role, Duration::from_millis(250))
         });
         let indexes = entries.iter().enumerate().map(|(index, entry)| (entry.id.clone(), index));
+        let classes = sheet.classes.iter();
+        let results = Results(classes.map(|class| (class.name, ClassResult::default())).collect());
         let mut simulation = Simulation {
             mode,
             rng: Pcg64::seed_from_u64(seed),
             events: EventQueue::default(),
             hosts: hosts.collect(),
-            next_peers: vec![0; HOSTS],
+            next_peers: vec![0; sheet.hosts],
             engines: engines.collect(),
             indexes: indexes.collect(),
             requests: HashMap::new(),
-            results: Results::default(),
+            results,
+            sheet,
         };
-        for host in 0..HOSTS {
+        for host in 0..simulation.sheet.hosts {
             let offset = ROUND_INTERVAL.mul_f64(simulation.rng.random());
             simulation.events.push(Time::ZERO + offset, SimEvent::Round(host));
         }
-        for class in 0..CLASSES.len() {
+        for class in 0..simulation.sheet.classes.len() {
             simulation.events.push(Time::ZERO, SimEvent::Arrival(class));
         }
         simulation
@@ -192,10 +306,15 @@
     }
 
     fn arrive(&mut self, now: Time, class: usize) {
-        let (_, rate, shared, own, max_output, _, parts) = CLASSES[class];
+        let Class {
+            rate: (rate, factor), prompt: (shared, own), output: max_output, parts, ..
+        } = self.sheet.classes[class];
         if now > Time::ZERO + ARRIVAL_TIME {
             return;
         }
+        let (burst_start, burst_end) = self.sheet.burst;
+        let bursts = (burst_start..burst_end).contains(&now.since(Time::ZERO));
+        let rate = if bursts { rate * factor } else { rate };
         let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate;
         self.events.push(now + Duration::from_secs_f64(gap), SimEvent::Arrival(class));
         let id = self.requests.len() as u64;
@@ -204,8 +323,8 @@
         let parts = [part(group, shared), part(1_000_000 + id, own)];
         let prompt =
             Prompt { tokens: shared + own, max_output, parts: parts.into_iter().collect() };
-        let host = self.rng.random_range(0..HOSTS);
-        self.results.0[class].sent += 1;
+        let host = self.rng.random_range(0..self.sheet.hosts);
+        self.results.0[class].1.sent += 1;
         let request = Request {
             class,
             host,
@@ -213,7 +332,7 @@
             prompt,
             placement: None,
             tried: Vec::new(),
-            answered: false,
+            first_token_at: None,
         };
         self.requests.insert(id, request);
         self.send(now, id);
@@ -227,7 +346,7 @@
         let plan =
             self.hosts[host].place(now, &query).filter(|_| request.tried.len() < MAX_ATTEMPTS);
         let Some(plan) = plan else {
-            self.results.0[request.class].refused += 1;
+            self.results.0[request.class].1.refused += 1;
             return;
         };
         let (placement, stage) = match plan.prefill {
@@ -245,7 +364,7 @@
         let is_long = placement.has_long_prefill();
         request.tried.push(placement.id.clone());
         request.placement = Some((placement, attempt));
-        let length = Profile::from_benchmark().block_tokens;
+        let length = self.sheet.profile.block_tokens;
         let shared = request.prompt.parts[0];
         let blocks = (0..shared.tokens / length).map(|block| shared.id << 32 | u64::from(block));
         let blocks: Arc<[u64]> = blocks.collect();
@@ -302,15 +421,16 @@
                 Event::Exportable { id } => {
                     self.computed(now, id);
                     self.end_attempt(now, id, AttemptOutcome::Answered);
-                    let transfer =
-                        Profile::from_benchmark().transfer_time(self.requests[&id].prompt.tokens);
+                    let tokens = self.requests[&id].prompt.tokens;
+                    let transfer = self.sheet.profile.transfer_time(tokens);
                     self.engines[engine].release(now, id);
                     self.events.push(now + transfer + NETWORK_DELAY * 2, SimEvent::Decode(id));
                 }
-                Event::Done { id, first_token, .. } => {
+                Event::Done { id, first_token, tokens, .. } => {
                     if first_token > Time::ZERO {
                         self.record_first_token(first_token, id);
                     }
+                    self.record_pace(now, id, tokens);
                     self.end_attempt(now, id, AttemptOutcome::Answered);
                 }
                 _ => {}
@@ -325,7 +445,7 @@
         let query =
             TargetQuery { service: "llm", prompt: &request.prompt, exclude: &request.tried };
         let Some(placement) = self.hosts[request.host].place_decode(now, &query) else {
-            self.results.0[request.class].refused += 1;
+            self.results.0[request.class].1.refused += 1;
             return;
         };
         self.submit_attempt(now, id, placement, JobStage::Decode);
@@ -345,14 +465,15 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         // Only tokens of decode engines are sent to the caller.
         let generates = |(placement, _): &(Placement, AttemptId)| {
-            self.indexes[&placement.id] >= PREFILL_ENGINES
+            self.indexes[&placement.id] >= self.sheet.prefill_engines
         };
-        if request.answered || !request.placement.as_ref().is_some_and(generates) {
+        if request.first_token_at.is_some() || !request.placement.as_ref().is_some_and(generates) {
             return;
         }
-        request.answered = true;
-        let latency_target = Duration::from_millis(CLASSES[request.class].5);
-        let class = &mut self.results.0[request.class];
+        request.first_token_at = Some(now);
+        let latency_target =
+            Duration::from_millis(self.sheet.classes[request.class].latency_target_ms);
+        let class = &mut self.results.0[request.class].1;
         if now.since(request.sent) + NETWORK_DELAY <= latency_target {
             class.in_time += 1;
         } else {
@@ -360,12 +481,23 @@
         }
     }
 
+    /// Counts a stream of `tokens` tokens that ends now as slow if its pace was.
+    fn record_pace(&mut self, now: Time, id: u64, tokens: u32) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let Some(first_token_at) = request.first_token_at else { return };
+        let gaps = tokens.saturating_sub(1);
+        if now.since(first_token_at) > self.sheet.max_token_gap * gaps {
+            self.results.0[request.class].1.slow += 1;
+        }
+    }
+
     fn round(&mut self, now: Time, host: usize) {
         self.events.push(now + ROUND_INTERVAL, SimEvent::Round(host));
         let next_peer = self.next_peers[host];
-        self.next_peers[host] = (next_peer + FANOUT) % HOSTS;
-        let peers: Vec<usize> = (0..FANOUT).map(|peer| (next_peer + peer) % HOSTS).collect();
-        let span = ROUND_INTERVAL * (HOSTS.div_ceil(FANOUT) + 1) as u32;
+        self.next_peers[host] = (next_peer + FANOUT) % self.sheet.hosts;
+        let hosts = self.sheet.hosts;
+        let peers: Vec<usize> = (0..FANOUT).map(|peer| (next_peer + peer) % hosts).collect();
+        let span = ROUND_INTERVAL * (hosts.div_ceil(FANOUT) + 1) as u32;
         self.send_gossip(now, host, span, &peers);
     }
 
@@ -373,7 +505,7 @@
         if self.mode == GossipMode::RoundsOnly {
             return;
         }
-        let peers: Vec<usize> = (0..HOSTS).collect();
+        let peers: Vec<usize> = (0..self.sheet.hosts).collect();
         self.send_gossip(now, host, ROUND_INTERVAL * 5, &peers);
         self.hosts[host].clear_sent_parts();
     }
@@ -396,7 +528,7 @@
         for engine in (0..self.engines.len()).step_by(3) {
             for lost in self.engines[engine].crash() {
                 let class = self.requests[&lost.id].class;
-                self.results.0[class].lost += 1;
+                self.results.0[class].1.lost += 1;
                 self.end_attempt(now, lost.id, AttemptOutcome::Failed);
             }
         }
