Let a few hosts confirm the configuration for all

Change: three hosts, and one more for each 32, keep the short watch. The others keep one long watch open, for changes, and ask one of them by datagram; the reply is dated by when it was asked for, never by when it was read. A view that gets too old, or a poller that knows a newer version, ends the long watch. A host that the store turns away goes on serving keys that a poller confirms.

--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -7,7 +7,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use rand::seq::SliceRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::UdpSocket,
@@ -20,6 +20,7 @@
     poison::FailedRun,
     state::Shared,
     usage::PeerWindow,
+    view::{Confirmation, ConfirmationRequest},
 };
 
 /// Interval between rounds; requests last a few hundred milliseconds.
@@ -36,6 +37,9 @@
 /// what it counted since.
 const COUNTS_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Interval at which a host has a poller confirm its configuration.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(700);
+
 /// Minimum interval between broadcasts to all hosts.
 const MIN_BROADCAST_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -47,6 +51,8 @@
 enum Message {
     Work(WorkReport),
     Window(PeerWindow),
+    Confirm(ConfirmationRequest),
+    Confirmed(Confirmation),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -109,6 +115,27 @@
     }
 }
 
+/// Has a poller confirm this host's configuration, again and again.
+pub(crate) async fn request_confirmations(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    loop {
+        sleep(CONFIRM_INTERVAL).await;
+        let now = shared.now();
+        let pollers = shared.state().membership.pollers(now);
+        let poller = pollers.addrs.choose(&mut rand::rng()).filter(|_| !pollers.includes_own);
+        let Some(poller) = poller else { continue };
+        let request = ConfirmationRequest { host: shared.gossip_id(), sent: now.as_micros() };
+        send(&socket, &Message::Confirm(request), *poller).await;
+    }
+}
+
+/// Sends a message to one host; a failure is only logged, since the next message replaces it.
+async fn send(socket: &UdpSocket, message: &Message, to: SocketAddr) {
+    let Some(datagram) = encode(message) else { return };
+    if let Err(error) = socket.send_to(&datagram, to).await {
+        log::debug!(target: "gossip", to:%, error:%; "gossip not sent");
+    }
+}
+
 /// Time in which each of `peers` hosts receives a round, plus one round to spare.
 fn rotation_time(peers: usize) -> Duration {
     ROUND_INTERVAL * u32::try_from(peers.div_ceil(FANOUT) + 1).unwrap_or(u32::MAX)
@@ -144,10 +171,7 @@
         let windows: Vec<PeerWindow> =
             shared.state().meter.recent_windows(&shared.settings.name, current).collect();
         for window in windows {
-            let Some(datagram) = encode(&Message::Window(window)) else { continue };
-            if let Err(error) = socket.send_to(&datagram, holder).await {
-                log::debug!(target: "gossip", holder:%, error:%; "usage counts not sent");
-            }
+            send(&socket, &Message::Window(window), holder).await;
         }
     }
 }
@@ -205,6 +229,16 @@
                 let now = shared.now();
                 shared.state().peer_sheets.record(now, &report);
             }
+            Ok(Message::Confirm(request)) => {
+                let reply = shared.state().view.confirmation(shared.now(), request);
+                if let Some(reply) = reply {
+                    send(&socket, &Message::Confirmed(reply), from).await;
+                }
+            }
+            Ok(Message::Confirmed(reply)) => {
+                let now = shared.now();
+                shared.state().view.apply_confirmation(now, shared.gossip_id(), &reply);
+            }
             Ok(Message::Work(report)) => {
                 let now = shared.now();
                 let own_time = shared.wall_clock().at(now).as_micros() as i64;
--- a/components/gateway/src/membership.rs
+++ b/components/gateway/src/membership.rs
@@ -11,6 +11,8 @@
 use chervilgate_coord::Version;
 use serde::{Deserialize, Serialize};
 
+use crate::hash::stable_hash;
+
 /// Interval at which the hosts' entries are listed.
 pub(crate) const LIST_INTERVAL: Duration = Duration::from_secs(6);
 
@@ -22,6 +24,21 @@
 /// too.
 const MIN_ZONE_HOSTS: usize = 2;
 
+/// Minimum number of pollers, so that some remain when single hosts are lost.
+const MIN_POLLERS: usize = 3;
+
+/// Number of hosts for each further poller; it limits the requests that a poller gets.
+const HOSTS_PER_POLLER: usize = 32;
+
+/// The hosts that have the store confirm the configuration on behalf of the others.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Pollers {
+    /// Whether this host is one of them.
+    pub includes_own: bool,
+    /// Gossip addresses of the others.
+    pub addrs: Vec<SocketAddr>,
+}
+
 /// A host's entry in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -126,6 +143,22 @@
         serving.map(|(name, _)| name.as_str())
     }
 
+    /// The pollers: those first in an order by hash among the hosts that are alive, so that
+    /// all hosts choose nearly the same ones.
+    pub fn pollers(&self, now: Time) -> Pollers {
+        let live = self.hosts.iter().filter(|(_, known)| known.serves(now));
+        let others = live.map(|(name, known)| (name.as_str(), Some(known.entry.gossip)));
+        let own = (self.own_name.as_str(), None);
+        let mut ranked: Vec<_> = others.chain([own]).collect();
+        let count = MIN_POLLERS + ranked.len() / HOSTS_PER_POLLER;
+        ranked.sort_unstable_by_key(|(name, _)| stable_hash(&("poller", name)));
+        ranked.truncate(count);
+        Pollers {
+            includes_own: ranked.iter().any(|(_, addr)| addr.is_none()),
+            addrs: ranked.iter().filter_map(|(_, addr)| *addr).collect(),
+        }
+    }
+
     /// Number of hosts that may be serving: this one, and all others that are not
     /// stopping, even if no gossip of them has arrived yet.
     pub fn count(&self) -> usize {
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -4,16 +4,67 @@
 //! cut off from the store. So the host records, for each reply of the store, the
 //! earliest time at which the store can have produced it, and refuses requests with
 //! keys once that time is too long ago.
+//!
+//! Calls to the store are billed. So only a few hosts, the pollers, have it confirm every
+//! other second that nothing has changed. The others keep one long watch open, which
+//! reports changes at once, and ask a poller for its confirmation. Clocks are never
+//! compared: the poller tells an age, and the asking host counts it from the time at
+//! which it asked, so that a reply that is late only makes the view look older.
 
 use std::{sync::Arc, time::Duration};
 
 use chervilgate_clock::Time;
+use serde::{Deserialize, Serialize};
 
 use crate::config::Config;
 
 /// Time reserved for sending a request to its target after the freshness check.
 const FRESHNESS_MARGIN: Duration = Duration::from_millis(300);
 
+/// Wait of the watch of a poller.
+const POLLER_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Wait of the watch of a host whose view pollers confirm.
+const CONFIRMED_WAIT: Duration = Duration::from_secs(20);
+
+/// Wait of the watch of a host whose view nobody else confirms, as a share of the time in
+/// which revoked keys must stop working. The wait, the timeout of its call and one further
+/// call together must take less than that time.
+const UNCONFIRMED_WAIT_SHARE: f64 = 0.5;
+
+/// Wait of the watch of a host whose view is nearly too old, to be confirmed soon.
+const HASTY_WAIT: Duration = Duration::from_millis(200);
+
+/// Age of the view from which a host asks the store itself, as a share of the time in which
+/// revoked keys must stop working.
+const MAX_CONFIRMED_SHARE: f64 = 0.6;
+
+/// Time in which a change that a poller knows must arrive on the watch; after it, the
+/// connection of the watch is taken for broken.
+const CHANGE_DELAY: Duration = Duration::from_millis(300);
+
+/// Asks a poller to confirm that the configuration has not changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ConfirmationRequest {
+    /// Gossip id of the sender.
+    pub host: u32,
+    /// The sender's monotonic clock, in microseconds.
+    pub sent: u64,
+}
+
+/// A poller's reply to a [`ConfirmationRequest`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Confirmation {
+    /// The request.
+    pub request: ConfirmationRequest,
+    /// Version of the poller's configuration.
+    pub version: u64,
+    /// Time since the store last confirmed it, in microseconds.
+    pub age: u64,
+}
+
 /// The current configuration, with the time of its last confirmation.
 #[derive(Debug)]
 pub struct ConfigView {
@@ -21,13 +72,24 @@
     refuse_stale: bool,
     config: Option<Arc<Config>>,
     confirmed_at: Option<Time>,
+    /// The same, counting only confirmations by pollers.
+    peer_confirmed_at: Option<Time>,
+    /// Time since which a poller is known to have a newer configuration.
+    newer_since: Option<Time>,
 }
 
 impl ConfigView {
     /// Starts without a configuration; revoked keys must stop working within
     /// `revocation_time`.
     pub fn new(revocation_time: Duration, refuse_stale: bool) -> ConfigView {
-        ConfigView { revocation_time, refuse_stale, config: None, confirmed_at: None }
+        ConfigView {
+            revocation_time,
+            refuse_stale,
+            config: None,
+            confirmed_at: None,
+            peer_confirmed_at: None,
+            newer_since: None,
+        }
     }
 
     /// The configuration, if there is one.
@@ -40,6 +102,7 @@
         let newer = self.config.as_ref().is_none_or(|known| config.version > known.version);
         if newer {
             self.config = Some(Arc::new(config));
+            self.newer_since = None;
         }
         newer
     }
@@ -59,6 +122,62 @@
         self.confirm(if now < held_until { sent } else { held_until });
     }
 
+    /// Answers another host's request with this host's own confirmation; none if it has
+    /// none.
+    pub fn confirmation(&self, now: Time, request: ConfirmationRequest) -> Option<Confirmation> {
+        let version = self.config.as_ref()?.version;
+        let age = u64::try_from(self.age(now)?.as_micros()).ok()?;
+        Some(Confirmation { request, version, age })
+    }
+
+    /// Applies a poller's reply to a request of the process with the gossip id `host`.
+    ///
+    /// The poller computed the age after the request was sent, so the store confirmed its
+    /// view at `sent` minus the age or later.
+    pub fn apply_confirmation(&mut self, now: Time, host: u32, reply: &Confirmation) {
+        let sent = Time::from_micros(reply.request.sent);
+        if reply.request.host != host || sent > now {
+            return;
+        }
+        let Some(config) = &self.config else { return };
+        if reply.version > config.version {
+            self.newer_since.get_or_insert(now);
+            return;
+        }
+        let at = sent.saturating_sub(Duration::from_micros(reply.age));
+        self.confirm(at);
+        self.peer_confirmed_at = self.peer_confirmed_at.max(Some(at));
+    }
+
+    /// Time for which the next watch call should wait for changes.
+    pub fn watch_wait(&mut self, now: Time, is_poller: bool) -> Duration {
+        self.newer_since = None;
+        let limit = self.revocation_time.mul_f64(MAX_CONFIRMED_SHARE);
+        let is_recent = |at: Time| now.since(at) < limit;
+        if !self.confirmed_at.is_some_and(is_recent) {
+            return HASTY_WAIT;
+        }
+        if is_poller {
+            return POLLER_WAIT;
+        }
+        if self.peer_confirmed_at.is_some_and(is_recent) {
+            return CONFIRMED_WAIT;
+        }
+        self.revocation_time.mul_f64(UNCONFIRMED_WAIT_SHARE)
+    }
+
+    /// Time at which a watch call that waits for `wait` must be given up for a new one;
+    /// none if it need not be.
+    pub fn watch_due(&self, wait: Duration) -> Option<Time> {
+        if wait < CONFIRMED_WAIT {
+            return None;
+        }
+        let limit = self.revocation_time.mul_f64(MAX_CONFIRMED_SHARE);
+        let too_old = self.confirmed_at.unwrap_or(Time::ZERO) + limit;
+        let newer = self.newer_since.map(|since| since + CHANGE_DELAY);
+        Some(newer.map_or(too_old, |newer| newer.min(too_old)))
+    }
+
     /// Whether the configuration is fresh enough to start requests with API keys.
     pub fn is_fresh(&self, now: Time) -> bool {
         if !self.refuse_stale {
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -1,6 +1,6 @@
 //! Watches the configuration, the targets and the other hosts in the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{future::pending, sync::Arc, time::Duration};
 
 use chervilgate_clock::Time;
 use chervilgate_coord::{Change, Object, StoreCall, StoreReply, Version};
@@ -43,15 +43,18 @@
 /// Time after which a failed write of a host's entry is retried.
 const ENTRY_RETRY_INTERVAL: Duration = Duration::from_millis(1_500);
 
-/// Wait time of the configuration watch. The wait, the timeout of its call and one
-/// further call together take less than 5 s, the users' shortest time limit for revoked
-/// keys.
-const CONFIG_WATCH_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Shortest time after which a watch that got no reply is called again before the store
+/// counts as lost: the store or the network may cut off a call that waits.
+const MIN_CUT_WAIT: Duration = Duration::from_secs(1);
 
 /// Wait time of the target watch. Each call is billed, and the configuration watch
 /// already shows whether the store responds.
 const TARGETS_WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Longest time between two checks of whether a watch is overdue, since a poller's reply may
+/// make it so earlier.
+const MAX_DUE_SLEEP: Duration = Duration::from_millis(500);
+
 /// Key prefix of the hosts' entries.
 const HOSTS: &str = "hosts/";
 
@@ -60,8 +63,14 @@
     /// The key prefix.
     fn prefix(&self) -> String;
 
-    /// Time for which a watch call waits for changes.
-    fn watch_timeout(&self) -> Duration;
+    /// Time for which the next watch call waits for changes.
+    fn watch_timeout(&self, shared: &Shared, now: Time) -> Duration;
+
+    /// Time at which a watch call that waits for `wait` is given up for a new one; none if
+    /// it is not.
+    fn watch_due(&self, _shared: &Shared, _wait: Duration) -> Option<Time> {
+        None
+    }
 
     /// Whether the replies to its calls also tell the other watches whether the store
     /// responds.
@@ -96,14 +105,16 @@
     let mut pause = RETRY_BACKOFF.0;
     loop {
         let sent = shared.now();
+        let wait = watched.watch_timeout(&shared, sent);
         let call = async {
             match known {
                 None => shared.store.call(&StoreCall::List { prefix: prefix.clone() }).await,
-                Some(after) => shared.store.watch(&prefix, after, watched.watch_timeout()).await,
+                Some(after) => shared.store.watch(&prefix, after, wait).await,
             }
         };
         let reply = tokio::select! {
             reply = call => reply,
+            () = overdue(&shared, &*watched, wait), if known.is_some() => continue,
             () = shared.store_recovered.notified(), if !watched.probes_store() => {
                 known = None;
                 continue;
@@ -134,7 +145,7 @@
                 }
                 known = Some(version);
                 if changes.is_empty() {
-                    let hold_time = shared.store.watch_hold_time(watched.watch_timeout());
+                    let hold_time = shared.store.watch_hold_time(wait);
                     watched.confirm_unchanged(&shared, now, sent, hold_time);
                 } else {
                     watched.confirm(&shared, sent);
@@ -147,6 +158,9 @@
                 log::info!(target: "store", prefix; "history compacted; listing again");
                 known = None;
             }
+            StoreReply::Unknown if known.is_some() && now.since(sent) >= MIN_CUT_WAIT && !lost => {
+                known = None;
+            }
             other => {
                 if !lost {
                     log::warn!(target: "store", prefix, reply:? = other; "store lost");
@@ -169,6 +183,18 @@
     }
 }
 
+/// Returns once a watch call that waits for `wait` must be given up.
+async fn overdue(shared: &Shared, watched: &dyn WatchedPrefix, wait: Duration) {
+    loop {
+        let Some(due) = watched.watch_due(shared, wait) else { return pending().await };
+        let now = shared.now();
+        if now >= due {
+            return;
+        }
+        sleep(due.since(now).min(MAX_DUE_SLEEP)).await;
+    }
+}
+
 /// Watches the configuration object.
 pub(crate) struct ConfigWatch {
     pub(crate) prefix: String,
@@ -199,8 +225,14 @@
         self.prefix.clone()
     }
 
-    fn watch_timeout(&self) -> Duration {
-        CONFIG_WATCH_TIMEOUT
+    fn watch_timeout(&self, shared: &Shared, now: Time) -> Duration {
+        let mut state = shared.state();
+        let is_poller = state.membership.pollers(now).includes_own;
+        state.view.watch_wait(now, is_poller)
+    }
+
+    fn watch_due(&self, shared: &Shared, wait: Duration) -> Option<Time> {
+        shared.state().view.watch_due(wait)
     }
 
     fn probes_store(&self) -> bool {
@@ -253,7 +285,7 @@
         self.prefix.clone()
     }
 
-    fn watch_timeout(&self) -> Duration {
+    fn watch_timeout(&self, _shared: &Shared, _now: Time) -> Duration {
         TARGETS_WATCH_TIMEOUT
     }
 
--- a/components/gateway/tests/membership.rs
+++ b/components/gateway/tests/membership.rs
@@ -4,7 +4,7 @@
 
 use chervilgate_clock::Time;
 use chervilgate_coord::Version;
-use chervilgate_gateway::membership::{HostEntry, Membership};
+use chervilgate_gateway::membership::{HostEntry, Membership, Pollers};
 
 fn entry(id: u32, zone: &str) -> HostEntry {
     HostEntry { addr: addr(id), gossip: addr(id), id, zone: zone.to_owned(), leaving: false }
@@ -119,3 +119,52 @@
     assert_eq!(membership.addresses(start, "a", None).len(), 3);
     assert_eq!(membership.addresses(start, "b", None).len(), 4);
 }
+
+/// `count` hosts as one of them, with the number `own`, sees them.
+fn fleet_seen_by(own: u32, count: u32, now: Time) -> Membership {
+    let name = |id: u32| format!("host-{id}");
+    let mut membership = Membership::new(&name(own));
+    let entries = (0..count).map(|id| {
+        let gossip = SocketAddr::from(([10, 0, (id / 250) as u8, (id % 250) as u8], 80));
+        (name(id), Version(u64::from(id)), HostEntry { gossip, ..entry(id % 250, "a") })
+    });
+    membership.update(entries.collect());
+    for id in 0..count {
+        membership.record_heartbeat(now, id % 250, 0);
+    }
+    membership
+}
+
+#[test]
+fn all_hosts_choose_the_same_pollers_and_few_of_them() {
+    let now = Time::from_secs(10);
+
+    for (hosts, expected) in [(2, 2), (9, 3), (195, 9), (1_000, 34)] {
+        let pollers = (0..hosts).map(|own| fleet_seen_by(own, hosts, now).pollers(now));
+        let pollers: Vec<Pollers> = pollers.take(200).collect();
+
+        for seen in &pollers {
+            assert_eq!(seen.addrs.len() + usize::from(seen.includes_own), expected);
+        }
+        let outside = pollers.iter().filter(|seen| !seen.includes_own);
+        let mut addrs: Vec<_> = outside.map(|seen| seen.addrs.clone()).collect();
+        addrs.dedup();
+        assert!(addrs.len() <= 1, "{hosts} hosts: {addrs:?}");
+    }
+}
+
+#[test]
+fn a_silent_poller_is_replaced() {
+    let start = Time::from_secs(10);
+    let later = start + Duration::from_secs(4);
+    let mut membership = fleet_seen_by(0, 9, start);
+    let silent = membership.pollers(start).addrs[0];
+
+    for id in (0..9).filter(|id| SocketAddr::from(([10, 0, 0, *id as u8], 80)) != silent) {
+        membership.record_heartbeat(later, id, 0);
+    }
+
+    let pollers = membership.pollers(later);
+    assert!(!pollers.addrs.contains(&silent));
+    assert_eq!(pollers.addrs.len() + usize::from(pollers.includes_own), 3);
+}
--- a/components/gateway/tests/parts.rs
+++ b/components/gateway/tests/parts.rs
@@ -7,7 +7,7 @@
     EventSplitter,
     config::{CallerLimits, Config, Route, RouteKind},
     poison::{FailedRun, Fingerprint, PoisonTracker},
-    view::ConfigView,
+    view::{ConfigView, Confirmation, ConfirmationRequest},
 };
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -90,6 +90,100 @@
     assert!(!late.is_fresh(Time::from_millis(107_200)));
 }
 
+/// Gossip id of the host whose view is confirmed.
+const HOST: u32 = 7;
+
+/// A view of version 3 that the store confirmed at `at`, with keys revoked within 5 s.
+fn confirmed_view(at: Time) -> ConfigView {
+    let mut view = ConfigView::new(Duration::from_secs(5), true);
+    view.replace_if_newer(config(3, Vec::new()));
+    view.confirm(at);
+    view
+}
+
+fn confirmation(sent: Time, version: u64, age: Duration) -> Confirmation {
+    let request = ConfirmationRequest { host: HOST, sent: sent.as_micros() };
+    Confirmation { request, version, age: age.as_micros() as u64 }
+}
+
+// Guards against a revoked key that counts as valid because a poller's reply was late, or waited
+// in a socket while the asking host was suspended.
+#[test]
+fn a_late_confirmation_counts_from_when_it_was_asked_for() {
+    let mut view = confirmed_view(Time::from_secs(100));
+    let asked = Time::from_secs(102);
+    let reply = confirmation(asked, 3, Duration::from_secs(1));
+
+    view.apply_confirmation(Time::from_secs(200), HOST, &reply);
+
+    assert_eq!(view.age(Time::from_secs(200)), Some(Duration::from_secs(99)));
+    assert!(!view.is_fresh(Time::from_secs(200)));
+}
+
+#[test]
+fn a_poller_answers_with_the_age_of_its_own_confirmation() {
+    let poller = confirmed_view(Time::from_millis(50_300));
+    let mut view = confirmed_view(Time::from_secs(100));
+    let request = ConfirmationRequest { host: HOST, sent: Time::from_secs(104).as_micros() };
+
+    let reply = poller.confirmation(Time::from_secs(51), request).expect("a confirmation");
+    view.apply_confirmation(Time::from_millis(104_010), HOST, &reply);
+
+    assert_eq!(view.age(Time::from_secs(104)), Some(Duration::from_millis(700)));
+}
+
+#[test]
+fn only_a_reply_to_this_process_about_a_view_no_newer_confirms_it() {
+    let now = Time::from_secs(104);
+    let asked = Time::from_secs(103);
+    let replies = [
+        ("to another process", HOST + 1, confirmation(asked, 3, Duration::ZERO)),
+        ("of the future", HOST, confirmation(Time::from_secs(105), 3, Duration::ZERO)),
+        ("about a newer view", HOST, confirmation(asked, 4, Duration::ZERO)),
+    ];
+
+    for (name, host, reply) in replies {
+        let mut view = confirmed_view(Time::from_secs(100));
+        view.apply_confirmation(now, host, &reply);
+
+        assert_eq!(view.age(now), Some(Duration::from_secs(4)), "{name}");
+    }
+}
+
+// Guards against calls to the store that grow with the hosts: each host asked it every other
+// second whether the configuration had changed.
+#[test]
+fn only_hosts_that_no_poller_confirms_ask_the_store_often() {
+    let now = Time::from_secs(101);
+    let mut alone = confirmed_view(Time::from_secs(100));
+    let mut confirmed = confirmed_view(Time::from_secs(100));
+    confirmed.apply_confirmation(now, HOST, &confirmation(now, 3, Duration::from_secs(1)));
+
+    assert_eq!(alone.watch_wait(now, false), Duration::from_millis(2_500));
+    assert_eq!(confirmed.watch_wait(now, true), Duration::from_millis(1_500));
+    let long = confirmed.watch_wait(now, false);
+    assert_eq!(long, Duration::from_secs(20));
+    // The pollers fall silent.
+    assert_eq!(confirmed.watch_due(long), Some(Time::from_secs(103)));
+    assert!(confirmed.is_fresh(Time::from_secs(104)));
+    assert_eq!(confirmed.watch_wait(Time::from_secs(104), false), Duration::from_millis(200));
+}
+
+#[test]
+fn a_watch_that_misses_a_change_known_to_a_poller_is_given_up() {
+    let now = Time::from_secs(101);
+    let mut view = confirmed_view(Time::from_secs(100));
+    view.apply_confirmation(now, HOST, &confirmation(now, 3, Duration::ZERO));
+    let long = view.watch_wait(now, false);
+
+    view.apply_confirmation(now, HOST, &confirmation(now, 4, Duration::ZERO));
+    let due = view.watch_due(long);
+    view.replace_if_newer(config(4, Vec::new()));
+
+    assert_eq!(due, Some(Time::from_millis(101_300)));
+    assert_eq!(view.watch_due(long), Some(Time::from_secs(104)));
+}
+
 #[test]
 fn events_pass_whole_and_once() {
     let mut events = EventSplitter::after(Some(2));
