Lose datagrams between hosts and step their clocks in the soak

The soak had neither, though the platform's datagrams are lost and its machines' time of day jumps. Each host now stands behind a loopback UDP proxy that loses or delays datagrams, and may be restarted with a time of day that is off by up to a minute (--clock-error-ms of the program, which gets the time as a dependency).

--- a/bins/host/src/main.rs
+++ b/bins/host/src/main.rs
@@ -1,6 +1,13 @@
 //! Runs one gateway host on the users' platform.
 
-use std::{env, net::SocketAddr, path::PathBuf, process::ExitCode, sync::Arc};
+use std::{
+    env,
+    net::SocketAddr,
+    path::PathBuf,
+    process::ExitCode,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use bpaf::Bpaf;
 use chervilgate_gateway::{Dependencies, DutyClients, Host, HostSettings};
@@ -25,6 +32,9 @@
     /// Port on which metrics are served at /metrics
     #[bpaf(argument("PORT"))]
     metrics: Option<u16>,
+    /// Error of the time of day at the start, in milliseconds; for tests only
+    #[bpaf(argument("MS"), fallback(0))]
+    clock_error_ms: i64,
     /// Settings file, as written by the platform; defaults to the path in CHERVILGATE_NODE_FILE
     #[bpaf(positional("SETTINGS"))]
     settings: Option<PathBuf>,
@@ -56,7 +66,7 @@
     if options.check {
         return ExitCode::SUCCESS;
     }
-    match run(settings) {
+    match run(settings, time_of_day(options.clock_error_ms)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!(target: "host", error:%; "cannot run the host");
@@ -65,12 +75,26 @@
     }
 }
 
-fn run(settings: HostSettings) -> Result<(), Box<dyn std::error::Error>> {
+/// Time since 1970 by this machine's clock, plus `error` milliseconds.
+fn time_of_day(error: i64) -> Duration {
+    let clock = SystemTime::now().duration_since(UNIX_EPOCH);
+    let clock = clock.unwrap_or_else(|error| {
+        log::error!(target: "host", error:%; "the clock is before 1970; it counts as 1970");
+        Duration::ZERO
+    });
+    let error_span = Duration::from_millis(error.unsigned_abs());
+    if error < 0 { clock.saturating_sub(error_span) } else { clock + error_span }
+}
+
+fn run(settings: HostSettings, time_of_day: Duration) -> Result<(), Box<dyn std::error::Error>> {
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, time_of_day))
 }
 
-async fn serve(settings: HostSettings) -> Result<(), Box<dyn std::error::Error>> {
+async fn serve(
+    settings: HostSettings,
+    time_of_day: Duration,
+) -> Result<(), Box<dyn std::error::Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let duty_client =
@@ -80,6 +104,7 @@
         decoder: Arc::new(PlatformDecoder),
         store: Arc::new(PlatformStore::new(settings.store_addr)),
         lines_lost: dropped_lines,
+        time_of_day,
         duties: duty_client.map(|client| DutyClients {
             reports: Arc::new(client.clone()),
             orders: Arc::new(client),
--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -12,6 +12,7 @@
         length: RECOVERY_TIME + Duration::from_secs(10),
         hosts: 3,
         callers: 6,
+        host_faults: true,
     }
 }
 
@@ -38,6 +39,7 @@
         length: Duration::from_secs(30),
         hosts: 4,
         callers: 12,
+        host_faults: false,
         ..soak(seed)
     });
     let runs = soaks.map(|soak| tokio::spawn(async move { (soak.seed, soak.run().await) }));
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -58,6 +58,8 @@
     pub store: Arc<dyn ObjectStore>,
     /// Returns the number of log lines dropped so far.
     pub lines_lost: fn() -> u64,
+    /// Time since 1970 by this machine's clock.
+    pub time_of_day: Duration,
     /// Clients for the lease holder's duties; none if this host takes no duties.
     pub duties: Option<DutyClients>,
 }
@@ -87,10 +89,12 @@
         settings: HostSettings,
         dependencies: Dependencies,
     ) -> Result<Host, HostError> {
-        let Dependencies { protocol, decoder, store, lines_lost, duties } = dependencies;
+        let Dependencies { protocol, decoder, store, lines_lost, time_of_day, duties } =
+            dependencies;
         let prefix = decoder.target_prefix().to_owned();
         let config = decoder.config_prefix().to_owned();
-        let shared = Arc::new(Shared::new(settings, protocol, decoder, store, lines_lost));
+        let shared =
+            Arc::new(Shared::new(settings, protocol, decoder, store, lines_lost, time_of_day));
         let (stop, stopped) = watch::channel(false);
         let callers: Arc<dyn Handler> = Arc::new(CallerHandler { shared: shared.clone() });
         let directory: Arc<dyn Handler> = Arc::new(Directory { shared: shared.clone() });
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use chervilgate_clients::{HttpPool, ObjectStore};
@@ -81,10 +81,10 @@
         decoder: Arc<dyn Decoder>,
         store: Arc<dyn ObjectStore>,
         lines_lost: fn() -> u64,
+        time_of_day: Duration,
     ) -> Shared {
         let metrics = Arc::new(Metrics::new());
         let store = Arc::new(CountedStore { store, metrics: metrics.clone() });
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
         let boot = rand::random();
         let bounds = &settings.bounds;
         let state = State {
@@ -102,7 +102,7 @@
             budgets: HashMap::new(),
         };
         Shared {
-            wall_clock: Mutex::new(WallClock::new(BootClock.now(), wall)),
+            wall_clock: Mutex::new(WallClock::new(BootClock.now(), time_of_day)),
             boot,
             state: Mutex::new(state),
             target_pool: HttpPool::new(),
