Learn how fast targets are

Cause: predictions used the figures of one engine, so that an engine twice as slow got requests that it could not begin in time, and prompts that hold others up were not told.

Change: policy::speed learns the factor between seen and reference times, a median for each service and role over what all hosts saw, and one for each target; hosts tell each other a median and a count once a second. The reference holds until enough was seen. The error of predictions is a metric (prediction_error_seconds). Tests: engines half and twice as fast, two kinds in a group, one that slows down, frozen and cached runs, a host that learns from others.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -45,6 +45,7 @@
     shared: Arc<Shared>,
     pub(crate) placement: Placement,
     attempt: AttemptId,
+    started_at: Time,
     /// Reported to the fleet when this is dropped.
     pub(crate) outcome: AttemptOutcome,
 }
@@ -62,7 +63,8 @@
         if placement.has_long_prefill() {
             shared.broadcast.notify_one();
         }
-        InFlight { shared: shared.clone(), placement, attempt, outcome: AttemptOutcome::Unrelated }
+        let outcome = AttemptOutcome::Unrelated;
+        InFlight { shared: shared.clone(), placement, attempt, started_at: now, outcome }
     }
 
     /// Logs the target and the predicted times; `export` is true if the KV cache comes
@@ -80,7 +82,12 @@
 
     /// Marks the prompt as computed.
     pub(crate) fn mark_computed(&self) {
-        let first = self.shared.state().fleet.mark_computed(&self.placement, self.attempt);
+        let now = self.shared.now();
+        let first = self.shared.state().fleet.mark_computed(now, &self.placement, self.attempt);
+        if first {
+            let seen = now.since(self.started_at);
+            self.shared.metrics.observe_prediction(self.placement.predicted_time().abs_diff(seen));
+        }
         if first && self.placement.has_long_prefill() {
             self.shared.broadcast.notify_one();
         }
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -20,6 +20,7 @@
 };
 
 use chervilgate_clock::Time;
+use chervilgate_policy::{GroupSpeed, SpeedReport};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -27,7 +28,7 @@
     fleet::{
         peer_loads::PeerLoads,
         rank::{affinity, rank},
-        target::{TargetState, UncachedTokens},
+        target::{Observation, TargetState, UncachedTokens},
     },
     protocol::Prompt,
 };
@@ -86,7 +87,7 @@
 const EXPIRED_ENTRY_SHARE: f64 = 0.9;
 
 /// Which stages of a request a target runs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum TargetRole {
     /// Computes prompts and exports their KV caches.
     Prefill,
@@ -159,6 +160,8 @@
     pub wait_ms: f64,
     /// Predicted total cost, by which targets are compared.
     pub cost_ms: f64,
+    /// Whether it is known which parts of the prompt are cached there.
+    pub cache_is_known: bool,
 }
 
 /// The targets that run a request.
@@ -230,6 +233,18 @@
     sent_parts: VecDeque<(Time, CachedPart)>,
     store_recovered_at: Option<Time>,
     last_attempt: u64,
+    /// Speeds by group, which [`TargetState::group`] identifies.
+    speeds: HashMap<u32, GroupSpeed>,
+}
+
+/// What a host has seen of the speed of a group of targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct GroupReport {
+    /// Identifies the group: the targets of one service and role.
+    pub group: u32,
+    /// What was seen.
+    pub report: SpeedReport,
 }
 
 /// Identifies an attempt to run a request on a target.
@@ -249,6 +264,7 @@
             sent_parts: VecDeque::new(),
             store_recovered_at: None,
             last_attempt: 0,
+            speeds: HashMap::new(),
         }
     }
 
@@ -387,6 +403,39 @@
         }
     }
 
+    /// What this host has seen of the targets' speeds, to send to other hosts.
+    pub fn speed_reports(&self, now: Time) -> Vec<GroupReport> {
+        let reports = self.speeds.iter();
+        let reports = reports.filter_map(|(group, speed)| {
+            Some(GroupReport { group: *group, report: speed.report(now)? })
+        });
+        reports.take(MAX_GOSSIP_TARGETS).collect()
+    }
+
+    /// Replaces what another host reported of the targets' speeds before.
+    pub fn apply_speed_reports(&mut self, now: Time, host: u32, reports: &[GroupReport]) {
+        for GroupReport { group, report } in reports {
+            // Reports of groups that this host does not know are of no use to it.
+            if self.targets.values().any(|state| state.group == *group) {
+                self.speeds.entry(*group).or_default().apply_report(now, host, *report);
+            }
+        }
+    }
+
+    /// Applies what was learned of the targets' speeds to predictions from now on; to be
+    /// called a few times a second.
+    pub fn update_speeds(&mut self, now: Time) {
+        self.speeds.retain(|group, _| self.targets.values().any(|state| state.group == *group));
+        for (group, speed) in &mut self.speeds {
+            if !speed.update(now) {
+                continue;
+            }
+            for state in self.targets.values_mut().filter(|state| state.group == *group) {
+                state.speed_factor = state.speed.factor(now, speed.factor());
+            }
+        }
+    }
+
     /// Cost of the failures that other hosts report, in milliseconds.
     fn peer_failure_cost(&self, state: &TargetState) -> f64 {
         let rate = f64::from(self.peer_loads.load(state.id_hash).failure_percent) / 100.0;
@@ -427,9 +476,14 @@
     /// Marks a request's prompt as computed; a repeat has no effect.
     ///
     /// Returns whether it was not marked before.
-    pub fn mark_computed(&mut self, placement: &Placement, attempt: AttemptId) -> bool {
-        let state = self.targets.get_mut(&placement.id);
-        state.is_some_and(|state| state.mark_computed(attempt, placement))
+    pub fn mark_computed(&mut self, now: Time, placement: &Placement, attempt: AttemptId) -> bool {
+        let Some(state) = self.targets.get_mut(&placement.id) else { return false };
+        let Some(observation) = state.mark_computed(now, attempt, placement) else { return false };
+        if let Some(Observation { reference, seen }) = observation {
+            state.speed.record(now, reference, seen);
+            self.speeds.entry(state.group).or_default().record(now, reference, seen);
+        }
+        true
     }
 
     /// Removes a request from its target and records the outcome.
@@ -442,9 +496,13 @@
         attempt: AttemptId,
         outcome: AttemptOutcome,
     ) -> bool {
+        if outcome == AttemptOutcome::Answered {
+            self.mark_computed(now, placement, attempt);
+        }
         let Some(state) = self.targets.get_mut(&placement.id) else { return false };
         let before = state.is_failing(now);
-        state.mark_computed(attempt, placement);
+        // The time until a failure says nothing about the target's speed.
+        state.mark_computed(now, attempt, placement);
         state.finish(now, outcome);
         state.is_failing(now) && !before
     }
@@ -476,21 +534,19 @@
             has_role(state.entry.role) && !query.exclude.contains(&state.entry.id)
         });
         let candidates = eligible.map(|(state, rank)| {
-            let missing = state.uncached_tokens(query.prompt, hit_rate(rank));
+            let hit_rate = hit_rate(rank);
+            let missing = state.uncached_tokens(query.prompt, hit_rate);
             let zone_cost = if state.entry.zone == self.zone { 0.0 } else { CROSS_ZONE_COST_MS };
             let failing = FAILURE_COST_MS * state.health.rate(now) + self.peer_failure_cost(state);
             let prefill_cost = state.prefill_time_ms(missing.shared, query.prompt.tokens)
                 * RECOMPUTE_WEIGHT
                 + state.prefill_time_ms(missing.own, query.prompt.tokens)
                 + self.stream_delay_cost(state, missing, query.prompt.tokens);
-            (
-                state,
-                rank,
-                missing,
-                self.expected_wait(now, state) + prefill_cost + zone_cost + failing,
-            )
+            let cost = self.expected_wait(now, state) + prefill_cost + zone_cost + failing;
+            let cache_is_known = missing.shared == 0 || hit_rate == 0.0;
+            (state, rank, (missing, cache_is_known), cost)
         });
-        let (state, _, missing, cost_ms) =
+        let (state, _, (missing, cache_is_known), cost_ms) =
             candidates.min_by(|a, b| a.3.total_cmp(&b.3).then_with(|| b.1.total_cmp(&a.1)))?;
         let compute_tokens = missing.shared + missing.own;
         Some(Placement {
@@ -501,6 +557,7 @@
             prefill_ms: state.prefill_time_ms(compute_tokens, query.prompt.tokens),
             wait_ms: self.expected_wait(now, state),
             cost_ms,
+            cache_is_known,
         })
     }
 }
--- a/components/gateway/src/fleet/target.rs
+++ b/components/gateway/src/fleet/target.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use chervilgate_clock::Time;
+use chervilgate_policy::TargetSpeed;
 use smallvec::SmallVec;
 
 use crate::{
@@ -13,25 +14,37 @@
     protocol::Prompt,
 };
 
-/// Prompt tokens that an idle engine computes in a millisecond; from the users'
-/// benchmark sheets, both of which describe the same engine.
+/// Prompt tokens that the reference engine computes in a millisecond. What is learned of
+/// the engines corrects it, as it does the other reference times.
 const PREFILL_TOKENS_PER_MS: f64 = 60.0;
 
 /// How much slower a decode engine computes prompts than a prefill engine; the factor
 /// that the platform documents.
 const DECODE_SLOWDOWN: f64 = 2.0;
 
-/// Time that attention adds per million pairs of a computed token and an earlier token;
-/// from the users' benchmark sheets.
+/// Time that attention adds on the reference engine per million pairs of a computed token
+/// and an earlier token.
 const ATTENTION_COST_MS: f64 = 0.367;
 
 /// Delay that each request in flight on a decode engine adds to the next one: a few
 /// steps of its batch.
 const IN_FLIGHT_COST_MS: f64 = 6.0;
 
-/// Delay that each request in flight on a plain service adds to the next one, divided
-/// by the target's slots: the order of magnitude of a request's run time there.
-const PLAIN_REQUEST_COST_MS: f64 = 40.0;
+/// Reference run time of a request of a plain service; divided by the target's slots, it
+/// is the delay that each request in flight adds to the next one.
+const PLAIN_REQUEST_MS: f64 = 40.0;
+
+/// Shortest reference time of a prompt from which the engine's speed is learned: with
+/// shorter ones, the network and the engine's steps take most of the time.
+const MIN_LEARNED_MS: f64 = 50.0;
+
+/// Time of a response that does not depend on the prompt: the network and a step of the
+/// engine.
+const RESPONSE_OVERHEAD_MS: f64 = 10.0;
+
+/// Longest predicted wait, relative to the reference time, with which a response says
+/// something about the target's speed.
+const MAX_LEARNED_WAIT: f64 = 0.25;
 
 /// Time after the predicted first token at which a request counts as overdue: several
 /// steps of a full batch.
@@ -55,17 +68,23 @@
     pub(super) entry: TargetEntry,
     /// Hash of its id, by which hosts refer to it.
     pub(super) id_hash: u32,
+    /// Hash of its service and role, whose targets are taken as equally fast.
+    pub(super) group: u32,
     /// Number of this host's requests in flight.
     pub(super) in_flight: u32,
     /// Predicted time of the prompt computation that was sent and is not known to be
     /// finished.
     pub(super) pending_ms: f64,
-    /// Time at which each request without a first token becomes overdue.
-    first_token_due: SmallVec<[(AttemptId, Time); 4]>,
+    /// Requests without a first token.
+    unanswered: SmallVec<[Unanswered; 4]>,
     /// Prompt parts that hosts sent there, with the time of last use.
     cached_parts: HashMap<u64, Time>,
     /// Recent failure rate.
     pub(super) health: Health,
+    /// What this host has seen of its speed.
+    pub(super) speed: TargetSpeed,
+    /// Factor of its times to the reference times.
+    pub(super) speed_factor: f64,
     /// Time until which it gets no requests, because another process answered at its
     /// address.
     avoided_until: Option<Time>,
@@ -73,6 +92,26 @@
     pub(super) expires_at: Option<Time>,
 }
 
+/// A request without a first token.
+#[derive(Debug, Clone, Copy)]
+struct Unanswered {
+    attempt: AttemptId,
+    started_at: Time,
+    /// When the first token is overdue.
+    due: Time,
+    /// Reference time of the response; none if it says nothing about the target's speed.
+    reference: Option<Duration>,
+    /// Time predicted for what comes before and beside that.
+    overhead: Duration,
+}
+
+/// Time that a response took, and the time that the reference target takes for it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Observation {
+    pub(super) reference: Duration,
+    pub(super) seen: Duration,
+}
+
 /// Prompt tokens that a target has to compute.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct UncachedTokens {
@@ -87,11 +126,14 @@
     pub(super) fn new(now: Time, entry: TargetEntry) -> TargetState {
         TargetState {
             id_hash: stable_hash(&&*entry.id) as u32,
+            group: group(&entry),
             in_flight: 0,
             pending_ms: 0.0,
-            first_token_due: SmallVec::new(),
+            unanswered: SmallVec::new(),
             cached_parts: HashMap::new(),
             health: Health::new(now),
+            speed: TargetSpeed::default(),
+            speed_factor: 1.0,
             avoided_until: None,
             expires_at: None,
             entry,
@@ -103,6 +145,7 @@
         if self.entry.incarnation != entry.incarnation || self.entry.addr != entry.addr {
             self.cached_parts.clear();
             self.health = Health::new(now);
+            self.speed.clear();
         }
         if self.entry.incarnation != entry.incarnation
             || self.entry.addr != entry.addr
@@ -111,6 +154,7 @@
             self.avoided_until = None;
         }
         self.expires_at = None;
+        self.group = group(&entry);
         self.entry = entry;
     }
 
@@ -133,7 +177,13 @@
     ) {
         self.in_flight += 1;
         self.pending_ms += placement.prefill_ms;
-        self.first_token_due.push((attempt, now + placement.predicted_time() * 2 + OVERDUE_GRACE));
+        self.unanswered.push(Unanswered {
+            attempt,
+            started_at: now,
+            due: now + placement.predicted_time() * 2 + OVERDUE_GRACE,
+            reference: self.reference_time(placement),
+            overhead: millis(placement.wait_ms + RESPONSE_OVERHEAD_MS),
+        });
         for part in &prompt.parts {
             self.record_part(now, part.id);
         }
@@ -155,14 +205,31 @@
         self.cached_parts.retain(|_, used| *used > median);
     }
 
-    /// Marks a prompt as computed; a repeat has no effect and returns false.
-    pub(super) fn mark_computed(&mut self, attempt: AttemptId, placement: &Placement) -> bool {
-        let Some(at) = self.first_token_due.iter().position(|(known, _)| *known == attempt) else {
-            return false;
-        };
-        self.first_token_due.remove(at);
+    /// Reference time of the response to a new request; none if it will say nothing about
+    /// the target's speed.
+    fn reference_time(&self, placement: &Placement) -> Option<Duration> {
+        if self.entry.role == TargetRole::Whole {
+            return (self.in_flight <= self.entry.slots).then(|| millis(PLAIN_REQUEST_MS));
+        }
+        let reference = placement.prefill_ms / self.speed_factor;
+        let is_clear = placement.cache_is_known
+            && reference >= MIN_LEARNED_MS
+            && placement.wait_ms <= reference * MAX_LEARNED_WAIT;
+        is_clear.then(|| millis(reference))
+    }
+
+    /// Marks a prompt as computed; a repeat has no effect and returns none.
+    pub(super) fn mark_computed(
+        &mut self,
+        now: Time,
+        attempt: AttemptId,
+        placement: &Placement,
+    ) -> Option<Option<Observation>> {
+        let at = self.unanswered.iter().position(|known| known.attempt == attempt)?;
+        let known = self.unanswered.remove(at);
         self.pending_ms = (self.pending_ms - placement.prefill_ms).max(0.0);
-        true
+        let seen = now.since(known.started_at).saturating_sub(known.overhead);
+        Some(known.reference.map(|reference| Observation { reference, seen }))
     }
 
     /// Removes a request in flight and records its outcome.
@@ -203,7 +270,8 @@
     pub(super) fn prefill_time_ms(&self, tokens: u32, prompt_tokens: u32) -> f64 {
         let slowdown = if self.entry.role == TargetRole::Decode { DECODE_SLOWDOWN } else { 1.0 };
         let pairs = f64::from(tokens) * f64::from(prompt_tokens) / 1e6;
-        (f64::from(tokens) / PREFILL_TOKENS_PER_MS + pairs * ATTENTION_COST_MS) * slowdown
+        let reference = f64::from(tokens) / PREFILL_TOKENS_PER_MS + pairs * ATTENTION_COST_MS;
+        reference * slowdown * self.speed_factor
     }
 
     /// Predicted time until the target starts a new request, in milliseconds. The other
@@ -213,7 +281,8 @@
         let open = f64::from(self.in_flight + others_open);
         let delay = self.overdue_ms(now) + others_pending;
         if self.entry.role == TargetRole::Whole {
-            return open * PLAIN_REQUEST_COST_MS / f64::from(self.entry.slots.max(1)) + delay;
+            let run_time = PLAIN_REQUEST_MS * self.speed_factor;
+            return open * run_time / f64::from(self.entry.slots.max(1)) + delay;
         }
         let in_flight_delay =
             if self.entry.role == TargetRole::Decode { open * IN_FLIGHT_COST_MS } else { 0.0 };
@@ -225,7 +294,7 @@
     ///
     /// This is the only sign of a target that accepts requests and never responds.
     pub(super) fn overdue_ms(&self, now: Time) -> f64 {
-        let oldest = self.first_token_due.iter().map(|(_, due)| *due).min();
+        let oldest = self.unanswered.iter().map(|known| known.due).min();
         oldest.map_or(0.0, |due| now.since(due).as_secs_f64() * 1e3)
     }
 
@@ -246,3 +315,11 @@
         }
     }
 }
+
+fn millis(millis: f64) -> Duration {
+    Duration::from_secs_f64(millis.max(0.0) / 1e3)
+}
+
+fn group(entry: &TargetEntry) -> u32 {
+    stable_hash(&(&*entry.service, entry.role)) as u32
+}
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    fleet::{CachedPart, InFlightWork},
+    fleet::{CachedPart, GroupReport, InFlightWork},
     poison::FailedRun,
     state::Shared,
     usage::PeerWindow,
@@ -40,6 +40,12 @@
 /// Interval at which a host has a poller confirm its configuration.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Interval at which what was seen of the targets' speeds is applied and sent.
+const SPEEDS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Number of hosts that receive it; what a single host has seen changes little.
+const SPEEDS_FANOUT: usize = 4;
+
 /// Minimum interval between broadcasts to all hosts.
 const MIN_BROADCAST_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -53,6 +59,15 @@
     Window(PeerWindow),
     Confirm(ConfirmationRequest),
     Confirmed(Confirmation),
+    Speeds(SpeedMessage),
+}
+
+/// What a host has seen of the targets' speeds.
+#[derive(Serialize, Deserialize)]
+struct SpeedMessage {
+    /// Gossip id of the sender.
+    host: u32,
+    speeds: Vec<GroupReport>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -106,7 +121,7 @@
         if urgent {
             shared.state().fleet.clear_sent_parts();
         }
-        let recipients = if urgent { peers } else { rotation.next(peers) };
+        let recipients = if urgent { peers } else { rotation.next(peers, FANOUT) };
         for peer in recipients {
             if let Err(error) = socket.send_to(&datagram, peer).await {
                 log::debug!(target: "gossip", peer:%, error:%; "gossip not sent");
@@ -115,6 +130,27 @@
     }
 }
 
+/// Sends what this host has seen of the targets' speeds to a few hosts in rotation.
+pub(crate) async fn send_speeds(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut rotation = PeerRotation::default();
+    loop {
+        sleep(SPEEDS_INTERVAL).await;
+        let now = shared.now();
+        let (speeds, peers) = {
+            let mut state = shared.state();
+            state.fleet.update_speeds(now);
+            (state.fleet.speed_reports(now), state.membership.gossip_addrs())
+        };
+        if speeds.is_empty() {
+            continue;
+        }
+        let message = Message::Speeds(SpeedMessage { host: shared.gossip_id(), speeds });
+        for peer in rotation.next(peers, SPEEDS_FANOUT) {
+            send(&socket, &message, peer).await;
+        }
+    }
+}
+
 /// Has a poller confirm this host's configuration, again and again.
 pub(crate) async fn request_confirmations(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     loop {
@@ -148,16 +184,16 @@
 }
 
 impl PeerRotation {
-    /// Picks the hosts of this round from `peers`.
-    fn next(&mut self, mut peers: Vec<SocketAddr>) -> Vec<SocketAddr> {
-        if peers.len() <= FANOUT {
+    /// Picks `fanout` hosts of this round from `peers`.
+    fn next(&mut self, mut peers: Vec<SocketAddr>, fanout: usize) -> Vec<SocketAddr> {
+        if peers.len() <= fanout {
             return peers;
         }
-        if self.remaining.len() < FANOUT {
+        if self.remaining.len() < fanout {
             peers.shuffle(&mut rand::rng());
             self.remaining.extend(peers);
         }
-        self.remaining.drain(..FANOUT).collect()
+        self.remaining.drain(..fanout).collect()
     }
 }
 
@@ -239,6 +275,11 @@
                 let now = shared.now();
                 shared.state().view.apply_confirmation(now, shared.gossip_id(), &reply);
             }
+            Ok(Message::Speeds(message)) => {
+                let now = shared.now();
+                let mut state = shared.state();
+                state.fleet.apply_speed_reports(now, message.host, &message.speeds);
+            }
             Ok(Message::Work(report)) => {
                 let now = shared.now();
                 let own_time = shared.wall_clock().at(now).as_micros() as i64;
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -59,6 +59,7 @@
     first_event_times: Histogram,
     queue_times: Histogram,
     pause_times: Histogram,
+    prediction_errors: Histogram,
     stream_breaks: Counter,
     store_calls: Family<StoreCallLabels, Counter>,
     store_losses: Counter,
@@ -87,6 +88,7 @@
             first_event_times: times(),
             queue_times: times(),
             pause_times: times(),
+            prediction_errors: times(),
             stream_breaks: Counter::default(),
             store_calls: Family::default(),
             store_losses: Counter::default(),
@@ -119,6 +121,11 @@
             self.queue_times.clone(),
         );
         registry.register("pause_seconds", "Pauses within streams", self.pause_times.clone());
+        registry.register(
+            "prediction_error_seconds",
+            "Difference of the time to the first event from its prediction",
+            self.prediction_errors.clone(),
+        );
         registry.register(
             "stream_breaks",
             "Streams broken off by targets",
@@ -162,6 +169,11 @@
         self.pause_times.observe(span.as_secs_f64());
     }
 
+    /// Observes by how much the time to a first event differed from its prediction.
+    pub(crate) fn observe_prediction(&self, error: Duration) {
+        self.prediction_errors.observe(error.as_secs_f64());
+    }
+
     /// Counts a stream from a target that ended early.
     pub(crate) fn count_stream_break(&self) {
         self.stream_breaks.inc();
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -135,7 +135,7 @@
     let before = prefill_target(&fleet, now, &request_prompt);
 
     let attempt = fleet.start(now, &before, &request_prompt);
-    fleet.mark_computed(&before, attempt);
+    fleet.mark_computed(now, &before, attempt);
     fleet.finish(now, &before, attempt, AttemptOutcome::Answered);
 
     assert!(fleet.in_flight_work(now).is_empty());
@@ -379,3 +379,51 @@
     assert_ne!(other.placement.id, placement.id);
     assert_eq!((only.placement.id.clone(), only.placement.wait_ms), (placement.id, 0.0));
 }
+
+/// A fleet that sent eight prompts one after another, each of which took `factor` times as long
+/// as predicted at first; and the time after them.
+fn fleet_after_prompts(factor: f64) -> (Fleet, Time) {
+    let mut fleet = fleet(&engines(1, 1));
+    let mut now = Time::from_secs(2);
+    for own in 0..8 {
+        let prompt = prompt(1, 100 + own);
+        let placement = prefill_target(&fleet, now, &prompt);
+        let attempt = fleet.start(now, &placement, &prompt);
+        now = now + placement.predicted_time().mul_f64(factor);
+        fleet.mark_computed(now, &placement, attempt);
+        fleet.finish(now, &placement, attempt, AttemptOutcome::Answered);
+    }
+    fleet.update_speeds(now);
+    (fleet, now)
+}
+
+// Guards against predictions for engines of another speed than the one that the reference
+// times describe: they decide what is refused and what all hosts are told at once.
+#[test]
+fn predictions_follow_the_speed_of_the_engines() {
+    let prompt = prompt(1, 999);
+    let predicted = |factor: f64| {
+        let (fleet, now) = fleet_after_prompts(factor);
+        prefill_target(&fleet, now, &prompt).prefill_ms
+    };
+
+    let (fast, as_reference, slow) = (predicted(0.5), predicted(1.0), predicted(2.0));
+
+    assert!((fast / as_reference - 0.5).abs() < 0.15, "{fast} ms, {as_reference} ms");
+    assert!((slow / as_reference - 2.0).abs() < 0.15, "{slow} ms, {as_reference} ms");
+}
+
+#[test]
+fn a_host_learns_speeds_that_others_report() {
+    let (seen, now) = fleet_after_prompts(2.0);
+    let mut told = fleet(&engines(1, 1));
+    let before = prefill_target(&told, now, &prompt(1, 999)).prefill_ms;
+
+    for host in 1..=3 {
+        told.apply_speed_reports(now, host, &seen.speed_reports(now));
+    }
+    told.update_speeds(now);
+
+    let after = prefill_target(&told, now, &prompt(1, 999)).prefill_ms;
+    assert!((after / before - 2.0).abs() < 0.15, "{before} ms, {after} ms");
+}
--- a/components/gateway/tests/load/simulation.rs
+++ b/components/gateway/tests/load/simulation.rs
@@ -455,7 +455,8 @@
         let Some(request) = self.requests.get(&id) else { return };
         let Some((placement, attempt)) = &request.placement else { return };
         let host = request.host;
-        if self.hosts[host].mark_computed(placement, *attempt) && placement.has_long_prefill() {
+        if self.hosts[host].mark_computed(now, placement, *attempt) && placement.has_long_prefill()
+        {
             self.broadcast(now, host);
         }
     }
@@ -492,6 +493,7 @@
     }
 
     fn round(&mut self, now: Time, host: usize) {
+        self.hosts[host].update_speeds(now);
         self.events.push(now + ROUND_INTERVAL, SimEvent::Round(host));
         let next_peer = self.next_peers[host];
         self.next_peers[host] = (next_peer + FANOUT) % self.sheet.hosts;
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -14,6 +14,7 @@
 mod retry;
 mod roles;
 mod router;
+mod speed;
 mod spending;
 mod stream;
 mod subset;
@@ -30,6 +31,7 @@
     retry::{HedgeTimer, RetryBudget, RetrySettings},
     roles::{EngineStatus, RoleChange, RolePlanner, RoleSettings},
     router::{AttemptOutcome, KvFetch, Route, RouteSettings, Router, RunningAttempt},
+    speed::{GroupSpeed, SpeedReport, TargetSpeed},
     spending::{
         ListedFleet, OfferedLoad, OrderAction, PaidTarget, PlannedOrder, PlannedOrders,
         ScalingSettings, TargetPlanner,
--- /dev/null
+++ b/components/policy/src/speed.rs
@@ -0,0 +1,173 @@
+//! Learns how fast targets are, from how long their responses took.
+//!
+//! Predictions start from reference times. What is learned is the factor between the time
+//! seen and the reference: for a group of targets of one kind from the observations of all
+//! hosts, and for each target against its group. Factors are medians of recent
+//! observations, so that a frozen target, or a prompt that was cached unnoticed, does not
+//! move them; until enough was seen, a reference of its own weight holds.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use chervilgate_clock::Time;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+#[cfg(test)]
+mod tests;
+
+/// Number of observations kept for a group or a target.
+const MAX_OBSERVATIONS: usize = 25;
+
+/// Age from which an observation no longer counts.
+const MAX_AGE: Duration = Duration::from_secs(30);
+
+/// Number of observations that the reference counts as.
+const REFERENCE_WEIGHT: u32 = 4;
+
+/// Number of observations that the group's factor counts as for one target.
+const GROUP_WEIGHT: u32 = 3;
+
+/// Bounds of an observed factor; one outside of them says more about the observation than
+/// about the target.
+const FACTOR_BOUNDS: (f64, f64) = (0.05, 20.0);
+
+/// Interval at which a group's factor is computed again.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Recently observed factors.
+#[derive(Debug, Clone, Default)]
+struct Observations {
+    factors: VecDeque<(Time, f64)>,
+}
+
+impl Observations {
+    fn record(&mut self, now: Time, factor: f64) {
+        if self.factors.len() == MAX_OBSERVATIONS {
+            self.factors.pop_front();
+        }
+        self.factors.push_back((now, factor.clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1)));
+    }
+
+    fn recent(&self, now: Time) -> impl Iterator<Item = f64> {
+        let recent = self.factors.iter().filter(move |(at, _)| now.since(*at) < MAX_AGE);
+        recent.map(|(_, factor)| *factor)
+    }
+}
+
+/// What one host has seen of a group, to send to other hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct SpeedReport {
+    /// Median of the observed factors, in thousandths.
+    pub factor: u16,
+    /// Number of observations.
+    pub samples: u8,
+}
+
+/// The factor of a group of targets of one kind.
+#[derive(Debug, Clone)]
+pub struct GroupSpeed {
+    own: Observations,
+    peers: HashMap<u32, (Time, SpeedReport)>,
+    factor: f64,
+    updated: Option<Time>,
+}
+
+impl Default for GroupSpeed {
+    fn default() -> GroupSpeed {
+        GroupSpeed {
+            own: Observations::default(),
+            peers: HashMap::new(),
+            factor: 1.0,
+            updated: None,
+        }
+    }
+}
+
+impl GroupSpeed {
+    /// Records the time `seen` of a response for which the reference is `reference`.
+    pub fn record(&mut self, now: Time, reference: Duration, seen: Duration) {
+        if let Some(factor) = ratio(reference, seen) {
+            self.own.record(now, factor);
+        }
+    }
+
+    /// What this host has seen; none if nothing recently.
+    pub fn report(&self, now: Time) -> Option<SpeedReport> {
+        let mut factors: SmallVec<[(f64, u32); MAX_OBSERVATIONS]> =
+            self.own.recent(now).map(|factor| (factor, 1)).collect();
+        let samples = u8::try_from(factors.len()).unwrap_or(u8::MAX);
+        let factor = weighted_median(&mut factors)?;
+        Some(SpeedReport { factor: (factor * 1e3) as u16, samples })
+    }
+
+    /// Replaces what another host reported before.
+    pub fn apply_report(&mut self, now: Time, host: u32, report: SpeedReport) {
+        self.peers.insert(host, (now, report));
+    }
+
+    /// The group's factor; 1 if the targets are as fast as the reference.
+    pub fn factor(&self) -> f64 {
+        self.factor
+    }
+
+    /// Computes the factor again if it is time to; returns whether it did.
+    pub fn update(&mut self, now: Time) -> bool {
+        if self.updated.is_some_and(|at| now.since(at) < UPDATE_INTERVAL) {
+            return false;
+        }
+        self.updated = Some(now);
+        self.peers.retain(|_, (at, _)| now.since(*at) < MAX_AGE);
+        let reports = self.peers.values().map(|(_, report)| *report).chain(self.report(now));
+        let reports = reports.map(|report| (f64::from(report.factor) / 1e3, report.samples.into()));
+        let mut factors: Vec<(f64, u32)> = reports.chain([(1.0, REFERENCE_WEIGHT)]).collect();
+        self.factor = weighted_median(&mut factors).unwrap_or(1.0);
+        true
+    }
+}
+
+/// The factor of one target, from this host's observations.
+#[derive(Debug, Clone, Default)]
+pub struct TargetSpeed {
+    own: Observations,
+}
+
+impl TargetSpeed {
+    /// Records the time `seen` of a response for which the reference is `reference`.
+    pub fn record(&mut self, now: Time, reference: Duration, seen: Duration) {
+        if let Some(factor) = ratio(reference, seen) {
+            self.own.record(now, factor);
+        }
+    }
+
+    /// Forgets what was seen, for example after a restart.
+    pub fn clear(&mut self) {
+        self.own.factors.clear();
+    }
+
+    /// The target's factor in a group with the factor `group`.
+    pub fn factor(&self, now: Time, group: f64) -> f64 {
+        let own = self.own.recent(now).map(|factor| (factor, 1));
+        let mut factors: SmallVec<[(f64, u32); MAX_OBSERVATIONS]> =
+            own.chain([(group, GROUP_WEIGHT)]).collect();
+        weighted_median(&mut factors).unwrap_or(group)
+    }
+}
+
+fn ratio(reference: Duration, seen: Duration) -> Option<f64> {
+    (reference > Duration::ZERO).then(|| seen.as_secs_f64() / reference.as_secs_f64())
+}
+
+/// The value that has half of the weight on each side; none without weight.
+fn weighted_median(values: &mut [(f64, u32)]) -> Option<f64> {
+    values.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+    let total: u32 = values.iter().map(|(_, weight)| weight).sum();
+    let mut below = 0;
+    values.iter().find_map(|(value, weight)| {
+        below += weight;
+        (below * 2 >= total && total > 0).then_some(*value)
+    })
+}
--- /dev/null
+++ b/components/policy/src/speed/tests.rs
@@ -0,0 +1,104 @@
+use std::time::Duration;
+
+use chervilgate_clock::Time;
+
+use super::{GroupSpeed, TargetSpeed};
+
+const REFERENCE: Duration = Duration::from_millis(100);
+
+/// Time `seconds` after the start of a test.
+fn at(seconds: f64) -> Time {
+    Time::from_secs(100) + Duration::from_secs_f64(seconds)
+}
+
+/// A group that saw twenty responses that took `factor` times the reference.
+fn group_with(factor: f64) -> GroupSpeed {
+    let mut group = GroupSpeed::default();
+    for step in 0..20 {
+        group.record(at(f64::from(step) / 10.0), REFERENCE, REFERENCE.mul_f64(factor));
+    }
+    group.update(at(2.0));
+    group
+}
+
+#[test]
+fn can_learn_that_targets_are_half_or_twice_as_fast() {
+    for factor in [0.5, 1.0, 2.0] {
+        let learned = group_with(factor).factor();
+
+        assert!((learned - factor).abs() < 0.01, "{factor}: {learned}");
+    }
+}
+
+#[test]
+fn keeps_the_reference_until_enough_was_seen() {
+    let mut group = GroupSpeed::default();
+    for step in 0..3 {
+        group.record(at(f64::from(step)), REFERENCE, REFERENCE * 2);
+    }
+
+    group.update(at(4.0));
+
+    assert_eq!(group.factor(), 1.0);
+}
+
+#[test]
+fn can_tell_two_kinds_of_targets_in_a_group_apart() {
+    let group = group_with(1.0);
+    let mut slow = TargetSpeed::default();
+    for step in 0..10 {
+        slow.record(at(f64::from(step) / 5.0), REFERENCE, REFERENCE * 2);
+    }
+
+    let (unseen, seen) = (TargetSpeed::default(), slow.factor(at(2.0), group.factor()));
+
+    assert_eq!(unseen.factor(at(2.0), group.factor()), 1.0);
+    assert_eq!(seen, 2.0);
+}
+
+#[test]
+fn can_follow_a_target_that_slows_down() {
+    let mut group = group_with(1.0);
+    for step in 0..20 {
+        group.record(at(2.0 + f64::from(step) / 10.0), REFERENCE, REFERENCE * 2);
+    }
+
+    group.update(at(4.0));
+
+    assert!(group.factor() > 1.9, "{}", group.factor());
+}
+
+#[test]
+fn ignores_frozen_targets_and_prompts_that_were_cached() {
+    let mut group = group_with(1.3);
+    for (step, seen) in [30_000, 1, 4_000, 2].into_iter().enumerate() {
+        group.record(at(2.0 + step as f64 / 10.0), REFERENCE, Duration::from_millis(seen));
+    }
+
+    group.update(at(3.0));
+
+    assert!((group.factor() - 1.3).abs() < 0.01, "{}", group.factor());
+}
+
+#[test]
+fn a_host_with_few_requests_learns_from_others() {
+    let (mut group, other) = (GroupSpeed::default(), group_with(2.0));
+    let report = other.report(at(2.0)).expect("a report");
+
+    for host in 1..=3 {
+        group.apply_report(at(2.0), host, report);
+    }
+    group.update(at(2.1));
+
+    assert!((group.factor() - 2.0).abs() < 0.01, "{}", group.factor());
+}
+
+#[test]
+fn forgets_what_was_seen_long_ago() {
+    let mut group = group_with(2.0);
+
+    group.update(at(60.0));
+
+    assert_eq!(group.factor(), 1.0);
+    assert_eq!(group.report(at(60.0)), None);
+}
