Charge for the streams that a prompt makes late, not for every delay

Cause: the cost of delayed streams was the same wherever streams may pause for long.

Change: the cost counts the streams that become late by the pause which the routes allow, and those that are late anyway only once.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -35,6 +35,8 @@
     pub(crate) service: Arc<str>,
     pub(crate) org: Option<Arc<str>>,
     pub(crate) priority: u8,
+    /// Longest pause with which the service's streams are on time; none if unspecified.
+    pub(crate) max_pause: Option<Duration>,
     /// Deadline for the complete response.
     pub(crate) deadline: Time,
 }
--- a/components/gateway/src/config.rs
+++ b/components/gateway/src/config.rs
@@ -48,6 +48,8 @@
     pub timeout: Duration,
     /// Latency target for the response, or for the first event of a stream.
     pub latency_target: Duration,
+    /// Longest pause within a stream with which it is on time; none if unspecified.
+    pub max_pause: Option<Duration>,
     /// How many targets may run the same request, retries included.
     pub attempts: u32,
     /// Scheduling priority; 0 is the highest.
@@ -141,6 +143,8 @@
     pub keys: Option<HashMap<String, Org>>,
     /// Limits on callers' requests.
     pub limits: CallerLimits,
+    /// Shortest of the pauses that the routes of a service allow, by service.
+    max_pauses: HashMap<Arc<str>, Duration>,
 }
 
 impl Config {
@@ -153,13 +157,24 @@
         limits: CallerLimits,
     ) -> Config {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        let mut max_pauses: HashMap<Arc<str>, Duration> = HashMap::new();
         for route in routes {
+            for (service, _) in &route.services {
+                let Some(pause) = route.max_pause else { continue };
+                let known = max_pauses.entry(service.clone()).or_insert(pause);
+                *known = pause.min(*known);
+            }
             by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Config { version, routes: by_host, services, keys, limits }
+        Config { version, routes: by_host, services, keys, limits, max_pauses }
+    }
+
+    /// Longest pause with which any stream of `service` is on time; none if unspecified.
+    pub fn max_pause(&self, service: &str) -> Option<Duration> {
+        self.max_pauses.get(service).copied()
     }
 
     /// The route of `host` with the longest prefix of `path`.
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -59,9 +59,13 @@
 /// addition to its time.
 const RECOMPUTE_WEIGHT: f64 = 2.0;
 
-/// Weight of the time by which a prompt computed on a decode engine delays each stream there;
-/// a delayed stream is often still on time.
-const STREAM_DELAY_WEIGHT: f64 = 0.5;
+/// Time of computing prompts in a row, relative to the longest pause, from which the streams
+/// of a decode engine begin to be late, and with which all of them are: an event of a stream
+/// may hold several tokens, whose steps take the rest of the pause.
+const LATE_PAUSE_SHARES: (f64, f64) = (0.3, 0.6);
+
+/// Cost of making a stream late.
+const LATE_STREAM_COST_MS: f64 = 100.0;
 
 /// Rendezvous weight of a prefill engine relative to a decode engine: the ratio of
 /// their prefill speeds.
@@ -141,6 +145,8 @@
     pub prompt: &'a Prompt,
     /// Targets that have been tried already.
     pub exclude: &'a [Arc<str>],
+    /// Longest pause with which the service's streams are on time; none if unspecified.
+    pub max_pause: Option<Duration>,
 }
 
 /// The target chosen for a request, with its predicted times.
@@ -442,16 +448,26 @@
         (PEER_FAILURE_COST_MS * rate).min(FAILURE_COST_MS)
     }
 
-    /// Cost of the delay that computing a prompt on a decode engine causes to the streams that
-    /// it generates meanwhile, in milliseconds.
-    fn stream_delay_cost(&self, state: &TargetState, missing: UncachedTokens, tokens: u32) -> f64 {
-        if state.entry.role != TargetRole::Decode {
+    /// Cost of the streams that computing a prompt on a decode engine makes late, in
+    /// milliseconds. Streams that the prompts before it make late anyway do not count.
+    fn late_streams_cost(
+        &self,
+        state: &TargetState,
+        missing: UncachedTokens,
+        query: &TargetQuery<'_>,
+    ) -> f64 {
+        let Some(max_pause) = query.max_pause.filter(|_| state.entry.role == TargetRole::Decode)
+        else {
             return 0.0;
-        }
+        };
         let others = self.peer_loads.load(state.id_hash);
         let streams = state.in_flight + others.in_flight;
-        let delay = state.prefill_time_ms(missing.shared + missing.own, tokens);
-        delay * f64::from(streams) * STREAM_DELAY_WEIGHT
+        let pending = state.pending_ms + f64::from(others.pending_ms);
+        let own = state.prefill_time_ms(missing.shared + missing.own, query.prompt.tokens);
+        let (first, all) = LATE_PAUSE_SHARES;
+        let max_ms = max_pause.as_secs_f64().max(f64::MIN_POSITIVE) * 1e3;
+        let late = |pause: f64| ((pause / max_ms - first) / (all - first)).clamp(0.0, 1.0);
+        (late(pending + own) - late(pending)) * f64::from(streams) * LATE_STREAM_COST_MS
     }
 
     /// Predicted time until a target starts a new request, in milliseconds.
@@ -541,7 +557,7 @@
             let prefill_cost = state.prefill_time_ms(missing.shared, query.prompt.tokens)
                 * RECOMPUTE_WEIGHT
                 + state.prefill_time_ms(missing.own, query.prompt.tokens)
-                + self.stream_delay_cost(state, missing, query.prompt.tokens);
+                + self.late_streams_cost(state, missing, query);
             let cost = self.expected_wait(now, state) + prefill_cost + zone_cost + failing;
             let cache_is_known = missing.shared == 0 || hit_rate == 0.0;
             (state, rank, (missing, cache_is_known), cost)
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -116,6 +116,7 @@
             service: &call.service,
             prompt: &call.ask.prompt,
             exclude: &attempts.tried,
+            max_pause: None,
         };
         let placement = shared.state().fleet.place(now, &query);
         let Some(plan) = placement else { return Err(attempts.failure(Failure::NoTarget)) };
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -105,8 +105,13 @@
         if !self.shared.state().poison.may_run(self.shared.now(), fingerprint) {
             return Err(Failure::PoisonRequest);
         }
+        let max_pause = {
+            let state = self.shared.state();
+            state.view.config().and_then(|config| config.max_pause(&service))
+        };
         let call = CallerRequest {
             fingerprint,
+            max_pause,
             method: head.method,
             path: head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/")),
             headers: head.headers,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -169,6 +169,7 @@
             service: &self.call.service,
             prompt: &self.call.ask.prompt,
             exclude: &self.attempts.tried,
+            max_pause: self.call.max_pause,
         };
         self.shared.state().fleet.place(self.shared.now(), &query)
     }
@@ -191,6 +192,7 @@
             service: &self.call.service,
             prompt: &self.call.ask.prompt,
             exclude: &self.attempts.tried,
+            max_pause: self.call.max_pause,
         };
         let now = self.shared.now();
         let state = self.shared.state();
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -12,6 +12,7 @@
 };
 
 const SERVICE: &str = "llm";
+const MAX_PAUSE: Duration = Duration::from_millis(150);
 const DRAIN: Duration = Duration::from_secs(2);
 
 fn entry(id: &str, role: TargetRole, zone: &str) -> TargetEntry {
@@ -48,7 +49,7 @@
 }
 
 fn query<'a>(prompt: &'a Prompt, exclude: &'a [Arc<str>]) -> TargetQuery<'a> {
-    TargetQuery { service: SERVICE, prompt, exclude }
+    TargetQuery { service: SERVICE, prompt, exclude, max_pause: Some(MAX_PAUSE) }
 }
 
 /// The target that computes the prompt.
--- a/components/gateway/tests/load/simulation.rs
+++ b/components/gateway/tests/load/simulation.rs
@@ -53,8 +53,9 @@
     prefill_engines: usize,
     decode_engines: usize,
     profile: Profile,
-    /// Longest mean time between two tokens at which a stream is still on time.
-    max_token_gap: Duration,
+    /// Longest pause between two events of a stream that is on time, and tokens in an event.
+    max_pause: Duration,
+    event_tokens: u32,
     /// Start and end of the burst.
     burst: (Duration, Duration),
     classes: &'static [Class],
@@ -94,7 +95,8 @@
             prefill_engines: 15,
             decode_engines: 30,
             profile: Profile::from_benchmark(),
-            max_token_gap: Duration::from_millis(250),
+            max_pause: Duration::from_millis(250),
+            event_tokens: 1,
             burst: (Duration::ZERO, Duration::ZERO),
             classes: &CLASSES,
         }
@@ -136,8 +138,8 @@
             prefill_engines: 20,
             decode_engines: 44,
             profile,
-            // An event every 150 ms, of eight tokens.
-            max_token_gap: Duration::from_micros(18_750),
+            max_pause: Duration::from_millis(150),
+            event_tokens: 8,
             burst: (Duration::from_secs(5), Duration::from_secs(8)),
             classes: &CLASSES,
         }
@@ -342,7 +344,12 @@
     fn send(&mut self, now: Time, id: u64) {
         let request = &self.requests[&id];
         let (host, prompt) = (request.host, request.prompt.clone());
-        let query = TargetQuery { service: "llm", prompt: &prompt, exclude: &request.tried };
+        let query = TargetQuery {
+            service: "llm",
+            prompt: &prompt,
+            exclude: &request.tried,
+            max_pause: Some(self.sheet.max_pause),
+        };
         let plan =
             self.hosts[host].place(now, &query).filter(|_| request.tried.len() < MAX_ATTEMPTS);
         let Some(plan) = plan else {
@@ -442,8 +449,12 @@
     /// Submits a request to an engine that generates from an exported KV cache.
     fn decode(&mut self, now: Time, id: u64) {
         let request = &self.requests[&id];
-        let query =
-            TargetQuery { service: "llm", prompt: &request.prompt, exclude: &request.tried };
+        let query = TargetQuery {
+            service: "llm",
+            prompt: &request.prompt,
+            exclude: &request.tried,
+            max_pause: Some(self.sheet.max_pause),
+        };
         let Some(placement) = self.hosts[request.host].place_decode(now, &query) else {
             self.results.0[request.class].1.refused += 1;
             return;
@@ -486,8 +497,8 @@
     fn record_pace(&mut self, now: Time, id: u64, tokens: u32) {
         let Some(request) = self.requests.get(&id) else { return };
         let Some(first_token_at) = request.first_token_at else { return };
-        let gaps = tokens.saturating_sub(1);
-        if now.since(first_token_at) > self.sheet.max_token_gap * gaps {
+        let longest = self.sheet.max_pause * tokens.saturating_sub(1) / self.sheet.event_tokens;
+        if now.since(first_token_at) > longest {
             self.results.0[request.class].1.slow += 1;
         }
     }
--- a/components/gateway/tests/parts.rs
+++ b/components/gateway/tests/parts.rs
@@ -18,6 +18,7 @@
         kind: RouteKind::Idempotent,
         timeout: Duration::from_secs(1),
         latency_target: Duration::from_millis(100),
+        max_pause: None,
         attempts: 1,
         priority: 0,
         services: [("one".into(), 90), ("two".into(), 10)].into_iter().collect(),
