--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -390,7 +390,7 @@
         let prompt = prompt(1, 100 + own);
         let placement = prefill_target(&fleet, now, &prompt);
         let attempt = fleet.start(now, &placement, &prompt);
-        now = now + placement.predicted_time().mul_f64(factor);
+        now += placement.predicted_time().mul_f64(factor);
         fleet.mark_computed(now, &placement, attempt);
         fleet.finish(now, &placement, attempt, AttemptOutcome::Answered);
     }
