Count late streams only where streams are late

Its streams hold ten tokens in an event and may pause for 250 ms, so that prompts on decode engines hardly ever make them late; no configuration says how long a step takes.

Change: each host learns from the streams that it forwards how many of them pause for too long, and the cost counts in full from 5% on.

--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -8,6 +8,7 @@
 //! has reported.
 
 mod health;
+mod pauses;
 mod peer_loads;
 mod rank;
 mod target;
@@ -26,6 +27,7 @@
 
 use crate::{
     fleet::{
+        pauses::PauseMeter,
         peer_loads::PeerLoads,
         rank::{affinity, rank},
         target::{Observation, TargetState, UncachedTokens},
@@ -241,6 +243,7 @@
     last_attempt: u64,
     /// Speeds by group, which [`TargetState::group`] identifies.
     speeds: HashMap<u32, GroupSpeed>,
+    pauses: PauseMeter,
 }
 
 /// What a host has seen of the speed of a group of targets.
@@ -271,6 +274,7 @@
             store_recovered_at: None,
             last_attempt: 0,
             speeds: HashMap::new(),
+            pauses: PauseMeter::default(),
         }
     }
 
@@ -409,6 +413,11 @@
         }
     }
 
+    /// Records a stream that has ended; `late` if it paused for longer than its route allows.
+    pub fn record_stream(&mut self, now: Time, late: bool) {
+        self.pauses.record(now, late);
+    }
+
     /// What this host has seen of the targets' speeds, to send to other hosts.
     pub fn speed_reports(&self, now: Time) -> Vec<GroupReport> {
         let reports = self.speeds.iter();
@@ -449,9 +458,11 @@
     }
 
     /// Cost of the streams that computing a prompt on a decode engine makes late, in
-    /// milliseconds. Streams that the prompts before it make late anyway do not count.
+    /// milliseconds. Streams that the prompts before it make late anyway do not count, and
+    /// none where streams are hardly ever late.
     fn late_streams_cost(
         &self,
+        now: Time,
         state: &TargetState,
         missing: UncachedTokens,
         query: &TargetQuery<'_>,
@@ -467,7 +478,8 @@
         let (first, all) = LATE_PAUSE_SHARES;
         let max_ms = max_pause.as_secs_f64().max(f64::MIN_POSITIVE) * 1e3;
         let late = |pause: f64| ((pause / max_ms - first) / (all - first)).clamp(0.0, 1.0);
-        (late(pending + own) - late(pending)) * f64::from(streams) * LATE_STREAM_COST_MS
+        let newly_late = (late(pending + own) - late(pending)) * f64::from(streams);
+        newly_late * LATE_STREAM_COST_MS * self.pauses.relevance(now)
     }
 
     /// Predicted time until a target starts a new request, in milliseconds.
@@ -557,7 +569,7 @@
             let prefill_cost = state.prefill_time_ms(missing.shared, query.prompt.tokens)
                 * RECOMPUTE_WEIGHT
                 + state.prefill_time_ms(missing.own, query.prompt.tokens)
-                + self.late_streams_cost(state, missing, query);
+                + self.late_streams_cost(now, state, missing, query);
             let cost = self.expected_wait(now, state) + prefill_cost + zone_cost + failing;
             let cache_is_known = missing.shared == 0 || hit_rate == 0.0;
             (state, rank, (missing, cache_is_known), cost)
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -241,6 +241,10 @@
                 }
                 ReadOutcome::End => {
                     let pause = longest_pause.as_millis() as u64;
+                    if let Some(max_pause) = self.call.route.max_pause {
+                        let late = longest_pause > max_pause;
+                        self.shared.state().fleet.record_stream(last_sent, late);
+                    }
                     log::info!(target: "gateway", id, pause; "stream ended");
                     return;
                 }
--- a/components/gateway/tests/load/simulation.rs
+++ b/components/gateway/tests/load/simulation.rs
@@ -498,7 +498,9 @@
         let Some(request) = self.requests.get(&id) else { return };
         let Some(first_token_at) = request.first_token_at else { return };
         let longest = self.sheet.max_pause * tokens.saturating_sub(1) / self.sheet.event_tokens;
-        if now.since(first_token_at) > longest {
+        let slow = now.since(first_token_at) > longest;
+        self.hosts[request.host].record_stream(now, slow);
+        if slow {
             self.results.0[request.class].1.slow += 1;
         }
     }
