--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -7,15 +7,16 @@
 //! other which parts they sent where; the rank only decides about parts that no host
 //! has reported.
 
+mod entry;
 mod health;
 mod pauses;
 mod peer_loads;
+mod plan;
 mod rank;
 mod target;
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
-    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -35,7 +36,11 @@
     protocol::Prompt,
 };
 
-pub use crate::fleet::peer_loads::InFlightWork;
+pub use crate::fleet::{
+    entry::{TargetCounts, TargetEntry, TargetRole},
+    peer_loads::InFlightWork,
+    plan::{Placement, Plan, TargetQuery},
+};
 
 /// Cost of a round trip to another availability zone.
 const CROSS_ZONE_COST_MS: f64 = 4.0;
@@ -53,10 +58,6 @@
 /// and the time and price of the KV cache transfer.
 const SPLIT_COST_MS: f64 = 25.0;
 
-/// Predicted prefill time from which all hosts are told at once: about what a short
-/// prompt may wait and still be on time.
-const LONG_PREFILL_MS: f64 = 50.0;
-
 /// Weight of the time to compute a shared part again: the computation has a price in
 /// addition to its time.
 const RECOMPUTE_WEIGHT: f64 = 2.0;
@@ -92,115 +93,6 @@
 /// the time in which a draining target may still get work.
 const EXPIRED_ENTRY_SHARE: f64 = 0.9;
 
-/// Which stages of a request a target runs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum TargetRole {
-    /// Computes prompts and exports their KV caches.
-    Prefill,
-    /// Generates output, and computes prompts in small chunks.
-    Decode,
-    /// Runs whole requests, such as the targets of plain services.
-    Whole,
-}
-
-/// A target's entry in the store.
-#[derive(Debug, Clone, PartialEq)]
-pub struct TargetEntry {
-    /// Target id; may be kept across restarts.
-    pub id: Arc<str>,
-    /// Name of its service.
-    pub service: Arc<str>,
-    /// Address for requests.
-    pub addr: SocketAddr,
-    /// The target's availability zone.
-    pub zone: Arc<str>,
-    /// Maximum number of concurrent requests.
-    pub slots: u32,
-    /// Whether it is draining and must get no new requests.
-    pub draining: bool,
-    /// Which stages of a request it runs.
-    pub role: TargetRole,
-    /// Distinguishes restarts under the same id.
-    pub incarnation: u64,
-    /// Whether it is a reclaimable target, which the platform may take away at short
-    /// notice.
-    pub reclaimable: bool,
-}
-
-/// Number of targets by state; a failing target also counts as serving or draining.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct TargetCounts {
-    /// Not draining.
-    pub serving: u32,
-    /// Draining.
-    pub draining: u32,
-    /// Recent failure rate high enough to be reported to other hosts.
-    pub failing: u32,
-}
-
-/// Requirements of a request for its target.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct TargetQuery<'a> {
-    /// Service that the target must run.
-    pub service: &'a str,
-    /// The prompt; empty for plain services.
-    pub prompt: &'a Prompt,
-    /// Targets that have been tried already.
-    pub exclude: &'a [Arc<str>],
-    /// Longest pause with which the service's streams are on time; none if unspecified.
-    pub max_pause: Option<Duration>,
-}
-
-/// The target chosen for a request, with its predicted times.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Placement {
-    /// The target's id.
-    pub id: Arc<str>,
-    /// The target's address.
-    pub addr: SocketAddr,
-    /// The target's availability zone.
-    pub zone: Arc<str>,
-    /// Prompt tokens that the target is expected to compute.
-    pub compute_tokens: u32,
-    /// Predicted time to compute them.
-    pub prefill_ms: f64,
-    /// Predicted queueing time.
-    pub wait_ms: f64,
-    /// Predicted total cost, by which targets are compared.
-    pub cost_ms: f64,
-    /// Whether it is known which parts of the prompt are cached there.
-    pub cache_is_known: bool,
-}
-
-/// The targets that run a request.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Plan {
-    /// The target that sends the response.
-    pub placement: Placement,
-    /// The target that computes the prompt first; none if the same one does.
-    pub prefill: Option<Placement>,
-}
-
-impl Plan {
-    /// Predicted time until the first event.
-    pub fn predicted_time(&self) -> Duration {
-        let prefill = self.prefill.as_ref().map_or(Duration::ZERO, Placement::predicted_time);
-        prefill + self.placement.predicted_time()
-    }
-}
-
-impl Placement {
-    /// Predicted time until the prompt is computed.
-    pub fn predicted_time(&self) -> Duration {
-        Duration::from_secs_f64((self.wait_ms + self.prefill_ms).max(0.0) / 1e3)
-    }
-
-    /// Whether the prefill takes so long that all hosts are told at once.
-    pub fn has_long_prefill(&self) -> bool {
-        self.prefill_ms >= LONG_PREFILL_MS
-    }
-}
-
 /// How a request ended on a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptOutcome {
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -33,7 +33,7 @@
 const UNCONFIRMED_WAIT_SHARE: f64 = 0.5;
 
 /// Wait of the watch of a host whose view is nearly too old, to be confirmed soon.
-const HASTY_WAIT: Duration = Duration::from_millis(200);
+const SHORT_WAIT: Duration = Duration::from_millis(200);
 
 /// Age of the view from which a host asks the store itself, as a share of the time in which
 /// revoked keys must stop working.
@@ -149,13 +149,14 @@
         self.peer_confirmed_at = self.peer_confirmed_at.max(Some(at));
     }
 
-    /// Time for which the next watch call should wait for changes.
+    /// Time for which the next watch call should wait for changes. The call also brings a
+    /// newer configuration that a poller has told of.
     pub fn watch_wait(&mut self, now: Time, is_poller: bool) -> Duration {
         self.newer_since = None;
         let limit = self.revocation_time.mul_f64(MAX_CONFIRMED_SHARE);
         let is_recent = |at: Time| now.since(at) < limit;
         if !self.confirmed_at.is_some_and(is_recent) {
-            return HASTY_WAIT;
+            return SHORT_WAIT;
         }
         if is_poller {
             return POLLER_WAIT;
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -43,8 +43,8 @@
 /// Time after which a failed write of a host's entry is retried.
 const ENTRY_RETRY_INTERVAL: Duration = Duration::from_millis(1_500);
 
-/// Shortest time after which a watch that got no reply is called again before the store
-/// counts as lost: the store or the network may cut off a call that waits.
+/// Shortest time after which a watch call may be cut off while it waits without the store
+/// counting as lost: the store or the network may end calls that wait.
 const MIN_CUT_WAIT: Duration = Duration::from_secs(1);
 
 /// Wait time of the target watch. Each call is billed, and the configuration watch
@@ -158,7 +158,7 @@
                 log::info!(target: "store", prefix; "history compacted; listing again");
                 known = None;
             }
-            StoreReply::Unknown if known.is_some() && now.since(sent) >= MIN_CUT_WAIT && !lost => {
+            StoreReply::Unknown if known.is_some() && is_cut_off(now.since(sent), wait) => {
                 known = None;
             }
             other => {
@@ -183,6 +183,11 @@
     }
 }
 
+/// Whether a watch call without a reply was cut off while it waited, after `elapsed` of `wait`.
+fn is_cut_off(elapsed: Duration, wait: Duration) -> bool {
+    (MIN_CUT_WAIT..wait).contains(&elapsed)
+}
+
 /// Returns once a watch call that waits for `wait` must be given up.
 async fn overdue(shared: &Shared, watched: &dyn WatchedPrefix, wait: Duration) {
     loop {
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -428,3 +428,38 @@
     let after = prefill_target(&told, now, &prompt(1, 999)).prefill_ms;
     assert!((after / before - 2.0).abs() < 0.15, "{before} ms, {after} ms");
 }
+
+/// The hash by which hosts refer to a target.
+fn hash_of(id: &str, role: TargetRole) -> u32 {
+    let now = Time::from_secs(2);
+    let decode = entry("other", TargetRole::Decode, "a");
+    let mut fleet = fleet(&[entry(id, role, "a"), decode]);
+    let placement = Placement { id: id.into(), ..prefill_target(&fleet, now, &prompt(1, 2)) };
+    fleet.start(now, &placement, &prompt(1, 2));
+    fleet.in_flight_work(now)[0].target
+}
+
+/// The engine that computes a prompt of 3,000 tokens while the prefill engine is busy and eight
+/// streams run on the decode engine, after `late` of 50 streams paused for too long.
+fn engine_beside_streams(late: usize) -> Arc<str> {
+    let now = Time::from_secs(2);
+    let mut fleet = fleet(&engines(1, 1));
+    let (waits, streams) = (hash_of("p0", TargetRole::Prefill), hash_of("d0", TargetRole::Decode));
+    let busy = InFlightWork { target: waits, pending: 150, open: 1, failing: 0 };
+    let running = InFlightWork { target: streams, pending: 0, open: 8, failing: 0 };
+    fleet.apply_peer_work(now, 1, vec![busy, running]);
+    for stream in 0..50 {
+        fleet.record_stream(now, stream < late);
+    }
+    let parts = [PromptPart { id: 9, tokens: 3_000 }];
+    let prompt = Prompt { tokens: 3_000, max_output: 12, parts: parts.into_iter().collect() };
+    prefill_target(&fleet, now, &prompt).id
+}
+
+// Guards against streams that pause because prompts are computed between their tokens, and against
+// prompts that wait where nobody's stream would have been late.
+#[test]
+fn prompts_keep_off_streams_only_where_streams_are_late() {
+    assert_eq!(&*engine_beside_streams(0), "d0");
+    assert_eq!(&*engine_beside_streams(10), "p0");
+}
--- a/components/policy/src/speed.rs
+++ b/components/policy/src/speed.rs
@@ -4,7 +4,7 @@
 //! seen and the reference: for a group of targets of one kind from the observations of all
 //! hosts, and for each target against its group. Factors are medians of recent
 //! observations, so that a frozen target, or a prompt that was cached unnoticed, does not
-//! move them; until enough was seen, a reference of its own weight holds.
+//! move them; until enough was seen, the reference itself counts as some of them.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -122,7 +122,10 @@
         self.updated = Some(now);
         self.peers.retain(|_, (at, _)| now.since(*at) < MAX_AGE);
         let reports = self.peers.values().map(|(_, report)| *report).chain(self.report(now));
-        let reports = reports.map(|report| (f64::from(report.factor) / 1e3, report.samples.into()));
+        let reports = reports.map(|report| {
+            let factor = f64::from(report.factor) / 1e3;
+            (factor.clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1), report.samples.into())
+        });
         let mut factors: Vec<(f64, u32)> = reports.chain([(1.0, REFERENCE_WEIGHT)]).collect();
         self.factor = weighted_median(&mut factors).unwrap_or(1.0);
         true
--- a/components/policy/src/speed/tests.rs
+++ b/components/policy/src/speed/tests.rs
@@ -2,7 +2,7 @@
 
 use chervilgate_clock::Time;
 
-use super::{GroupSpeed, TargetSpeed};
+use super::{FACTOR_BOUNDS, GroupSpeed, SpeedReport, TargetSpeed};
 
 const REFERENCE: Duration = Duration::from_millis(100);
 
@@ -102,3 +102,16 @@
     assert_eq!(group.factor(), 1.0);
     assert_eq!(group.report(at(60.0)), None);
 }
+
+// Guards against a division by a factor of zero in predictions.
+#[test]
+fn keeps_reports_of_others_within_bounds() {
+    let mut group = GroupSpeed::default();
+
+    for host in 0..9 {
+        group.apply_report(at(0.0), host, SpeedReport { factor: 0, samples: 25 });
+    }
+    group.update(at(0.1));
+
+    assert_eq!(group.factor(), FACTOR_BOUNDS.0);
+}
