Send work reports that fit, however many runs failed

Cause: each failed run is told for three seconds by every host that knows of it, at some 15 bytes, in the message that carries the work in flight. From about ninety on the message exceeds a datagram and was dropped whole, so that after a crash of engines with a hundred streams no host heard of another's work.

Change: a message that is too long leaves out failed runs first, drawn anew each round, then parts, then work. Test: can_tell_of_work_beside_many_failed_runs.

--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -23,6 +23,9 @@
     view::{Confirmation, ConfirmationRequest},
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Interval between rounds; requests last a few hundred milliseconds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -100,7 +103,9 @@
         let time = shared.wall_clock().at(now).as_micros() as u64;
         let (work, parts, failed_runs, peers, in_charge) = {
             let mut state = shared.state();
-            let failed_runs = state.poison.runs_to_gossip(now);
+            let mut failed_runs = state.poison.runs_to_gossip(now);
+            // Not all may fit; each round tells of others.
+            failed_runs.shuffle(&mut rand::rng());
             let peers = state.membership.gossip_addrs();
             let parts = state.fleet.recent_parts(now, rotation_time(peers.len()));
             (state.fleet.in_flight_work(now), parts, failed_runs, peers, state.holds_lease)
@@ -115,9 +120,8 @@
         if idle_rounds % IDLE_ROUND_CYCLE > 1 && !urgent {
             continue;
         }
-        let report =
-            Message::Work(WorkReport { host, time, in_charge, work, parts, broken: failed_runs });
-        let Some(datagram) = encode(&report) else { continue };
+        let report = WorkReport { host, time, in_charge, work, parts, broken: failed_runs };
+        let Some(datagram) = encode_report(report) else { continue };
         if urgent {
             shared.state().fleet.clear_sent_parts();
         }
@@ -212,25 +216,48 @@
     }
 }
 
-/// Encodes a message as one datagram; none if it does not fit.
-fn encode(message: &Message) -> Option<Vec<u8>> {
-    match postcard::to_stdvec(message) {
-        Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => Some(bytes),
-        Ok(bytes) => {
-            // Usage counts are in the store too; the work is limited when it is collected.
-            log::debug!(
-                target: "gossip", bytes = bytes.len();
-                "gossip message exceeds the datagram size"
-            );
-            None
+/// Encodes a work report as one datagram. If it does not fit, failed runs are left out first,
+/// since other rounds and hosts tell of them, then prompt parts, then work.
+fn encode_report(mut report: WorkReport) -> Option<Vec<u8>> {
+    loop {
+        let message = Message::Work(report);
+        let bytes = serialize(&message)?;
+        let Message::Work(returned) = message else { return None };
+        report = returned;
+        if bytes.len() <= MAX_DATAGRAM_BYTES {
+            return Some(bytes);
         }
-        Err(error) => {
-            log::warn!(target: "gossip", error:%; "gossip message not encoded");
-            None
+        match (report.broken.len(), report.parts.len(), report.work.len()) {
+            (0, 0, 0) => return None,
+            (0, 0, work) => report.work.truncate(work / 2),
+            (0, parts, _) => report.parts.truncate(parts / 2),
+            (runs, ..) => report.broken.truncate(runs / 2),
         }
     }
 }
 
+/// Encodes a message as one datagram; none if it does not fit.
+fn encode(message: &Message) -> Option<Vec<u8>> {
+    let bytes = serialize(message)?;
+    if bytes.len() <= MAX_DATAGRAM_BYTES {
+        return Some(bytes);
+    }
+    // Usage counts are in the store too.
+    log::debug!(
+        target: "gossip", bytes = bytes.len(); "gossip message exceeds the datagram size"
+    );
+    None
+}
+
+fn serialize(message: &Message) -> Option<Vec<u8>> {
+    let bytes = postcard::to_stdvec(message);
+    bytes
+        .inspect_err(|error| {
+            log::warn!(target: "gossip", error:%; "gossip message not encoded");
+        })
+        .ok()
+}
+
 /// Corrects this host's wall clock if most other hosts disagree with it.
 fn correct_clock(shared: &Shared) {
     let now = shared.now();
