--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -366,7 +366,8 @@
         let others = self.peer_loads.load(state.id_hash);
         let streams = state.in_flight + others.in_flight;
         let pending = state.pending_ms + f64::from(others.pending_ms);
-        let own = state.prefill_time_ms(missing.shared + missing.own, query.prompt.tokens);
+        let own =
+            state.prefill_time_ms(missing.shared.saturating_add(missing.own), query.prompt.tokens);
         let (first, all) = LATE_PAUSE_SHARES;
         let max_ms = max_pause.as_secs_f64().max(f64::MIN_POSITIVE) * 1e3;
         let late = |pause: f64| ((pause / max_ms - first) / (all - first)).clamp(0.0, 1.0);
@@ -468,7 +469,7 @@
         });
         let (state, _, (missing, cache_is_known), cost_ms) =
             candidates.min_by(|a, b| a.3.total_cmp(&b.3).then_with(|| b.1.total_cmp(&a.1)))?;
-        let compute_tokens = missing.shared + missing.own;
+        let compute_tokens = missing.shared.saturating_add(missing.own);
         Some(Placement {
             id: state.entry.id.clone(),
             addr: state.entry.addr,
--- a/components/gateway/src/fleet/target.rs
+++ b/components/gateway/src/fleet/target.rs
@@ -255,12 +255,12 @@
         for (index, part) in prompt.parts.iter().enumerate() {
             whole &= self.cached_parts.contains_key(&part.id);
             if whole {
-                cached += part.tokens;
+                cached = part.tokens.saturating_add(cached);
             } else if index < last {
-                shared += part.tokens;
+                shared = part.tokens.saturating_add(shared);
             }
         }
-        let own = prompt.tokens.saturating_sub(cached + shared);
+        let own = prompt.tokens.saturating_sub(cached.saturating_add(shared));
         let shared = (f64::from(shared) * (1.0 - hit_rate)) as u32;
         UncachedTokens { shared, own: own.max(u32::from(prompt.tokens > 0)) }
     }
