--- a/components/gateway/tests/load/main.rs
+++ b/components/gateway/tests/load/main.rs
@@ -5,9 +5,13 @@
 //! host has its own `Fleet` and sends the same gossip as the daemon; the engines are
 //! those of `chervilgate-engines` with the figures of the sheets.
 
+mod sheet;
 mod simulation;
 
-use crate::simulation::{GossipMode, Sheet, Simulation};
+use crate::{
+    sheet::Sheet,
+    simulation::{GossipMode, Simulation},
+};
 
 /// Share of first events within their latency target from which the users' sheets pay
 /// in full. The rest is lost to cold caches at the start of a run.
--- /dev/null
+++ b/components/gateway/tests/load/sheet.rs
@@ -0,0 +1,119 @@
+//! The deployments and loads that the simulation plays.
+
+use std::time::Duration;
+
+use chervilgate_engines::{Profile, RoleLimits};
+
+/// A kind of request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Class {
+    pub(crate) name: &'static str,
+    /// Requests per second outside bursts, and the factor in bursts.
+    pub(crate) rate: (f64, f64),
+    /// Shared and own prompt tokens.
+    pub(crate) prompt: (u32, u32),
+    pub(crate) output: u32,
+    pub(crate) latency_target_ms: u64,
+    /// Number of shared parts.
+    pub(crate) parts: u64,
+}
+
+/// A deployment and its load.
+#[derive(Debug, Clone)]
+pub(crate) struct Sheet {
+    pub(crate) hosts: usize,
+    pub(crate) prefill_engines: usize,
+    pub(crate) decode_engines: usize,
+    pub(crate) profile: Profile,
+    /// Longest pause between two events of a stream that is on time, and tokens in an event.
+    pub(crate) max_pause: Duration,
+    pub(crate) event_tokens: u32,
+    /// Start and end of the burst.
+    pub(crate) burst: (Duration, Duration),
+    pub(crate) classes: &'static [Class],
+}
+
+impl Sheet {
+    /// Half of tbilisi-arrivals-grown.
+    pub(crate) fn reports() -> Sheet {
+        const CLASSES: [Class; 3] = [
+            Class {
+                name: "monthly-report",
+                rate: (37.0, 1.0),
+                prompt: (13_300, 3_720),
+                output: 10,
+                latency_target_ms: 600,
+                parts: 30,
+            },
+            Class {
+                name: "border-batch",
+                rate: (30.0, 1.0),
+                prompt: (6_300, 2_890),
+                output: 4,
+                latency_target_ms: 500,
+                parts: 30,
+            },
+            Class {
+                name: "quick-query",
+                rate: (63.0, 1.0),
+                prompt: (350, 1_110),
+                output: 14,
+                latency_target_ms: 300,
+                parts: 60,
+            },
+        ];
+        Sheet {
+            hosts: 37,
+            prefill_engines: 15,
+            decode_engines: 30,
+            profile: Profile::reference(),
+            max_pause: Duration::from_millis(250),
+            event_tokens: 1,
+            burst: (Duration::ZERO, Duration::ZERO),
+            classes: &CLASSES,
+        }
+    }
+
+    /// Half of frasercold-bc-grown with all targets that can be ordered, and a burst of long
+    /// prompts.
+    pub(crate) fn long_prompt_burst() -> Sheet {
+        const CLASSES: [Class; 2] = [
+            Class {
+                name: "spec-commission",
+                rate: (43.0, 4.0),
+                prompt: (13_300, 3_720),
+                output: 15,
+                latency_target_ms: 600,
+                parts: 51,
+            },
+            Class {
+                name: "part-lookup",
+                rate: (342.0, 0.4),
+                prompt: (92, 291),
+                output: 6,
+                latency_target_ms: 300,
+                parts: 500,
+            },
+        ];
+        let engine = Profile::reference();
+        let step = Duration::from_micros(5_950);
+        // Attention makes long prompts slower than the 19.7 us a token of short ones.
+        let profile = Profile {
+            prefill_ns: 26_000,
+            prefill: RoleLimits { base: step, ..engine.prefill },
+            decode: RoleLimits { base: step, batch: 16, ..engine.decode },
+            kv_tokens: 338_151,
+            ..engine
+        };
+        Sheet {
+            hosts: 29,
+            prefill_engines: 20,
+            decode_engines: 44,
+            profile,
+            max_pause: Duration::from_millis(150),
+            event_tokens: 8,
+            burst: (Duration::from_secs(5), Duration::from_secs(8)),
+            classes: &CLASSES,
+        }
+    }
+}
--- a/components/gateway/tests/load/simulation.rs
+++ b/components/gateway/tests/load/simulation.rs
@@ -3,9 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use chervilgate_clock::Time;
-use chervilgate_engines::{
-    Engine, Event, EventQueue, Job, Profile, Role, RoleLimits, Stage as JobStage,
-};
+use chervilgate_engines::{Engine, Event, EventQueue, Job, Role, Stage as JobStage};
 use chervilgate_gateway::{
     Prompt, PromptPart,
     fleet::{
@@ -16,6 +14,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
+use crate::sheet::{Class, Sheet};
+
 /// Time in which requests arrive.
 const ARRIVAL_TIME: Duration = Duration::from_secs(12);
 
@@ -32,120 +32,6 @@
 /// Maximum number of attempts per request, as in the daemon.
 const MAX_ATTEMPTS: usize = 4;
 
-/// A kind of request.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Class {
-    pub(crate) name: &'static str,
-    /// Requests per second outside bursts, and the factor in bursts.
-    rate: (f64, f64),
-    /// Shared and own prompt tokens.
-    prompt: (u32, u32),
-    output: u32,
-    latency_target_ms: u64,
-    /// Number of shared parts.
-    parts: u64,
-}
-
-/// A deployment and its load.
-#[derive(Debug, Clone)]
-pub(crate) struct Sheet {
-    hosts: usize,
-    prefill_engines: usize,
-    decode_engines: usize,
-    profile: Profile,
-    /// Longest pause between two events of a stream that is on time, and tokens in an event.
-    max_pause: Duration,
-    event_tokens: u32,
-    /// Start and end of the burst.
-    burst: (Duration, Duration),
-    classes: &'static [Class],
-}
-
-impl Sheet {
-    /// Half of tbilisi-arrivals-grown.
-    pub(crate) fn reports() -> Sheet {
-        const CLASSES: [Class; 3] = [
-            Class {
-                name: "monthly-report",
-                rate: (37.0, 1.0),
-                prompt: (13_300, 3_720),
-                output: 10,
-                latency_target_ms: 600,
-                parts: 30,
-            },
-            Class {
-                name: "border-batch",
-                rate: (30.0, 1.0),
-                prompt: (6_300, 2_890),
-                output: 4,
-                latency_target_ms: 500,
-                parts: 30,
-            },
-            Class {
-                name: "quick-query",
-                rate: (63.0, 1.0),
-                prompt: (350, 1_110),
-                output: 14,
-                latency_target_ms: 300,
-                parts: 60,
-            },
-        ];
-        Sheet {
-            hosts: 37,
-            prefill_engines: 15,
-            decode_engines: 30,
-            profile: Profile::reference(),
-            max_pause: Duration::from_millis(250),
-            event_tokens: 1,
-            burst: (Duration::ZERO, Duration::ZERO),
-            classes: &CLASSES,
-        }
-    }
-
-    /// Half of frasercold-bc-grown with all targets that can be ordered, and a burst of long
-    /// prompts.
-    pub(crate) fn long_prompt_burst() -> Sheet {
-        const CLASSES: [Class; 2] = [
-            Class {
-                name: "spec-commission",
-                rate: (43.0, 4.0),
-                prompt: (13_300, 3_720),
-                output: 15,
-                latency_target_ms: 600,
-                parts: 51,
-            },
-            Class {
-                name: "part-lookup",
-                rate: (342.0, 0.4),
-                prompt: (92, 291),
-                output: 6,
-                latency_target_ms: 300,
-                parts: 500,
-            },
-        ];
-        let engine = Profile::reference();
-        let step = Duration::from_micros(5_950);
-        // Attention makes long prompts slower than the 19.7 us a token of short ones.
-        let profile = Profile {
-            prefill_ns: 26_000,
-            prefill: RoleLimits { base: step, ..engine.prefill },
-            decode: RoleLimits { base: step, batch: 16, ..engine.decode },
-            kv_tokens: 338_151,
-            ..engine
-        };
-        Sheet {
-            hosts: 29,
-            prefill_engines: 20,
-            decode_engines: 44,
-            profile,
-            max_pause: Duration::from_millis(150),
-            event_tokens: 8,
-            burst: (Duration::from_secs(5), Duration::from_secs(8)),
-            classes: &CLASSES,
-        }
-    }
-}
-
 /// Content of the gossip between hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum GossipMode {
