Count 500, 502 and 504 of the platform and of engines as unknown, not as refused

Seen by callers: an operator whose publication the platform answered with 504 was told that it is not applied, though it may be. An order to an engine that was answered so counted as rejected, "nothing was done": the intent was closed without waiting for what is under way, and the next order could be sent.

Cause: each status that is no success counted as a call without effect. Only a 4xx and a 503 say that. The others may come from a gateway in between, or after the effect. An unexpected success (202) counted as refused too.

Why this mends it: both clients ask one function, which lists what says "no effect" and leaves the rest unknown. Those who rely on it (intents, editors, publication) read back or wait after an unknown call already.

--- a/components/clients/src/lib.rs
+++ b/components/clients/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod body;
 pub mod http;
+mod no_effect;
 pub mod platform;
 pub mod target;
 
--- a/components/clients/src/platform/http.rs
+++ b/components/clients/src/platform/http.rs
@@ -20,6 +20,7 @@
     Body, HostEntry, HostList, HttpPool, HttpSender, ObjectStore, OrderReceipt, PlatformError,
     TargetOrder, TargetOrders, UsageReport, UsageReports,
     body::collect,
+    no_effect::had_no_effect,
     platform::{ObjectsJson, WatchJson},
 };
 
@@ -172,6 +173,15 @@
     PlatformError::Refused { reason: error.to_string() }
 }
 
+/// The error for a response whose status is no success of its call.
+fn status_error(response: &ApiResponse) -> PlatformError {
+    let reason = format!("{}: {}", response.status, String::from_utf8_lossy(&response.body));
+    if had_no_effect(response.status) {
+        return PlatformError::Refused { reason };
+    }
+    PlatformError::Unknown { reason }
+}
+
 async fn read_response(response: Response<Body>) -> Result<ApiResponse, PlatformError> {
     let status = response.status();
     let version = response.headers().get(ETAG).and_then(parse_etag);
@@ -187,12 +197,8 @@
 }
 
 fn parse_json<T: DeserializeOwned>(response: &ApiResponse) -> Result<T, PlatformError> {
-    if response.status.is_server_error() {
-        return Err(PlatformError::Refused { reason: response.status.to_string() });
-    }
     if !response.status.is_success() {
-        let text = String::from_utf8_lossy(&response.body);
-        return Err(PlatformError::Refused { reason: format!("{}: {text}", response.status) });
+        return Err(status_error(response));
     }
     serde_json::from_slice(&response.body)
         .map_err(|error| PlatformError::Unknown { reason: error.to_string() })
@@ -216,7 +222,7 @@
         (StoreCall::List { .. }, StatusCode::OK) => parse_list(response),
         (StoreCall::Watch { .. }, StatusCode::OK) => parse_changes(response),
         (StoreCall::Watch { .. }, StatusCode::GONE) => Ok(StoreReply::Compacted),
-        (_, status) => Err(refused_error(status)),
+        _ => Err(status_error(response)),
     }
 }
 
--- a/components/clients/src/target/http.rs
+++ b/components/clients/src/target/http.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Engine, EngineError, HttpPool, HttpSender, LoadReport, OrderOutcome, OrderRequest,
-    body::collect,
+    body::collect, no_effect::had_no_effect,
 };
 
 /// Timeout for a call, including connecting.
@@ -57,8 +57,11 @@
                 .await
                 .map_err(|error| unknown(error.to_string()))?;
             if !status.is_success() {
-                let text = String::from_utf8_lossy(&body);
-                return Err(EngineError::Refused { addr, reason: format!("{status}: {text}") });
+                let reason = format!("{status}: {}", String::from_utf8_lossy(&body));
+                if had_no_effect(status) {
+                    return Err(EngineError::Refused { addr, reason });
+                }
+                return Err(unknown(reason));
             }
             serde_json::from_slice(&body).map_err(|error| unknown(error.to_string()))
         };
