Tell over which connection a request was sent to a target

Operators saw requests refused that had run, and no line says whether a kept connection was involved. Cause: the pool sends over a kept connection, or once more over a new one, and tells nobody. Change: responses bear the extension `SentOver`, and errors give the same: whether the last connection was kept, and how many connections took the request and closed, by their own account before it was written. Decisions are unchanged.

--- a/components/clients/src/http.rs
+++ b/components/clients/src/http.rs
@@ -14,7 +14,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, client::conn::http1};
+use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt;
 use snafu::{ResultExt, Snafu};
@@ -43,12 +43,16 @@
         addr: SocketAddr,
         /// The cause.
         reason: String,
+        /// How far the request got.
+        sent: SentOver,
     },
     /// The request was sent, but no response came; it may have run.
     #[snafu(display("no response from {addr}: {source}"))]
     Unanswered {
         /// The destination.
         addr: SocketAddr,
+        /// Over which connection.
+        sent: SentOver,
         /// The HTTP error.
         source: hyper::Error,
     },
@@ -59,6 +63,22 @@
     pub fn not_run(&self) -> bool {
         matches!(self, SendError::NotSent { .. })
     }
+
+    /// The connections that the request was given to.
+    pub fn sent_over(&self) -> SentOver {
+        match self {
+            SendError::NotSent { sent, .. } | SendError::Unanswered { sent, .. } => *sent,
+        }
+    }
+}
+
+/// The connections that a request was given to; an extension of its response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct SentOver {
+    /// Whether the last one had carried earlier requests.
+    pub kept: bool,
+    /// Connections that took the request and closed, by their own account before it was written.
+    pub closed: u32,
 }
 
 /// Sends HTTP requests without retrying.
@@ -125,47 +145,59 @@
         request: Request<Bytes>,
     ) -> Result<Response<Body>, SendError> {
         let mut request = request.map(Full::new);
+        let mut sent = SentOver::default();
         if let Some(mut conn) = self.take_idle(addr) {
+            sent.kept = true;
             match conn.try_send_request(request).await {
                 Ok(response) => {
                     self.return_when_ready(addr, conn);
-                    return Ok(response.map(incoming));
+                    return Ok(to_response(response, sent));
                 }
                 // If the idle connection closed before the request was written, use a new one.
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
-                    None => return Err(error.into_error()).context(UnansweredSnafu { addr }),
+                    None => return Err(error.into_error()).context(UnansweredSnafu { addr, sent }),
                 },
             }
+            sent = SentOver { kept: false, closed: 1 };
         }
-        let mut conn = connect(addr).await?;
+        let mut conn = match connect(addr).await {
+            Ok(conn) => conn,
+            Err(reason) => return NotSentSnafu { addr, reason, sent }.fail(),
+        };
         match conn.try_send_request(request).await {
             Ok(response) => {
                 self.return_when_ready(addr, conn);
-                Ok(response.map(incoming))
+                Ok(to_response(response, sent))
             }
             Err(mut error) => match error.take_message() {
                 Some(_) => NotSentSnafu {
                     addr,
                     reason: "the connection closed before the request was sent",
+                    sent: SentOver { closed: sent.closed + 1, ..sent },
                 }
                 .fail(),
-                None => Err(error.into_error()).context(UnansweredSnafu { addr }),
+                None => Err(error.into_error()).context(UnansweredSnafu { addr, sent }),
             },
         }
     }
 }
 
-async fn connect(addr: SocketAddr) -> Result<Connection, SendError> {
-    let not_sent = |reason: String| SendError::NotSent { addr, reason };
+fn to_response(response: Response<Incoming>, sent: SentOver) -> Response<Body> {
+    let mut response = response.map(incoming);
+    response.extensions_mut().insert(sent);
+    response
+}
+
+/// Connects to `addr`; returns the reason if that fails.
+async fn connect(addr: SocketAddr) -> Result<Connection, String> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
         .await
-        .map_err(|_| not_sent("timed out connecting".to_owned()))?
-        .map_err(|error| not_sent(error.to_string()))?;
+        .map_err(|_| "timed out connecting".to_owned())?
+        .map_err(|error| error.to_string())?;
     set_dead_peer_timeouts(&stream);
-    let (sender, driver) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|error| not_sent(error.to_string()))?;
+    let (sender, driver) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
     tokio::spawn(async move {
         if let Err(error) = driver.await {
             log::debug!(target: "http", addr:%, error:%; "connection failed");
--- a/components/clients/src/lib.rs
+++ b/components/clients/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use crate::{
     body::{Body, BodyError},
-    http::{HttpPool, HttpSender, SendError},
+    http::{HttpPool, HttpSender, SendError, SentOver},
     platform::{
         HostEntry, HostList, HttpPlatform, ObjectStore, OrderReceipt, PlatformError, TargetOrder,
         TargetOrders, UsageReport, UsageReports, WindowReport, WindowReports,
