Log whose refusal a target sent, promises without a mark, and how often a request was sent

Operators could not tell apart, for a request that was refused and ran, a refusal of another request, a target's own 503 passed on, and a request counted as not sent (docs/incidents/2026-12-04-refused-and-ran.md). Cause: `target refused` did not name the id it bore, a 408, 429 or 503 without the mark had no line of its own, and `answered` and `failed` did not say that the request had been sent. Change: `target refused` is a warning and says `other=` if the answer bears another id; it, `answer to another request` and `target failed` say `kept=` and `sent=`; `answered` and `failed` say `sent=`. New warnings: `status promises not run without the mark` (421 counts as not run by itself and has none) and `connection closed before the request was written`. `stream goes on elsewhere` is a warning too, as it says that a request is sent once more. New metrics: `chervilgate_target_answers_total{kind}` and the kind `closed` of `chervilgate_retries_total`. Decisions are unchanged.

--- a/bins/host/tests/logs.rs
+++ b/bins/host/tests/logs.rs
@@ -3,8 +3,9 @@
 //! Causes are derived as docs/OPERATIONS.md describes, from the log lines alone.
 
 use std::{
-    fs::File,
+    fs::{File, read_to_string},
     io::Read,
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::{Duration, Instant},
@@ -15,7 +16,12 @@
 use chervilgate_platform_standins::free_addr;
 use chervilgate_soak::{FailureMode, Fault, Fleet, send_once};
 use hyper::Request;
-use tokio::time::{sleep, timeout};
+use serde_json::json;
+use tokio::{
+    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+    net::{TcpListener, TcpStream},
+    time::{sleep, timeout},
+};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_chervilgate-host");
 
@@ -124,6 +130,25 @@
     assert!(["i-3", "i-4", "i-5"].map(|id| format!("{id} broke off")).contains(&cause), "{cause}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_warns_of_a_stream_that_is_sent_once_more() {
+    let mut fleet = start_fleet("log-resumed").await;
+    for target in 2..6 {
+        fleet.inject(
+            Instant::now(),
+            &Fault::TargetFailure(target, FailureMode::Disconnect, UNTIL_TEST_END),
+        );
+    }
+
+    send_request(&fleet, "resumed-1", "/resumed/k1/x").await;
+
+    let log = log(&fleet).await;
+    let lines = log.lines().filter(|line| field(line, "id") == Some("resumed-1"));
+    let lines = lines.filter(|line| line.contains("WARN  gateway] stream goes on elsewhere"));
+    let sent: Vec<_> = lines.map(|line| field(line, "sent").unwrap()).collect();
+    assert_eq!(sent, ["1", "2"]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_log_shows_why_an_answer_was_late() {
     let mut fleet = start_fleet("log-late").await;
@@ -232,3 +257,197 @@
     assert!(lines <= 4 * MAX_LINES_PER_SECOND, "{lines} lines");
     assert!(lines + lost >= sent, "{lines} lines and {lost} left out of {sent}");
 }
+
+/// The head of a target's answer.
+struct Answer<'a> {
+    status: u16,
+    id: &'a str,
+    /// Whether it bears the mark that the request did not run.
+    marked: bool,
+}
+
+/// How the target answers a request, as the first part of its id says; none if it closes the
+/// connection.
+fn answer_to(id: &str) -> Option<Answer<'_>> {
+    match id.split('-').next().unwrap_or_default() {
+        "refused" => Some(Answer { status: 503, id, marked: true }),
+        "stale" => Some(Answer { status: 503, id: "earlier-1", marked: true }),
+        "foreign" => Some(Answer { status: 200, id: "earlier-1", marked: false }),
+        "unmarked" => Some(Answer { status: 503, id, marked: false }),
+        "replaced" => Some(Answer { status: 421, id, marked: false }),
+        "closed" => None,
+        _ => Some(Answer { status: 201, id, marked: false }),
+    }
+}
+
+/// Answers the requests of one connection.
+async fn serve_target(stream: TcpStream) {
+    let mut stream = BufReader::new(stream);
+    loop {
+        let (mut id, mut length) = (String::new(), 0);
+        loop {
+            let mut line = String::new();
+            if stream.read_line(&mut line).await.unwrap_or(0) == 0 {
+                return;
+            }
+            match line.trim().split_once(": ") {
+                Some(("x-attempt-id", value)) => id = value.to_owned(),
+                Some(("content-length", value)) => length = value.parse().unwrap(),
+                None if line.trim().is_empty() => break,
+                _ => {}
+            }
+        }
+        stream.read_exact(&mut vec![0; length]).await.unwrap();
+        let Some(Answer { status, id, marked }) = answer_to(&id) else { return };
+        let mark = if marked { "x-not-executed: 1\r\n" } else { "" };
+        let head = format!(
+            "HTTP/1.1 {status} Status\r\nx-attempt-id: {id}\r\n{mark}content-length: 0\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+    }
+}
+
+/// A host whose route `/raw/` has two targets at one address, which answers as [`answer_to`] says.
+struct RawTargetHost {
+    fleet: Fleet,
+    process: Child,
+    log: PathBuf,
+    metrics: u16,
+}
+
+impl RawTargetHost {
+    async fn start(name: &str) -> RawTargetHost {
+        let mut fleet = start_fleet(name).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        put_raw_route(&fleet, listener.local_addr().unwrap());
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve_target(stream));
+            }
+        });
+        let log = output_path(name).join("raw.log");
+        let metrics = free_addr().unwrap().port();
+        let stdout = File::create(&log).unwrap();
+        let process = restart_with_stdout(&mut fleet, stdout.into(), metrics).await;
+        let host = RawTargetHost { fleet, process, log, metrics };
+        host.open_connection().await;
+        host
+    }
+
+    /// Waits until the target answers, which leaves a kept connection.
+    async fn open_connection(&self) {
+        for _ in 0..100 {
+            let answer = send_request(&self.fleet, "warm-1", "/raw/x").await;
+            sleep(Duration::from_millis(50)).await;
+            if answer.is_some_and(|(status, _)| status == 201) {
+                return;
+            }
+        }
+        panic!("the target got no request");
+    }
+
+    async fn status(&self, id: &str) -> u16 {
+        send_request(&self.fleet, id, "/raw/x").await.unwrap().0
+    }
+
+    /// The log lines of request `id` that contain `text`, after the log writer had time to write.
+    async fn lines(&self, id: &str, text: &str) -> Vec<String> {
+        sleep(Duration::from_millis(200)).await;
+        let log = read_to_string(&self.log).unwrap();
+        let lines = log.lines().filter(|line| field(line, "id") == Some(id));
+        lines.filter(|line| line.contains(text)).map(str::to_owned).collect()
+    }
+
+    async fn answers(&self, kind: &str) -> f64 {
+        metric(self.metrics, &format!("chervilgate_target_answers_total{{kind=\"{kind}\"}}")).await
+    }
+}
+
+impl Drop for RawTargetHost {
+    fn drop(&mut self) {
+        self.process.kill().and_then(|()| self.process.wait()).ok();
+    }
+}
+
+/// Adds a route that may run once, of a service with two targets at `addr`.
+fn put_raw_route(fleet: &Fleet, addr: SocketAddr) {
+    let entry = json!({
+        "service": "raw", "address": addr.to_string(), "zone": "a", "slots": 64, "state": "ready",
+    });
+    for id in ["i-raw-1", "i-raw-2"] {
+        fleet.store.put("servers", id, entry.clone());
+    }
+    let mut config = fleet.store.get("config", "main");
+    config["version"] = 100.into();
+    config["services"].as_array_mut().unwrap().push(json!({"name": "raw"}));
+    config["routes"].as_array_mut().unwrap().push(json!({
+        "name": "raw", "host": "h.example", "path_prefix": "/raw/", "kind": "non_idempotent",
+        "timeout_ms": 3000, "target_latency_ms": 300, "priority": 1, "service": "raw",
+        "attempts": 3, "resumable": false,
+    }));
+    fleet.store.put("config", "main", config);
+}
+
+fn fields<'a>(line: &'a str, keys: &[&str]) -> Vec<Option<&'a str>> {
+    keys.iter().map(|key| field(line, key)).collect()
+}
+
+// Guards against refused requests that ran whose cause the log does not show: a refusal of another
+// request on a kept connection, or a target's own status without the mark of a refusal
+// (docs/incidents/2026-12-04-refused-and-ran.md).
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_tells_whose_refusal_a_target_sent() {
+    let host = RawTargetHost::start("log-refusals").await;
+
+    host.status("refused-1").await;
+    host.open_connection().await;
+    host.status("stale-1").await;
+
+    let own = host.lines("refused-1", "WARN  gateway] target refused").await;
+    let stale = host.lines("stale-1", "WARN  gateway] target refused").await;
+    let keys = ["status", "other", "kept", "sent"];
+    assert_eq!(fields(&own[0], &keys), [Some("503"), None, Some("true"), Some("1")]);
+    assert_eq!(fields(&stale[0], &keys), [Some("503"), Some("earlier-1"), Some("true"), Some("1")]);
+    let failed = host.lines("refused-1", "] failed").await;
+    assert_eq!(fields(&failed[0], &["reason", "sent"]), [Some("full"), Some("2")]);
+    assert_eq!((own.len(), stale.len()), (2, 2));
+    assert_eq!((host.answers("refused").await, host.answers("foreign").await), (2.0, 2.0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_names_a_promise_without_its_mark() {
+    let host = RawTargetHost::start("log-unmarked").await;
+
+    let unmarked = host.status("unmarked-1").await;
+    host.open_connection().await;
+    host.status("replaced-1").await;
+
+    let text = "status promises not run without the mark";
+    let line = host.lines("unmarked-1", text).await;
+    let keys = ["status", "signed", "kept", "sent"];
+    assert_eq!(unmarked, 503);
+    assert_eq!(fields(&line[0], &keys), [Some("503"), Some("false"), Some("true"), Some("1")]);
+    let answered = host.lines("unmarked-1", "] answered").await;
+    assert_eq!(fields(&answered[0], &["status", "sent"]), [Some("503"), Some("1")]);
+    assert!(host.lines("replaced-1", text).await.is_empty());
+    assert_eq!((host.answers("unmarked").await, host.answers("replaced").await), (1.0, 2.0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_tells_whether_a_failed_request_used_a_kept_connection() {
+    let host = RawTargetHost::start("log-kept").await;
+
+    let foreign = host.status("foreign-1").await;
+    host.open_connection().await;
+    let closed = host.status("closed-1").await;
+    let unsent = send_request(&host.fleet, "unsent-1", "/nowhere/x").await.unwrap().0;
+
+    let foreign_line = host.lines("foreign-1", "answer to another request").await;
+    let closed_line = host.lines("closed-1", "target failed").await;
+    let unsent_line = host.lines("unsent-1", "] failed").await;
+    assert_eq!((foreign, closed, unsent), (502, 502, 404));
+    let keys = ["other", "kept", "sent"];
+    assert_eq!(fields(&foreign_line[0], &keys), [Some("earlier-1"), Some("true"), Some("1")]);
+    assert_eq!(fields(&closed_line[0], &keys), [None, Some("true"), Some("1")]);
+    assert_eq!(fields(&unsent_line[0], &["sent"]), [Some("0")]);
+}
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -1,9 +1,15 @@
 //! A single attempt to run a request on one target.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
-use chervilgate_clients::{Body, HttpSender, SendError};
+use chervilgate_clients::{Body, HttpSender, SendError, SentOver};
 use chervilgate_clock::Time;
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
@@ -23,6 +29,11 @@
 /// computed elsewhere; also the timeout of a call that deletes an exported KV cache.
 const PREFILL_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Statuses that promise a caller that its request did not run. Status 421 does too, but counts
+/// as not run by itself.
+const PROMISES: [StatusCode; 3] =
+    [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
+
 /// A caller's request with its complete body.
 pub(crate) struct CallerRequest {
     pub(crate) method: Method,
@@ -39,6 +50,15 @@
     pub(crate) max_pause: Option<Duration>,
     /// Deadline for the complete response.
     pub(crate) deadline: Time,
+    /// Number of times that a connection to a target took the request, not counting separate
+    /// prefills.
+    pub(crate) sent: Arc<AtomicU32>,
+}
+
+impl CallerRequest {
+    pub(crate) fn sent_count(&self) -> u32 {
+        self.sent.load(Ordering::Relaxed)
+    }
 }
 
 /// Counts a request as in flight on its target; dropping it reports the outcome to the
@@ -152,6 +172,9 @@
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = Uri::from(call.path.clone());
     *request.headers_mut() = shared.protocol.target_headers(&call.headers, &forwarded);
+    // Counted before sending, since a timeout ends it at any point.
+    let counted = u32::from(stage != RequestStage::Prefill);
+    call.sent.fetch_add(counted, Ordering::Relaxed);
     let Ok(sent) =
         timeout(time_left, shared.target_pool.send(in_flight.placement.addr, request)).await
     else {
@@ -160,21 +183,85 @@
     };
     let response = match sent {
         Ok(response) => response,
-        Err(error) => return classify_error(shared, in_flight, call, &error),
+        Err(error) => {
+            if error.not_run() && error.sent_over().closed == 0 {
+                call.sent.fetch_sub(counted, Ordering::Relaxed);
+            }
+            log_closed(shared, in_flight, call, error.sent_over());
+            return classify_error(shared, in_flight, call, &error);
+        }
     };
+    log_closed(shared, in_flight, call, sent_over(&response));
     let head = shared.protocol.parse_response(response.status(), response.headers());
+    log_answer(shared, in_flight, call, &response, &head);
     classify_response(in_flight, call, response, &head)
 }
 
+fn sent_over(response: &Response<Body>) -> SentOver {
+    response.extensions().get().copied().unwrap_or_default()
+}
+
+/// Logs connections that took the request and closed, which counts as not sent.
+fn log_closed(shared: &Shared, in_flight: &InFlight, call: &CallerRequest, over: SentOver) {
+    if over.closed == 0 {
+        return;
+    }
+    let (id, target, sent) = (&call.ask.id, &in_flight.placement.id, call.sent_count());
+    log::warn!(
+        target: "gateway", id, target, closed = over.closed, sent;
+        "connection closed before the request was written"
+    );
+    shared.metrics.count_retry("closed");
+}
+
+/// Logs and counts a target's answer, unless it is an ordinary one.
+fn log_answer(
+    shared: &Shared,
+    in_flight: &InFlight,
+    call: &CallerRequest,
+    response: &Response<Body>,
+    head: &ResponseHead,
+) {
+    let (id, target, sent) = (&call.ask.id, &in_flight.placement.id, call.sent_count());
+    let (status, kept) = (response.status().as_u16(), sent_over(response).kept);
+    let other = head.id.as_deref().unwrap_or("none");
+    let foreign = other != id;
+    let kind = match response.status() {
+        _ if foreign => "foreign",
+        StatusCode::MISDIRECTED_REQUEST if head.not_run => "replaced",
+        _ if head.not_run => "refused",
+        status if PROMISES.contains(&status) => "unmarked",
+        _ => "answered",
+    };
+    shared.metrics.count_answer(kind);
+    if head.not_run && foreign {
+        log::warn!(target: "gateway", id, target, status, other, kept, sent; "target refused");
+    } else if head.not_run {
+        log::warn!(target: "gateway", id, target, status, kept, sent; "target refused");
+    } else if foreign {
+        log::warn!(
+            target: "gateway", id, target, status, other, kept, sent;
+            "answer to another request"
+        );
+    } else if kind == "unmarked" {
+        let signed = head.signed;
+        log::warn!(
+            target: "gateway", id, target, status, signed, kept, sent;
+            "status promises not run without the mark"
+        );
+    }
+}
+
 fn classify_error(
     shared: &Shared,
     in_flight: &mut InFlight,
     call: &CallerRequest,
     error: &SendError,
 ) -> SendOutcome {
-    let (id, target) = (&call.ask.id, &in_flight.placement.id);
+    let (id, target, sent) = (&call.ask.id, &in_flight.placement.id, call.sent_count());
+    let kept = error.sent_over().kept;
     log::warn!(
-        target: "gateway", id, target, addr:% = in_flight.placement.addr, error:%;
+        target: "gateway", id, target, addr:% = in_flight.placement.addr, error:%, kept, sent;
         "target failed"
     );
     if error.not_run() {
@@ -192,10 +279,7 @@
     response: Response<Body>,
     head: &ResponseHead,
 ) -> SendOutcome {
-    let (id, target) = (&call.ask.id, &in_flight.placement.id);
-    let status = response.status().as_u16();
     if head.not_run {
-        log::info!(target: "gateway", id, target, status; "target refused");
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
             in_flight.outcome = AttemptOutcome::Replaced;
             return SendOutcome::NotRun(NotRunReason::Replaced);
@@ -203,9 +287,7 @@
         in_flight.outcome = AttemptOutcome::Full;
         return SendOutcome::NotRun(NotRunReason::Refused);
     }
-    if head.id.as_ref() != Some(id) {
-        let other = head.id.as_deref().unwrap_or("none");
-        log::warn!(target: "gateway", id, target, status, other; "answer to another request");
+    if head.id.as_ref() != Some(&call.ask.id) {
         in_flight.outcome = AttemptOutcome::Failed;
         return SendOutcome::Unknown;
     }
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -55,6 +55,7 @@
     registry: Registry,
     requests: Family<EndLabel, Counter>,
     retries: Family<KindLabel, Counter>,
+    target_answers: Family<KindLabel, Counter>,
     response_times: Histogram,
     first_event_times: Histogram,
     queue_times: Histogram,
@@ -84,6 +85,7 @@
             registry: Registry::with_prefix("chervilgate"),
             requests: Family::default(),
             retries: Family::default(),
+            target_answers: Family::default(),
             response_times: times(),
             first_event_times: times(),
             queue_times: times(),
@@ -109,6 +111,11 @@
         let registry = &mut self.registry;
         registry.register("requests", "Requests by how they ended", self.requests.clone());
         registry.register("retries", "Further attempts by kind", self.retries.clone());
+        registry.register(
+            "target_answers",
+            "Targets' answers by kind",
+            self.target_answers.clone(),
+        );
         registry.register("answer_seconds", "Time to a whole answer", self.response_times.clone());
         registry.register(
             "first_event_seconds",
@@ -153,6 +160,11 @@
         self.retries.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a target's answer by its kind.
+    pub(crate) fn count_answer(&self, kind: &'static str) {
+        self.target_answers.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Records the time to a complete response, or to a stream's first event.
     pub(crate) fn observe_response(&self, is_stream: bool, span: Duration) {
         let times = if is_stream { &self.first_event_times } else { &self.response_times };
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -1,6 +1,12 @@
 //! Handles callers' requests: authentication, routing and the response.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+};
 
 use async_trait::async_trait;
 use chervilgate_clients::{Body, BodyError, body::collect};
@@ -34,28 +40,30 @@
 impl Handler for CallerHandler {
     async fn handle(&self, _peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
         let started = self.shared.now();
+        let sent = Arc::<AtomicU32>::default();
         let (head, body) = request.into_parts();
         let request_head = self.shared.protocol.parse_request(&head.headers);
         let id =
             request_head.as_ref().map_or("", |request_head| request_head.id.as_str()).to_owned();
         let result = match request_head {
-            Ok(request_head) => self.serve_request(started, head, body, request_head).await,
+            Ok(request_head) => self.serve_request(started, head, body, request_head, &sent).await,
             Err(error) => {
                 log::info!(target: "gateway", error:%; "request headers invalid");
                 Err(Failure::Malformed)
             }
         };
         let elapsed = self.shared.now().since(started).as_millis() as u64;
+        let sent = sent.load(Ordering::Relaxed);
         let mut response = match result {
             Ok(response) => {
                 let status = response.status().as_u16();
-                log::info!(target: "gateway", id, status, ms = elapsed; "answered");
+                log::info!(target: "gateway", id, status, sent, ms = elapsed; "answered");
                 self.shared.metrics.count_end("answered");
                 response
             }
             Err(failure) => {
                 let reason = failure.as_str();
-                log::warn!(target: "gateway", id, reason, ms = elapsed; "failed");
+                log::warn!(target: "gateway", id, reason, sent, ms = elapsed; "failed");
                 self.shared.metrics.count_end(reason);
                 failure.to_response(&*self.shared.protocol, &id)
             }
@@ -81,6 +89,7 @@
         head: Parts,
         body: Incoming,
         request_head: RequestHead,
+        sent: &Arc<AtomicU32>,
     ) -> Result<Response<Body>, Failure> {
         let Admitted { route, org, body_limit } = self.admit(started, &head, &request_head)?;
         let time_limit = request_head.timeout.unwrap_or(route.timeout).min(route.timeout);
@@ -122,6 +131,7 @@
             org: org.map(|org| org.name),
             priority,
             deadline,
+            sent: sent.clone(),
         };
         let is_stream = call.route.kind.is_stream();
         let response = if is_stream {
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -258,8 +258,9 @@
                         return abort_response(&event_sender, &id, "broken").await;
                     }
                     drop(target_stream);
-                    log::info!(
-                        target: "gateway", id, last = self.last_delivered;
+                    let sent = self.call.sent_count();
+                    log::warn!(
+                        target: "gateway", id, last = self.last_delivered, sent;
                         "stream goes on elsewhere"
                     );
                     target_stream = tokio::select! {
