Keep warnings about sent requests apart from those about requests refused unsent

Operators lost the lines that say why a sent request counted as not run: 400 warnings a second were shared with one line for each request that is refused unsent, which is most of them under load. `lines left out` did not say which were lost. Cause: one ceiling for all warnings. Change: warnings with `sent` above 0 have a ceiling of their own, also 400 a second. `lines left out` says `info=`, `warn=`, `sent=` and `queue=` beside `lost=`; new metric `chervilgate_log_level_lines_lost{level}`. `chervilgate_log_lines_lost` stays the sum.

--- a/bins/host/src/main.rs
+++ b/bins/host/src/main.rs
@@ -10,12 +10,12 @@
 };
 
 use bpaf::Bpaf;
-use chervilgate_gateway::{Dependencies, DutyClients, Host, HostSettings};
+use chervilgate_gateway::{Dependencies, DutyClients, Host, HostSettings, LostLines};
 use chervilgate_platform::{
     PlatformDecoder, PlatformDutyClient, PlatformProtocol, PlatformStore, SETTINGS_VAR,
     read_settings,
 };
-use chervilgate_telemetry::{dropped_lines, flush_logs, init_logging};
+use chervilgate_telemetry::{DroppedLines, dropped_lines, flush_logs, init_logging};
 use tokio::{
     runtime,
     signal::unix::{SignalKind, signal},
@@ -91,6 +91,11 @@
     runtime.block_on(serve(settings, time_of_day))
 }
 
+fn lines_lost() -> LostLines {
+    let DroppedLines { info, warn, sent, queue } = dropped_lines();
+    LostLines { info, warn, sent, queue }
+}
+
 async fn serve(
     settings: HostSettings,
     time_of_day: Duration,
@@ -103,7 +108,7 @@
         protocol: Arc::new(PlatformProtocol),
         decoder: Arc::new(PlatformDecoder),
         store: Arc::new(PlatformStore::new(settings.store_addr)),
-        lines_lost: dropped_lines,
+        lines_lost,
         time_of_day,
         duties: duty_client.map(|client| DutyClients {
             reports: Arc::new(client.clone()),
--- a/bins/host/tests/logs.rs
+++ b/bins/host/tests/logs.rs
@@ -451,3 +451,35 @@
     assert_eq!(fields(&closed_line[0], &keys), [None, Some("true"), Some("1")]);
     assert_eq!(fields(&unsent_line[0], &["sent"]), [Some("0")]);
 }
+
+// Guards against a missing cause under load: lines of requests refused unsent took the whole limit
+// of warnings in a second.
+#[tokio::test(flavor = "multi_thread")]
+async fn lines_of_sent_requests_are_kept_under_load() {
+    let host = RawTargetHost::start("log-crowded").await;
+    let ids: Vec<String> = (0..20).map(|number| format!("unmarked-{number}")).collect();
+    let send_all = async {
+        for id in &ids {
+            host.status(id).await;
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+
+    let (sent, ()) = tokio::join!(flood(&host.fleet, Duration::from_millis(1_500)), send_all);
+    sleep(Duration::from_millis(1_500)).await;
+
+    let log = read_to_string(&host.log).unwrap();
+    let sum = |key| -> u64 {
+        let lines = log.lines().filter(|line| line.starts_with("lines left out"));
+        lines.map(|line| field(line, key).unwrap().parse::<u64>().unwrap()).sum()
+    };
+    let text = "status promises not run without the mark";
+    assert!(sent > 2 * MAX_LINES_PER_SECOND, "{sent} requests");
+    assert_eq!(log.lines().filter(|line| line.contains(text)).count(), ids.len());
+    assert!(sum("warn") > 0, "{sent} requests");
+    assert_eq!((sum("sent"), sum("lost")), (0, sum("info") + sum("warn") + sum("queue")));
+    for (level, lost) in [("warn", sum("warn")), ("sent", 0)] {
+        let name = format!("chervilgate_log_level_lines_lost{{level=\"{level}\"}}");
+        assert_eq!(metric(host.metrics, &name).await, lost as f64);
+    }
+}
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -16,6 +16,7 @@
     directory::Directory,
     duty::{Duties, maintain_usage_sheet},
     gossip,
+    metrics::LostLines,
     protocol::{Decoder, Protocol},
     serve::CallerHandler,
     settings::HostSettings,
@@ -56,8 +57,8 @@
     pub decoder: Arc<dyn Decoder>,
     /// The platform's object store.
     pub store: Arc<dyn ObjectStore>,
-    /// Returns the number of log lines dropped so far.
-    pub lines_lost: fn() -> u64,
+    /// Returns the numbers of log lines dropped so far.
+    pub lines_lost: fn() -> LostLines,
     /// Time since 1970 by this machine's clock.
     pub time_of_day: Duration,
     /// Clients for the lease holder's duties; none if this host takes no duties.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 pub use crate::{
     events::EventSplitter,
     host::{Dependencies, DutyClients, Host, HostError},
+    metrics::LostLines,
     protocol::{
         DecodeError, Decoder, ForwardedRequest, InvalidHeader, LocateRequest, PrefillResponse,
         Prompt, PromptPart, Protocol, RequestHead, RequestStage, ResponseHead,
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -50,6 +50,25 @@
     state: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct LevelLabel {
+    level: &'static str,
+}
+
+/// Numbers of log lines dropped since the process started, by what dropped them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LostLines {
+    /// By the rate limit of ordinary lines.
+    pub info: u64,
+    /// By the rate limit of warnings.
+    pub warn: u64,
+    /// By the rate limit of warnings about requests that were already sent.
+    pub sent: u64,
+    /// Of any level, because the queue to the writer was full.
+    pub queue: u64,
+}
+
 /// Metrics of one host.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -69,6 +88,7 @@
     targets: Family<StateLabel, Gauge>,
     memory: Gauge,
     lines_lost: Gauge,
+    level_losses: Family<LevelLabel, Gauge>,
     /// Age of the configuration view in milliseconds; -1 if there is none.
     pub(crate) view_age: Gauge,
     /// Hosts that may be serving callers, this one included.
@@ -99,6 +119,7 @@
             targets: Family::default(),
             memory: Gauge::default(),
             lines_lost: Gauge::default(),
+            level_losses: Family::default(),
             view_age: Gauge::default(),
             hosts: Gauge::default(),
             ready: Gauge::default(),
@@ -145,6 +166,11 @@
         registry.register("targets", "Targets by state", self.targets.clone());
         registry.register("memory_bytes", "Resident memory", self.memory.clone());
         registry.register("log_lines_lost", "Log lines left out", self.lines_lost.clone());
+        registry.register(
+            "log_level_lines_lost",
+            "Log lines left out by level",
+            self.level_losses.clone(),
+        );
         registry.register("view_age_ms", "Age of the view", self.view_age.clone());
         registry.register("hosts", "Hosts that serve callers", self.hosts.clone());
         registry.register("ready", "Whether this host is ready", self.ready.clone());
@@ -224,10 +250,21 @@
         }
     }
 
-    /// Encodes all metrics as text; `lines_lost` is the number of log lines dropped so
-    /// far.
-    pub(crate) fn render(&self, lines_lost: u64) -> String {
-        self.lines_lost.set(i64::try_from(lines_lost).unwrap_or(i64::MAX));
+    fn set_lines_lost(&self, lost: LostLines) {
+        let levels =
+            [("info", lost.info), ("warn", lost.warn), ("sent", lost.sent), ("queue", lost.queue)];
+        let mut total = 0;
+        for (level, count) in levels {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.level_losses.get_or_create(&LevelLabel { level }).set(count);
+            total += count;
+        }
+        self.lines_lost.set(total);
+    }
+
+    /// Encodes all metrics as text, with the log lines dropped so far.
+    pub(crate) fn render(&self, lines_lost: LostLines) -> String {
+        self.set_lines_lost(lines_lost);
         match resident_bytes() {
             Some(bytes) => {
                 self.memory.set(bytes);
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -16,7 +16,7 @@
     counted::CountedStore,
     fleet::Fleet,
     membership::{HostEntry, Membership},
-    metrics::Metrics,
+    metrics::{LostLines, Metrics},
     poison::{FailedRun, Fingerprint, PoisonTracker},
     protocol::{Decoder, Protocol},
     settings::HostSettings,
@@ -40,8 +40,8 @@
     pub(crate) store: Arc<dyn ObjectStore>,
     pub(crate) target_pool: HttpPool,
     pub(crate) metrics: Arc<Metrics>,
-    /// Returns the number of log lines dropped so far.
-    pub(crate) lines_lost: fn() -> u64,
+    /// Returns the numbers of log lines dropped so far.
+    pub(crate) lines_lost: fn() -> LostLines,
     pub(crate) boot: u64,
     /// Notified when the store responds again after an outage.
     pub(crate) store_recovered: Notify,
@@ -80,7 +80,7 @@
         protocol: Arc<dyn Protocol>,
         decoder: Arc<dyn Decoder>,
         store: Arc<dyn ObjectStore>,
-        lines_lost: fn() -> u64,
+        lines_lost: fn() -> LostLines,
         time_of_day: Duration,
     ) -> Shared {
         let metrics = Arc::new(Metrics::new());
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -7,6 +7,6 @@
 mod metrics;
 
 pub use crate::{
-    logs::{dropped_lines, flush_logs, init_logging},
+    logs::{DroppedLines, dropped_lines, flush_logs, init_logging},
     metrics::{Metrics, MetricsError, RequestOutcome},
 };
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -2,7 +2,8 @@
 //!
 //! A background thread writes the lines. Lines are dropped while its queue is full or
 //! above the rate limit, and the number of dropped lines is logged. Warnings and errors
-//! have a rate limit of their own, so that informational lines cannot crowd them out.
+//! have a rate limit of their own, so that informational lines cannot crowd them out. So have
+//! warnings about a request that was already sent, which requests refused unsent cannot crowd out.
 
 use std::{
     io::{self, Write},
@@ -15,7 +16,7 @@
 };
 
 use env_logger::{Builder, Env, Target};
-use log::Level;
+use log::{Level, Record};
 
 /// Capacity of the queue to the writer thread, in lines.
 const QUEUE_CAPACITY: usize = 4_096;
@@ -26,12 +27,48 @@
 /// Rate limit in lines per second for levels `warn` and `error`.
 const ERROR_RATE_LIMIT: u32 = 400;
 
-/// Lines dropped since the process started.
-static LINES_LOST: AtomicU64 = AtomicU64::new(0);
+/// Rate limit in lines per second for warnings about a request that was already sent.
+const SENT_RATE_LIMIT: u32 = 400;
+
+/// Key of the number of times that a line's request was sent.
+const SENT_KEY: &str = "sent";
+
+/// Lines dropped since the process started, by the rate limit that dropped them.
+static INFO_LOST: AtomicU64 = AtomicU64::new(0);
+static ERROR_LOST: AtomicU64 = AtomicU64::new(0);
+static SENT_LOST: AtomicU64 = AtomicU64::new(0);
+
+/// Lines dropped since the process started because the queue was full.
+static QUEUE_LOST: AtomicU64 = AtomicU64::new(0);
+
+/// Numbers of dropped lines, by what dropped them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct DroppedLines {
+    /// By the rate limit of level `info` and below.
+    pub info: u64,
+    /// By the rate limit of levels `warn` and `error`.
+    pub warn: u64,
+    /// By the rate limit of warnings about requests that were already sent.
+    pub sent: u64,
+    /// Of any level, because the queue to the writer was full.
+    pub queue: u64,
+}
 
-/// Lines dropped since the process started, by a rate limit or because the queue was full.
-pub fn dropped_lines() -> u64 {
-    LINES_LOST.load(Ordering::Relaxed)
+impl DroppedLines {
+    /// The number of all dropped lines.
+    pub fn total(self) -> u64 {
+        self.info + self.warn + self.sent + self.queue
+    }
+}
+
+/// Lines dropped since the process started.
+pub fn dropped_lines() -> DroppedLines {
+    DroppedLines {
+        info: INFO_LOST.load(Ordering::Relaxed),
+        warn: ERROR_LOST.load(Ordering::Relaxed),
+        sent: SENT_LOST.load(Ordering::Relaxed),
+        queue: QUEUE_LOST.load(Ordering::Relaxed),
+    }
 }
 
 /// Lines that are queued or being written.
@@ -63,7 +100,7 @@
     }
 }
 
-/// A logger that drops lines above the rate limit of their level.
+/// A logger that drops lines above their rate limit.
 struct RateLimitedLogger {
     logger: env_logger::Logger,
     limiter: RateLimiter,
@@ -75,7 +112,7 @@
     }
 
     fn log(&self, record: &log::Record<'_>) {
-        if self.logger.matches(record) && self.limiter.try_acquire(record.level()) {
+        if self.logger.matches(record) && self.limiter.try_acquire(record) {
             self.logger.log(record);
         }
     }
@@ -85,12 +122,14 @@
     }
 }
 
-/// Limits the lines per second, separately for `warn` and above and for `info` and below.
+/// Limits the lines per second, separately for `info` and below, for warnings about requests that
+/// were sent, and for all others of `warn` and above.
 struct RateLimiter {
     start: Instant,
     second: AtomicU64,
     info_lines: AtomicU64,
     error_lines: AtomicU64,
+    sent_lines: AtomicU64,
 }
 
 impl RateLimiter {
@@ -100,27 +139,38 @@
             second: AtomicU64::new(0),
             info_lines: AtomicU64::new(0),
             error_lines: AtomicU64::new(0),
+            sent_lines: AtomicU64::new(0),
         }
     }
 
-    fn try_acquire(&self, level: Level) -> bool {
+    fn try_acquire(&self, record: &Record<'_>) -> bool {
         let second = self.start.elapsed().as_secs();
         if self.second.swap(second, Ordering::Relaxed) != second {
             self.info_lines.store(0, Ordering::Relaxed);
             self.error_lines.store(0, Ordering::Relaxed);
+            self.sent_lines.store(0, Ordering::Relaxed);
         }
-        let (used, limit) = match level {
-            Level::Error | Level::Warn => (&self.error_lines, ERROR_RATE_LIMIT),
-            _ => (&self.info_lines, INFO_RATE_LIMIT),
+        let (used, limit, lost) = match record.level() {
+            Level::Error | Level::Warn if was_sent(record) => {
+                (&self.sent_lines, SENT_RATE_LIMIT, &SENT_LOST)
+            }
+            Level::Error | Level::Warn => (&self.error_lines, ERROR_RATE_LIMIT, &ERROR_LOST),
+            _ => (&self.info_lines, INFO_RATE_LIMIT, &INFO_LOST),
         };
         let allowed = used.fetch_add(1, Ordering::Relaxed) < u64::from(limit);
         if !allowed {
-            LINES_LOST.fetch_add(1, Ordering::Relaxed);
+            lost.fetch_add(1, Ordering::Relaxed);
         }
         allowed
     }
 }
 
+/// Whether a line is about a request that was already sent.
+fn was_sent(record: &Record<'_>) -> bool {
+    let sent = record.key_values().get(SENT_KEY.into());
+    sent.and_then(|sent| sent.to_u64()).is_some_and(|sent| sent > 0)
+}
+
 /// Queues lines for the writer thread, and drops them while the queue is full.
 struct LineSink {
     lines: SyncSender<Vec<u8>>,
@@ -131,7 +181,7 @@
         UNWRITTEN_LINES.fetch_add(1, Ordering::AcqRel);
         if self.lines.try_send(bytes.to_vec()).is_err() {
             UNWRITTEN_LINES.fetch_sub(1, Ordering::AcqRel);
-            LINES_LOST.fetch_add(1, Ordering::Relaxed);
+            QUEUE_LOST.fetch_add(1, Ordering::Relaxed);
         }
         Ok(bytes.len())
     }
@@ -149,7 +199,7 @@
 
 fn write_lines(queue: &Receiver<Vec<u8>>) {
     let mut out = io::stdout();
-    let mut reported = 0;
+    let mut reported = DroppedLines::default();
     let mut idle = true;
     loop {
         // Lines dropped after the last write are reported after `REPORT_DELAY`.
@@ -169,8 +219,8 @@
             lines += 1;
         }
         let lost = dropped_lines();
-        if lost > reported {
-            text.extend_from_slice(format!("lines left out lost={}\n", lost - reported).as_bytes());
+        if lost != reported {
+            text.extend_from_slice(format_lost(reported, lost).as_bytes());
             reported = lost;
         }
         // Standard output is closed, so this error cannot be logged.
@@ -180,3 +230,14 @@
         UNWRITTEN_LINES.fetch_sub(lines, Ordering::AcqRel);
     }
 }
+
+fn format_lost(reported: DroppedLines, lost: DroppedLines) -> String {
+    format!(
+        "lines left out lost={} info={} warn={} sent={} queue={}\n",
+        lost.total() - reported.total(),
+        lost.info - reported.info,
+        lost.warn - reported.warn,
+        lost.sent - reported.sent,
+        lost.queue - reported.queue,
+    )
+}
