Compare an answer's id before its mark of a refusal

Cause: whether a target's answer says "did not run" was decided before its id was compared with the request's. On a kept connection a late or extra answer to an earlier request is read where the next one's is due. If it was a refusal, the next request, which the target was running, counted as not run: it was sent to a second target while the retry budget allowed that, and refused with a promise otherwise. One extra answer of any status also shifts all later ones on its connection, so true refusals of other requests are then taken for this one's.

Change: one function, without I/O, says what an answer means for a request, and looks at nothing else before the id. An answer with another id or none leaves the outcome unknown: 502, never a second run of a request that may run once. The test of the log lines expects the new outcome: one line instead of two, and 502 instead of a second attempt.

--- a/bins/host/tests/logs.rs
+++ b/bins/host/tests/logs.rs
@@ -404,14 +404,16 @@
     host.status("stale-1").await;
 
     let own = host.lines("refused-1", "WARN  gateway] target refused").await;
-    let stale = host.lines("stale-1", "WARN  gateway] target refused").await;
+    let stale = host.lines("stale-1", "WARN  gateway] answer to another request").await;
     let keys = ["status", "other", "kept", "sent"];
     assert_eq!(fields(&own[0], &keys), [Some("503"), None, Some("true"), Some("1")]);
     assert_eq!(fields(&stale[0], &keys), [Some("503"), Some("earlier-1"), Some("true"), Some("1")]);
     let failed = host.lines("refused-1", "] failed").await;
     assert_eq!(fields(&failed[0], &["reason", "sent"]), [Some("full"), Some("2")]);
-    assert_eq!((own.len(), stale.len()), (2, 2));
-    assert_eq!((host.answers("refused").await, host.answers("foreign").await), (2.0, 2.0));
+    let failed = host.lines("stale-1", "] failed").await;
+    assert_eq!(fields(&failed[0], &["reason", "sent"]), [Some("broken"), Some("1")]);
+    assert_eq!((own.len(), stale.len()), (2, 1));
+    assert_eq!((host.answers("refused").await, host.answers("foreign").await), (2.0, 1.0));
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -12,7 +12,7 @@
 use chervilgate_clients::{Body, HttpSender, SendError, SentOver};
 use chervilgate_clock::Time;
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode,
+    HeaderMap, Method, Request, Response,
     http::uri::{PathAndQuery, Uri},
 };
 use tokio::time::timeout;
@@ -23,17 +23,13 @@
     poison::Fingerprint,
     protocol::{ForwardedRequest, RequestHead, RequestStage, ResponseHead},
     state::Shared,
+    verdict::Verdict,
 };
 
 /// Time allowed for computing a prompt on a prefill target, after which the prompt is
 /// computed elsewhere; also the timeout of a call that deletes an exported KV cache.
 const PREFILL_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Statuses that promise a caller that its request did not run. Status 421 does too, but counts
-/// as not run by itself.
-const PROMISES: [StatusCode; 3] =
-    [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
-
 /// A caller's request with its complete body.
 pub(crate) struct CallerRequest {
     pub(crate) method: Method,
@@ -193,8 +189,9 @@
     };
     log_closed(shared, in_flight, call, sent_over(&response));
     let head = shared.protocol.parse_response(response.status(), response.headers());
-    log_answer(shared, in_flight, call, &response, &head);
-    classify_response(in_flight, call, response, &head)
+    let verdict = Verdict::new(&call.ask.id, response.status(), &head);
+    log_answer(shared, in_flight, call, &response, &head, verdict);
+    to_outcome(in_flight, response, verdict)
 }
 
 fn sent_over(response: &Response<Body>) -> SentOver {
@@ -214,41 +211,37 @@
     shared.metrics.count_retry("closed");
 }
 
-/// Logs and counts a target's answer, unless it is an ordinary one.
+/// Counts a target's answer, and logs it unless it is an ordinary one.
 fn log_answer(
     shared: &Shared,
     in_flight: &InFlight,
     call: &CallerRequest,
     response: &Response<Body>,
     head: &ResponseHead,
+    verdict: Verdict,
 ) {
+    shared.metrics.count_answer(verdict.as_str());
     let (id, target, sent) = (&call.ask.id, &in_flight.placement.id, call.sent_count());
     let (status, kept) = (response.status().as_u16(), sent_over(response).kept);
-    let other = head.id.as_deref().unwrap_or("none");
-    let foreign = other != id;
-    let kind = match response.status() {
-        _ if foreign => "foreign",
-        StatusCode::MISDIRECTED_REQUEST if head.not_run => "replaced",
-        _ if head.not_run => "refused",
-        status if PROMISES.contains(&status) => "unmarked",
-        _ => "answered",
-    };
-    shared.metrics.count_answer(kind);
-    if head.not_run && foreign {
-        log::warn!(target: "gateway", id, target, status, other, kept, sent; "target refused");
-    } else if head.not_run {
-        log::warn!(target: "gateway", id, target, status, kept, sent; "target refused");
-    } else if foreign {
-        log::warn!(
-            target: "gateway", id, target, status, other, kept, sent;
-            "answer to another request"
-        );
-    } else if kind == "unmarked" {
-        let signed = head.signed;
-        log::warn!(
-            target: "gateway", id, target, status, signed, kept, sent;
-            "status promises not run without the mark"
-        );
+    match verdict {
+        Verdict::Foreign => {
+            let other = head.id.as_deref().unwrap_or("none");
+            log::warn!(
+                target: "gateway", id, target, status, other, kept, sent;
+                "answer to another request"
+            );
+        }
+        Verdict::Refused | Verdict::Replaced => {
+            log::warn!(target: "gateway", id, target, status, kept, sent; "target refused");
+        }
+        Verdict::Unmarked => {
+            let signed = head.signed;
+            log::warn!(
+                target: "gateway", id, target, status, signed, kept, sent;
+                "status promises not run without the mark"
+            );
+        }
+        Verdict::Answered => {}
     }
 }
 
@@ -273,30 +266,29 @@
     SendOutcome::Unknown
 }
 
-fn classify_response(
-    in_flight: &mut InFlight,
-    call: &CallerRequest,
-    response: Response<Body>,
-    head: &ResponseHead,
-) -> SendOutcome {
-    if head.not_run {
-        if response.status() == StatusCode::MISDIRECTED_REQUEST {
+fn to_outcome(in_flight: &mut InFlight, response: Response<Body>, verdict: Verdict) -> SendOutcome {
+    match verdict {
+        Verdict::Foreign => {
+            in_flight.outcome = AttemptOutcome::Failed;
+            SendOutcome::Unknown
+        }
+        Verdict::Refused => {
+            in_flight.outcome = AttemptOutcome::Full;
+            SendOutcome::NotRun(NotRunReason::Refused)
+        }
+        Verdict::Replaced => {
             in_flight.outcome = AttemptOutcome::Replaced;
-            return SendOutcome::NotRun(NotRunReason::Replaced);
+            SendOutcome::NotRun(NotRunReason::Replaced)
+        }
+        Verdict::Unmarked | Verdict::Answered => {
+            in_flight.outcome = if response.status().is_server_error() {
+                AttemptOutcome::Failed
+            } else {
+                AttemptOutcome::Answered
+            };
+            SendOutcome::Answered(response)
         }
-        in_flight.outcome = AttemptOutcome::Full;
-        return SendOutcome::NotRun(NotRunReason::Refused);
-    }
-    if head.id.as_ref() != Some(&call.ask.id) {
-        in_flight.outcome = AttemptOutcome::Failed;
-        return SendOutcome::Unknown;
     }
-    in_flight.outcome = if response.status().is_server_error() {
-        AttemptOutcome::Failed
-    } else {
-        AttemptOutcome::Answered
-    };
-    SendOutcome::Answered(response)
 }
 
 /// A KV cache exported by the target that computed the prompt.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,8 +3,8 @@
 //! Each host runs one gateway process. It serves callers, tells them which hosts to
 //! use, and competes for the lease on the duties that only one process at a time
 //! performs. Decisions are made in modules without I/O or clocks ([`config`],
-//! [`fleet`], [`lease`], [`membership`], [`planner`], [`poison`], [`usage`], [`view`]);
-//! the other modules do the I/O and call them.
+//! [`fleet`], [`lease`], [`membership`], [`planner`], [`poison`], [`usage`],
+//! [`verdict`], [`view`]); the other modules do the I/O and call them.
 //!
 //! External systems are reached through traits: [`Protocol`] for the headers of callers
 //! and targets, [`Decoder`] for stored objects, and the traits of the clients crate for
@@ -33,6 +33,7 @@
 mod state;
 mod stream;
 pub mod usage;
+pub mod verdict;
 pub mod view;
 mod watch;
 
--- /dev/null
+++ b/components/gateway/tests/verdict.rs
@@ -0,0 +1,40 @@
+//! What targets' answers say about the requests that they are read for.
+
+use chervilgate_gateway::{ResponseHead, verdict::Verdict};
+use hyper::StatusCode;
+
+fn head(id: Option<&str>, not_run: bool) -> ResponseHead {
+    ResponseHead { id: id.map(str::to_owned), not_run, signed: true }
+}
+
+fn verdict(id: Option<&str>, status: u16, not_run: bool) -> Verdict {
+    Verdict::new("own", StatusCode::from_u16(status).unwrap(), &head(id, not_run))
+}
+
+#[test]
+fn an_answer_to_another_request_never_says_that_this_one_did_not_run() {
+    for status in [200, 408, 421, 429, 500, 503] {
+        for not_run in [false, true] {
+            for id in [Some("earlier"), Some(""), None] {
+                assert_eq!(verdict(id, status, not_run), Verdict::Foreign, "{status} {id:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_target_refuses_only_with_the_mark() {
+    assert_eq!(verdict(Some("own"), 503, true), Verdict::Refused);
+    assert_eq!(verdict(Some("own"), 429, true), Verdict::Refused);
+    assert_eq!(verdict(Some("own"), 421, true), Verdict::Replaced);
+    for status in [408, 421, 429, 503] {
+        assert_eq!(verdict(Some("own"), status, false), Verdict::Unmarked, "{status}");
+    }
+}
+
+#[test]
+fn other_statuses_are_the_targets_answer() {
+    for status in [200, 400, 404, 500, 502, 504] {
+        assert_eq!(verdict(Some("own"), status, false), Verdict::Answered, "{status}");
+    }
+}
