Do not pass on a target's status as a promise that it does not make

Callers saw: 503, 429 or 408 for requests that may run once and had run. They take these statuses for the statement that a request did not run, and may send it again.

Cause: a target states that it did not run a request by a mark of the protocol, or by 421. Its own 503, 429 and 408 without the mark were returned like any other answer.

This alone makes no request run twice.

Change: such an answer leaves the outcome unknown, like an answer to another request: 502 for a request that may run once, one more attempt within the route's limits for others. The line and counter of the answer stay.

--- a/bins/host/tests/logs.rs
+++ b/bins/host/tests/logs.rs
@@ -427,10 +427,10 @@
     let text = "status promises not run without the mark";
     let line = host.lines("unmarked-1", text).await;
     let keys = ["status", "signed", "kept", "sent"];
-    assert_eq!(unmarked, 503);
+    assert_eq!(unmarked, 502);
     assert_eq!(fields(&line[0], &keys), [Some("503"), Some("false"), Some("true"), Some("1")]);
-    let answered = host.lines("unmarked-1", "] answered").await;
-    assert_eq!(fields(&answered[0], &["status", "sent"]), [Some("503"), Some("1")]);
+    let failed = host.lines("unmarked-1", "] failed").await;
+    assert_eq!(fields(&failed[0], &["reason", "sent"]), [Some("broken"), Some("1")]);
     assert!(host.lines("replaced-1", text).await.is_empty());
     assert_eq!((host.answers("unmarked").await, host.answers("replaced").await), (1.0, 2.0));
 }
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -268,7 +268,7 @@
 
 fn to_outcome(in_flight: &mut InFlight, response: Response<Body>, verdict: Verdict) -> SendOutcome {
     match verdict {
-        Verdict::Foreign => {
+        Verdict::Foreign | Verdict::Unmarked => {
             in_flight.outcome = AttemptOutcome::Failed;
             SendOutcome::Unknown
         }
@@ -280,7 +280,7 @@
             in_flight.outcome = AttemptOutcome::Replaced;
             SendOutcome::NotRun(NotRunReason::Replaced)
         }
-        Verdict::Unmarked | Verdict::Answered => {
+        Verdict::Answered => {
             in_flight.outcome = if response.status().is_server_error() {
                 AttemptOutcome::Failed
             } else {
