Close a connection on which an answer to another request arrived

Cause: the connection went back to the pool. The answer that was still due stood where the next request expects its own, and so on for each request after it.

Change: a response bears a handle of its connection, by which the reader of an answer to another request has the pool drop the connection. The connection is a module of its own beside the pool.

--- /dev/null
+++ b/components/clients/src/http/connection.rs
@@ -0,0 +1,95 @@
+//! One connection of the pool, and whether it may carry a further request.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use rustix::net::sockopt;
+use tokio::{net::TcpStream, time::timeout};
+
+/// Timeout for establishing a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The kernel closes a connection whose data stays unacknowledged for this long. Must be less
+/// than `Timings::delivery_time` and the `MAX_TRANSIT` of draining (both in `chervilgate_coord`),
+/// after which nothing sent on a closed connection is assumed to still arrive.
+const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Idle time before the first TCP keep-alive probe, and interval between probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// A connection that carries one request at a time.
+pub(super) struct Connection {
+    pub(super) sender: http1::SendRequest<Full<Bytes>>,
+    discarded: Arc<AtomicBool>,
+}
+
+impl Connection {
+    /// Connects to `addr`; returns the reason if that fails.
+    pub(super) async fn open(addr: SocketAddr) -> Result<Connection, String> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
+            .await
+            .map_err(|_| "timed out connecting".to_owned())?
+            .map_err(|error| error.to_string())?;
+        set_dead_peer_timeouts(&stream);
+        let (sender, driver) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
+        tokio::spawn(async move {
+            if let Err(error) = driver.await {
+                log::debug!(target: "http", addr:%, error:%; "connection failed");
+            }
+        });
+        Ok(Connection { sender, discarded: Arc::default() })
+    }
+
+    /// Whether the connection may carry a further request.
+    pub(super) fn is_reusable(&self) -> bool {
+        self.sender.is_ready() && !self.discarded.load(Ordering::Acquire)
+    }
+
+    /// A handle for those who read the connection's responses.
+    pub(super) fn handle(&self) -> ConnectionHandle {
+        ConnectionHandle { discarded: self.discarded.clone() }
+    }
+}
+
+/// The connection that a response came over; an extension of the response.
+#[derive(Debug, Clone)]
+pub struct ConnectionHandle {
+    discarded: Arc<AtomicBool>,
+}
+
+impl ConnectionHandle {
+    /// Keeps the connection from carrying further requests.
+    ///
+    /// After an answer to another request, each later answer on the connection would be read for
+    /// the request after its own.
+    pub fn discard(&self) {
+        self.discarded.store(true, Ordering::Release);
+    }
+}
+
+/// Sets TCP options that detect a dead peer. Failures are logged and ignored.
+fn set_dead_peer_timeouts(stream: &TcpStream) {
+    let millis = u32::try_from(TCP_USER_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+    let user_timeout = sockopt::set_tcp_user_timeout(stream, millis);
+    if let Err(error) = user_timeout {
+        log::debug!(target: "http", error:%; "cannot set TCP_USER_TIMEOUT");
+    }
+    // While a response is awaited nothing is sent, so only keep-alive probes detect a dead peer.
+    let keepalive = sockopt::set_socket_keepalive(stream, true)
+        .and_then(|()| sockopt::set_tcp_keepidle(stream, KEEPALIVE_INTERVAL))
+        .and_then(|()| sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL));
+    if let Err(error) = keepalive {
+        log::debug!(target: "http", error:%; "cannot enable TCP keep-alive");
+    }
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(target: "http", error:%; "cannot set TCP_NODELAY");
+    }
+}
--- a/components/clients/src/lib.rs
+++ b/components/clients/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use crate::{
     body::{Body, BodyError},
-    http::{HttpPool, HttpSender, SendError, SentOver},
+    http::{ConnectionHandle, HttpPool, HttpSender, SendError, SentOver},
     platform::{
         HostEntry, HostList, HttpPlatform, ObjectStore, OrderReceipt, PlatformError, TargetOrder,
         TargetOrders, UsageReport, UsageReports, WindowReport, WindowReports,
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use chervilgate_clients::{Body, HttpSender, SendError, SentOver};
+use chervilgate_clients::{Body, ConnectionHandle, HttpSender, SendError, SentOver};
 use chervilgate_clock::Time;
 use hyper::{
     HeaderMap, Method, Request, Response,
@@ -268,7 +268,14 @@
 
 fn to_outcome(in_flight: &mut InFlight, response: Response<Body>, verdict: Verdict) -> SendOutcome {
     match verdict {
-        Verdict::Foreign | Verdict::Unmarked => {
+        Verdict::Foreign => {
+            if let Some(connection) = response.extensions().get::<ConnectionHandle>() {
+                connection.discard();
+            }
+            in_flight.outcome = AttemptOutcome::Failed;
+            SendOutcome::Unknown
+        }
+        Verdict::Unmarked => {
             in_flight.outcome = AttemptOutcome::Failed;
             SendOutcome::Unknown
         }
