Send no request on a kept connection that closed or holds an unread answer

Cause: the runtime learns of what happened at a socket only when it polls its sockets. Until then a kept connection on which an extra answer waits, or which the target has closed, counted as idle, and the next request was sent on it.

Evidence: three of the tests in components/clients/tests/http.rs fail without the look at the socket: a waiting 503 was returned for the next request, and requests to a connection that had closed ended as `Unanswered`.

Change: the pool asks the system, before it uses a kept connection, whether the connection is open and nothing waits to be read. The pool's view of the socket does not keep it open.

--- a/components/clients/src/http.rs
+++ b/components/clients/src/http.rs
@@ -5,6 +5,7 @@
 //! client retries by itself and hides that difference, hence this pool.
 
 mod connection;
+mod stream;
 
 use std::{
     collections::HashMap,
@@ -100,7 +101,7 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&addr)?;
         while let Some(conn) = list.pop() {
-            if conn.is_reusable() {
+            if conn.is_reusable() && conn.is_quiet() {
                 return Some(conn);
             }
         }
--- a/components/clients/src/http/connection.rs
+++ b/components/clients/src/http/connection.rs
@@ -16,6 +16,8 @@
 use rustix::net::sockopt;
 use tokio::{net::TcpStream, time::timeout};
 
+use super::stream::{SharedStream, StreamPeeker};
+
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The kernel closes a connection whose data stays unacknowledged for this long. Must be less
@@ -27,6 +29,7 @@
 /// A connection that carries one request at a time.
 pub(super) struct Connection {
     pub(super) sender: http1::SendRequest<Full<Bytes>>,
+    peeker: StreamPeeker,
     discarded: Arc<AtomicBool>,
 }
 
@@ -38,6 +41,8 @@
             .map_err(|_| "timed out connecting".to_owned())?
             .map_err(|error| error.to_string())?;
         set_dead_peer_timeouts(&stream);
+        let stream = SharedStream::new(stream);
+        let peeker = stream.peeker();
         let (sender, driver) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
         tokio::spawn(async move {
@@ -45,7 +50,7 @@
                 log::debug!(target: "http", addr:%, error:%; "connection failed");
             }
         });
-        Ok(Connection { sender, discarded: Arc::default() })
+        Ok(Connection { sender, peeker, discarded: Arc::default() })
     }
 
     /// Whether the connection may carry a further request.
@@ -53,6 +58,14 @@
         self.sender.is_ready() && !self.discarded.load(Ordering::Acquire)
     }
 
+    /// Whether the peer has neither closed the connection nor sent anything since the last
+    /// response.
+    ///
+    /// What arrived before a request was sent cannot answer it.
+    pub(super) fn is_quiet(&self) -> bool {
+        self.peeker.is_quiet()
+    }
+
     /// A handle for those who read the connection's responses.
     pub(super) fn handle(&self) -> ConnectionHandle {
         ConnectionHandle { discarded: self.discarded.clone() }
