Report "not run" only for an engine's refusal that bears the attempt's id

Seen by callers: 429 `overloaded` with outcome `not-run`, though engines had begun the completion.

Cause: each 429 or 503 counted as a refusal of the attempt that was under way. A response without an id passes the check of ids, so a late answer to another attempt on a kept connection counted too.

Evidence: `a_refusal_that_bears_no_id_is_not_reported_as_not_run` (bins/entry/tests/entry/not_run.rs) failed before; the engines of the test begin each run and answer 503 without an id:

Why this mends it: a refusal without an id still moves the completion to another engine, but counts as an attempt that may have begun, so the outcome is `unknown`. With its id it stays `not-run`, which the second test holds. Engines that echo no id lose the certain outcome by this.

--- a/bins/entry/src/attempt.rs
+++ b/bins/entry/src/attempt.rs
@@ -60,11 +60,23 @@
     Ok(response)
 }
 
-/// Whether the status means that the engine did not run the request.
+/// Whether the status means that the engine refused the request.
 pub(crate) fn engine_refused(status: StatusCode) -> bool {
     status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE
 }
 
+/// What a refusal says about its attempt.
+///
+/// A refusal without an id may be a late answer to another attempt on the same connection, so
+/// it does not rule out that the engine runs this one.
+pub(crate) fn refusal_outcome(refusal: &Response<Body>) -> Outcome {
+    if refusal.headers().contains_key(REQUEST_ID_HEADER) {
+        Outcome::NotRun
+    } else {
+        Outcome::Unknown
+    }
+}
+
 fn send_error(error: SendError) -> AttemptError {
     let crashed = !error.not_run();
     let outcome = if crashed { Outcome::Unknown } else { Outcome::NotRun };
--- a/bins/entry/src/completion_job.rs
+++ b/bins/entry/src/completion_job.rs
@@ -15,7 +15,10 @@
 use smallvec::SmallVec;
 
 use crate::{
-    attempt::{AttemptError, REQUEST_ID_HEADER, RequestTemplate, engine_refused, send_attempt},
+    attempt::{
+        AttemptError, REQUEST_ID_HEADER, RequestTemplate, engine_refused, refusal_outcome,
+        send_attempt,
+    },
     completion::Completion,
     dispatch::{Authorization, Dispatch},
     host::Host,
@@ -127,6 +130,7 @@
             };
             match self.send(&dispatch, sent).await {
                 Ok(response) if engine_refused(response.status()) => {
+                    self.count_attempt(refusal_outcome(&response));
                     self.record_failure(slot, AttemptOutcome::Failed);
                 }
                 Ok(response) => {
@@ -166,9 +170,14 @@
         log::info!(target: "complete", id = self.id.as_str(), reason = error.reason.as_str();
             "attempt failed");
         self.crashes += usize::from(error.crashed);
-        if error.outcome != Outcome::NotRun {
+        self.count_attempt(error.outcome);
+    }
+
+    /// Counts a failed attempt, unless the engine certainly did not start it.
+    fn count_attempt(&mut self, outcome: Outcome) {
+        if outcome != Outcome::NotRun {
             self.started += 1;
-            self.record_outcome(error.outcome);
+            self.record_outcome(outcome);
         }
     }
 
--- a/bins/entry/tests/entry/fixture.rs
+++ b/bins/entry/tests/entry/fixture.rs
@@ -29,7 +29,11 @@
     host: &str,
     zone: &str,
 ) -> Entry {
-    let settings = settings(deployment, authority, host, zone);
+    start_with(settings(deployment, authority, host, zone)).await
+}
+
+/// Starts an entry with these settings and waits until `/readyz` succeeds.
+pub(crate) async fn start_with(settings: Settings) -> Entry {
     let entry = Entry::start(settings).await.expect("an entry");
     let caller = Caller::without_key();
     eventually(|| async {
--- a/bins/entry/tests/entry/main.rs
+++ b/bins/entry/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! Tests one or several entries against the stand-ins, over loopback.
 
 mod fixture;
+mod not_run;
 mod once;
 mod path;
 mod tls;
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -53,6 +53,11 @@
     pub malformed_at: Option<u64>,
     /// Answers carry a wrong request id.
     pub wrong_id: bool,
+    /// Refuses each request with status 503 and its id.
+    pub refuse: bool,
+    /// Begins each request, then sends status 503 without a request id, as a late answer to
+    /// another request would be.
+    pub refusal_without_id: bool,
     /// A prompt that contains this text breaks off all running requests of the engine.
     pub crash_text: Option<String>,
     /// Extra delay before each answer.
--- a/components/standins/src/engine/api.rs
+++ b/components/standins/src/engine/api.rs
@@ -107,22 +107,26 @@
             );
         }
         let id = head.headers.get(REQUEST_ID).and_then(|id| id.to_str().ok()).unwrap_or_default();
-        let run = Run::start(&self.shared, id, head.headers.contains_key(AUTHORIZATION));
         let faults = self.shared.lock().faults.clone();
+        if faults.refuse {
+            let refusal = error_response(StatusCode::SERVICE_UNAVAILABLE, "no room");
+            return with_id(refusal, id);
+        }
+        let run = Run::start(&self.shared, id, head.headers.contains_key(AUTHORIZATION));
         sleep(faults.delay + self.shared.spec.prefill_time).await;
         if faults.crash_text.is_some_and(|text| request.prompt().contains(&text)) {
             self.shared.lock().crashes += 1;
         }
+        if faults.refusal_without_id {
+            return error_response(StatusCode::SERVICE_UNAVAILABLE, "no room");
+        }
         let sent_id = if faults.wrong_id { format!("{id}-crossed") } else { id.to_owned() };
-        let mut response = if request.stream {
+        let response = if request.stream {
             run.respond_stream(request, faults.break_after, faults.malformed_at)
         } else {
             run.respond_whole(request, faults.break_after).await
         };
-        if let Ok(sent_id) = sent_id.parse() {
-            response.headers_mut().insert(REQUEST_ID, sent_id);
-        }
-        response
+        with_id(response, &sent_id)
     }
 }
 
@@ -229,6 +233,13 @@
     }
 }
 
+fn with_id(mut response: Response<Body>, id: &str) -> Response<Body> {
+    if let Ok(id) = id.parse() {
+        response.headers_mut().insert(REQUEST_ID, id);
+    }
+    response
+}
+
 fn json_type() -> hyper::header::HeaderValue {
     hyper::header::HeaderValue::from_static("application/json")
 }
