Test that a booking which a service failed or answered crosswise is not promised

A service's own 503 is passed on with outcome `ran`, an answer with another id gives `unknown`, and the booking runs once in both.

--- a/bins/entry/tests/entry/not_run.rs
+++ b/bins/entry/tests/entry/not_run.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use chervilgate_standins::{Answer, Caller, Deployment, EngineFaults};
+use chervilgate_standins::{Answer, Caller, Deployment, EngineFaults, ServiceFaults};
 use chervilgate_wire::CertificateAuthority;
 use hyper::StatusCode;
 use serde_json::{Value, json};
@@ -72,3 +72,23 @@
     assert_eq!(answer.status, StatusCode::TOO_MANY_REQUESTS, "{answer:?}");
     assert_eq!(answer.outcome(), Some("not-run"), "{answer:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_that_a_service_failed_or_answered_crosswise_runs_once_and_is_not_promised() {
+    let failed = ServiceFaults { fail: true, ..ServiceFaults::default() };
+    let crossed = ServiceFaults { wrong_id: true, ..ServiceFaults::default() };
+    for (faults, outcome) in [(failed, "ran"), (crossed, "unknown")] {
+        let (deployment, caller) = start_deployment().await;
+        let authority = CertificateAuthority::generate().expect("an authority");
+        let entry = start_with(settings(&deployment, &authority, "h1", "a")).await;
+        for service in deployment.services.iter().flatten() {
+            service.set_faults(faults);
+        }
+
+        let answer = caller.post(entry.addr(), "/svc/plugs/bookings", &json!({ "plug": 9 })).await;
+
+        let runs = deployment.services.iter().flatten().flat_map(|service| service.runs());
+        assert_eq!(runs.map(|(_, count)| count).sum::<u32>(), 1);
+        assert_eq!(answer.expect("an answer").outcome(), Some(outcome));
+    }
+}
--- a/components/standins/src/service.rs
+++ b/components/standins/src/service.rs
@@ -14,7 +14,11 @@
     body::{collect, full},
 };
 use chervilgate_serve::Handler;
-use hyper::{Request, Response, StatusCode, body::Incoming, header::AUTHORIZATION};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{AUTHORIZATION, HeaderValue},
+};
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -30,6 +34,10 @@
     pub delay: Duration,
     /// Carries calls out, but breaks the connection before the answer.
     pub lose_answers: bool,
+    /// Carries calls out, but answers with status 503.
+    pub fail: bool,
+    /// Answers carry a wrong request id.
+    pub wrong_id: bool,
 }
 
 #[derive(Default)]
@@ -104,8 +112,13 @@
         }
         let answer = json!({ "path": head.uri.path(), "received": content });
         let mut response = Response::new(full(answer.to_string()));
+        if faults.fail {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
         if let Some(id) = head.headers.get("x-request-id") {
-            response.headers_mut().insert("x-request-id", id.clone());
+            let crossed = HeaderValue::from_static("crossed");
+            let id = if faults.wrong_id { crossed } else { id.clone() };
+            response.headers_mut().insert("x-request-id", id);
         }
         response
     }
