--- a/components/publication/tests/publication.rs
+++ b/components/publication/tests/publication.rs
@@ -1,6 +1,7 @@
 //! Publishing to a stand-in of the platform, with and without store faults.
 
 use std::{
+    net::SocketAddr,
     sync::atomic::{AtomicBool, Ordering},
     time::Duration,
 };
@@ -15,6 +16,10 @@
 use chervilgate_model::{Config, KeyError, Limits, Name, Object, Organisation, issue_key};
 use chervilgate_publication::{RootWriter, WriteError, read_config, read_published};
 use chervilgate_standins::{PlatformFaults, PlatformServer};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 const SHORT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -59,6 +64,23 @@
     }
 }
 
+/// Starts a store without objects that answers every write with status 504.
+async fn serve_gateway_timeouts() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut conn, _)) = listener.accept().await {
+            let mut request = [0; 4_096];
+            let length = conn.read(&mut request).await.unwrap_or(0);
+            let status = if request[..length].starts_with(b"PUT") { 504 } else { 404 };
+            let response =
+                format!("HTTP/1.1 {status} Test\r\ncontent-length: 0\r\nconnection: close\r\n\r\n");
+            let _ = conn.write_all(response.as_bytes()).await;
+        }
+    });
+    addr
+}
+
 fn writer(store: &HttpPlatform, timeout: Duration, seed: u64) -> RootWriter<'_> {
     RootWriter::new(store, &BootClock, timeout, seed)
 }
@@ -154,3 +176,12 @@
     assert!(matches!(outcome, Err(WriteError::OutcomeUnknown)), "{outcome:?}");
     assert_eq!(read_published(&store).await.unwrap().root.publication().unwrap().number, 1);
 }
+
+#[tokio::test]
+async fn an_edit_that_the_platform_answered_with_504_is_not_reported_as_not_made() {
+    let store = HttpPlatform::new(serve_gateway_timeouts().await);
+
+    let outcome = writer(&store, SHORT_TIMEOUT, 1).edit(Edit::Drain("t1".to_owned())).await;
+
+    assert!(matches!(outcome, Err(WriteError::OutcomeUnknown)), "{outcome:?}");
+}
