Close the entry's connection on which an answer to another request arrived

Callers of an entry could get `unknown` for requests that ran, one after another, once a target had answered twice; none was reported.

Cause: as in the gateway, the connection went back to the pool, one answer behind.

Evidence: test a_connection_that_brought_an_answer_to_another_request_carries_no_further_one failed before: three requests on one connection, `left: (3, 1) right: (3, 3)`.

Change: the entry discards the connection by the handle that the response bears.

--- a/bins/entry/src/attempt.rs
+++ b/bins/entry/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use chervilgate_clients::{Body, SendError};
+use chervilgate_clients::{Body, ConnectionHandle, SendError};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
     header::{CONTENT_TYPE, HOST, HeaderValue},
@@ -54,6 +54,9 @@
     let mismatched = response.headers().get(REQUEST_ID_HEADER).is_some_and(|found| found != id);
     if mismatched {
         log::warn!(target: "attempt", addr:%, id; "dropped an answer to another request");
+        if let Some(connection) = response.extensions().get::<ConnectionHandle>() {
+            connection.discard();
+        }
         let reason = "the response has the id of another attempt".to_owned();
         return Err(AttemptError { outcome: Outcome::Unknown, crashed: false, reason });
     }
--- a/bins/entry/tests/entry/not_run.rs
+++ b/bins/entry/tests/entry/not_run.rs
@@ -92,3 +92,24 @@
         assert_eq!(answer.expect("an answer").outcome(), Some(outcome));
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_brought_an_answer_to_another_request_carries_no_further_one() {
+    let (deployment, caller) = start_deployment().await;
+    let authority = CertificateAuthority::generate().expect("an authority");
+    let entry = start_with(settings(&deployment, &authority, "h1", "a")).await;
+    let services: Vec<_> = deployment.services.iter().flatten().collect();
+    for service in &services {
+        service.set_faults(ServiceFaults { wrong_id: true, ..ServiceFaults::default() });
+    }
+
+    for plug in 0..=services.len() {
+        caller.post(entry.addr(), "/svc/plugs/bookings", &json!({ "plug": plug })).await;
+    }
+
+    let mut peers: Vec<_> = services.iter().flat_map(|service| service.peers()).collect();
+    let requests = peers.len();
+    peers.sort_unstable();
+    peers.dedup();
+    assert_eq!((requests, peers.len()), (services.len() + 1, services.len() + 1));
+}
--- a/components/standins/src/service.rs
+++ b/components/standins/src/service.rs
@@ -44,6 +44,7 @@
 struct State {
     faults: ServiceFaults,
     runs: BTreeMap<String, u32>,
+    peers: Vec<SocketAddr>,
     keys_seen: u64,
 }
 
@@ -86,6 +87,11 @@
         self.shared.lock().runs.clone()
     }
 
+    /// The remote address of each request; those of one connection have the same.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.shared.lock().peers.clone()
+    }
+
     /// Requests that contained a caller's key, which targets must never see.
     pub fn keys_seen(&self) -> u64 {
         self.shared.lock().keys_seen
@@ -98,14 +104,14 @@
 
 #[async_trait]
 impl Handler for Api {
-    async fn handle(&self, _peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, peer: SocketAddr, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
         let Ok(content) = collect(body, MAX_REQUEST_BYTES).await else {
             return error_response(StatusCode::BAD_REQUEST);
         };
         let content = String::from_utf8_lossy(&content).into_owned();
         let call = format!("{} {} {content}", head.method, head.uri.path());
-        let faults = self.record_run(call, head.headers.contains_key(AUTHORIZATION));
+        let faults = self.record_run(peer, call, head.headers.contains_key(AUTHORIZATION));
         sleep(faults.delay).await;
         if faults.lose_answers {
             return broken_response(Vec::new());
@@ -125,8 +131,9 @@
 }
 
 impl Api {
-    fn record_run(&self, call: String, with_key: bool) -> ServiceFaults {
+    fn record_run(&self, peer: SocketAddr, call: String, with_key: bool) -> ServiceFaults {
         let mut state = self.shared.lock();
+        state.peers.push(peer);
         *state.runs.entry(call).or_default() += 1;
         state.keys_seen += u64::from(with_key);
         state.faults
