Count streams whose target's answer is withheld

Operators saw: streams that a target ran and answered 503 without stating that it did not run them were left out of the usage reports, since such answers are no longer passed on.

Cause: the outcome was that of a failed connection, which counts for plain requests but not for streams.

Change: a withheld answer is an outcome of its own, and counts as a run for both.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -131,6 +131,9 @@
     NotRun(NotRunReason),
     /// The request failed and may have run.
     Unknown,
+    /// The target's answer is not passed on, since callers would read its status as a refusal;
+    /// it counts as a run.
+    Withheld,
     /// The deadline passed; the request may have run.
     TimedOut,
 }
@@ -277,7 +280,7 @@
         }
         Verdict::Unmarked => {
             in_flight.outcome = AttemptOutcome::Failed;
-            SendOutcome::Unknown
+            SendOutcome::Withheld
         }
         Verdict::Refused => {
             in_flight.outcome = AttemptOutcome::Full;
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -145,7 +145,7 @@
                     return Err(attempts.failure(Failure::TargetsFull));
                 }
             }
-            SendOutcome::Unknown => {
+            SendOutcome::Unknown | SendOutcome::Withheld => {
                 shared.count_usage(call.org.as_deref(), now);
                 if !attempts.may_retry_failed_run(shared, call) {
                     return Err(Failure::TargetFailed);
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -135,6 +135,9 @@
             {
                 export.mark_imported();
             }
+            if matches!(result, SendOutcome::Withheld) {
+                self.count_usage_once();
+            }
             match result {
                 SendOutcome::Answered(response) => {
                     if !response.status().is_server_error() {
@@ -153,7 +156,7 @@
                         return Err(self.attempts.failure(Failure::TargetsFull));
                     }
                 }
-                SendOutcome::Unknown => {
+                SendOutcome::Unknown | SendOutcome::Withheld => {
                     self.attempts.tried.push(in_flight.placement.id.clone());
                     if !self.attempts.may_retry_failed_run(&shared, &call) {
                         return Err(Failure::TargetFailed);
