--- a/components/clients/src/http.rs
+++ b/components/clients/src/http.rs
@@ -101,7 +101,7 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&addr)?;
         while let Some(conn) = list.pop() {
-            if conn.is_reusable() && conn.is_quiet() {
+            if conn.is_idle() {
                 return Some(conn);
             }
         }
@@ -111,7 +111,7 @@
     fn keep_idle(&self, addr: SocketAddr, conn: Connection) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry(addr).or_default();
-        list.retain(|conn| !conn.sender.is_closed());
+        list.retain(|conn| !conn.is_over());
         if list.len() < MAX_IDLE_CONNECTIONS {
             list.push(conn);
         }
@@ -121,7 +121,7 @@
     fn return_when_ready(&self, addr: SocketAddr, mut conn: Connection) {
         let pool = self.clone();
         tokio::spawn(async move {
-            if conn.sender.ready().await.is_ok() && conn.is_reusable() {
+            if conn.finish_response().await {
                 pool.keep_idle(addr, conn);
             }
         });
@@ -139,7 +139,7 @@
         let mut sent = SentOver::default();
         if let Some(mut conn) = self.take_idle(addr) {
             sent.kept = true;
-            match conn.sender.try_send_request(request).await {
+            match conn.send(request).await {
                 Ok(response) => {
                     let response = to_response(response, sent, conn.handle());
                     self.return_when_ready(addr, conn);
@@ -157,7 +157,7 @@
             Ok(conn) => conn,
             Err(reason) => return NotSentSnafu { addr, reason, sent }.fail(),
         };
-        match conn.sender.try_send_request(request).await {
+        match conn.send(request).await {
             Ok(response) => {
                 let response = to_response(response, sent, conn.handle());
                 self.return_when_ready(addr, conn);
--- a/components/clients/src/http/connection.rs
+++ b/components/clients/src/http/connection.rs
@@ -11,7 +11,11 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1;
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::{TrySendError, http1},
+};
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt;
 use tokio::{net::TcpStream, time::timeout};
@@ -26,9 +30,10 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A connection that carries one request at a time.
 pub(super) struct Connection {
-    pub(super) sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<Full<Bytes>>,
     peeker: StreamPeeker,
     discarded: Arc<AtomicBool>,
 }
@@ -53,17 +58,34 @@
         Ok(Connection { sender, peeker, discarded: Arc::default() })
     }
 
-    /// Whether the connection may carry a further request.
-    pub(super) fn is_reusable(&self) -> bool {
-        self.sender.is_ready() && !self.discarded.load(Ordering::Acquire)
+    /// Sends a request and waits for the response head. The error contains the request if no
+    /// byte of it was written.
+    pub(super) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.sender.try_send_request(request).await
     }
 
-    /// Whether the peer has neither closed the connection nor sent anything since the last
-    /// response.
-    ///
-    /// What arrived before a request was sent cannot answer it.
-    pub(super) fn is_quiet(&self) -> bool {
-        self.peeker.is_quiet()
+    /// Waits until the response has been read completely; returns whether the connection may
+    /// carry a further request.
+    pub(super) async fn finish_response(&mut self) -> bool {
+        self.sender.ready().await.is_ok() && !self.is_discarded()
+    }
+
+    /// Whether a request can be sent now: the connection is open, and nothing arrived on it since
+    /// the last response. What arrived before a request was sent cannot answer it.
+    pub(super) fn is_idle(&self) -> bool {
+        self.sender.is_ready() && !self.is_discarded() && self.peeker.is_quiet()
+    }
+
+    /// Whether the connection will carry no further request.
+    pub(super) fn is_over(&self) -> bool {
+        self.sender.is_closed() || self.is_discarded()
+    }
+
+    fn is_discarded(&self) -> bool {
+        self.discarded.load(Ordering::Acquire)
     }
 
     /// A handle for those who read the connection's responses.
@@ -82,7 +104,8 @@
     /// Keeps the connection from carrying further requests.
     ///
     /// After an answer to another request, each later answer on the connection would be read for
-    /// the request after its own.
+    /// the request after its own. Call it before anything else is awaited: a connection whose
+    /// response has been read returns to the pool.
     pub fn discard(&self) {
         self.discarded.store(true, Ordering::Release);
     }
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -25,7 +25,7 @@
 const INFO_RATE_LIMIT: u32 = 400;
 
 /// Rate limit in lines per second for levels `warn` and `error`.
-const ERROR_RATE_LIMIT: u32 = 400;
+const WARN_RATE_LIMIT: u32 = 400;
 
 /// Rate limit in lines per second for warnings about a request that was already sent.
 const SENT_RATE_LIMIT: u32 = 400;
@@ -35,7 +35,7 @@
 
 /// Lines dropped since the process started, by the rate limit that dropped them.
 static INFO_LOST: AtomicU64 = AtomicU64::new(0);
-static ERROR_LOST: AtomicU64 = AtomicU64::new(0);
+static WARN_LOST: AtomicU64 = AtomicU64::new(0);
 static SENT_LOST: AtomicU64 = AtomicU64::new(0);
 
 /// Lines dropped since the process started because the queue was full.
@@ -65,7 +65,7 @@
 pub fn dropped_lines() -> DroppedLines {
     DroppedLines {
         info: INFO_LOST.load(Ordering::Relaxed),
-        warn: ERROR_LOST.load(Ordering::Relaxed),
+        warn: WARN_LOST.load(Ordering::Relaxed),
         sent: SENT_LOST.load(Ordering::Relaxed),
         queue: QUEUE_LOST.load(Ordering::Relaxed),
     }
@@ -128,7 +128,7 @@
     start: Instant,
     second: AtomicU64,
     info_lines: AtomicU64,
-    error_lines: AtomicU64,
+    warn_lines: AtomicU64,
     sent_lines: AtomicU64,
 }
 
@@ -138,7 +138,7 @@
             start: Instant::now(),
             second: AtomicU64::new(0),
             info_lines: AtomicU64::new(0),
-            error_lines: AtomicU64::new(0),
+            warn_lines: AtomicU64::new(0),
             sent_lines: AtomicU64::new(0),
         }
     }
@@ -147,14 +147,14 @@
         let second = self.start.elapsed().as_secs();
         if self.second.swap(second, Ordering::Relaxed) != second {
             self.info_lines.store(0, Ordering::Relaxed);
-            self.error_lines.store(0, Ordering::Relaxed);
+            self.warn_lines.store(0, Ordering::Relaxed);
             self.sent_lines.store(0, Ordering::Relaxed);
         }
         let (used, limit, lost) = match record.level() {
             Level::Error | Level::Warn if was_sent(record) => {
                 (&self.sent_lines, SENT_RATE_LIMIT, &SENT_LOST)
             }
-            Level::Error | Level::Warn => (&self.error_lines, ERROR_RATE_LIMIT, &ERROR_LOST),
+            Level::Error | Level::Warn => (&self.warn_lines, WARN_RATE_LIMIT, &WARN_LOST),
             _ => (&self.info_lines, INFO_RATE_LIMIT, &INFO_LOST),
         };
         let allowed = used.fetch_add(1, Ordering::Relaxed) < u64::from(limit);
