Answer each request before a host that stops closes its connection

Callers on kept connections whose request a host had passed on, and that its target did not finish before the host's end, saw their connection close without an answer, also if they had sent it long after the SIGTERM. The same held for a request whose body was still coming. Callers could not tell whether it had run.

Cause: a request's deadline knew of the caller's time and the route's timeout only. At 0.97 of the grace period the process ended with such requests open.

From the SIGTERM on, a request's deadline ends at 0.94 of the grace period at the latest, so that the target is told how long it has, and a request that is predicted to begin later is refused unsent (503). At 0.94, requests that are still open, from before the SIGTERM too, are answered: 504 if they were sent to a target, 503 if they certainly were not. An answer that is ready at that moment goes out. A stream whose first event has gone out is still cut at the host's end, without its end mark.

--- a/components/gateway/src/failure.rs
+++ b/components/gateway/src/failure.rs
@@ -34,6 +34,8 @@
     Late(Duration),
     /// The deadline passed before the request was sent to a target.
     Expired,
+    /// This host stops before it could answer, and the request was not sent to a target.
+    Stopping,
     /// The deadline passed after the request was sent; it may have run.
     TimedOut,
     /// Earlier attempts at the request failed repeatedly, so it may be crashing the
@@ -54,7 +56,8 @@
             | Failure::NoTarget
             | Failure::TargetsFull
             | Failure::Late(_)
-            | Failure::Expired => StatusCode::SERVICE_UNAVAILABLE,
+            | Failure::Expired
+            | Failure::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Failure::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Failure::TargetFailed | Failure::PoisonRequest => StatusCode::BAD_GATEWAY,
         }
@@ -67,7 +70,7 @@
             Failure::NoTarget => Some(Duration::from_millis(500)),
             Failure::TargetsFull => Some(Duration::from_millis(250)),
             Failure::Late(span) => Some(span),
-            Failure::Expired => Some(Duration::from_millis(100)),
+            Failure::Expired | Failure::Stopping => Some(Duration::from_millis(100)),
             _ => None,
         }
     }
@@ -85,6 +88,7 @@
             Failure::TargetsFull => "full",
             Failure::Late(_) => "late",
             Failure::Expired => "expired",
+            Failure::Stopping => "stopping",
             Failure::TimedOut => "timed-out",
             Failure::PoisonRequest => "suspect",
             Failure::TargetFailed => "broken",
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -3,13 +3,14 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use chervilgate_clients::{ObjectStore, TargetOrders, WindowReports};
+use chervilgate_clock::Time;
 use chervilgate_serve::{Handler, Limits, serve};
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::{Notify, watch},
     task::JoinHandle,
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -28,6 +29,10 @@
 /// cache an address list for three times its TTL.
 const ACCEPT_SHARE: f64 = 0.8;
 
+/// Share of the grace period after which requests in flight are answered unfinished. The time
+/// from then until the host stops is for writing the answers.
+const ANSWER_SHARE: f64 = 0.94;
+
 /// Share of the grace period after which the host stops even if connections are open.
 const FINISH_SHARE: f64 = 0.97;
 
@@ -138,13 +143,14 @@
     }
 
     /// Leaves the address lists, serves callers until they have moved to other hosts,
-    /// and finishes the requests in flight.
+    /// and finishes the requests in flight. Those that targets do not finish in time are answered
+    /// with an error before their connections close.
     pub async fn stop(self) {
         log::info!(target: "host", "stopping");
         let grace = self.shared.settings.bounds.grace_period;
-        self.shared.state().leaving = true;
+        let (accept, answer) = (grace.mul_f64(ACCEPT_SHARE), grace.mul_f64(ANSWER_SHARE));
+        self.start_leaving(self.shared.now() + answer);
         self.refresh_membership.notify_one();
-        let accept = grace.mul_f64(ACCEPT_SHARE);
         sleep(accept).await;
         self.stop.send_replace(true);
         let finish = async {
@@ -153,11 +159,21 @@
                 listener.await.ok();
             }
         };
-        if tokio::time::timeout(grace.mul_f64(FINISH_SHARE) - accept, finish).await.is_err() {
-            log::warn!(target: "host", "stopped with open connections");
+        tokio::pin!(finish);
+        if timeout(answer - accept, &mut finish).await.is_err() {
+            self.shared.answer_now.send_replace(true);
+            if timeout(grace.mul_f64(FINISH_SHARE) - answer, finish).await.is_err() {
+                log::warn!(target: "host", "stopped with open connections");
+            }
         }
         log::info!(target: "host", "stopped");
     }
+
+    fn start_leaving(&self, answer_by: Time) {
+        let mut state = self.shared.state();
+        state.leaving = true;
+        state.answer_by = Some(answer_by);
+    }
 }
 
 /// Timeout for receiving request headers, which also limits idle time. It is longer than
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -46,7 +46,12 @@
         let id =
             request_head.as_ref().map_or("", |request_head| request_head.id.as_str()).to_owned();
         let result = match request_head {
-            Ok(request_head) => self.serve_request(started, head, body, request_head, &sent).await,
+            Ok(request_head) => tokio::select! {
+                // An answer that is ready goes out.
+                biased;
+                result = self.serve_request(started, head, body, request_head, &sent) => result,
+                () = self.shared.wait_to_answer() => Err(unfinished(&sent)),
+            },
             Err(error) => {
                 log::info!(target: "gateway", error:%; "request headers invalid");
                 Err(Failure::Malformed)
@@ -93,6 +98,9 @@
     ) -> Result<Response<Body>, Failure> {
         let Admitted { route, org, body_limit } = self.admit(started, &head, &request_head)?;
         let time_limit = request_head.timeout.unwrap_or(route.timeout).min(route.timeout);
+        let answer_by = self.shared.state().answer_by;
+        let is_cut = answer_by.is_some_and(|at| at < started + time_limit);
+        let time_limit = answer_by.map_or(time_limit, |at| time_limit.min(at.since(started)));
         let deadline = started + time_limit;
         let body = match timeout(time_limit, collect(body, body_limit)).await {
             Ok(Ok(body)) => body,
@@ -134,10 +142,15 @@
             sent: sent.clone(),
         };
         let is_stream = call.route.kind.is_stream();
-        let response = if is_stream {
-            stream(&self.shared, call).await?
+        let result = if is_stream {
+            stream(&self.shared, call).await
         } else {
-            forward(&self.shared, &call).await?
+            forward(&self.shared, &call).await
+        };
+        let response = match result {
+            // Another host has time for it.
+            Err(Failure::Late(_) | Failure::Expired) if is_cut => return Err(Failure::Stopping),
+            result => result?,
         };
         self.shared.metrics.observe_response(is_stream, self.shared.now().since(started));
         Ok(response)
@@ -169,6 +182,11 @@
     }
 }
 
+/// The failure of a request that was not finished when this host stopped.
+fn unfinished(sent: &AtomicU32) -> Failure {
+    if sent.load(Ordering::Relaxed) > 0 { Failure::TimedOut } else { Failure::Stopping }
+}
+
 /// The organisation that the request's API key belongs to.
 fn authenticate(
     config: &Config,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -10,7 +10,7 @@
 use chervilgate_clients::{HttpPool, ObjectStore};
 use chervilgate_clock::{BootClock, Clock, Time};
 use chervilgate_policy::{RetryBudget, RetrySettings};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     counted::CountedStore,
@@ -47,6 +47,8 @@
     pub(crate) store_recovered: Notify,
     /// Requests an immediate broadcast of this host's work in flight.
     pub(crate) broadcast: Notify,
+    /// Turns true when this host stops so soon that open requests are answered at once.
+    pub(crate) answer_now: watch::Sender<bool>,
     wall_clock: Mutex<WallClock>,
     state: Mutex<State>,
 }
@@ -70,6 +72,8 @@
     pub(crate) poison: PoisonTracker,
     /// Whether this host is stopping.
     pub(crate) leaving: bool,
+    /// Time by which requests are answered because this host is stopping; none if it is not.
+    pub(crate) answer_by: Option<Time>,
     budgets: HashMap<Arc<str>, RetryBudget>,
 }
 
@@ -99,6 +103,7 @@
             holder: None,
             poison: PoisonTracker::default(),
             leaving: false,
+            answer_by: None,
             budgets: HashMap::new(),
         };
         Shared {
@@ -110,6 +115,7 @@
             lines_lost,
             store_recovered: Notify::new(),
             broadcast: Notify::new(),
+            answer_now: watch::Sender::new(false),
             settings,
             protocol,
             decoder,
@@ -122,6 +128,12 @@
         BootClock.now()
     }
 
+    /// Waits until open requests must be answered because this host stops.
+    pub(crate) async fn wait_to_answer(&self) {
+        // Waiting only fails if the sender is dropped, and this holds it.
+        self.answer_now.subscribe().wait_for(|now| *now).await.ok();
+    }
+
     /// Locks the wall clock.
     pub(crate) fn wall_clock(&self) -> MutexGuard<'_, WallClock> {
         self.wall_clock.lock().unwrap_or_else(PoisonError::into_inner)
