--- a/components/clients/src/lib.rs
+++ b/components/clients/src/lib.rs
@@ -5,12 +5,13 @@
 
 pub mod body;
 pub mod http;
+mod no_effect;
 pub mod platform;
 pub mod target;
 
 pub use crate::{
     body::{Body, BodyError},
-    http::{HttpPool, HttpSender, SendError},
+    http::{ConnectionHandle, HttpPool, HttpSender, SendError, SentOver},
     platform::{
         HostEntry, HostList, HttpPlatform, ObjectStore, OrderReceipt, PlatformError, TargetOrder,
         TargetOrders, UsageReport, UsageReports, WindowReport, WindowReports,
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -1,12 +1,18 @@
 //! A single attempt to run a request on one target.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
-use chervilgate_clients::{Body, HttpSender, SendError};
+use chervilgate_clients::{Body, ConnectionHandle, HttpSender, SendError, SentOver};
 use chervilgate_clock::Time;
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode,
+    HeaderMap, Method, Request, Response,
     http::uri::{PathAndQuery, Uri},
 };
 use tokio::time::timeout;
@@ -17,6 +23,7 @@
     poison::Fingerprint,
     protocol::{ForwardedRequest, RequestHead, RequestStage, ResponseHead},
     state::Shared,
+    verdict::Verdict,
 };
 
 /// Time allowed for computing a prompt on a prefill target, after which the prompt is
@@ -39,6 +46,15 @@
     pub(crate) max_pause: Option<Duration>,
     /// Deadline for the complete response.
     pub(crate) deadline: Time,
+    /// Number of times that a connection to a target took the request, not counting separate
+    /// prefills.
+    pub(crate) sent: Arc<AtomicU32>,
+}
+
+impl CallerRequest {
+    pub(crate) fn sent_count(&self) -> u32 {
+        self.sent.load(Ordering::Relaxed)
+    }
 }
 
 /// Counts a request as in flight on its target; dropping it reports the outcome to the
@@ -152,6 +168,9 @@
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = Uri::from(call.path.clone());
     *request.headers_mut() = shared.protocol.target_headers(&call.headers, &forwarded);
+    // Counted before sending, since a timeout ends it at any point.
+    let counted = u32::from(stage != RequestStage::Prefill);
+    call.sent.fetch_add(counted, Ordering::Relaxed);
     let Ok(sent) =
         timeout(time_left, shared.target_pool.send(in_flight.placement.addr, request)).await
     else {
@@ -160,10 +179,70 @@
     };
     let response = match sent {
         Ok(response) => response,
-        Err(error) => return classify_error(shared, in_flight, call, &error),
+        Err(error) => {
+            if error.not_run() && error.sent_over().closed == 0 {
+                call.sent.fetch_sub(counted, Ordering::Relaxed);
+            }
+            log_closed(shared, in_flight, call, error.sent_over());
+            return classify_error(shared, in_flight, call, &error);
+        }
     };
+    log_closed(shared, in_flight, call, sent_over(&response));
     let head = shared.protocol.parse_response(response.status(), response.headers());
-    classify_response(in_flight, call, response, &head)
+    let verdict = Verdict::new(&call.ask.id, response.status(), &head);
+    log_answer(shared, in_flight, call, &response, &head, verdict);
+    to_outcome(in_flight, response, verdict)
+}
+
+fn sent_over(response: &Response<Body>) -> SentOver {
+    response.extensions().get().copied().unwrap_or_default()
+}
+
+/// Logs connections that took the request and closed, which counts as not sent.
+fn log_closed(shared: &Shared, in_flight: &InFlight, call: &CallerRequest, over: SentOver) {
+    if over.closed == 0 {
+        return;
+    }
+    let (id, target, sent) = (&call.ask.id, &in_flight.placement.id, call.sent_count());
+    log::warn!(
+        target: "gateway", id, target, closed = over.closed, sent;
+        "connection closed before the request was written"
+    );
+    shared.metrics.count_retry("closed");
+}
+
+/// Counts a target's answer, and logs it unless it is an ordinary one.
+fn log_answer(
+    shared: &Shared,
+    in_flight: &InFlight,
+    call: &CallerRequest,
+    response: &Response<Body>,
+    head: &ResponseHead,
+    verdict: Verdict,
+) {
+    shared.metrics.count_answer(verdict.as_str());
+    let (id, target, sent) = (&call.ask.id, &in_flight.placement.id, call.sent_count());
+    let (status, kept) = (response.status().as_u16(), sent_over(response).kept);
+    match verdict {
+        Verdict::Foreign => {
+            let other = head.id.as_deref().unwrap_or("none");
+            log::warn!(
+                target: "gateway", id, target, status, other, kept, sent;
+                "answer to another request"
+            );
+        }
+        Verdict::Refused | Verdict::Replaced => {
+            log::warn!(target: "gateway", id, target, status, kept, sent; "target refused");
+        }
+        Verdict::Unmarked => {
+            let signed = head.signed;
+            log::warn!(
+                target: "gateway", id, target, status, signed, kept, sent;
+                "status promises not run without the mark"
+            );
+        }
+        Verdict::Answered => {}
+    }
 }
 
 fn classify_error(
@@ -172,9 +251,10 @@
     call: &CallerRequest,
     error: &SendError,
 ) -> SendOutcome {
-    let (id, target) = (&call.ask.id, &in_flight.placement.id);
+    let (id, target, sent) = (&call.ask.id, &in_flight.placement.id, call.sent_count());
+    let kept = error.sent_over().kept;
     log::warn!(
-        target: "gateway", id, target, addr:% = in_flight.placement.addr, error:%;
+        target: "gateway", id, target, addr:% = in_flight.placement.addr, error:%, kept, sent;
         "target failed"
     );
     if error.not_run() {
@@ -186,35 +266,36 @@
     SendOutcome::Unknown
 }
 
-fn classify_response(
-    in_flight: &mut InFlight,
-    call: &CallerRequest,
-    response: Response<Body>,
-    head: &ResponseHead,
-) -> SendOutcome {
-    let (id, target) = (&call.ask.id, &in_flight.placement.id);
-    let status = response.status().as_u16();
-    if head.not_run {
-        log::info!(target: "gateway", id, target, status; "target refused");
-        if response.status() == StatusCode::MISDIRECTED_REQUEST {
+fn to_outcome(in_flight: &mut InFlight, response: Response<Body>, verdict: Verdict) -> SendOutcome {
+    match verdict {
+        Verdict::Foreign => {
+            if let Some(connection) = response.extensions().get::<ConnectionHandle>() {
+                connection.discard();
+            }
+            in_flight.outcome = AttemptOutcome::Failed;
+            SendOutcome::Unknown
+        }
+        Verdict::Unmarked => {
+            in_flight.outcome = AttemptOutcome::Failed;
+            SendOutcome::Unknown
+        }
+        Verdict::Refused => {
+            in_flight.outcome = AttemptOutcome::Full;
+            SendOutcome::NotRun(NotRunReason::Refused)
+        }
+        Verdict::Replaced => {
             in_flight.outcome = AttemptOutcome::Replaced;
-            return SendOutcome::NotRun(NotRunReason::Replaced);
+            SendOutcome::NotRun(NotRunReason::Replaced)
+        }
+        Verdict::Answered => {
+            in_flight.outcome = if response.status().is_server_error() {
+                AttemptOutcome::Failed
+            } else {
+                AttemptOutcome::Answered
+            };
+            SendOutcome::Answered(response)
         }
-        in_flight.outcome = AttemptOutcome::Full;
-        return SendOutcome::NotRun(NotRunReason::Refused);
-    }
-    if head.id.as_ref() != Some(id) {
-        let other = head.id.as_deref().unwrap_or("none");
-        log::warn!(target: "gateway", id, target, status, other; "answer to another request");
-        in_flight.outcome = AttemptOutcome::Failed;
-        return SendOutcome::Unknown;
     }
-    in_flight.outcome = if response.status().is_server_error() {
-        AttemptOutcome::Failed
-    } else {
-        AttemptOutcome::Answered
-    };
-    SendOutcome::Answered(response)
 }
 
 /// A KV cache exported by the target that computed the prompt.
