--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -13,7 +13,7 @@
         hosts: 3,
         callers: 6,
         host_faults: true,
-        answer_faults: Vec::new(),
+        answer_faults: AnswerFaults::ALL.to_vec(),
         other_faults: true,
     }
 }
@@ -42,6 +42,7 @@
         hosts: 4,
         callers: 12,
         host_faults: false,
+        answer_faults: Vec::new(),
         ..soak(seed)
     });
     let runs = soaks.map(|soak| tokio::spawn(async move { (soak.seed, soak.run().await) }));
@@ -59,7 +60,6 @@
 /// load and answers a second time on a kept connection sends a refusal where the answer to the
 /// next request is due. That one ran, and is refused or runs again.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED 16"]
 async fn refusals_are_true_beside_second_answers() {
     let soak = Soak {
         answer_faults: vec![AnswerFaults::Refusals],
