Answer 502 if a target sends status 101 in place of its answer

A caller of a kept connection whose target answered 101, although no upgrade had been asked for, got this interim status as its answer, and a final one never came, though the request had run.

Cause: the verdict on a target's answer looked at its id and at refusals only; each other status counted as the target's answer. Interim statuses are skipped while they are read, but 101 ends an exchange by itself.

An interim status in the place of an answer is a verdict of its own, after the id and before refusals: the outcome is not known, whatever else the answer says, so that the caller gets 502, or the request is sent once more where it may run twice. The connection carries no further request.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -231,6 +231,9 @@
                 "answer to another request"
             );
         }
+        Verdict::Interim => {
+            log::warn!(target: "gateway", id, target, status, kept, sent; "no final status");
+        }
         Verdict::Refused | Verdict::Replaced => {
             log::warn!(target: "gateway", id, target, status, kept, sent; "target refused");
         }
@@ -268,7 +271,7 @@
 
 fn to_outcome(in_flight: &mut InFlight, response: Response<Body>, verdict: Verdict) -> SendOutcome {
     match verdict {
-        Verdict::Foreign => {
+        Verdict::Foreign | Verdict::Interim => {
             if let Some(connection) = response.extensions().get::<ConnectionHandle>() {
                 connection.discard();
             }
--- a/components/gateway/src/verdict.rs
+++ b/components/gateway/src/verdict.rs
@@ -21,6 +21,8 @@
 pub enum Verdict {
     /// It answers another request, so this one may have run.
     Foreign,
+    /// Its status is an interim one where the final answer is due, so the request may have run.
+    Interim,
     /// The target had no capacity and did not run the request.
     Refused,
     /// Another process answered at the target's address and did not run the request.
@@ -38,6 +40,10 @@
         if head.id.as_deref() != Some(id) {
             return Verdict::Foreign;
         }
+        // Interim answers are skipped as they arrive, but for 101, which no request asks for.
+        if status.is_informational() {
+            return Verdict::Interim;
+        }
         if head.not_run {
             return match status {
                 StatusCode::MISDIRECTED_REQUEST => Verdict::Replaced,
@@ -54,6 +60,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Verdict::Foreign => "foreign",
+            Verdict::Interim => "interim",
             Verdict::Refused => "refused",
             Verdict::Replaced => "replaced",
             Verdict::Unmarked => "unmarked",
--- a/components/gateway/tests/verdict.rs
+++ b/components/gateway/tests/verdict.rs
@@ -38,3 +38,12 @@
         assert_eq!(verdict(Some("own"), status, false), Verdict::Answered, "{status}");
     }
 }
+
+#[test]
+fn an_interim_status_is_no_final_answer() {
+    for status in [100, 101, 103, 199] {
+        for not_run in [false, true] {
+            assert_eq!(verdict(Some("own"), status, not_run), Verdict::Interim, "{status}");
+        }
+    }
+}
