Do not pass on a request whose caller had left before it was read

Cause: a host short of processor time reads a request long after the runtime told it that bytes had arrived. If the caller closes in between, the runtime's stream reports nothing more to read until it has asked the system again: after a read that does not fill the buffer it waits for a new event. So the server did not see the close that already stood behind the request, and the request was on its way before the event came. On real sockets, before: /once/x: ["early-0", "early-1", "left"].

Callers' connections now use the stream that the pool for targets has, which reads on until the system has nothing, so that the server sees the close with the request and drops it. For the time between reading and sending, and between two targets, a request is also not sent if a look at the caller's socket shows that it was closed. This costs two system calls a request.

Tests of clients, serve, gateway, platform and host (soak included) pass.

--- a/components/clients/src/http.rs
+++ b/components/clients/src/http.rs
@@ -20,7 +20,10 @@
 use snafu::{ResultExt, Snafu};
 
 use self::connection::Connection;
-pub use self::connection::ConnectionHandle;
+pub use self::{
+    connection::ConnectionHandle,
+    stream::{SharedStream, StreamPeeker},
+};
 use crate::body::{Body, incoming};
 
 /// Maximum number of idle connections kept per address.
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -115,6 +115,9 @@
                     Failure::Expired
                 });
             }
+            if self.call.has_caller_left() {
+                return Err(self.attempts.failure(Failure::CallerLeft));
+            }
             let Some(plan) = self.plan() else {
                 return Err(self.attempts.failure(Failure::NoTarget));
             };
