--- a/components/clients/src/http.rs
+++ b/components/clients/src/http.rs
@@ -20,10 +20,7 @@
 use snafu::{ResultExt, Snafu};
 
 use self::connection::Connection;
-pub use self::{
-    connection::ConnectionHandle,
-    stream::{SharedStream, StreamPeeker},
-};
+pub use self::{connection::ConnectionHandle, stream::SharedStream};
 use crate::body::{Body, incoming};
 
 /// Maximum number of idle connections kept per address.
--- a/components/clients/src/http/stream.rs
+++ b/components/clients/src/http/stream.rs
@@ -1,6 +1,6 @@
-//! A TCP stream that the task of a connection shares with others.
+//! A TCP stream that the task of a connection shares with the pool.
 //!
-//! The task reads and writes; the others look whether something waits to be read.
+//! The task reads and writes; the pool looks whether something waits to be read.
 
 use std::{
     io,
@@ -31,39 +31,24 @@
     }
 
     /// A view that does not keep the socket open.
-    pub fn peeker(&self) -> StreamPeeker {
+    pub(super) fn peeker(&self) -> StreamPeeker {
         StreamPeeker(Arc::downgrade(&self.0))
     }
 }
 
-/// The stream as those see it that neither read nor write.
-#[derive(Debug, Clone)]
-pub struct StreamPeeker(Weak<TcpStream>);
+/// The stream as the pool sees it.
+#[derive(Debug)]
+pub(super) struct StreamPeeker(Weak<TcpStream>);
 
 impl StreamPeeker {
     /// Whether the stream is open and nothing waits to be read.
     ///
     /// Asks the system, since the runtime learns of what arrived only when it polls its sockets.
-    pub fn is_quiet(&self) -> bool {
-        self.peek().is_ok_and(|unread| unread.is_none())
-    }
-
-    /// Whether the peer has closed or reset the stream and all that it sent before has been read.
-    pub fn has_ended(&self) -> bool {
-        matches!(self.peek(), Ok(Some(0)) | Err(_))
-    }
-
-    /// Length of what can be read, one byte at most; None if nothing has arrived. 0 is the end.
-    fn peek(&self) -> io::Result<Option<usize>> {
-        let Some(stream) = self.0.upgrade() else {
-            return Err(io::ErrorKind::NotConnected.into());
-        };
+    pub(super) fn is_quiet(&self) -> bool {
+        let Some(stream) = self.0.upgrade() else { return false };
         let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(&*stream).peek(&mut byte) {
-            Ok(length) => Ok(Some(length)),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(None),
-            Err(error) => Err(error),
-        }
+        let peeked = SockRef::from(&*stream).peek(&mut byte);
+        matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 }
 
--- a/components/clients/src/lib.rs
+++ b/components/clients/src/lib.rs
@@ -11,9 +11,7 @@
 
 pub use crate::{
     body::{Body, BodyError},
-    http::{
-        ConnectionHandle, HttpPool, HttpSender, SendError, SentOver, SharedStream, StreamPeeker,
-    },
+    http::{ConnectionHandle, HttpPool, HttpSender, SendError, SentOver, SharedStream},
     platform::{
         HostEntry, HostList, HttpPlatform, ObjectStore, OrderReceipt, PlatformError, TargetOrder,
         TargetOrders, UsageReport, UsageReports, WindowReport, WindowReports,
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use chervilgate_clients::{Body, ConnectionHandle, HttpSender, SendError, SentOver, StreamPeeker};
+use chervilgate_clients::{Body, ConnectionHandle, HttpSender, SendError, SentOver};
 use chervilgate_clock::Time;
 use hyper::{
     HeaderMap, Method, Request, Response,
@@ -35,8 +35,6 @@
     pub(crate) method: Method,
     pub(crate) path: PathAndQuery,
     pub(crate) headers: HeaderMap,
-    /// The caller's connection, if known.
-    pub(crate) caller: Option<StreamPeeker>,
     pub(crate) body: Bytes,
     pub(crate) ask: RequestHead,
     pub(crate) fingerprint: Fingerprint,
@@ -54,14 +52,6 @@
 }
 
 impl CallerRequest {
-    /// Whether the caller has closed its connection.
-    ///
-    /// Asks the system, since a busy host reads requests long before it learns that their callers
-    /// have left.
-    pub(crate) fn has_caller_left(&self) -> bool {
-        self.caller.as_ref().is_some_and(StreamPeeker::has_ended)
-    }
-
     pub(crate) fn sent_count(&self) -> u32 {
         self.sent.load(Ordering::Relaxed)
     }
--- a/components/gateway/src/failure.rs
+++ b/components/gateway/src/failure.rs
@@ -23,8 +23,6 @@
     BodyTooLarge,
     /// The caller's connection broke while the body was read.
     BrokenBody,
-    /// The caller closed its connection before the request was sent to a target.
-    CallerLeft,
     /// There is no configuration yet, or it is too old to trust a key.
     StaleView,
     /// No usable target runs the service.
@@ -54,8 +52,7 @@
             Failure::NoRoute => StatusCode::NOT_FOUND,
             Failure::UnknownKey => StatusCode::UNAUTHORIZED,
             Failure::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Failure::CallerLeft
-            | Failure::StaleView
+            Failure::StaleView
             | Failure::NoTarget
             | Failure::TargetsFull
             | Failure::Late(_)
@@ -86,7 +83,6 @@
             Failure::UnknownKey => "unknown-key",
             Failure::BodyTooLarge => "too-long",
             Failure::BrokenBody => "broken-body",
-            Failure::CallerLeft => "caller-left",
             Failure::StaleView => "stale-view",
             Failure::NoTarget => "no-target",
             Failure::TargetsFull => "full",
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -112,9 +112,6 @@
         if now >= call.deadline {
             return Err(if attempts.runs > 0 { Failure::TimedOut } else { Failure::Expired });
         }
-        if call.has_caller_left() {
-            return Err(attempts.failure(Failure::CallerLeft));
-        }
         let query = TargetQuery {
             service: &call.service,
             prompt: &call.ask.prompt,
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -132,7 +132,6 @@
             method: head.method,
             path: head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/")),
             headers: head.headers,
-            caller: head.extensions.get().cloned(),
             body,
             ask: request_head,
             route,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -115,9 +115,6 @@
                     Failure::Expired
                 });
             }
-            if self.call.has_caller_left() {
-                return Err(self.attempts.failure(Failure::CallerLeft));
-            }
             let Some(plan) = self.plan() else {
                 return Err(self.attempts.failure(Failure::NoTarget));
             };
--- a/components/serve/src/accept.rs
+++ b/components/serve/src/accept.rs
@@ -6,7 +6,7 @@
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
-use chervilgate_clients::{Body, SharedStream, StreamPeeker, body::empty};
+use chervilgate_clients::{Body, SharedStream, body::empty};
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
@@ -38,8 +38,6 @@
 #[async_trait]
 pub trait Handler: Send + Sync + 'static {
     /// Returns the response to a request from `peer`.
-    ///
-    /// The request's extensions hold the [`StreamPeeker`] of its connection.
     async fn handle(&self, peer: SocketAddr, request: Request<Incoming>) -> Response<Body>;
 }
 
@@ -67,8 +65,7 @@
         };
         let config = tls.borrow().clone();
         let stream = SharedStream::new(stream);
-        let peeker = stream.peeker();
-        let connection = Connection { peer, peeker, handler: handler.clone(), limits, permit };
+        let connection = Connection { peer, handler: handler.clone(), limits, permit };
         let watcher = graceful.watcher();
         tokio::spawn(async move {
             match config {
@@ -101,7 +98,6 @@
 
 struct Connection {
     peer: SocketAddr,
-    peeker: StreamPeeker,
     handler: Arc<dyn Handler>,
     limits: Limits,
     permit: OwnedSemaphorePermit,
@@ -130,15 +126,14 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let Connection { peer, peeker, handler, limits, permit } = self;
+        let Connection { peer, handler, limits, permit } = self;
         let recorder = HeadRecorder::default();
         let head_recorder = recorder.clone();
-        let service = service_fn(move |mut request: Request<Incoming>| {
+        let service = service_fn(move |request: Request<Incoming>| {
             let handler = handler.clone();
             let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
             let may_have_length = head_recorder.take_may_have_length();
             let head_recorder = head_recorder.clone();
-            request.extensions_mut().insert(peeker.clone());
             async move {
                 if is_chunked && may_have_length {
                     log::warn!(target: "serve", peer:%; "ambiguous body length, request rejected");
