--- a/components/clients/src/http/stream.rs
+++ b/components/clients/src/http/stream.rs
@@ -18,11 +18,15 @@
 };
 
 /// The stream as the task of its connection uses it.
+///
+/// Unlike the runtime's own stream, it asks the system again after a read that did not fill the buffer,
+/// so that a close is seen with the last bytes before it.
 #[derive(Debug)]
-pub(super) struct SharedStream(Arc<TcpStream>);
+pub struct SharedStream(Arc<TcpStream>);
 
 impl SharedStream {
-    pub(super) fn new(stream: TcpStream) -> SharedStream {
+    /// Takes over `stream`.
+    pub fn new(stream: TcpStream) -> SharedStream {
         SharedStream(Arc::new(stream))
     }
 
--- a/components/serve/src/accept.rs
+++ b/components/serve/src/accept.rs
@@ -6,7 +6,7 @@
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
-use chervilgate_clients::{Body, body::empty};
+use chervilgate_clients::{Body, SharedStream, body::empty};
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
@@ -64,6 +64,7 @@
             continue;
         };
         let config = tls.borrow().clone();
+        let stream = SharedStream::new(stream);
         let connection = Connection { peer, handler: handler.clone(), limits, permit };
         let watcher = graceful.watcher();
         tokio::spawn(async move {
@@ -105,7 +106,7 @@
 impl Connection {
     async fn run_tls(
         self,
-        stream: TcpStream,
+        stream: SharedStream,
         config: Arc<rustls::ServerConfig>,
         watcher: hyper_util::server::graceful::Watcher,
     ) {
