--- a/bins/entry/tests/entry/crossed.rs
+++ b/bins/entry/tests/entry/crossed.rs
@@ -90,7 +90,6 @@
 }
 
 // A connection that brought an answer to another request still owes the one that was asked for.
-// Kept, it fails each request that is sent on it.
 #[tokio::test(flavor = "multi_thread")]
 async fn one_extra_answer_of_a_service_fails_no_more_than_one_booking() {
     let extra = Arc::<AtomicUsize>::default();
--- a/bins/host/tests/logs.rs
+++ b/bins/host/tests/logs.rs
@@ -392,9 +392,7 @@
     keys.iter().map(|key| field(line, key)).collect()
 }
 
-// Guards against refused requests that ran whose cause the log does not show: a refusal of another
-// request on a kept connection, or a target's own status without the mark of a refusal
-// (docs/incidents/2026-12-04-refused-and-ran.md).
+// docs/incidents/2026-12-04-refused-and-ran.md could not be explained from the log.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_log_tells_whose_refusal_a_target_sent() {
     let host = RawTargetHost::start("log-refusals").await;
@@ -454,8 +452,7 @@
     assert_eq!(fields(&unsent_line[0], &["sent"]), [Some("0")]);
 }
 
-// Guards against a missing cause under load: lines of requests refused unsent took the whole limit
-// of warnings in a second.
+// Lines of requests refused unsent took the whole limit of warnings.
 #[tokio::test(flavor = "multi_thread")]
 async fn lines_of_sent_requests_are_kept_under_load() {
     let host = RawTargetHost::start("log-crowded").await;
--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -56,9 +56,7 @@
 /// Seed with which callers press while both targets answer twice.
 const SECOND_ANSWERS_SEED: u64 = 2;
 
-/// Guards against a refusal being taken for that of another request. A target that refuses under
-/// load and answers a second time on a kept connection sends a refusal where the answer to the
-/// next request is due. That one ran, and is refused or runs again.
+/// A second refusal stands where the answer to the next request is due.
 #[tokio::test(flavor = "multi_thread")]
 async fn refusals_are_true_beside_second_answers() {
     let soak = Soak {
