Log what tells missed changes of the store from changes taken back

No line told which history of the store a reply was of, from which version a watch went on, which version of the configuration handled a request, or that a target said in its answer that it leaves.

- view: the store's version at each adoption; 'store has an older configuration'
- fleet: incarnation and store version of each target's entry
- gateway: the configuration's version on 'placed' and 'failed'; 'target says that it is leaving', counted as kind=leaving

Nothing is decided differently.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -39,6 +39,8 @@
     pub(crate) ask: RequestHead,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) route: Arc<Route>,
+    /// Version of the configuration that `route` is from.
+    pub(crate) config_version: u64,
     pub(crate) service: Arc<str>,
     pub(crate) org: Option<Arc<str>>,
     pub(crate) priority: u8,
@@ -93,7 +95,7 @@
         let tokens = call.ask.prompt.tokens;
         log::info!(
             target: "gateway", id = call.ask.id, target, zone, wait = *wait_ms as u64,
-            read = *prefill_ms as u64, compute, tokens, export;
+            read = *prefill_ms as u64, compute, tokens, export, config = call.config_version;
             "placed"
         );
     }
@@ -193,6 +195,7 @@
     log_closed(shared, in_flight, call, sent_over(&response));
     let head = shared.protocol.parse_response(response.status(), response.headers());
     let verdict = Verdict::new(&call.ask.id, response.status(), &head);
+    log_leaving(shared, in_flight, call, &head);
     log_answer(shared, in_flight, call, &response, &head, verdict);
     to_outcome(in_flight, response, verdict)
 }
@@ -214,6 +217,15 @@
     shared.metrics.count_retry("closed");
 }
 
+/// Logs that a target states in its answer that it is leaving.
+fn log_leaving(shared: &Shared, in_flight: &InFlight, call: &CallerRequest, head: &ResponseHead) {
+    if head.leaving {
+        let (id, target) = (&call.ask.id, &in_flight.placement.id);
+        log::info!(target: "gateway", id, target; "target says that it is leaving");
+        shared.metrics.count_answer("leaving");
+    }
+}
+
 /// Counts a target's answer, and logs it unless it is an ordinary one.
 fn log_answer(
     shared: &Shared,
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -101,6 +101,8 @@
     pub not_run: bool,
     /// Whether the target has signed the response.
     pub signed: bool,
+    /// Whether the target states that it is leaving.
+    pub leaving: bool,
 }
 
 /// Response of a target to [`RequestStage::Prefill`].
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -68,7 +68,8 @@
             }
             Err(failure) => {
                 let reason = failure.as_str();
-                log::warn!(target: "gateway", id, reason, sent, ms = elapsed; "failed");
+                let config = self.shared.state().view.version();
+                log::warn!(target: "gateway", id, reason, sent, ms = elapsed, config; "failed");
                 self.shared.metrics.count_end(reason);
                 failure.to_response(&*self.shared.protocol, &id)
             }
@@ -83,6 +84,7 @@
 /// Route and organisation of an accepted request.
 struct Admitted {
     route: Arc<Route>,
+    config_version: u64,
     org: Option<Org>,
     body_limit: usize,
 }
@@ -96,7 +98,8 @@
         request_head: RequestHead,
         sent: &Arc<AtomicU32>,
     ) -> Result<Response<Body>, Failure> {
-        let Admitted { route, org, body_limit } = self.admit(started, &head, &request_head)?;
+        let Admitted { route, config_version, org, body_limit } =
+            self.admit(started, &head, &request_head)?;
         let time_limit = request_head.timeout.unwrap_or(route.timeout).min(route.timeout);
         let answer_by = self.shared.state().answer_by;
         let is_cut = answer_by.is_some_and(|at| at < started + time_limit);
@@ -135,6 +138,7 @@
             body,
             ask: request_head,
             route,
+            config_version,
             service,
             org: org.map(|org| org.name),
             priority,
@@ -178,7 +182,12 @@
         if org.is_some() && !fresh {
             return Err(Failure::StaleView);
         }
-        Ok(Admitted { route, org, body_limit: config.limits.max_body_bytes })
+        Ok(Admitted {
+            route,
+            config_version: config.version,
+            org,
+            body_limit: config.limits.max_body_bytes,
+        })
     }
 }
 
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -97,6 +97,11 @@
         self.config.as_ref()
     }
 
+    /// Version of the configuration; none if there is none.
+    pub fn version(&self) -> Option<u64> {
+        self.config.as_ref().map(|config| config.version)
+    }
+
     /// Replaces the configuration by a newer one; returns whether it was newer.
     pub fn replace_if_newer(&mut self, config: Config) -> bool {
         let newer = self.config.as_ref().is_none_or(|known| config.version > known.version);
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -135,11 +135,15 @@
         }
         match reply {
             StoreReply::Listed { objects, version } => {
+                log_read(&prefix, known, version, objects.len(), now.since(sent));
                 watched.replace(&shared, now, &objects);
                 watched.confirm(&shared, sent);
                 known = Some(version);
             }
             StoreReply::Changed { changes, version } => {
+                if !changes.is_empty() {
+                    log_read(&prefix, known, version, changes.len(), now.since(sent));
+                }
                 for change in &changes {
                     watched.change(&shared, now, change);
                 }
@@ -183,6 +187,13 @@
     }
 }
 
+/// Logs a reply with a list or with changes: the version up to which this host knew them
+/// (none before a list), that of the reply, and the time since the call.
+fn log_read(prefix: &str, known: Option<Version>, at: Version, count: usize, age: Duration) {
+    let (known, ms) = (known.map(|version| version.0), age.as_millis() as u64);
+    log::info!(target: "store", prefix, known, at = at.0, count, ms; "store read");
+}
+
 /// Whether a watch call without a reply was cut off while it waited, after `elapsed` of `wait`.
 fn is_cut_off(elapsed: Duration, wait: Duration) -> bool {
     (MIN_CUT_WAIT..wait).contains(&elapsed)
@@ -213,9 +224,15 @@
         let config = decode(&object.value).and_then(|value| shared.decoder.config(&value));
         match config {
             Ok(config) => {
-                let version = config.version;
+                let (version, at) = (config.version, object.version.0);
                 if shared.state().view.replace_if_newer(config) {
-                    log::info!(target: "view", version; "configuration adopted");
+                    log::info!(target: "view", version, at; "configuration adopted");
+                } else if let Some(newer) = shared.state().view.version()
+                    && newer > version
+                {
+                    log::warn!(
+                        target: "view", version, newer, at; "store has an older configuration"
+                    );
                 }
             }
             Err(error) => {
@@ -319,7 +336,8 @@
                     let (id, draining) = (entry.id.clone(), entry.draining);
                     log::info!(
                         target: "fleet", id, service = entry.service, stage:? = entry.role,
-                        zone = entry.zone, draining, cheap = entry.reclaimable; "target"
+                        zone = entry.zone, draining, cheap = entry.reclaimable,
+                        incarnation = entry.incarnation, at = object.version.0; "target"
                     );
                     shared.state().fleet.upsert(now, entry);
                 }
