Make the store's era a part of each version that is read from it

Callers saw: a new key denied and a withdrawn one served for as long as the next change took, targets that leave still used, at hosts that took their view for current (CONFIG, DRAIN).

Cause: a host remembered the revision up to which it knew the changes and asked for what came after it. A store that comes back from an older copy gives the revisions out again. Once it had passed the remembered one, or where a watch waited on a connection that stayed open, changes under revisions up to that one were never among the answers, and each empty answer confirmed the view.

Class: a number remembered from one history is compared with a number of another. Version now consists of era and revision and orders by the era first, so that no place can compare them by accident. A waiting watch does not notice a restore, so all watches list again once any call of this host, or a message of another, shows a later era. Targets that the copy lacks are kept as after an outage until they have written again.

--- a/components/clients/src/platform.rs
+++ b/components/clients/src/platform.rs
@@ -49,6 +49,11 @@
         self.call(&StoreCall::Watch { prefix: prefix.to_owned(), after }).await
     }
 
+    /// The latest era of any answer so far. Versions of earlier eras name nothing any more.
+    fn era(&self) -> u64 {
+        0
+    }
+
     /// Reads one object. The result may be seconds old if the store offers cheaper stale reads.
     async fn get_stale(&self, key: &str) -> StoreReply {
         self.call(&StoreCall::Get { key: key.to_owned() }).await
--- a/components/clients/src/platform/http.rs
+++ b/components/clients/src/platform/http.rs
@@ -100,7 +100,7 @@
                 (self.request(Method::GET, &format!("/objects?prefix={prefix}")), CALL_TIMEOUT)
             }
             StoreCall::Watch { prefix, after } => {
-                let path = format!("/watch?prefix={prefix}&after={}", after.0);
+                let path = format!("/watch?prefix={prefix}&after={}", after.revision);
                 (self.request(Method::GET, &path), WATCH_TIMEOUT)
             }
         };
@@ -165,7 +165,7 @@
 ) -> hyper::http::request::Builder {
     match expect {
         Expect::Absent => request.header(IF_NONE_MATCH, "*"),
-        Expect::At(version) => request.header(IF_MATCH, format!("\"{}\"", version.0)),
+        Expect::At(version) => request.header(IF_MATCH, format!("\"{}\"", version.revision)),
     }
 }
 
@@ -193,7 +193,7 @@
 
 fn parse_etag(tag: &hyper::header::HeaderValue) -> Option<Version> {
     let digits = tag.to_str().ok()?.trim_matches('"');
-    digits.parse().ok().map(Version)
+    digits.parse().ok().map(Version::first_era)
 }
 
 fn parse_json<T: DeserializeOwned>(response: &ApiResponse) -> Result<T, PlatformError> {
@@ -245,12 +245,12 @@
     let list: ObjectsJson = parse_json(response)?;
     let objects: Option<Vec<Object>> = list.objects.iter().map(|json| json.to_object()).collect();
     let objects = objects.ok_or_else(invalid_value)?;
-    Ok(StoreReply::Listed { objects, version: Version(list.version) })
+    Ok(StoreReply::Listed { objects, version: Version::first_era(list.version) })
 }
 
 fn parse_changes(response: &ApiResponse) -> Result<StoreReply, PlatformError> {
     let watch: WatchJson = parse_json(response)?;
     let changes: Option<Vec<Change>> = watch.changes.iter().map(|json| json.to_change()).collect();
     let changes = changes.ok_or_else(invalid_value)?;
-    Ok(StoreReply::Changed { changes, version: Version(watch.version) })
+    Ok(StoreReply::Changed { changes, version: Version::first_era(watch.version) })
 }
--- a/components/clients/src/platform/objects.rs
+++ b/components/clients/src/platform/objects.rs
@@ -20,7 +20,7 @@
     pub fn from_object(object: &Object) -> ObjectJson {
         ObjectJson {
             key: object.key.clone(),
-            version: object.version.0,
+            version: object.version.revision,
             value: Some(hex::encode(&object.value)),
         }
     }
@@ -30,14 +30,14 @@
         match change {
             Change::Put(object) => ObjectJson::from_object(object),
             Change::Delete { key, version } => {
-                ObjectJson { key: key.clone(), version: version.0, value: None }
+                ObjectJson { key: key.clone(), version: version.revision, value: None }
             }
         }
     }
 
     /// Parses a change; `None` if the value is not hexadecimal.
     pub fn to_change(&self) -> Option<Change> {
-        let version = Version(self.version);
+        let version = Version::first_era(self.version);
         let Some(value) = &self.value else {
             return Some(Change::Delete { key: self.key.clone(), version });
         };
--- a/components/coord/examples/print_queue.rs
+++ b/components/coord/examples/print_queue.rs
@@ -32,7 +32,7 @@
             StoreCall::List { prefix } => {
                 let matches = |object: &&Object| object.key.starts_with(&prefix);
                 let objects = self.objects.values().filter(matches).cloned().collect();
-                StoreReply::Listed { objects, version: Version(self.version) }
+                StoreReply::Listed { objects, version: Version::first_era(self.version) }
             }
             StoreCall::Watch { .. } => StoreReply::Compacted,
             StoreCall::Delete { .. } => StoreReply::Refused,
@@ -49,7 +49,7 @@
             return StoreReply::Conflict(current.cloned());
         }
         self.version += 1;
-        let version = Version(self.version);
+        let version = Version::first_era(self.version);
         self.objects.insert(key.clone(), Object { key, version, value });
         StoreReply::Written(version)
     }
--- a/components/coord/src/store.rs
+++ b/components/coord/src/store.rs
@@ -5,6 +5,8 @@
 //! may be missing, late or duplicated, and a call whose reply was lost may still
 //! have taken effect; the driver reports that as [`StoreReply::Unknown`].
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 /// Name of an object: a path such as `shards/zone-a`.
@@ -36,9 +38,32 @@
 }
 
 /// An object's version; increases with each write anywhere in the store.
+///
+/// A store that comes back from an older copy of its content gives the revisions of what was lost
+/// out again, to other writes. Its era then rises by one. Versions order by their eras first; a
+/// revision says nothing beside one of another era. A version is of the era of the answer that
+/// it was read from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 #[derive(Serialize, Deserialize)]
-pub struct Version(pub u64);
+pub struct Version {
+    /// How often the store has come back from an older copy; 0 for a store that never does.
+    pub era: u64,
+    /// Number of the write, within the era.
+    pub revision: u64,
+}
+
+impl Version {
+    /// A version of a store that never came back from a copy.
+    pub const fn first_era(revision: u64) -> Version {
+        Version { era: 0, revision }
+    }
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.revision)
+    }
+}
 
 /// The condition of a conditional update.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -140,7 +165,8 @@
         /// The version up to which changes are included; the next watch starts here.
         version: Version,
     },
-    /// The changes since the watch's start are no longer kept: list again.
+    /// The changes since the watch's start are no longer kept, or the store came back from a copy
+    /// since: list again.
     Compacted,
     /// The store refused the call before any effect, or could not be reached.
     Refused,
--- a/components/gateway/src/counted.rs
+++ b/components/gateway/src/counted.rs
@@ -1,10 +1,11 @@
-//! Counts the calls to the store, since each call is billed.
+//! Counts the calls to the store, since each call is billed, and tells of its era.
 
 use std::{sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use chervilgate_clients::ObjectStore;
 use chervilgate_coord::{StoreCall, StoreReply, Version};
+use tokio::sync::watch;
 
 use crate::metrics::Metrics;
 
@@ -12,10 +13,22 @@
 pub(crate) struct CountedStore {
     pub(crate) store: Arc<dyn ObjectStore>,
     pub(crate) metrics: Arc<Metrics>,
+    /// Latest era of the store that this host has seen or heard of.
+    pub(crate) era: watch::Sender<u64>,
+}
+
+/// Raises the latest known era of the store; an earlier one has no effect.
+pub(crate) fn raise_era(latest: &watch::Sender<u64>, era: u64) {
+    latest.send_if_modified(|known| {
+        let is_newer = era > *known;
+        *known = era.max(*known);
+        is_newer
+    });
 }
 
 impl CountedStore {
     fn count(&self, call: &'static str, reply: StoreReply) -> StoreReply {
+        raise_era(&self.era, self.store.era());
         let name = match &reply {
             StoreReply::Refused => "refused",
             StoreReply::Unknown => "unknown",
@@ -49,6 +62,10 @@
         self.count("watch", self.store.watch(prefix, after, wait).await)
     }
 
+    fn era(&self) -> u64 {
+        self.store.era()
+    }
+
     async fn get_stale(&self, key: &str) -> StoreReply {
         self.count("lagging-get", self.store.get_stale(key).await)
     }
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -3,7 +3,8 @@
 //! A lost or late datagram only worsens an estimate of a target's queue, so UDP is
 //! enough. Each round goes to a few hosts in rotation, so that its cost does not grow
 //! with the number of hosts. A long prompt delays the next requests on its target, so
-//! its start and end are broadcast to all hosts at once.
+//! its start and end are broadcast to all hosts at once. That the store has come back from an older
+//! copy is passed on by each host that hears of it.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -49,6 +50,9 @@
 /// Number of hosts that receive it; what a single host has seen changes little.
 const SPEEDS_FANOUT: usize = 4;
 
+/// Number of rounds in which a host tells others of a new era of the store.
+const ERA_ROUNDS: u32 = 4;
+
 /// Minimum interval between broadcasts to all hosts.
 const MIN_BROADCAST_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -63,6 +67,8 @@
     Confirm(ConfirmationRequest),
     Confirmed(Confirmation),
     Speeds(SpeedMessage),
+    /// Era of the store that the sender has seen or heard of.
+    StoreEra(u64),
 }
 
 /// What a host has seen of the targets' speeds.
@@ -155,6 +161,23 @@
     }
 }
 
+/// Tells other hosts when the store has come back from an older copy. Each host passes it on, so
+/// that it reaches all of them within a few rounds.
+pub(crate) async fn send_store_era(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut latest = shared.store_era.subscribe();
+    while latest.changed().await.is_ok() {
+        let message = Message::StoreEra(*latest.borrow_and_update());
+        for _ in 0..ERA_ROUNDS {
+            let mut peers = shared.state().membership.gossip_addrs();
+            peers.shuffle(&mut rand::rng());
+            for peer in peers.into_iter().take(FANOUT) {
+                send(&socket, &message, peer).await;
+            }
+            sleep(ROUND_INTERVAL).await;
+        }
+    }
+}
+
 /// Has a poller confirm this host's configuration, again and again.
 pub(crate) async fn request_confirmations(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     loop {
@@ -307,6 +330,7 @@
                 let mut state = shared.state();
                 state.fleet.apply_speed_reports(now, message.host, &message.speeds);
             }
+            Ok(Message::StoreEra(era)) => shared.hear_store_era(era),
             Ok(Message::Work(report)) => {
                 let now = shared.now();
                 let own_time = shared.wall_clock().at(now).as_micros() as i64;
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -91,6 +91,8 @@
     level_losses: Family<LevelLabel, Gauge>,
     /// Age of the configuration view in milliseconds; -1 if there is none.
     pub(crate) view_age: Gauge,
+    /// Latest era of the store that this host has seen or heard of.
+    pub(crate) store_era: Gauge,
     /// Hosts that may be serving callers, this one included.
     pub(crate) hosts: Gauge,
     /// 1 if this host is ready, otherwise 0.
@@ -121,6 +123,7 @@
             lines_lost: Gauge::default(),
             level_losses: Family::default(),
             view_age: Gauge::default(),
+            store_era: Gauge::default(),
             hosts: Gauge::default(),
             ready: Gauge::default(),
         };
@@ -172,6 +175,7 @@
             self.level_losses.clone(),
         );
         registry.register("view_age_ms", "Age of the view", self.view_age.clone());
+        registry.register("store_era", "Latest era of the store", self.store_era.clone());
         registry.register("hosts", "Hosts that serve callers", self.hosts.clone());
         registry.register("ready", "Whether this host is ready", self.ready.clone());
     }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    counted::CountedStore,
+    counted::{CountedStore, raise_era},
     fleet::Fleet,
     membership::{HostEntry, Membership},
     metrics::{LostLines, Metrics},
@@ -45,6 +45,8 @@
     pub(crate) boot: u64,
     /// Notified when the store responds again after an outage.
     pub(crate) store_recovered: Notify,
+    /// Latest era of the store that this host has seen or heard of.
+    pub(crate) store_era: watch::Sender<u64>,
     /// Requests an immediate broadcast of this host's work in flight.
     pub(crate) broadcast: Notify,
     /// Turns true when this host stops so soon that open requests are answered at once.
@@ -88,7 +90,9 @@
         time_of_day: Duration,
     ) -> Shared {
         let metrics = Arc::new(Metrics::new());
-        let store = Arc::new(CountedStore { store, metrics: metrics.clone() });
+        let store_era = watch::Sender::new(0);
+        let counted = CountedStore { store, metrics: metrics.clone(), era: store_era.clone() };
+        let store = Arc::new(counted);
         let boot = rand::random();
         let bounds = &settings.bounds;
         let state = State {
@@ -114,6 +118,7 @@
             metrics,
             lines_lost,
             store_recovered: Notify::new(),
+            store_era,
             broadcast: Notify::new(),
             answer_now: watch::Sender::new(false),
             settings,
@@ -128,6 +133,11 @@
         BootClock.now()
     }
 
+    /// Records that another host has seen this era of the store.
+    pub(crate) fn hear_store_era(&self, era: u64) {
+        raise_era(&self.store_era, era);
+    }
+
     /// Waits until open requests must be answered because this host stops.
     pub(crate) async fn wait_to_answer(&self) {
         // Waiting only fails if the sender is dropped, and this holds it.
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -1,4 +1,8 @@
 //! Watches the configuration, the targets and the other hosts in the store.
+//!
+//! A watch goes on from the version up to which changes are known. When the store comes back
+//! from an older copy, that version names nothing any more, and a watch that waits may never be
+//! told of changes under revisions that are given out again: all watches list again at once.
 
 use std::{future::pending, sync::Arc, time::Duration};
 
@@ -97,13 +101,18 @@
 }
 
 /// Lists the objects, then watches for changes; lists again when the store has
-/// compacted its history.
+/// compacted its history or has come back from an older copy.
 pub(crate) async fn watch_prefix(shared: Arc<Shared>, watched: Box<dyn WatchedPrefix>) {
     let prefix = watched.prefix();
     let mut known: Option<Version> = None;
+    let mut listed_era: Option<u64> = None;
+    let mut latest_era = shared.store_era.subscribe();
     let mut lost = false;
     let mut pause = RETRY_BACKOFF.0;
     loop {
+        if known.is_none() {
+            latest_era.mark_unchanged();
+        }
         let sent = shared.now();
         let wait = watched.watch_timeout(&shared, sent);
         let call = async {
@@ -113,6 +122,12 @@
             }
         };
         let reply = tokio::select! {
+            biased;
+            // Fails only if the sender is dropped, and `shared` holds it.
+            _ = latest_era.changed(), if known.is_some() => {
+                known = None;
+                continue;
+            }
             reply = call => reply,
             () = overdue(&shared, &*watched, wait), if known.is_some() => continue,
             () = shared.store_recovered.notified(), if !watched.probes_store() => {
@@ -136,6 +151,13 @@
         match reply {
             StoreReply::Listed { objects, version } => {
                 log_read(&prefix, known, version, objects.len(), now.since(sent));
+                if listed_era.is_some_and(|era| era < version.era) {
+                    shared.state().fleet.store_recovered(now);
+                }
+                listed_era = Some(version.era);
+                if version.era >= *latest_era.borrow() {
+                    latest_era.mark_unchanged();
+                }
                 watched.replace(&shared, now, &objects);
                 watched.confirm(&shared, sent);
                 known = Some(version);
@@ -190,8 +212,9 @@
 /// Logs a reply with a list or with changes: the version up to which this host knew them
 /// (none before a list), that of the reply, and the time since the call.
 fn log_read(prefix: &str, known: Option<Version>, at: Version, count: usize, age: Duration) {
-    let (known, ms) = (known.map(|version| version.0), age.as_millis() as u64);
-    log::info!(target: "store", prefix, known, at = at.0, count, ms; "store read");
+    let known = known.map_or("none".to_owned(), |version| version.to_string());
+    let ms = age.as_millis() as u64;
+    log::info!(target: "store", prefix, known, at:%, count, ms; "store read");
 }
 
 /// Whether a watch call without a reply was cut off while it waited, after `elapsed` of `wait`.
@@ -224,14 +247,14 @@
         let config = decode(&object.value).and_then(|value| shared.decoder.config(&value));
         match config {
             Ok(config) => {
-                let (version, at) = (config.version, object.version.0);
+                let (version, at) = (config.version, object.version);
                 if shared.state().view.replace_if_newer(config) {
-                    log::info!(target: "view", version, at; "configuration adopted");
+                    log::info!(target: "view", version, at:%; "configuration adopted");
                 } else if let Some(newer) = shared.state().view.version()
                     && newer > version
                 {
                     log::warn!(
-                        target: "view", version, newer, at; "store has an older configuration"
+                        target: "view", version, newer, at:%; "store has an older configuration"
                     );
                 }
             }
@@ -337,7 +360,7 @@
                     log::info!(
                         target: "fleet", id, service = entry.service, stage:? = entry.role,
                         zone = entry.zone, draining, cheap = entry.reclaimable,
-                        incarnation = entry.incarnation, at = object.version.0; "target"
+                        incarnation = entry.incarnation, at:% = object.version; "target"
                     );
                     shared.state().fleet.upsert(now, entry);
                 }
--- a/components/gateway/tests/duties.rs
+++ b/components/gateway/tests/duties.rs
@@ -25,7 +25,7 @@
 fn holder(host: &str) -> Lease {
     let mut lease = Lease::new(host, 1, LEASE_DURATION);
     let doc = lease.next_write(millis(0), Duration::ZERO).unwrap();
-    lease.record_write(millis(5), millis(0), Version(1), doc);
+    lease.record_write(millis(5), millis(0), Version::first_era(1), doc);
     lease
 }
 
@@ -42,7 +42,7 @@
     let held = holder("a");
     let mut challenger = Lease::new("b", 2, LEASE_DURATION);
 
-    challenger.observe(millis(1_000), Version(1), held.doc().clone());
+    challenger.observe(millis(1_000), Version::first_era(1), held.doc().clone());
 
     assert!(challenger.next_write(millis(4_000), Duration::ZERO).is_none());
     assert_eq!(challenger.next_write(millis(4_400), Duration::ZERO).unwrap().epoch, 2);
@@ -52,11 +52,11 @@
 fn holders_never_alternate_within_a_lease() {
     let held = holder("a");
     let mut next = Lease::new("b", 2, LEASE_DURATION);
-    next.observe(millis(10), Version(1), held.doc().clone());
+    next.observe(millis(10), Version::first_era(1), held.doc().clone());
     let taken = millis(4_000);
 
     let doc = next.next_write(taken, Duration::ZERO).unwrap();
-    next.record_write(taken, taken, Version(2), doc);
+    next.record_write(taken, taken, Version::first_era(2), doc);
 
     let acts = |lease: &Lease, from: u64, to: u64| {
         (from..to).step_by(50).any(|t| lease.may_act(millis(t)))
@@ -70,7 +70,7 @@
     let mut held = holder("a");
     let doc = LeaseDoc { holder: "b".into(), boot: 2, epoch: 2, ..LeaseDoc::default() };
 
-    held.observe(millis(100), Version(2), doc);
+    held.observe(millis(100), Version::first_era(2), doc);
 
     assert!(!held.is_holder() && !held.may_act(millis(110)));
 }
@@ -83,7 +83,7 @@
     let held = holder("a");
     let mut other = Lease::new("b", 1, LEASE_DURATION);
 
-    other.observe(millis(100), Version(1), held.doc().clone());
+    other.observe(millis(100), Version::first_era(1), held.doc().clone());
 
     assert!(!other.is_holder() && !other.may_act(millis(110)));
 }
@@ -92,12 +92,12 @@
 fn a_released_lease_is_free_but_the_next_holder_waits() {
     let mut held = holder("a");
     let doc = LeaseDoc { released: true, ..held.doc().clone() };
-    held.record_write(millis(100), millis(90), Version(2), doc.clone());
+    held.record_write(millis(100), millis(90), Version::first_era(2), doc.clone());
     let mut next = Lease::new("b", 2, LEASE_DURATION);
-    next.observe(millis(200), Version(2), doc);
+    next.observe(millis(200), Version::first_era(2), doc);
 
     let doc = next.next_write(millis(200), Duration::ZERO).unwrap();
-    next.record_write(millis(210), millis(200), Version(3), doc);
+    next.record_write(millis(210), millis(200), Version::first_era(3), doc);
 
     assert!(!held.may_act(millis(110)) && !next.may_act(millis(3_100)));
     assert_eq!(next.doc().epoch, 2);
--- a/components/gateway/tests/membership.rs
+++ b/components/gateway/tests/membership.rs
@@ -17,7 +17,8 @@
 /// Hosts 1 to 3 as listed in the store, seen from another host.
 fn listed() -> Membership {
     let mut membership = Membership::new("own");
-    let entries = (1..=3).map(|id| (format!("host-{id}"), Version(u64::from(id)), entry(id, "a")));
+    let entries =
+        (1..=3).map(|id| (format!("host-{id}"), Version::first_era(u64::from(id)), entry(id, "a")));
     membership.update(entries.collect());
     membership
 }
@@ -86,8 +87,8 @@
     let leaving = HostEntry { leaving: true, ..entry(2, "a") };
 
     membership.update(vec![
-        ("host-1".to_owned(), Version(1), entry(1, "a")),
-        ("host-2".to_owned(), Version(9), leaving),
+        ("host-1".to_owned(), Version::first_era(1), entry(1, "a")),
+        ("host-2".to_owned(), Version::first_era(9), leaving),
     ]);
 
     assert_eq!(returned_addrs(&membership, start), [addr(1)]);
@@ -98,9 +99,9 @@
     let start = Time::from_secs(10);
     let mut membership = listed();
     let leaving = HostEntry { leaving: true, ..entry(2, "a") };
-    membership.update(vec![("host-2".to_owned(), Version(9), leaving)]);
+    membership.update(vec![("host-2".to_owned(), Version::first_era(9), leaving)]);
 
-    membership.update(vec![("host-2".to_owned(), Version(2), entry(2, "a"))]);
+    membership.update(vec![("host-2".to_owned(), Version::first_era(2), entry(2, "a"))]);
 
     assert!(returned_addrs(&membership, start).is_empty());
 }
@@ -110,8 +111,9 @@
     let start = Time::from_secs(10);
     let mut membership = listed();
     let far = entry(4, "b");
-    let listed = (1..=3).map(|id| (format!("host-{id}"), Version(u64::from(id)), entry(id, "a")));
-    membership.update(listed.chain([("host-4".to_owned(), Version(4), far)]).collect());
+    let listed =
+        (1..=3).map(|id| (format!("host-{id}"), Version::first_era(u64::from(id)), entry(id, "a")));
+    membership.update(listed.chain([("host-4".to_owned(), Version::first_era(4), far)]).collect());
     for id in 1..=4 {
         membership.record_heartbeat(start, id, 0);
     }
@@ -126,7 +128,7 @@
     let mut membership = Membership::new(&name(own));
     let entries = (0..count).map(|id| {
         let gossip = SocketAddr::from(([10, 0, (id / 250) as u8, (id % 250) as u8], 80));
-        (name(id), Version(u64::from(id)), HostEntry { gossip, ..entry(id % 250, "a") })
+        (name(id), Version::first_era(u64::from(id)), HostEntry { gossip, ..entry(id % 250, "a") })
     });
     membership.update(entries.collect());
     for id in 0..count {
--- a/components/scenario/examples/figures.rs
+++ b/components/scenario/examples/figures.rs
@@ -147,7 +147,9 @@
 /// Time at which the last reachable entry adopted the second configuration.
 fn in_force_at(finished: &Run, isolated: &[usize]) -> Option<Time> {
     let seq = finished.operator_events.iter().find_map(|(_, event)| match event {
-        OperatorEvent::Accepted { config, seq } if config == "c2" => Some(Version(seq.0)),
+        OperatorEvent::Accepted { config, seq } if config == "c2" => {
+            Some(Version::first_era(seq.0))
+        }
         _ => None,
     })?;
     let mut first = BTreeMap::new();
--- a/components/scenario/src/node.rs
+++ b/components/scenario/src/node.rs
@@ -488,7 +488,7 @@
         seq: chervilgate_coord::view::Seq,
         out: &mut Vec<Output>,
     ) {
-        let config = chervilgate_coord::Version(seq.0);
+        let config = chervilgate_coord::Version::first_era(seq.0);
         out.push(Output::Record(chervilgate_testbed::Fact::Adopted { config }));
         self.settings.operator_log.record(now, OperatorEvent::Adopted { seq });
     }
--- a/components/scenario/src/node/calls.rs
+++ b/components/scenario/src/node/calls.rs
@@ -335,7 +335,7 @@
         organisation,
         key,
         exposed,
-        config: Version(access.local_view.seq().0),
+        config: Version::first_era(access.local_view.seq().0),
     }));
     out.push(call_target(id, "dispatch", &target, &message));
     job.stage = Stage::Starting { id, target };
--- a/components/scenario/src/node/operators.rs
+++ b/components/scenario/src/node/operators.rs
@@ -240,7 +240,7 @@
                 self.handle_view_event(now, ViewEvent::Submit { id, edit }, out);
             }
             PublisherAction::Accepted(seq) => {
-                out.push(Output::Record(Fact::Accepted { config: Version(seq.0) }));
+                out.push(Output::Record(Fact::Accepted { config: Version::first_era(seq.0) }));
                 self.settings.operator_log.record(now, OperatorEvent::Accepted { config, seq });
             }
             PublisherAction::Conflict { objects, .. } => {
--- a/components/scenario/src/runner/verify.rs
+++ b/components/scenario/src/runner/verify.rs
@@ -162,7 +162,9 @@
 
     fn check_in_force(&self, config: &str) -> Result<(), String> {
         let pick = |event: &OperatorEvent| match event {
-            OperatorEvent::Accepted { config: name, seq } if name == config => Some(Version(seq.0)),
+            OperatorEvent::Accepted { config: name, seq } if name == config => {
+                Some(Version::first_era(seq.0))
+            }
             _ => None,
         };
         let Some((_, seq)) = self.find_event(pick) else {
--- a/components/standins/src/platform/api.rs
+++ b/components/standins/src/platform/api.rs
@@ -101,7 +101,7 @@
         let prefix = query.get("prefix").map_or("", String::as_str);
         let state = self.shared.lock();
         let objects = state.objects.list(prefix).map(ObjectJson::from_object).collect();
-        json(&ObjectsJson { version: state.objects.version().0, objects })
+        json(&ObjectsJson { version: state.objects.version().revision, objects })
     }
 
     async fn watch(&self, query: &BTreeMap<String, String>) -> Response<Body> {
@@ -112,11 +112,11 @@
             let changed = self.shared.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            if let Some(response) = self.watch_response(prefix, Version(after)) {
+            if let Some(response) = self.watch_response(prefix, Version::first_era(after)) {
                 return response;
             }
             if timeout_at(deadline, changed).await.is_err() {
-                let version = self.shared.lock().objects.version().0;
+                let version = self.shared.lock().objects.version().revision;
                 return json(&WatchJson { version, changes: Vec::new() });
             }
         }
@@ -134,7 +134,7 @@
             return None;
         }
         let changes = changes.into_iter().map(ObjectJson::from_change).collect();
-        Some(json(&WatchJson { version: state.objects.version().0, changes }))
+        Some(json(&WatchJson { version: state.objects.version().revision, changes }))
     }
 
     fn post<T: DeserializeOwned, A: Serialize>(
@@ -159,7 +159,7 @@
         return Some(Expect::Absent);
     }
     let tag = headers.get(IF_MATCH)?.to_str().ok()?;
-    tag.trim_matches('"').parse().ok().map(|version| Expect::At(Version(version)))
+    tag.trim_matches('"').parse().ok().map(|version| Expect::At(Version::first_era(version)))
 }
 
 fn reply_object(object: Option<&Object>, code: StatusCode) -> Response<Body> {
@@ -172,7 +172,7 @@
 
 fn versioned(code: StatusCode, version: Version, content: Bytes) -> Response<Body> {
     let mut response = respond(code, content);
-    if let Ok(tag) = format!("\"{}\"", version.0).parse() {
+    if let Ok(tag) = format!("\"{}\"", version.revision).parse() {
         response.headers_mut().insert(ETAG, tag);
     }
     response
--- a/components/standins/src/platform/objects.rs
+++ b/components/standins/src/platform/objects.rs
@@ -81,7 +81,7 @@
     }
 
     fn next_version(&mut self) -> Version {
-        self.version = Version(self.version.0 + 1);
+        self.version.revision += 1;
         self.version
     }
 
--- a/components/testbed/src/store.rs
+++ b/components/testbed/src/store.rs
@@ -73,7 +73,7 @@
         if !matches {
             return StoreReply::Conflict(present.cloned());
         }
-        self.version.0 += 1;
+        self.version.revision += 1;
         let object = Object { key: key.clone(), version: self.version, value: value.to_vec() };
         self.objects.insert(key.clone(), object.clone());
         self.log_change(Change::Put(object));
@@ -85,7 +85,7 @@
         if present.is_none_or(|object| object.version != version) {
             return StoreReply::Conflict(present.cloned());
         }
-        self.version.0 += 1;
+        self.version.revision += 1;
         self.objects.remove(key);
         self.log_change(Change::Delete { key: key.clone(), version: self.version });
         StoreReply::Written(self.version)
--- a/components/testbed/tests/bed.rs
+++ b/components/testbed/tests/bed.rs
@@ -69,11 +69,11 @@
 
     let first = put(&mut store, "a", Expect::Absent);
     let second = put(&mut store, "a", Expect::Absent);
-    let third = put(&mut store, "a", Expect::At(Version(1)));
+    let third = put(&mut store, "a", Expect::At(Version::first_era(1)));
 
-    assert_eq!(first, StoreReply::Written(Version(1)));
+    assert_eq!(first, StoreReply::Written(Version::first_era(1)));
     assert!(matches!(second, StoreReply::Conflict(Some(_))));
-    assert_eq!(third, StoreReply::Written(Version(2)));
+    assert_eq!(third, StoreReply::Written(Version::first_era(2)));
 }
 
 #[test]
@@ -84,14 +84,14 @@
     put(&mut store, "ab", Expect::Absent);
 
     let watch = |after| StoreCall::Watch { prefix: "a".to_owned(), after };
-    let early = store.serve(&watch(Version(0)));
-    let later = store.serve(&watch(Version(1)));
+    let early = store.serve(&watch(Version::first_era(0)));
+    let later = store.serve(&watch(Version::first_era(1)));
 
     assert!(matches!(early, StoreOutcome::Reply(StoreReply::Compacted)));
     let StoreOutcome::Reply(StoreReply::Changed { changes, version }) = later else {
         panic!("a watch from the compacted version returns the later change");
     };
-    assert_eq!(version, Version(2));
+    assert_eq!(version, Version::first_era(2));
     assert!(matches!(&changes[..], [Change::Put(object)] if object.key == "ab"));
 }
 
