Never undo the leaving of a target within one of its starts

Callers saw: requests at targets that had said that they leave, or whose entry was gone (DRAIN).

Cause: a host took each entry at its word. After a restore the older copy shows a leaving target as ready and lists one that has left; the host sent to it until the target wrote again, or for ever if it had gone.

Class: an older state replaces a newer one because nothing says which is older. What a target writes carries its start ('born') and the number of the write, so the target's own order decides, not that of the store: an entry older than what is known is skipped; a start that said that it leaves, or that a later start replaced, never serves again; one whose entry was removed serves once it has written again. A request whose target left after it was chosen is placed anew before anything is sent.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -149,6 +149,8 @@
     Refused,
     /// Another process answers at the target's address.
     Replaced,
+    /// The target has left since it was chosen; nothing was sent.
+    Left,
 }
 
 /// Sends `call` once to the target of `in_flight` and waits for the response headers.
@@ -159,6 +161,9 @@
     stage: RequestStage<'_>,
     last_event: Option<u64>,
 ) -> SendOutcome {
+    if !shared.state().fleet.may_send(&in_flight.placement) {
+        return SendOutcome::NotRun(NotRunReason::Left);
+    }
     let now = shared.now();
     let time_left = call.deadline.since(now);
     let forwarded = ForwardedRequest {
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -7,6 +7,7 @@
 //! other which parts they sent where; the rank only decides about parts that no host
 //! has reported.
 
+mod departures;
 mod entry;
 mod health;
 mod pauses;
@@ -28,6 +29,7 @@
 
 use crate::{
     fleet::{
+        departures::{Departure, Departures},
         pauses::PauseMeter,
         peer_loads::PeerLoads,
         rank::{affinity, rank},
@@ -126,6 +128,7 @@
     zone: Arc<str>,
     drain_time: Duration,
     targets: HashMap<Arc<str>, TargetState>,
+    departures: Departures,
     peer_loads: PeerLoads,
     /// Target ids by their hash.
     ids_by_hash: HashMap<u32, Arc<str>>,
@@ -160,6 +163,7 @@
             zone: zone.into(),
             drain_time,
             targets: HashMap::new(),
+            departures: Departures::default(),
             peer_loads: PeerLoads::default(),
             ids_by_hash: HashMap::new(),
             sent_parts: VecDeque::new(),
@@ -175,9 +179,28 @@
         self.store_recovered_at = Some(now);
     }
 
-    /// Adds a target or updates its entry.
-    pub fn upsert(&mut self, now: Time, entry: TargetEntry) {
+    /// Adds a target or updates its entry, unless it wrote that before what is known of it.
+    pub fn upsert(&mut self, now: Time, mut entry: TargetEntry) {
+        match self.departures.of(&entry) {
+            None => {}
+            Some(Departure::Announced) => entry.draining = true,
+            Some(departure) => return log_skipped(&entry, &format!("{departure:?}")),
+        }
+        if entry.draining {
+            self.departures.record(now, &entry, Departure::Announced);
+        }
         match self.targets.get_mut(&entry.id) {
+            Some(known) if entry.is_later_start_than(&known.entry) => {
+                self.departures.record(now, &known.entry, Departure::Replaced);
+                known.update_entry(now, entry);
+            }
+            Some(known)
+                if known.entry.incarnation == entry.incarnation
+                    && entry.is_older_than(known.entry.sequence) =>
+            {
+                known.expires_at = None;
+                log_skipped(&entry, "a later write is known");
+            }
             Some(known) => known.update_entry(now, entry),
             None => {
                 let state = TargetState::new(now, entry);
@@ -188,9 +211,21 @@
     }
 
     /// Removes a target whose entry was deleted.
-    pub fn remove(&mut self, id: &str) {
+    pub fn remove(&mut self, now: Time, id: &str) {
         if let Some(state) = self.targets.remove(id) {
             self.ids_by_hash.remove(&state.id_hash);
+            self.departures.record(now, &state.entry, state.entry.removal());
+        }
+    }
+
+    /// Removes the targets without an entry whose time is over.
+    fn remove_expired(&mut self, now: Time) {
+        let is_expired = |state: &TargetState| state.expires_at.is_some_and(|at| now >= at);
+        let expired = self.targets.values().filter(|state| is_expired(state));
+        let expired: SmallVec<[Arc<str>; 4]> =
+            expired.map(|state| state.entry.id.clone()).collect();
+        for id in expired {
+            self.remove(now, &id);
         }
     }
 
@@ -208,14 +243,12 @@
             .store_recovered_at
             .map(|recovered_at| recovered_at + hold_time)
             .filter(|until| now < *until);
-        self.targets.retain(|id, state| {
-            if listed.contains(id) {
-                return true;
+        for (id, state) in &mut self.targets {
+            if !listed.contains(id) {
+                state.expires_at = state.expires_at.or(until).or(Some(now));
             }
-            state.expires_at = state.expires_at.or(until);
-            state.expires_at.is_some_and(|expires| now < expires)
-        });
-        self.ids_by_hash.retain(|_, id| self.targets.contains_key(id));
+        }
+        self.remove_expired(now);
     }
 
     /// The entries of all targets.
@@ -278,7 +311,7 @@
     /// Replaces the work in flight that another host reported before.
     pub fn apply_peer_work(&mut self, now: Time, host: u32, work: Vec<InFlightWork>) {
         self.peer_loads.update(now, host, work);
-        self.targets.retain(|_, state| state.expires_at.is_none_or(|expires| now < expires));
+        self.remove_expired(now);
     }
 
     /// Prompt parts that this host sent to targets within `span`, latest first.
@@ -343,6 +376,12 @@
         }
     }
 
+    /// Whether a request may still be sent to the target that was chosen for it.
+    pub fn may_send(&self, placement: &Placement) -> bool {
+        self.targets.contains_key(&placement.id)
+            && !self.departures.is_final(&placement.id, placement.incarnation)
+    }
+
     /// Cost of the failures that other hosts report, in milliseconds.
     fn peer_failure_cost(&self, state: &TargetState) -> f64 {
         let rate = f64::from(self.peer_loads.load(state.id_hash).failure_percent) / 100.0;
@@ -474,6 +513,7 @@
             id: state.entry.id.clone(),
             addr: state.entry.addr,
             zone: state.entry.zone.clone(),
+            incarnation: state.entry.incarnation,
             compute_tokens,
             prefill_ms: state.prefill_time_ms(compute_tokens, query.prompt.tokens),
             wait_ms: self.expected_wait(now, state),
@@ -482,3 +522,8 @@
         })
     }
 }
+
+fn log_skipped(entry: &TargetEntry, reason: &str) {
+    let TargetEntry { id, incarnation, sequence, .. } = entry;
+    log::info!(target: "fleet", id, incarnation, sequence, reason; "target's entry is old; skipped");
+}
--- a/components/gateway/src/fleet/entry.rs
+++ b/components/gateway/src/fleet/entry.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use crate::fleet::departures::Departure;
+
 /// Which stages of a request a target runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum TargetRole {
@@ -32,11 +34,31 @@
     pub role: TargetRole,
     /// Distinguishes restarts under the same id.
     pub incarnation: u64,
+    /// Number of the write by this start of the target; 0 if the target does not number them.
+    pub sequence: u64,
     /// Whether it is a reclaimable target, which the platform may take away at short
     /// notice.
     pub reclaimable: bool,
 }
 
+impl TargetEntry {
+    /// Whether the target wrote this before its write number `sequence`; both are of one start.
+    pub(super) fn is_older_than(&self, sequence: u64) -> bool {
+        self.sequence > 0 && self.sequence < sequence
+    }
+
+    /// Whether this is of a later start of the target than `known`. A start without a number is
+    /// neither earlier nor later.
+    pub(super) fn is_later_start_than(&self, known: &TargetEntry) -> bool {
+        known.incarnation > 0 && self.incarnation > known.incarnation
+    }
+
+    /// The departure of a target whose last entry is this.
+    pub(super) fn removal(&self) -> Departure {
+        Departure::Removed { sequence: self.sequence }
+    }
+}
+
 /// Number of targets by state; a failing target also counts as serving or draining.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TargetCounts {
--- a/components/gateway/src/fleet/plan.rs
+++ b/components/gateway/src/fleet/plan.rs
@@ -30,6 +30,8 @@
     pub addr: SocketAddr,
     /// The target's availability zone.
     pub zone: Arc<str>,
+    /// Which start of the target it was chosen for.
+    pub incarnation: u64,
     /// Prompt tokens that the target is expected to compute.
     pub compute_tokens: u32,
     /// Predicted time to compute them.
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -52,6 +52,11 @@
                 self.unreachable += 1;
                 self.unreachable <= MAX_UNREACHABLE
             }
+            NotRunReason::Left => {
+                shared.metrics.count_retry("left");
+                self.unreachable += 1;
+                self.unreachable <= MAX_UNREACHABLE
+            }
             NotRunReason::Replaced => {
                 shared.metrics.count_retry("gone");
                 self.unreachable += 1;
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -360,20 +360,21 @@
                     log::info!(
                         target: "fleet", id, service = entry.service, stage:? = entry.role,
                         zone = entry.zone, draining, cheap = entry.reclaimable,
-                        incarnation = entry.incarnation, at:% = object.version; "target"
+                        incarnation = entry.incarnation, sequence = entry.sequence,
+                        at:% = object.version; "target"
                     );
                     shared.state().fleet.upsert(now, entry);
                 }
                 Err(error) => {
                     TargetWatch::log_skipped(object, &error);
                     let id = object.key.strip_prefix(&self.prefix).unwrap_or(&object.key);
-                    shared.state().fleet.remove(id);
+                    shared.state().fleet.remove(now, id);
                 }
             },
             Change::Delete { key, .. } => {
                 let id = key.strip_prefix(&self.prefix).unwrap_or(key);
                 log::info!(target: "fleet", id; "target's entry gone");
-                shared.state().fleet.remove(id);
+                shared.state().fleet.remove(now, id);
             }
         }
     }
--- a/components/gateway/tests/duties.rs
+++ b/components/gateway/tests/duties.rs
@@ -195,6 +195,7 @@
         draining: false,
         role: TargetRole::Decode,
         incarnation: 1,
+        sequence: 0,
         reclaimable: n >= on_demand,
     };
     (0..on_demand + reclaimable).map(one).collect()
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -26,6 +26,7 @@
         draining: false,
         role,
         incarnation: 1,
+        sequence: 0,
         reclaimable: false,
     }
 }
@@ -207,7 +208,7 @@
     let now = Time::from_secs(2);
     let mut fleet = fleet(&engines(0, 1));
 
-    fleet.remove("d0");
+    fleet.remove(now, "d0");
 
     assert!(fleet.place(now, &query(&prompt(1, 2), &[])).is_none());
 }
@@ -237,7 +238,7 @@
     fleet.store_recovered(now);
     fleet.replace(now, engines(0, 1));
 
-    fleet.remove("d0");
+    fleet.remove(now, "d0");
 
     assert!(fleet.place(now, &query(&prompt(1, 2), &[])).is_none());
 }
@@ -463,3 +464,78 @@
     assert_eq!(&*engine_beside_streams(0), "d0");
     assert_eq!(&*engine_beside_streams(10), "p0");
 }
+
+/// An entry of the engine `d0`, the `sequence`th of its start `incarnation`.
+fn write(incarnation: u64, sequence: u64) -> TargetEntry {
+    TargetEntry { incarnation, sequence, ..entry("d0", TargetRole::Decode, "a") }
+}
+
+fn serves(fleet: &Fleet, now: Time) -> bool {
+    fleet.place(now, &query(&prompt(1, 2), &[])).is_some()
+}
+
+#[test]
+fn a_target_that_drains_never_serves_again_in_the_same_start() {
+    let now = Time::from_secs(2);
+    let mut fleet = fleet(&[write(7, 1)]);
+    fleet.upsert(now, TargetEntry { draining: true, ..write(7, 3) });
+
+    fleet.upsert(now, write(7, 4));
+    let same = serves(&fleet, now);
+    fleet.replace(now, vec![write(7, 1)]);
+    let listed = serves(&fleet, now);
+    fleet.upsert(now, write(8, 1));
+
+    assert!(!same && !listed);
+    assert!(serves(&fleet, now));
+}
+
+#[test]
+fn a_removed_target_is_back_only_once_it_has_written_again() {
+    let now = Time::from_secs(2);
+    let mut fleet = fleet(&[write(7, 4)]);
+    fleet.remove(now, "d0");
+
+    fleet.replace(now, vec![write(7, 3)]);
+    let older = serves(&fleet, now);
+    fleet.replace(now, vec![write(7, 4)]);
+    let same = serves(&fleet, now);
+    fleet.replace(now, vec![write(7, 5)]);
+
+    assert!(!older && !same);
+    assert!(serves(&fleet, now));
+}
+
+#[test]
+fn an_earlier_start_of_a_target_does_not_replace_a_later_one() {
+    let now = Time::from_secs(2);
+    let mut fleet = fleet(&[write(7, 4)]);
+    fleet.upsert(now, write(8, 1));
+
+    fleet.replace(now, vec![TargetEntry { draining: true, ..write(7, 9) }]);
+
+    assert!(serves(&fleet, now));
+}
+
+#[test]
+fn an_older_entry_does_not_replace_a_later_one() {
+    let now = Time::from_secs(2);
+    let mut fleet = fleet(&[write(7, 4)]);
+
+    fleet.upsert(now, TargetEntry { role: TargetRole::Prefill, ..write(7, 3) });
+
+    assert!(serves(&fleet, now));
+}
+
+#[test]
+fn a_request_is_not_sent_to_a_target_that_left_after_it_was_chosen() {
+    let now = Time::from_secs(2);
+    let request_prompt = prompt(1, 2);
+    let mut fleet = fleet(&[write(7, 1)]);
+    let placement = prefill_target(&fleet, now, &request_prompt);
+    let before = fleet.may_send(&placement);
+
+    fleet.upsert(now, TargetEntry { draining: true, ..write(7, 2) });
+
+    assert!(before && !fleet.may_send(&placement));
+}
--- a/components/gateway/tests/load/simulation.rs
+++ b/components/gateway/tests/load/simulation.rs
@@ -125,6 +125,7 @@
         draining: false,
         role: if index < sheet.prefill_engines { TargetRole::Prefill } else { TargetRole::Decode },
         incarnation: 1,
+        sequence: 0,
         reclaimable: false,
     }
 }
