Send nothing more to a target that has said in an answer that it leaves

Callers saw: requests at targets that had said that they leave (DRAIN), by the rule that binds a host once it has passed on such an answer.

Cause: the mark was not read; only a target's entry counted, which may say so later, or be of an older copy of the store. The mark now counts as an announcement of that start of the target, as an entry does: from the answer on nothing is placed there or sent there, including what was placed before. The answer itself is delivered; callers do not get the mark. An answer to another request, or of another process at the address, says nothing about the target.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -200,7 +200,9 @@
     log_closed(shared, in_flight, call, sent_over(&response));
     let head = shared.protocol.parse_response(response.status(), response.headers());
     let verdict = Verdict::new(&call.ask.id, response.status(), &head);
-    log_leaving(shared, in_flight, call, &head);
+    if head.leaving && verdict.is_of_target() {
+        record_leaving(shared, in_flight, call);
+    }
     log_answer(shared, in_flight, call, &response, &head, verdict);
     to_outcome(in_flight, response, verdict)
 }
@@ -222,12 +224,16 @@
     shared.metrics.count_retry("closed");
 }
 
-/// Logs that a target states in its answer that it is leaving.
-fn log_leaving(shared: &Shared, in_flight: &InFlight, call: &CallerRequest, head: &ResponseHead) {
-    if head.leaving {
-        let (id, target) = (&call.ask.id, &in_flight.placement.id);
-        log::info!(target: "gateway", id, target; "target says that it is leaving");
-        shared.metrics.count_answer("leaving");
+/// Records that a target says in its answer that it is leaving.
+fn record_leaving(shared: &Shared, in_flight: &InFlight, call: &CallerRequest) {
+    shared.metrics.count_answer("leaving");
+    let now = shared.now();
+    if shared.state().fleet.announce_departure(now, &in_flight.placement) {
+        let Placement { id: target, incarnation, .. } = &in_flight.placement;
+        log::info!(
+            target: "gateway", id = call.ask.id, target, incarnation;
+            "target says that it is leaving"
+        );
     }
 }
 
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -187,11 +187,12 @@
             Some(departure) => return log_skipped(&entry, &format!("{departure:?}")),
         }
         if entry.draining {
-            self.departures.record(now, &entry, Departure::Announced);
+            self.departures.record(now, &entry.id, entry.incarnation, Departure::Announced);
         }
         match self.targets.get_mut(&entry.id) {
             Some(known) if entry.is_later_start_than(&known.entry) => {
-                self.departures.record(now, &known.entry, Departure::Replaced);
+                let earlier = known.entry.incarnation;
+                self.departures.record(now, &entry.id, earlier, Departure::Replaced);
                 known.update_entry(now, entry);
             }
             Some(known)
@@ -214,7 +215,8 @@
     pub fn remove(&mut self, now: Time, id: &str) {
         if let Some(state) = self.targets.remove(id) {
             self.ids_by_hash.remove(&state.id_hash);
-            self.departures.record(now, &state.entry, state.entry.removal());
+            let TargetEntry { id, incarnation, .. } = &state.entry;
+            self.departures.record(now, id, *incarnation, state.entry.removal());
         }
     }
 
@@ -376,6 +378,21 @@
         }
     }
 
+    /// Records that a target said in an answer that it leaves. Returns whether that is new.
+    pub fn announce_departure(&mut self, now: Time, placement: &Placement) -> bool {
+        let Placement { id, incarnation, .. } = placement;
+        if self.departures.is_final(id, *incarnation) {
+            return false;
+        }
+        self.departures.record(now, id, *incarnation, Departure::Announced);
+        if let Some(state) = self.targets.get_mut(id)
+            && state.entry.incarnation == *incarnation
+        {
+            state.entry.draining = true;
+        }
+        true
+    }
+
     /// Whether a request may still be sent to the target that was chosen for it.
     pub fn may_send(&self, placement: &Placement) -> bool {
         self.targets.contains_key(&placement.id)
--- a/components/gateway/src/fleet/departures.rs
+++ b/components/gateway/src/fleet/departures.rs
@@ -37,10 +37,15 @@
 
 impl Departures {
     /// Records a departure. An announcement and a later start are final.
-    pub(super) fn record(&mut self, now: Time, entry: &TargetEntry, departure: Departure) {
+    pub(super) fn record(
+        &mut self,
+        now: Time,
+        id: &Arc<str>,
+        incarnation: u64,
+        departure: Departure,
+    ) {
         self.evict(now);
-        let known =
-            self.starts.entry((entry.id.clone(), entry.incarnation)).or_insert((now, departure));
+        let known = self.starts.entry((id.clone(), incarnation)).or_insert((now, departure));
         if matches!(known.1, Departure::Removed { .. }) {
             *known = (now, departure);
         }
--- a/components/gateway/src/verdict.rs
+++ b/components/gateway/src/verdict.rs
@@ -56,6 +56,11 @@
         Verdict::Answered
     }
 
+    /// Whether the answer is known to be from the target that the request was sent to.
+    pub fn is_of_target(self) -> bool {
+        !matches!(self, Verdict::Foreign | Verdict::Replaced)
+    }
+
     /// The name in metrics.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -539,3 +539,22 @@
 
     assert!(before && !fleet.may_send(&placement));
 }
+
+#[test]
+fn a_target_that_says_in_an_answer_that_it_leaves_stays_left_in_that_start_only() {
+    let now = Time::from_secs(2);
+    let request_prompt = prompt(1, 2);
+    let mut fleet = fleet(&[write(7, 1)]);
+    let placement = prefill_target(&fleet, now, &request_prompt);
+
+    let first = fleet.announce_departure(now, &placement);
+    let second = fleet.announce_departure(now, &placement);
+    fleet.upsert(now, write(7, 2));
+    let same = serves(&fleet, now);
+    fleet.upsert(now, write(8, 1));
+    // The answer of the earlier start arrives late.
+    fleet.announce_departure(now, &placement);
+
+    assert!(first && !second && !same);
+    assert!(serves(&fleet, now));
+}
--- a/components/gateway/tests/verdict.rs
+++ b/components/gateway/tests/verdict.rs
@@ -47,3 +47,12 @@
         }
     }
 }
+
+#[test]
+fn another_process_says_nothing_about_the_target() {
+    let other = Verdict::new("a1", StatusCode::OK, &head(Some("a2"), false));
+    let replaced = Verdict::new("a1", StatusCode::MISDIRECTED_REQUEST, &head(Some("a1"), true));
+    let own = Verdict::new("a1", StatusCode::SERVICE_UNAVAILABLE, &head(Some("a1"), true));
+
+    assert!(!other.is_of_target() && !replaced.is_of_target() && own.is_of_target());
+}
