Do not take the word of a store that is behind for a fresh view

Callers could see: keys and routes of an older configuration at a host that started while the store showed an older copy, or a withdrawn key served because the copy, or a host that had read it, confirmed a view that it had lost (CONFIG).

Cause: each answer of the store confirmed the view, whichever version it showed, and so did a poller with an older version than the asking host's. An answer confirms the view now only if the store shows no older version than is known to exist, here or by a poller's word; a poller confirms only the same version. A host whose store shows an older version than a poller knows refuses keyed requests as stale until the store has caught up, for as long as a withdrawn key may live at most: a version that is never shown again was never accepted. Pollers ask each other too.

--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -184,8 +184,8 @@
         sleep(CONFIRM_INTERVAL).await;
         let now = shared.now();
         let pollers = shared.state().membership.pollers(now);
-        let poller = pollers.addrs.choose(&mut rand::rng()).filter(|_| !pollers.includes_own);
-        let Some(poller) = poller else { continue };
+        // Pollers ask each other, too: one that started with an older copy hears of it.
+        let Some(poller) = pollers.addrs.choose(&mut rand::rng()) else { continue };
         let request = ConfirmationRequest { host: shared.gossip_id(), sent: now.as_micros() };
         send(&socket, &Message::Confirm(request), *poller).await;
     }
--- a/components/gateway/src/view.rs
+++ b/components/gateway/src/view.rs
@@ -76,6 +76,12 @@
     peer_confirmed_at: Option<Time>,
     /// Time since which a poller is known to have a newer configuration.
     newer_since: Option<Time>,
+    /// Version that the store showed last.
+    stored: Option<u64>,
+    /// Highest version that a poller has told of, and when it first did.
+    heard: Option<(u64, Time)>,
+    /// When the store last showed its version, or that it has not changed.
+    answered_at: Option<Time>,
 }
 
 impl ConfigView {
@@ -89,6 +95,9 @@
             confirmed_at: None,
             peer_confirmed_at: None,
             newer_since: None,
+            stored: None,
+            heard: None,
+            answered_at: None,
         }
     }
 
@@ -102,8 +111,10 @@
         self.config.as_ref().map(|config| config.version)
     }
 
-    /// Replaces the configuration by a newer one; returns whether it was newer.
+    /// Processes a configuration that the store has shown. Replaces the present one if it is
+    /// newer; returns whether it was.
     pub fn replace_if_newer(&mut self, config: Config) -> bool {
+        self.stored = Some(config.version);
         let newer = self.config.as_ref().is_none_or(|known| config.version > known.version);
         if newer {
             self.config = Some(Arc::new(config));
@@ -112,11 +123,32 @@
         newer
     }
 
-    /// Records that the configuration was up to date at `at`.
-    pub fn confirm(&mut self, at: Time) {
+    /// Records an answer of the store, read at `now`, that its configuration was the newest at
+    /// `at`. A store that has come back from an older copy proves nothing until it has caught
+    /// up with the versions that are known.
+    pub fn confirm(&mut self, now: Time, at: Time) {
+        self.answered_at = self.answered_at.max(Some(now));
+        if self.is_store_behind(now) {
+            return;
+        }
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
+    /// Whether the store shows an older configuration than is known to exist.
+    fn is_store_behind(&self, now: Time) -> bool {
+        let newest = self.version().max(self.heard_newer(now).map(|(version, _)| version));
+        self.stored.is_some_and(|stored| newest.is_some_and(|newest| stored < newest))
+    }
+
+    /// A newer version that a poller has told of, and since when. One that the store does not show
+    /// for long was never accepted.
+    fn heard_newer(&self, now: Time) -> Option<(u64, Time)> {
+        let known = self.version();
+        self.heard.filter(|(version, since)| {
+            Some(*version) > known && now.since(*since) < self.revocation_time
+        })
+    }
+
     /// Records a reply without changes, read at `now`, to a watch that was sent at `sent` and
     /// waits `hold_time` for a change.
     ///
@@ -124,7 +156,7 @@
     /// reading proves nothing. A reply before the end of the wait only confirms its start.
     pub fn confirm_unchanged(&mut self, now: Time, sent: Time, hold_time: Duration) {
         let held_until = sent + hold_time;
-        self.confirm(if now < held_until { sent } else { held_until });
+        self.confirm(now, if now < held_until { sent } else { held_until });
     }
 
     /// Answers another host's request with this host's own confirmation; none if it has
@@ -147,10 +179,17 @@
         let Some(config) = &self.config else { return };
         if reply.version > config.version {
             self.newer_since.get_or_insert(now);
+            if self.heard.is_none_or(|(heard, _)| reply.version > heard) {
+                self.heard = Some((reply.version, now));
+            }
+            return;
+        }
+        // A poller with an older version may have it from an older copy of the store.
+        if reply.version < config.version {
             return;
         }
         let at = sent.saturating_sub(Duration::from_micros(reply.age));
-        self.confirm(at);
+        self.confirmed_at = self.confirmed_at.max(Some(at));
         self.peer_confirmed_at = self.peer_confirmed_at.max(Some(at));
     }
 
@@ -160,7 +199,7 @@
         self.newer_since = None;
         let limit = self.revocation_time.mul_f64(MAX_CONFIRMED_SHARE);
         let is_recent = |at: Time| now.since(at) < limit;
-        if !self.confirmed_at.is_some_and(is_recent) {
+        if !self.confirmed_at.is_some_and(is_recent) || self.heard_newer(now).is_some() {
             return SHORT_WAIT;
         }
         if is_poller {
@@ -189,8 +228,14 @@
         if !self.refuse_stale {
             return self.config.is_some();
         }
-        self.confirmed_at
-            .is_some_and(|at| now < at + self.revocation_time.saturating_sub(FRESHNESS_MARGIN))
+        // The store had the time to show the newer version, and did not.
+        let is_outdated = self
+            .heard_newer(now)
+            .is_some_and(|(_, since)| self.answered_at > Some(since + CHANGE_DELAY));
+        !is_outdated
+            && self
+                .confirmed_at
+                .is_some_and(|at| now < at + self.revocation_time.saturating_sub(FRESHNESS_MARGIN))
     }
 
     /// Time since the store last confirmed the configuration; none if it never did.
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -93,8 +93,8 @@
         Duration::ZERO
     }
 
-    /// Records that all changes up to `at` are known.
-    fn confirm(&self, _shared: &Shared, _at: Time) {}
+    /// Records a reply, read at `now`, with which all changes up to `at` are known.
+    fn confirm(&self, _shared: &Shared, _now: Time, _at: Time) {}
 
     /// Records a reply without changes, read at `now`, to a watch sent at `sent`.
     fn confirm_unchanged(&self, _shared: &Shared, _now: Time, _sent: Time, _hold_time: Duration) {}
@@ -159,7 +159,7 @@
                     latest_era.mark_unchanged();
                 }
                 watched.replace(&shared, now, &objects);
-                watched.confirm(&shared, sent);
+                watched.confirm(&shared, now, sent);
                 known = Some(version);
             }
             StoreReply::Changed { changes, version } => {
@@ -174,7 +174,7 @@
                     let hold_time = shared.store.watch_hold_time(wait);
                     watched.confirm_unchanged(&shared, now, sent, hold_time);
                 } else {
-                    watched.confirm(&shared, sent);
+                    watched.confirm(&shared, now, sent);
                     if changes.len() < LARGE_BATCH {
                         sleep(watched.batch_delay(&shared)).await;
                     }
@@ -296,8 +296,8 @@
         }
     }
 
-    fn confirm(&self, shared: &Shared, at: Time) {
-        shared.state().view.confirm(at);
+    fn confirm(&self, shared: &Shared, now: Time, at: Time) {
+        shared.state().view.confirm(now, at);
     }
 
     fn confirm_unchanged(&self, shared: &Shared, now: Time, sent: Time, hold_time: Duration) {
--- a/components/gateway/tests/parts.rs
+++ b/components/gateway/tests/parts.rs
@@ -64,11 +64,11 @@
 fn keys_are_not_trusted_once_the_view_is_older_than_a_withdrawal_may_take() {
     let mut view = ConfigView::new(Duration::from_secs(5), true);
 
-    view.confirm(Time::from_secs(100));
+    view.confirm(Time::from_secs(100), Time::from_secs(100));
 
     assert!(view.is_fresh(Time::from_millis(104_600)));
     assert!(!view.is_fresh(Time::from_millis(104_700)));
-    view.confirm(Time::from_secs(90));
+    view.confirm(Time::from_secs(101), Time::from_secs(90));
     assert!(view.is_fresh(Time::from_millis(104_600)));
 }
 
@@ -98,7 +98,7 @@
 fn confirmed_view(at: Time) -> ConfigView {
     let mut view = ConfigView::new(Duration::from_secs(5), true);
     view.replace_if_newer(config(3, Vec::new()));
-    view.confirm(at);
+    view.confirm(at, at);
     view
 }
 
@@ -134,13 +134,14 @@
 }
 
 #[test]
-fn only_a_reply_to_this_process_about_a_view_no_newer_confirms_it() {
+fn only_a_reply_to_this_process_about_the_same_view_confirms_it() {
     let now = Time::from_secs(104);
     let asked = Time::from_secs(103);
     let replies = [
         ("to another process", HOST + 1, confirmation(asked, 3, Duration::ZERO)),
         ("of the future", HOST, confirmation(Time::from_secs(105), 3, Duration::ZERO)),
         ("about a newer view", HOST, confirmation(asked, 4, Duration::ZERO)),
+        ("about an older view", HOST, confirmation(asked, 2, Duration::ZERO)),
     ];
 
     for (name, host, reply) in replies {
@@ -185,6 +186,61 @@
     assert_eq!(view.watch_due(long), Some(Time::from_secs(104)));
 }
 
+#[test]
+fn an_older_copy_of_the_store_confirms_nothing_until_it_has_caught_up() {
+    let mut view = confirmed_view(Time::from_secs(100));
+
+    view.replace_if_newer(config(2, Vec::new()));
+    view.confirm(Time::from_secs(103), Time::from_secs(103));
+    let behind = view.age(Time::from_secs(104));
+    view.replace_if_newer(config(3, Vec::new()));
+    view.confirm(Time::from_secs(104), Time::from_secs(104));
+
+    assert_eq!(behind, Some(Duration::from_secs(4)));
+    assert_eq!(view.age(Time::from_secs(104)), Some(Duration::ZERO));
+}
+
+#[test]
+fn a_host_that_read_an_older_copy_does_not_trust_it_once_a_poller_knows_better() {
+    let at = Time::from_secs(100);
+    let mut view = confirmed_view(at);
+    view.apply_confirmation(at, HOST, &confirmation(at, 5, Duration::ZERO));
+    let heard = view.is_fresh(at + Duration::from_millis(200));
+    let wait = view.watch_wait(at, false);
+
+    let read = at + Duration::from_millis(500);
+    view.confirm(read, read);
+    let shown_older = view.is_fresh(read);
+    view.replace_if_newer(config(5, Vec::new()));
+    view.confirm(read, read);
+
+    assert!(heard && !shown_older && view.is_fresh(read));
+    assert_eq!(wait, Duration::from_millis(200));
+}
+
+#[test]
+fn a_host_that_the_store_does_not_answer_goes_on_with_its_view() {
+    let at = Time::from_secs(100);
+    let mut view = confirmed_view(at);
+
+    view.apply_confirmation(at, HOST, &confirmation(at, 5, Duration::ZERO));
+
+    assert!(view.is_fresh(Time::from_millis(104_600)));
+}
+
+#[test]
+fn a_version_that_the_store_never_shows_does_not_bind_a_host_for_ever() {
+    let at = Time::from_secs(100);
+    let mut view = confirmed_view(at);
+    view.apply_confirmation(at, HOST, &confirmation(at, 5, Duration::ZERO));
+    let late = at + Duration::from_secs(6);
+
+    view.apply_confirmation(late, HOST, &confirmation(late, 5, Duration::ZERO));
+    view.confirm(late, late);
+
+    assert!(view.is_fresh(late));
+}
+
 #[test]
 fn events_pass_whole_and_once() {
     let mut events = EventSplitter::after(Some(2));
