Log the prompt parts of requests whose targets broke off

No line told what the requests that broke off at an engine had in common, nor whether the engine had begun to answer them. 'stream broke off' says so now (begun, parts), 'target failed' names the parts too.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -15,6 +15,7 @@
     HeaderMap, Method, Request, Response,
     http::uri::{PathAndQuery, Uri},
 };
+use smallvec::SmallVec;
 use tokio::time::timeout;
 
 use crate::{
@@ -53,7 +54,18 @@
     pub(crate) sent: Arc<AtomicU32>,
 }
 
+/// Maximum number of prompt parts named in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
 impl CallerRequest {
+    /// The parts of the prompt that other requests may share, for log lines.
+    pub(crate) fn shared_parts(&self) -> String {
+        let parts = self.ask.prompt.shared_parts().iter().take(MAX_LOGGED_PARTS);
+        let names: SmallVec<[String; MAX_LOGGED_PARTS]> =
+            parts.map(|part| format!("{:x}", part.id)).collect();
+        names.join(",")
+    }
+
     pub(crate) fn sent_count(&self) -> u32 {
         self.sent.load(Ordering::Relaxed)
     }
@@ -282,8 +294,9 @@
 ) -> SendOutcome {
     let (id, target, sent) = (&call.ask.id, &in_flight.placement.id, call.sent_count());
     let kept = error.sent_over().kept;
+    let parts = call.shared_parts();
     log::warn!(
-        target: "gateway", id, target, addr:% = in_flight.placement.addr, error:%, kept, sent;
+        target: "gateway", id, target, addr:% = in_flight.placement.addr, error:%, kept, sent, parts;
         "target failed"
     );
     if error.not_run() {
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -39,6 +39,13 @@
     pub parts: SmallVec<[PromptPart; 4]>,
 }
 
+impl Prompt {
+    /// The parts that other requests may share.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
 /// A part of a prompt that other requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -36,6 +36,8 @@
     headers: HeaderMap,
     body: Body,
     splitter: EventSplitter,
+    /// Whether the target has sent an event.
+    begun: bool,
 }
 
 /// Result of reading from a target's stream.
@@ -303,6 +305,7 @@
             headers: head.headers,
             body,
             splitter: EventSplitter::after(last),
+            begun: false,
         }
     }
 
@@ -320,7 +323,10 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(error)) => {
                     let (id, target) = (&call.ask.id, &self.in_flight.placement.id);
-                    log::warn!(target: "gateway", id, target, error:%; "stream broke off");
+                    let (begun, parts) = (self.begun, call.shared_parts());
+                    log::warn!(
+                        target: "gateway", id, target, error:%, begun, parts; "stream broke off"
+                    );
                     shared.metrics.count_stream_break();
                     return ReadOutcome::Broken;
                 }
@@ -334,6 +340,7 @@
             }
             let events = self.splitter.push(&bytes);
             if !events.is_empty() {
+                self.begun = true;
                 return ReadOutcome::Events(events);
             }
         }
