Reproduce a prompt part that crashes engines (KNOWN-RED 37)

Stand-in engines that end when they begin to answer a request with a certain part before its last one, closing their connections and their port as the end of a process does; the next start has a new id. The soak (--poison) sends sound requests and, with one or two such parts, poison ones that are no two alike and share all other parts with the sound ones.

--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -15,6 +15,7 @@
         host_faults: true,
         answer_faults: AnswerFaults::ALL.to_vec(),
         drills: false,
+        poison: false,
         other_faults: true,
     }
 }
@@ -96,3 +97,26 @@
     assert!(served as f64 > total as f64 * MIN_SERVED_SHARE, "{:?}", report.outcomes);
     assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
 }
+
+/// Number of seconds in which engines end, hosts hear of it, and sound requests go on.
+const POISON_SECONDS: u64 = 26;
+
+/// An odd seed has two poison parts.
+const POISON_SEED: u64 = 1;
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED 37"]
+async fn a_prompt_part_that_ends_engines_is_refused_and_sound_requests_are_not() {
+    let soak = Soak {
+        length: Duration::from_secs(POISON_SECONDS),
+        hosts: 4,
+        answer_faults: Vec::new(),
+        poison: true,
+        other_faults: false,
+        ..soak(POISON_SEED)
+    };
+
+    let report = soak.run().await.unwrap();
+
+    assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
+}
