--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -105,7 +105,6 @@
 const POISON_SEED: u64 = 1;
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED 37"]
 async fn a_prompt_part_that_ends_engines_is_refused_and_sound_requests_are_not() {
     let soak = Soak {
         length: Duration::from_secs(POISON_SECONDS),
--- a/bins/load/src/sim/suspects.rs
+++ b/bins/load/src/sim/suspects.rs
@@ -57,7 +57,7 @@
 
     pub(super) fn receive_crash_notice(&mut self, notice: &CrashNotice, entry: usize) {
         if let Some(poison) = &mut self.entries[entry].poison {
-            poison.merge_notice(self.now, notice);
+            poison.merge_notice(self.now, self.now, notice);
         }
     }
 
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use chervilgate_clients::{Body, ConnectionHandle, HttpSender, SendError, SentOver};
 use chervilgate_clock::Time;
+use chervilgate_policy::Fingerprint;
 use hyper::{
     HeaderMap, Method, Request, Response,
     http::uri::{PathAndQuery, Uri},
@@ -21,7 +22,7 @@
 use crate::{
     config::Route,
     fleet::{AttemptId, AttemptOutcome, Placement},
-    poison::Fingerprint,
+    poison::{PoisonVerdict, SharedParts},
     protocol::{ForwardedRequest, RequestHead, RequestStage, ResponseHead},
     state::Shared,
     verdict::Verdict,
@@ -39,6 +40,8 @@
     pub(crate) body: Bytes,
     pub(crate) ask: RequestHead,
     pub(crate) fingerprint: Fingerprint,
+    /// Parts of the prompt that other requests may share.
+    pub(crate) parts: SharedParts,
     pub(crate) route: Arc<Route>,
     /// Version of the configuration that `route` is from.
     pub(crate) config_version: u64,
@@ -163,6 +166,8 @@
     Replaced,
     /// The target has left since it was chosen; nothing was sent.
     Left,
+    /// A part of the prompt crashes targets, or the request does; nothing was sent.
+    Poison(PoisonVerdict),
 }
 
 /// Sends `call` once to the target of `in_flight` and waits for the response headers.
@@ -173,10 +178,17 @@
     stage: RequestStage<'_>,
     last_event: Option<u64>,
 ) -> SendOutcome {
-    if !shared.state().fleet.may_send(&in_flight.placement) {
-        return SendOutcome::NotRun(NotRunReason::Left);
-    }
     let now = shared.now();
+    {
+        let state = shared.state();
+        // Both may have changed while the prompt was computed elsewhere.
+        if let Some(verdict) = state.poison.verdict(now, call.fingerprint, &call.parts) {
+            return SendOutcome::NotRun(NotRunReason::Poison(verdict));
+        }
+        if !state.fleet.may_send(&in_flight.placement) {
+            return SendOutcome::NotRun(NotRunReason::Left);
+        }
+    }
     let time_left = call.deadline.since(now);
     let forwarded = ForwardedRequest {
         target: &in_flight.placement.id,
--- /dev/null
+++ b/components/gateway/src/crash.rs
@@ -0,0 +1,61 @@
+//! Finds out whether a target whose connection broke has ended.
+//!
+//! A connection may break off, or bring bytes that are no answer, while its target goes on. A port
+//! that refuses connections shows that the process behind it has ended.
+
+use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
+
+use chervilgate_policy::{CrashId, TargetId};
+use tokio::{net::TcpStream, sync::OnceCell, time::timeout};
+
+use crate::{attempt::CallerRequest, fleet::Placement, hash::stable_hash, state::Shared};
+
+/// Time in which a connection is refused; a target that is cut off does not answer.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Maximum number of targets whose end is remembered.
+const MAX_PROBES: usize = 1_024;
+
+/// Whether one start of a target has ended; all requests that broke off there wait for one
+/// connection attempt.
+pub(crate) type CrashProbe = Arc<OnceCell<bool>>;
+
+/// Records that `call` broke off at the target of `placement` before it was answered, or just as
+/// its answer began. If the target has ended, this accuses the parts of the prompt.
+pub(crate) async fn record_break(shared: &Shared, call: &CallerRequest, placement: &Placement) {
+    if call.parts.is_empty() || shared.state().fleet.is_leaving(placement) {
+        return;
+    }
+    if !has_ended(shared, placement).await {
+        return;
+    }
+    let Placement { id: target, incarnation, .. } = placement;
+    let (id, parts) = (&call.ask.id, call.shared_parts());
+    log::warn!(target: "gateway", id, target, incarnation, parts; "target ended under the request");
+    let crash = CrashId { target: TargetId(stable_hash(target) as u32), incarnation: *incarnation };
+    let now = shared.now();
+    shared.state().poison.record_crash(now, crash, &call.parts);
+    shared.broadcast.notify_one();
+}
+
+async fn has_ended(shared: &Shared, placement: &Placement) -> bool {
+    let key = (placement.id.clone(), placement.incarnation);
+    let probe = {
+        let mut state = shared.state();
+        if state.crash_probes.len() >= MAX_PROBES {
+            state.crash_probes.clear();
+        }
+        state.crash_probes.entry(key.clone()).or_default().clone()
+    };
+    let ended = *probe.get_or_init(|| is_refused(placement.addr)).await;
+    if !ended {
+        // It may end later.
+        shared.state().crash_probes.remove(&key);
+    }
+    ended
+}
+
+async fn is_refused(addr: SocketAddr) -> bool {
+    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(addr)).await;
+    matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
--- a/components/gateway/src/failure.rs
+++ b/components/gateway/src/failure.rs
@@ -8,7 +8,7 @@
     header::{CONNECTION, HeaderValue, RETRY_AFTER},
 };
 
-use crate::protocol::Protocol;
+use crate::{poison::PoisonVerdict, protocol::Protocol};
 
 /// Why the gateway rejects a request or reports an error for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,10 +41,21 @@
     /// Earlier attempts at the request failed repeatedly, so it may be crashing the
     /// targets.
     PoisonRequest,
+    /// A part of the prompt crashes targets; the request is refused for this time.
+    PoisonPart(Duration),
     /// A target failed during the request; it may have run.
     TargetFailed,
 }
 
+impl From<PoisonVerdict> for Failure {
+    fn from(verdict: PoisonVerdict) -> Failure {
+        match verdict {
+            PoisonVerdict::Request => Failure::PoisonRequest,
+            PoisonVerdict::Part(span) => Failure::PoisonPart(span),
+        }
+    }
+}
+
 impl Failure {
     fn status(self) -> StatusCode {
         match self {
@@ -56,6 +67,7 @@
             | Failure::NoTarget
             | Failure::TargetsFull
             | Failure::Late(_)
+            | Failure::PoisonPart(_)
             | Failure::Expired
             | Failure::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Failure::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -69,7 +81,7 @@
             Failure::StaleView => Some(Duration::from_millis(500)),
             Failure::NoTarget => Some(Duration::from_millis(500)),
             Failure::TargetsFull => Some(Duration::from_millis(250)),
-            Failure::Late(span) => Some(span),
+            Failure::Late(span) | Failure::PoisonPart(span) => Some(span),
             Failure::Expired | Failure::Stopping => Some(Duration::from_millis(100)),
             _ => None,
         }
@@ -91,6 +103,7 @@
             Failure::Stopping => "stopping",
             Failure::TimedOut => "timed-out",
             Failure::PoisonRequest => "suspect",
+            Failure::PoisonPart(_) => "poison-part",
             Failure::TargetFailed => "broken",
         }
     }
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -381,7 +381,7 @@
     /// Records that a target said in an answer that it leaves. Returns whether that is new.
     pub fn announce_departure(&mut self, now: Time, placement: &Placement) -> bool {
         let Placement { id, incarnation, .. } = placement;
-        if self.departures.is_final(id, *incarnation) {
+        if self.is_leaving(placement) {
             return false;
         }
         self.departures.record(now, id, *incarnation, Departure::Announced);
@@ -393,10 +393,14 @@
         true
     }
 
+    /// Whether the target has said that it leaves, or was replaced by a later start.
+    pub fn is_leaving(&self, placement: &Placement) -> bool {
+        self.departures.is_final(&placement.id, placement.incarnation)
+    }
+
     /// Whether a request may still be sent to the target that was chosen for it.
     pub fn may_send(&self, placement: &Placement) -> bool {
-        self.targets.contains_key(&placement.id)
-            && !self.departures.is_final(&placement.id, placement.incarnation)
+        self.targets.contains_key(&placement.id) && !self.is_leaving(placement)
     }
 
     /// Cost of the failures that other hosts report, in milliseconds.
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
+    crash::record_break,
     failure::Failure,
     fleet::{AttemptOutcome, TargetQuery},
     protocol::RequestStage,
@@ -52,6 +53,7 @@
                 self.unreachable += 1;
                 self.unreachable <= MAX_UNREACHABLE
             }
+            NotRunReason::Poison(_) => false,
             NotRunReason::Left => {
                 shared.metrics.count_retry("left");
                 self.unreachable += 1;
@@ -79,7 +81,7 @@
         call.route.kind.is_retryable()
             && self.runs < call.route.attempts
             && call.deadline.since(shared.now()) > Duration::ZERO
-            && shared.state().poison.may_run(shared.now(), call.fingerprint)
+            && shared.state().poison.may_retry(shared.now(), call.fingerprint, &call.parts)
             && shared.try_withdraw_retry(shared.now(), &call.service)
     }
 
@@ -87,6 +89,14 @@
     pub(crate) fn failure(&self, otherwise: Failure) -> Failure {
         if self.runs > 0 { Failure::TargetFailed } else { otherwise }
     }
+
+    /// The failure to report when no other target is tried after one that did not run the request.
+    pub(crate) fn not_run_failure(&self, reason: NotRunReason) -> Failure {
+        self.failure(match reason {
+            NotRunReason::Poison(verdict) => Failure::from(verdict),
+            _ => Failure::TargetsFull,
+        })
+    }
 }
 
 /// Refuses a request that is predicted to miss its deadline, if it has not been sent
@@ -135,23 +145,28 @@
                 let failed = response.status().is_server_error();
                 let whole = read_whole(shared, call, response).await;
                 if let Some(response) = whole {
+                    if response.status().is_success() {
+                        shared.state().poison.record_answer(shared.now(), &call.parts);
+                    }
                     if failed && attempts.may_retry_failed_run(shared, call) {
                         continue;
                     }
                     return Ok(response);
                 }
                 in_flight.outcome = AttemptOutcome::Failed;
+                record_break(shared, call, &in_flight.placement).await;
                 if !attempts.may_retry_failed_run(shared, call) {
                     return Err(Failure::TargetFailed);
                 }
             }
             SendOutcome::NotRun(why) => {
                 if !attempts.may_retry_not_run(shared, call, why) {
-                    return Err(attempts.failure(Failure::TargetsFull));
+                    return Err(attempts.not_run_failure(why));
                 }
             }
             SendOutcome::Unknown | SendOutcome::Withheld => {
                 shared.count_usage(call.org.as_deref(), now);
+                record_break(shared, call, &in_flight.placement).await;
                 if !attempts.may_retry_failed_run(shared, call) {
                     return Err(Failure::TargetFailed);
                 }
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     fleet::{CachedPart, GroupReport, InFlightWork},
-    poison::FailedRun,
+    poison::{CrashEvidence, FailedRun},
     state::Shared,
     usage::PeerWindow,
     view::{Confirmation, ConfirmationRequest},
@@ -69,6 +69,7 @@
     Speeds(SpeedMessage),
     /// Era of the store that the sender has seen or heard of.
     StoreEra(u64),
+    Crashes(CrashEvidence),
 }
 
 /// What a host has seen of the targets' speeds.
@@ -107,22 +108,22 @@
         correct_clock(&shared);
         let now = shared.now();
         let time = shared.wall_clock().at(now).as_micros() as u64;
-        let (work, parts, failed_runs, peers, in_charge) = {
+        let (work, parts, failed_runs, evidence, peers, in_charge) = {
             let mut state = shared.state();
             let mut failed_runs = state.poison.runs_to_gossip(now);
             // Not all may fit; each round tells of others.
             failed_runs.shuffle(&mut rand::rng());
             let peers = state.membership.gossip_addrs();
             let parts = state.fleet.recent_parts(now, rotation_time(peers.len()));
-            (state.fleet.in_flight_work(now), parts, failed_runs, peers, state.holds_lease)
+            let evidence = state.poison.evidence_to_gossip(now);
+            let work = state.fleet.in_flight_work(now);
+            (work, parts, failed_runs, evidence, peers, state.holds_lease)
         };
+        let evidence = encode_evidence(evidence);
         // The first empty round clears what was sent last; later ones only show that this host is
         // alive.
-        idle_rounds = if work.is_empty() && parts.is_empty() && failed_runs.is_empty() {
-            idle_rounds + 1
-        } else {
-            0
-        };
+        let is_idle = work.is_empty() && parts.is_empty() && failed_runs.is_empty();
+        idle_rounds = if is_idle && evidence.is_none() { idle_rounds + 1 } else { 0 };
         if idle_rounds % IDLE_ROUND_CYCLE > 1 && !urgent {
             continue;
         }
@@ -133,30 +134,33 @@
         }
         let recipients = if urgent { peers } else { rotation.next(peers, FANOUT) };
         for peer in recipients {
-            if let Err(error) = socket.send_to(&datagram, peer).await {
-                log::debug!(target: "gossip", peer:%, error:%; "gossip not sent");
+            for datagram in [Some(&datagram), evidence.as_ref()].into_iter().flatten() {
+                send_datagram(&socket, datagram, peer).await;
             }
         }
     }
 }
 
-/// Sends what this host has seen of the targets' speeds to a few hosts in rotation.
+/// Sends what this host has seen of the targets' speeds, and the crashes of targets that it knows
+/// of, to a few hosts in rotation: one that has just started hears of them so.
 pub(crate) async fn send_speeds(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut rotation = PeerRotation::default();
     loop {
         sleep(SPEEDS_INTERVAL).await;
         let now = shared.now();
-        let (speeds, peers) = {
+        let (speeds, evidence, peers) = {
             let mut state = shared.state();
             state.fleet.update_speeds(now);
-            (state.fleet.speed_reports(now), state.membership.gossip_addrs())
+            let evidence = state.poison.all_evidence(now);
+            (state.fleet.speed_reports(now), evidence, state.membership.gossip_addrs())
         };
-        if speeds.is_empty() {
-            continue;
-        }
-        let message = Message::Speeds(SpeedMessage { host: shared.gossip_id(), speeds });
+        let message = (!speeds.is_empty())
+            .then(|| Message::Speeds(SpeedMessage { host: shared.gossip_id(), speeds }));
+        let datagrams = [message.as_ref().and_then(encode), encode_evidence(evidence)];
         for peer in rotation.next(peers, SPEEDS_FANOUT) {
-            send(&socket, &message, peer).await;
+            for datagram in datagrams.iter().flatten() {
+                send_datagram(&socket, datagram, peer).await;
+            }
         }
     }
 }
@@ -193,8 +197,13 @@
 
 /// Sends a message to one host; a failure is only logged, since the next message replaces it.
 async fn send(socket: &UdpSocket, message: &Message, to: SocketAddr) {
-    let Some(datagram) = encode(message) else { return };
-    if let Err(error) = socket.send_to(&datagram, to).await {
+    if let Some(datagram) = encode(message) {
+        send_datagram(socket, &datagram, to).await;
+    }
+}
+
+async fn send_datagram(socket: &UdpSocket, datagram: &[u8], to: SocketAddr) {
+    if let Err(error) = socket.send_to(datagram, to).await {
         log::debug!(target: "gossip", to:%, error:%; "gossip not sent");
     }
 }
@@ -259,6 +268,31 @@
     }
 }
 
+/// Encodes evidence as one datagram, with as many of its first crashes as fit; none if there is
+/// nothing to tell.
+fn encode_evidence(mut evidence: CrashEvidence) -> Option<Vec<u8>> {
+    loop {
+        if evidence.crashes.is_empty() && evidence.acquitted.is_empty() {
+            return None;
+        }
+        let message = Message::Crashes(evidence);
+        let bytes = serialize(&message)?;
+        let Message::Crashes(returned) = message else { return None };
+        evidence = returned;
+        if bytes.len() <= MAX_DATAGRAM_BYTES {
+            return Some(bytes);
+        }
+        let CrashEvidence { crashes, acquitted } = &mut evidence;
+        if crashes.len() > 1 {
+            crashes.truncate(crashes.len() / 2);
+        } else if acquitted.len() > 1 {
+            acquitted.truncate(acquitted.len() / 2);
+        } else if let Some((_, notice)) = crashes.first_mut() {
+            notice.runs.truncate(notice.runs.len() / 2);
+        }
+    }
+}
+
 /// Encodes a message as one datagram; none if it does not fit.
 fn encode(message: &Message) -> Option<Vec<u8>> {
     let bytes = serialize(message)?;
@@ -330,6 +364,10 @@
                 let mut state = shared.state();
                 state.fleet.apply_speed_reports(now, message.host, &message.speeds);
             }
+            Ok(Message::Crashes(evidence)) => {
+                let now = shared.now();
+                shared.state().poison.merge_evidence(now, &evidence);
+            }
             Ok(Message::StoreEra(era)) => shared.hear_store_era(era),
             Ok(Message::Work(report)) => {
                 let now = shared.now();
--- a/components/gateway/src/gossip/tests.rs
+++ b/components/gateway/src/gossip/tests.rs
@@ -1,12 +1,13 @@
+use chervilgate_policy::{AffectedRequest, CrashId, CrashNotice, Fingerprint, OrgId, TargetId};
+
 use crate::{
     fleet::{CachedPart, InFlightWork},
-    gossip::{MAX_DATAGRAM_BYTES, Message, WorkReport, encode_report},
-    poison::{FailedRun, Fingerprint},
+    gossip::{MAX_DATAGRAM_BYTES, Message, WorkReport, encode_evidence, encode_report},
+    poison::{CrashEvidence, FailedRun},
 };
 
 /// A report with as much of everything as a host collects, and `runs` failed runs.
 fn report(work: u32, parts: u64, runs: u32) -> WorkReport {
-    let request = Fingerprint::new("/a/", None, b"body");
     let in_flight = |target| InFlightWork { target, pending: u16::MAX, open: 300, failing: 99 };
     WorkReport {
         host: u32::MAX,
@@ -14,7 +15,7 @@
         in_charge: true,
         work: (0..work).map(|target| in_flight(u32::MAX - target)).collect(),
         parts: (0..parts).map(|part| CachedPart { target: u32::MAX, part: !part }).collect(),
-        broken: (0..runs).map(|run| FailedRun { request, run: !run }).collect(),
+        broken: (0..runs).map(|run| FailedRun { request: u64::MAX, run: !run }).collect(),
     }
 }
 
@@ -43,3 +44,27 @@
 
     assert!(received.work.len() >= 40);
 }
+
+#[test]
+fn can_send_as_much_evidence_as_fits() {
+    let run = AffectedRequest {
+        fingerprint: Fingerprint { org: OrgId(u32::MAX), digest: u64::MAX },
+        open: true,
+    };
+    let notice = |target| CrashNotice {
+        crash: CrashId { target: TargetId(target), incarnation: u64::MAX },
+        runs: [run; 128].into_iter().collect(),
+    };
+
+    for crashes in [0, 1, 128] {
+        let evidence = CrashEvidence {
+            crashes: (0..crashes).map(|target| (u32::MAX, notice(target))).collect(),
+            acquitted: vec![u64::MAX; 500],
+        };
+        let datagram = encode_evidence(evidence).expect("a datagram");
+        assert!(datagram.len() <= MAX_DATAGRAM_BYTES);
+        let message = postcard::from_bytes(&datagram).expect("a message");
+        let Message::Crashes(received) = message else { panic!("not evidence") };
+        assert!(!received.acquitted.is_empty() && received.crashes.is_empty() == (crashes == 0));
+    }
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod attempt;
 pub mod config;
 mod counted;
+mod crash;
 mod directory;
 mod duty;
 mod events;
--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -1,78 +1,228 @@
-//! Detects poison requests, which crash the targets that run them.
+//! Requests, and parts of prompts, that crash the targets that run them.
 //!
-//! Such a request is sent again by the same caller with the same content, to any host.
-//! Each host records the runs that failed before their first byte and tells the other
-//! hosts; a request with too many failed runs is not run again. Runs that fail for
-//! another reason rarely hit the same request three times.
+//! [`PoisonDetector`] decides; this module tells it what the host sees. A whole request is known
+//! by its path, caller and content: it comes again, to any host, and each of its runs that failed
+//! before its first byte counts. Requests that share a part of their prompt need not be alike:
+//! once a target is known to have ended, the parts of the requests that it had not begun to
+//! answer are accused. All hosts tell each other of failed runs, crashes and acquittals.
 
 use std::{collections::HashMap, time::Duration};
 
 use chervilgate_clock::Time;
+use chervilgate_policy::{
+    AffectedRequest, CrashId, CrashNotice, Fingerprint, OrgId, PoisonDetector, PoisonSettings,
+    PoisonStatus, PoisonSubject, TargetId,
+};
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
-use crate::hash::stable_hash;
+use crate::{hash::stable_hash, protocol::Prompt};
 
-/// Failed runs after which a request is not run again; the users' rules allow three.
-const MAX_FAILED_RUNS: usize = 3;
+/// Failed runs after which a request is not run again, and crashes from which a part is not; the
+/// users' rules allow three and five.
+const MIN_CRASHES: usize = 3;
+
+/// Crashes that accuse a part of a request from which the request is not sent again after a
+/// failure: a second accusation makes it more likely that it crashes the next target too.
+const MAX_RETRY_CRASHES: usize = 1;
 
 /// Time for which a failed run counts.
 const RUN_TTL: Duration = Duration::from_secs(120);
 
-/// Time for which a failed run is repeated in gossip messages.
-const GOSSIP_TIME: Duration = Duration::from_secs(3);
-
 /// Maximum number of failed runs remembered.
 const MAX_RUNS: usize = 1_024;
 
-/// Hash of a request, equal for all retries on all hosts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-#[derive(Serialize, Deserialize)]
-pub struct Fingerprint(u64);
+/// Time for which a failed run or a crash is repeated in gossip messages.
+const GOSSIP_TIME: Duration = Duration::from_secs(3);
 
-impl Fingerprint {
-    /// Fingerprint of a request to `path` by the caller with the API key `key`.
-    pub fn new(path: &str, key: Option<&str>, body: &[u8]) -> Fingerprint {
-        Fingerprint(stable_hash(&(path, key, body)))
-    }
+/// Number of gossip rounds in which a host tells that a part was answered.
+const ACQUITTAL_ROUNDS: u8 = 3;
+
+/// Maximum number of parts of a request that are looked at.
+const MAX_PARTS: usize = 32;
+
+/// Parts of a request's prompt that other requests may share, for the detector.
+pub type SharedParts = SmallVec<[Fingerprint; 4]>;
+
+/// Identifies a request, equal for all retries on all hosts.
+pub fn request_fingerprint(path: &str, key: Option<&str>, body: &[u8]) -> Fingerprint {
+    // The digest contains the caller, so it needs no organisation beside it.
+    Fingerprint { org: OrgId(0), digest: stable_hash(&(path, key, body)) }
+}
+
+/// Identifies the parts of a prompt that other requests may share.
+pub fn part_fingerprints(service: &str, org: Option<&str>, prompt: &Prompt) -> SharedParts {
+    let org = OrgId(stable_hash(&org) as u32);
+    let parts = prompt.shared_parts().iter().take(MAX_PARTS);
+    parts.map(|part| Fingerprint { org, digest: stable_hash(&(service, part.id)) }).collect()
 }
 
 /// A failed run of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct FailedRun {
-    /// Fingerprint of the request.
-    pub request: Fingerprint,
+    /// Digest of the request's fingerprint.
+    pub request: u64,
     /// Random number that distinguishes runs of the same request.
     pub run: u32,
 }
 
-/// Recent failed runs on all hosts.
-#[derive(Debug, Default)]
-pub struct PoisonTracker {
-    runs: HashMap<FailedRun, Time>,
+impl FailedRun {
+    fn to_notice(self) -> CrashNotice {
+        let fingerprint = Fingerprint { org: OrgId(0), digest: self.request };
+        CrashNotice {
+            // Whether the target ended is not known, so each run counts by itself.
+            crash: CrashId { target: TargetId(0), incarnation: self.run.into() },
+            runs: [AffectedRequest { fingerprint, open: true }].into_iter().collect(),
+        }
+    }
+}
+
+/// What a host tells others of crashed targets.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct CrashEvidence {
+    /// Crashes with the parts that they accuse, and the milliseconds since each.
+    pub crashes: Vec<(u32, CrashNotice)>,
+    /// Digests of accused parts that were answered.
+    pub acquitted: Vec<u64>,
+}
+
+/// Why a request may not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PoisonVerdict {
+    /// Its own runs failed too often.
+    Request,
+    /// A part of its prompt crashes targets; it is refused for this time.
+    Part(Duration),
+}
+
+/// What is known on all hosts of requests and parts that crash targets.
+#[derive(Debug)]
+pub struct PoisonGuard {
+    requests: PoisonDetector,
+    parts: PoisonDetector,
+    /// Parts that others are to be told were answered, with the number of rounds left.
+    acquitted: HashMap<u64, u8>,
+}
+
+impl Default for PoisonGuard {
+    fn default() -> PoisonGuard {
+        let requests = PoisonSettings {
+            min_crashes: MIN_CRASHES,
+            retention: RUN_TTL,
+            max_crashes: MAX_RUNS,
+            max_requests: 1,
+            ..PoisonSettings::default()
+        };
+        let parts = PoisonSettings {
+            subject: PoisonSubject::Parts,
+            min_crashes: MIN_CRASHES,
+            ..PoisonSettings::default()
+        };
+        PoisonGuard {
+            requests: PoisonDetector::new(requests),
+            parts: PoisonDetector::new(parts),
+            acquitted: HashMap::new(),
+        }
+    }
 }
 
-impl PoisonTracker {
+impl PoisonGuard {
     /// Records a failed run; a repeat has no effect.
     pub fn record_run(&mut self, now: Time, run: FailedRun) {
-        self.runs.retain(|_, at| now.since(*at) < RUN_TTL);
-        if self.runs.len() < MAX_RUNS {
-            self.runs.entry(run).or_insert(now);
+        self.requests.merge_notice(now, now, &run.to_notice());
+    }
+
+    /// Records that a target ended before it had begun to answer a request with these parts.
+    pub fn record_crash(&mut self, now: Time, crash: CrashId, parts: &[Fingerprint]) {
+        let runs = parts.iter().map(|part| AffectedRequest { fingerprint: *part, open: true });
+        let notice = CrashNotice { crash, runs: runs.collect() };
+        self.parts.merge_notice(now, now, &notice);
+    }
+
+    /// Records that a request with these parts was answered in full.
+    pub fn record_answer(&mut self, now: Time, parts: &[Fingerprint]) {
+        for part in parts {
+            self.acquit(now, part.digest);
         }
     }
 
-    /// Whether a request may run, given its failed runs.
-    pub fn may_run(&self, now: Time, request: Fingerprint) -> bool {
-        let failed_runs = self
-            .runs
-            .iter()
-            .filter(|(run, at)| run.request == request && now.since(**at) < RUN_TTL);
-        failed_runs.count() < MAX_FAILED_RUNS
+    /// Records what another host tells.
+    pub fn merge_evidence(&mut self, now: Time, evidence: &CrashEvidence) {
+        for (age, notice) in &evidence.crashes {
+            let at = now.saturating_sub(Duration::from_millis((*age).into()));
+            self.parts.merge_notice(now, at, notice);
+            // The other host may not know that these were answered here.
+            for digest in self.parts.sound_parts(notice) {
+                self.acquitted.entry(digest).or_insert(ACQUITTAL_ROUNDS);
+            }
+        }
+        for digest in &evidence.acquitted {
+            self.acquit(now, *digest);
+        }
+    }
+
+    fn acquit(&mut self, now: Time, digest: u64) {
+        if self.parts.record_sound(now, digest) {
+            self.acquitted.insert(digest, ACQUITTAL_ROUNDS);
+        }
+    }
+
+    /// Why a request may not run; none if it may.
+    pub fn verdict(
+        &self,
+        now: Time,
+        request: Fingerprint,
+        parts: &[Fingerprint],
+    ) -> Option<PoisonVerdict> {
+        if matches!(self.requests.check(now, request), PoisonStatus::Quarantined(_)) {
+            return Some(PoisonVerdict::Request);
+        }
+        match self.parts.check_parts(now, parts) {
+            PoisonStatus::Quarantined(refusal) => Some(PoisonVerdict::Part(refusal.retry_after)),
+            _ => None,
+        }
+    }
+
+    /// Whether a request whose run failed may be sent to another target.
+    pub fn may_retry(&self, now: Time, request: Fingerprint, parts: &[Fingerprint]) -> bool {
+        self.verdict(now, request, parts).is_none()
+            && parts.iter().all(|part| self.parts.crash_count(now, *part) <= MAX_RETRY_CRASHES)
     }
 
     /// Recent failed runs to send to other hosts.
     pub fn runs_to_gossip(&self, now: Time) -> Vec<FailedRun> {
-        let recent = self.runs.iter().filter(|(_, at)| now.since(**at) < GOSSIP_TIME);
-        recent.map(|(run, _)| *run).collect()
+        let recent = self.requests.notices_since(now.saturating_sub(GOSSIP_TIME));
+        let runs = recent.iter().filter_map(|(_, notice)| {
+            let run = u32::try_from(notice.crash.incarnation).ok()?;
+            Some(FailedRun { request: notice.runs.first()?.fingerprint.digest, run })
+        });
+        runs.collect()
+    }
+
+    /// Recent crashes and acquittals to send to other hosts; counts a round.
+    pub fn evidence_to_gossip(&mut self, now: Time) -> CrashEvidence {
+        let crashes = self.crashes_since(now, now.saturating_sub(GOSSIP_TIME));
+        let acquitted = self.acquitted.keys().copied().collect();
+        self.acquitted.retain(|_, rounds| {
+            *rounds -= 1;
+            *rounds > 0
+        });
+        CrashEvidence { crashes, acquitted }
+    }
+
+    /// All known crashes in random order, for hosts that have started since.
+    pub fn all_evidence(&self, now: Time) -> CrashEvidence {
+        let mut crashes = self.crashes_since(now, Time::ZERO);
+        crashes.shuffle(&mut rand::rng());
+        CrashEvidence { crashes, acquitted: Vec::new() }
+    }
+
+    fn crashes_since(&self, now: Time, since: Time) -> Vec<(u32, CrashNotice)> {
+        let notices = self.parts.notices_since(since).into_iter();
+        let age = |at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        notices.map(|(at, notice)| (age(at), notice)).collect()
     }
 }
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -25,7 +25,7 @@
     config::{Config, Org, Route},
     failure::Failure,
     forward::forward,
-    poison::Fingerprint,
+    poison::{part_fingerprints, request_fingerprint},
     protocol::RequestHead,
     state::Shared,
     stream::stream,
@@ -121,9 +121,12 @@
         let service = route.pick_service(rand::random()).cloned().ok_or(Failure::NoTarget)?;
         self.shared.deposit_retry(&service);
         let priority = org.as_ref().and_then(|org| org.priority).unwrap_or(route.priority);
-        let fingerprint = Fingerprint::new(head.uri.path(), request_head.key.as_deref(), &body);
-        if !self.shared.state().poison.may_run(self.shared.now(), fingerprint) {
-            return Err(Failure::PoisonRequest);
+        let fingerprint = request_fingerprint(head.uri.path(), request_head.key.as_deref(), &body);
+        let org_name = org.as_ref().map(|org| &*org.name);
+        let parts = part_fingerprints(&service, org_name, &request_head.prompt);
+        let verdict = self.shared.state().poison.verdict(self.shared.now(), fingerprint, &parts);
+        if let Some(verdict) = verdict {
+            return Err(verdict.into());
         }
         let max_pause = {
             let state = self.shared.state();
@@ -131,6 +134,7 @@
         };
         let call = CallerRequest {
             fingerprint,
+            parts,
             max_pause,
             method: head.method,
             path: head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/")),
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -9,15 +9,16 @@
 
 use chervilgate_clients::{HttpPool, ObjectStore};
 use chervilgate_clock::{BootClock, Clock, Time};
-use chervilgate_policy::{RetryBudget, RetrySettings};
+use chervilgate_policy::{Fingerprint, RetryBudget, RetrySettings};
 use tokio::sync::{Notify, watch};
 
 use crate::{
     counted::{CountedStore, raise_era},
+    crash::CrashProbe,
     fleet::Fleet,
     membership::{HostEntry, Membership},
     metrics::{LostLines, Metrics},
-    poison::{FailedRun, Fingerprint, PoisonTracker},
+    poison::{FailedRun, PoisonGuard},
     protocol::{Decoder, Protocol},
     settings::HostSettings,
     usage::{PeerSheets, UsageMeter, WallClock},
@@ -71,7 +72,9 @@
     pub(crate) holds_lease: bool,
     /// Address and time of the last message from the lease holder.
     pub(crate) holder: Option<(SocketAddr, Time)>,
-    pub(crate) poison: PoisonTracker,
+    pub(crate) poison: PoisonGuard,
+    /// Starts of targets whose end was looked for.
+    pub(crate) crash_probes: HashMap<(Arc<str>, u64), CrashProbe>,
     /// Whether this host is stopping.
     pub(crate) leaving: bool,
     /// Time by which requests are answered because this host is stopping; none if it is not.
@@ -105,7 +108,8 @@
             peer_sheets: PeerSheets::default(),
             holds_lease: false,
             holder: None,
-            poison: PoisonTracker::default(),
+            poison: PoisonGuard::default(),
+            crash_probes: HashMap::new(),
             leaving: false,
             answer_by: None,
             budgets: HashMap::new(),
@@ -194,7 +198,7 @@
 
     /// Records a failed run of `request`.
     pub(crate) fn record_failed_run(&self, request: Fingerprint) {
-        let run = FailedRun { request, run: rand::random() };
+        let run = FailedRun { request: request.digest, run: rand::random() };
         self.state().poison.record_run(self.now(), run);
     }
 
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -8,13 +8,19 @@
 
 use bytes::Bytes;
 use chervilgate_clients::{Body, BodyError};
+use chervilgate_clock::Time;
 use futures_util::stream::poll_fn;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::{HeaderMap, Response, StatusCode, body::Frame};
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    body::Frame,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
     attempt::{CallerRequest, Export, InFlight, NotRunReason, SendOutcome, prefill, send},
+    crash::record_break,
     events::EventSplitter,
     failure::Failure,
     fleet::{AttemptOutcome, Placement, Plan, TargetQuery},
@@ -26,6 +32,10 @@
 /// Maximum number of buffered chunks per slow caller.
 const CHANNEL_CAPACITY: usize = 32;
 
+/// Time after the first event in which the end of a target may be due to the beginning of the
+/// answer.
+const BEGIN_TIME: Duration = Duration::from_millis(500);
+
 /// Maximum number of separate prefills per request.
 const MAX_PREFILLS: u32 = 1;
 
@@ -36,8 +46,8 @@
     headers: HeaderMap,
     body: Body,
     splitter: EventSplitter,
-    /// Whether the target has sent an event.
-    begun: bool,
+    /// When the target sent its first event.
+    begun_at: Option<Time>,
 }
 
 /// Result of reading from a target's stream.
@@ -99,6 +109,7 @@
             }
             target_stream.in_flight.outcome = AttemptOutcome::Failed;
             self.shared.record_failed_run(self.call.fingerprint);
+            record_break(&self.shared, &self.call, &target_stream.in_flight.placement).await;
             self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
             if !self.attempts.may_retry_failed_run(&self.shared, &self.call) {
                 return Err(Failure::TargetFailed);
@@ -155,11 +166,12 @@
                 SendOutcome::NotRun(why) => {
                     self.attempts.tried.push(in_flight.placement.id.clone());
                     if !self.attempts.may_retry_not_run(&shared, &call, why) {
-                        return Err(self.attempts.failure(Failure::TargetsFull));
+                        return Err(self.attempts.not_run_failure(why));
                     }
                 }
                 SendOutcome::Unknown | SendOutcome::Withheld => {
                     self.attempts.tried.push(in_flight.placement.id.clone());
+                    record_break(&shared, &call, &in_flight.placement).await;
                     if !self.attempts.may_retry_failed_run(&shared, &call) {
                         return Err(Failure::TargetFailed);
                     }
@@ -245,6 +257,10 @@
                     }
                 }
                 ReadOutcome::End => {
+                    if target_stream.is_whole() {
+                        let now = self.shared.now();
+                        self.shared.state().poison.record_answer(now, &self.call.parts);
+                    }
                     let pause = longest_pause.as_millis() as u64;
                     if let Some(max_pause) = self.call.route.max_pause {
                         let late = longest_pause > max_pause;
@@ -258,6 +274,10 @@
                 }
                 ReadOutcome::Broken => {
                     target_stream.in_flight.outcome = AttemptOutcome::Failed;
+                    if target_stream.has_just_begun(self.shared.now()) {
+                        let placement = &target_stream.in_flight.placement;
+                        record_break(&self.shared, &self.call, placement).await;
+                    }
                     self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
                     if !self.attempts.may_retry_failed_run(&self.shared, &self.call) {
                         return abort_response(&event_sender, &id, "broken").await;
@@ -305,10 +325,23 @@
             headers: head.headers,
             body,
             splitter: EventSplitter::after(last),
-            begun: false,
+            begun_at: None,
         }
     }
 
+    /// Whether the target began to answer so shortly ago that this may have ended it.
+    fn has_just_begun(&self, now: Time) -> bool {
+        self.begun_at.is_none_or(|at| now.since(at) < BEGIN_TIME)
+    }
+
+    /// Whether the answer came to a good end that shows in the bytes. One without a length or
+    /// chunks ends as it does when its target ends.
+    fn is_whole(&self) -> bool {
+        let is_framed = self.headers.contains_key(CONTENT_LENGTH)
+            || self.headers.contains_key(TRANSFER_ENCODING);
+        is_framed && self.begun_at.is_some() && self.status.is_success()
+    }
+
     /// Reads the next complete events, or how the stream ended.
     async fn next(&mut self, shared: &Shared, call: &CallerRequest) -> ReadOutcome {
         loop {
@@ -323,7 +356,7 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(error)) => {
                     let (id, target) = (&call.ask.id, &self.in_flight.placement.id);
-                    let (begun, parts) = (self.begun, call.shared_parts());
+                    let (begun, parts) = (self.begun_at.is_some(), call.shared_parts());
                     log::warn!(
                         target: "gateway", id, target, error:%, begun, parts; "stream broke off"
                     );
@@ -340,7 +373,7 @@
             }
             let events = self.splitter.push(&bytes);
             if !events.is_empty() {
-                self.begun = true;
+                self.begun_at.get_or_insert_with(|| shared.now());
                 return ReadOutcome::Events(events);
             }
         }
--- a/components/gateway/tests/parts.rs
+++ b/components/gateway/tests/parts.rs
@@ -4,11 +4,14 @@
 
 use chervilgate_clock::Time;
 use chervilgate_gateway::{
-    EventSplitter,
+    EventSplitter, Prompt, PromptPart,
     config::{CallerLimits, Config, Route, RouteKind},
-    poison::{FailedRun, Fingerprint, PoisonTracker},
+    poison::{
+        FailedRun, PoisonGuard, PoisonVerdict, SharedParts, part_fingerprints, request_fingerprint,
+    },
     view::{ConfigView, Confirmation, ConfirmationRequest},
 };
+use chervilgate_policy::{CrashId, TargetId};
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
     Route {
@@ -256,17 +259,95 @@
 #[test]
 fn a_request_that_broke_three_runs_does_not_run_again() {
     let now = Time::from_secs(9);
-    let request = Fingerprint::new("/a/", Some("key"), b"body");
-    let other = Fingerprint::new("/a/", Some("key"), b"other body");
-    let mut tracker = PoisonTracker::default();
+    let request = request_fingerprint("/a/", Some("key"), b"body");
+    let other = request_fingerprint("/a/", Some("key"), b"other body");
+    let mut guard = PoisonGuard::default();
+    let failed = |run| FailedRun { request: request.digest, run };
 
     for run in [1, 2, 2, 1] {
-        tracker.record_run(now, FailedRun { request, run });
+        guard.record_run(now, failed(run));
     }
 
-    assert!(tracker.may_run(now, request));
-    tracker.record_run(now, FailedRun { request, run: 3 });
-    assert!(!tracker.may_run(now, request));
-    assert!(tracker.may_run(now, other));
-    assert_eq!(tracker.runs_to_gossip(now).len(), 3);
+    assert_eq!(guard.verdict(now, request, &[]), None);
+    guard.record_run(now, failed(3));
+    assert_eq!(guard.verdict(now, request, &[]), Some(PoisonVerdict::Request));
+    assert_eq!(guard.verdict(now, other, &[]), None);
+    assert_eq!(guard.runs_to_gossip(now).len(), 3);
+}
+
+/// Fingerprints of the shared parts of a prompt, whose last part is its own.
+fn shared_parts(org: &str, ids: &[u64]) -> SharedParts {
+    let parts = ids.iter().chain([&9_999]).map(|id| PromptPart { id: *id, tokens: 100 });
+    let prompt = Prompt { tokens: 300, max_output: 8, parts: parts.collect() };
+    part_fingerprints("llm", Some(org), &prompt)
+}
+
+fn crash(target: u32) -> CrashId {
+    CrashId { target: TargetId(target), incarnation: 1 }
+}
+
+#[test]
+fn the_last_part_of_a_prompt_is_never_accused() {
+    assert_eq!(shared_parts("org-1", &[7, 8]).len(), 2);
+    assert_ne!(shared_parts("org-1", &[7])[0], shared_parts("org-2", &[7])[0]);
+    assert_eq!(shared_parts("org-1", &[7])[0].digest, shared_parts("org-2", &[7])[0].digest);
+}
+
+#[test]
+fn a_request_is_sent_again_after_one_crash_with_its_parts_but_not_after_two() {
+    let now = Time::from_secs(9);
+    let request = request_fingerprint("/a/", None, b"body");
+    let parts = shared_parts("org-1", &[7, 8]);
+    let mut guard = PoisonGuard::default();
+
+    guard.record_crash(now, crash(1), &parts);
+    let after_one = guard.may_retry(now, request, &parts);
+    guard.record_crash(now, crash(1), &parts);
+    let after_repeat = guard.may_retry(now, request, &parts);
+    guard.record_crash(now, crash(2), &parts);
+
+    assert!(after_one && after_repeat && !guard.may_retry(now, request, &parts));
+    assert_eq!(guard.verdict(now, request, &parts), None);
+}
+
+#[test]
+fn hosts_reach_one_verdict_from_what_each_saw() {
+    let now = Time::from_secs(9);
+    let request = request_fingerprint("/a/", None, b"body");
+    let mut guards = [PoisonGuard::default(), PoisonGuard::default(), PoisonGuard::default()];
+    for (target, guard) in (1..).zip(&mut guards) {
+        guard.record_crash(now, crash(target), &shared_parts("org-1", &[u64::from(target), 66]));
+    }
+
+    let told = guards.each_mut().map(|guard| guard.evidence_to_gossip(now));
+    for guard in &mut guards {
+        told.iter().for_each(|evidence| guard.merge_evidence(now, evidence));
+    }
+
+    for guard in &guards {
+        let verdict = |part| guard.verdict(now, request, &shared_parts("org-1", &[part]));
+        assert!(matches!(verdict(66), Some(PoisonVerdict::Part(_))));
+        assert!((1..=3).all(|part| verdict(part).is_none()));
+    }
+}
+
+#[test]
+fn a_host_that_has_answers_with_a_part_acquits_it_on_all_hosts() {
+    let now = Time::from_secs(9);
+    let (answered, parts) = (Time::from_secs(8), shared_parts("org-1", &[7]));
+    let request = request_fingerprint("/a/", None, b"body");
+    let (mut knowing, mut accusing) = (PoisonGuard::default(), PoisonGuard::default());
+    knowing.record_answer(answered, &parts);
+    for target in 1..=4 {
+        accusing.record_crash(now, crash(target), &parts);
+    }
+    let before = accusing.verdict(now, request, &parts);
+
+    knowing.merge_evidence(now, &accusing.evidence_to_gossip(now));
+    let told = knowing.evidence_to_gossip(now);
+    accusing.merge_evidence(now, &told);
+
+    assert!(matches!(before, Some(PoisonVerdict::Part(_))));
+    assert_eq!(accusing.verdict(now, request, &parts), None);
+    assert_eq!(told.acquitted, [parts[0].digest]);
 }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -24,7 +24,10 @@
     admission::{Actions, AdmissionQueue, FairShare, QueueAction, QueueSettings},
     ids::{BlockHash, HostId, OrgId, ServiceId, TargetId, Ticket, Zone},
     meter::{Demand, DemandMeter},
-    poison::{AffectedRequest, CrashId, CrashNotice, PoisonDetector, PoisonSettings, PoisonStatus},
+    poison::{
+        AffectedRequest, CrashId, CrashNotice, PoisonDetector, PoisonSettings, PoisonStatus,
+        PoisonSubject,
+    },
     prefix::{CacheChange, CacheEvent},
     refusal::{Refusal, RefusalReason},
     request::{BLOCK_TOKENS, Fingerprint, Priority, Request},
--- a/components/policy/src/poison.rs
+++ b/components/policy/src/poison.rs
@@ -11,6 +11,17 @@
 //! refused by crashing targets alongside them. Fingerprints include the organisation, so
 //! equal bodies of two organisations are different requests.
 //!
+//! A detector of prompt parts ([`PoisonSubject::Parts`]) looks at the parts that requests share
+//! instead, since requests that hold a poison part need not be alike. A crash accuses the parts of
+//! all requests that had not begun to answer there; most of them are sound. A complete answer
+//! acquits the parts of its request of all crashes before. A part is quarantined if no other
+//! part explains its crashes better. Parts that were always there together cannot be told
+//! apart; requests that hold all of them are refused, and the first answer to one that holds
+//! some of them acquits those. A part that has been answered before needs twice as
+//! many crashes. It is refused to the organisations whose requests crashed targets with it, and to
+//! all once there are two of these: nobody can get a part refused to another organisation by
+//! sending it along with a poison part.
+//!
 //! Hosts notify each other of the requests that were running at each crash. All hosts apply
 //! the same rule to the union of the notices and so reach the same result. Crashes expire
 //! after a time, and memory is bounded.
@@ -31,12 +42,28 @@
 #[cfg(test)]
 mod tests;
 
-/// Crashes before a request can be quarantined.
-const MIN_CRASHES: usize = 2;
+/// Maximum number of digests remembered as answered; the oldest are dropped first.
+const MAX_SOUND: usize = 4_096;
+
+/// Factor to the number of crashes after which what was answered before is quarantined.
+const SOUND_FACTOR: usize = 2;
+
+/// What a detector looks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PoisonSubject {
+    /// Whole requests.
+    Requests,
+    /// Parts of prompts, which requests of several organisations may share.
+    Parts,
+}
 
 /// Settings of [`PoisonDetector`].
 #[derive(Debug, Clone, PartialEq)]
 pub struct PoisonSettings {
+    /// What the detector looks for.
+    pub subject: PoisonSubject,
+    /// Crashes before anything can be quarantined.
+    pub min_crashes: usize,
     /// Time for which a crash is remembered.
     pub retention: Duration,
     /// Maximum number of crashes remembered.
@@ -47,7 +74,13 @@
 
 impl Default for PoisonSettings {
     fn default() -> PoisonSettings {
-        PoisonSettings { retention: Duration::from_secs(600), max_crashes: 128, max_requests: 128 }
+        PoisonSettings {
+            subject: PoisonSubject::Requests,
+            min_crashes: 2,
+            retention: Duration::from_secs(600),
+            max_crashes: 128,
+            max_requests: 128,
+        }
     }
 }
 
@@ -61,11 +94,11 @@
     pub incarnation: u64,
 }
 
-/// A request that was running at a crash.
+/// A request that was running at a crash, or a part of one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct AffectedRequest {
-    /// Identity of the request.
+    /// Identity of the request or of the part, and the organisation.
     pub fingerprint: Fingerprint,
     /// Whether it is a candidate cause: a suspect, or without a first token.
     pub open: bool,
@@ -111,6 +144,14 @@
         let first = candidates.next();
         first.is_some_and(|run| run.fingerprint == fingerprint) && candidates.next().is_none()
     }
+
+    fn to_notice(&self) -> CrashNotice {
+        CrashNotice { crash: self.id, runs: self.requests.clone() }
+    }
+
+    fn accuses(&self, digest: u64) -> bool {
+        self.requests.iter().any(|run| run.open && run.fingerprint.digest == digest)
+    }
 }
 
 /// Recent crashes and the requests that were running at them.
@@ -120,12 +161,19 @@
     crashes: VecDeque<Crash>,
     /// Number of remembered crashes per request.
     crash_counts: HashMap<Fingerprint, usize>,
+    /// When a request with this digest was last answered in full.
+    sound: HashMap<u64, Time>,
 }
 
 impl PoisonDetector {
     /// Creates a detector without crashes.
     pub fn new(settings: PoisonSettings) -> PoisonDetector {
-        PoisonDetector { settings, crashes: VecDeque::new(), crash_counts: HashMap::new() }
+        PoisonDetector {
+            settings,
+            crashes: VecDeque::new(),
+            crash_counts: HashMap::new(),
+            sound: HashMap::new(),
+        }
     }
 
     /// Records a crash and the attempts that were running on the target, from
@@ -145,16 +193,19 @@
             open: !run.first_token_seen || self.crash_counts.contains_key(&run.fingerprint),
         });
         let notice = CrashNotice { crash, runs: runs.collect() };
-        self.merge_notice(now, &notice);
+        self.merge_notice(now, now, &notice);
         notice
     }
 
-    /// Merges a notice; applying it again has no effect.
-    pub fn merge_notice(&mut self, now: Time, notice: &CrashNotice) {
+    /// Merges a notice of a crash at `at`; applying it again has no effect.
+    pub fn merge_notice(&mut self, now: Time, at: Time, notice: &CrashNotice) {
+        if now.since(at) >= self.settings.retention {
+            return;
+        }
         self.drop_expired(now);
         let known = self.crashes.iter().position(|crash| crash.id == notice.crash);
-        let at = known.unwrap_or_else(|| self.add_crash(now, notice.crash));
-        let Some(crash) = self.crashes.get_mut(at) else { return };
+        let index = known.unwrap_or_else(|| self.add_crash(at, notice.crash));
+        let Some(crash) = self.crashes.get_mut(index) else { return };
         for run in &notice.runs {
             let same = |known: &&mut AffectedRequest| known.fingerprint == run.fingerprint;
             if let Some(known) = crash.requests.iter_mut().find(same) {
@@ -168,6 +219,9 @@
 
     /// Checks a request; to be called before it is queued and before each retry.
     pub fn check(&self, now: Time, fingerprint: Fingerprint) -> PoisonStatus {
+        if self.settings.subject == PoisonSubject::Parts {
+            return self.check_parts(now, &[fingerprint]);
+        }
         if !self.crash_counts.contains_key(&fingerprint) {
             return PoisonStatus::Clear;
         }
@@ -178,13 +232,125 @@
             return PoisonStatus::Clear;
         };
         let sole_cause = crashes.iter().any(|crash| crash.is_sole_cause(fingerprint));
-        if crashes.len() < MIN_CRASHES || !sole_cause {
+        if crashes.len() < self.settings.min_crashes || !sole_cause {
             return PoisonStatus::Suspect;
         }
+        self.quarantined(now, last)
+    }
+
+    fn quarantined(&self, now: Time, last: Time) -> PoisonStatus {
         let until = last + self.settings.retention;
         PoisonStatus::Quarantined(Refusal::new(RefusalReason::Quarantined, until.since(now)))
     }
 
+    /// Checks a request by the parts of its prompt that other requests may share; to be called
+    /// before it is queued and before each retry.
+    pub fn check_parts(&self, now: Time, parts: &[Fingerprint]) -> PoisonStatus {
+        let mut status = PoisonStatus::Clear;
+        for part in parts {
+            match self.check_part(now, *part, parts) {
+                PoisonStatus::Clear => {}
+                PoisonStatus::Suspect => status = PoisonStatus::Suspect,
+                quarantined @ PoisonStatus::Quarantined(_) => return quarantined,
+            }
+        }
+        status
+    }
+
+    /// Checks one part of a request with these `parts`.
+    fn check_part(&self, now: Time, part: Fingerprint, parts: &[Fingerprint]) -> PoisonStatus {
+        let crashes = self.crashes_of_part(now, part.digest);
+        let Some(last) = crashes.iter().map(|crash| crash.at).max() else {
+            return PoisonStatus::Clear;
+        };
+        let is_known_sound = self.sound.contains_key(&part.digest);
+        let factor = if is_known_sound { SOUND_FACTOR } else { 1 };
+        let required = self.settings.min_crashes * factor;
+        if crashes.len() < required || !self.is_common_cause(now, part.digest, &crashes, parts) {
+            return PoisonStatus::Suspect;
+        }
+        let runs = crashes.iter().flat_map(|crash| &crash.requests);
+        let senders = runs.filter(|run| run.fingerprint.digest == part.digest);
+        let mut senders: SmallVec<[u32; 8]> = senders.map(|run| run.fingerprint.org.0).collect();
+        senders.sort_unstable();
+        senders.dedup();
+        if senders.len() < 2 && !senders.contains(&part.org.0) {
+            return PoisonStatus::Suspect;
+        }
+        self.quarantined(now, last)
+    }
+
+    /// Whether no other part explains all `crashes` of this one better, and those that explain
+    /// them as well are among the `parts` of the request too.
+    fn is_common_cause(
+        &self,
+        now: Time,
+        digest: u64,
+        crashes: &[&Crash],
+        parts: &[Fingerprint],
+    ) -> bool {
+        let Some(first) = crashes.first() else { return false };
+        let was_always_there =
+            |other: u64| crashes.iter().all(|crash| self.is_accused(crash, other));
+        let others = first.requests.iter().map(|run| run.fingerprint.digest);
+        let mut rivals = others.filter(|other| *other != digest && was_always_there(*other));
+        rivals.all(|rival| {
+            parts.iter().any(|part| part.digest == rival)
+                && self.crashes_of_part(now, rival).len() <= crashes.len()
+        })
+    }
+
+    /// The crashes that accuse a part and that no complete answer has acquitted it of.
+    fn crashes_of_part(&self, now: Time, digest: u64) -> SmallVec<[&Crash; 4]> {
+        let crashes = self.crashes.iter().filter(|crash| self.is_fresh(now, crash));
+        crashes.filter(|crash| self.is_accused(crash, digest)).collect()
+    }
+
+    fn is_accused(&self, crash: &Crash, digest: u64) -> bool {
+        crash.accuses(digest) && self.sound.get(&digest).is_none_or(|at| crash.at > *at)
+    }
+
+    /// Number of crashes that accuse a request or a part.
+    pub fn crash_count(&self, now: Time, fingerprint: Fingerprint) -> usize {
+        match self.settings.subject {
+            PoisonSubject::Parts => self.crashes_of_part(now, fingerprint.digest).len(),
+            PoisonSubject::Requests => {
+                self.crash_counts.get(&fingerprint).copied().unwrap_or_default()
+            }
+        }
+    }
+
+    /// Records that a request with this part was answered in full. Returns whether the part was
+    /// accused, so that other hosts are to be told.
+    pub fn record_sound(&mut self, now: Time, digest: u64) -> bool {
+        let was_accused = !self.crashes_of_part(now, digest).is_empty();
+        self.sound.insert(digest, now);
+        if self.sound.len() > MAX_SOUND {
+            let mut times: Vec<Time> = self.sound.values().copied().collect();
+            let middle = times.len() / 2;
+            let median = *times.select_nth_unstable(middle).1;
+            self.sound.retain(|_, at| *at > median);
+        }
+        was_accused
+    }
+
+    /// The parts of a notice that this host knows to have been answered.
+    pub fn sound_parts(&self, notice: &CrashNotice) -> SmallVec<[u64; 8]> {
+        let digests = notice.runs.iter().map(|run| run.fingerprint.digest);
+        digests.filter(|digest| self.sound.contains_key(digest)).collect()
+    }
+
+    /// Notices of crashes since `since`, with their times and without those that were acquitted.
+    pub fn notices_since(&self, since: Time) -> Vec<(Time, CrashNotice)> {
+        let recent = self.crashes.iter().filter(|crash| crash.at >= since);
+        let notices = recent.map(|crash| {
+            let mut notice = crash.to_notice();
+            notice.runs.retain(|run| self.is_accused(crash, run.fingerprint.digest));
+            (crash.at, notice)
+        });
+        notices.filter(|(_, notice)| !notice.runs.is_empty()).collect()
+    }
+
     /// Records that a suspect was answered in full, so it does not crash targets.
     pub fn clear_suspect(&mut self, now: Time, fingerprint: Fingerprint) {
         if self.check(now, fingerprint) != PoisonStatus::Suspect {
@@ -198,8 +364,7 @@
 
     /// Returns a notice for every known crash, for a host that has just started.
     pub fn notices(&self) -> Vec<CrashNotice> {
-        let notices = self.crashes.iter();
-        notices.map(|crash| CrashNotice { crash: crash.id, runs: crash.requests.clone() }).collect()
+        self.crashes.iter().map(Crash::to_notice).collect()
     }
 
     fn is_fresh(&self, now: Time, crash: &Crash) -> bool {
--- a/components/policy/src/poison/tests.rs
+++ b/components/policy/src/poison/tests.rs
@@ -61,7 +61,7 @@
     let bad = fingerprint(1, 1);
     let notice = poison.record_crash(Time::ZERO, crash(1), &running(&[bad], false));
 
-    poison.merge_notice(Time::ZERO, &notice);
+    poison.merge_notice(Time::ZERO, Time::ZERO, &notice);
 
     assert_eq!(poison.check(Time::ZERO, bad), PoisonStatus::Suspect);
 }
@@ -111,9 +111,9 @@
     here.record_crash(Time::ZERO, crash(2), &running(&[victim], false));
 
     let notice = there.record_crash(Time::ZERO, crash(2), &running(&[attack], false));
-    here.merge_notice(Time::ZERO, &notice);
+    here.merge_notice(Time::ZERO, Time::ZERO, &notice);
     let notice = there.record_crash(Time::ZERO, crash(1), &running(&[attack], false));
-    here.merge_notice(Time::ZERO, &notice);
+    here.merge_notice(Time::ZERO, Time::ZERO, &notice);
 
     assert!(!is_refused(&here, victim));
 }
@@ -161,7 +161,7 @@
     old.record_crash(Time::ZERO, crash(2), &running(&[bad], false));
 
     for notice in old.notices() {
-        new.merge_notice(Time::ZERO, &notice);
+        new.merge_notice(Time::ZERO, Time::ZERO, &notice);
     }
 
     assert!(is_refused(&new, bad));
@@ -197,8 +197,8 @@
                 .collect(),
         };
 
-        notices.iter().for_each(|given| one.merge_notice(Time::ZERO, &notice(given)));
-        notices.iter().rev().for_each(|given| other.merge_notice(Time::ZERO, &notice(given)));
+        notices.iter().for_each(|given| one.merge_notice(Time::ZERO, Time::ZERO, &notice(given)));
+        notices.iter().rev().for_each(|given| other.merge_notice(Time::ZERO, Time::ZERO, &notice(given)));
 
         for digest in 0..4 {
             let checked = fingerprint(1, digest);
@@ -206,3 +206,173 @@
         }
     }
 }
+
+const SERVICE_ORG: u32 = 1;
+
+fn part_detector() -> PoisonDetector {
+    let settings = PoisonSettings {
+        subject: PoisonSubject::Parts,
+        min_crashes: 3,
+        ..PoisonSettings::default()
+    };
+    PoisonDetector::new(settings)
+}
+
+/// Records that a target ended before it had begun to answer requests with these parts.
+fn end_target(detector: &mut PoisonDetector, at: u64, target: u32, parts: &[Fingerprint]) {
+    let at = Time::from_secs(at);
+    let runs = parts.iter().map(|part| AffectedRequest { fingerprint: *part, open: true });
+    detector.merge_notice(at, at, &CrashNotice { crash: crash(target), runs: runs.collect() });
+}
+
+fn parts(digests: &[u64]) -> Vec<Fingerprint> {
+    digests.iter().map(|digest| fingerprint(SERVICE_ORG, *digest)).collect()
+}
+
+fn is_part_refused(detector: &PoisonDetector, at: u64, org: u32, digest: u64) -> bool {
+    let status = detector.check(Time::from_secs(at), fingerprint(org, digest));
+    matches!(status, PoisonStatus::Quarantined(_))
+}
+
+#[test]
+fn refuses_the_part_that_alone_was_there_at_three_crashes() {
+    let mut detector = part_detector();
+
+    end_target(&mut detector, 1, 1, &parts(&[10, 20, 66]));
+    end_target(&mut detector, 2, 2, &parts(&[10, 21, 66, 22]));
+    let after_two = is_part_refused(&detector, 3, SERVICE_ORG, 66);
+    end_target(&mut detector, 3, 3, &parts(&[20, 66]));
+
+    assert!(!after_two && is_part_refused(&detector, 4, SERVICE_ORG, 66));
+    assert!([10, 20, 21, 22].iter().all(|part| !is_part_refused(&detector, 4, SERVICE_ORG, *part)));
+}
+
+#[test]
+fn acquits_the_parts_of_an_answered_request() {
+    let mut detector = part_detector();
+    // The first part is in all requests.
+    for target in 1..=5 {
+        end_target(&mut detector, 2, target, &parts(&[10, 66]));
+        detector.record_sound(Time::from_secs(3), 10);
+    }
+
+    assert!(is_part_refused(&detector, 4, SERVICE_ORG, 66));
+    assert!(!is_part_refused(&detector, 4, SERVICE_ORG, 10));
+}
+
+#[test]
+fn does_not_blame_a_neighbour_for_crashes_that_another_part_explains() {
+    let mut detector = part_detector();
+
+    for target in 1..=8 {
+        let neighbour = if target <= 5 { 20 } else { 30 };
+        end_target(&mut detector, 1, target, &parts(&[neighbour, 66]));
+    }
+
+    assert!(is_part_refused(&detector, 2, SERVICE_ORG, 66));
+    assert!(!is_part_refused(&detector, 2, SERVICE_ORG, 20));
+}
+
+#[test]
+fn tells_two_poison_parts_apart() {
+    let mut detector = part_detector();
+
+    for target in 1..=3 {
+        end_target(&mut detector, 1, target, &parts(&[20 + u64::from(target), 66]));
+        end_target(&mut detector, 1, 10 + target, &parts(&[20 + u64::from(target), 77]));
+    }
+
+    assert!([66, 77].iter().all(|part| is_part_refused(&detector, 2, SERVICE_ORG, *part)));
+    assert!((21..24).all(|part| !is_part_refused(&detector, 2, SERVICE_ORG, part)));
+}
+
+#[test]
+fn refuses_parts_that_were_always_there_together_only_together() {
+    let now = Time::from_secs(2);
+    let mut detector = part_detector();
+    for target in 1..=8 {
+        end_target(&mut detector, 1, target, &parts(&[20, 66]));
+    }
+    let together = detector.check_parts(now, &parts(&[10, 20, 66]));
+    let alone = [20, 66].map(|part| is_part_refused(&detector, 2, SERVICE_ORG, part));
+
+    detector.record_sound(now, 20);
+
+    assert!(matches!(together, PoisonStatus::Quarantined(_)) && alone == [false; 2]);
+    assert!(is_part_refused(&detector, 2, SERVICE_ORG, 66));
+}
+
+#[test]
+fn needs_twice_the_crashes_for_a_part_that_was_answered_before() {
+    let mut detector = part_detector();
+    detector.record_sound(Time::from_secs(1), 20);
+    for target in 1..=5 {
+        end_target(&mut detector, 2, target, &parts(&[20]));
+    }
+    let after_five = is_part_refused(&detector, 3, SERVICE_ORG, 20);
+
+    end_target(&mut detector, 3, 6, &parts(&[20]));
+
+    assert!(!after_five && is_part_refused(&detector, 4, SERVICE_ORG, 20));
+}
+
+#[test]
+fn does_not_refuse_a_part_to_an_organisation_for_crashes_of_another_alone() {
+    let mut detector = part_detector();
+    for target in 1..=6 {
+        end_target(&mut detector, 1, target, &[fingerprint(2, 66)]);
+    }
+    let alone = is_part_refused(&detector, 2, SERVICE_ORG, 66);
+
+    end_target(&mut detector, 2, 7, &parts(&[66]));
+
+    assert!(!alone && is_part_refused(&detector, 2, 2, 66));
+    assert!(is_part_refused(&detector, 3, SERVICE_ORG, 66) && is_part_refused(&detector, 3, 9, 66));
+}
+
+#[test]
+fn tells_new_hosts_only_of_parts_that_are_still_accused() {
+    let (mut old, mut new) = (part_detector(), part_detector());
+    for target in 1..=4 {
+        end_target(&mut old, 1, target, &parts(&[20, 66]));
+    }
+    old.record_sound(Time::from_secs(2), 20);
+
+    let now = Time::from_secs(3);
+    for (at, notice) in old.notices_since(Time::ZERO) {
+        new.merge_notice(now, at, &notice);
+    }
+
+    assert!(is_part_refused(&new, 3, SERVICE_ORG, 66));
+    assert_eq!(new.check(now, fingerprint(SERVICE_ORG, 20)), PoisonStatus::Clear);
+    // Hosts tell each other again and again; the quarantine ends all the same.
+    assert!(!is_part_refused(&new, 602, SERVICE_ORG, 66));
+}
+
+proptest! {
+    /// Each crash has the guilty part and some of many sound ones, which are answered now and then.
+    #[test]
+    fn refuses_the_guilty_part_and_no_sound_one(
+        crashes in vec(vec(0u64..40, 0..6), 4..20),
+        answered in vec(0u64..40, 20..80),
+    ) {
+        let mut detector = part_detector();
+        let answers = answered.len() / crashes.len();
+        for (target, sound) in (1u32..).zip(&crashes) {
+            let others: Vec<u64> = sound.iter().copied().chain([999]).collect();
+            end_target(&mut detector, u64::from(target), target, &parts(&others));
+            for part in answered.iter().skip(answers * target as usize).take(answers) {
+                detector.record_sound(Time::from_secs(u64::from(target)), *part);
+            }
+        }
+
+        let end = crashes.len() as u64 + 1;
+        let always_there = (0..40).filter(|part| crashes.iter().all(|sound| sound.contains(part)));
+        let guilty: Vec<u64> = always_there.chain([999]).collect();
+        let status = detector.check_parts(Time::from_secs(end), &parts(&guilty));
+        prop_assert!(matches!(status, PoisonStatus::Quarantined(_)));
+        let all_sound: Vec<u64> = (0..40).collect();
+        let status = detector.check_parts(Time::from_secs(end), &parts(&all_sound));
+        prop_assert!(!matches!(status, PoisonStatus::Quarantined(_)));
+    }
+}
