Give up a stream whose target sends an event without an end

Callers could see: a stream that begins and is cut at the end of its time, and a host that runs out of memory, as the bytes of an event are kept until it ends. An event may now have one mebibyte; the connection is closed then, and the request goes on as after any break.

--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -32,6 +32,9 @@
 /// Maximum number of buffered chunks per slow caller.
 const CHANNEL_CAPACITY: usize = 32;
 
+/// Size limit of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Time after the first event in which the end of a target may be due to the beginning of the
 /// answer.
 const BEGIN_TIME: Duration = Duration::from_millis(500);
@@ -376,6 +379,14 @@
                 self.begun_at.get_or_insert_with(|| shared.now());
                 return ReadOutcome::Events(events);
             }
+            if self.splitter.buffered_len() > MAX_EVENT_BYTES {
+                let (id, target) = (&call.ask.id, &self.in_flight.placement.id);
+                log::warn!(
+                    target: "gateway", id, target, limit = MAX_EVENT_BYTES; "event without an end"
+                );
+                shared.metrics.count_stream_break();
+                return ReadOutcome::Broken;
+            }
         }
     }
 }
