--- /dev/null
+++ b/components/gateway/src/fleet/placing.rs
@@ -0,0 +1,174 @@
+//! The choice of a target by its predicted cost.
+
+use chervilgate_clock::Time;
+use smallvec::SmallVec;
+
+use crate::{
+    fleet::{
+        Fleet, Placement, Plan, TargetQuery, TargetRole,
+        rank::{affinity, rank},
+        target::{TargetState, UncachedTokens},
+    },
+    protocol::Prompt,
+};
+
+/// Cost of a round trip to another availability zone.
+const CROSS_ZONE_COST_MS: f64 = 4.0;
+
+/// Cost of a failure rate of 1; higher than any wait at which a healthy target is still
+/// preferred.
+const FAILURE_COST_MS: f64 = 2_000.0;
+
+/// Cost of a failure rate of 1 that another host reports for a target. It is below the
+/// cost of own experience, since the fault may lie between that host and the target; the
+/// sum over all hosts is limited to `FAILURE_COST_MS`.
+const PEER_FAILURE_COST_MS: f64 = 400.0;
+
+/// Cost of computing a prompt on one engine and generating on another: a second call,
+/// and the time and price of the KV cache transfer.
+const SPLIT_COST_MS: f64 = 25.0;
+
+/// Weight of the time to compute a shared part again: the computation has a price in
+/// addition to its time.
+const RECOMPUTE_WEIGHT: f64 = 2.0;
+
+/// Time of computing prompts in a row, relative to the longest pause, from which the streams
+/// of a decode engine begin to be late, and with which all of them are: an event of a stream
+/// may hold several tokens, whose steps take the rest of the pause.
+const LATE_PAUSE_SHARES: (f64, f64) = (0.3, 0.6);
+
+/// Cost of making a stream late.
+const LATE_STREAM_COST_MS: f64 = 100.0;
+
+/// Rendezvous weight of a prefill engine relative to a decode engine: the ratio of
+/// their prefill speeds.
+const PREFILL_WEIGHT: f64 = 2.0;
+
+/// Probability that the first-ranked engine holds a shared part that no host has
+/// reported: others may be sending it there right now.
+const FIRST_RANK_HIT_RATE: f64 = 0.5;
+
+/// The same for the second-ranked engine, which takes over while the first is busy.
+const SECOND_RANK_HIT_RATE: f64 = 0.25;
+
+impl Fleet {
+    /// Chooses the target of a request, and another one to compute its prompt first if
+    /// that is cheaper.
+    pub fn place(&self, now: Time, query: &TargetQuery<'_>) -> Option<Plan> {
+        let whole = self.best_target(now, query, |role| role != TargetRole::Prefill);
+        if query.prompt.tokens == 0 {
+            return whole.map(|placement| Plan { placement, prefill: None });
+        }
+        let prefill = self.best_target(now, query, |role| role == TargetRole::Prefill);
+        let decode = self.place_decode(now, query);
+        match (whole, prefill, decode) {
+            (Some(whole), Some(prefill), Some(placement))
+                if prefill.cost_ms + SPLIT_COST_MS < whole.cost_ms =>
+            {
+                Some(Plan { placement, prefill: Some(prefill) })
+            }
+            (whole, ..) => whole.map(|placement| Plan { placement, prefill: None }),
+        }
+    }
+
+    /// Chooses a target to generate from an exported KV cache, without computing the
+    /// prompt.
+    pub fn place_decode(&self, now: Time, query: &TargetQuery<'_>) -> Option<Placement> {
+        let no_prompt = Prompt::default();
+        let query = TargetQuery { prompt: &no_prompt, ..*query };
+        self.best_target(now, &query, |role| role == TargetRole::Decode)
+    }
+
+    /// Cost of the failures that other hosts report, in milliseconds.
+    fn peer_failure_cost(&self, state: &TargetState) -> f64 {
+        let rate = f64::from(self.peer_loads.load(state.id_hash).failure_percent) / 100.0;
+        (PEER_FAILURE_COST_MS * rate).min(FAILURE_COST_MS)
+    }
+
+    /// Cost of the streams that computing a prompt on a decode engine makes late, in
+    /// milliseconds. Streams that the prompts before it make late anyway do not count, and
+    /// none where streams are hardly ever late.
+    fn late_streams_cost(
+        &self,
+        now: Time,
+        state: &TargetState,
+        missing: UncachedTokens,
+        query: &TargetQuery<'_>,
+    ) -> f64 {
+        let Some(max_pause) = query.max_pause.filter(|_| state.entry.role == TargetRole::Decode)
+        else {
+            return 0.0;
+        };
+        let others = self.peer_loads.load(state.id_hash);
+        let streams = state.in_flight + others.in_flight;
+        let pending = state.pending_ms + f64::from(others.pending_ms);
+        let own =
+            state.prefill_time_ms(missing.shared.saturating_add(missing.own), query.prompt.tokens);
+        let (first, all) = LATE_PAUSE_SHARES;
+        let max_ms = max_pause.as_secs_f64().max(f64::MIN_POSITIVE) * 1e3;
+        let late = |pause: f64| ((pause / max_ms - first) / (all - first)).clamp(0.0, 1.0);
+        let newly_late = (late(pending + own) - late(pending)) * f64::from(streams);
+        newly_late * LATE_STREAM_COST_MS * self.pauses.relevance(now)
+    }
+
+    /// Predicted time until a target starts a new request, in milliseconds.
+    fn expected_wait(&self, now: Time, state: &TargetState) -> f64 {
+        let others = self.peer_loads.load(state.id_hash);
+        state.expected_wait(now, others.in_flight, f64::from(others.pending_ms))
+    }
+
+    fn best_target(
+        &self,
+        now: Time,
+        query: &TargetQuery<'_>,
+        has_role: impl Fn(TargetRole) -> bool,
+    ) -> Option<Placement> {
+        let key = affinity(query.prompt);
+        let serving = self.targets.values().filter(|state| state.serves(now, query.service));
+        let ranked = serving.map(|state| {
+            let weight = if state.entry.role == TargetRole::Prefill { PREFILL_WEIGHT } else { 1.0 };
+            (state, rank(key, &state.entry.id, weight))
+        });
+        let ranked: SmallVec<[(&TargetState, f64); 32]> = ranked.collect();
+        let (mut first, mut second) = (f64::MIN, f64::MIN);
+        for (_, rank) in &ranked {
+            second = second.max(rank.min(first));
+            first = first.max(*rank);
+        }
+        let hit_rate = |rank: f64| match rank {
+            rank if rank == first => FIRST_RANK_HIT_RATE,
+            rank if rank == second => SECOND_RANK_HIT_RATE,
+            _ => 0.0,
+        };
+        let eligible = ranked.into_iter().filter(|(state, _)| {
+            has_role(state.entry.role) && !query.exclude.contains(&state.entry.id)
+        });
+        let candidates = eligible.map(|(state, rank)| {
+            let hit_rate = hit_rate(rank);
+            let missing = state.uncached_tokens(query.prompt, hit_rate);
+            let zone_cost = if state.entry.zone == self.zone { 0.0 } else { CROSS_ZONE_COST_MS };
+            let failing = FAILURE_COST_MS * state.health.rate(now) + self.peer_failure_cost(state);
+            let prefill_cost = state.prefill_time_ms(missing.shared, query.prompt.tokens)
+                * RECOMPUTE_WEIGHT
+                + state.prefill_time_ms(missing.own, query.prompt.tokens)
+                + self.late_streams_cost(now, state, missing, query);
+            let cost = self.expected_wait(now, state) + prefill_cost + zone_cost + failing;
+            let cache_is_known = missing.shared == 0 || hit_rate == 0.0;
+            (state, rank, (missing, cache_is_known), cost)
+        });
+        let (state, _, (missing, cache_is_known), cost_ms) =
+            candidates.min_by(|a, b| a.3.total_cmp(&b.3).then_with(|| b.1.total_cmp(&a.1)))?;
+        let compute_tokens = missing.shared.saturating_add(missing.own);
+        Some(Placement {
+            id: state.entry.id.clone(),
+            addr: state.entry.addr,
+            zone: state.entry.zone.clone(),
+            incarnation: state.entry.incarnation,
+            compute_tokens,
+            prefill_ms: state.prefill_time_ms(compute_tokens, query.prompt.tokens),
+            wait_ms: self.expected_wait(now, state),
+            cost_ms,
+            cache_is_known,
+        })
+    }
+}
