--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -4,10 +4,11 @@
 
 use chervilgate_soak::{AnswerFaults, RECOVERY_TIME, Soak};
 
-fn soak(seed: u64) -> Soak {
+/// A short soak; `name` is that of its folder, which no other run may use at the same time.
+fn soak(name: &str, seed: u64) -> Soak {
     Soak {
         program: env!("CARGO_BIN_EXE_chervilgate-host").into(),
-        out: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}")),
+        out: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{name}-{seed}")),
         seed,
         length: RECOVERY_TIME + Duration::from_secs(10),
         hosts: 3,
@@ -22,7 +23,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_under_faults() {
-    let soak = soak(1);
+    let soak = soak("faults", 1);
 
     let report = soak.run().await.unwrap();
 
@@ -45,7 +46,7 @@
         callers: 12,
         host_faults: false,
         answer_faults: Vec::new(),
-        ..soak(seed)
+        ..soak("regression", seed)
     });
     let runs = soaks.map(|soak| tokio::spawn(async move { (soak.seed, soak.run().await) }));
 
@@ -64,7 +65,7 @@
     let soak = Soak {
         answer_faults: vec![AnswerFaults::Refusals],
         other_faults: false,
-        ..soak(SECOND_ANSWERS_SEED)
+        ..soak("answers", SECOND_ANSWERS_SEED)
     };
 
     let report = soak.run().await.unwrap();
@@ -87,7 +88,7 @@
         answer_faults: Vec::new(),
         drills: true,
         other_faults: false,
-        ..soak(DRILLS_SEED)
+        ..soak("drills", DRILLS_SEED)
     };
 
     let report = soak.run().await.unwrap();
@@ -112,7 +113,7 @@
         answer_faults: Vec::new(),
         poison: true,
         other_faults: false,
-        ..soak(POISON_SEED)
+        ..soak("poison", POISON_SEED)
     };
 
     let report = soak.run().await.unwrap();
