--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -19,6 +19,7 @@
         poison: false,
         silence: false,
         limits: false,
+        rests: false,
         other_faults: true,
     }
 }
@@ -162,3 +163,24 @@
 
     assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
 }
+
+/// Seed in which targets of each stage ask for rests, beside one that leaves and hosts that stop.
+const RESTS_SEED: u64 = 4_001;
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED 43"]
+async fn targets_that_ask_for_rest_are_sent_nothing_meanwhile() {
+    let soak = Soak {
+        length: Duration::from_secs(40),
+        hosts: 9,
+        callers: 24,
+        answer_faults: Vec::new(),
+        rests: true,
+        other_faults: false,
+        ..soak("rests", RESTS_SEED)
+    };
+
+    let report = soak.run().await.unwrap();
+
+    assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
+}
