--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -301,12 +301,14 @@
             log::warn!(target: "gateway", id, target, status, kept, sent; "no final status");
         }
         Verdict::Refused | Verdict::Replaced => {
-            log::warn!(target: "gateway", id, target, status, kept, sent; "target refused");
+            let rest = head.rest.as_millis() as u64;
+            log::warn!(target: "gateway", id, target, status, rest, kept, sent; "target refused");
         }
         Verdict::Unmarked => {
             let signed = head.signed;
+            let rest = head.rest.as_millis() as u64;
             log::warn!(
-                target: "gateway", id, target, status, signed, kept, sent;
+                target: "gateway", id, target, status, rest, signed, kept, sent;
                 "status promises not run without the mark"
             );
         }
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -125,6 +125,9 @@
     pub leaving: bool,
     /// What the target states of its limit.
     pub limit: LimitStatement,
+    /// Time for which the target, which turned the request away, wants nothing from this host; zero
+    /// if it asks for no rest.
+    pub rest: Duration,
 }
 
 /// Response of a target to [`RequestStage::Prefill`].
