--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -168,7 +168,6 @@
 const RESTS_SEED: u64 = 4_001;
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED 43"]
 async fn targets_that_ask_for_rest_are_sent_nothing_meanwhile() {
     let soak = Soak {
         length: Duration::from_secs(40),
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -17,13 +17,13 @@
     http::uri::{PathAndQuery, Uri},
 };
 use smallvec::SmallVec;
-use tokio::time::timeout;
 
 use crate::{
     config::Route,
-    fleet::{AttemptId, AttemptOutcome, Placement},
+    exchange::{Answer, exchange},
+    fleet::{AttemptId, AttemptOutcome, Hold, Placement},
     poison::{PoisonVerdict, SharedParts},
-    protocol::{ForwardedRequest, LimitStatement, RequestHead, RequestStage, ResponseHead},
+    protocol::{ForwardedRequest, RequestHead, RequestStage},
     state::Shared,
     verdict::Verdict,
 };
@@ -164,19 +164,19 @@
     Refused,
     /// Another process answers at the target's address.
     Replaced,
-    /// The target has left since it was chosen; nothing was sent.
-    Left,
-    /// The target's limit lets this host send it nothing now; nothing was sent.
-    Limited,
+    /// Nothing may be sent to the target since it was chosen; nothing was.
+    Held(Hold),
     /// A part of the prompt crashes targets, or the request does; nothing was sent.
     Poison(PoisonVerdict),
 }
 
-/// Sends `call` once to the target of `in_flight` and waits for the response headers.
+/// Sends `call` once to the target of `in_flight` and waits for the response headers, up to
+/// `time_limit` and the caller's deadline.
 pub(crate) async fn send(
     shared: &Arc<Shared>,
     call: &CallerRequest,
     in_flight: &mut InFlight,
+    time_limit: Duration,
     stage: RequestStage<'_>,
     last_event: Option<u64>,
 ) -> SendOutcome {
@@ -187,11 +187,8 @@
         if let Some(verdict) = state.poison.verdict(now, call.fingerprint, &call.parts) {
             return SendOutcome::NotRun(NotRunReason::Poison(verdict));
         }
-        if !state.fleet.may_send(&in_flight.placement) {
-            return SendOutcome::NotRun(NotRunReason::Left);
-        }
-        if !state.fleet.take_from_limit(now, &in_flight.placement) {
-            return SendOutcome::NotRun(NotRunReason::Limited);
+        if let Err(hold) = state.fleet.clear_to_send(now, &in_flight.placement) {
+            return SendOutcome::NotRun(NotRunReason::Held(hold));
         }
     }
     let time_left = call.deadline.since(now);
@@ -210,14 +207,14 @@
     // Counted before sending, since a timeout ends it at any point.
     let counted = u32::from(stage != RequestStage::Prefill);
     call.sent.fetch_add(counted, Ordering::Relaxed);
-    let Ok(sent) =
-        shared.target_pool.send_within(time_left, in_flight.placement.addr, request).await
-    else {
+    let limit = time_left.min(time_limit);
+    let id = Some(&*call.ask.id);
+    let Ok(sent) = exchange(shared, &in_flight.placement, id, limit, request).await else {
         in_flight.outcome = AttemptOutcome::Failed;
         return SendOutcome::TimedOut;
     };
-    let response = match sent {
-        Ok(response) => response,
+    let answer = match sent {
+        Ok(answer) => answer,
         Err(error) => {
             if error.not_run() && error.sent_over().closed == 0 {
                 call.sent.fetch_sub(counted, Ordering::Relaxed);
@@ -226,17 +223,9 @@
             return classify_error(shared, in_flight, call, &error);
         }
     };
-    log_closed(shared, in_flight, call, sent_over(&response));
-    let head = shared.protocol.parse_response(response.status(), response.headers());
-    let verdict = Verdict::new(&call.ask.id, response.status(), &head);
-    if head.leaving && verdict.is_of_target() {
-        record_leaving(shared, in_flight, call);
-    }
-    if verdict.is_of_target() {
-        record_limit(shared, in_flight, now, head.limit);
-    }
-    log_answer(shared, in_flight, call, &response, &head, verdict);
-    to_outcome(in_flight, response, verdict)
+    log_closed(shared, in_flight, call, sent_over(&answer.response));
+    log_answer(shared, in_flight, call, &answer);
+    to_outcome(in_flight, answer)
 }
 
 fn sent_over(response: &Response<Body>) -> SentOver {
@@ -256,36 +245,9 @@
     shared.metrics.count_retry("closed");
 }
 
-/// Records that a target says in its answer that it is leaving.
-fn record_leaving(shared: &Shared, in_flight: &InFlight, call: &CallerRequest) {
-    shared.metrics.count_answer("leaving");
-    let now = shared.now();
-    if shared.state().fleet.announce_departure(now, &in_flight.placement) {
-        let Placement { id: target, incarnation, .. } = &in_flight.placement;
-        log::info!(
-            target: "gateway", id = call.ask.id, target, incarnation;
-            "target says that it is leaving"
-        );
-    }
-}
-
-/// Records what a target states of its limit in the answer to a request that was sent at `sent`.
-fn record_limit(shared: &Shared, in_flight: &InFlight, sent: Time, statement: LimitStatement) {
-    let now = shared.now();
-    if shared.state().fleet.record_limit(now, &in_flight.placement, sent, statement) {
-        shared.broadcast.notify_one();
-    }
-}
-
 /// Counts a target's answer, and logs it unless it is an ordinary one.
-fn log_answer(
-    shared: &Shared,
-    in_flight: &InFlight,
-    call: &CallerRequest,
-    response: &Response<Body>,
-    head: &ResponseHead,
-    verdict: Verdict,
-) {
+fn log_answer(shared: &Shared, in_flight: &InFlight, call: &CallerRequest, answer: &Answer) {
+    let Answer { response, head, verdict } = answer;
     shared.metrics.count_answer(verdict.as_str());
     let (id, target, sent) = (&call.ask.id, &in_flight.placement.id, call.sent_count());
     let (status, kept) = (response.status().as_u16(), sent_over(response).kept);
@@ -338,8 +300,9 @@
     SendOutcome::Unknown
 }
 
-fn to_outcome(in_flight: &mut InFlight, response: Response<Body>, verdict: Verdict) -> SendOutcome {
-    match verdict {
+fn to_outcome(in_flight: &mut InFlight, answer: Answer) -> SendOutcome {
+    let response = answer.response;
+    match answer.verdict {
         Verdict::Foreign | Verdict::Interim => {
             if let Some(connection) = response.extensions().get::<ConnectionHandle>() {
                 connection.discard();
@@ -403,10 +366,10 @@
         let path = self.shared.protocol.export_path(&handle);
         let (shared, addr) = (self.shared.clone(), self.placement.addr);
         let now = shared.now();
-        if !shared.state().fleet.take_from_limit(now, &self.placement) {
+        if let Err(hold) = shared.state().fleet.clear_to_send(now, &self.placement) {
             log::info!(
-                target: "gateway", target = self.placement.id;
-                "exported KV cache not deleted: the target's limit"
+                target: "gateway", target = self.placement.id, hold = hold.as_str();
+                "exported KV cache not deleted"
             );
             return;
         }
@@ -417,8 +380,9 @@
         if let Ok(host) = addr.to_string().parse() {
             request.headers_mut().insert(hyper::header::HOST, host);
         }
+        let placement = self.placement.clone();
         tokio::spawn(async move {
-            let sent = shared.target_pool.send_within(PREFILL_TIMEOUT, addr, request).await;
+            let sent = exchange(&shared, &placement, None, PREFILL_TIMEOUT, request).await;
             if !matches!(sent, Ok(Ok(_))) {
                 log::info!(
                     target: "gateway", addr:%;
@@ -436,18 +400,14 @@
     placement: Placement,
 ) -> Option<Export> {
     let mut in_flight = InFlight::new(shared, placement, call);
-    let sent =
-        timeout(PREFILL_TIMEOUT, send(shared, call, &mut in_flight, RequestStage::Prefill, None))
-            .await;
-    let Ok(result) = sent else {
+    let result =
+        send(shared, call, &mut in_flight, PREFILL_TIMEOUT, RequestStage::Prefill, None).await;
+    if matches!(result, SendOutcome::TimedOut) {
         log::warn!(
             target: "gateway", id = call.ask.id, target = in_flight.placement.id;
             "prompt is late"
         );
-        in_flight.outcome = AttemptOutcome::Failed;
-        shared.target_pool.distrust(in_flight.placement.addr);
-        return None;
-    };
+    }
     let SendOutcome::Answered(response) = result else { return None };
     if !response.status().is_success() {
         return None;
--- a/components/gateway/src/failure.rs
+++ b/components/gateway/src/failure.rs
@@ -31,6 +31,8 @@
     TargetsFull,
     /// The limits of all targets are reached; the caller may retry after this time.
     Limited(Duration),
+    /// All targets have asked for rest; the caller may retry after this time.
+    Resting(Duration),
     /// No target can start the request before its deadline; the caller may retry after
     /// this time.
     Late(Duration),
@@ -70,6 +72,7 @@
             | Failure::TargetsFull
             | Failure::Late(_)
             | Failure::Limited(_)
+            | Failure::Resting(_)
             | Failure::PoisonPart(_)
             | Failure::Expired
             | Failure::Stopping => StatusCode::SERVICE_UNAVAILABLE,
@@ -84,7 +87,10 @@
             Failure::StaleView => Some(Duration::from_millis(500)),
             Failure::NoTarget => Some(Duration::from_millis(500)),
             Failure::TargetsFull => Some(Duration::from_millis(250)),
-            Failure::Late(span) | Failure::Limited(span) | Failure::PoisonPart(span) => Some(span),
+            Failure::Late(span)
+            | Failure::Limited(span)
+            | Failure::Resting(span)
+            | Failure::PoisonPart(span) => Some(span),
             Failure::Expired | Failure::Stopping => Some(Duration::from_millis(100)),
             _ => None,
         }
@@ -103,6 +109,7 @@
             Failure::TargetsFull => "full",
             Failure::Late(_) => "late",
             Failure::Limited(_) => "limited",
+            Failure::Resting(_) => "resting",
             Failure::Expired => "expired",
             Failure::Stopping => "stopping",
             Failure::TimedOut => "timed-out",
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -16,6 +16,8 @@
 mod placing;
 mod plan;
 mod rank;
+mod rests;
+mod sending;
 mod target;
 
 use std::{
@@ -35,10 +37,10 @@
         limits::Limits,
         pauses::PauseMeter,
         peer_loads::PeerLoads,
+        rests::Rests,
         target::{Observation, TargetState},
     },
-    hash::stable_hash,
-    protocol::{LimitStatement, Prompt},
+    protocol::Prompt,
 };
 
 pub use crate::fleet::{
@@ -46,6 +48,7 @@
     limits::LimitNotice,
     peer_loads::InFlightWork,
     plan::{Placement, Plan, TargetQuery},
+    sending::Hold,
 };
 
 /// Maximum number of targets in a message, so that it fits into one datagram; those
@@ -95,6 +98,7 @@
     targets: HashMap<Arc<str>, TargetState>,
     departures: Departures,
     limits: Limits,
+    rests: Rests,
     peer_loads: PeerLoads,
     /// Target ids by their hash.
     ids_by_hash: HashMap<u32, Arc<str>>,
@@ -131,6 +135,7 @@
             targets: HashMap::new(),
             departures: Departures::default(),
             limits: Limits::new(),
+            rests: Rests::default(),
             peer_loads: PeerLoads::default(),
             ids_by_hash: HashMap::new(),
             sent_parts: VecDeque::new(),
@@ -238,6 +243,7 @@
             counts.draining += u32::from(draining);
             counts.failing += u32::from(state.is_failing(now));
         }
+        counts.resting = u32::try_from(self.rests.count(now)).unwrap_or(u32::MAX);
         counts.limited = u32::try_from(self.limits.count()).unwrap_or(u32::MAX);
         counts
     }
@@ -323,77 +329,6 @@
         }
     }
 
-    /// Records that a target said in an answer that it leaves. Returns whether that is new.
-    pub fn announce_departure(&mut self, now: Time, placement: &Placement) -> bool {
-        let Placement { id, incarnation, .. } = placement;
-        if self.is_leaving(placement) {
-            return false;
-        }
-        self.departures.record(now, id, *incarnation, Departure::Announced);
-        if let Some(state) = self.targets.get_mut(id)
-            && state.entry.incarnation == *incarnation
-        {
-            state.entry.draining = true;
-        }
-        true
-    }
-
-    /// Whether the target has said that it leaves, or was replaced by a later start.
-    pub fn is_leaving(&self, placement: &Placement) -> bool {
-        self.departures.is_final(&placement.id, placement.incarnation)
-    }
-
-    /// Whether a request may still be sent to the target that was chosen for it.
-    pub fn may_send(&self, placement: &Placement) -> bool {
-        self.targets.contains_key(&placement.id) && !self.is_leaving(placement)
-    }
-
-    /// Sets the hosts that share the limits of targets; to be called about once a second. `own` is
-    /// this host's name, none if it is stopping, and `others` are those of the others that are alive.
-    pub fn set_hosts<'a>(
-        &mut self,
-        now: Time,
-        own: Option<&str>,
-        others: impl Iterator<Item = &'a str>,
-    ) {
-        let others = others.map(|name| stable_hash(&name)).collect();
-        self.limits.set_hosts(now, own.map(|own| stable_hash(&own)), others);
-        let targets = &self.targets;
-        self.limits.retain(now, |id, incarnation| {
-            targets.get(id).is_some_and(|state| state.entry.incarnation == incarnation)
-        });
-    }
-
-    /// Records what a target stated of its limit in the answer to a request that was sent at
-    /// `sent`. Returns whether other hosts should hear of it at once.
-    pub fn record_limit(
-        &mut self,
-        now: Time,
-        placement: &Placement,
-        sent: Time,
-        statement: LimitStatement,
-    ) -> bool {
-        let Placement { id, incarnation, .. } = placement;
-        self.limits.record_statement(now, id, *incarnation, sent, statement)
-    }
-
-    /// Counts a request against the limit of the target that was chosen for it; returns false if
-    /// this host may send it none now.
-    pub fn take_from_limit(&mut self, now: Time, placement: &Placement) -> bool {
-        self.limits.try_take(now, &placement.id, placement.incarnation)
-    }
-
-    /// Time until the limit of a target lets a request through which no target may take now; none
-    /// if that is not for their limits.
-    pub fn wait_for_limit(&self, now: Time, query: &TargetQuery<'_>) -> Option<Duration> {
-        let eligible = self.targets.values().filter(|state| {
-            state.serves(now, query.service) && !query.exclude.contains(&state.entry.id)
-        });
-        let waits = eligible
-            .filter_map(|state| self.limits.wait(now, &state.entry.id, state.entry.incarnation));
-        waits.min()
-    }
-
     /// What to tell other hosts of the targets' limits: what has changed just now, or all.
     pub fn limit_notices(&self, now: Time, only_news: bool) -> Vec<LimitNotice> {
         self.limits.notices(now, only_news)
--- a/components/gateway/src/fleet/entry.rs
+++ b/components/gateway/src/fleet/entry.rs
@@ -70,4 +70,6 @@
     pub failing: u32,
     /// With a limit of the requests that they take.
     pub limited: u32,
+    /// At rest from this host, as they asked for.
+    pub resting: u32,
 }
--- a/components/gateway/src/fleet/limits.rs
+++ b/components/gateway/src/fleet/limits.rs
@@ -160,19 +160,6 @@
         true
     }
 
-    fn budget(&self, id: &Arc<str>, incarnation: u64) -> Option<&ShareBudget> {
-        if self.limits.is_empty() {
-            return None;
-        }
-        let limit = self.limits.get(&(id.clone(), incarnation))?;
-        limit.rate.is_some().then_some(&limit.budget)
-    }
-
-    /// Whether the target's limit lets this host send a request.
-    pub(super) fn has_request(&self, now: Time, id: &Arc<str>, incarnation: u64) -> bool {
-        self.budget(id, incarnation).is_none_or(|budget| budget.has_request(now))
-    }
-
     /// Whether the target has a limit which it has not stated for a while.
     pub(super) fn is_in_doubt(&self, now: Time, id: &Arc<str>, incarnation: u64) -> bool {
         if self.limits.is_empty() {
@@ -191,6 +178,9 @@
     /// Time until some host may send the target a request; none if its limit keeps this host from
     /// nothing.
     pub(super) fn wait(&self, now: Time, id: &Arc<str>, incarnation: u64) -> Option<Duration> {
+        if self.limits.is_empty() {
+            return None;
+        }
         let limit = self.limits.get(&(id.clone(), incarnation))?;
         let rate = limit.rate?;
         if limit.budget.has_request(now) {
--- a/components/gateway/src/fleet/placing.rs
+++ b/components/gateway/src/fleet/placing.rs
@@ -128,10 +128,10 @@
         has_role: impl Fn(TargetRole) -> bool,
     ) -> Option<Placement> {
         let key = affinity(query.prompt);
-        let serving = self.targets.values().filter(|state| {
-            state.serves(now, query.service)
-                && self.limits.has_request(now, &state.entry.id, state.entry.incarnation)
-        });
+        let serving = self
+            .targets
+            .values()
+            .filter(|state| state.serves(now, query.service) && self.hold(now, state).is_none());
         let ranked = serving.map(|state| {
             let weight = if state.entry.role == TargetRole::Prefill { PREFILL_WEIGHT } else { 1.0 };
             (state, rank(key, &state.entry.id, weight))
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -12,7 +12,7 @@
     attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
     crash::record_break,
     failure::Failure,
-    fleet::{AttemptOutcome, TargetQuery},
+    fleet::{AttemptOutcome, Hold, TargetQuery},
     protocol::RequestStage,
     state::Shared,
 };
@@ -27,6 +27,9 @@
 /// Longest time for which a target's limit sends callers away: it may end earlier.
 const MAX_LIMIT_WAIT: Duration = Duration::from_secs(5);
 
+/// Longest time after the end of a rest over which callers return.
+const MAX_RETURN_SPREAD: Duration = Duration::from_secs(1);
+
 /// Size limit of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
@@ -57,12 +60,11 @@
                 self.unreachable <= MAX_UNREACHABLE
             }
             NotRunReason::Poison(_) => false,
-            NotRunReason::Limited => {
-                shared.metrics.count_retry("limited");
-                true
-            }
-            NotRunReason::Left => {
-                shared.metrics.count_retry("left");
+            NotRunReason::Held(hold) => {
+                shared.metrics.count_retry(hold.as_str());
+                if hold != Hold::Left {
+                    return true;
+                }
                 self.unreachable += 1;
                 self.unreachable <= MAX_UNREACHABLE
             }
@@ -97,30 +99,37 @@
         if self.runs > 0 { Failure::TargetFailed } else { otherwise }
     }
 
-    /// The failure to report when no target can be chosen. If that is for their limits alone, the
-    /// caller may return once one lets a request through; the random part spreads out callers that
-    /// are refused together.
-    pub(crate) fn no_target_failure(
-        &self,
-        shared: &Shared,
-        now: Time,
-        query: &TargetQuery<'_>,
-    ) -> Failure {
-        let wait = shared.state().fleet.wait_for_limit(now, query);
-        let spread = 1.0 + rand::random::<f64>();
-        let limited = wait.map(|wait| Failure::Limited(wait.min(MAX_LIMIT_WAIT).mul_f64(spread)));
-        self.failure(limited.unwrap_or(Failure::NoTarget))
+    /// The failure to report when no target can be chosen.
+    pub(crate) fn no_target_failure(&self, shared: &Shared, now: Time, service: &str) -> Failure {
+        self.failure(held_failure(shared, now, service).unwrap_or(Failure::NoTarget))
     }
 
     /// The failure to report when no other target is tried after one that did not run the request.
-    pub(crate) fn not_run_failure(&self, reason: NotRunReason) -> Failure {
+    pub(crate) fn not_run_failure(
+        &self,
+        shared: &Shared,
+        service: &str,
+        reason: NotRunReason,
+    ) -> Failure {
         self.failure(match reason {
             NotRunReason::Poison(verdict) => Failure::from(verdict),
-            _ => Failure::TargetsFull,
+            _ => held_failure(shared, shared.now(), service).unwrap_or(Failure::TargetsFull),
         })
     }
 }
 
+/// The failure to report while all targets of `service` rest or have reached their limits; none if
+/// one may be sent something. The caller may return once one may; the random part spreads out
+/// callers that are refused together.
+fn held_failure(shared: &Shared, now: Time, service: &str) -> Option<Failure> {
+    let (hold, wait) = shared.state().fleet.wait_for_target(now, service)?;
+    let spread = rand::random::<f64>();
+    Some(match hold {
+        Hold::Resting => Failure::Resting(wait + wait.min(MAX_RETURN_SPREAD).mul_f64(spread)),
+        _ => Failure::Limited(wait.min(MAX_LIMIT_WAIT).mul_f64(1.0 + spread)),
+    })
+}
+
 /// Refuses a request that is predicted to miss its deadline, if it has not been sent
 /// yet.
 ///
@@ -157,13 +166,13 @@
         };
         let placement = shared.state().fleet.place(now, &query);
         let Some(plan) = placement else {
-            return Err(attempts.no_target_failure(shared, now, &query));
+            return Err(attempts.no_target_failure(shared, now, &call.service));
         };
         check_deadline(now, call.deadline, &attempts, plan.predicted_time())?;
         let mut in_flight = InFlight::new(shared, plan.placement, call);
         in_flight.log_placed(call, false);
         attempts.tried.push(in_flight.placement.id.clone());
-        match send(shared, call, &mut in_flight, RequestStage::Whole, None).await {
+        match send(shared, call, &mut in_flight, Duration::MAX, RequestStage::Whole, None).await {
             SendOutcome::Answered(response) => {
                 shared.count_usage(call.org.as_deref(), now);
                 let failed = response.status().is_server_error();
@@ -185,7 +194,7 @@
             }
             SendOutcome::NotRun(why) => {
                 if !attempts.may_retry_not_run(shared, call, why) {
-                    return Err(attempts.not_run_failure(why));
+                    return Err(attempts.not_run_failure(shared, &call.service, why));
                 }
             }
             SendOutcome::Unknown | SendOutcome::Withheld => {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod directory;
 mod duty;
 mod events;
+mod exchange;
 mod failure;
 pub mod fleet;
 mod forward;
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -253,6 +253,7 @@
             ("draining", counts.draining),
             ("failing", counts.failing),
             ("limited", counts.limited),
+            ("resting", counts.resting),
         ];
         for (state, count) in states {
             self.targets.get_or_create(&StateLabel { state }).set(count.into());
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -132,7 +132,7 @@
                 });
             }
             let Some(plan) = self.shared.state().fleet.place(now, &self.query()) else {
-                return Err(self.attempts.no_target_failure(&self.shared, now, &self.query()));
+                return Err(self.attempts.no_target_failure(&self.shared, now, &self.call.service));
             };
             check_deadline(now, self.call.deadline, &self.attempts, plan.predicted_time())?;
             let (export, placement) = self.prefill(plan).await?;
@@ -145,7 +145,9 @@
                 }
                 None => RequestStage::Whole,
             };
-            let result = send(&shared, &call, &mut in_flight, work, self.last_delivered).await;
+            let result =
+                send(&shared, &call, &mut in_flight, Duration::MAX, work, self.last_delivered)
+                    .await;
             if !matches!(result, SendOutcome::NotRun(NotRunReason::Unreachable))
                 && let Some(export) = export
             {
@@ -169,7 +171,7 @@
                 SendOutcome::NotRun(why) => {
                     self.attempts.tried.push(in_flight.placement.id.clone());
                     if !self.attempts.may_retry_not_run(&shared, &call, why) {
-                        return Err(self.attempts.not_run_failure(why));
+                        return Err(self.attempts.not_run_failure(&shared, &call.service, why));
                     }
                 }
                 SendOutcome::Unknown | SendOutcome::Withheld => {
@@ -215,8 +217,9 @@
                 None => state.fleet.place(now, &query).map(|plan| plan.placement),
             }
         };
+        let service = &self.call.service;
         let placement =
-            placement.ok_or_else(|| self.attempts.no_target_failure(&self.shared, now, &query))?;
+            placement.ok_or_else(|| self.attempts.no_target_failure(&self.shared, now, service))?;
         Ok((export, placement))
     }
 
--- a/components/gateway/src/verdict.rs
+++ b/components/gateway/src/verdict.rs
@@ -35,9 +35,10 @@
 }
 
 impl Verdict {
-    /// Judges the answer with `status` and `head` that was read for request `id`.
-    pub fn new(id: &str, status: StatusCode, head: &ResponseHead) -> Verdict {
-        if head.id.as_deref() != Some(id) {
+    /// Judges the answer with `status` and `head` that was read for request `id`, or for one without
+    /// an id.
+    pub fn new(id: Option<&str>, status: StatusCode, head: &ResponseHead) -> Verdict {
+        if head.id.as_deref() != id {
             return Verdict::Foreign;
         }
         // Interim answers are skipped as they arrive, but for 101, which no request asks for.
--- a/components/gateway/tests/departures.rs
+++ b/components/gateway/tests/departures.rs
@@ -5,7 +5,7 @@
 use chervilgate_clock::Time;
 use chervilgate_gateway::{
     Prompt,
-    fleet::{Fleet, Placement, TargetEntry, TargetQuery, TargetRole},
+    fleet::{Fleet, Hold, Placement, TargetEntry, TargetQuery, TargetRole},
 };
 
 const SERVICE: &str = "llm";
@@ -101,11 +101,12 @@
     let now = Time::from_secs(2);
     let mut fleet = fleet(&[write(7, 1)]);
     let placement = placement(&fleet, now).unwrap();
-    let before = fleet.may_send(&placement);
+    let before = fleet.clear_to_send(now, &placement);
 
     fleet.upsert(now, TargetEntry { draining: true, ..write(7, 2) });
 
-    assert!(before && !fleet.may_send(&placement));
+    assert_eq!(before, Ok(()));
+    assert_eq!(fleet.clear_to_send(now, &placement), Err(Hold::Left));
 }
 
 #[test]
--- a/components/gateway/tests/limits.rs
+++ b/components/gateway/tests/limits.rs
@@ -45,9 +45,7 @@
 }
 
 fn wait(fleet: &Fleet, now: Time) -> Option<Duration> {
-    let prompt = Prompt::default();
-    let query = TargetQuery { service: SERVICE, prompt: &prompt, exclude: &[], max_pause: None };
-    fleet.wait_for_limit(now, &query)
+    fleet.wait_for_target(now, SERVICE).map(|(_, wait)| wait)
 }
 
 /// Number of requests that the fleet places on its only target from `from` on for `span`.
@@ -56,7 +54,7 @@
     for millis in (0..span.as_millis() as u64).step_by(10) {
         let now = from + Duration::from_millis(millis);
         if let Some(placement) = place(fleet, now) {
-            assert!(fleet.take_from_limit(now, &placement));
+            assert!(fleet.clear_to_send(now, &placement).is_ok());
             placed += 1;
         }
     }
@@ -87,7 +85,10 @@
 
     fleet.record_limit(NOW, &first, NOW, LimitStatement::Rate(1.0));
 
-    assert_ne!(place(&fleet, NOW).unwrap().id, first.id);
+    let second = place(&fleet, NOW).unwrap();
+    assert_ne!(second.id, first.id);
+    assert_eq!(wait(&fleet, NOW), None);
+    fleet.record_limit(NOW, &second, NOW, LimitStatement::Rate(0.5));
     assert_eq!(wait(&fleet, NOW), Some(Duration::from_secs(1)));
 }
 
--- a/components/gateway/tests/load/simulation.rs
+++ b/components/gateway/tests/load/simulation.rs
@@ -302,7 +302,7 @@
     fn submit_attempt(&mut self, now: Time, id: u64, placement: Placement, stage: JobStage) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let host = request.host;
-        assert!(self.hosts[host].take_from_limit(now, &placement), "placed beyond a limit");
+        assert!(self.hosts[host].clear_to_send(now, &placement).is_ok(), "placed beyond a limit");
         let attempt = self.hosts[host].start(now, &placement, &request.prompt);
         let engine = self.indexes[&placement.id];
         if let Some(times) = self.limited.get_mut(&engine) {
--- a/components/gateway/tests/verdict.rs
+++ b/components/gateway/tests/verdict.rs
@@ -8,7 +8,7 @@
 }
 
 fn verdict(id: Option<&str>, status: u16, not_run: bool) -> Verdict {
-    Verdict::new("own", StatusCode::from_u16(status).unwrap(), &head(id, not_run))
+    Verdict::new(Some("own"), StatusCode::from_u16(status).unwrap(), &head(id, not_run))
 }
 
 #[test]
@@ -50,9 +50,10 @@
 
 #[test]
 fn another_process_says_nothing_about_the_target() {
-    let other = Verdict::new("a1", StatusCode::OK, &head(Some("a2"), false));
-    let replaced = Verdict::new("a1", StatusCode::MISDIRECTED_REQUEST, &head(Some("a1"), true));
-    let own = Verdict::new("a1", StatusCode::SERVICE_UNAVAILABLE, &head(Some("a1"), true));
+    let other = Verdict::new(Some("a1"), StatusCode::OK, &head(Some("a2"), false));
+    let replaced =
+        Verdict::new(Some("a1"), StatusCode::MISDIRECTED_REQUEST, &head(Some("a1"), true));
+    let own = Verdict::new(Some("a1"), StatusCode::SERVICE_UNAVAILABLE, &head(Some("a1"), true));
 
     assert!(!other.is_of_target() && !replaced.is_of_target() && own.is_of_target());
 }
