--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -20,6 +20,7 @@
         silence: false,
         limits: false,
         rests: false,
+        sheds: false,
         other_faults: true,
     }
 }
@@ -183,3 +184,24 @@
 
     assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
 }
+
+/// Seed in which all targets refuse for most of the time, beside hosts that stop and are killed.
+const SHEDS_SEED: u64 = 5_002;
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED 44"]
+async fn repeats_stay_within_the_budget_while_all_targets_refuse() {
+    let soak = Soak {
+        length: Duration::from_secs(45),
+        hosts: 9,
+        callers: 24,
+        answer_faults: Vec::new(),
+        sheds: true,
+        other_faults: false,
+        ..soak("sheds", SHEDS_SEED)
+    };
+
+    let report = soak.run().await.unwrap();
+
+    assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
+}
