Bound repeats by a sliding window whose shares follow the hosts

Cause: the budget of each host was a balance that it saved up and that was full at its start; its size was fixed by the hosts that it knew when the service was first asked for. What was saved and what is earned met in one window, hosts that restart in turn spent the slack several times, and one that knew only itself took all of it.

Changed: policy::repeat counts requests and repeats of the last window; slack is shared by share_of_limit over the hosts with entries, and a greater share counts a window later. The window is read from the settings.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -72,13 +72,12 @@
                 shared.metrics.count_retry("gone");
                 self.unreachable += 1;
                 self.unreachable <= MAX_UNREACHABLE
-                    && shared.try_withdraw_retry(shared.now(), &call.service)
+                    && shared.try_repeat(shared.now(), &call.service)
             }
             NotRunReason::Refused => {
                 shared.metrics.count_retry("refused");
                 self.refused += 1;
-                self.refused <= MAX_REFUSED
-                    && shared.try_withdraw_retry(shared.now(), &call.service)
+                self.refused <= MAX_REFUSED && shared.try_repeat(shared.now(), &call.service)
             }
         }
     }
@@ -91,7 +90,7 @@
             && self.runs < call.route.attempts
             && call.deadline.since(shared.now()) > Duration::ZERO
             && shared.state().poison.may_retry(shared.now(), call.fingerprint, &call.parts)
-            && shared.try_withdraw_retry(shared.now(), &call.service)
+            && shared.try_repeat(shared.now(), &call.service)
     }
 
     /// The failure to report when no other target is tried.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! use, and competes for the lease on the duties that only one process at a time
 //! performs. Decisions are made in modules without I/O or clocks ([`config`],
 //! [`fleet`], [`freshness`], [`lease`], [`membership`], [`planner`], [`poison`],
-//! [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
+//! [`repeats`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
 //!
 //! External systems are reached through traits: [`Protocol`] for the headers of callers
 //! and targets, [`Decoder`] for stored objects, and the traits of the clients crate for
@@ -31,6 +31,7 @@
 pub mod planner;
 pub mod poison;
 mod protocol;
+pub mod repeats;
 mod serve;
 mod settings;
 mod state;
--- a/components/gateway/src/membership.rs
+++ b/components/gateway/src/membership.rs
@@ -159,10 +159,16 @@
         }
     }
 
-    /// Number of hosts that may be serving: this one, and all others that are not
-    /// stopping, even if no gossip of them has arrived yet.
+    /// Number of hosts that may be serving, with this one.
     pub fn count(&self) -> usize {
-        1 + self.hosts.values().filter(|known| !known.entry.leaving).count()
+        1 + self.staying_names().count()
+    }
+
+    /// Names of the other hosts that may be serving: all that are not stopping, even if no gossip of
+    /// them has arrived yet.
+    pub fn staying_names(&self) -> impl Iterator<Item = &str> {
+        let staying = self.hosts.iter().filter(|(_, known)| !known.entry.leaving);
+        staying.map(|(name, _)| name.as_str())
     }
 
     /// Addresses for a caller in `zone`; includes `own` if this host is ready.
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -119,7 +119,7 @@
             };
         let org = org.and(rechecked);
         let service = route.pick_service(rand::random()).cloned().ok_or(Failure::NoTarget)?;
-        self.shared.deposit_retry(&service);
+        self.shared.count_request(&service);
         let priority = org.as_ref().and_then(|org| org.priority).unwrap_or(route.priority);
         let fingerprint = request_fingerprint(head.uri.path(), request_head.key.as_deref(), &body);
         let org_name = org.as_ref().map(|org| &*org.name);
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -50,9 +50,11 @@
     pub window: Duration,
     /// Time after the end of a window at which its report is due.
     pub report_due: Duration,
-    /// Retries allowed per request, over all hosts.
+    /// Window in which retries are limited.
+    pub retry_window: Duration,
+    /// Retries allowed per request in a window, over all hosts.
     pub retry_ratio: f64,
-    /// Maximum number of retries that a service can save up, over all hosts.
+    /// Further retries allowed per service in a window, over all hosts.
     pub retry_burst: f64,
     /// Maximum time for which callers may cache host addresses.
     pub address_ttl: Duration,
@@ -69,6 +71,7 @@
             lease: Duration::from_secs(3),
             window: Duration::from_secs(5),
             report_due: Duration::from_secs(10),
+            retry_window: Duration::from_secs(10),
             retry_ratio: 0.1,
             retry_burst: 10.0,
             address_ttl: Duration::from_secs(5),
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -9,7 +9,7 @@
 
 use chervilgate_clients::{HttpPool, ObjectStore};
 use chervilgate_clock::{BootClock, Clock, Time};
-use chervilgate_policy::{Fingerprint, RetryBudget, RetrySettings};
+use chervilgate_policy::Fingerprint;
 use tokio::sync::{Notify, watch};
 
 use crate::{
@@ -21,15 +21,12 @@
     metrics::{LostLines, Metrics},
     poison::{FailedRun, PoisonGuard},
     protocol::{Decoder, Protocol},
+    repeats::Repeats,
     settings::HostSettings,
     usage::{PeerSheets, UsageMeter, WallClock},
     view::ConfigView,
 };
 
-/// Share of the retry budget of all hosts that is used; the rest is a reserve for hosts
-/// that disagree about the number of hosts.
-const BUDGET_SHARE: f64 = 0.7;
-
 /// Time after the lease holder's last message for which it is assumed to hold the
 /// lease.
 const HOLDER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -86,7 +83,8 @@
     pub(crate) leaving: bool,
     /// Time by which requests are answered because this host is stopping; none if it is not.
     pub(crate) answer_by: Option<Time>,
-    budgets: HashMap<Arc<str>, RetryBudget>,
+    /// What this host may send beyond the first of each request.
+    pub(crate) repeats: Repeats,
 }
 
 impl Shared {
@@ -123,7 +121,7 @@
             crash_probes: HashMap::new(),
             leaving: false,
             answer_by: None,
-            budgets: HashMap::new(),
+            repeats: Repeats::new(bounds),
         };
         Shared {
             wall_clock: Mutex::new(WallClock::new(BootClock.now(), time_of_day)),
@@ -215,30 +213,18 @@
         self.state().poison.record_run(self.now(), run);
     }
 
-    /// Credits the retry budget of `service` for a request.
-    pub(crate) fn deposit_retry(&self, service: &Arc<str>) {
-        self.with_budget(service, RetryBudget::deposit);
-    }
-
-    /// Takes a retry from the budget of `service`; returns false if none is left.
-    pub(crate) fn try_withdraw_retry(&self, now: Time, service: &Arc<str>) -> bool {
-        self.with_budget(service, |budget| budget.try_withdraw(now))
+    /// Counts a caller's request for `service`, which adds to the budget for repeats.
+    pub(crate) fn count_request(&self, service: &Arc<str>) {
+        let now = self.now();
+        self.state().repeats.count_request(now, service);
     }
 
-    fn with_budget<T>(&self, service: &Arc<str>, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let mut state = self.state();
-        if !state.budgets.contains_key(service) {
-            let hosts = state.membership.count() as f64;
-            let bounds = &self.settings.bounds;
-            let settings = RetrySettings {
-                retry_ratio: bounds.retry_ratio * BUDGET_SHARE,
-                min_rate: 0.0,
-                max_balance: bounds.retry_burst * BUDGET_SHARE / hosts,
-                ..RetrySettings::default()
-            };
-            state.budgets.insert(service.clone(), RetryBudget::new(settings));
+    /// Counts a repeat that is about to be sent; returns false if it may not be.
+    pub(crate) fn try_repeat(&self, now: Time, service: &Arc<str>) -> bool {
+        let may_repeat = self.state().repeats.try_repeat(now, service);
+        if !may_repeat {
+            self.metrics.count_retry("over-budget");
         }
-        let budget = state.budgets.get_mut(service).expect("inserted above");
-        act(budget)
+        may_repeat
     }
 }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -11,6 +11,7 @@
 mod poison;
 mod prefix;
 mod refusal;
+mod repeat;
 mod request;
 mod retry;
 mod roles;
@@ -32,6 +33,7 @@
     },
     prefix::{CacheChange, CacheEvent},
     refusal::{Refusal, RefusalReason},
+    repeat::{RepeatBudget, RepeatSettings, SlackShare},
     request::{BLOCK_TOKENS, Fingerprint, Priority, Request},
     retry::{HedgeTimer, RetryBudget, RetrySettings},
     roles::{EngineStatus, RoleChange, RolePlanner, RoleSettings},
