--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -189,7 +189,6 @@
 const SHEDS_SEED: u64 = 5_002;
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED 44"]
 async fn repeats_stay_within_the_budget_while_all_targets_refuse() {
     let soak = Soak {
         length: Duration::from_secs(45),
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -23,7 +23,7 @@
     exchange::{Answer, exchange},
     fleet::{AttemptId, AttemptOutcome, Hold, Placement},
     poison::{PoisonVerdict, SharedParts},
-    protocol::{ForwardedRequest, RequestHead, RequestStage},
+    protocol::{ForwardedRequest, PrefillResponse, RequestHead, RequestStage},
     state::Shared,
     verdict::Verdict,
 };
@@ -408,21 +408,43 @@
             "prompt is late"
         );
     }
+    let arrived = !matches!(
+        result,
+        SendOutcome::NotRun(
+            NotRunReason::Unreachable | NotRunReason::Held(_) | NotRunReason::Poison(_)
+        )
+    );
+    let Some(prefilled) = read_prefill(shared, call, &in_flight, result).await else {
+        if arrived {
+            let now = shared.now();
+            shared.state().repeats.count_refused_prompt(now, &call.service);
+        }
+        return None;
+    };
+    let handle = Some(prefilled.handle);
+    Some(Export { shared: shared.clone(), placement: in_flight.placement.clone(), handle })
+}
+
+/// Reads the response to a prefill; none if the prompt was not computed.
+async fn read_prefill(
+    shared: &Shared,
+    call: &CallerRequest,
+    in_flight: &InFlight,
+    result: SendOutcome,
+) -> Option<PrefillResponse> {
     let SendOutcome::Answered(response) = result else { return None };
     if !response.status().is_success() {
         return None;
     }
     let body = chervilgate_clients::body::collect(response.into_body(), MAX_PREFILL_RESPONSE).await;
     let prefilled = shared.protocol.parse_prefill(&body.ok()?);
-    let Some(prefilled) = prefilled else {
+    if prefilled.is_none() {
         log::warn!(
             target: "gateway", id = call.ask.id, target = in_flight.placement.id;
             "invalid prefill response"
         );
-        return None;
-    };
-    let handle = Some(prefilled.handle);
-    Some(Export { shared: shared.clone(), placement: in_flight.placement.clone(), handle })
+    }
+    prefilled
 }
 
 /// Size limit of a prefill response, in bytes.
--- a/components/gateway/src/fleet/placing.rs
+++ b/components/gateway/src/fleet/placing.rs
@@ -59,7 +59,7 @@
     /// Chooses the target of a request, and another one to compute its prompt first if
     /// that is cheaper.
     pub fn place(&self, now: Time, query: &TargetQuery<'_>) -> Option<Plan> {
-        let whole = self.best_target(now, query, |role| role != TargetRole::Prefill);
+        let whole = self.place_whole(now, query);
         if query.prompt.tokens == 0 {
             return whole.map(|placement| Plan { placement, prefill: None });
         }
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Chooses a target that runs the whole request.
+    pub fn place_whole(&self, now: Time, query: &TargetQuery<'_>) -> Option<Placement> {
+        self.best_target(now, query, |role| role != TargetRole::Prefill)
+    }
+
     /// Chooses a target to generate from an exported KV cache, without computing the
     /// prompt.
     pub fn place_decode(&self, now: Time, query: &TargetQuery<'_>) -> Option<Placement> {
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -198,9 +198,11 @@
     /// Computes the prompt on the plan's prefill target, if any, and then chooses the
     /// target that generates.
     async fn prefill(&mut self, plan: Plan) -> Result<(Option<Export>, Placement), Failure> {
-        let Some(placement) = plan.prefill.filter(|_| self.prefills < MAX_PREFILLS) else {
-            return Ok((None, plan.placement));
-        };
+        let Some(placement) = plan.prefill else { return Ok((None, plan.placement)) };
+        if !self.may_compute_apart() {
+            let placement = self.shared.state().fleet.place_whole(self.shared.now(), &self.query());
+            return Ok((None, placement.unwrap_or(plan.placement)));
+        }
         self.prefills += 1;
         log::info!(
             target: "gateway", id = self.call.ask.id, target = placement.id, zone = placement.zone,
@@ -223,6 +225,13 @@
         Ok((export, placement))
     }
 
+    /// Whether the prompt may be sent to a prefill target. Refused ones count as repeats.
+    fn may_compute_apart(&self) -> bool {
+        let now = self.shared.now();
+        self.prefills < MAX_PREFILLS
+            && self.shared.state().repeats.may_compute_apart(now, &self.call.service)
+    }
+
     /// Adds the request to the usage counts, once.
     fn count_usage_once(&mut self) {
         if !self.counted {
