Keep the limit of a target whose entry is away

A limit is now kept for a minute without its entry.

a_limit_is_kept_while_the_entry_of_its_target_is_away failed before: the request was let through. limits_of_targets_that_are_gone_are_forgotten expected the limit to be dropped in the same second; it now expects so after a minute, and that the metric does not count it before.

--- a/components/gateway/src/fleet/limits.rs
+++ b/components/gateway/src/fleet/limits.rs
@@ -19,6 +19,10 @@
 /// Time for which the end of a limit is remembered, so that other hosts hear of it.
 const END_TTL: Duration = Duration::from_secs(10);
 
+/// Time for which the limit of a target without an entry is kept: far longer than entries are away when the
+/// store has come back from an older copy.
+const ABSENCE_TTL: Duration = Duration::from_secs(60);
+
 /// Time without a statement after which it is worth something to learn whether a limit still holds.
 const DOUBT_TIME: Duration = Duration::from_secs(2);
 
@@ -48,6 +52,8 @@
     rate: Option<f64>,
     stated_at: Time,
     changed_at: Time,
+    /// When its target was first seen to have no entry; none if it has one.
+    absent_since: Option<Time>,
     budget: ShareBudget,
 }
 
@@ -85,11 +91,18 @@
         }
     }
 
-    /// Drops what is known of starts that are gone.
+    /// Drops what is known of starts that are gone. An entry may be away for a moment while its
+    /// target goes on.
     pub(super) fn retain(&mut self, now: Time, is_present: impl Fn(&str, u64) -> bool) {
         self.limits.retain(|(id, incarnation), limit| {
+            if is_present(id, *incarnation) {
+                limit.absent_since = None;
+            } else {
+                limit.absent_since.get_or_insert(now);
+            }
+            let is_gone = limit.absent_since.is_some_and(|at| now.since(at) >= ABSENCE_TTL);
             let is_over = limit.rate.is_none() && now.since(limit.stated_at) >= END_TTL;
-            !is_over && is_present(id, *incarnation)
+            !is_over && !is_gone
         });
     }
 
@@ -142,6 +155,7 @@
             rate: None,
             stated_at,
             changed_at: now,
+            absent_since: None,
             budget: ShareBudget::new(now),
         });
         limit.stated_at = stated_at;
@@ -208,7 +222,8 @@
 
     /// Number of targets with a limit.
     pub(super) fn count(&self) -> usize {
-        self.limits.values().filter(|limit| limit.rate.is_some()).count()
+        let present = self.limits.values().filter(|limit| limit.absent_since.is_none());
+        present.filter(|limit| limit.rate.is_some()).count()
     }
 }
 
