Reproduce streams that go on at another software version (KNOWN-RED 45)

Checked: what versions a caller holds, how many of the streams taken up go on against how many new ones begin, and prompts imported by another version.

--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -21,6 +21,7 @@
         limits: false,
         rests: false,
         sheds: false,
+        releases: false,
         other_faults: true,
     }
 }
@@ -204,3 +205,24 @@
 
     assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
 }
+
+/// Seed in which hosts end while engines of two versions serve.
+const RELEASES_SEED: u64 = 6_001;
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED 45"]
+async fn streams_go_on_at_the_version_that_began_them() {
+    let soak = Soak {
+        length: Duration::from_secs(45),
+        hosts: 9,
+        callers: 4,
+        answer_faults: Vec::new(),
+        releases: true,
+        other_faults: false,
+        ..soak("releases", RELEASES_SEED)
+    };
+
+    let report = soak.run().await.unwrap();
+
+    assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
+}
