Let a host that starts for the first time use its share of the repeats

No earlier process can have spent the share of a host that finds no entry of its own in the store, so its share counts once the hosts are listed; a host that starts again waits as before. The property test starts its hosts so.

--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -165,10 +165,7 @@
             let state = &mut *shared.state();
             let own = (!state.leaving).then_some(&*shared.settings.name);
             state.fleet.set_hosts(now, own, state.membership.live_names(now));
-            if state.membership.is_listed() {
-                let names = state.membership.staying_names();
-                state.repeats.set_hosts(now, &shared.settings.name, names);
-            }
+            state.share_repeats(now, &shared.settings.name);
             state.fleet.update_speeds(now);
             let evidence = state.poison.all_evidence(now);
             let limits = state.fleet.limit_notices(now, false);
--- a/components/gateway/src/repeats.rs
+++ b/components/gateway/src/repeats.rs
@@ -14,6 +14,8 @@
     /// Slack of a service, over all hosts.
     total_slack: f64,
     slack: SlackShare,
+    /// Whether no earlier process of this host can have spent a share of it.
+    is_unspent: bool,
     budgets: HashMap<Arc<str>, RepeatBudget>,
 }
 
@@ -24,16 +26,27 @@
             settings: RepeatSettings { window: limits.retry_window, ratio: limits.retry_ratio },
             total_slack: limits.retry_burst,
             slack: SlackShare::default(),
+            is_unspent: false,
             budgets: HashMap::new(),
         }
     }
 
+    /// Records that no process of this host has run before, so that its share of the slack counts as
+    /// soon as the hosts are known.
+    pub fn start_first(&mut self) {
+        self.is_unspent = true;
+    }
+
     /// Sets the hosts that share the slack, to be called about once a second: this one, and the others
     /// that may be alive.
     pub fn set_hosts<'a>(&mut self, now: Time, own: &str, others: impl Iterator<Item = &'a str>) {
         let others: Vec<u64> = others.map(|name| stable_hash(&name)).collect();
         let share = share_of_limit(self.total_slack, 0, stable_hash(&own), &others);
-        self.slack.set(now, self.settings.window, share.unwrap_or(0.0));
+        let share = share.unwrap_or(0.0);
+        if std::mem::take(&mut self.is_unspent) {
+            self.slack = SlackShare::unspent(share);
+        }
+        self.slack.set(now, self.settings.window, share);
     }
 
     /// Counts a caller's request.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -87,6 +87,15 @@
     pub(crate) repeats: Repeats,
 }
 
+impl State {
+    /// Shares the budget for repeats with the hosts that may be serving, once they are known.
+    pub(crate) fn share_repeats(&mut self, now: Time, own: &str) {
+        if self.membership.is_listed() {
+            self.repeats.set_hosts(now, own, self.membership.staying_names());
+        }
+    }
+}
+
 impl Shared {
     /// Starts with empty state.
     pub(crate) fn new(
--- a/components/gateway/src/watch/hosts.rs
+++ b/components/gateway/src/watch/hosts.rs
@@ -35,12 +35,17 @@
     let mut latest_era = shared.store_era.subscribe();
     let mut version: Option<Version> = None;
     let mut written: Option<HostEntry> = None;
+    let mut has_run = false;
     loop {
         latest_era.mark_unchanged();
         let entry = shared.host_entry();
         let before = version;
         if written.as_ref() != Some(&entry) {
             let done = write_entry(&shared, &own_key, &entry, &mut version).await;
+            if done && before.is_none() && !has_run {
+                shared.state().repeats.start_first();
+            }
+            has_run = true;
             written = done.then_some(entry);
         }
         let listed = shared.store.list_stale(HOSTS).await;
@@ -58,7 +63,10 @@
                     (name.to_owned(), object.version, entry)
                 });
             let entries = entries.collect();
-            shared.state().membership.update(entries);
+            let now = shared.now();
+            let state = &mut *shared.state();
+            state.membership.update(entries);
+            state.share_repeats(now, &shared.settings.name);
         }
         let pause = match &written {
             Some(_) => LIST_INTERVAL,
--- a/components/policy/src/repeat.rs
+++ b/components/policy/src/repeat.rs
@@ -8,7 +8,7 @@
 //! It answers a load in which targets refuse or fail most of what they get, while hosts come and go:
 //! - What is earned or spent counts for one window and is not saved up.
 //! - A greater share of the slack counts a window later, since the host that had it may have spent
-//!   it just now; a host that starts has none until then.
+//!   it just now; a host that starts again has none until then.
 //! - A prompt that is computed apart is no repeat unless it is refused, which shows afterwards. Once
 //!   some were refused, such prompts need a part of the budget that other repeats leave.
 
@@ -55,6 +55,12 @@
 }
 
 impl SlackShare {
+    /// A share that counts at once, for a host that has just started and of which no earlier process
+    /// can have spent it.
+    pub fn unspent(share: f64) -> SlackShare {
+        SlackShare { share, greater: None }
+    }
+
     /// Sets the share, to be called about once a second; a greater one counts once it has lasted for
     /// `window`.
     pub fn set(&mut self, now: Time, window: Duration, share: f64) {
--- a/components/policy/src/repeat/tests.rs
+++ b/components/policy/src/repeat/tests.rs
@@ -96,7 +96,9 @@
 /// change. Returns the requests and repeats of each step.
 fn play(seed: u64, hosts: usize) -> Vec<(u32, u32)> {
     let mut rng = Pcg64::seed_from_u64(seed);
+    let slack = SLACK / hosts as f64;
     let mut hosts: Vec<Host> = (0..hosts).map(|_| starting_host(&mut rng)).collect();
+    hosts.iter_mut().for_each(|host| host.slack = SlackShare::unspent(slack));
     let mut steps = Vec::new();
     for step in 0..STEPS {
         let now = NOW + STEP * step as u32;
