--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -210,7 +210,6 @@
 const RELEASES_SEED: u64 = 6_001;
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED 45"]
 async fn streams_go_on_at_the_version_that_began_them() {
     let soak = Soak {
         length: Duration::from_secs(45),
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -107,10 +107,10 @@
     pub(crate) fn log_placed(&self, call: &CallerRequest, export: bool) {
         let Placement { id: target, zone, compute_tokens: compute, prefill_ms, wait_ms, .. } =
             &self.placement;
-        let tokens = call.ask.prompt.tokens;
+        let (tokens, build) = (call.ask.prompt.tokens, &self.placement.build.name);
         log::info!(
             target: "gateway", id = call.ask.id, target, zone, wait = *wait_ms as u64,
-            read = *prefill_ms as u64, compute, tokens, export, config = call.config_version;
+            read = *prefill_ms as u64, compute, tokens, export, build, config = call.config_version;
             "placed"
         );
     }
--- a/components/gateway/src/failure.rs
+++ b/components/gateway/src/failure.rs
@@ -33,6 +33,10 @@
     Limited(Duration),
     /// All targets have asked for rest; the caller may retry after this time.
     Resting(Duration),
+    /// Nobody can tell which software version began the stream; another host may.
+    UnknownBuild,
+    /// No target serves with the software version that began the stream.
+    BuildGone,
     /// No target can start the request before its deadline; the caller may retry after
     /// this time.
     Late(Duration),
@@ -73,6 +77,8 @@
             | Failure::Late(_)
             | Failure::Limited(_)
             | Failure::Resting(_)
+            | Failure::UnknownBuild
+            | Failure::BuildGone
             | Failure::PoisonPart(_)
             | Failure::Expired
             | Failure::Stopping => StatusCode::SERVICE_UNAVAILABLE,
@@ -86,6 +92,7 @@
         match self {
             Failure::StaleView => Some(Duration::from_millis(500)),
             Failure::NoTarget => Some(Duration::from_millis(500)),
+            Failure::UnknownBuild | Failure::BuildGone => Some(Duration::from_millis(500)),
             Failure::TargetsFull => Some(Duration::from_millis(250)),
             Failure::Late(span)
             | Failure::Limited(span)
@@ -110,6 +117,8 @@
             Failure::Late(_) => "late",
             Failure::Limited(_) => "limited",
             Failure::Resting(_) => "resting",
+            Failure::UnknownBuild => "unknown-build",
+            Failure::BuildGone => "build-gone",
             Failure::Expired => "expired",
             Failure::Stopping => "stopping",
             Failure::TimedOut => "timed-out",
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -7,6 +7,7 @@
 //! other which parts they sent where; the rank only decides about parts that no host
 //! has reported.
 
+mod builds;
 mod departures;
 mod entry;
 mod health;
@@ -33,6 +34,7 @@
 
 use crate::{
     fleet::{
+        builds::GoneBuilds,
         departures::{Departure, Departures},
         limits::Limits,
         pauses::PauseMeter,
@@ -44,6 +46,7 @@
 };
 
 pub use crate::fleet::{
+    builds::{Build, BuildId, STREAM_LIFE, SeenBuilds},
     entry::{TargetCounts, TargetEntry, TargetRole},
     limits::LimitNotice,
     peer_loads::InFlightWork,
@@ -99,6 +102,7 @@
     departures: Departures,
     limits: Limits,
     rests: Rests,
+    gone_builds: GoneBuilds,
     peer_loads: PeerLoads,
     /// Target ids by their hash.
     ids_by_hash: HashMap<u32, Arc<str>>,
@@ -136,6 +140,7 @@
             departures: Departures::default(),
             limits: Limits::new(),
             rests: Rests::default(),
+            gone_builds: GoneBuilds::default(),
             peer_loads: PeerLoads::default(),
             ids_by_hash: HashMap::new(),
             sent_parts: VecDeque::new(),
@@ -161,9 +166,11 @@
         if entry.draining {
             self.departures.record(now, &entry.id, entry.incarnation, Departure::Announced);
         }
+        self.record_build(&entry);
         match self.targets.get_mut(&entry.id) {
             Some(known) if entry.is_later_start_than(&known.entry) => {
                 let earlier = known.entry.incarnation;
+                self.gone_builds.record_gone(now, &known.entry);
                 self.departures.record(now, &entry.id, earlier, Departure::Replaced);
                 known.update_entry(now, entry);
             }
@@ -187,6 +194,7 @@
     pub fn remove(&mut self, now: Time, id: &str) {
         if let Some(state) = self.targets.remove(id) {
             self.ids_by_hash.remove(&state.id_hash);
+            self.gone_builds.record_gone(now, &state.entry);
             let TargetEntry { id, incarnation, .. } = &state.entry;
             self.departures.record(now, id, *incarnation, state.entry.removal());
         }
@@ -209,6 +217,7 @@
     /// Entries that expired during a store outage come back soon after it. Until then
     /// their targets are kept, but no longer than a draining target may get work.
     pub fn replace(&mut self, now: Time, entries: Vec<TargetEntry>) -> bool {
+        self.gone_builds.record_list(now);
         let listed: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
         for entry in entries {
             self.upsert(now, entry);
--- a/components/gateway/src/fleet/entry.rs
+++ b/components/gateway/src/fleet/entry.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use crate::fleet::departures::Departure;
+use crate::fleet::{Build, departures::Departure};
 
 /// Which stages of a request a target runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -32,6 +32,8 @@
     pub draining: bool,
     /// Which stages of a request it runs.
     pub role: TargetRole,
+    /// Its software version.
+    pub build: Build,
     /// Distinguishes restarts under the same id.
     pub incarnation: u64,
     /// Number of the write by this start of the target; 0 if the target does not number them.
--- a/components/gateway/src/fleet/placing.rs
+++ b/components/gateway/src/fleet/placing.rs
@@ -65,9 +65,15 @@
         }
         let prefill = self.best_target(now, query, |role| role == TargetRole::Prefill);
         let decode = self.place_decode(now, query);
-        match (whole, prefill, decode) {
+        // Both stages have one software version.
+        let same = prefill.as_ref().and_then(|prefill| {
+            self.place_decode(now, &TargetQuery { build: Some(prefill.build.id), ..*query })
+        });
+        let detour =
+            |same: &Placement| decode.as_ref().map_or(0.0, |any| same.cost_ms - any.cost_ms);
+        match (whole, prefill, same) {
             (Some(whole), Some(prefill), Some(placement))
-                if prefill.cost_ms + SPLIT_COST_MS < whole.cost_ms =>
+                if prefill.cost_ms + SPLIT_COST_MS + detour(&placement) < whole.cost_ms =>
             {
                 Some(Plan { placement, prefill: Some(prefill) })
             }
@@ -133,10 +139,11 @@
         has_role: impl Fn(TargetRole) -> bool,
     ) -> Option<Placement> {
         let key = affinity(query.prompt);
-        let serving = self
-            .targets
-            .values()
-            .filter(|state| state.serves(now, query.service) && self.hold(now, state).is_none());
+        let serving = self.targets.values().filter(|state| {
+            state.serves(now, query.service)
+                && query.build.is_none_or(|build| state.entry.build.id == build)
+                && self.hold(now, state).is_none()
+        });
         let ranked = serving.map(|state| {
             let weight = if state.entry.role == TargetRole::Prefill { PREFILL_WEIGHT } else { 1.0 };
             (state, rank(key, &state.entry.id, weight))
@@ -181,6 +188,7 @@
             addr: state.entry.addr,
             zone: state.entry.zone.clone(),
             incarnation: state.entry.incarnation,
+            build: state.entry.build.clone(),
             compute_tokens,
             prefill_ms: state.prefill_time_ms(compute_tokens, query.prompt.tokens),
             wait_ms: self.expected_wait(now, state),
--- a/components/gateway/src/fleet/plan.rs
+++ b/components/gateway/src/fleet/plan.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::protocol::Prompt;
+use crate::{
+    fleet::{Build, BuildId},
+    protocol::Prompt,
+};
 
 /// Predicted prefill time from which all hosts are told at once: about what a short
 /// prompt may wait and still be on time.
@@ -17,6 +20,8 @@
     pub prompt: &'a Prompt,
     /// Targets that have been tried already.
     pub exclude: &'a [Arc<str>],
+    /// Software version that the target must have; none if any will do.
+    pub build: Option<BuildId>,
     /// Longest pause with which the service's streams are on time; none if unspecified.
     pub max_pause: Option<Duration>,
 }
@@ -30,6 +35,8 @@
     pub addr: SocketAddr,
     /// The target's availability zone.
     pub zone: Arc<str>,
+    /// The target's software version.
+    pub build: Build,
     /// Which start of the target it was chosen for.
     pub incarnation: u64,
     /// Prompt tokens that the target is expected to compute.
--- a/components/gateway/src/fleet/sending.rs
+++ b/components/gateway/src/fleet/sending.rs
@@ -8,7 +8,7 @@
 use chervilgate_clock::Time;
 
 use crate::{
-    fleet::{Fleet, Placement, TargetRole, departures::Departure, target::TargetState},
+    fleet::{BuildId, Fleet, Placement, TargetRole, departures::Departure, target::TargetState},
     hash::stable_hash,
     protocol::LimitStatement,
 };
@@ -64,13 +64,20 @@
         Some((Hold::Limited, self.limits.wait(now, id, incarnation)?))
     }
 
-    /// Time until a target that generates or answers for `service` may be sent something, and what
-    /// holds it back; none if one may be now, or none serves.
-    pub fn wait_for_target(&self, now: Time, service: &str) -> Option<(Hold, Duration)> {
-        let serving = self
-            .targets
-            .values()
-            .filter(|state| state.serves(now, service) && state.entry.role != TargetRole::Prefill);
+    /// Time until a target that generates or answers for `service`, of this software version if any
+    /// is given, may be sent something, and what holds it back; none if one may be now, or none
+    /// serves.
+    pub fn wait_for_target(
+        &self,
+        now: Time,
+        service: &str,
+        build: Option<BuildId>,
+    ) -> Option<(Hold, Duration)> {
+        let serving = self.targets.values().filter(|state| {
+            state.serves(now, service)
+                && state.entry.role != TargetRole::Prefill
+                && build.is_none_or(|build| state.entry.build.id == build)
+        });
         let holds: Option<Vec<(Hold, Duration)>> =
             serving.map(|state| self.hold(now, state)).collect();
         holds?.into_iter().min_by_key(|(_, wait)| *wait)
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -12,7 +12,7 @@
     attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
     crash::record_break,
     failure::Failure,
-    fleet::{AttemptOutcome, Hold, TargetQuery},
+    fleet::{AttemptOutcome, BuildId, Hold, TargetQuery},
     protocol::RequestStage,
     state::Shared,
 };
@@ -99,8 +99,19 @@
     }
 
     /// The failure to report when no target can be chosen.
-    pub(crate) fn no_target_failure(&self, shared: &Shared, now: Time, service: &str) -> Failure {
-        self.failure(held_failure(shared, now, service).unwrap_or(Failure::NoTarget))
+    pub(crate) fn no_target_failure(
+        &self,
+        shared: &Shared,
+        now: Time,
+        service: &str,
+        build: Option<BuildId>,
+    ) -> Failure {
+        let is_gone =
+            build.is_some_and(|build| !shared.state().fleet.serves_build(now, service, build));
+        if is_gone {
+            return self.failure(Failure::BuildGone);
+        }
+        self.failure(held_failure(shared, now, service, build).unwrap_or(Failure::NoTarget))
     }
 
     /// The failure to report when no other target is tried after one that did not run the request.
@@ -108,11 +119,12 @@
         &self,
         shared: &Shared,
         service: &str,
+        build: Option<BuildId>,
         reason: NotRunReason,
     ) -> Failure {
         self.failure(match reason {
             NotRunReason::Poison(verdict) => Failure::from(verdict),
-            _ => held_failure(shared, shared.now(), service).unwrap_or(Failure::TargetsFull),
+            _ => held_failure(shared, shared.now(), service, build).unwrap_or(Failure::TargetsFull),
         })
     }
 }
@@ -120,8 +132,13 @@
 /// The failure to report while all targets of `service` rest or have reached their limits; none if
 /// one may be sent something. The caller may return once one may; the random part spreads out
 /// callers that are refused together.
-fn held_failure(shared: &Shared, now: Time, service: &str) -> Option<Failure> {
-    let (hold, wait) = shared.state().fleet.wait_for_target(now, service)?;
+fn held_failure(
+    shared: &Shared,
+    now: Time,
+    service: &str,
+    build: Option<BuildId>,
+) -> Option<Failure> {
+    let (hold, wait) = shared.state().fleet.wait_for_target(now, service, build)?;
     let spread = rand::random::<f64>();
     Some(match hold {
         Hold::Resting => Failure::Resting(wait + wait.min(MAX_RETURN_SPREAD).mul_f64(spread)),
@@ -161,11 +178,12 @@
             service: &call.service,
             prompt: &call.ask.prompt,
             exclude: &attempts.tried,
+            build: None,
             max_pause: None,
         };
         let placement = shared.state().fleet.place(now, &query);
         let Some(plan) = placement else {
-            return Err(attempts.no_target_failure(shared, now, &call.service));
+            return Err(attempts.no_target_failure(shared, now, &call.service, None));
         };
         check_deadline(now, call.deadline, &attempts, plan.predicted_time())?;
         let mut in_flight = InFlight::new(shared, plan.placement, call);
@@ -193,7 +211,7 @@
             }
             SendOutcome::NotRun(why) => {
                 if !attempts.may_retry_not_run(shared, call, why) {
-                    return Err(attempts.not_run_failure(shared, &call.service, why));
+                    return Err(attempts.not_run_failure(shared, &call.service, None, why));
                 }
             }
             SendOutcome::Unknown | SendOutcome::Withheld => {
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -7,6 +7,7 @@
 //! copy is passed on by each host that hears of it.
 
 mod news;
+mod origins;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -18,12 +19,17 @@
     time::{sleep, timeout},
 };
 
-pub(crate) use self::news::{send_latest_changes, send_store_era};
+pub(crate) use self::{
+    news::{send_latest_changes, send_store_era},
+    origins::send_origins,
+};
 use crate::{
     fleet::{CachedPart, GroupReport, InFlightWork, LimitNotice},
     gossip::news::{
         LatestChanges, ProgressReply, apply_latest_changes, apply_progress, progress_reply,
     },
+    gossip::origins::answer_question,
+    origins::{OriginAnswer, OriginNotice, OriginQuestion, StreamKey},
     poison::{CrashEvidence, FailedRun},
     state::Shared,
     usage::PeerWindow,
@@ -79,6 +85,10 @@
     LatestChanges(LatestChanges),
     Progress(ProgressReply),
     Limits(Vec<LimitNotice>),
+    /// Which software versions began streams.
+    Origins(Vec<OriginNotice>),
+    OriginAsked(OriginQuestion),
+    OriginAnswered(StreamKey, OriginAnswer),
 }
 
 /// What a host has seen of the targets' speeds.
@@ -389,6 +399,19 @@
                 let now = shared.now();
                 shared.state().fleet.apply_limit_notices(now, &notices);
             }
+            Ok(Message::Origins(notices)) => {
+                let now = shared.now();
+                let origins = &mut shared.state().origins;
+                notices.into_iter().for_each(|notice| origins.learn(now, notice));
+            }
+            Ok(Message::OriginAsked(question)) => {
+                answer_question(&shared, &socket, shared.now(), question, from).await;
+            }
+            Ok(Message::OriginAnswered(key, answer)) => {
+                let now = shared.now();
+                shared.state().origins.record_answer(now, key, answer);
+                shared.origin_answered.notify_waiters();
+            }
             Ok(Message::StoreEra(era)) => shared.hear_store_era(era),
             Ok(Message::Work(report)) => {
                 let now = shared.now();
--- /dev/null
+++ b/components/gateway/src/gossip/origins.rs
@@ -0,0 +1,69 @@
+//! What hosts tell and ask each other of the software versions that began streams.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use chervilgate_clock::Time;
+use tokio::{net::UdpSocket, time::timeout};
+
+use crate::{
+    gossip::{Message, send},
+    origins::{HOLDERS, OriginNotice, OriginQuestion},
+    state::Shared,
+};
+
+/// Interval at which a host looks whether a further version serves.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Maximum number of streams in a message, so that it fits into one datagram.
+const MAX_NOTICES: usize = 60;
+
+/// Tells a few hosts of streams that this one began, and asks others for streams that it did not.
+pub(crate) async fn send_origins(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    loop {
+        // Without anything due it is time to look for a further version.
+        timeout(LOOK_INTERVAL, shared.origins_due.notified()).await.ok();
+        let now = shared.now();
+        let (notices, questions) = {
+            let state = &mut *shared.state();
+            if state.fleet.take_new_build() {
+                state.origins.tell_all();
+            }
+            let mut notices: HashMap<SocketAddr, Vec<OriginNotice>> = HashMap::new();
+            for notice in state.origins.take_untold() {
+                for peer in state.membership.ranked(now, notice.key.hash(), HOLDERS) {
+                    notices.entry(peer).or_default().push(notice);
+                }
+            }
+            (notices, state.origins.take_questions())
+        };
+        for (peer, notices) in notices {
+            for part in notices.chunks(MAX_NOTICES) {
+                send(&socket, &Message::Origins(part.to_vec()), peer).await;
+            }
+        }
+        for (question, peers) in questions {
+            for peer in peers {
+                send(&socket, &Message::OriginAsked(question), peer).await;
+            }
+        }
+    }
+}
+
+/// Answers another host's question, if this one can.
+pub(super) async fn answer_question(
+    shared: &Shared,
+    socket: &UdpSocket,
+    now: Time,
+    question: OriginQuestion,
+    from: SocketAddr,
+) {
+    let answer = {
+        let state = shared.state();
+        let Some(service) = state.fleet.service_of_hash(question.service) else { return };
+        let seen = state.seen_builds(now, &service, shared.settings.bounds.drain_time);
+        state.origins.answer(question.key, seen)
+    };
+    if let Some(answer) = answer {
+        send(socket, &Message::OriginAnswered(question.key, answer), from).await;
+    }
+}
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -128,6 +128,7 @@
         tokio::spawn(gossip::send_work(shared.clone(), socket.clone()));
         let refresh_membership = Arc::new(Notify::new());
         tokio::spawn(gossip::send_speeds(shared.clone(), socket.clone()));
+        tokio::spawn(gossip::send_origins(shared.clone(), socket.clone()));
         tokio::spawn(gossip::send_store_era(shared.clone(), socket.clone()));
         tokio::spawn(gossip::send_latest_changes(shared.clone(), socket.clone()));
         tokio::spawn(gossip::request_confirmations(shared.clone(), socket.clone()));
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! Each host runs one gateway process. It serves callers, tells them which hosts to
 //! use, and competes for the lease on the duties that only one process at a time
 //! performs. Decisions are made in modules without I/O or clocks ([`config`],
-//! [`fleet`], [`freshness`], [`lease`], [`membership`], [`planner`], [`poison`],
+//! [`fleet`], [`freshness`], [`lease`], [`membership`], [`origins`], [`planner`], [`poison`],
 //! [`repeats`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
 //!
 //! External systems are reached through traits: [`Protocol`] for the headers of callers
@@ -28,6 +28,7 @@
 pub mod lease;
 pub mod membership;
 mod metrics;
+pub mod origins;
 pub mod planner;
 pub mod poison;
 mod protocol;
@@ -36,6 +37,7 @@
 mod settings;
 mod state;
 mod stream;
+mod takeover;
 pub mod usage;
 pub mod verdict;
 pub mod view;
--- a/components/gateway/src/membership.rs
+++ b/components/gateway/src/membership.rs
@@ -159,6 +159,19 @@
         }
     }
 
+    /// Gossip addresses of up to `count` other hosts that are not stopping: those first in an order by
+    /// hash over `key`, which nearly all hosts see alike. Those that no gossip has arrived from come
+    /// last; a host that has just started has heard of none.
+    pub fn ranked(&self, now: Time, key: u64, count: usize) -> Vec<SocketAddr> {
+        let staying = self.hosts.iter().filter(|(_, known)| !known.entry.leaving);
+        let ranked = staying.map(|(name, known)| {
+            (!known.is_alive(now), stable_hash(&(key, name)), known.entry.gossip)
+        });
+        let mut ranked: Vec<(bool, u64, SocketAddr)> = ranked.collect();
+        ranked.sort_unstable();
+        ranked.into_iter().take(count).map(|(.., addr)| addr).collect()
+    }
+
     /// Number of hosts that may be serving, with this one.
     pub fn count(&self) -> usize {
         1 + self.staying_names().count()
--- /dev/null
+++ b/components/gateway/src/origins.rs
@@ -0,0 +1,224 @@
+//! Which software version began a stream that a caller takes up, maybe at another host.
+//!
+//! While several versions serve, or may have served, the host that begins a stream tells a few
+//! others before its first event reaches the caller: those first in an order by hash over the
+//! stream's key, so that the host that the caller comes to can ask them even if that host is gone. A
+//! host that has seen one version only for as long as streams live vouches for it, and then nothing
+//! is told.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+};
+
+use chervilgate_clock::Time;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    fleet::{BuildId, STREAM_LIFE, SeenBuilds},
+    hash::stable_hash,
+};
+
+/// Number of hosts that are told of a stream.
+pub(crate) const HOLDERS: usize = 4;
+
+/// Number of hosts that are asked for one: more, as hosts may disagree about who is there.
+pub(crate) const ASKED: usize = 8;
+
+/// Maximum number of streams that are remembered; the oldest are dropped first.
+const MAX_STREAMS: usize = 50_000;
+
+/// Identifies a stream by the attempt that began it, its service and organisation: an organisation
+/// learns nothing of the streams of others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct StreamKey(u64);
+
+impl StreamKey {
+    /// Key of the stream that `attempt` began.
+    pub fn new(attempt: &str, service: &str, org: Option<&str>) -> StreamKey {
+        StreamKey(stable_hash(&(attempt, service, org)))
+    }
+
+    /// Hash by which hosts are ordered.
+    pub(crate) fn hash(self) -> u64 {
+        self.0
+    }
+}
+
+/// That a version began a stream, as hosts tell each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct OriginNotice {
+    /// The stream.
+    pub key: StreamKey,
+    /// The version that began it.
+    pub build: BuildId,
+}
+
+/// A host's question which version began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct OriginQuestion {
+    /// The stream.
+    pub key: StreamKey,
+    /// Hash of its service's name.
+    pub service: u64,
+}
+
+/// What a host knows of a stream that another one asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum OriginAnswer {
+    /// This version began it.
+    Begun(BuildId),
+    /// No other version can have begun it.
+    Only(BuildId),
+    /// Several may have.
+    Several,
+}
+
+/// What is known of the version that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// This one did.
+    Known(BuildId),
+    /// Others have to be asked.
+    Unclear,
+    /// Nobody can tell.
+    Unknown,
+}
+
+/// The streams that are known to this host, and the answers of others.
+#[derive(Debug, Default)]
+pub struct Origins {
+    begun: HashMap<StreamKey, Begun>,
+    /// Keys by the time of their entry, oldest first.
+    order: VecDeque<(Time, StreamKey)>,
+    /// Streams that this host began and that are not told.
+    untold: Vec<OriginNotice>,
+    answers: HashMap<StreamKey, Answers>,
+    /// Questions that are to be sent, with the hosts to ask.
+    questions: Vec<(OriginQuestion, Vec<SocketAddr>)>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Begun {
+    build: BuildId,
+    /// Whether this host began it.
+    is_own: bool,
+}
+
+/// Answers to a question that is open.
+#[derive(Debug, Default)]
+struct Answers {
+    count: usize,
+    only: Option<BuildId>,
+    several: bool,
+}
+
+impl Origins {
+    /// Records that a version began a stream at this host; `is_told` if others are told of it.
+    pub fn begin(&mut self, now: Time, notice: OriginNotice, is_told: bool) {
+        self.insert(now, notice, true);
+        if is_told {
+            self.untold.push(notice);
+        }
+    }
+
+    /// Records which version began a stream.
+    pub fn learn(&mut self, now: Time, notice: OriginNotice) {
+        self.insert(now, notice, false);
+    }
+
+    fn insert(&mut self, now: Time, OriginNotice { key, build }: OriginNotice, is_own: bool) {
+        while let Some((at, oldest)) = self.order.front().copied() {
+            if now.since(at) < STREAM_LIFE && self.order.len() < MAX_STREAMS {
+                break;
+            }
+            self.order.pop_front();
+            self.begun.remove(&oldest);
+        }
+        if self.begun.insert(key, Begun { build, is_own }).is_none() {
+            self.order.push_back((now, key));
+        }
+    }
+
+    /// Streams that others are to be told of.
+    pub fn take_untold(&mut self) -> Vec<OriginNotice> {
+        std::mem::take(&mut self.untold)
+    }
+
+    /// Has all streams told that this host began, as a further version serves.
+    pub fn tell_all(&mut self) {
+        let own = self.begun.iter().filter(|(_, begun)| begun.is_own);
+        let notices = own.map(|(key, begun)| OriginNotice { key: *key, build: begun.build });
+        self.untold = notices.collect();
+    }
+
+    /// What this host knows by itself of a stream that a caller takes up.
+    pub fn find(&self, key: StreamKey, seen: SeenBuilds) -> Origin {
+        match (self.begun.get(&key), seen) {
+            (Some(begun), _) => Origin::Known(begun.build),
+            (None, SeenBuilds::Only(build)) => Origin::Known(build),
+            (None, _) => Origin::Unclear,
+        }
+    }
+
+    /// Opens a question to the hosts at `peers`.
+    pub fn ask(&mut self, question: OriginQuestion, peers: Vec<SocketAddr>) {
+        self.answers.insert(question.key, Answers::default());
+        self.questions.push((question, peers));
+    }
+
+    /// Questions that are to be sent.
+    pub fn take_questions(&mut self) -> Vec<(OriginQuestion, Vec<SocketAddr>)> {
+        std::mem::take(&mut self.questions)
+    }
+
+    /// Records an answer to an open question.
+    pub fn record_answer(&mut self, now: Time, key: StreamKey, answer: OriginAnswer) {
+        let Some(answers) = self.answers.get_mut(&key) else { return };
+        answers.count += 1;
+        match answer {
+            OriginAnswer::Begun(build) => self.learn(now, OriginNotice { key, build }),
+            OriginAnswer::Only(build) => answers.only = Some(build),
+            OriginAnswer::Several => answers.several = true,
+        }
+    }
+
+    /// Whether the answers to a question suffice, of `asked` hosts.
+    pub fn is_answered(&self, key: StreamKey, asked: usize) -> bool {
+        self.begun.contains_key(&key)
+            || self.answers.get(&key).is_none_or(|answers| answers.count >= asked)
+    }
+
+    /// Closes a question, and tells what the answers and this host's own view show. Where nobody
+    /// answers, the only version that this host sees is taken for the one.
+    pub fn conclude(&mut self, key: StreamKey, seen: SeenBuilds) -> Origin {
+        let answers = self.answers.remove(&key).unwrap_or_default();
+        if let Some(begun) = self.begun.get(&key) {
+            return Origin::Known(begun.build);
+        }
+        match (answers.several, answers.only, seen) {
+            (true, ..) | (_, _, SeenBuilds::Several) => Origin::Unknown,
+            (_, Some(build), _)
+            | (_, None, SeenBuilds::Only(build) | SeenBuilds::OnlyNow(build)) => {
+                Origin::Known(build)
+            }
+            (_, None, SeenBuilds::Unsure) => Origin::Unknown,
+        }
+    }
+
+    /// Answers another host's question, if this one can.
+    pub fn answer(&self, key: StreamKey, seen: SeenBuilds) -> Option<OriginAnswer> {
+        if let Some(begun) = self.begun.get(&key) {
+            return Some(OriginAnswer::Begun(begun.build));
+        }
+        match seen {
+            SeenBuilds::Only(build) => Some(OriginAnswer::Only(build)),
+            SeenBuilds::Several => Some(OriginAnswer::Several),
+            SeenBuilds::OnlyNow(_) | SeenBuilds::Unsure => None,
+        }
+    }
+}
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -24,6 +24,8 @@
     /// Id of the last event that the caller received of an earlier response, to resume
     /// after.
     pub last_event: Option<u64>,
+    /// Id of the request that brought the first event of the stream that is resumed.
+    pub origin: Option<String>,
     /// The prompt; empty for plain services.
     pub prompt: Prompt,
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -15,10 +15,11 @@
 use crate::{
     counted::{CountedStore, raise_era},
     crash::CrashProbe,
-    fleet::Fleet,
+    fleet::{Fleet, SeenBuilds},
     freshness::{Freshness, Reads},
     membership::{HostEntry, Membership},
     metrics::{LostLines, Metrics},
+    origins::Origins,
     poison::{FailedRun, PoisonGuard},
     protocol::{Decoder, Protocol},
     repeats::Repeats,
@@ -50,6 +51,10 @@
     pub(crate) change_known: Notify,
     /// Notifies watches that another host knows of a change which they have not brought.
     pub(crate) change_missed: Notify,
+    /// Notified when other hosts are to be told or asked which version began a stream.
+    pub(crate) origins_due: Notify,
+    /// Notifies those who wait for an answer to such a question.
+    pub(crate) origin_answered: Notify,
     /// Requests an immediate broadcast of this host's work in flight.
     pub(crate) broadcast: Notify,
     /// Turns true when this host stops so soon that open requests are answered at once.
@@ -83,10 +88,16 @@
     pub(crate) leaving: bool,
     /// Time by which requests are answered because this host is stopping; none if it is not.
     pub(crate) answer_by: Option<Time>,
+    /// Which software versions began streams.
+    pub(crate) origins: Origins,
     /// What this host may send beyond the first of each request.
     pub(crate) repeats: Repeats,
 }
 
+/// Age of the list of targets, relative to the time in which a change of it must be known, from which
+/// a host may have missed a version.
+const OLD_LIST_SHARE: f64 = 1.5;
+
 impl State {
     /// Shares the budget for repeats with the hosts that may be serving, once they are known.
     pub(crate) fn share_repeats(&mut self, now: Time, own: &str) {
@@ -94,6 +105,17 @@
             self.repeats.set_hosts(now, own, self.membership.staying_names());
         }
     }
+
+    /// Which versions may have begun a stream of `service`, by a list of targets that is not old.
+    pub(crate) fn seen_builds(&self, now: Time, service: &str, drain_time: Duration) -> SeenBuilds {
+        let age = self.reads.targets.age(now);
+        let is_current = age.is_some_and(|age| age < drain_time.mul_f64(OLD_LIST_SHARE))
+            && !self.reads.targets.is_behind();
+        if !is_current {
+            return SeenBuilds::Unsure;
+        }
+        self.fleet.seen_builds(now, service)
+    }
 }
 
 impl Shared {
@@ -130,6 +152,7 @@
             crash_probes: HashMap::new(),
             leaving: false,
             answer_by: None,
+            origins: Origins::default(),
             repeats: Repeats::new(bounds),
         };
         Shared {
@@ -143,6 +166,8 @@
             store_era,
             change_known: Notify::new(),
             change_missed: Notify::new(),
+            origins_due: Notify::new(),
+            origin_answered: Notify::new(),
             broadcast: Notify::new(),
             answer_now: watch::Sender::new(false),
             settings,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -23,10 +23,11 @@
     crash::record_break,
     events::EventSplitter,
     failure::Failure,
-    fleet::{AttemptOutcome, Placement, Plan, TargetQuery},
+    fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
     forward::{Attempts, check_deadline},
     protocol::RequestStage,
     state::Shared,
+    takeover::{find_origin, record_origin},
 };
 
 /// Maximum number of buffered chunks per slow caller.
@@ -69,6 +70,8 @@
     prefills: u32,
     /// Id of the last event that was sent to the caller.
     last_delivered: Option<u64>,
+    /// Software version that began the stream; none before its first event.
+    build: Option<BuildId>,
     counted: bool,
 }
 
@@ -81,11 +84,15 @@
     let mut relay = Relay {
         shared: shared.clone(),
         last_delivered: call.ask.last_event,
+        build: None,
         call,
         attempts: Attempts::default(),
         prefills: 0,
         counted: false,
     };
+    if relay.last_delivered.is_some() {
+        relay.build = Some(find_origin(shared, &relay.call).await?);
+    }
     let (target_stream, first) = relay.start().await?;
     let (event_sender, frames) = mpsc::channel(CHANNEL_CAPACITY);
     let mut response = Response::new(channel_body(frames));
@@ -132,7 +139,12 @@
                 });
             }
             let Some(plan) = self.shared.state().fleet.place(now, &self.query()) else {
-                return Err(self.attempts.no_target_failure(&self.shared, now, &self.call.service));
+                return Err(self.attempts.no_target_failure(
+                    &self.shared,
+                    now,
+                    &self.call.service,
+                    self.build,
+                ));
             };
             check_deadline(now, self.call.deadline, &self.attempts, plan.predicted_time())?;
             let (export, placement) = self.prefill(plan).await?;
@@ -171,7 +183,12 @@
                 SendOutcome::NotRun(why) => {
                     self.attempts.tried.push(in_flight.placement.id.clone());
                     if !self.attempts.may_retry_not_run(&shared, &call, why) {
-                        return Err(self.attempts.not_run_failure(&shared, &call.service, why));
+                        return Err(self.attempts.not_run_failure(
+                            &shared,
+                            &call.service,
+                            self.build,
+                            why,
+                        ));
                     }
                 }
                 SendOutcome::Unknown | SendOutcome::Withheld => {
@@ -191,6 +208,7 @@
             service: &self.call.service,
             prompt: &self.call.ask.prompt,
             exclude: &self.attempts.tried,
+            build: self.build,
             max_pause: self.call.max_pause,
         }
     }
@@ -212,19 +230,34 @@
         );
         let export = prefill(&self.shared, &self.call, placement).await;
         let (now, query) = (self.shared.now(), self.query());
-        let placement = {
+        let (export, placement) = {
             let state = self.shared.state();
-            match &export {
-                Some(_) => state.fleet.place_decode(now, &query),
-                None => state.fleet.place(now, &query).map(|plan| plan.placement),
+            let importer = export.as_ref().and_then(|export| {
+                let build = Some(export.placement().build.id);
+                state.fleet.place_decode(now, &TargetQuery { build, ..query })
+            });
+            match importer {
+                Some(placement) => (export, Some(placement)),
+                // No target imports what was computed, which is dropped.
+                None => (None, state.fleet.place_whole(now, &query)),
             }
         };
         let service = &self.call.service;
-        let placement =
-            placement.ok_or_else(|| self.attempts.no_target_failure(&self.shared, now, service))?;
+        let placement = placement.ok_or_else(|| {
+            self.attempts.no_target_failure(&self.shared, now, service, self.build)
+        })?;
         Ok((export, placement))
     }
 
+    /// Binds the stream to the software version that brings its first event.
+    fn record_origin_once(&mut self, target_stream: &TargetStream) {
+        if self.build.is_none() && target_stream.status.is_success() {
+            let build = target_stream.in_flight.placement.build.id;
+            self.build = Some(build);
+            record_origin(&self.shared, &self.call, build);
+        }
+    }
+
     /// Whether the prompt may be sent to a prefill target. Refused ones count as repeats.
     fn may_compute_apart(&self) -> bool {
         let now = self.shared.now();
@@ -256,6 +289,7 @@
                 ReadOutcome::Events(bytes) => {
                     target_stream.in_flight.mark_computed();
                     self.count_usage_once();
+                    self.record_origin_once(&target_stream);
                     self.last_delivered = target_stream.splitter.last_id();
                     let now = self.shared.now();
                     let pause = now.since(last_sent);
--- /dev/null
+++ b/components/gateway/src/takeover.rs
@@ -0,0 +1,100 @@
+//! Finds out which software version began a stream that a caller takes up.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    attempt::CallerRequest,
+    failure::Failure,
+    fleet::{BuildId, SeenBuilds},
+    hash::stable_hash,
+    origins::{ASKED, Origin, OriginNotice, OriginQuestion, StreamKey},
+    state::Shared,
+};
+
+/// Time for which the answers of other hosts are awaited.
+const ANSWER_TIME: Duration = Duration::from_millis(150);
+
+/// The version that began the stream which `call` takes up.
+///
+/// # Errors
+/// If nobody can tell: the stream must not go on at a version that may be another one.
+pub(crate) async fn find_origin(
+    shared: &Arc<Shared>,
+    call: &CallerRequest,
+) -> Result<BuildId, Failure> {
+    // A caller that does not name the attempt is helped if there is one version only.
+    let attempt = call.ask.origin.as_deref().unwrap_or(&call.ask.id);
+    let key = StreamKey::new(attempt, &call.service, call.org.as_deref());
+    let (origin, asked) = look_up(shared, call, key);
+    let origin = match origin {
+        Origin::Unclear => {
+            wait_for_answers(shared, key, asked).await;
+            let mut state = shared.state();
+            let seen = seen_builds(shared, &state, call);
+            state.origins.conclude(key, seen)
+        }
+        origin => origin,
+    };
+    let is_known = matches!(origin, Origin::Known(_));
+    let by = if asked > 0 { "others" } else { "own" };
+    log::info!(
+        target: "gateway", id = call.ask.id, origin = call.ask.origin.as_deref(), is_known, by, asked;
+        "stream taken up"
+    );
+    match origin {
+        Origin::Known(build) => Ok(build),
+        Origin::Unclear | Origin::Unknown => Err(Failure::UnknownBuild),
+    }
+}
+
+/// What this host knows; if that does not suffice, a question goes to other hosts, of which the number
+/// is returned.
+fn look_up(shared: &Shared, call: &CallerRequest, key: StreamKey) -> (Origin, usize) {
+    let now = shared.now();
+    let state = &mut *shared.state();
+    let seen = seen_builds(shared, state, call);
+    let origin = state.origins.find(key, seen);
+    if origin != Origin::Unclear {
+        return (origin, 0);
+    }
+    let peers = state.membership.ranked(now, key.hash(), ASKED);
+    let asked = peers.len();
+    let service = stable_hash(&&*call.service);
+    state.origins.ask(OriginQuestion { key, service }, peers);
+    shared.origins_due.notify_one();
+    (origin, asked)
+}
+
+fn seen_builds(shared: &Shared, state: &crate::state::State, call: &CallerRequest) -> SeenBuilds {
+    state.seen_builds(shared.now(), &call.service, shared.settings.bounds.drain_time)
+}
+
+async fn wait_for_answers(shared: &Shared, key: StreamKey, asked: usize) {
+    let end = Instant::now() + ANSWER_TIME;
+    loop {
+        let answered = shared.origin_answered.notified();
+        tokio::pin!(answered);
+        answered.as_mut().enable();
+        if shared.state().origins.is_answered(key, asked) {
+            return;
+        }
+        if timeout_at(end, answered).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Records that the version of `build` began the stream of `call`, before its first event is passed on.
+pub(crate) fn record_origin(shared: &Shared, call: &CallerRequest, build: BuildId) {
+    let now = shared.now();
+    let key = StreamKey::new(&call.ask.id, &call.service, call.org.as_deref());
+    let state = &mut *shared.state();
+    let seen = seen_builds(shared, state, call);
+    let is_told = !matches!(seen, SeenBuilds::Only(_));
+    state.origins.begin(now, OriginNotice { key, build }, is_told);
+    if is_told {
+        shared.origins_due.notify_one();
+    }
+}
--- a/components/gateway/tests/departures.rs
+++ b/components/gateway/tests/departures.rs
@@ -5,7 +5,7 @@
 use chervilgate_clock::Time;
 use chervilgate_gateway::{
     Prompt,
-    fleet::{Fleet, Hold, Placement, TargetEntry, TargetQuery, TargetRole},
+    fleet::{Build, Fleet, Hold, Placement, TargetEntry, TargetQuery, TargetRole},
 };
 
 const SERVICE: &str = "llm";
@@ -21,6 +21,7 @@
         slots: 64,
         draining: false,
         role: TargetRole::Decode,
+        build: Build::default(),
         incarnation,
         sequence,
         reclaimable: false,
@@ -35,7 +36,13 @@
 
 fn placement(fleet: &Fleet, now: Time) -> Option<Placement> {
     let prompt = Prompt::default();
-    let query = TargetQuery { service: SERVICE, prompt: &prompt, exclude: &[], max_pause: None };
+    let query = TargetQuery {
+        service: SERVICE,
+        prompt: &prompt,
+        exclude: &[],
+        build: None,
+        max_pause: None,
+    };
     fleet.place(now, &query).map(|plan| plan.placement)
 }
 
--- a/components/gateway/tests/duties.rs
+++ b/components/gateway/tests/duties.rs
@@ -6,7 +6,7 @@
 use chervilgate_clock::Time;
 use chervilgate_gateway::{
     config::Scaling,
-    fleet::{TargetEntry, TargetRole},
+    fleet::{Build, TargetEntry, TargetRole},
     lease::is_standby,
     planner::OrderPlanner,
     usage::{
@@ -120,6 +120,7 @@
         slots: 64,
         draining: false,
         role: TargetRole::Decode,
+        build: Build::default(),
         incarnation: 1,
         sequence: 0,
         reclaimable: n >= on_demand,
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -6,8 +6,8 @@
 use chervilgate_gateway::{
     Prompt, PromptPart,
     fleet::{
-        AttemptOutcome, CachedPart, Fleet, InFlightWork, Placement, TargetEntry, TargetQuery,
-        TargetRole,
+        AttemptOutcome, Build, CachedPart, Fleet, InFlightWork, Placement, TargetEntry,
+        TargetQuery, TargetRole,
     },
 };
 
@@ -25,6 +25,7 @@
         slots: 64,
         draining: false,
         role,
+        build: Build::default(),
         incarnation: 1,
         sequence: 0,
         reclaimable: false,
@@ -50,7 +51,7 @@
 }
 
 fn query<'a>(prompt: &'a Prompt, exclude: &'a [Arc<str>]) -> TargetQuery<'a> {
-    TargetQuery { service: SERVICE, prompt, exclude, max_pause: Some(MAX_PAUSE) }
+    TargetQuery { service: SERVICE, prompt, exclude, build: None, max_pause: Some(MAX_PAUSE) }
 }
 
 /// The target that computes the prompt.
--- a/components/gateway/tests/limits.rs
+++ b/components/gateway/tests/limits.rs
@@ -5,7 +5,7 @@
 use chervilgate_clock::Time;
 use chervilgate_gateway::{
     LimitStatement, Prompt,
-    fleet::{Fleet, Hold, LimitNotice, Placement, TargetEntry, TargetQuery, TargetRole},
+    fleet::{Build, Fleet, Hold, LimitNotice, Placement, TargetEntry, TargetQuery, TargetRole},
 };
 
 const SERVICE: &str = "plain";
@@ -24,6 +24,7 @@
         slots: 8,
         draining: false,
         role: TargetRole::Whole,
+        build: Build::default(),
         incarnation,
         sequence: 0,
         reclaimable: false,
@@ -40,12 +41,18 @@
 
 fn place(fleet: &Fleet, now: Time) -> Option<Placement> {
     let prompt = Prompt::default();
-    let query = TargetQuery { service: SERVICE, prompt: &prompt, exclude: &[], max_pause: None };
+    let query = TargetQuery {
+        service: SERVICE,
+        prompt: &prompt,
+        exclude: &[],
+        build: None,
+        max_pause: None,
+    };
     fleet.place(now, &query).map(|plan| plan.placement)
 }
 
 fn wait(fleet: &Fleet, now: Time) -> Option<Duration> {
-    fleet.wait_for_target(now, SERVICE).map(|(_, wait)| wait)
+    fleet.wait_for_target(now, SERVICE, None).map(|(_, wait)| wait)
 }
 
 /// Number of requests that the fleet places on its only target from `from` on for `span`.
--- a/components/gateway/tests/load/simulation.rs
+++ b/components/gateway/tests/load/simulation.rs
@@ -7,7 +7,7 @@
 use chervilgate_gateway::{
     LimitStatement, Prompt, PromptPart,
     fleet::{
-        AttemptId, AttemptOutcome, CachedPart, Fleet, InFlightWork, Placement, TargetEntry,
+        AttemptId, AttemptOutcome, Build, CachedPart, Fleet, InFlightWork, Placement, TargetEntry,
         TargetQuery, TargetRole,
     },
 };
@@ -146,6 +146,7 @@
         slots: sheet.profile.decode.batch,
         draining: false,
         role: if index < sheet.prefill_engines { TargetRole::Prefill } else { TargetRole::Decode },
+        build: Build::default(),
         incarnation: 1,
         sequence: 0,
         reclaimable: false,
@@ -284,6 +285,7 @@
             service: "llm",
             prompt: &prompt,
             exclude: &request.tried,
+            build: None,
             max_pause: Some(self.sheet.max_pause),
         };
         let plan =
@@ -393,6 +395,7 @@
             service: "llm",
             prompt: &request.prompt,
             exclude: &request.tried,
+            build: None,
             max_pause: Some(self.sheet.max_pause),
         };
         let Some(placement) = self.hosts[request.host].place_decode(now, &query) else {
@@ -488,6 +491,7 @@
                     id: entry.id,
                     addr: entry.addr,
                     zone: entry.zone,
+                    build: Build::default(),
                     incarnation: entry.incarnation,
                     compute_tokens: 0,
                     prefill_ms: 0.0,
--- a/components/gateway/tests/membership.rs
+++ b/components/gateway/tests/membership.rs
@@ -170,3 +170,16 @@
     assert!(!pollers.addrs.contains(&silent));
     assert_eq!(pollers.addrs.len() + usize::from(pollers.includes_own), 3);
 }
+
+#[test]
+fn hosts_that_were_heard_come_first_and_all_hosts_rank_them_alike() {
+    let now = Time::from_secs(10);
+    let (heard, mut silent) = (all_heard(now), listed());
+    silent.record_heartbeat(now, 2, 0);
+
+    let ranked = heard.ranked(now, 7, 2);
+
+    assert_eq!(ranked, all_heard(now).ranked(now, 7, 3)[..2]);
+    assert_eq!(silent.ranked(now, 7, 3)[0], addr(2));
+    assert_eq!(listed().ranked(now, 7, 9).len(), 3);
+}
--- a/components/gateway/tests/rests.rs
+++ b/components/gateway/tests/rests.rs
@@ -5,7 +5,7 @@
 use chervilgate_clock::Time;
 use chervilgate_gateway::{
     Prompt,
-    fleet::{Fleet, Hold, Placement, TargetEntry, TargetQuery, TargetRole},
+    fleet::{Build, Fleet, Hold, Placement, TargetEntry, TargetQuery, TargetRole},
 };
 
 const SERVICE: &str = "plain";
@@ -22,6 +22,7 @@
         slots: 8,
         draining: false,
         role,
+        build: Build::default(),
         incarnation,
         sequence: 0,
         reclaimable: false,
@@ -36,7 +37,13 @@
 
 fn place(fleet: &Fleet, now: Time) -> Option<Placement> {
     let prompt = Prompt::default();
-    let query = TargetQuery { service: SERVICE, prompt: &prompt, exclude: &[], max_pause: None };
+    let query = TargetQuery {
+        service: SERVICE,
+        prompt: &prompt,
+        exclude: &[],
+        build: None,
+        max_pause: None,
+    };
     fleet.place(now, &query).map(|plan| plan.placement)
 }
 
@@ -67,7 +74,7 @@
     fleet.record_rest(NOW, &first, REST);
 
     assert_ne!(place(&fleet, NOW).unwrap().id, first.id);
-    assert_eq!(fleet.wait_for_target(NOW, SERVICE), None);
+    assert_eq!(fleet.wait_for_target(NOW, SERVICE, None), None);
 }
 
 #[test]
@@ -78,7 +85,7 @@
     let second = place(&fleet, NOW).unwrap();
     fleet.record_rest(NOW, &second, REST / 2);
 
-    assert_eq!(fleet.wait_for_target(NOW, SERVICE), Some((Hold::Resting, REST / 2)));
+    assert_eq!(fleet.wait_for_target(NOW, SERVICE, None), Some((Hold::Resting, REST / 2)));
 }
 
 #[test]
@@ -87,7 +94,7 @@
 
     fleet.upsert(NOW, entry("p", 1, TargetRole::Prefill));
 
-    assert_eq!(fleet.wait_for_target(NOW, SERVICE), Some((Hold::Resting, REST)));
+    assert_eq!(fleet.wait_for_target(NOW, SERVICE, None), Some((Hold::Resting, REST)));
 }
 
 #[test]
@@ -97,7 +104,7 @@
     fleet.record_rest(NOW, &placement, REST / 2);
     fleet.record_rest(NOW, &placement, Duration::ZERO);
 
-    assert_eq!(fleet.wait_for_target(NOW, SERVICE), Some((Hold::Resting, REST)));
+    assert_eq!(fleet.wait_for_target(NOW, SERVICE, None), Some((Hold::Resting, REST)));
 }
 
 #[test]
