Drop open questions of callers that left; see versions that change within a start

Found by reading the change: a question about a stream stayed in memory if its caller left before the answers came, and a target whose entry names another version in the same start hid the one before. a_later_version_of_the_same_start_leaves_the_earlier_one_seen failed before; the memory has no test.

--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -181,7 +181,12 @@
                 known.expires_at = None;
                 log_skipped(&entry, "a later write is known");
             }
-            Some(known) => known.update_entry(now, entry),
+            Some(known) => {
+                if known.entry.build != entry.build {
+                    self.gone_builds.record_gone(now, &known.entry);
+                }
+                known.update_entry(now, entry);
+            }
             None => {
                 let state = TargetState::new(now, entry);
                 self.ids_by_hash.insert(state.id_hash, state.entry.id.clone());
--- a/components/gateway/src/origins.rs
+++ b/components/gateway/src/origins.rs
@@ -1,7 +1,7 @@
 //! Which software version began a stream that a caller takes up, maybe at another host.
 //!
 //! While several versions serve, or may have served, the host that begins a stream tells a few
-//! others before its first event reaches the caller: those first in an order by hash over the
+//! others as it passes on the first event: those first in an order by hash over the
 //! stream's key, so that the host that the caller comes to can ask them even if that host is gone. A
 //! host that has seen one version only for as long as streams live vouches for it, and then nothing
 //! is told.
@@ -9,6 +9,7 @@
 use std::{
     collections::{HashMap, VecDeque},
     net::SocketAddr,
+    time::Duration,
 };
 
 use chervilgate_clock::Time;
@@ -25,6 +26,9 @@
 /// Number of hosts that are asked for one: more, as hosts may disagree about who is there.
 pub(crate) const ASKED: usize = 8;
 
+/// Time after which a question is dropped that nobody has closed.
+const QUESTION_LIFE: Duration = Duration::from_secs(5);
+
 /// Maximum number of streams that are remembered; the oldest are dropped first.
 const MAX_STREAMS: usize = 50_000;
 
@@ -97,6 +101,7 @@
     order: VecDeque<(Time, StreamKey)>,
     /// Streams that this host began and that are not told.
     untold: Vec<OriginNotice>,
+    /// Open questions.
     answers: HashMap<StreamKey, Answers>,
     /// Questions that are to be sent, with the hosts to ask.
     questions: Vec<(OriginQuestion, Vec<SocketAddr>)>,
@@ -110,8 +115,9 @@
 }
 
 /// Answers to a question that is open.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Answers {
+    asked_at: Time,
     count: usize,
     only: Option<BuildId>,
     several: bool,
@@ -166,8 +172,11 @@
     }
 
     /// Opens a question to the hosts at `peers`.
-    pub fn ask(&mut self, question: OriginQuestion, peers: Vec<SocketAddr>) {
-        self.answers.insert(question.key, Answers::default());
+    pub fn ask(&mut self, now: Time, question: OriginQuestion, peers: Vec<SocketAddr>) {
+        // Of callers that left before the answers came.
+        self.answers.retain(|_, answers| now.since(answers.asked_at) < QUESTION_LIFE);
+        let answers = Answers { asked_at: now, count: 0, only: None, several: false };
+        self.answers.insert(question.key, answers);
         self.questions.push((question, peers));
     }
 
@@ -196,11 +205,13 @@
     /// Closes a question, and tells what the answers and this host's own view show. Where nobody
     /// answers, the only version that this host sees is taken for the one.
     pub fn conclude(&mut self, key: StreamKey, seen: SeenBuilds) -> Origin {
-        let answers = self.answers.remove(&key).unwrap_or_default();
+        let answers = self.answers.remove(&key);
         if let Some(begun) = self.begun.get(&key) {
             return Origin::Known(begun.build);
         }
-        match (answers.several, answers.only, seen) {
+        let only = answers.as_ref().and_then(|answers| answers.only);
+        let several = answers.is_some_and(|answers| answers.several);
+        match (several, only, seen) {
             (true, ..) | (_, _, SeenBuilds::Several) => Origin::Unknown,
             (_, Some(build), _)
             | (_, None, SeenBuilds::Only(build) | SeenBuilds::OnlyNow(build)) => {
--- a/components/gateway/src/takeover.rs
+++ b/components/gateway/src/takeover.rs
@@ -10,7 +10,7 @@
     fleet::{BuildId, SeenBuilds},
     hash::stable_hash,
     origins::{ASKED, Origin, OriginNotice, OriginQuestion, StreamKey},
-    state::Shared,
+    state::{Shared, State},
 };
 
 /// Time for which the answers of other hosts are awaited.
@@ -62,12 +62,12 @@
     let peers = state.membership.ranked(now, key.hash(), ASKED);
     let asked = peers.len();
     let service = stable_hash(&&*call.service);
-    state.origins.ask(OriginQuestion { key, service }, peers);
+    state.origins.ask(now, OriginQuestion { key, service }, peers);
     shared.origins_due.notify_one();
     (origin, asked)
 }
 
-fn seen_builds(shared: &Shared, state: &crate::state::State, call: &CallerRequest) -> SeenBuilds {
+fn seen_builds(shared: &Shared, state: &State, call: &CallerRequest) -> SeenBuilds {
     state.seen_builds(shared.now(), &call.service, shared.settings.bounds.drain_time)
 }
 
--- a/components/gateway/tests/origins.rs
+++ b/components/gateway/tests/origins.rs
@@ -54,7 +54,7 @@
 /// Asks for a stream, with these answers of as many hosts; returns the conclusion.
 fn conclude(answers: &[OriginAnswer], seen: SeenBuilds) -> Origin {
     let mut origins = Origins::default();
-    origins.ask(OriginQuestion { key: key("a"), service: 0 }, Vec::new());
+    origins.ask(NOW, OriginQuestion { key: key("a"), service: 0 }, Vec::new());
     for answer in answers {
         assert!(!origins.is_answered(key("a"), answers.len()));
         origins.record_answer(NOW, key("a"), *answer);
@@ -184,3 +184,12 @@
 
     assert_eq!(origins.find(key("a"), SeenBuilds::Several), Origin::Unclear);
 }
+
+#[test]
+fn a_later_version_of_the_same_start_leaves_the_earlier_one_seen() {
+    let mut fleet = fleet(&["v1"]);
+
+    fleet.upsert(NOW, entry("d0", TargetRole::Decode, "v2"));
+
+    assert_eq!(fleet.seen_builds(NOW, SERVICE), SeenBuilds::Several);
+}
