Let a host that starts again send one repeat at once

One repeat at once is borne by the part of the budget that is left unused; the property test restarts a host every 1.5 s on average and holds.

--- a/components/gateway/src/repeats.rs
+++ b/components/gateway/src/repeats.rs
@@ -13,7 +13,8 @@
     settings: RepeatSettings,
     /// Slack of a service, over all hosts.
     total_slack: f64,
-    slack: SlackShare,
+    /// None until the hosts are known.
+    slack: Option<SlackShare>,
     /// Whether no earlier process of this host can have spent a share of it.
     is_unspent: bool,
     budgets: HashMap<Arc<str>, RepeatBudget>,
@@ -25,7 +26,7 @@
         Repeats {
             settings: RepeatSettings { window: limits.retry_window, ratio: limits.retry_ratio },
             total_slack: limits.retry_burst,
-            slack: SlackShare::default(),
+            slack: None,
             is_unspent: false,
             budgets: HashMap::new(),
         }
@@ -43,10 +44,14 @@
         let others: Vec<u64> = others.map(|name| stable_hash(&name)).collect();
         let share = share_of_limit(self.total_slack, 0, stable_hash(&own), &others);
         let share = share.unwrap_or(0.0);
-        if std::mem::take(&mut self.is_unspent) {
-            self.slack = SlackShare::unspent(share);
-        }
-        self.slack.set(now, self.settings.window, share);
+        let slack = self.slack.get_or_insert_with(|| {
+            if self.is_unspent {
+                SlackShare::unspent(share)
+            } else {
+                SlackShare::after_restart(share)
+            }
+        });
+        slack.set(now, self.settings.window, share);
     }
 
     /// Counts a caller's request.
@@ -56,13 +61,13 @@
 
     /// Counts a repeat that is about to be sent; returns false if it may not be.
     pub fn try_repeat(&mut self, now: Time, service: &Arc<str>) -> bool {
-        let slack = self.slack.get();
+        let slack = self.slack();
         self.budget(service).try_repeat(now, slack)
     }
 
     /// Whether a prompt may be sent to be computed apart.
     pub fn may_compute_apart(&mut self, now: Time, service: &Arc<str>) -> bool {
-        let slack = self.slack.get();
+        let slack = self.slack();
         self.budget(service).may_compute_apart(now, slack)
     }
 
@@ -72,6 +77,10 @@
         self.budget(service).count_refused_prompt(now);
     }
 
+    fn slack(&self) -> f64 {
+        self.slack.as_ref().map_or(0.0, SlackShare::get)
+    }
+
     fn budget(&mut self, service: &Arc<str>) -> &mut RepeatBudget {
         if !self.budgets.contains_key(service) {
             self.budgets.insert(service.clone(), RepeatBudget::new(self.settings));
--- a/components/policy/src/repeat.rs
+++ b/components/policy/src/repeat.rs
@@ -8,7 +8,7 @@
 //! It answers a load in which targets refuse or fail most of what they get, while hosts come and go:
 //! - What is earned or spent counts for one window and is not saved up.
 //! - A greater share of the slack counts a window later, since the host that had it may have spent
-//!   it just now; a host that starts again has none until then.
+//!   it just now; a host that starts again may send one repeat until then.
 //! - A prompt that is computed apart is no repeat unless it is refused, which shows afterwards. Once
 //!   some were refused, such prompts need a part of the budget that other repeats leave.
 
@@ -26,6 +26,10 @@
 /// that are refused all at once, and for hosts that disagree about the hosts.
 const PROMPT_SHARE: f64 = 0.9;
 
+/// Slack that a host uses at once when it starts again, in repeats: enough for one. The unused part of the
+/// budget bears it, unless hosts restart far more often than they are restarted on purpose.
+const RESTART_SLACK: f64 = 2.0;
+
 /// Number of parts of a window in which requests and repeats are counted.
 const BUCKETS: u64 = 20;
 
@@ -47,7 +51,7 @@
 }
 
 /// A host's share of the slack, in repeats a window.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct SlackShare {
     share: f64,
     /// The least of the greater shares since one was first seen, and when that was.
@@ -61,6 +65,11 @@
         SlackShare { share, greater: None }
     }
 
+    /// The share of a host that has started again, of which little counts at once.
+    pub fn after_restart(share: f64) -> SlackShare {
+        SlackShare { share: share.min(RESTART_SLACK), greater: None }
+    }
+
     /// Sets the share, to be called about once a second; a greater one counts once it has lasted for
     /// `window`.
     pub fn set(&mut self, now: Time, window: Duration, share: f64) {
--- a/components/policy/src/repeat/tests.rs
+++ b/components/policy/src/repeat/tests.rs
@@ -46,7 +46,7 @@
 
 #[test]
 fn a_greater_share_of_the_slack_counts_a_window_later() {
-    let mut slack = SlackShare::default();
+    let mut slack = SlackShare::unspent(0.0);
     slack.set(NOW, WINDOW, 5.0);
     let first = slack.get();
 
@@ -58,6 +58,17 @@
     assert_eq!(slack.get(), 1.0);
 }
 
+#[test]
+fn a_host_that_starts_again_may_send_one_repeat_at_once() {
+    let mut slack = SlackShare::after_restart(10.0);
+
+    assert_eq!(spend(&mut budget_after(0), NOW, slack.get()), 1);
+    slack.set(NOW, WINDOW, 10.0);
+    slack.set(NOW + WINDOW, WINDOW, 10.0);
+    assert_eq!(slack.get(), 10.0);
+    assert_eq!(spend(&mut budget_after(0), NOW, SlackShare::after_restart(0.5).get()), 0);
+}
+
 #[test]
 fn prompts_are_computed_apart_until_some_are_refused_beyond_the_budget() {
     let mut budget = budget_after(10);
@@ -82,7 +93,7 @@
 
 fn starting_host(rng: &mut Pcg64) -> Host {
     let load = [0.0, 0.2, 2.0, 8.0][rng.random_range(0..4)];
-    Host { budget: RepeatBudget::new(SETTINGS), slack: SlackShare::default(), load, alive: true }
+    Host { budget: RepeatBudget::new(SETTINGS), slack: SlackShare::unspent(0.0), load, alive: true }
 }
 
 /// Slack of the whole service.
@@ -104,7 +115,8 @@
         let now = NOW + STEP * step as u32;
         if rng.random_range(0..15) == 0 {
             let index = rng.random_range(0..hosts.len());
-            hosts[index] = Host { alive: rng.random(), ..starting_host(&mut rng) };
+            let slack = SlackShare::after_restart(SLACK / hosts.len() as f64);
+            hosts[index] = Host { alive: rng.random(), slack, ..starting_host(&mut rng) };
         }
         let alive = hosts.iter().filter(|host| host.alive).count().max(1);
         let (mut requests, mut repeats) = (0, 0);
