Give ports to all tests of processes from one crate

The tests of entries took ports from the system's range of outgoing connections and bound them to see that they were free: a connection or a process that starts meanwhile can take such a port. They now use the function of the hosts' tests, which moves to components/ports as the entries are not of the users' platform. Tests of chervilgate-ports and chervilgate-entry pass.

--- a/bins/entry/tests/processes/process.rs
+++ b/bins/entry/tests/processes/process.rs
@@ -2,13 +2,14 @@
 
 use std::{
     fs,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, ExitStatus, Stdio},
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
+use chervilgate_ports::free_addr;
 use chervilgate_standins::{Caller, Deployment};
 use chervilgate_wire::CertificateAuthority;
 use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
@@ -45,7 +46,7 @@
             fs::write(&path, text).expect("a file");
             path
         };
-        let (listen, admin, peer) = (free_addr(), free_addr(), free_addr());
+        let [listen, admin, peer] = std::array::from_fn(|_| free_addr().expect("a port"));
         let settings = json!({
             "host": host, "zone": "a",
             "listen": listen, "admin": admin, "peer": peer,
@@ -125,14 +126,3 @@
     };
     tokio::time::timeout(MAX_WAIT, wait).await.expect("the condition holds in time");
 }
-
-/// A loopback address whose port was free for TCP and UDP when checked.
-fn free_addr() -> SocketAddr {
-    loop {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
-        let addr = listener.local_addr().expect("an address");
-        if std::net::UdpSocket::bind(addr).is_ok() {
-            return addr;
-        }
-    }
-}
--- a/bins/host/tests/logs.rs
+++ b/bins/host/tests/logs.rs
@@ -13,7 +13,8 @@
 
 use bytes::Bytes;
 use chervilgate_clients::{HttpPool, HttpSender, body::collect};
-use chervilgate_platform_standins::{ID_HEADER, free_addr, raw_answer};
+use chervilgate_platform_standins::{ID_HEADER, raw_answer};
+use chervilgate_ports::free_addr;
 use chervilgate_soak::{AMPLE_SLOTS, FailureMode, Fault, Fleet, send_once};
 use hyper::Request;
 use serde_json::json;
--- a/platform/standins/src/ports.rs
+++ b/components/ports/src/lib.rs
@@ -1,18 +1,15 @@
-//! Loopback ports for test doubles and for the processes under test.
+//! Loopback ports for the processes of tests that run at the same time.
 
 use std::{
     fs, io,
     net::{SocketAddr, TcpListener as StdListener},
     ops::Range,
     sync::{
-        Arc, Mutex, PoisonError,
+        Mutex, PoisonError,
         atomic::{AtomicU16, Ordering},
     },
 };
 
-use chervilgate_serve::{Handler, Limits, serve};
-use tokio::{net::TcpListener, sync::watch};
-
 /// Ports that [`free_addr`] hands out. They lie below the system's ephemeral range, so that
 /// no outgoing connection takes the port of a host that is being restarted.
 const PORT_RANGE: Range<u16> = 20_000..32_000;
@@ -50,21 +47,6 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
-/// Serves `handler` at a new loopback address until `stop` is true; returns the address.
-///
-/// # Errors
-/// If no port can be bound.
-pub async fn listen(
-    handler: Arc<dyn Handler>,
-    stop: &watch::Receiver<bool>,
-) -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let addr = listener.local_addr()?;
-    let (_, no_tls) = watch::channel(None);
-    tokio::spawn(serve(listener, handler, Limits::default(), no_tls, stop.clone()));
-    Ok(addr)
-}
-
 /// Lists of the system's sockets, and the state in them of a socket that no other may share a port with.
 const SOCKET_LISTS: [(&str, Option<&str>); 4] = [
     ("/proc/net/tcp", Some(LISTENING)),
--- a/platform/standins/tests/inherited_ports.rs
+++ b/components/ports/tests/inherited_ports.rs
@@ -7,7 +7,7 @@
     thread,
 };
 
-use chervilgate_platform_standins::free_addr;
+use chervilgate_ports::free_addr;
 
 /// Threads that start processes, and ports that are handed out beside them; fewer than a process has.
 const STARTER_COUNT: usize = 8;
--- a/platform/standins/tests/ports.rs
+++ b/components/ports/tests/parts.rs
@@ -2,7 +2,7 @@
 
 use std::{net::TcpListener, process};
 
-use chervilgate_platform_standins::free_addr;
+use chervilgate_ports::free_addr;
 
 /// First port that test processes use, ports in the part of each, and number of parts.
 const FIRST_PORT: u32 = 20_000;
--- a/platform/standins/tests/used_ports.rs
+++ b/components/ports/tests/used_ports.rs
@@ -2,7 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 
-use chervilgate_platform_standins::free_addr;
+use chervilgate_ports::free_addr;
 
 #[test]
 fn ports_that_are_in_use_are_passed_over() {
