Name no version where hosts vouch for different ones

A host that asks which version began a stream took the last version that another vouched for, though a second one vouched for another, or it saw another one itself. One of them has an old list, so the stream could go on at a version that did not begin it. Found by reading, not seen in a run.

Different versions now count as several: the stream is refused, unless a host knows what began it. answers_that_name_different_versions_name_none failed before (Known of the last answer).

--- a/components/gateway/src/origins.rs
+++ b/components/gateway/src/origins.rs
@@ -191,7 +191,10 @@
         answers.count += 1;
         match answer {
             OriginAnswer::Begun(build) => self.learn(now, OriginNotice { key, build }),
-            OriginAnswer::Only(build) => answers.only = Some(build),
+            OriginAnswer::Only(build) => {
+                answers.several |= answers.only.is_some_and(|only| only != build);
+                answers.only = Some(build);
+            }
             OriginAnswer::Several => answers.several = true,
         }
     }
@@ -213,6 +216,9 @@
         let several = answers.is_some_and(|answers| answers.several);
         match (several, only, seen) {
             (true, ..) | (_, _, SeenBuilds::Several) => Origin::Unknown,
+            (_, Some(only), SeenBuilds::Only(seen) | SeenBuilds::OnlyNow(seen)) if only != seen => {
+                Origin::Unknown
+            }
             (_, Some(build), _)
             | (_, None, SeenBuilds::Only(build) | SeenBuilds::OnlyNow(build)) => {
                 Origin::Known(build)
--- a/components/gateway/tests/origins.rs
+++ b/components/gateway/tests/origins.rs
@@ -136,6 +136,14 @@
     assert_eq!((before, origins.take_untold()), (vec![], vec![own]));
 }
 
+#[test]
+fn answers_that_name_different_versions_name_none() {
+    use OriginAnswer::Only;
+
+    assert_eq!(conclude(&[Only(FIRST), Only(SECOND)], SeenBuilds::Unsure), Origin::Unknown);
+    assert_eq!(conclude(&[Only(FIRST)], SeenBuilds::OnlyNow(SECOND)), Origin::Unknown);
+}
+
 #[test]
 fn a_stream_is_known_by_its_attempt_service_and_organisation() {
     let mut origins = Origins::default();
