Let the host at which a stream goes on tell others what began it

A host that a caller takes a stream up at kept what it had learned to itself, and nothing where it had seen one version only. The hosts that had been told were those that the first host chose, so at the next break, after these had ended, nobody knew: the stream was refused though its version served.

Two new tests of origins; the function is new, so they could not run on the code before.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -69,6 +69,11 @@
         names.join(",")
     }
 
+    /// Whether the caller holds events of the stream already.
+    pub(crate) fn takes_up(&self) -> bool {
+        self.ask.last_event.is_some()
+    }
+
     pub(crate) fn sent_count(&self) -> u32 {
         self.sent.load(Ordering::Relaxed)
     }
--- a/components/gateway/src/origins.rs
+++ b/components/gateway/src/origins.rs
@@ -2,12 +2,12 @@
 //!
 //! While several versions serve, or may have served, the host that begins a stream tells a few
 //! others as it passes on the first event: those first in an order by hash over the
-//! stream's key, so that the host that the caller comes to can ask them even if that host is gone. A
-//! host that has seen one version only for as long as streams live vouches for it, and then nothing
+//! stream's key, so that the host that the caller comes to can ask them even if that host is gone. The
+//! host that the stream goes on at tells others in turn. A host that has seen one version only for as long as streams live vouches for it, and then nothing
 //! is told.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, VecDeque, hash_map::Entry},
     net::SocketAddr,
     time::Duration,
 };
@@ -99,7 +99,7 @@
     begun: HashMap<StreamKey, Begun>,
     /// Keys by the time of their entry, oldest first.
     order: VecDeque<(Time, StreamKey)>,
-    /// Streams that this host began and that are not told.
+    /// Streams that this host serves and that are not told.
     untold: Vec<OriginNotice>,
     /// Open questions.
     answers: HashMap<StreamKey, Answers>,
@@ -110,7 +110,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Begun {
     build: BuildId,
-    /// Whether this host began it.
+    /// Whether it was served by this host.
     is_own: bool,
 }
 
@@ -132,6 +132,15 @@
         }
     }
 
+    /// Records that a stream, which a version began at another host, goes on at this one: from now on this
+    /// one tells others of it, as that host and those that it told may be gone by the next break.
+    pub fn take_up(&mut self, now: Time, notice: OriginNotice, is_told: bool) {
+        if self.begun.get(&notice.key).is_some_and(|begun| begun.is_own) {
+            return;
+        }
+        self.begin(now, notice, is_told);
+    }
+
     /// Records which version began a stream.
     pub fn learn(&mut self, now: Time, notice: OriginNotice) {
         self.insert(now, notice, false);
@@ -145,8 +154,15 @@
             self.order.pop_front();
             self.begun.remove(&oldest);
         }
-        if self.begun.insert(key, Begun { build, is_own }).is_none() {
-            self.order.push_back((now, key));
+        match self.begun.entry(key) {
+            Entry::Occupied(mut known) => {
+                let is_own = is_own || known.get().is_own;
+                known.insert(Begun { build, is_own });
+            }
+            Entry::Vacant(unknown) => {
+                unknown.insert(Begun { build, is_own });
+                self.order.push_back((now, key));
+            }
         }
     }
 
@@ -155,7 +171,7 @@
         std::mem::take(&mut self.untold)
     }
 
-    /// Has all streams told that this host began, as a further version serves.
+    /// Has all streams told that this host serves, as a further version does.
     pub fn tell_all(&mut self) {
         let own = self.begun.iter().filter(|(_, begun)| begun.is_own);
         let notices = own.map(|(key, begun)| OriginNotice { key: *key, build: begun.build });
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -72,6 +72,8 @@
     last_delivered: Option<u64>,
     /// Software version that began the stream; none before its first event.
     build: Option<BuildId>,
+    /// Whether others can learn that version from this host.
+    recorded: bool,
     counted: bool,
 }
 
@@ -85,12 +87,13 @@
         shared: shared.clone(),
         last_delivered: call.ask.last_event,
         build: None,
+        recorded: false,
         call,
         attempts: Attempts::default(),
         prefills: 0,
         counted: false,
     };
-    if relay.last_delivered.is_some() {
+    if relay.call.takes_up() {
         relay.build = Some(find_origin(shared, &relay.call).await?);
     }
     let (target_stream, first) = relay.start().await?;
@@ -251,11 +254,13 @@
 
     /// Binds the stream to the software version that brings its first event.
     fn record_origin_once(&mut self, target_stream: &TargetStream) {
-        if self.build.is_none() && target_stream.status.is_success() {
-            let build = target_stream.in_flight.placement.build.id;
-            self.build = Some(build);
-            record_origin(&self.shared, &self.call, build);
+        if self.recorded || !target_stream.status.is_success() {
+            return;
         }
+        let build = target_stream.in_flight.placement.build.id;
+        self.recorded = true;
+        self.build = Some(build);
+        record_origin(&self.shared, &self.call, build);
     }
 
     /// Whether the prompt may be sent to a prefill target. Refused ones count as repeats.
--- a/components/gateway/src/takeover.rs
+++ b/components/gateway/src/takeover.rs
@@ -16,6 +16,13 @@
 /// Time for which the answers of other hosts are awaited.
 const ANSWER_TIME: Duration = Duration::from_millis(150);
 
+/// Key of the stream that `call` begins or takes up. A caller that takes one up and does not name the
+/// attempt that began it is helped if there is one version only.
+fn stream_key(call: &CallerRequest) -> StreamKey {
+    let origin = call.ask.origin.as_deref().filter(|_| call.takes_up());
+    StreamKey::new(origin.unwrap_or(&call.ask.id), &call.service, call.org.as_deref())
+}
+
 /// The version that began the stream which `call` takes up.
 ///
 /// # Errors
@@ -24,9 +31,7 @@
     shared: &Arc<Shared>,
     call: &CallerRequest,
 ) -> Result<BuildId, Failure> {
-    // A caller that does not name the attempt is helped if there is one version only.
-    let attempt = call.ask.origin.as_deref().unwrap_or(&call.ask.id);
-    let key = StreamKey::new(attempt, &call.service, call.org.as_deref());
+    let key = stream_key(call);
     let (origin, asked) = look_up(shared, call, key);
     let origin = match origin {
         Origin::Unclear => {
@@ -86,14 +91,19 @@
     }
 }
 
-/// Records that the version of `build` began the stream of `call`, before its first event is passed on.
+/// Records that the stream of `call` goes through this host and that the version `build` began it,
+/// before the first event of `call` is passed on.
 pub(crate) fn record_origin(shared: &Shared, call: &CallerRequest, build: BuildId) {
     let now = shared.now();
-    let key = StreamKey::new(&call.ask.id, &call.service, call.org.as_deref());
+    let notice = OriginNotice { key: stream_key(call), build };
     let state = &mut *shared.state();
     let seen = seen_builds(shared, state, call);
     let is_told = !matches!(seen, SeenBuilds::Only(_));
-    state.origins.begin(now, OriginNotice { key, build }, is_told);
+    if call.takes_up() {
+        state.origins.take_up(now, notice, is_told);
+    } else {
+        state.origins.begin(now, notice, is_told);
+    }
     if is_told {
         shared.origins_due.notify_one();
     }
--- a/components/gateway/tests/origins.rs
+++ b/components/gateway/tests/origins.rs
@@ -136,6 +136,31 @@
     assert_eq!((before, origins.take_untold()), (vec![], vec![own]));
 }
 
+#[test]
+fn the_host_at_which_a_stream_goes_on_tells_others_of_it() {
+    let mut origins = Origins::default();
+    let notice = OriginNotice { key: key("a"), build: SECOND };
+    origins.learn(NOW, notice);
+
+    origins.take_up(NOW, notice, true);
+    let first = origins.take_untold();
+    origins.take_up(NOW, notice, true);
+
+    assert_eq!((first, origins.take_untold()), (vec![notice], vec![]));
+}
+
+#[test]
+fn a_stream_that_went_on_here_is_told_when_a_further_version_serves() {
+    let mut origins = Origins::default();
+    let notice = OriginNotice { key: key("a"), build: FIRST };
+    origins.take_up(NOW, notice, false);
+    let before = origins.take_untold();
+
+    origins.tell_all();
+
+    assert_eq!((before, origins.take_untold()), (vec![], vec![notice]));
+}
+
 #[test]
 fn answers_that_name_different_versions_name_none() {
     use OriginAnswer::Only;
