Let a host that stops tell others what it knows of streams

What began a stream was known to the host that served it and four others, and all of them forgot it as they ended, also where they stopped in order. While hosts are replaced in turn and several versions serve, the four can stop within the life of a stream, and then the stream was refused as unknown though its version serves. Found by reading.

A host that starts to stop now tells all that it knows to the four hosts that come first without it.

--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -152,7 +152,7 @@
         log::info!(target: "host", "stopping");
         let grace = self.shared.settings.bounds.grace_period;
         let (accept, answer) = (grace.mul_f64(ACCEPT_SHARE), grace.mul_f64(ANSWER_SHARE));
-        self.start_leaving(self.shared.now() + answer);
+        self.start_leaving(self.shared.now(), answer);
         self.refresh_membership.notify_one();
         sleep(accept).await;
         self.stop.send_replace(true);
@@ -172,10 +172,13 @@
         log::info!(target: "host", "stopped");
     }
 
-    fn start_leaving(&self, answer_by: Time) {
+    /// Stops being offered to callers; requests are answered within `answer`.
+    fn start_leaving(&self, now: Time, answer: Duration) {
         let mut state = self.shared.state();
         state.leaving = true;
-        state.answer_by = Some(answer_by);
+        state.answer_by = Some(now + answer);
+        state.origins.hand_over(now);
+        self.shared.origins_due.notify_one();
     }
 }
 
--- a/components/gateway/src/origins.rs
+++ b/components/gateway/src/origins.rs
@@ -147,13 +147,7 @@
     }
 
     fn insert(&mut self, now: Time, OriginNotice { key, build }: OriginNotice, is_own: bool) {
-        while let Some((at, oldest)) = self.order.front().copied() {
-            if now.since(at) < STREAM_LIFE && self.order.len() < MAX_STREAMS {
-                break;
-            }
-            self.order.pop_front();
-            self.begun.remove(&oldest);
-        }
+        self.forget_old(now);
         match self.begun.entry(key) {
             Entry::Occupied(mut known) => {
                 let is_own = is_own || known.get().is_own;
@@ -166,6 +160,17 @@
         }
     }
 
+    /// Drops streams that are over, and the oldest beyond the maximum.
+    fn forget_old(&mut self, now: Time) {
+        while let Some((at, oldest)) = self.order.front().copied() {
+            if now.since(at) < STREAM_LIFE && self.order.len() < MAX_STREAMS {
+                return;
+            }
+            self.order.pop_front();
+            self.begun.remove(&oldest);
+        }
+    }
+
     /// Streams that others are to be told of.
     pub fn take_untold(&mut self) -> Vec<OriginNotice> {
         std::mem::take(&mut self.untold)
@@ -173,9 +178,18 @@
 
     /// Has all streams told that this host serves, as a further version does.
     pub fn tell_all(&mut self) {
-        let own = self.begun.iter().filter(|(_, begun)| begun.is_own);
-        let notices = own.map(|(key, begun)| OriginNotice { key: *key, build: begun.build });
-        self.untold = notices.collect();
+        self.untold = self.notices(|begun| begun.is_own);
+    }
+
+    /// Has all streams told that this host knows, as it stops: those who asked it ask others.
+    pub fn hand_over(&mut self, now: Time) {
+        self.forget_old(now);
+        self.untold = self.notices(|_| true);
+    }
+
+    fn notices(&self, is_meant: impl Fn(&Begun) -> bool) -> Vec<OriginNotice> {
+        let meant = self.begun.iter().filter(|(_, begun)| is_meant(begun));
+        meant.map(|(key, begun)| OriginNotice { key: *key, build: begun.build }).collect()
     }
 
     /// What this host knows by itself of a stream that a caller takes up.
--- a/components/gateway/tests/origins.rs
+++ b/components/gateway/tests/origins.rs
@@ -161,6 +161,23 @@
     assert_eq!((before, origins.take_untold()), (vec![], vec![notice]));
 }
 
+#[test]
+fn a_host_that_stops_tells_of_all_streams_that_it_knows() {
+    let mut origins = Origins::default();
+    let notices = ["a", "b"].map(|name| OriginNotice { key: key(name), build: FIRST });
+    let old = OriginNotice { key: key("c"), build: FIRST };
+    origins.begin(NOW, old, false);
+    let later = NOW + STREAM_LIFE;
+    origins.begin(later, notices[0], false);
+    origins.learn(later, notices[1]);
+
+    origins.hand_over(later);
+
+    let mut told = origins.take_untold();
+    told.sort_by_key(|notice| notice.key != notices[0].key);
+    assert_eq!(told, notices);
+}
+
 #[test]
 fn answers_that_name_different_versions_name_none() {
     use OriginAnswer::Only;
