--- a/components/gateway/src/origins.rs
+++ b/components/gateway/src/origins.rs
@@ -1,10 +1,10 @@
 //! Which software version began a stream that a caller takes up, maybe at another host.
 //!
-//! While several versions serve, or may have served, the host that begins a stream tells a few
-//! others as it passes on the first event: those first in an order by hash over the
-//! stream's key, so that the host that the caller comes to can ask them even if that host is gone. The
-//! host that the stream goes on at tells others in turn. A host that has seen one version only for as long as streams live vouches for it, and then nothing
-//! is told.
+//! While several versions serve, or may have served, the host that begins a stream tells a few others as
+//! it passes on the first event: those first in an order by hash over the stream's key, so that the host
+//! that the caller comes to can ask them even if that host is gone. The host at which the stream goes on
+//! tells others in turn, and so does one that stops. A host that has seen one version only for as long as
+//! streams live vouches for it, and then nothing is told.
 
 use std::{
     collections::{HashMap, VecDeque, hash_map::Entry},
@@ -132,8 +132,8 @@
         }
     }
 
-    /// Records that a stream, which a version began at another host, goes on at this one: from now on this
-    /// one tells others of it, as that host and those that it told may be gone by the next break.
+    /// Records that a stream which began at another host goes on at this one, which tells others of it
+    /// in turn: the other host and those that it told may be gone by the next break.
     pub fn take_up(&mut self, now: Time, notice: OriginNotice, is_told: bool) {
         if self.begun.get(&notice.key).is_some_and(|begun| begun.is_own) {
             return;
@@ -181,7 +181,7 @@
         self.untold = self.notices(|begun| begun.is_own);
     }
 
-    /// Has all streams told that this host knows, as it stops: those who asked it ask others.
+    /// Has all streams told that this host knows, as it stops and can soon be asked no more.
     pub fn hand_over(&mut self, now: Time) {
         self.forget_old(now);
         self.untold = self.notices(|_| true);
