Keep what a stopping host tells when a further version serves

A host that begins to stop lists all streams that it knows to be told; a further version seen before they were sent replaced the list by the streams that it had served itself.

Both now add to the list. The test a_further_version_takes_nothing_from_what_a_stopping_host_tells failed before and passes.

--- a/components/gateway/src/origins.rs
+++ b/components/gateway/src/origins.rs
@@ -178,13 +178,13 @@
 
     /// Has all streams told that this host serves, as a further version does.
     pub fn tell_all(&mut self) {
-        self.untold = self.notices(|begun| begun.is_own);
+        self.untold.extend(self.notices(|begun| begun.is_own));
     }
 
     /// Has all streams told that this host knows, as it stops and can soon be asked no more.
     pub fn hand_over(&mut self, now: Time) {
         self.forget_old(now);
-        self.untold = self.notices(|_| true);
+        self.untold.extend(self.notices(|_| true));
     }
 
     fn notices(&self, is_meant: impl Fn(&Begun) -> bool) -> Vec<OriginNotice> {
--- a/components/gateway/tests/origins.rs
+++ b/components/gateway/tests/origins.rs
@@ -178,6 +178,18 @@
     assert_eq!(told, notices);
 }
 
+#[test]
+fn a_further_version_takes_nothing_from_what_a_stopping_host_tells() {
+    let mut origins = Origins::default();
+    let notice = OriginNotice { key: key("a"), build: FIRST };
+    origins.learn(NOW, notice);
+    origins.hand_over(NOW);
+
+    origins.tell_all();
+
+    assert_eq!(origins.take_untold(), vec![notice]);
+}
+
 #[test]
 fn answers_that_name_different_versions_name_none() {
     use OriginAnswer::Only;
