--- a/review/lab/src/cases.rs
+++ b/review/lab/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod stop;
 mod versions;
 
 use std::{io, time::Duration};
@@ -9,6 +10,7 @@
 pub fn run(name: &str, lab: &Lab) -> io::Result<bool> {
     match name {
         "versions" => versions::run(lab),
+        "stop" => stop::run(lab),
         _ => Err(io::Error::other("no such case")),
     }
 }
