--- a/review/lab/src/cases.rs
+++ b/review/lab/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod parts;
 mod stop;
 mod versions;
 
@@ -11,6 +12,7 @@
     match name {
         "versions" => versions::run(lab),
         "stop" => stop::run(lab),
+        "parts" => parts::run(lab),
         _ => Err(io::Error::other("no such case")),
     }
 }
