Review: case 4, a request that crashes each runner that begins to answer it

A failed run counts against the request only before its first event. 17 attempts reach runners later than 3 s after the third crash; three are allowed. With a crash before the first byte the rule holds.

--- a/review/lab/src/cases.rs
+++ b/review/lab/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod parts;
+mod poison;
 mod stop;
 mod versions;
 
@@ -12,6 +13,7 @@
     match name {
         "versions" => versions::run(lab),
         "stop" => stop::run(lab),
+        "poison" => poison::run(lab),
         "parts" => parts::run(lab),
         _ => Err(io::Error::other("no such case")),
     }
