--- a/review/lab/src/cases.rs
+++ b/review/lab/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod drain;
 mod parts;
 mod poison;
 mod stop;
@@ -14,6 +15,7 @@
         "versions" => versions::run(lab),
         "stop" => stop::run(lab),
         "poison" => poison::run(lab),
+        "drain" => drain::run(lab),
         "parts" => parts::run(lab),
         _ => Err(io::Error::other("no such case")),
     }
