Review: case 5, a runner that comes back under its id with another version

A runner crashes and starts again under its id with another software version; until its new entry is read the hosts send it streams that the old version began. 6 to 10 streams a run hold events of both versions.

--- a/review/lab/src/cases.rs
+++ b/review/lab/src/cases.rs
@@ -1,6 +1,8 @@
 //! The cases.
 
+mod again;
 mod drain;
+mod forget;
 mod parts;
 mod poison;
 mod stop;
@@ -16,6 +18,8 @@
         "stop" => stop::run(lab),
         "poison" => poison::run(lab),
         "drain" => drain::run(lab),
+        "forget" => forget::run(lab),
+        "again" => again::run(lab),
         "parts" => parts::run(lab),
         _ => Err(io::Error::other("no such case")),
     }
