--- a/review/lab/src/cases.rs
+++ b/review/lab/src/cases.rs
@@ -5,6 +5,7 @@
 mod forget;
 mod parts;
 mod poison;
+mod sound;
 mod stop;
 mod versions;
 
@@ -18,6 +19,7 @@
         "stop" => stop::run(lab),
         "poison" => poison::run(lab),
         "drain" => drain::run(lab),
+        "sound" => sound::run(lab),
         "forget" => forget::run(lab),
         "again" => again::run(lab),
         "parts" => parts::run(lab),
--- a/review/lab/src/runner.rs
+++ b/review/lab/src/runner.rs
@@ -4,7 +4,7 @@
     io::{self, BufReader},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering},
         Arc, Mutex,
     },
     thread,
@@ -30,6 +30,8 @@
     /// Whether the port is open.
     listening: AtomicBool,
     boots: AtomicU64,
+    /// Requests whose prompts it reads.
+    waiting: AtomicI64,
     streams: Mutex<Vec<TcpStream>>,
 }
 
@@ -47,6 +49,7 @@
             up: AtomicBool::new(false),
             listening: AtomicBool::new(false),
             boots: AtomicU64::new(0),
+            waiting: AtomicI64::new(0),
             streams: Mutex::new(Vec::new()),
         }));
         runner.boot()?;
@@ -57,6 +60,15 @@
         &self.0.id
     }
 
+    /// Number of requests whose prompts it reads.
+    pub fn waiting(&self) -> i64 {
+        self.0.waiting.load(Ordering::SeqCst)
+    }
+
+    pub fn count_waiting(&self, change: i64) {
+        self.0.waiting.fetch_add(change, Ordering::SeqCst);
+    }
+
     pub fn is_up(&self) -> bool {
         self.0.up.load(Ordering::SeqCst)
     }
