--- a/components/gateway/src/fleet/builds.rs
+++ b/components/gateway/src/fleet/builds.rs
@@ -53,6 +53,18 @@
     Unsure,
 }
 
+impl SeenBuilds {
+    /// The name in log lines.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            SeenBuilds::Only(_) => "only",
+            SeenBuilds::OnlyNow(_) => "only-now",
+            SeenBuilds::Several => "several",
+            SeenBuilds::Unsure => "unsure",
+        }
+    }
+}
+
 /// Versions that targets had which are gone.
 #[derive(Debug, Default)]
 pub(super) struct GoneBuilds {
--- a/components/gateway/src/origins.rs
+++ b/components/gateway/src/origins.rs
@@ -229,6 +229,11 @@
         }
     }
 
+    /// Number of answers to an open question.
+    pub fn answer_count(&self, key: StreamKey) -> usize {
+        self.answers.get(&key).map_or(0, |answers| answers.count)
+    }
+
     /// Whether the answers to a question suffice, of `asked` hosts.
     pub fn is_answered(&self, key: StreamKey, asked: usize) -> bool {
         self.begun.contains_key(&key)
--- a/components/gateway/src/takeover.rs
+++ b/components/gateway/src/takeover.rs
@@ -33,19 +33,23 @@
 ) -> Result<BuildId, Failure> {
     let key = stream_key(call);
     let (origin, asked) = look_up(shared, call, key);
-    let origin = match origin {
-        Origin::Unclear => {
-            wait_for_answers(shared, key, asked).await;
-            let mut state = shared.state();
-            let seen = seen_builds(shared, &state, call);
-            state.origins.conclude(key, seen)
+    if origin == Origin::Unclear {
+        wait_for_answers(shared, key, asked).await;
+    }
+    let (origin, answers, seen) = {
+        let mut state = shared.state();
+        let seen = seen_builds(shared, &state, call);
+        let answers = state.origins.answer_count(key);
+        match origin {
+            Origin::Unclear => (state.origins.conclude(key, seen), answers, seen),
+            origin => (origin, answers, seen),
         }
-        origin => origin,
     };
     let is_known = matches!(origin, Origin::Known(_));
     let by = if asked > 0 { "others" } else { "own" };
     log::info!(
-        target: "gateway", id = call.ask.id, origin = call.ask.origin.as_deref(), is_known, by, asked;
+        target: "gateway", id = call.ask.id, origin = call.ask.origin.as_deref(), is_known, by, asked,
+        answers, seen = seen.as_str();
         "stream taken up"
     );
     match origin {
