--- /dev/null
+++ b/components/gateway/src/build_record.rs
@@ -0,0 +1,110 @@
+//! The record of the software versions that have served, which outlives all hosts.
+//!
+//! A host that has just started sees the versions that serve now, not those that left before. Where all
+//! hosts were killed at once none remembers them either, and streams that such a version began are still
+//! taken up. So one object in the store names the versions that may have begun a stream. A few hosts
+//! keep it up to date: a version is added as soon as one of them lists it, and removed once it has been
+//! gone for as long as streams live, counted by the clock of a host that saw it go. A version that a host
+//! first learns of from the record counts as gone since then. No time of day is compared, and what is
+//! removed too late only has streams refused that nobody remembers.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::fleet::ServiceBuild;
+
+/// The record as stored.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct StoredBuilds {
+    builds: Vec<StoredBuild>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+struct StoredBuild {
+    service: Arc<str>,
+    build: Arc<str>,
+}
+
+impl StoredBuilds {
+    /// The record with these versions.
+    pub fn new(builds: &BTreeSet<ServiceBuild>) -> StoredBuilds {
+        let builds = builds.iter().cloned();
+        let builds = builds.map(|ServiceBuild { service, build }| StoredBuild { service, build });
+        StoredBuilds { builds: builds.collect() }
+    }
+
+    /// The versions that it names.
+    pub fn into_builds(self) -> BTreeSet<ServiceBuild> {
+        let builds = self.builds.into_iter();
+        builds.map(|StoredBuild { service, build }| ServiceBuild { service, build }).collect()
+    }
+}
+
+/// What a host has to do once it has read the record.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Merge {
+    /// Versions of which this host did not know that they have served.
+    pub unknown: BTreeSet<ServiceBuild>,
+    /// The versions that the record is to name.
+    pub merged: BTreeSet<ServiceBuild>,
+}
+
+/// What of the record this host has seen or written.
+#[derive(Debug, Default)]
+pub struct BuildRecord {
+    /// The versions that this host and the record had in common; none before the record was read.
+    synced: Option<BTreeSet<ServiceBuild>>,
+}
+
+impl BuildRecord {
+    /// Whether the record has to be read before all else.
+    pub fn is_unread(&self) -> bool {
+        self.synced.is_none()
+    }
+
+    /// Whether the record may lack what this host knows: `live`, the versions that may have begun a
+    /// stream.
+    pub fn is_due(&self, live: &BTreeSet<ServiceBuild>) -> bool {
+        self.synced.as_ref() != Some(live)
+    }
+
+    /// Forgets what the record held, as the store has come back from an older copy.
+    pub fn distrust(&mut self) {
+        if let Some(synced) = &mut self.synced {
+            synced.clear();
+        }
+    }
+
+    /// Compares the record with the versions that serve now and with those that may have begun a
+    /// stream as far as this host knows.
+    pub fn merge(
+        &self,
+        recorded: &BTreeSet<ServiceBuild>,
+        present: &BTreeSet<ServiceBuild>,
+        live: &BTreeSet<ServiceBuild>,
+    ) -> Merge {
+        let mut merge = Merge { merged: present.clone(), ..Merge::default() };
+        let is_synced = |build| self.synced.as_ref().is_some_and(|synced| synced.contains(build));
+        // What another host has removed since stays out, unless it serves again.
+        merge.merged.extend(live.iter().filter(|build| !is_synced(build)).cloned());
+        for build in recorded {
+            let is_over = !live.contains(build) && is_synced(build);
+            if is_over {
+                continue;
+            }
+            merge.merged.insert(build.clone());
+            if !live.contains(build) {
+                merge.unknown.insert(build.clone());
+            }
+        }
+        merge
+    }
+
+    /// Records that the record and this host agree on `live`.
+    pub fn record_synced(&mut self, live: BTreeSet<ServiceBuild>) {
+        self.synced = Some(live);
+    }
+}
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -46,7 +46,7 @@
 };
 
 pub use crate::fleet::{
-    builds::{Build, BuildId, STREAM_LIFE, SeenBuilds},
+    builds::{Build, BuildId, STREAM_LIFE, SeenBuilds, ServiceBuild},
     entry::{TargetCounts, TargetEntry, TargetRole},
     limits::LimitNotice,
     peer_loads::InFlightWork,
--- a/components/gateway/src/fleet/builds.rs
+++ b/components/gateway/src/fleet/builds.rs
@@ -1,9 +1,15 @@
 //! Software versions of targets, of which several may serve side by side in one service.
 //!
 //! What two versions write does not fit together, so a stream goes on at the version that began it,
-//! and a prompt is computed and generated from by one version.
-
-use std::{collections::HashMap, sync::Arc, time::Duration};
+//! and a prompt is computed and generated from by one version. A version that is gone still counts
+//! while a stream that it began may be taken up. A host that has just started learns of such versions
+//! from the record in the store ([`build_record`](crate::build_record)).
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use chervilgate_clock::Time;
 
@@ -40,12 +46,27 @@
     }
 }
 
+/// A software version that serves, or has served, in one service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceBuild {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Name of the version.
+    pub build: Arc<str>,
+}
+
+impl ServiceBuild {
+    fn of(entry: &TargetEntry) -> ServiceBuild {
+        ServiceBuild { service: entry.service.clone(), build: entry.build.name.clone() }
+    }
+}
+
 /// Which versions of a service may have begun a stream that callers go on with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SeenBuilds {
     /// Only this one, for as long as streams live.
     Only(BuildId),
-    /// Only this one now; this host has not seen the targets for as long as streams live.
+    /// Only this one now; what served before is not known for as long as streams live.
     OnlyNow(BuildId),
     /// Several.
     Several,
@@ -68,10 +89,13 @@
 /// Versions that targets had which are gone.
 #[derive(Debug, Default)]
 pub(super) struct GoneBuilds {
-    /// When the last target of a service and version was removed or replaced.
-    gone: HashMap<(Arc<str>, BuildId), Time>,
+    /// When the last target of a service and version was removed or replaced, or this host learned
+    /// that there had been one.
+    gone: HashMap<ServiceBuild, Time>,
     /// When this host first listed the targets.
     listed_at: Option<Time>,
+    /// Whether this host knows what served before it listed the targets.
+    knows_past: bool,
     /// Whether a target came whose service had none of its version.
     is_new: bool,
 }
@@ -82,8 +106,12 @@
     }
 
     pub(super) fn record_gone(&mut self, now: Time, entry: &TargetEntry) {
+        self.gone.insert(ServiceBuild::of(entry), now);
+    }
+
+    /// Forgets versions whose streams are over.
+    fn forget_old(&mut self, now: Time) {
         self.gone.retain(|_, at| now.since(*at) < STREAM_LIFE);
-        self.gone.insert((entry.service.clone(), entry.build.id), now);
     }
 }
 
@@ -91,19 +119,49 @@
     /// Which versions may have begun a stream of `service`.
     pub fn seen_builds(&self, now: Time, service: &str) -> SeenBuilds {
         let gone = self.gone_builds.gone.iter();
-        let gone = gone.filter(|((of, _), at)| &**of == service && now.since(**at) < STREAM_LIFE);
+        let gone = gone
+            .filter(|(known, at)| &*known.service == service && now.since(**at) < STREAM_LIFE)
+            .map(|(known, _)| &known.build);
         let present = self.entries().filter(|entry| &*entry.service == service);
-        let mut builds =
-            present.map(|entry| entry.build.id).chain(gone.map(|((_, build), _)| *build));
+        let mut builds = present.map(|entry| &entry.build.name).chain(gone);
         let Some(first) = builds.next() else { return SeenBuilds::Unsure };
         if builds.any(|build| build != first) {
             return SeenBuilds::Several;
         }
-        let listed_at = self.gone_builds.listed_at;
-        if listed_at.is_some_and(|at| now.since(at) >= STREAM_LIFE) {
-            return SeenBuilds::Only(first);
+        let only = Build::new(first).id;
+        if self.knows_past_builds(now) { SeenBuilds::Only(only) } else { SeenBuilds::OnlyNow(only) }
+    }
+
+    /// Whether this host knows all versions that may have begun a stream: it was told what served
+    /// before it listed the targets, or that is over.
+    pub fn knows_past_builds(&self, now: Time) -> bool {
+        let GoneBuilds { listed_at, knows_past, .. } = self.gone_builds;
+        listed_at.is_some_and(|at| knows_past || now.since(at) >= STREAM_LIFE)
+    }
+
+    /// Records that these versions have served, as far as is known until `now`, beside those that
+    /// this host has seen; and that no others have, if it `is_complete`.
+    pub fn adopt_builds(
+        &mut self,
+        now: Time,
+        builds: impl IntoIterator<Item = ServiceBuild>,
+        is_complete: bool,
+    ) {
+        for build in builds {
+            self.gone_builds.gone.insert(build, now);
         }
-        SeenBuilds::OnlyNow(first)
+        self.gone_builds.knows_past |= is_complete;
+    }
+
+    /// The versions that serve now.
+    pub fn present_builds(&self) -> BTreeSet<ServiceBuild> {
+        self.entries().map(ServiceBuild::of).collect()
+    }
+
+    /// The versions that may have begun a stream, as far as this host knows.
+    pub fn live_builds(&mut self, now: Time) -> BTreeSet<ServiceBuild> {
+        self.gone_builds.forget_old(now);
+        self.present_builds().into_iter().chain(self.gone_builds.gone.keys().cloned()).collect()
     }
 
     /// Records the version of an entry that is about to be known.
@@ -114,8 +172,12 @@
         self.gone_builds.is_new |= !is_known;
     }
 
-    /// Whether a service has got a target of a version that it did not have, since this was last
-    /// asked.
+    /// Whether a service has got a target of a version that it did not have, since this was last taken.
+    pub fn has_new_build(&self) -> bool {
+        self.gone_builds.is_new
+    }
+
+    /// The same, and forgets it.
     pub fn take_new_build(&mut self) -> bool {
         std::mem::take(&mut self.gone_builds.is_new)
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Each host runs one gateway process. It serves callers, tells them which hosts to
 //! use, and competes for the lease on the duties that only one process at a time
-//! performs. Decisions are made in modules without I/O or clocks ([`config`],
+//! performs. Decisions are made in modules without I/O or clocks ([`build_record`], [`config`],
 //! [`fleet`], [`freshness`], [`lease`], [`membership`], [`origins`], [`planner`], [`poison`],
 //! [`repeats`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
 //!
@@ -11,6 +11,7 @@
 //! the store, target orders and usage reports.
 
 mod attempt;
+pub mod build_record;
 pub mod config;
 mod counted;
 mod crash;
--- a/components/gateway/src/origins.rs
+++ b/components/gateway/src/origins.rs
@@ -240,8 +240,8 @@
             || self.answers.get(&key).is_none_or(|answers| answers.count >= asked)
     }
 
-    /// Closes a question, and tells what the answers and this host's own view show. Where nobody
-    /// answers, the only version that this host sees is taken for the one.
+    /// Closes a question, and tells what the answers and this host's own view show. The only version
+    /// that serves now is not taken for the one unless somebody knows that no other served before.
     pub fn conclude(&mut self, key: StreamKey, seen: SeenBuilds) -> Origin {
         let answers = self.answers.remove(&key);
         if let Some(begun) = self.begun.get(&key) {
@@ -254,11 +254,8 @@
             (_, Some(only), SeenBuilds::Only(seen) | SeenBuilds::OnlyNow(seen)) if only != seen => {
                 Origin::Unknown
             }
-            (_, Some(build), _)
-            | (_, None, SeenBuilds::Only(build) | SeenBuilds::OnlyNow(build)) => {
-                Origin::Known(build)
-            }
-            (_, None, SeenBuilds::Unsure) => Origin::Unknown,
+            (_, Some(build), _) | (_, None, SeenBuilds::Only(build)) => Origin::Known(build),
+            (_, None, SeenBuilds::OnlyNow(_) | SeenBuilds::Unsure) => Origin::Unknown,
         }
     }
 
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    build_record::BuildRecord,
     counted::{CountedStore, raise_era},
     crash::CrashProbe,
     fleet::{Fleet, SeenBuilds},
@@ -51,9 +52,11 @@
     pub(crate) change_known: Notify,
     /// Notifies watches that another host knows of a change which they have not brought.
     pub(crate) change_missed: Notify,
+    /// Notified when the record of software versions may lack one.
+    pub(crate) builds_due: Notify,
     /// Notified when other hosts are to be told or asked which version began a stream.
     pub(crate) origins_due: Notify,
-    /// Notifies those who wait for an answer to such a question.
+    /// Notifies those who wait for an answer to such a question, or until the record was read.
     pub(crate) origin_answered: Notify,
     /// Requests an immediate broadcast of this host's work in flight.
     pub(crate) broadcast: Notify,
@@ -90,6 +93,8 @@
     pub(crate) answer_by: Option<Time>,
     /// Which software versions began streams.
     pub(crate) origins: Origins,
+    /// What of the record of software versions this host has seen.
+    pub(crate) build_record: BuildRecord,
     /// What this host may send beyond the first of each request.
     pub(crate) repeats: Repeats,
 }
@@ -108,14 +113,18 @@
 
     /// Which versions may have begun a stream of `service`, by a list of targets that is not old.
     pub(crate) fn seen_builds(&self, now: Time, service: &str, drain_time: Duration) -> SeenBuilds {
-        let age = self.reads.targets.age(now);
-        let is_current = age.is_some_and(|age| age < drain_time.mul_f64(OLD_LIST_SHARE))
-            && !self.reads.targets.is_behind();
-        if !is_current {
+        if !self.is_target_list_current(now, drain_time) {
             return SeenBuilds::Unsure;
         }
         self.fleet.seen_builds(now, service)
     }
+
+    /// Whether the list of targets is not old.
+    pub(crate) fn is_target_list_current(&self, now: Time, drain_time: Duration) -> bool {
+        let age = self.reads.targets.age(now);
+        age.is_some_and(|age| age < drain_time.mul_f64(OLD_LIST_SHARE))
+            && !self.reads.targets.is_behind()
+    }
 }
 
 impl Shared {
@@ -153,6 +162,7 @@
             leaving: false,
             answer_by: None,
             origins: Origins::default(),
+            build_record: BuildRecord::default(),
             repeats: Repeats::new(bounds),
         };
         Shared {
@@ -166,6 +176,7 @@
             store_era,
             change_known: Notify::new(),
             change_missed: Notify::new(),
+            builds_due: Notify::new(),
             origins_due: Notify::new(),
             origin_answered: Notify::new(),
             broadcast: Notify::new(),
--- a/components/gateway/src/takeover.rs
+++ b/components/gateway/src/takeover.rs
@@ -86,8 +86,11 @@
         let answered = shared.origin_answered.notified();
         tokio::pin!(answered);
         answered.as_mut().enable();
-        if shared.state().origins.is_answered(key, asked) {
-            return;
+        {
+            let state = shared.state();
+            if state.origins.is_answered(key, asked) && !state.build_record.is_unread() {
+                return;
+            }
         }
         if timeout_at(end, answered).await.is_err() {
             return;
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -7,6 +7,7 @@
 //! A connection may fall silent while a watch waits on it. [`freshness`](crate::freshness) decides
 //! when a call is given up for that.
 
+mod builds;
 mod hosts;
 
 use std::{sync::Arc, time::Duration};
@@ -17,7 +18,7 @@
 use serde_json::Value;
 use tokio::time::{sleep, timeout};
 
-pub(crate) use self::hosts::maintain_membership;
+pub(crate) use self::{builds::maintain_build_record, hosts::maintain_membership};
 use crate::{
     freshness::Freshness,
     protocol::DecodeError,
@@ -358,6 +359,13 @@
         decode(&object.value).and_then(|value| shared.decoder.target(id.into(), &value))
     }
 
+    /// Has the record of versions looked at if there is a new one.
+    fn notify_of_builds(shared: &Shared, state: &State) {
+        if state.fleet.has_new_build() {
+            shared.builds_due.notify_one();
+        }
+    }
+
     fn log_skipped(object: &Object, error: &DecodeError) {
         log::info!(target: "fleet", key = object.key, error:%; "target entry invalid; skipped");
     }
@@ -383,7 +391,9 @@
         log::info!(target: "fleet", targets = entries.len(); "targets listed");
         let mut state = shared.state();
         state.targets_listed = true;
-        state.fleet.replace(now, entries)
+        let is_missing_some = state.fleet.replace(now, entries);
+        TargetWatch::notify_of_builds(shared, &state);
+        is_missing_some
     }
 
     fn batch_delay(&self, shared: &Shared) -> Duration {
@@ -401,7 +411,9 @@
                         incarnation = entry.incarnation, sequence = entry.sequence,
                         at:% = object.version; "target"
                     );
-                    shared.state().fleet.upsert(now, entry);
+                    let mut state = shared.state();
+                    state.fleet.upsert(now, entry);
+                    TargetWatch::notify_of_builds(shared, &state);
                 }
                 Err(error) => {
                     TargetWatch::log_skipped(object, &error);
--- a/components/gateway/src/watch/hosts.rs
+++ b/components/gateway/src/watch/hosts.rs
@@ -17,7 +17,7 @@
 
 /// Minimum interval between lists of hosts, per known host: every host lists all hosts,
 /// so the load on the store grows with the square of their number.
-const LIST_INTERVAL_PER_HOST: Duration = Duration::from_millis(10);
+pub(super) const LIST_INTERVAL_PER_HOST: Duration = Duration::from_millis(10);
 
 /// Time after which a failed write of a host's entry is retried.
 const ENTRY_RETRY_INTERVAL: Duration = Duration::from_millis(1_500);
