--- a/components/gateway/src/build_record.rs
+++ b/components/gateway/src/build_record.rs
@@ -1,8 +1,8 @@
 //! The record of the software versions that have served, which outlives all hosts.
 //!
-//! A host that has just started sees the versions that serve now, not those that left before. Where all
-//! hosts were killed at once none remembers them either, and streams that such a version began are still
-//! taken up. So one object in the store names the versions that may have begun a stream. A few hosts
+//! A host that lists the targets sees the versions that serve now, not those that left before: while it
+//! was not running, or while it could not follow the changes. Where all hosts were killed at once none
+//! remembers them either, and streams that such a version began are still taken up. So one object in the store names the versions that may have begun a stream. A few hosts
 //! keep it up to date: a version is added as soon as one of them lists it, and removed once it has been
 //! gone for as long as streams live, counted by the clock of a host that saw it go. A version that a host
 //! first learns of from the record counts as gone since then. No time of day is compared, and what is
@@ -55,27 +55,37 @@
 /// What of the record this host has seen or written.
 #[derive(Debug, Default)]
 pub struct BuildRecord {
-    /// The versions that this host and the record had in common; none before the record was read.
-    synced: Option<BTreeSet<ServiceBuild>>,
+    /// The versions that this host and the record had in common.
+    synced: BTreeSet<ServiceBuild>,
+    /// Whether the record was read since the targets were last listed, or is being read.
+    is_read: bool,
 }
 
 impl BuildRecord {
-    /// Whether the record has to be read before all else.
+    /// Whether the record has to be read for what served before the targets were listed.
     pub fn is_unread(&self) -> bool {
-        self.synced.is_none()
+        !self.is_read
+    }
+
+    /// Records that the targets were listed: changes before may never have been read.
+    pub fn record_list(&mut self) {
+        self.is_read = false;
+    }
+
+    /// Records that the record is about to be read.
+    pub fn start_read(&mut self) {
+        self.is_read = true;
     }
 
     /// Whether the record may lack what this host knows: `live`, the versions that may have begun a
     /// stream.
     pub fn is_due(&self, live: &BTreeSet<ServiceBuild>) -> bool {
-        self.synced.as_ref() != Some(live)
+        self.synced != *live
     }
 
     /// Forgets what the record held, as the store has come back from an older copy.
     pub fn distrust(&mut self) {
-        if let Some(synced) = &mut self.synced {
-            synced.clear();
-        }
+        self.synced.clear();
     }
 
     /// Compares the record with the versions that serve now and with those that may have begun a
@@ -87,11 +97,10 @@
         live: &BTreeSet<ServiceBuild>,
     ) -> Merge {
         let mut merge = Merge { merged: present.clone(), ..Merge::default() };
-        let is_synced = |build| self.synced.as_ref().is_some_and(|synced| synced.contains(build));
         // What another host has removed since stays out, unless it serves again.
-        merge.merged.extend(live.iter().filter(|build| !is_synced(build)).cloned());
+        merge.merged.extend(live.difference(&self.synced).cloned());
         for build in recorded {
-            let is_over = !live.contains(build) && is_synced(build);
+            let is_over = !live.contains(build) && self.synced.contains(build);
             if is_over {
                 continue;
             }
@@ -105,6 +114,6 @@
 
     /// Records that the record and this host agree on `live`.
     pub fn record_synced(&mut self, live: BTreeSet<ServiceBuild>) {
-        self.synced = Some(live);
+        self.synced = live;
     }
 }
--- a/components/gateway/src/fleet/builds.rs
+++ b/components/gateway/src/fleet/builds.rs
@@ -92,7 +92,7 @@
     /// When the last target of a service and version was removed or replaced, or this host learned
     /// that there had been one.
     gone: HashMap<ServiceBuild, Time>,
-    /// When this host first listed the targets.
+    /// When this host last listed the targets.
     listed_at: Option<Time>,
     /// Whether this host knows what served before it listed the targets.
     knows_past: bool,
@@ -102,7 +102,9 @@
 
 impl GoneBuilds {
     pub(super) fn record_list(&mut self, now: Time) {
-        self.listed_at.get_or_insert(now);
+        self.listed_at = Some(now);
+        // A list does not show what came and went since the one before.
+        self.knows_past = false;
     }
 
     pub(super) fn record_gone(&mut self, now: Time, entry: &TargetEntry) {
@@ -140,7 +142,8 @@
     }
 
     /// Records that these versions have served, as far as is known until `now`, beside those that
-    /// this host has seen; and that no others have, if it `is_complete`.
+    /// this host has seen; and, if this `is_complete`, that no others have until it listed the
+    /// targets.
     pub fn adopt_builds(
         &mut self,
         now: Time,
--- a/components/gateway/src/freshness.rs
+++ b/components/gateway/src/freshness.rs
@@ -141,6 +141,23 @@
         self.known.is_some_and(|known| known < self.latest)
     }
 
+    /// Whether what is known includes all changes that were made before `since`.
+    pub fn is_read_since(&self, since: Time) -> bool {
+        self.confirmed_at.is_some_and(|at| at >= since) && !self.is_behind()
+    }
+
+    /// Version up to which all changes are known; none before a list.
+    pub fn known(&self) -> Option<Version> {
+        self.known
+    }
+
+    /// Records that a call sent at `sent` brought no change later than `known`.
+    pub fn confirm(&mut self, sent: Time, known: Version) {
+        if self.known.is_some_and(|own| own >= known) {
+            self.confirmed_at = self.confirmed_at.max(Some(sent));
+        }
+    }
+
     /// Version of the latest change that this host knows of.
     pub fn latest(&self) -> Version {
         self.latest
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -410,7 +410,7 @@
             Ok(Message::OriginAnswered(key, answer)) => {
                 let now = shared.now();
                 shared.state().origins.record_answer(now, key, answer);
-                shared.origin_answered.notify_waiters();
+                shared.origin_settled.notify_waiters();
             }
             Ok(Message::StoreEra(era)) => shared.hear_store_era(era),
             Ok(Message::Work(report)) => {
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -22,7 +22,10 @@
     serve::CallerHandler,
     settings::HostSettings,
     state::Shared,
-    watch::{ConfigWatch, TargetWatch, maintain_build_record, maintain_membership, watch_prefix},
+    watch::{
+        ConfigWatch, TargetWatch, confirm_target_list, maintain_build_record, maintain_membership,
+        watch_prefix,
+    },
 };
 
 /// Share of the grace period during which new connections are accepted: some callers
@@ -135,6 +138,7 @@
         tokio::spawn(gossip::receive(shared.clone(), socket.clone(), refresh_membership.clone()));
         tokio::spawn(watch_prefix(shared.clone(), Box::new(ConfigWatch { prefix: config })));
         tokio::spawn(watch_prefix(shared.clone(), Box::new(TargetWatch { prefix })));
+        tokio::spawn(confirm_target_list(shared.clone()));
         tokio::spawn(maintain_build_record(shared.clone()));
         tokio::spawn(maintain_membership(shared.clone(), refresh_membership.clone()));
         if let Some(DutyClients { reports, orders }) = duties {
--- a/components/gateway/src/origins.rs
+++ b/components/gateway/src/origins.rs
@@ -192,13 +192,9 @@
         meant.map(|(key, begun)| OriginNotice { key: *key, build: begun.build }).collect()
     }
 
-    /// What this host knows by itself of a stream that a caller takes up.
-    pub fn find(&self, key: StreamKey, seen: SeenBuilds) -> Origin {
-        match (self.begun.get(&key), seen) {
-            (Some(begun), _) => Origin::Known(begun.build),
-            (None, SeenBuilds::Only(build)) => Origin::Known(build),
-            (None, _) => Origin::Unclear,
-        }
+    /// What this host was told or has done itself of a stream that a caller takes up.
+    pub fn find(&self, key: StreamKey) -> Origin {
+        self.begun.get(&key).map_or(Origin::Unclear, |begun| Origin::Known(begun.build))
     }
 
     /// Opens a question to the hosts at `peers`.
@@ -240,23 +236,19 @@
             || self.answers.get(&key).is_none_or(|answers| answers.count >= asked)
     }
 
-    /// Closes a question, and tells what the answers and this host's own view show. The only version
-    /// that serves now is not taken for the one unless somebody knows that no other served before.
+    /// Closes a question, and tells what the answers show together with `seen`, by a list of targets
+    /// that was read since the caller's try. Another host's word that there was one version only does
+    /// not suffice, as its list may be older than the stream.
     pub fn conclude(&mut self, key: StreamKey, seen: SeenBuilds) -> Origin {
         let answers = self.answers.remove(&key);
         if let Some(begun) = self.begun.get(&key) {
             return Origin::Known(begun.build);
         }
-        let only = answers.as_ref().and_then(|answers| answers.only);
-        let several = answers.is_some_and(|answers| answers.several);
-        match (several, only, seen) {
-            (true, ..) | (_, _, SeenBuilds::Several) => Origin::Unknown,
-            (_, Some(only), SeenBuilds::Only(seen) | SeenBuilds::OnlyNow(seen)) if only != seen => {
-                Origin::Unknown
-            }
-            (_, Some(build), _) | (_, None, SeenBuilds::Only(build)) => Origin::Known(build),
-            (_, None, SeenBuilds::OnlyNow(_) | SeenBuilds::Unsure) => Origin::Unknown,
-        }
+        let SeenBuilds::Only(seen) = seen else { return Origin::Unknown };
+        let is_disputed = answers.is_some_and(|answers| {
+            answers.several || answers.only.is_some_and(|only| only != seen)
+        });
+        if is_disputed { Origin::Unknown } else { Origin::Known(seen) }
     }
 
     /// Answers another host's question, if this one can.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -56,8 +56,12 @@
     pub(crate) builds_due: Notify,
     /// Notified when other hosts are to be told or asked which version began a stream.
     pub(crate) origins_due: Notify,
-    /// Notifies those who wait for an answer to such a question, or until the record was read.
-    pub(crate) origin_answered: Notify,
+    /// Notifies requests that wait to know which version began their stream.
+    pub(crate) origin_settled: Notify,
+    /// Notified when a request needs to know that the list of targets is current.
+    pub(crate) list_doubted: Notify,
+    /// Notified when changes of the targets exist that a request needs to know.
+    pub(crate) changes_wanted: Notify,
     /// Requests an immediate broadcast of this host's work in flight.
     pub(crate) broadcast: Notify,
     /// Turns true when this host stops so soon that open requests are answered at once.
@@ -119,6 +123,16 @@
         self.fleet.seen_builds(now, service)
     }
 
+    /// The same, by a list that was read since `since`: a version that this host does not know has begun
+    /// no stream before.
+    pub(crate) fn seen_builds_since(&self, now: Time, service: &str, since: Time) -> SeenBuilds {
+        match self.fleet.seen_builds(now, service) {
+            SeenBuilds::Several => SeenBuilds::Several,
+            _ if !self.reads.targets.is_read_since(since) => SeenBuilds::Unsure,
+            seen => seen,
+        }
+    }
+
     /// Whether the list of targets is not old.
     pub(crate) fn is_target_list_current(&self, now: Time, drain_time: Duration) -> bool {
         let age = self.reads.targets.age(now);
@@ -178,7 +192,9 @@
             change_missed: Notify::new(),
             builds_due: Notify::new(),
             origins_due: Notify::new(),
-            origin_answered: Notify::new(),
+            origin_settled: Notify::new(),
+            list_doubted: Notify::new(),
+            changes_wanted: Notify::new(),
             broadcast: Notify::new(),
             answer_now: watch::Sender::new(false),
             settings,
--- a/components/gateway/src/takeover.rs
+++ b/components/gateway/src/takeover.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use chervilgate_clock::Time;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
@@ -16,6 +17,9 @@
 /// Time for which the answers of other hosts are awaited.
 const ANSWER_TIME: Duration = Duration::from_millis(150);
 
+/// Time for which the store is awaited to show that the list of targets is current.
+const LIST_TIME: Duration = Duration::from_millis(500);
+
 /// Key of the stream that `call` begins or takes up. A caller that takes one up and does not name the
 /// attempt that began it is helped if there is one version only.
 fn stream_key(call: &CallerRequest) -> StreamKey {
@@ -32,13 +36,14 @@
     call: &CallerRequest,
 ) -> Result<BuildId, Failure> {
     let key = stream_key(call);
+    let since = shared.now();
     let (origin, asked) = look_up(shared, call, key);
     if origin == Origin::Unclear {
-        wait_for_answers(shared, key, asked).await;
+        settle(shared, call, key, asked, since).await;
     }
     let (origin, answers, seen) = {
         let mut state = shared.state();
-        let seen = seen_builds(shared, &state, call);
+        let seen = state.seen_builds_since(shared.now(), &call.service, since);
         let answers = state.origins.answer_count(key);
         match origin {
             Origin::Unclear => (state.origins.conclude(key, seen), answers, seen),
@@ -46,10 +51,9 @@
         }
     };
     let is_known = matches!(origin, Origin::Known(_));
-    let by = if asked > 0 { "others" } else { "own" };
     log::info!(
-        target: "gateway", id = call.ask.id, origin = call.ask.origin.as_deref(), is_known, by, asked,
-        answers, seen = seen.as_str();
+        target: "gateway", id = call.ask.id, origin = call.ask.origin.as_deref(), is_known, asked, answers,
+        seen = seen.as_str();
         "stream taken up"
     );
     match origin {
@@ -63,8 +67,7 @@
 fn look_up(shared: &Shared, call: &CallerRequest, key: StreamKey) -> (Origin, usize) {
     let now = shared.now();
     let state = &mut *shared.state();
-    let seen = seen_builds(shared, state, call);
-    let origin = state.origins.find(key, seen);
+    let origin = state.origins.find(key);
     if origin != Origin::Unclear {
         return (origin, 0);
     }
@@ -76,28 +79,47 @@
     (origin, asked)
 }
 
-fn seen_builds(shared: &Shared, state: &State, call: &CallerRequest) -> SeenBuilds {
-    state.seen_builds(shared.now(), &call.service, shared.settings.bounds.drain_time)
-}
-
-async fn wait_for_answers(shared: &Shared, key: StreamKey, asked: usize) {
-    let end = Instant::now() + ANSWER_TIME;
+/// Waits until a host has named the version, or until the list of targets, read since `since`, and what
+/// is known of the past show that there was only one. A list that was read before may lack a version
+/// that has begun the stream.
+async fn settle(shared: &Shared, call: &CallerRequest, key: StreamKey, asked: usize, since: Time) {
+    let start = Instant::now();
     loop {
-        let answered = shared.origin_answered.notified();
-        tokio::pin!(answered);
-        answered.as_mut().enable();
-        {
+        let settled = shared.origin_settled.notified();
+        tokio::pin!(settled);
+        settled.as_mut().enable();
+        let limit = {
             let state = shared.state();
-            if state.origins.is_answered(key, asked) && !state.build_record.is_unread() {
+            if state.origins.find(key) != Origin::Unclear {
                 return;
             }
-        }
-        if timeout_at(end, answered).await.is_err() {
+            let is_current = state.reads.targets.is_read_since(since);
+            match state.seen_builds_since(shared.now(), &call.service, since) {
+                SeenBuilds::Only(_) => return,
+                SeenBuilds::Several if state.origins.is_answered(key, asked) => return,
+                SeenBuilds::Several => ANSWER_TIME,
+                // No target is listed.
+                SeenBuilds::Unsure if is_current => return,
+                // What served before is not read yet.
+                SeenBuilds::OnlyNow(_) => LIST_TIME,
+                SeenBuilds::Unsure if state.store_down => ANSWER_TIME,
+                SeenBuilds::Unsure => {
+                    shared.list_doubted.notify_one();
+                    LIST_TIME
+                }
+            }
+        };
+        let end = start + limit;
+        if timeout_at(end, settled).await.is_err() {
             return;
         }
     }
 }
 
+fn seen_builds(shared: &Shared, state: &State, call: &CallerRequest) -> SeenBuilds {
+    state.seen_builds(shared.now(), &call.service, shared.settings.bounds.drain_time)
+}
+
 /// Records that the stream of `call` goes through this host and that the version `build` began it,
 /// before the first event of `call` is passed on.
 pub(crate) fn record_origin(shared: &Shared, call: &CallerRequest, build: BuildId) {
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -8,6 +8,7 @@
 //! when a call is given up for that.
 
 mod builds;
+mod current;
 mod hosts;
 
 use std::{sync::Arc, time::Duration};
@@ -18,7 +19,9 @@
 use serde_json::Value;
 use tokio::time::{sleep, timeout};
 
-pub(crate) use self::{builds::maintain_build_record, hosts::maintain_membership};
+pub(crate) use self::{
+    builds::maintain_build_record, current::confirm_target_list, hosts::maintain_membership,
+};
 use crate::{
     freshness::Freshness,
     protocol::DecodeError,
@@ -184,7 +187,9 @@
                 } else {
                     watched.confirm(&shared, now, sent);
                     if changes.len() < LARGE_BATCH {
-                        sleep(watched.batch_delay(&shared)).await;
+                        let delay = watched.batch_delay(&shared);
+                        // An early end is due to a request that needs the latest changes.
+                        timeout(delay, shared.changes_wanted.notified()).await.ok();
                     }
                 }
             }
@@ -244,6 +249,7 @@
     record: impl FnOnce(&mut Freshness) -> bool,
 ) {
     let is_later = record(watched.freshness(&mut shared.state()));
+    shared.origin_settled.notify_waiters();
     if is_later {
         shared.change_known.notify_one();
     }
@@ -391,9 +397,9 @@
         log::info!(target: "fleet", targets = entries.len(); "targets listed");
         let mut state = shared.state();
         state.targets_listed = true;
-        let is_missing_some = state.fleet.replace(now, entries);
-        TargetWatch::notify_of_builds(shared, &state);
-        is_missing_some
+        state.build_record.record_list();
+        shared.builds_due.notify_one();
+        state.fleet.replace(now, entries)
     }
 
     fn batch_delay(&self, shared: &Shared) -> Duration {
--- a/components/gateway/src/watch/builds.rs
+++ b/components/gateway/src/watch/builds.rs
@@ -53,7 +53,7 @@
 /// What is to be done about the record now.
 enum Step {
     Wait,
-    /// Read it for the first time.
+    /// Read what served before the targets were listed.
     Learn,
     /// Compare it with what this host knows, as one of so many hosts.
     Sync {
@@ -82,12 +82,18 @@
 /// Learns from the record what served before this host listed the targets. Returns whether that is
 /// done.
 async fn learn(shared: &Shared) -> bool {
-    let Some(Record { builds, .. }) = read(shared).await else { return false };
-    let is_complete = builds.is_some();
-    let recorded = builds.unwrap_or_default();
-    {
+    shared.state().build_record.start_read();
+    let Some(Record { builds, .. }) = read(shared).await else {
+        shared.state().build_record.record_list();
+        return false;
+    };
+    let is_done = {
         let now = shared.now();
         let State { fleet, build_record, .. } = &mut *shared.state();
+        // The targets may have been listed again meanwhile.
+        let is_current = !build_record.is_unread();
+        let is_complete = is_current && builds.is_some();
+        let recorded = builds.unwrap_or_default();
         let merge = build_record.merge(&recorded, &fleet.present_builds(), &fleet.live_builds(now));
         log::info!(
             target: "fleet", recorded = recorded.len(), gone = merge.unknown.len(), is_complete;
@@ -95,10 +101,11 @@
         );
         fleet.adopt_builds(now, merge.unknown, is_complete);
         build_record.record_synced(recorded);
-    }
-    shared.origin_answered.notify_waiters();
+        is_current
+    };
+    shared.origin_settled.notify_waiters();
     shared.builds_due.notify_one();
-    true
+    is_done
 }
 
 /// Makes the record and this host's knowledge agree. Returns whether they do.
--- a/components/gateway/tests/build_record.rs
+++ b/components/gateway/tests/build_record.rs
@@ -48,6 +48,7 @@
 
     /// Reads the record at its start.
     fn learn(&mut self, now: Time, recorded: &BTreeSet<ServiceBuild>) {
+        self.record.start_read();
         let merge = self.merge(now, recorded);
         self.fleet.adopt_builds(now, merge.unknown, true);
         self.record.record_synced(recorded.clone());
@@ -179,6 +180,18 @@
     assert_eq!(recorded, builds(&["v1", "v2"]));
 }
 
+#[test]
+fn the_record_is_read_again_after_each_list() {
+    let mut host = Host::start(NOW, &["v1"]);
+    let before = host.record.is_unread();
+    host.learn(NOW, &builds(&[]));
+    let after = host.record.is_unread();
+
+    host.record.record_list();
+
+    assert_eq!((before, after, host.record.is_unread()), (true, false, true));
+}
+
 #[test]
 fn the_record_is_read_as_it_was_written() {
     let written = serde_json::to_string(&StoredBuilds::new(&builds(&["v1", ""]))).unwrap();
--- a/components/gateway/tests/freshness.rs
+++ b/components/gateway/tests/freshness.rs
@@ -162,3 +162,27 @@
 
     assert_eq!(freshness.watch_due(wait), None);
 }
+
+// Guards against streams that go on at another version at a host that was out of step.
+#[test]
+fn a_list_is_current_for_a_request_only_if_it_was_read_since() {
+    let mut freshness = listed();
+    let since = START + Duration::from_millis(1);
+    let before = freshness.is_read_since(since);
+
+    freshness.confirm(since, at(50));
+    let after = freshness.is_read_since(since);
+    freshness.hear(since, at(60));
+
+    assert!(!before && after && !freshness.is_read_since(since));
+}
+
+#[test]
+fn a_call_that_asked_for_changes_after_more_than_is_known_confirms_nothing() {
+    let mut freshness = listed();
+    let since = START + Duration::from_millis(1);
+
+    freshness.confirm(since, at(51));
+
+    assert!(!freshness.is_read_since(since));
+}
--- a/components/gateway/tests/origins.rs
+++ b/components/gateway/tests/origins.rs
@@ -195,7 +195,30 @@
     use OriginAnswer::Only;
 
     assert_eq!(conclude(&[Only(FIRST), Only(SECOND)], SeenBuilds::Unsure), Origin::Unknown);
-    assert_eq!(conclude(&[Only(FIRST)], SeenBuilds::OnlyNow(SECOND)), Origin::Unknown);
+    assert_eq!(conclude(&[Only(FIRST)], SeenBuilds::Only(SECOND)), Origin::Unknown);
+}
+
+// Guards against streams that go on at another version at a host that was out of step.
+#[test]
+fn another_hosts_word_that_there_was_one_version_does_not_suffice() {
+    use OriginAnswer::Only;
+
+    assert_eq!(conclude(&[Only(FIRST)], SeenBuilds::Unsure), Origin::Unknown);
+    assert_eq!(conclude(&[Only(FIRST)], SeenBuilds::OnlyNow(FIRST)), Origin::Unknown);
+}
+
+// Guards against streams that go on at another version at a host that missed theirs.
+#[test]
+fn a_list_shows_nothing_of_what_served_since_the_one_before() {
+    let mut fleet = fleet(&["v1"]);
+    fleet.adopt_builds(NOW, [], true);
+    let build = Build::new("v1").id;
+    let before = fleet.seen_builds(NOW, SERVICE);
+
+    fleet.replace(NOW + STREAM_LIFE, vec![entry("d0", TargetRole::Decode, "v1")]);
+
+    assert_eq!(before, SeenBuilds::Only(build));
+    assert_eq!(fleet.seen_builds(NOW + STREAM_LIFE, SERVICE), SeenBuilds::OnlyNow(build));
 }
 
 #[test]
@@ -204,10 +227,10 @@
     origins.learn(NOW, OriginNotice { key: key("a"), build: SECOND });
     let of_other = StreamKey::new("a", SERVICE, Some("other"));
 
-    assert_eq!(origins.find(key("a"), SeenBuilds::Several), Origin::Known(SECOND));
-    assert_eq!(origins.find(of_other, SeenBuilds::Several), Origin::Unclear);
-    assert_eq!(origins.find(of_other, SeenBuilds::Only(FIRST)), Origin::Known(FIRST));
-    assert_eq!(origins.find(of_other, SeenBuilds::OnlyNow(FIRST)), Origin::Unclear);
+    assert_eq!(origins.find(key("a")), Origin::Known(SECOND));
+    assert_eq!(origins.find(of_other), Origin::Unclear);
+    assert_eq!(origins.conclude(of_other, SeenBuilds::Only(FIRST)), Origin::Known(FIRST));
+    assert_eq!(origins.conclude(of_other, SeenBuilds::OnlyNow(FIRST)), Origin::Unknown);
 }
 
 #[test]
@@ -216,9 +239,8 @@
 
     assert_eq!(conclude(&[Several, Begun(SECOND)], SeenBuilds::Several), Origin::Known(SECOND));
     assert_eq!(conclude(&[Several], SeenBuilds::Several), Origin::Unknown);
-    assert_eq!(conclude(&[Only(FIRST), Several], SeenBuilds::OnlyNow(FIRST)), Origin::Unknown);
-    assert_eq!(conclude(&[Only(FIRST)], SeenBuilds::OnlyNow(FIRST)), Origin::Known(FIRST));
-    assert_eq!(conclude(&[Only(FIRST)], SeenBuilds::Unsure), Origin::Known(FIRST));
+    assert_eq!(conclude(&[Only(FIRST), Several], SeenBuilds::Only(FIRST)), Origin::Unknown);
+    assert_eq!(conclude(&[Only(FIRST)], SeenBuilds::Only(FIRST)), Origin::Known(FIRST));
     assert_eq!(conclude(&[], SeenBuilds::Unsure), Origin::Unknown);
     assert_eq!(conclude(&[], SeenBuilds::OnlyNow(FIRST)), Origin::Unknown);
     assert_eq!(conclude(&[], SeenBuilds::Only(FIRST)), Origin::Known(FIRST));
@@ -245,7 +267,7 @@
 
     origins.learn(NOW + STREAM_LIFE, OriginNotice { key: key("b"), build: FIRST });
 
-    assert_eq!(origins.find(key("a"), SeenBuilds::Several), Origin::Unclear);
+    assert_eq!(origins.find(key("a")), Origin::Unclear);
 }
 
 #[test]
