--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -22,6 +22,7 @@
         rests: false,
         sheds: false,
         releases: false,
+        herds: false,
         other_faults: true,
     }
 }
