--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -102,7 +102,8 @@
             self.admit(started, &head, &request_head)?;
         let time_limit = request_head.timeout.unwrap_or(route.timeout).min(route.timeout);
         let answer_by = self.shared.state().answer_by;
-        let is_cut = answer_by.is_some_and(|at| at < started + time_limit);
+        let wanted_until = started + time_limit;
+        let is_cut = answer_by.is_some_and(|at| at < wanted_until);
         let time_limit = answer_by.map_or(time_limit, |at| time_limit.min(at.since(started)));
         let deadline = started + time_limit;
         let body = match timeout(time_limit, collect(body, body_limit)).await {
@@ -147,6 +148,7 @@
             org: org.map(|org| org.name),
             priority,
             deadline,
+            wanted_until,
             sent: sent.clone(),
         };
         let is_stream = call.route.kind.is_stream();
