Read the record of versions less often while the store is away

The record was asked for four times a second while the store did not answer. Seen in store::an_unavailable_store_is_polled_seldom_and_its_return_noticed_soon (39 calls in 8 s, at most 32), whose check stays as it is. Pauses double up to a second now, and nothing is asked while the configuration watch has found the store away.

--- a/components/gateway/src/watch/builds.rs
+++ b/components/gateway/src/watch/builds.rs
@@ -9,7 +9,7 @@
     build_record::StoredBuilds,
     fleet::ServiceBuild,
     state::{Shared, State},
-    watch::hosts::LIST_INTERVAL_PER_HOST,
+    watch::{RETRY_BACKOFF, hosts::LIST_INTERVAL_PER_HOST},
 };
 
 /// Key of the record.
@@ -19,18 +19,18 @@
 /// for long enough.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Pause after a failed call.
-const RETRY_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Reads the record once the targets are listed, and then keeps it up to date while this host is one of
 /// those that do.
 pub(crate) async fn maintain_build_record(shared: Arc<Shared>) {
     let mut latest_era = shared.store_era.subscribe();
+    let mut pause = RETRY_BACKOFF.0;
     let mut is_failing = false;
     loop {
         if is_failing {
-            sleep(RETRY_INTERVAL).await;
+            sleep(pause).await;
+            pause = (pause * 2).min(RETRY_BACKOFF.1);
         } else {
+            pause = RETRY_BACKOFF.0;
             // Without any notice it is time to check.
             timeout(CHECK_INTERVAL, shared.builds_due.notified()).await.ok();
         }
@@ -64,7 +64,8 @@
 fn step(shared: &Shared) -> Step {
     let now = shared.now();
     let state = &mut *shared.state();
-    if !state.targets_listed {
+    // Failed calls are billed too; the watch of the configuration finds the store recovered.
+    if !state.targets_listed || state.store_down {
         return Step::Wait;
     }
     if state.build_record.is_unread() {
