--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     config::Route,
+    crash::record_failed_run,
     exchange::{Answer, exchange},
     fleet::{AttemptId, AttemptOutcome, Hold, Placement},
     poison::{PoisonVerdict, SharedParts},
@@ -303,7 +304,7 @@
         return SendOutcome::NotRun(NotRunReason::Unreachable);
     }
     in_flight.outcome = AttemptOutcome::Failed;
-    shared.record_failed_run(call.fingerprint);
+    record_failed_run(shared, call, &in_flight.placement);
     SendOutcome::Unknown
 }
 
--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -1,4 +1,4 @@
-//! Finds out whether a target whose connection broke has ended.
+//! Records runs that failed, and finds out whether a target whose connection broke has ended.
 //!
 //! A connection may break off, or bring bytes that are no answer, while its target goes on. A port
 //! that refuses connections shows that the process behind it has ended.
@@ -8,7 +8,9 @@
 use chervilgate_policy::{CrashId, TargetId};
 use tokio::{net::TcpStream, sync::OnceCell, time::timeout};
 
-use crate::{attempt::CallerRequest, fleet::Placement, hash::stable_hash, state::Shared};
+use crate::{
+    attempt::CallerRequest, fleet::Placement, hash::stable_hash, poison::FailedRun, state::Shared,
+};
 
 /// Time in which a connection is refused; a target that is cut off does not answer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -20,6 +22,20 @@
 /// connection attempt.
 pub(crate) type CrashProbe = Arc<OnceCell<bool>>;
 
+/// Records that a run of `call` failed at the target of `placement`, however far it had come. Whether
+/// the target has ended is not asked: it may be back already.
+pub(crate) fn record_failed_run(shared: &Shared, call: &CallerRequest, placement: &Placement) {
+    let now = shared.now();
+    let run = FailedRun { request: call.fingerprint.digest, run: rand::random() };
+    let runs = {
+        let poison = &mut shared.state().poison;
+        poison.record_run(now, run);
+        poison.run_count(now, call.fingerprint)
+    };
+    let (id, target) = (&call.ask.id, &placement.id);
+    log::warn!(target: "gateway", id, target, runs; "run failed");
+}
+
 /// Records that `call` broke off at the target of `placement` before it was answered, or just as
 /// its answer began. If the target has ended, this accuses the parts of the prompt.
 pub(crate) async fn record_break(shared: &Shared, call: &CallerRequest, placement: &Placement) {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
-    crash::record_break,
+    crash::{record_break, record_failed_run},
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Hold, TargetQuery},
     protocol::RequestStage,
@@ -229,7 +229,7 @@
                     if response.status().is_success() {
                         let end = shared.now();
                         let state = &mut *shared.state();
-                        state.poison.record_answer(end, &call.parts);
+                        state.poison.record_answer(end, call.fingerprint, &call.parts);
                         state.fleet.record_work(
                             end,
                             &call.service,
@@ -243,6 +243,7 @@
                     return Ok(response);
                 }
                 in_flight.outcome = AttemptOutcome::Failed;
+                record_failed_run(shared, call, &in_flight.placement);
                 record_break(shared, call, &in_flight.placement).await;
                 if !attempts.may_retry_failed_run(shared, call) {
                     return Err(Failure::TargetFailed);
--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -1,10 +1,10 @@
 //! Requests, and parts of prompts, that crash the targets that run them.
 //!
 //! [`PoisonDetector`] decides; this module tells it what the host sees. A whole request is known
-//! by its path, caller and content: it comes again, to any host, and each of its runs that failed
-//! before its first byte counts. Requests that share a part of their prompt need not be alike:
-//! once a target is known to have ended, the parts of the requests that it had not begun to
-//! answer are accused. All hosts tell each other of failed runs, crashes and acquittals.
+//! by its path, caller and content: it comes again, to any host, and each of its runs that failed counts,
+//! however far it had come, until one is answered in full. Requests that share a part of their prompt
+//! need not be alike: once a target is known to have ended, the parts of the requests that it had not
+//! begun to answer are accused. All hosts tell each other of failed runs, crashes and acquittals.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -85,7 +85,7 @@
 pub struct CrashEvidence {
     /// Crashes with the parts that they accuse, and the milliseconds since each.
     pub crashes: Vec<(u32, CrashNotice)>,
-    /// Digests of accused parts that were answered.
+    /// Digests of accused requests and parts that were answered.
     pub acquitted: Vec<u64>,
 }
 
@@ -103,7 +103,7 @@
 pub struct PoisonGuard {
     requests: PoisonDetector,
     parts: PoisonDetector,
-    /// Parts that others are to be told were answered, with the number of rounds left.
+    /// Requests and parts that others are to be told were answered, with the number of rounds left.
     acquitted: HashMap<u64, u8>,
 }
 
@@ -132,7 +132,14 @@
 impl PoisonGuard {
     /// Records a failed run; a repeat has no effect.
     pub fn record_run(&mut self, now: Time, run: FailedRun) {
-        self.requests.merge_notice(now, now, &run.to_notice());
+        let notice = run.to_notice();
+        self.requests.merge_notice(now, now, &notice);
+        self.tell_sound(self.requests.sound_parts(&notice));
+    }
+
+    /// Number of failed runs that count against a request.
+    pub fn run_count(&self, now: Time, request: Fingerprint) -> usize {
+        self.requests.crash_count(now, request)
     }
 
     /// Records that a target ended before it had begun to answer a request with these parts.
@@ -143,9 +150,14 @@
     }
 
     /// Records that a request with these parts was answered in full.
-    pub fn record_answer(&mut self, now: Time, parts: &[Fingerprint]) {
+    pub fn record_answer(&mut self, now: Time, request: Fingerprint, parts: &[Fingerprint]) {
+        if self.requests.record_sound(now, request.digest) {
+            self.acquitted.insert(request.digest, ACQUITTAL_ROUNDS);
+        }
         for part in parts {
-            self.acquit(now, part.digest);
+            if self.parts.record_sound(now, part.digest) {
+                self.acquitted.insert(part.digest, ACQUITTAL_ROUNDS);
+            }
         }
     }
 
@@ -154,19 +166,21 @@
         for (age, notice) in &evidence.crashes {
             let at = now.saturating_sub(Duration::from_millis((*age).into()));
             self.parts.merge_notice(now, at, notice);
-            // The other host may not know that these were answered here.
-            for digest in self.parts.sound_parts(notice) {
-                self.acquitted.entry(digest).or_insert(ACQUITTAL_ROUNDS);
-            }
+            self.tell_sound(self.parts.sound_parts(notice));
         }
-        for digest in &evidence.acquitted {
-            self.acquit(now, *digest);
+        for digest in evidence.acquitted.iter().copied() {
+            let is_request = self.requests.accuses(now, digest);
+            let detector = if is_request { &mut self.requests } else { &mut self.parts };
+            if detector.record_sound(now, digest) {
+                self.acquitted.insert(digest, ACQUITTAL_ROUNDS);
+            }
         }
     }
 
-    fn acquit(&mut self, now: Time, digest: u64) {
-        if self.parts.record_sound(now, digest) {
-            self.acquitted.insert(digest, ACQUITTAL_ROUNDS);
+    /// Has another host told that these were answered here, which it may not know.
+    fn tell_sound(&mut self, digests: impl IntoIterator<Item = u64>) {
+        for digest in digests {
+            self.acquitted.entry(digest).or_insert(ACQUITTAL_ROUNDS);
         }
     }
 
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -9,7 +9,6 @@
 
 use chervilgate_clients::{HttpPool, ObjectStore};
 use chervilgate_clock::{BootClock, Clock, Time};
-use chervilgate_policy::Fingerprint;
 use tokio::sync::{Notify, watch};
 
 use crate::{
@@ -21,7 +20,7 @@
     membership::{HostEntry, Membership},
     metrics::{LostLines, Metrics},
     origins::Origins,
-    poison::{FailedRun, PoisonGuard},
+    poison::PoisonGuard,
     protocol::{Decoder, Protocol},
     repeats::Repeats,
     settings::HostSettings,
@@ -268,12 +267,6 @@
         self.state().meter.count(window, org);
     }
 
-    /// Records a failed run of `request`.
-    pub(crate) fn record_failed_run(&self, request: Fingerprint) {
-        let run = FailedRun { request: request.digest, run: rand::random() };
-        self.state().poison.record_run(self.now(), run);
-    }
-
     /// Counts a caller's request for `service`, which adds to the budget for repeats.
     pub(crate) fn count_request(&self, service: &Arc<str>) {
         let now = self.now();
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     attempt::{CallerRequest, Export, InFlight, NotRunReason, SendOutcome, prefill, send},
-    crash::record_break,
+    crash::{record_break, record_failed_run},
     events::EventSplitter,
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
@@ -121,7 +121,7 @@
                 return Ok((target_stream, next));
             }
             target_stream.in_flight.outcome = AttemptOutcome::Failed;
-            self.shared.record_failed_run(self.call.fingerprint);
+            record_failed_run(&self.shared, &self.call, &target_stream.in_flight.placement);
             record_break(&self.shared, &self.call, &target_stream.in_flight.placement).await;
             self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
             if !self.attempts.may_retry_failed_run(&self.shared, &self.call) {
@@ -330,7 +330,8 @@
                 ReadOutcome::End => {
                     if target_stream.is_whole() {
                         let now = self.shared.now();
-                        self.shared.state().poison.record_answer(now, &self.call.parts);
+                        let CallerRequest { fingerprint, parts, .. } = &*self.call;
+                        self.shared.state().poison.record_answer(now, *fingerprint, parts);
                     }
                     self.record_work(&target_stream);
                     let pause = longest_pause.as_millis() as u64;
@@ -346,8 +347,9 @@
                 }
                 ReadOutcome::Broken => {
                     target_stream.in_flight.outcome = AttemptOutcome::Failed;
+                    let placement = &target_stream.in_flight.placement;
+                    record_failed_run(&self.shared, &self.call, placement);
                     if target_stream.has_just_begun(self.shared.now()) {
-                        let placement = &target_stream.in_flight.placement;
                         record_break(&self.shared, &self.call, placement).await;
                     }
                     self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
--- a/components/gateway/tests/parts.rs
+++ b/components/gateway/tests/parts.rs
@@ -12,6 +12,8 @@
     view::{ConfigView, Confirmation, ConfirmationRequest},
 };
 use chervilgate_policy::{CrashId, TargetId};
+use rand::RngExt;
+use rand_pcg::Pcg64;
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
     Route {
@@ -301,6 +303,86 @@
     assert_eq!(guard.runs_to_gossip(now).len(), 3);
 }
 
+/// Has `guards` tell each other of failed runs and acquittals, as in a round of gossip.
+fn tell_each_other(now: Time, guards: &mut [PoisonGuard]) {
+    let runs: Vec<_> = guards.iter().flat_map(|guard| guard.runs_to_gossip(now)).collect();
+    let told: Vec<_> = guards.iter_mut().map(|guard| guard.evidence_to_gossip(now)).collect();
+    for guard in guards {
+        runs.iter().for_each(|run| guard.record_run(now, *run));
+        told.iter().for_each(|evidence| guard.merge_evidence(now, evidence));
+    }
+}
+
+#[test]
+fn a_whole_answer_acquits_a_request_on_all_hosts() {
+    let request = request_fingerprint("/a/", None, b"body");
+    let mut guards = [PoisonGuard::default(), PoisonGuard::default()];
+    let failed = |run| FailedRun { request: request.digest, run };
+    let (broken, answered) = (Time::from_secs(8), Time::from_secs(9));
+    for run in 1..=3 {
+        guards[0].record_run(broken, failed(run));
+    }
+    tell_each_other(broken, &mut guards);
+    let before = guards.each_ref().map(|guard| guard.verdict(broken, request, &[]));
+
+    guards[1].record_answer(answered, request, &[]);
+    (0..2).for_each(|_| tell_each_other(answered, &mut guards));
+
+    assert_eq!(before, [Some(PoisonVerdict::Request); 2]);
+    assert!(guards.iter().all(|guard| guard.verdict(answered, request, &[]).is_none()));
+}
+
+#[test]
+fn a_request_that_was_answered_before_is_refused_only_after_twice_as_many_failed_runs() {
+    let request = request_fingerprint("/a/", None, b"body");
+    let mut guard = PoisonGuard::default();
+    guard.record_answer(Time::from_secs(8), request, &[]);
+    let now = Time::from_secs(9);
+
+    let verdicts = (1..=6).map(|run| {
+        guard.record_run(now, FailedRun { request: request.digest, run });
+        guard.verdict(now, request, &[]).is_some()
+    });
+
+    assert_eq!(verdicts.collect::<Vec<_>>(), [false, false, false, false, false, true]);
+}
+
+// Guards against sound requests that are refused since targets often end beside them: one in ten runs
+// of each breaks off, and the culprit still comes.
+#[test]
+fn sound_requests_are_served_while_the_culprit_is_refused() {
+    const SOUND: u64 = 2_000;
+    const MAX_RUNS: u32 = 6;
+    let mut rng = Pcg64::new(7, 7);
+    let mut guard = PoisonGuard::default();
+    let culprit = request_fingerprint("/culprit/", None, b"body");
+    let (mut culprit_runs, mut refused) = (0, 0);
+
+    for number in 0..SOUND {
+        let now = Time::from_micros(number * 20_000);
+        if guard.verdict(now, culprit, &[]).is_none() {
+            culprit_runs += 1;
+            guard.record_run(now, FailedRun { request: culprit.digest, run: culprit_runs });
+        }
+        let request = request_fingerprint("/sound/", None, &number.to_le_bytes());
+        for run in 0..MAX_RUNS {
+            if guard.verdict(now, request, &[]).is_some() {
+                refused += 1;
+                break;
+            }
+            if rng.random_range(0..10) > 0 {
+                guard.record_answer(now, request, &[]);
+                break;
+            }
+            guard.record_run(now, FailedRun { request: request.digest, run });
+        }
+    }
+
+    // A request is refused after three failed runs of its own: one in a thousand.
+    assert!(refused <= SOUND / 200, "{refused} refused");
+    assert_eq!(culprit_runs, 3);
+}
+
 /// Fingerprints of the shared parts of a prompt, whose last part is its own.
 fn shared_parts(org: &str, ids: &[u64]) -> SharedParts {
     let parts = ids.iter().chain([&9_999]).map(|id| PromptPart { id: *id, tokens: 100 });
@@ -363,7 +445,7 @@
     let (answered, parts) = (Time::from_secs(8), shared_parts("org-1", &[7]));
     let request = request_fingerprint("/a/", None, b"body");
     let (mut knowing, mut accusing) = (PoisonGuard::default(), PoisonGuard::default());
-    knowing.record_answer(answered, &parts);
+    knowing.record_answer(answered, request, &parts);
     for target in 1..=4 {
         accusing.record_crash(now, crash(target), &parts);
     }
--- a/components/policy/src/poison.rs
+++ b/components/policy/src/poison.rs
@@ -22,6 +22,8 @@
 //! all once there are two of these: nobody can get a part refused to another organisation by
 //! sending it along with a poison part.
 //!
+//! A complete answer acquits a whole request in the same way.
+//!
 //! Hosts notify each other of the requests that were running at each crash. All hosts apply
 //! the same rule to the union of the notices and so reach the same result. Crashes expire
 //! after a time, and memory is bounded.
@@ -225,19 +227,27 @@
         if !self.crash_counts.contains_key(&fingerprint) {
             return PoisonStatus::Clear;
         }
+        let sound_at = self.sound.get(&fingerprint.digest);
         let crashes = self.crashes.iter().filter(|crash| self.is_fresh(now, crash));
+        let crashes = crashes.filter(|crash| sound_at.is_none_or(|at| crash.at > *at));
         let crashes: SmallVec<[&Crash; 4]> =
             crashes.filter(|crash| crash.affected(fingerprint).is_some()).collect();
         let Some(last) = crashes.iter().map(|crash| crash.at).max() else {
             return PoisonStatus::Clear;
         };
         let sole_cause = crashes.iter().any(|crash| crash.is_sole_cause(fingerprint));
-        if crashes.len() < self.settings.min_crashes || !sole_cause {
+        if crashes.len() < self.required_crashes(fingerprint.digest) || !sole_cause {
             return PoisonStatus::Suspect;
         }
         self.quarantined(now, last)
     }
 
+    /// Number of crashes from which a request or a part with this digest is quarantined.
+    fn required_crashes(&self, digest: u64) -> usize {
+        let factor = if self.sound.contains_key(&digest) { SOUND_FACTOR } else { 1 };
+        self.settings.min_crashes * factor
+    }
+
     fn quarantined(&self, now: Time, last: Time) -> PoisonStatus {
         let until = last + self.settings.retention;
         PoisonStatus::Quarantined(Refusal::new(RefusalReason::Quarantined, until.since(now)))
@@ -259,14 +269,13 @@
 
     /// Checks one part of a request with these `parts`.
     fn check_part(&self, now: Time, part: Fingerprint, parts: &[Fingerprint]) -> PoisonStatus {
-        let crashes = self.crashes_of_part(now, part.digest);
+        let crashes = self.accusations(now, part.digest);
         let Some(last) = crashes.iter().map(|crash| crash.at).max() else {
             return PoisonStatus::Clear;
         };
-        let is_known_sound = self.sound.contains_key(&part.digest);
-        let factor = if is_known_sound { SOUND_FACTOR } else { 1 };
-        let required = self.settings.min_crashes * factor;
-        if crashes.len() < required || !self.is_common_cause(now, part.digest, &crashes, parts) {
+        if crashes.len() < self.required_crashes(part.digest)
+            || !self.is_common_cause(now, part.digest, &crashes, parts)
+        {
             return PoisonStatus::Suspect;
         }
         let runs = crashes.iter().flat_map(|crash| &crash.requests);
@@ -296,12 +305,12 @@
         let mut rivals = others.filter(|other| *other != digest && was_always_there(*other));
         rivals.all(|rival| {
             parts.iter().any(|part| part.digest == rival)
-                && self.crashes_of_part(now, rival).len() <= crashes.len()
+                && self.accusations(now, rival).len() <= crashes.len()
         })
     }
 
-    /// The crashes that accuse a part and that no complete answer has acquitted it of.
-    fn crashes_of_part(&self, now: Time, digest: u64) -> SmallVec<[&Crash; 4]> {
+    /// The crashes that accuse a request or a part and that no complete answer has acquitted it of.
+    fn accusations(&self, now: Time, digest: u64) -> SmallVec<[&Crash; 4]> {
         let crashes = self.crashes.iter().filter(|crash| self.is_fresh(now, crash));
         crashes.filter(|crash| self.is_accused(crash, digest)).collect()
     }
@@ -310,20 +319,20 @@
         crash.accuses(digest) && self.sound.get(&digest).is_none_or(|at| crash.at > *at)
     }
 
+    /// Whether a crash accuses the request or the part with this digest.
+    pub fn accuses(&self, now: Time, digest: u64) -> bool {
+        !self.accusations(now, digest).is_empty()
+    }
+
     /// Number of crashes that accuse a request or a part.
     pub fn crash_count(&self, now: Time, fingerprint: Fingerprint) -> usize {
-        match self.settings.subject {
-            PoisonSubject::Parts => self.crashes_of_part(now, fingerprint.digest).len(),
-            PoisonSubject::Requests => {
-                self.crash_counts.get(&fingerprint).copied().unwrap_or_default()
-            }
-        }
+        self.accusations(now, fingerprint.digest).len()
     }
 
-    /// Records that a request with this part was answered in full. Returns whether the part was
+    /// Records that this request, or one with this part, was answered in full. Returns whether it was
     /// accused, so that other hosts are to be told.
     pub fn record_sound(&mut self, now: Time, digest: u64) -> bool {
-        let was_accused = !self.crashes_of_part(now, digest).is_empty();
+        let was_accused = self.accuses(now, digest);
         self.sound.insert(digest, now);
         if self.sound.len() > MAX_SOUND {
             let mut times: Vec<Time> = self.sound.values().copied().collect();
@@ -334,7 +343,7 @@
         was_accused
     }
 
-    /// The parts of a notice that this host knows to have been answered.
+    /// The requests or parts of a notice that this host knows to have been answered.
     pub fn sound_parts(&self, notice: &CrashNotice) -> SmallVec<[u64; 8]> {
         let digests = notice.runs.iter().map(|run| run.fingerprint.digest);
         digests.filter(|digest| self.sound.contains_key(digest)).collect()
