--- a/components/gateway/src/build_record.rs
+++ b/components/gateway/src/build_record.rs
@@ -2,11 +2,13 @@
 //!
 //! A host that lists the targets sees the versions that serve now, not those that left before: while it
 //! was not running, or while it could not follow the changes. Where all hosts were killed at once none
-//! remembers them either, and streams that such a version began are still taken up. So one object in the store names the versions that may have begun a stream. A few hosts
-//! keep it up to date: a version is added as soon as one of them lists it, and removed once it has been
-//! gone for as long as streams live, counted by the clock of a host that saw it go. A version that a host
-//! first learns of from the record counts as gone since then. No time of day is compared, and what is
-//! removed too late only has streams refused that nobody remembers.
+//! remembers them either, and streams that such a version began are still taken up. So one object in
+//! the store names the versions that may have begun a stream.
+//!
+//! A few hosts keep it up to date: a version is added as soon as one of them lists it, and removed once
+//! it has been gone for as long as streams live, by the clock of a host that saw it go. A version that a
+//! host first learns of from the record counts as gone since then. No times of day are compared, and what
+//! is removed too late only has streams refused that nobody remembers.
 
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -43,7 +45,7 @@
     }
 }
 
-/// What a host has to do once it has read the record.
+/// The outcome of a comparison of the record with what a host knows.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Merge {
     /// Versions of which this host did not know that they have served.
