--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -68,6 +68,9 @@
 /// Minimum interval between broadcasts to all hosts.
 const MIN_BROADCAST_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Maximum number of failed runs in a message, so that it fits into one datagram.
+const MAX_FAILED_RUNS: usize = 60;
+
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
@@ -89,6 +92,8 @@
     Origins(Vec<OriginNotice>),
     OriginAsked(OriginQuestion),
     OriginAnswered(StreamKey, OriginAnswer),
+    /// Known failed runs, with the milliseconds since each.
+    FailedRuns(Vec<(u32, FailedRun)>),
 }
 
 /// What a host has seen of the targets' speeds.
@@ -164,27 +169,32 @@
     }
 }
 
-/// Sends what this host has seen of the targets' speeds, and the crashes and limits of targets that it
-/// knows of, to a few hosts in rotation: one that has just started hears of them so.
+/// Sends what this host has seen of the targets' speeds, and the failed runs, crashes and limits of
+/// targets that it knows of, to a few hosts in rotation: one that has just started hears of them so.
 pub(crate) async fn send_speeds(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut rotation = PeerRotation::default();
     loop {
         sleep(SPEEDS_INTERVAL).await;
         let now = shared.now();
-        let (speeds, evidence, limits, peers) = {
+        let (speeds, failed_runs, evidence, limits, peers) = {
             let state = &mut *shared.state();
             let own = (!state.leaving).then_some(&*shared.settings.name);
             state.fleet.set_hosts(now, own, state.membership.live_names(now));
             state.share_repeats(now, &shared.settings.name);
             state.fleet.update_speeds(now);
+            let mut failed_runs = state.poison.all_runs(now);
+            failed_runs.truncate(MAX_FAILED_RUNS);
             let evidence = state.poison.all_evidence(now);
             let limits = state.fleet.limit_notices(now, false);
-            (state.fleet.speed_reports(now), evidence, limits, state.membership.gossip_addrs())
+            let (speeds, peers) = (state.fleet.speed_reports(now), state.membership.gossip_addrs());
+            (speeds, failed_runs, evidence, limits, peers)
         };
         let message = (!speeds.is_empty())
             .then(|| Message::Speeds(SpeedMessage { host: shared.gossip_id(), speeds }));
         let message = message.as_ref().and_then(encode);
-        let datagrams = [message, encode_evidence(evidence), encode_limits(limits)];
+        let failed_runs = (!failed_runs.is_empty()).then_some(Message::FailedRuns(failed_runs));
+        let failed_runs = failed_runs.as_ref().and_then(encode);
+        let datagrams = [message, failed_runs, encode_evidence(evidence), encode_limits(limits)];
         for peer in rotation.next(peers, SPEEDS_FANOUT) {
             for datagram in datagrams.iter().flatten() {
                 send_datagram(&socket, datagram, peer).await;
@@ -391,6 +401,10 @@
                 let mut state = shared.state();
                 state.fleet.apply_speed_reports(now, message.host, &message.speeds);
             }
+            Ok(Message::FailedRuns(runs)) => {
+                let now = shared.now();
+                shared.state().poison.merge_runs(now, &runs);
+            }
             Ok(Message::Crashes(evidence)) => {
                 let now = shared.now();
                 shared.state().poison.merge_evidence(now, &evidence);
--- a/components/gateway/src/gossip/tests.rs
+++ b/components/gateway/src/gossip/tests.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     fleet::{CachedPart, InFlightWork},
-    gossip::{MAX_DATAGRAM_BYTES, Message, WorkReport, encode_evidence, encode_report},
+    gossip::{
+        MAX_DATAGRAM_BYTES, MAX_FAILED_RUNS, Message, WorkReport, encode, encode_evidence,
+        encode_report,
+    },
     poison::{CrashEvidence, FailedRun},
 };
 
@@ -45,6 +48,15 @@
     assert!(received.work.len() >= 40);
 }
 
+#[test]
+fn can_send_the_most_failed_runs_that_are_told_at_once() {
+    let run = FailedRun { request: u64::MAX, run: u32::MAX };
+
+    let datagram = encode(&Message::FailedRuns(vec![(u32::MAX, run); MAX_FAILED_RUNS]));
+
+    assert!(datagram.is_some());
+}
+
 #[test]
 fn can_send_as_much_evidence_as_fits() {
     let run = AffectedRequest {
--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -69,6 +69,12 @@
 }
 
 impl FailedRun {
+    /// The run that a notice of [`FailedRun::to_notice`] stands for.
+    fn of(notice: &CrashNotice) -> Option<FailedRun> {
+        let run = u32::try_from(notice.crash.incarnation).ok()?;
+        Some(FailedRun { request: notice.runs.first()?.fingerprint.digest, run })
+    }
+
     fn to_notice(self) -> CrashNotice {
         let fingerprint = Fingerprint { org: OrgId(0), digest: self.request };
         CrashNotice {
@@ -209,11 +215,25 @@
     /// Recent failed runs to send to other hosts.
     pub fn runs_to_gossip(&self, now: Time) -> Vec<FailedRun> {
         let recent = self.requests.notices_since(now.saturating_sub(GOSSIP_TIME));
-        let runs = recent.iter().filter_map(|(_, notice)| {
-            let run = u32::try_from(notice.crash.incarnation).ok()?;
-            Some(FailedRun { request: notice.runs.first()?.fingerprint.digest, run })
-        });
-        runs.collect()
+        recent.iter().filter_map(|(_, notice)| FailedRun::of(notice)).collect()
+    }
+
+    /// All known failed runs with the milliseconds since each, in random order, for hosts that have
+    /// started since.
+    pub fn all_runs(&self, now: Time) -> Vec<(u32, FailedRun)> {
+        let runs = self.requests.notices_since(Time::ZERO).into_iter();
+        let runs = runs.filter_map(|(at, notice)| Some((age(now, at), FailedRun::of(&notice)?)));
+        let mut runs: Vec<(u32, FailedRun)> = runs.collect();
+        runs.shuffle(&mut rand::rng());
+        runs
+    }
+
+    /// Records failed runs that another host tells of, with the milliseconds since each.
+    pub fn merge_runs(&mut self, now: Time, runs: &[(u32, FailedRun)]) {
+        for (age, run) in runs {
+            let at = now.saturating_sub(Duration::from_millis((*age).into()));
+            self.requests.merge_notice(now, at, &run.to_notice());
+        }
     }
 
     /// Recent crashes and acquittals to send to other hosts; counts a round.
@@ -236,7 +256,11 @@
 
     fn crashes_since(&self, now: Time, since: Time) -> Vec<(u32, CrashNotice)> {
         let notices = self.parts.notices_since(since).into_iter();
-        let age = |at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
-        notices.map(|(at, notice)| (age(at), notice)).collect()
+        notices.map(|(at, notice)| (age(now, at), notice)).collect()
     }
 }
+
+/// Milliseconds since `at`.
+fn age(now: Time, at: Time) -> u32 {
+    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+}
--- a/components/gateway/tests/parts.rs
+++ b/components/gateway/tests/parts.rs
@@ -332,6 +332,25 @@
     assert!(guards.iter().all(|guard| guard.verdict(answered, request, &[]).is_none()));
 }
 
+// Guards against requests that hosts pass on again that have started after targets ended under them.
+#[test]
+fn a_host_that_starts_later_learns_of_failed_runs_and_when_they_were() {
+    let request = request_fingerprint("/a/", None, b"body");
+    let (mut known, mut started) = (PoisonGuard::default(), PoisonGuard::default());
+    let (broken, later) = (Time::from_secs(9), Time::from_secs(60));
+    for run in 1..=3 {
+        known.record_run(broken, FailedRun { request: request.digest, run });
+    }
+
+    started.merge_runs(later, &known.all_runs(later));
+    let verdict = started.verdict(later, request, &[]);
+    let forgotten = broken + Duration::from_secs(120);
+
+    assert_eq!(verdict, Some(PoisonVerdict::Request));
+    assert!(known.runs_to_gossip(later).is_empty());
+    assert!(started.verdict(forgotten, request, &[]).is_none());
+}
+
 #[test]
 fn a_request_that_was_answered_before_is_refused_only_after_twice_as_many_failed_runs() {
     let request = request_fingerprint("/a/", None, b"body");
