Find failed runs by number, and tell less of them

Each host repeats a failed run for three seconds, so most of what hosts hear is known: a run is found by its number now, not by a search of all. A run at a target that leaves does not count, as for parts of prompts. Other hosts are told that a request was answered from its second failed run on: most have one, and telling of each left no room in a message for parts that were answered. Failed before (with one): hosts_do_not_tell_of_requests_that_broke_off_once_and_were_answered, 200 acquitted.

--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -23,14 +23,17 @@
 pub(crate) type CrashProbe = Arc<OnceCell<bool>>;
 
 /// Records that a run of `call` failed at the target of `placement`, however far it had come. Whether
-/// the target has ended is not asked: it may be back already.
+/// the target has ended is not asked: it may be back already. A target that leaves ends by that.
 pub(crate) fn record_failed_run(shared: &Shared, call: &CallerRequest, placement: &Placement) {
     let now = shared.now();
     let run = FailedRun { request: call.fingerprint.digest, run: rand::random() };
     let runs = {
-        let poison = &mut shared.state().poison;
-        poison.record_run(now, run);
-        poison.run_count(now, call.fingerprint)
+        let state = &mut *shared.state();
+        if state.fleet.is_leaving(placement) {
+            return;
+        }
+        state.poison.record_run(now, run);
+        state.poison.run_count(now, call.fingerprint)
     };
     let (id, target) = (&call.ask.id, &placement.id);
     log::warn!(target: "gateway", id, target, runs; "run failed");
--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -27,6 +27,10 @@
 /// failure: a second accusation makes it more likely that it crashes the next target too.
 const MAX_RETRY_CRASHES: usize = 1;
 
+/// Failed runs from which other hosts are told that a request was answered. Most have one, and telling of
+/// each would leave no room in the messages for parts that were answered.
+const MIN_TOLD_RUNS: usize = 2;
+
 /// Time for which a failed run counts.
 const RUN_TTL: Duration = Duration::from_secs(120);
 
@@ -75,11 +79,15 @@
         Some(FailedRun { request: notice.runs.first()?.fingerprint.digest, run })
     }
 
+    /// Whether the target ended is not known, so each run counts by itself.
+    fn crash_id(self) -> CrashId {
+        CrashId { target: TargetId(0), incarnation: self.run.into() }
+    }
+
     fn to_notice(self) -> CrashNotice {
         let fingerprint = Fingerprint { org: OrgId(0), digest: self.request };
         CrashNotice {
-            // Whether the target ended is not known, so each run counts by itself.
-            crash: CrashId { target: TargetId(0), incarnation: self.run.into() },
+            crash: self.crash_id(),
             runs: [AffectedRequest { fingerprint, open: true }].into_iter().collect(),
         }
     }
@@ -138,9 +146,13 @@
 impl PoisonGuard {
     /// Records a failed run; a repeat has no effect.
     pub fn record_run(&mut self, now: Time, run: FailedRun) {
-        let notice = run.to_notice();
-        self.requests.merge_notice(now, now, &notice);
-        self.tell_sound(self.requests.sound_parts(&notice));
+        // Each host repeats a run many times, so most of what comes is known.
+        if !self.requests.knows(run.crash_id()) {
+            self.requests.merge_notice(now, now, &run.to_notice());
+        }
+        if self.requests.is_sound(run.request) && self.is_told(now, run.request) {
+            self.tell_sound([run.request]);
+        }
     }
 
     /// Number of failed runs that count against a request.
@@ -157,9 +169,10 @@
 
     /// Records that a request with these parts was answered in full.
     pub fn record_answer(&mut self, now: Time, request: Fingerprint, parts: &[Fingerprint]) {
-        if self.requests.record_sound(now, request.digest) {
+        if self.is_told(now, request.digest) {
             self.acquitted.insert(request.digest, ACQUITTAL_ROUNDS);
         }
+        self.requests.record_sound(now, request.digest);
         for part in parts {
             if self.parts.record_sound(now, part.digest) {
                 self.acquitted.insert(part.digest, ACQUITTAL_ROUNDS);
@@ -176,13 +189,19 @@
         }
         for digest in evidence.acquitted.iter().copied() {
             let is_request = self.requests.accuses(now, digest);
+            let is_told = !is_request || self.is_told(now, digest);
             let detector = if is_request { &mut self.requests } else { &mut self.parts };
-            if detector.record_sound(now, digest) {
+            if detector.record_sound(now, digest) && is_told {
                 self.acquitted.insert(digest, ACQUITTAL_ROUNDS);
             }
         }
     }
 
+    /// Whether other hosts are told that the request with this digest was answered.
+    fn is_told(&self, now: Time, digest: u64) -> bool {
+        self.requests.accusation_count(now, digest) >= MIN_TOLD_RUNS
+    }
+
     /// Has another host told that these were answered here, which it may not know.
     fn tell_sound(&mut self, digests: impl IntoIterator<Item = u64>) {
         for digest in digests {
@@ -232,7 +251,9 @@
     pub fn merge_runs(&mut self, now: Time, runs: &[(u32, FailedRun)]) {
         for (age, run) in runs {
             let at = now.saturating_sub(Duration::from_millis((*age).into()));
-            self.requests.merge_notice(now, at, &run.to_notice());
+            if !self.requests.knows(run.crash_id()) {
+                self.requests.merge_notice(now, at, &run.to_notice());
+            }
         }
     }
 
--- a/components/gateway/tests/parts.rs
+++ b/components/gateway/tests/parts.rs
@@ -351,6 +351,23 @@
     assert!(started.verdict(forgotten, request, &[]).is_none());
 }
 
+// Guards against accusations of sound parts that stay, as their acquittals find no room in a message.
+#[test]
+fn hosts_do_not_tell_of_requests_that_broke_off_once_and_were_answered() {
+    let now = Time::from_secs(9);
+    let mut guards = [PoisonGuard::default(), PoisonGuard::default()];
+    for number in 0..200_u32 {
+        let request = request_fingerprint("/a/", None, &number.to_le_bytes());
+        guards[0].record_run(now, FailedRun { request: request.digest, run: number });
+        guards[1].record_run(now, FailedRun { request: request.digest, run: number });
+        guards[1].record_answer(now, request, &[]);
+    }
+
+    let told = guards[1].evidence_to_gossip(now);
+
+    assert!(told.acquitted.is_empty(), "{} acquitted", told.acquitted.len());
+}
+
 #[test]
 fn a_request_that_was_answered_before_is_refused_only_after_twice_as_many_failed_runs() {
     let request = request_fingerprint("/a/", None, b"body");
--- a/components/policy/src/poison.rs
+++ b/components/policy/src/poison.rs
@@ -31,7 +31,8 @@
 //! [`Request::suspect`]: crate::Request::suspect
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, VecDeque, hash_map::Entry},
+    hash::Hash,
     time::Duration,
 };
 
@@ -161,8 +162,14 @@
 pub struct PoisonDetector {
     settings: PoisonSettings,
     crashes: VecDeque<Crash>,
+    /// Number of crashes that were dropped.
+    dropped: usize,
+    /// Numbers of the crashes that are remembered: the place in `crashes` and the number dropped before.
+    numbers: HashMap<CrashId, usize>,
     /// Number of remembered crashes per request.
     crash_counts: HashMap<Fingerprint, usize>,
+    /// Number of remembered crashes per digest.
+    digest_counts: HashMap<u64, usize>,
     /// When a request with this digest was last answered in full.
     sound: HashMap<u64, Time>,
 }
@@ -173,7 +180,10 @@
         PoisonDetector {
             settings,
             crashes: VecDeque::new(),
+            dropped: 0,
+            numbers: HashMap::new(),
             crash_counts: HashMap::new(),
+            digest_counts: HashMap::new(),
             sound: HashMap::new(),
         }
     }
@@ -205,7 +215,7 @@
             return;
         }
         self.drop_expired(now);
-        let known = self.crashes.iter().position(|crash| crash.id == notice.crash);
+        let known = self.numbers.get(&notice.crash).map(|number| number - self.dropped);
         let index = known.unwrap_or_else(|| self.add_crash(at, notice.crash));
         let Some(crash) = self.crashes.get_mut(index) else { return };
         for run in &notice.runs {
@@ -215,10 +225,21 @@
             } else if crash.requests.len() < self.settings.max_requests {
                 crash.requests.push(*run);
                 *self.crash_counts.entry(run.fingerprint).or_default() += 1;
+                *self.digest_counts.entry(run.fingerprint.digest).or_default() += 1;
             }
         }
     }
 
+    /// Whether a crash is known and remembered.
+    pub fn knows(&self, crash: CrashId) -> bool {
+        self.numbers.contains_key(&crash)
+    }
+
+    /// Whether a request or part with this digest was answered in full.
+    pub fn is_sound(&self, digest: u64) -> bool {
+        self.sound.contains_key(&digest)
+    }
+
     /// Checks a request; to be called before it is queued and before each retry.
     pub fn check(&self, now: Time, fingerprint: Fingerprint) -> PoisonStatus {
         if self.settings.subject == PoisonSubject::Parts {
@@ -311,6 +332,9 @@
 
     /// The crashes that accuse a request or a part and that no complete answer has acquitted it of.
     fn accusations(&self, now: Time, digest: u64) -> SmallVec<[&Crash; 4]> {
+        if !self.digest_counts.contains_key(&digest) {
+            return SmallVec::new();
+        }
         let crashes = self.crashes.iter().filter(|crash| self.is_fresh(now, crash));
         crashes.filter(|crash| self.is_accused(crash, digest)).collect()
     }
@@ -321,12 +345,17 @@
 
     /// Whether a crash accuses the request or the part with this digest.
     pub fn accuses(&self, now: Time, digest: u64) -> bool {
-        !self.accusations(now, digest).is_empty()
+        self.accusation_count(now, digest) > 0
+    }
+
+    /// Number of crashes that accuse the request or the part with this digest.
+    pub fn accusation_count(&self, now: Time, digest: u64) -> usize {
+        self.accusations(now, digest).len()
     }
 
     /// Number of crashes that accuse a request or a part.
     pub fn crash_count(&self, now: Time, fingerprint: Fingerprint) -> usize {
-        self.accusations(now, fingerprint.digest).len()
+        self.accusation_count(now, fingerprint.digest)
     }
 
     /// Records that this request, or one with this part, was answered in full. Returns whether it was
@@ -365,7 +394,8 @@
         if self.check(now, fingerprint) != PoisonStatus::Suspect {
             return;
         }
-        self.crash_counts.remove(&fingerprint);
+        let count = self.crash_counts.remove(&fingerprint).unwrap_or_default();
+        reduce(&mut self.digest_counts, fingerprint.digest, count);
         for crash in &mut self.crashes {
             crash.requests.retain(|run| run.fingerprint != fingerprint);
         }
@@ -384,6 +414,7 @@
         if self.crashes.len() >= self.settings.max_crashes {
             self.drop_oldest();
         }
+        self.numbers.insert(id, self.dropped + self.crashes.len());
         self.crashes.push_back(Crash { id, at: now, requests: SmallVec::new() });
         self.crashes.len() - 1
     }
@@ -396,12 +427,21 @@
 
     fn drop_oldest(&mut self) {
         let Some(crash) = self.crashes.pop_front() else { return };
+        self.dropped += 1;
+        self.numbers.remove(&crash.id);
         for run in crash.requests {
-            let Some(count) = self.crash_counts.get_mut(&run.fingerprint) else { continue };
-            *count -= 1;
-            if *count == 0 {
-                self.crash_counts.remove(&run.fingerprint);
-            }
+            reduce(&mut self.crash_counts, run.fingerprint, 1);
+            reduce(&mut self.digest_counts, run.fingerprint.digest, 1);
+        }
+    }
+}
+
+/// Reduces a count, and removes it when it reaches zero.
+fn reduce<K: Hash + Eq>(counts: &mut HashMap<K, usize>, key: K, by: usize) {
+    if let Entry::Occupied(mut count) = counts.entry(key) {
+        *count.get_mut() = count.get().saturating_sub(by);
+        if *count.get() == 0 {
+            count.remove();
         }
     }
 }
--- a/components/policy/src/poison/tests.rs
+++ b/components/policy/src/poison/tests.rs
@@ -66,6 +66,23 @@
     assert_eq!(poison.check(Time::ZERO, bad), PoisonStatus::Suspect);
 }
 
+#[test]
+fn knows_a_crash_until_later_ones_have_taken_its_place() {
+    let settings = PoisonSettings { max_crashes: 3, ..PoisonSettings::default() };
+    let mut poison = PoisonDetector::new(settings);
+    let bad = fingerprint(1, 1);
+    let now = Time::ZERO;
+
+    for target in (1..=5).chain([5, 4, 3]) {
+        poison.record_crash(now, crash(target), &running(&[bad], false));
+    }
+
+    let known = (1..=5).map(|target| poison.knows(crash(target)));
+    assert_eq!(known.collect::<Vec<_>>(), [false, false, true, true, true]);
+    assert_eq!((poison.crash_count(now, bad), poison.notices().len()), (3, 3));
+    assert!(poison.accuses(now, 1) && !poison.accuses(now, 2));
+}
+
 #[test]
 fn does_not_refuse_a_victim_for_crashes_that_another_organisation_causes() {
     let mut poison = poison();
