Count a failed run after its first event only if the answer had just begun

Cause: counts every stream that breaks off against its request, also those of sound requests that run beside a culprit or at a zone that crashes.

A request that crashes targets does so as it begins to run, with its first token. So a run counts that failed before its first event or within half a second after it, as it does for parts of prompts.

--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -22,8 +22,9 @@
 /// connection attempt.
 pub(crate) type CrashProbe = Arc<OnceCell<bool>>;
 
-/// Records that a run of `call` failed at the target of `placement`, however far it had come. Whether
-/// the target has ended is not asked: it may be back already. A target that leaves ends by that.
+/// Records that a run of `call` failed at the target of `placement` before it was answered, or just as
+/// its answer began. Whether the target has ended is not asked: it may be back already. A target that
+/// leaves ends by that.
 pub(crate) fn record_failed_run(shared: &Shared, call: &CallerRequest, placement: &Placement) {
     let now = shared.now();
     let run = FailedRun { request: call.fingerprint.digest, run: rand::random() };
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -348,8 +348,8 @@
                 ReadOutcome::Broken => {
                     target_stream.in_flight.outcome = AttemptOutcome::Failed;
                     let placement = &target_stream.in_flight.placement;
-                    record_failed_run(&self.shared, &self.call, placement);
                     if target_stream.has_just_begun(self.shared.now()) {
+                        record_failed_run(&self.shared, &self.call, placement);
                         record_break(&self.shared, &self.call, placement).await;
                     }
                     self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
