Tell runs that failed once their answer had begun with all others, not as news

Why the news delays answers is not traced.

Change: these runs count at once on the host that saw them, and other hosts hear of them within a second or a few, as hosts that start later do. Test: runs_that_failed_once_their_answer_had_begun_are_told_with_all_others_only.

--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -5,11 +5,16 @@
 
 use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
+use chervilgate_clock::Time;
 use chervilgate_policy::{CrashId, TargetId};
 use tokio::{net::TcpStream, sync::OnceCell, time::timeout};
 
 use crate::{
-    attempt::CallerRequest, fleet::Placement, hash::stable_hash, poison::FailedRun, state::Shared,
+    attempt::CallerRequest,
+    fleet::Placement,
+    hash::stable_hash,
+    poison::{FailedRun, PoisonGuard},
+    state::Shared,
 };
 
 /// Time in which a connection is refused; a target that is cut off does not answer.
@@ -22,10 +27,23 @@
 /// connection attempt.
 pub(crate) type CrashProbe = Arc<OnceCell<bool>>;
 
-/// Records that a run of `call` failed at the target of `placement` before it was answered, or just as
-/// its answer began. Whether the target has ended is not asked: it may be back already. A target that
-/// leaves ends by that.
+/// Records that a run of `call` failed at the target of `placement` before it was answered. Whether the
+/// target has ended is not asked: it may be back already. A target that leaves ends by that.
 pub(crate) fn record_failed_run(shared: &Shared, call: &CallerRequest, placement: &Placement) {
+    record_run(shared, call, placement, PoisonGuard::record_run);
+}
+
+/// The same for a run that failed just as its answer began.
+pub(crate) fn record_begun_run(shared: &Shared, call: &CallerRequest, placement: &Placement) {
+    record_run(shared, call, placement, PoisonGuard::record_begun_run);
+}
+
+fn record_run(
+    shared: &Shared,
+    call: &CallerRequest,
+    placement: &Placement,
+    record: impl FnOnce(&mut PoisonGuard, Time, FailedRun),
+) {
     let now = shared.now();
     let run = FailedRun { request: call.fingerprint.digest, run: rand::random() };
     let runs = {
@@ -33,7 +51,7 @@
         if state.fleet.is_leaving(placement) {
             return;
         }
-        state.poison.record_run(now, run);
+        record(&mut state.poison, now, run);
         state.poison.run_count(now, call.fingerprint)
     };
     let (id, target) = (&call.ask.id, &placement.id);
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
-    crash::{record_break, record_failed_run},
+    crash::{record_begun_run, record_break},
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Hold, TargetQuery},
     protocol::RequestStage,
@@ -243,7 +243,7 @@
                     return Ok(response);
                 }
                 in_flight.outcome = AttemptOutcome::Failed;
-                record_failed_run(shared, call, &in_flight.placement);
+                record_begun_run(shared, call, &in_flight.placement);
                 record_break(shared, call, &in_flight.placement).await;
                 if !attempts.may_retry_failed_run(shared, call) {
                     return Err(Failure::TargetFailed);
--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -155,6 +155,13 @@
         }
     }
 
+    /// Records a run that failed once its answer had begun. Others hear of it with all known runs, not as
+    /// news in each message: where many targets end, streams break off by the hundred.
+    pub fn record_begun_run(&mut self, now: Time, run: FailedRun) {
+        let at = now.saturating_sub(GOSSIP_TIME + Duration::from_micros(1));
+        self.requests.merge_notice(now, at, &run.to_notice());
+    }
+
     /// Number of failed runs that count against a request.
     pub fn run_count(&self, now: Time, request: Fingerprint) -> usize {
         self.requests.crash_count(now, request)
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     attempt::{CallerRequest, Export, InFlight, NotRunReason, SendOutcome, prefill, send},
-    crash::{record_break, record_failed_run},
+    crash::{record_begun_run, record_break, record_failed_run},
     events::EventSplitter,
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
@@ -349,7 +349,7 @@
                     target_stream.in_flight.outcome = AttemptOutcome::Failed;
                     let placement = &target_stream.in_flight.placement;
                     if target_stream.has_just_begun(self.shared.now()) {
-                        record_failed_run(&self.shared, &self.call, placement);
+                        record_begun_run(&self.shared, &self.call, placement);
                         record_break(&self.shared, &self.call, placement).await;
                     }
                     self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
--- a/components/gateway/tests/parts.rs
+++ b/components/gateway/tests/parts.rs
@@ -351,6 +351,23 @@
     assert!(started.verdict(forgotten, request, &[]).is_none());
 }
 
+// Guards against messages that are full of runs which broke off where many targets end.
+#[test]
+fn runs_that_failed_once_their_answer_had_begun_are_told_with_all_others_only() {
+    let now = Time::from_secs(9);
+    let request = request_fingerprint("/a/", None, b"body");
+    let (mut guard, mut other) = (PoisonGuard::default(), PoisonGuard::default());
+    for run in 1..=3 {
+        guard.record_begun_run(now, FailedRun { request: request.digest, run });
+    }
+
+    other.merge_runs(now, &guard.all_runs(now));
+
+    assert!(guard.runs_to_gossip(now).is_empty() && other.runs_to_gossip(now).is_empty());
+    assert_eq!(guard.verdict(now, request, &[]), Some(PoisonVerdict::Request));
+    assert_eq!(other.verdict(now, request, &[]), Some(PoisonVerdict::Request));
+}
+
 // Guards against accusations of sound parts that stay, as their acquittals find no room in a message.
 #[test]
 fn hosts_do_not_tell_of_requests_that_broke_off_once_and_were_answered() {
