--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -158,7 +158,7 @@
     /// Records a run that failed once its answer had begun. Others hear of it with all known runs, not as
     /// news in each message: where many targets end, streams break off by the hundred.
     pub fn record_begun_run(&mut self, now: Time, run: FailedRun) {
-        let at = now.saturating_sub(GOSSIP_TIME + Duration::from_micros(1));
+        let at = now.saturating_sub(GOSSIP_TIME + Duration::from_millis(1));
         self.requests.merge_notice(now, at, &run.to_notice());
     }
 
