A stopping host begins by times alone, not by estimates

What a host passed on was decided by a prediction of the beginning (times 1.5, which is nothing for a prediction of 0) and by the slowest recent pace per token that callers allowed, so that answers that ended early read as fast ones.

Now a pure function of times (gateway::stopping) decides once a request is read whole: it is begun if its caller or its route gives it up before the host answers what is open, or if it came within 2.8 s (0.35 of a shorter grace period) of the beginning of the stop. All else is refused as not run at once. The same holds for unrepeatable plain requests: these ended with 504 that promises nothing. Plain requests that may be repeated are begun as before, for their callers are told in time. A request that came before the stop and was read whole later is asked too, and its targets get the time left until the host's end. The meter of work and its tests go, as nothing else used it; the tests of gateway/tests/stopping.rs ask for the promise itself, over grace periods of 1 to 600 s.

stops.rs: a request that is passed on late is a repeatable one now, as others aren't passed on; the new test asks that these are refused, answered and not run.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -53,8 +53,6 @@
     pub(crate) max_pause: Option<Duration>,
     /// Deadline for the complete response.
     pub(crate) deadline: Time,
-    /// When the caller or the operator gives the request up, also if this host stops before.
-    pub(crate) wanted_until: Time,
     /// Number of times that a connection to a target took the request, not counting separate
     /// prefills.
     pub(crate) sent: Arc<AtomicU32>,
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -20,7 +20,6 @@
 mod rests;
 mod sending;
 mod target;
-mod work;
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
@@ -29,7 +28,7 @@
 };
 
 use chervilgate_clock::Time;
-use chervilgate_policy::{GroupSpeed, SpeedReport, WorkMeter};
+use chervilgate_policy::{GroupSpeed, SpeedReport};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -114,8 +113,6 @@
     /// Speeds by group, which [`TargetState::group`] identifies.
     speeds: HashMap<u32, GroupSpeed>,
     pauses: PauseMeter,
-    /// Times of answers by service.
-    work: HashMap<Arc<str>, WorkMeter>,
 }
 
 /// What a host has seen of the speed of a group of targets.
@@ -151,7 +148,6 @@
             last_attempt: 0,
             speeds: HashMap::new(),
             pauses: PauseMeter::default(),
-            work: HashMap::new(),
         }
     }
 
@@ -337,9 +333,6 @@
     /// called a few times a second.
     pub fn update_speeds(&mut self, now: Time) {
         self.speeds.retain(|group, _| self.targets.values().any(|state| state.group == *group));
-        let targets = &self.targets;
-        self.work
-            .retain(|service, _| targets.values().any(|state| state.entry.service == *service));
         for (group, speed) in &mut self.speeds {
             if !speed.update(now) {
                 continue;
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -30,9 +30,6 @@
 /// Longest time after the end of a rest over which callers return.
 const MAX_RETURN_SPREAD: Duration = Duration::from_secs(1);
 
-/// Factor on the predicted time until an answer begins, where it must not begin later.
-const BEGIN_MARGIN: f64 = 1.5;
-
 /// Size limit of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
@@ -166,33 +163,6 @@
     Err(Failure::Late(predicted - left + left.mul_f64(rand::random())))
 }
 
-/// Refuses a request if this host stops and its answer, which begins after `begins`, may not end
-/// before that: another host has time for it. A plain answer is only refused if the time that such
-/// answers take is known.
-pub(crate) fn check_end(
-    shared: &Shared,
-    now: Time,
-    call: &CallerRequest,
-    attempts: &Attempts,
-    begins: Duration,
-) -> Result<(), Failure> {
-    let (left, work) = {
-        let state = shared.state();
-        let Some(answer_by) = state.answer_by.filter(|at| *at < call.wanted_until) else {
-            return Ok(());
-        };
-        let work = state.fleet.work_bound(now, &call.service, &call.ask.prompt, call.max_pause);
-        (answer_by.since(now), work)
-    };
-    let ends = work.map(|work| begins.mul_f64(BEGIN_MARGIN) + work);
-    if ends.map_or(!call.route.kind.is_stream(), |ends| ends <= left) {
-        return Ok(());
-    }
-    let (ends, left) = (ends.map(|ends| ends.as_millis() as u64), left.as_millis() as u64);
-    log::info!(target: "gateway", id = call.ask.id, ends, left; "cannot end before this host stops");
-    Err(attempts.failure(Failure::Stopping))
-}
-
 /// Runs `call` and returns the complete response.
 pub(crate) async fn forward(
     shared: &Arc<Shared>,
@@ -216,7 +186,6 @@
             return Err(attempts.no_target_failure(shared, now, &call.service, None));
         };
         check_deadline(now, call.deadline, &attempts, plan.predicted_time())?;
-        check_end(shared, now, call, &attempts, plan.predicted_time())?;
         let mut in_flight = InFlight::new(shared, plan.placement, call);
         in_flight.log_placed(call, false);
         attempts.tried.push(in_flight.placement.id.clone());
@@ -230,12 +199,6 @@
                         let end = shared.now();
                         let state = &mut *shared.state();
                         state.poison.record_answer(end, call.fingerprint, &call.parts);
-                        state.fleet.record_work(
-                            end,
-                            &call.service,
-                            &call.ask.prompt,
-                            end.since(now),
-                        );
                     }
                     if failed && attempts.may_retry_failed_run(shared, call) {
                         continue;
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -22,6 +22,7 @@
     serve::CallerHandler,
     settings::HostSettings,
     state::Shared,
+    stopping::{ANSWER_SHARE, Stop},
     watch::{
         ConfigWatch, TargetWatch, confirm_target_list, maintain_build_record, maintain_membership,
         watch_prefix,
@@ -32,10 +33,6 @@
 /// cache an address list for three times its TTL.
 const ACCEPT_SHARE: f64 = 0.8;
 
-/// Share of the grace period after which requests in flight are answered unfinished. The time
-/// from then until the host stops is for writing the answers.
-const ANSWER_SHARE: f64 = 0.94;
-
 /// Share of the grace period after which the host stops even if connections are open.
 const FINISH_SHARE: f64 = 0.97;
 
@@ -157,7 +154,7 @@
         log::info!(target: "host", "stopping");
         let grace = self.shared.settings.bounds.grace_period;
         let (accept, answer) = (grace.mul_f64(ACCEPT_SHARE), grace.mul_f64(ANSWER_SHARE));
-        self.start_leaving(self.shared.now(), answer);
+        self.start_leaving(self.shared.now(), grace);
         self.refresh_membership.notify_one();
         sleep(accept).await;
         self.stop.send_replace(true);
@@ -177,11 +174,11 @@
         log::info!(target: "host", "stopped");
     }
 
-    /// Stops being offered to callers; requests are answered within `answer`.
-    fn start_leaving(&self, now: Time, answer: Duration) {
+    /// Stops being offered to callers, and begins only what may end within `grace`.
+    fn start_leaving(&self, now: Time, grace: Duration) {
         let mut state = self.shared.state();
         state.leaving = true;
-        state.answer_by = Some(now + answer);
+        state.stop = Some(Stop::new(now, grace));
         state.origins.hand_over(now);
         self.shared.origins_due.notify_one();
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! use, and competes for the lease on the duties that only one process at a time
 //! performs. Decisions are made in modules without I/O or clocks ([`build_record`], [`config`],
 //! [`fleet`], [`freshness`], [`lease`], [`membership`], [`origins`], [`planner`], [`poison`],
-//! [`repeats`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
+//! [`repeats`], [`stopping`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
 //!
 //! External systems are reached through traits: [`Protocol`] for the headers of callers
 //! and targets, [`Decoder`] for stored objects, and the traits of the clients crate for
@@ -37,6 +37,7 @@
 mod serve;
 mod settings;
 mod state;
+pub mod stopping;
 mod stream;
 mod takeover;
 pub mod usage;
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -28,6 +28,7 @@
     poison::{part_fingerprints, request_fingerprint},
     protocol::RequestHead,
     state::Shared,
+    stopping::Stop,
     stream::stream,
 };
 
@@ -101,11 +102,9 @@
         let Admitted { route, config_version, org, body_limit } =
             self.admit(started, &head, &request_head)?;
         let time_limit = request_head.timeout.unwrap_or(route.timeout).min(route.timeout);
-        let answer_by = self.shared.state().answer_by;
         let wanted_until = started + time_limit;
-        let is_cut = answer_by.is_some_and(|at| at < wanted_until);
-        let time_limit = answer_by.map_or(time_limit, |at| time_limit.min(at.since(started)));
-        let deadline = started + time_limit;
+        let stop = self.shared.state().stop;
+        let time_limit = stop.map_or(time_limit, |at| time_limit.min(at.answer_by.since(started)));
         let body = match timeout(time_limit, collect(body, body_limit)).await {
             Ok(Ok(body)) => body,
             Ok(Err(BodyError::TooLong { .. })) => return Err(Failure::BodyTooLarge),
@@ -119,6 +118,13 @@
                 Err(failure) => return Err(failure),
             };
         let org = org.and(rechecked);
+        // The stop may have begun while the body was read.
+        let stop = self.shared.state().stop;
+        if let Some(stop) = stop {
+            check_stop(stop, self.shared.now(), &request_head.id, &route, wanted_until)?;
+        }
+        let deadline = stop.map_or(wanted_until, |stop| wanted_until.min(stop.answer_by));
+        let is_cut = deadline < wanted_until;
         let service = route.pick_service(rand::random()).cloned().ok_or(Failure::NoTarget)?;
         self.shared.count_request(&service);
         let priority = org.as_ref().and_then(|org| org.priority).unwrap_or(route.priority);
@@ -148,7 +154,6 @@
             org: org.map(|org| org.name),
             priority,
             deadline,
-            wanted_until,
             sent: sent.clone(),
         };
         let is_stream = call.route.kind.is_stream();
@@ -199,6 +204,29 @@
     }
 }
 
+/// Refuses a request that a stop may cut. Of those begun in spite of that, the log line tells what is
+/// cut as the host ends.
+fn check_stop(
+    stop: Stop,
+    now: Time,
+    id: &str,
+    route: &Route,
+    wanted_until: Time,
+) -> Result<(), Failure> {
+    if wanted_until <= stop.answer_by {
+        return Ok(());
+    }
+    let stopping = now.since(stop.since).as_millis() as u64;
+    let left = stop.answer_by.since(now).as_millis() as u64;
+    let wanted = wanted_until.since(now).as_millis() as u64;
+    if !stop.may_begin(now, route.kind, wanted_until) {
+        log::info!(target: "gateway", id, stopping, wanted, left; "may not end before this host stops");
+        return Err(Failure::Stopping);
+    }
+    log::info!(target: "gateway", id, stopping, wanted, left; "begins though this host stops");
+    Ok(())
+}
+
 /// The failure of a request that was not finished when this host stopped.
 fn unfinished(sent: &AtomicU32) -> Failure {
     if sent.load(Ordering::Relaxed) > 0 { Failure::TimedOut } else { Failure::Stopping }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -24,6 +24,7 @@
     protocol::{Decoder, Protocol},
     repeats::Repeats,
     settings::HostSettings,
+    stopping::Stop,
     usage::{PeerSheets, UsageMeter, WallClock},
     view::ConfigView,
 };
@@ -92,8 +93,8 @@
     pub(crate) crash_probes: HashMap<(Arc<str>, u64), CrashProbe>,
     /// Whether this host is stopping.
     pub(crate) leaving: bool,
-    /// Time by which requests are answered because this host is stopping; none if it is not.
-    pub(crate) answer_by: Option<Time>,
+    /// When this host stops; none if it was not told to.
+    pub(crate) stop: Option<Stop>,
     /// Which software versions began streams.
     pub(crate) origins: Origins,
     /// What of the record of software versions this host has seen.
@@ -173,7 +174,7 @@
             poison: PoisonGuard::default(),
             crash_probes: HashMap::new(),
             leaving: false,
-            answer_by: None,
+            stop: None,
             origins: Origins::default(),
             build_record: BuildRecord::default(),
             repeats: Repeats::new(bounds),
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -24,7 +24,7 @@
     events::EventSplitter,
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
-    forward::{Attempts, check_deadline, check_end},
+    forward::{Attempts, check_deadline},
     protocol::RequestStage,
     state::Shared,
     takeover::{find_origin, record_origin},
@@ -150,12 +150,7 @@
                 ));
             };
             check_deadline(now, self.call.deadline, &self.attempts, plan.predicted_time())?;
-            self.check_end(plan.predicted_time())?;
             let (export, placement) = self.prefill(plan).await?;
-            if export.is_some() {
-                // Computing the prompt has taken its time.
-                self.check_end(placement.predicted_time())?;
-            }
             let (shared, call) = (self.shared.clone(), self.call.clone());
             let mut in_flight = InFlight::new(&shared, placement, &call);
             in_flight.log_placed(&call, export.is_some());
@@ -211,11 +206,6 @@
         }
     }
 
-    /// Refuses the request if this host may stop before the stream ends that begins after `begins`.
-    fn check_end(&self, begins: Duration) -> Result<(), Failure> {
-        check_end(&self.shared, self.shared.now(), &self.call, &self.attempts, begins)
-    }
-
     fn query(&self) -> TargetQuery<'_> {
         TargetQuery {
             service: &self.call.service,
@@ -273,17 +263,6 @@
         record_origin(&self.shared, &self.call, build);
     }
 
-    /// Records how long a stream took that one target brought from its first event to its end.
-    fn record_work(&self, target_stream: &TargetStream) {
-        let Some(begun_at) = target_stream.begun_at else { return };
-        if self.call.takes_up() || !self.attempts.tried.is_empty() {
-            return;
-        }
-        let now = self.shared.now();
-        let CallerRequest { service, ask, .. } = &*self.call;
-        self.shared.state().fleet.record_work(now, service, &ask.prompt, now.since(begun_at));
-    }
-
     /// Whether the prompt may be sent to a prefill target. Refused ones count as repeats.
     fn may_compute_apart(&self) -> bool {
         let now = self.shared.now();
@@ -333,7 +312,6 @@
                         let CallerRequest { fingerprint, parts, .. } = &*self.call;
                         self.shared.state().poison.record_answer(now, *fingerprint, parts);
                     }
-                    self.record_work(&target_stream);
                     let pause = longest_pause.as_millis() as u64;
                     if let Some(max_pause) = self.call.route.max_pause {
                         let late = longest_pause > max_pause;
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -21,7 +21,6 @@
 mod stream;
 mod subset;
 mod target;
-mod work;
 
 pub use crate::{
     admission::{Actions, AdmissionQueue, FairShare, QueueAction, QueueSettings},
@@ -47,5 +46,4 @@
     stream::{AttemptNo, Delivery, Resume, StreamTable},
     subset::{TargetLocation, choose_subset},
     target::{LoadReport, PricingClass, Role, Target, TargetSpecs, TargetState},
-    work::WorkMeter,
 };
