--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -14,7 +14,7 @@
 use hyper::{
     HeaderMap, Response, StatusCode,
     body::Frame,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
 };
 use tokio::{sync::mpsc, time::timeout};
 
@@ -364,8 +364,17 @@
                     );
                     target_stream = tokio::select! {
                         found = self.connect() => match found {
-                            Ok(found) if found.status.is_success() => found,
-                            _ => return abort_response(&event_sender, &id, "not resumed").await,
+                            Ok(found) if found.status.is_success() => {
+                                found.log_continued(&self.shared, &id);
+                                found
+                            }
+                            Ok(found) => {
+                                found.log_continued(&self.shared, &id);
+                                return abort_response(&event_sender, &id, "not resumed").await;
+                            }
+                            Err(_) => {
+                                return abort_response(&event_sender, &id, "not resumed").await;
+                            }
                         },
                         () = event_sender.closed() => return,
                     };
@@ -403,6 +412,18 @@
         }
     }
 
+    /// Logs what the target answered where a stream that has begun was to go on.
+    fn log_continued(&self, shared: &Shared, id: &str) {
+        let head = shared.protocol.parse_response(self.status, &self.headers);
+        let kind = self.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        let (status, target) = (self.status.as_u16(), &self.in_flight.placement.id);
+        let (signed, last) = (head.signed, self.splitter.last_id());
+        log::info!(
+            target: "gateway", id, target, status, kind, signed, last;
+            "answer to a continued stream"
+        );
+    }
+
     /// Whether the target began to answer so shortly ago that this may have ended it.
     fn has_just_begun(&self, now: Time) -> bool {
         self.begun_at.is_none_or(|at| now.since(at) < BEGIN_TIME)
