Go on with a stream only under the head of a success

Now a failure that breaks off before its body is a failed run like any other, one that breaks off inside it ends the response, and what may be joined is asked of one module without I/O (joining.rs). An answer that is not joined counts as a failed run there, and the stream goes on elsewhere if it may. Before: 302 with both events of the next target, whole. Test: joined::a_stream_is_not_joined_to_the_head_of_a_failure.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! Each host runs one gateway process. It serves callers, tells them which hosts to
 //! use, and competes for the lease on the duties that only one process at a time
 //! performs. Decisions are made in modules without I/O or clocks ([`build_record`], [`config`],
-//! [`fleet`], [`freshness`], [`lease`], [`membership`], [`origins`], [`planner`], [`poison`],
+//! [`fleet`], [`freshness`], [`joining`], [`lease`], [`membership`], [`origins`], [`planner`], [`poison`],
 //! [`repeats`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
 //!
 //! External systems are reached through traits: [`Protocol`] for the headers of callers
@@ -26,6 +26,7 @@
 mod gossip;
 mod hash;
 mod host;
+pub mod joining;
 pub mod lease;
 pub mod membership;
 mod metrics;
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -25,6 +25,7 @@
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
     forward::{Attempts, check_deadline, check_end},
+    joining::{Rejection, check_joined, may_be_continued},
     protocol::RequestStage,
     state::Shared,
     takeover::{find_origin, record_origin},
@@ -117,7 +118,7 @@
         loop {
             let mut target_stream = self.connect().await?;
             let next = target_stream.next(&self.shared, &self.call).await;
-            if !matches!(next, ReadOutcome::Broken) || target_stream.status.is_client_error() {
+            if !matches!(next, ReadOutcome::Broken) {
                 return Ok((target_stream, next));
             }
             target_stream.in_flight.outcome = AttemptOutcome::Failed;
@@ -130,6 +131,20 @@
         }
     }
 
+    /// Sends the request to targets until one goes on with the stream; none if it ends here.
+    async fn resume(&mut self) -> Option<TargetStream> {
+        loop {
+            let mut found = self.connect().await.ok()?;
+            let Err(rejection) = check_joined(found.status) else { return Some(found) };
+            found.log_rejected(&self.shared, &self.call.ask.id, rejection);
+            found.in_flight.outcome = AttemptOutcome::Failed;
+            self.attempts.tried.push(found.in_flight.placement.id.clone());
+            if !self.attempts.may_retry_failed_run(&self.shared, &self.call) {
+                return None;
+            }
+        }
+    }
+
     /// Sends the request to targets until one returns a response.
     async fn connect(&mut self) -> Result<TargetStream, Failure> {
         loop {
@@ -310,6 +325,7 @@
         let id = self.call.ask.id.clone();
         let mut last_sent = self.shared.now();
         let mut longest_pause = Duration::ZERO;
+        let head_status = target_stream.status;
         loop {
             match next {
                 ReadOutcome::Events(bytes) => {
@@ -353,7 +369,9 @@
                         record_break(&self.shared, &self.call, placement).await;
                     }
                     self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
-                    if !self.attempts.may_retry_failed_run(&self.shared, &self.call) {
+                    if !may_be_continued(head_status)
+                        || !self.attempts.may_retry_failed_run(&self.shared, &self.call)
+                    {
                         return abort_response(&event_sender, &id, "broken").await;
                     }
                     drop(target_stream);
@@ -363,18 +381,9 @@
                         "stream goes on elsewhere"
                     );
                     target_stream = tokio::select! {
-                        found = self.connect() => match found {
-                            Ok(found) if found.status.is_success() => {
-                                found.log_continued(&self.shared, &id);
-                                found
-                            }
-                            Ok(found) => {
-                                found.log_continued(&self.shared, &id);
-                                return abort_response(&event_sender, &id, "not resumed").await;
-                            }
-                            Err(_) => {
-                                return abort_response(&event_sender, &id, "not resumed").await;
-                            }
+                        found = self.resume() => match found {
+                            Some(found) => found,
+                            None => return abort_response(&event_sender, &id, "not resumed").await,
                         },
                         () = event_sender.closed() => return,
                     };
@@ -412,15 +421,16 @@
         }
     }
 
-    /// Logs what the target answered where a stream that has begun was to go on.
-    fn log_continued(&self, shared: &Shared, id: &str) {
+    /// Logs an answer that is not passed on, or not joined to a stream that has begun.
+    fn log_rejected(&self, shared: &Shared, id: &str, rejection: Rejection) {
         let head = shared.protocol.parse_response(self.status, &self.headers);
         let kind = self.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
         let (status, target) = (self.status.as_u16(), &self.in_flight.placement.id);
         let (signed, last) = (head.signed, self.splitter.last_id());
-        log::info!(
-            target: "gateway", id, target, status, kind, signed, last;
-            "answer to a continued stream"
+        let reason = rejection.as_str();
+        log::warn!(
+            target: "gateway", id, target, status, kind, signed, last, reason;
+            "answer does not belong to the stream"
         );
     }
 
