Do not end a begun stream with an answer that brings no event

ORDER forbids a stream that ends as complete before its last piece, while a cut response promises nothing: the caller takes the stream up, and gets the target's own answer as it is. So the answer counts as a failed run.

--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -13,12 +13,13 @@
 pub struct EventSplitter {
     buffer: BytesMut,
     last_id: Option<u64>,
+    has_events: bool,
 }
 
 impl EventSplitter {
     /// Skips events with an id up to `last_id`; none skips nothing.
     pub fn after(last_id: Option<u64>) -> EventSplitter {
-        EventSplitter { buffer: BytesMut::new(), last_id }
+        EventSplitter { last_id, ..EventSplitter::default() }
     }
 
     /// Id of the last complete event.
@@ -26,6 +27,11 @@
         self.last_id
     }
 
+    /// Whether an event was returned; a comment is none.
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Number of buffered bytes of an incomplete event.
     pub fn buffered_len(&self) -> usize {
         self.buffer.len()
@@ -47,6 +53,7 @@
                 continue;
             }
             self.last_id = number.or(self.last_id);
+            self.has_events |= !is_comment(event);
             out.extend_from_slice(event);
         }
         out.freeze()
@@ -65,6 +72,11 @@
     Some(at + EVENT_DELIMITER.len())
 }
 
+/// Whether all lines are comments.
+fn is_comment(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').all(|line| line.is_empty() || line.starts_with(b":"))
+}
+
 /// The numeric `id` field of an event, if it has one.
 fn event_id(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
--- a/components/gateway/src/joining.rs
+++ b/components/gateway/src/joining.rs
@@ -16,6 +16,8 @@
 pub enum Rejection {
     /// Its status is not the one of a stream.
     Status,
+    /// It ended without an event.
+    Empty,
 }
 
 impl Rejection {
@@ -23,6 +25,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Rejection::Status => "status",
+            Rejection::Empty => "empty",
         }
     }
 }
@@ -42,3 +45,14 @@
     }
     Ok(())
 }
+
+/// Whether a stream may end as complete with an answer that came to a good end.
+///
+/// # Errors
+/// If it may not: the answer was joined and has brought no event.
+pub fn check_end(is_joined: bool, has_events: bool) -> Result<(), Rejection> {
+    if is_joined && !has_events {
+        return Err(Rejection::Empty);
+    }
+    Ok(())
+}
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -25,7 +25,7 @@
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
     forward::{Attempts, check_deadline, check_end},
-    joining::{Rejection, check_joined, may_be_continued},
+    joining::{self, Rejection, check_joined, may_be_continued},
     protocol::RequestStage,
     state::Shared,
     takeover::{find_origin, record_origin},
@@ -51,6 +51,8 @@
     headers: HeaderMap,
     body: Body,
     splitter: EventSplitter,
+    /// Whether the answer is joined to a stream that has begun.
+    is_joined: bool,
     /// When the target sent its first event.
     begun_at: Option<Time>,
 }
@@ -135,7 +137,10 @@
     async fn resume(&mut self) -> Option<TargetStream> {
         loop {
             let mut found = self.connect().await.ok()?;
-            let Err(rejection) = check_joined(found.status) else { return Some(found) };
+            let Err(rejection) = check_joined(found.status) else {
+                found.is_joined = true;
+                return Some(found);
+            };
             found.log_rejected(&self.shared, &self.call.ask.id, rejection);
             found.in_flight.outcome = AttemptOutcome::Failed;
             self.attempts.tried.push(found.in_flight.placement.id.clone());
@@ -417,6 +422,7 @@
             headers: head.headers,
             body,
             splitter: EventSplitter::after(last),
+            is_joined: false,
             begun_at: None,
         }
     }
@@ -447,6 +453,17 @@
         is_framed && self.begun_at.is_some() && self.status.is_success()
     }
 
+    /// How the stream ended with the last byte of its target's answer.
+    fn end(&self, shared: &Shared, id: &str) -> ReadOutcome {
+        match joining::check_end(self.is_joined, self.splitter.has_events()) {
+            Ok(()) => ReadOutcome::End,
+            Err(rejection) => {
+                self.log_rejected(shared, id, rejection);
+                ReadOutcome::Broken
+            }
+        }
+    }
+
     /// Reads the next complete events, or how the stream ended.
     async fn next(&mut self, shared: &Shared, call: &CallerRequest) -> ReadOutcome {
         loop {
@@ -472,7 +489,7 @@
                 None if self.splitter.buffered_len() > 0 && self.status.is_success() => {
                     return ReadOutcome::Broken;
                 }
-                None => return ReadOutcome::End,
+                None => return self.end(shared, &call.ask.id),
             };
             if !self.status.is_success() {
                 return ReadOutcome::Events(bytes);
