--- a/components/gateway/src/joining.rs
+++ b/components/gateway/src/joining.rs
@@ -11,11 +11,17 @@
 
 use hyper::StatusCode;
 
+use crate::protocol::{Content, ResponseHead};
+
 /// Why an answer is not passed on or joined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Rejection {
     /// Its status is not the one of a stream.
     Status,
+    /// It bears no receipt of its target.
+    Unsigned,
+    /// Its content is encoded, or no event stream.
+    Content,
     /// It ended without an event.
     Empty,
 }
@@ -25,6 +31,8 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Rejection::Status => "status",
+            Rejection::Unsigned => "unsigned",
+            Rejection::Content => "content",
             Rejection::Empty => "empty",
         }
     }
@@ -35,15 +43,21 @@
     status.is_success()
 }
 
-/// Whether an answer with `status` may be joined to a stream that has begun.
+/// Whether an answer with `status` and `head` may be joined to a stream that has begun.
 ///
 /// # Errors
 /// If it may not.
-pub fn check_joined(status: StatusCode) -> Result<(), Rejection> {
-    if !status.is_success() {
+pub fn check_joined(status: StatusCode, head: &ResponseHead) -> Result<(), Rejection> {
+    if status != StatusCode::OK {
         return Err(Rejection::Status);
     }
-    Ok(())
+    if !head.signed {
+        return Err(Rejection::Unsigned);
+    }
+    match head.content {
+        Content::Unstated | Content::Events => Ok(()),
+        Content::Other => Err(Rejection::Content),
+    }
 }
 
 /// Whether a stream may end as complete with an answer that came to a good end.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -50,8 +50,9 @@
     host::{Dependencies, DutyClients, Host, HostError},
     metrics::LostLines,
     protocol::{
-        DecodeError, Decoder, ForwardedRequest, InvalidHeader, LimitStatement, LocateRequest,
-        PrefillResponse, Prompt, PromptPart, Protocol, RequestHead, RequestStage, ResponseHead,
+        Content, DecodeError, Decoder, ForwardedRequest, InvalidHeader, LimitStatement,
+        LocateRequest, PrefillResponse, Prompt, PromptPart, Protocol, RequestHead, RequestStage,
+        ResponseHead,
     },
     settings::{HostLimits, HostSettings},
 };
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -114,6 +114,18 @@
     Rate(f64),
 }
 
+/// What a target states of the content of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Content {
+    /// It states no type and no encoding.
+    #[default]
+    Unstated,
+    /// Events, without an encoding.
+    Events,
+    /// Another type, or an encoding.
+    Other,
+}
+
 /// Metadata of a target's response, parsed from its headers.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct ResponseHead {
@@ -123,6 +135,8 @@
     pub not_run: bool,
     /// Whether the target has signed the response.
     pub signed: bool,
+    /// What the target states of the content.
+    pub content: Content,
     /// Whether the target states that it is leaving.
     pub leaving: bool,
     /// What the target states of its limit.
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -137,7 +137,8 @@
     async fn resume(&mut self) -> Option<TargetStream> {
         loop {
             let mut found = self.connect().await.ok()?;
-            let Err(rejection) = check_joined(found.status) else {
+            let head = self.shared.protocol.parse_response(found.status, &found.headers);
+            let Err(rejection) = check_joined(found.status, &head) else {
                 found.is_joined = true;
                 return Some(found);
             };
