Pass on only the next event of a stream

Now what follows on a number, of a target or of the caller that takes the stream up, begins with the next one; from an event on that is not the next, the answer is broken off. Streams without numbers pass as before, but none goes on elsewhere after an event without a number, as nobody can say where. Comments are no events. Before: events 1, 3; 1 and an event without a number; "data: a" twice; a take-up served by an answer that begins anew.

--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -2,34 +2,37 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::joining::{Position, Rejection};
+
 /// Separates two events.
 const EVENT_DELIMITER: &[u8] = b"\n\n";
 
 /// Collects the bytes of a target's stream into complete events.
 ///
 /// A target may fail in the middle of an event. The incomplete event is dropped, so
-/// that another target can resume after the last complete one.
+/// that another target can resume after the last complete one. The same holds from an event on that
+/// is not the next one.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
-    last_id: Option<u64>,
-    has_events: bool,
+    position: Position,
+    rejection: Option<Rejection>,
 }
 
 impl EventSplitter {
-    /// Skips events with an id up to `last_id`; none skips nothing.
+    /// Expects what follows on the event `last_id`; none at the start of a stream.
     pub fn after(last_id: Option<u64>) -> EventSplitter {
-        EventSplitter { last_id, ..EventSplitter::default() }
+        EventSplitter { position: Position::after(last_id), ..EventSplitter::default() }
     }
 
-    /// Id of the last complete event.
-    pub fn last_id(&self) -> Option<u64> {
-        self.last_id
+    /// Where the stream is after the events that were returned.
+    pub fn position(&self) -> &Position {
+        &self.position
     }
 
-    /// Whether an event was returned; a comment is none.
-    pub fn has_events(&self) -> bool {
-        self.has_events
+    /// Why no further events are returned, if one was not the next.
+    pub fn rejection(&self) -> Option<Rejection> {
+        self.rejection
     }
 
     /// Number of buffered bytes of an incomplete event.
@@ -37,26 +40,27 @@
         self.buffer.len()
     }
 
-    /// Appends bytes; returns the events that are now complete and were not seen
-    /// before.
+    /// Appends bytes; returns the events that are now complete, up to the first that is not the next.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        if self.rejection.is_some() {
+            return Bytes::new();
+        }
         self.buffer.extend_from_slice(bytes);
         let Some(end) = last_event_end(&self.buffer) else { return Bytes::new() };
-        let whole = self.buffer.split_to(end).freeze();
-        let mut out = BytesMut::with_capacity(whole.len());
-        let mut start = 0;
-        while let Some(length) = first_event_end(&whole[start..]) {
-            let event = &whole[start..start + length];
-            start += length;
-            let number = event_id(event);
-            if number.is_some() && number <= self.last_id {
-                continue;
+        let mut whole = self.buffer.split_to(end).freeze();
+        let mut passed = 0;
+        while let Some(length) = first_event_end(&whole[passed..]) {
+            let event = &whole[passed..passed + length];
+            if !is_comment(event)
+                && let Err(rejection) = self.position.advance(event_id(event))
+            {
+                self.rejection = Some(rejection);
+                break;
             }
-            self.last_id = number.or(self.last_id);
-            self.has_events |= !is_comment(event);
-            out.extend_from_slice(event);
+            passed += length;
         }
-        out.freeze()
+        whole.truncate(passed);
+        whole
     }
 }
 
--- a/components/gateway/src/joining.rs
+++ b/components/gateway/src/joining.rs
@@ -22,6 +22,12 @@
     Unsigned,
     /// Its content is encoded, or no event stream.
     Content,
+    /// An event has a number that came before.
+    Repeated,
+    /// An event lies between an event and the last one.
+    Gap,
+    /// The first event has no number.
+    Unnumbered,
     /// It ended without an event.
     Empty,
 }
@@ -33,14 +39,67 @@
             Rejection::Status => "status",
             Rejection::Unsigned => "unsigned",
             Rejection::Content => "content",
+            Rejection::Repeated => "repeated",
+            Rejection::Gap => "gap",
+            Rejection::Unnumbered => "unnumbered",
             Rejection::Empty => "empty",
         }
     }
 }
 
-/// Whether events may be joined to a response whose head had `status`.
-pub fn may_be_continued(status: StatusCode) -> bool {
-    status.is_success()
+/// Where in the numbers of its events a stream is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Position {
+    /// Number of the last event.
+    last: Option<u64>,
+    /// Whether the present answer has brought an event.
+    has_events: bool,
+    /// Whether an event without a number has passed, after which another answer cannot be placed.
+    is_unplaced: bool,
+}
+
+impl Position {
+    /// The position of an answer that follows on the event `last`; none at the start of a stream.
+    pub fn after(last: Option<u64>) -> Position {
+        Position { last, ..Position::default() }
+    }
+
+    /// Number of the last event.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Whether the present answer has brought an event.
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
+    /// Whether another answer may go on here.
+    pub fn may_be_continued(&self) -> bool {
+        !self.is_unplaced
+    }
+
+    /// Moves on to the next event of the answer, with its number if it has one. A stream need not
+    /// have numbers, but what follows on a number must begin with the next one.
+    ///
+    /// # Errors
+    /// If the event is not the next one.
+    pub fn advance(&mut self, number: Option<u64>) -> Result<(), Rejection> {
+        match (self.last, number) {
+            (Some(_), None) if !self.has_events => return Err(Rejection::Unnumbered),
+            (_, None) => self.is_unplaced = true,
+            (Some(last), Some(number)) if number <= last => return Err(Rejection::Repeated),
+            (Some(last), Some(number)) if number - last > 1 => return Err(Rejection::Gap),
+            (_, Some(_)) => self.last = number,
+        }
+        self.has_events = true;
+        Ok(())
+    }
+}
+
+/// Whether events may be joined at `position` to a response whose head had `status`.
+pub fn may_be_continued(status: StatusCode, position: &Position) -> bool {
+    status.is_success() && position.may_be_continued()
 }
 
 /// Whether an answer with `status` and `head` may be joined to a stream that has begun.
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -338,7 +338,7 @@
                     target_stream.in_flight.mark_computed();
                     self.count_usage_once();
                     self.record_origin_once(&target_stream);
-                    self.last_delivered = target_stream.splitter.last_id();
+                    self.last_delivered = target_stream.splitter.position().last();
                     let now = self.shared.now();
                     let pause = now.since(last_sent);
                     self.shared.metrics.observe_pause(pause);
@@ -375,7 +375,7 @@
                         record_break(&self.shared, &self.call, placement).await;
                     }
                     self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
-                    if !may_be_continued(head_status)
+                    if !may_be_continued(head_status, target_stream.splitter.position())
                         || !self.attempts.may_retry_failed_run(&self.shared, &self.call)
                     {
                         return abort_response(&event_sender, &id, "broken").await;
@@ -433,7 +433,7 @@
         let head = shared.protocol.parse_response(self.status, &self.headers);
         let kind = self.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
         let (status, target) = (self.status.as_u16(), &self.in_flight.placement.id);
-        let (signed, last) = (head.signed, self.splitter.last_id());
+        let (signed, last) = (head.signed, self.splitter.position().last());
         let reason = rejection.as_str();
         log::warn!(
             target: "gateway", id, target, status, kind, signed, last, reason;
@@ -456,7 +456,7 @@
 
     /// How the stream ended with the last byte of its target's answer.
     fn end(&self, shared: &Shared, id: &str) -> ReadOutcome {
-        match joining::check_end(self.is_joined, self.splitter.has_events()) {
+        match joining::check_end(self.is_joined, self.splitter.position().has_events()) {
             Ok(()) => ReadOutcome::End,
             Err(rejection) => {
                 self.log_rejected(shared, id, rejection);
@@ -468,6 +468,11 @@
     /// Reads the next complete events, or how the stream ended.
     async fn next(&mut self, shared: &Shared, call: &CallerRequest) -> ReadOutcome {
         loop {
+            if let Some(rejection) = self.splitter.rejection() {
+                self.log_rejected(shared, &call.ask.id, rejection);
+                shared.metrics.count_stream_break();
+                return ReadOutcome::Broken;
+            }
             let left = call.deadline.since(shared.now());
             if left == Duration::ZERO {
                 return ReadOutcome::TimedOut;
