Pass on no success without a receipt, and no stream that ends before its first event

Tests: joined::a_success_that_is_not_the_targets_own_is_not_passed_on, joined::a_stream_that_ends_with_its_connection_before_an_event_is_broken.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -13,6 +13,7 @@
     crash::{record_begun_run, record_break},
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Hold, TargetQuery},
+    joining::check_answer,
     protocol::RequestStage,
     state::Shared,
 };
@@ -224,6 +225,17 @@
             SendOutcome::Answered(response) => {
                 shared.count_usage(call.org.as_deref(), now);
                 let failed = response.status().is_server_error();
+                let head = shared.protocol.parse_response(response.status(), response.headers());
+                if let Err(rejection) = check_answer(response.status(), &head) {
+                    let (id, target) = (&call.ask.id, &in_flight.placement.id);
+                    let (status, reason) = (response.status().as_u16(), rejection.as_str());
+                    log::warn!(target: "gateway", id, target, status, reason; "answer not passed on");
+                    in_flight.outcome = AttemptOutcome::Failed;
+                    if attempts.may_retry_failed_run(shared, call) {
+                        continue;
+                    }
+                    return Err(Failure::TargetFailed);
+                }
                 let whole = read_whole(shared, call, in_flight.placement.addr, response).await;
                 if let Some(response) = whole {
                     if response.status().is_success() {
--- a/components/gateway/src/joining.rs
+++ b/components/gateway/src/joining.rs
@@ -102,7 +102,31 @@
     status.is_success() && position.may_be_continued()
 }
 
-/// Whether an answer with `status` and `head` may be joined to a stream that has begun.
+/// Whether a target's answer with `status` and `head` may be passed on. A failure may, as the target's
+/// own; a success needs its receipt.
+///
+/// # Errors
+/// If it may not.
+pub fn check_answer(status: StatusCode, head: &ResponseHead) -> Result<(), Rejection> {
+    if status.is_success() && !head.signed {
+        return Err(Rejection::Unsigned);
+    }
+    Ok(())
+}
+
+/// Whether an answer may be passed on to a stream request.
+///
+/// # Errors
+/// If it may not.
+pub fn check_first(status: StatusCode, head: &ResponseHead) -> Result<(), Rejection> {
+    check_answer(status, head)?;
+    if status.is_success() && head.content == Content::Other {
+        return Err(Rejection::Content);
+    }
+    Ok(())
+}
+
+/// Whether an answer may be joined to a stream that has begun.
 ///
 /// # Errors
 /// If it may not.
@@ -110,21 +134,27 @@
     if status != StatusCode::OK {
         return Err(Rejection::Status);
     }
-    if !head.signed {
-        return Err(Rejection::Unsigned);
-    }
-    match head.content {
-        Content::Unstated | Content::Events => Ok(()),
-        Content::Other => Err(Rejection::Content),
-    }
+    check_first(status, head)
 }
 
-/// Whether a stream may end as complete with an answer that came to a good end.
+/// An answer that came to its end without an error.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerEnd {
+    /// Whether it was joined to a stream that has begun.
+    pub is_joined: bool,
+    /// Whether its end shows in its bytes: by a length, chunks or a status without a body.
+    pub is_framed: bool,
+    /// Whether it has brought an event.
+    pub has_events: bool,
+}
+
+/// Whether a stream may end as complete with an answer that ended so. Without a frame, an end
+/// before the first event is that of a target that ended after the head.
 ///
 /// # Errors
-/// If it may not: the answer was joined and has brought no event.
-pub fn check_end(is_joined: bool, has_events: bool) -> Result<(), Rejection> {
-    if is_joined && !has_events {
+/// If it may not.
+pub fn check_end(end: AnswerEnd) -> Result<(), Rejection> {
+    if !end.has_events && (end.is_joined || !end.is_framed) {
         return Err(Rejection::Empty);
     }
     Ok(())
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
     HeaderMap, Response, StatusCode,
-    body::Frame,
+    body::{Body as _, Frame},
     header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
 };
 use tokio::{sync::mpsc, time::timeout};
@@ -25,7 +25,7 @@
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
     forward::{Attempts, check_deadline, check_end},
-    joining::{self, Rejection, check_joined, may_be_continued},
+    joining::{self, AnswerEnd, Rejection, check_first, check_joined, may_be_continued},
     protocol::RequestStage,
     state::Shared,
     takeover::{find_origin, record_origin},
@@ -53,6 +53,8 @@
     splitter: EventSplitter,
     /// Whether the answer is joined to a stream that has begun.
     is_joined: bool,
+    /// Whether the end of the answer shows in its bytes.
+    is_framed: bool,
     /// When the target sent its first event.
     begun_at: Option<Time>,
 }
@@ -119,13 +121,19 @@
     async fn start(&mut self) -> Result<(TargetStream, ReadOutcome), Failure> {
         loop {
             let mut target_stream = self.connect().await?;
-            let next = target_stream.next(&self.shared, &self.call).await;
-            if !matches!(next, ReadOutcome::Broken) {
-                return Ok((target_stream, next));
+            let head =
+                self.shared.protocol.parse_response(target_stream.status, &target_stream.headers);
+            if let Err(rejection) = check_first(target_stream.status, &head) {
+                target_stream.log_rejected(&self.shared, &self.call.ask.id, rejection);
+            } else {
+                let next = target_stream.next(&self.shared, &self.call).await;
+                if !matches!(next, ReadOutcome::Broken) {
+                    return Ok((target_stream, next));
+                }
+                record_failed_run(&self.shared, &self.call, &target_stream.in_flight.placement);
+                record_break(&self.shared, &self.call, &target_stream.in_flight.placement).await;
             }
             target_stream.in_flight.outcome = AttemptOutcome::Failed;
-            record_failed_run(&self.shared, &self.call, &target_stream.in_flight.placement);
-            record_break(&self.shared, &self.call, &target_stream.in_flight.placement).await;
             self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
             if !self.attempts.may_retry_failed_run(&self.shared, &self.call) {
                 return Err(Failure::TargetFailed);
@@ -417,7 +425,10 @@
 impl TargetStream {
     fn new(in_flight: InFlight, response: Response<Body>, last: Option<u64>) -> TargetStream {
         let (head, body) = response.into_parts();
+        let is_framed = head.headers.contains_key(CONTENT_LENGTH)
+            || head.headers.contains_key(TRANSFER_ENCODING);
         TargetStream {
+            is_framed: is_framed || body.is_end_stream(),
             in_flight,
             status: head.status,
             headers: head.headers,
@@ -449,14 +460,18 @@
     /// Whether the answer came to a good end that shows in the bytes. One without a length or
     /// chunks ends as it does when its target ends.
     fn is_whole(&self) -> bool {
-        let is_framed = self.headers.contains_key(CONTENT_LENGTH)
-            || self.headers.contains_key(TRANSFER_ENCODING);
-        is_framed && self.begun_at.is_some() && self.status.is_success()
+        self.is_framed && self.begun_at.is_some() && self.status.is_success()
     }
 
     /// How the stream ended with the last byte of its target's answer.
     fn end(&self, shared: &Shared, id: &str) -> ReadOutcome {
-        match joining::check_end(self.is_joined, self.splitter.position().has_events()) {
+        let end = AnswerEnd {
+            is_joined: self.is_joined,
+            is_framed: self.is_framed,
+            has_events: self.splitter.position().has_events(),
+        };
+        match joining::check_end(end) {
+            _ if !self.status.is_success() => ReadOutcome::End,
             Ok(()) => ReadOutcome::End,
             Err(rejection) => {
                 self.log_rejected(shared, id, rejection);
