--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -2,28 +2,37 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::joining::{Position, Rejection};
+
 /// Separates two events.
 const EVENT_DELIMITER: &[u8] = b"\n\n";
 
 /// Collects the bytes of a target's stream into complete events.
 ///
 /// A target may fail in the middle of an event. The incomplete event is dropped, so
-/// that another target can resume after the last complete one.
+/// that another target can resume after the last complete one. The same holds from an event on that
+/// is not the next one.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
-    last_id: Option<u64>,
+    position: Position,
+    rejection: Option<Rejection>,
 }
 
 impl EventSplitter {
-    /// Skips events with an id up to `last_id`; none skips nothing.
+    /// Expects what follows on the event `last_id`; none at the start of a stream.
     pub fn after(last_id: Option<u64>) -> EventSplitter {
-        EventSplitter { buffer: BytesMut::new(), last_id }
+        EventSplitter { position: Position::after(last_id), ..EventSplitter::default() }
+    }
+
+    /// Where the stream is after the events that were returned.
+    pub fn position(&self) -> &Position {
+        &self.position
     }
 
-    /// Id of the last complete event.
-    pub fn last_id(&self) -> Option<u64> {
-        self.last_id
+    /// Why no further events are returned, if one was not the next.
+    pub fn rejection(&self) -> Option<Rejection> {
+        self.rejection
     }
 
     /// Number of buffered bytes of an incomplete event.
@@ -31,25 +40,27 @@
         self.buffer.len()
     }
 
-    /// Appends bytes; returns the events that are now complete and were not seen
-    /// before.
+    /// Appends bytes; returns the events that are now complete, up to the first that is not the next.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        if self.rejection.is_some() {
+            return Bytes::new();
+        }
         self.buffer.extend_from_slice(bytes);
         let Some(end) = last_event_end(&self.buffer) else { return Bytes::new() };
-        let whole = self.buffer.split_to(end).freeze();
-        let mut out = BytesMut::with_capacity(whole.len());
-        let mut start = 0;
-        while let Some(length) = first_event_end(&whole[start..]) {
-            let event = &whole[start..start + length];
-            start += length;
-            let number = event_id(event);
-            if number.is_some() && number <= self.last_id {
-                continue;
+        let mut whole = self.buffer.split_to(end).freeze();
+        let mut passed = 0;
+        while let Some(length) = first_event_end(&whole[passed..]) {
+            let event = &whole[passed..passed + length];
+            if !is_comment(event)
+                && let Err(rejection) = self.position.advance(event_id(event))
+            {
+                self.rejection = Some(rejection);
+                break;
             }
-            self.last_id = number.or(self.last_id);
-            out.extend_from_slice(event);
+            passed += length;
         }
-        out.freeze()
+        whole.truncate(passed);
+        whole
     }
 }
 
@@ -65,6 +76,11 @@
     Some(at + EVENT_DELIMITER.len())
 }
 
+/// Whether all lines are comments.
+fn is_comment(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').all(|line| line.is_empty() || line.starts_with(b":"))
+}
+
 /// The numeric `id` field of an event, if it has one.
 fn event_id(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
--- /dev/null
+++ b/components/gateway/src/joining.rs
@@ -0,0 +1,161 @@
+//! What may be passed on as the answer to a stream request, and what may be joined to a stream that
+//! has begun.
+//!
+//! A caller sees one response, with the head of the first target that brought an event. Another
+//! answer is joined to it only if it states that it is the rest of that stream: a plain success with a
+//! receipt, of events, of which the first is the next one.
+//!
+//! An answer without an event proves nothing: a target that has nothing left to say looks the same as
+//! one that has lost the rest. The response must not look complete, so it is cut. A caller that holds
+//! all events takes the stream up and gets the target's own word for its end.
+
+use hyper::StatusCode;
+
+use crate::protocol::{Content, ResponseHead};
+
+/// Why an answer is not passed on or joined.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rejection {
+    /// Its status is not the one of a stream.
+    Status,
+    /// It bears no receipt of its target.
+    Unsigned,
+    /// Its content is encoded, or no event stream.
+    Content,
+    /// An event has a number that came before.
+    Repeated,
+    /// An event lies between an event and the last one.
+    Gap,
+    /// The first event has no number.
+    Unnumbered,
+    /// It ended without an event.
+    Empty,
+}
+
+impl Rejection {
+    /// The name in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Rejection::Status => "status",
+            Rejection::Unsigned => "unsigned",
+            Rejection::Content => "content",
+            Rejection::Repeated => "repeated",
+            Rejection::Gap => "gap",
+            Rejection::Unnumbered => "unnumbered",
+            Rejection::Empty => "empty",
+        }
+    }
+}
+
+/// Where in the numbers of its events a stream is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Position {
+    /// Number of the last event.
+    last: Option<u64>,
+    /// Whether the present answer has brought an event.
+    has_events: bool,
+    /// Whether an event without a number has passed, after which another answer cannot be placed.
+    is_unplaced: bool,
+}
+
+impl Position {
+    /// The position of an answer that follows on the event `last`; none at the start of a stream.
+    pub fn after(last: Option<u64>) -> Position {
+        Position { last, ..Position::default() }
+    }
+
+    /// Number of the last event.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Whether the present answer has brought an event.
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
+    /// Whether another answer may go on here.
+    pub fn may_be_continued(&self) -> bool {
+        !self.is_unplaced
+    }
+
+    /// Moves on to the next event of the answer, with its number if it has one. A stream need not
+    /// have numbers, but what follows on a number must begin with the next one.
+    ///
+    /// # Errors
+    /// If the event is not the next one.
+    pub fn advance(&mut self, number: Option<u64>) -> Result<(), Rejection> {
+        match (self.last, number) {
+            (Some(_), None) if !self.has_events => return Err(Rejection::Unnumbered),
+            (_, None) => self.is_unplaced = true,
+            (Some(last), Some(number)) if number <= last => return Err(Rejection::Repeated),
+            (Some(last), Some(number)) if number - last > 1 => return Err(Rejection::Gap),
+            (_, Some(_)) => self.last = number,
+        }
+        self.has_events = true;
+        Ok(())
+    }
+}
+
+/// Whether events may be joined at `position` to a response whose head had `status`.
+pub fn may_be_continued(status: StatusCode, position: &Position) -> bool {
+    status.is_success() && position.may_be_continued()
+}
+
+/// Whether a target's answer with `status` and `head` may be passed on. A failure may, as the target's
+/// own; a success needs its receipt.
+///
+/// # Errors
+/// If it may not.
+pub fn check_answer(status: StatusCode, head: &ResponseHead) -> Result<(), Rejection> {
+    if status.is_success() && !head.signed {
+        return Err(Rejection::Unsigned);
+    }
+    Ok(())
+}
+
+/// Whether an answer may be passed on to a stream request.
+///
+/// # Errors
+/// If it may not.
+pub fn check_first(status: StatusCode, head: &ResponseHead) -> Result<(), Rejection> {
+    check_answer(status, head)?;
+    if status.is_success() && head.content == Content::Other {
+        return Err(Rejection::Content);
+    }
+    Ok(())
+}
+
+/// Whether an answer may be joined to a stream that has begun.
+///
+/// # Errors
+/// If it may not.
+pub fn check_joined(status: StatusCode, head: &ResponseHead) -> Result<(), Rejection> {
+    if status != StatusCode::OK {
+        return Err(Rejection::Status);
+    }
+    check_first(status, head)
+}
+
+/// An answer that came to its end without an error.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerEnd {
+    /// Whether it was joined to a stream that has begun.
+    pub is_joined: bool,
+    /// Whether its end shows in its bytes: by a length, chunks or a status without a body.
+    pub is_framed: bool,
+    /// Whether it has brought an event.
+    pub has_events: bool,
+}
+
+/// Whether a stream may end as complete with an answer that ended so. Without a frame, an end
+/// before the first event is that of a target that ended after the head.
+///
+/// # Errors
+/// If it may not.
+pub fn check_end(end: AnswerEnd) -> Result<(), Rejection> {
+    if !end.has_events && (end.is_joined || !end.is_framed) {
+        return Err(Rejection::Empty);
+    }
+    Ok(())
+}
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -13,8 +13,8 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
     HeaderMap, Response, StatusCode,
-    body::Frame,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    body::{Body as _, Frame},
+    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
 };
 use tokio::{sync::mpsc, time::timeout};
 
@@ -25,6 +25,7 @@
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
     forward::{Attempts, check_deadline},
+    joining::{self, AnswerEnd, Rejection, check_first, check_joined, may_be_continued},
     protocol::RequestStage,
     state::Shared,
     takeover::{find_origin, record_origin},
@@ -50,6 +51,10 @@
     headers: HeaderMap,
     body: Body,
     splitter: EventSplitter,
+    /// Whether the answer is joined to a stream that has begun.
+    is_joined: bool,
+    /// Whether the end of the answer shows in its bytes.
+    is_framed: bool,
     /// When the target sent its first event.
     begun_at: Option<Time>,
 }
@@ -116,13 +121,19 @@
     async fn start(&mut self) -> Result<(TargetStream, ReadOutcome), Failure> {
         loop {
             let mut target_stream = self.connect().await?;
-            let next = target_stream.next(&self.shared, &self.call).await;
-            if !matches!(next, ReadOutcome::Broken) || target_stream.status.is_client_error() {
-                return Ok((target_stream, next));
+            let head =
+                self.shared.protocol.parse_response(target_stream.status, &target_stream.headers);
+            if let Err(rejection) = check_first(target_stream.status, &head) {
+                target_stream.log_rejected(&self.shared, &self.call.ask.id, rejection);
+            } else {
+                let next = target_stream.next(&self.shared, &self.call).await;
+                if !matches!(next, ReadOutcome::Broken) {
+                    return Ok((target_stream, next));
+                }
+                record_failed_run(&self.shared, &self.call, &target_stream.in_flight.placement);
+                record_break(&self.shared, &self.call, &target_stream.in_flight.placement).await;
             }
             target_stream.in_flight.outcome = AttemptOutcome::Failed;
-            record_failed_run(&self.shared, &self.call, &target_stream.in_flight.placement);
-            record_break(&self.shared, &self.call, &target_stream.in_flight.placement).await;
             self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
             if !self.attempts.may_retry_failed_run(&self.shared, &self.call) {
                 return Err(Failure::TargetFailed);
@@ -130,6 +141,24 @@
         }
     }
 
+    /// Sends the request to targets until one goes on with the stream; none if it ends here.
+    async fn resume(&mut self) -> Option<TargetStream> {
+        loop {
+            let mut found = self.connect().await.ok()?;
+            let head = self.shared.protocol.parse_response(found.status, &found.headers);
+            let Err(rejection) = check_joined(found.status, &head) else {
+                found.is_joined = true;
+                return Some(found);
+            };
+            found.log_rejected(&self.shared, &self.call.ask.id, rejection);
+            found.in_flight.outcome = AttemptOutcome::Failed;
+            self.attempts.tried.push(found.in_flight.placement.id.clone());
+            if !self.attempts.may_retry_failed_run(&self.shared, &self.call) {
+                return None;
+            }
+        }
+    }
+
     /// Sends the request to targets until one returns a response.
     async fn connect(&mut self) -> Result<TargetStream, Failure> {
         loop {
@@ -289,13 +318,14 @@
         let id = self.call.ask.id.clone();
         let mut last_sent = self.shared.now();
         let mut longest_pause = Duration::ZERO;
+        let head_status = target_stream.status;
         loop {
             match next {
                 ReadOutcome::Events(bytes) => {
                     target_stream.in_flight.mark_computed();
                     self.count_usage_once();
                     self.record_origin_once(&target_stream);
-                    self.last_delivered = target_stream.splitter.last_id();
+                    self.last_delivered = target_stream.splitter.position().last();
                     let now = self.shared.now();
                     let pause = now.since(last_sent);
                     self.shared.metrics.observe_pause(pause);
@@ -331,7 +361,9 @@
                         record_break(&self.shared, &self.call, placement).await;
                     }
                     self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
-                    if !self.attempts.may_retry_failed_run(&self.shared, &self.call) {
+                    if !may_be_continued(head_status, target_stream.splitter.position())
+                        || !self.attempts.may_retry_failed_run(&self.shared, &self.call)
+                    {
                         return abort_response(&event_sender, &id, "broken").await;
                     }
                     drop(target_stream);
@@ -341,9 +373,9 @@
                         "stream goes on elsewhere"
                     );
                     target_stream = tokio::select! {
-                        found = self.connect() => match found {
-                            Ok(found) if found.status.is_success() => found,
-                            _ => return abort_response(&event_sender, &id, "not resumed").await,
+                        found = self.resume() => match found {
+                            Some(found) => found,
+                            None => return abort_response(&event_sender, &id, "not resumed").await,
                         },
                         () = event_sender.closed() => return,
                     };
@@ -371,16 +403,33 @@
 impl TargetStream {
     fn new(in_flight: InFlight, response: Response<Body>, last: Option<u64>) -> TargetStream {
         let (head, body) = response.into_parts();
+        let is_framed = head.headers.contains_key(CONTENT_LENGTH)
+            || head.headers.contains_key(TRANSFER_ENCODING);
         TargetStream {
+            is_framed: is_framed || body.is_end_stream(),
             in_flight,
             status: head.status,
             headers: head.headers,
             body,
             splitter: EventSplitter::after(last),
+            is_joined: false,
             begun_at: None,
         }
     }
 
+    /// Logs an answer that is not passed on, or not joined to a stream that has begun.
+    fn log_rejected(&self, shared: &Shared, id: &str, rejection: Rejection) {
+        let head = shared.protocol.parse_response(self.status, &self.headers);
+        let kind = self.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        let (status, target) = (self.status.as_u16(), &self.in_flight.placement.id);
+        let (signed, last) = (head.signed, self.splitter.position().last());
+        let reason = rejection.as_str();
+        log::warn!(
+            target: "gateway", id, target, status, kind, signed, last, reason;
+            "answer does not belong to the stream"
+        );
+    }
+
     /// Whether the target began to answer so shortly ago that this may have ended it.
     fn has_just_begun(&self, now: Time) -> bool {
         self.begun_at.is_none_or(|at| now.since(at) < BEGIN_TIME)
@@ -389,14 +438,34 @@
     /// Whether the answer came to a good end that shows in the bytes. One without a length or
     /// chunks ends as it does when its target ends.
     fn is_whole(&self) -> bool {
-        let is_framed = self.headers.contains_key(CONTENT_LENGTH)
-            || self.headers.contains_key(TRANSFER_ENCODING);
-        is_framed && self.begun_at.is_some() && self.status.is_success()
+        self.is_framed && self.begun_at.is_some() && self.status.is_success()
+    }
+
+    /// How the stream ended with the last byte of its target's answer.
+    fn end(&self, shared: &Shared, id: &str) -> ReadOutcome {
+        let end = AnswerEnd {
+            is_joined: self.is_joined,
+            is_framed: self.is_framed,
+            has_events: self.splitter.position().has_events(),
+        };
+        match joining::check_end(end) {
+            _ if !self.status.is_success() => ReadOutcome::End,
+            Ok(()) => ReadOutcome::End,
+            Err(rejection) => {
+                self.log_rejected(shared, id, rejection);
+                ReadOutcome::Broken
+            }
+        }
     }
 
     /// Reads the next complete events, or how the stream ended.
     async fn next(&mut self, shared: &Shared, call: &CallerRequest) -> ReadOutcome {
         loop {
+            if let Some(rejection) = self.splitter.rejection() {
+                self.log_rejected(shared, &call.ask.id, rejection);
+                shared.metrics.count_stream_break();
+                return ReadOutcome::Broken;
+            }
             let left = call.deadline.since(shared.now());
             if left == Duration::ZERO {
                 return ReadOutcome::TimedOut;
@@ -419,7 +488,7 @@
                 None if self.splitter.buffered_len() > 0 && self.status.is_success() => {
                     return ReadOutcome::Broken;
                 }
-                None => return ReadOutcome::End,
+                None => return self.end(shared, &call.ask.id),
             };
             if !self.status.is_success() {
                 return ReadOutcome::Events(bytes);
