Send a request to the same target again only over another connection (REFUSED)

Callers were answered 503, "not run", for a stream that a target ran: its prompt had been refused there, and the refusal was written once more on the connection that then carried the whole request. Both bear one id, so the id does not tell their answers apart. A request now remembers over which connections it was answered, and these carry nothing further before it goes to the same address again. It costs a connection in that case only.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -19,6 +19,7 @@
 use smallvec::SmallVec;
 
 use crate::{
+    answered_over::AnsweredOver,
     config::Route,
     crash::record_failed_run,
     exchange::{Answer, exchange},
@@ -58,6 +59,7 @@
     /// Number of times that a connection to a target took the request, not counting separate
     /// prefills.
     pub(crate) sent: Arc<AtomicU32>,
+    pub(crate) answered_over: AnsweredOver,
 }
 
 /// Maximum number of prompt parts named in a log line.
@@ -215,6 +217,11 @@
     // Counted before sending, since a timeout ends it at any point.
     let counted = u32::from(stage != RequestStage::Prefill);
     call.sent.fetch_add(counted, Ordering::Relaxed);
+    let addr = in_flight.placement.addr;
+    if call.answered_over.retire(addr) > 0 {
+        let target = &in_flight.placement.id;
+        log::info!(target: "gateway", id = call.ask.id, target; "sent to the same target again");
+    }
     let limit = time_left.min(time_limit);
     let id = Some(&*call.ask.id);
     let Ok(sent) = exchange(shared, &in_flight.placement, id, limit, request).await else {
@@ -231,6 +238,7 @@
             return classify_error(shared, in_flight, call, &error);
         }
     };
+    call.answered_over.record(addr, &answer.response);
     log_closed(shared, in_flight, call, sent_over(&answer.response));
     log_answer(shared, in_flight, call, &answer);
     to_outcome(in_flight, answer)
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! and targets, [`Decoder`] for stored objects, and the traits of the clients crate for
 //! the store, target orders and usage reports.
 
+mod answered_over;
 mod attempt;
 pub mod build_record;
 pub mod config;
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -150,6 +150,7 @@
             deadline,
             wanted_until,
             sent: sent.clone(),
+            answered_over: Default::default(),
         };
         let is_stream = call.route.kind.is_stream();
         let result = if is_stream {
