--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -155,6 +155,7 @@
             priority,
             deadline,
             sent: sent.clone(),
+            answered_over: Default::default(),
         };
         let is_stream = call.route.kind.is_stream();
         let result = if is_stream {
