Send nothing to a target that has ended until its next entry is read

Callers got streams that hold events of two software versions: a target that crashed and started again under its id took streams up as the version of its old entry. What the new start said (that it leaves, its limit, the rest that it asks for) was recorded under the old one and forgotten as the new entry was read.

Cause: the end of a target changed nothing that is known of it; only its entry did, up to a second later.

A port that refuses connections after a break or a failed send now shows that the start has ended, and nothing goes there until the entry of a later one is read, for at most 10 s. After that it gets requests again, as of a version of its own for a minute. A target that breaks a connection and lives on takes connections, and is used at once as before.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     config::Route,
-    crash::record_failed_run,
+    crash::{look_for_end, record_failed_run, record_life},
     exchange::{Answer, exchange},
     fleet::{AttemptId, AttemptOutcome, Hold, Placement},
     poison::{PoisonVerdict, SharedParts},
@@ -126,6 +126,7 @@
     /// Marks the prompt as computed.
     pub(crate) fn mark_computed(&self) {
         let now = self.shared.now();
+        record_life(&self.shared, &self.placement, self.started_at);
         let first = self.shared.state().fleet.mark_computed(now, &self.placement, self.attempt);
         if first {
             let seen = now.since(self.started_at);
@@ -299,6 +300,7 @@
         target: "gateway", id, target, addr:% = in_flight.placement.addr, error:%, kept, sent, parts;
         "target failed"
     );
+    look_for_end(&in_flight.shared, &in_flight.placement);
     if error.not_run() {
         in_flight.outcome = AttemptOutcome::Unreachable;
         return SendOutcome::NotRun(NotRunReason::Unreachable);
--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -60,8 +60,15 @@
 
 /// Records that `call` broke off at the target of `placement` before it was answered, or just as
 /// its answer began. If the target has ended, this accuses the parts of the prompt.
-pub(crate) async fn record_break(shared: &Shared, call: &CallerRequest, placement: &Placement) {
-    if call.parts.is_empty() || shared.state().fleet.is_leaving(placement) {
+pub(crate) async fn record_break(
+    shared: &Arc<Shared>,
+    call: &CallerRequest,
+    placement: &Placement,
+) {
+    if call.parts.is_empty() {
+        return look_for_end(shared, placement);
+    }
+    if shared.state().fleet.is_leaving(placement) {
         return;
     }
     if !has_ended(shared, placement).await {
@@ -76,6 +83,24 @@
     shared.broadcast.notify_one();
 }
 
+/// Finds out in the background whether the target of `placement`, a connection to which has failed, has
+/// ended.
+pub(crate) fn look_for_end(shared: &Arc<Shared>, placement: &Placement) {
+    let (shared, placement) = (shared.clone(), placement.clone());
+    tokio::spawn(async move {
+        has_ended(&shared, &placement).await;
+    });
+}
+
+/// Records that what was sent to the target of `placement` at `sent` is answered now.
+pub(crate) fn record_life(shared: &Shared, placement: &Placement, sent: Time) {
+    let mut state = shared.state();
+    if state.fleet.record_life(placement, sent) {
+        state.crash_probes.remove(&(placement.id.clone(), placement.incarnation));
+    }
+}
+
+/// Whether the target of `placement` has ended, which is recorded.
 async fn has_ended(shared: &Shared, placement: &Placement) -> bool {
     let key = (placement.id.clone(), placement.incarnation);
     let probe = {
@@ -86,9 +111,13 @@
         state.crash_probes.entry(key.clone()).or_default().clone()
     };
     let ended = *probe.get_or_init(|| is_refused(placement.addr)).await;
-    if !ended {
+    let now = shared.now();
+    let mut state = shared.state();
+    if ended {
+        state.fleet.record_end(now, placement);
+    } else {
         // It may end later.
-        shared.state().crash_probes.remove(&key);
+        state.crash_probes.remove(&key);
     }
     ended
 }
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -9,6 +9,7 @@
 
 mod builds;
 mod departures;
+mod ends;
 mod entry;
 mod health;
 mod limits;
--- a/components/gateway/src/fleet/builds.rs
+++ b/components/gateway/src/fleet/builds.rs
@@ -195,6 +195,6 @@
     pub fn serves_build(&self, now: Time, service: &str, build: BuildId) -> bool {
         self.targets
             .values()
-            .any(|state| state.serves(now, service) && state.entry.build.id == build)
+            .any(|state| state.serves(now, service) && state.build(now).id == build)
     }
 }
--- a/components/gateway/src/fleet/placing.rs
+++ b/components/gateway/src/fleet/placing.rs
@@ -141,7 +141,7 @@
         let key = affinity(query.prompt);
         let serving = self.targets.values().filter(|state| {
             state.serves(now, query.service)
-                && query.build.is_none_or(|build| state.entry.build.id == build)
+                && query.build.is_none_or(|build| state.build(now).id == build)
                 && self.hold(now, state).is_none()
         });
         let ranked = serving.map(|state| {
@@ -188,7 +188,7 @@
             addr: state.entry.addr,
             zone: state.entry.zone.clone(),
             incarnation: state.entry.incarnation,
-            build: state.entry.build.clone(),
+            build: state.build(now),
             compute_tokens,
             prefill_ms: state.prefill_time_ms(compute_tokens, query.prompt.tokens),
             wait_ms: self.expected_wait(now, state),
--- a/components/gateway/src/fleet/sending.rs
+++ b/components/gateway/src/fleet/sending.rs
@@ -16,7 +16,7 @@
 /// Why nothing may be sent to a target now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Hold {
-    /// It has left, or said that it leaves.
+    /// It has left, said that it leaves, or was seen to have ended.
     Left,
     /// It has asked this host for rest.
     Resting,
@@ -43,7 +43,8 @@
     /// If nothing may be sent to it now.
     pub fn clear_to_send(&mut self, now: Time, placement: &Placement) -> Result<(), Hold> {
         let Placement { id, incarnation, .. } = placement;
-        if !self.targets.contains_key(id) || self.is_leaving(placement) {
+        let Some(state) = self.targets.get(id) else { return Err(Hold::Left) };
+        if state.is_ended(now) || self.is_leaving(placement) {
             return Err(Hold::Left);
         }
         if self.rests.wait(now, id, *incarnation).is_some() {
@@ -76,7 +77,7 @@
         let serving = self.targets.values().filter(|state| {
             state.serves(now, service)
                 && state.entry.role != TargetRole::Prefill
-                && build.is_none_or(|build| state.entry.build.id == build)
+                && build.is_none_or(|build| state.build(now).id == build)
         });
         let holds: Option<Vec<(Hold, Duration)>> =
             serving.map(|state| self.hold(now, state)).collect();
--- a/components/gateway/src/fleet/target.rs
+++ b/components/gateway/src/fleet/target.rs
@@ -8,7 +8,8 @@
 
 use crate::{
     fleet::{
-        AttemptId, AttemptOutcome, InFlightWork, Placement, TargetEntry, TargetRole, health::Health,
+        AttemptId, AttemptOutcome, InFlightWork, Placement, TargetEntry, TargetRole,
+        ends::names_other_start, health::Health,
     },
     hash::stable_hash,
     protocol::Prompt,
@@ -90,6 +91,8 @@
     avoided_until: Option<Time>,
     /// Time until which it is kept without an entry in the store; none if it has one.
     pub(super) expires_at: Option<Time>,
+    /// When the start that its entry is of was last seen to have ended; none if it may run.
+    pub(super) ended_at: Option<Time>,
 }
 
 /// A request without a first token.
@@ -136,6 +139,7 @@
             speed_factor: 1.0,
             avoided_until: None,
             expires_at: None,
+            ended_at: None,
             entry,
         }
     }
@@ -153,6 +157,9 @@
         {
             self.avoided_until = None;
         }
+        if names_other_start(&self.entry, &entry) {
+            self.ended_at = None;
+        }
         self.expires_at = None;
         self.group = group(&entry);
         self.entry = entry;
@@ -165,6 +172,7 @@
             && !entry.draining
             && self.avoided_until.is_none_or(|until| now >= until)
             && self.expires_at.is_none_or(|expires| now < expires)
+            && !self.is_ended(now)
     }
 
     /// Counts a request as in flight.
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     attempt::{CallerRequest, Export, InFlight, NotRunReason, SendOutcome, prefill, send},
-    crash::{record_begun_run, record_break, record_failed_run},
+    crash::{look_for_end, record_begun_run, record_break, record_failed_run},
     events::EventSplitter,
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
@@ -351,6 +351,8 @@
                     if target_stream.has_just_begun(self.shared.now()) {
                         record_begun_run(&self.shared, &self.call, placement);
                         record_break(&self.shared, &self.call, placement).await;
+                    } else {
+                        look_for_end(&self.shared, placement);
                     }
                     self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
                     if !self.attempts.may_retry_failed_run(&self.shared, &self.call) {
--- a/components/gateway/src/takeover.rs
+++ b/components/gateway/src/takeover.rs
@@ -127,7 +127,7 @@
     let notice = OriginNotice { key: stream_key(call), build };
     let state = &mut *shared.state();
     let seen = seen_builds(shared, state, call);
-    let is_told = !matches!(seen, SeenBuilds::Only(_));
+    let is_told = seen != SeenBuilds::Only(build);
     if call.takes_up() {
         state.origins.take_up(now, notice, is_told);
     } else {
--- /dev/null
+++ b/components/gateway/tests/ends.rs
@@ -0,0 +1,117 @@
+//! Tests of targets that were seen to have ended, without a network.
+
+use std::time::Duration;
+
+use chervilgate_clock::Time;
+use chervilgate_gateway::{
+    Prompt,
+    fleet::{Build, BuildId, Fleet, Hold, Placement, TargetEntry, TargetQuery, TargetRole},
+};
+
+const SERVICE: &str = "llm";
+const NOW: Time = Time::from_secs(100);
+const BEFORE: Time = Time::from_secs(99);
+
+/// Time in which the entry of a new start is awaited.
+const ENTRY_TIME: Duration = Duration::from_secs(10);
+
+fn entry(incarnation: u64, build: &str) -> TargetEntry {
+    TargetEntry {
+        id: "t".into(),
+        service: SERVICE.into(),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        zone: "a".into(),
+        slots: 8,
+        draining: false,
+        role: TargetRole::Decode,
+        build: Build::new(build),
+        incarnation,
+        sequence: 1,
+        reclaimable: false,
+    }
+}
+
+fn place(fleet: &Fleet, now: Time, build: Option<BuildId>) -> Option<Placement> {
+    let prompt = Prompt::default();
+    let query =
+        TargetQuery { service: SERVICE, prompt: &prompt, exclude: &[], build, max_pause: None };
+    fleet.place(now, &query).map(|plan| plan.placement)
+}
+
+/// A fleet whose only target, of version `v1`, ended at `NOW`, and a placement from before that.
+fn ended() -> (Fleet, Placement) {
+    let mut fleet = Fleet::new("a", Duration::from_secs(2));
+    fleet.replace(BEFORE, vec![entry(1, "v1")]);
+    let placement = place(&fleet, BEFORE, None).unwrap();
+    fleet.record_end(NOW, &placement);
+    (fleet, placement)
+}
+
+#[test]
+fn nothing_is_placed_on_or_sent_to_a_target_that_has_ended() {
+    let (mut fleet, placement) = ended();
+
+    assert_eq!(place(&fleet, NOW, None), None);
+    assert_eq!(fleet.clear_to_send(NOW, &placement), Err(Hold::Left));
+}
+
+#[test]
+fn its_own_entry_listed_again_names_no_later_start() {
+    let (mut fleet, _) = ended();
+
+    fleet.replace(NOW, vec![entry(1, "v1")]);
+
+    assert_eq!(place(&fleet, NOW, None), None);
+}
+
+#[test]
+fn the_entry_of_a_later_start_says_what_it_is() {
+    let (mut fleet, _) = ended();
+
+    fleet.upsert(NOW, entry(2, "v2"));
+
+    assert_eq!(place(&fleet, NOW, None).unwrap().build, Build::new("v2"));
+    assert_eq!(place(&fleet, NOW, Some(Build::new("v1").id)), None);
+}
+
+#[test]
+fn an_answer_to_an_earlier_request_shows_that_it_goes_on() {
+    let (mut fleet, placement) = ended();
+
+    let is_shown = [fleet.record_life(&placement, NOW), fleet.record_life(&placement, BEFORE)];
+
+    assert_eq!(is_shown, [false, true]);
+    assert!(place(&fleet, NOW, Some(Build::new("v1").id)).is_some());
+}
+
+#[test]
+fn a_target_without_a_later_entry_gets_requests_again_but_is_of_no_known_version() {
+    let (mut fleet, _) = ended();
+    let later = NOW + ENTRY_TIME;
+    let again = place(&fleet, later, None).unwrap();
+
+    assert_eq!(fleet.clear_to_send(later, &again), Ok(()));
+    assert_eq!(place(&fleet, later, Some(Build::new("v1").id)), None);
+    assert!(!fleet.serves_build(later, SERVICE, Build::new("v1").id));
+}
+
+#[test]
+fn each_end_makes_a_version_of_its_own() {
+    let (mut fleet, placement) = ended();
+    let first = place(&fleet, NOW + ENTRY_TIME, None).unwrap();
+
+    fleet.record_end(NOW + ENTRY_TIME, &placement);
+    let second = place(&fleet, NOW + ENTRY_TIME * 2, None).unwrap();
+
+    assert_ne!(first.build, second.build);
+}
+
+#[test]
+fn an_end_that_is_seen_late_says_nothing_of_a_later_start() {
+    let (mut fleet, placement) = ended();
+    fleet.upsert(NOW, entry(2, "v2"));
+
+    fleet.record_end(NOW, &placement);
+
+    assert!(place(&fleet, NOW, None).is_some());
+}
