--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -1,13 +1,18 @@
 //! Records runs that failed, and finds out whether a target whose connection broke has ended.
 //!
 //! A connection may break off, or bring bytes that are no answer, while its target goes on. A port
-//! that refuses connections shows that the process behind it has ended.
+//! that refuses connections shows that the process behind it has ended. An answer with neither a length
+//! nor chunks ends in the same way when it is whole and when its target ends, and only the port tells.
 
 use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
 use chervilgate_clock::Time;
 use chervilgate_policy::{CrashId, TargetId};
-use tokio::{net::TcpStream, sync::OnceCell, time::timeout};
+use hyper::{
+    HeaderMap,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
+use tokio::{io::AsyncReadExt, net::TcpStream, sync::OnceCell, time::timeout};
 
 use crate::{
     attempt::CallerRequest,
@@ -20,6 +25,9 @@
 /// Time in which a connection is refused; a target that is cut off does not answer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time within which an ending process has closed all its sockets.
+const CLOSE_TIME: Duration = Duration::from_millis(10);
+
 /// Maximum number of targets whose end is remembered.
 const MAX_PROBES: usize = 1_024;
 
@@ -76,6 +84,39 @@
     shared.broadcast.notify_one();
 }
 
+/// How an answer ended, as far as its connection tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AnswerEnd {
+    /// Its length or chunks, or a target that goes on, show that it is whole.
+    Whole,
+    /// It has neither, and its target was about to end.
+    Unclear,
+    /// It has neither, and its target has ended.
+    Cut,
+}
+
+/// How an answer with `headers`, whose connection has ended in order, ended.
+pub(crate) async fn judge_end(
+    shared: &Shared,
+    call: &CallerRequest,
+    placement: &Placement,
+    headers: &HeaderMap,
+) -> AnswerEnd {
+    if headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING) {
+        return AnswerEnd::Whole;
+    }
+    // It ends its answers before it ends.
+    if shared.state().fleet.is_leaving(placement) {
+        return AnswerEnd::Unclear;
+    }
+    if !has_ended(shared, placement).await {
+        return AnswerEnd::Whole;
+    }
+    let (id, target) = (&call.ask.id, &placement.id);
+    log::warn!(target: "gateway", id, target; "answer without a length ended with its target");
+    AnswerEnd::Cut
+}
+
 async fn has_ended(shared: &Shared, placement: &Placement) -> bool {
     let key = (placement.id.clone(), placement.incarnation);
     let probe = {
@@ -93,7 +134,23 @@
     ended
 }
 
+/// Whether the port at `addr` refuses connections, or comes to within [`CLOSE_TIME`]: a process that ends
+/// may close the connection of an answer before its port.
 async fn is_refused(addr: SocketAddr) -> bool {
-    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(addr)).await;
-    matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    let mut buf = [0];
+    match connect(addr).await {
+        Ok(mut stream) => {
+            let closed = timeout(CLOSE_TIME, stream.read(&mut buf)).await.is_ok();
+            // A target with too many connections closes further ones, too.
+            closed && connect(addr).await.is_err_and(|kind| kind == ErrorKind::ConnectionRefused)
+        }
+        Err(kind) => kind == ErrorKind::ConnectionRefused,
+    }
+}
+
+async fn connect(addr: SocketAddr) -> Result<TcpStream, ErrorKind> {
+    match timeout(PROBE_TIMEOUT, TcpStream::connect(addr)).await {
+        Ok(connected) => connected.map_err(|error| error.kind()),
+        Err(_) => Err(ErrorKind::TimedOut),
+    }
 }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -1,6 +1,6 @@
 //! Requests whose response is read completely before it is returned to the caller.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use chervilgate_clients::{Body, body::collect, body::full};
 use chervilgate_clock::Time;
@@ -10,9 +10,9 @@
 
 use crate::{
     attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
-    crash::{record_begun_run, record_break},
+    crash::{AnswerEnd, judge_end, record_begun_run, record_break},
     failure::Failure,
-    fleet::{AttemptOutcome, BuildId, Hold, TargetQuery},
+    fleet::{AttemptOutcome, BuildId, Hold, Placement, TargetQuery},
     protocol::RequestStage,
     state::Shared,
 };
@@ -224,7 +224,7 @@
             SendOutcome::Answered(response) => {
                 shared.count_usage(call.org.as_deref(), now);
                 let failed = response.status().is_server_error();
-                let whole = read_whole(shared, call, in_flight.placement.addr, response).await;
+                let whole = read_whole(shared, call, &in_flight.placement, response).await;
                 if let Some(response) = whole {
                     if response.status().is_success() {
                         let end = shared.now();
@@ -270,13 +270,16 @@
 async fn read_whole(
     shared: &Shared,
     call: &CallerRequest,
-    addr: SocketAddr,
+    placement: &Placement,
     response: Response<Body>,
 ) -> Option<Response<Body>> {
     let (head, body) = response.into_parts();
     let left = call.deadline.since(shared.now());
     match timeout(left, collect(body, MAX_RESPONSE_BYTES)).await {
         Ok(Ok(bytes)) => {
+            if judge_end(shared, call, placement, &head.headers).await == AnswerEnd::Cut {
+                return None;
+            }
             let mut response = Response::new(full(bytes));
             *response.status_mut() = head.status;
             *response.headers_mut() = shared.protocol.caller_headers(&head.headers);
@@ -288,7 +291,7 @@
         }
         Err(_) => {
             log::warn!(target: "gateway", id = call.ask.id; "response body timed out");
-            shared.target_pool.distrust(addr);
+            shared.target_pool.distrust(placement.addr);
             None
         }
     }
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -11,16 +11,12 @@
 use chervilgate_clock::Time;
 use futures_util::stream::poll_fn;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::{
-    HeaderMap, Response, StatusCode,
-    body::Frame,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
-};
+use hyper::{HeaderMap, Response, StatusCode, body::Frame};
 use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
     attempt::{CallerRequest, Export, InFlight, NotRunReason, SendOutcome, prefill, send},
-    crash::{record_begun_run, record_break, record_failed_run},
+    crash::{AnswerEnd, judge_end, record_begun_run, record_break, record_failed_run},
     events::EventSplitter,
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
@@ -52,6 +48,8 @@
     splitter: EventSplitter,
     /// When the target sent its first event.
     begun_at: Option<Time>,
+    /// Whether the answer has come to a good end that shows.
+    is_whole: bool,
 }
 
 /// Result of reading from a target's stream.
@@ -328,7 +326,7 @@
                     }
                 }
                 ReadOutcome::End => {
-                    if target_stream.is_whole() {
+                    if target_stream.is_whole {
                         let now = self.shared.now();
                         let CallerRequest { fingerprint, parts, .. } = &*self.call;
                         self.shared.state().poison.record_answer(now, *fingerprint, parts);
@@ -400,6 +398,7 @@
             body,
             splitter: EventSplitter::after(last),
             begun_at: None,
+            is_whole: false,
         }
     }
 
@@ -408,12 +407,18 @@
         self.begun_at.is_none_or(|at| now.since(at) < BEGIN_TIME)
     }
 
-    /// Whether the answer came to a good end that shows in the bytes. One without a length or
-    /// chunks ends as it does when its target ends.
-    fn is_whole(&self) -> bool {
-        let is_framed = self.headers.contains_key(CONTENT_LENGTH)
-            || self.headers.contains_key(TRANSFER_ENCODING);
-        is_framed && self.begun_at.is_some() && self.status.is_success()
+    /// How the answer ended once its bytes have, after complete events.
+    async fn end(&mut self, shared: &Shared, call: &CallerRequest) -> ReadOutcome {
+        if self.begun_at.is_none() {
+            return ReadOutcome::End;
+        }
+        let end = judge_end(shared, call, &self.in_flight.placement, &self.headers).await;
+        if end == AnswerEnd::Cut {
+            shared.metrics.count_stream_break();
+            return ReadOutcome::Broken;
+        }
+        self.is_whole = end == AnswerEnd::Whole;
+        ReadOutcome::End
     }
 
     /// Reads the next complete events, or how the stream ended.
@@ -441,7 +446,7 @@
                 None if self.splitter.buffered_len() > 0 && self.status.is_success() => {
                     return ReadOutcome::Broken;
                 }
-                None => return ReadOutcome::End,
+                None => return self.end(shared, call).await,
             };
             if !self.status.is_success() {
                 return ReadOutcome::Events(bytes);
