--- a/components/gateway/src/joining.rs
+++ b/components/gateway/src/joining.rs
@@ -9,7 +9,12 @@
 //! one that has lost the rest. The response must not look complete, so it is cut. A caller that holds
 //! all events takes the stream up and gets the target's own word for its end.
 
-use hyper::StatusCode;
+use chervilgate_clients::Body;
+use hyper::{
+    HeaderMap, StatusCode,
+    body::Body as _,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 
 use crate::protocol::{Content, ResponseHead};
 
@@ -137,12 +142,19 @@
     check_first(status, head)
 }
 
+/// Whether the end of an answer shows in its bytes: by a length, chunks or a status without a body.
+pub fn is_framed(headers: &HeaderMap, body: &Body) -> bool {
+    headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING)
+        || body.is_end_stream()
+}
+
 /// An answer that came to its end without an error.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AnswerEnd {
     /// Whether it was joined to a stream that has begun.
     pub is_joined: bool,
-    /// Whether its end shows in its bytes: by a length, chunks or a status without a body.
+    /// Whether its end shows in its bytes.
     pub is_framed: bool,
     /// Whether it has brought an event.
     pub has_events: bool,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -11,21 +11,19 @@
 use chervilgate_clock::Time;
 use futures_util::stream::poll_fn;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::{
-    HeaderMap, Response, StatusCode,
-    body::{Body as _, Frame},
-    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
-};
+use hyper::{HeaderMap, Response, StatusCode, body::Frame, header::CONTENT_TYPE};
 use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
     attempt::{CallerRequest, Export, InFlight, NotRunReason, SendOutcome, prefill, send},
-    crash::{look_for_end, record_begun_run, record_break, record_failed_run},
+    crash::{
+        Ending, judge_ending, look_for_end, record_begun_run, record_break, record_failed_run,
+    },
     events::EventSplitter,
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
     forward::{Attempts, check_deadline},
-    joining::{self, AnswerEnd, Rejection, check_first, check_joined, may_be_continued},
+    joining::{self, AnswerEnd, Rejection, check_first, check_joined, is_framed, may_be_continued},
     protocol::RequestStage,
     state::Shared,
     takeover::{find_origin, record_origin},
@@ -57,6 +55,8 @@
     is_framed: bool,
     /// When the target sent its first event.
     begun_at: Option<Time>,
+    /// Whether the answer has come to a good end that shows.
+    is_whole: bool,
 }
 
 /// Result of reading from a target's stream.
@@ -337,7 +337,7 @@
                     }
                 }
                 ReadOutcome::End => {
-                    if target_stream.is_whole() {
+                    if target_stream.is_whole {
                         let now = self.shared.now();
                         let CallerRequest { fingerprint, parts, .. } = &*self.call;
                         self.shared.state().poison.record_answer(now, *fingerprint, parts);
@@ -405,10 +405,8 @@
 impl TargetStream {
     fn new(in_flight: InFlight, response: Response<Body>, last: Option<u64>) -> TargetStream {
         let (head, body) = response.into_parts();
-        let is_framed = head.headers.contains_key(CONTENT_LENGTH)
-            || head.headers.contains_key(TRANSFER_ENCODING);
         TargetStream {
-            is_framed: is_framed || body.is_end_stream(),
+            is_framed: is_framed(&head.headers, &body),
             in_flight,
             status: head.status,
             headers: head.headers,
@@ -416,6 +414,7 @@
             splitter: EventSplitter::after(last),
             is_joined: false,
             begun_at: None,
+            is_whole: false,
         }
     }
 
@@ -437,27 +436,27 @@
         self.begun_at.is_none_or(|at| now.since(at) < BEGIN_TIME)
     }
 
-    /// Whether the answer came to a good end that shows in the bytes. One without a length or
-    /// chunks ends as it does when its target ends.
-    fn is_whole(&self) -> bool {
-        self.is_framed && self.begun_at.is_some() && self.status.is_success()
-    }
-
     /// How the stream ended with the last byte of its target's answer.
-    fn end(&self, shared: &Shared, id: &str) -> ReadOutcome {
-        let end = AnswerEnd {
+    async fn end(&mut self, shared: &Shared, call: &CallerRequest) -> ReadOutcome {
+        if !self.status.is_success() {
+            return ReadOutcome::End;
+        }
+        let answer = AnswerEnd {
             is_joined: self.is_joined,
             is_framed: self.is_framed,
             has_events: self.splitter.position().has_events(),
         };
-        match joining::check_end(end) {
-            _ if !self.status.is_success() => ReadOutcome::End,
-            Ok(()) => ReadOutcome::End,
-            Err(rejection) => {
-                self.log_rejected(shared, id, rejection);
-                ReadOutcome::Broken
-            }
+        if let Err(rejection) = joining::check_end(answer) {
+            self.log_rejected(shared, &call.ask.id, rejection);
+            return ReadOutcome::Broken;
+        }
+        let ending = judge_ending(shared, call, &self.in_flight.placement, self.is_framed).await;
+        if ending == Ending::Cut {
+            shared.metrics.count_stream_break();
+            return ReadOutcome::Broken;
         }
+        self.is_whole = ending == Ending::Whole && self.begun_at.is_some();
+        ReadOutcome::End
     }
 
     /// Reads the next complete events, or how the stream ended.
@@ -490,7 +489,7 @@
                 None if self.splitter.buffered_len() > 0 && self.status.is_success() => {
                     return ReadOutcome::Broken;
                 }
-                None => return self.end(shared, &call.ask.id),
+                None => return self.end(shared, call).await,
             };
             if !self.status.is_success() {
                 return ReadOutcome::Events(bytes);
