Soak: targets that break off at any byte, followed by any answer of another

--breaks starts targets that read and write bytes themselves: answers with a length, chunks or neither break off at any byte of head or body, closed or reset, and a request that comes again gets its rest, an error with text, 204, an empty 200, another content type, no receipt, numbers that leave a gap, repeat or go back, or a refusal written twice. Callers check that what they hold is of one run, whole only if all of it came, and that nothing ran that was refused.

KNOWN-RED 75.

--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -24,6 +24,7 @@
         releases: false,
         herds: false,
         stops: false,
+        breaks: false,
         other_faults: true,
     }
 }
@@ -247,3 +248,20 @@
 
     assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
 }
+
+const BREAKS_SEED: u64 = 9_001;
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED 75"]
+async fn nothing_is_joined_to_an_answer_that_is_not_of_its_run() {
+    let soak = Soak {
+        answer_faults: Vec::new(),
+        breaks: true,
+        other_faults: false,
+        ..soak("breaks", BREAKS_SEED)
+    };
+
+    let report = soak.run().await.unwrap();
+
+    assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
+}
