--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -23,6 +23,8 @@
         sheds: false,
         releases: false,
         herds: false,
+        stops: false,
+        breaks: false,
         other_faults: true,
     }
 }
@@ -226,3 +228,62 @@
 
     assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
 }
+
+/// Seed in which hosts stop one after another and together.
+const STOPS_SEED: u64 = 8_001;
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED 74"]
+async fn requests_that_stopping_hosts_have_passed_on_are_answered_whole() {
+    let soak = Soak {
+        length: Duration::from_secs(34),
+        hosts: 4,
+        answer_faults: Vec::new(),
+        stops: true,
+        other_faults: false,
+        ..soak("stops", STOPS_SEED)
+    };
+
+    let report = soak.run().await.unwrap();
+
+    assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
+}
+
+const BREAKS_SEED: u64 = 9_001;
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED 75"]
+async fn nothing_is_joined_to_an_answer_that_is_not_of_its_run() {
+    let soak = Soak {
+        answer_faults: Vec::new(),
+        breaks: true,
+        other_faults: false,
+        ..soak("breaks", BREAKS_SEED)
+    };
+
+    let report = soak.run().await.unwrap();
+
+    assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
+}
+
+/// Seed in which versions leave while all hosts are down.
+const HERDS_SEED: u64 = 7_201;
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED 76"]
+async fn streams_go_on_at_the_version_that_began_them_after_all_hosts_were_killed() {
+    let soak = Soak {
+        length: Duration::from_secs(50),
+        hosts: 4,
+        callers: 12,
+        answer_faults: Vec::new(),
+        releases: true,
+        herds: true,
+        other_faults: false,
+        ..soak("herds", HERDS_SEED)
+    };
+
+    let report = soak.run().await.unwrap();
+
+    assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
+}
