--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -114,7 +114,9 @@
     let now = shared.now();
     let mut state = shared.state();
     if ended {
-        state.fleet.record_end(now, placement);
+        if state.fleet.record_end(now, placement) {
+            shared.origins_due.notify_one();
+        }
     } else {
         // It may end later.
         state.crash_probes.remove(&key);
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -49,6 +49,7 @@
 
 pub use crate::fleet::{
     builds::{Build, BuildId, STREAM_LIFE, SeenBuilds, ServiceBuild},
+    ends::EndNotice,
     entry::{TargetCounts, TargetEntry, TargetRole},
     limits::LimitNotice,
     peer_loads::InFlightWork,
@@ -105,6 +106,7 @@
     limits: Limits,
     rests: Rests,
     gone_builds: GoneBuilds,
+    untold_ends: Vec<EndNotice>,
     peer_loads: PeerLoads,
     /// Target ids by their hash.
     ids_by_hash: HashMap<u32, Arc<str>>,
@@ -145,6 +147,7 @@
             limits: Limits::new(),
             rests: Rests::default(),
             gone_builds: GoneBuilds::default(),
+            untold_ends: Vec::new(),
             peer_loads: PeerLoads::default(),
             ids_by_hash: HashMap::new(),
             sent_parts: VecDeque::new(),
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -24,7 +24,7 @@
     origins::send_origins,
 };
 use crate::{
-    fleet::{CachedPart, GroupReport, InFlightWork, LimitNotice},
+    fleet::{CachedPart, EndNotice, GroupReport, InFlightWork, LimitNotice},
     gossip::news::{
         LatestChanges, ProgressReply, apply_latest_changes, apply_progress, progress_reply,
     },
@@ -94,6 +94,8 @@
     OriginAnswered(StreamKey, OriginAnswer),
     /// Known failed runs, with the milliseconds since each.
     FailedRuns(Vec<(u32, FailedRun)>),
+    /// Starts of targets that the sender has seen end.
+    Ends(Vec<EndNotice>),
 }
 
 /// What a host has seen of the targets' speeds.
@@ -413,6 +415,10 @@
                 let now = shared.now();
                 shared.state().fleet.apply_limit_notices(now, &notices);
             }
+            Ok(Message::Ends(notices)) => {
+                let now = shared.now();
+                shared.state().fleet.apply_ends(now, &notices);
+            }
             Ok(Message::Origins(notices)) => {
                 let now = shared.now();
                 let origins = &mut shared.state().origins;
--- a/components/gateway/src/gossip/origins.rs
+++ b/components/gateway/src/gossip/origins.rs
@@ -1,12 +1,14 @@
-//! What hosts tell and ask each other of the software versions that began streams.
+//! What hosts tell and ask each other of the software versions that began streams, and of the ends of
+//! targets, after which the versions of these are not known.
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use chervilgate_clock::Time;
+use rand::seq::SliceRandom;
 use tokio::{net::UdpSocket, time::timeout};
 
 use crate::{
-    gossip::{Message, send},
+    gossip::{FANOUT, Message, send},
     origins::{HOLDERS, OriginNotice, OriginQuestion},
     state::Shared,
 };
@@ -17,13 +19,14 @@
 /// Maximum number of streams in a message, so that it fits into one datagram.
 const MAX_NOTICES: usize = 60;
 
-/// Tells a few hosts of streams that this one began, and asks others for streams that it did not.
+/// Tells a few hosts of streams that this one began and of targets that it has seen end, and asks others
+/// for streams that it did not begin.
 pub(crate) async fn send_origins(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     loop {
         // Without anything due it is time to look for a further version.
         timeout(LOOK_INTERVAL, shared.origins_due.notified()).await.ok();
         let now = shared.now();
-        let (notices, questions) = {
+        let (notices, questions, ends) = {
             let state = &mut *shared.state();
             if state.fleet.take_new_build() {
                 state.origins.tell_all();
@@ -34,8 +37,19 @@
                     notices.entry(peer).or_default().push(notice);
                 }
             }
-            (notices, state.origins.take_questions())
+            let ends = state.fleet.take_untold_ends();
+            let ends = (!ends.is_empty()).then(|| (ends, state.membership.gossip_addrs()));
+            (notices, state.origins.take_questions(), ends)
         };
+        if let Some((ends, mut peers)) = ends {
+            // Each host that had a connection to the target tells others.
+            peers.shuffle(&mut rand::rng());
+            peers.truncate(FANOUT);
+            let message = Message::Ends(ends);
+            for peer in peers {
+                send(&socket, &message, peer).await;
+            }
+        }
         for (peer, notices) in notices {
             for part in notices.chunks(MAX_NOTICES) {
                 send(&socket, &Message::Origins(part.to_vec()), peer).await;
--- a/components/gateway/tests/ends.rs
+++ b/components/gateway/tests/ends.rs
@@ -115,3 +115,28 @@
 
     assert!(place(&fleet, NOW, None).is_some());
 }
+
+#[test]
+fn a_host_tells_once_of_an_end_and_another_one_adopts_it() {
+    let (mut fleet, placement) = ended();
+    let mut other = Fleet::new("a", Duration::from_secs(2));
+    other.replace(BEFORE, vec![entry(1, "v1")]);
+
+    let told = fleet.take_untold_ends();
+    other.apply_ends(NOW, &told);
+
+    assert!(!fleet.record_end(NOW, &placement));
+    assert!(fleet.take_untold_ends().is_empty() && other.take_untold_ends().is_empty());
+    assert_eq!(place(&other, NOW, None), None);
+}
+
+#[test]
+fn an_end_that_is_told_late_says_nothing_of_a_later_start() {
+    let (mut fleet, _) = ended();
+    let told = fleet.take_untold_ends();
+    fleet.upsert(NOW, entry(2, "v2"));
+
+    fleet.apply_ends(NOW, &told);
+
+    assert!(place(&fleet, NOW, None).is_some());
+}
