--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -233,7 +233,6 @@
 const STOPS_SEED: u64 = 8_001;
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED 74"]
 async fn requests_that_stopping_hosts_have_passed_on_are_answered_whole() {
     let soak = Soak {
         length: Duration::from_secs(34),
@@ -252,7 +251,6 @@
 const BREAKS_SEED: u64 = 9_001;
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED 75"]
 async fn nothing_is_joined_to_an_answer_that_is_not_of_its_run() {
     let soak = Soak {
         answer_faults: Vec::new(),
@@ -270,7 +268,6 @@
 const HERDS_SEED: u64 = 7_201;
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED 76"]
 async fn streams_go_on_at_the_version_that_began_them_after_all_hosts_were_killed() {
     let soak = Soak {
         length: Duration::from_secs(50),
