--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -4,28 +4,25 @@
 //! replaced unnoticed if the route allows it. After that, a broken stream is resumed on
 //! another target after the last complete event, or aborted.
 
+mod target_stream;
+
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use chervilgate_clients::{Body, BodyError};
-use chervilgate_clock::Time;
 use futures_util::stream::poll_fn;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::{
-    HeaderMap, Response, StatusCode,
-    body::{Body as _, Frame},
-    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
-};
-use tokio::{sync::mpsc, time::timeout};
+use hyper::{Response, body::Frame};
+use tokio::sync::mpsc;
 
+use self::target_stream::{ReadOutcome, TargetStream};
 use crate::{
     attempt::{CallerRequest, Export, InFlight, NotRunReason, SendOutcome, prefill, send},
     crash::{record_begun_run, record_break, record_failed_run},
-    events::EventSplitter,
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
     forward::{Attempts, check_deadline, check_end},
-    joining::{self, AnswerEnd, Rejection, check_first, check_joined, may_be_continued},
+    joining::{check_first, check_joined, may_be_continued},
     protocol::RequestStage,
     state::Shared,
     takeover::{find_origin, record_origin},
@@ -34,39 +31,9 @@
 /// Maximum number of buffered chunks per slow caller.
 const CHANNEL_CAPACITY: usize = 32;
 
-/// Size limit of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
-
-/// Time after the first event in which the end of a target may be due to the beginning of the
-/// answer.
-const BEGIN_TIME: Duration = Duration::from_millis(500);
-
 /// Maximum number of separate prefills per request.
 const MAX_PREFILLS: u32 = 1;
 
-/// A response stream of one target.
-struct TargetStream {
-    in_flight: InFlight,
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Body,
-    splitter: EventSplitter,
-    /// Whether the answer is joined to a stream that has begun.
-    is_joined: bool,
-    /// Whether the end of the answer shows in its bytes.
-    is_framed: bool,
-    /// When the target sent its first event.
-    begun_at: Option<Time>,
-}
-
-/// Result of reading from a target's stream.
-enum ReadOutcome {
-    Events(Bytes),
-    End,
-    Broken,
-    TimedOut,
-}
-
 /// A request's stream, across the targets that contribute to it.
 struct Relay {
     shared: Arc<Shared>,
@@ -421,113 +388,3 @@
     // The send only fails if the caller has disconnected.
     event_sender.send(Err(error)).await.ok();
 }
-
-impl TargetStream {
-    fn new(in_flight: InFlight, response: Response<Body>, last: Option<u64>) -> TargetStream {
-        let (head, body) = response.into_parts();
-        let is_framed = head.headers.contains_key(CONTENT_LENGTH)
-            || head.headers.contains_key(TRANSFER_ENCODING);
-        TargetStream {
-            is_framed: is_framed || body.is_end_stream(),
-            in_flight,
-            status: head.status,
-            headers: head.headers,
-            body,
-            splitter: EventSplitter::after(last),
-            is_joined: false,
-            begun_at: None,
-        }
-    }
-
-    /// Logs an answer that is not passed on, or not joined to a stream that has begun.
-    fn log_rejected(&self, shared: &Shared, id: &str, rejection: Rejection) {
-        let head = shared.protocol.parse_response(self.status, &self.headers);
-        let kind = self.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
-        let (status, target) = (self.status.as_u16(), &self.in_flight.placement.id);
-        let (signed, last) = (head.signed, self.splitter.position().last());
-        let reason = rejection.as_str();
-        log::warn!(
-            target: "gateway", id, target, status, kind, signed, last, reason;
-            "answer does not belong to the stream"
-        );
-    }
-
-    /// Whether the target began to answer so shortly ago that this may have ended it.
-    fn has_just_begun(&self, now: Time) -> bool {
-        self.begun_at.is_none_or(|at| now.since(at) < BEGIN_TIME)
-    }
-
-    /// Whether the answer came to a good end that shows in the bytes. One without a length or
-    /// chunks ends as it does when its target ends.
-    fn is_whole(&self) -> bool {
-        self.is_framed && self.begun_at.is_some() && self.status.is_success()
-    }
-
-    /// How the stream ended with the last byte of its target's answer.
-    fn end(&self, shared: &Shared, id: &str) -> ReadOutcome {
-        let end = AnswerEnd {
-            is_joined: self.is_joined,
-            is_framed: self.is_framed,
-            has_events: self.splitter.position().has_events(),
-        };
-        match joining::check_end(end) {
-            _ if !self.status.is_success() => ReadOutcome::End,
-            Ok(()) => ReadOutcome::End,
-            Err(rejection) => {
-                self.log_rejected(shared, id, rejection);
-                ReadOutcome::Broken
-            }
-        }
-    }
-
-    /// Reads the next complete events, or how the stream ended.
-    async fn next(&mut self, shared: &Shared, call: &CallerRequest) -> ReadOutcome {
-        loop {
-            if let Some(rejection) = self.splitter.rejection() {
-                self.log_rejected(shared, &call.ask.id, rejection);
-                shared.metrics.count_stream_break();
-                return ReadOutcome::Broken;
-            }
-            let left = call.deadline.since(shared.now());
-            if left == Duration::ZERO {
-                return ReadOutcome::TimedOut;
-            }
-            let Ok(frame) = timeout(left, self.body.frame()).await else {
-                shared.target_pool.distrust(self.in_flight.placement.addr);
-                return ReadOutcome::TimedOut;
-            };
-            let bytes = match frame {
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(error)) => {
-                    let (id, target) = (&call.ask.id, &self.in_flight.placement.id);
-                    let (begun, parts) = (self.begun_at.is_some(), call.shared_parts());
-                    log::warn!(
-                        target: "gateway", id, target, error:%, begun, parts; "stream broke off"
-                    );
-                    shared.metrics.count_stream_break();
-                    return ReadOutcome::Broken;
-                }
-                None if self.splitter.buffered_len() > 0 && self.status.is_success() => {
-                    return ReadOutcome::Broken;
-                }
-                None => return self.end(shared, &call.ask.id),
-            };
-            if !self.status.is_success() {
-                return ReadOutcome::Events(bytes);
-            }
-            let events = self.splitter.push(&bytes);
-            if !events.is_empty() {
-                self.begun_at.get_or_insert_with(|| shared.now());
-                return ReadOutcome::Events(events);
-            }
-            if self.splitter.buffered_len() > MAX_EVENT_BYTES {
-                let (id, target) = (&call.ask.id, &self.in_flight.placement.id);
-                log::warn!(
-                    target: "gateway", id, target, limit = MAX_EVENT_BYTES; "event without an end"
-                );
-                shared.metrics.count_stream_break();
-                return ReadOutcome::Broken;
-            }
-        }
-    }
-}
--- /dev/null
+++ b/components/gateway/src/stream/target_stream.rs
@@ -0,0 +1,165 @@
+//! The answer of one target to a stream request.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use chervilgate_clients::Body;
+use chervilgate_clock::Time;
+use http_body_util::BodyExt;
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    body::Body as _,
+    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
+};
+use tokio::time::timeout;
+
+use crate::{
+    attempt::{CallerRequest, InFlight},
+    events::EventSplitter,
+    joining::{AnswerEnd, Rejection, check_end},
+    state::Shared,
+};
+
+/// Size limit of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Time after the first event in which the end of a target may be due to the beginning of the
+/// answer.
+const BEGIN_TIME: Duration = Duration::from_millis(500);
+
+/// A response stream of one target.
+pub(super) struct TargetStream {
+    pub(super) in_flight: InFlight,
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    body: Body,
+    pub(super) splitter: EventSplitter,
+    /// Whether the answer is joined to a stream that has begun.
+    pub(super) is_joined: bool,
+    /// Whether the end of the answer shows in its bytes.
+    is_framed: bool,
+    /// When the target sent its first event.
+    pub(super) begun_at: Option<Time>,
+}
+
+/// Result of reading from a target's stream.
+pub(super) enum ReadOutcome {
+    Events(Bytes),
+    End,
+    Broken,
+    TimedOut,
+}
+
+impl TargetStream {
+    pub(super) fn new(
+        in_flight: InFlight,
+        response: Response<Body>,
+        last: Option<u64>,
+    ) -> TargetStream {
+        let (head, body) = response.into_parts();
+        let is_framed = head.headers.contains_key(CONTENT_LENGTH)
+            || head.headers.contains_key(TRANSFER_ENCODING);
+        TargetStream {
+            is_framed: is_framed || body.is_end_stream(),
+            in_flight,
+            status: head.status,
+            headers: head.headers,
+            body,
+            splitter: EventSplitter::after(last),
+            is_joined: false,
+            begun_at: None,
+        }
+    }
+
+    /// Logs an answer that is not passed on, or not joined to a stream that has begun.
+    pub(super) fn log_rejected(&self, shared: &Shared, id: &str, rejection: Rejection) {
+        let head = shared.protocol.parse_response(self.status, &self.headers);
+        let kind = self.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        let (status, target) = (self.status.as_u16(), &self.in_flight.placement.id);
+        let (signed, last) = (head.signed, self.splitter.position().last());
+        let reason = rejection.as_str();
+        log::warn!(
+            target: "gateway", id, target, status, kind, signed, last, reason;
+            "answer does not belong to the stream"
+        );
+    }
+
+    /// Whether the target began to answer so shortly ago that this may have ended it.
+    pub(super) fn has_just_begun(&self, now: Time) -> bool {
+        self.begun_at.is_none_or(|at| now.since(at) < BEGIN_TIME)
+    }
+
+    /// Whether the answer came to a good end that shows in the bytes. One without a length or
+    /// chunks ends as it does when its target ends.
+    pub(super) fn is_whole(&self) -> bool {
+        self.is_framed && self.begun_at.is_some() && self.status.is_success()
+    }
+
+    /// How the stream ended with the last byte of its target's answer.
+    fn end(&self, shared: &Shared, id: &str) -> ReadOutcome {
+        let end = AnswerEnd {
+            is_joined: self.is_joined,
+            is_framed: self.is_framed,
+            has_events: self.splitter.position().has_events(),
+        };
+        match check_end(end) {
+            _ if !self.status.is_success() => ReadOutcome::End,
+            Ok(()) => ReadOutcome::End,
+            Err(rejection) => {
+                self.log_rejected(shared, id, rejection);
+                ReadOutcome::Broken
+            }
+        }
+    }
+
+    /// Reads the next complete events, or how the stream ended.
+    pub(super) async fn next(&mut self, shared: &Shared, call: &CallerRequest) -> ReadOutcome {
+        loop {
+            if let Some(rejection) = self.splitter.rejection() {
+                self.log_rejected(shared, &call.ask.id, rejection);
+                shared.metrics.count_stream_break();
+                return ReadOutcome::Broken;
+            }
+            let left = call.deadline.since(shared.now());
+            if left == Duration::ZERO {
+                return ReadOutcome::TimedOut;
+            }
+            let Ok(frame) = timeout(left, self.body.frame()).await else {
+                shared.target_pool.distrust(self.in_flight.placement.addr);
+                return ReadOutcome::TimedOut;
+            };
+            let bytes = match frame {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(error)) => {
+                    let (id, target) = (&call.ask.id, &self.in_flight.placement.id);
+                    let (begun, parts) = (self.begun_at.is_some(), call.shared_parts());
+                    log::warn!(
+                        target: "gateway", id, target, error:%, begun, parts; "stream broke off"
+                    );
+                    shared.metrics.count_stream_break();
+                    return ReadOutcome::Broken;
+                }
+                None if self.splitter.buffered_len() > 0 && self.status.is_success() => {
+                    return ReadOutcome::Broken;
+                }
+                None => return self.end(shared, &call.ask.id),
+            };
+            if !self.status.is_success() {
+                return ReadOutcome::Events(bytes);
+            }
+            let events = self.splitter.push(&bytes);
+            if !events.is_empty() {
+                self.begun_at.get_or_insert_with(|| shared.now());
+                return ReadOutcome::Events(events);
+            }
+            if self.splitter.buffered_len() > MAX_EVENT_BYTES {
+                let (id, target) = (&call.ask.id, &self.in_flight.placement.id);
+                log::warn!(
+                    target: "gateway", id, target, limit = MAX_EVENT_BYTES; "event without an end"
+                );
+                shared.metrics.count_stream_break();
+                return ReadOutcome::Broken;
+            }
+        }
+    }
+}
