--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -22,7 +22,12 @@
 impl EventSplitter {
     /// Expects what follows on the event `last_id`; none at the start of a stream.
     pub fn after(last_id: Option<u64>) -> EventSplitter {
-        EventSplitter { position: Position::after(last_id), ..EventSplitter::default() }
+        EventSplitter::at(Position::after(last_id))
+    }
+
+    /// Expects what follows on `position`.
+    pub fn at(position: Position) -> EventSplitter {
+        EventSplitter { position, ..EventSplitter::default() }
     }
 
     /// Where the stream is after the events that were returned.
--- a/components/gateway/src/joining.rs
+++ b/components/gateway/src/joining.rs
@@ -29,7 +29,7 @@
     Content,
     /// An event has a number that came before.
     Repeated,
-    /// An event lies between an event and the last one.
+    /// An event is missing between two answers.
     Gap,
     /// The first event has no number.
     Unnumbered,
@@ -52,11 +52,43 @@
     }
 }
 
+/// By how much the numbers of a stream's events increase.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Steps {
+    /// Fewer than two were seen.
+    #[default]
+    Unseen,
+    /// Each by this much.
+    Even(u64),
+    /// By different amounts.
+    Uneven,
+}
+
+impl Steps {
+    fn record(&mut self, step: u64) {
+        *self = match *self {
+            Steps::Unseen => Steps::Even(step),
+            Steps::Even(known) if known == step => return,
+            _ => Steps::Uneven,
+        };
+    }
+
+    /// Whether an event that follows by `step` may be the next one.
+    fn allow(self, step: u64) -> bool {
+        match self {
+            Steps::Unseen => step == 1,
+            Steps::Even(known) => step == known,
+            Steps::Uneven => true,
+        }
+    }
+}
+
 /// Where in the numbers of its events a stream is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Position {
     /// Number of the last event.
     last: Option<u64>,
+    steps: Steps,
     /// Whether the present answer has brought an event.
     has_events: bool,
     /// Whether an event without a number has passed, after which another answer cannot be placed.
@@ -69,6 +101,11 @@
         Position { last, ..Position::default() }
     }
 
+    /// The position of a further answer to the same request.
+    pub fn next_answer(self) -> Position {
+        Position { has_events: false, ..self }
+    }
+
     /// Number of the last event.
     pub fn last(&self) -> Option<u64> {
         self.last
@@ -84,8 +121,9 @@
         !self.is_unplaced
     }
 
-    /// Moves on to the next event of the answer, with its number if it has one. A stream need not
-    /// have numbers, but what follows on a number must begin with the next one.
+    /// Moves on to the next event of the answer, with its number if it has one. A stream need not have
+    /// numbers. Within an answer they increase, by as much as its target likes; an answer that follows on
+    /// another must begin with the next one.
     ///
     /// # Errors
     /// If the event is not the next one.
@@ -94,8 +132,15 @@
             (Some(_), None) if !self.has_events => return Err(Rejection::Unnumbered),
             (_, None) => self.is_unplaced = true,
             (Some(last), Some(number)) if number <= last => return Err(Rejection::Repeated),
-            (Some(last), Some(number)) if number - last > 1 => return Err(Rejection::Gap),
-            (_, Some(_)) => self.last = number,
+            (Some(last), Some(number)) if !self.has_events && !self.steps.allow(number - last) => {
+                return Err(Rejection::Gap);
+            }
+            (last, Some(number)) => {
+                if let Some(last) = last {
+                    self.steps.record(number - last);
+                }
+                self.last = Some(number);
+            }
         }
         self.has_events = true;
         Ok(())
