--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -21,7 +21,7 @@
 use crate::{
     answered_over::AnsweredOver,
     config::Route,
-    crash::{look_for_end, record_failed_run, record_life},
+    crash::{look_for_end, record_failed_run},
     exchange::{Answer, exchange},
     fleet::{AttemptId, AttemptOutcome, Hold, Placement},
     poison::{PoisonVerdict, SharedParts},
@@ -88,7 +88,7 @@
     shared: Arc<Shared>,
     pub(crate) placement: Placement,
     attempt: AttemptId,
-    started_at: Time,
+    pub(crate) started_at: Time,
     /// Reported to the fleet when this is dropped.
     pub(crate) outcome: AttemptOutcome,
 }
@@ -126,8 +126,14 @@
     /// Marks the prompt as computed.
     pub(crate) fn mark_computed(&self) {
         let now = self.shared.now();
-        record_life(&self.shared, &self.placement, self.started_at);
-        let first = self.shared.state().fleet.mark_computed(now, &self.placement, self.attempt);
+        let first = {
+            let fleet = &mut self.shared.state().fleet;
+            let first = fleet.mark_computed(now, &self.placement, self.attempt);
+            if first {
+                fleet.record_life(&self.placement, self.started_at);
+            }
+            first
+        };
         if first {
             let seen = now.since(self.started_at);
             self.shared.metrics.observe_prediction(self.placement.predicted_time().abs_diff(seen));
@@ -306,7 +312,7 @@
         target: "gateway", id, target, addr:% = in_flight.placement.addr, error:%, kept, sent, parts;
         "target failed"
     );
-    look_for_end(&in_flight.shared, &in_flight.placement);
+    look_for_end(&in_flight.shared, &in_flight.placement, in_flight.started_at);
     if error.not_run() {
         in_flight.outcome = AttemptOutcome::Unreachable;
         return SendOutcome::NotRun(NotRunReason::Unreachable);
--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -27,9 +27,9 @@
 /// Maximum number of targets whose end is remembered.
 const MAX_PROBES: usize = 1_024;
 
-/// Whether one start of a target has ended; all requests that broke off there wait for one
-/// connection attempt.
-pub(crate) type CrashProbe = Arc<OnceCell<bool>>;
+/// When one start of a target was found to have ended, if it has; all requests that broke off there wait
+/// for one connection attempt.
+pub(crate) type CrashProbe = Arc<OnceCell<Option<Time>>>;
 
 /// Records that a run of `call` failed at the target of `placement` before it was answered. Whether the
 /// target has ended is not asked: it may be back already. A target that leaves ends by that.
@@ -62,20 +62,21 @@
     log::warn!(target: "gateway", id, target, runs; "run failed");
 }
 
-/// Records that `call` broke off at the target of `placement` before it was answered, or just as
-/// its answer began. If the target has ended, this accuses the parts of the prompt.
+/// Records that `call`, sent at `sent`, broke off at the target of `placement` before it was answered, or
+/// just as its answer began. If the target has ended, this accuses the parts of the prompt.
 pub(crate) async fn record_break(
     shared: &Arc<Shared>,
     call: &CallerRequest,
     placement: &Placement,
+    sent: Time,
 ) {
     if call.parts.is_empty() {
-        return look_for_end(shared, placement);
+        return look_for_end(shared, placement, sent);
     }
     if shared.state().fleet.is_leaving(placement) {
         return;
     }
-    if !has_ended(shared, placement).await {
+    if !has_ended(shared, placement, sent).await {
         return;
     }
     let Placement { id: target, incarnation, .. } = placement;
@@ -87,67 +88,49 @@
     shared.broadcast.notify_one();
 }
 
-/// Finds out in the background whether the target of `placement`, a connection to which has failed, has
-/// ended.
-pub(crate) fn look_for_end(shared: &Arc<Shared>, placement: &Placement) {
+/// Finds out in the background whether the target of `placement` has ended, over a connection to which
+/// something sent at `sent` has failed.
+pub(crate) fn look_for_end(shared: &Arc<Shared>, placement: &Placement, sent: Time) {
     let (shared, placement) = (shared.clone(), placement.clone());
     tokio::spawn(async move {
-        has_ended(&shared, &placement).await;
+        has_ended(&shared, &placement, sent).await;
     });
 }
 
-/// Records that what was sent to the target of `placement` at `sent` is answered now.
-pub(crate) fn record_life(shared: &Shared, placement: &Placement, sent: Time) {
-    let mut state = shared.state();
-    if state.fleet.record_life(placement, sent) {
-        state.crash_probes.remove(&(placement.id.clone(), placement.incarnation));
-    }
-}
-
-/// How an answer ended, as far as its connection tells.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Ending {
-    /// Its bytes, or a target that goes on, show that it is whole.
-    Whole,
-    /// Its bytes do not show it, and its target was about to end.
-    Unclear,
-    /// Its bytes do not show it, and its target has ended.
-    Cut,
-}
-
-/// How an answer ended that came to its end without an error; `is_framed` if that shows in its bytes.
-pub(crate) async fn judge_ending(
+/// Whether an answer was cut that came to its end without an error; `is_framed` if the end shows in its
+/// bytes. Otherwise a target that has ended shows that it was, also one that was about to leave.
+pub(crate) async fn is_cut(
     shared: &Shared,
     call: &CallerRequest,
     placement: &Placement,
+    sent: Time,
     is_framed: bool,
-) -> Ending {
-    if is_framed {
-        return Ending::Whole;
-    }
-    // It ends its answers before it ends.
-    if shared.state().fleet.is_leaving(placement) {
-        return Ending::Unclear;
-    }
-    if !has_ended(shared, placement).await {
-        return Ending::Whole;
+) -> bool {
+    if is_framed || !has_ended(shared, placement, sent).await {
+        return false;
     }
     let (id, target) = (&call.ask.id, &placement.id);
     log::warn!(target: "gateway", id, target; "answer without a length ended with its target");
-    Ending::Cut
+    true
 }
 
-/// Whether the target of `placement` has ended, which is recorded.
-async fn has_ended(shared: &Shared, placement: &Placement) -> bool {
+/// Whether the target of `placement` has ended since `sent`, which is recorded. An end that was found
+/// before says nothing of what was sent later.
+async fn has_ended(shared: &Shared, placement: &Placement, sent: Time) -> bool {
     let key = (placement.id.clone(), placement.incarnation);
     let probe = {
         let mut state = shared.state();
         if state.crash_probes.len() >= MAX_PROBES {
             state.crash_probes.clear();
         }
-        state.crash_probes.entry(key.clone()).or_default().clone()
+        let probe = state.crash_probes.entry(key.clone()).or_default();
+        if probe.get().copied().flatten().is_some_and(|ended| ended <= sent) {
+            *probe = CrashProbe::default();
+        }
+        probe.clone()
     };
-    let ended = *probe.get_or_init(|| is_refused(placement.addr)).await;
+    let find = || async { is_refused(placement.addr).await.then(|| shared.now()) };
+    let ended = probe.get_or_init(find).await.is_some();
     let now = shared.now();
     let mut state = shared.state();
     if ended {
--- a/components/gateway/src/fleet/ends.rs
+++ b/components/gateway/src/fleet/ends.rs
@@ -2,8 +2,9 @@
 //!
 //! What is known of a start of a target ends with it: its version, its limit, the rest that it asked
 //! for and whether it leaves. Its port may take connections again before its new entry is read, so
-//! nothing is sent there until then, for as long as an entry may be on its way. After that it gets
-//! requests again, but what it begins is of a version that nobody knows.
+//! a host that has seen the end sends nothing there until then, for as long as an entry may be on its way.
+//! After that, and at hosts that were told of the end, the target gets requests, but what it begins is of a
+//! version that nobody knows. That of its entry holds again only if its earlier start was seen to go on.
 
 use std::time::Duration;
 
@@ -29,25 +30,41 @@
     pub incarnation: u64,
 }
 
+/// That the start of a target which its entry is of has ended.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct TargetEnd {
+    at: Time,
+    /// Whether this host has seen it; otherwise another one did.
+    is_own: bool,
+    /// Whether the target answered what was sent before, and so may not have ended.
+    goes_on: bool,
+}
+
 impl TargetState {
-    /// Whether it has ended, and nothing is known yet of a later start.
+    /// Whether this host has seen it end, and nothing is known yet of a later start.
     pub(super) fn is_ended(&self, now: Time) -> bool {
-        self.ended_at.is_some_and(|at| now.since(at) < ENTRY_TIME)
+        self.end.is_some_and(|end| end.is_own && !end.goes_on && now.since(end.at) < ENTRY_TIME)
     }
 
-    fn record_end(&mut self, now: Time) {
-        if !self.is_ended(now) {
-            let TargetEntry { id, incarnation, .. } = &self.entry;
-            log::warn!(target: "fleet", id, incarnation; "target ended; its next entry is awaited");
+    fn record_end(&mut self, now: Time, is_own: bool) {
+        if self.is_ended(now) {
+            return;
         }
-        self.ended_at = Some(now);
+        let TargetEntry { id, incarnation, .. } = &self.entry;
+        log::warn!(
+            target: "fleet", id, incarnation, is_own;
+            "target ended; its next entry is awaited"
+        );
+        self.end = Some(TargetEnd { at: now, is_own, goes_on: false });
     }
 
-    /// The version of what runs there now: that of its entry, or one that is like no other.
+    /// The version of what runs there now: that of its entry, or one that is like no other. An answer
+    /// that was read late may be one of the earlier start, so a target that seems to go on has no known
+    /// version either while streams of that start may be taken up.
     pub(super) fn build(&self, now: Time) -> Build {
-        match self.ended_at.filter(|at| now.since(*at) < STREAM_LIFE) {
+        match self.end.filter(|end| !end.goes_on || now.since(end.at) < STREAM_LIFE) {
             None => self.entry.build.clone(),
-            Some(at) => Build::new(&format!("unknown {} {at:?}", self.entry.id)),
+            Some(TargetEnd { at, .. }) => Build::new(&format!("unknown {} {at:?}", self.entry.id)),
         }
     }
 }
@@ -65,20 +82,21 @@
         let Some(state) = self.placed_target(placement) else { return false };
         let notice = EndNotice { target: state.id_hash, incarnation: placement.incarnation };
         let is_new = !state.is_ended(now);
-        state.record_end(now);
+        state.record_end(now, true);
         if is_new && self.untold_ends.len() < MAX_UNTOLD {
             self.untold_ends.push(notice);
         }
         is_new
     }
 
-    /// Records ends that another host has seen. They are not passed on.
+    /// Records ends that another host has seen, whose connections alone may have failed: requests are
+    /// sent there all the same, but not as to the version of the entry. They are not passed on.
     pub fn apply_ends(&mut self, now: Time, notices: &[EndNotice]) {
         for notice in notices {
             let id = self.ids_by_hash.get(&notice.target);
             let Some(state) = id.and_then(|id| self.targets.get_mut(id)) else { continue };
             if state.entry.incarnation == notice.incarnation {
-                state.record_end(now);
+                state.record_end(now, false);
             }
         }
     }
@@ -88,17 +106,17 @@
         std::mem::take(&mut self.untold_ends)
     }
 
-    /// Records that what was sent to the target at `sent` is answered. Returns whether this shows that
-    /// its start, which was taken for ended since then, goes on.
+    /// Records that what was sent to the target at `sent` is answered. Returns whether the target, which
+    /// was taken for ended since then, may be sent requests again.
     pub fn record_life(&mut self, placement: &Placement, sent: Time) -> bool {
         let Some(state) = self.placed_target(placement) else { return false };
-        let lives_on = state.ended_at.is_some_and(|at| sent < at);
-        if lives_on {
-            state.ended_at = None;
-            let Placement { id, incarnation, .. } = placement;
-            log::info!(target: "fleet", id, incarnation; "target goes on");
-        }
-        lives_on
+        let Some(end) = state.end.as_mut().filter(|end| !end.goes_on && sent < end.at) else {
+            return false;
+        };
+        end.goes_on = true;
+        let Placement { id, incarnation, .. } = placement;
+        log::info!(target: "fleet", id, incarnation; "target seems to go on");
+        true
     }
 
     fn placed_target(&mut self, placement: &Placement) -> Option<&mut TargetState> {
--- a/components/gateway/src/fleet/target.rs
+++ b/components/gateway/src/fleet/target.rs
@@ -9,7 +9,8 @@
 use crate::{
     fleet::{
         AttemptId, AttemptOutcome, InFlightWork, Placement, TargetEntry, TargetRole,
-        ends::names_other_start, health::Health,
+        ends::{TargetEnd, names_other_start},
+        health::Health,
     },
     hash::stable_hash,
     protocol::Prompt,
@@ -91,8 +92,8 @@
     avoided_until: Option<Time>,
     /// Time until which it is kept without an entry in the store; none if it has one.
     pub(super) expires_at: Option<Time>,
-    /// When the start that its entry is of was last seen to have ended; none if it may run.
-    pub(super) ended_at: Option<Time>,
+    /// That the start which its entry is of has ended; none if it may run.
+    pub(super) end: Option<TargetEnd>,
 }
 
 /// A request without a first token.
@@ -139,7 +140,7 @@
             speed_factor: 1.0,
             avoided_until: None,
             expires_at: None,
-            ended_at: None,
+            end: None,
             entry,
         }
     }
@@ -158,7 +159,7 @@
             self.avoided_until = None;
         }
         if names_other_start(&self.entry, &entry) {
-            self.ended_at = None;
+            self.end = None;
         }
         self.expires_at = None;
         self.group = group(&entry);
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use chervilgate_clients::{Body, body::collect, body::full};
+use chervilgate_clients::{Body, BodyError, body::collect, body::full};
 use chervilgate_clock::Time;
 use hyper::Response;
 use smallvec::SmallVec;
@@ -10,9 +10,9 @@
 
 use crate::{
     attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
-    crash::{Ending, judge_ending, record_begun_run, record_break},
+    crash::{is_cut, record_begun_run, record_break},
     failure::Failure,
-    fleet::{AttemptOutcome, BuildId, Hold, Placement, TargetQuery},
+    fleet::{AttemptOutcome, BuildId, Hold, TargetQuery},
     joining::{check_answer, is_framed},
     protocol::RequestStage,
     state::Shared,
@@ -205,7 +205,7 @@
                     }
                     return Err(Failure::TargetFailed);
                 }
-                let whole = read_whole(shared, call, &in_flight.placement, response).await;
+                let whole = read_whole(shared, call, &in_flight, response).await;
                 if let Some(response) = whole {
                     if response.status().is_success() {
                         let end = shared.now();
@@ -219,7 +219,7 @@
                 }
                 in_flight.outcome = AttemptOutcome::Failed;
                 record_begun_run(shared, call, &in_flight.placement);
-                record_break(shared, call, &in_flight.placement).await;
+                record_break(shared, call, &in_flight.placement, in_flight.started_at).await;
                 if !attempts.may_retry_failed_run(shared, call) {
                     return Err(Failure::TargetFailed);
                 }
@@ -231,7 +231,7 @@
             }
             SendOutcome::Unknown | SendOutcome::Withheld => {
                 shared.count_usage(call.org.as_deref(), now);
-                record_break(shared, call, &in_flight.placement).await;
+                record_break(shared, call, &in_flight.placement, in_flight.started_at).await;
                 if !attempts.may_retry_failed_run(shared, call) {
                     return Err(Failure::TargetFailed);
                 }
@@ -245,17 +245,21 @@
 async fn read_whole(
     shared: &Shared,
     call: &CallerRequest,
-    placement: &Placement,
+    in_flight: &InFlight,
     response: Response<Body>,
 ) -> Option<Response<Body>> {
+    let InFlight { placement, started_at, .. } = in_flight;
     let (head, body) = response.into_parts();
     let is_framed = is_framed(&head.headers, &body);
     let left = call.deadline.since(shared.now());
-    match timeout(left, collect(body, MAX_RESPONSE_BYTES)).await {
-        Ok(Ok(bytes)) => {
-            if judge_ending(shared, call, placement, is_framed).await == Ending::Cut {
-                return None;
-            }
+    let read = async {
+        let bytes = collect(body, MAX_RESPONSE_BYTES).await?;
+        let is_cut = is_cut(shared, call, placement, *started_at, is_framed).await;
+        Ok::<_, BodyError>((!is_cut).then_some(bytes))
+    };
+    match timeout(left, read).await {
+        Ok(Ok(None)) => None,
+        Ok(Ok(Some(bytes))) => {
             let mut response = Response::new(full(bytes));
             *response.status_mut() = head.status;
             *response.headers_mut() = shared.protocol.caller_headers(&head.headers);
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use chervilgate_clients::{Body, BodyError};
+use chervilgate_clock::Time;
 use futures_util::stream::poll_fn;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{Response, body::Frame};
@@ -22,7 +23,7 @@
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
     forward::{Attempts, check_deadline},
-    joining::{check_first, check_joined, may_be_continued},
+    joining::{Position, check_first, check_joined, may_be_continued},
     protocol::RequestStage,
     state::Shared,
     takeover::{find_origin, record_origin},
@@ -40,8 +41,8 @@
     call: Arc<CallerRequest>,
     attempts: Attempts,
     prefills: u32,
-    /// Id of the last event that was sent to the caller.
-    last_delivered: Option<u64>,
+    /// Where the stream is after the last event that was sent to the caller.
+    position: Position,
     /// Software version that began the stream; none before its first event.
     build: Option<BuildId>,
     /// Whether others can learn that version from this host.
@@ -57,7 +58,7 @@
     let call = Arc::new(call);
     let mut relay = Relay {
         shared: shared.clone(),
-        last_delivered: call.ask.last_event,
+        position: Position::after(call.ask.last_event),
         build: None,
         recorded: false,
         call,
@@ -97,8 +98,9 @@
                 if !matches!(next, ReadOutcome::Broken) {
                     return Ok((target_stream, next));
                 }
-                record_failed_run(&self.shared, &self.call, &target_stream.in_flight.placement);
-                record_break(&self.shared, &self.call, &target_stream.in_flight.placement).await;
+                let InFlight { placement, started_at, .. } = &target_stream.in_flight;
+                record_failed_run(&self.shared, &self.call, placement);
+                record_break(&self.shared, &self.call, placement, *started_at).await;
             }
             target_stream.in_flight.outcome = AttemptOutcome::Failed;
             self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
@@ -157,7 +159,7 @@
                 None => RequestStage::Whole,
             };
             let result =
-                send(&shared, &call, &mut in_flight, Duration::MAX, work, self.last_delivered)
+                send(&shared, &call, &mut in_flight, Duration::MAX, work, self.position.last())
                     .await;
             if !matches!(result, SendOutcome::NotRun(NotRunReason::Unreachable))
                 && let Some(export) = export
@@ -170,13 +172,13 @@
             match result {
                 SendOutcome::Answered(response) => {
                     if !response.status().is_server_error() {
-                        return Ok(TargetStream::new(in_flight, response, self.last_delivered));
+                        return Ok(TargetStream::new(in_flight, response, self.position));
                     }
                     self.attempts.tried.push(in_flight.placement.id.clone());
                     self.count_usage_once();
                     if !self.attempts.may_retry_failed_run(&shared, &call) {
                         // The caller gets the target's error response.
-                        return Ok(TargetStream::new(in_flight, response, self.last_delivered));
+                        return Ok(TargetStream::new(in_flight, response, self.position));
                     }
                 }
                 SendOutcome::NotRun(why) => {
@@ -192,7 +194,7 @@
                 }
                 SendOutcome::Unknown | SendOutcome::Withheld => {
                     self.attempts.tried.push(in_flight.placement.id.clone());
-                    record_break(&shared, &call, &in_flight.placement).await;
+                    record_break(&shared, &call, &in_flight.placement, in_flight.started_at).await;
                     if !self.attempts.may_retry_failed_run(&shared, &call) {
                         return Err(Failure::TargetFailed);
                     }
@@ -259,6 +261,16 @@
         record_origin(&self.shared, &self.call, build);
     }
 
+    /// Records that the stream, sent at `sent`, broke off at the target of `placement`; `has_just_begun`
+    /// if the end of the target may be due to that.
+    async fn record_broken(&self, placement: &Placement, sent: Time, has_just_begun: bool) {
+        if !has_just_begun {
+            return look_for_end(&self.shared, placement, sent);
+        }
+        record_begun_run(&self.shared, &self.call, placement);
+        record_break(&self.shared, &self.call, placement, sent).await;
+    }
+
     /// Whether the prompt may be sent to a prefill target. Refused ones count as repeats.
     fn may_compute_apart(&self) -> bool {
         let now = self.shared.now();
@@ -292,7 +304,7 @@
                     target_stream.in_flight.mark_computed();
                     self.count_usage_once();
                     self.record_origin_once(&target_stream);
-                    self.last_delivered = target_stream.splitter.position().last();
+                    self.position = *target_stream.splitter.position();
                     let now = self.shared.now();
                     let pause = now.since(last_sent);
                     self.shared.metrics.observe_pause(pause);
@@ -322,13 +334,9 @@
                 }
                 ReadOutcome::Broken => {
                     target_stream.in_flight.outcome = AttemptOutcome::Failed;
-                    let placement = &target_stream.in_flight.placement;
-                    if target_stream.has_just_begun(self.shared.now()) {
-                        record_begun_run(&self.shared, &self.call, placement);
-                        record_break(&self.shared, &self.call, placement).await;
-                    } else {
-                        look_for_end(&self.shared, placement);
-                    }
+                    let has_just_begun = target_stream.has_just_begun(self.shared.now());
+                    let InFlight { placement, started_at, .. } = &target_stream.in_flight;
+                    self.record_broken(placement, *started_at, has_just_begun).await;
                     self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
                     if !may_be_continued(head_status, target_stream.splitter.position())
                         || !self.attempts.may_retry_failed_run(&self.shared, &self.call)
@@ -338,7 +346,7 @@
                     drop(target_stream);
                     let sent = self.call.sent_count();
                     log::warn!(
-                        target: "gateway", id, last = self.last_delivered, sent;
+                        target: "gateway", id, last = self.position.last(), sent;
                         "stream goes on elsewhere"
                     );
                     target_stream = tokio::select! {
--- a/components/gateway/src/stream/target_stream.rs
+++ b/components/gateway/src/stream/target_stream.rs
@@ -11,9 +11,9 @@
 
 use crate::{
     attempt::{CallerRequest, InFlight},
-    crash::{Ending, judge_ending},
+    crash::is_cut,
     events::EventSplitter,
-    joining::{AnswerEnd, Rejection, check_end, is_framed},
+    joining::{AnswerEnd, Position, Rejection, check_end, is_framed},
     state::Shared,
 };
 
@@ -53,7 +53,7 @@
     pub(super) fn new(
         in_flight: InFlight,
         response: Response<Body>,
-        last: Option<u64>,
+        position: Position,
     ) -> TargetStream {
         let (head, body) = response.into_parts();
         TargetStream {
@@ -62,7 +62,7 @@
             status: head.status,
             headers: head.headers,
             body,
-            splitter: EventSplitter::after(last),
+            splitter: EventSplitter::at(position.next_answer()),
             is_joined: false,
             begun_at: None,
             is_whole: false,
@@ -89,24 +89,25 @@
 
     /// How the stream ended with the last byte of its target's answer.
     async fn end(&mut self, shared: &Shared, call: &CallerRequest) -> ReadOutcome {
-        if !self.status.is_success() {
-            return ReadOutcome::End;
-        }
+        let is_success = self.status.is_success();
         let answer = AnswerEnd {
             is_joined: self.is_joined,
             is_framed: self.is_framed,
             has_events: self.splitter.position().has_events(),
         };
-        if let Err(rejection) = check_end(answer) {
+        if is_success && let Err(rejection) = check_end(answer) {
             self.log_rejected(shared, &call.ask.id, rejection);
             return ReadOutcome::Broken;
         }
-        let ending = judge_ending(shared, call, &self.in_flight.placement, self.is_framed).await;
-        if ending == Ending::Cut {
+        let InFlight { placement, started_at, .. } = &self.in_flight;
+        let cut = is_cut(shared, call, placement, *started_at, self.is_framed);
+        let left = call.deadline.since(shared.now());
+        let Ok(is_cut) = timeout(left, cut).await else { return ReadOutcome::TimedOut };
+        if is_cut {
             shared.metrics.count_stream_break();
             return ReadOutcome::Broken;
         }
-        self.is_whole = ending == Ending::Whole && self.begun_at.is_some();
+        self.is_whole = is_success && self.begun_at.is_some();
         ReadOutcome::End
     }
 
