--- a/components/gateway/tests/joining.rs
+++ b/components/gateway/tests/joining.rs
@@ -225,3 +225,34 @@
     assert!(passed.is_empty());
     assert_eq!(events.rejection(), Some(Rejection::Repeated));
 }
+
+#[test]
+fn events_pass_whole() {
+    let mut events = EventSplitter::after(Some(2));
+
+    let first = events.push(b"id: 3\nda");
+    let second = events.push(b"ta: new\n\nid: 4\ndata: cu");
+
+    assert!(first.is_empty());
+    assert_eq!(second, "id: 3\ndata: new\n\n");
+    assert_eq!((events.position().last(), events.buffered_len()), (Some(3), 14));
+}
+
+#[test]
+fn nothing_passes_from_an_event_on_that_is_not_the_next() {
+    let wrong = [
+        ("id: 2\ndata: old\n\n", Rejection::Repeated),
+        ("id: 4\ndata: d\n\n", Rejection::Gap),
+        ("data: c\n\n", Rejection::Unnumbered),
+    ];
+    for (event, rejection) in wrong {
+        let mut events = EventSplitter::after(Some(2));
+
+        let first = events.push(format!("{event}id: 3\ndata: new\n\n").as_bytes());
+        let second = events.push(b"id: 3\ndata: new\n\n");
+
+        assert!(first.is_empty() && second.is_empty(), "{event}");
+        assert_eq!(events.rejection(), Some(rejection));
+        assert_eq!(events.position().last(), Some(2));
+    }
+}
--- a/components/gateway/tests/parts.rs
+++ b/components/gateway/tests/parts.rs
@@ -4,9 +4,8 @@
 
 use chervilgate_clock::Time;
 use chervilgate_gateway::{
-    EventSplitter, Prompt, PromptPart,
+    Prompt, PromptPart,
     config::{CallerLimits, Config, Route, RouteKind},
-    joining::Rejection,
     poison::{
         FailedRun, PoisonGuard, PoisonVerdict, SharedParts, part_fingerprints, request_fingerprint,
     },
@@ -273,37 +272,6 @@
     assert!(view.is_fresh(late));
 }
 
-#[test]
-fn events_pass_whole() {
-    let mut events = EventSplitter::after(Some(2));
-
-    let first = events.push(b"id: 3\nda");
-    let second = events.push(b"ta: new\n\nid: 4\ndata: cu");
-
-    assert!(first.is_empty());
-    assert_eq!(second, "id: 3\ndata: new\n\n");
-    assert_eq!((events.position().last(), events.buffered_len()), (Some(3), 14));
-}
-
-#[test]
-fn nothing_passes_from_an_event_on_that_is_not_the_next() {
-    let wrong = [
-        ("id: 2\ndata: old\n\n", Rejection::Repeated),
-        ("id: 4\ndata: d\n\n", Rejection::Gap),
-        ("data: c\n\n", Rejection::Unnumbered),
-    ];
-    for (event, rejection) in wrong {
-        let mut events = EventSplitter::after(Some(2));
-
-        let first = events.push(format!("{event}id: 3\ndata: new\n\n").as_bytes());
-        let second = events.push(b"id: 3\ndata: new\n\n");
-
-        assert!(first.is_empty() && second.is_empty(), "{event}");
-        assert_eq!(events.rejection(), Some(rejection));
-        assert_eq!(events.position().last(), Some(2));
-    }
-}
-
 #[test]
 fn a_request_that_broke_three_runs_does_not_run_again() {
     let now = Time::from_secs(9);
