Count exchanges of targets toward the limit of pending orders

A property test found more than four targets starting at once: while four were on order, the planner ordered a further, cheap one to replace a steady target, without looking at the limit. The exchange now waits for room like other orders.

--- a/components/policy/src/spending.rs
+++ b/components/policy/src/spending.rs
@@ -236,6 +236,15 @@
         (targets + pending) as u32
     }
 
+    /// Number of targets that may be ordered now, of a fleet that will have `total`.
+    fn order_room(&self, fleet: ListedFleet<'_>, total: u32) -> u32 {
+        let starting =
+            remaining(fleet).filter(|paid| paid.target.state == TargetState::Starting).count();
+        let total_pending = (starting + self.pending.len()) as u32;
+        let room = self.settings.max_pending.saturating_sub(total_pending);
+        room.min(self.settings.max_targets.saturating_sub(total))
+    }
+
     fn order(
         &mut self,
         now: Time,
@@ -244,11 +253,7 @@
         total: u32,
         fleet: ListedFleet<'_>,
     ) -> PlannedOrders {
-        let starting =
-            remaining(fleet).filter(|paid| paid.target.state == TargetState::Starting).count();
-        let total_pending = (starting + self.pending.len()) as u32;
-        let room = self.settings.max_pending.saturating_sub(total_pending);
-        let room = room.min(self.settings.max_targets.saturating_sub(total));
+        let room = self.order_room(fleet, total);
         let missing = wanted.total.saturating_sub(total).max(wanted.steady.saturating_sub(steady));
         let mut missing_steady = wanted.steady.saturating_sub(steady);
         let mut orders = PlannedOrders::new();
@@ -301,7 +306,7 @@
     ) -> PlannedOrders {
         if total <= wanted.total {
             self.excess_since = None;
-            return self.replace_steady(now, wanted, steady, fleet);
+            return self.replace_steady(now, wanted, steady, total, fleet);
         }
         let since = *self.excess_since.get_or_insert(now);
         let interval_passed = self.last_return.is_none_or(|at| now.since(at) >= RETURN_INTERVAL);
@@ -321,12 +326,13 @@
     }
 
     /// Orders a cheap target to replace an excess steady one, which is returned once the cheap
-    /// one is listed.
+    /// one is listed. It counts toward the limit of pending orders like any other.
     fn replace_steady(
         &mut self,
         now: Time,
         wanted: Wanted,
         steady: u32,
+        total: u32,
         fleet: ListedFleet<'_>,
     ) -> PlannedOrders {
         if steady <= wanted.steady || wanted.total >= self.settings.max_targets {
@@ -334,7 +340,8 @@
             return PlannedOrders::new();
         }
         let since = *self.steady_excess_since.get_or_insert(now);
-        if now.since(since) < self.settings.return_delay {
+        let is_due = now.since(since) >= self.settings.return_delay;
+        if !is_due || self.order_room(fleet, total) == 0 {
             return PlannedOrders::new();
         }
         let Some(zone) = self.least_used_zone(PricingClass::Cheap, fleet) else {
