--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! code.
 
 mod admission;
+pub mod demand;
 mod ids;
 mod limit;
 mod meter;
