--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -34,6 +34,9 @@
 /// computed elsewhere; also the timeout of a call that deletes an exported KV cache.
 const PREFILL_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Share of the latency target from which a predicted wait counts as long.
+const LONG_WAIT_SHARE: f64 = 0.5;
+
 /// A caller's request with its complete body.
 pub(crate) struct CallerRequest {
     pub(crate) method: Method,
@@ -77,6 +80,13 @@
         self.ask.last_event.is_some()
     }
 
+    /// Whether the prompt is predicted to wait at the target for so long that the request may be
+    /// late.
+    fn waits_long(&self, placement: &Placement) -> bool {
+        let limit = self.route.latency_target.as_secs_f64() * 1e3 * LONG_WAIT_SHARE;
+        self.ask.prompt.tokens > 0 && placement.wait_ms > limit
+    }
+
     pub(crate) fn sent_count(&self) -> u32 {
         self.sent.load(Ordering::Relaxed)
     }
@@ -102,7 +112,13 @@
     ) -> InFlight {
         let now = shared.now();
         shared.metrics.observe_queue(placement.wait_ms);
-        let attempt = shared.state().fleet.start(now, &placement, &call.ask.prompt);
+        let attempt = {
+            let fleet = &mut shared.state().fleet;
+            if call.waits_long(&placement) {
+                fleet.record_wait(&call.service);
+            }
+            fleet.start(now, &placement, &call.ask.prompt)
+        };
         if placement.has_long_prefill() {
             shared.broadcast.notify_one();
         }
--- a/components/gateway/src/config.rs
+++ b/components/gateway/src/config.rs
@@ -145,6 +145,8 @@
     pub limits: CallerLimits,
     /// Shortest of the pauses that the routes of a service allow, by service.
     max_pauses: HashMap<Arc<str>, Duration>,
+    /// Shortest latency target of the routes of a service, by service.
+    latency_targets: HashMap<Arc<str>, Duration>,
 }
 
 impl Config {
@@ -158,8 +160,11 @@
     ) -> Config {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         let mut max_pauses: HashMap<Arc<str>, Duration> = HashMap::new();
+        let mut latency_targets: HashMap<Arc<str>, Duration> = HashMap::new();
         for route in routes {
             for (service, _) in &route.services {
+                let target = latency_targets.entry(service.clone()).or_insert(route.latency_target);
+                *target = route.latency_target.min(*target);
                 let Some(pause) = route.max_pause else { continue };
                 let known = max_pauses.entry(service.clone()).or_insert(pause);
                 *known = pause.min(*known);
@@ -169,7 +174,7 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Config { version, routes: by_host, services, keys, limits, max_pauses }
+        Config { version, routes: by_host, services, keys, limits, max_pauses, latency_targets }
     }
 
     /// Longest pause with which any stream of `service` is on time; none if unspecified.
@@ -177,6 +182,11 @@
         self.max_pauses.get(service).copied()
     }
 
+    /// Shortest latency target of the routes of `service`; none if no route leads to it.
+    pub fn latency_target(&self, service: &str) -> Option<Duration> {
+        self.latency_targets.get(service).copied()
+    }
+
     /// The route of `host` with the longest prefix of `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -6,12 +6,14 @@
 use chervilgate_clients::{TargetOrder, TargetOrders, WindowReport, WindowReports};
 use chervilgate_clock::Time;
 use chervilgate_coord::{Expect, Object, StoreCall, StoreReply, Version};
+use chervilgate_policy::demand::{DemandHistory, EngineSpecs, PlannedDemand};
 use tokio::time::sleep;
 
 use crate::{
+    config::Config,
     lease::{Lease, LeaseDoc, is_standby},
-    planner::{OrderPlanner, ScaledService},
-    state::Shared,
+    planner::{OrderPlanner, ScaledService, ServiceDemand},
+    state::{Shared, State},
     usage::{UsageSheet, is_window_complete, sum_counts},
     watch::decode_objects,
 };
@@ -51,6 +53,25 @@
 /// Timeout for sending a usage report.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Latency target of a service to which no route leads.
+const DEFAULT_LATENCY_TARGET: Duration = Duration::from_millis(250);
+
+/// Time for which the demand seen counts while too few hosts report.
+const MAX_DEMAND_AGE: Duration = Duration::from_secs(10);
+
+/// Time over which requests that wait show that there are too few targets.
+const RECENT_WAITING: Duration = Duration::from_secs(4);
+
+/// Share of the prompts of that time that may wait: bursts at single targets make a few of them
+/// wait however many targets there are.
+const MAX_WAITING_SHARE: f64 = 0.05;
+
+/// Time over which hardly a prompt must have waited for targets to be given back.
+const RETURN_WAITING: Duration = Duration::from_secs(20);
+
+/// Share of the prompts of that time that may have waited.
+const MAX_RETURN_WAITING_SHARE: f64 = 0.01;
+
 /// Maximum random delay before taking over an expired lease.
 const MAX_ACQUIRE_JITTER: Duration = Duration::from_millis(800);
 
@@ -137,6 +158,8 @@
     pub(crate) orders: Arc<dyn TargetOrders>,
     lease: Lease,
     planner: OrderPlanner,
+    /// Demand by service while the lease is held.
+    demand: HashMap<Arc<str>, DemandHistory>,
     /// Whether the store failed the last write of the lease.
     write_failed: bool,
 }
@@ -149,7 +172,15 @@
         orders: Arc<dyn TargetOrders>,
     ) -> Duties {
         let lease = Lease::new(&shared.settings.name, shared.boot, shared.settings.bounds.lease);
-        Duties { shared, reports, orders, lease, planner: OrderPlanner::new(), write_failed: false }
+        Duties {
+            shared,
+            reports,
+            orders,
+            lease,
+            planner: OrderPlanner::new(),
+            demand: HashMap::new(),
+            write_failed: false,
+        }
     }
 
     /// Competes for the lease, and performs the duties while it is held.
@@ -190,6 +221,8 @@
             self.order_targets().await;
         } else if !self.lease.is_holder() {
             self.planner = OrderPlanner::new();
+            self.demand.clear();
+            self.shared.metrics.clear_demand();
         }
         let now = self.shared.now();
         if let Some(mut doc) = self.lease.next_write(now, delay) {
@@ -314,8 +347,12 @@
     async fn order_targets(&mut self) {
         let now = self.shared.now();
         let orders = {
-            let state = self.shared.state();
+            let shared = self.shared.clone();
+            let mut state = shared.state();
             let Some(config) = state.view.config().cloned() else { return };
+            if let Some(report) = state.demand_report(now, shared.gossip_id()) {
+                state.reported_demand.record(now, &report);
+            }
             let scaled = config
                 .services
                 .iter()
@@ -323,9 +360,16 @@
             let scaled: Vec<ScaledService> = scaled.collect();
             let mut orders = Vec::new();
             for (service, scaling) in &scaled {
+                let demand = self.service_demand(now, &mut state, &config, service);
                 let entries = state.fleet.entries();
-                orders.extend(self.planner.plan(now, service, scaling, entries));
+                orders.extend(match &demand {
+                    Some(demand) => {
+                        self.planner.plan_for_demand(now, service, scaling, entries, demand)
+                    }
+                    None => self.planner.plan(now, service, scaling, entries),
+                });
             }
+            self.shared.metrics.set_targets_wanted(self.planner.goals());
             orders
         };
         for order in orders {
@@ -336,6 +380,63 @@
         }
     }
 
+    /// What is known of the demand for a service; none if it has no engines, which are all that
+    /// demand is measured of.
+    fn service_demand(
+        &mut self,
+        now: Time,
+        state: &mut State,
+        config: &Config,
+        service: &Arc<str>,
+    ) -> Option<ServiceDemand> {
+        let profile = config.services.get(service)?.engine.as_ref()?;
+        let counts = state.fleet.stage_counts(service);
+        if counts.prefill == 0 || counts.decode == 0 {
+            return None;
+        }
+        let speeds = state.fleet.engine_speeds(now, service);
+        // Engines of both stages are alike, so one that is not known is taken to be at least as slow
+        // as the other.
+        let factor = |own: Option<f64>, other: Option<f64>| {
+            own.unwrap_or_else(|| other.unwrap_or(1.0).max(1.0))
+        };
+        let engine = EngineSpecs {
+            prefill_factor: factor(speeds.prefill, speeds.decode),
+            decode_factor: factor(speeds.decode, speeds.prefill),
+            prefill_share: f64::from(counts.prefill) / f64::from(counts.prefill + counts.decode),
+            slots: profile.slots,
+            kv_tokens: profile.kv_tokens,
+            latency_target: config.latency_target(service).unwrap_or(DEFAULT_LATENCY_TARGET),
+        };
+        let history = self.demand.entry(service.clone()).or_default();
+        let alive = state.membership.live_names(now).count() + 1;
+        let rate = state.reported_demand.rate(now, service, alive);
+        if let Some(rate) = rate {
+            history.observe(now, rate);
+        }
+        let recent = history.recent(RECENT_WAITING);
+        let is_waiting = recent.waiting_share() > MAX_WAITING_SHARE;
+        let has_waited = history.recent(RETURN_WAITING).waiting_share() > MAX_RETURN_WAITING_SHARE;
+        let is_speed_known = speeds.prefill.or(speeds.decode).is_some();
+        let drain_time = self.shared.settings.bounds.drain_time;
+        let may_return = rate.is_some()
+            && !has_waited
+            && is_speed_known
+            && !self.write_failed
+            && !state.store_down
+            && state.is_target_list_current(now, drain_time)
+            && !state.fleet.has_impaired_targets(now, service);
+        let (prefill, decode) = engine.busy_stages(&recent);
+        self.shared.metrics.set_demand(service, prefill, decode);
+        let is_known = history.age(now).is_some_and(|age| age < MAX_DEMAND_AGE);
+        let demand = is_known.then(|| PlannedDemand {
+            mean: history.mean(),
+            largest: history.largest(),
+            span: history.span(),
+        });
+        Some(ServiceDemand { demand, engine, is_waiting, may_return })
+    }
+
     async fn place_order(&mut self, mut order: TargetOrder) {
         order.epoch = self.lease.doc().epoch;
         let result = self.orders.order(&order).await;
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -8,6 +8,7 @@
 //! has reported.
 
 mod builds;
+mod demand;
 mod departures;
 mod ends;
 mod entry;
@@ -34,6 +35,7 @@
 use smallvec::SmallVec;
 
 use crate::{
+    demand::WorkMeter,
     fleet::{
         builds::GoneBuilds,
         departures::{Departure, Departures},
@@ -48,6 +50,7 @@
 
 pub use crate::fleet::{
     builds::{Build, BuildId, STREAM_LIFE, SeenBuilds, ServiceBuild},
+    demand::{EngineSpeeds, StageCounts},
     ends::EndNotice,
     entry::{TargetCounts, TargetEntry, TargetRole},
     limits::LimitNotice,
@@ -116,6 +119,7 @@
     /// Speeds by group, which [`TargetState::group`] identifies.
     speeds: HashMap<u32, GroupSpeed>,
     pauses: PauseMeter,
+    work: WorkMeter,
 }
 
 /// What a host has seen of the speed of a group of targets.
@@ -132,6 +136,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AttemptId(u64);
 
+impl AttemptId {
+    pub(crate) fn number(self) -> u64 {
+        self.0
+    }
+}
+
 impl Fleet {
     /// A fleet without targets; `zone` is this host's zone and `drain_time` the time in
     /// which a draining target may still get work.
@@ -152,6 +162,7 @@
             last_attempt: 0,
             speeds: HashMap::new(),
             pauses: PauseMeter::default(),
+            work: WorkMeter::default(),
         }
     }
 
@@ -248,7 +259,7 @@
     }
 
     /// The entries of all targets.
-    pub fn entries(&self) -> impl Iterator<Item = &TargetEntry> {
+    pub fn entries(&self) -> impl Iterator<Item = &TargetEntry> + Clone {
         self.targets.values().map(|state| &state.entry)
     }
 
@@ -368,6 +379,7 @@
         self.last_attempt += 1;
         let attempt = AttemptId(self.last_attempt);
         if let Some(state) = self.targets.get_mut(&placement.id) {
+            self.work.start(now, attempt, &state.entry, state.reference_ms(placement), prompt);
             state.start(now, attempt, placement, prompt);
             let target = state.id_hash;
             let parts = prompt.parts.iter().map(|part| CachedPart { target, part: part.id });
@@ -402,6 +414,7 @@
         if outcome == AttemptOutcome::Answered {
             self.mark_computed(now, placement, attempt);
         }
+        self.work.finish(now, attempt);
         let Some(state) = self.targets.get_mut(&placement.id) else { return false };
         let before = state.is_failing(now);
         // The time until a failure says nothing about the target's speed.
--- a/components/gateway/src/fleet/limits.rs
+++ b/components/gateway/src/fleet/limits.rs
@@ -106,6 +106,12 @@
         });
     }
 
+    /// Whether this start of a target has a limit.
+    pub(super) fn has_limit(&self, id: &Arc<str>, incarnation: u64) -> bool {
+        let limit = self.limits.get(&(id.clone(), incarnation));
+        limit.is_some_and(|limit| limit.rate.is_some())
+    }
+
     /// Records what a target stated in the answer to a request that was sent at `sent`. Returns
     /// whether other hosts should hear of it at once.
     pub(super) fn record_statement(
--- a/components/gateway/src/fleet/target.rs
+++ b/components/gateway/src/fleet/target.rs
@@ -278,9 +278,12 @@
     /// milliseconds.
     pub(super) fn prefill_time_ms(&self, tokens: u32, prompt_tokens: u32) -> f64 {
         let slowdown = if self.entry.role == TargetRole::Decode { DECODE_SLOWDOWN } else { 1.0 };
-        let pairs = f64::from(tokens) * f64::from(prompt_tokens) / 1e6;
-        let reference = f64::from(tokens) / PREFILL_TOKENS_PER_MS + pairs * ATTENTION_COST_MS;
-        reference * slowdown * self.speed_factor
+        reference_prompt_ms(tokens, prompt_tokens) * slowdown * self.speed_factor
+    }
+
+    /// Time that the reference engine takes for the prompt of `placement`, in milliseconds.
+    pub(super) fn reference_ms(&self, placement: &Placement) -> f64 {
+        placement.prefill_ms / self.speed_factor
     }
 
     /// Predicted time until the target starts a new request, in milliseconds. The other
@@ -325,10 +328,22 @@
     }
 }
 
+/// Time in which the reference engine computes `tokens` of a prompt of `prompt_tokens` tokens, in
+/// milliseconds.
+pub(super) fn reference_prompt_ms(tokens: u32, prompt_tokens: u32) -> f64 {
+    let pairs = f64::from(tokens) * f64::from(prompt_tokens) / 1e6;
+    f64::from(tokens) / PREFILL_TOKENS_PER_MS + pairs * ATTENTION_COST_MS
+}
+
 fn millis(millis: f64) -> Duration {
     Duration::from_secs_f64(millis.max(0.0) / 1e3)
 }
 
 fn group(entry: &TargetEntry) -> u32 {
-    stable_hash(&(&*entry.service, entry.role)) as u32
+    group_of(&entry.service, entry.role)
+}
+
+/// Identifies the targets of one service and role.
+pub(super) fn group_of(service: &str, role: TargetRole) -> u32 {
+    stable_hash(&(service, role)) as u32
 }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -184,9 +184,11 @@
         };
         let placement = shared.state().fleet.place(now, &query);
         let Some(plan) = placement else {
+            shared.state().fleet.record_unplaced(&call.service, &call.ask.prompt);
             return Err(attempts.no_target_failure(shared, now, &call.service, None));
         };
-        check_deadline(now, call.deadline, &attempts, plan.predicted_time())?;
+        check_deadline(now, call.deadline, &attempts, plan.predicted_time())
+            .inspect_err(|_| shared.state().fleet.record_refused(&call.service, &plan))?;
         let mut in_flight = InFlight::new(shared, plan.placement, call);
         in_flight.log_placed(call, false);
         attempts.tried.push(in_flight.placement.id.clone());
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -24,6 +24,7 @@
     origins::send_origins,
 };
 use crate::{
+    demand::DemandReport,
     fleet::{CachedPart, EndNotice, GroupReport, InFlightWork, LimitNotice},
     gossip::news::{
         LatestChanges, ProgressReply, apply_latest_changes, apply_progress, progress_reply,
@@ -96,6 +97,8 @@
     FailedRuns(Vec<(u32, FailedRun)>),
     /// Starts of targets that the sender has seen end.
     Ends(Vec<EndNotice>),
+    /// Work of the sender's callers, for the lease holder.
+    Demand(DemandReport),
 }
 
 /// What a host has seen of the targets' speeds.
@@ -269,6 +272,10 @@
         for window in windows {
             send(&socket, &Message::Window(window), holder).await;
         }
+        let report = shared.state().demand_report(now, shared.gossip_id());
+        if let Some(report) = report {
+            send(&socket, &Message::Demand(report), holder).await;
+        }
     }
 }
 
@@ -432,6 +439,13 @@
                 shared.state().origins.record_answer(now, key, answer);
                 shared.origin_settled.notify_waiters();
             }
+            Ok(Message::Demand(report)) => {
+                let now = shared.now();
+                let mut state = shared.state();
+                if state.holds_lease {
+                    state.reported_demand.record(now, &report);
+                }
+            }
             Ok(Message::StoreEra(era)) => shared.hear_store_era(era),
             Ok(Message::Work(report)) => {
                 let now = shared.now();
--- a/components/gateway/src/gossip/tests.rs
+++ b/components/gateway/src/gossip/tests.rs
@@ -1,6 +1,7 @@
 use chervilgate_policy::{AffectedRequest, CrashId, CrashNotice, Fingerprint, OrgId, TargetId};
 
 use crate::{
+    demand::{DemandReport, MAX_REPORTED_SERVICES, WorkTotals},
     fleet::{CachedPart, InFlightWork},
     gossip::{
         MAX_DATAGRAM_BYTES, MAX_FAILED_RUNS, Message, WorkReport, encode, encode_evidence,
@@ -80,3 +81,23 @@
         assert!(!received.acquitted.is_empty() && received.crashes.is_empty() == (crashes == 0));
     }
 }
+
+#[test]
+fn can_send_the_demand_for_the_most_services() {
+    let max = u64::MAX >> 8;
+    let totals = WorkTotals {
+        service: u32::MAX,
+        prefill_us: max,
+        decode_us: max,
+        stream_ms: max,
+        prefill_tokens: max,
+        decode_tokens: max,
+        prompts: max,
+        waiting: max,
+    };
+    let services = vec![totals; MAX_REPORTED_SERVICES];
+
+    let report = DemandReport { host: u32::MAX, at: u64::MAX, services };
+
+    assert!(encode(&Message::Demand(report)).is_some());
+}
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics of a host.
 
-use std::{fs, time::Duration};
+use std::{fs, sync::atomic::AtomicU64, time::Duration};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -13,7 +13,7 @@
     registry::Registry,
 };
 
-use crate::fleet::TargetCounts;
+use crate::{fleet::TargetCounts, planner::ZoneGoal};
 
 /// Upper bound of the first histogram bucket.
 const FIRST_BUCKET_SECONDS: f64 = 0.005;
@@ -56,6 +56,21 @@
     level: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct WantedLabels {
+    service: String,
+    zone: String,
+    kind: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct DemandLabels {
+    service: String,
+    stage: &'static str,
+}
+
 /// Numbers of log lines dropped since the process started, by what dropped them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct LostLines {
@@ -86,6 +101,8 @@
     windows: Counter,
     orders: Family<EndLabel, Counter>,
     targets: Family<StateLabel, Gauge>,
+    targets_wanted: Family<WantedLabels, Gauge>,
+    demand: Family<DemandLabels, Gauge<f64, AtomicU64>>,
     memory: Gauge,
     lines_lost: Gauge,
     level_losses: Family<LevelLabel, Gauge>,
@@ -121,6 +138,8 @@
             windows: Counter::default(),
             orders: Family::default(),
             targets: Family::default(),
+            targets_wanted: Family::default(),
+            demand: Family::default(),
             memory: Gauge::default(),
             lines_lost: Gauge::default(),
             level_losses: Family::default(),
@@ -170,6 +189,16 @@
         registry.register("windows_reported", "Usage windows reported", self.windows.clone());
         registry.register("orders", "Orders for targets by outcome", self.orders.clone());
         registry.register("targets", "Targets by state", self.targets.clone());
+        registry.register(
+            "targets_wanted",
+            "Targets that the lease holder wants, by service, zone and kind",
+            self.targets_wanted.clone(),
+        );
+        registry.register(
+            "demand",
+            "Number of busy engines that the demand of the last seconds takes, by stage",
+            self.demand.clone(),
+        );
         registry.register("memory_bytes", "Resident memory", self.memory.clone());
         registry.register("log_lines_lost", "Log lines left out", self.lines_lost.clone());
         registry.register(
@@ -260,6 +289,36 @@
         }
     }
 
+    /// Sets the number of targets that the lease holder wants, by service and zone.
+    pub(crate) fn set_targets_wanted<'a>(
+        &self,
+        goals: impl Iterator<Item = (&'a str, &'a str, ZoneGoal)>,
+    ) {
+        self.targets_wanted.clear();
+        for (service, zone, goal) in goals {
+            let kinds = [("on_demand", goal.on_demand), ("reclaimable", goal.reclaimable)];
+            for (kind, count) in kinds {
+                let labels =
+                    WantedLabels { service: service.to_owned(), zone: zone.to_owned(), kind };
+                self.targets_wanted.get_or_create(&labels).set(count.into());
+            }
+        }
+    }
+
+    /// Sets the number of busy engines that the demand for a service takes.
+    pub(crate) fn set_demand(&self, service: &str, prefill: f64, decode: f64) {
+        for (stage, busy) in [("prefill", prefill), ("decode", decode)] {
+            let labels = DemandLabels { service: service.to_owned(), stage };
+            self.demand.get_or_create(&labels).set(busy);
+        }
+    }
+
+    /// Drops what only the lease holder knows.
+    pub(crate) fn clear_demand(&self) {
+        self.targets_wanted.clear();
+        self.demand.clear();
+    }
+
     fn set_lines_lost(&self, lost: LostLines) {
         let levels =
             [("info", lost.info), ("warn", lost.warn), ("sent", lost.sent), ("queue", lost.queue)];
--- a/components/gateway/src/planner.rs
+++ b/components/gateway/src/planner.rs
@@ -6,6 +6,11 @@
 //! the targets that remain carry the load of a reclaimed zone. Further on-demand targets
 //! are returned once reclaimable ones have replaced them, and ordered again where no
 //! reclaimable ones are available and too few serve elsewhere.
+//!
+//! Where the demand for the engines of a service is known, zones are filled only as far as
+//! [`policy::demand`](chervilgate_policy::demand) requires ([`goals`]).
+
+mod goals;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -16,7 +21,9 @@
 use chervilgate_clients::TargetOrder;
 use chervilgate_clock::Time;
 
-use crate::{config::Scaling, fleet::TargetEntry};
+use crate::{config::Scaling, fleet::TargetEntry, planner::goals::ServiceGoals};
+
+pub use self::goals::{GoalReason, ServiceDemand, ZoneGoal};
 
 /// Time after which an order without effect is repeated.
 const ORDER_RETRY_INTERVAL: Duration = Duration::from_secs(3);
@@ -59,6 +66,7 @@
 #[derive(Debug, Default)]
 pub struct OrderPlanner {
     placed: HashMap<OrderKey, PlacedOrder>,
+    goals: HashMap<String, ServiceGoals>,
 }
 
 impl OrderPlanner {
@@ -67,7 +75,7 @@
         OrderPlanner::default()
     }
 
-    /// Returns the orders to place now for a service.
+    /// Returns the orders to place now for a service whose zones are filled to their limits.
     pub fn plan<'a>(
         &mut self,
         now: Time,
@@ -80,9 +88,8 @@
         }
         let mut orders = Vec::new();
         for (zone, current) in targets_by_zone(service, scaling, entries) {
-            let reclaimable_key =
-                OrderKey { service: service.to_owned(), zone: zone.to_owned(), reclaimable: true };
-            let on_demand_key = OrderKey { reclaimable: false, ..reclaimable_key.clone() };
+            let reclaimable_key = order_key(service, zone, true);
+            let on_demand_key = order_key(service, zone, false);
             if current == ZoneTargets::default() && !self.placed.contains_key(&reclaimable_key) {
                 // The service does not run in this zone.
                 continue;
@@ -97,10 +104,107 @@
         orders
     }
 
+    /// Returns the orders to place now for a service, of which the demand is known.
+    pub fn plan_for_demand<'a>(
+        &mut self,
+        now: Time,
+        service: &str,
+        scaling: &Scaling,
+        entries: impl Iterator<Item = &'a TargetEntry> + Clone,
+        demand: &ServiceDemand,
+    ) -> Vec<TargetOrder> {
+        if scaling.reclaimable_price.is_none_or(|price| price > MAX_PRICE_RATIO) {
+            return Vec::new();
+        }
+        let mut current = targets_by_zone(service, scaling, entries.clone());
+        current.retain(|zone, targets| {
+            *targets != ZoneTargets::default()
+                || self.placed.contains_key(&order_key(service, zone, true))
+                || self.placed.contains_key(&order_key(service, zone, false))
+        });
+        let mut goals = self.goals.remove(service).unwrap_or_else(|| ServiceGoals::new(now));
+        let is_full = goals.update(now, service, scaling, &current, demand);
+        let orders = if is_full {
+            self.plan(now, service, scaling, entries)
+        } else {
+            self.order_goals(now, service, scaling, &current, &goals, demand)
+        };
+        self.goals.insert(service.to_owned(), goals);
+        orders
+    }
+
+    /// The goals of the services whose demand is known, by service and zone.
+    pub fn goals(&self) -> impl Iterator<Item = (&str, &str, ZoneGoal)> {
+        self.goals.iter().flat_map(|(service, goals)| {
+            goals.zones().map(move |(zone, goal)| (service.as_str(), zone, goal))
+        })
+    }
+
+    /// Returns the orders that are due to reach the goals of a service.
+    fn order_goals(
+        &mut self,
+        now: Time,
+        service: &str,
+        scaling: &Scaling,
+        current: &BTreeMap<&str, ZoneTargets>,
+        goals: &ServiceGoals,
+        demand: &ServiceDemand,
+    ) -> Vec<TargetOrder> {
+        let mut orders = Vec::new();
+        let listed: u32 = current.values().map(|zone| zone.on_demand + zone.reclaimable).sum();
+        let is_short = goals.is_short(listed);
+        for (zone, current) in current {
+            let goal = goals.zone(zone);
+            let reclaimable_key = order_key(service, zone, true);
+            let on_demand_key = order_key(service, zone, false);
+            let refused = self.placed.get(&reclaimable_key).is_some_and(|placed| placed.refused);
+            let is_unavailable = refused && current.reclaimable == 0;
+            let mut on_demand = goal.on_demand_now(current.on_demand, current.reclaimable);
+            if is_unavailable || !demand.may_return {
+                on_demand = on_demand.max(current.on_demand.min(scaling.max_targets));
+            }
+            if is_unavailable && let Some(placed) = self.placed.get(&on_demand_key) {
+                // Those that take the place of reclaimable ones may still be starting.
+                on_demand = on_demand.max(placed.count);
+            }
+            if is_unavailable && is_short {
+                let share = f64::from(scaling.max_targets) * FALLBACK_ON_DEMAND_SHARE;
+                on_demand = on_demand.max(share.ceil() as u32);
+            }
+            on_demand = self.without_small_return(&on_demand_key, on_demand, goal.on_demand);
+            let room = scaling.max_targets.saturating_sub(current.on_demand.max(on_demand));
+            let reclaimable = goal.reclaimable.min(room);
+            for (key, wanted, current) in [
+                (reclaimable_key, reclaimable, current.reclaimable),
+                (on_demand_key, on_demand, current.on_demand),
+            ] {
+                if wanted != current || self.placed.contains_key(&key) {
+                    orders.extend(self.order_if_due(now, key, wanted, current));
+                }
+            }
+        }
+        orders
+    }
+
+    /// The number of on-demand targets to order; that of the last order if few fewer are wanted
+    /// for a moment.
+    fn without_small_return(&self, key: &OrderKey, wanted: u32, goal: u32) -> u32 {
+        match self.placed.get(key) {
+            Some(placed)
+                if wanted > goal
+                    && wanted < placed.count
+                    && !goals::is_significant(placed.count - wanted, placed.count) =>
+            {
+                placed.count
+            }
+            _ => wanted,
+        }
+    }
+
     /// Records whether an order was accepted.
     pub fn record_result(&mut self, order: &TargetOrder, accepted: bool) {
         let TargetOrder { service, zone, cheap, .. } = order;
-        let key = OrderKey { service: service.clone(), zone: zone.clone(), reclaimable: *cheap };
+        let key = order_key(service, zone, *cheap);
         if let Some(placed) = self.placed.get_mut(&key) {
             placed.refused = !accepted;
         }
@@ -114,7 +218,7 @@
         reclaimable_key: &OrderKey,
     ) -> u32 {
         let share = |share: f64| (f64::from(scaling.max_targets) * share).ceil() as u32;
-        let goal = share(ON_DEMAND_SHARE).max(scaling.min_targets).max(1);
+        let goal = full_on_demand(scaling);
         let refused = self.placed.get(reclaimable_key).is_some_and(|placed| placed.refused);
         if current.reclaimable == 0 && refused {
             return goal.max(share(FALLBACK_ON_DEMAND_SHARE));
@@ -153,6 +257,16 @@
     }
 }
 
+fn order_key(service: &str, zone: &str, reclaimable: bool) -> OrderKey {
+    OrderKey { service: service.to_owned(), zone: zone.to_owned(), reclaimable }
+}
+
+/// Number of on-demand targets in a zone that is filled to its limit.
+fn full_on_demand(scaling: &Scaling) -> u32 {
+    let share = (f64::from(scaling.max_targets) * ON_DEMAND_SHARE).ceil() as u32;
+    share.max(scaling.min_targets).max(1)
+}
+
 /// Counts the targets of `service` in each zone, sorted by zone.
 fn targets_by_zone<'a, 'b>(
     service: &str,
--- /dev/null
+++ b/components/gateway/src/planner/goals.rs
@@ -0,0 +1,337 @@
+//! How many targets the lease holder wants in each zone, and when that changes.
+//!
+//! More targets are wanted at once. Fewer are wanted only after the demand has been lower for a
+//! while, in steps, and never while targets or what is known of them are in doubt. What was there
+//! when the lease was taken is kept for a while, since a new holder has seen nothing.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use chervilgate_clock::Time;
+use chervilgate_policy::demand::{
+    DemandPlan, EngineSpecs, FleetLimits, PlanReason, PlannedDemand, plan_demand,
+};
+
+use crate::{
+    config::Scaling,
+    planner::{ZoneTargets, full_on_demand},
+};
+
+/// Time from taking the lease for which no target is given back.
+const HOLD_TIME: Duration = Duration::from_secs(30);
+
+/// Time from taking the lease after which a demand that is still unknown counts as large: hosts
+/// report each 0.8 s, and the first sum takes two seconds.
+const UNKNOWN_LIMIT: Duration = Duration::from_secs(10);
+
+/// Time for which the demand must have been lower before targets are given back.
+const RETURN_DELAY: Duration = Duration::from_secs(20);
+
+/// Time between two steps, in which the work of those given back is seen at the others.
+const RETURN_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Share of all targets that one step gives back.
+const RETURN_SHARE: f64 = 0.1;
+
+/// Smallest number of targets by which an order changes, unless it is a tenth: each order is a
+/// call, and a target that leaves loses its cache.
+const MIN_CHANGE: u32 = 2;
+
+/// Highest utilization by the largest work of the targets that serve, above which on-demand
+/// targets take the place of reclaimable ones that are not available.
+const SHORT_UTILIZATION: f64 = 0.7;
+
+/// What the holder knows of the demand for a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServiceDemand {
+    /// Work of the last minute; none while too few hosts have reported.
+    pub demand: Option<PlannedDemand>,
+    /// What an engine can do.
+    pub engine: EngineSpecs,
+    /// Whether requests wait for engines now.
+    pub is_waiting: bool,
+    /// Whether targets may be given back, by what is known of the targets and the store.
+    pub may_return: bool,
+}
+
+/// Number of targets wanted in a zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ZoneGoal {
+    /// On-demand targets.
+    pub on_demand: u32,
+    /// Reclaimable targets.
+    pub reclaimable: u32,
+}
+
+/// What decided the goals.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GoalReason {
+    /// What was there when the lease was taken.
+    Kept,
+    /// The demand.
+    Demand(PlanReason),
+    /// Requests that wait.
+    Waiting,
+    /// That the demand is not known.
+    Unknown,
+}
+
+impl GoalReason {
+    /// The name in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            GoalReason::Kept => "kept",
+            GoalReason::Demand(reason) => reason.as_str(),
+            GoalReason::Waiting => "waiting",
+            GoalReason::Unknown => "unknown",
+        }
+    }
+}
+
+impl ZoneGoal {
+    fn total(self) -> u32 {
+        self.on_demand + self.reclaimable
+    }
+
+    /// Number of on-demand targets to have now: further ones are returned as reclaimable ones
+    /// replace them.
+    pub(super) fn on_demand_now(self, on_demand: u32, reclaimable: u32) -> u32 {
+        on_demand.min(self.total().saturating_sub(reclaimable)).max(self.on_demand)
+    }
+}
+
+/// Goals of one service.
+#[derive(Debug)]
+pub(super) struct ServiceGoals {
+    started_at: Time,
+    zones: BTreeMap<String, ZoneGoal>,
+    excess_since: Option<Time>,
+    returned_at: Option<Time>,
+    /// Number of busy targets by the largest work.
+    busy: f64,
+}
+
+impl ServiceGoals {
+    pub(super) fn new(now: Time) -> ServiceGoals {
+        ServiceGoals {
+            started_at: now,
+            zones: BTreeMap::new(),
+            excess_since: None,
+            returned_at: None,
+            busy: 0.0,
+        }
+    }
+
+    /// Goals by zone.
+    pub(super) fn zones(&self) -> impl Iterator<Item = (&str, ZoneGoal)> {
+        self.zones.iter().map(|(zone, goal)| (zone.as_str(), *goal))
+    }
+
+    /// The goal of a zone.
+    pub(super) fn zone(&self, zone: &str) -> ZoneGoal {
+        self.zones.get(zone).copied().unwrap_or_default()
+    }
+
+    /// Whether this number of targets is too small for the largest work.
+    pub(super) fn is_short(&self, targets: u32) -> bool {
+        self.busy > f64::from(targets) * SHORT_UTILIZATION
+    }
+
+    /// Updates the goals; returns whether zones are filled to their limits.
+    pub(super) fn update(
+        &mut self,
+        now: Time,
+        service: &str,
+        scaling: &Scaling,
+        current: &BTreeMap<&str, ZoneTargets>,
+        demand: &ServiceDemand,
+    ) -> bool {
+        let before = self.zones.clone();
+        self.keep_current(now, scaling, current);
+        let limits = FleetLimits {
+            zones: u32::try_from(current.len()).unwrap_or(u32::MAX),
+            min_targets: scaling.min_targets,
+            max_targets: scaling.max_targets,
+        };
+        let planned = demand.demand.filter(|demand| !demand.span.is_zero());
+        let plan = planned.map(|planned| {
+            self.busy = demand.engine.busy_targets(&planned.largest);
+            plan_demand(&planned, &demand.engine, limits)
+        });
+        let is_unknown = plan.is_none() && now.since(self.started_at) >= UNKNOWN_LIMIT;
+        let (is_full, reason) = match plan {
+            _ if demand.is_waiting => (true, GoalReason::Waiting),
+            Some(plan) if plan.needs_limit(limits) => (true, GoalReason::Demand(plan.reason)),
+            Some(plan) => (false, GoalReason::Demand(plan.reason)),
+            None if is_unknown => (true, GoalReason::Unknown),
+            None => (false, GoalReason::Kept),
+        };
+        if is_full {
+            self.fill(scaling);
+        } else {
+            self.exchange(scaling, plan.as_ref());
+            if let Some(plan) = &plan {
+                self.grow(scaling, plan);
+                self.give_back(now, scaling, current, plan, demand.may_return);
+            }
+        }
+        if self.zones != before {
+            self.log_change(service, &before, plan.as_ref(), reason);
+        }
+        is_full
+    }
+
+    /// Takes what there is as the goal of zones that are new, and of all while the lease is.
+    fn keep_current(
+        &mut self,
+        now: Time,
+        scaling: &Scaling,
+        current: &BTreeMap<&str, ZoneTargets>,
+    ) {
+        self.zones.retain(|zone, _| current.contains_key(zone.as_str()));
+        let is_new = now.since(self.started_at) < HOLD_TIME;
+        for (zone, targets) in current {
+            let on_demand = targets.on_demand.min(scaling.max_targets);
+            let room = scaling.max_targets - on_demand;
+            let reclaimable = targets.reclaimable.min(room);
+            let goal =
+                self.zones.entry((*zone).to_owned()).or_insert(ZoneGoal { on_demand, reclaimable });
+            if is_new {
+                // Those that the last holder ordered are still starting.
+                let room = scaling.max_targets.saturating_sub(goal.on_demand);
+                goal.reclaimable = goal.reclaimable.max(reclaimable).min(room);
+            }
+        }
+    }
+
+    /// Wants all zones filled to their limits.
+    fn fill(&mut self, scaling: &Scaling) {
+        self.excess_since = None;
+        let on_demand = full_on_demand(scaling).min(scaling.max_targets);
+        let reclaimable = scaling.max_targets - on_demand;
+        self.zones.values_mut().for_each(|goal| *goal = ZoneGoal { on_demand, reclaimable });
+    }
+
+    /// Wants reclaimable targets in the place of on-demand ones above the share that a full zone
+    /// has, so that their number stays the same.
+    fn exchange(&mut self, scaling: &Scaling, plan: Option<&DemandPlan>) {
+        let needed = plan.map_or(0, |plan| plan.on_demand);
+        let most = full_on_demand(scaling).max(needed);
+        for goal in self.zones.values_mut() {
+            let excess = goal.on_demand.saturating_sub(most);
+            goal.on_demand -= excess;
+            goal.reclaimable += excess;
+        }
+    }
+
+    fn grow(&mut self, scaling: &Scaling, plan: &DemandPlan) {
+        for goal in self.zones.values_mut() {
+            let missing = plan.on_demand.saturating_sub(goal.on_demand);
+            goal.on_demand += rounded_up(missing, goal.on_demand);
+            goal.on_demand = goal.on_demand.min(scaling.max_targets);
+            let missing = plan.targets.saturating_sub(goal.total());
+            goal.reclaimable += rounded_up(missing, goal.reclaimable);
+            goal.reclaimable = goal.reclaimable.min(scaling.max_targets - goal.on_demand);
+        }
+    }
+
+    /// Takes a step towards a plan that needs fewer targets, if it is time to.
+    fn give_back(
+        &mut self,
+        now: Time,
+        scaling: &Scaling,
+        current: &BTreeMap<&str, ZoneTargets>,
+        plan: &DemandPlan,
+        may_return: bool,
+    ) {
+        let is_excess =
+            |goal: &ZoneGoal| goal.total() > plan.targets || goal.on_demand > plan.on_demand;
+        if !self.zones.values().any(is_excess) {
+            self.excess_since = None;
+            return;
+        }
+        let since = *self.excess_since.get_or_insert(now);
+        let is_due = now.since(since) >= RETURN_DELAY
+            && now.since(self.started_at) >= HOLD_TIME
+            && self.returned_at.is_none_or(|at| now.since(at) >= RETURN_INTERVAL);
+        // After a loss of targets, all that are left are needed.
+        let listed: u32 = current.values().map(|zone| zone.on_demand + zone.reclaimable).sum();
+        let is_whole = listed >= plan.targets * u32::try_from(current.len()).unwrap_or(u32::MAX);
+        if !is_due || !may_return || !is_whole {
+            return;
+        }
+        let total: u32 = self.zones.values().map(|goal| goal.total()).sum();
+        let step = ((f64::from(total) * RETURN_SHARE) as u32).max(MIN_CHANGE);
+        if self.take_step(scaling, plan, step) {
+            self.returned_at = Some(now);
+        }
+    }
+
+    /// Lowers the goals by `step` targets, in the most expensive zones first; returns whether any
+    /// changed. On-demand targets that are not needed are exchanged once there are no others to
+    /// give back.
+    fn take_step(&mut self, scaling: &Scaling, plan: &DemandPlan, step: u32) -> bool {
+        let price = |zone: &str| scaling.zone_prices.get(zone).copied().unwrap_or_default();
+        let mut zones: Vec<(&String, &mut ZoneGoal)> = self.zones.iter_mut().collect();
+        zones.sort_by(|a, b| price(b.0).total_cmp(&price(a.0)));
+        let mut left = step;
+        for (_, goal) in &mut zones {
+            let excess = goal.total().saturating_sub(plan.targets).min(left);
+            if !is_significant(excess, goal.total()) {
+                continue;
+            }
+            let reclaimable = excess.min(goal.reclaimable);
+            goal.reclaimable -= reclaimable;
+            goal.on_demand -=
+                (excess - reclaimable).min(goal.on_demand.saturating_sub(plan.on_demand));
+            left -= excess;
+        }
+        if left < step {
+            return true;
+        }
+        for (_, goal) in &mut zones {
+            let excess = goal.on_demand.saturating_sub(plan.on_demand).min(left);
+            if !is_significant(excess, goal.on_demand) {
+                continue;
+            }
+            goal.on_demand -= excess;
+            goal.reclaimable += excess;
+            left -= excess;
+        }
+        left < step
+    }
+
+    fn log_change(
+        &self,
+        service: &str,
+        before: &BTreeMap<String, ZoneGoal>,
+        plan: Option<&DemandPlan>,
+        reason: GoalReason,
+    ) {
+        let mean = plan.map_or(0.0, |plan| plan.mean);
+        let peak = plan.map_or(0.0, |plan| plan.peak);
+        let decided = reason.as_str();
+        for (zone, goal) in &self.zones {
+            let known = before.get(zone);
+            if known == Some(goal) {
+                continue;
+            }
+            let ZoneGoal { on_demand, reclaimable } = goal;
+            let targets = known.map_or(0, |known| known.total());
+            log::info!(
+                target: "duty", service, zone, on_demand, reclaimable, before = targets, mean, peak,
+                decided;
+                "targets wanted"
+            );
+        }
+    }
+}
+
+/// Whether a change of an order by `change` is worth a call.
+pub(super) fn is_significant(change: u32, count: u32) -> bool {
+    change > 0 && (change >= MIN_CHANGE || change * 10 >= count)
+}
+
+/// The smallest change that is worth a call and not less than `missing`.
+fn rounded_up(missing: u32, count: u32) -> u32 {
+    if missing == 0 || is_significant(missing, count) { missing } else { MIN_CHANGE }
+}
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -15,6 +15,7 @@
     build_record::BuildRecord,
     counted::{CountedStore, raise_era},
     crash::CrashProbe,
+    demand::{DemandReport, MAX_REPORTED_SERVICES, ReportedDemand},
     fleet::{Fleet, SeenBuilds},
     freshness::{Freshness, Reads},
     membership::{HostEntry, Membership},
@@ -84,6 +85,8 @@
     pub(crate) meter: UsageMeter,
     /// Usage counts that other hosts sent to this one.
     pub(crate) peer_sheets: PeerSheets,
+    /// Work that hosts reported to this one while it holds the duty lease.
+    pub(crate) reported_demand: ReportedDemand,
     /// Whether this host holds the duty lease.
     pub(crate) holds_lease: bool,
     /// Address and time of the last message from the lease holder.
@@ -115,6 +118,17 @@
         }
     }
 
+    /// The work of this host's callers, for the lease holder; none if no targets are ordered.
+    pub(crate) fn demand_report(&self, now: Time, host: u32) -> Option<DemandReport> {
+        let mut services = self.view.config()?.services.values();
+        if !services.any(|service| service.scaling.is_some() && service.engine.is_some()) {
+            return None;
+        }
+        let mut services = self.fleet.work_totals(now);
+        services.truncate(MAX_REPORTED_SERVICES);
+        Some(DemandReport { host, at: now.as_micros(), services })
+    }
+
     /// Which versions may have begun a stream of `service`, by a list of targets that is not old.
     pub(crate) fn seen_builds(&self, now: Time, service: &str, drain_time: Duration) -> SeenBuilds {
         if !self.is_target_list_current(now, drain_time) {
@@ -169,6 +183,7 @@
             membership: Membership::new(&settings.name),
             meter: UsageMeter::new(boot),
             peer_sheets: PeerSheets::default(),
+            reported_demand: ReportedDemand::default(),
             holds_lease: false,
             holder: None,
             poison: PoisonGuard::default(),
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -139,7 +139,10 @@
                     Failure::Expired
                 });
             }
-            let Some(plan) = self.shared.state().fleet.place(now, &self.query()) else {
+            let plan = self.shared.state().fleet.place(now, &self.query());
+            let Some(plan) = plan else {
+                let (service, prompt) = (&self.call.service, &self.call.ask.prompt);
+                self.shared.state().fleet.record_unplaced(service, prompt);
                 return Err(self.attempts.no_target_failure(
                     &self.shared,
                     now,
@@ -147,7 +150,10 @@
                     self.build,
                 ));
             };
-            check_deadline(now, self.call.deadline, &self.attempts, plan.predicted_time())?;
+            check_deadline(now, self.call.deadline, &self.attempts, plan.predicted_time())
+                .inspect_err(|_| {
+                    self.shared.state().fleet.record_refused(&self.call.service, &plan);
+                })?;
             let (export, placement) = self.prefill(plan).await?;
             let (shared, call) = (self.shared.clone(), self.call.clone());
             let mut in_flight = InFlight::new(&shared, placement, &call);
--- /dev/null
+++ b/components/gateway/tests/demand.rs
@@ -0,0 +1,379 @@
+//! Tests of the work that hosts report, and of target orders by demand, without a network.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use chervilgate_clients::TargetOrder;
+use chervilgate_clock::Time;
+use chervilgate_gateway::{
+    Prompt,
+    config::Scaling,
+    demand::{DemandReport, ReportedDemand, WorkTotals},
+    fleet::{AttemptOutcome, Build, Fleet, TargetEntry, TargetQuery, TargetRole},
+    planner::{OrderPlanner, ServiceDemand},
+};
+use chervilgate_policy::demand::{EngineSpecs, PlannedDemand, Work};
+use proptest::{collection::vec, prelude::*};
+
+const ZONES: [(&str, f64); 3] = [("a", 1.0), ("b", 0.8), ("c", 1.25)];
+
+const MAX_TARGETS: u32 = 60;
+
+fn scaling() -> Scaling {
+    Scaling {
+        min_targets: 1,
+        max_targets: MAX_TARGETS,
+        boot_time: Duration::from_secs(4),
+        reclaimable_price: Some(0.22),
+        zone_prices: ZONES.iter().map(|(zone, price)| ((*zone).to_owned(), *price)).collect(),
+    }
+}
+
+fn entry(n: u32, zone: &str, reclaimable: bool, role: TargetRole) -> TargetEntry {
+    TargetEntry {
+        id: format!("{zone}{n}").into(),
+        service: "llm".into(),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        zone: zone.into(),
+        slots: 32,
+        draining: false,
+        role,
+        build: Build::default(),
+        incarnation: 1,
+        sequence: 0,
+        reclaimable,
+    }
+}
+
+/// Demand that keeps this many of all engines busy, of which a third are prefill engines.
+fn demand(mean: f64, largest: f64) -> ServiceDemand {
+    let work = |busy: f64| Work {
+        prefill_ms: busy * 1e3 * 0.35,
+        decode_ms: busy * 1e3 * 0.65,
+        prompts: 200.0,
+        ..Work::default()
+    };
+    let engine = EngineSpecs {
+        prefill_factor: 1.0,
+        decode_factor: 1.0,
+        prefill_share: 0.35,
+        slots: 32,
+        kv_tokens: 970_477,
+        latency_target: Duration::from_millis(250),
+    };
+    let demand =
+        PlannedDemand { mean: work(mean), largest: work(largest), span: Duration::from_secs(60) };
+    ServiceDemand { demand: Some(demand), engine, is_waiting: false, may_return: true }
+}
+
+/// A platform that carries out orders: targets start after the boot time, and leave at once.
+struct Platform {
+    planner: OrderPlanner,
+    now: u64,
+    /// Targets by zone and kind, with those that are starting.
+    targets: BTreeMap<(&'static str, bool), Vec<u64>>,
+    /// Zone in which no reclaimable targets are available.
+    unavailable: Option<&'static str>,
+    next: u32,
+    orders: usize,
+}
+
+impl Platform {
+    fn new(on_demand: usize, reclaimable: usize) -> Platform {
+        let kinds = [(false, on_demand), (true, reclaimable)];
+        let targets = ZONES
+            .iter()
+            .flat_map(|(zone, _)| kinds.map(|(kind, count)| ((*zone, kind), vec![0; count])));
+        Platform {
+            planner: OrderPlanner::new(),
+            now: 100_000,
+            targets: targets.collect(),
+            unavailable: None,
+            next: 0,
+            orders: 0,
+        }
+    }
+
+    fn serving(&self, zone: &'static str, reclaimable: bool) -> u32 {
+        let ready = self.targets[&(zone, reclaimable)].iter().filter(|ready| **ready <= self.now);
+        ready.count() as u32
+    }
+
+    fn total(&self) -> u32 {
+        let zones = ZONES.iter().map(|(zone, _)| *zone);
+        zones.map(|zone| self.serving(zone, false) + self.serving(zone, true)).sum()
+    }
+
+    /// Number of targets wanted in all zones.
+    fn wanted(&self) -> u32 {
+        self.planner.goals().map(|(_, _, goal)| goal.on_demand + goal.reclaimable).sum()
+    }
+
+    fn step(&mut self, demand: &ServiceDemand) -> Vec<TargetOrder> {
+        self.now += 500;
+        let mut entries = Vec::new();
+        for (zone, _) in ZONES {
+            for reclaimable in [false, true] {
+                for _ in 0..self.serving(zone, reclaimable) {
+                    self.next += 1;
+                    entries.push(entry(self.next, zone, reclaimable, TargetRole::Decode));
+                }
+            }
+        }
+        let now = Time::from_millis(self.now);
+        let orders = self.planner.plan_for_demand(now, "llm", &scaling(), entries.iter(), demand);
+        for order in &orders {
+            let zone = ZONES.iter().find(|(zone, _)| *zone == order.zone).unwrap().0;
+            let accepted = !(order.cheap && self.unavailable == Some(zone));
+            if accepted {
+                let targets = self.targets.get_mut(&(zone, order.cheap)).unwrap();
+                targets.resize(order.count as usize, self.now + 4_000);
+            }
+            self.planner.record_result(order, accepted);
+        }
+        self.orders += orders.len();
+        orders
+    }
+
+    fn run(&mut self, secs: u64, demand: &ServiceDemand) {
+        (0..secs * 2).for_each(|_| {
+            self.step(demand);
+        });
+    }
+
+    fn reclaim(&mut self, zone: &'static str) {
+        self.targets.get_mut(&(zone, true)).unwrap().clear();
+    }
+}
+
+// Guards against paying for idle targets: 180 were ordered all day where some 13 were busy.
+#[test]
+fn a_calm_day_needs_a_part_of_the_limit() {
+    let mut platform = Platform::new(30, 0);
+
+    platform.run(240, &demand(8.0, 12.0));
+
+    assert!(platform.total() < 90, "{}", platform.total());
+    assert!(ZONES.iter().all(|(zone, _)| platform.serving(zone, true) > 0));
+    let before = platform.orders;
+    platform.run(60, &demand(8.0, 12.0));
+    assert_eq!(platform.orders, before);
+}
+
+#[test]
+fn a_new_holder_gives_nothing_back() {
+    let mut platform = Platform::new(20, 20);
+
+    platform.run(29, &demand(1.0, 1.0));
+
+    assert_eq!(platform.total(), 120);
+}
+
+// Guards against a holder that has heard nothing yet and cuts what the holder before ordered.
+#[test]
+fn a_new_holder_keeps_what_is_still_starting() {
+    let mut platform = Platform::new(18, 10);
+    for (zone, _) in ZONES {
+        platform.targets.get_mut(&(zone, true)).unwrap().extend([102_500; 10]);
+    }
+    let unknown = ServiceDemand { demand: None, ..demand(0.0, 0.0) };
+
+    platform.run(8, &unknown);
+
+    assert_eq!(platform.total(), 114);
+}
+
+#[test]
+fn a_demand_that_stays_unknown_fills_the_zones() {
+    let mut platform = Platform::new(18, 10);
+
+    platform.run(30, &ServiceDemand { demand: None, ..demand(0.0, 0.0) });
+
+    assert_eq!(platform.total(), 3 * MAX_TARGETS);
+}
+
+#[test]
+fn requests_that_wait_fill_the_zones_at_once() {
+    let mut platform = Platform::new(18, 10);
+
+    platform.run(6, &ServiceDemand { is_waiting: true, ..demand(1.0, 1.0) });
+
+    assert_eq!(platform.total(), 3 * MAX_TARGETS);
+}
+
+#[test]
+fn nothing_is_given_back_in_doubt() {
+    let mut platform = Platform::new(18, 42);
+
+    platform.run(120, &ServiceDemand { may_return: false, ..demand(1.0, 1.0) });
+
+    assert_eq!(platform.total(), 3 * MAX_TARGETS);
+}
+
+#[test]
+fn targets_are_given_back_in_steps_where_they_cost_most() {
+    let mut platform = Platform::new(18, 42);
+    platform.run(60, &demand(32.0, 40.0));
+    let before = platform.total();
+
+    let lower = demand(8.0, 12.0);
+    let mut steps = Vec::new();
+    for _ in 0..120 {
+        let orders = platform.step(&lower);
+        let returned: Vec<_> = orders.into_iter().map(|order| order.zone).collect();
+        if !returned.is_empty() {
+            steps.push((platform.now, returned, platform.total()));
+        }
+    }
+
+    assert_eq!(before, 180);
+    assert_eq!(steps[0].1, ["c"]);
+    assert_eq!(steps[0].2, 162);
+    assert!(steps.windows(2).all(|pair| pair[1].0 - pair[0].0 >= 5_000));
+}
+
+#[test]
+fn on_demand_targets_stand_in_where_the_rest_is_too_few() {
+    let mut platform = Platform::new(18, 42);
+    platform.run(240, &demand(8.0, 12.0));
+    let demand = demand(8.0, 60.0);
+
+    platform.unavailable = Some("a");
+    platform.reclaim("a");
+    platform.run(10, &demand);
+
+    assert!(platform.serving("a", false) >= 30, "{}", platform.serving("a", false));
+}
+
+// Guards against on-demand targets that come and go while no reclaimable ones are available.
+#[test]
+fn a_zone_without_reclaimable_targets_settles() {
+    let mut platform = Platform::new(18, 42);
+    platform.run(240, &demand(8.0, 12.0));
+    platform.unavailable = Some("a");
+    platform.reclaim("a");
+    platform.run(30, &demand(8.0, 12.0));
+
+    let mut counts = Vec::new();
+    for _ in 0..60 {
+        platform.step(&demand(8.0, 12.0));
+        counts.push(platform.total());
+    }
+
+    assert!(counts.windows(2).all(|pair| pair[0] == pair[1]), "{counts:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    // Whatever the load does, orders stay within the limit, goals carry the demand as soon as it
+    // is seen, and nothing is ordered again and again while it does not change.
+    #[test]
+    fn orders_follow_any_load(
+        loads in vec((0.0f64..40.0, 1.0f64..3.0, 5u64..60, any::<bool>()), 1..8),
+        on_demand in 1usize..30,
+    ) {
+        let mut platform = Platform::new(on_demand, 0);
+        let mut last = demand(0.0, 0.0);
+        for (mean, burst, secs, may_return) in loads {
+            last = ServiceDemand { may_return, ..demand(mean, mean * burst) };
+            for _ in 0..secs * 2 {
+                let orders = platform.step(&last);
+                prop_assert!(orders.iter().all(|order| order.count <= MAX_TARGETS));
+                let needed = (mean * burst.max(2.0) / 0.35).ceil() as u32;
+                prop_assert!(platform.wanted() >= needed.min(3 * MAX_TARGETS));
+                for (_, _, goal) in platform.planner.goals() {
+                    prop_assert!(goal.on_demand + goal.reclaimable <= MAX_TARGETS);
+                    prop_assert!(goal.on_demand >= 1);
+                }
+            }
+        }
+        let last = ServiceDemand { may_return: true, ..last };
+        platform.run(400, &last);
+        let before = platform.orders;
+        platform.run(60, &last);
+        prop_assert_eq!(platform.orders, before);
+    }
+}
+
+fn totals(prefill_ms: u64, prompts: u64) -> WorkTotals {
+    WorkTotals { service: 0, prefill_us: prefill_ms * 1_000, prompts, ..WorkTotals::default() }
+}
+
+fn service(fleet: &Fleet) -> u32 {
+    fleet.work_totals(Time::ZERO)[0].service
+}
+
+fn report(host: u32, millis: u64, totals: WorkTotals) -> DemandReport {
+    DemandReport { host, at: millis * 1_000, services: vec![totals] }
+}
+
+fn prompt(tokens: u32, max_output: u32) -> Prompt {
+    Prompt { tokens, max_output, parts: Default::default() }
+}
+
+fn fleet(role: TargetRole) -> Fleet {
+    let mut fleet = Fleet::new("a", Duration::from_secs(2));
+    fleet.upsert(Time::ZERO, entry(1, "a", false, role));
+    fleet
+}
+
+fn query(prompt: &Prompt) -> TargetQuery<'_> {
+    TargetQuery { service: "llm", prompt, exclude: &[], build: None, max_pause: None }
+}
+
+#[test]
+fn work_is_measured_by_what_was_placed_and_refused() {
+    let (mut fleet, prompt) = (fleet(TargetRole::Decode), prompt(6_000, 100));
+    let now = Time::from_secs(1);
+    let plan = fleet.place(now, &query(&prompt)).unwrap();
+    let attempt = fleet.start(now, &plan.placement, &prompt);
+    fleet.record_refused("llm", &plan);
+    let later = now + Duration::from_millis(500);
+    let open = fleet.work_totals(later)[0];
+    fleet.finish(later, &plan.placement, attempt, AttemptOutcome::Answered);
+
+    let ended = fleet.work_totals(now + Duration::from_secs(9))[0];
+
+    assert_eq!((ended.prompts, ended.waiting), (2, 1));
+    assert_eq!(ended.decode_us, (plan.placement.prefill_ms * 2e3) as u64);
+    assert_eq!((ended.stream_ms, ended.decode_tokens), (500, 3_050));
+    assert_eq!(open, ended);
+}
+
+// Guards against a burst that is missed: a lost report must only delay what it told.
+#[test]
+fn a_lost_report_is_made_up_for_by_the_next() {
+    let mut reported = ReportedDemand::default();
+    let fleet = &mut fleet(TargetRole::Decode);
+    fleet.record_wait("llm");
+    let id = service(fleet);
+    let totals = |ms| WorkTotals { service: id, ..totals(ms, 1) };
+    reported.record(Time::from_millis(0), &report(1, 500, totals(0)));
+    reported.record(Time::from_millis(1_600), &report(1, 2_100, totals(3_200)));
+
+    let rate = reported.rate(Time::from_millis(1_700), "llm", 1).unwrap();
+
+    assert!((rate.prefill_ms - 2_000.0).abs() < 1.0);
+}
+
+#[test]
+fn hosts_that_do_not_report_are_estimated() {
+    let mut reported = ReportedDemand::default();
+    let fleet = &mut fleet(TargetRole::Decode);
+    fleet.record_wait("llm");
+    let id = service(fleet);
+    let totals = |ms| WorkTotals { service: id, ..totals(ms, 1) };
+    for host in [1, 2] {
+        reported.record(Time::from_millis(0), &report(host, 0, totals(0)));
+        reported.record(Time::from_millis(1_000), &report(host, 1_000, totals(1_000)));
+    }
+
+    let rate = |millis, alive| {
+        reported.rate(Time::from_millis(millis), "llm", alive).map(|work| work.prefill_ms as u64)
+    };
+
+    assert_eq!(rate(1_100, 2), Some(2_000));
+    assert_eq!(rate(1_100, 3), Some(3_000));
+    assert_eq!(rate(1_100, 5), None);
+    assert_eq!(rate(4_100, 2), None);
+}
--- a/components/policy/src/demand.rs
+++ b/components/policy/src/demand.rs
@@ -31,7 +31,7 @@
     pub prefill_tokens: f64,
     /// KV tokens held at decode engines, in token-seconds.
     pub decode_tokens: f64,
-    /// Prompts placed or refused.
+    /// Prompts to compute, placed or refused.
     pub prompts: f64,
     /// Prompts among them that were refused, or had to wait for long.
     pub waiting: f64,
--- a/components/policy/src/demand/history.rs
+++ b/components/policy/src/demand/history.rs
@@ -71,6 +71,11 @@
         self.mean_of(samples.ceil() as usize)
     }
 
+    /// Time since the last observation; none without any.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.observed_at.map(|at| now.since(at))
+    }
+
     /// Time that was seen.
     pub fn span(&self) -> Duration {
         SAMPLE_TIME * u32::try_from(self.samples.len()).unwrap_or(u32::MAX)
--- a/components/policy/src/speed.rs
+++ b/components/policy/src/speed.rs
@@ -30,6 +30,10 @@
 /// Number of observations that the group's factor counts as for one target.
 const GROUP_WEIGHT: u32 = 3;
 
+/// Number of observations of all hosts from which a group's factor is learned: several times the
+/// reference's weight.
+const LEARNED_OBSERVATIONS: u32 = 16;
+
 /// Bounds of an observed factor; one outside of them says more about the observation than
 /// about the target.
 const FACTOR_BOUNDS: (f64, f64) = (0.05, 20.0);
@@ -114,6 +118,14 @@
         self.factor
     }
 
+    /// Whether enough was seen by all hosts for the factor to be more than the reference.
+    pub fn is_learned(&self, now: Time) -> bool {
+        let own = self.own.recent(now).count();
+        let peers = self.peers.values().filter(|(at, _)| now.since(*at) < MAX_AGE);
+        let peers: u32 = peers.map(|(_, report)| u32::from(report.samples)).sum();
+        u32::try_from(own).unwrap_or(u32::MAX).saturating_add(peers) >= LEARNED_OBSERVATIONS
+    }
+
     /// Computes the factor again if it is time to; returns whether it did.
     pub fn update(&mut self, now: Time) -> bool {
         if self.updated.is_some_and(|at| now.since(at) < UPDATE_INTERVAL) {
