Import prompt prefixes from engines that hold them

A shared prefix was computed again wherever it was not cached. A placement may now name a source of the same software version, from which the target fetches the prefix; the source is checked again right before the send. The advantage counts by the share of recent imports that succeeded.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -116,9 +116,10 @@
         let Placement { id: target, zone, compute_tokens: compute, prefill_ms, wait_ms, .. } =
             &self.placement;
         let (tokens, build) = (call.ask.prompt.tokens, &self.placement.build.name);
+        let (import, moved) = self.placement.import_fields();
         log::info!(
             target: "gateway", id = call.ask.id, target, zone, wait = *wait_ms as u64,
-            read = *prefill_ms as u64, compute, tokens, export, build, config = call.config_version;
+            read = *prefill_ms as u64, compute, tokens, export, import, moved, build, config = call.config_version;
             "placed"
         );
     }
@@ -196,7 +197,7 @@
     last_event: Option<u64>,
 ) -> SendOutcome {
     let now = shared.now();
-    {
+    let import = {
         let mut state = shared.state();
         // All may have changed while the prompt was computed elsewhere.
         if let Some(verdict) = state.poison.verdict(now, call.fingerprint, &call.parts) {
@@ -205,6 +206,10 @@
         if let Err(hold) = state.fleet.clear_to_send(now, &in_flight.placement) {
             return SendOutcome::NotRun(NotRunReason::Held(hold));
         }
+        state.fleet.clear_to_import(now, &in_flight.placement, in_flight.attempt)
+    };
+    if in_flight.placement.import.is_some() {
+        shared.metrics.count_import(if import.is_some() { "sent" } else { "dropped" });
     }
     let time_left = call.deadline.since(now);
     let forwarded = ForwardedRequest {
@@ -214,6 +219,7 @@
         priority: (!call.ask.prompt.parts.is_empty()).then_some(call.priority),
         stage,
         last_event,
+        import,
     };
     let mut request = Request::new(call.body.clone());
     *request.method_mut() = call.method.clone();
--- a/components/gateway/src/config.rs
+++ b/components/gateway/src/config.rs
@@ -82,6 +82,26 @@
     pub export_ttl: Duration,
     /// Time to switch between prefill and decode.
     pub role_change: Duration,
+    /// How its engines import prompt prefixes from each other; none if they do not.
+    pub imports: Option<ImportTerms>,
+    /// Tokens in an event of a stream; none if unspecified.
+    pub event_tokens: Option<u32>,
+}
+
+/// What a transfer of a prompt prefix between engines moves, and how fast.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ImportTerms {
+    /// Size of the KV cache of a token.
+    pub kv_bytes: f64,
+    /// Speed of an engine's link in Mbit/s.
+    pub link_mbps: f64,
+}
+
+impl ImportTerms {
+    /// Time to move the KV cache of one token, in milliseconds.
+    pub fn token_ms(&self) -> f64 {
+        self.kv_bytes * 8.0 / (self.link_mbps * 1e3)
+    }
 }
 
 /// Limits and prices for ordering the targets of a service, per zone.
@@ -172,6 +192,14 @@
         Config { version, routes: by_host, services, keys, limits, max_pauses }
     }
 
+    /// The services whose engines import prompt prefixes from each other.
+    pub fn import_terms(&self) -> HashMap<Arc<str>, ImportTerms> {
+        let services = self.services.iter();
+        let terms = services
+            .filter_map(|(name, service)| Some((name.clone(), service.engine.as_ref()?.imports?)));
+        terms.collect()
+    }
+
     /// Longest pause with which any stream of `service` is on time; none if unspecified.
     pub fn max_pause(&self, service: &str) -> Option<Duration> {
         self.max_pauses.get(service).copied()
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -12,6 +12,7 @@
 mod ends;
 mod entry;
 mod health;
+mod imports;
 mod limits;
 mod pauses;
 mod peer_loads;
@@ -37,11 +38,12 @@
     fleet::{
         builds::GoneBuilds,
         departures::{Departure, Departures},
+        imports::Imports,
         limits::Limits,
         pauses::PauseMeter,
         peer_loads::PeerLoads,
         rests::Rests,
-        target::{Observation, TargetState},
+        target::{Observation, Seen, TargetState},
     },
     protocol::Prompt,
 };
@@ -50,6 +52,7 @@
     builds::{Build, BuildId, STREAM_LIFE, SeenBuilds, ServiceBuild},
     ends::EndNotice,
     entry::{TargetCounts, TargetEntry, TargetRole},
+    imports::Import,
     limits::LimitNotice,
     peer_loads::InFlightWork,
     plan::{Placement, Plan, TargetQuery},
@@ -116,6 +119,7 @@
     /// Speeds by group, which [`TargetState::group`] identifies.
     speeds: HashMap<u32, GroupSpeed>,
     pauses: PauseMeter,
+    imports: Imports,
 }
 
 /// What a host has seen of the speed of a group of targets.
@@ -152,6 +156,7 @@
             last_attempt: 0,
             speeds: HashMap::new(),
             pauses: PauseMeter::default(),
+            imports: Imports::default(),
         }
     }
 
@@ -367,6 +372,7 @@
     pub fn start(&mut self, now: Time, placement: &Placement, prompt: &Prompt) -> AttemptId {
         self.last_attempt += 1;
         let attempt = AttemptId(self.last_attempt);
+        self.start_import(now, placement);
         if let Some(state) = self.targets.get_mut(&placement.id) {
             state.start(now, attempt, placement, prompt);
             let target = state.id_hash;
@@ -381,7 +387,13 @@
     /// Returns whether it was not marked before.
     pub fn mark_computed(&mut self, now: Time, placement: &Placement, attempt: AttemptId) -> bool {
         let Some(state) = self.targets.get_mut(&placement.id) else { return false };
-        let Some(observation) = state.mark_computed(now, attempt, placement) else { return false };
+        let Some(Seen { observation, imported }) = state.mark_computed(now, attempt, placement)
+        else {
+            return false;
+        };
+        if let Some(hit) = imported {
+            self.imports.record(now, hit);
+        }
         if let Some(Observation { reference, seen }) = observation {
             state.speed.record(now, reference, seen);
             self.speeds.entry(state.group).or_default().record(now, reference, seen);
--- a/components/gateway/src/fleet/limits.rs
+++ b/components/gateway/src/fleet/limits.rs
@@ -183,6 +183,15 @@
         limit.is_some_and(|limit| limit.rate.is_some() && now.since(limit.stated_at) >= DOUBT_TIME)
     }
 
+    /// Whether the target has a limit.
+    pub(super) fn has_limit(&self, id: &Arc<str>, incarnation: u64) -> bool {
+        if self.limits.is_empty() {
+            return false;
+        }
+        let limit = self.limits.get(&(id.clone(), incarnation));
+        limit.is_some_and(|limit| limit.rate.is_some())
+    }
+
     /// Counts a request against the target's limit; returns false if this host may send none.
     pub(super) fn try_take(&mut self, now: Time, id: &Arc<str>, incarnation: u64) -> bool {
         let Some(limit) = self.limits.get_mut(&(id.clone(), incarnation)) else { return true };
--- a/components/gateway/src/fleet/placing.rs
+++ b/components/gateway/src/fleet/placing.rs
@@ -159,6 +159,8 @@
             rank if rank == second => SECOND_RANK_HIT_RATE,
             _ => 0.0,
         };
+        let sources = self.import_sources(now, query, ranked.iter().map(|(state, _)| *state));
+        let import_hit_rate = self.imports.hit_rate(now);
         let eligible = ranked.into_iter().filter(|(state, _)| {
             has_role(state.entry.role) && !query.exclude.contains(&state.entry.id)
         });
@@ -167,22 +169,43 @@
             let missing = state.uncached_tokens(query.prompt, hit_rate);
             let zone_cost = if state.entry.zone == self.zone { 0.0 } else { CROSS_ZONE_COST_MS };
             let failing = FAILURE_COST_MS * state.health.rate(now) + self.peer_failure_cost(state);
-            let prefill_cost = state.prefill_time_ms(missing.shared, query.prompt.tokens)
-                * RECOMPUTE_WEIGHT
-                + state.prefill_time_ms(missing.own, query.prompt.tokens)
-                + self.late_streams_cost(now, state, missing, query);
+            let prefill_cost = |missing: UncachedTokens| {
+                state.prefill_time_ms(missing.shared, query.prompt.tokens) * RECOMPUTE_WEIGHT
+                    + state.prefill_time_ms(missing.own, query.prompt.tokens)
+                    + self.late_streams_cost(now, state, missing, query)
+            };
+            let computed_cost = prefill_cost(missing);
+            let offer = (!sources.is_empty() && missing.shared > 0)
+                .then(|| state.cached_shared_tokens(query.prompt))
+                .and_then(|cached| self.import_offer(now, query.service, state, cached, &sources));
+            let import = offer.and_then(|offer| {
+                // Neither what is cached unknown to the hosts nor what does not arrive is saved.
+                let saved = f64::from(offer.tokens) * (1.0 - hit_rate) * import_hit_rate;
+                let shared = missing.shared.saturating_sub(saved as u32);
+                let rest = UncachedTokens { shared, ..missing };
+                let cost = prefill_cost(rest) + offer.time_ms + offer.price_ms;
+                (cost < computed_cost).then_some((offer, rest, cost))
+            });
+            let prefill_cost = import.as_ref().map_or(computed_cost, |(_, _, cost)| *cost);
             let entry = &state.entry;
             // One answer shows it.
             let is_in_doubt =
                 state.in_flight == 0 && self.limits.is_in_doubt(now, &entry.id, entry.incarnation);
             let bonus = if is_in_doubt { DOUBT_BONUS_MS } else { 0.0 };
             let cost = self.expected_wait(now, state) + prefill_cost + zone_cost + failing - bonus;
-            let cache_is_known = missing.shared == 0 || hit_rate == 0.0;
-            (state, rank, (missing, cache_is_known), cost)
+            let cache_is_known = import.is_none() && (missing.shared == 0 || hit_rate == 0.0);
+            (state, rank, (missing, cache_is_known, import), cost)
         });
-        let (state, _, (missing, cache_is_known), cost_ms) =
+        let (state, _, (computed, cache_is_known, import), cost_ms) =
             candidates.min_by(|a, b| a.3.total_cmp(&b.3).then_with(|| b.1.total_cmp(&a.1)))?;
+        let missing = import.as_ref().map_or(computed, |(_, rest, _)| *rest);
+        let import_ms = import.as_ref().map_or(0.0, |(offer, ..)| offer.time_ms);
         let compute_tokens = missing.shared.saturating_add(missing.own);
+        let prefill_ms = state.prefill_time_ms(compute_tokens, query.prompt.tokens);
+        let import = import.map(|(offer, ..)| {
+            let all = computed.shared.saturating_add(computed.own);
+            offer.import(state.prefill_time_ms(all, query.prompt.tokens) - prefill_ms)
+        });
         Some(Placement {
             id: state.entry.id.clone(),
             addr: state.entry.addr,
@@ -190,10 +213,11 @@
             incarnation: state.entry.incarnation,
             build: state.build(now),
             compute_tokens,
-            prefill_ms: state.prefill_time_ms(compute_tokens, query.prompt.tokens),
-            wait_ms: self.expected_wait(now, state),
+            prefill_ms,
+            wait_ms: self.expected_wait(now, state) + import_ms,
             cost_ms,
             cache_is_known,
+            import,
         })
     }
 }
--- a/components/gateway/src/fleet/plan.rs
+++ b/components/gateway/src/fleet/plan.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
-    fleet::{Build, BuildId},
+    fleet::{Build, BuildId, Import},
     protocol::Prompt,
 };
 
@@ -43,12 +43,14 @@
     pub compute_tokens: u32,
     /// Predicted time to compute them.
     pub prefill_ms: f64,
-    /// Predicted queueing time.
+    /// Predicted time before that: queueing, and an import.
     pub wait_ms: f64,
     /// Predicted total cost, by which targets are compared.
     pub cost_ms: f64,
     /// Whether it is known which parts of the prompt are cached there.
     pub cache_is_known: bool,
+    /// What the target fetches from another engine first; none if nothing.
+    pub import: Option<Import>,
 }
 
 /// The targets that run a request.
@@ -74,6 +76,12 @@
         Duration::from_secs_f64((self.wait_ms + self.prefill_ms).max(0.0) / 1e3)
     }
 
+    /// The source of the import and the number of tokens to move, for log lines.
+    pub(crate) fn import_fields(&self) -> (Option<&str>, u32) {
+        let import = self.import.as_ref();
+        (import.map(|import| &*import.source), import.map_or(0, |import| import.tokens))
+    }
+
     /// Whether the prefill takes so long that all hosts are told at once.
     pub fn has_long_prefill(&self) -> bool {
         self.prefill_ms >= LONG_PREFILL_MS
--- a/components/gateway/src/fleet/target.rs
+++ b/components/gateway/src/fleet/target.rs
@@ -92,6 +92,8 @@
     avoided_until: Option<Time>,
     /// Time until which it is kept without an entry in the store; none if it has one.
     pub(super) expires_at: Option<Time>,
+    /// When the transfers of prompt prefixes end that this host started from or to it.
+    pub(super) link_free_at: Time,
     /// That the start which its entry is of has ended; none if it may run.
     pub(super) end: Option<TargetEnd>,
 }
@@ -107,6 +109,17 @@
     reference: Option<Duration>,
     /// Time predicted for what comes before and beside that.
     overhead: Duration,
+    /// Longest time beside that with which an import succeeded; none if that does not show.
+    import_time: Option<Duration>,
+}
+
+/// What the first token of a request says.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Seen {
+    /// Of the target's speed; none if nothing.
+    pub(super) observation: Option<Observation>,
+    /// Whether the imported prefix arrived; none if unclear.
+    pub(super) imported: Option<bool>,
 }
 
 /// Time that a response took, and the time that the reference target takes for it.
@@ -140,6 +153,7 @@
             speed_factor: 1.0,
             avoided_until: None,
             expires_at: None,
+            link_free_at: now,
             end: None,
             entry,
         }
@@ -192,6 +206,7 @@
             due: now + placement.predicted_time() * 2 + OVERDUE_GRACE,
             reference: self.reference_time(placement),
             overhead: millis(placement.wait_ms + RESPONSE_OVERHEAD_MS),
+            import_time: import_time(placement),
         });
         for part in &prompt.parts {
             self.record_part(now, part.id);
@@ -233,12 +248,35 @@
         now: Time,
         attempt: AttemptId,
         placement: &Placement,
-    ) -> Option<Option<Observation>> {
+    ) -> Option<Seen> {
         let at = self.unanswered.iter().position(|known| known.attempt == attempt)?;
         let known = self.unanswered.remove(at);
         self.pending_ms = (self.pending_ms - placement.prefill_ms).max(0.0);
         let seen = now.since(known.started_at).saturating_sub(known.overhead);
-        Some(known.reference.map(|reference| Observation { reference, seen }))
+        Some(Seen {
+            observation: known.reference.map(|reference| Observation { reference, seen }),
+            imported: known.import_time.map(|limit| seen <= limit),
+        })
+    }
+
+    /// Records that a request was sent without the import that was planned.
+    pub(super) fn cancel_import(&mut self, attempt: AttemptId) {
+        let known = self.unanswered.iter_mut().find(|known| known.attempt == attempt);
+        if let Some(known) = known {
+            known.import_time = None;
+        }
+    }
+
+    /// Predicted time until its link is free, in milliseconds.
+    pub(super) fn link_wait_ms(&self, now: Time) -> f64 {
+        self.link_free_at.since(now).as_secs_f64() * 1e3
+    }
+
+    /// Tokens of the leading shared parts that are cached.
+    pub(super) fn cached_shared_tokens(&self, prompt: &Prompt) -> u32 {
+        let parts = prompt.shared_parts().iter();
+        let cached = parts.take_while(|part| self.cached_parts.contains_key(&part.id));
+        cached.fold(0, |sum, part| part.tokens.saturating_add(sum))
     }
 
     /// Removes a request in flight and records its outcome.
@@ -325,6 +363,14 @@
     }
 }
 
+/// Longest time to the first token with which an import succeeded: halfway to that with the prefix
+/// computed. None if the wait hides the difference.
+fn import_time(placement: &Placement) -> Option<Duration> {
+    let saved_ms = placement.import.as_ref()?.saved_ms;
+    let is_clear = saved_ms >= MIN_LEARNED_MS && placement.wait_ms <= saved_ms;
+    is_clear.then(|| millis(placement.prefill_ms + saved_ms / 2.0))
+}
+
 fn millis(millis: f64) -> Duration {
     Duration::from_secs_f64(millis.max(0.0) / 1e3)
 }
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -74,6 +74,7 @@
     registry: Registry,
     requests: Family<EndLabel, Counter>,
     retries: Family<KindLabel, Counter>,
+    imports: Family<KindLabel, Counter>,
     target_answers: Family<KindLabel, Counter>,
     response_times: Histogram,
     first_event_times: Histogram,
@@ -109,6 +110,7 @@
             registry: Registry::with_prefix("chervilgate"),
             requests: Family::default(),
             retries: Family::default(),
+            imports: Family::default(),
             target_answers: Family::default(),
             response_times: times(),
             first_event_times: times(),
@@ -138,6 +140,7 @@
         let registry = &mut self.registry;
         registry.register("requests", "Requests by how they ended", self.requests.clone());
         registry.register("retries", "Further attempts by kind", self.retries.clone());
+        registry.register("imports", "Imports of prompt prefixes by kind", self.imports.clone());
         registry.register(
             "target_answers",
             "Targets' answers by kind",
@@ -194,6 +197,11 @@
         self.retries.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts an import of a prompt prefix: sent, or dropped since its source may not be used.
+    pub(crate) fn count_import(&self, kind: &'static str) {
+        self.imports.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts a target's answer by its kind.
     pub(crate) fn count_answer(&self, kind: &'static str) {
         self.target_answers.get_or_create(&KindLabel { kind }).inc();
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -99,6 +99,9 @@
     pub stage: RequestStage<'a>,
     /// Id of the last event that the caller received.
     pub last_event: Option<u64>,
+    /// Engine from which the target fetches what that one has cached of the prompt; none if it
+    /// computes what it lacks.
+    pub import: Option<SocketAddr>,
 }
 
 /// What a target states in a response of the requests a second that it takes from all hosts
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -223,10 +223,11 @@
             return Ok((None, placement.unwrap_or(plan.placement)));
         }
         self.prefills += 1;
+        let (import, moved) = placement.import_fields();
         log::info!(
             target: "gateway", id = self.call.ask.id, target = placement.id, zone = placement.zone,
             wait = placement.wait_ms as u64, read = placement.prefill_ms as u64,
-            compute = placement.compute_tokens;
+            compute = placement.compute_tokens, import, moved;
             "prompt placed"
         );
         let export = prefill(&self.shared, &self.call, placement).await;
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -290,9 +290,12 @@
         match config {
             Ok(config) => {
                 let (version, at) = (config.version, object.version);
-                if shared.state().view.replace_if_newer(config) {
+                let terms = config.import_terms();
+                let state = &mut *shared.state();
+                if state.view.replace_if_newer(config) {
+                    state.fleet.set_import_terms(terms);
                     log::info!(target: "view", version, at:%; "configuration adopted");
-                } else if let Some(newer) = shared.state().view.version()
+                } else if let Some(newer) = state.view.version()
                     && newer > version
                 {
                     log::warn!(
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -4,7 +4,8 @@
 
 use chervilgate_clock::Time;
 use chervilgate_gateway::{
-    Prompt, PromptPart,
+    LimitStatement, Prompt, PromptPart,
+    config::ImportTerms,
     fleet::{
         AttemptOutcome, Build, CachedPart, Fleet, InFlightWork, Placement, TargetEntry,
         TargetQuery, TargetRole,
@@ -465,3 +466,99 @@
     assert_eq!(&*engine_beside_streams(0), "d0");
     assert_eq!(&*engine_beside_streams(10), "p0");
 }
+
+/// A fleet that imports prefixes, whose only holder of the shared part of `prompt(7, _)` has much
+/// work of other hosts; with the holder's placement.
+fn fleet_with_busy_holder(now: Time, entries: &[TargetEntry]) -> (Fleet, Placement) {
+    let mut fleet = fleet(entries);
+    let terms = ImportTerms { kv_bytes: 327_680.0, link_mbps: 2_900_000.0 };
+    fleet.set_import_terms([(SERVICE.into(), terms)].into_iter().collect());
+    let computed = prompt(7, 8);
+    let holder = prefill_target(&fleet, now, &computed);
+    let attempt = fleet.start(now, &holder, &computed);
+    fleet.finish(now, &holder, attempt, AttemptOutcome::Answered);
+    let mut other_host = self::fleet(entries);
+    other_host.start(now, &Placement { prefill_ms: 5_000.0, ..holder.clone() }, &prompt(1, 2));
+    fleet.apply_peer_work(now, 1, other_host.in_flight_work(now));
+    (fleet, holder)
+}
+
+#[test]
+fn a_prefix_is_imported_from_a_busy_holder() {
+    let now = Time::from_secs(2);
+    let (mut fleet, holder) = fleet_with_busy_holder(now, &engines(4, 8));
+
+    let placement = prefill_target(&fleet, now, &prompt(7, 9));
+
+    let import = placement.import.clone().unwrap();
+    assert_ne!(placement.id, holder.id);
+    assert_eq!((import.source, import.addr, import.tokens), (holder.id, holder.addr, 13_300));
+    assert!(placement.compute_tokens < 5_000, "{placement:?}");
+    let attempt = fleet.start(now, &placement, &prompt(7, 9));
+    assert_eq!(fleet.clear_to_import(now, &placement, attempt), Some(holder.addr));
+}
+
+// Guards against requests whose output depends on a prefix that another version computed.
+#[test]
+fn nothing_is_imported_from_another_version_or_an_unfit_source() {
+    let now = Time::from_secs(2);
+    let changes: [fn(&mut Fleet, Time, &Placement); 5] = [
+        |fleet, now, holder| {
+            let entry = entry(&holder.id, TargetRole::Prefill, "a");
+            fleet.upsert(now, TargetEntry { build: Build::new("v2"), ..entry });
+        },
+        |fleet, now, holder| {
+            let entry = entry(&holder.id, TargetRole::Prefill, "a");
+            fleet.upsert(now, TargetEntry { draining: true, ..entry });
+        },
+        |fleet, now, holder| {
+            let entry = entry(&holder.id, TargetRole::Prefill, "a");
+            fleet.upsert(now, TargetEntry { incarnation: 2, ..entry });
+        },
+        |fleet, now, holder| {
+            fleet.record_limit(now, holder, now, LimitStatement::Rate(50.0));
+        },
+        |fleet, now, holder| fleet.record_rest(now, holder, Duration::from_secs(9)),
+    ];
+    for (index, change) in changes.into_iter().enumerate() {
+        let (mut fleet, holder) = fleet_with_busy_holder(now, &engines(4, 8));
+        let planned = prefill_target(&fleet, now, &prompt(7, 9));
+        let attempt = fleet.start(now, &planned, &prompt(7, 9));
+        change(&mut fleet, now, &holder);
+
+        // Neither when it is sent, nor when another one is placed.
+        assert_eq!(fleet.clear_to_import(now, &planned, attempt), None, "change {index}");
+        let source = prefill_target(&fleet, now, &prompt(7, 10)).import.map(|import| import.source);
+        assert_ne!(source, Some(holder.id), "change {index}");
+    }
+}
+
+#[test]
+fn short_prefixes_are_not_imported() {
+    let now = Time::from_secs(2);
+    let (mut fleet, holder) = fleet_with_busy_holder(now, &engines(4, 8));
+    let parts = [PromptPart { id: 50, tokens: 350 }, PromptPart { id: 51, tokens: 1_110 }];
+    let short = Prompt { tokens: 1_460, max_output: 22, parts: parts.into_iter().collect() };
+    fleet.start(now, &holder, &short);
+
+    assert_eq!(prefill_target(&fleet, now, &short).import, None);
+}
+
+// Guards against prompts that are predicted to be short wherever old knowledge names a source.
+#[test]
+fn imports_that_fail_make_further_ones_less_attractive() {
+    let now = Time::from_secs(2);
+    let (mut fleet, _) = fleet_with_busy_holder(now, &engines(4, 8));
+    let before = prefill_target(&fleet, now, &prompt(7, 9)).compute_tokens;
+
+    for _ in 0..30 {
+        let placement = prefill_target(&fleet, now, &prompt(7, 9));
+        let attempt = fleet.start(now, &placement, &Prompt::default());
+        let end = now + placement.predicted_time() + Duration::from_millis(300);
+        fleet.mark_computed(end, &placement, attempt);
+        fleet.finish(end, &placement, attempt, AttemptOutcome::Answered);
+    }
+
+    let after = prefill_target(&fleet, now + Duration::from_secs(1), &prompt(7, 9)).compute_tokens;
+    assert!(after > before + 5_000, "{before}, {after}");
+}
--- a/components/gateway/tests/load/main.rs
+++ b/components/gateway/tests/load/main.rs
@@ -78,6 +78,24 @@
     }
 }
 
+// Guards against prefixes that are computed again wherever they are not cached: in deployment A a
+// third of the long prompts were late, most of them on slow engines after caches were lost.
+#[test]
+fn imports_of_prefixes_keep_more_requests_on_time_when_caches_are_lost() {
+    for seed in [1, 2, 3] {
+        let play = |imports| {
+            let mut simulation = Simulation::new(Sheet::uneven(imports), seed, GossipMode::All);
+            simulation.replace_third();
+            simulation.run()
+        };
+
+        let (with, without) = (play(true), play(false));
+
+        assert!(with.in_time() > without.in_time(), "seed {seed}: {with:?}, {without:?}");
+        assert!(with.late() < without.late(), "seed {seed}: {with:?}, {without:?}");
+    }
+}
+
 /// Requests that an engine with this limit may get in four seconds.
 fn allowed(limit: f64) -> f64 {
     limit * 4.0 * 1.5 + 5.0
--- a/components/gateway/tests/load/sheet.rs
+++ b/components/gateway/tests/load/sheet.rs
@@ -25,6 +25,10 @@
     pub(crate) prefill_engines: usize,
     pub(crate) decode_engines: usize,
     pub(crate) profile: Profile,
+    /// Relative speeds of the engines, in rotation.
+    pub(crate) speeds: &'static [f64],
+    /// Whether engines import prompt prefixes from each other.
+    pub(crate) imports: bool,
     /// Longest pause between two events of a stream that is on time, and tokens in an event.
     pub(crate) max_pause: Duration,
     pub(crate) event_tokens: u32,
@@ -67,6 +71,8 @@
             prefill_engines: 15,
             decode_engines: 30,
             profile: Profile::reference(),
+            speeds: &[1.0],
+            imports: false,
             max_pause: Duration::from_millis(250),
             event_tokens: 1,
             burst: (Duration::ZERO, Duration::ZERO),
@@ -74,6 +80,59 @@
         }
     }
 
+    /// Half of the engines and requests of deployment A (docs/hard-load.md), without plain services.
+    pub(crate) fn uneven(imports: bool) -> Sheet {
+        const CLASSES: [Class; 3] = [
+            Class {
+                name: "long",
+                rate: (38.0, 1.0),
+                prompt: (13_300, 3_720),
+                output: 15,
+                latency_target_ms: 600,
+                parts: 30,
+            },
+            Class {
+                name: "middle",
+                rate: (29.0, 1.0),
+                prompt: (6_300, 2_890),
+                output: 7,
+                latency_target_ms: 1_000,
+                parts: 30,
+            },
+            Class {
+                name: "short",
+                rate: (53.0, 1.0),
+                prompt: (350, 1_110),
+                output: 22,
+                latency_target_ms: 1_200,
+                parts: 60,
+            },
+        ];
+        let engine = Profile::reference();
+        let step = Duration::from_micros(5_950);
+        // Attention makes long prompts slower than the 19.7 us a token of short ones.
+        let profile = Profile {
+            prefill_ns: 26_000,
+            prefill: RoleLimits { base: step, ..engine.prefill },
+            decode: RoleLimits { base: step, ..engine.decode },
+            kv_tokens: 444_196,
+            cache_blocks: 444_196 / 64,
+            ..engine
+        };
+        Sheet {
+            hosts: 42,
+            prefill_engines: 16,
+            decode_engines: 29,
+            profile,
+            speeds: &[0.6, 1.0, 1.6],
+            imports,
+            max_pause: Duration::from_millis(250),
+            event_tokens: 8,
+            burst: (Duration::ZERO, Duration::ZERO),
+            classes: &CLASSES,
+        }
+    }
+
     /// Half of frasercold-bc-grown with all targets that can be ordered, and a burst of long
     /// prompts.
     pub(crate) fn long_prompt_burst() -> Sheet {
@@ -110,6 +169,8 @@
             prefill_engines: 20,
             decode_engines: 44,
             profile,
+            speeds: &[1.0],
+            imports: false,
             max_pause: Duration::from_millis(150),
             event_tokens: 8,
             burst: (Duration::from_secs(5), Duration::from_secs(8)),
--- a/components/gateway/tests/load/simulation.rs
+++ b/components/gateway/tests/load/simulation.rs
@@ -3,9 +3,12 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use chervilgate_clock::Time;
-use chervilgate_engines::{Engine, Event, EventQueue, Job, Role, Stage as JobStage};
+use chervilgate_engines::{
+    Engine, Event, EventQueue, Job, Profile, Role, RoleLimits, Stage as JobStage,
+};
 use chervilgate_gateway::{
     LimitStatement, Prompt, PromptPart,
+    config::ImportTerms,
     fleet::{
         AttemptId, AttemptOutcome, Build, CachedPart, Fleet, InFlightWork, Placement, TargetEntry,
         TargetQuery, TargetRole,
@@ -29,6 +32,9 @@
 /// Time at which a third of the engines crash, if they do.
 const CRASH_TIME: Duration = Duration::from_secs(6);
 
+/// Wait for a link after which an engine does not start a transfer.
+const MAX_TRANSFER_WAIT: Duration = Duration::from_secs(2);
+
 /// Time from which a third of the engines are restricted, if they are.
 const RESTRICTION_TIME: Duration = Duration::from_secs(4);
 
@@ -107,7 +113,9 @@
     Round(usize),
     GossipReceived { host: usize, from: usize, work: Vec<InFlightWork>, parts: Vec<CachedPart> },
     Decode(u64),
+    Imported { id: u64, stage: JobStage, blocks: Arc<[u64]>, found: usize },
     Crash,
+    Replace,
     Restrict(Restriction),
 }
 
@@ -135,6 +143,8 @@
     results: Results,
     /// When limited engines got requests, by engine.
     limited: HashMap<usize, Vec<Time>>,
+    /// When the link of each engine is free.
+    links: Vec<Time>,
 }
 
 fn engine_entry(sheet: &Sheet, index: usize) -> TargetEntry {
@@ -153,6 +163,21 @@
     }
 }
 
+/// The profile of an engine of the sheet, with its own speed.
+fn engine_profile(sheet: &Sheet, index: usize) -> Profile {
+    // Each zone and role has engines of all speeds.
+    let speed = sheet.speeds[(index + index / 3) % sheet.speeds.len()];
+    let limits = |limits: RoleLimits| RoleLimits { base: limits.base.div_f64(speed), ..limits };
+    let profile = &sheet.profile;
+    Profile {
+        prefill_ns: (profile.prefill_ns as f64 / speed) as u64,
+        decode_ns: (profile.decode_ns as f64 / speed) as u64,
+        prefill: limits(profile.prefill),
+        decode: limits(profile.decode),
+        ..profile.clone()
+    }
+}
+
 impl Simulation {
     pub(crate) fn new(sheet: Sheet, seed: u64, mode: GossipMode) -> Simulation {
         let engines = sheet.prefill_engines + sheet.decode_engines;
@@ -163,12 +188,19 @@
             let mut fleet = Fleet::new(&format!("z-{}", host % 3), Duration::from_secs(2));
             fleet.replace(Time::ZERO, entries.clone());
             let others = names.iter().filter(|name| **name != names[host]);
+            if sheet.imports {
+                let terms = ImportTerms {
+                    kv_bytes: sheet.profile.token_bytes as f64,
+                    link_mbps: sheet.profile.link_rate as f64 * 8.0 / 1e6,
+                };
+                fleet.set_import_terms(HashMap::from([("llm".into(), terms)]));
+            }
             fleet.set_hosts(Time::ZERO, Some(&names[host]), others.map(|name| &**name));
             fleet
         });
         let engines = (0..engines).map(|index| {
             let role = if index < sheet.prefill_engines { Role::Prefill } else { Role::Decode };
-            Engine::new(sheet.profile.clone(), role, Duration::from_millis(250))
+            Engine::new(engine_profile(&sheet, index), role, Duration::from_millis(250))
         });
         let indexes = entries.iter().enumerate().map(|(index, entry)| (entry.id.clone(), index));
         let classes = sheet.classes.iter();
@@ -184,6 +216,7 @@
             requests: HashMap::new(),
             results,
             limited: HashMap::new(),
+            links: vec![Time::ZERO; sheet.prefill_engines + sheet.decode_engines],
             sheet,
         };
         for host in 0..simulation.sheet.hosts {
@@ -201,6 +234,11 @@
         self.events.push(Time::ZERO + CRASH_TIME, SimEvent::Crash);
     }
 
+    /// Schedules the replacement of a third of the engines of each speed, whose caches are lost.
+    pub(crate) fn replace_third(&mut self) {
+        self.events.push(Time::ZERO + CRASH_TIME, SimEvent::Replace);
+    }
+
     /// Schedules a restriction of a third of the engines.
     pub(crate) fn restrict_third(&mut self, restriction: Restriction) {
         self.events.push(Time::ZERO + RESTRICTION_TIME, SimEvent::Restrict(restriction));
@@ -238,6 +276,10 @@
                     self.hosts[host].apply_peer_work(now, from as u32, work);
                 }
                 SimEvent::Decode(id) => self.decode(now, id),
+                SimEvent::Imported { id, stage, blocks, found } => {
+                    self.imported(now, id, stage, blocks, found);
+                }
+                SimEvent::Replace => self.replace(now),
                 SimEvent::Crash => self.crash(now),
                 SimEvent::Restrict(restriction) => self.restrict(now, restriction),
             }
@@ -311,6 +353,8 @@
             times.push(now);
         }
         let is_long = placement.has_long_prefill();
+        let source = self.hosts[host].clear_to_import(now, &placement, attempt);
+        let source = source.and(placement.import.as_ref()).map(|import| import.source.clone());
         request.tried.push(placement.id.clone());
         request.placement = Some((placement, attempt));
         let length = self.sheet.profile.block_tokens;
@@ -321,6 +365,49 @@
             // An engine caches imported blocks like those that it computed.
             self.engines[engine].import_blocks(&blocks);
         }
+        if is_long {
+            self.broadcast(now, host);
+        }
+        let Some(source) = source else { return self.submit(now, id, stage, blocks) };
+        let (at, found) = self.transfer(now, self.indexes[&source], engine, &blocks);
+        self.events.push(at, SimEvent::Imported { id, stage, blocks, found });
+    }
+
+    /// Moves the blocks that an engine lacks over both links, one transfer after another. Returns
+    /// when they have arrived, and how many leading blocks the target has then.
+    fn transfer(
+        &mut self,
+        now: Time,
+        source: usize,
+        target: usize,
+        blocks: &[u64],
+    ) -> (Time, usize) {
+        let found = self.engines[source].cached_prefix_len(blocks);
+        let missing = found.saturating_sub(self.engines[target].cached_prefix_len(blocks));
+        let start = now.max(self.links[source]).max(self.links[target]);
+        if missing == 0 || start.since(now) > MAX_TRANSFER_WAIT {
+            return (now, 0);
+        }
+        let tokens = missing as u32 * self.sheet.profile.block_tokens;
+        let is_near = source % 3 == target % 3;
+        let span = self.sheet.profile.transfer_time(tokens) * if is_near { 1 } else { 2 };
+        self.links[source] = start + span;
+        self.links[target] = start + span;
+        (start + span, found)
+    }
+
+    fn imported(&mut self, now: Time, id: u64, stage: JobStage, blocks: Arc<[u64]>, found: usize) {
+        let Some((placement, _)) = &self.requests[&id].placement else { return };
+        let engine = self.indexes[&placement.id];
+        self.engines[engine].import_blocks(&blocks[..found]);
+        self.submit(now, id, stage, blocks);
+    }
+
+    /// Submits a request to the engine that was chosen for it.
+    fn submit(&mut self, now: Time, id: u64, stage: JobStage, blocks: Arc<[u64]>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let Some((placement, _)) = &request.placement else { return };
+        let engine = self.indexes[&placement.id];
         let job = Job {
             id,
             prompt_tokens: request.prompt.tokens,
@@ -332,9 +419,6 @@
             stage,
             poison: false,
         };
-        if is_long {
-            self.broadcast(now, host);
-        }
         if self.engines[engine].submit(now + NETWORK_DELAY, job).is_err() {
             self.end_attempt(now, id, AttemptOutcome::Unreachable);
             return self.send(now + NETWORK_DELAY, id);
@@ -498,6 +582,7 @@
                     wait_ms: 0.0,
                     cost_ms: 0.0,
                     cache_is_known: true,
+                    import: None,
                 };
                 for host in &mut self.hosts {
                     host.record_limit(now, &placement, now, LimitStatement::Rate(rate));
@@ -510,6 +595,23 @@
         }
     }
 
+    /// Replaces a third of the engines of each speed by ones without a cache, which all hosts
+    /// learn at once.
+    fn replace(&mut self, now: Time) {
+        for engine in (0..self.engines.len()).filter(|engine| engine / 3 % 3 == 0) {
+            for lost in self.engines[engine].crash() {
+                let class = self.requests[&lost.id].class;
+                self.results.0[class].1.lost += 1;
+                self.end_attempt(now, lost.id, AttemptOutcome::Unrelated);
+            }
+            self.engines[engine].restart();
+            let entry = TargetEntry { incarnation: 2, ..engine_entry(&self.sheet, engine) };
+            for host in &mut self.hosts {
+                host.upsert(now, entry.clone());
+            }
+        }
+    }
+
     /// Crashes every third engine; the requests running there are lost.
     fn crash(&mut self, now: Time) {
         for engine in (0..self.engines.len()).step_by(3) {
