--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -13,6 +13,7 @@
 mod ends;
 mod entry;
 mod health;
+mod imports;
 mod limits;
 mod pauses;
 mod peer_loads;
@@ -39,11 +40,12 @@
     fleet::{
         builds::GoneBuilds,
         departures::{Departure, Departures},
+        imports::Imports,
         limits::Limits,
         pauses::PauseMeter,
         peer_loads::PeerLoads,
         rests::Rests,
-        target::{Observation, TargetState},
+        target::{Observation, Seen, TargetState},
     },
     protocol::Prompt,
 };
@@ -53,6 +55,7 @@
     demand::{EngineSpeeds, StageCounts},
     ends::EndNotice,
     entry::{TargetCounts, TargetEntry, TargetRole},
+    imports::Import,
     limits::LimitNotice,
     peer_loads::InFlightWork,
     plan::{Placement, Plan, TargetQuery},
@@ -120,6 +123,7 @@
     speeds: HashMap<u32, GroupSpeed>,
     pauses: PauseMeter,
     work: WorkMeter,
+    imports: Imports,
 }
 
 /// What a host has seen of the speed of a group of targets.
@@ -163,6 +167,7 @@
             speeds: HashMap::new(),
             pauses: PauseMeter::default(),
             work: WorkMeter::default(),
+            imports: Imports::default(),
         }
     }
 
@@ -378,6 +383,7 @@
     pub fn start(&mut self, now: Time, placement: &Placement, prompt: &Prompt) -> AttemptId {
         self.last_attempt += 1;
         let attempt = AttemptId(self.last_attempt);
+        self.start_import(now, placement);
         if let Some(state) = self.targets.get_mut(&placement.id) {
             self.work.start(now, attempt, &state.entry, state.reference_ms(placement), prompt);
             state.start(now, attempt, placement, prompt);
@@ -393,7 +399,13 @@
     /// Returns whether it was not marked before.
     pub fn mark_computed(&mut self, now: Time, placement: &Placement, attempt: AttemptId) -> bool {
         let Some(state) = self.targets.get_mut(&placement.id) else { return false };
-        let Some(observation) = state.mark_computed(now, attempt, placement) else { return false };
+        let Some(Seen { observation, imported }) = state.mark_computed(now, attempt, placement)
+        else {
+            return false;
+        };
+        if let Some(hit) = imported {
+            self.imports.record(now, hit);
+        }
         if let Some(Observation { reference, seen }) = observation {
             state.speed.record(now, reference, seen);
             self.speeds.entry(state.group).or_default().record(now, reference, seen);
