Bound the bytes held for callers who send or read slowly

A body was read up to its limit, an answer up to 16 MiB and a stream buffered 32 frames of any size for its caller; their sum was not bounded, and a stream whose caller paused was no longer read from its target, which cuts such responses off. Bodies, answers and buffered events now have a budget each, from the memory that the settings name. A body that does not fit is refused before it is read, an answer waits for room, and a stream is read on up to 256 KiB for one caller; once the events of all callers fill their budget, the caller that has read nothing for longest loses its stream. A stream whose relay ends without its end no longer ends as complete.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -24,6 +24,7 @@
     crash::{look_for_end, record_failed_run},
     exchange::{Answer, exchange},
     fleet::{AttemptId, AttemptOutcome, Hold, Placement},
+    memory::Reservation,
     poison::{PoisonVerdict, SharedParts},
     protocol::{ForwardedRequest, PrefillResponse, RequestHead, RequestStage},
     state::Shared,
@@ -40,6 +41,8 @@
     pub(crate) path: PathAndQuery,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// What the body takes of the host's budget.
+    pub(crate) _body_memory: Reservation,
     pub(crate) ask: RequestHead,
     pub(crate) fingerprint: Fingerprint,
     /// Parts of the prompt that other requests may share.
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -60,6 +60,9 @@
         let now = self.shared.now();
         let metrics = &self.shared.metrics;
         metrics.ready.set(self.shared.is_ready(now).into());
+        metrics.set_held_bytes("bodies", self.shared.body_budget.used());
+        metrics.set_held_bytes("answers", self.shared.answer_budget.used());
+        metrics.set_held_bytes("streams", self.shared.stream_buffers.used());
         {
             let state = self.shared.state();
             let age = state.view.age(now).map_or(-1, |age| age.as_millis() as i64);
--- a/components/gateway/src/failure.rs
+++ b/components/gateway/src/failure.rs
@@ -23,6 +23,8 @@
     BodyTooLarge,
     /// The caller's connection broke while the body was read.
     BrokenBody,
+    /// This host holds as many bytes of request bodies as it may.
+    NoMemory,
     /// There is no configuration yet, or it is too old to trust a key.
     StaleView,
     /// No usable target runs the service.
@@ -72,6 +74,7 @@
             Failure::UnknownKey => StatusCode::UNAUTHORIZED,
             Failure::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Failure::StaleView
+            | Failure::NoMemory
             | Failure::NoTarget
             | Failure::TargetsFull
             | Failure::Late(_)
@@ -93,7 +96,7 @@
             Failure::StaleView => Some(Duration::from_millis(500)),
             Failure::NoTarget => Some(Duration::from_millis(500)),
             Failure::UnknownBuild | Failure::BuildGone => Some(Duration::from_millis(500)),
-            Failure::TargetsFull => Some(Duration::from_millis(250)),
+            Failure::TargetsFull | Failure::NoMemory => Some(Duration::from_millis(250)),
             Failure::Late(span)
             | Failure::Limited(span)
             | Failure::Resting(span)
@@ -111,6 +114,7 @@
             Failure::UnknownKey => "unknown-key",
             Failure::BodyTooLarge => "too-long",
             Failure::BrokenBody => "broken-body",
+            Failure::NoMemory => "no-memory",
             Failure::StaleView => "stale-view",
             Failure::NoTarget => "no-target",
             Failure::TargetsFull => "full",
@@ -139,7 +143,7 @@
                 headers.insert(RETRY_AFTER, value);
             }
         }
-        if self == Failure::BrokenBody || self == Failure::BodyTooLarge {
+        if matches!(self, Failure::BrokenBody | Failure::BodyTooLarge | Failure::NoMemory) {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
         protocol.mark_response(id, headers);
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use chervilgate_clients::{Body, BodyError, body::collect, body::full};
+use chervilgate_clients::{Body, BodyError};
 use chervilgate_clock::Time;
 use hyper::Response;
 use smallvec::SmallVec;
@@ -10,6 +10,7 @@
 
 use crate::{
     attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
+    body::{held, read_answer},
     crash::{is_cut, record_begun_run, record_break},
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Hold, TargetQuery},
@@ -253,14 +254,14 @@
     let is_framed = is_framed(&head.headers, &body);
     let left = call.deadline.since(shared.now());
     let read = async {
-        let bytes = collect(body, MAX_RESPONSE_BYTES).await?;
+        let answer = read_answer(body, MAX_RESPONSE_BYTES, &shared.answer_budget).await?;
         let is_cut = is_cut(shared, call, placement, *started_at, is_framed).await;
-        Ok::<_, BodyError>((!is_cut).then_some(bytes))
+        Ok::<_, BodyError>((!is_cut).then_some(answer))
     };
     match timeout(left, read).await {
         Ok(Ok(None)) => None,
-        Ok(Ok(Some(bytes))) => {
-            let mut response = Response::new(full(bytes));
+        Ok(Ok(Some((bytes, reservation)))) => {
+            let mut response = Response::new(held(bytes, reservation));
             *response.status_mut() = head.status;
             *response.headers_mut() = shared.protocol.caller_headers(&head.headers);
             Some(response)
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! Each host runs one gateway process. It serves callers, tells them which hosts to
 //! use, and competes for the lease on the duties that only one process at a time
 //! performs. Decisions are made in modules without I/O or clocks ([`build_record`], [`config`],
-//! [`fleet`], [`freshness`], [`joining`], [`lease`], [`membership`], [`origins`], [`planner`], [`poison`],
+//! [`fleet`], [`freshness`], [`joining`], [`lease`], [`membership`], [`memory`], [`origins`], [`planner`], [`poison`],
 //! [`repeats`], [`stopping`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
 //!
 //! External systems are reached through traits: [`Protocol`] for the headers of callers
@@ -12,6 +12,7 @@
 
 mod answered_over;
 mod attempt;
+mod body;
 pub mod build_record;
 pub mod config;
 mod counted;
@@ -30,6 +31,7 @@
 pub mod joining;
 pub mod lease;
 pub mod membership;
+pub mod memory;
 mod metrics;
 pub mod origins;
 pub mod planner;
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -81,6 +81,8 @@
     pause_times: Histogram,
     prediction_errors: Histogram,
     stream_breaks: Counter,
+    stalled_streams: Counter,
+    held_bytes: Family<KindLabel, Gauge>,
     store_calls: Family<StoreCallLabels, Counter>,
     store_losses: Counter,
     windows: Counter,
@@ -116,6 +118,8 @@
             pause_times: times(),
             prediction_errors: times(),
             stream_breaks: Counter::default(),
+            stalled_streams: Counter::default(),
+            held_bytes: Family::default(),
             store_calls: Family::default(),
             store_losses: Counter::default(),
             windows: Counter::default(),
@@ -165,6 +169,16 @@
             "Streams broken off by targets",
             self.stream_breaks.clone(),
         );
+        registry.register(
+            "streams_stalled",
+            "Streams ended because their callers did not read",
+            self.stalled_streams.clone(),
+        );
+        registry.register(
+            "held_bytes",
+            "Bytes held for callers and targets by kind",
+            self.held_bytes.clone(),
+        );
         registry.register("store_calls", "Calls to the store by reply", self.store_calls.clone());
         registry.register("store_losses", "Times the store was lost", self.store_losses.clone());
         registry.register("windows_reported", "Usage windows reported", self.windows.clone());
@@ -225,6 +239,17 @@
         self.stream_breaks.inc();
     }
 
+    /// Counts a stream that ended because its caller did not read.
+    pub(crate) fn count_stalled_stream(&self) {
+        self.stalled_streams.inc();
+    }
+
+    /// Sets the number of bytes held for callers and targets.
+    pub(crate) fn set_held_bytes(&self, kind: &'static str, bytes: usize) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.held_bytes.get_or_create(&KindLabel { kind }).set(bytes);
+    }
+
     /// Counts a store call by kind and reply.
     pub(crate) fn count_store_call(&self, call: &'static str, reply: &'static str) {
         self.store_calls.get_or_create(&StoreCallLabels { call, reply }).inc();
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -9,7 +9,7 @@
 };
 
 use async_trait::async_trait;
-use chervilgate_clients::{Body, BodyError, body::collect};
+use chervilgate_clients::{Body, BodyError};
 use chervilgate_clock::Time;
 use chervilgate_serve::Handler;
 use hyper::{
@@ -22,6 +22,7 @@
 
 use crate::{
     attempt::CallerRequest,
+    body::{ReadError, read_body},
     config::{Config, Org, Route},
     failure::Failure,
     forward::forward,
@@ -105,10 +106,14 @@
         let wanted_until = started + time_limit;
         let stop = self.shared.state().stop;
         let time_limit = stop.map_or(time_limit, |at| time_limit.min(at.answer_by.since(started)));
-        let body = match timeout(time_limit, collect(body, body_limit)).await {
+        let read = read_body(body, body_limit, &self.shared.body_budget);
+        let (body, body_memory) = match timeout(time_limit, read).await {
             Ok(Ok(body)) => body,
-            Ok(Err(BodyError::TooLong { .. })) => return Err(Failure::BodyTooLarge),
-            Ok(Err(_)) => return Err(Failure::BrokenBody),
+            Ok(Err(ReadError::OverBudget)) => return Err(Failure::NoMemory),
+            Ok(Err(ReadError::Body(BodyError::TooLong { .. }))) => {
+                return Err(Failure::BodyTooLarge);
+            }
+            Ok(Err(ReadError::Body(_))) => return Err(Failure::BrokenBody),
             Err(_) => return Err(Failure::Expired),
         };
         // The configuration may have changed while the body was read.
@@ -147,6 +152,7 @@
             path: head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/")),
             headers: head.headers,
             body,
+            _body_memory: body_memory,
             ask: request_head,
             route,
             config_version,
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -25,6 +25,8 @@
     pub store_addr: SocketAddr,
     /// Address for target orders and usage reports; none if there are no duties.
     pub duties_addr: Option<SocketAddr>,
+    /// Memory that the process may use, in bytes; it is killed above that.
+    pub memory: usize,
     /// Maximum number of open file descriptors of the process.
     pub max_descriptors: usize,
     /// Durations and limits that the operators set.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -18,6 +18,7 @@
     fleet::{Fleet, SeenBuilds},
     freshness::{Freshness, Reads},
     membership::{HostEntry, Membership},
+    memory::{ByteBudget, MemoryLimits},
     metrics::{LostLines, Metrics},
     origins::Origins,
     poison::PoisonGuard,
@@ -25,6 +26,7 @@
     repeats::Repeats,
     settings::HostSettings,
     stopping::Stop,
+    stream::StreamBuffers,
     usage::{PeerSheets, UsageMeter, WallClock},
     view::ConfigView,
 };
@@ -66,6 +68,12 @@
     pub(crate) broadcast: Notify,
     /// Turns true when this host stops so soon that open requests are answered at once.
     pub(crate) answer_now: watch::Sender<bool>,
+    /// Bytes of request bodies that this host may hold.
+    pub(crate) body_budget: Arc<ByteBudget>,
+    /// Bytes of collected answers that it may hold.
+    pub(crate) answer_budget: Arc<ByteBudget>,
+    /// Events that callers have not read.
+    pub(crate) stream_buffers: Arc<StreamBuffers>,
     wall_clock: Mutex<WallClock>,
     state: Mutex<State>,
 }
@@ -179,7 +187,11 @@
             build_record: BuildRecord::default(),
             repeats: Repeats::new(bounds),
         };
+        let memory = MemoryLimits::new(settings.memory);
         Shared {
+            body_budget: ByteBudget::new(memory.bodies),
+            answer_budget: ByteBudget::new(memory.answers),
+            stream_buffers: StreamBuffers::new(memory.streams),
             wall_clock: Mutex::new(WallClock::new(BootClock.now(), time_of_day)),
             boot,
             state: Mutex::new(state),
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -4,19 +4,22 @@
 //! replaced unnoticed if the route allows it. After that, a broken stream is resumed on
 //! another target after the last complete event, or aborted.
 
+mod buffer;
 mod target_stream;
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use chervilgate_clients::{Body, BodyError};
+use chervilgate_clients::Body;
 use chervilgate_clock::Time;
 use futures_util::stream::poll_fn;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::{Response, body::Frame};
-use tokio::sync::mpsc;
+use hyper::Response;
 
-use self::target_stream::{ReadOutcome, TargetStream};
+pub(crate) use self::buffer::StreamBuffers;
+use self::{
+    buffer::{EventReceiver, EventSender, Refusal},
+    target_stream::{ReadOutcome, TargetStream},
+};
 use crate::{
     attempt::{CallerRequest, Export, InFlight, NotRunReason, SendOutcome, prefill, send},
     crash::{look_for_end, record_begun_run, record_break, record_failed_run},
@@ -29,9 +32,6 @@
     takeover::{find_origin, record_origin},
 };
 
-/// Maximum number of buffered chunks per slow caller.
-const CHANNEL_CAPACITY: usize = 32;
-
 /// Maximum number of separate prefills per request.
 const MAX_PREFILLS: u32 = 1;
 
@@ -70,18 +70,16 @@
         relay.build = Some(find_origin(shared, &relay.call).await?);
     }
     let (target_stream, first) = relay.start().await?;
-    let (event_sender, frames) = mpsc::channel(CHANNEL_CAPACITY);
-    let mut response = Response::new(channel_body(frames));
+    let (event_sender, events) = shared.stream_buffers.channel(shared.now());
+    let mut response = Response::new(event_body(events));
     *response.status_mut() = target_stream.status;
     *response.headers_mut() = shared.protocol.caller_headers(&target_stream.headers);
     tokio::spawn(relay.run(target_stream, first, event_sender));
     Ok(response)
 }
 
-type EventSender = mpsc::Sender<Result<Frame<Bytes>, BodyError>>;
-
-fn channel_body(mut frames: mpsc::Receiver<Result<Frame<Bytes>, BodyError>>) -> Body {
-    StreamBody::new(poll_fn(move |cx| frames.poll_recv(cx))).boxed_unsync()
+fn event_body(mut events: EventReceiver) -> Body {
+    StreamBody::new(poll_fn(move |cx| events.poll_frame(cx))).boxed_unsync()
 }
 
 impl Relay {
@@ -286,6 +284,19 @@
         }
     }
 
+    /// Ends a stream whose events the caller does not take.
+    fn end_refused(&self, event_sender: EventSender, refusal: Refusal) {
+        let id = &self.call.ask.id;
+        match refusal {
+            Refusal::CallerLeft => log::info!(target: "gateway", id; "caller left"),
+            Refusal::CallerStalled => {
+                self.shared.metrics.count_stalled_stream();
+                abort_response(event_sender, id, "caller does not read");
+            }
+            Refusal::TimedOut => abort_response(event_sender, id, "timed out"),
+        }
+    }
+
     /// Forwards events until the stream ends, is aborted, or the caller disconnects.
     async fn run(
         mut self,
@@ -310,9 +321,8 @@
                     self.shared.metrics.observe_pause(pause);
                     longest_pause = longest_pause.max(pause);
                     last_sent = now;
-                    if event_sender.send(Ok(Frame::data(bytes))).await.is_err() {
-                        log::info!(target: "gateway", id; "caller left");
-                        return;
+                    if let Err(refusal) = event_sender.send(self.call.deadline, bytes).await {
+                        return self.end_refused(event_sender, refusal);
                     }
                 }
                 ReadOutcome::End => {
@@ -327,10 +337,10 @@
                         self.shared.state().fleet.record_stream(last_sent, late);
                     }
                     log::info!(target: "gateway", id, pause; "stream ended");
-                    return;
+                    return event_sender.finish();
                 }
                 ReadOutcome::TimedOut => {
-                    return abort_response(&event_sender, &id, "timed out").await;
+                    return abort_response(event_sender, &id, "timed out");
                 }
                 ReadOutcome::Broken => {
                     target_stream.in_flight.outcome = AttemptOutcome::Failed;
@@ -341,7 +351,7 @@
                     if !may_be_continued(head_status, target_stream.splitter.position())
                         || !self.attempts.may_retry_failed_run(&self.shared, &self.call)
                     {
-                        return abort_response(&event_sender, &id, "broken").await;
+                        return abort_response(event_sender, &id, "broken");
                     }
                     drop(target_stream);
                     let sent = self.call.sent_count();
@@ -352,17 +362,18 @@
                     target_stream = tokio::select! {
                         found = self.resume() => match found {
                             Some(found) => found,
-                            None => return abort_response(&event_sender, &id, "not resumed").await,
+                            None => return abort_response(event_sender, &id, "not resumed"),
                         },
-                        () = event_sender.closed() => return,
+                        refusal = event_sender.closed() => {
+                            return self.end_refused(event_sender, refusal);
+                        }
                     };
                 }
             }
             next = tokio::select! {
                 next = target_stream.next(&self.shared, &self.call) => next,
-                () = event_sender.closed() => {
-                    log::info!(target: "gateway", id; "caller left");
-                    return;
+                refusal = event_sender.closed() => {
+                    return self.end_refused(event_sender, refusal);
                 }
             };
         }
@@ -370,9 +381,7 @@
 }
 
 /// Aborts the response, so that the caller cannot take it for complete.
-async fn abort_response(event_sender: &EventSender, id: &str, reason: &str) {
+fn abort_response(event_sender: EventSender, id: &str, reason: &str) {
     log::warn!(target: "gateway", id, reason; "stream cut");
-    let error = BodyError::Aborted { reason: reason.to_owned() };
-    // The send only fails if the caller has disconnected.
-    event_sender.send(Err(error)).await.ok();
+    event_sender.abort(reason);
 }
--- /dev/null
+++ b/components/gateway/src/stream/buffer/tests.rs
@@ -0,0 +1,101 @@
+use std::time::Duration;
+
+use futures_util::task::noop_waker;
+
+use super::*;
+
+fn start() -> Time {
+    BootClock.now()
+}
+
+fn events(bytes: usize) -> Bytes {
+    Bytes::from(vec![b'x'; bytes])
+}
+
+fn read(receiver: &mut EventReceiver) -> Poll<Option<Result<usize, ()>>> {
+    let waker = noop_waker();
+    let polled = receiver.poll_frame(&mut Context::from_waker(&waker));
+    polled.map(|frame| {
+        frame.map(|frame| frame.map(|frame| frame.into_data().unwrap().len()).map_err(|_| ()))
+    })
+}
+
+// Guards against a host that grows with each caller who does not read: the number of buffered frames
+// was bounded, their bytes were not.
+#[test]
+fn buffers_no_more_than_the_limit_for_one_caller() {
+    let now = start();
+    let (sender, mut receiver) = StreamBuffers::new(8 << 20).channel(now);
+
+    let mut taken = 0;
+    while sender.try_send(now, &events(10_000)).unwrap() {
+        taken += 10_000;
+    }
+
+    assert!(taken <= STREAM_BUFFER_BYTES && taken > STREAM_BUFFER_BYTES - 10_000);
+    assert_eq!(read(&mut receiver), Poll::Ready(Some(Ok(10_000))));
+    assert_eq!(sender.try_send(now, &events(10_000)), Ok(true));
+}
+
+#[test]
+fn a_stalled_caller_loses_its_stream_when_its_buffer_is_needed() {
+    let now = start();
+    let later = now + Duration::from_secs(3);
+    let buffers = StreamBuffers::new(100_000);
+    let (stalled, mut stalled_receiver) = buffers.channel(now);
+    let (sound, mut sound_receiver) = buffers.channel(now);
+    assert_eq!(stalled.try_send(now, &events(90_000)), Ok(true));
+
+    assert_eq!(sound.try_send(later, &events(50_000)), Ok(false));
+    buffers.drop_slowest(later);
+
+    assert_eq!(sound.try_send(later, &events(50_000)), Ok(true));
+    assert_eq!(stalled.try_send(later, &events(1)), Err(Refusal::CallerStalled));
+    assert_eq!(read(&mut stalled_receiver), Poll::Ready(Some(Err(()))));
+    assert_eq!(read(&mut sound_receiver), Poll::Ready(Some(Ok(50_000))));
+}
+
+#[test]
+fn a_caller_that_reads_keeps_its_stream() {
+    let now = start();
+    let buffers = StreamBuffers::new(100_000);
+    let (first, _receiver) = buffers.channel(now);
+    let (second, _other) = buffers.channel(now);
+    assert_eq!(first.try_send(now, &events(90_000)), Ok(true));
+
+    buffers.drop_slowest(now + Duration::from_secs(1));
+
+    assert_eq!(second.try_send(now, &events(50_000)), Ok(false));
+    assert_eq!(first.try_send(now, &events(1_000)), Ok(true));
+}
+
+// Guards against an answer that ends early and looks complete.
+#[test]
+fn only_a_finished_stream_ends_as_complete() {
+    let now = start();
+    let buffers = StreamBuffers::new(100_000);
+    let (finished, mut complete) = buffers.channel(now);
+    let (aborted, mut cut) = buffers.channel(now);
+    let (dropped, mut lost) = buffers.channel(now);
+
+    finished.finish();
+    aborted.abort("broken");
+    drop(dropped);
+
+    assert_eq!(read(&mut complete), Poll::Ready(None));
+    assert_eq!(read(&mut cut), Poll::Ready(Some(Err(()))));
+    assert_eq!(read(&mut lost), Poll::Ready(Some(Err(()))));
+}
+
+#[test]
+fn a_caller_that_leaves_gives_its_bytes_back() {
+    let now = start();
+    let buffers = StreamBuffers::new(100_000);
+    let (sender, receiver) = buffers.channel(now);
+    assert_eq!(sender.try_send(now, &events(90_000)), Ok(true));
+
+    drop(receiver);
+
+    assert_eq!(buffers.used(), 0);
+    assert_eq!(sender.try_send(now, &events(1)), Err(Refusal::CallerLeft));
+}
