--- a/components/gateway/src/planner/goals.rs
+++ b/components/gateway/src/planner/goals.rs
@@ -19,9 +19,9 @@
 /// Time from taking the lease for which no target is given back.
 const HOLD_TIME: Duration = Duration::from_secs(30);
 
-/// Time from taking the lease after which a demand that is still unknown counts as large: hosts
-/// report each 0.8 s, and the first sum takes two seconds.
-const UNKNOWN_LIMIT: Duration = Duration::from_secs(10);
+/// Time for which the demand must have been seen before zones are filled less than to their limits:
+/// until then caches are cold, and callers may come in numbers that were not seen yet.
+const MIN_SPAN: Duration = Duration::from_secs(30);
 
 /// Time for which the demand must have been lower before targets are given back.
 const RETURN_DELAY: Duration = Duration::from_secs(20);
@@ -157,13 +157,12 @@
             self.busy = demand.engine.busy_targets(&planned.largest);
             plan_demand(&planned, &demand.engine, limits)
         });
-        let is_unknown = plan.is_none() && now.since(self.started_at) >= UNKNOWN_LIMIT;
+        let is_unknown = planned.is_none_or(|planned| planned.span < MIN_SPAN);
         let (is_full, reason) = match plan {
             _ if demand.is_waiting => (true, GoalReason::Waiting),
             Some(plan) if plan.needs_limit(limits) => (true, GoalReason::Demand(plan.reason)),
-            Some(plan) => (false, GoalReason::Demand(plan.reason)),
-            None if is_unknown => (true, GoalReason::Unknown),
-            None => (false, GoalReason::Kept),
+            Some(plan) if !is_unknown => (false, GoalReason::Demand(plan.reason)),
+            _ => (true, GoalReason::Unknown),
         };
         if is_full {
             self.fill(scaling);
