Pass answers on as they arrive where memory is short, and drop streams only where it is

Review: whole answers waited for the budget that they themselves held, and a caller with a full buffer of its own had the streams of others dropped while memory was free. A body takes from the budget as it arrives.

--- a/components/gateway/src/body.rs
+++ b/components/gateway/src/body.rs
@@ -6,7 +6,7 @@
     task::{Context, Poll},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use chervilgate_clients::{Body, BodyError};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, SizeHint};
@@ -26,8 +26,8 @@
     Body(BodyError),
 }
 
-/// Reads a body of up to `limit` bytes, and takes its length from `budget` before it is read if the
-/// sender states it, and as it arrives otherwise.
+/// Reads a body of up to `limit` bytes, which takes from `budget` as it arrives: a length that is only
+/// stated holds nothing, so that slow senders do not keep others out.
 pub(crate) async fn read_body<B>(
     body: B,
     limit: usize,
@@ -38,13 +38,6 @@
     B::Error: std::fmt::Display,
 {
     let mut reservation = Reservation::new(budget);
-    let stated = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
-    if stated.is_some_and(|bytes| bytes > limit) {
-        return Err(too_long(limit));
-    }
-    if !reservation.try_raise(stated.unwrap_or(0)) {
-        return Err(ReadError::OverBudget);
-    }
     let mut body = body;
     let mut read = Pieces::default();
     while let Some(frame) = body.frame().await {
@@ -60,13 +53,23 @@
     Ok((read.join(), reservation))
 }
 
-/// Reads an answer of up to `limit` bytes. Waits for `budget` while it is used up: the request has
-/// run, so its answer is not given up.
+/// An answer as far as it was collected.
+pub(crate) enum Answer {
+    /// All of it.
+    Whole(Body),
+    /// The host holds as much as it may; the rest is passed on as it arrives.
+    Partial(Body),
+}
+
+/// Collects an answer of up to `limit` bytes while `budget` has room. The request has run, so an answer
+/// without room is not given up: what was collected is passed on with the rest, if the end of the
+/// answer shows in its bytes.
 pub(crate) async fn read_answer(
     mut body: Body,
     limit: usize,
     budget: &Arc<ByteBudget>,
-) -> Result<(Bytes, Reservation), BodyError> {
+    is_framed: bool,
+) -> Result<Answer, BodyError> {
     let mut reservation = Reservation::new(budget);
     let mut read = Pieces::default();
     while let Some(frame) = body.frame().await {
@@ -74,10 +77,19 @@
         if read.len + piece.len() > limit {
             return Err(BodyError::TooLong { limit });
         }
-        reservation.add(piece.len()).await;
+        let has_room = reservation.try_raise(read.len + piece.len());
         read.push(piece);
+        if has_room {
+            continue;
+        }
+        if !is_framed {
+            let reason = "no memory for an answer whose end does not show".to_owned();
+            return Err(BodyError::Aborted { reason });
+        }
+        let collected = HeldBody { bytes: read.join(), _reservation: reservation };
+        return Ok(Answer::Partial(JoinedBody { collected, rest: body }.boxed_unsync()));
     }
-    Ok((read.join(), reservation))
+    Ok(Answer::Whole(HeldBody { bytes: read.join(), _reservation: reservation }.boxed_unsync()))
 }
 
 fn too_long(limit: usize) -> ReadError {
@@ -117,11 +129,7 @@
     }
 }
 
-/// A body in memory that counts toward a budget until its caller has read it.
-pub(crate) fn held(bytes: Bytes, reservation: Reservation) -> Body {
-    HeldBody { bytes, _reservation: reservation }.boxed_unsync()
-}
-
+/// A body in memory that counts toward a budget until it is handed to the connection.
 struct HeldBody {
     bytes: Bytes,
     _reservation: Reservation,
@@ -138,8 +146,13 @@
         if self.bytes.is_empty() {
             return Poll::Ready(None);
         }
-        let piece = self.bytes.len().min(PIECE_BYTES);
-        Poll::Ready(Some(Ok(Frame::data(self.bytes.split_to(piece)))))
+        if self.bytes.len() <= PIECE_BYTES {
+            return Poll::Ready(Some(Ok(Frame::data(std::mem::take(&mut self.bytes)))));
+        }
+        // A copy, since a slice would keep the whole body in memory until it is sent.
+        let piece = Bytes::copy_from_slice(&self.bytes[..PIECE_BYTES]);
+        self.bytes.advance(PIECE_BYTES);
+        Poll::Ready(Some(Ok(Frame::data(piece))))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -150,3 +163,36 @@
         SizeHint::with_exact(self.bytes.len() as u64)
     }
 }
+
+/// What was collected of a body, and the rest of it.
+struct JoinedBody {
+    collected: HeldBody,
+    rest: Body,
+}
+
+impl hyper::body::Body for JoinedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if !self.collected.is_end_stream() {
+            return Pin::new(&mut self.collected).poll_frame(cx);
+        }
+        Pin::new(&mut self.rest).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.collected.is_end_stream() && self.rest.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let collected = self.collected.bytes.len() as u64;
+        match self.rest.size_hint().exact() {
+            Some(rest) => SizeHint::with_exact(collected + rest),
+            None => SizeHint::default(),
+        }
+    }
+}
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -63,6 +63,7 @@
         metrics.set_held_bytes("bodies", self.shared.body_budget.used());
         metrics.set_held_bytes("answers", self.shared.answer_budget.used());
         metrics.set_held_bytes("streams", self.shared.stream_buffers.used());
+        metrics.set_stalled_streams(self.shared.stream_buffers.dropped());
         {
             let state = self.shared.state();
             let age = state.view.age(now).map_or(-1, |age| age.as_millis() as i64);
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
-    body::{held, read_answer},
+    body::{Answer, read_answer},
     crash::{is_cut, record_begun_run, record_break},
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Hold, TargetQuery},
@@ -254,14 +254,22 @@
     let is_framed = is_framed(&head.headers, &body);
     let left = call.deadline.since(shared.now());
     let read = async {
-        let answer = read_answer(body, MAX_RESPONSE_BYTES, &shared.answer_budget).await?;
-        let is_cut = is_cut(shared, call, placement, *started_at, is_framed).await;
-        Ok::<_, BodyError>((!is_cut).then_some(answer))
+        let budget = &shared.answer_budget;
+        match read_answer(body, MAX_RESPONSE_BYTES, budget, is_framed).await? {
+            Answer::Whole(body) => {
+                let is_cut = is_cut(shared, call, placement, *started_at, is_framed).await;
+                Ok::<_, BodyError>((!is_cut).then_some(body))
+            }
+            Answer::Partial(body) => {
+                log::info!(target: "gateway", id = call.ask.id; "answer passed on as it arrives");
+                Ok(Some(body))
+            }
+        }
     };
     match timeout(left, read).await {
         Ok(Ok(None)) => None,
-        Ok(Ok(Some((bytes, reservation)))) => {
-            let mut response = Response::new(held(bytes, reservation));
+        Ok(Ok(Some(body))) => {
+            let mut response = Response::new(body);
             *response.status_mut() = head.status;
             *response.headers_mut() = shared.protocol.caller_headers(&head.headers);
             Some(response)
--- a/components/gateway/src/memory.rs
+++ b/components/gateway/src/memory.rs
@@ -104,19 +104,6 @@
         }
     }
 
-    /// Takes `bytes` once they are free.
-    pub async fn take(&self, bytes: usize) {
-        loop {
-            let freed = self.freed.notified();
-            tokio::pin!(freed);
-            freed.as_mut().enable();
-            if self.try_take(bytes) {
-                return;
-            }
-            freed.await;
-        }
-    }
-
     /// Waits until bytes are given back, from the time at which this is first polled.
     pub async fn freed(&self) {
         self.freed.notified().await;
@@ -152,12 +139,6 @@
         self.bytes += missing;
         true
     }
-
-    /// Adds `bytes` once they are free.
-    pub async fn add(&mut self, bytes: usize) {
-        self.budget.take(bytes).await;
-        self.bytes += bytes;
-    }
 }
 
 impl Drop for Reservation {
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -81,7 +81,7 @@
     pause_times: Histogram,
     prediction_errors: Histogram,
     stream_breaks: Counter,
-    stalled_streams: Counter,
+    stalled_streams: Gauge,
     held_bytes: Family<KindLabel, Gauge>,
     store_calls: Family<StoreCallLabels, Counter>,
     store_losses: Counter,
@@ -118,7 +118,7 @@
             pause_times: times(),
             prediction_errors: times(),
             stream_breaks: Counter::default(),
-            stalled_streams: Counter::default(),
+            stalled_streams: Gauge::default(),
             held_bytes: Family::default(),
             store_calls: Family::default(),
             store_losses: Counter::default(),
@@ -239,9 +239,9 @@
         self.stream_breaks.inc();
     }
 
-    /// Counts a stream that ended because its caller did not read.
-    pub(crate) fn count_stalled_stream(&self) {
-        self.stalled_streams.inc();
+    /// Sets the number of streams that ended because their callers did not read.
+    pub(crate) fn set_stalled_streams(&self, count: usize) {
+        self.stalled_streams.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
     /// Sets the number of bytes held for callers and targets.
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -289,10 +289,7 @@
         let id = &self.call.ask.id;
         match refusal {
             Refusal::CallerLeft => log::info!(target: "gateway", id; "caller left"),
-            Refusal::CallerStalled => {
-                self.shared.metrics.count_stalled_stream();
-                abort_response(event_sender, id, "caller does not read");
-            }
+            Refusal::CallerStalled => abort_response(event_sender, id, "caller does not read"),
             Refusal::TimedOut => abort_response(event_sender, id, "timed out"),
         }
     }
--- a/components/gateway/src/stream/buffer.rs
+++ b/components/gateway/src/stream/buffer.rs
@@ -6,7 +6,10 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
+        atomic::{AtomicUsize, Ordering},
+    },
     task::{Context, Poll, Waker},
     time::Duration,
 };
@@ -15,7 +18,10 @@
 use chervilgate_clients::BodyError;
 use chervilgate_clock::{BootClock, Clock, Time};
 use hyper::body::Frame;
-use tokio::{sync::Notify, time::timeout};
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 use crate::memory::{ByteBudget, Reader, slowest_reader};
 
@@ -33,6 +39,9 @@
 pub(crate) struct StreamBuffers {
     budget: Arc<ByteBudget>,
     buffers: Mutex<Vec<Weak<Buffer>>>,
+    /// When a stalled caller was last looked for; none before.
+    searched_at: Mutex<Option<Time>>,
+    dropped: AtomicUsize,
 }
 
 /// Why no further events are taken.
@@ -46,6 +55,16 @@
     TimedOut,
 }
 
+/// What became of events that were offered to a buffer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Offer {
+    Taken,
+    /// The caller's own buffer is full.
+    CallerFull,
+    /// The buffers of all callers together are.
+    BudgetFull,
+}
+
 /// How the body ends once all buffered events are read.
 #[derive(Debug)]
 enum End {
@@ -69,6 +88,8 @@
     end: Option<End>,
     waker: Option<Waker>,
     refusal: Option<Refusal>,
+    /// Whether the sender waits for the caller to read.
+    wants_room: bool,
 }
 
 /// The end at which events are added.
@@ -87,7 +108,12 @@
 impl StreamBuffers {
     /// Buffers that hold up to `limit` bytes together.
     pub(crate) fn new(limit: usize) -> Arc<StreamBuffers> {
-        Arc::new(StreamBuffers { budget: ByteBudget::new(limit), buffers: Mutex::default() })
+        Arc::new(StreamBuffers {
+            budget: ByteBudget::new(limit),
+            buffers: Mutex::default(),
+            searched_at: Mutex::default(),
+            dropped: AtomicUsize::new(0),
+        })
     }
 
     /// Number of bytes buffered.
@@ -95,6 +121,11 @@
         self.budget.used()
     }
 
+    /// Number of streams that ended because their callers did not read.
+    pub(crate) fn dropped(&self) -> usize {
+        self.dropped.load(Ordering::Relaxed)
+    }
+
     /// A buffer for one stream.
     pub(super) fn channel(self: &Arc<Self>, now: Time) -> (EventSender, EventReceiver) {
         let queue = Queue {
@@ -104,6 +135,7 @@
             end: None,
             waker: None,
             refusal: None,
+            wants_room: false,
         };
         let budget = self.budget.clone();
         let buffer = Arc::new(Buffer { budget, queue: Mutex::new(queue), changed: Notify::new() });
@@ -114,11 +146,21 @@
         (sender, EventReceiver { buffer })
     }
 
-    /// Ends the stream of the slowest caller, if one has stalled.
+    /// Ends the stream of the slowest caller, if one has stalled. All senders wait for the same bytes,
+    /// so the buffers are searched once in an interval.
     fn drop_slowest(&self, now: Time) {
+        {
+            let mut searched_at = self.searched_at.lock().unwrap_or_else(PoisonError::into_inner);
+            if searched_at.is_some_and(|at| now.since(at) < RECHECK_INTERVAL) {
+                return;
+            }
+            *searched_at = Some(now);
+        }
         let buffers: Vec<Arc<Buffer>> = self.lock().iter().filter_map(Weak::upgrade).collect();
         let readers = buffers.iter().map(|buffer| buffer.lock().reader());
         if let Some(slowest) = slowest_reader(now, readers) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            log::warn!(target: "gateway", used = self.used(); "events of a stalled caller dropped");
             buffers[slowest].refuse(Refusal::CallerStalled);
         }
     }
@@ -179,32 +221,40 @@
     pub(super) async fn send(&self, deadline: Time, events: Bytes) -> Result<(), Refusal> {
         loop {
             let now = BootClock.now();
-            if self.try_send(now, &events)? {
+            let offer = self.try_send(now, &events)?;
+            if offer == Offer::Taken {
                 return Ok(());
             }
             if now >= deadline {
                 return Err(Refusal::TimedOut);
             }
+            let changed = self.buffer.changed.notified();
+            if offer == Offer::CallerFull {
+                let _ = timeout(deadline.since(now), changed).await;
+                continue;
+            }
             self.buffers.drop_slowest(now);
-            let changed = async {
-                tokio::select! {
-                    () = self.buffer.changed.notified() => {}
-                    () = self.buffers.budget.freed() => {}
-                }
-            };
             // A caller counts as stalled by time alone, so the buffers are looked at again.
-            let _ = timeout(RECHECK_INTERVAL, changed).await;
+            tokio::select! {
+                () = changed => {}
+                () = self.buffers.budget.freed() => {}
+                () = sleep(RECHECK_INTERVAL) => {}
+            }
         }
     }
 
-    fn try_send(&self, now: Time, events: &Bytes) -> Result<bool, Refusal> {
+    fn try_send(&self, now: Time, events: &Bytes) -> Result<Offer, Refusal> {
         let waker = {
             let mut queue = self.buffer.lock();
             if let Some(refusal) = queue.refusal {
                 return Err(refusal);
             }
-            if !queue.fits(events.len()) || !self.buffers.budget.try_take(events.len()) {
-                return Ok(false);
+            if !queue.fits(events.len()) {
+                queue.wants_room = true;
+                return Ok(Offer::CallerFull);
+            }
+            if !self.buffers.budget.try_take(events.len()) {
+                return Ok(Offer::BudgetFull);
             }
             if queue.bytes == 0 {
                 queue.last_read = now;
@@ -216,7 +266,7 @@
         if let Some(waker) = waker {
             waker.wake();
         }
-        Ok(true)
+        Ok(Offer::Taken)
     }
 
     /// Ends the response as complete, after what is buffered.
@@ -253,7 +303,7 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let bytes = {
+        let (bytes, wants_room) = {
             let mut queue = self.buffer.lock();
             if queue.refusal.is_some() {
                 let reason = "the caller did not read".to_owned();
@@ -273,10 +323,12 @@
             };
             queue.bytes -= events.len();
             queue.last_read = BootClock.now();
-            events
+            (events, std::mem::take(&mut queue.wants_room))
         };
         self.buffer.budget.release(bytes.len());
-        self.buffer.changed.notify_one();
+        if wants_room {
+            self.buffer.changed.notify_one();
+        }
         Poll::Ready(Some(Ok(Frame::data(bytes))))
     }
 }
