--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -111,6 +111,7 @@
     ids_by_hash: HashMap<u32, Arc<str>>,
     /// Parts that this host sent recently, in order of time.
     sent_parts: VecDeque<(Time, CachedPart)>,
+    /// Since when targets may lack an entry because of an outage; none once they were listed after it.
     store_recovered_at: Option<Time>,
     last_attempt: u64,
     /// Speeds by group, which [`TargetState::group`] identifies.
@@ -155,9 +156,10 @@
         }
     }
 
-    /// Records that the store responds again after an outage.
-    pub fn store_recovered(&mut self, now: Time) {
-        self.store_recovered_at = Some(now);
+    /// Records that the store responds again after an outage. Targets that the next list lacks count as without
+    /// an entry since `since`.
+    pub fn store_recovered(&mut self, since: Time) {
+        self.store_recovered_at = self.store_recovered_at.max(Some(since));
     }
 
     /// Adds a target or updates its entry, unless it wrote that before what is known of it.
@@ -223,8 +225,9 @@
     /// Replaces all entries; targets that are not listed are removed. Returns whether there were
     /// any.
     ///
-    /// Entries that expired during a store outage come back soon after it. Until then
-    /// their targets are kept, but no longer than a draining target may get work.
+    /// Entries that expired during a store outage come back soon after it. Until then the targets that
+    /// the first list after it lacks are kept, but no longer than a draining target may get work. What a
+    /// later list lacks was removed since.
     pub fn replace(&mut self, now: Time, entries: Vec<TargetEntry>) -> bool {
         self.gone_builds.record_list(now);
         let listed: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
@@ -234,6 +237,7 @@
         let hold_time = self.drain_time.mul_f64(EXPIRED_ENTRY_SHARE);
         let until = self
             .store_recovered_at
+            .take()
             .map(|recovered_at| recovered_at + hold_time)
             .filter(|until| now < *until);
         let mut is_missing_some = false;
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,8 +3,8 @@
 //! Each host runs one gateway process. It serves callers, tells them which hosts to
 //! use, and competes for the lease on the duties that only one process at a time
 //! performs. Decisions are made in modules without I/O or clocks ([`build_record`], [`config`],
-//! [`fleet`], [`freshness`], [`joining`], [`lease`], [`membership`], [`origins`], [`planner`], [`poison`],
-//! [`repeats`], [`stopping`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
+//! [`fleet`], [`freshness`], [`joining`], [`lease`], [`membership`], [`origins`], [`outage`], [`planner`],
+//! [`poison`], [`repeats`], [`stopping`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
 //!
 //! External systems are reached through traits: [`Protocol`] for the headers of callers
 //! and targets, [`Decoder`] for stored objects, and the traits of the clients crate for
@@ -32,6 +32,7 @@
 pub mod membership;
 mod metrics;
 pub mod origins;
+pub mod outage;
 pub mod planner;
 pub mod poison;
 mod protocol;
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -24,14 +24,11 @@
 };
 use crate::{
     freshness::Freshness,
+    outage::{AfterFailure, FailedCall, StoreContact},
     protocol::DecodeError,
     state::{Shared, State},
 };
 
-/// First and longest pause after failed calls; each is twice as long as the one before.
-/// Failed calls are billed too, and a recovered store must be found within a second.
-const RETRY_BACKOFF: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(1));
-
 /// Maximum time for which another watch waits for the configuration watch to find the
 /// store recovered.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -44,10 +41,6 @@
 /// arrive, and a draining target may be in the next one.
 const LARGE_BATCH: usize = 100;
 
-/// Shortest time after which a watch call may be cut off while it waits without the store
-/// counting as lost: the store or the network may end calls that wait.
-const MIN_CUT_WAIT: Duration = Duration::from_secs(1);
-
 /// Longest time between two checks of whether a watch is overdue, since what other hosts tell may
 /// make it so earlier.
 const MAX_DUE_SLEEP: Duration = Duration::from_millis(500);
@@ -103,8 +96,7 @@
     let mut known: Option<Version> = None;
     let mut listed_era: Option<u64> = None;
     let mut latest_era = shared.store_era.subscribe();
-    let mut lost = false;
-    let mut pause = RETRY_BACKOFF.0;
+    let mut contact = StoreContact::default();
     loop {
         if known.is_none() {
             latest_era.mark_unchanged();
@@ -138,11 +130,11 @@
         };
         let now = shared.now();
         let answered = !matches!(reply, StoreReply::Refused | StoreReply::Unknown);
-        if lost && answered {
-            log::warn!(target: "store", prefix; "store regained");
-            shared.state().fleet.store_recovered(now);
-            lost = false;
-            pause = RETRY_BACKOFF.0;
+        if answered && let Some(outage) = contact.record_answer(now) {
+            let ms = outage.until.since(outage.from).as_millis() as u64;
+            log::warn!(target: "store", prefix, ms; "store regained");
+            let since = outage.entries_missing_since(shared.settings.bounds.drain_time);
+            shared.state().fleet.store_recovered(since);
             if watched.probes_store() {
                 shared.state().store_down = false;
                 // A watch call that was sent before the outage may never be answered.
@@ -197,27 +189,34 @@
                 log::info!(target: "store", prefix; "history compacted; listing again");
                 known = None;
             }
-            StoreReply::Unknown if known.is_some() && now.since(sent) >= MIN_CUT_WAIT => {
-                // A list shows at once whether the store answers over another connection.
-                known = None;
-            }
             other => {
-                if !lost {
-                    log::warn!(target: "store", prefix, reply:? = other; "store lost");
-                    shared.metrics.count_store_outage();
-                    lost = true;
-                    shared.state().store_down |= watched.probes_store();
-                }
+                let (waits, is_refused) = (known.is_some(), other != StoreReply::Unknown);
+                let call = FailedCall { sent, waits, is_refused };
+                let after = contact.record_failure(now, call);
                 // A list call is answered as soon as the store is back, a watch call only after
                 // its wait.
                 known = None;
-                if !watched.probes_store() && shared.state().store_down {
-                    // The configuration watch tells if the store is back earlier.
-                    timeout(RECOVERY_TIMEOUT, shared.store_recovered.notified()).await.ok();
-                    continue;
-                }
+                let pause = match after {
+                    AfterFailure::List(pause) => {
+                        let ms = now.since(sent).as_millis() as u64;
+                        log::info!(target: "store", prefix, ms; "watch cut off");
+                        pause
+                    }
+                    AfterFailure::Lost { is_new, pause } => {
+                        if is_new {
+                            log::warn!(target: "store", prefix, reply:? = other; "store lost");
+                            shared.metrics.count_store_outage();
+                            shared.state().store_down |= watched.probes_store();
+                        }
+                        if !watched.probes_store() && shared.state().store_down {
+                            // The configuration watch tells if the store is back earlier.
+                            timeout(RECOVERY_TIMEOUT, shared.store_recovered.notified()).await.ok();
+                            continue;
+                        }
+                        pause
+                    }
+                };
                 sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
-                pause = (pause * 2).min(RETRY_BACKOFF.1);
             }
         }
     }
--- a/components/gateway/src/watch/builds.rs
+++ b/components/gateway/src/watch/builds.rs
@@ -8,8 +8,9 @@
 use crate::{
     build_record::StoredBuilds,
     fleet::ServiceBuild,
+    outage::RETRY_BACKOFF,
     state::{Shared, State},
-    watch::{RETRY_BACKOFF, hosts::LIST_INTERVAL_PER_HOST},
+    watch::hosts::LIST_INTERVAL_PER_HOST,
 };
 
 /// Key of the record.
