--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,10 +1,11 @@
 //! The gateway forwards callers' requests to targets without changing their bodies.
 //!
-//! Each host runs one gateway process. It serves callers, tells them which hosts to
-//! use, and competes for the lease on the duties that only one process at a time
-//! performs. Decisions are made in modules without I/O or clocks ([`build_record`], [`config`],
-//! [`demand`], [`fleet`], [`freshness`], [`joining`], [`lease`], [`membership`], [`memory`], [`origins`], [`planner`],
-//! [`poison`], [`repeats`], [`stopping`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
+//! Each host runs one gateway process. It serves callers, tells them which hosts to use, and
+//! competes for the lease on the duties that only one process at a time performs. Decisions are
+//! made in modules without I/O or clocks ([`build_record`], [`config`], [`demand`], [`fleet`],
+//! [`freshness`], [`joining`], [`lease`], [`membership`], [`memory`], [`origins`], [`outage`],
+//! [`planner`], [`poison`], [`repeats`], [`stopping`], [`usage`], [`verdict`], [`view`]); the other
+//! modules do the I/O and call them.
 //!
 //! External systems are reached through traits: [`Protocol`] for the headers of callers
 //! and targets, [`Decoder`] for stored objects, and the traits of the clients crate for
@@ -35,6 +36,7 @@
 pub mod memory;
 mod metrics;
 pub mod origins;
+pub mod outage;
 pub mod planner;
 pub mod poison;
 mod protocol;
