Enforce quotas of organisations over all hosts

The rate, burst and unit of an organisation were ignored. Nothing runs unless the settings bound quotas and an organisation has one.

A simulation of hosts, owners and store checks the rule in every window under lost datagrams, cuts, restarts, frozen hosts, store outages, older copies and changes of rates (128 cases), and that 95 % of what one bucket for all hosts would serve is served (48 cases).

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -58,6 +58,8 @@
     /// prefills.
     pub(crate) sent: Arc<AtomicU32>,
     pub(crate) answered_over: AnsweredOver,
+    /// Whether a target may have computed the prompt apart.
+    pub(crate) computed_apart: Arc<AtomicBool>,
 }
 
 /// Maximum number of prompt parts named in a log line.
@@ -422,6 +424,7 @@
     placement: Placement,
 ) -> Option<Export> {
     let mut in_flight = InFlight::new(shared, placement, call);
+    call.computed_apart.store(true, Ordering::Relaxed);
     let result =
         send(shared, call, &mut in_flight, PREFILL_TIMEOUT, RequestStage::Prefill, None).await;
     if matches!(result, SendOutcome::TimedOut) {
--- a/components/gateway/src/config.rs
+++ b/components/gateway/src/config.rs
@@ -4,6 +4,8 @@
 
 use smallvec::SmallVec;
 
+use crate::hash::stable_hash;
+
 /// How the requests of a route may be retried and how they are answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -100,13 +102,61 @@
     pub zone_prices: HashMap<String, f64>,
 }
 
+/// What a request of an organisation counts as.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuotaUnit {
+    /// Each request counts as one.
+    Requests,
+    /// A request counts as its prompt tokens and the tokens that it may generate.
+    Tokens {
+        /// What a request without token counts counts as.
+        uncounted: u32,
+    },
+}
+
+impl QuotaUnit {
+    /// The name in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            QuotaUnit::Requests => "requests",
+            QuotaUnit::Tokens { .. } => "tokens",
+        }
+    }
+}
+
+/// What an organisation may have run on all hosts together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Quota {
+    /// Amount per second.
+    pub rate: f64,
+    /// Amount that may be used at once.
+    pub burst: f64,
+    /// What a request counts as.
+    pub unit: QuotaUnit,
+}
+
+impl Quota {
+    /// What a request with these numbers of tokens counts as.
+    pub fn count(&self, prompt_tokens: u32, max_output: u32) -> f64 {
+        match self.unit {
+            QuotaUnit::Requests => 1.0,
+            QuotaUnit::Tokens { uncounted } => match (prompt_tokens, max_output) {
+                (0, 0) => f64::from(uncounted),
+                _ => f64::from(prompt_tokens) + f64::from(max_output),
+            },
+        }
+    }
+}
+
 /// The organisation that an API key belongs to.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Org {
     /// The organisation's name, as used in usage reports.
     pub name: Arc<str>,
     /// Scheduling priority that overrides the route's; none to use the route's.
     pub priority: Option<u8>,
+    /// Its quota; none if it is not limited.
+    pub quota: Option<Quota>,
 }
 
 /// Limits on what a caller may send.
@@ -145,6 +195,13 @@
     pub limits: CallerLimits,
     /// Shortest of the pauses that the routes of a service allow, by service.
     max_pauses: HashMap<Arc<str>, Duration>,
+    /// Organisations with quotas, by hash of their names.
+    quotas: HashMap<u64, (Arc<str>, Quota)>,
+}
+
+/// Identifies an organisation between hosts.
+pub(crate) fn org_hash(name: &str) -> u64 {
+    stable_hash(&name)
 }
 
 impl Config {
@@ -169,7 +226,16 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Config { version, routes: by_host, services, keys, limits, max_pauses }
+        let orgs = keys.iter().flat_map(HashMap::values);
+        let quotas =
+            orgs.filter_map(|org| Some((org_hash(&org.name), (org.name.clone(), org.quota?))));
+        let quotas = quotas.collect();
+        Config { version, routes: by_host, services, keys, limits, max_pauses, quotas }
+    }
+
+    /// Organisations with quotas, by hash of their names.
+    pub(crate) fn quotas(&self) -> &HashMap<u64, (Arc<str>, Quota)> {
+        &self.quotas
     }
 
     /// Longest pause with which any stream of `service` is on time; none if unspecified.
--- a/components/gateway/src/failure.rs
+++ b/components/gateway/src/failure.rs
@@ -37,6 +37,10 @@
     UnknownBuild,
     /// No target serves with the software version that began the stream.
     BuildGone,
+    /// The organisation's quota is used up; the caller may retry after this time.
+    OverQuota(Duration),
+    /// No owner of the organisation's quota has answered; the request may be within it.
+    QuotaUnknown,
     /// No target can start the request before its deadline; the caller may retry after
     /// this time.
     Late(Duration),
@@ -71,7 +75,9 @@
             Failure::NoRoute => StatusCode::NOT_FOUND,
             Failure::UnknownKey => StatusCode::UNAUTHORIZED,
             Failure::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Failure::StaleView
+            Failure::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
+            Failure::QuotaUnknown
+            | Failure::StaleView
             | Failure::NoTarget
             | Failure::TargetsFull
             | Failure::Late(_)
@@ -87,6 +93,11 @@
         }
     }
 
+    /// Whether the request has not run and will not.
+    pub(crate) fn is_not_run(self) -> bool {
+        self.status() == StatusCode::SERVICE_UNAVAILABLE
+    }
+
     /// Value of the `Retry-After` header; none if a retry would not help.
     fn retry_after(self) -> Option<Duration> {
         match self {
@@ -94,7 +105,9 @@
             Failure::NoTarget => Some(Duration::from_millis(500)),
             Failure::UnknownBuild | Failure::BuildGone => Some(Duration::from_millis(500)),
             Failure::TargetsFull => Some(Duration::from_millis(250)),
-            Failure::Late(span)
+            Failure::QuotaUnknown => Some(Duration::from_millis(300)),
+            Failure::OverQuota(span)
+            | Failure::Late(span)
             | Failure::Limited(span)
             | Failure::Resting(span)
             | Failure::PoisonPart(span) => Some(span),
@@ -114,6 +127,8 @@
             Failure::StaleView => "stale-view",
             Failure::NoTarget => "no-target",
             Failure::TargetsFull => "full",
+            Failure::OverQuota(_) => "over-quota",
+            Failure::QuotaUnknown => "quota-unknown",
             Failure::Late(_) => "late",
             Failure::Limited(_) => "limited",
             Failure::Resting(_) => "resting",
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -8,6 +8,7 @@
 
 mod news;
 mod origins;
+mod quota;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -22,6 +23,7 @@
 pub(crate) use self::{
     news::{send_latest_changes, send_store_era},
     origins::send_origins,
+    quota::{OwnerNotice, OwnerRotation, QuotaAsk, announce_owner, ask_quota, candidate_key},
 };
 use crate::{
     fleet::{CachedPart, EndNotice, GroupReport, InFlightWork, LimitNotice},
@@ -29,6 +31,7 @@
         LatestChanges, ProgressReply, apply_latest_changes, apply_progress, progress_reply,
     },
     gossip::origins::answer_question,
+    gossip::quota::{QuotaAnswer, answer_quota, apply_owner_notice, apply_quota_answer},
     origins::{OriginAnswer, OriginNotice, OriginQuestion, StreamKey},
     poison::{CrashEvidence, FailedRun},
     state::Shared,
@@ -96,6 +99,9 @@
     FailedRuns(Vec<(u32, FailedRun)>),
     /// Starts of targets that the sender has seen end.
     Ends(Vec<EndNotice>),
+    QuotaAsked(QuotaAsk),
+    QuotaAnswered(QuotaAnswer),
+    QuotaOwner(OwnerNotice),
 }
 
 /// What a host has seen of the targets' speeds.
@@ -432,6 +438,11 @@
                 shared.state().origins.record_answer(now, key, answer);
                 shared.origin_settled.notify_waiters();
             }
+            Ok(Message::QuotaAsked(ask)) => {
+                answer_quota(&shared, shared.now(), ask, from, &socket);
+            }
+            Ok(Message::QuotaAnswered(reply)) => apply_quota_answer(&shared, shared.now(), reply),
+            Ok(Message::QuotaOwner(notice)) => apply_owner_notice(&shared, shared.now(), notice),
             Ok(Message::StoreEra(era)) => shared.hear_store_era(era),
             Ok(Message::Work(report)) => {
                 let now = shared.now();
--- /dev/null
+++ b/components/gateway/src/gossip/quota.rs
@@ -0,0 +1,173 @@
+//! What hosts ask owners of quotas, and what owners answer and announce.
+
+use std::{net::SocketAddr, time::Duration};
+
+use chervilgate_clock::Time;
+use chervilgate_policy::QUOTA_PARTITIONS;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use crate::{
+    gossip::{FANOUT, Message, PeerRotation, encode, send_datagram},
+    quota::{OwnerAnswer, lease::OwnerDoc, task::CANDIDATES},
+    state::Shared,
+};
+
+/// Asks the owner of a partition for a part of an organisation's quota.
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct QuotaAsk {
+    id: u64,
+    org: u64,
+    partition: u8,
+    need: u32,
+    extra: u32,
+}
+
+impl QuotaAsk {
+    /// Id, partition, amount that is needed and amount in advance.
+    #[cfg(test)]
+    pub(crate) fn parts(&self) -> (u64, usize, f64, f64) {
+        (self.id, self.partition.into(), self.need.into(), self.extra.into())
+    }
+
+    pub(crate) fn new(id: u64, org: u64, partition: usize, need: f64, extra: f64) -> QuotaAsk {
+        QuotaAsk { id, org, partition: partition as u8, need: need as u32, extra: extra as u32 }
+    }
+}
+
+/// The reply to an ask.
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct QuotaAnswer {
+    id: u64,
+    answer: Answer,
+}
+
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
+enum Answer {
+    Granted(u32),
+    /// Milliseconds after which enough will be there.
+    Refused(u32),
+    Unknown,
+    NotOwner,
+}
+
+/// Names the owner of a partition.
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct OwnerNotice {
+    partition: u8,
+    addr: SocketAddr,
+    era: u64,
+    count: u64,
+    released: bool,
+}
+
+impl OwnerNotice {
+    /// A notice of this object; none if it does not name an address.
+    pub(crate) fn new(partition: usize, doc: &OwnerDoc) -> Option<OwnerNotice> {
+        let OwnerDoc { addr, era, count, released, .. } = *doc;
+        Some(OwnerNotice { partition: partition as u8, addr: addr?, era, count, released })
+    }
+}
+
+/// Sends an ask; if it is lost, another owner is asked.
+pub(crate) fn ask_quota(shared: &Shared, ask: &QuotaAsk, to: SocketAddr) {
+    let Some(socket) = shared.quota_socket.get() else { return };
+    if let Some(datagram) = encode(&Message::QuotaAsked(*ask))
+        && let Err(error) = socket.try_send_to(&datagram, to)
+    {
+        log::debug!(target: "gossip", to:%, error:%; "quota not asked for");
+    }
+}
+
+/// Answers an ask, if this host's configuration is fresh: an old one may have a higher rate.
+pub(super) fn answer_quota(
+    shared: &Shared,
+    now: Time,
+    ask: QuotaAsk,
+    from: SocketAddr,
+    socket: &UdpSocket,
+) {
+    let (need, extra) = (f64::from(ask.need), f64::from(ask.extra));
+    let answer = {
+        let state = &mut *shared.state();
+        if !state.view.is_fresh(now) {
+            OwnerAnswer::Unknown
+        } else {
+            state.quota.answer(now, ask.org, ask.partition.into(), need, extra)
+        }
+    };
+    let answer = match answer {
+        OwnerAnswer::Granted(amount) => Answer::Granted(amount as u32),
+        OwnerAnswer::Refused(wait) => Answer::Refused(wait.as_millis() as u32 + 1),
+        OwnerAnswer::Unknown => Answer::Unknown,
+        OwnerAnswer::NotOwner => Answer::NotOwner,
+    };
+    let reply = Message::QuotaAnswered(QuotaAnswer { id: ask.id, answer });
+    if let Some(datagram) = encode(&reply)
+        && let Err(error) = socket.try_send_to(&datagram, from)
+    {
+        log::debug!(target: "gossip", from:%, error:%; "quota not answered");
+    }
+}
+
+pub(super) fn apply_quota_answer(shared: &Shared, now: Time, reply: QuotaAnswer) {
+    let answer = match reply.answer {
+        Answer::Granted(amount) => OwnerAnswer::Granted(amount.into()),
+        Answer::Refused(wait) => OwnerAnswer::Refused(Duration::from_millis(wait.into())),
+        Answer::Unknown => OwnerAnswer::Unknown,
+        Answer::NotOwner => OwnerAnswer::NotOwner,
+    };
+    shared.state().quota.apply_answer(now, reply.id, answer);
+}
+
+pub(super) fn apply_owner_notice(shared: &Shared, now: Time, notice: OwnerNotice) {
+    let OwnerNotice { partition, addr, era, count, released } = notice;
+    let partition = usize::from(partition);
+    if partition >= QUOTA_PARTITIONS {
+        return;
+    }
+    let doc = OwnerDoc { addr: Some(addr), era, count, released, ..OwnerDoc::default() };
+    shared.state().quota.hear_owner(now, partition, &doc);
+    if released {
+        shared.quota_due[partition].notify_one();
+    }
+}
+
+/// Tells hosts who owns a partition: all of them, or those that would take it over and a few others in
+/// rotation.
+pub(crate) async fn announce_owner(
+    shared: &Shared,
+    socket: &UdpSocket,
+    notice: OwnerNotice,
+    rotation: &mut OwnerRotation,
+    is_urgent: bool,
+) {
+    let Some(datagram) = encode(&Message::QuotaOwner(notice)) else { return };
+    let now = shared.now();
+    let (peers, candidates) = {
+        let state = shared.state();
+        let key = candidate_key(notice.partition.into());
+        let candidates = state.membership.ranked(now, key, CANDIDATES + 1);
+        (state.membership.gossip_addrs(), candidates)
+    };
+    let mut recipients = if is_urgent { peers } else { rotation.0.next(peers, FANOUT) };
+    recipients.extend(candidates);
+    recipients.sort_unstable();
+    recipients.dedup();
+    for peer in recipients {
+        send_datagram(socket, &datagram, peer).await;
+    }
+}
+
+/// Picks the hosts that are told who owns a partition.
+#[derive(Default)]
+pub(crate) struct OwnerRotation(PeerRotation);
+
+/// Orders the hosts that would take over a partition.
+pub(crate) fn candidate_key(partition: usize) -> u64 {
+    crate::hash::stable_hash(&("quota", partition))
+}
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -4,6 +4,7 @@
 
 use chervilgate_clients::{ObjectStore, TargetOrders, WindowReports};
 use chervilgate_clock::Time;
+use chervilgate_policy::QUOTA_PARTITIONS;
 use chervilgate_serve::{Handler, Limits, serve};
 use snafu::{ResultExt, Snafu};
 use tokio::{
@@ -19,6 +20,7 @@
     gossip,
     metrics::LostLines,
     protocol::{Decoder, Protocol},
+    quota::task::{PartitionTask, maintain_quotas},
     serve::CallerHandler,
     settings::HostSettings,
     state::Shared,
@@ -125,6 +127,14 @@
         let socket =
             UdpSocket::bind(addr).await.context(ListenSnafu { addr, purpose: "other hosts" })?;
         let socket = Arc::new(socket);
+        if shared.settings.bounds.quota.is_some() && shared.quota_socket.set(socket.clone()).is_ok()
+        {
+            tokio::spawn(maintain_quotas(shared.clone()));
+            for partition in 0..QUOTA_PARTITIONS {
+                let task = PartitionTask::new(shared.clone(), socket.clone(), partition);
+                tokio::spawn(task.run());
+            }
+        }
         tokio::spawn(gossip::send_work(shared.clone(), socket.clone()));
         let refresh_membership = Arc::new(Notify::new());
         tokio::spawn(gossip::send_speeds(shared.clone(), socket.clone()));
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! use, and competes for the lease on the duties that only one process at a time
 //! performs. Decisions are made in modules without I/O or clocks ([`build_record`], [`config`],
 //! [`fleet`], [`freshness`], [`joining`], [`lease`], [`membership`], [`origins`], [`planner`], [`poison`],
-//! [`repeats`], [`stopping`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
+//! [`quota`], [`repeats`], [`stopping`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
 //!
 //! External systems are reached through traits: [`Protocol`] for the headers of callers
 //! and targets, [`Decoder`] for stored objects, and the traits of the clients crate for
@@ -35,6 +35,7 @@
 pub mod planner;
 pub mod poison;
 mod protocol;
+pub mod quota;
 pub mod repeats;
 mod serve;
 mod settings;
@@ -47,6 +48,8 @@
 pub mod view;
 mod watch;
 
+pub use chervilgate_policy::QuotaBounds;
+
 pub use crate::{
     events::EventSplitter,
     host::{Dependencies, DutyClients, Host, HostError},
--- a/components/gateway/src/membership.rs
+++ b/components/gateway/src/membership.rs
@@ -172,6 +172,17 @@
         ranked.into_iter().take(count).map(|(.., addr)| addr).collect()
     }
 
+    /// Number of live hosts before this one in an order by hash over `key`, without those at the
+    /// addresses in `except`.
+    pub fn rank(&self, now: Time, key: u64, except: &[SocketAddr]) -> usize {
+        let own = stable_hash(&(key, &self.own_name));
+        let others = self
+            .hosts
+            .iter()
+            .filter(|(_, known)| known.serves(now) && !except.contains(&known.entry.gossip));
+        others.filter(|(name, _)| stable_hash(&(key, name)) < own).count()
+    }
+
     /// Number of hosts that may be serving, with this one.
     pub fn count(&self) -> usize {
         1 + self.staying_names().count()
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics of a host.
 
-use std::{fs, time::Duration};
+use std::{fs, sync::atomic::AtomicU64, time::Duration};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -15,6 +15,44 @@
 
 use crate::fleet::TargetCounts;
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct OrgLabel {
+    org: String,
+}
+
+/// Metrics of one organisation's quota.
+#[derive(Debug, Clone)]
+pub(crate) struct OrgQuotaMetrics {
+    label: OrgLabel,
+    held: FloatGauge,
+    used: Counter,
+    refused: Counter,
+}
+
+type FloatGauge = Gauge<f64, AtomicU64>;
+
+impl OrgQuotaMetrics {
+    /// Name of the organisation.
+    pub(crate) fn org(&self) -> &str {
+        &self.label.org
+    }
+
+    pub(crate) fn set_held(&self, amount: f64) {
+        self.held.set(amount);
+    }
+
+    /// Counts an admitted request.
+    pub(crate) fn count_used(&self, count: f64) {
+        self.used.inc_by(count as u64);
+    }
+
+    /// Counts a refused request.
+    pub(crate) fn count_refused(&self) {
+        self.refused.inc();
+    }
+}
+
 /// Upper bound of the first histogram bucket.
 const FIRST_BUCKET_SECONDS: f64 = 0.005;
 
@@ -86,6 +124,10 @@
     windows: Counter,
     orders: Family<EndLabel, Counter>,
     targets: Family<StateLabel, Gauge>,
+    quota_rate: Family<OrgLabel, FloatGauge>,
+    quota_held: Family<OrgLabel, FloatGauge>,
+    quota_used: Family<OrgLabel, Counter>,
+    quota_refused: Family<OrgLabel, Counter>,
     memory: Gauge,
     lines_lost: Gauge,
     level_losses: Family<LevelLabel, Gauge>,
@@ -121,6 +163,10 @@
             windows: Counter::default(),
             orders: Family::default(),
             targets: Family::default(),
+            quota_rate: Family::default(),
+            quota_held: Family::default(),
+            quota_used: Family::default(),
+            quota_refused: Family::default(),
             memory: Gauge::default(),
             lines_lost: Gauge::default(),
             level_losses: Family::default(),
@@ -170,6 +216,10 @@
         registry.register("windows_reported", "Usage windows reported", self.windows.clone());
         registry.register("orders", "Orders for targets by outcome", self.orders.clone());
         registry.register("targets", "Targets by state", self.targets.clone());
+        registry.register("quota_rate", "Rate of a quota", self.quota_rate.clone());
+        registry.register("quota_held", "Granted part of a quota", self.quota_held.clone());
+        registry.register("quota_used", "Used of a quota", self.quota_used.clone());
+        registry.register("quota_refused", "Refused by a quota", self.quota_refused.clone());
         registry.register("memory_bytes", "Resident memory", self.memory.clone());
         registry.register("log_lines_lost", "Log lines left out", self.lines_lost.clone());
         registry.register(
@@ -246,6 +296,25 @@
         self.orders.get_or_create(&EndLabel { end }).inc();
     }
 
+    /// The metrics of the quota of `org`, with its rate.
+    pub(crate) fn org_quota(&self, org: &str, rate: f64) -> OrgQuotaMetrics {
+        let label = OrgLabel { org: org.to_owned() };
+        self.quota_rate.get_or_create(&label).set(rate);
+        OrgQuotaMetrics {
+            held: self.quota_held.get_or_create(&label).clone(),
+            used: self.quota_used.get_or_create(&label).clone(),
+            refused: self.quota_refused.get_or_create(&label).clone(),
+            label,
+        }
+    }
+
+    /// Removes the gauges of an organisation without a quota.
+    pub(crate) fn remove_org_quota(&self, org: &str) {
+        let label = OrgLabel { org: org.to_owned() };
+        self.quota_rate.remove(&label);
+        self.quota_held.remove(&label);
+    }
+
     /// Sets the number of targets by state.
     pub(crate) fn set_targets(&self, counts: TargetCounts) {
         let states = [
--- /dev/null
+++ b/components/gateway/src/quota/tests.rs
@@ -0,0 +1,625 @@
+//! Simulated hosts, owners and store: the rule on the sum over all hosts, and what is served.
+
+use std::{collections::BinaryHeap, net::SocketAddr, time::Duration};
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{Expect, Version};
+use chervilgate_policy::{QUOTA_PARTITIONS, QuotaBounds};
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::{
+    config::{CallerLimits, Config, Org, Quota, QuotaUnit, org_hash},
+    metrics::Metrics,
+    quota::{
+        OwnerAnswer, QuotaState,
+        admit::{Step, WaitingRequest},
+        lease::{OWNER_LEASE, OwnerDoc},
+    },
+    settings::{HostLimits, HostSettings},
+};
+
+const BOUNDS: QuotaBounds =
+    QuotaBounds { window: Duration::from_secs(8), overage: 0.1, slack: 190_000.0 };
+/// Time within which a change of the configuration is applied.
+const APPLY_TIME: Duration = Duration::from_secs(3);
+const STEP: Duration = Duration::from_millis(1);
+/// Interval of the steps of owners and candidates.
+const TICK_MS: u64 = 250;
+
+/// What may go wrong, by chance per second.
+#[derive(Debug, Clone, Copy, Default)]
+struct Faults {
+    loss: f64,
+    cuts: f64,
+    kills: f64,
+    freezes: f64,
+    outages: f64,
+    restores: f64,
+    changes: f64,
+}
+
+/// Which hosts get the callers' requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Spread {
+    OneHost,
+    AllHosts,
+    Moving,
+}
+
+enum Message {
+    Ask { id: u64, partition: usize, need: f64, extra: f64 },
+    Answer { id: u64, answer: OwnerAnswer },
+    Notice { partition: usize, doc: OwnerDoc },
+}
+
+struct Delivery {
+    at: Time,
+    number: u64,
+    from: usize,
+    to: usize,
+    boot: u64,
+    message: Message,
+}
+
+impl PartialEq for Delivery {
+    fn eq(&self, other: &Delivery) -> bool {
+        self.number == other.number
+    }
+}
+impl Eq for Delivery {}
+impl PartialOrd for Delivery {
+    fn partial_cmp(&self, other: &Delivery) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Delivery {
+    fn cmp(&self, other: &Delivery) -> std::cmp::Ordering {
+        (other.at, other.number).cmp(&(self.at, self.number))
+    }
+}
+
+struct SimHost {
+    state: QuotaState,
+    boot: u64,
+    /// None while it runs.
+    down_until: Option<Time>,
+    frozen_until: Time,
+    /// Cut off from hosts of the other group, and from the store.
+    cut_until: Time,
+    store_cut_until: Time,
+    requests: Vec<(Time, Option<WaitingRequest>, f64)>,
+    config_version: u64,
+    listed: bool,
+}
+
+type StoredDocs = [Option<(u64, OwnerDoc)>; QUOTA_PARTITIONS];
+
+struct World {
+    now: Time,
+    rng: Pcg64,
+    faults: Faults,
+    hosts: Vec<SimHost>,
+    metrics: Metrics,
+    network: BinaryHeap<Delivery>,
+    sent: u64,
+    store: StoredDocs,
+    era: u64,
+    revision: u64,
+    copies: Vec<StoredDocs>,
+    store_down_until: Time,
+    /// Quotas by time from which they are in force.
+    quotas: Vec<(Time, Quota)>,
+    /// All requests, and those that were admitted.
+    asked: Vec<(Time, f64)>,
+    admitted: Vec<(Time, f64)>,
+    refused: usize,
+    unknown: usize,
+    datagrams: u64,
+}
+
+fn org() -> u64 {
+    org_hash("org")
+}
+
+fn addr(host: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1_000 + host as u16))
+}
+
+fn settings(host: usize) -> HostSettings {
+    HostSettings {
+        name: format!("host-{host}"),
+        zone: String::new(),
+        region: String::new(),
+        caller_addr: addr(host),
+        readiness_addr: addr(host),
+        gossip_addr: addr(host),
+        directory_addr: None,
+        metrics_addr: None,
+        store_addr: addr(host),
+        duties_addr: None,
+        max_descriptors: 0,
+        bounds: HostLimits { quota: Some(BOUNDS), ..HostLimits::default() },
+    }
+}
+
+fn config(version: u64, quota: Quota) -> Config {
+    let org = Org { name: "org".into(), priority: None, quota: Some(quota) };
+    let keys = [("k".to_owned(), org)].into();
+    Config::new(version, Vec::new(), Default::default(), Some(keys), CallerLimits::default())
+}
+
+impl World {
+    fn new(seed: u64, hosts: usize, rate: f64, burst: f64, faults: Faults) -> World {
+        let quota = Quota { rate, burst, unit: QuotaUnit::Tokens { uncounted: 200 } };
+        let mut world = World {
+            now: Time::from_secs(100),
+            rng: Pcg64::seed_from_u64(seed),
+            faults,
+            hosts: Vec::new(),
+            metrics: Metrics::new(),
+            network: BinaryHeap::new(),
+            sent: 0,
+            store: Default::default(),
+            era: 0,
+            revision: 0,
+            copies: Vec::new(),
+            store_down_until: Time::ZERO,
+            quotas: vec![(Time::from_secs(100), quota)],
+            asked: Vec::new(),
+            admitted: Vec::new(),
+            refused: 0,
+            unknown: 0,
+            datagrams: 0,
+        };
+        world.hosts = (0..hosts).map(|index| world.start_host(index)).collect();
+        world
+    }
+
+    fn start_host(&mut self, index: usize) -> SimHost {
+        let boot = self.rng.random();
+        SimHost {
+            state: QuotaState::new(&settings(index), boot),
+            boot,
+            down_until: None,
+            frozen_until: Time::ZERO,
+            cut_until: Time::ZERO,
+            store_cut_until: Time::ZERO,
+            requests: Vec::new(),
+            config_version: 0,
+            listed: false,
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: Message) {
+        let to = usize::from(to.port()) - 1_000;
+        self.datagrams += 1;
+        if self.rng.random_bool(self.faults.loss) {
+            return;
+        }
+        let is_cut = |host: &SimHost| self.now < host.cut_until;
+        if from % 2 != to % 2 && (is_cut(&self.hosts[from]) || is_cut(&self.hosts[to])) {
+            return;
+        }
+        let late = if self.rng.random_bool(0.02) { 200 } else { 4 };
+        let delay = Duration::from_micros(self.rng.random_range(500..late * 1_000));
+        self.sent += 1;
+        let boot = self.hosts[to].boot;
+        let at = self.now + delay;
+        self.network.push(Delivery { at, number: self.sent, from, to, boot, message });
+    }
+
+    fn happens(&mut self, per_second: f64) -> bool {
+        per_second > 0.0 && self.rng.random_bool(per_second * STEP.as_secs_f64())
+    }
+
+    fn inject_faults(&mut self) {
+        let Faults { cuts, kills, freezes, outages, restores, changes, .. } = self.faults;
+        let any = self.rng.random_range(0..self.hosts.len());
+        let until = self.now + Duration::from_millis(self.rng.random_range(10..9_000));
+        if self.happens(cuts) {
+            self.hosts[any].cut_until = until;
+        }
+        if self.happens(cuts) {
+            self.hosts[any].store_cut_until = until;
+        }
+        if self.happens(kills) {
+            let all = self.rng.random_bool(0.2);
+            for host in self.hosts.iter_mut().enumerate().filter(|(i, _)| all || *i == any) {
+                host.1.down_until = Some(until);
+                host.1.requests.clear();
+            }
+        }
+        if self.happens(freezes) {
+            self.hosts[any].frozen_until = until;
+        }
+        if self.happens(outages) {
+            self.store_down_until = until;
+        }
+        if self.happens(1.0) {
+            self.copies.push(self.store.clone());
+        }
+        if self.happens(restores) && !self.copies.is_empty() {
+            let copy = self.rng.random_range(0..self.copies.len());
+            self.store = self.copies[copy].clone();
+            self.era += 1;
+        }
+        if self.happens(changes) {
+            let rate = self.rng.random_range(20_000.0..900_000.0);
+            let quota =
+                Quota { rate, burst: rate * self.rng.random_range(0.0..1.5), ..self.quotas[0].1 };
+            self.quotas.push((self.now, quota));
+        }
+    }
+
+    fn write(&mut self, index: usize, partition: usize, doc: OwnerDoc, expect: Expect) -> bool {
+        let current = self.store[partition]
+            .as_ref()
+            .map(|(revision, _)| Version { era: self.era, revision: *revision });
+        let holds = match expect {
+            Expect::Absent => current.is_none(),
+            Expect::At(version) => current == Some(version),
+        };
+        if holds {
+            self.revision += 1;
+            self.store[partition] = Some((self.revision, doc.clone()));
+        }
+        // The reply may be lost, as the write itself.
+        if self.rng.random_bool(self.faults.loss) {
+            return false;
+        }
+        let now = self.now;
+        let state = &mut self.hosts[index].state;
+        if holds {
+            let version = Version { era: self.era, revision: self.revision };
+            if state.leases[partition].record_write(now, now, version, doc.clone()) {
+                state.begin_owning(now, partition);
+            }
+            state.hear_owner(now, partition, &doc);
+            return true;
+        }
+        false
+    }
+
+    fn read(&mut self, index: usize, partition: usize) {
+        let found = self.store[partition].clone();
+        let version =
+            found.as_ref().map(|(revision, _)| Version { era: self.era, revision: *revision });
+        let doc = found.map(|(_, doc)| doc);
+        let (now, era) = (self.now, self.era);
+        let state = &mut self.hosts[index].state;
+        if let Some(doc) = doc.as_ref().filter(|doc| doc.era == era) {
+            state.hear_owner(now, partition, doc);
+        }
+        state.leases[partition].observe(now, era, version, doc);
+    }
+
+    /// The steps of an owner, and of a host that takes over what it hears no owner of.
+    fn tick(&mut self, index: usize) {
+        let now = self.now;
+        let has_store = now >= self.hosts[index].store_cut_until && now >= self.store_down_until;
+        let is_lost = self.hosts[index].state.expire_asks(now);
+        if has_store && (is_lost || !self.hosts[index].listed) {
+            self.hosts[index].listed = true;
+            (0..QUOTA_PARTITIONS).for_each(|partition| self.read(index, partition));
+        }
+        for partition in 0..QUOTA_PARTITIONS {
+            let owner = self.hosts[index].state.owners[partition];
+            let is_unheard =
+                owner.is_none_or(|owner| now >= owner.heard_at + Duration::from_secs(2));
+            let is_owner = self.hosts[index].state.leases[partition].is_owner();
+            let is_candidate = (partition + self.hosts.len() - index) % self.hosts.len() < 3;
+            if has_store && !is_owner && is_unheard && is_candidate && self.rng.random_bool(0.3) {
+                self.read(index, partition);
+            }
+            if is_owner || is_unheard && is_candidate && self.hosts[index].listed {
+                let lease = &mut self.hosts[index].state.leases[partition];
+                let expect = lease.expected();
+                if let Some(doc) = lease.next_write(now)
+                    && has_store
+                    && !self.write(index, partition, doc, expect)
+                {
+                    self.read(index, partition);
+                }
+            }
+            let lease = &self.hosts[index].state.leases[partition];
+            if let Some(doc) = lease.own_doc().filter(|_| lease.is_owner()).cloned() {
+                for peer in (0..self.hosts.len()).filter(|peer| *peer != index) {
+                    self.send(index, addr(peer), Message::Notice { partition, doc: doc.clone() });
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        let Delivery { to, from, boot, message, .. } = delivery;
+        let now = self.now;
+        if now < self.hosts[to].frozen_until {
+            let at = self.hosts[to].frozen_until;
+            self.network.push(Delivery { at, number: delivery.number, from, to, boot, message });
+            return;
+        }
+        if self.hosts[to].down_until.is_some() || self.hosts[to].boot != boot {
+            return;
+        }
+        let state = &mut self.hosts[to].state;
+        match message {
+            Message::Ask { id, partition, need, extra } => {
+                let answer = match state.answer(now, org(), partition, need, extra) {
+                    OwnerAnswer::Granted(amount) => OwnerAnswer::Granted(amount.floor()),
+                    other => other,
+                };
+                self.send(to, addr(from), Message::Answer { id, answer });
+            }
+            Message::Answer { id, answer } => state.apply_answer(now, id, answer),
+            Message::Notice { partition, doc } => state.hear_owner(now, partition, &doc),
+        }
+    }
+
+    fn begin_request(&mut self, index: usize, count: f64) {
+        let now = self.now;
+        self.asked.push((now, count));
+        let state = &mut self.hosts[index].state;
+        match WaitingRequest::begin(state, now, org(), count, now + Duration::from_secs(2)) {
+            Some(Ok(_)) => self.admitted.push((now, count)),
+            Some(Err(request)) => {
+                self.hosts[index].requests.push((now, Some(request), count));
+                self.run_requests(index);
+            }
+            None => self.unknown += 1,
+        }
+    }
+
+    fn run_requests(&mut self, index: usize) {
+        let now = self.now;
+        let mut requests = std::mem::take(&mut self.hosts[index].requests);
+        for (until, slot, count) in &mut requests {
+            while let Some(request) = slot.as_mut() {
+                if now < *until && !request.has_reply() {
+                    break;
+                }
+                let state = &mut self.hosts[index].state;
+                match request.next(state, now) {
+                    Step::Admitted(_) => self.admitted.push((now, *count)),
+                    Step::Ask(ask, to) => {
+                        let (id, partition, need, extra) = ask.parts();
+                        self.send(index, to, Message::Ask { id, partition, need, extra });
+                        continue;
+                    }
+                    Step::Wait(time) => {
+                        *until = time;
+                        if now >= time {
+                            continue;
+                        }
+                        break;
+                    }
+                    Step::Again => continue,
+                    Step::Failed(crate::failure::Failure::OverQuota(_)) => self.refused += 1,
+                    Step::Failed(_) => self.unknown += 1,
+                }
+                if let Some(request) = slot.take() {
+                    request.finish(&mut self.hosts[index].state, now);
+                }
+            }
+        }
+        requests.retain(|(_, request, _)| request.is_some());
+        requests.append(&mut self.hosts[index].requests);
+        self.hosts[index].requests = requests;
+    }
+
+    /// Applies the latest configuration at hosts, each within the time for it.
+    fn apply_configs(&mut self) {
+        for index in 0..self.hosts.len() {
+            let newest = self.quotas.len();
+            let version = self.hosts[index].config_version as usize;
+            if version == newest || self.hosts[index].down_until.is_some() {
+                continue;
+            }
+            let (since, _) = self.quotas[version];
+            let is_due = version == 0
+                || self.now >= since + APPLY_TIME.saturating_sub(STEP * 2)
+                || self.rng.random_bool(0.002);
+            if is_due && (self.now >= self.hosts[index].frozen_until) {
+                let version = if version == 0 { newest } else { version + 1 };
+                let config = config(version as u64, self.quotas[version - 1].1);
+                let host = &mut self.hosts[index];
+                host.config_version = version as u64;
+                let metrics = &self.metrics;
+                host.state.apply_config(
+                    self.now,
+                    &config,
+                    |org, quota| metrics.org_quota(org, quota.rate),
+                    |_| {},
+                );
+            }
+        }
+    }
+
+    /// Runs for `time` while requests that together count `demand` times the rate arrive.
+    fn run(&mut self, time: Duration, demand: f64, spread: Spread, sizes: (f64, f64)) {
+        let end = self.now + time;
+        let mean = (sizes.0 + sizes.1) / 2.0;
+        while self.now < end {
+            self.now += STEP;
+            self.inject_faults();
+            self.apply_configs();
+            while self.network.peek().is_some_and(|delivery| delivery.at <= self.now) {
+                if let Some(delivery) = self.network.pop() {
+                    self.deliver(delivery);
+                }
+            }
+            for index in 0..self.hosts.len() {
+                if self.hosts[index].down_until.is_some_and(|until| self.now >= until) {
+                    self.hosts[index] = self.start_host(index);
+                }
+                let host = &self.hosts[index];
+                if host.down_until.is_some() || self.now < host.frozen_until {
+                    continue;
+                }
+                let millis = self.now.as_micros() / 1_000;
+                if (millis + 37 * index as u64).is_multiple_of(TICK_MS) {
+                    self.tick(index);
+                }
+                self.run_requests(index);
+            }
+            let rate = self.quotas.last().unwrap().1.rate;
+            let mut arriving = demand * rate * STEP.as_secs_f64() / mean;
+            while arriving > 0.0 && self.rng.random_bool(arriving.min(1.0)) {
+                arriving -= 1.0;
+                let size = self.rng.random_range(sizes.0..sizes.1).floor();
+                let size = if self.rng.random_bool(0.01) { size * 5.0 } else { size };
+                let seconds = self.now.as_micros() / 1_500_000;
+                let index = match spread {
+                    Spread::OneHost => 0,
+                    Spread::AllHosts => self.rng.random_range(0..self.hosts.len()),
+                    Spread::Moving => seconds as usize % self.hosts.len(),
+                };
+                let host = &self.hosts[index];
+                if host.down_until.is_none() && self.now >= host.frozen_until {
+                    self.begin_request(index, size);
+                }
+            }
+        }
+    }
+
+    /// The worst window: what was admitted, and what was allowed.
+    fn worst_window(&self) -> (f64, f64) {
+        let mut worst = (0.0, f64::INFINITY);
+        let (mut end, mut sum) = (0, 0.0);
+        for (start, count) in &self.admitted {
+            while self.admitted.get(end).is_some_and(|(at, _)| *at <= *start + BOUNDS.window) {
+                sum += self.admitted[end].1;
+                end += 1;
+            }
+            let allowed = self.allowed(*start);
+            if sum / allowed > worst.0 / worst.1 {
+                worst = (sum, allowed);
+            }
+            sum -= count;
+        }
+        worst
+    }
+
+    /// What is allowed in the window from `start`: of the limits that may be in force at any host.
+    fn allowed(&self, start: Time) -> f64 {
+        let ends = self.quotas.iter().skip(1).map(|(since, _)| *since).chain([Time::NEVER]);
+        let limits = self.quotas.iter().zip(ends).filter(|((since, _), until)| {
+            *since <= start + BOUNDS.window && *until + APPLY_TIME >= start
+        });
+        let (rate, burst) = limits.fold((0.0_f64, 0.0_f64), |(rate, burst), ((_, quota), _)| {
+            (rate.max(quota.rate), burst.max(quota.burst))
+        });
+        (rate * BOUNDS.window.as_secs_f64() + burst) * (1.0 + BOUNDS.overage) + BOUNDS.slack
+    }
+
+    /// What one bucket for all hosts would have served of the requests since `since`.
+    fn ideal_since(&self, since: Time) -> f64 {
+        let Quota { rate, burst, .. } = self.quotas[0].1;
+        let (mut balance, mut served, mut last) = (burst, 0.0, Time::from_secs(100));
+        for (at, count) in &self.asked {
+            balance = (balance + rate * at.since(last).as_secs_f64()).min(burst);
+            last = *at;
+            if balance >= *count {
+                balance -= count;
+                served += if *at >= since { *count } else { 0.0 };
+            }
+        }
+        served
+    }
+
+    fn served_since(&self, since: Time) -> f64 {
+        self.admitted.iter().filter(|(at, _)| *at >= since).map(|(_, count)| count).sum()
+    }
+}
+
+fn spreads() -> impl Strategy<Value = Spread> {
+    prop_oneof![Just(Spread::OneHost), Just(Spread::AllHosts), Just(Spread::Moving)]
+}
+
+fn faults() -> impl Strategy<Value = Faults> {
+    let chance = |most: f64| prop_oneof![Just(0.0), 0.0..most];
+    (chance(0.3), chance(0.6), chance(0.8), chance(0.4), chance(0.2), chance(0.2), chance(0.2))
+        .prop_map(|(loss, cuts, kills, freezes, outages, restores, changes)| Faults {
+            loss,
+            cuts,
+            kills,
+            freezes,
+            outages,
+            restores,
+            changes,
+        })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None, ..ProptestConfig::default() })]
+
+    // Guards against two owners of a partition, grants that are spent late or twice, and owners that
+    // forget what they granted.
+    #[test]
+    fn no_window_exceeds_the_quota(
+        seed: u64, hosts in 2..7_usize, rate in 20_000.0..900_000.0_f64, burst in 0.0..1.5_f64,
+        demand in 0.5..7.0_f64, spread in spreads(), faults in faults(), largest in 3_000.0..60_000.0_f64,
+    ) {
+        let mut world = World::new(seed, hosts, rate, rate * burst, faults);
+
+        world.run(Duration::from_secs(30), demand, spread, (1_500.0, largest));
+
+        let (sum, allowed) = world.worst_window();
+        prop_assert!(sum <= allowed, "{sum} of {allowed}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, ..ProptestConfig::default() })]
+
+    // Guards against quota that is granted where it is not used.
+    #[test]
+    fn nearly_all_that_is_allowed_is_served(
+        seed: u64, hosts in 2..40_usize, rate in 47_000.0..900_000.0_f64, demand in 1.3..7.0_f64,
+        spread in spreads(),
+    ) {
+        let mut world = World::new(seed, hosts, rate, rate, Faults::default());
+        world.run(OWNER_LEASE + Duration::from_secs(4), demand, spread, (1_500.0, 17_000.0));
+        let since = world.now;
+
+        world.run(Duration::from_secs(16), demand, spread, (1_500.0, 17_000.0));
+
+        let (served, ideal) = (world.served_since(since), world.ideal_since(since));
+        prop_assert!(served >= 0.95 * ideal, "{served} of {ideal}, {}", rate * 16.0);
+    }
+}
+
+// Guards against the refusal of requests within the quota, and against 503 without a fault.
+#[test]
+fn all_within_the_quota_are_served() {
+    for (seed, spread) in [(1, Spread::OneHost), (2, Spread::AllHosts), (3, Spread::Moving)] {
+        let mut world = World::new(seed, 24, 400_000.0, 400_000.0, Faults::default());
+        world.run(Duration::from_secs(10), 0.55, spread, (1_500.0, 17_000.0));
+        (world.refused, world.unknown) = (0, 0);
+        let before = world.admitted.len();
+
+        world.run(Duration::from_secs(16), 0.55, spread, (1_500.0, 17_000.0));
+
+        let served = world.admitted.len() - before;
+        assert!(world.refused * 200 < served, "{spread:?}: {} of {served}", world.refused);
+        assert_eq!(world.unknown, 0, "{spread:?}");
+    }
+}
+
+// Guards against an organisation far over its quota that costs owners a datagram for each request.
+#[test]
+fn an_exhausted_organisation_costs_few_datagrams() {
+    let cost = |demand| {
+        let mut world = World::new(4, 24, 100_000.0, 100_000.0, Faults::default());
+        world.run(Duration::from_secs(10), demand, Spread::AllHosts, (1_500.0, 17_000.0));
+        let (before, requests) = (world.datagrams, world.refused);
+        world.run(Duration::from_secs(10), demand, Spread::AllHosts, (1_500.0, 17_000.0));
+        (world.datagrams - before, world.refused - requests)
+    };
+
+    let (usual, _) = cost(0.5);
+    let (flooded, refused) = cost(50.0);
+
+    assert!(refused > 5_000 && flooded < usual * 8, "{usual}, {flooded} for {refused} refused");
+}
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -4,13 +4,14 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
 };
 
 use async_trait::async_trait;
 use chervilgate_clients::{Body, BodyError, body::collect};
 use chervilgate_clock::Time;
+use chervilgate_policy::Charge;
 use chervilgate_serve::Handler;
 use hyper::{
     Request, Response,
@@ -22,11 +23,12 @@
 
 use crate::{
     attempt::CallerRequest,
-    config::{Config, Org, Route},
+    config::{Config, Org, Route, org_hash},
     failure::Failure,
     forward::forward,
     poison::{part_fingerprints, request_fingerprint},
     protocol::RequestHead,
+    quota::{OrgQuota, admit::admit as admit_quota},
     state::Shared,
     stopping::Stop,
     stream::stream,
@@ -135,6 +137,16 @@
         if let Some(verdict) = verdict {
             return Err(verdict.into());
         }
+        let quota = org.as_ref().and_then(|org| org_quota(&self.shared, org, config_version));
+        let charge = match &quota {
+            Some(quota) => {
+                let prompt = &request_head.prompt;
+                let count = quota.quota.count(prompt.tokens, prompt.max_output);
+                admit_quota(&self.shared, &request_head.id, quota, count, deadline).await?
+            }
+            None => Charge::default(),
+        };
+        let computed = Arc::<AtomicBool>::default();
         let max_pause = {
             let state = self.shared.state();
             state.view.config().and_then(|config| config.max_pause(&service))
@@ -156,6 +168,7 @@
             deadline,
             sent: sent.clone(),
             answered_over: Default::default(),
+            computed_apart: computed.clone(),
         };
         let is_stream = call.route.kind.is_stream();
         let result = if is_stream {
@@ -163,6 +176,14 @@
         } else {
             forward(&self.shared, &call).await
         };
+        if let (Some(quota), Err(failure)) = (&quota, &result)
+            && failure.is_not_run()
+            && sent.load(Ordering::Relaxed) == 0
+            && !computed.load(Ordering::Relaxed)
+        {
+            let now = self.shared.now();
+            self.shared.state().quota.put_back(now, quota.org, &charge);
+        }
         let response = match result {
             // Another host has time for it.
             Err(Failure::Late(_) | Failure::Expired) if is_cut => return Err(Failure::Stopping),
@@ -205,6 +226,13 @@
     }
 }
 
+/// The quota of `org`; none if it has none, or if quotas are not enforced.
+fn org_quota(shared: &Shared, org: &Org, config_version: u64) -> Option<OrgQuota> {
+    shared.settings.bounds.quota?;
+    let (quota, name) = (org.quota?, org.name.clone());
+    Some(OrgQuota { org: org_hash(&name), name, quota, config_version })
+}
+
 /// Refuses a request that a stop may cut. Of those begun in spite of that, the log line tells what is
 /// cut as the host ends.
 fn check_stop(
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use chervilgate_policy::QuotaBounds;
+
 /// Name, location, addresses and limits of a host.
 #[derive(Debug, Clone, PartialEq)]
 pub struct HostSettings {
@@ -58,6 +60,8 @@
     pub retry_burst: f64,
     /// Maximum time for which callers may cache host addresses.
     pub address_ttl: Duration,
+    /// How far quotas may be exceeded; none if they are not enforced.
+    pub quota: Option<QuotaBounds>,
 }
 
 impl Default for HostLimits {
@@ -75,6 +79,7 @@
             retry_ratio: 0.1,
             retry_burst: 10.0,
             address_ttl: Duration::from_secs(5),
+            quota: None,
         }
     }
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -3,13 +3,17 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
     time::Duration,
 };
 
 use chervilgate_clients::{HttpPool, ObjectStore};
 use chervilgate_clock::{BootClock, Clock, Time};
-use tokio::sync::{Notify, watch};
+use chervilgate_policy::QUOTA_PARTITIONS;
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, watch},
+};
 
 use crate::{
     build_record::BuildRecord,
@@ -22,6 +26,7 @@
     origins::Origins,
     poison::PoisonGuard,
     protocol::{Decoder, Protocol},
+    quota::QuotaState,
     repeats::Repeats,
     settings::HostSettings,
     stopping::Stop,
@@ -66,6 +71,12 @@
     pub(crate) broadcast: Notify,
     /// Turns true when this host stops so soon that open requests are answered at once.
     pub(crate) answer_now: watch::Sender<bool>,
+    /// Socket on which owners of quotas are asked; none before the host listens.
+    pub(crate) quota_socket: OnceLock<Arc<UdpSocket>>,
+    /// Notified when a partition of the quotas may be without an owner.
+    pub(crate) quota_due: [Notify; QUOTA_PARTITIONS],
+    /// Notified when a configuration has been adopted.
+    pub(crate) quota_config: Notify,
     wall_clock: Mutex<WallClock>,
     state: Mutex<State>,
 }
@@ -101,6 +112,8 @@
     pub(crate) build_record: BuildRecord,
     /// What this host may send beyond the first of each request.
     pub(crate) repeats: Repeats,
+    /// What this host holds and owns of organisations' quotas.
+    pub(crate) quota: QuotaState,
 }
 
 /// Age of the list of targets, relative to the time in which a change of it must be known, from which
@@ -178,6 +191,7 @@
             origins: Origins::default(),
             build_record: BuildRecord::default(),
             repeats: Repeats::new(bounds),
+            quota: QuotaState::new(&settings, boot),
         };
         Shared {
             wall_clock: Mutex::new(WallClock::new(BootClock.now(), time_of_day)),
@@ -197,6 +211,9 @@
             changes_wanted: Notify::new(),
             broadcast: Notify::new(),
             answer_now: watch::Sender::new(false),
+            quota_socket: OnceLock::new(),
+            quota_due: Default::default(),
+            quota_config: Notify::new(),
             settings,
             protocol,
             decoder,
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -25,6 +25,7 @@
 use crate::{
     freshness::Freshness,
     protocol::DecodeError,
+    quota::task::apply_config,
     state::{Shared, State},
 };
 
@@ -292,6 +293,8 @@
                 let (version, at) = (config.version, object.version);
                 if shared.state().view.replace_if_newer(config) {
                     log::info!(target: "view", version, at:%; "configuration adopted");
+                    apply_config(shared, &mut shared.state(), now);
+                    shared.quota_config.notify_one();
                 } else if let Some(newer) = shared.state().view.version()
                     && newer > version
                 {
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -10,6 +10,7 @@
 mod meter;
 mod poison;
 mod prefix;
+mod quota;
 mod refusal;
 mod repeat;
 mod request;
@@ -32,6 +33,10 @@
         PoisonSubject,
     },
     prefix::{CacheChange, CacheEvent},
+    quota::{
+        AskStep, Asking, Charge, GRANT_LIFE, Holdings, QUOTA_PARTITIONS, QuotaBounds, QuotaBucket,
+        QuotaReply, QuotaTerms,
+    },
     refusal::{Refusal, RefusalReason},
     repeat::{RepeatBudget, RepeatSettings, SlackShare},
     request::{BLOCK_TOKENS, Fingerprint, Priority, Request},
