--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -3,13 +3,17 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
     time::Duration,
 };
 
 use chervilgate_clients::{HttpPool, ObjectStore};
 use chervilgate_clock::{BootClock, Clock, Time};
-use tokio::sync::{Notify, watch};
+use chervilgate_policy::QUOTA_PARTITIONS;
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, watch},
+};
 
 use crate::{
     build_record::BuildRecord,
@@ -24,6 +28,7 @@
     origins::Origins,
     poison::PoisonGuard,
     protocol::{Decoder, Protocol},
+    quota::QuotaState,
     repeats::Repeats,
     settings::HostSettings,
     stopping::Stop,
@@ -75,6 +80,12 @@
     pub(crate) answer_budget: Arc<ByteBudget>,
     /// Events that callers have not read.
     pub(crate) stream_buffers: Arc<StreamBuffers>,
+    /// Socket on which owners of quotas are asked; none before the host listens.
+    pub(crate) quota_socket: OnceLock<Arc<UdpSocket>>,
+    /// Notified when a partition of the quotas may be without an owner.
+    pub(crate) quota_due: [Notify; QUOTA_PARTITIONS],
+    /// Notified when a configuration has been adopted.
+    pub(crate) quota_config: Notify,
     wall_clock: Mutex<WallClock>,
     state: Mutex<State>,
 }
@@ -112,6 +123,8 @@
     pub(crate) build_record: BuildRecord,
     /// What this host may send beyond the first of each request.
     pub(crate) repeats: Repeats,
+    /// What this host holds and owns of organisations' quotas.
+    pub(crate) quota: QuotaState,
 }
 
 /// Age of the list of targets, relative to the time in which a change of it must be known, from which
@@ -201,6 +214,7 @@
             origins: Origins::default(),
             build_record: BuildRecord::default(),
             repeats: Repeats::new(bounds),
+            quota: QuotaState::new(&settings, boot),
         };
         let memory = MemoryLimits::new(settings.memory);
         Shared {
@@ -224,6 +238,9 @@
             changes_wanted: Notify::new(),
             broadcast: Notify::new(),
             answer_now: watch::Sender::new(false),
+            quota_socket: OnceLock::new(),
+            quota_due: Default::default(),
+            quota_config: Notify::new(),
             settings,
             protocol,
             decoder,
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -26,6 +26,7 @@
     freshness::Freshness,
     outage::{AfterFailure, FailedCall, StoreContact},
     protocol::DecodeError,
+    quota::task::apply_config,
     state::{Shared, State},
 };
 
@@ -294,6 +295,8 @@
                 if state.view.replace_if_newer(config) {
                     state.fleet.set_import_terms(terms);
                     log::info!(target: "view", version, at:%; "configuration adopted");
+                    apply_config(shared, state, now);
+                    shared.quota_config.notify_one();
                 } else if let Some(newer) = state.view.version()
                     && newer > version
                 {
