Tell outcomes on failing targets between hosts

Cause: each host judged a target by its own few answers and told others only of failure rates of 0.3 and more. In deployment B no host meets a target twice within a fault of 4 s.

Change: hosts tell counts of answers and failures of each target with a failure (Message::Outcomes). The rate over all hosts replaces the sum of reported rates in placing; one host counts at most as much as the others together. Requests that may run only once avoid doubtful targets by twice the cost, and an avoided target is tried again by one host in two seconds.

The test reported_failures_raise_the_cost_but_not_the_wait also applies the outcomes, since the failing field of work reports no longer counts in placing; its assertions are unchanged.

--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -11,6 +11,7 @@
 mod departures;
 mod ends;
 mod entry;
+mod failures;
 mod health;
 mod imports;
 mod limits;
@@ -38,6 +39,7 @@
     fleet::{
         builds::GoneBuilds,
         departures::{Departure, Departures},
+        failures::Failures,
         imports::Imports,
         limits::Limits,
         pauses::PauseMeter,
@@ -52,6 +54,7 @@
     builds::{Build, BuildId, STREAM_LIFE, SeenBuilds, ServiceBuild},
     ends::EndNotice,
     entry::{TargetCounts, TargetEntry, TargetRole},
+    failures::OutcomeNotice,
     imports::Import,
     limits::LimitNotice,
     peer_loads::InFlightWork,
@@ -110,6 +113,7 @@
     gone_builds: GoneBuilds,
     untold_ends: Vec<EndNotice>,
     peer_loads: PeerLoads,
+    failures: Failures,
     /// Target ids by their hash.
     ids_by_hash: HashMap<u32, Arc<str>>,
     /// Parts that this host sent recently, in order of time.
@@ -150,6 +154,7 @@
             gone_builds: GoneBuilds::default(),
             untold_ends: Vec::new(),
             peer_loads: PeerLoads::default(),
+            failures: Failures::default(),
             ids_by_hash: HashMap::new(),
             sent_parts: VecDeque::new(),
             store_recovered_at: None,
@@ -290,6 +295,19 @@
         self.remove_expired(now);
     }
 
+    /// This host's outcomes within `span` on targets with failures, to send to other hosts.
+    pub fn outcome_notices(&mut self, now: Time, span: Duration) -> Vec<OutcomeNotice> {
+        self.failures.notices(now, span)
+    }
+
+    /// Applies what another host saw of targets with failures.
+    pub fn apply_outcome_notices(&mut self, now: Time, host: u32, notices: &[OutcomeNotice]) {
+        for notice in notices {
+            let limits = &self.limits;
+            self.failures.apply(now, host, notice, || limits.is_first_host(notice.start));
+        }
+    }
+
     /// Prompt parts that this host sent to targets within `span`, latest first.
     pub fn recent_parts(&mut self, now: Time, span: Duration) -> Vec<CachedPart> {
         while self.sent_parts.front().is_some_and(|(at, _)| now.since(*at) >= span) {
@@ -375,6 +393,7 @@
         self.start_import(now, placement);
         if let Some(state) = self.targets.get_mut(&placement.id) {
             state.start(now, attempt, placement, prompt);
+            self.failures.record_start(now, state.start_hash);
             let target = state.id_hash;
             let parts = prompt.parts.iter().map(|part| CachedPart { target, part: part.id });
             self.sent_parts.extend(parts.map(|part| (now, part)));
@@ -403,7 +422,7 @@
 
     /// Removes a request from its target and records the outcome.
     ///
-    /// Returns whether this made the target failing.
+    /// Returns whether this made the target failing, or is the first failure that is known of it.
     pub fn finish(
         &mut self,
         now: Time,
@@ -419,7 +438,10 @@
         // The time until a failure says nothing about the target's speed.
         state.mark_computed(now, attempt, placement);
         state.finish(now, outcome);
-        state.is_failing(now) && !before
+        let start = state.start_hash;
+        let limits = &self.limits;
+        let is_first = self.failures.record(now, start, outcome, || limits.is_first_host(start));
+        is_first || state.is_failing(now) && !before
     }
 }
 
--- a/components/gateway/src/fleet/imports.rs
+++ b/components/gateway/src/fleet/imports.rs
@@ -14,7 +14,10 @@
 
 use crate::{
     config::ImportTerms,
-    fleet::{AttemptId, BuildId, Fleet, Placement, TargetQuery, TargetRole, target::TargetState},
+    fleet::{
+        AttemptId, BuildId, Fleet, Placement, TargetQuery, TargetRole,
+        target::{FAILING_RATE, TargetState},
+    },
 };
 
 /// Fewest tokens that are imported: fewer are computed in about the time of the fetch.
@@ -172,6 +175,7 @@
         let entry = &state.entry;
         entry.role != TargetRole::Whole
             && !state.is_failing(now)
+            && self.failures.rate(now, state.start_hash) < FAILING_RATE
             && state.overdue_ms(now) == 0.0
             && self.peer_loads.load(state.id_hash).failure_percent == 0
             && !self.limits.has_limit(&entry.id, entry.incarnation)
--- a/components/gateway/src/fleet/limits.rs
+++ b/components/gateway/src/fleet/limits.rs
@@ -7,7 +7,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use chervilgate_clock::Time;
-use chervilgate_policy::{ShareBudget, share_of_limit};
+use chervilgate_policy::{ShareBudget, is_first_holder, share_of_limit};
 use serde::{Deserialize, Serialize};
 
 use crate::{hash::stable_hash, protocol::LimitStatement};
@@ -229,6 +229,11 @@
         notices.take(MAX_NOTICES).collect()
     }
 
+    /// Whether this host is the first of those that would hold shares of what `target` takes.
+    pub(super) fn is_first_host(&self, target: u32) -> bool {
+        self.own.is_some_and(|own| is_first_holder(target.into(), own, &self.others))
+    }
+
     /// Number of targets with a limit.
     pub(super) fn count(&self) -> usize {
         let present = self.limits.values().filter(|limit| limit.absent_since.is_none());
--- a/components/gateway/src/fleet/placing.rs
+++ b/components/gateway/src/fleet/placing.rs
@@ -19,10 +19,8 @@
 /// preferred.
 const FAILURE_COST_MS: f64 = 2_000.0;
 
-/// Cost of a failure rate of 1 that another host reports for a target. It is below the
-/// cost of own experience, since the fault may lie between that host and the target; the
-/// sum over all hosts is limited to `FAILURE_COST_MS`.
-const PEER_FAILURE_COST_MS: f64 = 400.0;
+/// Factor of that for a request that may not run again: its loss cannot be made good.
+const ONCE_FACTOR: f64 = 2.0;
 
 /// Cost of computing a prompt on one engine and generating on another: a second call,
 /// and the time and price of the KV cache transfer.
@@ -40,8 +38,8 @@
 /// Cost of making a stream late.
 const LATE_STREAM_COST_MS: f64 = 100.0;
 
-/// Cost that a request may have more at a target whose limit is in doubt: hosts that hold a share of it
-/// are the only ones that can learn of its end.
+/// Cost that a request may have more at a target whose limit is in doubt, or that is tried again after
+/// failures: the hosts that ask such a target are the only ones that can learn of the end of it.
 const DOUBT_BONUS_MS: f64 = 40.0;
 
 /// Rendezvous weight of a prefill engine relative to a decode engine: the ratio of
@@ -63,7 +61,9 @@
         if query.prompt.tokens == 0 {
             return whole.map(|placement| Plan { placement, prefill: None });
         }
-        let prefill = self.best_target(now, query, |role| role == TargetRole::Prefill);
+        // A prompt that is lost is computed again, whatever the request.
+        let stage = TargetQuery { runs_once: false, ..*query };
+        let prefill = self.best_target(now, &stage, |role| role == TargetRole::Prefill);
         let decode = self.place_decode(now, query);
         // Both stages have one software version.
         let same = prefill.as_ref().and_then(|prefill| {
@@ -94,10 +94,10 @@
         self.best_target(now, &query, |role| role == TargetRole::Decode)
     }
 
-    /// Cost of the failures that other hosts report, in milliseconds.
-    fn peer_failure_cost(&self, state: &TargetState) -> f64 {
-        let rate = f64::from(self.peer_loads.load(state.id_hash).failure_percent) / 100.0;
-        (PEER_FAILURE_COST_MS * rate).min(FAILURE_COST_MS)
+    /// Cost of a target's failures, by what this host and all hosts together have seen of it.
+    fn failure_cost(&self, now: Time, state: &TargetState, query: &TargetQuery<'_>) -> f64 {
+        let rate = state.health.rate(now).max(self.failures.rate(now, state.start_hash));
+        FAILURE_COST_MS * rate * if query.runs_once { ONCE_FACTOR } else { 1.0 }
     }
 
     /// Cost of the streams that computing a prompt on a decode engine makes late, in
@@ -168,7 +168,8 @@
             let hit_rate = hit_rate(rank);
             let missing = state.uncached_tokens(query.prompt, hit_rate);
             let zone_cost = if state.entry.zone == self.zone { 0.0 } else { CROSS_ZONE_COST_MS };
-            let failing = FAILURE_COST_MS * state.health.rate(now) + self.peer_failure_cost(state);
+            let is_trial = !query.runs_once && self.failures.is_trial_due(now, state.start_hash);
+            let failing = if is_trial { 0.0 } else { self.failure_cost(now, state, query) };
             let prefill_cost = |missing: UncachedTokens| {
                 state.prefill_time_ms(missing.shared, query.prompt.tokens) * RECOMPUTE_WEIGHT
                     + state.prefill_time_ms(missing.own, query.prompt.tokens)
@@ -191,7 +192,7 @@
             // One answer shows it.
             let is_in_doubt =
                 state.in_flight == 0 && self.limits.is_in_doubt(now, &entry.id, entry.incarnation);
-            let bonus = if is_in_doubt { DOUBT_BONUS_MS } else { 0.0 };
+            let bonus = if is_in_doubt || is_trial { DOUBT_BONUS_MS } else { 0.0 };
             let cost = self.expected_wait(now, state) + prefill_cost + zone_cost + failing - bonus;
             let cache_is_known = import.is_none() && (missing.shared == 0 || hit_rate == 0.0);
             (state, rank, (missing, cache_is_known, import), cost)
--- a/components/gateway/src/fleet/plan.rs
+++ b/components/gateway/src/fleet/plan.rs
@@ -24,6 +24,8 @@
     pub build: Option<BuildId>,
     /// Longest pause with which the service's streams are on time; none if unspecified.
     pub max_pause: Option<Duration>,
+    /// Whether the request is lost if the target fails, since it may not run again.
+    pub runs_once: bool,
 }
 
 /// The target chosen for a request, with its predicted times.
--- a/components/gateway/src/fleet/target.rs
+++ b/components/gateway/src/fleet/target.rs
@@ -53,7 +53,7 @@
 const OVERDUE_GRACE: Duration = Duration::from_millis(1_000);
 
 /// Failure rate from which a target counts as failing and other hosts are told.
-const FAILING_RATE: f64 = 0.3;
+pub(super) const FAILING_RATE: f64 = 0.3;
 
 /// Time for which a target gets no requests after another process answered at its
 /// address, unless its entry changes; the entries of targets that are gone expire
@@ -70,6 +70,8 @@
     pub(super) entry: TargetEntry,
     /// Hash of its id, by which hosts refer to it.
     pub(super) id_hash: u32,
+    /// Hash of its id and start, by which hosts tell outcomes.
+    pub(super) start_hash: u32,
     /// Hash of its service and role, whose targets are taken as equally fast.
     pub(super) group: u32,
     /// Number of this host's requests in flight.
@@ -143,6 +145,7 @@
     pub(super) fn new(now: Time, entry: TargetEntry) -> TargetState {
         TargetState {
             id_hash: stable_hash(&&*entry.id) as u32,
+            start_hash: start_hash(&entry),
             group: group(&entry),
             in_flight: 0,
             pending_ms: 0.0,
@@ -176,6 +179,7 @@
             self.end = None;
         }
         self.expires_at = None;
+        self.start_hash = start_hash(&entry);
         self.group = group(&entry);
         self.entry = entry;
     }
@@ -375,6 +379,10 @@
     Duration::from_secs_f64(millis.max(0.0) / 1e3)
 }
 
+fn start_hash(entry: &TargetEntry) -> u32 {
+    stable_hash(&(&*entry.id, entry.incarnation)) as u32
+}
+
 fn group(entry: &TargetEntry) -> u32 {
     stable_hash(&(&*entry.service, entry.role)) as u32
 }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Whether the next run is the last that the route allows.
+    pub(crate) fn is_last_run(&self, call: &CallerRequest) -> bool {
+        !call.route.kind.is_retryable() || self.runs + 1 >= call.route.attempts
+    }
+
     /// Counts a run that failed; returns whether the request may run again.
     pub(crate) fn may_retry_failed_run(&mut self, shared: &Shared, call: &CallerRequest) -> bool {
         self.runs += 1;
@@ -181,6 +186,7 @@
             exclude: &attempts.tried,
             build: None,
             max_pause: None,
+            runs_once: attempts.is_last_run(call),
         };
         let placement = shared.state().fleet.place(now, &query);
         let Some(plan) = placement else {
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -24,7 +24,7 @@
     origins::send_origins,
 };
 use crate::{
-    fleet::{CachedPart, EndNotice, GroupReport, InFlightWork, LimitNotice},
+    fleet::{CachedPart, EndNotice, GroupReport, InFlightWork, LimitNotice, OutcomeNotice},
     gossip::news::{
         LatestChanges, ProgressReply, apply_latest_changes, apply_progress, progress_reply,
     },
@@ -96,6 +96,15 @@
     FailedRuns(Vec<(u32, FailedRun)>),
     /// Starts of targets that the sender has seen end.
     Ends(Vec<EndNotice>),
+    Outcomes(OutcomeMessage),
+}
+
+/// What a host has seen of targets with failures.
+#[derive(Serialize, Deserialize)]
+struct OutcomeMessage {
+    /// Gossip id of the sender.
+    host: u32,
+    outcomes: Vec<OutcomeNotice>,
 }
 
 /// What a host has seen of the targets' speeds.
@@ -134,24 +143,27 @@
         correct_clock(&shared);
         let now = shared.now();
         let time = shared.wall_clock().at(now).as_micros() as u64;
-        let (work, parts, failed_runs, evidence, limits, peers, in_charge) = {
+        let (work, parts, failed_runs, evidence, limits, outcomes, peers, in_charge) = {
             let mut state = shared.state();
             let mut failed_runs = state.poison.runs_to_gossip(now);
             // Not all may fit; each round tells of others.
             failed_runs.shuffle(&mut rand::rng());
             let peers = state.membership.gossip_addrs();
-            let parts = state.fleet.recent_parts(now, rotation_time(peers.len()));
+            let span = rotation_time(peers.len());
+            let parts = state.fleet.recent_parts(now, span);
+            let outcomes = state.fleet.outcome_notices(now, span);
             let evidence = state.poison.evidence_to_gossip(now);
             let work = state.fleet.in_flight_work(now);
             let limits = state.fleet.limit_notices(now, true);
-            (work, parts, failed_runs, evidence, limits, peers, state.holds_lease)
+            (work, parts, failed_runs, evidence, limits, outcomes, peers, state.holds_lease)
         };
         let evidence = encode_evidence(evidence);
         let limits = encode_limits(limits);
+        let outcomes = encode_outcomes(host, outcomes);
         // The first empty round clears what was sent last; later ones only show that this host is
         // alive.
         let is_idle = work.is_empty() && parts.is_empty() && failed_runs.is_empty();
-        let is_idle = is_idle && limits.is_none();
+        let is_idle = is_idle && limits.is_none() && outcomes.is_none();
         idle_rounds = if is_idle && evidence.is_none() { idle_rounds + 1 } else { 0 };
         if idle_rounds % IDLE_ROUND_CYCLE > 1 && !urgent {
             continue;
@@ -163,7 +175,8 @@
         }
         let recipients = if urgent { peers } else { rotation.next(peers, FANOUT) };
         for peer in recipients {
-            let datagrams = [Some(&datagram), evidence.as_ref(), limits.as_ref()];
+            let datagrams =
+                [Some(&datagram), evidence.as_ref(), limits.as_ref(), outcomes.as_ref()];
             for datagram in datagrams.into_iter().flatten() {
                 send_datagram(&socket, datagram, peer).await;
             }
@@ -325,6 +338,14 @@
     encode(&Message::Limits(limits))
 }
 
+/// Encodes a host's outcomes as one datagram; none if there are none.
+fn encode_outcomes(host: u32, outcomes: Vec<OutcomeNotice>) -> Option<Vec<u8>> {
+    if outcomes.is_empty() {
+        return None;
+    }
+    encode(&Message::Outcomes(OutcomeMessage { host, outcomes }))
+}
+
 /// Encodes a message as one datagram; none if it does not fit.
 fn encode(message: &Message) -> Option<Vec<u8>> {
     let bytes = serialize(message)?;
@@ -419,6 +440,11 @@
                 let now = shared.now();
                 shared.state().fleet.apply_ends(now, &notices);
             }
+            Ok(Message::Outcomes(message)) => {
+                let now = shared.now();
+                let mut state = shared.state();
+                state.fleet.apply_outcome_notices(now, message.host, &message.outcomes);
+            }
             Ok(Message::Origins(notices)) => {
                 let now = shared.now();
                 let origins = &mut shared.state().origins;
--- a/components/gateway/src/gossip/tests.rs
+++ b/components/gateway/src/gossip/tests.rs
@@ -1,10 +1,12 @@
-use chervilgate_policy::{AffectedRequest, CrashId, CrashNotice, Fingerprint, OrgId, TargetId};
+use chervilgate_policy::{
+    AffectedRequest, CrashId, CrashNotice, Fingerprint, OrgId, OutcomeReport, TargetId,
+};
 
 use crate::{
-    fleet::{CachedPart, InFlightWork},
+    fleet::{CachedPart, InFlightWork, OutcomeNotice},
     gossip::{
         MAX_DATAGRAM_BYTES, MAX_FAILED_RUNS, Message, WorkReport, encode, encode_evidence,
-        encode_report,
+        encode_outcomes, encode_report,
     },
     poison::{CrashEvidence, FailedRun},
 };
@@ -57,6 +59,15 @@
     assert!(datagram.is_some());
 }
 
+#[test]
+fn can_send_outcomes_on_as_many_targets_as_are_told_at_once() {
+    let report = OutcomeReport { answers: u16::MAX, failures: u16::MAX };
+    let notice = OutcomeNotice { start: u32::MAX, report };
+
+    assert!(encode_outcomes(u32::MAX, vec![notice; 60]).is_some());
+    assert!(encode_outcomes(u32::MAX, Vec::new()).is_none());
+}
+
 #[test]
 fn can_send_as_much_evidence_as_fits() {
     let run = AffectedRequest {
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -211,6 +211,7 @@
             exclude: &self.attempts.tried,
             build: self.build,
             max_pause: self.call.max_pause,
+            runs_once: self.attempts.is_last_run(&self.call),
         }
     }
 
--- a/components/gateway/tests/departures.rs
+++ b/components/gateway/tests/departures.rs
@@ -42,6 +42,7 @@
         exclude: &[],
         build: None,
         max_pause: None,
+        runs_once: false,
     };
     fleet.place(now, &query).map(|plan| plan.placement)
 }
--- a/components/gateway/tests/ends.rs
+++ b/components/gateway/tests/ends.rs
@@ -35,8 +35,14 @@
 
 fn place(fleet: &Fleet, now: Time, build: Option<BuildId>) -> Option<Placement> {
     let prompt = Prompt::default();
-    let query =
-        TargetQuery { service: SERVICE, prompt: &prompt, exclude: &[], build, max_pause: None };
+    let query = TargetQuery {
+        service: SERVICE,
+        prompt: &prompt,
+        exclude: &[],
+        build,
+        max_pause: None,
+        runs_once: false,
+    };
     fleet.place(now, &query).map(|plan| plan.placement)
 }
 
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -52,7 +52,14 @@
 }
 
 fn query<'a>(prompt: &'a Prompt, exclude: &'a [Arc<str>]) -> TargetQuery<'a> {
-    TargetQuery { service: SERVICE, prompt, exclude, build: None, max_pause: Some(MAX_PAUSE) }
+    TargetQuery {
+        service: SERVICE,
+        prompt,
+        exclude,
+        build: None,
+        max_pause: Some(MAX_PAUSE),
+        runs_once: false,
+    }
 }
 
 /// The target that computes the prompt.
@@ -186,6 +193,108 @@
     assert_eq!(&*fleet.place(later, &query(&request_prompt, &[])).unwrap().placement.id, "s0");
 }
 
+/// Has `outcome` happen to a request of `fleet` on `s0`, and tells it to `to` as host `host`.
+fn tell_outcome(fleet: &mut Fleet, to: &mut Fleet, now: Time, host: u32, outcome: AttemptOutcome) {
+    let prompt = Prompt::default();
+    let tried = ["s1".into()];
+    let placement = fleet.place(now, &query(&prompt, &tried)).unwrap().placement;
+    let attempt = fleet.start(now, &placement, &prompt);
+    fleet.finish(now, &placement, attempt, outcome);
+    let notices = fleet.outcome_notices(now, Duration::from_secs(1));
+    to.apply_outcome_notices(now, host, &notices);
+}
+
+/// Two services of which the first is in this host's zone, and two other hosts.
+fn services() -> [Fleet; 3] {
+    let entries = [entry("s0", TargetRole::Whole, "a"), entry("s1", TargetRole::Whole, "b")];
+    [fleet(&entries), fleet(&entries), fleet(&entries)]
+}
+
+fn service_target(fleet: &Fleet, now: Time) -> Arc<str> {
+    fleet.place(now, &query(&Prompt::default(), &[])).unwrap().placement.id
+}
+
+#[test]
+fn a_target_that_fails_on_several_hosts_is_avoided_by_all() {
+    let now = Time::from_secs(2);
+    let [mut fleet, mut one, mut two] = services();
+
+    tell_outcome(&mut one, &mut fleet, now, 1, AttemptOutcome::Failed);
+    tell_outcome(&mut two, &mut fleet, now, 2, AttemptOutcome::Failed);
+
+    assert_eq!(&*service_target(&fleet, now), "s1");
+    assert_eq!(&*service_target(&fleet, now + Duration::from_secs(30)), "s0");
+}
+
+// Guards against turning all hosts away from targets that are only full.
+#[test]
+fn a_target_without_room_is_not_failing_for_other_hosts() {
+    let now = Time::from_secs(2);
+    let [mut fleet, mut one, mut two] = services();
+
+    for _ in 0..20 {
+        tell_outcome(&mut one, &mut fleet, now, 1, AttemptOutcome::Full);
+        tell_outcome(&mut two, &mut fleet, now, 2, AttemptOutcome::Full);
+    }
+
+    assert!(one.outcome_notices(now, Duration::from_secs(1)).is_empty());
+    assert_eq!(&*service_target(&fleet, now), "s0");
+}
+
+#[test]
+fn failures_of_an_earlier_start_do_not_count() {
+    let now = Time::from_secs(2);
+    let [mut fleet, mut one, mut two] = services();
+    tell_outcome(&mut one, &mut fleet, now, 1, AttemptOutcome::Failed);
+    tell_outcome(&mut two, &mut fleet, now, 2, AttemptOutcome::Failed);
+
+    fleet.upsert(now, TargetEntry { incarnation: 2, ..entry("s0", TargetRole::Whole, "a") });
+
+    assert_eq!(&*service_target(&fleet, now), "s0");
+}
+
+// Guards against losing requests that cannot be repeated on targets that another host alone doubts.
+#[test]
+fn requests_that_may_run_once_avoid_doubtful_targets_more() {
+    let now = Time::from_secs(2);
+    let [mut fleet, mut one, _] = services();
+    let request_prompt = Prompt::default();
+    tell_outcome(&mut one, &mut fleet, now, 1, AttemptOutcome::Failed);
+    let tried = ["s0".into()];
+    let other = fleet.place(now, &query(&request_prompt, &tried)).unwrap().placement;
+    // Work of 600 ms at the other target.
+    for _ in 0..960 {
+        fleet.start(now, &other, &request_prompt);
+    }
+
+    let once = TargetQuery { runs_once: true, ..query(&request_prompt, &[]) };
+
+    assert_eq!(&*service_target(&fleet, now), "s0");
+    assert_eq!(&*fleet.place(now, &once).unwrap().placement.id, "s1");
+}
+
+#[test]
+fn an_avoided_target_is_tried_again_by_one_host_in_two_seconds() {
+    let now = Time::from_secs(2);
+    let [mut fleet, mut one, mut two] = services();
+    fleet.set_hosts(now, Some("own"), std::iter::empty());
+    for _ in 0..50 {
+        tell_outcome(&mut one, &mut fleet, now, 1, AttemptOutcome::Failed);
+        tell_outcome(&mut two, &mut fleet, now, 2, AttemptOutcome::Failed);
+    }
+    let due = now + Duration::from_secs(2);
+    let request_prompt = Prompt::default();
+    let once = TargetQuery { runs_once: true, ..query(&request_prompt, &[]) };
+
+    let before = service_target(&fleet, now + Duration::from_millis(1_999));
+    let kept_away = fleet.place(due, &once).unwrap().placement.id;
+    let trial = fleet.place(due, &query(&Prompt::default(), &[])).unwrap().placement;
+    fleet.start(due, &trial, &Prompt::default());
+    let after = service_target(&fleet, due);
+
+    assert_eq!([&*before, &*kept_away, &*trial.id, &*after], ["s1", "s1", "s0", "s1"]);
+}
+
 // Guards against sending to silent targets: seven engines accepted requests and never answered,
 // and each host kept sending to them until the first requests timed out. Seen in
 // tbilisi-arrivals-grown trouble-1.
@@ -368,11 +477,13 @@
         there.finish(now, &placement, attempt, AttemptOutcome::Unreachable);
     }
     let reported = there.in_flight_work(now);
+    let outcomes = there.outcome_notices(now, Duration::from_secs(1));
     let mut here = fleet(&engines(0, 2));
     let before = here.place(now, &query(&request_prompt, &[])).unwrap();
 
     for host in 0..60 {
         here.apply_peer_work(now, host, reported.clone());
+        here.apply_outcome_notices(now, host, &outcomes);
     }
     let other = here.place(now, &query(&request_prompt, &[])).unwrap();
     let only = here
--- a/components/gateway/tests/limits.rs
+++ b/components/gateway/tests/limits.rs
@@ -47,6 +47,7 @@
         exclude: &[],
         build: None,
         max_pause: None,
+        runs_once: false,
     };
     fleet.place(now, &query).map(|plan| plan.placement)
 }
--- a/components/gateway/tests/load/main.rs
+++ b/components/gateway/tests/load/main.rs
@@ -96,6 +96,24 @@
     }
 }
 
+// Guards against faults that no host sees twice: in deployment B, 89 hosts with 4 requests a second
+// each lost every request that may run only once on engines that lost 40% of their answers.
+#[test]
+fn outcomes_told_between_hosts_save_requests_from_engines_that_lose_answers() {
+    for seed in [1, 2, 3] {
+        let play = |mode| {
+            let mut simulation = Simulation::new(Sheet::many_hosts(), seed, mode);
+            simulation.lose_answers();
+            simulation.run()
+        };
+
+        let (with, without) = (play(GossipMode::All), play(GossipMode::WithoutOutcomes));
+
+        assert!(with.answered() > without.answered(), "seed {seed}: {with:?}, {without:?}");
+        assert!(with.in_time() > without.in_time(), "seed {seed}: {with:?}, {without:?}");
+    }
+}
+
 /// Requests that an engine with this limit may get in four seconds.
 fn allowed(limit: f64) -> f64 {
     limit * 4.0 * 1.5 + 5.0
--- a/components/gateway/tests/load/sheet.rs
+++ b/components/gateway/tests/load/sheet.rs
@@ -16,6 +16,8 @@
     pub(crate) latency_target_ms: u64,
     /// Number of shared parts.
     pub(crate) parts: u64,
+    /// Whether they may run only once.
+    pub(crate) runs_once: bool,
 }
 
 /// A deployment and its load.
@@ -48,6 +50,7 @@
                 output: 10,
                 latency_target_ms: 600,
                 parts: 30,
+                runs_once: false,
             },
             Class {
                 name: "border-batch",
@@ -56,6 +59,7 @@
                 output: 4,
                 latency_target_ms: 500,
                 parts: 30,
+                runs_once: false,
             },
             Class {
                 name: "quick-query",
@@ -64,6 +68,7 @@
                 output: 14,
                 latency_target_ms: 300,
                 parts: 60,
+                runs_once: false,
             },
         ];
         Sheet {
@@ -90,6 +95,7 @@
                 output: 15,
                 latency_target_ms: 600,
                 parts: 30,
+                runs_once: false,
             },
             Class {
                 name: "middle",
@@ -98,6 +104,7 @@
                 output: 7,
                 latency_target_ms: 1_000,
                 parts: 30,
+                runs_once: false,
             },
             Class {
                 name: "short",
@@ -106,6 +113,7 @@
                 output: 22,
                 latency_target_ms: 1_200,
                 parts: 60,
+                runs_once: false,
             },
         ];
         let engine = Profile::reference();
@@ -133,6 +141,61 @@
         }
     }
 
+    /// Deployment B (docs/hard-load.md), without plain services.
+    pub(crate) fn many_hosts() -> Sheet {
+        const CLASSES: [Class; 3] = [
+            Class {
+                name: "long",
+                rate: (91.0, 1.0),
+                prompt: (13_300, 3_720),
+                output: 9,
+                latency_target_ms: 800,
+                parts: 30,
+                runs_once: false,
+            },
+            Class {
+                name: "middle",
+                rate: (69.0, 1.0),
+                prompt: (6_300, 2_890),
+                output: 4,
+                latency_target_ms: 300,
+                parts: 30,
+                runs_once: true,
+            },
+            Class {
+                name: "short",
+                rate: (58.0, 1.0),
+                prompt: (350, 1_110),
+                output: 13,
+                latency_target_ms: 250,
+                parts: 60,
+                runs_once: true,
+            },
+        ];
+        let engine = Profile::reference();
+        let step = Duration::from_micros(3_550);
+        let profile = Profile {
+            prefill_ns: 6_370,
+            prefill: RoleLimits { base: step, ..engine.prefill },
+            decode: RoleLimits { base: step, batch: 32, ..engine.decode },
+            kv_tokens: 970_477,
+            cache_blocks: 970_477 / 64,
+            ..engine
+        };
+        Sheet {
+            hosts: 89,
+            prefill_engines: 32,
+            decode_engines: 58,
+            profile,
+            speeds: &[1.0, 1.0, 1.3],
+            imports: false,
+            max_pause: Duration::from_millis(200),
+            event_tokens: 8,
+            burst: (Duration::ZERO, Duration::ZERO),
+            classes: &CLASSES,
+        }
+    }
+
     /// Half of frasercold-bc-grown with all targets that can be ordered, and a burst of long
     /// prompts.
     pub(crate) fn long_prompt_burst() -> Sheet {
@@ -144,6 +207,7 @@
                 output: 15,
                 latency_target_ms: 600,
                 parts: 51,
+                runs_once: false,
             },
             Class {
                 name: "part-lookup",
@@ -152,6 +216,7 @@
                 output: 6,
                 latency_target_ms: 300,
                 parts: 500,
+                runs_once: false,
             },
         ];
         let engine = Profile::reference();
--- a/components/gateway/tests/load/simulation.rs
+++ b/components/gateway/tests/load/simulation.rs
@@ -10,8 +10,8 @@
     LimitStatement, Prompt, PromptPart,
     config::ImportTerms,
     fleet::{
-        AttemptId, AttemptOutcome, Build, CachedPart, Fleet, InFlightWork, Placement, TargetEntry,
-        TargetQuery, TargetRole,
+        AttemptId, AttemptOutcome, Build, CachedPart, Fleet, InFlightWork, OutcomeNotice,
+        Placement, TargetEntry, TargetQuery, TargetRole,
     },
 };
 use rand::{RngExt, SeedableRng};
@@ -32,6 +32,10 @@
 /// Time at which a third of the engines crash, if they do.
 const CRASH_TIME: Duration = Duration::from_secs(6);
 
+/// Time in which a share of the engines lose answers, if they do, and the share of the answers.
+const LOSS_TIMES: (Duration, Duration) = (Duration::from_secs(4), Duration::from_secs(8));
+const LOSS_SHARE: f64 = 0.4;
+
 /// Wait for a link after which an engine does not start a transfer.
 const MAX_TRANSFER_WAIT: Duration = Duration::from_secs(2);
 
@@ -47,9 +51,11 @@
 /// Content of the gossip between hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum GossipMode {
-    /// Work in flight in rotation, long prompts by broadcast, and the parts sent to
-    /// targets.
+    /// Work in flight in rotation, long prompts by broadcast, the parts sent to targets, and
+    /// outcomes on targets with failures.
     All,
+    /// All but outcomes.
+    WithoutOutcomes,
     /// Work in flight in rotation, and long prompts by broadcast.
     WithoutParts,
     /// Work in flight in rotation only.
@@ -107,13 +113,31 @@
     }
 }
 
+impl Results {
+    /// Number of requests that were answered, also if late.
+    pub(crate) fn answered(&self) -> u32 {
+        self.late() + self.in_time()
+    }
+}
+
 enum SimEvent {
     Arrival(usize),
     Step(usize),
     Round(usize),
-    GossipReceived { host: usize, from: usize, work: Vec<InFlightWork>, parts: Vec<CachedPart> },
+    GossipReceived {
+        host: usize,
+        from: usize,
+        work: Vec<InFlightWork>,
+        parts: Vec<CachedPart>,
+        outcomes: Vec<OutcomeNotice>,
+    },
     Decode(u64),
-    Imported { id: u64, stage: JobStage, blocks: Arc<[u64]>, found: usize },
+    Imported {
+        id: u64,
+        stage: JobStage,
+        blocks: Arc<[u64]>,
+        found: usize,
+    },
     Crash,
     Replace,
     Restrict(Restriction),
@@ -134,6 +158,8 @@
     sheet: Sheet,
     mode: GossipMode,
     rng: Pcg64,
+    /// Draws the answers that are lost, so that arrivals do not depend on it.
+    loss_rng: Pcg64,
     events: EventQueue<SimEvent>,
     hosts: Vec<Fleet>,
     next_peers: Vec<usize>,
@@ -145,6 +171,8 @@
     limited: HashMap<usize, Vec<Time>>,
     /// When the link of each engine is free.
     links: Vec<Time>,
+    /// Whether 60% of the engines lose answers for a time.
+    loses_answers: bool,
 }
 
 fn engine_entry(sheet: &Sheet, index: usize) -> TargetEntry {
@@ -208,6 +236,7 @@
         let mut simulation = Simulation {
             mode,
             rng: Pcg64::seed_from_u64(seed),
+            loss_rng: Pcg64::seed_from_u64(seed),
             events: EventQueue::default(),
             hosts: hosts.collect(),
             next_peers: vec![0; sheet.hosts],
@@ -217,6 +246,7 @@
             results,
             limited: HashMap::new(),
             links: vec![Time::ZERO; sheet.prefill_engines + sheet.decode_engines],
+            loses_answers: false,
             sheet,
         };
         for host in 0..simulation.sheet.hosts {
@@ -239,6 +269,11 @@
         self.events.push(Time::ZERO + CRASH_TIME, SimEvent::Replace);
     }
 
+    /// Has 60% of the engines lose a share of their answers for a time.
+    pub(crate) fn lose_answers(&mut self) {
+        self.loses_answers = true;
+    }
+
     /// Schedules a restriction of a third of the engines.
     pub(crate) fn restrict_third(&mut self, restriction: Restriction) {
         self.events.push(Time::ZERO + RESTRICTION_TIME, SimEvent::Restrict(restriction));
@@ -271,7 +306,8 @@
                 SimEvent::Arrival(class) => self.arrive(now, class),
                 SimEvent::Step(engine) => self.step(now, engine),
                 SimEvent::Round(host) => self.round(now, host),
-                SimEvent::GossipReceived { host, from, work, parts } => {
+                SimEvent::GossipReceived { host, from, work, parts, outcomes } => {
+                    self.hosts[host].apply_outcome_notices(now, from as u32, &outcomes);
                     self.hosts[host].apply_peer_parts(now, &parts);
                     self.hosts[host].apply_peer_work(now, from as u32, work);
                 }
@@ -329,6 +365,7 @@
             exclude: &request.tried,
             build: None,
             max_pause: Some(self.sheet.max_pause),
+            runs_once: self.sheet.classes[request.class].runs_once,
         };
         let plan =
             self.hosts[host].place(now, &query).filter(|_| request.tried.len() < MAX_ATTEMPTS);
@@ -450,6 +487,16 @@
         self.engines[engine].advance(now, &mut events);
         for event in events {
             match event {
+                Event::FirstToken { id, .. }
+                    if engine >= self.sheet.prefill_engines && self.is_lost(now, engine) =>
+                {
+                    self.lose(now, id, engine);
+                }
+                Event::Exportable { id } if self.is_lost(now, engine) => {
+                    self.engines[engine].release(now, id);
+                    self.end_attempt(now, id, AttemptOutcome::Failed);
+                    self.send(now, id);
+                }
                 Event::FirstToken { id, .. } => self.record_first_token(now, id),
                 Event::Exportable { id } => {
                     self.computed(now, id);
@@ -459,6 +506,11 @@
                     self.engines[engine].release(now, id);
                     self.events.push(now + transfer + NETWORK_DELAY * 2, SimEvent::Decode(id));
                 }
+                Event::Done { id, .. }
+                    if self.requests[&id].first_token_at.is_none() && self.is_lost(now, engine) =>
+                {
+                    self.lose(now, id, engine);
+                }
                 Event::Done { id, first_token, tokens, .. } => {
                     if first_token > Time::ZERO {
                         self.record_first_token(first_token, id);
@@ -472,6 +524,27 @@
         self.wake(engine);
     }
 
+    /// Whether the answer that an engine begins now is lost.
+    fn is_lost(&mut self, now: Time, engine: usize) -> bool {
+        let (start, end) = LOSS_TIMES;
+        self.loses_answers
+            && engine % 5 < 3
+            && (start..end).contains(&now.since(Time::ZERO))
+            && self.loss_rng.random_bool(LOSS_SHARE)
+    }
+
+    /// Loses the answer to a request, which runs again if it may.
+    fn lose(&mut self, now: Time, id: u64, engine: usize) {
+        self.engines[engine].cancel(now, id);
+        self.end_attempt(now, id, AttemptOutcome::Failed);
+        let class = self.requests[&id].class;
+        if self.sheet.classes[class].runs_once {
+            self.results.0[class].1.lost += 1;
+        } else {
+            self.send(now, id);
+        }
+    }
+
     /// Submits a request to an engine that generates from an exported KV cache.
     fn decode(&mut self, now: Time, id: u64) {
         let request = &self.requests[&id];
@@ -481,6 +554,7 @@
             exclude: &request.tried,
             build: None,
             max_pause: Some(self.sheet.max_pause),
+            runs_once: self.sheet.classes[request.class].runs_once,
         };
         let Some(placement) = self.hosts[request.host].place_decode(now, &query) else {
             self.results.0[request.class].1.refused += 1;
@@ -555,12 +629,19 @@
     fn send_gossip(&mut self, now: Time, host: usize, span: Duration, peers: &[usize]) {
         let work = self.hosts[host].in_flight_work(now);
         let parts = match self.mode {
-            GossipMode::All => self.hosts[host].recent_parts(now, span),
+            GossipMode::All | GossipMode::WithoutOutcomes => {
+                self.hosts[host].recent_parts(now, span)
+            }
             _ => Vec::new(),
         };
+        let outcomes = match self.mode {
+            GossipMode::WithoutOutcomes => Vec::new(),
+            _ => self.hosts[host].outcome_notices(now, span),
+        };
         for peer in peers.iter().filter(|peer| **peer != host) {
-            let (work, parts) = (work.clone(), parts.clone());
-            let message = SimEvent::GossipReceived { host: *peer, from: host, work, parts };
+            let (work, parts, outcomes) = (work.clone(), parts.clone(), outcomes.clone());
+            let message =
+                SimEvent::GossipReceived { host: *peer, from: host, work, parts, outcomes };
             self.events.push(now + NETWORK_DELAY, message);
         }
     }
--- a/components/gateway/tests/origins.rs
+++ b/components/gateway/tests/origins.rs
@@ -47,7 +47,14 @@
 }
 
 fn place(fleet: &Fleet, prompt: &Prompt, build: Option<BuildId>) -> Option<Plan> {
-    let query = TargetQuery { service: SERVICE, prompt, exclude: &[], build, max_pause: None };
+    let query = TargetQuery {
+        service: SERVICE,
+        prompt,
+        exclude: &[],
+        build,
+        max_pause: None,
+        runs_once: false,
+    };
     fleet.place(NOW, &query)
 }
 
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -8,6 +8,7 @@
 mod ids;
 mod limit;
 mod meter;
+mod outcomes;
 mod poison;
 mod prefix;
 mod refusal;
@@ -25,8 +26,9 @@
 pub use crate::{
     admission::{Actions, AdmissionQueue, FairShare, QueueAction, QueueSettings},
     ids::{BlockHash, HostId, OrgId, ServiceId, TargetId, Ticket, Zone},
-    limit::{ShareBudget, share_of_limit},
+    limit::{ShareBudget, is_first_holder, share_of_limit},
     meter::{Demand, DemandMeter},
+    outcomes::{OutcomeReport, TargetOutcomes},
     poison::{
         AffectedRequest, CrashId, CrashNotice, PoisonDetector, PoisonSettings, PoisonStatus,
         PoisonSubject,
--- a/components/policy/src/limit.rs
+++ b/components/policy/src/limit.rs
@@ -33,11 +33,20 @@
 pub fn share_of_limit(limit: f64, target: u64, own: u64, others: &[u64]) -> Option<f64> {
     let hosts = others.len() + 1;
     let holders = (limit as usize).saturating_add(EXTRA_HOLDERS).min(hosts);
-    let own_rank = (mix(target, own), own);
-    let before = others.iter().filter(|other| (mix(target, **other), **other) < own_rank).count();
+    let before = hosts_before(target, own, others).count();
     (before < holders).then(|| limit.max(PROBE_RATE) / holders as f64)
 }
 
+/// Whether the host `own` is the first of all to hold a share of what `target` takes.
+pub fn is_first_holder(target: u64, own: u64, others: &[u64]) -> bool {
+    hosts_before(target, own, others).next().is_none()
+}
+
+fn hosts_before(target: u64, own: u64, others: &[u64]) -> impl Iterator<Item = &u64> {
+    let own_rank = (mix(target, own), own);
+    others.iter().filter(move |other| (mix(target, **other), **other) < own_rank)
+}
+
 /// Hashes a target and a host into a sort key with the SplitMix64 finalizer.
 fn mix(target: u64, host: u64) -> u64 {
     let mut x = target.rotate_left(32) ^ host.wrapping_add(0x9e37_79b9_7f4a_7c15);
