--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -12,6 +12,7 @@
 mod departures;
 mod ends;
 mod entry;
+mod failures;
 mod health;
 mod imports;
 mod limits;
@@ -40,6 +41,7 @@
     fleet::{
         builds::GoneBuilds,
         departures::{Departure, Departures},
+        failures::Failures,
         imports::Imports,
         limits::Limits,
         pauses::PauseMeter,
@@ -55,6 +57,7 @@
     demand::{EngineSpeeds, StageCounts},
     ends::EndNotice,
     entry::{TargetCounts, TargetEntry, TargetRole},
+    failures::OutcomeNotice,
     imports::Import,
     limits::LimitNotice,
     peer_loads::InFlightWork,
@@ -113,6 +116,7 @@
     gone_builds: GoneBuilds,
     untold_ends: Vec<EndNotice>,
     peer_loads: PeerLoads,
+    failures: Failures,
     /// Target ids by their hash.
     ids_by_hash: HashMap<u32, Arc<str>>,
     /// Parts that this host sent recently, in order of time.
@@ -161,6 +165,7 @@
             gone_builds: GoneBuilds::default(),
             untold_ends: Vec::new(),
             peer_loads: PeerLoads::default(),
+            failures: Failures::default(),
             ids_by_hash: HashMap::new(),
             sent_parts: VecDeque::new(),
             store_recovered_at: None,
@@ -305,6 +310,19 @@
         self.remove_expired(now);
     }
 
+    /// This host's outcomes within `span` on targets with failures, to send to other hosts.
+    pub fn outcome_notices(&mut self, now: Time, span: Duration) -> Vec<OutcomeNotice> {
+        self.failures.notices(now, span)
+    }
+
+    /// Applies what another host saw of targets with failures.
+    pub fn apply_outcome_notices(&mut self, now: Time, host: u32, notices: &[OutcomeNotice]) {
+        for notice in notices {
+            let limits = &self.limits;
+            self.failures.apply(now, host, notice, || limits.is_first_host(notice.start));
+        }
+    }
+
     /// Prompt parts that this host sent to targets within `span`, latest first.
     pub fn recent_parts(&mut self, now: Time, span: Duration) -> Vec<CachedPart> {
         while self.sent_parts.front().is_some_and(|(at, _)| now.since(*at) >= span) {
@@ -391,6 +409,7 @@
         if let Some(state) = self.targets.get_mut(&placement.id) {
             self.work.start(now, attempt, &state.entry, state.reference_ms(placement), prompt);
             state.start(now, attempt, placement, prompt);
+            self.failures.record_start(now, state.start_hash);
             let target = state.id_hash;
             let parts = prompt.parts.iter().map(|part| CachedPart { target, part: part.id });
             self.sent_parts.extend(parts.map(|part| (now, part)));
@@ -419,7 +438,7 @@
 
     /// Removes a request from its target and records the outcome.
     ///
-    /// Returns whether this made the target failing.
+    /// Returns whether this made the target failing, or is the first failure that is known of it.
     pub fn finish(
         &mut self,
         now: Time,
@@ -436,7 +455,10 @@
         // The time until a failure says nothing about the target's speed.
         state.mark_computed(now, attempt, placement);
         state.finish(now, outcome);
-        state.is_failing(now) && !before
+        let start = state.start_hash;
+        let limits = &self.limits;
+        let is_first = self.failures.record(now, start, outcome, || limits.is_first_host(start));
+        is_first || state.is_failing(now) && !before
     }
 }
 
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -9,6 +9,7 @@
 mod ids;
 mod limit;
 mod meter;
+mod outcomes;
 mod poison;
 mod prefix;
 mod quota;
@@ -27,8 +28,9 @@
 pub use crate::{
     admission::{Actions, AdmissionQueue, FairShare, QueueAction, QueueSettings},
     ids::{BlockHash, HostId, OrgId, ServiceId, TargetId, Ticket, Zone},
-    limit::{ShareBudget, share_of_limit},
+    limit::{ShareBudget, is_first_holder, share_of_limit},
     meter::{Demand, DemandMeter},
+    outcomes::{OutcomeReport, TargetOutcomes},
     poison::{
         AffectedRequest, CrashId, CrashNotice, PoisonDetector, PoisonSettings, PoisonStatus,
         PoisonSubject,
