--- a/components/gateway/src/quota/tests.rs
+++ b/components/gateway/src/quota/tests.rs
@@ -139,6 +139,7 @@
         metrics_addr: None,
         store_addr: addr(host),
         duties_addr: None,
+        memory: 256 << 20,
         max_descriptors: 0,
         bounds: HostLimits { quota: Some(BOUNDS), ..HostLimits::default() },
     }
--- a/components/gateway/tests/demand.rs
+++ b/components/gateway/tests/demand.rs
@@ -318,7 +318,14 @@
 }
 
 fn query(prompt: &Prompt) -> TargetQuery<'_> {
-    TargetQuery { service: "llm", prompt, exclude: &[], build: None, max_pause: None }
+    TargetQuery {
+        service: "llm",
+        prompt,
+        exclude: &[],
+        build: None,
+        max_pause: None,
+        runs_once: false,
+    }
 }
 
 #[test]
--- a/components/gateway/tests/outage.rs
+++ b/components/gateway/tests/outage.rs
@@ -65,6 +65,7 @@
         exclude: &[],
         build: None,
         max_pause: None,
+        runs_once: false,
     };
     fleet.place(now, &query).is_some()
 }
