--- a/components/policy/src/demand/plan.rs
+++ b/components/policy/src/demand/plan.rs
@@ -166,12 +166,14 @@
     }
 }
 
-/// Number of targets that `demand` requires; at the limits if it requires more.
+/// Number of targets that `demand` requires; at the limits if it requires more. Without zones it
+/// is that for a single one.
 pub fn plan_demand(
     demand: &PlannedDemand,
     engine: &EngineSpecs,
     limits: FleetLimits,
 ) -> DemandPlan {
+    let limits = FleetLimits { zones: limits.zones.max(1), ..limits };
     let utilization = engine.utilization(&demand.mean);
     let burst = if demand.span < FULL_SPAN { UNSEEN_BURST } else { 1.0 };
     let mean = engine.busy_targets(&demand.mean);
@@ -219,5 +221,5 @@
 
 /// Part of a zone of `targets`, rounded up.
 fn zone_part(targets: f64, zones: u32) -> u32 {
-    (targets / f64::from(zones.max(1))).ceil() as u32
+    (targets / f64::from(zones)).ceil() as u32
 }
--- a/components/policy/src/demand/tests.rs
+++ b/components/policy/src/demand/tests.rs
@@ -171,3 +171,14 @@
         prop_assert!(plan(more).targets >= plan(1.0).targets);
     }
 }
+
+// Guards against an order up to the limit for a service of which no zone is known.
+#[test]
+fn no_zones_are_planned_as_one() {
+    let planned = demand(work(0.1, 0.2), work(0.1, 0.2));
+    let [none, one] =
+        [0, 1].map(|zones| plan_demand(&planned, &specs(0.35), FleetLimits { zones, ..LIMITS }));
+
+    assert_eq!(none, one);
+    assert!(one.targets < LIMITS.max_targets);
+}
