--- a/components/gateway/src/planner.rs
+++ b/components/gateway/src/planner.rs
@@ -86,6 +86,10 @@
         if scaling.reclaimable_price.is_none_or(|price| price > MAX_PRICE_RATIO) {
             return Vec::new();
         }
+        if let Some(goals) = self.goals.get_mut(service) {
+            // Once the demand is known, what is ordered now is given back no sooner than any other.
+            goals.fill(scaling);
+        }
         let mut orders = Vec::new();
         for (zone, current) in targets_by_zone(service, scaling, entries) {
             let reclaimable_key = order_key(service, zone, true);
@@ -122,7 +126,14 @@
                 || self.placed.contains_key(&order_key(service, zone, true))
                 || self.placed.contains_key(&order_key(service, zone, false))
         });
-        let mut goals = self.goals.remove(service).unwrap_or_else(|| ServiceGoals::new(now));
+        let was_filled = self.placed.keys().any(|key| key.service == service);
+        let mut goals = self.goals.remove(service).unwrap_or_else(|| {
+            if was_filled {
+                ServiceGoals::filled(now, scaling, current.keys().copied())
+            } else {
+                ServiceGoals::new(now)
+            }
+        });
         let is_full = goals.update(now, service, scaling, &current, demand);
         let orders = if is_full {
             self.plan(now, service, scaling, entries)
--- a/components/gateway/src/planner/goals.rs
+++ b/components/gateway/src/planner/goals.rs
@@ -121,6 +121,18 @@
         }
     }
 
+    /// Starts with the goal of full zones, for which targets were ordered before.
+    pub(super) fn filled<'a>(
+        now: Time,
+        scaling: &Scaling,
+        zones: impl Iterator<Item = &'a str>,
+    ) -> ServiceGoals {
+        let mut goals = ServiceGoals::new(now);
+        goals.zones = zones.map(|zone| (zone.to_owned(), ZoneGoal::default())).collect();
+        goals.fill(scaling);
+        goals
+    }
+
     /// Goals by zone.
     pub(super) fn zones(&self) -> impl Iterator<Item = (&str, ZoneGoal)> {
         self.zones.iter().map(|(zone, goal)| (zone.as_str(), *goal))
@@ -131,6 +143,11 @@
         self.zones.get(zone).copied().unwrap_or_default()
     }
 
+    /// Whether what was there when the lease was taken is kept.
+    fn is_new(&self, now: Time) -> bool {
+        now.since(self.started_at) < HOLD_TIME
+    }
+
     /// Whether this number of targets is too small for the largest work.
     pub(super) fn is_short(&self, targets: u32) -> bool {
         self.busy > f64::from(targets) * SHORT_UTILIZATION
@@ -168,7 +185,9 @@
         if is_full {
             self.fill(scaling);
         } else {
-            self.exchange(scaling, plan.as_ref());
+            if !self.is_new(now) {
+                self.exchange(scaling, plan.as_ref());
+            }
             if let Some(plan) = &plan {
                 self.grow(scaling, plan);
                 self.give_back(now, scaling, current, plan, demand.may_return);
@@ -188,7 +207,7 @@
         current: &BTreeMap<&str, ZoneTargets>,
     ) {
         self.zones.retain(|zone, _| current.contains_key(zone.as_str()));
-        let is_new = now.since(self.started_at) < HOLD_TIME;
+        let is_new = self.is_new(now);
         for (zone, targets) in current {
             let on_demand = targets.on_demand.min(scaling.max_targets);
             let room = scaling.max_targets - on_demand;
@@ -196,7 +215,9 @@
             let goal =
                 self.zones.entry((*zone).to_owned()).or_insert(ZoneGoal { on_demand, reclaimable });
             if is_new {
-                // Those that the last holder ordered are still starting.
+                // Those that the last holder ordered are still starting, and some may not have
+                // been listed.
+                goal.on_demand = goal.on_demand.max(on_demand);
                 let room = scaling.max_targets.saturating_sub(goal.on_demand);
                 goal.reclaimable = goal.reclaimable.max(reclaimable).min(room);
             }
@@ -204,7 +225,7 @@
     }
 
     /// Wants all zones filled to their limits.
-    fn fill(&mut self, scaling: &Scaling) {
+    pub(super) fn fill(&mut self, scaling: &Scaling) {
         self.excess_since = None;
         let on_demand = full_on_demand(scaling).min(scaling.max_targets);
         let reclaimable = scaling.max_targets - on_demand;
@@ -212,7 +233,8 @@
     }
 
     /// Wants reclaimable targets in the place of on-demand ones above the share that a full zone
-    /// has, so that their number stays the same.
+    /// has, so that their number stays the same. An order would end those that are not listed, so a
+    /// new holder waits for them.
     fn exchange(&mut self, scaling: &Scaling, plan: Option<&DemandPlan>) {
         let needed = plan.map_or(0, |plan| plan.on_demand);
         let most = full_on_demand(scaling).max(needed);
@@ -251,7 +273,7 @@
         }
         let since = *self.excess_since.get_or_insert(now);
         let is_due = now.since(since) >= RETURN_DELAY
-            && now.since(self.started_at) >= HOLD_TIME
+            && !self.is_new(now)
             && self.returned_at.is_none_or(|at| now.since(at) >= RETURN_INTERVAL);
         // After a loss of targets, all that are left are needed.
         let listed: u32 = current.values().map(|zone| zone.on_demand + zone.reclaimable).sum();
@@ -281,9 +303,10 @@
             }
             let reclaimable = excess.min(goal.reclaimable);
             goal.reclaimable -= reclaimable;
-            goal.on_demand -=
+            let on_demand =
                 (excess - reclaimable).min(goal.on_demand.saturating_sub(plan.on_demand));
-            left -= excess;
+            goal.on_demand -= on_demand;
+            left -= reclaimable + on_demand;
         }
         if left < step {
             return true;
--- a/components/gateway/tests/demand.rs
+++ b/components/gateway/tests/demand.rs
@@ -103,12 +103,21 @@
         zones.map(|zone| self.serving(zone, false) + self.serving(zone, true)).sum()
     }
 
+    /// Number of targets that serve or are starting.
+    fn ordered(&self) -> usize {
+        self.targets.values().map(Vec::len).sum()
+    }
+
     /// Number of targets wanted in all zones.
     fn wanted(&self) -> u32 {
         self.planner.goals().map(|(_, _, goal)| goal.on_demand + goal.reclaimable).sum()
     }
 
     fn step(&mut self, demand: &ServiceDemand) -> Vec<TargetOrder> {
+        self.step_if_known(Some(demand))
+    }
+
+    fn step_if_known(&mut self, demand: Option<&ServiceDemand>) -> Vec<TargetOrder> {
         self.now += 500;
         let mut entries = Vec::new();
         for (zone, _) in ZONES {
@@ -120,7 +129,11 @@
             }
         }
         let now = Time::from_millis(self.now);
-        let orders = self.planner.plan_for_demand(now, "llm", &scaling(), entries.iter(), demand);
+        let (scaling, entries) = (scaling(), entries.iter());
+        let orders = match demand {
+            Some(demand) => self.planner.plan_for_demand(now, "llm", &scaling, entries, demand),
+            None => self.planner.plan(now, "llm", &scaling, entries),
+        };
         for order in &orders {
             let zone = ZONES.iter().find(|(zone, _)| *zone == order.zone).unwrap().0;
             let accepted = !(order.cheap && self.unavailable == Some(zone));
@@ -182,6 +195,50 @@
     assert_eq!(platform.total(), 114);
 }
 
+// Guards against a return within the hold time: on-demand targets that were not listed when the
+// lease was taken come back above a goal that was taken from the rest.
+#[test]
+fn a_new_holder_keeps_on_demand_targets_that_are_listed_later() {
+    for on_demand in [7, 22] {
+        let mut platform = Platform::new(on_demand, 10);
+        for (zone, _) in ZONES {
+            platform.targets.get_mut(&(zone, false)).unwrap().extend([105_000; 3]);
+        }
+
+        platform.run(29, &demand(1.0, 1.0));
+
+        assert_eq!(platform.total() as usize, 3 * (on_demand + 3 + 10));
+    }
+}
+
+// Guards against a drop without delay: while one stage has no engines, zones are filled without the
+// goals, which were then followed although what was ordered had not started.
+#[test]
+fn what_was_filled_without_a_demand_is_kept_when_it_is_known_again() {
+    let mut platform = Platform::new(18, 42);
+    let low = demand(8.0, 12.0);
+    platform.run(240, &low);
+    assert!(platform.total() < 90);
+
+    (0..2).for_each(|_| drop(platform.step_if_known(None)));
+    platform.run(15, &low);
+
+    assert_eq!(platform.total(), 3 * MAX_TARGETS);
+    platform.run(120, &low);
+    assert!(platform.total() < 90);
+}
+
+// Guards against the same where the holder has not known the demand before.
+#[test]
+fn what_was_filled_before_the_first_demand_is_kept() {
+    let mut platform = Platform::new(5, 10);
+
+    (0..2).for_each(|_| drop(platform.step_if_known(None)));
+    platform.step(&demand(1.0, 1.0));
+
+    assert_eq!(platform.ordered(), 3 * 60);
+}
+
 #[test]
 fn a_demand_that_stays_unknown_fills_the_zones() {
     let mut platform = Platform::new(18, 10);
