Report the demand for all scaled services, and forget removed ones

A host reported its first 20 services, and the holder read one that was left out as without work. Hosts now report each scaled service, also those without work, in as many datagrams as it takes; a service that a host has not named is not known of that host. Old reports are dropped where rates are read instead of at each report. Goals, orders and metrics of a service that is no longer scaled are dropped. Tests: tests/demand.rs, written with the new interface, so that they were not run before the change; rate() now takes &mut self, for which one closure of a test became mutable.

--- a/components/gateway/src/demand.rs
+++ b/components/gateway/src/demand.rs
@@ -3,7 +3,10 @@
 //! Each host counts since its start and sends the totals to the holder, so that a lost datagram
 //! only delays what it told. The holder takes the differences of two reports as rates.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use chervilgate_clock::Time;
 use chervilgate_policy::demand::Work;
@@ -49,7 +52,8 @@
     pub waiting: u64,
 }
 
-/// What a host tells the lease holder.
+/// What a host tells the lease holder. Services that do not fit are in further reports of the same
+/// time; nothing is known of one that is in none.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct DemandReport {
@@ -61,6 +65,27 @@
     pub services: Vec<WorkTotals>,
 }
 
+impl DemandReport {
+    /// The reports of a host on `services`, also of those without work, each of which fits into one
+    /// datagram.
+    pub fn all<'a>(
+        now: Time,
+        host: u32,
+        services: impl Iterator<Item = &'a str>,
+        totals: &[WorkTotals],
+    ) -> Vec<DemandReport> {
+        let totals = |service: &str| {
+            let service = service_hash(service);
+            let known = totals.iter().find(|totals| totals.service == service).copied();
+            known.unwrap_or(WorkTotals { service, ..WorkTotals::default() })
+        };
+        let totals: Vec<WorkTotals> = services.map(totals).collect();
+        let parts = totals.chunks(MAX_REPORTED_SERVICES);
+        let at = now.as_micros();
+        parts.map(|part| DemandReport { host, at, services: part.to_vec() }).collect()
+    }
+}
+
 /// A request in flight.
 #[derive(Debug, Clone, Copy)]
 struct OpenWork {
@@ -181,62 +206,76 @@
     })
 }
 
-/// What one host reported last.
+/// What one host reported last of a service.
 #[derive(Debug)]
 struct HostDemand {
     received_at: Time,
     sent_at: u64,
-    totals: HashMap<u32, WorkTotals>,
-    /// Rates by service; none before a second report.
-    rates: Option<HashMap<u32, Work>>,
+    totals: WorkTotals,
+    /// Work per second; none before a second report, and after a restart of the host.
+    rate: Option<Work>,
+}
+
+impl HostDemand {
+    fn is_recent(&self, now: Time) -> bool {
+        now.since(self.received_at) < REPORT_TTL
+    }
+
+    fn update(&mut self, now: Time, sent_at: u64, totals: &WorkTotals) {
+        let span = Duration::from_micros(sent_at.saturating_sub(self.sent_at));
+        if span < MIN_REPORT_INTERVAL {
+            return;
+        }
+        let rate = rate_between(&self.totals, totals, span);
+        *self = HostDemand { received_at: now, sent_at, totals: *totals, rate };
+    }
 }
 
 /// The work that hosts reported to the lease holder.
 #[derive(Debug, Default)]
 pub struct ReportedDemand {
-    hosts: HashMap<u32, HostDemand>,
+    /// By service and host.
+    services: HashMap<u32, HashMap<u32, HostDemand>>,
 }
 
 impl ReportedDemand {
     /// Records a host's report; one that was overtaken is ignored.
     pub fn record(&mut self, now: Time, report: &DemandReport) {
-        self.hosts.retain(|_, host| now.since(host.received_at) < REPORT_TTL);
-        let totals = report.services.iter().map(|totals| (totals.service, *totals)).collect();
-        let Some(host) = self.hosts.get_mut(&report.host) else {
-            let host = HostDemand { received_at: now, sent_at: report.at, totals, rates: None };
-            self.hosts.insert(report.host, host);
-            return;
-        };
-        let span = Duration::from_micros(report.at.saturating_sub(host.sent_at));
-        if span < MIN_REPORT_INTERVAL {
-            return;
+        for totals in &report.services {
+            let hosts = self.services.entry(totals.service).or_default();
+            match hosts.get_mut(&report.host).filter(|host| host.is_recent(now)) {
+                Some(host) => host.update(now, report.at, totals),
+                None => {
+                    let (sent_at, totals) = (report.at, *totals);
+                    let host = HostDemand { received_at: now, sent_at, totals, rate: None };
+                    hosts.insert(report.host, host);
+                }
+            }
         }
-        let rate = |(service, after): (&u32, &WorkTotals)| {
-            let before = host.totals.get(service).copied().unwrap_or_default();
-            Some((*service, rate_between(&before, after, span)?))
-        };
-        host.rates = Some(totals.iter().filter_map(rate).collect());
-        host.totals = totals;
-        host.sent_at = report.at;
-        host.received_at = now;
     }
 
     /// The rate of work of all hosts per second, of which `alive` are alive; none if too few have
     /// reported. Work of hosts that have not is estimated from the others'.
-    pub fn rate(&self, now: Time, service: &str, alive: usize) -> Option<Work> {
-        let service = service_hash(service);
-        let recent = self.hosts.values().filter(|host| now.since(host.received_at) < REPORT_TTL);
+    pub fn rate(&mut self, now: Time, service: &str, alive: usize) -> Option<Work> {
+        let hosts = self.services.get_mut(&service_hash(service))?;
+        hosts.retain(|_, host| host.is_recent(now));
         let mut heard = 0;
         let mut sum = Work::default();
-        for rates in recent.filter_map(|host| host.rates.as_ref()) {
+        for rate in hosts.values().filter_map(|host| host.rate) {
             heard += 1;
-            sum += rates.get(&service).copied().unwrap_or_default();
+            sum += rate;
         }
         if heard == 0 || f64::from(heard) < alive as f64 * MIN_HEARD_SHARE {
             return None;
         }
         Some(sum * (alive as f64 / f64::from(heard)).max(1.0))
     }
+
+    /// Drops what was reported of other services.
+    pub fn retain_services<'a>(&mut self, services: impl Iterator<Item = &'a str>) {
+        let kept: HashSet<u32> = services.map(service_hash).collect();
+        self.services.retain(|service, _| kept.contains(service));
+    }
 }
 
 fn service_hash(service: &str) -> u32 {
--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -350,7 +350,7 @@
             let shared = self.shared.clone();
             let mut state = shared.state();
             let Some(config) = state.view.config().cloned() else { return };
-            if let Some(report) = state.demand_report(now, shared.gossip_id()) {
+            for report in state.demand_reports(now, shared.gossip_id()) {
                 state.reported_demand.record(now, &report);
             }
             let scaled = config
@@ -358,6 +358,9 @@
                 .iter()
                 .filter_map(|(name, service)| Some((name.clone(), service.scaling.clone()?)));
             let scaled: Vec<ScaledService> = scaled.collect();
+            self.forget_services_but(&scaled);
+            let names = scaled.iter().map(|(name, _)| &**name);
+            state.reported_demand.retain_services(names);
             let mut orders = Vec::new();
             for (service, scaling) in &scaled {
                 let demand = self.service_demand(now, &mut state, &config, service);
@@ -380,6 +383,20 @@
         }
     }
 
+    /// Drops what is known of services that are no longer scaled, and their metrics.
+    fn forget_services_but(&mut self, scaled: &[ScaledService]) {
+        let is_scaled = |name: &str| scaled.iter().any(|(scaled, _)| &**scaled == name);
+        self.planner.retain_services(is_scaled);
+        let metrics = &self.shared.metrics;
+        self.demand.retain(|name, _| {
+            let is_kept = is_scaled(name);
+            if !is_kept {
+                metrics.remove_demand(name);
+            }
+            is_kept
+        });
+    }
+
     /// What is known of the demand for a service; none if it has no engines, which are all that
     /// demand is measured of.
     fn service_demand(
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -272,8 +272,8 @@
         for window in windows {
             send(&socket, &Message::Window(window), holder).await;
         }
-        let report = shared.state().demand_report(now, shared.gossip_id());
-        if let Some(report) = report {
+        let reports = shared.state().demand_reports(now, shared.gossip_id());
+        for report in reports {
             send(&socket, &Message::Demand(report), holder).await;
         }
     }
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -313,6 +313,13 @@
         }
     }
 
+    /// Drops what is known of the demand for a service.
+    pub(crate) fn remove_demand(&self, service: &str) {
+        for stage in ["prefill", "decode"] {
+            self.demand.remove(&DemandLabels { service: service.to_owned(), stage });
+        }
+    }
+
     /// Drops what only the lease holder knows.
     pub(crate) fn clear_demand(&self) {
         self.targets_wanted.clear();
--- a/components/gateway/src/planner.rs
+++ b/components/gateway/src/planner.rs
@@ -151,6 +151,12 @@
         })
     }
 
+    /// Drops the goals and orders of services that are no longer scaled.
+    pub fn retain_services(&mut self, is_scaled: impl Fn(&str) -> bool) {
+        self.goals.retain(|service, _| is_scaled(service));
+        self.placed.retain(|key, _| is_scaled(&key.service));
+    }
+
     /// Returns the orders that are due to reach the goals of a service.
     fn order_goals(
         &mut self,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -15,7 +15,7 @@
     build_record::BuildRecord,
     counted::{CountedStore, raise_era},
     crash::CrashProbe,
-    demand::{DemandReport, MAX_REPORTED_SERVICES, ReportedDemand},
+    demand::{DemandReport, ReportedDemand},
     fleet::{Fleet, SeenBuilds},
     freshness::{Freshness, Reads},
     membership::{HostEntry, Membership},
@@ -118,15 +118,14 @@
         }
     }
 
-    /// The work of this host's callers, for the lease holder; none if no targets are ordered.
-    pub(crate) fn demand_report(&self, now: Time, host: u32) -> Option<DemandReport> {
-        let mut services = self.view.config()?.services.values();
-        if !services.any(|service| service.scaling.is_some() && service.engine.is_some()) {
-            return None;
-        }
-        let mut services = self.fleet.work_totals(now);
-        services.truncate(MAX_REPORTED_SERVICES);
-        Some(DemandReport { host, at: now.as_micros(), services })
+    /// The work of this host's callers, for the lease holder; empty if no targets are ordered.
+    pub(crate) fn demand_reports(&self, now: Time, host: u32) -> Vec<DemandReport> {
+        let Some(config) = self.view.config() else { return Vec::new() };
+        let services = config.services.iter();
+        let services = services
+            .filter(|(_, service)| service.scaling.is_some() && service.engine.is_some())
+            .map(|(name, _)| &**name);
+        DemandReport::all(now, host, services, &self.fleet.work_totals(now))
     }
 
     /// Which versions may have begun a stream of `service`, by a list of targets that is not old.
--- a/components/gateway/tests/demand.rs
+++ b/components/gateway/tests/demand.rs
@@ -425,7 +425,7 @@
         reported.record(Time::from_millis(1_000), &report(host, 1_000, totals(1_000)));
     }
 
-    let rate = |millis, alive| {
+    let mut rate = |millis, alive| {
         reported.rate(Time::from_millis(millis), "llm", alive).map(|work| work.prefill_ms as u64)
     };
 
@@ -434,3 +434,42 @@
     assert_eq!(rate(1_100, 5), None);
     assert_eq!(rate(4_100, 2), None);
 }
+
+// Guards against a service whose part of a report was lost, or left out, that counts as without work.
+#[test]
+fn a_service_that_no_report_names_is_unknown() {
+    let mut reported = ReportedDemand::default();
+    let names: Vec<String> = (0..45).map(|n| format!("service-{n}")).collect();
+    let mut fleet = fleet(TargetRole::Decode);
+    fleet.record_wait("service-44");
+    let mut totals = fleet.work_totals(Time::ZERO);
+    let mut heard = Vec::new();
+    for secs in 0..2 {
+        totals[0].prefill_us = secs * 2_000_000;
+        let names = names.iter().map(String::as_str);
+        heard = DemandReport::all(Time::from_secs(secs), 1, names, &totals);
+        // The second part is lost.
+        heard.remove(1);
+        heard.iter().for_each(|report| reported.record(Time::from_secs(secs), report));
+    }
+
+    let mut rate =
+        |service| reported.rate(Time::from_secs(1), service, 1).map(|work| work.prefill_ms as u64);
+
+    assert_eq!(heard.len(), 2);
+    assert!(heard.iter().all(|report| report.services.len() <= 20));
+    assert_eq!(rate("service-44"), Some(2_000));
+    assert_eq!(rate("service-0"), Some(0));
+    assert_eq!(rate("service-30"), None);
+}
+
+// Guards against metrics of a service that was removed from the configuration.
+#[test]
+fn a_service_that_is_no_longer_scaled_has_no_goals() {
+    let mut platform = Platform::new(5, 10);
+    platform.run(2, &demand(1.0, 1.0));
+
+    platform.planner.retain_services(|service| service != "llm");
+
+    assert_eq!(platform.planner.goals().count(), 0);
+}
