Move the conditions for returns of targets into a pure function

Waiting shares, learned speeds, store, list and impaired targets were judged inside of the lease holder's step, which no test covers. Tests: each condition alone prevents a return; prompts wait above their share. No change of behaviour.

--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -12,7 +12,7 @@
 use crate::{
     config::Config,
     lease::{Lease, LeaseDoc, is_standby},
-    planner::{OrderPlanner, ScaledService, ServiceDemand},
+    planner::{Observations, OrderPlanner, ScaledService, ServiceDemand},
     state::{Shared, State},
     usage::{UsageSheet, is_window_complete, sum_counts},
     watch::decode_objects,
@@ -62,16 +62,9 @@
 /// Time over which requests that wait show that there are too few targets.
 const RECENT_WAITING: Duration = Duration::from_secs(4);
 
-/// Share of the prompts of that time that may wait: bursts at single targets make a few of them
-/// wait however many targets there are.
-const MAX_WAITING_SHARE: f64 = 0.05;
-
 /// Time over which hardly a prompt must have waited for targets to be given back.
 const RETURN_WAITING: Duration = Duration::from_secs(20);
 
-/// Share of the prompts of that time that may have waited.
-const MAX_RETURN_WAITING_SHARE: f64 = 0.01;
-
 /// Maximum random delay before taking over an expired lease.
 const MAX_ACQUIRE_JITTER: Duration = Duration::from_millis(800);
 
@@ -432,17 +425,16 @@
             history.observe(now, rate);
         }
         let recent = history.recent(RECENT_WAITING);
-        let is_waiting = recent.waiting_share() > MAX_WAITING_SHARE;
-        let has_waited = history.recent(RETURN_WAITING).waiting_share() > MAX_RETURN_WAITING_SHARE;
-        let is_speed_known = speeds.prefill.or(speeds.decode).is_some();
         let drain_time = self.shared.settings.bounds.drain_time;
-        let may_return = rate.is_some()
-            && !has_waited
-            && is_speed_known
-            && !self.write_failed
-            && !state.store_down
-            && state.is_target_list_current(now, drain_time)
-            && !state.fleet.has_impaired_targets(now, service);
+        let observed = Observations {
+            recent_waiting: recent.waiting_share(),
+            past_waiting: history.recent(RETURN_WAITING).waiting_share(),
+            is_demand_known: rate.is_some(),
+            is_speed_known: speeds.prefill.or(speeds.decode).is_some(),
+            is_store_up: !self.write_failed && !state.store_down,
+            is_list_current: state.is_target_list_current(now, drain_time),
+            has_impaired_targets: state.fleet.has_impaired_targets(now, service),
+        };
         let (prefill, decode) = engine.busy_stages(&recent);
         self.shared.metrics.set_demand(service, prefill, decode);
         let is_known = history.age(now).is_some_and(|age| age < MAX_DEMAND_AGE);
@@ -451,6 +443,7 @@
             largest: history.largest(),
             span: history.span(),
         });
+        let (is_waiting, may_return) = (observed.is_waiting(), observed.may_return());
         Some(ServiceDemand { demand, engine, is_waiting, may_return })
     }
 
--- a/components/gateway/src/planner.rs
+++ b/components/gateway/src/planner.rs
@@ -10,6 +10,7 @@
 //! Where the demand for the engines of a service is known, zones are filled only as far as
 //! [`policy::demand`](chervilgate_policy::demand) requires ([`goals`]).
 
+mod conditions;
 mod goals;
 
 use std::{
@@ -23,7 +24,10 @@
 
 use crate::{config::Scaling, fleet::TargetEntry, planner::goals::ServiceGoals};
 
-pub use self::goals::{GoalReason, ServiceDemand, ZoneGoal};
+pub use self::{
+    conditions::Observations,
+    goals::{GoalReason, ServiceDemand, ZoneGoal},
+};
 
 /// Time after which an order without effect is repeated.
 const ORDER_RETRY_INTERVAL: Duration = Duration::from_secs(3);
--- a/components/gateway/tests/demand.rs
+++ b/components/gateway/tests/demand.rs
@@ -9,7 +9,7 @@
     config::Scaling,
     demand::{DemandReport, ReportedDemand, WorkTotals},
     fleet::{AttemptOutcome, Build, Fleet, TargetEntry, TargetQuery, TargetRole},
-    planner::{OrderPlanner, ServiceDemand},
+    planner::{Observations, OrderPlanner, ServiceDemand},
 };
 use chervilgate_policy::demand::{EngineSpecs, PlannedDemand, Work};
 use proptest::{collection::vec, prelude::*};
@@ -352,6 +352,46 @@
     }
 }
 
+const CALM: Observations = Observations {
+    recent_waiting: 0.0,
+    past_waiting: 0.0,
+    is_demand_known: true,
+    is_speed_known: true,
+    is_store_up: true,
+    is_list_current: true,
+    has_impaired_targets: false,
+};
+
+#[test]
+fn targets_may_be_given_back_where_nothing_is_in_doubt() {
+    let few_waited = Observations { past_waiting: 0.01, ..CALM };
+
+    assert!(CALM.may_return() && few_waited.may_return());
+}
+
+// Guards against a condition that is lost or inverted: each alone must prevent a return.
+#[test]
+fn each_doubt_keeps_targets() {
+    let doubts = [
+        Observations { past_waiting: 0.011, ..CALM },
+        Observations { is_demand_known: false, ..CALM },
+        Observations { is_speed_known: false, ..CALM },
+        Observations { is_store_up: false, ..CALM },
+        Observations { is_list_current: false, ..CALM },
+        Observations { has_impaired_targets: true, ..CALM },
+    ];
+
+    assert!(doubts.iter().all(|doubt| !doubt.may_return()));
+    assert!(doubts.iter().all(|doubt| !doubt.is_waiting()));
+}
+
+#[test]
+fn prompts_wait_above_a_share() {
+    let waiting = |share| Observations { recent_waiting: share, ..CALM }.is_waiting();
+
+    assert!(!waiting(0.05) && waiting(0.051));
+}
+
 fn totals(prefill_ms: u64, prompts: u64) -> WorkTotals {
     WorkTotals { service: 0, prefill_us: prefill_ms * 1_000, prompts, ..WorkTotals::default() }
 }
