Count the long wait of a request once for each prompt

A request that is split over two engines could count as waiting at both, but as one prompt. Tests: a_request_that_waits_for_both_stages_counts_once, a_split_request_computes_its_prompt_once; written with the new interface, so not run before the change.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -22,6 +22,7 @@
     answered_over::AnsweredOver,
     config::Route,
     crash::{look_for_end, record_failed_run},
+    demand::WaitCount,
     exchange::{Answer, exchange},
     fleet::{AttemptId, AttemptOutcome, Hold, Placement},
     poison::{PoisonVerdict, SharedParts},
@@ -61,6 +62,7 @@
     /// prefills.
     pub(crate) sent: Arc<AtomicU32>,
     pub(crate) answered_over: AnsweredOver,
+    pub(crate) wait_count: WaitCount,
 }
 
 /// Maximum number of prompt parts named in a log line.
@@ -84,7 +86,7 @@
     /// late.
     fn waits_long(&self, placement: &Placement) -> bool {
         let limit = self.route.latency_target.as_secs_f64() * 1e3 * LONG_WAIT_SHARE;
-        self.ask.prompt.tokens > 0 && placement.wait_ms > limit
+        self.ask.prompt.tokens > 0 && placement.target_wait_ms() > limit
     }
 
     pub(crate) fn sent_count(&self) -> u32 {
@@ -114,7 +116,8 @@
         shared.metrics.observe_queue(placement.wait_ms);
         let attempt = {
             let fleet = &mut shared.state().fleet;
-            if call.waits_long(&placement) {
+            let computes = placement.prefill_ms > 0.0;
+            if call.wait_count.should_count(computes, call.waits_long(&placement)) {
                 fleet.record_wait(&call.service);
             }
             fleet.start(now, &placement, &call.ask.prompt)
--- a/components/gateway/src/demand.rs
+++ b/components/gateway/src/demand.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    sync::atomic::{AtomicBool, Ordering},
     time::Duration,
 };
 
@@ -86,6 +87,24 @@
     }
 }
 
+/// Whether the long wait of a request was counted.
+///
+/// A prompt counts where it is computed. A request that is split over two engines may wait for both
+/// and would count twice for one prompt.
+#[derive(Debug, Default)]
+pub struct WaitCount(AtomicBool);
+
+impl WaitCount {
+    /// Returns whether to count the wait of an attempt: `computes` is true if the attempt computes
+    /// the prompt, `is_long` if it has to wait for long.
+    pub fn should_count(&self, computes: bool, is_long: bool) -> bool {
+        if computes {
+            self.0.store(false, Ordering::Relaxed);
+        }
+        is_long && !self.0.swap(true, Ordering::Relaxed)
+    }
+}
+
 /// A request in flight.
 #[derive(Debug, Clone, Copy)]
 struct OpenWork {
--- a/components/gateway/src/fleet/plan.rs
+++ b/components/gateway/src/fleet/plan.rs
@@ -69,6 +69,12 @@
 }
 
 impl Placement {
+    /// Predicted time until the target takes the request, in milliseconds: what more targets would
+    /// shorten.
+    pub fn target_wait_ms(&self) -> f64 {
+        self.wait_ms
+    }
+
     /// Predicted time until the prompt is computed.
     pub fn predicted_time(&self) -> Duration {
         Duration::from_secs_f64((self.wait_ms + self.prefill_ms).max(0.0) / 1e3)
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -156,6 +156,7 @@
             deadline,
             sent: sent.clone(),
             answered_over: Default::default(),
+            wait_count: Default::default(),
         };
         let is_stream = call.route.kind.is_stream();
         let result = if is_stream {
--- a/components/gateway/tests/demand.rs
+++ b/components/gateway/tests/demand.rs
@@ -7,7 +7,7 @@
 use chervilgate_gateway::{
     Prompt,
     config::Scaling,
-    demand::{DemandReport, ReportedDemand, WorkTotals},
+    demand::{DemandReport, ReportedDemand, WaitCount, WorkTotals},
     fleet::{AttemptOutcome, Build, Fleet, TargetEntry, TargetQuery, TargetRole},
     planner::{Observations, OrderPlanner, ServiceDemand},
 };
@@ -513,3 +513,37 @@
 
     assert_eq!(platform.planner.goals().count(), 0);
 }
+
+// Guards against a share of waiting prompts above 1: a split request counts as one prompt.
+#[test]
+fn a_request_that_waits_for_both_stages_counts_once() {
+    let count = |attempts: &[(bool, bool)]| {
+        let waits = WaitCount::default();
+        attempts.iter().filter(|(computes, long)| waits.should_count(*computes, *long)).count()
+    };
+
+    assert_eq!(count(&[(true, true), (false, true)]), 1);
+    assert_eq!(count(&[(true, false), (false, true)]), 1);
+    assert_eq!(count(&[(true, true), (false, false)]), 1);
+    assert_eq!(count(&[(true, false), (false, false)]), 0);
+    // A second attempt counts its prompt again.
+    assert_eq!(count(&[(true, true), (true, true)]), 2);
+}
+
+#[test]
+fn a_split_request_computes_its_prompt_once() {
+    let mut fleet = Fleet::new("a", Duration::from_secs(2));
+    fleet.upsert(Time::ZERO, entry(1, "a", false, TargetRole::Prefill));
+    fleet.upsert(Time::ZERO, entry(2, "a", false, TargetRole::Decode));
+    let (now, prompt) = (Time::from_secs(1), prompt(6_000, 100));
+    let busy = fleet.place_whole(now, &query(&prompt)).unwrap();
+    for _ in 0..8 {
+        fleet.start(now, &busy, &prompt);
+    }
+
+    let plan = fleet.place(now, &query(&prompt)).unwrap();
+
+    assert!(plan.prefill.unwrap().prefill_ms > 0.0);
+    assert_eq!(plan.placement.prefill_ms, 0.0);
+    assert!(plan.placement.target_wait_ms() > 0.0);
+}
