--- a/components/gateway/src/planner.rs
+++ b/components/gateway/src/planner.rs
@@ -10,6 +10,7 @@
 //! Where the demand for the engines of a service is known, zones are filled only as far as
 //! [`policy::demand`](chervilgate_policy::demand) requires ([`goals`]).
 
+mod conditions;
 mod goals;
 
 use std::{
@@ -23,7 +24,10 @@
 
 use crate::{config::Scaling, fleet::TargetEntry, planner::goals::ServiceGoals};
 
-pub use self::goals::{GoalReason, ServiceDemand, ZoneGoal};
+pub use self::{
+    conditions::Observations,
+    goals::{GoalReason, ServiceDemand, ZoneGoal},
+};
 
 /// Time after which an order without effect is repeated.
 const ORDER_RETRY_INTERVAL: Duration = Duration::from_secs(3);
@@ -86,6 +90,10 @@
         if scaling.reclaimable_price.is_none_or(|price| price > MAX_PRICE_RATIO) {
             return Vec::new();
         }
+        if let Some(goals) = self.goals.get_mut(service) {
+            // Once the demand is known, what is ordered now is given back no sooner than any other.
+            goals.fill(scaling);
+        }
         let mut orders = Vec::new();
         for (zone, current) in targets_by_zone(service, scaling, entries) {
             let reclaimable_key = order_key(service, zone, true);
@@ -122,7 +130,14 @@
                 || self.placed.contains_key(&order_key(service, zone, true))
                 || self.placed.contains_key(&order_key(service, zone, false))
         });
-        let mut goals = self.goals.remove(service).unwrap_or_else(|| ServiceGoals::new(now));
+        let was_filled = self.placed.keys().any(|key| key.service == service);
+        let mut goals = self.goals.remove(service).unwrap_or_else(|| {
+            if was_filled {
+                ServiceGoals::filled(now, scaling, current.keys().copied())
+            } else {
+                ServiceGoals::new(now)
+            }
+        });
         let is_full = goals.update(now, service, scaling, &current, demand);
         let orders = if is_full {
             self.plan(now, service, scaling, entries)
@@ -140,6 +155,12 @@
         })
     }
 
+    /// Drops the goals and orders of services that are no longer scaled.
+    pub fn retain_services(&mut self, is_scaled: impl Fn(&str) -> bool) {
+        self.goals.retain(|service, _| is_scaled(service));
+        self.placed.retain(|key, _| is_scaled(&key.service));
+    }
+
     /// Returns the orders that are due to reach the goals of a service.
     fn order_goals(
         &mut self,
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -175,6 +175,7 @@
             sent: sent.clone(),
             answered_over: Default::default(),
             computed_apart: computed.clone(),
+            wait_count: Default::default(),
         };
         let is_stream = call.route.kind.is_stream();
         let result = if is_stream {
--- a/components/gateway/tests/demand.rs
+++ b/components/gateway/tests/demand.rs
@@ -7,9 +7,9 @@
 use chervilgate_gateway::{
     Prompt,
     config::Scaling,
-    demand::{DemandReport, ReportedDemand, WorkTotals},
+    demand::{DemandReport, ReportedDemand, WaitCount, WorkTotals},
     fleet::{AttemptOutcome, Build, Fleet, TargetEntry, TargetQuery, TargetRole},
-    planner::{OrderPlanner, ServiceDemand},
+    planner::{Observations, OrderPlanner, ServiceDemand},
 };
 use chervilgate_policy::demand::{EngineSpecs, PlannedDemand, Work};
 use proptest::{collection::vec, prelude::*};
@@ -103,12 +103,21 @@
         zones.map(|zone| self.serving(zone, false) + self.serving(zone, true)).sum()
     }
 
+    /// Number of targets that serve or are starting.
+    fn ordered(&self) -> usize {
+        self.targets.values().map(Vec::len).sum()
+    }
+
     /// Number of targets wanted in all zones.
     fn wanted(&self) -> u32 {
         self.planner.goals().map(|(_, _, goal)| goal.on_demand + goal.reclaimable).sum()
     }
 
     fn step(&mut self, demand: &ServiceDemand) -> Vec<TargetOrder> {
+        self.step_if_known(Some(demand))
+    }
+
+    fn step_if_known(&mut self, demand: Option<&ServiceDemand>) -> Vec<TargetOrder> {
         self.now += 500;
         let mut entries = Vec::new();
         for (zone, _) in ZONES {
@@ -120,7 +129,11 @@
             }
         }
         let now = Time::from_millis(self.now);
-        let orders = self.planner.plan_for_demand(now, "llm", &scaling(), entries.iter(), demand);
+        let (scaling, entries) = (scaling(), entries.iter());
+        let orders = match demand {
+            Some(demand) => self.planner.plan_for_demand(now, "llm", &scaling, entries, demand),
+            None => self.planner.plan(now, "llm", &scaling, entries),
+        };
         for order in &orders {
             let zone = ZONES.iter().find(|(zone, _)| *zone == order.zone).unwrap().0;
             let accepted = !(order.cheap && self.unavailable == Some(zone));
@@ -182,6 +195,50 @@
     assert_eq!(platform.total(), 114);
 }
 
+// Guards against a return within the hold time: on-demand targets that were not listed when the
+// lease was taken come back above a goal that was taken from the rest.
+#[test]
+fn a_new_holder_keeps_on_demand_targets_that_are_listed_later() {
+    for on_demand in [7, 22] {
+        let mut platform = Platform::new(on_demand, 10);
+        for (zone, _) in ZONES {
+            platform.targets.get_mut(&(zone, false)).unwrap().extend([105_000; 3]);
+        }
+
+        platform.run(29, &demand(1.0, 1.0));
+
+        assert_eq!(platform.total() as usize, 3 * (on_demand + 3 + 10));
+    }
+}
+
+// Guards against a drop without delay: while one stage has no engines, zones are filled without the
+// goals, which were then followed although what was ordered had not started.
+#[test]
+fn what_was_filled_without_a_demand_is_kept_when_it_is_known_again() {
+    let mut platform = Platform::new(18, 42);
+    let low = demand(8.0, 12.0);
+    platform.run(240, &low);
+    assert!(platform.total() < 90);
+
+    (0..2).for_each(|_| drop(platform.step_if_known(None)));
+    platform.run(15, &low);
+
+    assert_eq!(platform.total(), 3 * MAX_TARGETS);
+    platform.run(120, &low);
+    assert!(platform.total() < 90);
+}
+
+// Guards against the same where the holder has not known the demand before.
+#[test]
+fn what_was_filled_before_the_first_demand_is_kept() {
+    let mut platform = Platform::new(5, 10);
+
+    (0..2).for_each(|_| drop(platform.step_if_known(None)));
+    platform.step(&demand(1.0, 1.0));
+
+    assert_eq!(platform.ordered(), 3 * 60);
+}
+
 #[test]
 fn a_demand_that_stays_unknown_fills_the_zones() {
     let mut platform = Platform::new(18, 10);
@@ -295,6 +352,46 @@
     }
 }
 
+const CALM: Observations = Observations {
+    recent_waiting: 0.0,
+    past_waiting: 0.0,
+    is_demand_known: true,
+    is_speed_known: true,
+    is_store_up: true,
+    is_list_current: true,
+    has_impaired_targets: false,
+};
+
+#[test]
+fn targets_may_be_given_back_where_nothing_is_in_doubt() {
+    let few_waited = Observations { past_waiting: 0.01, ..CALM };
+
+    assert!(CALM.may_return() && few_waited.may_return());
+}
+
+// Guards against a condition that is lost or inverted: each alone must prevent a return.
+#[test]
+fn each_doubt_keeps_targets() {
+    let doubts = [
+        Observations { past_waiting: 0.011, ..CALM },
+        Observations { is_demand_known: false, ..CALM },
+        Observations { is_speed_known: false, ..CALM },
+        Observations { is_store_up: false, ..CALM },
+        Observations { is_list_current: false, ..CALM },
+        Observations { has_impaired_targets: true, ..CALM },
+    ];
+
+    assert!(doubts.iter().all(|doubt| !doubt.may_return()));
+    assert!(doubts.iter().all(|doubt| !doubt.is_waiting()));
+}
+
+#[test]
+fn prompts_wait_above_a_share() {
+    let waiting = |share| Observations { recent_waiting: share, ..CALM }.is_waiting();
+
+    assert!(!waiting(0.05) && waiting(0.051));
+}
+
 fn totals(prefill_ms: u64, prompts: u64) -> WorkTotals {
     WorkTotals { service: 0, prefill_us: prefill_ms * 1_000, prompts, ..WorkTotals::default() }
 }
@@ -375,7 +472,7 @@
         reported.record(Time::from_millis(1_000), &report(host, 1_000, totals(1_000)));
     }
 
-    let rate = |millis, alive| {
+    let mut rate = |millis, alive| {
         reported.rate(Time::from_millis(millis), "llm", alive).map(|work| work.prefill_ms as u64)
     };
 
@@ -384,3 +481,76 @@
     assert_eq!(rate(1_100, 5), None);
     assert_eq!(rate(4_100, 2), None);
 }
+
+// Guards against a service whose part of a report was lost, or left out, that counts as without work.
+#[test]
+fn a_service_that_no_report_names_is_unknown() {
+    let mut reported = ReportedDemand::default();
+    let names: Vec<String> = (0..45).map(|n| format!("service-{n}")).collect();
+    let mut fleet = fleet(TargetRole::Decode);
+    fleet.record_wait("service-44");
+    let mut totals = fleet.work_totals(Time::ZERO);
+    let mut heard = Vec::new();
+    for secs in 0..2 {
+        totals[0].prefill_us = secs * 2_000_000;
+        let names = names.iter().map(String::as_str);
+        heard = DemandReport::all(Time::from_secs(secs), 1, names, &totals);
+        // The second part is lost.
+        heard.remove(1);
+        heard.iter().for_each(|report| reported.record(Time::from_secs(secs), report));
+    }
+
+    let mut rate =
+        |service| reported.rate(Time::from_secs(1), service, 1).map(|work| work.prefill_ms as u64);
+
+    assert_eq!(heard.len(), 2);
+    assert!(heard.iter().all(|report| report.services.len() <= 20));
+    assert_eq!(rate("service-44"), Some(2_000));
+    assert_eq!(rate("service-0"), Some(0));
+    assert_eq!(rate("service-30"), None);
+}
+
+// Guards against metrics of a service that was removed from the configuration.
+#[test]
+fn a_service_that_is_no_longer_scaled_has_no_goals() {
+    let mut platform = Platform::new(5, 10);
+    platform.run(2, &demand(1.0, 1.0));
+
+    platform.planner.retain_services(|service| service != "llm");
+
+    assert_eq!(platform.planner.goals().count(), 0);
+}
+
+// Guards against a share of waiting prompts above 1: a split request counts as one prompt.
+#[test]
+fn a_request_that_waits_for_both_stages_counts_once() {
+    let count = |attempts: &[(bool, bool)]| {
+        let waits = WaitCount::default();
+        attempts.iter().filter(|(computes, long)| waits.should_count(*computes, *long)).count()
+    };
+
+    assert_eq!(count(&[(true, true), (false, true)]), 1);
+    assert_eq!(count(&[(true, false), (false, true)]), 1);
+    assert_eq!(count(&[(true, true), (false, false)]), 1);
+    assert_eq!(count(&[(true, false), (false, false)]), 0);
+    // A second attempt counts its prompt again.
+    assert_eq!(count(&[(true, true), (true, true)]), 2);
+}
+
+#[test]
+fn a_split_request_computes_its_prompt_once() {
+    let mut fleet = Fleet::new("a", Duration::from_secs(2));
+    fleet.upsert(Time::ZERO, entry(1, "a", false, TargetRole::Prefill));
+    fleet.upsert(Time::ZERO, entry(2, "a", false, TargetRole::Decode));
+    let (now, prompt) = (Time::from_secs(1), prompt(6_000, 100));
+    let busy = fleet.place_whole(now, &query(&prompt)).unwrap();
+    for _ in 0..8 {
+        fleet.start(now, &busy, &prompt);
+    }
+
+    let plan = fleet.place(now, &query(&prompt)).unwrap();
+
+    assert!(plan.prefill.unwrap().prefill_ms > 0.0);
+    assert_eq!(plan.placement.prefill_ms, 0.0);
+    assert!(plan.placement.target_wait_ms() > 0.0);
+}
