--- a/components/policy/src/admission.rs
+++ b/components/policy/src/admission.rs
@@ -19,13 +19,14 @@
 
 use crate::{
     OrgId, Refusal, RefusalReason, Request, Route, Router, Ticket,
-    admission::{
-        fair_queue::{FairQueue, Waiting},
-        rate::ServiceRate,
-    },
+    admission::fair_queue::Waiting,
     router::FillLimit,
 };
 
+pub(crate) use crate::admission::{
+    fair_queue::{FairQueue, TAG_SCALE, Tag},
+    rate::ServiceRate,
+};
 pub use crate::admission::fair_queue::FairShare;
 
 mod fair_queue;
--- a/components/policy/src/admission/fair_queue.rs
+++ b/components/policy/src/admission/fair_queue.rs
@@ -28,11 +28,14 @@
 const MAX_WEIGHT: f64 = 1_000.0;
 
 /// Tag units per token at weight 1.
-const TAG_SCALE: f64 = 1_024.0;
+pub(crate) const TAG_SCALE: f64 = 1_024.0;
 
 /// Number of queues, idle ones included, from which idle ones are removed.
 const IDLE_CLEANUP_THRESHOLD: usize = 2_048;
 
+/// Cost served to an organisation over its weight, in units of 1/[`TAG_SCALE`] tokens.
+pub(crate) type Tag = u64;
+
 /// Share of an organisation in a busy service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FairShare {
@@ -103,7 +106,7 @@
 
 /// The queues of all organisations.
 #[derive(Debug, Default)]
-pub(super) struct FairQueue {
+pub(crate) struct FairQueue {
     queues: BTreeMap<OrgId, OrgQueue>,
     /// Non-empty queues by tag.
     by_tag: BTreeSet<(u64, OrgId)>,
@@ -214,6 +217,21 @@
         }
     }
 
+    /// Tag of an organisation whose requests are queued elsewhere.
+    pub(crate) fn tag(&self, org: OrgId) -> Tag {
+        let idle = OrgQueue::default();
+        self.start_tag(self.queues.get(&org).unwrap_or(&idle))
+    }
+
+    /// Charges an organisation whose requests are queued elsewhere for a started one. While it asked
+    /// for nothing, it saved up no more than its burst.
+    pub(crate) fn charge_started(&mut self, now: Time, org: OrgId, cost: u64) {
+        self.drop_idle(now);
+        let tag = self.tag(org);
+        self.queues.entry(org).or_default().tag = tag;
+        self.charge(now, org, cost);
+    }
+
     /// Whether an organisation is above its share: its recent weighted use is near the highest
     /// and above the mean, counting organisations that are waiting or were served recently.
     pub(super) fn is_over_share(&self, now: Time, org: OrgId) -> bool {
--- a/components/policy/src/admission/rate.rs
+++ b/components/policy/src/admission/rate.rs
@@ -18,7 +18,7 @@
 /// Only busy time counts: while nothing is waiting, the rate depends on the callers and not
 /// on the capacity of the service.
 #[derive(Debug, Default)]
-pub(super) struct ServiceRate {
+pub(crate) struct ServiceRate {
     cost: f64,
     busy_secs: f64,
     updated: Option<Time>,
@@ -27,7 +27,7 @@
 
 impl ServiceRate {
     /// Records a start; `busy` is true if other requests were waiting.
-    pub(super) fn record_start(&mut self, now: Time, cost: u64, ttft: Duration, busy: bool) {
+    pub(crate) fn record_start(&mut self, now: Time, cost: u64, ttft: Duration, busy: bool) {
         self.mean_ttft += TTFT_GAIN * (ttft.as_secs_f64() - self.mean_ttft);
         if busy && self.updated.is_some() {
             self.advance(now);
@@ -36,7 +36,7 @@
     }
 
     /// Records whether the queue is empty at `now`.
-    pub(super) fn set_empty(&mut self, now: Time, empty: bool) {
+    pub(crate) fn set_empty(&mut self, now: Time, empty: bool) {
         self.advance(now);
         self.updated = (!empty).then_some(now);
     }
@@ -47,7 +47,7 @@
     }
 
     /// Predicted time until `cost` is started; zero if the rate is not known yet.
-    pub(super) fn wait_for(&self, cost: u64) -> Duration {
+    pub(crate) fn wait_for(&self, cost: u64) -> Duration {
         if self.busy_secs < MIN_BUSY_SECS {
             return Duration::ZERO;
         }
--- /dev/null
+++ b/components/policy/src/dispatch.rs
@@ -0,0 +1,409 @@
+//! Order of the requests of one service that wait at a host because no target has capacity.
+//!
+//! A request may be sent if the wait at the target leaves it on time and its own work leaves the
+//! requests of more urgent kinds on time too ([`LatencyTargets::fit`]). While there is capacity
+//! nothing waits. Otherwise requests that can still be on time start first, by priority; then those
+//! that are late, by priority. Within a priority, the organisations whose share of the work is
+//! smallest take turns. One start in [`FAIR_TURN_INTERVAL`] goes to the request that is closest to its
+//! latest start, so that late and large requests are served too.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
+
+use chervilgate_clock::Time;
+use smallvec::SmallVec;
+
+use crate::{
+    OrgId, Ticket,
+    admission::{FairQueue, ServiceRate},
+    dispatch::lane::Lane,
+};
+
+pub use crate::dispatch::targets::{Fit, Forecast, LatencyTargets, Turn};
+
+mod lane;
+mod targets;
+#[cfg(test)]
+mod tests;
+
+/// Every how many starts of waiting requests one goes to the request closest to its latest start.
+pub const FAIR_TURN_INTERVAL: u32 = 10;
+
+/// Shortest time after which a refused caller may return.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Longest time after which a refused caller may return.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+
+/// Increase of the time after which a caller may return, for each step of priority: the most urgent
+/// return first.
+const RETURN_STEP: f64 = 0.25;
+
+/// Limits of a [`DispatchQueue`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DispatchLimits {
+    /// Maximum number of waiting requests.
+    pub max_waiting: usize,
+    /// Maximum size of their bodies, in bytes.
+    pub max_bytes: usize,
+}
+
+impl Default for DispatchLimits {
+    fn default() -> DispatchLimits {
+        DispatchLimits { max_waiting: 1_024, max_bytes: 16 << 20 }
+    }
+}
+
+/// A request that waits for capacity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaitingRequest {
+    /// Organisation that it runs for.
+    pub org: OrgId,
+    /// Scheduling priority; 0 is the highest.
+    pub priority: u8,
+    /// When it arrived.
+    pub arrived_at: Time,
+    /// Until when its first event is on time.
+    pub on_time_by: Time,
+    /// Until when its caller waits.
+    pub deadline: Time,
+    /// Predicted time from its start at an idle target to its first event.
+    pub work: Duration,
+    /// Cost for the shares of organisations, in tokens.
+    pub cost: u64,
+    /// Size of its body.
+    pub bytes: usize,
+}
+
+impl WaitingRequest {
+    /// Until when it may start and be on time.
+    pub fn last_on_time_start(&self) -> Time {
+        self.on_time_by.saturating_sub(self.work)
+    }
+
+    /// Until when it may start and have its first event before its caller leaves.
+    pub fn last_start(&self) -> Time {
+        self.deadline.saturating_sub(self.work)
+    }
+
+    fn lane_key(&self, standing: Standing) -> LaneKey {
+        (standing, self.priority)
+    }
+
+    /// Order among the requests of its organisation in its lane.
+    fn rank(&self, standing: Standing) -> Time {
+        match standing {
+            Standing::OnTime => self.last_on_time_start(),
+            Standing::Late => self.last_start(),
+        }
+    }
+}
+
+/// Whether a request can still be on time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    OnTime,
+    Late,
+}
+
+type LaneKey = (Standing, u8);
+
+/// Requests that are refused, with their refusals.
+pub type Refused = SmallVec<[(Ticket, Yielded); 2]>;
+
+/// Why a waiting request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum YieldReason {
+    /// No target had capacity until its latest start.
+    Expired,
+    /// The requests ahead of it are predicted to start after its latest start.
+    Outlook,
+    /// Too many requests or bytes wait.
+    Full,
+}
+
+impl YieldReason {
+    /// The name in log lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            YieldReason::Expired => "expired",
+            YieldReason::Outlook => "outlook",
+            YieldReason::Full => "full",
+        }
+    }
+}
+
+/// The refusal of a request that did not start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Yielded {
+    /// Why it was refused.
+    pub reason: YieldReason,
+    /// Time after which its caller may return.
+    pub retry_after: Duration,
+    /// Number of waiting requests that come before it.
+    pub ahead: usize,
+    /// Priority of the request that started last, to which it yielded; none if none did.
+    pub to: Option<u8>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    request: WaitingRequest,
+    standing: Standing,
+}
+
+/// The requests of one service that wait at this host.
+#[derive(Debug, Default)]
+pub struct DispatchQueue {
+    limits: DispatchLimits,
+    entries: HashMap<Ticket, Entry>,
+    lanes: BTreeMap<LaneKey, Lane>,
+    /// Requests that can still be on time, by their last start on time.
+    on_time_ends: BTreeSet<(Time, Ticket)>,
+    /// All requests, by their latest start.
+    last_starts: BTreeSet<(Time, Ticket)>,
+    bytes: usize,
+    shares: FairQueue,
+    rate: ServiceRate,
+    /// Starts of waiting requests since the last fair turn.
+    ordinary_starts: u32,
+    last_started: Option<u8>,
+}
+
+impl DispatchQueue {
+    /// An empty queue.
+    pub fn new(limits: DispatchLimits) -> DispatchQueue {
+        DispatchQueue { limits, ..DispatchQueue::default() }
+    }
+
+    /// Number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// The waiting request with this ticket.
+    pub fn get(&self, ticket: Ticket) -> Option<&WaitingRequest> {
+        self.entries.get(&ticket).map(|entry| &entry.request)
+    }
+
+    /// Adds a request. Returns those that have to leave for it, if the queue is full.
+    ///
+    /// `spread` is a random number from 0 to 1, which spreads out refused callers.
+    ///
+    /// # Errors
+    /// If it cannot start in time, or the queue is full of requests that come before it.
+    pub fn enqueue(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        request: WaitingRequest,
+        spread: f64,
+    ) -> Result<Refused, Yielded> {
+        let standing =
+            if now <= request.last_on_time_start() { Standing::OnTime } else { Standing::Late };
+        let key = request.lane_key(standing);
+        let left = request.last_start().since(now);
+        let wait = self.rate.wait_for(self.cost_ahead(key));
+        let reason = if left.is_zero() {
+            Some(YieldReason::Expired)
+        } else if !self.is_empty() && wait > left {
+            Some(YieldReason::Outlook)
+        } else if !self.has_room_after(key, request.bytes) {
+            Some(YieldReason::Full)
+        } else {
+            None
+        };
+        if let Some(reason) = reason {
+            return Err(self.yielded(&request, standing, reason, spread));
+        }
+        let mut refused = Refused::new();
+        while self.is_full(request.bytes) {
+            let Some(last) = self.lanes.values().next_back().and_then(Lane::last) else { break };
+            refused.extend(self.refuse(last, YieldReason::Full, spread));
+        }
+        self.insert(now, ticket, request, standing);
+        Ok(refused)
+    }
+
+    /// Removes a request whose caller left; false if it does not wait.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        self.remove(ticket).is_some()
+    }
+
+    /// Refuses the requests whose latest start is over, and updates the standing of the others; to be
+    /// called before [`DispatchQueue::start_next`].
+    pub fn expire(&mut self, now: Time, spread: f64) -> Refused {
+        let mut refused = Refused::new();
+        while let Some((_, ticket)) = self.last_starts.first().filter(|(at, _)| *at <= now) {
+            refused.extend(self.refuse(*ticket, YieldReason::Expired, spread));
+        }
+        while let Some((at, ticket)) = self.on_time_ends.first().copied() {
+            if at >= now {
+                break;
+            }
+            self.on_time_ends.remove(&(at, ticket));
+            self.move_to_late(ticket);
+        }
+        refused
+    }
+
+    /// Starts the next request for which `has_capacity` finds a target; none if there is none.
+    ///
+    /// Of each lane only the first request is tried: those behind it would take what it waits for.
+    pub fn start_next(
+        &mut self,
+        now: Time,
+        has_capacity: &mut dyn FnMut(Ticket, &WaitingRequest, Turn) -> bool,
+    ) -> Option<Ticket> {
+        let found = self.find_start(has_capacity);
+        if let Some((ticket, turn)) = found
+            && let Some(entry) = self.remove(ticket)
+        {
+            let WaitingRequest { org, cost, priority, work, .. } = entry.request;
+            self.ordinary_starts = match turn {
+                Turn::Fair => 0,
+                Turn::Ordinary => self.ordinary_starts.saturating_add(1),
+            };
+            self.last_started = Some(priority);
+            self.charge(now, org, cost);
+            self.rate.record_start(now, cost, work, true);
+        }
+        self.rate.set_empty(now, self.is_empty());
+        found.map(|(ticket, _)| ticket)
+    }
+
+    /// When [`DispatchQueue::expire`] has something to do next; none if no request waits.
+    pub fn next_expiry(&self) -> Option<Time> {
+        let (last_start, _) = self.last_starts.first()?;
+        Some(self.on_time_ends.first().map_or(*last_start, |(at, _)| *last_start.min(at)))
+    }
+
+    fn find_start(
+        &self,
+        has_capacity: &mut dyn FnMut(Ticket, &WaitingRequest, Turn) -> bool,
+    ) -> Option<(Ticket, Turn)> {
+        let mut starts = |ticket: Ticket, turn| {
+            self.get(ticket).is_some_and(|request| has_capacity(ticket, request, turn))
+        };
+        if self.ordinary_starts + 1 >= FAIR_TURN_INTERVAL {
+            let closest = self.last_starts.first().map(|(_, ticket)| *ticket);
+            if let Some(ticket) = closest.filter(|ticket| starts(*ticket, Turn::Fair)) {
+                return Some((ticket, Turn::Fair));
+            }
+        }
+        let mut firsts = self.lanes.values().filter_map(Lane::next);
+        firsts.find(|ticket| starts(*ticket, Turn::Ordinary)).map(|found| (found, Turn::Ordinary))
+    }
+
+    fn insert(&mut self, now: Time, ticket: Ticket, request: WaitingRequest, standing: Standing) {
+        if self.is_empty() {
+            self.rate.set_empty(now, false);
+        }
+        let tag = self.shares.tag(request.org);
+        self.lanes.entry(request.lane_key(standing)).or_default().insert(
+            ticket,
+            &request,
+            request.rank(standing),
+            tag,
+        );
+        if standing == Standing::OnTime {
+            self.on_time_ends.insert((request.last_on_time_start(), ticket));
+        }
+        self.last_starts.insert((request.last_start(), ticket));
+        self.bytes += request.bytes;
+        self.entries.insert(ticket, Entry { request, standing });
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<Entry> {
+        let entry = self.entries.remove(&ticket)?;
+        let request = &entry.request;
+        self.remove_from_lane(ticket, request, entry.standing);
+        self.on_time_ends.remove(&(request.last_on_time_start(), ticket));
+        self.last_starts.remove(&(request.last_start(), ticket));
+        self.bytes -= request.bytes;
+        Some(entry)
+    }
+
+    fn remove_from_lane(&mut self, ticket: Ticket, request: &WaitingRequest, standing: Standing) {
+        let key = request.lane_key(standing);
+        let Some(lane) = self.lanes.get_mut(&key) else { return };
+        lane.remove(ticket, request, request.rank(standing));
+        if lane.is_empty() {
+            self.lanes.remove(&key);
+        }
+    }
+
+    fn move_to_late(&mut self, ticket: Ticket) {
+        let Some(entry) = self.entries.get_mut(&ticket) else { return };
+        entry.standing = Standing::Late;
+        let request = entry.request;
+        self.remove_from_lane(ticket, &request, Standing::OnTime);
+        let tag = self.shares.tag(request.org);
+        let lane = self.lanes.entry(request.lane_key(Standing::Late)).or_default();
+        lane.insert(ticket, &request, request.rank(Standing::Late), tag);
+    }
+
+    fn refuse(
+        &mut self,
+        ticket: Ticket,
+        reason: YieldReason,
+        spread: f64,
+    ) -> Option<(Ticket, Yielded)> {
+        let Entry { request, standing } = self.remove(ticket)?;
+        Some((ticket, self.yielded(&request, standing, reason, spread)))
+    }
+
+    fn yielded(
+        &self,
+        request: &WaitingRequest,
+        standing: Standing,
+        reason: YieldReason,
+        spread: f64,
+    ) -> Yielded {
+        let key = request.lane_key(standing);
+        let ahead = self.lanes.range(..=key).map(|(_, lane)| lane.len()).sum();
+        let until_capacity = self.rate.wait_for(self.cost_ahead(key)) + request.work;
+        let step = 1.0 + RETURN_STEP * f64::from(request.priority);
+        let retry_after = until_capacity.mul_f64(step * (1.0 + spread));
+        let retry_after = retry_after.clamp(MIN_RETRY_AFTER.mul_f64(1.0 + spread), MAX_RETRY_AFTER);
+        Yielded { reason, retry_after, ahead, to: self.last_started }
+    }
+
+    /// Cost of the requests that come before a new one of this lane.
+    fn cost_ahead(&self, key: LaneKey) -> u64 {
+        self.lanes.range(..=key).map(|(_, lane)| lane.cost()).sum()
+    }
+
+    fn is_full(&self, bytes: usize) -> bool {
+        self.len() >= self.limits.max_waiting || self.bytes + bytes > self.limits.max_bytes
+    }
+
+    /// Whether a request of this size fits once requests of later lanes have left.
+    fn has_room_after(&self, key: LaneKey, bytes: usize) -> bool {
+        if !self.is_full(bytes) {
+            return true;
+        }
+        let (mut waiting, mut kept_bytes) = (0, 0);
+        for lane in self.lanes.range(..=key).map(|(_, lane)| lane) {
+            waiting += lane.len();
+            kept_bytes += lane.bytes();
+        }
+        waiting < self.limits.max_waiting && kept_bytes + bytes <= self.limits.max_bytes
+    }
+
+    /// Charges an organisation for a started request.
+    pub fn charge(&mut self, now: Time, org: OrgId, cost: u64) {
+        self.shares.charge_started(now, org, cost);
+        let tag = self.shares.tag(org);
+        for lane in self.lanes.values_mut() {
+            lane.update_tag(org, tag);
+        }
+    }
+}
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! code.
 
 mod admission;
+mod dispatch;
 mod ids;
 mod limit;
 mod meter;
@@ -24,6 +25,10 @@
 
 pub use crate::{
     admission::{Actions, AdmissionQueue, FairShare, QueueAction, QueueSettings},
+    dispatch::{
+        DispatchLimits, DispatchQueue, FAIR_TURN_INTERVAL, Fit, Forecast, LatencyTargets, Refused,
+        Turn, WaitingRequest, YieldReason, Yielded,
+    },
     ids::{BlockHash, HostId, OrgId, ServiceId, TargetId, Ticket, Zone},
     limit::{ShareBudget, share_of_limit},
     meter::{Demand, DemandMeter},
