Admission before requests are placed: wait for capacity in turn, refuse what cannot start in time

Requests of services whose routes have latency targets are sent at once while targets have capacity for them. Otherwise they wait at their host by priority, time and the shares of organisations, or are refused with the time after which to return. Hosts tell each other how many of each priority wait.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -52,6 +52,7 @@
     pub(crate) priority: u8,
     /// Longest pause with which the service's streams are on time; none if unspecified.
     pub(crate) max_pause: Option<Duration>,
+    pub(crate) arrived_at: Time,
     /// Deadline for the complete response.
     pub(crate) deadline: Time,
     /// Number of times that a connection to a target took the request, not counting separate
@@ -110,15 +111,16 @@
         InFlight { shared: shared.clone(), placement, attempt, started_at: now, outcome }
     }
 
-    /// Logs the target and the predicted times; `export` is true if the KV cache comes
-    /// from another target.
-    pub(crate) fn log_placed(&self, call: &CallerRequest, export: bool) {
+    /// Logs the target, the predicted times and the time that the request waited at this host;
+    /// `export` is true if the KV cache comes from another target.
+    pub(crate) fn log_placed(&self, call: &CallerRequest, export: bool, waited: Duration) {
         let Placement { id: target, zone, compute_tokens: compute, prefill_ms, wait_ms, .. } =
             &self.placement;
         let (tokens, build) = (call.ask.prompt.tokens, &self.placement.build.name);
         log::info!(
             target: "gateway", id = call.ask.id, target, zone, wait = *wait_ms as u64,
-            read = *prefill_ms as u64, compute, tokens, export, build, config = call.config_version;
+            read = *prefill_ms as u64, compute, tokens, export, build,
+            waited = waited.as_millis() as u64, config = call.config_version;
             "placed"
         );
     }
@@ -141,6 +143,9 @@
         if first && self.placement.has_long_prefill() {
             self.shared.broadcast.notify_one();
         }
+        if first {
+            self.shared.free_capacity();
+        }
     }
 }
 
@@ -152,6 +157,7 @@
         if failing {
             self.shared.broadcast.notify_one();
         }
+        self.shared.free_capacity();
     }
 }
 
--- a/components/gateway/src/config.rs
+++ b/components/gateway/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use chervilgate_policy::LatencyTargets;
 use smallvec::SmallVec;
 
 /// How the requests of a route may be retried and how they are answered.
@@ -145,6 +146,8 @@
     pub limits: CallerLimits,
     /// Shortest of the pauses that the routes of a service allow, by service.
     max_pauses: HashMap<Arc<str>, Duration>,
+    /// Shortest latency targets by priority, by service.
+    latency_targets: HashMap<Arc<str>, Arc<LatencyTargets>>,
 }
 
 impl Config {
@@ -158,8 +161,13 @@
     ) -> Config {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         let mut max_pauses: HashMap<Arc<str>, Duration> = HashMap::new();
+        let mut latency_targets: HashMap<Arc<str>, LatencyTargets> = HashMap::new();
         for route in routes {
             for (service, _) in &route.services {
+                if route.has_latency_target() {
+                    let targets = latency_targets.entry(service.clone()).or_default();
+                    targets.add(route.priority, route.latency_target);
+                }
                 let Some(pause) = route.max_pause else { continue };
                 let known = max_pauses.entry(service.clone()).or_insert(pause);
                 *known = pause.min(*known);
@@ -169,7 +177,15 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Config { version, routes: by_host, services, keys, limits, max_pauses }
+        let latency_targets = latency_targets.into_iter();
+        let latency_targets =
+            latency_targets.map(|(service, targets)| (service, Arc::new(targets))).collect();
+        Config { version, routes: by_host, services, keys, limits, max_pauses, latency_targets }
+    }
+
+    /// Latency targets of the routes of `service`; none if no route has any.
+    pub fn latency_targets(&self, service: &str) -> Option<&Arc<LatencyTargets>> {
+        self.latency_targets.get(service)
     }
 
     /// Longest pause with which any stream of `service` is on time; none if unspecified.
@@ -186,6 +202,11 @@
 }
 
 impl Route {
+    /// Whether it has a latency target; without one, the timeout stands in its place.
+    pub fn has_latency_target(&self) -> bool {
+        self.latency_target < self.timeout
+    }
+
     /// Picks a service by weight; `draw` is a random number from 0 to 1.
     pub fn pick_service(&self, draw: f64) -> Option<&Arc<str>> {
         let total: u32 = self.services.iter().map(|(_, weight)| weight).sum();
--- a/components/gateway/src/failure.rs
+++ b/components/gateway/src/failure.rs
@@ -40,6 +40,9 @@
     /// No target can start the request before its deadline; the caller may retry after
     /// this time.
     Late(Duration),
+    /// Targets have no capacity beside that for requests that come before this one; the caller may retry
+    /// after this time.
+    Yielded(Duration),
     /// The deadline passed before the request was sent to a target.
     Expired,
     /// This host stops before it could answer, and the request was not sent to a target.
@@ -75,6 +78,7 @@
             | Failure::NoTarget
             | Failure::TargetsFull
             | Failure::Late(_)
+            | Failure::Yielded(_)
             | Failure::Limited(_)
             | Failure::Resting(_)
             | Failure::UnknownBuild
@@ -95,6 +99,7 @@
             Failure::UnknownBuild | Failure::BuildGone => Some(Duration::from_millis(500)),
             Failure::TargetsFull => Some(Duration::from_millis(250)),
             Failure::Late(span)
+            | Failure::Yielded(span)
             | Failure::Limited(span)
             | Failure::Resting(span)
             | Failure::PoisonPart(span) => Some(span),
@@ -115,6 +120,7 @@
             Failure::NoTarget => "no-target",
             Failure::TargetsFull => "full",
             Failure::Late(_) => "late",
+            Failure::Yielded(_) => "yielded",
             Failure::Limited(_) => "limited",
             Failure::Resting(_) => "resting",
             Failure::UnknownBuild => "unknown-build",
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -8,6 +8,7 @@
 //! has reported.
 
 mod builds;
+mod capacity;
 mod departures;
 mod ends;
 mod entry;
@@ -48,6 +49,7 @@
 
 pub use crate::fleet::{
     builds::{Build, BuildId, STREAM_LIFE, SeenBuilds, ServiceBuild},
+    capacity::{Capacity, CapacityClaim},
     ends::EndNotice,
     entry::{TargetCounts, TargetEntry, TargetRole},
     limits::LimitNotice,
--- /dev/null
+++ b/components/gateway/src/fleet/capacity.rs
@@ -0,0 +1,156 @@
+//! Whether targets have capacity for a request, beside what others need of them.
+
+use std::{sync::Arc, time::Duration};
+
+use chervilgate_clock::Time;
+use chervilgate_policy::{Fit, Forecast, LatencyTargets, Turn};
+use smallvec::SmallVec;
+
+use crate::fleet::{Fleet, Placement, Plan, TargetQuery, TargetRole, target::TargetState};
+
+/// Share of the targets that requests of less urgent kinds leave to the more urgent ones.
+const RESERVED_SHARE: f64 = 0.3;
+
+/// Maximum number of targets left to them: what serves the urgent requests of the largest deployments.
+/// With capacity for all, so many are found after looking at few targets of the fleet.
+const MAX_RESERVED: usize = 12;
+
+/// What a request asks of the capacity.
+#[derive(Debug, Clone, Copy)]
+pub struct CapacityClaim<'a> {
+    /// Latency targets of the service's routes.
+    pub targets: &'a LatencyTargets,
+    /// Scheduling priority; 0 is the highest.
+    pub priority: u8,
+    /// Time left until its first event is late.
+    pub time_left: Duration,
+    /// Whose turn it is.
+    pub turn: Turn,
+}
+
+/// The targets that a request may be sent to.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Capacity {
+    /// They have capacity for it.
+    Free(Plan),
+    /// The cheapest ones; no target has capacity for it.
+    Full(Plan),
+    /// No target may be sent it.
+    NoTarget,
+}
+
+impl Fleet {
+    /// Chooses targets that have capacity for a request: the cheapest, or else those that are not kept
+    /// busy for long.
+    pub fn place_with_capacity(
+        &self,
+        now: Time,
+        query: &TargetQuery<'_>,
+        claim: &CapacityClaim<'_>,
+    ) -> Capacity {
+        let Some(cheapest) = self.place(now, query) else { return Capacity::NoTarget };
+        if self.has_capacity(now, query.service, &cheapest, claim) {
+            return Capacity::Free(cheapest);
+        }
+        let waits = [claim.time_left / 2, claim.targets.late_wait(claim.priority)];
+        for max_wait in waits.into_iter().filter(|wait| !wait.is_zero()) {
+            let Some(exclude) = self.targets_busy_for(now, query, max_wait) else { continue };
+            let query = TargetQuery { exclude: &exclude, ..*query };
+            let plan = self.place(now, &query);
+            let fitting = plan.filter(|plan| self.has_capacity(now, query.service, plan, claim));
+            if let Some(plan) = fitting {
+                return Capacity::Free(plan);
+            }
+        }
+        Capacity::Full(cheapest)
+    }
+
+    /// Number of targets of `service` that start a request within `max_wait`.
+    pub fn free_targets(&self, now: Time, service: &str, max_wait: Duration) -> usize {
+        let serving = self.targets.values().filter(|state| state.serves(now, service));
+        serving.filter(|state| self.starts_within(now, state, max_wait)).count()
+    }
+
+    /// Whether the targets of `plan` have capacity.
+    fn has_capacity(
+        &self,
+        now: Time,
+        service: &str,
+        plan: &Plan,
+        claim: &CapacityClaim<'_>,
+    ) -> bool {
+        let Plan { placement, prefill } = plan;
+        let Some(state) = self.targets.get(&placement.id) else { return false };
+        if state.entry.role == TargetRole::Whole {
+            return self.has_slot(state);
+        }
+        let computing = prefill.as_ref().unwrap_or(placement);
+        let forecast = Forecast {
+            time_left: claim.time_left,
+            wait: millis(computing.wait_ms.max(placement.wait_ms)),
+            work: millis(computing.prefill_ms),
+            first_event: plan.predicted_time(),
+        };
+        match claim.targets.fit(claim.priority, claim.turn, &forecast) {
+            Fit::Fits => true,
+            Fit::Full => false,
+            Fit::IfOthersKeep(tolerance) => self.others_keep(now, service, computing, tolerance),
+        }
+    }
+
+    /// Whether enough targets beside the one of `placement` make requests wait for no longer than
+    /// `tolerance`.
+    fn others_keep(
+        &self,
+        now: Time,
+        service: &str,
+        placement: &Placement,
+        tolerance: Duration,
+    ) -> bool {
+        let reserved = (self.targets.len() as f64 * RESERVED_SHARE) as usize;
+        let reserved = reserved.min(MAX_RESERVED);
+        let others = self.targets.values().filter(|state| {
+            state.entry.id != placement.id
+                && state.serves(now, service)
+                && self.starts_within(now, state, tolerance)
+        });
+        others.take(reserved).count() == reserved
+    }
+
+    /// Targets that are not tried: those of the query, and those that start a request later than
+    /// `max_wait`; none if that leaves no target.
+    fn targets_busy_for(
+        &self,
+        now: Time,
+        query: &TargetQuery<'_>,
+        max_wait: Duration,
+    ) -> Option<SmallVec<[Arc<str>; 32]>> {
+        let mut exclude: SmallVec<[Arc<str>; 32]> = query.exclude.iter().cloned().collect();
+        let mut is_any_left = false;
+        for state in self.targets.values().filter(|state| state.serves(now, query.service)) {
+            if self.starts_within(now, state, max_wait) {
+                is_any_left = true;
+            } else {
+                exclude.push(state.entry.id.clone());
+            }
+        }
+        is_any_left.then_some(exclude)
+    }
+
+    fn starts_within(&self, now: Time, state: &TargetState, max_wait: Duration) -> bool {
+        if state.entry.role == TargetRole::Whole {
+            return self.has_slot(state);
+        }
+        self.expected_wait(now, state) <= max_wait.as_secs_f64() * 1e3
+    }
+
+    /// Whether fewer requests than its slots are open at the target of a plain service.
+    fn has_slot(&self, state: &TargetState) -> bool {
+        let others = self.peer_loads.load(state.id_hash);
+        state.in_flight + others.in_flight < state.entry.slots.max(1)
+    }
+}
+
+fn millis(millis: f64) -> Duration {
+    Duration::from_secs_f64(millis.max(0.0) / 1e3)
+}
--- a/components/gateway/src/fleet/placing.rs
+++ b/components/gateway/src/fleet/placing.rs
@@ -127,7 +127,7 @@
     }
 
     /// Predicted time until a target starts a new request, in milliseconds.
-    fn expected_wait(&self, now: Time, state: &TargetState) -> f64 {
+    pub(super) fn expected_wait(&self, now: Time, state: &TargetState) -> f64 {
         let others = self.peer_loads.load(state.id_hash);
         state.expected_wait(now, others.in_flight, f64::from(others.pending_ms))
     }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -16,6 +16,7 @@
     joining::{check_answer, is_framed},
     protocol::RequestStage,
     state::Shared,
+    waiting::place_in_turn,
 };
 
 /// Maximum number of unreachable or replaced targets after which a request is still sent
@@ -41,11 +42,19 @@
     pub(crate) tried: SmallVec<[Arc<str>; 4]>,
     /// Number of times the request may have run.
     pub(crate) runs: u32,
+    /// Time that the request waited for capacity.
+    pub(crate) waited: Duration,
     unreachable: u32,
     refused: u32,
 }
 
 impl Attempts {
+    /// Whether the request has not been sent so far. One that has is not held back: its caller could not
+    /// be told that it did not run.
+    pub(crate) fn is_first(&self) -> bool {
+        self.tried.is_empty() && self.runs == 0
+    }
+
     /// Counts a target that did not run the request; returns whether another may be
     /// tried.
     pub(crate) fn may_retry_not_run(
@@ -182,13 +191,20 @@
             build: None,
             max_pause: None,
         };
-        let placement = shared.state().fleet.place(now, &query);
+        let placement = if attempts.is_first() {
+            let (plan, waited) = place_in_turn(shared, call, query).await?;
+            attempts.waited = waited;
+            plan
+        } else {
+            shared.state().fleet.place(now, &query)
+        };
+        let now = shared.now();
         let Some(plan) = placement else {
             return Err(attempts.no_target_failure(shared, now, &call.service, None));
         };
         check_deadline(now, call.deadline, &attempts, plan.predicted_time())?;
         let mut in_flight = InFlight::new(shared, plan.placement, call);
-        in_flight.log_placed(call, false);
+        in_flight.log_placed(call, false, attempts.waited);
         attempts.tried.push(in_flight.placement.id.clone());
         match send(shared, call, &mut in_flight, Duration::MAX, RequestStage::Whole, None).await {
             SendOutcome::Answered(response) => {
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -24,6 +24,7 @@
     origins::send_origins,
 };
 use crate::{
+    admission::WaitingCount,
     fleet::{CachedPart, EndNotice, GroupReport, InFlightWork, LimitNotice},
     gossip::news::{
         LatestChanges, ProgressReply, apply_latest_changes, apply_progress, progress_reply,
@@ -49,6 +50,10 @@
 /// cycle are sent.
 const IDLE_ROUND_CYCLE: u32 = 4;
 
+/// Number of rounds in which hosts are told that no request waits any more: what they were told
+/// before counts for no longer.
+const CLEARING_ROUNDS: u32 = 15;
+
 /// Interval at which usage counts are sent to the lease holder: a killed host loses
 /// what it counted since.
 const COUNTS_INTERVAL: Duration = Duration::from_millis(800);
@@ -96,6 +101,8 @@
     FailedRuns(Vec<(u32, FailedRun)>),
     /// Starts of targets that the sender has seen end.
     Ends(Vec<EndNotice>),
+    /// Requests that wait at the sender, whose gossip id comes first.
+    Waiting(u32, Vec<WaitingCount>),
 }
 
 /// What a host has seen of the targets' speeds.
@@ -125,6 +132,7 @@
 pub(crate) async fn send_work(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let host = shared.gossip_id();
     let mut idle_rounds = 0;
+    let mut rounds_without_waiting = u32::MAX;
     let mut rotation = PeerRotation::default();
     loop {
         sleep(MIN_BROADCAST_INTERVAL).await;
@@ -134,7 +142,7 @@
         correct_clock(&shared);
         let now = shared.now();
         let time = shared.wall_clock().at(now).as_micros() as u64;
-        let (work, parts, failed_runs, evidence, limits, peers, in_charge) = {
+        let (work, parts, failed_runs, evidence, limits, waiting, peers, in_charge) = {
             let mut state = shared.state();
             let mut failed_runs = state.poison.runs_to_gossip(now);
             // Not all may fit; each round tells of others.
@@ -144,14 +152,22 @@
             let evidence = state.poison.evidence_to_gossip(now);
             let work = state.fleet.in_flight_work(now);
             let limits = state.fleet.limit_notices(now, true);
-            (work, parts, failed_runs, evidence, limits, peers, state.holds_lease)
+            let waiting = state.admission.report();
+            let in_charge = state.holds_lease;
+            (work, parts, failed_runs, evidence, limits, waiting, peers, in_charge)
         };
+        rounds_without_waiting =
+            if waiting.is_empty() { rounds_without_waiting.saturating_add(1) } else { 0 };
+        // Hosts that were told of waiting requests are told that none wait any more.
+        let waiting = (rounds_without_waiting <= CLEARING_ROUNDS)
+            .then(|| encode(&Message::Waiting(host, waiting)))
+            .flatten();
         let evidence = encode_evidence(evidence);
         let limits = encode_limits(limits);
         // The first empty round clears what was sent last; later ones only show that this host is
         // alive.
         let is_idle = work.is_empty() && parts.is_empty() && failed_runs.is_empty();
-        let is_idle = is_idle && limits.is_none();
+        let is_idle = is_idle && limits.is_none() && waiting.is_none();
         idle_rounds = if is_idle && evidence.is_none() { idle_rounds + 1 } else { 0 };
         if idle_rounds % IDLE_ROUND_CYCLE > 1 && !urgent {
             continue;
@@ -163,7 +179,7 @@
         }
         let recipients = if urgent { peers } else { rotation.next(peers, FANOUT) };
         for peer in recipients {
-            let datagrams = [Some(&datagram), evidence.as_ref(), limits.as_ref()];
+            let datagrams = [Some(&datagram), evidence.as_ref(), limits.as_ref(), waiting.as_ref()];
             for datagram in datagrams.into_iter().flatten() {
                 send_datagram(&socket, datagram, peer).await;
             }
@@ -415,6 +431,10 @@
                 let now = shared.now();
                 shared.state().fleet.apply_limit_notices(now, &notices);
             }
+            Ok(Message::Waiting(host, counts)) => {
+                let now = shared.now();
+                shared.state().admission.apply_report(now, host, counts);
+            }
             Ok(Message::Ends(notices)) => {
                 let now = shared.now();
                 shared.state().fleet.apply_ends(now, &notices);
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -23,6 +23,7 @@
     settings::HostSettings,
     state::Shared,
     stopping::{ANSWER_SHARE, Stop},
+    waiting::serve_waiting,
     watch::{
         ConfigWatch, TargetWatch, confirm_target_list, maintain_build_record, maintain_membership,
         watch_prefix,
@@ -127,6 +128,7 @@
         let socket = Arc::new(socket);
         tokio::spawn(gossip::send_work(shared.clone(), socket.clone()));
         let refresh_membership = Arc::new(Notify::new());
+        tokio::spawn(serve_waiting(shared.clone()));
         tokio::spawn(gossip::send_speeds(shared.clone(), socket.clone()));
         tokio::spawn(gossip::send_origins(shared.clone(), socket.clone()));
         tokio::spawn(gossip::send_store_era(shared.clone(), socket.clone()));
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Each host runs one gateway process. It serves callers, tells them which hosts to
 //! use, and competes for the lease on the duties that only one process at a time
-//! performs. Decisions are made in modules without I/O or clocks ([`build_record`], [`config`],
+//! performs. Decisions are made in modules without I/O or clocks ([`admission`], [`build_record`], [`config`],
 //! [`fleet`], [`freshness`], [`joining`], [`lease`], [`membership`], [`origins`], [`planner`], [`poison`],
 //! [`repeats`], [`stopping`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
 //!
@@ -10,6 +10,7 @@
 //! and targets, [`Decoder`] for stored objects, and the traits of the clients crate for
 //! the store, target orders and usage reports.
 
+pub mod admission;
 mod answered_over;
 mod attempt;
 pub mod build_record;
@@ -45,6 +46,7 @@
 pub mod usage;
 pub mod verdict;
 pub mod view;
+mod waiting;
 mod watch;
 
 pub use crate::{
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -18,6 +18,9 @@
 /// Upper bound of the first histogram bucket.
 const FIRST_BUCKET_SECONDS: f64 = 0.005;
 
+/// Upper bound of the first bucket of the waits for capacity.
+const FIRST_WAIT_BUCKET_MS: f64 = 5.0;
+
 /// Number of histogram buckets, each upper bound twice the one before.
 const BUCKET_COUNT: u16 = 12;
 
@@ -56,6 +59,25 @@
     level: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct ServiceLabel {
+    service: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct PriorityLabel {
+    priority: u8,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct YieldLabels {
+    priority: u8,
+    reason: &'static str,
+}
+
 /// Numbers of log lines dropped since the process started, by what dropped them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct LostLines {
@@ -80,6 +102,9 @@
     queue_times: Histogram,
     pause_times: Histogram,
     prediction_errors: Histogram,
+    waiting: Family<ServiceLabel, Gauge>,
+    waits: Family<PriorityLabel, Histogram, fn() -> Histogram>,
+    yielded: Family<YieldLabels, Counter>,
     stream_breaks: Counter,
     store_calls: Family<StoreCallLabels, Counter>,
     store_losses: Counter,
@@ -115,6 +140,11 @@
             queue_times: times(),
             pause_times: times(),
             prediction_errors: times(),
+            waiting: Family::default(),
+            waits: Family::new_with_constructor(|| {
+                Histogram::new(exponential_buckets(FIRST_WAIT_BUCKET_MS, 2.0, BUCKET_COUNT))
+            }),
+            yielded: Family::default(),
             stream_breaks: Counter::default(),
             store_calls: Family::default(),
             store_losses: Counter::default(),
@@ -160,6 +190,21 @@
             "Difference of the time to the first event from its prediction",
             self.prediction_errors.clone(),
         );
+        registry.register(
+            "waiting",
+            "Requests that wait for capacity by service",
+            self.waiting.clone(),
+        );
+        registry.register(
+            "wait_ms",
+            "Time that requests waited for capacity, by priority",
+            self.waits.clone(),
+        );
+        registry.register(
+            "yielded",
+            "Requests refused for lack of capacity, by priority and reason",
+            self.yielded.clone(),
+        );
         registry.register(
             "stream_breaks",
             "Streams broken off by targets",
@@ -220,6 +265,22 @@
         self.prediction_errors.observe(error.as_secs_f64());
     }
 
+    /// Sets the number of requests that wait for capacity.
+    pub(crate) fn set_waiting(&self, service: &str, waiting: usize) {
+        let label = ServiceLabel { service: service.to_owned() };
+        self.waiting.get_or_create(&label).set(i64::try_from(waiting).unwrap_or(i64::MAX));
+    }
+
+    /// Records how long a request waited for capacity.
+    pub(crate) fn observe_wait(&self, priority: u8, waited: Duration) {
+        self.waits.get_or_create(&PriorityLabel { priority }).observe(waited.as_secs_f64() * 1e3);
+    }
+
+    /// Counts a request refused for lack of capacity.
+    pub(crate) fn count_yielded(&self, priority: u8, reason: &'static str) {
+        self.yielded.get_or_create(&YieldLabels { priority, reason }).inc();
+    }
+
     /// Counts a stream from a target that ended early.
     pub(crate) fn count_stream_break(&self) {
         self.stream_breaks.inc();
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -153,6 +153,7 @@
             service,
             org: org.map(|org| org.name),
             priority,
+            arrived_at: started,
             deadline,
             sent: sent.clone(),
             answered_over: Default::default(),
@@ -165,7 +166,9 @@
         };
         let response = match result {
             // Another host has time for it.
-            Err(Failure::Late(_) | Failure::Expired) if is_cut => return Err(Failure::Stopping),
+            Err(Failure::Late(_) | Failure::Yielded(_) | Failure::Expired) if is_cut => {
+                return Err(Failure::Stopping);
+            }
             result => result?,
         };
         self.shared.metrics.observe_response(is_stream, self.shared.now().since(started));
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -9,9 +9,11 @@
 
 use chervilgate_clients::{HttpPool, ObjectStore};
 use chervilgate_clock::{BootClock, Clock, Time};
+use chervilgate_policy::Ticket;
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    admission::{Admission, Queues},
     build_record::BuildRecord,
     counted::{CountedStore, raise_era},
     crash::CrashProbe,
@@ -27,6 +29,7 @@
     stopping::Stop,
     usage::{PeerSheets, UsageMeter, WallClock},
     view::ConfigView,
+    waiting::TurnSender,
 };
 
 /// Time after the lease holder's last message for which it is assumed to hold the
@@ -64,6 +67,10 @@
     pub(crate) changes_wanted: Notify,
     /// Requests an immediate broadcast of this host's work in flight.
     pub(crate) broadcast: Notify,
+    /// Notified when a request begins to wait for capacity.
+    pub(crate) has_waiting: Notify,
+    /// Notified when a request of this host has freed capacity while others wait.
+    pub(crate) capacity_freed: Notify,
     /// Turns true when this host stops so soon that open requests are answered at once.
     pub(crate) answer_now: watch::Sender<bool>,
     wall_clock: Mutex<WallClock>,
@@ -101,6 +108,10 @@
     pub(crate) build_record: BuildRecord,
     /// What this host may send beyond the first of each request.
     pub(crate) repeats: Repeats,
+    /// Which requests wait for capacity.
+    pub(crate) admission: Box<dyn Admission>,
+    /// How waiting requests are told that their turn has come.
+    pub(crate) turns: HashMap<Ticket, TurnSender>,
 }
 
 /// Age of the list of targets, relative to the time in which a change of it must be known, from which
@@ -178,6 +189,8 @@
             origins: Origins::default(),
             build_record: BuildRecord::default(),
             repeats: Repeats::new(bounds),
+            admission: Box::<Queues>::default(),
+            turns: HashMap::new(),
         };
         Shared {
             wall_clock: Mutex::new(WallClock::new(BootClock.now(), time_of_day)),
@@ -196,6 +209,8 @@
             list_doubted: Notify::new(),
             changes_wanted: Notify::new(),
             broadcast: Notify::new(),
+            has_waiting: Notify::new(),
+            capacity_freed: Notify::new(),
             answer_now: watch::Sender::new(false),
             settings,
             protocol,
@@ -261,6 +276,13 @@
         holder.filter(|(_, at)| now.since(*at) < HOLDER_TIMEOUT).map(|(addr, _)| addr)
     }
 
+    /// Has waiting requests looked at, as a request of this host needs its target less than before.
+    pub(crate) fn free_capacity(&self) {
+        if !self.state().admission.is_empty() {
+            self.capacity_freed.notify_one();
+        }
+    }
+
     /// Counts a request of `org` that a target started at `at`.
     pub(crate) fn count_usage(&self, org: Option<&str>, at: Time) {
         let Some(org) = org else { return };
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -27,6 +27,7 @@
     protocol::RequestStage,
     state::Shared,
     takeover::{find_origin, record_origin},
+    waiting::place_in_turn,
 };
 
 /// Maximum number of buffered chunks per slow caller.
@@ -139,7 +140,15 @@
                     Failure::Expired
                 });
             }
-            let Some(plan) = self.shared.state().fleet.place(now, &self.query()) else {
+            let placement = if self.attempts.is_first() {
+                let (plan, waited) = place_in_turn(&self.shared, &self.call, self.query()).await?;
+                self.attempts.waited = waited;
+                plan
+            } else {
+                self.shared.state().fleet.place(now, &self.query())
+            };
+            let now = self.shared.now();
+            let Some(plan) = placement else {
                 return Err(self.attempts.no_target_failure(
                     &self.shared,
                     now,
@@ -151,7 +160,7 @@
             let (export, placement) = self.prefill(plan).await?;
             let (shared, call) = (self.shared.clone(), self.call.clone());
             let mut in_flight = InFlight::new(&shared, placement, &call);
-            in_flight.log_placed(&call, export.is_some());
+            in_flight.log_placed(&call, export.is_some(), self.attempts.waited);
             let work = match &export {
                 Some(export) => {
                     RequestStage::Decode { addr: export.placement().addr, handle: export.handle() }
--- /dev/null
+++ b/components/gateway/src/waiting.rs
@@ -0,0 +1,161 @@
+//! Callers' requests that wait until targets have capacity for them.
+
+use std::{sync::Arc, time::Duration};
+
+use chervilgate_clock::Time;
+use chervilgate_policy::Ticket;
+use tokio::{sync::oneshot, task::yield_now, time::timeout};
+
+use crate::{
+    admission::{Applicant, Decision, Offer, POLL_INTERVAL, Yielded},
+    attempt::CallerRequest,
+    failure::Failure,
+    fleet::{Plan, TargetQuery},
+    state::{Shared, State},
+};
+
+/// Tells a waiting request that it is sent, or refused.
+pub(crate) type TurnSender = oneshot::Sender<Result<Box<Plan>, Yielded>>;
+
+/// Chooses the targets of a request that was not sent before, once they have capacity for it; none if
+/// none may be sent it. Returns the time that it waited, too.
+///
+/// # Errors
+/// If it is refused for lack of capacity.
+pub(crate) async fn place_in_turn(
+    shared: &Arc<Shared>,
+    call: &CallerRequest,
+    query: TargetQuery<'_>,
+) -> Result<(Option<Plan>, Duration), Failure> {
+    let began_at = shared.now();
+    let (waiter, turn) = match offer(shared, call, began_at, query) {
+        Placed::Chosen(plan) => return Ok((plan.map(|plan| *plan), Duration::ZERO)),
+        Placed::Refused(yielded) => return Err(refuse(shared, call, began_at, &yielded)),
+        Placed::Waits(waiter, turn) => (waiter, turn),
+    };
+    let verdict = turn.await;
+    drop(waiter);
+    let now = shared.now();
+    let waited = now.since(began_at);
+    shared.metrics.observe_wait(call.priority, waited);
+    match verdict {
+        Ok(Ok(plan)) => Ok((Some(*plan), waited)),
+        Ok(Err(yielded)) => Err(refuse(shared, call, began_at, &yielded)),
+        // Nobody decides on waiting requests any more.
+        Err(_) => Ok((shared.state().fleet.place(now, &query), waited)),
+    }
+}
+
+/// How a request stands after it was offered.
+enum Placed {
+    Chosen(Option<Box<Plan>>),
+    Refused(Yielded),
+    Waits(Waiter, oneshot::Receiver<Result<Box<Plan>, Yielded>>),
+}
+
+fn offer(shared: &Arc<Shared>, call: &CallerRequest, now: Time, query: TargetQuery<'_>) -> Placed {
+    let state = &mut *shared.state();
+    let State { view, fleet, admission, turns, .. } = state;
+    let targets = view.config().and_then(|config| config.latency_targets(&call.service));
+    let Some(targets) = targets else {
+        return Placed::Chosen(fleet.place(now, &query).map(Box::new));
+    };
+    let applicant = Applicant {
+        query,
+        org: call.org.as_deref(),
+        priority: call.priority,
+        arrived_at: call.arrived_at,
+        on_time_by: call.arrived_at + call.route.latency_target,
+        deadline: call.deadline,
+        bytes: call.body.len(),
+    };
+    match admission.offer(now, fleet, targets, &applicant, rand::random()) {
+        Offer::Send(plan) => Placed::Chosen(Some(plan)),
+        Offer::NoTarget => Placed::Chosen(None),
+        Offer::Refuse(yielded) => Placed::Refused(yielded),
+        Offer::Wait(ticket) => {
+            let (sender, turn) = oneshot::channel();
+            turns.insert(ticket, sender);
+            shared.has_waiting.notify_one();
+            Placed::Waits(Waiter { shared: shared.clone(), ticket }, turn)
+        }
+    }
+}
+
+/// A request's place among those that wait; dropping it frees the place.
+struct Waiter {
+    shared: Arc<Shared>,
+    ticket: Ticket,
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        let State { admission, turns, .. } = &mut *self.shared.state();
+        turns.remove(&self.ticket);
+        admission.cancel(self.ticket);
+    }
+}
+
+/// Logs and counts a refusal.
+fn refuse(shared: &Shared, call: &CallerRequest, began_at: Time, yielded: &Yielded) -> Failure {
+    let Yielded { reason, retry_after, ahead, to } = *yielded;
+    let (id, service, priority) = (&call.ask.id, &call.service, call.priority);
+    let waited = shared.now().since(began_at).as_millis() as u64;
+    let (reason, retry) = (reason.as_str(), retry_after.as_millis() as u64);
+    log::info!(
+        target: "gateway", id, service, priority, reason, waited, ahead, yielded_to = to, retry;
+        "turned away for the urgent"
+    );
+    shared.metrics.count_yielded(priority, reason);
+    Failure::Yielded(retry_after)
+}
+
+/// Gives waiting requests their turns.
+pub(crate) async fn serve_waiting(shared: Arc<Shared>) {
+    loop {
+        if shared.state().admission.is_empty() {
+            update_gauges(&shared);
+            shared.has_waiting.notified().await;
+        }
+        let mut has_freed = false;
+        let looked_at = async {
+            tokio::select! {
+                () = shared.capacity_freed.notified() => has_freed = true,
+                () = shared.has_waiting.notified() => {}
+            }
+        };
+        // Without either, other hosts may have freed capacity.
+        timeout(POLL_INTERVAL, looked_at).await.ok();
+        while poll(&shared, has_freed) {
+            has_freed = false;
+            // The requests that were sent count at their targets once their tasks have run.
+            yield_now().await;
+        }
+        update_gauges(&shared);
+    }
+}
+
+/// Decides on waiting requests once; returns whether any is sent.
+fn poll(shared: &Shared, has_freed: bool) -> bool {
+    let now = shared.now();
+    let State { fleet, admission, turns, .. } = &mut *shared.state();
+    let mut has_sent = false;
+    for decision in admission.poll(now, fleet, has_freed, &mut rand::random) {
+        let (ticket, verdict) = match decision {
+            Decision::Send(ticket, plan) => (ticket, Ok(plan)),
+            Decision::Refuse(ticket, yielded) => (ticket, Err(yielded)),
+        };
+        has_sent |= verdict.is_ok();
+        if let Some(turn) = turns.remove(&ticket) {
+            // It only fails if the caller has just left.
+            turn.send(verdict).ok();
+        }
+    }
+    has_sent
+}
+
+fn update_gauges(shared: &Shared) {
+    for (service, waiting) in shared.state().admission.waiting() {
+        shared.metrics.set_waiting(&service, waiting);
+    }
+}
--- a/components/policy/src/admission.rs
+++ b/components/policy/src/admission.rs
@@ -18,16 +18,15 @@
 use smallvec::SmallVec;
 
 use crate::{
-    OrgId, Refusal, RefusalReason, Request, Route, Router, Ticket,
-    admission::fair_queue::Waiting,
+    OrgId, Refusal, RefusalReason, Request, Route, Router, Ticket, admission::fair_queue::Waiting,
     router::FillLimit,
 };
 
+pub use crate::admission::fair_queue::FairShare;
 pub(crate) use crate::admission::{
     fair_queue::{FairQueue, TAG_SCALE, Tag},
     rate::ServiceRate,
 };
-pub use crate::admission::fair_queue::FairShare;
 
 mod fair_queue;
 mod rate;
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -2,9 +2,9 @@
 //!
 //! A request may be sent if the wait at the target leaves it on time and its own work leaves the
 //! requests of more urgent kinds on time too ([`LatencyTargets::fit`]). While there is capacity
-//! nothing waits. Otherwise requests that can still be on time start first, by priority; then those
-//! that are late, by priority. Within a priority, the organisations whose share of the work is
-//! smallest take turns. One start in [`FAIR_TURN_INTERVAL`] goes to the request that is closest to its
+//! nothing waits. Otherwise requests that can still be on time start first, by priority, short ones
+//! before long ones; then those that are late, by priority and latest start. Within a priority, the
+//! organisations whose share of the work is smallest take turns. One start in [`FAIR_TURN_INTERVAL`] goes to the request that is closest to its
 //! latest start, so that late and large requests are served too.
 
 use std::{
@@ -31,6 +31,11 @@
 /// Every how many starts of waiting requests one goes to the request closest to its latest start.
 pub const FAIR_TURN_INTERVAL: u32 = 10;
 
+/// Time for which a request that can be on time gives way to later ones, in multiples of the work that
+/// it takes more than they. Ordered by their last start on time instead, all requests of an overload wait until
+/// they are almost late, and single long prompts make many of them so.
+const WORK_WEIGHT: u32 = 8;
+
 /// Shortest time after which a refused caller may return.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -95,7 +100,7 @@
     /// Order among the requests of its organisation in its lane.
     fn rank(&self, standing: Standing) -> Time {
         match standing {
-            Standing::OnTime => self.last_on_time_start(),
+            Standing::OnTime => self.arrived_at + self.work * WORK_WEIGHT,
             Standing::Late => self.last_start(),
         }
     }
@@ -188,6 +193,18 @@
         self.entries.is_empty()
     }
 
+    /// Number of waiting requests by priority, the most urgent first.
+    pub fn waiting_by_priority(&self) -> SmallVec<[(u8, usize); 4]> {
+        let mut counts = SmallVec::<[(u8, usize); 4]>::new();
+        for ((_, priority), lane) in &self.lanes {
+            match counts.binary_search_by_key(priority, |(known, _)| *known) {
+                Ok(at) => counts[at].1 += lane.len(),
+                Err(at) => counts.insert(at, (*priority, lane.len())),
+            }
+        }
+        counts
+    }
+
     /// The waiting request with this ticket.
     pub fn get(&self, ticket: Ticket) -> Option<&WaitingRequest> {
         self.entries.get(&ticket).map(|entry| &entry.request)
--- a/components/policy/src/dispatch/targets.rs
+++ b/components/policy/src/dispatch/targets.rs
@@ -4,8 +4,10 @@
 
 use smallvec::SmallVec;
 
-/// Share of the shortest latency target of more urgent kinds that a request may make them wait.
-const TOLERANCE_SHARE: f64 = 0.5;
+/// Share of the shortest latency target of more urgent kinds that a request of the least urgent kind
+/// may make them wait. It rises to 1 with the urgency: with the same share for all, small requests of the
+/// least urgent kind filled each target before larger ones of the kind above had room there.
+const LEAST_TOLERANCE: f64 = 0.5;
 
 /// Share of the service's shortest latency target up to which a target that makes requests wait has
 /// capacity for late requests.
@@ -72,7 +74,10 @@
     /// kind is more urgent.
     pub fn tolerance(&self, priority: u8) -> Option<Duration> {
         let more_urgent = self.0.iter().take_while(|(known, _)| *known < priority);
-        more_urgent.map(|(_, target)| target.mul_f64(TOLERANCE_SHARE)).min()
+        let rank = more_urgent.clone().count();
+        let last = self.0.len().max(2) - 1;
+        let share = 1.0 - (1.0 - LEAST_TOLERANCE) * rank.min(last) as f64 / last as f64;
+        more_urgent.map(|(_, target)| target.mul_f64(share)).min()
     }
 
     /// Wait up to which a target has capacity for late requests of this priority. It is no shorter than
--- a/components/policy/tests/dispatch/model.rs
+++ b/components/policy/tests/dispatch/model.rs
@@ -79,7 +79,12 @@
             Load { name: "2.0 of capacity", factor: 2.0, ..Load::BASE },
             Load { name: "0.8, burst of the least urgent", burst: 3.0, ..Load::BASE },
             Load { name: "0.8, a third of the engines lost", loses_third: true, ..Load::BASE },
-            Load { name: "1.2, one organisation sends half", factor: 1.2, floods: true, ..Load::BASE },
+            Load {
+                name: "1.2, one organisation sends half",
+                factor: 1.2,
+                floods: true,
+                ..Load::BASE
+            },
         ]
     }
 
@@ -403,7 +408,7 @@
 enum Queue {
     Arrival,
     Sorted(Order, Vec<Request>),
-    Dispatch { queue: DispatchQueue, requests: HashMap<Ticket, Request>, last: u64 },
+    Dispatch { queue: Box<DispatchQueue>, requests: HashMap<Ticket, Request>, last: u64 },
 }
 
 impl Queue {
@@ -411,7 +416,7 @@
         match order {
             Order::Arrival => Queue::Arrival,
             Order::Dispatch => Queue::Dispatch {
-                queue: DispatchQueue::new(DispatchLimits::default()),
+                queue: Box::new(DispatchQueue::new(DispatchLimits::default())),
                 requests: HashMap::new(),
                 last: 0,
             },
@@ -473,8 +478,7 @@
                 }
                 while let Some(request) = waiting.first().copied() {
                     let idle = model.serving().filter(|engine| model.wait(now, *engine).is_zero());
-                    let Some(engine) =
-                        idle.min_by_key(|engine| model.work(*engine, &request))
+                    let Some(engine) = idle.min_by_key(|engine| model.work(*engine, &request))
                     else {
                         return;
                     };
