--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -248,8 +248,9 @@
         };
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
+        let supply = fleet.supply(now, query.service, targets.late_wait(*priority));
         let service = self.service(query.service, targets);
-        match service.queue.enqueue(now, ticket, request, spread) {
+        match service.queue.enqueue(now, ticket, request, supply, spread) {
             Err(yielded) => Offer::Refuse(yielded),
             Ok(refused) => {
                 for (evicted, yielded) in refused {
--- a/components/gateway/src/fleet/capacity.rs
+++ b/components/gateway/src/fleet/capacity.rs
@@ -3,17 +3,17 @@
 use std::{sync::Arc, time::Duration};
 
 use chervilgate_clock::Time;
-use chervilgate_policy::{Fit, Forecast, LatencyTargets, Turn};
+use chervilgate_policy::{Fit, Forecast, LatencyTargets, Supply, Turn};
 use smallvec::SmallVec;
 
 use crate::fleet::{Fleet, Placement, Plan, TargetQuery, TargetRole, target::TargetState};
 
 /// Share of the targets that requests of less urgent kinds leave to the more urgent ones.
-const RESERVED_SHARE: f64 = 0.3;
+const RESERVED_SHARE: f64 = 0.5;
 
 /// Maximum number of targets left to them: what serves the urgent requests of the largest deployments.
 /// With capacity for all, so many are found after looking at few targets of the fleet.
-const MAX_RESERVED: usize = 12;
+const MAX_RESERVED: usize = 24;
 
 /// What a request asks of the capacity.
 #[derive(Debug, Clone, Copy)]
@@ -71,6 +71,23 @@
         serving.filter(|state| self.starts_within(now, state, max_wait)).count()
     }
 
+    /// What is predicted of the targets of `service`, for requests that wait until one starts them within
+    /// `max_wait`.
+    pub fn supply(&self, now: Time, service: &str, max_wait: Duration) -> Supply {
+        let (mut shortest, mut targets) = (f64::INFINITY, 0);
+        for state in self.targets.values().filter(|state| state.serves(now, service)) {
+            targets += 1;
+            let wait = if self.starts_within(now, state, max_wait) {
+                0.0
+            } else {
+                self.expected_wait(now, state)
+            };
+            shortest = shortest.min(wait);
+        }
+        let shortest = if targets == 0 { 0.0 } else { shortest };
+        Supply { until_capacity: millis(shortest).saturating_sub(max_wait), targets }
+    }
+
     /// Whether the targets of `plan` have capacity.
     fn has_capacity(
         &self,
--- a/components/gateway/tests/load/main.rs
+++ b/components/gateway/tests/load/main.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     sheet::Sheet,
-    simulation::{GossipMode, Restriction, Simulation},
+    simulation::{ClassResult, GossipMode, Restriction, Results, Simulation},
 };
 
 /// Share of first events within their latency target from which the users' sheets pay
@@ -104,3 +104,56 @@
         assert!(limited_served >= absent_served, "{limit}: {limited_served}, {absent_served}");
     }
 }
+
+/// Share by which what chance gives may differ from a rule.
+const CHANCE: f64 = 0.05;
+
+fn play_short_of_engines(sheet: &Sheet, seed: u64, admits: bool) -> Results {
+    let mut simulation = Simulation::new(sheet.clone(), seed, GossipMode::All);
+    simulation.restrict_third(Restriction::Absent);
+    simulation.share_speeds();
+    if admits {
+        simulation.admit();
+    }
+    simulation.run()
+}
+
+// Guards against callers that lose more than others gain while engines are short: in order of arrival, a burst of
+// the least urgent kind after the loss of a third of the engines makes all others late.
+#[test]
+fn the_urgent_are_on_time_in_a_burst_of_the_least_urgent_without_a_third_of_the_engines() {
+    for sheet in [Sheet::short_of_engines_b(), Sheet::short_of_engines_a()] {
+        for seed in [1, 2, 3] {
+            let before = play_short_of_engines(&sheet, seed, false);
+            let results = play_short_of_engines(&sheet, seed, true);
+
+            assert!(results.worth() > before.worth(), "seed {seed}: {results:?}, {before:?}");
+            let classes = results.classes().map(|(_, class)| *class);
+            let classes: Vec<ClassResult> = classes.collect();
+            assert!(classes[0].on_time_share() >= MIN_ON_TIME, "seed {seed}: {results:?}");
+            for pair in classes.windows(2) {
+                let (urgent, less) = (pair[0].served_share(), pair[1].served_share());
+                assert!(urgent >= less - CHANCE, "seed {seed}: {results:?}");
+            }
+            for class in classes {
+                let least = results.served_share() / 4.0;
+                assert!(class.served_share() >= least, "seed {seed}: {results:?}");
+            }
+        }
+    }
+}
+
+// Guards against an admission that delays or moves requests while engines have capacity for all.
+#[test]
+fn nothing_waits_while_engines_have_capacity_for_all() {
+    for sheet in [Sheet::short_of_engines_b(), Sheet::short_of_engines_a()] {
+        let sheet = sheet.with_all_engines();
+        let mut simulation = Simulation::new(sheet, 1, GossipMode::All);
+        simulation.share_speeds();
+        simulation.admit();
+
+        let results = simulation.run();
+
+        assert_eq!(results.waited(), 0, "{results:?}");
+    }
+}
--- a/components/gateway/tests/load/sheet.rs
+++ b/components/gateway/tests/load/sheet.rs
@@ -4,6 +4,9 @@
 
 use chervilgate_engines::{Profile, RoleLimits};
 
+/// Time limit of callers that wait for as long as a run takes.
+const PATIENT_MS: u64 = 60_000;
+
 /// A kind of request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Class {
@@ -14,6 +17,10 @@
     pub(crate) prompt: (u32, u32),
     pub(crate) output: u32,
     pub(crate) latency_target_ms: u64,
+    /// Time for which callers wait.
+    pub(crate) limit_ms: u64,
+    /// Scheduling priority; 0 is the highest.
+    pub(crate) priority: u8,
     /// Number of shared parts.
     pub(crate) parts: u64,
 }
@@ -43,6 +50,8 @@
                 prompt: (13_300, 3_720),
                 output: 10,
                 latency_target_ms: 600,
+                limit_ms: PATIENT_MS,
+                priority: 0,
                 parts: 30,
             },
             Class {
@@ -51,6 +60,8 @@
                 prompt: (6_300, 2_890),
                 output: 4,
                 latency_target_ms: 500,
+                limit_ms: PATIENT_MS,
+                priority: 0,
                 parts: 30,
             },
             Class {
@@ -59,6 +70,8 @@
                 prompt: (350, 1_110),
                 output: 14,
                 latency_target_ms: 300,
+                limit_ms: PATIENT_MS,
+                priority: 0,
                 parts: 60,
             },
         ];
@@ -84,6 +97,8 @@
                 prompt: (13_300, 3_720),
                 output: 15,
                 latency_target_ms: 600,
+                limit_ms: PATIENT_MS,
+                priority: 0,
                 parts: 51,
             },
             Class {
@@ -92,6 +107,8 @@
                 prompt: (92, 291),
                 output: 6,
                 latency_target_ms: 300,
+                limit_ms: PATIENT_MS,
+                priority: 0,
                 parts: 500,
             },
         ];
@@ -116,4 +133,81 @@
             classes: &CLASSES,
         }
     }
+
+    /// Half of deployment B, with as many engines as it keeps busy. The least urgent kind comes five
+    /// times as often for some seconds.
+    pub(crate) fn short_of_engines_b() -> Sheet {
+        const CLASSES: [Class; 3] = [
+            class("short", 29.0, 1.0, (350, 1_110), 13, (250, 5_000), 0),
+            class("middle", 34.5, 1.0, (6_300, 2_890), 4, (300, 3_000), 1),
+            class("long", 45.5, 5.0, (13_300, 3_720), 9, (800, 5_000), 2),
+        ];
+        let engine = Profile::reference();
+        let step = Duration::from_micros(3_550);
+        let profile = Profile {
+            prefill_ns: 6_370,
+            prefill: RoleLimits { base: step, ..engine.prefill },
+            decode: RoleLimits { base: step, batch: 32, ..engine.decode },
+            kv_tokens: 970_477,
+            token_bytes: 18_432,
+            ..engine
+        };
+        Sheet {
+            hosts: 45,
+            prefill_engines: 6,
+            decode_engines: 10,
+            profile,
+            max_pause: Duration::from_millis(200),
+            event_tokens: 1,
+            burst: (Duration::from_secs(4), Duration::from_secs(9)),
+            classes: &CLASSES,
+        }
+    }
+
+    /// The same of deployment A.
+    pub(crate) fn short_of_engines_a() -> Sheet {
+        const CLASSES: [Class; 3] = [
+            class("short", 53.0, 1.0, (350, 1_110), 22, (1_200, 8_000), 0),
+            class("middle", 29.0, 1.0, (6_300, 2_890), 7, (1_000, 4_000), 1),
+            class("long", 37.5, 5.0, (13_300, 3_720), 15, (600, 8_000), 2),
+        ];
+        let engine = Profile::reference();
+        let step = Duration::from_micros(5_950);
+        let profile = Profile {
+            prefill_ns: 19_720,
+            prefill: RoleLimits { base: step, ..engine.prefill },
+            decode: RoleLimits { base: step, ..engine.decode },
+            kv_tokens: 444_196,
+            ..engine
+        };
+        Sheet {
+            hosts: 42,
+            prefill_engines: 12,
+            decode_engines: 21,
+            profile,
+            max_pause: Duration::from_millis(250),
+            event_tokens: 1,
+            burst: (Duration::from_secs(4), Duration::from_secs(9)),
+            classes: &CLASSES,
+        }
+    }
+
+    /// The same load without a burst, with the engines of half of the deployment.
+    pub(crate) fn with_all_engines(self) -> Sheet {
+        let burst = (Duration::ZERO, Duration::ZERO);
+        Sheet { prefill_engines: 16, decode_engines: 29, burst, ..self }
+    }
+}
+
+const fn class(
+    name: &'static str,
+    rate: f64,
+    burst: f64,
+    prompt: (u32, u32),
+    output: u32,
+    (latency_target_ms, limit_ms): (u64, u64),
+    priority: u8,
+) -> Class {
+    let rate = (rate, burst);
+    Class { name, rate, prompt, output, latency_target_ms, limit_ms, priority, parts: 30 }
 }
--- a/components/gateway/tests/load/simulation.rs
+++ b/components/gateway/tests/load/simulation.rs
@@ -6,11 +6,13 @@
 use chervilgate_engines::{Engine, Event, EventQueue, Job, Role, Stage as JobStage};
 use chervilgate_gateway::{
     LimitStatement, Prompt, PromptPart,
+    admission::{Admission, Applicant, Decision, Offer, POLL_INTERVAL, Queues, WaitingCount},
     fleet::{
-        AttemptId, AttemptOutcome, Build, CachedPart, Fleet, InFlightWork, Placement, TargetEntry,
-        TargetQuery, TargetRole,
+        AttemptId, AttemptOutcome, Build, CachedPart, Fleet, GroupReport, InFlightWork, Placement,
+        Plan, TargetEntry, TargetQuery, TargetRole,
     },
 };
+use chervilgate_policy::{LatencyTargets, Ticket};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -67,6 +69,8 @@
     pub(crate) late: u32,
     pub(crate) lost: u32,
     pub(crate) refused: u32,
+    /// Requests that waited at their host.
+    pub(crate) waited: u32,
     /// Streams that ended with a mean time between tokens above the limit.
     pub(crate) slow: u32,
 }
@@ -77,6 +81,11 @@
         f64::from(self.in_time) / f64::from(self.sent.max(1))
     }
 
+    /// Share of the requests whose first event came at all.
+    pub(crate) fn served_share(&self) -> f64 {
+        f64::from(self.in_time + self.late) / f64::from(self.sent.max(1))
+    }
+
     /// Share of the requests whose stream kept its pace.
     pub(crate) fn pace_share(&self) -> f64 {
         1.0 - f64::from(self.slow) / f64::from(self.sent.max(1))
@@ -96,6 +105,22 @@
         self.0.iter().map(|(_, class)| class.late).sum()
     }
 
+    pub(crate) fn waited(&self) -> u32 {
+        self.0.iter().map(|(_, class)| class.waited).sum()
+    }
+
+    /// Share of all requests whose first event came at all.
+    pub(crate) fn served_share(&self) -> f64 {
+        let sent: u32 = self.0.iter().map(|(_, class)| class.sent).sum();
+        f64::from(self.in_time() + self.late()) / f64::from(sent.max(1))
+    }
+
+    /// Mean worth of a request, where one that is on time is worth 1 and a late one a tenth.
+    pub(crate) fn worth(&self) -> f64 {
+        let sent: u32 = self.0.iter().map(|(_, class)| class.sent).sum();
+        (f64::from(self.in_time()) + f64::from(self.late()) / 10.0) / f64::from(sent.max(1))
+    }
+
     pub(crate) fn in_time(&self) -> u32 {
         self.0.iter().map(|(_, class)| class.in_time).sum()
     }
@@ -105,7 +130,19 @@
     Arrival(usize),
     Step(usize),
     Round(usize),
-    GossipReceived { host: usize, from: usize, work: Vec<InFlightWork>, parts: Vec<CachedPart> },
+    GossipReceived {
+        host: usize,
+        from: usize,
+        work: Vec<InFlightWork>,
+        parts: Vec<CachedPart>,
+        waiting: Vec<WaitingCount>,
+    },
+    Poll(usize),
+    SpeedsReceived {
+        host: usize,
+        from: usize,
+        reports: Vec<GroupReport>,
+    },
     Decode(u64),
     Crash,
     Restrict(Restriction),
@@ -121,8 +158,19 @@
     first_token_at: Option<Time>,
 }
 
+/// The admission of all hosts.
+struct HostAdmission {
+    targets: Arc<LatencyTargets>,
+    queues: Vec<Queues>,
+    /// Requests by host and ticket.
+    waiting: HashMap<(usize, Ticket), u64>,
+}
+
 /// One simulation run.
 pub(crate) struct Simulation {
+    admission: Option<HostAdmission>,
+    /// Whether hosts tell each other what they have seen of the engines' speeds.
+    shares_speeds: bool,
     sheet: Sheet,
     mode: GossipMode,
     rng: Pcg64,
@@ -174,6 +222,8 @@
         let classes = sheet.classes.iter();
         let results = Results(classes.map(|class| (class.name, ClassResult::default())).collect());
         let mut simulation = Simulation {
+            admission: None,
+            shares_speeds: false,
             mode,
             rng: Pcg64::seed_from_u64(seed),
             events: EventQueue::default(),
@@ -196,6 +246,28 @@
         simulation
     }
 
+    /// Has hosts tell each other what they have seen of the engines' speeds, as the daemon does.
+    pub(crate) fn share_speeds(&mut self) {
+        self.shares_speeds = true;
+    }
+
+    /// Has requests wait at their hosts while targets have no capacity for them.
+    pub(crate) fn admit(&mut self) {
+        let mut targets = LatencyTargets::default();
+        for class in self.sheet.classes {
+            targets.add(class.priority, Duration::from_millis(class.latency_target_ms));
+        }
+        self.admission = Some(HostAdmission {
+            targets: Arc::new(targets),
+            queues: (0..self.sheet.hosts).map(|_| Queues::default()).collect(),
+            waiting: HashMap::new(),
+        });
+        for host in 0..self.sheet.hosts {
+            let offset = POLL_INTERVAL.mul_f64(self.rng.random());
+            self.events.push(Time::ZERO + offset, SimEvent::Poll(host));
+        }
+    }
+
     /// Schedules the crash of a third of the engines.
     pub(crate) fn crash_third(&mut self) {
         self.events.push(Time::ZERO + CRASH_TIME, SimEvent::Crash);
@@ -233,7 +305,17 @@
                 SimEvent::Arrival(class) => self.arrive(now, class),
                 SimEvent::Step(engine) => self.step(now, engine),
                 SimEvent::Round(host) => self.round(now, host),
-                SimEvent::GossipReceived { host, from, work, parts } => {
+                SimEvent::SpeedsReceived { host, from, reports } => {
+                    self.hosts[host].apply_speed_reports(now, from as u32, &reports);
+                }
+                SimEvent::Poll(host) => {
+                    self.events.push(now + POLL_INTERVAL, SimEvent::Poll(host));
+                    self.poll(now, host, false);
+                }
+                SimEvent::GossipReceived { host, from, work, parts, waiting } => {
+                    if let Some(admission) = &mut self.admission {
+                        admission.queues[host].apply_report(now, from as u32, waiting);
+                    }
                     self.hosts[host].apply_peer_parts(now, &parts);
                     self.hosts[host].apply_peer_work(now, from as u32, work);
                 }
@@ -274,7 +356,85 @@
             first_token_at: None,
         };
         self.requests.insert(id, request);
-        self.send(now, id);
+        if self.admission.is_none() {
+            self.send(now, id);
+        } else {
+            self.offer(now, id);
+        }
+    }
+
+    /// Offers a request to the admission of its host.
+    fn offer(&mut self, now: Time, id: u64) {
+        let (request, spread) = (&self.requests[&id], self.rng.random());
+        let class = &self.sheet.classes[request.class];
+        let Some(admission) = &mut self.admission else { return };
+        let applicant = Applicant {
+            query: TargetQuery {
+                service: "llm",
+                prompt: &request.prompt,
+                exclude: &[],
+                build: None,
+                max_pause: Some(self.sheet.max_pause),
+            },
+            org: None,
+            priority: class.priority,
+            arrived_at: request.sent,
+            on_time_by: request.sent + Duration::from_millis(class.latency_target_ms),
+            deadline: request.sent + Duration::from_millis(class.limit_ms),
+            bytes: 0,
+        };
+        let (class, host) = (request.class, request.host);
+        let (fleet, targets) = (&self.hosts[host], &admission.targets);
+        match admission.queues[host].offer(now, fleet, targets, &applicant, spread) {
+            Offer::Send(plan) => self.submit_plan(now, id, *plan),
+            Offer::Wait(ticket) => {
+                admission.waiting.insert((host, ticket), id);
+                self.results.0[class].1.waited += 1;
+                self.poll(now, host, false);
+            }
+            Offer::Refuse(_) | Offer::NoTarget => self.results.0[class].1.refused += 1,
+        }
+    }
+
+    /// Decides on the waiting requests of a host, as often as one of them is sent.
+    fn poll(&mut self, now: Time, host: usize, mut has_freed: bool) {
+        loop {
+            let Some(admission) = &mut self.admission else { return };
+            let rng = &mut self.rng;
+            let decisions =
+                admission.queues[host]
+                    .poll(now, &self.hosts[host], has_freed, &mut || rng.random());
+            has_freed = false;
+            let mut has_sent = false;
+            for decision in decisions {
+                let (Decision::Send(ticket, _) | Decision::Refuse(ticket, _)) = &decision;
+                let waiting = self.admission.as_mut().map(|admission| &mut admission.waiting);
+                let id = waiting.and_then(|waiting| waiting.remove(&(host, *ticket)));
+                let id = id.expect("decided once on each request");
+                match decision {
+                    Decision::Send(_, plan) => {
+                        has_sent = true;
+                        self.submit_plan(now, id, *plan);
+                    }
+                    Decision::Refuse(..) => {
+                        let class = self.requests[&id].class;
+                        self.results.0[class].1.refused += 1;
+                    }
+                }
+            }
+            if !has_sent {
+                return;
+            }
+        }
+    }
+
+    /// Submits a request to the engine that computes its prompt.
+    fn submit_plan(&mut self, now: Time, id: u64, plan: Plan) {
+        let (placement, stage) = match plan.prefill {
+            Some(placement) => (placement, JobStage::Prefill),
+            None => (plan.placement, JobStage::Whole),
+        };
+        self.submit_attempt(now, id, placement, stage);
     }
 
     /// Places a request, and submits it to the engine that computes its prompt.
@@ -294,11 +454,12 @@
             self.results.0[request.class].1.refused += 1;
             return;
         };
-        let (placement, stage) = match plan.prefill {
-            Some(placement) => (placement, JobStage::Prefill),
-            None => (plan.placement, JobStage::Whole),
-        };
-        self.submit_attempt(now, id, placement, stage);
+        let limit = Duration::from_millis(self.sheet.classes[request.class].limit_ms);
+        if request.tried.is_empty() && plan.predicted_time() > limit {
+            self.results.0[request.class].1.refused += 1;
+            return;
+        }
+        self.submit_plan(now, id, plan);
     }
 
     fn submit_attempt(&mut self, now: Time, id: u64, placement: Placement, stage: JobStage) {
@@ -350,6 +511,7 @@
         if self.hosts[host].finish(now, &placement, attempt, outcome) {
             self.broadcast(now, host);
         }
+        self.poll(now, host, true);
     }
 
     fn wake(&mut self, engine: usize) {
@@ -413,6 +575,7 @@
         {
             self.broadcast(now, host);
         }
+        self.poll(now, host, true);
     }
 
     fn record_first_token(&mut self, now: Time, id: u64) {
@@ -450,6 +613,9 @@
 
     fn round(&mut self, now: Time, host: usize) {
         self.hosts[host].update_speeds(now);
+        if self.shares_speeds {
+            self.send_speeds(now, host);
+        }
         self.events.push(now + ROUND_INTERVAL, SimEvent::Round(host));
         let next_peer = self.next_peers[host];
         self.next_peers[host] = (next_peer + FANOUT) % self.sheet.hosts;
@@ -459,6 +625,17 @@
         self.send_gossip(now, host, span, &peers);
     }
 
+    /// Tells a host in each round what this one has seen of the engines' speeds; the daemon tells four of
+    /// them each second.
+    fn send_speeds(&mut self, now: Time, from: usize) {
+        let reports = self.hosts[from].speed_reports(now);
+        let host = self.rng.random_range(0..self.sheet.hosts);
+        if host != from && !reports.is_empty() {
+            let message = SimEvent::SpeedsReceived { host, from, reports };
+            self.events.push(now + NETWORK_DELAY, message);
+        }
+    }
+
     fn broadcast(&mut self, now: Time, host: usize) {
         if self.mode == GossipMode::RoundsOnly {
             return;
@@ -474,9 +651,12 @@
             GossipMode::All => self.hosts[host].recent_parts(now, span),
             _ => Vec::new(),
         };
+        let admission = self.admission.as_ref();
+        let waiting = admission.map_or_else(Vec::new, |admission| admission.queues[host].report());
         for peer in peers.iter().filter(|peer| **peer != host) {
-            let (work, parts) = (work.clone(), parts.clone());
-            let message = SimEvent::GossipReceived { host: *peer, from: host, work, parts };
+            let (work, parts, waiting) = (work.clone(), parts.clone(), waiting.clone());
+            let message =
+                SimEvent::GossipReceived { host: *peer, from: host, work, parts, waiting };
             self.events.push(now + NETWORK_DELAY, message);
         }
     }
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -153,6 +153,15 @@
     pub to: Option<u8>,
 }
 
+/// What is predicted of the targets of a service while none has capacity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Supply {
+    /// Time until the first of them has capacity.
+    pub until_capacity: Duration,
+    /// Number of targets.
+    pub targets: usize,
+}
+
 #[derive(Debug)]
 struct Entry {
     request: WaitingRequest,
@@ -170,6 +179,8 @@
     /// All requests, by their latest start.
     last_starts: BTreeSet<(Time, Ticket)>,
     bytes: usize,
+    /// What was predicted last.
+    supply: Supply,
     shares: FairQueue,
     rate: ServiceRate,
     /// Starts of waiting requests since the last fair turn.
@@ -212,7 +223,8 @@
 
     /// Adds a request. Returns those that have to leave for it, if the queue is full.
     ///
-    /// `spread` is a random number from 0 to 1, which spreads out refused callers.
+    /// `supply` is what is predicted of the targets now, and `spread` a random number from 0 to 1, which
+    /// spreads out refused callers.
     ///
     /// # Errors
     /// If it cannot start in time, or the queue is full of requests that come before it.
@@ -221,16 +233,18 @@
         now: Time,
         ticket: Ticket,
         request: WaitingRequest,
+        supply: Supply,
         spread: f64,
     ) -> Result<Refused, Yielded> {
+        self.supply = supply;
         let standing =
             if now <= request.last_on_time_start() { Standing::OnTime } else { Standing::Late };
         let key = request.lane_key(standing);
         let left = request.last_start().since(now);
-        let wait = self.rate.wait_for(self.cost_ahead(key));
+        let wait = self.expected_wait(key, &request);
         let reason = if left.is_zero() {
             Some(YieldReason::Expired)
-        } else if !self.is_empty() && wait > left {
+        } else if wait > left {
             Some(YieldReason::Outlook)
         } else if !self.has_room_after(key, request.bytes) {
             Some(YieldReason::Full)
@@ -290,7 +304,7 @@
             };
             self.last_started = Some(priority);
             self.charge(now, org, cost);
-            self.rate.record_start(now, cost, work, true);
+            self.rate.record_start(now, micros(work), work, true);
         }
         self.rate.set_empty(now, self.is_empty());
         found.map(|(ticket, _)| ticket)
@@ -386,16 +400,22 @@
     ) -> Yielded {
         let key = request.lane_key(standing);
         let ahead = self.lanes.range(..=key).map(|(_, lane)| lane.len()).sum();
-        let until_capacity = self.rate.wait_for(self.cost_ahead(key)) + request.work;
         let step = 1.0 + RETURN_STEP * f64::from(request.priority);
-        let retry_after = until_capacity.mul_f64(step * (1.0 + spread));
+        let retry_after = self.expected_wait(key, request).mul_f64(step * (1.0 + spread));
         let retry_after = retry_after.clamp(MIN_RETRY_AFTER.mul_f64(1.0 + spread), MAX_RETRY_AFTER);
         Yielded { reason, retry_after, ahead, to: self.last_started }
     }
 
-    /// Cost of the requests that come before a new one of this lane.
-    fn cost_ahead(&self, key: LaneKey) -> u64 {
-        self.lanes.range(..=key).map(|(_, lane)| lane.cost()).sum()
+    /// Predicted time until a new request of this lane starts, by the rate of starts and by the work of
+    /// the requests that come before it.
+    fn expected_wait(&self, key: LaneKey, request: &WaitingRequest) -> Duration {
+        let before = self.lanes.range(..key).map(|(_, lane)| lane.work()).sum::<Duration>();
+        let own_lane = self.lanes.get(&key);
+        let own_lane = own_lane.map(|lane| lane.work_before(request.org, request.work));
+        let work = before + own_lane.unwrap_or_default();
+        let Supply { until_capacity, targets } = self.supply;
+        let by_work = until_capacity + work.div_f64(targets.max(1) as f64);
+        self.rate.wait_for(micros(work)).max(by_work)
     }
 
     fn is_full(&self, bytes: usize) -> bool {
@@ -424,3 +444,8 @@
         }
     }
 }
+
+/// Work as a cost in the rate of starts.
+fn micros(work: Duration) -> u64 {
+    u64::try_from(work.as_micros()).unwrap_or(u64::MAX)
+}
--- a/components/policy/src/dispatch/lane.rs
+++ b/components/policy/src/dispatch/lane.rs
@@ -4,7 +4,10 @@
 //! those within [`TAG_WINDOW`] of the smallest tag the most pressing request comes first, so that
 //! shares are kept over some requests and single requests are served by their time.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use chervilgate_clock::Time;
 
@@ -28,6 +31,8 @@
 #[derive(Debug, Default)]
 struct OrgRequests {
     tag: Tag,
+    /// Predicted time of its requests, one after another.
+    work: Duration,
     by_time: BTreeSet<(Time, Ticket)>,
 }
 
@@ -37,7 +42,7 @@
     orgs: BTreeMap<OrgId, OrgRequests>,
     by_tag: BTreeSet<(Tag, OrgId)>,
     len: usize,
-    cost: u64,
+    work: Duration,
     bytes: usize,
 }
 
@@ -51,9 +56,17 @@
         self.len
     }
 
-    /// Cost of all requests, in tokens.
-    pub(super) fn cost(&self) -> u64 {
-        self.cost
+    /// Predicted time of all requests, one after another.
+    pub(super) fn work(&self) -> Duration {
+        self.work
+    }
+
+    /// Predicted time of the requests that start before a new one of `org`, whose turns others take only
+    /// until they have had as much as it.
+    pub(super) fn work_before(&self, org: OrgId, work: Duration) -> Duration {
+        let own = self.orgs.get(&org).map_or(Duration::ZERO, |own| own.work);
+        let others = self.orgs.iter().filter(|(other, _)| **other != org);
+        own + others.map(|(_, other)| other.work.min(own + work)).sum::<Duration>()
     }
 
     /// Size of all bodies.
@@ -69,8 +82,9 @@
             self.by_tag.insert((tag, request.org));
         }
         org.by_time.insert((at, ticket));
+        org.work += request.work;
         self.len += 1;
-        self.cost += request.cost;
+        self.work += request.work;
         self.bytes += request.bytes;
     }
 
@@ -80,12 +94,13 @@
         if !org.by_time.remove(&(at, ticket)) {
             return;
         }
+        org.work = org.work.saturating_sub(request.work);
         if org.by_time.is_empty() {
             self.by_tag.remove(&(org.tag, request.org));
             self.orgs.remove(&request.org);
         }
         self.len -= 1;
-        self.cost -= request.cost;
+        self.work = self.work.saturating_sub(request.work);
         self.bytes -= request.bytes;
     }
 
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -27,7 +27,7 @@
     admission::{Actions, AdmissionQueue, FairShare, QueueAction, QueueSettings},
     dispatch::{
         DispatchLimits, DispatchQueue, FAIR_TURN_INTERVAL, Fit, Forecast, LatencyTargets, Refused,
-        Turn, WaitingRequest, YieldReason, Yielded,
+        Supply, Turn, WaitingRequest, YieldReason, Yielded,
     },
     ids::{BlockHash, HostId, OrgId, ServiceId, TargetId, Ticket, Zone},
     limit::{ShareBudget, share_of_limit},
--- a/components/policy/tests/dispatch/model.rs
+++ b/components/policy/tests/dispatch/model.rs
@@ -4,7 +4,7 @@
 
 use chervilgate_clock::Time;
 use chervilgate_policy::{
-    DispatchLimits, DispatchQueue, Fit, Forecast, LatencyTargets, OrgId, Ticket, Turn,
+    DispatchLimits, DispatchQueue, Fit, Forecast, LatencyTargets, OrgId, Supply, Ticket, Turn,
     WaitingRequest,
 };
 use rand::{RngExt, SeedableRng};
@@ -21,7 +21,7 @@
 const SPEEDS: [f64; 3] = [0.6, 1.0, 1.6];
 
 /// Share of the engines that requests of less urgent kinds leave to the more urgent ones.
-const RESERVED_SHARE: f64 = 0.3;
+const RESERVED_SHARE: f64 = 0.5;
 
 /// Share of the prompts whose shared part is not cached.
 const COLD_SHARE: f64 = 0.25;
@@ -446,7 +446,13 @@
                 *last += 1;
                 let ticket = Ticket(*last);
                 requests.insert(ticket, request);
-                match queue.enqueue(now, ticket, waiting, spread) {
+                let waits = model.serving().map(|engine| model.wait(now, engine));
+                let late_wait = model.targets.late_wait(waiting.priority);
+                let supply = Supply {
+                    until_capacity: waits.min().unwrap_or_default().saturating_sub(late_wait),
+                    targets: model.serving().count(),
+                };
+                match queue.enqueue(now, ticket, waiting, supply, spread) {
                     Ok(refused) => {
                         for (ticket, _) in refused {
                             model.refuse(&requests[&ticket]);
