--- /dev/null
+++ b/components/gateway/tests/admission.rs
@@ -0,0 +1,172 @@
+//! Tests of which requests are sent, wait or are refused, without a network.
+
+use std::{sync::Arc, time::Duration};
+
+use chervilgate_clock::Time;
+use chervilgate_gateway::{
+    Prompt, PromptPart,
+    admission::{Admission, Applicant, Decision, Offer, Queues, WaitingCount, YieldReason},
+    fleet::{
+        AttemptId, AttemptOutcome, Build, Fleet, Placement, Plan, TargetEntry, TargetQuery,
+        TargetRole,
+    },
+};
+use chervilgate_policy::LatencyTargets;
+
+const NOW: Time = Time::from_secs(5);
+const LONG: u8 = 2;
+const SHORT: u8 = 0;
+
+fn fleet(role: TargetRole, targets: u8) -> Fleet {
+    let entries = (0..targets).map(|number| TargetEntry {
+        id: format!("t{number}").into(),
+        service: "s".into(),
+        addr: ([10, 0, 0, number], 80).into(),
+        zone: "a".into(),
+        slots: 2,
+        draining: false,
+        role,
+        build: Build::default(),
+        incarnation: 1,
+        sequence: 0,
+        reclaimable: false,
+    });
+    let mut fleet = Fleet::new("a", Duration::from_secs(2));
+    fleet.replace(Time::from_secs(1), entries.collect());
+    fleet
+}
+
+fn targets() -> Arc<LatencyTargets> {
+    let mut targets = LatencyTargets::default();
+    targets.add(SHORT, Duration::from_millis(250));
+    targets.add(LONG, Duration::from_millis(800));
+    Arc::new(targets)
+}
+
+fn prompt(tokens: u32) -> Prompt {
+    let parts = [PromptPart { id: u64::from(tokens), tokens }];
+    Prompt { tokens, max_output: 10, parts: parts.into_iter().collect() }
+}
+
+fn offer(queues: &mut Queues, fleet: &Fleet, now: Time, prompt: &Prompt, priority: u8) -> Offer {
+    let target = if priority == SHORT { 250 } else { 800 };
+    let applicant = Applicant {
+        query: TargetQuery { service: "s", prompt, exclude: &[], build: None, max_pause: None },
+        org: Some("org"),
+        priority,
+        arrived_at: now,
+        on_time_by: now + Duration::from_millis(target),
+        deadline: now + Duration::from_secs(5),
+        bytes: 10,
+    };
+    queues.offer(now, fleet, &targets(), &applicant, 0.5)
+}
+
+/// Counts a request as in flight as planned.
+fn start(fleet: &mut Fleet, plan: &Plan, prompt: &Prompt) -> (Placement, AttemptId) {
+    let placement = plan.prefill.clone().unwrap_or_else(|| plan.placement.clone());
+    let attempt = fleet.start(NOW, &placement, prompt);
+    (placement, attempt)
+}
+
+fn sent(decisions: &[Decision]) -> usize {
+    decisions.iter().filter(|decision| matches!(decision, Decision::Send(..))).count()
+}
+
+/// A fleet of plain targets whose slots are all taken, and the requests that take them.
+fn full_plain_fleet() -> (Fleet, Queues, Vec<(Placement, AttemptId)>) {
+    let (mut fleet, mut queues) = (fleet(TargetRole::Whole, 2), Queues::default());
+    let mut open = Vec::new();
+    while let Offer::Send(plan) = offer(&mut queues, &fleet, NOW, &Prompt::default(), LONG) {
+        open.push(start(&mut fleet, &plan, &Prompt::default()));
+    }
+    (fleet, queues, open)
+}
+
+#[test]
+fn plain_requests_take_the_slots_of_all_targets_and_then_wait() {
+    let (fleet, mut queues, open) = full_plain_fleet();
+
+    assert_eq!((open.len(), queues.waiting()[0].1), (4, 1));
+    assert_eq!(sent(&queues.poll(NOW, &fleet, false, &mut || 0.5)), 0);
+}
+
+#[test]
+fn a_waiting_request_is_sent_when_one_of_its_host_ends() {
+    let (mut fleet, mut queues, open) = full_plain_fleet();
+    let other =
+        WaitingCount { service: queues.report()[0].service, priority: LONG, waiting: 1_000 };
+    queues.apply_report(NOW, 7, vec![other]);
+    let (placement, attempt) = &open[0];
+    fleet.finish(NOW, placement, *attempt, AttemptOutcome::Answered);
+
+    // What others see too is taken by few of those that wait.
+    let by_chance = queues.poll(NOW, &fleet, false, &mut || 0.5);
+    let own = queues.poll(NOW, &fleet, true, &mut || 0.5);
+
+    assert_eq!((sent(&by_chance), sent(&own), queues.is_empty()), (0, 1, true));
+}
+
+// Guards against callers that are gone and still take capacity, or are counted as waiting.
+#[test]
+fn a_caller_that_leaves_frees_its_place() {
+    let (fleet, mut queues, _) = full_plain_fleet();
+    let Offer::Wait(ticket) = offer(&mut queues, &fleet, NOW, &Prompt::default(), LONG) else {
+        panic!("has to wait")
+    };
+
+    queues.cancel(ticket);
+
+    assert_eq!(queues.waiting()[0].1, 1);
+}
+
+#[test]
+fn a_waiting_request_is_refused_at_its_latest_start() {
+    let (fleet, mut queues, _) = full_plain_fleet();
+
+    let before = queues.poll(NOW + Duration::from_millis(4_990), &fleet, false, &mut || 0.5);
+    let after = queues.poll(NOW + Duration::from_millis(5_000), &fleet, false, &mut || 0.5);
+
+    assert_eq!(before, []);
+    let [Decision::Refuse(_, yielded)] = &after[..] else { panic!("{after:?}") };
+    assert_eq!(yielded.reason, YieldReason::Expired);
+    assert!(queues.is_empty());
+}
+
+// Guards against long prompts of the least urgent kind that fill all engines, so that urgent ones are late.
+#[test]
+fn long_prompts_leave_engines_to_urgent_requests() {
+    let (mut fleet, mut queues) = (fleet(TargetRole::Decode, 8), Queues::default());
+    let mut long = 0;
+    for number in 0..8 {
+        let prompt = prompt(17_000 + number);
+        if let Offer::Send(plan) = offer(&mut queues, &fleet, NOW, &prompt, LONG) {
+            start(&mut fleet, &plan, &prompt);
+            long += 1;
+        }
+    }
+
+    let urgent = offer(&mut Queues::default(), &fleet, NOW, &prompt(1_400), SHORT);
+
+    assert!((2..=5).contains(&long), "{long}");
+    assert!(matches!(urgent, Offer::Send(_)), "{urgent:?}");
+}
+
+#[test]
+fn what_is_free_is_placed_as_without_admission() {
+    let (fleet, mut queues) = (fleet(TargetRole::Decode, 8), Queues::default());
+    for tokens in [1_400, 9_000, 17_000] {
+        let prompt = prompt(tokens);
+        let query = TargetQuery {
+            service: "s",
+            prompt: &prompt,
+            exclude: &[],
+            build: None,
+            max_pause: None,
+        };
+
+        let offered = offer(&mut queues, &fleet, NOW, &prompt, LONG);
+
+        assert_eq!(offered, Offer::Send(Box::new(fleet.place(NOW, &query).unwrap())));
+    }
+}
