--- a/components/gateway/src/config.rs
+++ b/components/gateway/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use chervilgate_policy::LatencyTargets;
 use smallvec::SmallVec;
 
 use crate::hash::stable_hash;
@@ -215,8 +216,8 @@
     pub limits: CallerLimits,
     /// Shortest of the pauses that the routes of a service allow, by service.
     max_pauses: HashMap<Arc<str>, Duration>,
-    /// Shortest latency target of the routes of a service, by service.
-    latency_targets: HashMap<Arc<str>, Duration>,
+    /// Shortest latency targets by priority, by service.
+    latency_targets: HashMap<Arc<str>, Arc<LatencyTargets>>,
     /// Organisations with quotas, by hash of their names.
     quotas: HashMap<u64, (Arc<str>, Quota)>,
 }
@@ -237,11 +238,13 @@
     ) -> Config {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         let mut max_pauses: HashMap<Arc<str>, Duration> = HashMap::new();
-        let mut latency_targets: HashMap<Arc<str>, Duration> = HashMap::new();
+        let mut latency_targets: HashMap<Arc<str>, LatencyTargets> = HashMap::new();
         for route in routes {
             for (service, _) in &route.services {
-                let target = latency_targets.entry(service.clone()).or_insert(route.latency_target);
-                *target = route.latency_target.min(*target);
+                if route.has_latency_target() {
+                    let targets = latency_targets.entry(service.clone()).or_default();
+                    targets.add(route.priority, route.latency_target);
+                }
                 let Some(pause) = route.max_pause else { continue };
                 let known = max_pauses.entry(service.clone()).or_insert(pause);
                 *known = pause.min(*known);
@@ -251,6 +254,9 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
+        let latency_targets = latency_targets.into_iter();
+        let latency_targets =
+            latency_targets.map(|(service, targets)| (service, Arc::new(targets))).collect();
         let orgs = keys.iter().flat_map(HashMap::values);
         let quotas =
             orgs.filter_map(|org| Some((org_hash(&org.name), (org.name.clone(), org.quota?))));
@@ -280,6 +286,11 @@
         &self.quotas
     }
 
+    /// Latency targets of the routes of `service`; none if no route has any.
+    pub fn latency_targets(&self, service: &str) -> Option<&Arc<LatencyTargets>> {
+        self.latency_targets.get(service)
+    }
+
     /// Longest pause with which any stream of `service` is on time; none if unspecified.
     pub fn max_pause(&self, service: &str) -> Option<Duration> {
         self.max_pauses.get(service).copied()
@@ -287,7 +298,7 @@
 
     /// Shortest latency target of the routes of `service`; none if no route leads to it.
     pub fn latency_target(&self, service: &str) -> Option<Duration> {
-        self.latency_targets.get(service).copied()
+        self.latency_targets.get(service).map(|targets| targets.shortest())
     }
 
     /// The route of `host` with the longest prefix of `path`.
@@ -299,6 +310,11 @@
 }
 
 impl Route {
+    /// Whether it has a latency target; without one, the timeout stands in its place.
+    pub fn has_latency_target(&self) -> bool {
+        self.latency_target < self.timeout
+    }
+
     /// Picks a service by weight; `draw` is a random number from 0 to 1.
     pub fn pick_service(&self, draw: f64) -> Option<&Arc<str>> {
         let total: u32 = self.services.iter().map(|(_, weight)| weight).sum();
--- a/components/gateway/src/failure.rs
+++ b/components/gateway/src/failure.rs
@@ -46,6 +46,9 @@
     /// No target can start the request before its deadline; the caller may retry after
     /// this time.
     Late(Duration),
+    /// Targets have no capacity beside that for requests that come before this one; the caller may retry
+    /// after this time.
+    Yielded(Duration),
     /// The deadline passed before the request was sent to a target.
     Expired,
     /// This host stops before it could answer, and the request was not sent to a target.
@@ -84,6 +87,7 @@
             | Failure::NoTarget
             | Failure::TargetsFull
             | Failure::Late(_)
+            | Failure::Yielded(_)
             | Failure::Limited(_)
             | Failure::Resting(_)
             | Failure::UnknownBuild
@@ -111,6 +115,7 @@
             Failure::QuotaUnknown => Some(Duration::from_millis(300)),
             Failure::OverQuota(span)
             | Failure::Late(span)
+            | Failure::Yielded(span)
             | Failure::Limited(span)
             | Failure::Resting(span)
             | Failure::PoisonPart(span) => Some(span),
@@ -134,6 +139,7 @@
             Failure::OverQuota(_) => "over-quota",
             Failure::QuotaUnknown => "quota-unknown",
             Failure::Late(_) => "late",
+            Failure::Yielded(_) => "yielded",
             Failure::Limited(_) => "limited",
             Failure::Resting(_) => "resting",
             Failure::UnknownBuild => "unknown-build",
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -8,6 +8,7 @@
 //! has reported.
 
 mod builds;
+mod capacity;
 mod demand;
 mod departures;
 mod ends;
@@ -54,6 +55,7 @@
 
 pub use crate::fleet::{
     builds::{Build, BuildId, STREAM_LIFE, SeenBuilds, ServiceBuild},
+    capacity::{Capacity, CapacityClaim},
     demand::{EngineSpeeds, StageCounts},
     ends::EndNotice,
     entry::{TargetCounts, TargetEntry, TargetRole},
--- a/components/gateway/src/fleet/plan.rs
+++ b/components/gateway/src/fleet/plan.rs
@@ -76,7 +76,8 @@
     /// Predicted time until the target takes the request, in milliseconds: what more targets would
     /// shorten.
     pub fn target_wait_ms(&self) -> f64 {
-        self.wait_ms
+        let import = self.import.as_ref().map_or(0.0, |import| import.transfer_ms);
+        self.wait_ms - import
     }
 
     /// Predicted time until the prompt is computed.
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -17,6 +17,7 @@
     joining::{check_answer, is_framed},
     protocol::RequestStage,
     state::Shared,
+    waiting::place_in_turn,
 };
 
 /// Maximum number of unreachable or replaced targets after which a request is still sent
@@ -42,11 +43,19 @@
     pub(crate) tried: SmallVec<[Arc<str>; 4]>,
     /// Number of times the request may have run.
     pub(crate) runs: u32,
+    /// Time that the request waited for capacity.
+    pub(crate) waited: Duration,
     unreachable: u32,
     refused: u32,
 }
 
 impl Attempts {
+    /// Whether the request has not been sent so far. One that has is not held back: its caller could not
+    /// be told that it did not run.
+    pub(crate) fn is_first(&self) -> bool {
+        self.tried.is_empty() && self.runs == 0
+    }
+
     /// Counts a target that did not run the request; returns whether another may be
     /// tried.
     pub(crate) fn may_retry_not_run(
@@ -189,7 +198,14 @@
             max_pause: None,
             runs_once: attempts.is_last_run(call),
         };
-        let placement = shared.state().fleet.place(now, &query);
+        let placement = if attempts.is_first() {
+            let (plan, waited) = place_in_turn(shared, call, query).await?;
+            attempts.waited = waited;
+            plan
+        } else {
+            shared.state().fleet.place(now, &query)
+        };
+        let now = shared.now();
         let Some(plan) = placement else {
             shared.state().fleet.record_unplaced(&call.service, &call.ask.prompt);
             return Err(attempts.no_target_failure(shared, now, &call.service, None));
@@ -197,7 +213,7 @@
         check_deadline(now, call.deadline, &attempts, plan.predicted_time())
             .inspect_err(|_| shared.state().fleet.record_refused(&call.service, &plan))?;
         let mut in_flight = InFlight::new(shared, plan.placement, call);
-        in_flight.log_placed(call, false);
+        in_flight.log_placed(call, false, attempts.waited);
         attempts.tried.push(in_flight.placement.id.clone());
         match send(shared, call, &mut in_flight, Duration::MAX, RequestStage::Whole, None).await {
             SendOutcome::Answered(response) => {
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -26,6 +26,7 @@
     quota::{OwnerNotice, OwnerRotation, QuotaAsk, announce_owner, ask_quota, candidate_key},
 };
 use crate::{
+    admission::WaitingCount,
     demand::DemandReport,
     fleet::{CachedPart, EndNotice, GroupReport, InFlightWork, LimitNotice, OutcomeNotice},
     gossip::news::{
@@ -53,6 +54,10 @@
 /// cycle are sent.
 const IDLE_ROUND_CYCLE: u32 = 4;
 
+/// Number of rounds in which hosts are told that no request waits any more: what they were told
+/// before counts for no longer.
+const CLEARING_ROUNDS: u32 = 15;
+
 /// Interval at which usage counts are sent to the lease holder: a killed host loses
 /// what it counted since.
 const COUNTS_INTERVAL: Duration = Duration::from_millis(800);
@@ -106,6 +111,8 @@
     QuotaAnswered(QuotaAnswer),
     QuotaOwner(OwnerNotice),
     Outcomes(OutcomeMessage),
+    /// Requests that wait at the sender, whose gossip id comes first.
+    Waiting(u32, Vec<WaitingCount>),
 }
 
 /// What a host has seen of targets with failures.
@@ -143,6 +150,7 @@
 pub(crate) async fn send_work(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let host = shared.gossip_id();
     let mut idle_rounds = 0;
+    let mut rounds_without_waiting = u32::MAX;
     let mut rotation = PeerRotation::default();
     loop {
         sleep(MIN_BROADCAST_INTERVAL).await;
@@ -152,7 +160,7 @@
         correct_clock(&shared);
         let now = shared.now();
         let time = shared.wall_clock().at(now).as_micros() as u64;
-        let (work, parts, failed_runs, evidence, limits, outcomes, peers, in_charge) = {
+        let (work, parts, failed_runs, evidence, limits, outcomes, waiting, peers, in_charge) = {
             let mut state = shared.state();
             let mut failed_runs = state.poison.runs_to_gossip(now);
             // Not all may fit; each round tells of others.
@@ -164,15 +172,23 @@
             let evidence = state.poison.evidence_to_gossip(now);
             let work = state.fleet.in_flight_work(now);
             let limits = state.fleet.limit_notices(now, true);
-            (work, parts, failed_runs, evidence, limits, outcomes, peers, state.holds_lease)
+            let waiting = state.admission.report();
+            let in_charge = state.holds_lease;
+            (work, parts, failed_runs, evidence, limits, outcomes, waiting, peers, in_charge)
         };
+        rounds_without_waiting =
+            if waiting.is_empty() { rounds_without_waiting.saturating_add(1) } else { 0 };
+        // Hosts that were told of waiting requests are told that none wait any more.
+        let waiting = (rounds_without_waiting <= CLEARING_ROUNDS)
+            .then(|| encode(&Message::Waiting(host, waiting)))
+            .flatten();
         let evidence = encode_evidence(evidence);
         let limits = encode_limits(limits);
         let outcomes = encode_outcomes(host, outcomes);
         // The first empty round clears what was sent last; later ones only show that this host is
         // alive.
         let is_idle = work.is_empty() && parts.is_empty() && failed_runs.is_empty();
-        let is_idle = is_idle && limits.is_none() && outcomes.is_none();
+        let is_idle = is_idle && limits.is_none() && outcomes.is_none() && waiting.is_none();
         idle_rounds = if is_idle && evidence.is_none() { idle_rounds + 1 } else { 0 };
         if idle_rounds % IDLE_ROUND_CYCLE > 1 && !urgent {
             continue;
@@ -184,8 +200,13 @@
         }
         let recipients = if urgent { peers } else { rotation.next(peers, FANOUT) };
         for peer in recipients {
-            let datagrams =
-                [Some(&datagram), evidence.as_ref(), limits.as_ref(), outcomes.as_ref()];
+            let datagrams = [
+                Some(&datagram),
+                evidence.as_ref(),
+                limits.as_ref(),
+                outcomes.as_ref(),
+                waiting.as_ref(),
+            ];
             for datagram in datagrams.into_iter().flatten() {
                 send_datagram(&socket, datagram, peer).await;
             }
@@ -449,6 +470,10 @@
                 let now = shared.now();
                 shared.state().fleet.apply_limit_notices(now, &notices);
             }
+            Ok(Message::Waiting(host, counts)) => {
+                let now = shared.now();
+                shared.state().admission.apply_report(now, host, counts);
+            }
             Ok(Message::Ends(notices)) => {
                 let now = shared.now();
                 shared.state().fleet.apply_ends(now, &notices);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,15 +2,16 @@
 //!
 //! Each host runs one gateway process. It serves callers, tells them which hosts to use, and
 //! competes for the lease on the duties that only one process at a time performs. Decisions are
-//! made in modules without I/O or clocks ([`build_record`], [`config`], [`demand`], [`fleet`],
-//! [`freshness`], [`joining`], [`lease`], [`membership`], [`memory`], [`origins`], [`outage`],
-//! [`planner`], [`poison`], [`quota`], [`repeats`], [`stopping`], [`usage`], [`verdict`],
-//! [`view`]); the other modules do the I/O and call them.
+//! made in modules without I/O or clocks ([`admission`], [`build_record`], [`config`], [`demand`],
+//! [`fleet`], [`freshness`], [`joining`], [`lease`], [`membership`], [`memory`], [`origins`],
+//! [`outage`], [`planner`], [`poison`], [`quota`], [`repeats`], [`stopping`], [`usage`],
+//! [`verdict`], [`view`]); the other modules do the I/O and call them.
 //!
 //! External systems are reached through traits: [`Protocol`] for the headers of callers
 //! and targets, [`Decoder`] for stored objects, and the traits of the clients crate for
 //! the store, target orders and usage reports.
 
+pub mod admission;
 mod answered_over;
 mod attempt;
 mod body;
@@ -51,6 +52,7 @@
 pub mod usage;
 pub mod verdict;
 pub mod view;
+mod waiting;
 mod watch;
 
 pub use chervilgate_policy::QuotaBounds;
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -30,6 +30,7 @@
     protocol::RequestStage,
     state::Shared,
     takeover::{find_origin, record_origin},
+    waiting::place_in_turn,
 };
 
 /// Maximum number of separate prefills per request.
@@ -137,8 +138,15 @@
                     Failure::Expired
                 });
             }
-            let plan = self.shared.state().fleet.place(now, &self.query());
-            let Some(plan) = plan else {
+            let placement = if self.attempts.is_first() {
+                let (plan, waited) = place_in_turn(&self.shared, &self.call, self.query()).await?;
+                self.attempts.waited = waited;
+                plan
+            } else {
+                self.shared.state().fleet.place(now, &self.query())
+            };
+            let now = self.shared.now();
+            let Some(plan) = placement else {
                 let (service, prompt) = (&self.call.service, &self.call.ask.prompt);
                 self.shared.state().fleet.record_unplaced(service, prompt);
                 return Err(self.attempts.no_target_failure(
@@ -155,7 +163,7 @@
             let (export, placement) = self.prefill(plan).await?;
             let (shared, call) = (self.shared.clone(), self.call.clone());
             let mut in_flight = InFlight::new(&shared, placement, &call);
-            in_flight.log_placed(&call, export.is_some());
+            in_flight.log_placed(&call, export.is_some(), self.attempts.waited);
             let work = match &export {
                 Some(export) => {
                     RequestStage::Decode { addr: export.placement().addr, handle: export.handle() }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 pub mod demand;
+mod dispatch;
 mod ids;
 mod limit;
 mod meter;
@@ -27,6 +28,10 @@
 
 pub use crate::{
     admission::{Actions, AdmissionQueue, FairShare, QueueAction, QueueSettings},
+    dispatch::{
+        DispatchLimits, DispatchQueue, FAIR_TURN_INTERVAL, Fit, Forecast, LatencyTargets, Refused,
+        Supply, Turn, WaitingRequest, YieldReason, Yielded,
+    },
     ids::{BlockHash, HostId, OrgId, ServiceId, TargetId, Ticket, Zone},
     limit::{ShareBudget, is_first_holder, share_of_limit},
     meter::{Demand, DemandMeter},
