Predict pauses of streams from the tokens in an event

Cause: the cost of late streams was learned from streams that were late already, and was the same for engines of all speeds.

Change: where the configuration states the tokens of an event, placing predicts the pause from them, a chunk of prompt tokens per step and the learned speed of the engine. Prompts are then computed apart or on faster engines where they would make streams late, and beside streams where not.

--- a/components/gateway/src/config.rs
+++ b/components/gateway/src/config.rs
@@ -200,6 +200,15 @@
         terms.collect()
     }
 
+    /// Tokens in an event of a stream, by service that states it.
+    pub fn event_tokens(&self) -> HashMap<Arc<str>, u32> {
+        let services = self.services.iter();
+        let stated = services.filter_map(|(name, service)| {
+            Some((name.clone(), service.engine.as_ref()?.event_tokens?))
+        });
+        stated.collect()
+    }
+
     /// Longest pause with which any stream of `service` is on time; none if unspecified.
     pub fn max_pause(&self, service: &str) -> Option<Duration> {
         self.max_pauses.get(service).copied()
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -123,6 +123,8 @@
     /// Speeds by group, which [`TargetState::group`] identifies.
     speeds: HashMap<u32, GroupSpeed>,
     pauses: PauseMeter,
+    /// Tokens in an event of a stream, by service; services without are not known.
+    event_tokens: HashMap<Arc<str>, u32>,
     imports: Imports,
 }
 
@@ -161,6 +163,7 @@
             last_attempt: 0,
             speeds: HashMap::new(),
             pauses: PauseMeter::default(),
+            event_tokens: HashMap::new(),
             imports: Imports::default(),
         }
     }
@@ -337,6 +340,11 @@
         self.pauses.record(now, late);
     }
 
+    /// Sets the tokens in an event of a stream by service, by the configuration.
+    pub fn set_event_tokens(&mut self, event_tokens: HashMap<Arc<str>, u32>) {
+        self.event_tokens = event_tokens;
+    }
+
     /// What this host has seen of the targets' speeds, to send to other hosts.
     pub fn speed_reports(&self, now: Time) -> Vec<GroupReport> {
         let reports = self.speeds.iter();
--- a/components/gateway/src/fleet/placing.rs
+++ b/components/gateway/src/fleet/placing.rs
@@ -35,6 +35,10 @@
 /// may hold several tokens, whose steps take the rest of the pause.
 const LATE_PAUSE_SHARES: (f64, f64) = (0.3, 0.6);
 
+/// The same where the tokens of an event are known, relative to the predicted pause: an event has
+/// to wait for the steps of its own tokens only, and predictions are off by some percent.
+const LATE_EVENT_SHARES: (f64, f64) = (0.8, 1.1);
+
 /// Cost of making a stream late.
 const LATE_STREAM_COST_MS: f64 = 100.0;
 
@@ -101,14 +105,15 @@
     }
 
     /// Cost of the streams that computing a prompt on a decode engine makes late, in
-    /// milliseconds. Streams that the prompts before it make late anyway do not count, and
-    /// none where streams are hardly ever late.
+    /// milliseconds. Streams that the prompts before it make late anyway do not count. If the
+    /// tokens of an event are not known, none count where streams are hardly ever late.
     fn late_streams_cost(
         &self,
         now: Time,
         state: &TargetState,
         missing: UncachedTokens,
         query: &TargetQuery<'_>,
+        event_tokens: Option<u32>,
     ) -> f64 {
         let Some(max_pause) = query.max_pause.filter(|_| state.entry.role == TargetRole::Decode)
         else {
@@ -119,11 +124,16 @@
         let pending = state.pending_ms + f64::from(others.pending_ms);
         let own =
             state.prefill_time_ms(missing.shared.saturating_add(missing.own), query.prompt.tokens);
-        let (first, all) = LATE_PAUSE_SHARES;
         let max_ms = max_pause.as_secs_f64().max(f64::MIN_POSITIVE) * 1e3;
-        let late = |pause: f64| ((pause / max_ms - first) / (all - first)).clamp(0.0, 1.0);
+        let pause = |work_ms| match event_tokens {
+            Some(tokens) => state.pause_ms(work_ms, query.prompt.tokens, tokens),
+            None => work_ms,
+        };
+        let (first, all) = event_tokens.map_or(LATE_PAUSE_SHARES, |_| LATE_EVENT_SHARES);
+        let late = |work: f64| ((pause(work) / max_ms - first) / (all - first)).clamp(0.0, 1.0);
         let newly_late = (late(pending + own) - late(pending)) * f64::from(streams);
-        newly_late * LATE_STREAM_COST_MS * self.pauses.relevance(now)
+        let relevance = event_tokens.map_or_else(|| self.pauses.relevance(now), |_| 1.0);
+        newly_late * LATE_STREAM_COST_MS * relevance
     }
 
     /// Predicted time until a target starts a new request, in milliseconds.
@@ -160,6 +170,7 @@
             _ => 0.0,
         };
         let sources = self.import_sources(now, query, ranked.iter().map(|(state, _)| *state));
+        let event_tokens = self.event_tokens.get(query.service).copied();
         let import_hit_rate = self.imports.hit_rate(now);
         let eligible = ranked.into_iter().filter(|(state, _)| {
             has_role(state.entry.role) && !query.exclude.contains(&state.entry.id)
@@ -173,7 +184,7 @@
             let prefill_cost = |missing: UncachedTokens| {
                 state.prefill_time_ms(missing.shared, query.prompt.tokens) * RECOMPUTE_WEIGHT
                     + state.prefill_time_ms(missing.own, query.prompt.tokens)
-                    + self.late_streams_cost(now, state, missing, query)
+                    + self.late_streams_cost(now, state, missing, query, event_tokens)
             };
             let computed_cost = prefill_cost(missing);
             let offer = (!sources.is_empty() && missing.shared > 0)
--- a/components/gateway/src/fleet/target.rs
+++ b/components/gateway/src/fleet/target.rs
@@ -32,6 +32,12 @@
 /// steps of its batch.
 const IN_FLIGHT_COST_MS: f64 = 6.0;
 
+/// Prompt tokens that a decode engine computes in a step beside its streams.
+const CHUNK_TOKENS: u32 = 512;
+
+/// Reference time of a decode engine's step without prompt tokens.
+const STEP_MS: f64 = 3.7;
+
 /// Reference run time of a request of a plain service; divided by the target's slots, it
 /// is the delay that each request in flight adds to the next one.
 const PLAIN_REQUEST_MS: f64 = 40.0;
@@ -325,6 +331,15 @@
         reference * slowdown * self.speed_factor
     }
 
+    /// Predicted pause of streams whose events hold `event_tokens` tokens while the engine computes
+    /// `work_ms` milliseconds of prompts of `prompt_tokens` tokens: each token takes a step, which
+    /// computes a chunk as long as there is work.
+    pub(super) fn pause_ms(&self, work_ms: f64, prompt_tokens: u32, event_tokens: u32) -> f64 {
+        let steps = f64::from(event_tokens);
+        let chunks_ms = steps * self.prefill_time_ms(CHUNK_TOKENS, prompt_tokens);
+        steps * STEP_MS * self.speed_factor + work_ms.min(chunks_ms)
+    }
+
     /// Predicted time until the target starts a new request, in milliseconds. The other
     /// hosts have `others_open` requests and `others_pending` milliseconds of prompt
     /// computation on it.
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -290,10 +290,11 @@
         match config {
             Ok(config) => {
                 let (version, at) = (config.version, object.version);
-                let terms = config.import_terms();
+                let (terms, event_tokens) = (config.import_terms(), config.event_tokens());
                 let state = &mut *shared.state();
                 if state.view.replace_if_newer(config) {
                     state.fleet.set_import_terms(terms);
+                    state.fleet.set_event_tokens(event_tokens);
                     log::info!(target: "view", version, at:%; "configuration adopted");
                 } else if let Some(newer) = state.view.version()
                     && newer > version
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -578,6 +578,62 @@
     assert_eq!(&*engine_beside_streams(10), "p0");
 }
 
+/// A prompt that shares nothing.
+fn own_prompt(id: u64) -> Prompt {
+    let parts = [PromptPart { id, tokens: 9_000 }];
+    Prompt { tokens: 9_000, max_output: 12, parts: parts.into_iter().collect() }
+}
+
+/// The engine that computes a prompt of 9,000 tokens. Each decode engine has a relative speed of
+/// `speeds`, which the host has learned, and 20 streams, which may pause for 250 ms; the last one
+/// has work of `pending` milliseconds too, and the prefill engine of 600.
+fn engine_beside_events(speeds: &[f64], pending: u16, event_tokens: u32) -> Arc<str> {
+    let mut now = Time::from_secs(2);
+    let mut fleet = fleet(&engines(1, speeds.len()));
+    fleet.set_event_tokens([(SERVICE.into(), event_tokens)].into_iter().collect());
+    let ids: Vec<Arc<str>> = (0..speeds.len()).map(|index| format!("d{index}").into()).collect();
+    for own in 0..8 {
+        for (id, speed) in ids.iter().zip(speeds) {
+            let prompt = own_prompt(own);
+            let others: Vec<Arc<str>> = ids.iter().filter(|other| *other != id).cloned().collect();
+            let placement = fleet.place_whole(now, &query(&prompt, &others)).unwrap();
+            let attempt = fleet.start(now, &placement, &prompt);
+            now += placement.predicted_time().div_f64(*speed);
+            fleet.finish(now, &placement, attempt, AttemptOutcome::Answered);
+        }
+    }
+    fleet.update_speeds(now);
+    let hash = |id: &str| hash_of(id, TargetRole::Decode);
+    let streams = |id: &Arc<str>| {
+        let pending = if Some(id) == ids.last() { pending } else { 0 };
+        InFlightWork { target: hash(id), pending, open: 20, failing: 0 }
+    };
+    let busy = InFlightWork { target: hash("p0"), pending: 600, open: 1, failing: 0 };
+    fleet.apply_peer_work(now, 1, ids.iter().map(streams).chain([busy]).collect());
+    let prompt = own_prompt(99);
+    let max_pause = Some(Duration::from_millis(250));
+    let plan = fleet.place(now, &TargetQuery { max_pause, ..query(&prompt, &[]) }).unwrap();
+    plan.prefill.unwrap_or(plan.placement).id
+}
+
+// Guards against prompts computed beside streams that this makes late: in deployment A a chunk takes
+// 35 ms on an engine of speed 0.6, so that events of eight tokens are 280 ms apart, of 250 ms allowed.
+#[test]
+fn prompts_keep_off_engines_that_are_too_slow_for_the_events_of_their_streams() {
+    assert_eq!(&*engine_beside_events(&[0.6], 0, 1), "d0");
+    assert_eq!(&*engine_beside_events(&[0.6], 0, 8), "p0");
+    assert_eq!(&*engine_beside_events(&[0.6, 1.6], 400, 1), "d0");
+    assert_eq!(&*engine_beside_events(&[0.6, 1.6], 400, 8), "d1");
+    assert_eq!(&*engine_beside_events(&[0.6, 1.0, 1.6], 0, 8), "d2");
+}
+
+// Guards against prompts that wait elsewhere although no stream would be late.
+#[test]
+fn prompts_stay_beside_streams_on_engines_that_are_fast_enough() {
+    assert_eq!(&*engine_beside_events(&[1.0], 0, 8), "d0");
+    assert_eq!(&*engine_beside_events(&[1.6], 0, 8), "d0");
+}
+
 /// A fleet that imports prefixes, whose only holder of the shared part of `prompt(7, _)` has much
 /// work of other hosts; with the holder's placement.
 fn fleet_with_busy_holder(now: Time, entries: &[TargetEntry]) -> (Fleet, Placement) {
