--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -130,6 +130,8 @@
     speeds: HashMap<u32, GroupSpeed>,
     pauses: PauseMeter,
     work: WorkMeter,
+    /// Tokens in an event of a stream, by service; services without are not known.
+    event_tokens: HashMap<Arc<str>, u32>,
     imports: Imports,
 }
 
@@ -175,6 +177,7 @@
             speeds: HashMap::new(),
             pauses: PauseMeter::default(),
             work: WorkMeter::default(),
+            event_tokens: HashMap::new(),
             imports: Imports::default(),
         }
     }
@@ -354,6 +357,11 @@
         self.pauses.record(now, late);
     }
 
+    /// Sets the tokens in an event of a stream by service, by the configuration.
+    pub fn set_event_tokens(&mut self, event_tokens: HashMap<Arc<str>, u32>) {
+        self.event_tokens = event_tokens;
+    }
+
     /// What this host has seen of the targets' speeds, to send to other hosts.
     pub fn speed_reports(&self, now: Time) -> Vec<GroupReport> {
         let reports = self.speeds.iter();
--- a/components/gateway/tests/load/simulation.rs
+++ b/components/gateway/tests/load/simulation.rs
@@ -448,6 +448,7 @@
                 exclude: &[],
                 build: None,
                 max_pause: Some(self.sheet.max_pause),
+                runs_once: class.runs_once,
             },
             org: None,
             priority: class.priority,
