Tell the speeds of single targets between hosts

Cause: each host learned the speed of a target from its own responses alone, which takes about a minute with 4 requests a second and 90 engines.

Change: once a second each host tells four others the median and number of its observations of the 40 targets seen last (Message::TargetSpeeds). A target's factor is the weighted median over hosts and group. Reports name the start of the target, so that a restarted one begins at the group's factor.

--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -70,6 +70,10 @@
 /// latest are kept.
 const MAX_GOSSIP_PARTS: usize = 40;
 
+/// Maximum number of targets' speeds in a message, so that it fits into one datagram; the
+/// latest are kept.
+const MAX_GOSSIP_SPEEDS: usize = 40;
+
 /// Time after a store outage for which a target without an entry is kept, as a share of
 /// the time in which a draining target may still get work.
 const EXPIRED_ENTRY_SHARE: f64 = 0.9;
@@ -138,6 +142,18 @@
     pub report: SpeedReport,
 }
 
+/// What a host has seen of the speed of one start of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TargetSpeedReport {
+    /// Hash of the target's id.
+    pub target: u32,
+    /// Hash of its id and start.
+    pub start: u32,
+    /// What was seen.
+    pub report: SpeedReport,
+}
+
 /// Identifies an attempt to run a request on a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AttemptId(u64);
@@ -364,6 +380,30 @@
         }
     }
 
+    /// What this host has seen of single targets' speeds, to send to other hosts: the latest.
+    pub fn target_speed_reports(&self, now: Time) -> Vec<TargetSpeedReport> {
+        let seen = self.targets.values().filter_map(|state| Some((state.speed.latest()?, state)));
+        let mut seen: Vec<(Time, &TargetState)> = seen.collect();
+        seen.sort_unstable_by_key(|(at, _)| std::cmp::Reverse(*at));
+        let reports = seen.into_iter().take(MAX_GOSSIP_SPEEDS).filter_map(|(_, state)| {
+            let (target, start) = (state.id_hash, state.start_hash);
+            Some(TargetSpeedReport { target, start, report: state.speed.report(now)? })
+        });
+        reports.collect()
+    }
+
+    /// Replaces what another host reported of single targets' speeds before.
+    pub fn apply_target_speeds(&mut self, now: Time, host: u32, reports: &[TargetSpeedReport]) {
+        for TargetSpeedReport { target, start, report } in reports {
+            let state = self.ids_by_hash.get(target).and_then(|id| self.targets.get_mut(id));
+            if let Some(state) = state.filter(|state| state.start_hash == *start) {
+                state.speed.apply_report(now, host, *report);
+                // Groups are updated even if this host has seen nothing of them.
+                self.speeds.entry(state.group).or_default();
+            }
+        }
+    }
+
     /// Applies what was learned of the targets' speeds to predictions from now on; to be
     /// called a few times a second.
     pub fn update_speeds(&mut self, now: Time) {
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -24,7 +24,10 @@
     origins::send_origins,
 };
 use crate::{
-    fleet::{CachedPart, EndNotice, GroupReport, InFlightWork, LimitNotice, OutcomeNotice},
+    fleet::{
+        CachedPart, EndNotice, GroupReport, InFlightWork, LimitNotice, OutcomeNotice,
+        TargetSpeedReport,
+    },
     gossip::news::{
         LatestChanges, ProgressReply, apply_latest_changes, apply_progress, progress_reply,
     },
@@ -97,6 +100,7 @@
     /// Starts of targets that the sender has seen end.
     Ends(Vec<EndNotice>),
     Outcomes(OutcomeMessage),
+    TargetSpeeds(TargetSpeedMessage),
 }
 
 /// What a host has seen of targets with failures.
@@ -115,6 +119,14 @@
     speeds: Vec<GroupReport>,
 }
 
+/// What a host has seen of single targets' speeds.
+#[derive(Serialize, Deserialize)]
+struct TargetSpeedMessage {
+    /// Gossip id of the sender.
+    host: u32,
+    speeds: Vec<TargetSpeedReport>,
+}
+
 #[derive(Serialize, Deserialize)]
 struct WorkReport {
     /// Gossip id of the sender.
@@ -191,7 +203,7 @@
     loop {
         sleep(SPEEDS_INTERVAL).await;
         let now = shared.now();
-        let (speeds, failed_runs, evidence, limits, peers) = {
+        let (speeds, target_speeds, failed_runs, evidence, limits, peers) = {
             let state = &mut *shared.state();
             let own = (!state.leaving).then_some(&*shared.settings.name);
             state.fleet.set_hosts(now, own, state.membership.live_names(now));
@@ -202,14 +214,17 @@
             let evidence = state.poison.all_evidence(now);
             let limits = state.fleet.limit_notices(now, false);
             let (speeds, peers) = (state.fleet.speed_reports(now), state.membership.gossip_addrs());
-            (speeds, failed_runs, evidence, limits, peers)
+            let target_speeds = state.fleet.target_speed_reports(now);
+            (speeds, target_speeds, failed_runs, evidence, limits, peers)
         };
         let message = (!speeds.is_empty())
             .then(|| Message::Speeds(SpeedMessage { host: shared.gossip_id(), speeds }));
         let message = message.as_ref().and_then(encode);
+        let target_speeds = encode_target_speeds(shared.gossip_id(), target_speeds);
         let failed_runs = (!failed_runs.is_empty()).then_some(Message::FailedRuns(failed_runs));
         let failed_runs = failed_runs.as_ref().and_then(encode);
-        let datagrams = [message, failed_runs, encode_evidence(evidence), encode_limits(limits)];
+        let (evidence, limits) = (encode_evidence(evidence), encode_limits(limits));
+        let datagrams = [message, target_speeds, failed_runs, evidence, limits];
         for peer in rotation.next(peers, SPEEDS_FANOUT) {
             for datagram in datagrams.iter().flatten() {
                 send_datagram(&socket, datagram, peer).await;
@@ -346,6 +361,14 @@
     encode(&Message::Outcomes(OutcomeMessage { host, outcomes }))
 }
 
+/// Encodes what a host has seen of single targets' speeds; none if nothing.
+fn encode_target_speeds(host: u32, speeds: Vec<TargetSpeedReport>) -> Option<Vec<u8>> {
+    if speeds.is_empty() {
+        return None;
+    }
+    encode(&Message::TargetSpeeds(TargetSpeedMessage { host, speeds }))
+}
+
 /// Encodes a message as one datagram; none if it does not fit.
 fn encode(message: &Message) -> Option<Vec<u8>> {
     let bytes = serialize(message)?;
@@ -424,6 +447,11 @@
                 let mut state = shared.state();
                 state.fleet.apply_speed_reports(now, message.host, &message.speeds);
             }
+            Ok(Message::TargetSpeeds(message)) => {
+                let now = shared.now();
+                let mut state = shared.state();
+                state.fleet.apply_target_speeds(now, message.host, &message.speeds);
+            }
             Ok(Message::FailedRuns(runs)) => {
                 let now = shared.now();
                 shared.state().poison.merge_runs(now, &runs);
--- a/components/gateway/src/gossip/tests.rs
+++ b/components/gateway/src/gossip/tests.rs
@@ -1,12 +1,12 @@
 use chervilgate_policy::{
-    AffectedRequest, CrashId, CrashNotice, Fingerprint, OrgId, OutcomeReport, TargetId,
+    AffectedRequest, CrashId, CrashNotice, Fingerprint, OrgId, OutcomeReport, SpeedReport, TargetId,
 };
 
 use crate::{
-    fleet::{CachedPart, InFlightWork, OutcomeNotice},
+    fleet::{CachedPart, InFlightWork, OutcomeNotice, TargetSpeedReport},
     gossip::{
         MAX_DATAGRAM_BYTES, MAX_FAILED_RUNS, Message, WorkReport, encode, encode_evidence,
-        encode_outcomes, encode_report,
+        encode_outcomes, encode_report, encode_target_speeds,
     },
     poison::{CrashEvidence, FailedRun},
 };
@@ -68,6 +68,14 @@
     assert!(encode_outcomes(u32::MAX, Vec::new()).is_none());
 }
 
+#[test]
+fn can_send_the_speeds_of_as_many_targets_as_are_told_at_once() {
+    let report = SpeedReport { factor: u16::MAX, samples: u8::MAX };
+    let report = TargetSpeedReport { target: u32::MAX, start: u32::MAX, report };
+
+    assert!(encode_target_speeds(u32::MAX, vec![report; 40]).is_some());
+}
+
 #[test]
 fn can_send_as_much_evidence_as_fits() {
     let run = AffectedRequest {
--- a/components/gateway/tests/fleet.rs
+++ b/components/gateway/tests/fleet.rs
@@ -543,6 +543,30 @@
     assert!((after / before - 2.0).abs() < 0.15, "{before} ms, {after} ms");
 }
 
+// Guards against learning each target's speed alone: with 4 requests a second and 90 engines, a host
+// took a minute to learn which engines are slow.
+#[test]
+fn a_host_learns_speeds_of_single_targets_that_others_report() {
+    let (seen, now) = fleet_after_prompts(2.0);
+    let reports = seen.target_speed_reports(now);
+    let mut told = fleet(&engines(1, 1));
+    let mut restarted = fleet(&engines(1, 1));
+    for mut entry in engines(1, 1) {
+        entry.incarnation = 2;
+        restarted.upsert(now, entry);
+    }
+    let predicted = |fleet: &Fleet| prefill_target(fleet, now, &prompt(1, 999)).prefill_ms;
+    let before = predicted(&told);
+
+    for fleet in [&mut told, &mut restarted] {
+        fleet.apply_target_speeds(now, 1, &reports);
+        fleet.update_speeds(now);
+    }
+
+    assert!((predicted(&told) / before - 2.0).abs() < 0.15, "{before} ms");
+    assert_eq!(predicted(&restarted), before);
+}
+
 /// The hash by which hosts refer to a target.
 fn hash_of(id: &str, role: TargetRole) -> u32 {
     let now = Time::from_secs(2);
--- a/components/policy/src/speed.rs
+++ b/components/policy/src/speed.rs
@@ -1,8 +1,8 @@
 //! Learns how fast targets are, from how long their responses took.
 //!
 //! Predictions start from reference times. What is learned is the factor between the time
-//! seen and the reference: for a group of targets of one kind from the observations of all
-//! hosts, and for each target against its group. Factors are medians of recent
+//! seen and the reference: for a group of targets of one kind, and for each target against its
+//! group, both from the observations of all hosts. Factors are medians of recent
 //! observations, so that a frozen target, or a prompt that was cached unnoticed, does not
 //! move them; until enough was seen, the reference itself counts as some of them.
 
@@ -24,6 +24,9 @@
 /// Age from which an observation no longer counts.
 const MAX_AGE: Duration = Duration::from_secs(30);
 
+/// Number of other hosts whose reports of one target are kept; the latest.
+const MAX_REPORTS: usize = 16;
+
 /// Number of observations that the reference counts as.
 const REFERENCE_WEIGHT: u32 = 4;
 
@@ -55,6 +58,14 @@
         let recent = self.factors.iter().filter(move |(at, _)| now.since(*at) < MAX_AGE);
         recent.map(|(_, factor)| *factor)
     }
+
+    fn report(&self, now: Time) -> Option<SpeedReport> {
+        let mut factors: SmallVec<[(f64, u32); MAX_OBSERVATIONS]> =
+            self.recent(now).map(|factor| (factor, 1)).collect();
+        let samples = u8::try_from(factors.len()).unwrap_or(u8::MAX);
+        let factor = weighted_median(&mut factors)?;
+        Some(SpeedReport { factor: (factor * 1e3) as u16, samples })
+    }
 }
 
 /// What one host has seen of a group, to send to other hosts.
@@ -67,6 +78,14 @@
     pub samples: u8,
 }
 
+impl SpeedReport {
+    /// The factor with its weight.
+    fn weighted(self) -> (f64, u32) {
+        let factor = f64::from(self.factor) / 1e3;
+        (factor.clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1), self.samples.into())
+    }
+}
+
 /// The factor of a group of targets of one kind.
 #[derive(Debug, Clone)]
 pub struct GroupSpeed {
@@ -97,11 +116,7 @@
 
     /// What this host has seen; none if nothing recently.
     pub fn report(&self, now: Time) -> Option<SpeedReport> {
-        let mut factors: SmallVec<[(f64, u32); MAX_OBSERVATIONS]> =
-            self.own.recent(now).map(|factor| (factor, 1)).collect();
-        let samples = u8::try_from(factors.len()).unwrap_or(u8::MAX);
-        let factor = weighted_median(&mut factors)?;
-        Some(SpeedReport { factor: (factor * 1e3) as u16, samples })
+        self.own.report(now)
     }
 
     /// Replaces what another host reported before.
@@ -122,20 +137,19 @@
         self.updated = Some(now);
         self.peers.retain(|_, (at, _)| now.since(*at) < MAX_AGE);
         let reports = self.peers.values().map(|(_, report)| *report).chain(self.report(now));
-        let reports = reports.map(|report| {
-            let factor = f64::from(report.factor) / 1e3;
-            (factor.clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1), report.samples.into())
-        });
+        let reports = reports.map(SpeedReport::weighted);
         let mut factors: Vec<(f64, u32)> = reports.chain([(1.0, REFERENCE_WEIGHT)]).collect();
         self.factor = weighted_median(&mut factors).unwrap_or(1.0);
         true
     }
 }
 
-/// The factor of one target, from this host's observations.
+/// The factor of one target, from the observations of all hosts.
 #[derive(Debug, Clone, Default)]
 pub struct TargetSpeed {
     own: Observations,
+    /// What other hosts reported, the latest last.
+    peers: VecDeque<(u32, Time, SpeedReport)>,
 }
 
 impl TargetSpeed {
@@ -149,13 +163,35 @@
     /// Forgets what was seen, for example after a restart.
     pub fn clear(&mut self) {
         self.own.factors.clear();
+        self.peers.clear();
+    }
+
+    /// Time of this host's latest observation; none before.
+    pub fn latest(&self) -> Option<Time> {
+        self.own.factors.back().map(|(at, _)| *at)
+    }
+
+    /// What this host has seen; none if nothing recently.
+    pub fn report(&self, now: Time) -> Option<SpeedReport> {
+        self.own.report(now)
+    }
+
+    /// Replaces what another host reported before.
+    pub fn apply_report(&mut self, now: Time, host: u32, report: SpeedReport) {
+        self.peers.retain(|(peer, at, _)| *peer != host && now.since(*at) < MAX_AGE);
+        if self.peers.len() == MAX_REPORTS {
+            self.peers.pop_front();
+        }
+        self.peers.push_back((host, now, report));
     }
 
     /// The target's factor in a group with the factor `group`.
     pub fn factor(&self, now: Time, group: f64) -> f64 {
         let own = self.own.recent(now).map(|factor| (factor, 1));
+        let recent = self.peers.iter().filter(|(_, at, _)| now.since(*at) < MAX_AGE);
+        let told = recent.map(|(.., report)| report.weighted());
         let mut factors: SmallVec<[(f64, u32); MAX_OBSERVATIONS]> =
-            own.chain([(group, GROUP_WEIGHT)]).collect();
+            own.chain(told).chain([(group, GROUP_WEIGHT)]).collect();
         weighted_median(&mut factors).unwrap_or(group)
     }
 }
--- a/components/policy/src/speed/tests.rs
+++ b/components/policy/src/speed/tests.rs
@@ -115,3 +115,22 @@
 
     assert_eq!(group.factor(), FACTOR_BOUNDS.0);
 }
+
+// Guards against one host's view of a target that outweighs what all others saw.
+#[test]
+fn a_targets_factor_is_the_weighted_median_of_all_hosts() {
+    let now = Time::from_secs(10);
+    let report = |factor, samples| SpeedReport { factor, samples };
+    let mut speed = TargetSpeed::default();
+    speed.apply_report(now, 1, report(1_600, 4));
+    speed.apply_report(now, 2, report(1_700, 4));
+    speed.apply_report(now, 3, report(20_000, 6));
+
+    let told = speed.factor(now, 1.0);
+    speed.apply_report(now, 3, report(1_500, 6));
+    let replaced = speed.factor(now, 1.0);
+    let old = speed.factor(now + Duration::from_secs(60), 1.0);
+    speed.clear();
+
+    assert_eq!([told, replaced, old, speed.factor(now, 1.0)], [1.7, 1.5, 1.0, 1.0]);
+}
