Sum the tokens of shared parts without overflow in imports

Cause: import_sources added the stated tokens of parts with an ordinary sum, which panics in builds with overflow checks and wraps in others. Found by prompts_of_any_stated_size_can_be_placed, which passes now.

--- a/components/gateway/src/fleet/imports.rs
+++ b/components/gateway/src/fleet/imports.rs
@@ -139,7 +139,9 @@
         serving: impl Iterator<Item = &'a TargetState>,
     ) -> SmallVec<[Source<'a>; MAX_SOURCES]> {
         let mut sources: SmallVec<[Source<'a>; MAX_SOURCES]> = SmallVec::new();
-        let shared: u32 = query.prompt.shared_parts().iter().map(|part| part.tokens).sum();
+        // Callers state the tokens of parts; their sum may exceed the type.
+        let parts = query.prompt.shared_parts().iter();
+        let shared = parts.fold(0u32, |sum, part| part.tokens.saturating_add(sum));
         if shared < MIN_IMPORT_TOKENS || !self.imports.terms.contains_key(query.service) {
             return sources;
         }
