Keep a reserve that large requests can use; soak with a quota; tests of owners

A request above what a bucket may owe starved beside small ones: the reserve for it ended below what it needs, and small requests could take it. The reserve is now what the request needs, smaller requests leave it, and nothing is reserved for what a bucket can never grant.

The simulation now also cuts half of the hosts off at once and restarts hosts within 500 ms.

--- a/bins/host/tests/logs.rs
+++ b/bins/host/tests/logs.rs
@@ -39,7 +39,8 @@
 
 /// Starts one host with its store and targets, and waits until it serves.
 async fn start_fleet(name: &str) -> Fleet {
-    let fleet = Fleet::start(Path::new(PROGRAM), 1, AMPLE_SLOTS, &output_path(name)).await.unwrap();
+    let fleet =
+        Fleet::start(Path::new(PROGRAM), 1, AMPLE_SLOTS, false, &output_path(name)).await.unwrap();
     wait_ready(&fleet).await;
     fleet
 }
--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -25,6 +25,7 @@
         herds: false,
         stops: false,
         breaks: false,
+        quotas: false,
         other_faults: true,
     }
 }
--- a/components/gateway/src/quota/tests.rs
+++ b/components/gateway/src/quota/tests.rs
@@ -100,6 +100,7 @@
     now: Time,
     rng: Pcg64,
     faults: Faults,
+    bounds: QuotaBounds,
     hosts: Vec<SimHost>,
     metrics: Metrics,
     network: BinaryHeap<Delivery>,
@@ -127,7 +128,7 @@
     SocketAddr::from(([127, 0, 0, 1], 1_000 + host as u16))
 }
 
-fn settings(host: usize) -> HostSettings {
+fn settings(host: usize, bounds: QuotaBounds) -> HostSettings {
     HostSettings {
         name: format!("host-{host}"),
         zone: String::new(),
@@ -140,7 +141,7 @@
         store_addr: addr(host),
         duties_addr: None,
         max_descriptors: 0,
-        bounds: HostLimits { quota: Some(BOUNDS), ..HostLimits::default() },
+        bounds: HostLimits { quota: Some(bounds), ..HostLimits::default() },
     }
 }
 
@@ -157,6 +158,7 @@
             now: Time::from_secs(100),
             rng: Pcg64::seed_from_u64(seed),
             faults,
+            bounds: BOUNDS,
             hosts: Vec::new(),
             metrics: Metrics::new(),
             network: BinaryHeap::new(),
@@ -173,14 +175,18 @@
             unknown: 0,
             datagrams: 0,
         };
-        world.hosts = (0..hosts).map(|index| world.start_host(index)).collect();
+        world.start_hosts(hosts);
         world
     }
 
+    fn start_hosts(&mut self, hosts: usize) {
+        self.hosts = (0..hosts).map(|index| self.start_host(index)).collect();
+    }
+
     fn start_host(&mut self, index: usize) -> SimHost {
         let boot = self.rng.random();
         SimHost {
-            state: QuotaState::new(&settings(index), boot),
+            state: QuotaState::new(&settings(index, self.bounds), boot),
             boot,
             down_until: None,
             frozen_until: Time::ZERO,
@@ -221,11 +227,19 @@
         if self.happens(cuts) {
             self.hosts[any].cut_until = until;
         }
+        if self.happens(cuts) {
+            // One half is cut off from the store and from the other half.
+            for host in self.hosts.iter_mut().step_by(2) {
+                (host.cut_until, host.store_cut_until) = (until, until);
+            }
+        }
         if self.happens(cuts) {
             self.hosts[any].store_cut_until = until;
         }
         if self.happens(kills) {
-            let all = self.rng.random_bool(0.2);
+            let all = self.rng.random_bool(0.3);
+            let short = self.now + Duration::from_millis(self.rng.random_range(1..500));
+            let until = if self.rng.random_bool(0.7) { short } else { until };
             for host in self.hosts.iter_mut().enumerate().filter(|(i, _)| all || *i == any) {
                 host.1.down_until = Some(until);
                 host.1.requests.clear();
@@ -510,7 +524,8 @@
         let (rate, burst) = limits.fold((0.0_f64, 0.0_f64), |(rate, burst), ((_, quota), _)| {
             (rate.max(quota.rate), burst.max(quota.burst))
         });
-        (rate * BOUNDS.window.as_secs_f64() + burst) * (1.0 + BOUNDS.overage) + BOUNDS.slack
+        (rate * BOUNDS.window.as_secs_f64() + burst) * (1.0 + self.bounds.overage)
+            + self.bounds.slack
     }
 
     /// What one bucket for all hosts would have served of the requests since `since`.
@@ -560,8 +575,11 @@
     fn no_window_exceeds_the_quota(
         seed: u64, hosts in 2..7_usize, rate in 20_000.0..900_000.0_f64, burst in 0.0..1.5_f64,
         demand in 0.5..7.0_f64, spread in spreads(), faults in faults(), largest in 3_000.0..60_000.0_f64,
+        bounds in prop_oneof![Just((0.1, 190_000.0)), Just((0.1, 0.0)), Just((0.02, 20_000.0))],
     ) {
         let mut world = World::new(seed, hosts, rate, rate * burst, faults);
+        world.bounds = QuotaBounds { overage: bounds.0, slack: bounds.1, ..BOUNDS };
+        world.start_hosts(hosts);
 
         world.run(Duration::from_secs(30), demand, spread, (1_500.0, largest));
 
--- /dev/null
+++ b/components/gateway/tests/quota_lease.rs
@@ -0,0 +1,147 @@
+//! Ownership of partitions, and the buckets of successive owners.
+
+use std::{net::SocketAddr, time::Duration};
+
+use chervilgate_clock::Time;
+use chervilgate_coord::Version;
+use chervilgate_gateway::{
+    QuotaBounds,
+    quota::lease::{OWNER_LEASE, OwnerDoc, OwnerLease},
+};
+use chervilgate_policy::{QuotaBucket, QuotaReply, QuotaTerms};
+
+const START: Time = Time::from_secs(100);
+const BOUNDS: QuotaBounds =
+    QuotaBounds { window: Duration::from_secs(8), overage: 0.1, slack: 190_000.0 };
+
+fn addr(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn version(era: u64, revision: u64) -> Version {
+    Version { era, revision }
+}
+
+/// A host that has seen the object of a host at port 1, written in era 0, in this era.
+fn observer(port: u16, era: u64, released: bool) -> OwnerLease {
+    let doc = OwnerDoc { addr: Some(addr(1)), boot: 1, count: 5, released, ..OwnerDoc::default() };
+    let mut lease = OwnerLease::new("b", addr(port), 2);
+    lease.observe(START, era, Some(version(era, 7)), Some(doc));
+    lease
+}
+
+/// Time after which the host would write the object.
+fn takeover_time(mut lease: OwnerLease) -> Duration {
+    let times = (0..200).map(|step| Duration::from_millis(50 * step));
+    times.into_iter().find(|time| lease.next_write(START + *time).is_some()).unwrap()
+}
+
+fn owner() -> OwnerLease {
+    let mut lease = OwnerLease::new("a", addr(1), 1);
+    lease.observe(START, 0, None, None);
+    let doc = lease.next_write(START).unwrap();
+    assert!(lease.record_write(START, START, version(0, 3), doc));
+    lease
+}
+
+// Guards against two owners: one that has not ended by its own clock, and a later one.
+#[test]
+fn a_live_owners_partition_is_taken_over_after_its_time() {
+    assert!(takeover_time(observer(2, 0, false)) > OWNER_LEASE);
+}
+
+// Guards against a quarter of each quota that is lost for seconds at each restart.
+#[test]
+fn a_released_partition_and_ones_own_address_are_taken_over_at_once() {
+    assert_eq!(takeover_time(observer(2, 0, true)), Duration::ZERO);
+    assert_eq!(takeover_time(observer(1, 0, false)), Duration::ZERO);
+}
+
+// Guards against an older copy of the store, which may lack a later owner.
+#[test]
+fn nothing_is_taken_over_at_once_from_an_older_copy() {
+    let mut absent = OwnerLease::new("b", addr(2), 2);
+    absent.observe(START, 1, None, None);
+
+    assert!(takeover_time(observer(2, 1, true)) > OWNER_LEASE);
+    assert!(takeover_time(observer(1, 1, false)) > OWNER_LEASE);
+    assert!(takeover_time(absent) > OWNER_LEASE);
+}
+
+// Guards against an owner that goes on after its time, or after it has lost the partition.
+#[test]
+fn an_owner_grants_only_within_its_time() {
+    let mut lost = owner();
+    let other = OwnerDoc { boot: 9, count: 6, ..OwnerDoc::default() };
+
+    assert!(owner().may_grant(START + OWNER_LEASE.mul_f64(0.99)));
+    assert!(!owner().may_grant(START + OWNER_LEASE));
+    lost.observe(START, 0, Some(version(0, 8)), Some(other));
+    assert!(!lost.may_grant(START));
+}
+
+// Guards against an owner that ends because the store came back from an older copy, and one that
+// goes on after its time though a later owner may be missing from it.
+#[test]
+fn an_owner_renews_in_a_later_era_within_its_time_only() {
+    let older = OwnerDoc { boot: 9, count: 1, ..OwnerDoc::default() };
+    let [mut early, mut late] = [owner(), owner()];
+    early.observe(START, 1, Some(version(1, 1)), Some(older.clone()));
+    late.observe(START + OWNER_LEASE, 1, Some(version(1, 1)), Some(older));
+
+    assert!(early.next_write(START + OWNER_LEASE / 2).is_some());
+    assert!(late.next_write(START + OWNER_LEASE).is_none() && !late.is_owner());
+}
+
+// Guards against a lost reply that extends an owner's time.
+#[test]
+fn a_write_without_a_reply_does_not_extend_the_time() {
+    let mut lease = owner();
+    let later = START + OWNER_LEASE / 2;
+    let doc = lease.next_write(later).unwrap();
+    lease.observe(later, 0, Some(version(0, 4)), Some(doc));
+
+    assert!(!lease.may_grant(START + OWNER_LEASE));
+}
+
+// Guards against owners in a row that each grant a full bucket or a debt beyond the rate.
+#[test]
+fn successive_owners_grant_no_more_than_the_rate() {
+    let terms = QuotaTerms::of_partition(400_000.0, 400_000.0, &BOUNDS);
+    let mut granted = 0.0;
+    let mut now = START;
+    for _ in 0..16 {
+        let mut bucket = QuotaBucket::new(now, terms);
+        for _ in 0..50 {
+            now += Duration::from_millis(10);
+            if let QuotaReply::Granted(amount) = bucket.ask(now, 20_000.0, 0.0) {
+                granted += amount;
+            }
+        }
+    }
+
+    assert!(granted <= 100_000.0 * now.since(START).as_secs_f64(), "{granted}");
+}
+
+// Guards against debts that add up, and large requests that starve beside small ones.
+#[test]
+fn debt_is_bounded_and_lets_large_requests_through() {
+    let terms = QuotaTerms::of_partition(40_000.0, 40_000.0, &BOUNDS);
+    let mut bucket = QuotaBucket::new(START, terms);
+    let from = START + terms.settling;
+    let (mut small, mut large) = (0.0, 0.0);
+    for step in 0..8_000 {
+        let now = from + Duration::from_millis(step);
+        if let QuotaReply::Granted(amount) = bucket.ask(now, 1_500.0, 0.0) {
+            small += amount;
+        }
+        if step % 100 == 0
+            && let QuotaReply::Granted(amount) = bucket.ask(now, 45_000.0, 0.0)
+        {
+            large += amount;
+        }
+    }
+
+    let allowed = terms.rate * 8.0 + terms.burst + terms.max_debt;
+    assert!(small + large <= allowed && large > 0.0 && small > 0.0, "{small}, {large}");
+}
--- a/components/policy/src/quota/bucket.rs
+++ b/components/policy/src/quota/bucket.rs
@@ -12,9 +12,6 @@
 
 use crate::quota::QuotaTerms;
 
-/// Largest share of the capacity that is reserved: the bucket must not overflow meanwhile.
-const MAX_RESERVE_SHARE: f64 = 0.9;
-
 /// Time after the last refusal of a large request for which an amount is reserved for it; callers
 /// return within it.
 const RESERVE_TIME: Duration = Duration::from_secs(2);
@@ -108,18 +105,30 @@
             return 0.0;
         }
         let earned = self.terms.rate * RESERVE_SHARE * now.since(reserve.since).as_secs_f64();
-        earned.min(reserve.size).min(self.terms.burst * MAX_RESERVE_SHARE)
+        earned.min(self.needed_balance(now, reserve.size)).min(self.terms.burst)
     }
 
-    /// Amount by which the balance is too small for `need`; not above zero if it suffices.
-    fn missing(&self, now: Time, need: f64, reserved: f64) -> f64 {
+    /// Balance from which a request of `need` is granted.
+    fn needed_balance(&self, now: Time, need: f64) -> f64 {
         let debt = if now < self.debt_from { 0.0 } else { self.terms.max_debt };
-        (need - debt).max(0.0) + reserved - self.balance
+        (need - debt).max(0.0)
+    }
+
+    /// Amount by which the balance is too small for `need`; not above zero if it suffices. What is
+    /// reserved for others must remain.
+    fn missing(&self, now: Time, need: f64, reserved: f64) -> f64 {
+        if reserved > 0.0 {
+            return reserved + need - self.balance;
+        }
+        self.needed_balance(now, need) - self.balance
     }
 
     fn refuse(&mut self, now: Time, need: f64, missing: f64, has_reserve: bool) -> Duration {
         let until = now + RESERVE_TIME;
+        // Nothing is reserved for a request that this bucket can never grant.
+        let can_fit = self.needed_balance(now, need) <= self.terms.burst;
         match &mut self.reserve {
+            _ if !can_fit => {}
             Some(reserve) if now < reserve.until => {
                 if need >= reserve.size * RESERVE_SIZE_SHARE {
                     reserve.size = reserve.size.max(need);
