--- a/components/policy/benches/dispatch.rs
+++ b/components/policy/benches/dispatch.rs
@@ -12,6 +12,9 @@
 /// Number of organisations, as many as the largest deployment has.
 const ORGS: u64 = 1_200;
 
+/// With so many targets all of them are predicted to start in time.
+const SUPPLY: Supply = Supply { until_capacity: Duration::ZERO, targets: 10_000 };
+
 fn request(ticket: u64) -> WaitingRequest {
     let now = Time::from_secs(1);
     WaitingRequest {
@@ -31,14 +34,14 @@
     let limits = DispatchLimits { max_waiting: usize::MAX, max_bytes: usize::MAX };
     let mut queue = DispatchQueue::new(limits);
     for ticket in 0..WAITING {
-        queue.enqueue(now, Ticket(ticket), request(ticket), Supply::default(), 0.5).ok();
+        queue.enqueue(now, Ticket(ticket), request(ticket), SUPPLY, 0.5).ok();
     }
     let mut next = WAITING;
     criterion.bench_function("dispatch/10000 waiting", |bencher| {
         bencher.iter(|| {
             next += 1;
             let request = request(next);
-            black_box(queue.enqueue(now, Ticket(next), request, Supply::default(), 0.5)).ok();
+            black_box(queue.enqueue(now, Ticket(next), request, SUPPLY, 0.5)).ok();
             black_box(queue.expire(now, 0.5));
             black_box(queue.start_next(now, &mut |_, _, _| true))
         });
