--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -86,6 +86,7 @@
     let now = shared.now();
     shared.state().poison.record_crash(now, crash, &call.parts);
     shared.broadcast.notify_one();
+    shared.crashes_due.notify_one();
 }
 
 /// Finds out in the background whether the target of `placement` has ended, over a connection to which
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -410,6 +410,9 @@
             Ok(Message::Crashes(evidence)) => {
                 let now = shared.now();
                 shared.state().poison.merge_evidence(now, &evidence);
+                if !evidence.crashes.is_empty() {
+                    shared.crashes_due.notify_one();
+                }
             }
             Ok(Message::Limits(notices)) => {
                 let now = shared.now();
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -24,8 +24,8 @@
     state::Shared,
     stopping::{ANSWER_SHARE, Stop},
     watch::{
-        ConfigWatch, TargetWatch, confirm_target_list, maintain_build_record, maintain_membership,
-        watch_prefix,
+        ConfigWatch, TargetWatch, confirm_target_list, maintain_build_record,
+        maintain_crash_record, maintain_membership, watch_prefix,
     },
 };
 
@@ -137,6 +137,7 @@
         tokio::spawn(watch_prefix(shared.clone(), Box::new(TargetWatch { prefix })));
         tokio::spawn(confirm_target_list(shared.clone()));
         tokio::spawn(maintain_build_record(shared.clone()));
+        tokio::spawn(maintain_crash_record(shared.clone()));
         tokio::spawn(maintain_membership(shared.clone(), refresh_membership.clone()));
         if let Some(DutyClients { reports, orders }) = duties {
             tokio::spawn(gossip::send_counts(shared.clone(), socket));
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! Each host runs one gateway process. It serves callers, tells them which hosts to
 //! use, and competes for the lease on the duties that only one process at a time
 //! performs. Decisions are made in modules without I/O or clocks ([`build_record`], [`config`],
-//! [`fleet`], [`freshness`], [`joining`], [`lease`], [`membership`], [`origins`], [`outage`], [`planner`],
+//! [`crash_record`], [`fleet`], [`freshness`], [`joining`], [`lease`], [`membership`], [`origins`], [`outage`], [`planner`],
 //! [`poison`], [`repeats`], [`stopping`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
 //!
 //! External systems are reached through traits: [`Protocol`] for the headers of callers
@@ -16,6 +16,7 @@
 pub mod config;
 mod counted;
 mod crash;
+pub mod crash_record;
 mod directory;
 mod duty;
 mod events;
--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -282,6 +282,17 @@
         CrashEvidence { crashes, acquitted: Vec::new() }
     }
 
+    /// Crashes that still accuse parts, in order of time, for the record in the store.
+    pub fn accusing_crashes(&self) -> Vec<CrashNotice> {
+        self.parts.notices_since(Time::ZERO).into_iter().map(|(_, notice)| notice).collect()
+    }
+
+    /// Records crashes that the record in the store holds. When they were is not known.
+    pub fn learn_crashes(&mut self, now: Time, notices: &[CrashNotice]) {
+        let crashes = notices.iter().map(|notice| (0, notice.clone())).collect();
+        self.merge_evidence(now, &CrashEvidence { crashes, acquitted: Vec::new() });
+    }
+
     fn crashes_since(&self, now: Time, since: Time) -> Vec<(u32, CrashNotice)> {
         let notices = self.parts.notices_since(since).into_iter();
         notices.map(|(at, notice)| (age(now, at), notice)).collect()
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -15,6 +15,7 @@
     build_record::BuildRecord,
     counted::{CountedStore, raise_era},
     crash::CrashProbe,
+    crash_record::CrashRecord,
     fleet::{Fleet, SeenBuilds},
     freshness::{Freshness, Reads},
     membership::{HostEntry, Membership},
@@ -54,6 +55,8 @@
     pub(crate) change_missed: Notify,
     /// Notified when the record of software versions may lack one.
     pub(crate) builds_due: Notify,
+    /// Notified when the record of crashes may lack one.
+    pub(crate) crashes_due: Notify,
     /// Notified when other hosts are to be told or asked which version began a stream.
     pub(crate) origins_due: Notify,
     /// Notifies requests that wait to know which version began their stream.
@@ -99,6 +102,8 @@
     pub(crate) origins: Origins,
     /// What of the record of software versions this host has seen.
     pub(crate) build_record: BuildRecord,
+    /// What of the record of crashes this host has seen.
+    pub(crate) crash_record: CrashRecord,
     /// What this host may send beyond the first of each request.
     pub(crate) repeats: Repeats,
 }
@@ -177,6 +182,7 @@
             stop: None,
             origins: Origins::default(),
             build_record: BuildRecord::default(),
+            crash_record: CrashRecord::default(),
             repeats: Repeats::new(bounds),
         };
         Shared {
@@ -191,6 +197,7 @@
             change_known: Notify::new(),
             change_missed: Notify::new(),
             builds_due: Notify::new(),
+            crashes_due: Notify::new(),
             origins_due: Notify::new(),
             origin_settled: Notify::new(),
             list_doubted: Notify::new(),
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -8,6 +8,7 @@
 //! when a call is given up for that.
 
 mod builds;
+mod crashes;
 mod current;
 mod hosts;
 
@@ -20,7 +21,8 @@
 use tokio::time::{sleep, timeout};
 
 pub(crate) use self::{
-    builds::maintain_build_record, current::confirm_target_list, hosts::maintain_membership,
+    builds::maintain_build_record, crashes::maintain_crash_record, current::confirm_target_list,
+    hosts::maintain_membership,
 };
 use crate::{
     freshness::Freshness,
