--- a/bins/host/src/main.rs
+++ b/bins/host/src/main.rs
@@ -6,7 +6,7 @@
     path::PathBuf,
     process::ExitCode,
     sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use bpaf::Bpaf;
@@ -88,7 +88,12 @@
 
 fn run(settings: HostSettings, time_of_day: Duration) -> Result<(), Box<dyn std::error::Error>> {
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve(settings, time_of_day))
+    let result = runtime.block_on(serve(settings, time_of_day));
+    let ended = Instant::now();
+    drop(runtime);
+    // What is still open closes here, which counts towards the grace period.
+    log::info!(target: "host", ms = ended.elapsed().as_millis() as u64; "connections and tasks dropped");
+    result
 }
 
 fn lines_lost() -> LostLines {
