--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,10 +2,10 @@
 //!
 //! Each host runs one gateway process. It serves callers, tells them which hosts to use, and
 //! competes for the lease on the duties that only one process at a time performs. Decisions are
-//! made in modules without I/O or clocks ([`admission`], [`build_record`], [`config`], [`demand`],
-//! [`fleet`], [`freshness`], [`joining`], [`lease`], [`membership`], [`memory`], [`origins`],
-//! [`outage`], [`planner`], [`poison`], [`quota`], [`repeats`], [`stopping`], [`usage`],
-//! [`verdict`], [`view`]); the other modules do the I/O and call them.
+//! made in modules without I/O or clocks ([`admission`], [`build_record`], [`config`],
+//! [`crash_record`], [`demand`], [`fleet`], [`freshness`], [`joining`], [`lease`], [`membership`],
+//! [`memory`], [`origins`], [`outage`], [`planner`], [`poison`], [`quota`], [`repeats`],
+//! [`stopping`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
 //!
 //! External systems are reached through traits: [`Protocol`] for the headers of callers
 //! and targets, [`Decoder`] for stored objects, and the traits of the clients crate for
@@ -19,6 +19,7 @@
 pub mod config;
 mod counted;
 mod crash;
+pub mod crash_record;
 pub mod demand;
 mod directory;
 mod duty;
