--- a/components/policy/src/dispatch/targets.rs
+++ b/components/policy/src/dispatch/targets.rs
@@ -13,13 +13,17 @@
 /// capacity for late requests.
 const LATE_WAIT_SHARE: f64 = 0.25;
 
+/// The same share for requests whose fair turn it is. With all of the target, large late requests made
+/// the most urgent ones late on targets that were full already.
+const FAIR_WAIT_SHARE: f64 = 0.5;
+
 /// Whose turn it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Turn {
     /// That of the first request in order.
     Ordinary,
-    /// That of the request closest to its latest start: it may use whatever would be on time for the
-    /// most urgent kind.
+    /// That of the request closest to its latest start: it may use targets that more urgent kinds use
+    /// too.
     Fair,
 }
 
@@ -93,7 +97,11 @@
     /// Whether a target has capacity for a request of this priority.
     pub fn fit(&self, priority: u8, turn: Turn, forecast: &Forecast) -> Fit {
         if turn == Turn::Fair {
-            return if forecast.wait <= self.shortest() { Fit::Fits } else { Fit::Full };
+            return if forecast.wait <= self.shortest().mul_f64(FAIR_WAIT_SHARE) {
+                Fit::Fits
+            } else {
+                Fit::Full
+            };
         }
         let on_time = forecast.first_event <= forecast.time_left;
         if !on_time && forecast.wait > self.late_wait(priority) {
