--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -382,7 +382,7 @@
         }
         Verdict::Answered => {
             in_flight.outcome = if response.status().is_server_error() {
-                AttemptOutcome::Failed
+                AttemptOutcome::ErrorAnswer
             } else {
                 AttemptOutcome::Answered
             };
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -90,7 +90,9 @@
     Answered,
     /// The target refused the request for lack of capacity.
     Full,
-    /// The target returned an error, failed midway or timed out.
+    /// The target answered with an error of its own.
+    ErrorAnswer,
+    /// The target failed midway, lost the answer or timed out.
     Failed,
     /// The connection failed.
     Unreachable,
--- a/components/gateway/src/fleet/failures.rs
+++ b/components/gateway/src/fleet/failures.rs
@@ -59,7 +59,9 @@
         is_trier: impl FnOnce() -> bool,
     ) -> bool {
         let failed = match outcome {
-            AttemptOutcome::Answered => false,
+            // An error that a target answers with may be due to the request, or common to the service: all
+            // hosts would prefer the target that happens to show the fewest.
+            AttemptOutcome::Answered | AttemptOutcome::ErrorAnswer => false,
             AttemptOutcome::Failed | AttemptOutcome::Unreachable | AttemptOutcome::Replaced => true,
             // A target without room is not at fault.
             AttemptOutcome::Full | AttemptOutcome::Unrelated => return false,
--- a/components/gateway/src/fleet/health.rs
+++ b/components/gateway/src/fleet/health.rs
@@ -51,7 +51,7 @@
     pub(super) fn record(&mut self, now: Time, outcome: AttemptOutcome) {
         let (weight, failed) = match outcome {
             AttemptOutcome::Answered => (RESPONSE_WEIGHT, 0.0),
-            AttemptOutcome::Failed => (RESPONSE_WEIGHT, 1.0),
+            AttemptOutcome::ErrorAnswer | AttemptOutcome::Failed => (RESPONSE_WEIGHT, 1.0),
             AttemptOutcome::Unreachable => (UNREACHABLE_WEIGHT, 1.0),
             AttemptOutcome::Replaced => (REPLACED_WEIGHT, 1.0),
             AttemptOutcome::Full => (FULL_WEIGHT, 1.0),
--- a/components/gateway/src/fleet/placing.rs
+++ b/components/gateway/src/fleet/placing.rs
@@ -100,8 +100,9 @@
 
     /// Cost of a target's failures, by what this host and all hosts together have seen of it.
     fn failure_cost(&self, now: Time, state: &TargetState, query: &TargetQuery<'_>) -> f64 {
-        let rate = state.health.rate(now).max(self.failures.rate(now, state.start_hash));
-        FAILURE_COST_MS * rate * if query.runs_once { ONCE_FACTOR } else { 1.0 }
+        let factor = if query.runs_once { ONCE_FACTOR } else { 1.0 };
+        let told = self.failures.rate(now, state.start_hash) * factor;
+        FAILURE_COST_MS * state.health.rate(now).max(told)
     }
 
     /// Cost of the streams that computing a prompt on a decode engine makes late, in
