--- a/components/gateway/src/planner/goals.rs
+++ b/components/gateway/src/planner/goals.rs
@@ -19,8 +19,13 @@
 /// Time from taking the lease for which no target is given back.
 const HOLD_TIME: Duration = Duration::from_secs(30);
 
-/// Time for which the demand must have been seen before zones are filled less than to their limits:
-/// until then caches are cold, and callers may come in numbers that were not seen yet.
+/// Time from taking the lease after which a demand that is still unknown counts as large: hosts
+/// report each 0.8 s, and the first sum takes two seconds.
+const UNKNOWN_LIMIT: Duration = Duration::from_secs(10);
+
+/// Time for which the demand must have been seen before a deployment for which nothing was ordered
+/// before is filled less than to its limits: until then caches are cold, and callers may come in
+/// numbers that were not seen yet.
 const MIN_SPAN: Duration = Duration::from_secs(30);
 
 /// Time for which the demand must have been lower before targets are given back.
@@ -103,6 +108,9 @@
 #[derive(Debug)]
 pub(super) struct ServiceGoals {
     started_at: Time,
+    /// Whether no reclaimable targets were listed when the lease was taken, so that no holder has
+    /// ordered any before.
+    is_first: bool,
     zones: BTreeMap<String, ZoneGoal>,
     excess_since: Option<Time>,
     returned_at: Option<Time>,
@@ -114,6 +122,7 @@
     pub(super) fn new(now: Time) -> ServiceGoals {
         ServiceGoals {
             started_at: now,
+            is_first: false,
             zones: BTreeMap::new(),
             excess_since: None,
             returned_at: None,
@@ -163,6 +172,9 @@
         demand: &ServiceDemand,
     ) -> bool {
         let before = self.zones.clone();
+        if before.is_empty() {
+            self.is_first = current.values().all(|zone| zone.reclaimable == 0);
+        }
         self.keep_current(now, scaling, current);
         let limits = FleetLimits {
             zones: u32::try_from(current.len()).unwrap_or(u32::MAX),
@@ -174,12 +186,17 @@
             self.busy = demand.engine.busy_targets(&planned.largest);
             plan_demand(&planned, &demand.engine, limits)
         });
-        let is_unknown = planned.is_none_or(|planned| planned.span < MIN_SPAN);
+        let is_late = now.since(self.started_at) >= UNKNOWN_LIMIT;
+        let is_unknown = match planned {
+            None => is_late || self.is_first,
+            Some(planned) => self.is_first && planned.span < MIN_SPAN,
+        };
         let (is_full, reason) = match plan {
             _ if demand.is_waiting => (true, GoalReason::Waiting),
             Some(plan) if plan.needs_limit(limits) => (true, GoalReason::Demand(plan.reason)),
-            Some(plan) if !is_unknown => (false, GoalReason::Demand(plan.reason)),
-            _ => (true, GoalReason::Unknown),
+            _ if is_unknown => (true, GoalReason::Unknown),
+            Some(plan) => (false, GoalReason::Demand(plan.reason)),
+            None => (false, GoalReason::Kept),
         };
         if is_full {
             self.fill(scaling);
--- a/components/gateway/tests/demand.rs
+++ b/components/gateway/tests/demand.rs
@@ -181,6 +181,23 @@
     assert_eq!(platform.total(), 120);
 }
 
+// Guards against a fleet that is too small for the first callers: with the targets of the start alone and cold
+// caches, the worst seconds of a day lost a fifth of their worth.
+#[test]
+fn zones_are_filled_until_the_first_demand_has_been_seen_for_a_while() {
+    let mut platform = Platform::new(30, 0);
+    let unknown = ServiceDemand { demand: None, ..demand(0.0, 0.0) };
+    let low = demand(8.0, 12.0);
+    let seen_briefly = PlannedDemand { span: Duration::from_secs(20), ..low.demand.unwrap() };
+
+    platform.run(1, &unknown);
+    let ordered = platform.ordered();
+    platform.run(40, &ServiceDemand { demand: Some(seen_briefly), ..low });
+
+    assert_eq!(ordered, 180);
+    assert_eq!(platform.total(), 3 * MAX_TARGETS);
+}
+
 // Guards against a holder that has heard nothing yet and cuts what the holder before ordered.
 #[test]
 fn a_new_holder_keeps_what_is_still_starting() {
