Mend what the reviews of admission and quotas found

The rate of starts seen in an earlier overload refused requests of a later one; the targets kept for urgent kinds were counted over all services; targets that rest counted as free; a wait had no end of its own; owners without authority announced themselves; a debt taken at a higher rate kept a lowered quota shut.

--- a/components/gateway/src/fleet/capacity.rs
+++ b/components/gateway/src/fleet/capacity.rs
@@ -124,14 +124,16 @@
         placement: &Placement,
         tolerance: Duration,
     ) -> bool {
-        let reserved = (self.targets.len() as f64 * RESERVED_SHARE) as usize;
-        let reserved = reserved.min(MAX_RESERVED);
-        let others = self.targets.values().filter(|state| {
-            state.entry.id != placement.id
-                && state.serves(now, service)
-                && self.starts_within(now, state, tolerance)
-        });
-        others.take(reserved).count() == reserved
+        let (mut serving, mut others) = (0_usize, 0_usize);
+        for state in self.targets.values().filter(|state| state.serves(now, service)) {
+            serving += 1;
+            let is_other = state.entry.id != placement.id;
+            others += usize::from(is_other && self.starts_within(now, state, tolerance));
+            if others == MAX_RESERVED {
+                return true;
+            }
+        }
+        others >= (serving as f64 * RESERVED_SHARE) as usize
     }
 
     /// Targets that are not tried: those of the query, and those that start a request later than
@@ -155,6 +157,9 @@
     }
 
     fn starts_within(&self, now: Time, state: &TargetState, max_wait: Duration) -> bool {
+        if self.hold(now, state).is_some() {
+            return false;
+        }
         if state.entry.role == TargetRole::Whole {
             return self.has_slot(state);
         }
--- a/components/gateway/src/gossip/quota.rs
+++ b/components/gateway/src/gossip/quota.rs
@@ -94,7 +94,9 @@
     let (need, extra) = (f64::from(ask.need), f64::from(ask.extra));
     let answer = {
         let state = &mut *shared.state();
-        if !state.view.is_fresh(now) {
+        if !state.quota.may_grant(now, ask.partition.into()) {
+            OwnerAnswer::NotOwner
+        } else if !state.view.is_fresh(now) {
             OwnerAnswer::Unknown
         } else {
             state.quota.answer(now, ask.org, ask.partition.into(), need, extra)
--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -114,6 +114,11 @@
 }
 
 impl QuotaState {
+    /// Whether this host may grant of a partition now.
+    pub(crate) fn may_grant(&self, now: Time, partition: usize) -> bool {
+        self.leases.get(partition).is_some_and(|lease| lease.may_grant(now))
+    }
+
     /// Starts without any partition, grant or known owner.
     pub(crate) fn new(settings: &HostSettings, boot: u64) -> QuotaState {
         let lease = || OwnerLease::new(&settings.name, settings.gossip_addr, boot);
--- a/components/gateway/src/quota/task.rs
+++ b/components/gateway/src/quota/task.rs
@@ -307,7 +307,7 @@
         let is_due = self.announced_at.is_none_or(|at| now >= at + ANNOUNCE_INTERVAL);
         let notice = {
             let lease = &self.shared.state().quota.leases[self.partition];
-            let doc = lease.own_doc().filter(|_| is_urgent || is_due && lease.is_owner());
+            let doc = lease.own_doc().filter(|_| is_urgent || is_due && lease.may_grant(now));
             doc.and_then(|doc| OwnerNotice::new(self.partition, doc))
         };
         let Some(notice) = notice else { return };
--- a/components/gateway/src/waiting.rs
+++ b/components/gateway/src/waiting.rs
@@ -33,11 +33,12 @@
         Placed::Refused(yielded) => return Err(refuse(shared, call, began_at, &yielded)),
         Placed::Waits(waiter, turn) => (waiter, turn),
     };
-    let verdict = turn.await;
+    let verdict = timeout(call.deadline.since(began_at), turn).await;
     drop(waiter);
     let now = shared.now();
     let waited = now.since(began_at);
     shared.metrics.observe_wait(call.priority, waited);
+    let Ok(verdict) = verdict else { return Err(Failure::Expired) };
     match verdict {
         Ok(Ok(plan)) => Ok((Some(*plan), waited)),
         Ok(Err(yielded)) => Err(refuse(shared, call, began_at, &yielded)),
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -46,6 +46,9 @@
 /// return first.
 const RETURN_STEP: f64 = 0.25;
 
+/// Time without requests to wait after which the rate of starts is forgotten.
+const RATE_MEMORY: Duration = Duration::from_secs(5);
+
 /// Limits of a [`DispatchQueue`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DispatchLimits {
@@ -183,6 +186,8 @@
     supply: Supply,
     shares: FairQueue,
     rate: ServiceRate,
+    /// When a request was offered last.
+    active_at: Time,
     /// Starts of waiting requests since the last fair turn.
     ordinary_starts: u32,
     last_started: Option<u8>,
@@ -237,6 +242,11 @@
         spread: f64,
     ) -> Result<Refused, Yielded> {
         self.supply = supply;
+        if self.is_empty() && now.since(self.active_at) >= RATE_MEMORY {
+            // What was seen in an earlier overload, or a stall, says nothing about this one.
+            self.rate = ServiceRate::default();
+        }
+        self.active_at = now;
         let standing =
             if now <= request.last_on_time_start() { Standing::OnTime } else { Standing::Late };
         let key = request.lane_key(standing);
--- a/components/policy/src/dispatch/tests.rs
+++ b/components/policy/src/dispatch/tests.rs
@@ -52,6 +52,28 @@
     assert_eq!(order, [3, 2, 1]);
 }
 
+// Guards against refusals by what was seen in an earlier overload: with no starts for a while the rate seen was nearly
+// zero, so the second request to wait was refused for half a minute although targets were about to be free.
+#[test]
+fn a_rate_seen_before_the_queue_was_empty_for_a_while_refuses_nobody() {
+    let mut queue = queue();
+    let before = Time::from_secs(1);
+    for ticket in 0..20 {
+        let now = before + Duration::from_millis(100 * ticket);
+        add(&mut queue, now, ticket, request(now, 1, 0));
+        assert_eq!(start(&mut queue, now), Some(ticket));
+    }
+    let stalled = Time::from_secs(4);
+    add(&mut queue, stalled, 100, request(stalled, 1, 0));
+    assert!(queue.cancel(Ticket(100)));
+
+    let later = Time::from_secs(200);
+    add(&mut queue, later, 101, request(later, 1, 0));
+    add(&mut queue, later, 102, request(later, 1, 0));
+
+    assert_eq!(queue.len(), 2);
+}
+
 #[test]
 fn a_caller_that_leaves_frees_its_place() {
     let mut queue = DispatchQueue::new(DispatchLimits { max_waiting: 1, max_bytes: 1_000 });
--- a/components/policy/src/quota/bucket.rs
+++ b/components/policy/src/quota/bucket.rs
@@ -70,6 +70,10 @@
     pub fn set_terms(&mut self, now: Time, terms: QuotaTerms) {
         if terms != self.terms {
             self.advance(now);
+            // A debt taken at a higher rate would keep a lower one shut for far longer.
+            if self.balance < 0.0 && terms.rate < self.terms.rate {
+                self.balance *= terms.rate / self.terms.rate;
+            }
             self.terms = terms;
             self.balance = self.balance.min(terms.burst);
         }
