Placing: bound what all hosts together send to one engine

Cause: a host knew how many requests others have on a target, but not how many KV tokens these may use, and no bound was applied to either. All hosts together could send an engine more than its KV cache holds, and such an engine crashes. Reports of work also expired only when another one came, so a host that heard nothing counted the last ones for ever.

Change: the prompt tokens and the maximum output of all requests in flight stay under 0.9 of the KV cache that the configuration names, and their number under four batches. An engine without room has no capacity for admission, so the request waits or is refused, and costs 2 s and more elsewhere, so that it is the last choice. Requests larger than any engine are sent as before. Hosts tell their tokens in a new message at the end of gossip::Message, which follows the work report in the same datagram; older hosts read the first message and skip the rest. Reports expire after 1.5 s in each round. Plain services keep the bound that admission has (their slots, over all hosts).

--- a/components/gateway/src/config.rs
+++ b/components/gateway/src/config.rs
@@ -5,7 +5,7 @@
 use chervilgate_policy::LatencyTargets;
 use smallvec::SmallVec;
 
-use crate::hash::stable_hash;
+use crate::{fleet::EngineLimits, hash::stable_hash};
 
 /// How the requests of a route may be retried and how they are answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -300,6 +300,16 @@
         stated.collect()
     }
 
+    /// What the engines of each service hold at most.
+    pub fn engine_limits(&self) -> HashMap<Arc<str>, EngineLimits> {
+        let services = self.services.iter();
+        let limits = services.filter_map(|(name, service)| {
+            let EngineProfile { slots, kv_tokens, .. } = *service.engine.as_ref()?;
+            Some((name.clone(), EngineLimits { slots, kv_tokens }))
+        });
+        limits.collect()
+    }
+
     /// Longest pause with which any stream of `service` is on time; none if unspecified.
     pub fn max_pause(&self, service: &str) -> Option<Duration> {
         self.max_pauses.get(service).copied()
--- a/components/gateway/src/demand.rs
+++ b/components/gateway/src/demand.rs
@@ -123,7 +123,7 @@
 
 impl WorkMeter {
     /// Counts an attempt that was sent to `target`, on which the prompt takes `prompt_ms` of the
-    /// reference engine.
+    /// reference engine. Returns the KV tokens that it may use there; none at targets that are no engines.
     pub fn start(
         &mut self,
         now: Time,
@@ -131,22 +131,23 @@
         target: &TargetEntry,
         prompt_ms: f64,
         prompt: &Prompt,
-    ) {
+    ) -> u32 {
         let role = target.role;
         if role == TargetRole::Whole {
-            return;
+            return 0;
         }
         let service = service_hash(&target.service);
         self.count_prompt(service, role, prompt_ms);
         let tokens = prompt.tokens.saturating_add(prompt.max_output);
         self.open.insert(attempt.number(), OpenWork { service, role, tokens, since: now });
+        tokens
     }
 
-    /// Records that an attempt ended.
-    pub fn finish(&mut self, now: Time, attempt: AttemptId) {
-        if let Some(open) = self.open.remove(&attempt.number()) {
-            add_held(self.totals.entry(open.service).or_default(), now, &open);
-        }
+    /// Records that an attempt ended. Returns the KV tokens that it may have used.
+    pub fn finish(&mut self, now: Time, attempt: AttemptId) -> u32 {
+        let Some(open) = self.open.remove(&attempt.number()) else { return 0 };
+        add_held(self.totals.entry(open.service).or_default(), now, &open);
+        open.tokens
     }
 
     /// Counts a prompt that was refused.
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -23,6 +23,7 @@
 mod plan;
 mod rank;
 mod rests;
+mod room;
 mod sending;
 mod target;
 
@@ -62,8 +63,9 @@
     failures::OutcomeNotice,
     imports::Import,
     limits::LimitNotice,
-    peer_loads::InFlightWork,
+    peer_loads::{InFlightWork, KvTokens},
     plan::{Placement, Plan, TargetQuery},
+    room::EngineLimits,
     sending::Hold,
 };
 
@@ -138,6 +140,8 @@
     work: WorkMeter,
     /// Tokens in an event of a stream, by service; services without are not known.
     event_tokens: HashMap<Arc<str>, u32>,
+    /// What engines hold at most, by service; services without are not known.
+    engine_limits: HashMap<Arc<str>, EngineLimits>,
     imports: Imports,
 }
 
@@ -196,6 +200,7 @@
             pauses: PauseMeter::default(),
             work: WorkMeter::default(),
             event_tokens: HashMap::new(),
+            engine_limits: HashMap::new(),
             imports: Imports::default(),
         }
     }
@@ -459,7 +464,9 @@
         let attempt = AttemptId(self.last_attempt);
         self.start_import(now, placement);
         if let Some(state) = self.targets.get_mut(&placement.id) {
-            self.work.start(now, attempt, &state.entry, state.reference_ms(placement), prompt);
+            let reference_ms = state.reference_ms(placement);
+            let tokens = self.work.start(now, attempt, &state.entry, reference_ms, prompt);
+            state.kv_tokens += u64::from(tokens);
             state.start(now, attempt, placement, prompt);
             self.failures.record_start(now, state.start_hash);
             let target = state.id_hash;
@@ -501,8 +508,9 @@
         if outcome == AttemptOutcome::Answered {
             self.mark_computed(now, placement, attempt);
         }
-        self.work.finish(now, attempt);
+        let tokens = self.work.finish(now, attempt);
         let Some(state) = self.targets.get_mut(&placement.id) else { return false };
+        state.kv_tokens = state.kv_tokens.saturating_sub(u64::from(tokens));
         let before = state.is_failing(now);
         // The time until a failure says nothing about the target's speed.
         state.mark_computed(now, attempt, placement);
--- a/components/gateway/src/fleet/capacity.rs
+++ b/components/gateway/src/fleet/capacity.rs
@@ -6,7 +6,10 @@
 use chervilgate_policy::{Fit, Forecast, LatencyTargets, Supply, Turn};
 use smallvec::SmallVec;
 
-use crate::fleet::{Fleet, Placement, Plan, TargetQuery, TargetRole, target::TargetState};
+use crate::{
+    fleet::{Fleet, Placement, Plan, TargetQuery, TargetRole, room::Need, target::TargetState},
+    protocol::Prompt,
+};
 
 /// Share of the targets that requests of less urgent kinds leave to the more urgent ones.
 const RESERVED_SHARE: f64 = 0.5;
@@ -49,7 +52,7 @@
         claim: &CapacityClaim<'_>,
     ) -> Capacity {
         let Some(cheapest) = self.place(now, query) else { return Capacity::NoTarget };
-        if self.has_capacity(now, query.service, &cheapest, claim) {
+        if self.has_capacity(now, query, &cheapest, claim) {
             return Capacity::Free(cheapest);
         }
         let waits = [claim.time_left / 2, claim.targets.late_wait(claim.priority)];
@@ -57,7 +60,7 @@
             let Some(exclude) = self.targets_busy_for(now, query, max_wait) else { continue };
             let query = TargetQuery { exclude: &exclude, ..*query };
             let plan = self.place(now, &query);
-            let fitting = plan.filter(|plan| self.has_capacity(now, query.service, plan, claim));
+            let fitting = plan.filter(|plan| self.has_capacity(now, &query, plan, claim));
             if let Some(plan) = fitting {
                 return Capacity::Free(plan);
             }
@@ -67,17 +70,19 @@
 
     /// Number of targets of `service` that start a request within `max_wait`.
     pub fn free_targets(&self, now: Time, service: &str, max_wait: Duration) -> usize {
+        let need = self.least_need(service);
         let serving = self.targets.values().filter(|state| state.serves(now, service));
-        serving.filter(|state| self.starts_within(now, state, max_wait)).count()
+        serving.filter(|state| self.starts_within(now, state, max_wait, &need)).count()
     }
 
     /// What is predicted of the targets of `service`, for requests that wait until one starts them within
     /// `max_wait`.
     pub fn supply(&self, now: Time, service: &str, max_wait: Duration) -> Supply {
+        let need = self.least_need(service);
         let (mut shortest, mut targets) = (f64::INFINITY, 0);
         for state in self.targets.values().filter(|state| state.serves(now, service)) {
             targets += 1;
-            let wait = if self.starts_within(now, state, max_wait) {
+            let wait = if self.starts_within(now, state, max_wait, &need) {
                 0.0
             } else {
                 self.expected_wait(now, state)
@@ -92,11 +97,14 @@
     fn has_capacity(
         &self,
         now: Time,
-        service: &str,
+        query: &TargetQuery<'_>,
         plan: &Plan,
         claim: &CapacityClaim<'_>,
     ) -> bool {
         let Plan { placement, prefill } = plan;
+        if !prefill.iter().chain([placement]).all(|placement| self.has_room(placement, query)) {
+            return false;
+        }
         let Some(state) = self.targets.get(&placement.id) else { return false };
         if state.entry.role == TargetRole::Whole {
             return self.has_slot(state);
@@ -111,7 +119,9 @@
         match claim.targets.fit(claim.priority, claim.turn, &forecast) {
             Fit::Fits => true,
             Fit::Full => false,
-            Fit::IfOthersKeep(tolerance) => self.others_keep(now, service, computing, tolerance),
+            Fit::IfOthersKeep(tolerance) => {
+                self.others_keep(now, query.service, computing, tolerance)
+            }
         }
     }
 
@@ -124,11 +134,12 @@
         placement: &Placement,
         tolerance: Duration,
     ) -> bool {
+        let need = self.least_need(service);
         let (mut serving, mut others) = (0_usize, 0_usize);
         for state in self.targets.values().filter(|state| state.serves(now, service)) {
             serving += 1;
             let is_other = state.entry.id != placement.id;
-            others += usize::from(is_other && self.starts_within(now, state, tolerance));
+            others += usize::from(is_other && self.starts_within(now, state, tolerance, &need));
             if others == MAX_RESERVED {
                 return true;
             }
@@ -145,9 +156,10 @@
         max_wait: Duration,
     ) -> Option<SmallVec<[Arc<str>; 32]>> {
         let mut exclude: SmallVec<[Arc<str>; 32]> = query.exclude.iter().cloned().collect();
+        let need = self.least_need(query.service);
         let mut is_any_left = false;
         for state in self.targets.values().filter(|state| state.serves(now, query.service)) {
-            if self.starts_within(now, state, max_wait) {
+            if self.starts_within(now, state, max_wait, &need) {
                 is_any_left = true;
             } else {
                 exclude.push(state.entry.id.clone());
@@ -156,14 +168,26 @@
         is_any_left.then_some(exclude)
     }
 
-    fn starts_within(&self, now: Time, state: &TargetState, max_wait: Duration) -> bool {
+    /// What a request of the service takes at least.
+    fn least_need(&self, service: &str) -> Need {
+        self.need(service, &Prompt::default())
+    }
+
+    fn starts_within(
+        &self,
+        now: Time,
+        state: &TargetState,
+        max_wait: Duration,
+        need: &Need,
+    ) -> bool {
         if self.hold(now, state).is_some() {
             return false;
         }
         if state.entry.role == TargetRole::Whole {
             return self.has_slot(state);
         }
-        self.expected_wait(now, state) <= max_wait.as_secs_f64() * 1e3
+        self.excess(state, need) <= 0.0
+            && self.expected_wait(now, state) <= max_wait.as_secs_f64() * 1e3
     }
 
     /// Whether fewer requests than its slots are open at the target of a plain service.
--- a/components/gateway/src/fleet/placing.rs
+++ b/components/gateway/src/fleet/placing.rs
@@ -6,7 +6,9 @@
 use crate::{
     fleet::{
         Fleet, Placement, Plan, TargetQuery, TargetRole,
+        peer_loads::PeerLoad,
         rank::{affinity, rank},
+        room::{Need, room_cost},
         target::{TargetState, UncachedTokens},
     },
     protocol::Prompt,
@@ -61,13 +63,14 @@
     /// Chooses the target of a request, and another one to compute its prompt first if
     /// that is cheaper.
     pub fn place(&self, now: Time, query: &TargetQuery<'_>) -> Option<Plan> {
+        let need = self.need(query.service, query.prompt);
         let whole = self.place_whole(now, query);
         if query.prompt.tokens == 0 {
             return whole.map(|placement| Plan { placement, prefill: None });
         }
         // A prompt that is lost is computed again, whatever the request.
         let stage = TargetQuery { runs_once: false, ..*query };
-        let prefill = self.best_target(now, &stage, |role| role == TargetRole::Prefill);
+        let prefill = self.best_target(now, &stage, &need, |role| role == TargetRole::Prefill);
         let decode = self.place_decode(now, query);
         // Both stages have one software version.
         let same = prefill.as_ref().and_then(|prefill| {
@@ -75,9 +78,14 @@
         });
         let detour =
             |same: &Placement| decode.as_ref().map_or(0.0, |any| same.cost_ms - any.cost_ms);
+        // An engine that generates without room has none for the whole request either.
+        let no_room = decode.as_ref().and_then(|any| self.targets.get(&any.id));
+        let no_room = no_room
+            .map_or(0.0, |state| room_cost(state, self.peer_loads.load(state.id_hash), &need));
         match (whole, prefill, same) {
             (Some(whole), Some(prefill), Some(placement))
-                if prefill.cost_ms + SPLIT_COST_MS + detour(&placement) < whole.cost_ms =>
+                if prefill.cost_ms + SPLIT_COST_MS + detour(&placement) + no_room
+                    < whole.cost_ms =>
             {
                 Some(Plan { placement, prefill: Some(prefill) })
             }
@@ -87,15 +95,17 @@
 
     /// Chooses a target that runs the whole request.
     pub fn place_whole(&self, now: Time, query: &TargetQuery<'_>) -> Option<Placement> {
-        self.best_target(now, query, |role| role != TargetRole::Prefill)
+        let need = self.need(query.service, query.prompt);
+        self.best_target(now, query, &need, |role| role != TargetRole::Prefill)
     }
 
     /// Chooses a target to generate from an exported KV cache, without computing the
     /// prompt.
     pub fn place_decode(&self, now: Time, query: &TargetQuery<'_>) -> Option<Placement> {
+        let need = self.need(query.service, query.prompt);
         let no_prompt = Prompt::default();
         let query = TargetQuery { prompt: &no_prompt, ..*query };
-        self.best_target(now, &query, |role| role == TargetRole::Decode)
+        self.best_target(now, &query, &need, |role| role == TargetRole::Decode)
     }
 
     /// Cost of a target's failures, by what this host and all hosts together have seen of it.
@@ -112,6 +122,7 @@
         &self,
         now: Time,
         state: &TargetState,
+        others: PeerLoad,
         missing: UncachedTokens,
         query: &TargetQuery<'_>,
         event_tokens: Option<u32>,
@@ -120,7 +131,6 @@
         else {
             return 0.0;
         };
-        let others = self.peer_loads.load(state.id_hash);
         let streams = state.in_flight + others.in_flight;
         let pending = state.pending_ms + f64::from(others.pending_ms);
         let own =
@@ -147,6 +157,7 @@
         &self,
         now: Time,
         query: &TargetQuery<'_>,
+        need: &Need,
         has_role: impl Fn(TargetRole) -> bool,
     ) -> Option<Placement> {
         let key = affinity(query.prompt);
@@ -177,6 +188,7 @@
             has_role(state.entry.role) && !query.exclude.contains(&state.entry.id)
         });
         let candidates = eligible.map(|(state, rank)| {
+            let others = self.peer_loads.load(state.id_hash);
             let hit_rate = hit_rate(rank);
             let missing = state.uncached_tokens(query.prompt, hit_rate);
             let zone_cost = if state.entry.zone == self.zone { 0.0 } else { CROSS_ZONE_COST_MS };
@@ -185,7 +197,7 @@
             let prefill_cost = |missing: UncachedTokens| {
                 state.prefill_time_ms(missing.shared, query.prompt.tokens) * RECOMPUTE_WEIGHT
                     + state.prefill_time_ms(missing.own, query.prompt.tokens)
-                    + self.late_streams_cost(now, state, missing, query, event_tokens)
+                    + self.late_streams_cost(now, state, others, missing, query, event_tokens)
             };
             let computed_cost = prefill_cost(missing);
             let offer = (!sources.is_empty() && missing.shared > 0)
@@ -205,7 +217,9 @@
             let is_in_doubt =
                 state.in_flight == 0 && self.limits.is_in_doubt(now, &entry.id, entry.incarnation);
             let bonus = if is_in_doubt || is_trial { DOUBT_BONUS_MS } else { 0.0 };
-            let cost = self.expected_wait(now, state) + prefill_cost + zone_cost + failing - bonus;
+            let wait = state.expected_wait(now, others.in_flight, f64::from(others.pending_ms));
+            let room_cost = room_cost(state, others, need);
+            let cost = wait + room_cost + prefill_cost + zone_cost + failing - bonus;
             let cache_is_known = import.is_none() && (missing.shared == 0 || hit_rate == 0.0);
             (state, rank, (missing, cache_is_known, import), cost)
         });
--- a/components/gateway/src/fleet/target.rs
+++ b/components/gateway/src/fleet/target.rs
@@ -82,6 +82,8 @@
     pub(super) group: u32,
     /// Number of this host's requests in flight.
     pub(super) in_flight: u32,
+    /// KV tokens of these, if it is an engine.
+    pub(super) kv_tokens: u64,
     /// Predicted time of the prompt computation that was sent and is not known to be
     /// finished.
     pub(super) pending_ms: f64,
@@ -154,6 +156,7 @@
             start_hash: start_hash(&entry),
             group: group(&entry),
             in_flight: 0,
+            kv_tokens: 0,
             pending_ms: 0.0,
             unanswered: SmallVec::new(),
             cached_parts: HashMap::new(),
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -6,6 +6,7 @@
 //! its start and end are broadcast to all hosts at once. That the store has come back from an older
 //! copy is passed on by each host that hears of it.
 
+mod kv_tokens;
 mod news;
 mod origins;
 mod quota;
@@ -29,9 +30,10 @@
     admission::WaitingCount,
     demand::DemandReport,
     fleet::{
-        CachedPart, EndNotice, GroupReport, InFlightWork, LimitNotice, OutcomeNotice,
+        CachedPart, EndNotice, GroupReport, InFlightWork, KvTokens, LimitNotice, OutcomeNotice,
         TargetSpeedReport,
     },
+    gossip::kv_tokens::{append, decode, encode_kv_tokens},
     gossip::news::{
         LatestChanges, ProgressReply, apply_latest_changes, apply_progress, progress_reply,
     },
@@ -117,6 +119,8 @@
     /// Requests that wait at the sender, whose gossip id comes first.
     Waiting(u32, Vec<WaitingCount>),
     TargetSpeeds(TargetSpeedMessage),
+    /// KV tokens of the sender's requests in flight, whose gossip id comes first.
+    KvTokens(u32, Vec<KvTokens>),
 }
 
 /// What a host has seen of targets with failures.
@@ -172,6 +176,7 @@
         correct_clock(&shared);
         let now = shared.now();
         let time = shared.wall_clock().at(now).as_micros() as u64;
+        let kv_tokens = encode_kv_tokens(&shared, now);
         let (work, parts, failed_runs, evidence, limits, outcomes, waiting, peers, in_charge) = {
             let mut state = shared.state();
             let mut failed_runs = state.poison.runs_to_gossip(now);
@@ -206,7 +211,8 @@
             continue;
         }
         let report = WorkReport { host, time, in_charge, work, parts, broken: failed_runs };
-        let Some(datagram) = encode_report(report) else { continue };
+        let Some(mut datagram) = encode_report(report) else { continue };
+        let kv_tokens = append(&mut datagram, kv_tokens);
         if urgent {
             shared.state().fleet.clear_sent_parts();
         }
@@ -214,6 +220,7 @@
         for peer in recipients {
             let datagrams = [
                 Some(&datagram),
+                kv_tokens.as_ref(),
                 evidence.as_ref(),
                 limits.as_ref(),
                 outcomes.as_ref(),
@@ -454,7 +461,7 @@
                 continue;
             }
         };
-        match postcard::from_bytes::<Message>(&buffer[..length]) {
+        match decode(&shared, &buffer[..length]) {
             Ok(Message::Window(report)) => {
                 let now = shared.now();
                 shared.state().peer_sheets.record(now, &report);
@@ -501,6 +508,10 @@
                 let now = shared.now();
                 shared.state().fleet.apply_limit_notices(now, &notices);
             }
+            Ok(Message::KvTokens(host, tokens)) => {
+                let now = shared.now();
+                shared.state().fleet.apply_peer_tokens(now, host, tokens);
+            }
             Ok(Message::Waiting(host, counts)) => {
                 let now = shared.now();
                 shared.state().admission.apply_report(now, host, counts);
--- a/components/gateway/src/gossip/tests.rs
+++ b/components/gateway/src/gossip/tests.rs
@@ -4,10 +4,11 @@
 
 use crate::{
     demand::{DemandReport, MAX_REPORTED_SERVICES, WorkTotals},
-    fleet::{CachedPart, InFlightWork, OutcomeNotice, TargetSpeedReport},
+    fleet::{CachedPart, InFlightWork, KvTokens, OutcomeNotice, TargetSpeedReport},
     gossip::{
         MAX_DATAGRAM_BYTES, MAX_FAILED_RUNS, Message, WorkReport, encode, encode_evidence,
         encode_outcomes, encode_report, encode_target_speeds,
+        kv_tokens::{append, appended_tokens},
     },
     poison::{CrashEvidence, FailedRun},
 };
@@ -120,3 +121,24 @@
 
     assert!(encode(&Message::Demand(report)).is_some());
 }
+
+// Guards against hosts of the version before, which would lose the work report with the message after it, and
+// against tokens that are dropped where both do not fit into one datagram.
+#[test]
+fn kv_tokens_travel_behind_the_work_report() {
+    for (work, fits) in [(30, true), (80, false)] {
+        let tokens: Vec<KvTokens> =
+            (0..80).map(|engine| KvTokens { target: u32::MAX - engine, tokens: 1 << 20 }).collect();
+        let message = encode(&Message::KvTokens(7, tokens.clone())).unwrap();
+        let mut datagram = encode_report(report(work, 0, 0)).unwrap();
+
+        let left = append(&mut datagram, Some(message));
+
+        assert!(datagram.len() <= MAX_DATAGRAM_BYTES);
+        let (first, rest) = postcard::take_from_bytes(&datagram).unwrap();
+        assert!(matches!(first, Message::Work(report) if report.work.len() == work as usize));
+        assert_eq!(left.is_none(), fits);
+        assert_eq!(appended_tokens(left.as_deref().unwrap_or(rest)), Some((7, tokens)));
+    }
+    assert_eq!(appended_tokens(&[200, 1, 3]), None);
+}
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -293,10 +293,12 @@
             Ok(config) => {
                 let (version, at) = (config.version, object.version);
                 let (terms, event_tokens) = (config.import_terms(), config.event_tokens());
+                let engine_limits = config.engine_limits();
                 let state = &mut *shared.state();
                 if state.view.replace_if_newer(config) {
                     state.fleet.set_import_terms(terms);
                     state.fleet.set_event_tokens(event_tokens);
+                    state.fleet.set_engine_limits(engine_limits);
                     log::info!(target: "view", version, at:%; "configuration adopted");
                     apply_config(shared, state, now);
                     shared.quota_config.notify_one();
