Hosts that start are told of targets that ended before

Cause: an engine that starts again under its id keeps its entry of before for up to a second. Hosts that saw its end told each other once; a host that was killed and started in this time took the entry at its word, and had the engine import prompts of another version.

They do not replace what a host found itself.

--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -57,7 +57,7 @@
     builds::{Build, BuildId, STREAM_LIFE, SeenBuilds, ServiceBuild},
     capacity::{Capacity, CapacityClaim},
     demand::{EngineSpeeds, StageCounts},
-    ends::EndNotice,
+    ends::{EndNotice, PastEnd},
     entry::{TargetCounts, TargetEntry, TargetRole},
     failures::OutcomeNotice,
     imports::Import,
--- a/components/gateway/src/fleet/ends.rs
+++ b/components/gateway/src/fleet/ends.rs
@@ -30,6 +30,16 @@
     pub incarnation: u64,
 }
 
+/// That a start of a target ended some time ago.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PastEnd {
+    /// Which start.
+    pub notice: EndNotice,
+    /// Milliseconds since.
+    pub age_ms: u32,
+}
+
 /// That the start of a target which its entry is of has ended.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct TargetEnd {
@@ -101,6 +111,33 @@
         }
     }
 
+    /// Records past ends, of which this host may not have heard because it started later. What it has
+    /// found of the same start itself, or was told before, stands.
+    pub fn apply_past_ends(&mut self, now: Time, ends: &[PastEnd]) {
+        for PastEnd { notice, age_ms } in ends {
+            let id = self.ids_by_hash.get(&notice.target);
+            let Some(state) = id.and_then(|id| self.targets.get_mut(id)) else { continue };
+            let age = Duration::from_millis((*age_ms).into());
+            if state.entry.incarnation == notice.incarnation && state.end.is_none() {
+                state.record_end(now.saturating_sub(age), false);
+            }
+        }
+    }
+
+    /// Ends after which the next entry may still be on its way, for hosts that have started since.
+    pub fn past_ends(&self, now: Time) -> Vec<PastEnd> {
+        let ends = self.targets.values().filter_map(|state| {
+            let end = state.end.filter(|end| !end.goes_on)?;
+            let age = now.since(end.at);
+            let (target, incarnation) = (state.id_hash, state.entry.incarnation);
+            (age < ENTRY_TIME).then(|| PastEnd {
+                notice: EndNotice { target, incarnation },
+                age_ms: age.as_millis() as u32,
+            })
+        });
+        ends.take(MAX_UNTOLD).collect()
+    }
+
     /// Ends that other hosts are to be told of.
     pub fn take_untold_ends(&mut self) -> Vec<EndNotice> {
         std::mem::take(&mut self.untold_ends)
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -29,7 +29,7 @@
     admission::WaitingCount,
     demand::DemandReport,
     fleet::{
-        CachedPart, EndNotice, GroupReport, InFlightWork, LimitNotice, OutcomeNotice,
+        CachedPart, EndNotice, GroupReport, InFlightWork, LimitNotice, OutcomeNotice, PastEnd,
         TargetSpeedReport,
     },
     gossip::news::{
@@ -117,6 +117,8 @@
     /// Requests that wait at the sender, whose gossip id comes first.
     Waiting(u32, Vec<WaitingCount>),
     TargetSpeeds(TargetSpeedMessage),
+    /// Ends of targets, for hosts that have started since.
+    PastEnds(Vec<PastEnd>),
 }
 
 /// What a host has seen of targets with failures.
@@ -233,7 +235,7 @@
     loop {
         sleep(SPEEDS_INTERVAL).await;
         let now = shared.now();
-        let (speeds, target_speeds, failed_runs, evidence, limits, peers) = {
+        let (speeds, target_speeds, failed_runs, evidence, limits, ends, peers) = {
             let state = &mut *shared.state();
             let own = (!state.leaving).then_some(&*shared.settings.name);
             state.fleet.set_hosts(now, own, state.membership.live_names(now));
@@ -245,7 +247,8 @@
             let limits = state.fleet.limit_notices(now, false);
             let (speeds, peers) = (state.fleet.speed_reports(now), state.membership.gossip_addrs());
             let target_speeds = state.fleet.target_speed_reports(now);
-            (speeds, target_speeds, failed_runs, evidence, limits, peers)
+            let ends = state.fleet.past_ends(now);
+            (speeds, target_speeds, failed_runs, evidence, limits, ends, peers)
         };
         let message = (!speeds.is_empty())
             .then(|| Message::Speeds(SpeedMessage { host: shared.gossip_id(), speeds }));
@@ -254,7 +257,9 @@
         let failed_runs = (!failed_runs.is_empty()).then_some(Message::FailedRuns(failed_runs));
         let failed_runs = failed_runs.as_ref().and_then(encode);
         let (evidence, limits) = (encode_evidence(evidence), encode_limits(limits));
-        let datagrams = [message, target_speeds, failed_runs, evidence, limits];
+        let ends = (!ends.is_empty()).then_some(Message::PastEnds(ends));
+        let ends = ends.as_ref().and_then(encode);
+        let datagrams = [message, target_speeds, failed_runs, evidence, limits, ends];
         for peer in rotation.next(peers, SPEEDS_FANOUT) {
             for datagram in datagrams.iter().flatten() {
                 send_datagram(&socket, datagram, peer).await;
@@ -463,6 +468,11 @@
                 let now = shared.now();
                 let reply = shared.state().view.confirmation(now, request);
                 let progress = progress_reply(&shared, now, request);
+                // A host that has started asks first; it is to know them before it serves.
+                let ends = shared.state().fleet.past_ends(now);
+                if !ends.is_empty() {
+                    send(&socket, &Message::PastEnds(ends), from).await;
+                }
                 if let Some(reply) = reply {
                     send(&socket, &Message::Confirmed(reply), from).await;
                 }
@@ -509,6 +519,10 @@
                 let now = shared.now();
                 shared.state().fleet.apply_ends(now, &notices);
             }
+            Ok(Message::PastEnds(ends)) => {
+                let now = shared.now();
+                shared.state().fleet.apply_past_ends(now, &ends);
+            }
             Ok(Message::Outcomes(message)) => {
                 let now = shared.now();
                 let mut state = shared.state();
--- a/components/gateway/tests/ends.rs
+++ b/components/gateway/tests/ends.rs
@@ -160,3 +160,30 @@
 
     assert!(place(&fleet, NOW, None).is_some());
 }
+
+#[test]
+fn a_host_that_starts_later_is_told_of_an_end_while_an_entry_may_be_on_its_way() {
+    let (fleet, _) = ended();
+    let mut other = Fleet::new("a", Duration::from_secs(2));
+    other.replace(NOW, vec![entry(1, "v1")]);
+
+    other.apply_past_ends(NOW, &fleet.past_ends(NOW));
+
+    assert_eq!(place(&other, NOW, Some(Build::new("v1").id)), None);
+    assert_ne!(place(&other, NOW, None).unwrap().build, Build::new("v1"));
+    assert_eq!(fleet.past_ends(NOW + ENTRY_TIME), []);
+    // Hosts that pass it on to each other do not keep it alive.
+    assert_eq!(other.past_ends(NOW + ENTRY_TIME), []);
+}
+
+#[test]
+fn a_past_end_does_not_replace_what_a_host_has_found_of_the_same_start() {
+    let (fleet, _) = ended();
+    let (mut other, placement) = ended();
+    other.record_life(&placement, BEFORE);
+    let later = NOW + Duration::from_secs(60 * 60);
+
+    other.apply_past_ends(NOW, &fleet.past_ends(NOW));
+
+    assert_eq!(place(&other, later, None).unwrap().build, Build::new("v1"));
+}
