Admission: refuse waiting requests without a target at once

The check of a waiting request has a third verdict beside start and wait. Requests that no target may be sent leave the queue, and the next request of the lane is tried. They get the failure of one that arrives in that state. While all targets rest or have reached their limits, a request still waits if that ends by its latest start, unless it is bound to a version.

a_stream_whose_version_is_gone_leaves_its_place_to_the_requests_behind_it fails without the change (1 decision instead of 2, the less urgent request of another lane starts) and passes with it.

--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -14,7 +14,7 @@
 
 use chervilgate_clock::Time;
 use chervilgate_policy::{
-    DispatchLimits, DispatchQueue, LatencyTargets, OrgId, Ticket, Turn, WaitingRequest,
+    DispatchLimits, DispatchQueue, LatencyTargets, OrgId, StartCheck, Ticket, Turn, WaitingRequest,
 };
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -81,6 +81,8 @@
     Send(Ticket, Box<Plan>),
     /// It is refused.
     Refuse(Ticket, Yielded),
+    /// No target may be sent it any more.
+    NoTarget(Ticket),
 }
 
 /// Number of requests of one priority that wait for a service at one host.
@@ -296,12 +298,15 @@
                 others => free as f64 / (count(&own, priority) + others) as f64,
             };
             let mut plan = None;
-            let sent = service.queue.start_next(now, &mut |ticket, request, turn| {
+            let next = service.queue.start_next(now, &mut |ticket, request, turn| {
+                let Some(held) = held.get(&ticket) else { return StartCheck::NoTarget };
+                if !fleet.may_find_target(now, &held.query(), request.last_start()) {
+                    return StartCheck::NoTarget;
+                }
                 let is_own = has_freed && turn == Turn::Ordinary;
                 if free == 0 || (!is_own && draw() >= chance(request.priority)) {
-                    return false;
+                    return StartCheck::Wait;
                 }
-                let Some(held) = held.get(&ticket) else { return false };
                 let time_left = request.on_time_by.since(now);
                 let claim = CapacityClaim {
                     targets: &targets,
@@ -309,18 +314,23 @@
                     time_left,
                     turn,
                 };
-                let Capacity::Free(found) = fleet.place_with_capacity(now, &held.query(), &claim)
-                else {
-                    return false;
-                };
-                plan = Some(found);
-                true
+                match fleet.place_with_capacity(now, &held.query(), &claim) {
+                    Capacity::Free(found) => {
+                        plan = Some(found);
+                        StartCheck::Start
+                    }
+                    Capacity::Full(_) | Capacity::NoTarget => StartCheck::Wait,
+                }
             });
             for (ticket, yielded) in refused {
                 self.held.remove(&ticket);
                 decisions.push(Decision::Refuse(ticket, yielded));
             }
-            if let (Some(ticket), Some(plan)) = (sent, plan) {
+            for ticket in next.without_target {
+                self.held.remove(&ticket);
+                decisions.push(Decision::NoTarget(ticket));
+            }
+            if let (Some(ticket), Some(plan)) = (next.started, plan) {
                 self.held.remove(&ticket);
                 decisions.push(Decision::Send(ticket, Box::new(plan)));
             }
--- a/components/gateway/src/fleet/capacity.rs
+++ b/components/gateway/src/fleet/capacity.rs
@@ -65,6 +65,23 @@
         Capacity::Full(cheapest)
     }
 
+    /// Whether a waiting request may still be sent to a target that serves now: at once, or once a
+    /// target may be sent something again, if that is by `last_start`. A stream that goes on at one
+    /// software version does not wait for that, as the requests behind it may use other targets.
+    pub fn may_find_target(&self, now: Time, query: &TargetQuery<'_>, last_start: Time) -> bool {
+        let usable = |state: &TargetState| match self.hold(now, state) {
+            None => true,
+            Some((_, wait)) => query.build.is_none() && now + wait <= last_start,
+        };
+        self.targets.values().any(|state| {
+            state.serves(now, query.service)
+                && state.entry.role != TargetRole::Prefill
+                && query.build.is_none_or(|build| state.build(now).id == build)
+                && !query.exclude.contains(&state.entry.id)
+                && usable(state)
+        })
+    }
+
     /// Number of targets of `service` that start a request within `max_wait`.
     pub fn free_targets(&self, now: Time, service: &str, max_wait: Duration) -> usize {
         let serving = self.targets.values().filter(|state| state.serves(now, service));
--- a/components/gateway/src/waiting.rs
+++ b/components/gateway/src/waiting.rs
@@ -14,8 +14,11 @@
     state::{Shared, State},
 };
 
-/// Tells a waiting request that it is sent, or refused.
-pub(crate) type TurnSender = oneshot::Sender<Result<Box<Plan>, Yielded>>;
+/// How the wait of a request ends: it is sent, refused, or no target may be sent it any more.
+type Verdict = Result<Option<Box<Plan>>, Yielded>;
+
+/// Tells a waiting request how its wait ends.
+pub(crate) type TurnSender = oneshot::Sender<Verdict>;
 
 /// Chooses the targets of a request that was not sent before, once they have capacity for it; none if
 /// none may be sent it. Returns the time that it waited, too.
@@ -40,7 +43,7 @@
     shared.metrics.observe_wait(call.priority, waited);
     let Ok(verdict) = verdict else { return Err(Failure::Expired) };
     match verdict {
-        Ok(Ok(plan)) => Ok((Some(*plan), waited)),
+        Ok(Ok(plan)) => Ok((plan.map(|plan| *plan), waited)),
         Ok(Err(yielded)) => Err(refuse(shared, call, began_at, &yielded)),
         // Nobody decides on waiting requests any more.
         Err(_) => Ok((shared.state().fleet.place(now, &query), waited)),
@@ -51,7 +54,7 @@
 enum Placed {
     Chosen(Option<Box<Plan>>),
     Refused(Yielded),
-    Waits(Waiter, oneshot::Receiver<Result<Box<Plan>, Yielded>>),
+    Waits(Waiter, oneshot::Receiver<Verdict>),
 }
 
 fn offer(shared: &Arc<Shared>, call: &CallerRequest, now: Time, query: TargetQuery<'_>) -> Placed {
@@ -143,10 +146,11 @@
     let mut has_sent = false;
     for decision in admission.poll(now, fleet, has_freed, &mut rand::random) {
         let (ticket, verdict) = match decision {
-            Decision::Send(ticket, plan) => (ticket, Ok(plan)),
+            Decision::Send(ticket, plan) => (ticket, Ok(Some(plan))),
+            Decision::NoTarget(ticket) => (ticket, Ok(None)),
             Decision::Refuse(ticket, yielded) => (ticket, Err(yielded)),
         };
-        has_sent |= verdict.is_ok();
+        has_sent |= matches!(verdict, Ok(Some(_)));
         if let Some(turn) = turns.remove(&ticket) {
             // It only fails if the caller has just left.
             turn.send(verdict).ok();
--- a/components/gateway/tests/admission.rs
+++ b/components/gateway/tests/admission.rs
@@ -17,8 +17,8 @@
 const LONG: u8 = 2;
 const SHORT: u8 = 0;
 
-fn fleet(role: TargetRole, targets: u8) -> Fleet {
-    let entries = (0..targets).map(|number| TargetEntry {
+fn entry(role: TargetRole, number: u8) -> TargetEntry {
+    TargetEntry {
         id: format!("t{number}").into(),
         service: "s".into(),
         addr: ([10, 0, 0, number], 80).into(),
@@ -30,7 +30,11 @@
         incarnation: 1,
         sequence: 0,
         reclaimable: false,
-    });
+    }
+}
+
+fn fleet(role: TargetRole, targets: u8) -> Fleet {
+    let entries = (0..targets).map(|number| entry(role, number));
     let mut fleet = Fleet::new("a", Duration::from_secs(2));
     fleet.replace(Time::from_secs(1), entries.collect());
     fleet
@@ -48,17 +52,31 @@
     Prompt { tokens, max_output: 10, parts: parts.into_iter().collect() }
 }
 
+fn query(prompt: &Prompt) -> TargetQuery<'_> {
+    TargetQuery {
+        service: "s",
+        prompt,
+        exclude: &[],
+        build: None,
+        max_pause: None,
+        runs_once: false,
+    }
+}
+
 fn offer(queues: &mut Queues, fleet: &Fleet, now: Time, prompt: &Prompt, priority: u8) -> Offer {
+    offer_query(queues, fleet, now, query(prompt), priority)
+}
+
+fn offer_query(
+    queues: &mut Queues,
+    fleet: &Fleet,
+    now: Time,
+    query: TargetQuery<'_>,
+    priority: u8,
+) -> Offer {
     let target = if priority == SHORT { 250 } else { 800 };
     let applicant = Applicant {
-        query: TargetQuery {
-            service: "s",
-            prompt,
-            exclude: &[],
-            build: None,
-            max_pause: None,
-            runs_once: false,
-        },
+        query,
         org: Some("org"),
         priority,
         arrived_at: now,
@@ -140,6 +158,30 @@
     assert!(queues.is_empty());
 }
 
+// Guards against a resumed stream whose version is gone and that keeps all requests behind it from starting until its
+// own latest start.
+#[test]
+fn a_stream_whose_version_is_gone_leaves_its_place_to_the_requests_behind_it() {
+    let (mut fleet, mut queues, open) = full_plain_fleet();
+    let prompt = Prompt::default();
+    let resumed = TargetQuery { build: Some(Build::default().id), ..query(&prompt) };
+    let bound = offer_query(&mut queues, &fleet, NOW, resumed, SHORT);
+    let behind = offer(&mut queues, &fleet, NOW, &prompt, SHORT);
+    assert!(matches!((&bound, &behind), (Offer::Wait(_), Offer::Wait(_))), "{bound:?}, {behind:?}");
+
+    let (placement, attempt) = &open[0];
+    fleet.finish(NOW, placement, *attempt, AttemptOutcome::Answered);
+    for number in 0..2 {
+        let build = Build::new("next");
+        let entry = TargetEntry { build, sequence: 1, ..entry(TargetRole::Whole, number) };
+        fleet.upsert(NOW, entry);
+    }
+    let decisions = queues.poll(NOW, &fleet, true, &mut || 0.5);
+
+    assert_eq!((sent(&decisions), decisions.len()), (1, 2), "{decisions:?}");
+    assert_eq!(queues.waiting()[0].1, 1);
+}
+
 // Guards against long prompts of the least urgent kind that fill all engines, so that urgent ones are late.
 #[test]
 fn long_prompts_leave_engines_to_urgent_requests() {
@@ -164,17 +206,8 @@
     let (fleet, mut queues) = (fleet(TargetRole::Decode, 8), Queues::default());
     for tokens in [1_400, 9_000, 17_000] {
         let prompt = prompt(tokens);
-        let query = TargetQuery {
-            service: "s",
-            prompt: &prompt,
-            exclude: &[],
-            build: None,
-            max_pause: None,
-            runs_once: false,
-        };
-
         let offered = offer(&mut queues, &fleet, NOW, &prompt, LONG);
 
-        assert_eq!(offered, Offer::Send(Box::new(fleet.place(NOW, &query).unwrap())));
+        assert_eq!(offered, Offer::Send(Box::new(fleet.place(NOW, &query(&prompt)).unwrap())));
     }
 }
--- a/components/gateway/tests/load/simulation.rs
+++ b/components/gateway/tests/load/simulation.rs
@@ -481,7 +481,9 @@
             has_freed = false;
             let mut has_sent = false;
             for decision in decisions {
-                let (Decision::Send(ticket, _) | Decision::Refuse(ticket, _)) = &decision;
+                let (Decision::Send(ticket, _)
+                | Decision::Refuse(ticket, _)
+                | Decision::NoTarget(ticket)) = &decision;
                 let waiting = self.admission.as_mut().map(|admission| &mut admission.waiting);
                 let id = waiting.and_then(|waiting| waiting.remove(&(host, *ticket)));
                 let id = id.expect("decided once on each request");
@@ -490,7 +492,7 @@
                         has_sent = true;
                         self.submit_plan(now, id, *plan);
                     }
-                    Decision::Refuse(..) => {
+                    Decision::Refuse(..) | Decision::NoTarget(_) => {
                         let class = self.requests[&id].class;
                         self.results.0[class].1.refused += 1;
                     }
--- a/components/policy/benches/dispatch.rs
+++ b/components/policy/benches/dispatch.rs
@@ -3,7 +3,9 @@
 use std::{hint::black_box, time::Duration};
 
 use chervilgate_clock::Time;
-use chervilgate_policy::{DispatchLimits, DispatchQueue, OrgId, Supply, Ticket, WaitingRequest};
+use chervilgate_policy::{
+    DispatchLimits, DispatchQueue, OrgId, StartCheck, Supply, Ticket, WaitingRequest,
+};
 use criterion::{Criterion, criterion_group, criterion_main};
 
 /// Number of waiting requests.
@@ -43,7 +45,7 @@
             let request = request(next);
             black_box(queue.enqueue(now, Ticket(next), request, SUPPLY, 0.5)).ok();
             black_box(queue.expire(now, 0.5));
-            black_box(queue.start_next(now, &mut |_, _, _| true))
+            black_box(queue.start_next(now, &mut |_, _, _| StartCheck::Start))
         });
     });
     assert!(queue.len() as u64 >= WAITING / 2, "{}", queue.len());
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -18,12 +18,19 @@
 use crate::{
     OrgId, Ticket,
     admission::{FairQueue, ServiceRate},
-    dispatch::lane::Lane,
+    dispatch::{
+        lane::Lane,
+        request::{LaneKey, Standing},
+    },
 };
 
-pub use crate::dispatch::targets::{Fit, Forecast, LatencyTargets, Turn};
+pub use crate::dispatch::{
+    request::WaitingRequest,
+    targets::{Fit, Forecast, LatencyTargets, Turn},
+};
 
 mod lane;
+mod request;
 mod targets;
 #[cfg(test)]
 mod tests;
@@ -31,11 +38,6 @@
 /// Every how many starts of waiting requests one goes to the request closest to its latest start.
 pub const FAIR_TURN_INTERVAL: u32 = 10;
 
-/// Time for which a request that can be on time gives way to later ones, in multiples of the work that
-/// it takes more than they. Ordered by their last start on time instead, all requests of an overload wait until
-/// they are almost late, and single long prompts make many of them so.
-const WORK_WEIGHT: u32 = 8;
-
 /// Shortest time after which a refused caller may return.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -64,63 +66,29 @@
     }
 }
 
-/// A request that waits for capacity.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct WaitingRequest {
-    /// Organisation that it runs for.
-    pub org: OrgId,
-    /// Scheduling priority; 0 is the highest.
-    pub priority: u8,
-    /// When it arrived.
-    pub arrived_at: Time,
-    /// Until when its first event is on time.
-    pub on_time_by: Time,
-    /// Until when its caller waits.
-    pub deadline: Time,
-    /// Predicted time from its start at an idle target to its first event.
-    pub work: Duration,
-    /// Cost for the shares of organisations, in tokens.
-    pub cost: u64,
-    /// Size of its body.
-    pub bytes: usize,
-}
-
-impl WaitingRequest {
-    /// Until when it may start and be on time.
-    pub fn last_on_time_start(&self) -> Time {
-        self.on_time_by.saturating_sub(self.work)
-    }
-
-    /// Until when it may start and have its first event before its caller leaves.
-    pub fn last_start(&self) -> Time {
-        self.deadline.saturating_sub(self.work)
-    }
-
-    fn lane_key(&self, standing: Standing) -> LaneKey {
-        (standing, self.priority)
-    }
+/// Requests that are refused, with their refusals.
+pub type Refused = SmallVec<[(Ticket, Yielded); 2]>;
 
-    /// Order among the requests of its organisation in its lane.
-    fn rank(&self, standing: Standing) -> Time {
-        match standing {
-            Standing::OnTime => self.arrived_at + self.work * WORK_WEIGHT,
-            Standing::Late => self.last_start(),
-        }
-    }
+/// Whether a waiting request starts now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartCheck {
+    /// A target has capacity for it.
+    Start,
+    /// It has to wait.
+    Wait,
+    /// No target may be sent it any more.
+    NoTarget,
 }
 
-/// Whether a request can still be on time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Standing {
-    OnTime,
-    Late,
+/// Result of [`DispatchQueue::start_next`].
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct NextStart {
+    /// The request that starts; none if none does.
+    pub started: Option<Ticket>,
+    /// Requests that were removed, since no target may be sent them.
+    pub without_target: SmallVec<[Ticket; 2]>,
 }
 
-type LaneKey = (Standing, u8);
-
-/// Requests that are refused, with their refusals.
-pub type Refused = SmallVec<[(Ticket, Yielded); 2]>;
-
 /// Why a waiting request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum YieldReason {
@@ -295,15 +263,18 @@
         refused
     }
 
-    /// Starts the next request for which `has_capacity` finds a target; none if there is none.
+    /// Starts the next request for which `check` finds a target with capacity, if there is one. Removes
+    /// the requests before it that no target may be sent any more: they would keep those behind them
+    /// waiting.
     ///
     /// Of each lane only the first request is tried: those behind it would take what it waits for.
     pub fn start_next(
         &mut self,
         now: Time,
-        has_capacity: &mut dyn FnMut(Ticket, &WaitingRequest, Turn) -> bool,
-    ) -> Option<Ticket> {
-        let found = self.find_start(has_capacity);
+        check: &mut dyn FnMut(Ticket, &WaitingRequest, Turn) -> StartCheck,
+    ) -> NextStart {
+        let mut without_target = SmallVec::new();
+        let found = self.find_start(check, &mut without_target);
         if let Some((ticket, turn)) = found
             && let Some(entry) = self.remove(ticket)
         {
@@ -317,7 +288,7 @@
             self.rate.record_start(now, micros(work), work, true);
         }
         self.rate.set_empty(now, self.is_empty());
-        found.map(|(ticket, _)| ticket)
+        NextStart { started: found.map(|(ticket, _)| ticket), without_target }
     }
 
     /// When [`DispatchQueue::expire`] has something to do next; none if no request waits.
@@ -327,20 +298,46 @@
     }
 
     fn find_start(
-        &self,
-        has_capacity: &mut dyn FnMut(Ticket, &WaitingRequest, Turn) -> bool,
+        &mut self,
+        check: &mut dyn FnMut(Ticket, &WaitingRequest, Turn) -> StartCheck,
+        without_target: &mut SmallVec<[Ticket; 2]>,
     ) -> Option<(Ticket, Turn)> {
-        let mut starts = |ticket: Ticket, turn| {
-            self.get(ticket).is_some_and(|request| has_capacity(ticket, request, turn))
-        };
         if self.ordinary_starts + 1 >= FAIR_TURN_INTERVAL {
-            let closest = self.last_starts.first().map(|(_, ticket)| *ticket);
-            if let Some(ticket) = closest.filter(|ticket| starts(*ticket, Turn::Fair)) {
+            let closest =
+                |queue: &DispatchQueue| queue.last_starts.first().map(|(_, first)| *first);
+            let found = self.check_firsts(&closest, Turn::Fair, check, without_target);
+            if let Some(ticket) = found {
                 return Some((ticket, Turn::Fair));
             }
         }
-        let mut firsts = self.lanes.values().filter_map(Lane::next);
-        firsts.find(|ticket| starts(*ticket, Turn::Ordinary)).map(|found| (found, Turn::Ordinary))
+        let keys: SmallVec<[LaneKey; 8]> = self.lanes.keys().copied().collect();
+        keys.into_iter().find_map(|key| {
+            let first = |queue: &DispatchQueue| queue.lanes.get(&key).and_then(Lane::next);
+            let found = self.check_firsts(&first, Turn::Ordinary, check, without_target);
+            found.map(|ticket| (ticket, Turn::Ordinary))
+        })
+    }
+
+    /// Checks the request that `first` returns, and the next one if no target may be sent it. Returns it
+    /// if it starts.
+    fn check_firsts(
+        &mut self,
+        first: &dyn Fn(&DispatchQueue) -> Option<Ticket>,
+        turn: Turn,
+        check: &mut dyn FnMut(Ticket, &WaitingRequest, Turn) -> StartCheck,
+        without_target: &mut SmallVec<[Ticket; 2]>,
+    ) -> Option<Ticket> {
+        while let Some(ticket) = first(self) {
+            match check(ticket, self.get(ticket)?, turn) {
+                StartCheck::Start => return Some(ticket),
+                StartCheck::Wait => return None,
+                StartCheck::NoTarget => {
+                    self.remove(ticket);
+                    without_target.push(ticket);
+                }
+            }
+        }
+        None
     }
 
     fn insert(&mut self, now: Time, ticket: Ticket, request: WaitingRequest, standing: Standing) {
--- a/components/policy/src/dispatch/tests.rs
+++ b/components/policy/src/dispatch/tests.rs
@@ -26,7 +26,7 @@
 }
 
 fn start(queue: &mut DispatchQueue, now: Time) -> Option<u64> {
-    queue.start_next(now, &mut |_, _, _| true).map(|ticket| ticket.0)
+    queue.start_next(now, &mut |_, _, _| StartCheck::Start).started.map(|ticket| ticket.0)
 }
 
 fn targets() -> LatencyTargets {
@@ -155,6 +155,22 @@
     }
 }
 
+// Guards against a request that no target may be sent and that keeps the requests behind it waiting.
+#[test]
+fn requests_without_a_target_leave_and_the_next_one_starts() {
+    let mut queue = queue();
+    let now = Time::from_secs(1);
+    for ticket in 0..12 {
+        add(&mut queue, now, ticket, request(now, 1, 0));
+    }
+
+    let next = queue.start_next(now, &mut |ticket, _, _| {
+        if ticket.0 < 10 { StartCheck::NoTarget } else { StartCheck::Start }
+    });
+
+    assert_eq!((next.started, next.without_target.len(), queue.len()), (Some(Ticket(10)), 10, 1));
+}
+
 proptest! {
     // Guarantee: each request is answered once, and none is sent after its latest start.
     #[test]
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -29,8 +29,8 @@
 pub use crate::{
     admission::{Actions, AdmissionQueue, FairShare, QueueAction, QueueSettings},
     dispatch::{
-        DispatchLimits, DispatchQueue, FAIR_TURN_INTERVAL, Fit, Forecast, LatencyTargets, Refused,
-        Supply, Turn, WaitingRequest, YieldReason, Yielded,
+        DispatchLimits, DispatchQueue, FAIR_TURN_INTERVAL, Fit, Forecast, LatencyTargets,
+        NextStart, Refused, StartCheck, Supply, Turn, WaitingRequest, YieldReason, Yielded,
     },
     ids::{BlockHash, HostId, OrgId, ServiceId, TargetId, Ticket, Zone},
     limit::{ShareBudget, is_first_holder, share_of_limit},
--- a/components/policy/tests/dispatch/model.rs
+++ b/components/policy/tests/dispatch/model.rs
@@ -4,8 +4,8 @@
 
 use chervilgate_clock::Time;
 use chervilgate_policy::{
-    DispatchLimits, DispatchQueue, Fit, Forecast, LatencyTargets, OrgId, Supply, Ticket, Turn,
-    WaitingRequest,
+    DispatchLimits, DispatchQueue, Fit, Forecast, LatencyTargets, OrgId, StartCheck, Supply,
+    Ticket, Turn, WaitingRequest,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -498,11 +498,11 @@
                 }
                 loop {
                     let mut chosen = None;
-                    let ticket = queue.start_next(now, &mut |ticket, _, turn| {
+                    let next = queue.start_next(now, &mut |ticket, _, turn| {
                         chosen = model.with_capacity(now, &requests[&ticket], turn);
-                        chosen.is_some()
+                        if chosen.is_some() { StartCheck::Start } else { StartCheck::Wait }
                     });
-                    let (Some(ticket), Some(engine)) = (ticket, chosen) else { break };
+                    let (Some(ticket), Some(engine)) = (next.started, chosen) else { break };
                     model.start(now, engine, &requests[&ticket]);
                 }
             }
