--- a/components/gateway/src/fleet/ends.rs
+++ b/components/gateway/src/fleet/ends.rs
@@ -130,7 +130,7 @@
             let end = state.end.filter(|end| !end.goes_on)?;
             let age = now.since(end.at);
             let (target, incarnation) = (state.id_hash, state.entry.incarnation);
-            (age < ENTRY_TIME).then(|| PastEnd {
+            (age < ENTRY_TIME).then_some(PastEnd {
                 notice: EndNotice { target, incarnation },
                 age_ms: age.as_millis() as u32,
             })
