Metrics: chervilgate_memory_refused_total by kind

Cause: what a host refused for lack of memory showed only in log lines.

Change: counts request bodies that were refused, answers that were passed on as they arrive or given up, and streams that were cut since their callers did not read. The answer whose end does not show is a case of its own, so that other aborted answers do not count.

--- a/components/gateway/src/body.rs
+++ b/components/gateway/src/body.rs
@@ -59,6 +59,8 @@
     Whole(Body),
     /// The host holds as much as it may; the rest is passed on as it arrives.
     Partial(Body),
+    /// The host holds as much as it may, and the end of the answer does not show in its bytes.
+    OverBudget,
 }
 
 /// Collects an answer of up to `limit` bytes while `budget` has room. The request has run, so an answer
@@ -83,8 +85,7 @@
             continue;
         }
         if !is_framed {
-            let reason = "no memory for an answer whose end does not show".to_owned();
-            return Err(BodyError::Aborted { reason });
+            return Ok(Answer::OverBudget);
         }
         let collected = HeldBody { bytes: read.join(), _reservation: reservation };
         return Ok(Answer::Partial(JoinedBody { collected, rest: body }.boxed_unsync()));
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -285,9 +285,15 @@
                 Ok::<_, BodyError>((!is_cut).then_some(body))
             }
             Answer::Partial(body) => {
+                shared.metrics.count_memory_refused("answers");
                 log::info!(target: "gateway", id = call.ask.id; "answer passed on as it arrives");
                 Ok(Some(body))
             }
+            Answer::OverBudget => {
+                shared.metrics.count_memory_refused("answers");
+                let reason = "no memory for an answer whose end does not show".to_owned();
+                Err(BodyError::Aborted { reason })
+            }
         }
     };
     match timeout(left, read).await {
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -162,6 +162,7 @@
     stream_breaks: Counter,
     stalled_streams: Gauge,
     held_bytes: Family<KindLabel, Gauge>,
+    memory_refused: Family<KindLabel, Counter>,
     store_calls: Family<StoreCallLabels, Counter>,
     store_losses: Counter,
     windows: Counter,
@@ -211,6 +212,7 @@
             stream_breaks: Counter::default(),
             stalled_streams: Gauge::default(),
             held_bytes: Family::default(),
+            memory_refused: Family::default(),
             store_calls: Family::default(),
             store_losses: Counter::default(),
             windows: Counter::default(),
@@ -292,6 +294,11 @@
             "Bytes held for callers and targets by kind",
             self.held_bytes.clone(),
         );
+        registry.register(
+            "memory_refused",
+            "What was refused because the host holds as many bytes as it may, by kind",
+            self.memory_refused.clone(),
+        );
         registry.register("store_calls", "Calls to the store by reply", self.store_calls.clone());
         registry.register("store_losses", "Times the store was lost", self.store_losses.clone());
         registry.register("windows_reported", "Usage windows reported", self.windows.clone());
@@ -390,6 +397,9 @@
     /// Sets the number of streams that ended because their callers did not read.
     pub(crate) fn set_stalled_streams(&self, count: usize) {
         self.stalled_streams.set(i64::try_from(count).unwrap_or(i64::MAX));
+        // Each of them was refused the memory for its next events.
+        let refused = self.memory_refused.get_or_create(&KindLabel { kind: "streams" });
+        refused.inc_by((count as u64).saturating_sub(refused.get()));
     }
 
     /// Sets the number of bytes held for callers and targets.
@@ -398,6 +408,11 @@
         self.held_bytes.get_or_create(&KindLabel { kind }).set(bytes);
     }
 
+    /// Counts what was refused because the host holds as many bytes of this kind as it may.
+    pub(crate) fn count_memory_refused(&self, kind: &'static str) {
+        self.memory_refused.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts a store call by kind and reply.
     pub(crate) fn count_store_call(&self, call: &'static str, reply: &'static str) {
         self.store_calls.get_or_create(&StoreCallLabels { call, reply }).inc();
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -111,7 +111,10 @@
         let read = read_body(body, body_limit, &self.shared.body_budget);
         let (body, body_memory) = match timeout(time_limit, read).await {
             Ok(Ok(body)) => body,
-            Ok(Err(ReadError::OverBudget)) => return Err(Failure::NoMemory),
+            Ok(Err(ReadError::OverBudget)) => {
+                self.shared.metrics.count_memory_refused("bodies");
+                return Err(Failure::NoMemory);
+            }
             Ok(Err(ReadError::Body(BodyError::TooLong { .. }))) => {
                 return Err(Failure::BodyTooLarge);
             }
