Memory: limit the writes of cut connections, count their buffers

Cause: a connection whose buffers are full asks for no more of its response, so it does not learn that its stream was cut, and a caller that reads nothing held up to 64 KiB and its place for ever. What connections buffer counted nowhere, and connections to targets read up to 417,792 bytes ahead each.

Change: a connection whose stream was cut is closed after two seconds (as long as the caller had read nothing before, and at four cuts a second half a megabyte), any other after a minute without a byte taken (as long as an idle one is kept). What callers' connections could not write counts toward the budget of streams, up to half of it: connections whose answers are complete give it back only when their callers read, and must not keep all streams waiting.

--- a/components/clients/src/http/connection.rs
+++ b/components/clients/src/http/connection.rs
@@ -28,6 +28,9 @@
 /// than `Timings::delivery_time` and the `MAX_TRANSIT` of draining (both in `chervilgate_coord`),
 /// after which nothing sent on a closed connection is assumed to still arrive.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Largest buffer of a connection for each direction, and size limit of a response's head. With the library's
+/// default of 417,792 bytes, 60 large responses at once may take 25 MB.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -48,8 +51,11 @@
         set_dead_peer_timeouts(&stream);
         let stream = SharedStream::new(stream);
         let peeker = stream.peeker();
-        let (sender, driver) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| error.to_string())?;
         tokio::spawn(async move {
             if let Err(error) = driver.await {
                 log::debug!(target: "http", addr:%, error:%; "connection failed");
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 use chervilgate_clients::{Body, ConnectionHandle, SendError, SentOver};
 use chervilgate_clock::Time;
 use chervilgate_policy::Fingerprint;
+use chervilgate_serve::Cutoff;
 use hyper::{
     HeaderMap, Method, Request, Response,
     http::uri::{PathAndQuery, Uri},
@@ -47,6 +48,8 @@
     pub(crate) body: Bytes,
     /// What the body takes of the host's budget.
     pub(crate) _body_memory: Reservation,
+    /// Closes the caller's connection; none if it is not known.
+    pub(crate) cutoff: Option<Cutoff>,
     pub(crate) ask: RequestHead,
     pub(crate) fingerprint: Fingerprint,
     /// Parts of the prompt that other requests may share.
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -63,6 +63,8 @@
         metrics.set_held_bytes("bodies", self.shared.body_budget.used());
         metrics.set_held_bytes("answers", self.shared.answer_budget.used());
         metrics.set_held_bytes("streams", self.shared.stream_buffers.used());
+        let connections = self.shared.stream_buffers.budget().in_connections();
+        metrics.set_held_bytes("connections", connections);
         metrics.set_stalled_streams(self.shared.stream_buffers.dropped());
         {
             let state = self.shared.state();
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -119,7 +119,13 @@
         for (addr, purpose, handler) in addrs {
             let Some(addr) = addr else { continue };
             let listener = TcpListener::bind(addr).await.context(ListenSnafu { addr, purpose })?;
-            let limits = Limits { connections, head_timeout: HEAD_TIMEOUT, ..Limits::default() };
+            let stall_timeout = Some(STALL_TIMEOUT);
+            let limits = Limits {
+                connections,
+                head_timeout: HEAD_TIMEOUT,
+                stall_timeout,
+                ..Limits::default()
+            };
             let (_, no_tls) = watch::channel(None);
             let serving = serve(listener, handler, limits, no_tls, stopped.clone());
             listeners.push(tokio::spawn(serving));
@@ -200,3 +206,7 @@
 /// Timeout for receiving request headers, which also limits idle time. It is longer than
 /// the idle time configured for callers, so that callers close idle connections first.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Timeout for a caller that takes nothing of its response: as long as an idle connection is kept, and
+/// several times the time limit of requests.
+const STALL_TIMEOUT: Duration = Duration::from_secs(60);
--- a/components/gateway/src/memory.rs
+++ b/components/gateway/src/memory.rs
@@ -13,6 +13,7 @@
 };
 
 use chervilgate_clock::Time;
+use chervilgate_serve::HeldBytes;
 use tokio::sync::Notify;
 
 /// Memory that the process needs besides what it holds for callers and targets, in bytes.
@@ -37,6 +38,10 @@
 /// small ones.
 const LARGE_BODY_SHARE: f64 = 0.75;
 
+/// Share of a budget up to which the bytes held by connections count toward it. Connections whose responses
+/// are complete end only when their callers read or leave, and must not keep all streams of others waiting.
+const CONNECTION_SHARE: f64 = 0.5;
+
 /// Time without a read after which a caller counts as stalled and its buffered events may be dropped.
 /// A caller gives a stream up after a pause of two seconds of its target; the same is allowed to it.
 const STALL_TIME: Duration = Duration::from_secs(2);
@@ -70,16 +75,24 @@
 pub struct ByteBudget {
     limit: usize,
     used: AtomicUsize,
+    /// Bytes that connections hold beside those, which cannot be refused.
+    in_connections: AtomicUsize,
     freed: Notify,
 }
 
 impl ByteBudget {
     /// A budget of `limit` bytes, all free.
     pub fn new(limit: usize) -> Arc<ByteBudget> {
-        Arc::new(ByteBudget { limit, used: AtomicUsize::new(0), freed: Notify::new() })
+        let (used, in_connections) = (AtomicUsize::new(0), AtomicUsize::new(0));
+        Arc::new(ByteBudget { limit, used, in_connections, freed: Notify::new() })
+    }
+
+    /// Number of bytes that connections hold.
+    pub fn in_connections(&self) -> usize {
+        self.in_connections.load(Ordering::Relaxed)
     }
 
-    /// Number of bytes held.
+    /// Number of bytes taken.
     pub fn used(&self) -> usize {
         self.used.load(Ordering::Relaxed)
     }
@@ -90,6 +103,8 @@
     }
 
     fn try_take_below(&self, bytes: usize, limit: usize) -> bool {
+        let counted = (self.limit as f64 * CONNECTION_SHARE) as usize;
+        let limit = limit.saturating_sub(self.in_connections().min(counted));
         let taken = self.used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |used| {
             used.checked_add(bytes).filter(|used| *used <= limit)
         });
@@ -110,6 +125,18 @@
     }
 }
 
+/// What connections hold leaves less to take until it is given back.
+impl HeldBytes for ByteBudget {
+    fn add(&self, bytes: usize) {
+        self.in_connections.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    fn remove(&self, bytes: usize) {
+        self.in_connections.fetch_sub(bytes, Ordering::Relaxed);
+        self.freed.notify_waiters();
+    }
+}
+
 /// Bytes taken from a budget; dropping it gives them back.
 #[derive(Debug)]
 pub struct Reservation {
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -12,7 +12,7 @@
 use chervilgate_clients::{Body, BodyError};
 use chervilgate_clock::Time;
 use chervilgate_policy::Charge;
-use chervilgate_serve::Handler;
+use chervilgate_serve::{Handler, HeldBytes};
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -83,6 +83,10 @@
         }
         response
     }
+
+    fn held_bytes(&self) -> Option<Arc<dyn HeldBytes>> {
+        Some(self.shared.stream_buffers.budget())
+    }
 }
 
 /// Route and organisation of an accepted request.
@@ -168,6 +172,7 @@
             headers: head.headers,
             body,
             _body_memory: body_memory,
+            cutoff: head.extensions.get().cloned(),
             ask: request_head,
             route,
             config_version,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -72,6 +72,7 @@
     }
     let (target_stream, first) = relay.start().await?;
     let (event_sender, events) = shared.stream_buffers.channel(shared.now());
+    events.set_cutoff(relay.call.cutoff.clone());
     let mut response = Response::new(event_body(events));
     *response.status_mut() = target_stream.status;
     *response.headers_mut() = shared.protocol.caller_headers(&target_stream.headers);
--- a/components/gateway/src/stream/buffer.rs
+++ b/components/gateway/src/stream/buffer.rs
@@ -17,6 +17,7 @@
 use bytes::Bytes;
 use chervilgate_clients::BodyError;
 use chervilgate_clock::{BootClock, Clock, Time};
+use chervilgate_serve::Cutoff;
 use hyper::body::Frame;
 use tokio::{
     sync::Notify,
@@ -34,6 +35,11 @@
 /// Interval at which a sender without room looks for callers that have stalled.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time in which a caller that lost its stream may take what its connection holds: as long as it had read
+/// nothing before. The rest is of no use without the end, and at most four streams a second are cut, so their
+/// connections hold half a megabyte.
+const CUT_WRITE_TIME: Duration = Duration::from_secs(2);
+
 /// The buffers of all streams.
 #[derive(Debug)]
 pub(crate) struct StreamBuffers {
@@ -90,6 +96,8 @@
     refusal: Option<Refusal>,
     /// Whether the sender waits for the caller to read.
     wants_room: bool,
+    /// Closes the caller's connection; none if it is not known.
+    cutoff: Option<Cutoff>,
 }
 
 /// The end at which events are added.
@@ -116,6 +124,11 @@
         })
     }
 
+    /// The budget, to which what the connections of callers hold counts too.
+    pub(crate) fn budget(&self) -> Arc<ByteBudget> {
+        self.budget.clone()
+    }
+
     /// Number of bytes buffered.
     pub(crate) fn used(&self) -> usize {
         self.budget.used()
@@ -136,6 +149,7 @@
             waker: None,
             refusal: None,
             wants_room: false,
+            cutoff: None,
         };
         let budget = self.budget.clone();
         let buffer = Arc::new(Buffer { budget, queue: Mutex::new(queue), changed: Notify::new() });
@@ -188,12 +202,16 @@
 
     /// Drops what is buffered and takes nothing more.
     fn refuse(&self, refusal: Refusal) {
-        let (bytes, waker) = {
+        let (bytes, waker, cutoff) = {
             let mut queue = self.lock();
             queue.refusal.get_or_insert(refusal);
             queue.frames.clear();
-            (std::mem::take(&mut queue.bytes), queue.waker.take())
+            (std::mem::take(&mut queue.bytes), queue.waker.take(), queue.cutoff.take())
         };
+        // A connection with full buffers does not ask for the rest, so it does not learn of the cut.
+        if let Some(cutoff) = cutoff.filter(|_| refusal == Refusal::CallerStalled) {
+            cutoff.cut(CUT_WRITE_TIME);
+        }
         self.budget.release(bytes);
         self.changed.notify_one();
         if let Some(waker) = waker {
@@ -298,6 +316,11 @@
 }
 
 impl EventReceiver {
+    /// Sets what closes the caller's connection if it loses its stream.
+    pub(super) fn set_cutoff(&self, cutoff: Option<Cutoff>) {
+        self.buffer.lock().cutoff = cutoff;
+    }
+
     /// The next frame of the response's body.
     pub(super) fn poll_frame(
         &mut self,
--- a/components/gateway/src/stream/buffer/tests.rs
+++ b/components/gateway/src/stream/buffer/tests.rs
@@ -44,6 +44,9 @@
     let buffers = StreamBuffers::new(100_000);
     let (stalled, mut stalled_receiver) = buffers.channel(now);
     let (sound, mut sound_receiver) = buffers.channel(now);
+    let cutoffs = [Cutoff::default(), Cutoff::default()];
+    stalled_receiver.set_cutoff(Some(cutoffs[0].clone()));
+    sound_receiver.set_cutoff(Some(cutoffs[1].clone()));
     assert_eq!(stalled.try_send(now, &events(90_000)), Ok(Offer::Taken));
 
     assert_eq!(sound.try_send(later, &events(50_000)), Ok(Offer::BudgetFull));
@@ -53,6 +56,8 @@
     assert_eq!(stalled.try_send(later, &events(1)), Err(Refusal::CallerStalled));
     assert_eq!(read(&mut stalled_receiver), Poll::Ready(Some(Err(()))));
     assert_eq!(read(&mut sound_receiver), Poll::Ready(Some(Ok(50_000))));
+    // Its connection may be full, so it has a time limit of its own.
+    assert_eq!(cutoffs.map(|cutoff| cutoff.is_cut()), [true, false]);
 }
 
 #[test]
--- a/components/gateway/tests/memory.rs
+++ b/components/gateway/tests/memory.rs
@@ -2,6 +2,7 @@
 
 use chervilgate_clock::Time;
 use chervilgate_gateway::memory::{ByteBudget, MemoryLimits, Reader, Reservation, slowest_reader};
+use chervilgate_serve::HeldBytes;
 use proptest::prelude::*;
 
 fn reader(bytes: usize, last_read: u64) -> Reader {
@@ -38,6 +39,21 @@
     assert!(small.try_raise(10_000));
 }
 
+// Guards against connections that hold more than the budgets leave to them, and against connections that keep
+// all streams waiting: what they hold is not given back before their callers read.
+#[test]
+fn what_connections_hold_counts_for_half_of_a_budget() {
+    let budget = ByteBudget::new(1_000);
+    budget.add(400);
+
+    assert!(!budget.try_take(601) && budget.try_take(600));
+    budget.release(600);
+    budget.add(10_000);
+    assert!(!budget.try_take(501) && budget.try_take(500));
+    budget.remove(10_400);
+    assert!(budget.try_take(500));
+}
+
 #[test]
 fn the_caller_that_has_read_nothing_for_longest_is_ended_first() {
     let now = Time::from_millis(10_000);
--- a/components/serve/src/accept.rs
+++ b/components/serve/src/accept.rs
@@ -29,6 +29,7 @@
 use crate::{
     Limits,
     framing::{HeadRecorder, RecordingStream},
+    writes::{Cutoff, HeldBytes, LimitedWrites},
 };
 
 /// Delay after a failed accept, for example when file descriptors have run out.
@@ -39,6 +40,11 @@
 pub trait Handler: Send + Sync + 'static {
     /// Returns the response to a request from `peer`.
     async fn handle(&self, peer: SocketAddr, request: Request<Incoming>) -> Response<Body>;
+
+    /// Counts what connections hold because their callers do not read; none if nothing does.
+    fn held_bytes(&self) -> Option<Arc<dyn HeldBytes>> {
+        None
+    }
 }
 
 /// Serves `listener` until `stop` turns true, then completes running requests.
@@ -129,7 +135,11 @@
         let Connection { peer, handler, limits, permit } = self;
         let recorder = HeadRecorder::default();
         let head_recorder = recorder.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
+        let cutoff = Cutoff::default();
+        let stream =
+            LimitedWrites::new(stream, cutoff.clone(), limits.stall_timeout, handler.held_bytes());
+        let service = service_fn(move |mut request: Request<Incoming>| {
+            request.extensions_mut().insert(cutoff.clone());
             let handler = handler.clone();
             let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
             let may_have_length = head_recorder.take_may_have_length();
--- a/components/serve/src/lib.rs
+++ b/components/serve/src/lib.rs
@@ -3,8 +3,10 @@
 mod accept;
 mod framing;
 mod limits;
+mod writes;
 
 pub use crate::{
     accept::{Handler, serve},
     limits::Limits,
+    writes::{Cutoff, HeldBytes},
 };
--- a/components/serve/src/limits.rs
+++ b/components/serve/src/limits.rs
@@ -13,6 +13,9 @@
     pub tls_timeout: Duration,
     /// Size limit of a request's head, in bytes.
     pub head_size: usize,
+    /// Time after which a connection is closed of which the caller has taken no byte, although some
+    /// were ready; none if unlimited.
+    pub stall_timeout: Option<Duration>,
 }
 
 impl Default for Limits {
@@ -22,6 +25,7 @@
             head_timeout: Duration::from_secs(10),
             tls_timeout: Duration::from_secs(5),
             head_size: 64 << 10,
+            stall_timeout: None,
         }
     }
 }
