Admission: draw claims once, free targets by kind, exclude by wait

- A waiting request drew anew at each check and for each lane whether it uses capacity that other hosts see too, so that a claim became certain within some checks.
It now draws once until a report shows more free targets than the check before, or 50 ms have passed (admission::claims).
- Targets that are busy for too long were excluded by a list of names that was searched for each candidate.
The choice now filters by the wait.
- A target counts as free by the shortest latency target of the request's own and more urgent kinds, as only these compete for it.
- Requests that expire together each draw the random part of Retry-After.
- What a request of this host frees is counted by service, and each lets one waiting request of that service start without a draw.
It was one permit for all services.

--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -4,7 +4,9 @@
 //! waits at this host. The order of those that wait is that of [`chervilgate_policy::DispatchQueue`].
 //! Hosts that see the same capacity at once would fill it together, so each waiting request takes
 //! capacity that other hosts see too with a probability of the free targets over the requests that
-//! wait at all hosts.
+//! wait at all hosts ([`claims`]).
+
+mod claims;
 
 use std::{
     collections::{HashMap, hash_map::Entry},
@@ -20,6 +22,7 @@
 use smallvec::SmallVec;
 
 use crate::{
+    admission::claims::{Claims, Draw},
     fleet::{BuildId, Capacity, CapacityClaim, Fleet, Placement, Plan, TargetQuery},
     hash::stable_hash,
     protocol::Prompt,
@@ -109,16 +112,13 @@
         spread: f64,
     ) -> Offer;
 
+    /// Records that a request of this host needs its target of `service` less than before. A waiting
+    /// request may use what that has freed at the next [`Admission::poll`], whatever other hosts do.
+    fn record_freed(&mut self, service: &str);
+
     /// Decides on waiting requests. At most one of each service is sent, whose work must be counted in
-    /// `fleet` before the next call. `has_freed` says that a request of this host has freed capacity;
-    /// `draw` returns random numbers from 0 to 1.
-    fn poll(
-        &mut self,
-        now: Time,
-        fleet: &Fleet,
-        has_freed: bool,
-        draw: &mut dyn FnMut() -> f64,
-    ) -> Vec<Decision>;
+    /// `fleet` before the next call. `draw` returns random numbers from 0 to 1.
+    fn poll(&mut self, now: Time, fleet: &Fleet, draw: &mut dyn FnMut() -> f64) -> Vec<Decision>;
 
     /// Removes a request whose caller left.
     fn cancel(&mut self, ticket: Ticket);
@@ -145,6 +145,8 @@
     build: Option<BuildId>,
     max_pause: Option<Duration>,
     runs_once: bool,
+    /// Whether it uses capacity that other hosts see too.
+    draw: Option<Draw>,
 }
 
 impl Held {
@@ -156,6 +158,7 @@
             build: query.build,
             max_pause: query.max_pause,
             runs_once: query.runs_once,
+            draw: None,
         }
     }
 
@@ -175,6 +178,9 @@
 struct ServiceQueue {
     queue: DispatchQueue,
     targets: Arc<LatencyTargets>,
+    claims: Claims,
+    /// How often requests of this host have freed capacity that no waiting one has used.
+    freed: u32,
 }
 
 /// Queues of waiting requests, one for each service.
@@ -210,6 +216,8 @@
             Entry::Vacant(vacant) => vacant.insert(ServiceQueue {
                 queue: DispatchQueue::new(DispatchLimits::default()),
                 targets: targets.clone(),
+                claims: Claims::default(),
+                freed: 0,
             }),
         };
         if !Arc::ptr_eq(&service.targets, targets) {
@@ -271,49 +279,48 @@
         }
     }
 
-    fn poll(
-        &mut self,
-        now: Time,
-        fleet: &Fleet,
-        has_freed: bool,
-        draw: &mut dyn FnMut() -> f64,
-    ) -> Vec<Decision> {
+    fn record_freed(&mut self, service: &str) {
+        if let Some(service) = self.services.get_mut(service)
+            && !service.queue.is_empty()
+        {
+            service.freed = service.freed.saturating_add(1);
+        }
+    }
+
+    fn poll(&mut self, now: Time, fleet: &Fleet, draw: &mut dyn FnMut() -> f64) -> Vec<Decision> {
         let mut decisions = std::mem::take(&mut self.evicted);
         let waiting = self.services.iter().filter(|(_, service)| !service.queue.is_empty());
         let waiting: Vec<Arc<str>> = waiting.map(|(name, _)| name.clone()).collect();
         for name in waiting {
             let others = self.waiting_elsewhere(now, &name);
             let Some(service) = self.services.get_mut(&name) else { continue };
-            let (held, targets) = (&self.held, service.targets.clone());
-            let refused = service.queue.expire(now, draw());
-            let own = service.queue.waiting_by_priority();
-            let free = fleet.free_targets(now, &name, targets.shortest());
-            // Less urgent requests do not compete for what a request may use.
-            let count = |waiting: &[(u8, usize)], priority| -> usize {
-                let competing = waiting.iter().filter(|(known, _)| *known <= priority);
-                competing.map(|(_, count)| count).sum()
-            };
-            let chance = |priority| match count(&others, priority) {
-                0 => 1.0,
-                others => free as f64 / (count(&own, priority) + others) as f64,
-            };
+            let ServiceQueue { queue, targets, claims, freed } = service;
+            let held = &mut self.held;
+            let refused = queue.expire(now, draw);
+            let own = queue.waiting_by_priority();
+            for (priority, _) in &own {
+                let free = fleet.free_targets(now, &name, targets.shortest_up_to(*priority));
+                let (own, others) = (competing(&own, *priority), competing(&others, *priority));
+                let all = own + others;
+                let chance = if others == 0 { 1.0 } else { free as f64 / all as f64 };
+                claims.show(now, *priority, free, chance);
+            }
+            let has_freed = *freed > 0;
             let mut plan = None;
-            let next = service.queue.start_next(now, &mut |ticket, request, turn| {
-                let Some(held) = held.get(&ticket) else { return StartCheck::NoTarget };
+            let next = queue.start_next(now, &mut |ticket, request, turn| {
+                let Some(held) = held.get_mut(&ticket) else { return StartCheck::NoTarget };
                 if !fleet.may_find_target(now, &held.query(), request.last_start()) {
                     return StartCheck::NoTarget;
                 }
                 let is_own = has_freed && turn == Turn::Ordinary;
-                if free == 0 || (!is_own && draw() >= chance(request.priority)) {
+                let priority = request.priority;
+                if claims.free(priority) == 0
+                    || (!is_own && !claims.is_claimed(priority, &mut held.draw, draw))
+                {
                     return StartCheck::Wait;
                 }
                 let time_left = request.on_time_by.since(now);
-                let claim = CapacityClaim {
-                    targets: &targets,
-                    priority: request.priority,
-                    time_left,
-                    turn,
-                };
+                let claim = CapacityClaim { targets, priority, time_left, turn };
                 match fleet.place_with_capacity(now, &held.query(), &claim) {
                     Capacity::Free(found) => {
                         plan = Some(found);
@@ -322,6 +329,8 @@
                     Capacity::Full(_) | Capacity::NoTarget => StartCheck::Wait,
                 }
             });
+            // What no request could use by now is for all hosts.
+            *freed = if next.started.is_some() { freed.saturating_sub(1) } else { 0 };
             for (ticket, yielded) in refused {
                 self.held.remove(&ticket);
                 decisions.push(Decision::Refuse(ticket, yielded));
@@ -381,6 +390,13 @@
     }
 }
 
+/// Number of waiting requests of `priority` and more urgent ones: less urgent requests do not compete for
+/// what a request may use.
+fn competing(waiting: &[(u8, usize)], priority: u8) -> usize {
+    let competing = waiting.iter().filter(|(known, _)| *known <= priority);
+    competing.map(|(_, count)| count).sum()
+}
+
 /// The placement whose target computes the prompt.
 fn computing(plan: &Plan) -> &Placement {
     plan.prefill.as_ref().unwrap_or(&plan.placement)
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -104,6 +104,7 @@
 /// fleet.
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
+    service: Arc<str>,
     pub(crate) placement: Placement,
     attempt: AttemptId,
     pub(crate) started_at: Time,
@@ -132,7 +133,14 @@
             shared.broadcast.notify_one();
         }
         let outcome = AttemptOutcome::Unrelated;
-        InFlight { shared: shared.clone(), placement, attempt, started_at: now, outcome }
+        InFlight {
+            shared: shared.clone(),
+            service: call.service.clone(),
+            placement,
+            attempt,
+            started_at: now,
+            outcome,
+        }
     }
 
     /// Logs the target, the predicted times and the time that the request waited at this host;
@@ -169,7 +177,7 @@
             self.shared.broadcast.notify_one();
         }
         if first {
-            self.shared.free_capacity();
+            self.shared.free_capacity(&self.service);
         }
     }
 }
@@ -182,7 +190,7 @@
         if failing {
             self.shared.broadcast.notify_one();
         }
-        self.shared.free_capacity();
+        self.shared.free_capacity(&self.service);
     }
 }
 
--- a/components/gateway/src/fleet/capacity.rs
+++ b/components/gateway/src/fleet/capacity.rs
@@ -1,10 +1,9 @@
 //! Whether targets have capacity for a request, beside what others need of them.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use chervilgate_clock::Time;
 use chervilgate_policy::{Fit, Forecast, LatencyTargets, Supply, Turn};
-use smallvec::SmallVec;
 
 use crate::fleet::{Fleet, Placement, Plan, TargetQuery, TargetRole, target::TargetState};
 
@@ -54,9 +53,10 @@
         }
         let waits = [claim.time_left / 2, claim.targets.late_wait(claim.priority)];
         for max_wait in waits.into_iter().filter(|wait| !wait.is_zero()) {
-            let Some(exclude) = self.targets_busy_for(now, query, max_wait) else { continue };
-            let query = TargetQuery { exclude: &exclude, ..*query };
-            let plan = self.place(now, &query);
+            if !self.has_free_target(now, query.service, max_wait) {
+                continue;
+            }
+            let plan = self.place_within(now, query, Some(max_wait));
             let fitting = plan.filter(|plan| self.has_capacity(now, query.service, plan, claim));
             if let Some(plan) = fitting {
                 return Capacity::Free(plan);
@@ -88,6 +88,12 @@
         serving.filter(|state| self.starts_within(now, state, max_wait)).count()
     }
 
+    /// Whether a target of `service` starts a request within `max_wait`.
+    fn has_free_target(&self, now: Time, service: &str, max_wait: Duration) -> bool {
+        let mut serving = self.targets.values().filter(|state| state.serves(now, service));
+        serving.any(|state| self.starts_within(now, state, max_wait))
+    }
+
     /// What is predicted of the targets of `service`, for requests that wait until one starts them within
     /// `max_wait`.
     pub fn supply(&self, now: Time, service: &str, max_wait: Duration) -> Supply {
@@ -153,27 +159,8 @@
         others >= (serving as f64 * RESERVED_SHARE) as usize
     }
 
-    /// Targets that are not tried: those of the query, and those that start a request later than
-    /// `max_wait`; none if that leaves no target.
-    fn targets_busy_for(
-        &self,
-        now: Time,
-        query: &TargetQuery<'_>,
-        max_wait: Duration,
-    ) -> Option<SmallVec<[Arc<str>; 32]>> {
-        let mut exclude: SmallVec<[Arc<str>; 32]> = query.exclude.iter().cloned().collect();
-        let mut is_any_left = false;
-        for state in self.targets.values().filter(|state| state.serves(now, query.service)) {
-            if self.starts_within(now, state, max_wait) {
-                is_any_left = true;
-            } else {
-                exclude.push(state.entry.id.clone());
-            }
-        }
-        is_any_left.then_some(exclude)
-    }
-
-    fn starts_within(&self, now: Time, state: &TargetState, max_wait: Duration) -> bool {
+    /// Whether a target starts a request within `max_wait`.
+    pub(super) fn starts_within(&self, now: Time, state: &TargetState, max_wait: Duration) -> bool {
         if self.hold(now, state).is_some() {
             return false;
         }
--- a/components/gateway/src/fleet/placing.rs
+++ b/components/gateway/src/fleet/placing.rs
@@ -1,5 +1,7 @@
 //! The choice of a target by its predicted cost.
 
+use std::time::Duration;
+
 use chervilgate_clock::Time;
 use smallvec::SmallVec;
 
@@ -61,17 +63,28 @@
     /// Chooses the target of a request, and another one to compute its prompt first if
     /// that is cheaper.
     pub fn place(&self, now: Time, query: &TargetQuery<'_>) -> Option<Plan> {
-        let whole = self.place_whole(now, query);
+        self.place_within(now, query, None)
+    }
+
+    /// The same among the targets that start a request within `max_wait`, if any is given.
+    pub(super) fn place_within(
+        &self,
+        now: Time,
+        query: &TargetQuery<'_>,
+        max_wait: Option<Duration>,
+    ) -> Option<Plan> {
+        let whole = self.best_target(now, query, max_wait, |role| role != TargetRole::Prefill);
         if query.prompt.tokens == 0 {
             return whole.map(|placement| Plan { placement, prefill: None });
         }
         // A prompt that is lost is computed again, whatever the request.
         let stage = TargetQuery { runs_once: false, ..*query };
-        let prefill = self.best_target(now, &stage, |role| role == TargetRole::Prefill);
-        let decode = self.place_decode(now, query);
+        let prefill = self.best_target(now, &stage, max_wait, |role| role == TargetRole::Prefill);
+        let decode = self.decoding_target(now, query, max_wait);
         // Both stages have one software version.
         let same = prefill.as_ref().and_then(|prefill| {
-            self.place_decode(now, &TargetQuery { build: Some(prefill.build.id), ..*query })
+            let query = TargetQuery { build: Some(prefill.build.id), ..*query };
+            self.decoding_target(now, &query, max_wait)
         });
         let detour =
             |same: &Placement| decode.as_ref().map_or(0.0, |any| same.cost_ms - any.cost_ms);
@@ -87,15 +100,24 @@
 
     /// Chooses a target that runs the whole request.
     pub fn place_whole(&self, now: Time, query: &TargetQuery<'_>) -> Option<Placement> {
-        self.best_target(now, query, |role| role != TargetRole::Prefill)
+        self.best_target(now, query, None, |role| role != TargetRole::Prefill)
     }
 
     /// Chooses a target to generate from an exported KV cache, without computing the
     /// prompt.
     pub fn place_decode(&self, now: Time, query: &TargetQuery<'_>) -> Option<Placement> {
+        self.decoding_target(now, query, None)
+    }
+
+    fn decoding_target(
+        &self,
+        now: Time,
+        query: &TargetQuery<'_>,
+        max_wait: Option<Duration>,
+    ) -> Option<Placement> {
         let no_prompt = Prompt::default();
         let query = TargetQuery { prompt: &no_prompt, ..*query };
-        self.best_target(now, &query, |role| role == TargetRole::Decode)
+        self.best_target(now, &query, max_wait, |role| role == TargetRole::Decode)
     }
 
     /// Cost of a target's failures, by what this host and all hosts together have seen of it.
@@ -147,6 +169,7 @@
         &self,
         now: Time,
         query: &TargetQuery<'_>,
+        max_wait: Option<Duration>,
         has_role: impl Fn(TargetRole) -> bool,
     ) -> Option<Placement> {
         let key = affinity(query.prompt);
@@ -174,7 +197,9 @@
         let event_tokens = self.event_tokens.get(query.service).copied();
         let import_hit_rate = self.imports.hit_rate(now);
         let eligible = ranked.into_iter().filter(|(state, _)| {
-            has_role(state.entry.role) && !query.exclude.contains(&state.entry.id)
+            has_role(state.entry.role)
+                && !query.exclude.contains(&state.entry.id)
+                && max_wait.is_none_or(|max_wait| self.starts_within(now, state, max_wait))
         });
         let candidates = eligible.map(|(state, rank)| {
             let hit_rate = hit_rate(rank);
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -77,10 +77,9 @@
     pub(crate) changes_wanted: Notify,
     /// Requests an immediate broadcast of this host's work in flight.
     pub(crate) broadcast: Notify,
-    /// Notified when a request begins to wait for capacity.
+    /// Notified when a request begins to wait for capacity, or one of this host has freed some while
+    /// others wait.
     pub(crate) has_waiting: Notify,
-    /// Notified when a request of this host has freed capacity while others wait.
-    pub(crate) capacity_freed: Notify,
     /// Turns true when this host stops so soon that open requests are answered at once.
     pub(crate) answer_now: watch::Sender<bool>,
     /// Bytes of request bodies that this host may hold.
@@ -256,7 +255,6 @@
             changes_wanted: Notify::new(),
             broadcast: Notify::new(),
             has_waiting: Notify::new(),
-            capacity_freed: Notify::new(),
             answer_now: watch::Sender::new(false),
             quota_socket: OnceLock::new(),
             quota_due: Default::default(),
@@ -325,10 +323,13 @@
         holder.filter(|(_, at)| now.since(*at) < HOLDER_TIMEOUT).map(|(addr, _)| addr)
     }
 
-    /// Has waiting requests looked at, as a request of this host needs its target less than before.
-    pub(crate) fn free_capacity(&self) {
-        if !self.state().admission.is_empty() {
-            self.capacity_freed.notify_one();
+    /// Has waiting requests looked at, as a request of this host needs its target of `service` less than
+    /// before.
+    pub(crate) fn free_capacity(&self, service: &str) {
+        let admission = &mut self.state().admission;
+        if !admission.is_empty() {
+            admission.record_freed(service);
+            self.has_waiting.notify_one();
         }
     }
 
--- a/components/gateway/src/waiting.rs
+++ b/components/gateway/src/waiting.rs
@@ -121,17 +121,9 @@
             update_gauges(&shared);
             shared.has_waiting.notified().await;
         }
-        let mut has_freed = false;
-        let looked_at = async {
-            tokio::select! {
-                () = shared.capacity_freed.notified() => has_freed = true,
-                () = shared.has_waiting.notified() => {}
-            }
-        };
-        // Without either, other hosts may have freed capacity.
-        timeout(POLL_INTERVAL, looked_at).await.ok();
-        while poll(&shared, has_freed) {
-            has_freed = false;
+        // Without a notice, other hosts may have freed capacity.
+        timeout(POLL_INTERVAL, shared.has_waiting.notified()).await.ok();
+        while poll(&shared) {
             // The requests that were sent count at their targets once their tasks have run.
             yield_now().await;
         }
@@ -140,11 +132,11 @@
 }
 
 /// Decides on waiting requests once; returns whether any is sent.
-fn poll(shared: &Shared, has_freed: bool) -> bool {
+fn poll(shared: &Shared) -> bool {
     let now = shared.now();
     let State { fleet, admission, turns, .. } = &mut *shared.state();
     let mut has_sent = false;
-    for decision in admission.poll(now, fleet, has_freed, &mut rand::random) {
+    for decision in admission.poll(now, fleet, &mut rand::random) {
         let (ticket, verdict) = match decision {
             Decision::Send(ticket, plan) => (ticket, Ok(Some(plan))),
             Decision::NoTarget(ticket) => (ticket, Ok(None)),
--- a/components/gateway/tests/admission.rs
+++ b/components/gateway/tests/admission.rs
@@ -113,7 +113,7 @@
     let (fleet, mut queues, open) = full_plain_fleet();
 
     assert_eq!((open.len(), queues.waiting()[0].1), (4, 1));
-    assert_eq!(sent(&queues.poll(NOW, &fleet, false, &mut || 0.5)), 0);
+    assert_eq!(sent(&queues.poll(NOW, &fleet, &mut || 0.5)), 0);
 }
 
 #[test]
@@ -126,12 +126,74 @@
     fleet.finish(NOW, placement, *attempt, AttemptOutcome::Answered);
 
     // What others see too is taken by few of those that wait.
-    let by_chance = queues.poll(NOW, &fleet, false, &mut || 0.5);
-    let own = queues.poll(NOW, &fleet, true, &mut || 0.5);
+    let by_chance = queues.poll(NOW, &fleet, &mut || 0.5);
+    queues.record_freed("s");
+    let own = queues.poll(NOW, &fleet, &mut || 0.5);
 
     assert_eq!((sent(&by_chance), sent(&own), queues.is_empty()), (0, 1, true));
 }
 
+// Guards against claims that become certain: drawn at each check of the queue, a request took capacity within some
+// checks that a thousand others see, so that all hosts filled the same targets.
+#[test]
+fn capacity_that_others_see_is_drawn_for_once_until_it_is_reported_again() {
+    let (mut fleet, mut queues, open) = full_plain_fleet();
+    let other = WaitingCount { service: queues.report()[0].service, priority: LONG, waiting: 9 };
+    queues.apply_report(NOW, 7, vec![other]);
+    let (placement, attempt) = &open[0];
+    fleet.finish(NOW, placement, *attempt, AttemptOutcome::Answered);
+
+    let mut draws = [0.99, 0.05, 0.05].into_iter();
+    let mut draw = || draws.next().unwrap_or(0.0);
+    let checks = (0..50).map(|millis| {
+        let now = NOW + Duration::from_millis(millis);
+        sent(&queues.poll(now, &fleet, &mut draw))
+    });
+    let at_once: usize = checks.sum();
+    let later = queues.poll(NOW + Duration::from_millis(50), &fleet, &mut draw);
+
+    assert_eq!((at_once, sent(&later)), (0, 1));
+}
+
+// Guards against a request of one service that takes the turn which the end of another service's request has given, or
+// loses its own by it.
+#[test]
+fn what_a_request_frees_is_used_by_its_own_service_once_for_each() {
+    let (mut fleet, mut queues) = (fleet(TargetRole::Whole, 2), Queues::default());
+    fleet.upsert(NOW, TargetEntry { service: "other".into(), ..entry(TargetRole::Whole, 9) });
+    let prompt = Prompt::default();
+    let other = TargetQuery { service: "other", ..query(&prompt) };
+    let mut open = Vec::new();
+    for query in [query(&prompt), other] {
+        for _ in 0..12 {
+            if let Offer::Send(plan) = offer_query(&mut queues, &fleet, NOW, query, LONG) {
+                open.push((query.service, start(&mut fleet, &plan, &prompt)));
+            }
+        }
+    }
+    let counts = queues.report();
+    assert_eq!((open.len(), counts.len()), (6, 2));
+    let others = counts.iter().map(|count| WaitingCount { waiting: 1_000, ..*count });
+    queues.apply_report(NOW, 7, others.collect());
+    for (_, (placement, attempt)) in &open {
+        fleet.finish(NOW, placement, *attempt, AttemptOutcome::Answered);
+    }
+
+    queues.record_freed("s");
+    queues.record_freed("s");
+    let waiting = |queues: &Queues, service: &str| {
+        let of = queues.waiting().into_iter().find(|(name, _)| &**name == service);
+        of.map_or(0, |(_, waiting)| waiting)
+    };
+    let before = (waiting(&queues, "s"), waiting(&queues, "other"));
+    for _ in 0..4 {
+        queues.poll(NOW, &fleet, &mut || 0.5);
+    }
+
+    let left = (waiting(&queues, "s"), waiting(&queues, "other"));
+    assert_eq!(left, (before.0 - 2, before.1));
+}
+
 // Guards against callers that are gone and still take capacity, or are counted as waiting.
 #[test]
 fn a_caller_that_leaves_frees_its_place() {
@@ -149,8 +211,8 @@
 fn a_waiting_request_is_refused_at_its_latest_start() {
     let (fleet, mut queues, _) = full_plain_fleet();
 
-    let before = queues.poll(NOW + Duration::from_millis(4_990), &fleet, false, &mut || 0.5);
-    let after = queues.poll(NOW + Duration::from_millis(5_000), &fleet, false, &mut || 0.5);
+    let before = queues.poll(NOW + Duration::from_millis(4_990), &fleet, &mut || 0.5);
+    let after = queues.poll(NOW + Duration::from_millis(5_000), &fleet, &mut || 0.5);
 
     assert_eq!(before, []);
     let [Decision::Refuse(_, yielded)] = &after[..] else { panic!("{after:?}") };
@@ -176,7 +238,8 @@
         let entry = TargetEntry { build, sequence: 1, ..entry(TargetRole::Whole, number) };
         fleet.upsert(NOW, entry);
     }
-    let decisions = queues.poll(NOW, &fleet, true, &mut || 0.5);
+    queues.record_freed("s");
+    let decisions = queues.poll(NOW, &fleet, &mut || 0.5);
 
     assert_eq!((sent(&decisions), decisions.len()), (1, 2), "{decisions:?}");
     assert_eq!(queues.waiting()[0].1, 1);
--- a/components/gateway/tests/load/simulation.rs
+++ b/components/gateway/tests/load/simulation.rs
@@ -378,7 +378,7 @@
                 }
                 SimEvent::Poll(host) => {
                     self.events.push(now + POLL_INTERVAL, SimEvent::Poll(host));
-                    self.poll(now, host, false);
+                    self.poll(now, host);
                 }
                 SimEvent::GossipReceived { host, from, work, parts, outcomes, waiting } => {
                     if let Some(admission) = &mut self.admission {
@@ -464,21 +464,27 @@
             Offer::Wait(ticket) => {
                 admission.waiting.insert((host, ticket), id);
                 self.results.0[class].1.waited += 1;
-                self.poll(now, host, false);
+                self.poll(now, host);
             }
             Offer::Refuse(_) | Offer::NoTarget => self.results.0[class].1.refused += 1,
         }
     }
 
+    /// Decides on the waiting requests of a host of which one needs its target less than before.
+    fn poll_after_freed(&mut self, now: Time, host: usize) {
+        if let Some(admission) = &mut self.admission {
+            admission.queues[host].record_freed("llm");
+        }
+        self.poll(now, host);
+    }
+
     /// Decides on the waiting requests of a host, as often as one of them is sent.
-    fn poll(&mut self, now: Time, host: usize, mut has_freed: bool) {
+    fn poll(&mut self, now: Time, host: usize) {
         loop {
             let Some(admission) = &mut self.admission else { return };
             let rng = &mut self.rng;
             let decisions =
-                admission.queues[host]
-                    .poll(now, &self.hosts[host], has_freed, &mut || rng.random());
-            has_freed = false;
+                admission.queues[host].poll(now, &self.hosts[host], &mut || rng.random());
             let mut has_sent = false;
             for decision in decisions {
                 let (Decision::Send(ticket, _)
@@ -630,7 +636,7 @@
         if self.hosts[host].finish(now, &placement, attempt, outcome) {
             self.broadcast(now, host);
         }
-        self.poll(now, host, true);
+        self.poll_after_freed(now, host);
     }
 
     fn wake(&mut self, engine: usize) {
@@ -731,7 +737,7 @@
         {
             self.broadcast(now, host);
         }
-        self.poll(now, host, true);
+        self.poll_after_freed(now, host);
     }
 
     fn record_first_token(&mut self, now: Time, id: u64) {
--- a/components/policy/benches/dispatch.rs
+++ b/components/policy/benches/dispatch.rs
@@ -44,7 +44,7 @@
             next += 1;
             let request = request(next);
             black_box(queue.enqueue(now, Ticket(next), request, SUPPLY, 0.5)).ok();
-            black_box(queue.expire(now, 0.5));
+            black_box(queue.expire(now, &mut || 0.5));
             black_box(queue.start_next(now, &mut |_, _, _| StartCheck::Start))
         });
     });
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -247,11 +247,12 @@
     }
 
     /// Refuses the requests whose latest start is over, and updates the standing of the others; to be
-    /// called before [`DispatchQueue::start_next`].
-    pub fn expire(&mut self, now: Time, spread: f64) -> Refused {
+    /// called before [`DispatchQueue::start_next`]. `draw` returns random numbers from 0 to 1, which
+    /// spread out refused callers.
+    pub fn expire(&mut self, now: Time, draw: &mut dyn FnMut() -> f64) -> Refused {
         let mut refused = Refused::new();
         while let Some((_, ticket)) = self.last_starts.first().filter(|(at, _)| *at <= now) {
-            refused.extend(self.refuse(*ticket, YieldReason::Expired, spread));
+            refused.extend(self.refuse(*ticket, YieldReason::Expired, draw()));
         }
         while let Some((at, ticket)) = self.on_time_ends.first().copied() {
             if at >= now {
--- a/components/policy/src/dispatch/targets.rs
+++ b/components/policy/src/dispatch/targets.rs
@@ -74,6 +74,12 @@
         self.0.iter().map(|(_, target)| *target).min().unwrap_or(Duration::MAX)
     }
 
+    /// The shortest of this priority and more urgent ones; that of all if none is known of these.
+    pub fn shortest_up_to(&self, priority: u8) -> Duration {
+        let known = self.0.iter().take_while(|(known, _)| *known <= priority);
+        known.map(|(_, target)| *target).min().unwrap_or_else(|| self.shortest())
+    }
+
     /// How long the requests of this priority may make those of more urgent kinds wait; none if no
     /// kind is more urgent.
     pub fn tolerance(&self, priority: u8) -> Option<Duration> {
--- a/components/policy/src/dispatch/tests.rs
+++ b/components/policy/src/dispatch/tests.rs
@@ -155,6 +155,25 @@
     }
 }
 
+// Guards against callers that are refused together and all return at the same time.
+#[test]
+fn requests_that_expire_together_are_told_to_return_at_different_times() {
+    let mut queue = queue();
+    let now = Time::from_secs(1);
+    for ticket in 0..3 {
+        add(&mut queue, now, ticket, request(now, 1, 0));
+    }
+
+    let mut drawn = 0.0;
+    let refused = queue.expire(now + Duration::from_secs(5), &mut || {
+        drawn += 0.25;
+        drawn
+    });
+
+    let times: Vec<Duration> = refused.iter().map(|(_, yielded)| yielded.retry_after).collect();
+    assert!(times.len() == 3 && times.is_sorted() && times[0] < times[1], "{times:?}");
+}
+
 // Guards against a request that no target may be sent and that keeps the requests behind it waiting.
 #[test]
 fn requests_without_a_target_leave_and_the_next_one_starts() {
@@ -171,6 +190,19 @@
     assert_eq!((next.started, next.without_target.len(), queue.len()), (Some(Ticket(10)), 10, 1));
 }
 
+// Guards against targets that count as busy for a kind by the shorter latency target of a less urgent one.
+#[test]
+fn less_urgent_kinds_do_not_shorten_the_wait_that_counts_for_a_kind() {
+    let mut targets = LatencyTargets::default();
+    for (priority, millis) in [(0, 1_200), (1, 1_000), (2, 600)] {
+        targets.add(priority, Duration::from_millis(millis));
+    }
+
+    let waits = [0, 1, 2, 9].map(|priority| targets.shortest_up_to(priority).as_millis());
+
+    assert_eq!(waits, [1_200, 1_000, 600, 600]);
+}
+
 proptest! {
     // Guarantee: each request is answered once, and none is sent after its latest start.
     #[test]
@@ -190,7 +222,7 @@
                 Ok(refused) => refused.iter().for_each(|(refused, _)| answers[refused.0 as usize] += 1),
                 Err(_) => answers[ticket as usize] += 1,
             }
-            for (refused, _) in queue.expire(now, 0.5) {
+            for (refused, _) in queue.expire(now, &mut || 0.5) {
                 answers[refused.0 as usize] += 1;
             }
             if ticket % starts_of == 0 && let Some(started) = start(&mut queue, now) {
@@ -200,7 +232,7 @@
         }
         while let Some(next) = queue.next_expiry() {
             now = next.max(now + Duration::from_millis(1));
-            for (refused, _) in queue.expire(now, 0.5) {
+            for (refused, _) in queue.expire(now, &mut || 0.5) {
                 answers[refused.0 as usize] += 1;
             }
         }
--- a/components/policy/tests/dispatch/model.rs
+++ b/components/policy/tests/dispatch/model.rs
@@ -493,7 +493,7 @@
                 }
             }
             Queue::Dispatch { queue, requests, .. } => {
-                for (ticket, _) in queue.expire(now, spread) {
+                for (ticket, _) in queue.expire(now, &mut || spread) {
                     model.refuse(&requests[&ticket]);
                 }
                 loop {
