Hosts: drop a request whose caller has closed its connection

A host short of processor time learns that a request's turn has come, or that its prompt is computed, before the runtime polls its sockets.

The server hands the handler the caller's connection as an extension of the request. attempt::send asks the system whether its next read returns the end, and drops the request unsent: 503 caller-left, or the failure of earlier runs. A caller that closes only its sending side counts as having left, as before: the server runs without half-close, ends the connection when it reads the end and drops the handler. Such a caller now may get the 503, which says that the request has not run. Bytes of a further request that are not read yet hide the end.

--- a/components/clients/src/http.rs
+++ b/components/clients/src/http.rs
@@ -30,7 +30,10 @@
 use tokio::time::{error::Elapsed, timeout};
 
 use self::connection::Connection;
-pub use self::{connection::ConnectionHandle, stream::SharedStream};
+pub use self::{
+    connection::ConnectionHandle,
+    stream::{SharedStream, StreamPeeker},
+};
 use crate::body::{Body, incoming};
 
 /// Maximum number of idle connections kept per address.
--- a/components/clients/src/http/stream.rs
+++ b/components/clients/src/http/stream.rs
@@ -1,6 +1,6 @@
-//! A TCP stream that the task of a connection shares with the pool.
+//! A TCP stream that the task of a connection shares with those who use the connection.
 //!
-//! The task reads and writes; the pool looks whether something waits to be read.
+//! The task reads and writes; others look whether something waits to be read.
 
 use std::{
     io,
@@ -31,24 +31,39 @@
     }
 
     /// A view that does not keep the socket open.
-    pub(super) fn peeker(&self) -> StreamPeeker {
+    pub fn peeker(&self) -> StreamPeeker {
         StreamPeeker(Arc::downgrade(&self.0))
     }
 }
 
-/// The stream as the pool sees it.
-#[derive(Debug)]
-pub(super) struct StreamPeeker(Weak<TcpStream>);
+/// The stream as those see it who do not read it.
+#[derive(Debug, Clone)]
+pub struct StreamPeeker(Weak<TcpStream>);
 
 impl StreamPeeker {
     /// Whether the stream is open and nothing waits to be read.
+    pub fn is_quiet(&self) -> bool {
+        matches!(self.peek(), Some(Err(error)) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Whether the stream is closed, or its next read returns the end of what the peer sends, or an
+    /// error.
+    pub fn is_ended(&self) -> bool {
+        match self.peek() {
+            None | Some(Ok(0)) => true,
+            Some(Ok(_)) => false,
+            Some(Err(error)) => {
+                !matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+            }
+        }
+    }
+
+    /// Number of bytes that a read of one byte would return; none if the stream is closed.
     ///
     /// Asks the system, since the runtime learns of what arrived only when it polls its sockets.
-    pub(super) fn is_quiet(&self) -> bool {
-        let Some(stream) = self.0.upgrade() else { return false };
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&*stream).peek(&mut byte);
-        matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    fn peek(&self) -> Option<io::Result<usize>> {
+        let stream = self.0.upgrade()?;
+        Some(SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]))
     }
 }
 
--- a/components/clients/src/lib.rs
+++ b/components/clients/src/lib.rs
@@ -11,7 +11,9 @@
 
 pub use crate::{
     body::{Body, BodyError},
-    http::{ConnectionHandle, HttpPool, HttpSender, SendError, SentOver, SharedStream},
+    http::{
+        ConnectionHandle, HttpPool, HttpSender, SendError, SentOver, SharedStream, StreamPeeker,
+    },
     platform::{
         HostEntry, HostList, HttpPlatform, ObjectStore, OrderReceipt, PlatformError, TargetOrder,
         TargetOrders, UsageReport, UsageReports, WindowReport, WindowReports,
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 use chervilgate_clients::{Body, ConnectionHandle, SendError, SentOver};
 use chervilgate_clock::Time;
 use chervilgate_policy::Fingerprint;
+use chervilgate_serve::CallerConnection;
 use hyper::{
     HeaderMap, Method, Request, Response,
     http::uri::{PathAndQuery, Uri},
@@ -69,6 +70,8 @@
     /// Whether a target may have computed the prompt apart.
     pub(crate) computed_apart: Arc<AtomicBool>,
     pub(crate) wait_count: WaitCount,
+    /// The caller's connection; none if the server does not tell.
+    pub(crate) connection: Option<CallerConnection>,
 }
 
 /// Maximum number of prompt parts named in a log line.
@@ -95,6 +98,11 @@
         self.ask.prompt.tokens > 0 && placement.target_wait_ms() > limit
     }
 
+    /// Whether the caller has closed its connection.
+    fn has_caller_left(&self) -> bool {
+        self.connection.as_ref().is_some_and(CallerConnection::has_left)
+    }
+
     pub(crate) fn sent_count(&self) -> u32 {
         self.sent.load(Ordering::Relaxed)
     }
@@ -222,6 +230,8 @@
     Held(Hold),
     /// A part of the prompt crashes targets, or the request does; nothing was sent.
     Poison(PoisonVerdict),
+    /// The caller has closed its connection; nothing was sent.
+    CallerLeft,
 }
 
 /// Sends `call` once to the target of `in_flight` and waits for the response headers, up to
@@ -234,6 +244,10 @@
     stage: RequestStage<'_>,
     last_event: Option<u64>,
 ) -> SendOutcome {
+    if call.has_caller_left() {
+        log::info!(target: "gateway", id = call.ask.id; "caller left before the request was sent");
+        return SendOutcome::NotRun(NotRunReason::CallerLeft);
+    }
     let now = shared.now();
     let import = {
         let mut state = shared.state();
@@ -478,7 +492,10 @@
     let arrived = !matches!(
         result,
         SendOutcome::NotRun(
-            NotRunReason::Unreachable | NotRunReason::Held(_) | NotRunReason::Poison(_)
+            NotRunReason::Unreachable
+                | NotRunReason::Held(_)
+                | NotRunReason::Poison(_)
+                | NotRunReason::CallerLeft
         )
     );
     let Some(prefilled) = read_prefill(shared, call, &in_flight, result).await else {
--- a/components/gateway/src/failure.rs
+++ b/components/gateway/src/failure.rs
@@ -51,6 +51,8 @@
     Yielded(Duration),
     /// The deadline passed before the request was sent to a target.
     Expired,
+    /// The caller closed its connection before the request was sent to a target.
+    CallerLeft,
     /// This host stops before it could answer, and the request was not sent to a target.
     Stopping,
     /// The deadline passed after the request was sent; it may have run.
@@ -94,6 +96,7 @@
             | Failure::BuildGone
             | Failure::PoisonPart(_)
             | Failure::Expired
+            | Failure::CallerLeft
             | Failure::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Failure::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Failure::TargetFailed | Failure::PoisonRequest => StatusCode::BAD_GATEWAY,
@@ -119,7 +122,9 @@
             | Failure::Limited(span)
             | Failure::Resting(span)
             | Failure::PoisonPart(span) => Some(span),
-            Failure::Expired | Failure::Stopping => Some(Duration::from_millis(100)),
+            Failure::Expired | Failure::CallerLeft | Failure::Stopping => {
+                Some(Duration::from_millis(100))
+            }
             _ => None,
         }
     }
@@ -145,6 +150,7 @@
             Failure::UnknownBuild => "unknown-build",
             Failure::BuildGone => "build-gone",
             Failure::Expired => "expired",
+            Failure::CallerLeft => "caller-left",
             Failure::Stopping => "stopping",
             Failure::TimedOut => "timed-out",
             Failure::PoisonRequest => "suspect",
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -70,7 +70,7 @@
                 self.unreachable += 1;
                 self.unreachable <= MAX_UNREACHABLE
             }
-            NotRunReason::Poison(_) => false,
+            NotRunReason::Poison(_) | NotRunReason::CallerLeft => false,
             NotRunReason::Held(hold) => {
                 shared.metrics.count_retry(hold.as_str());
                 if hold != Hold::Left {
@@ -140,6 +140,7 @@
     ) -> Failure {
         self.failure(match reason {
             NotRunReason::Poison(verdict) => Failure::from(verdict),
+            NotRunReason::CallerLeft => Failure::CallerLeft,
             _ => held_failure(shared, shared.now(), service, build).unwrap_or(Failure::TargetsFull),
         })
     }
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -102,6 +102,7 @@
         request_head: RequestHead,
         sent: &Arc<AtomicU32>,
     ) -> Result<Response<Body>, Failure> {
+        let connection = head.extensions.get().cloned();
         let Admitted { route, config_version, org, body_limit } =
             self.admit(started, &head, &request_head)?;
         let time_limit = request_head.timeout.unwrap_or(route.timeout).min(route.timeout);
@@ -177,6 +178,7 @@
             answered_over: Default::default(),
             computed_apart: computed.clone(),
             wait_count: Default::default(),
+            connection,
         };
         let is_stream = call.route.kind.is_stream();
         let result = if is_stream {
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -173,8 +173,10 @@
             let result =
                 send(&shared, &call, &mut in_flight, Duration::MAX, work, self.position.last())
                     .await;
-            if !matches!(result, SendOutcome::NotRun(NotRunReason::Unreachable))
-                && let Some(export) = export
+            if !matches!(
+                result,
+                SendOutcome::NotRun(NotRunReason::Unreachable | NotRunReason::CallerLeft)
+            ) && let Some(export) = export
             {
                 export.mark_imported();
             }
--- a/components/serve/src/accept.rs
+++ b/components/serve/src/accept.rs
@@ -28,6 +28,7 @@
 
 use crate::{
     Limits,
+    caller::CallerConnection,
     framing::{HeadRecorder, RecordingStream},
 };
 
@@ -37,7 +38,7 @@
 /// Handles the requests of a listener.
 #[async_trait]
 pub trait Handler: Send + Sync + 'static {
-    /// Returns the response to a request from `peer`.
+    /// Returns the response to a request from `peer`, which has a [`CallerConnection`] as an extension.
     async fn handle(&self, peer: SocketAddr, request: Request<Incoming>) -> Response<Body>;
 }
 
@@ -65,7 +66,8 @@
         };
         let config = tls.borrow().clone();
         let stream = SharedStream::new(stream);
-        let connection = Connection { peer, handler: handler.clone(), limits, permit };
+        let caller = CallerConnection(stream.peeker());
+        let connection = Connection { peer, caller, handler: handler.clone(), limits, permit };
         let watcher = graceful.watcher();
         tokio::spawn(async move {
             match config {
@@ -98,6 +100,7 @@
 
 struct Connection {
     peer: SocketAddr,
+    caller: CallerConnection,
     handler: Arc<dyn Handler>,
     limits: Limits,
     permit: OwnedSemaphorePermit,
@@ -126,10 +129,11 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let Connection { peer, handler, limits, permit } = self;
+        let Connection { peer, caller, handler, limits, permit } = self;
         let recorder = HeadRecorder::default();
         let head_recorder = recorder.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
+        let service = service_fn(move |mut request: Request<Incoming>| {
+            request.extensions_mut().insert(caller.clone());
             let handler = handler.clone();
             let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
             let may_have_length = head_recorder.take_may_have_length();
--- a/components/serve/src/lib.rs
+++ b/components/serve/src/lib.rs
@@ -1,10 +1,12 @@
 //! An HTTP/1.1 server: accept loop, connection limits and graceful shutdown.
 
 mod accept;
+mod caller;
 mod framing;
 mod limits;
 
 pub use crate::{
     accept::{Handler, serve},
+    caller::CallerConnection,
     limits::Limits,
 };
