--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -12,7 +12,7 @@
 use chervilgate_clients::{Body, ConnectionHandle, SendError, SentOver};
 use chervilgate_clock::Time;
 use chervilgate_policy::Fingerprint;
-use chervilgate_serve::Cutoff;
+use chervilgate_serve::{CallerConnection, Cutoff};
 use hyper::{
     HeaderMap, Method, Request, Response,
     http::uri::{PathAndQuery, Uri},
@@ -72,6 +72,8 @@
     /// Whether a target may have computed the prompt apart.
     pub(crate) computed_apart: Arc<AtomicBool>,
     pub(crate) wait_count: WaitCount,
+    /// The caller's connection; none if the server does not tell.
+    pub(crate) connection: Option<CallerConnection>,
 }
 
 /// Maximum number of prompt parts named in a log line.
@@ -98,6 +100,11 @@
         self.ask.prompt.tokens > 0 && placement.target_wait_ms() > limit
     }
 
+    /// Whether the caller has closed its connection.
+    fn has_caller_left(&self) -> bool {
+        self.connection.as_ref().is_some_and(CallerConnection::has_left)
+    }
+
     pub(crate) fn sent_count(&self) -> u32 {
         self.sent.load(Ordering::Relaxed)
     }
@@ -107,6 +114,7 @@
 /// fleet.
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
+    service: Arc<str>,
     pub(crate) placement: Placement,
     attempt: AttemptId,
     pub(crate) started_at: Time,
@@ -135,7 +143,14 @@
             shared.broadcast.notify_one();
         }
         let outcome = AttemptOutcome::Unrelated;
-        InFlight { shared: shared.clone(), placement, attempt, started_at: now, outcome }
+        InFlight {
+            shared: shared.clone(),
+            service: call.service.clone(),
+            placement,
+            attempt,
+            started_at: now,
+            outcome,
+        }
     }
 
     /// Logs the target, the predicted times and the time that the request waited at this host;
@@ -172,7 +187,7 @@
             self.shared.broadcast.notify_one();
         }
         if first {
-            self.shared.free_capacity();
+            self.shared.free_capacity(&self.service);
         }
     }
 }
@@ -185,7 +200,7 @@
         if failing {
             self.shared.broadcast.notify_one();
         }
-        self.shared.free_capacity();
+        self.shared.free_capacity(&self.service);
     }
 }
 
@@ -217,6 +232,8 @@
     Held(Hold),
     /// A part of the prompt crashes targets, or the request does; nothing was sent.
     Poison(PoisonVerdict),
+    /// The caller has closed its connection; nothing was sent.
+    CallerLeft,
 }
 
 /// Sends `call` once to the target of `in_flight` and waits for the response headers, up to
@@ -229,6 +246,10 @@
     stage: RequestStage<'_>,
     last_event: Option<u64>,
 ) -> SendOutcome {
+    if call.has_caller_left() {
+        log::info!(target: "gateway", id = call.ask.id; "caller left before the request was sent");
+        return SendOutcome::NotRun(NotRunReason::CallerLeft);
+    }
     let now = shared.now();
     let import = {
         let mut state = shared.state();
@@ -473,7 +494,10 @@
     let arrived = !matches!(
         result,
         SendOutcome::NotRun(
-            NotRunReason::Unreachable | NotRunReason::Held(_) | NotRunReason::Poison(_)
+            NotRunReason::Unreachable
+                | NotRunReason::Held(_)
+                | NotRunReason::Poison(_)
+                | NotRunReason::CallerLeft
         )
     );
     let Some(prefilled) = read_prefill(shared, call, &in_flight, result).await else {
