Planner: exchange on-demand for reclaimable targets in full zones

Zones that are kept full held 0.3 of their limit on demand, whatever the demand was: on-demand targets cost 1 and reclaimable ones 0.22, so most of the price of a full fleet was for targets that the mean work did not need. While a zone was at its limit, orders by goals could not exchange any either, since new ones were ordered only with room beside those that were to leave.

Once the demand has been seen for 6 s, on-demand targets beyond those that carry the mean work alone at 0.8 are exchanged in steps of at most a tenth of a zone. A zone's next step waits until all of its targets have been listed for 2 s. There is none while prompts wait, in doubt about speed, store, list or targets, where the plan's number would be missing during the step (unless no other zone lacks any), or where the loss of the largest zone's reclaimable targets and of a fifth of the rest would not be survived. Filling the zones no longer ends reclaimable targets for on-demand ones once a plan has lowered the goals. `exchange of targets held up` names what prevents a step.

In the unit tests, three zones with a limit of 60 and a mean of 8 busy targets go from 54 on-demand targets to 12 within 22 s, with 180 in all and at most six of a zone missing at a time.

--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -444,7 +444,8 @@
             span: history.span(),
         });
         let (is_waiting, may_return) = (observed.is_waiting(), observed.may_return());
-        Some(ServiceDemand { demand, engine, is_waiting, may_return })
+        let exchange_doubt = observed.exchange_doubt();
+        Some(ServiceDemand { demand, engine, is_waiting, may_return, exchange_doubt })
     }
 
     async fn place_order(&mut self, mut order: TargetOrder) {
--- a/components/gateway/src/planner.rs
+++ b/components/gateway/src/planner.rs
@@ -11,6 +11,7 @@
 //! [`policy::demand`](chervilgate_policy::demand) requires ([`goals`]).
 
 mod conditions;
+mod exchange;
 mod goals;
 
 use std::{
@@ -22,7 +23,11 @@
 use chervilgate_clients::TargetOrder;
 use chervilgate_clock::Time;
 
-use crate::{config::Scaling, fleet::TargetEntry, planner::goals::ServiceGoals};
+use crate::{
+    config::Scaling,
+    fleet::TargetEntry,
+    planner::goals::{Filling, ServiceGoals},
+};
 
 pub use self::{
     conditions::Observations,
@@ -40,6 +45,10 @@
 /// its reclaimable targets are taken away.
 const ON_DEMAND_SHARE: f64 = 0.3;
 
+/// Smallest number of targets by which an order changes, unless it is a tenth: each order is a
+/// call, and a target that leaves loses its cache.
+const MIN_CHANGE: u32 = 2;
+
 /// Highest price of a reclaimable target, relative to an on-demand one, at which it is
 /// preferred.
 const MAX_PRICE_RATIO: f64 = 0.7;
@@ -51,6 +60,12 @@
     reclaimable: u32,
 }
 
+impl ZoneTargets {
+    fn total(self) -> u32 {
+        self.on_demand + self.reclaimable
+    }
+}
+
 /// Identifies what is ordered: service, zone and kind of target.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct OrderKey {
@@ -90,10 +105,27 @@
         if scaling.reclaimable_price.is_none_or(|price| price > MAX_PRICE_RATIO) {
             return Vec::new();
         }
-        if let Some(goals) = self.goals.get_mut(service) {
-            // Once the demand is known, what is ordered now is given back no sooner than any other.
-            goals.fill(scaling);
+        // Once the demand is known, what is ordered now is given back no sooner than any other.
+        let mut goals = self.goals.remove(service);
+        if let Some(goals) = &mut goals {
+            goals.fill(scaling, None);
         }
+        let orders = self.fill_zones(now, service, scaling, entries, goals.as_ref());
+        if let Some(goals) = goals {
+            self.goals.insert(service.to_owned(), goals);
+        }
+        orders
+    }
+
+    /// Returns the orders that are due to fill all zones to their limits.
+    fn fill_zones<'a>(
+        &mut self,
+        now: Time,
+        service: &str,
+        scaling: &Scaling,
+        entries: impl Iterator<Item = &'a TargetEntry>,
+        goals: Option<&ServiceGoals>,
+    ) -> Vec<TargetOrder> {
         let mut orders = Vec::new();
         for (zone, current) in targets_by_zone(service, scaling, entries) {
             let reclaimable_key = order_key(service, zone, true);
@@ -102,7 +134,9 @@
                 // The service does not run in this zone.
                 continue;
             }
-            let goal = self.wanted_on_demand(scaling, &current, &reclaimable_key);
+            let goal = goals.and_then(|goals| goals.on_demand(zone));
+            let goal = goal.unwrap_or_else(|| full_on_demand(scaling));
+            let goal = self.wanted_on_demand(scaling, goal, &current, &reclaimable_key);
             let wanted = scaling.max_targets.saturating_sub(current.on_demand.max(goal));
             orders.extend(self.order_if_due(now, reclaimable_key, wanted, current.reclaimable));
             if goal != current.on_demand || self.placed.contains_key(&on_demand_key) {
@@ -138,11 +172,16 @@
                 ServiceGoals::new(now)
             }
         });
-        let is_full = goals.update(now, service, scaling, &current, demand);
-        let orders = if is_full {
-            self.plan(now, service, scaling, entries)
+        let filling = goals.update(now, service, scaling, &current, demand);
+        let orders = if filling == Filling::AtOnce {
+            self.fill_zones(now, service, scaling, entries, Some(&goals))
         } else {
-            self.order_goals(now, service, scaling, &current, &goals, demand)
+            // Where zones are filled, on-demand targets only change places with reclaimable ones.
+            let may_lower = match filling {
+                Filling::InSteps => demand.exchange_doubt.is_none(),
+                _ => demand.may_return,
+            };
+            self.order_goals(now, service, scaling, &current, &goals, may_lower)
         };
         self.goals.insert(service.to_owned(), goals);
         orders
@@ -169,7 +208,7 @@
         scaling: &Scaling,
         current: &BTreeMap<&str, ZoneTargets>,
         goals: &ServiceGoals,
-        demand: &ServiceDemand,
+        may_lower: bool,
     ) -> Vec<TargetOrder> {
         let mut orders = Vec::new();
         let listed: u32 = current.values().map(|zone| zone.on_demand + zone.reclaimable).sum();
@@ -180,8 +219,8 @@
             let on_demand_key = order_key(service, zone, false);
             let refused = self.placed.get(&reclaimable_key).is_some_and(|placed| placed.refused);
             let is_unavailable = refused && current.reclaimable == 0;
-            let mut on_demand = goal.on_demand_now(current.on_demand, current.reclaimable);
-            if is_unavailable || !demand.may_return {
+            let mut on_demand = goal.on_demand_now(current, scaling.max_targets);
+            if is_unavailable || !may_lower {
                 on_demand = on_demand.max(current.on_demand.min(scaling.max_targets));
             }
             if is_unavailable && let Some(placed) = self.placed.get(&on_demand_key) {
@@ -214,7 +253,7 @@
             Some(placed)
                 if wanted > goal
                     && wanted < placed.count
-                    && !goals::is_significant(placed.count - wanted, placed.count) =>
+                    && !is_significant(placed.count - wanted, placed.count) =>
             {
                 placed.count
             }
@@ -231,15 +270,15 @@
         }
     }
 
-    /// Number of on-demand targets that a zone should have.
+    /// Number of on-demand targets that a zone should have now, of which `goal` is wanted.
     fn wanted_on_demand(
         &self,
         scaling: &Scaling,
+        goal: u32,
         current: &ZoneTargets,
         reclaimable_key: &OrderKey,
     ) -> u32 {
         let share = |share: f64| (f64::from(scaling.max_targets) * share).ceil() as u32;
-        let goal = full_on_demand(scaling);
         let refused = self.placed.get(reclaimable_key).is_some_and(|placed| placed.refused);
         if current.reclaimable == 0 && refused {
             return goal.max(share(FALLBACK_ON_DEMAND_SHARE));
@@ -282,6 +321,11 @@
     OrderKey { service: service.to_owned(), zone: zone.to_owned(), reclaimable }
 }
 
+/// Whether a change of an order by `change` is worth a call.
+fn is_significant(change: u32, count: u32) -> bool {
+    change > 0 && (change >= MIN_CHANGE || change * 10 >= count)
+}
+
 /// Number of on-demand targets in a zone that is filled to its limit.
 fn full_on_demand(scaling: &Scaling) -> u32 {
     let share = (f64::from(scaling.max_targets) * ON_DEMAND_SHARE).ceil() as u32;
--- a/components/gateway/src/planner/conditions.rs
+++ b/components/gateway/src/planner/conditions.rs
@@ -1,4 +1,5 @@
-//! When requests wait for engines, and when targets may be given back, by what the holder observes.
+//! When requests wait for engines, and when targets may be given back or exchanged, by what the
+//! holder observes.
 
 /// Share of the prompts of the last seconds that may wait: bursts at single targets make a few of
 /// them wait however many targets there are.
@@ -34,11 +35,26 @@
 
     /// Whether targets may be given back.
     pub fn may_return(&self) -> bool {
-        self.past_waiting <= MAX_RETURN_WAITING_SHARE
-            && self.is_demand_known
-            && self.is_speed_known
-            && self.is_store_up
-            && self.is_list_current
-            && !self.has_impaired_targets
+        self.past_waiting <= MAX_RETURN_WAITING_SHARE && self.doubt().is_none()
+    }
+
+    /// Why on-demand targets may not be exchanged for reclaimable ones; none if they may.
+    ///
+    /// Their number stays nearly the same, so prompts that waited a while ago, for example at cold
+    /// caches, are no reason.
+    pub fn exchange_doubt(&self) -> Option<&'static str> {
+        self.doubt().or(self.is_waiting().then_some("waiting"))
+    }
+
+    /// What is in doubt of the targets and of what is known of them.
+    fn doubt(&self) -> Option<&'static str> {
+        let doubts = [
+            (!self.is_demand_known, "demand"),
+            (!self.is_speed_known, "speed"),
+            (!self.is_store_up, "store"),
+            (!self.is_list_current, "list"),
+            (self.has_impaired_targets, "impaired"),
+        ];
+        doubts.into_iter().find_map(|(holds, doubt)| holds.then_some(doubt))
     }
 }
--- a/components/gateway/src/planner/goals.rs
+++ b/components/gateway/src/planner/goals.rs
@@ -13,7 +13,11 @@
 
 use crate::{
     config::Scaling,
-    planner::{ZoneTargets, full_on_demand},
+    planner::{
+        MIN_CHANGE, ZoneTargets,
+        exchange::{self, Exchange, step_size},
+        full_on_demand, is_significant,
+    },
 };
 
 /// Time from taking the lease for which no target is given back.
@@ -37,10 +41,6 @@
 /// Share of all targets that one step gives back.
 const RETURN_SHARE: f64 = 0.1;
 
-/// Smallest number of targets by which an order changes, unless it is a tenth: each order is a
-/// call, and a target that leaves loses its cache.
-const MIN_CHANGE: u32 = 2;
-
 /// Highest utilization by the largest work of the targets that serve, above which on-demand
 /// targets take the place of reclaimable ones that are not available.
 const SHORT_UTILIZATION: f64 = 0.7;
@@ -56,6 +56,8 @@
     pub is_waiting: bool,
     /// Whether targets may be given back, by what is known of the targets and the store.
     pub may_return: bool,
+    /// Why on-demand targets may not be exchanged for reclaimable ones; none if they may.
+    pub exchange_doubt: Option<&'static str>,
 }
 
 /// Number of targets wanted in a zone.
@@ -74,6 +76,8 @@
     Kept,
     /// The demand.
     Demand(PlanReason),
+    /// That on-demand targets are exchanged for reclaimable ones.
+    Exchange,
     /// Requests that wait.
     Waiting,
     /// That the demand is not known.
@@ -86,21 +90,37 @@
         match self {
             GoalReason::Kept => "kept",
             GoalReason::Demand(reason) => reason.as_str(),
+            GoalReason::Exchange => "exchange",
             GoalReason::Waiting => "waiting",
             GoalReason::Unknown => "unknown",
         }
     }
 }
 
+/// Whether zones are filled to their limits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Filling {
+    /// They are not.
+    No,
+    /// At once, whatever the demand is.
+    AtOnce,
+    /// They are kept full by a known demand; on-demand targets are exchanged in steps.
+    InSteps,
+}
+
 impl ZoneGoal {
-    fn total(self) -> u32 {
+    pub(super) fn total(self) -> u32 {
         self.on_demand + self.reclaimable
     }
 
     /// Number of on-demand targets to have now: further ones are returned as reclaimable ones
-    /// replace them.
-    pub(super) fn on_demand_now(self, on_demand: u32, reclaimable: u32) -> u32 {
-        on_demand.min(self.total().saturating_sub(reclaimable)).max(self.on_demand)
+    /// replace them. Near the limit of `max_targets`, a tenth of the zone leaves before, since there
+    /// is no room to order the others.
+    pub(super) fn on_demand_now(self, current: &ZoneTargets, max_targets: u32) -> u32 {
+        let needed = self.total().saturating_sub(current.reclaimable);
+        let short = (needed + self.reclaimable).saturating_sub(max_targets);
+        let leaving = short.min(step_size(self.total()));
+        current.on_demand.min(needed.saturating_sub(leaving)).max(self.on_demand)
     }
 }
 
@@ -112,6 +132,10 @@
     /// ordered any before.
     is_first: bool,
     zones: BTreeMap<String, ZoneGoal>,
+    exchange: Exchange,
+    /// Whether goals were lowered by a plan, so that the on-demand targets of full zones are not a
+    /// fixed share any more.
+    was_lowered: bool,
     excess_since: Option<Time>,
     returned_at: Option<Time>,
     /// Number of busy targets by the largest work.
@@ -124,6 +148,8 @@
             started_at: now,
             is_first: false,
             zones: BTreeMap::new(),
+            exchange: Exchange::default(),
+            was_lowered: false,
             excess_since: None,
             returned_at: None,
             busy: 0.0,
@@ -138,7 +164,7 @@
     ) -> ServiceGoals {
         let mut goals = ServiceGoals::new(now);
         goals.zones = zones.map(|zone| (zone.to_owned(), ZoneGoal::default())).collect();
-        goals.fill(scaling);
+        goals.fill(scaling, None);
         goals
     }
 
@@ -152,6 +178,11 @@
         self.zones.get(zone).copied().unwrap_or_default()
     }
 
+    /// Number of on-demand targets wanted in a zone; none if the zone is not known.
+    pub(super) fn on_demand(&self, zone: &str) -> Option<u32> {
+        self.zones.get(zone).map(|goal| goal.on_demand)
+    }
+
     /// Whether what was there when the lease was taken is kept.
     fn is_new(&self, now: Time) -> bool {
         now.since(self.started_at) < HOLD_TIME
@@ -162,7 +193,7 @@
         self.busy > f64::from(targets) * SHORT_UTILIZATION
     }
 
-    /// Updates the goals; returns whether zones are filled to their limits.
+    /// Updates the goals; returns whether and how zones are filled to their limits.
     pub(super) fn update(
         &mut self,
         now: Time,
@@ -170,7 +201,7 @@
         scaling: &Scaling,
         current: &BTreeMap<&str, ZoneTargets>,
         demand: &ServiceDemand,
-    ) -> bool {
+    ) -> Filling {
         let before = self.zones.clone();
         if before.is_empty() {
             self.is_first = current.values().all(|zone| zone.reclaimable == 0);
@@ -186,33 +217,89 @@
             self.busy = demand.engine.busy_targets(&planned.largest);
             plan_demand(&planned, &demand.engine, limits)
         });
-        let is_late = now.since(self.started_at) >= UNKNOWN_LIMIT;
-        let is_unknown = match planned {
-            None => is_late || self.is_first,
-            Some(planned) => self.is_first && planned.span < MIN_SPAN,
-        };
-        let (is_full, reason) = match plan {
-            _ if demand.is_waiting => (true, GoalReason::Waiting),
-            Some(plan) if plan.needs_limit(limits) => (true, GoalReason::Demand(plan.reason)),
-            _ if is_unknown => (true, GoalReason::Unknown),
-            Some(plan) => (false, GoalReason::Demand(plan.reason)),
-            None => (false, GoalReason::Kept),
-        };
-        if is_full {
-            self.fill(scaling);
-        } else {
-            if !self.is_new(now) {
-                self.exchange(scaling, plan.as_ref());
+        let (filling, mut reason) = self.filling(now, limits, plan.as_ref(), demand);
+        if filling != Filling::InSteps {
+            self.exchange.clear_settled();
+        }
+        match filling {
+            Filling::AtOnce => self.fill(scaling, plan.as_ref()),
+            Filling::InSteps => {
+                self.fill(scaling, plan.as_ref());
+                if let Some(plan) = &plan
+                    && self.exchange_step(now, service, scaling, current, plan, demand)
+                {
+                    reason = GoalReason::Exchange;
+                }
             }
-            if let Some(plan) = &plan {
-                self.grow(scaling, plan);
-                self.give_back(now, scaling, current, plan, demand.may_return);
+            Filling::No => {
+                if !self.is_new(now) {
+                    self.exchange_excess(scaling, plan.as_ref());
+                }
+                if let Some(plan) = &plan {
+                    self.grow(now, scaling, plan);
+                    self.give_back(now, scaling, current, plan, demand.may_return);
+                }
             }
         }
         if self.zones != before {
             self.log_change(service, &before, plan.as_ref(), reason);
         }
-        is_full
+        filling
+    }
+
+    /// Whether and how zones are filled, and what decided.
+    fn filling(
+        &self,
+        now: Time,
+        limits: FleetLimits,
+        plan: Option<&DemandPlan>,
+        demand: &ServiceDemand,
+    ) -> (Filling, GoalReason) {
+        if demand.is_waiting {
+            return (Filling::AtOnce, GoalReason::Waiting);
+        }
+        let is_late = now.since(self.started_at) >= UNKNOWN_LIMIT;
+        let Some(plan) = plan else {
+            return if is_late || self.is_first {
+                (Filling::AtOnce, GoalReason::Unknown)
+            } else {
+                (Filling::No, GoalReason::Kept)
+            };
+        };
+        let span = demand.demand.map_or(Duration::ZERO, |demand| demand.span);
+        let filled = if span < exchange::MIN_SPAN { Filling::AtOnce } else { Filling::InSteps };
+        if plan.needs_limit(limits) {
+            (filled, GoalReason::Demand(plan.reason))
+        } else if self.is_first && span < MIN_SPAN {
+            (filled, GoalReason::Unknown)
+        } else {
+            (Filling::No, GoalReason::Demand(plan.reason))
+        }
+    }
+
+    /// Takes a step of the exchange in full zones, if one is due; returns whether goals changed.
+    fn exchange_step(
+        &mut self,
+        now: Time,
+        service: &str,
+        scaling: &Scaling,
+        current: &BTreeMap<&str, ZoneTargets>,
+        plan: &DemandPlan,
+        demand: &ServiceDemand,
+    ) -> bool {
+        self.exchange.observe(now, &self.zones, current);
+        // What an earlier holder ordered may not be listed yet.
+        if self.is_new(now) && !self.is_first {
+            return false;
+        }
+        let has_excess = self.zones.values().any(|goal| exchange::excess(*goal, plan) > 0);
+        self.exchange.log_doubt(service, demand.exchange_doubt.filter(|_| has_excess));
+        if demand.exchange_doubt.is_some() {
+            return false;
+        }
+        let has_changed = self.exchange.step(now, scaling, &mut self.zones, current, plan);
+        self.was_lowered |= has_changed;
+        has_changed
     }
 
     /// Takes what there is as the goal of zones that are new, and of all while the lease is.
@@ -223,7 +310,8 @@
         current: &BTreeMap<&str, ZoneTargets>,
     ) {
         self.zones.retain(|zone, _| current.contains_key(zone.as_str()));
-        let is_new = self.is_new(now);
+        // Before the first holder nothing was ordered, so nothing is missing from the list.
+        let is_new = self.is_new(now) && !self.is_first;
         for (zone, targets) in current {
             let on_demand = targets.on_demand.min(scaling.max_targets);
             let room = scaling.max_targets - on_demand;
@@ -241,17 +329,26 @@
     }
 
     /// Wants all zones filled to their limits.
-    pub(super) fn fill(&mut self, scaling: &Scaling) {
+    ///
+    /// On-demand targets are a fixed share until a plan has lowered them; then as many as there
+    /// were, and at least those of the plan. They take no places of reclaimable ones, whose caches
+    /// would be lost while the demand is large or unknown.
+    pub(super) fn fill(&mut self, scaling: &Scaling, plan: Option<&DemandPlan>) {
         self.excess_since = None;
-        let on_demand = full_on_demand(scaling).min(scaling.max_targets);
-        let reclaimable = scaling.max_targets - on_demand;
-        self.zones.values_mut().for_each(|goal| *goal = ZoneGoal { on_demand, reclaimable });
+        let full = full_on_demand(scaling);
+        let needed = plan.map_or(0, |plan| plan.on_demand);
+        for goal in self.zones.values_mut() {
+            let wanted = if self.was_lowered { goal.on_demand.min(full).max(needed) } else { full };
+            let room = scaling.max_targets.saturating_sub(goal.total());
+            let on_demand = wanted.min(goal.on_demand + room).min(scaling.max_targets);
+            *goal = ZoneGoal { on_demand, reclaimable: scaling.max_targets - on_demand };
+        }
     }
 
     /// Wants reclaimable targets in the place of on-demand ones above the share that a full zone
     /// has, so that their number stays the same. An order would end those that are not listed, so a
     /// new holder waits for them.
-    fn exchange(&mut self, scaling: &Scaling, plan: Option<&DemandPlan>) {
+    fn exchange_excess(&mut self, scaling: &Scaling, plan: Option<&DemandPlan>) {
         let needed = plan.map_or(0, |plan| plan.on_demand);
         let most = full_on_demand(scaling).max(needed);
         for goal in self.zones.values_mut() {
@@ -261,9 +358,12 @@
         }
     }
 
-    fn grow(&mut self, scaling: &Scaling, plan: &DemandPlan) {
+    fn grow(&mut self, now: Time, scaling: &Scaling, plan: &DemandPlan) {
         for goal in self.zones.values_mut() {
             let missing = plan.on_demand.saturating_sub(goal.on_demand);
+            if missing > 0 {
+                self.exchange.record_growth(now);
+            }
             goal.on_demand += rounded_up(missing, goal.on_demand);
             goal.on_demand = goal.on_demand.min(scaling.max_targets);
             let missing = plan.targets.saturating_sub(goal.total());
@@ -300,6 +400,7 @@
         let total: u32 = self.zones.values().map(|goal| goal.total()).sum();
         let step = ((f64::from(total) * RETURN_SHARE) as u32).max(MIN_CHANGE);
         if self.take_step(scaling, plan, step) {
+            self.was_lowered = true;
             self.returned_at = Some(now);
         }
     }
@@ -365,11 +466,6 @@
     }
 }
 
-/// Whether a change of an order by `change` is worth a call.
-pub(super) fn is_significant(change: u32, count: u32) -> bool {
-    change > 0 && (change >= MIN_CHANGE || change * 10 >= count)
-}
-
 /// The smallest change that is worth a call and not less than `missing`.
 fn rounded_up(missing: u32, count: u32) -> u32 {
     if missing == 0 || is_significant(missing, count) { missing } else { MIN_CHANGE }
--- a/components/policy/src/demand/plan.rs
+++ b/components/policy/src/demand/plan.rs
@@ -119,9 +119,17 @@
     pub peak: f64,
     /// Highest utilization by that work.
     pub utilization: f64,
+    /// Number of busy targets by the largest work, at the scarcer stage.
+    pub largest: f64,
 }
 
 impl DemandPlan {
+    /// Whether `left` targets, of which some do not respond, carry the mean work, and the largest
+    /// work without room to spare.
+    pub fn survives_with(&self, left: u32) -> bool {
+        survives_with(self.mean, self.largest, f64::from(left))
+    }
+
     /// Whether the demand requires all targets that may be ordered.
     pub fn needs_limit(&self, limits: FleetLimits) -> bool {
         self.targets >= limits.max_targets
@@ -208,15 +216,19 @@
     if targets >= limits.max_targets {
         (targets, reason) = (limits.max_targets, PlanReason::Limit);
     }
-    DemandPlan { targets, on_demand, reason, mean, peak, utilization }
+    DemandPlan { targets, on_demand, reason, mean, peak, utilization, largest }
 }
 
 /// Whether the targets that are left after the loss of the reclaimable ones of a zone, and of some
 /// of the rest, carry the mean work, and the largest work without room to spare.
 fn survives_loss(mean: f64, largest: f64, targets: u32, on_demand: u32, zones: u32) -> bool {
     let lost = targets.saturating_sub(on_demand);
-    let left = f64::from((targets * zones).saturating_sub(lost)) * (1.0 - SILENT_SHARE);
-    mean <= left * SURVIVOR_UTILIZATION && largest <= left
+    survives_with(mean, largest, f64::from((targets * zones).saturating_sub(lost)))
+}
+
+fn survives_with(mean: f64, largest: f64, left: f64) -> bool {
+    let responding = left * (1.0 - SILENT_SHARE);
+    mean <= responding * SURVIVOR_UTILIZATION && largest <= responding
 }
 
 /// Part of a zone of `targets`, rounded up.
