Planner: complete an exchange of targets that has begun

An exchange takes about 7 s a step, and full zones end when the demand has been seen for 30 s. What was not exchanged by then waited until all targets that the plan does not need were given back. Zones now stay full until the exchange that the first holder has begun is complete.

Unit tests only; no deployment was run.

--- a/components/gateway/src/planner/goals.rs
+++ b/components/gateway/src/planner/goals.rs
@@ -136,6 +136,8 @@
     /// Whether goals were lowered by a plan, so that the on-demand targets of full zones are not a
     /// fixed share any more.
     was_lowered: bool,
+    /// Whether an exchange has begun and is not complete.
+    is_exchanging: bool,
     excess_since: Option<Time>,
     returned_at: Option<Time>,
     /// Number of busy targets by the largest work.
@@ -150,6 +152,7 @@
             zones: BTreeMap::new(),
             exchange: Exchange::default(),
             was_lowered: false,
+            is_exchanging: false,
             excess_since: None,
             returned_at: None,
             busy: 0.0,
@@ -272,6 +275,9 @@
             (filled, GoalReason::Demand(plan.reason))
         } else if self.is_first && span < MIN_SPAN {
             (filled, GoalReason::Unknown)
+        } else if self.is_first && self.is_exchanging {
+            // A tenth of a zone is missing in each step, so the zones stay full until the last one.
+            (filled, GoalReason::Exchange)
         } else {
             (Filling::No, GoalReason::Demand(plan.reason))
         }
@@ -299,6 +305,7 @@
         }
         let has_changed = self.exchange.step(now, scaling, &mut self.zones, current, plan);
         self.was_lowered |= has_changed;
+        self.is_exchanging = has_excess && (self.is_exchanging || has_changed);
         has_changed
     }
 
--- a/components/gateway/tests/demand/exchange.rs
+++ b/components/gateway/tests/demand/exchange.rs
@@ -43,6 +43,22 @@
     assert_eq!(platform.orders - filled, 3 * 3 * 3);
 }
 
+// Guards against an exchange that ends half-way when the demand has been seen for long enough to
+// give targets back: it would go on only after all others that are not needed.
+#[test]
+fn an_exchange_that_has_begun_is_completed() {
+    let mut platform = first_seconds();
+    platform.run(4, &seen(15, 8.0, 12.0));
+    let begun = on_demand(&platform);
+
+    platform.run(18, &seen(31, 8.0, 12.0));
+    let (complete, total) = (on_demand(&platform), platform.total());
+    platform.run(150, &seen(60, 8.0, 12.0));
+
+    assert_eq!((begun, complete, total), (36, 12, 3 * MAX_TARGETS));
+    assert!(platform.total() < 90, "{}", platform.total());
+}
+
 #[test]
 fn nothing_is_exchanged_in_doubt() {
     let mut platform = first_seconds();
