Demand: take the speed of engines from long prompts

The learned factor of a group is the median over prompts from 50 ms of the reference engine. Most prompts are cached for the most part, so the constant time of a response makes up much of theirs, and the work that follows from the factor was overestimated: engines of 0.4 of the reference time with 30 ms a response look like 0.9.

The holder now takes the median of the prompts of 150 ms and more that it has seen itself, if there are eight of the last 30 s and it is lower. Placing keeps the factor, since it predicts whole responses. Stages are not pooled: an order names no stage.

In the unit test, the factor of these engines falls from over 0.85 to at most 0.51.

--- a/components/gateway/src/fleet/demand.rs
+++ b/components/gateway/src/fleet/demand.rs
@@ -63,7 +63,7 @@
     pub fn engine_speeds(&self, now: Time, service: &str) -> EngineSpeeds {
         let speed = |role| {
             let speed = self.speeds.get(&group_of(service, role))?;
-            speed.is_learned(now).then(|| speed.factor())
+            speed.is_learned(now).then(|| speed.work_factor(now))
         };
         EngineSpeeds { prefill: speed(TargetRole::Prefill), decode: speed(TargetRole::Decode) }
     }
--- a/components/policy/src/speed.rs
+++ b/components/policy/src/speed.rs
@@ -37,6 +37,14 @@
 /// reference's weight.
 const LEARNED_OBSERVATIONS: u32 = 16;
 
+/// Shortest reference time of a prompt from which the time of its computation alone is learned:
+/// the constant time of a response is a third as large a part of it as of the shortest that are
+/// observed (50 ms).
+const LONG_REFERENCE: Duration = Duration::from_millis(150);
+
+/// Number of long prompts from which their factor is learned.
+const LEARNED_LONG: usize = 8;
+
 /// Bounds of an observed factor; one outside of them says more about the observation than
 /// about the target.
 const FACTOR_BOUNDS: (f64, f64) = (0.05, 20.0);
@@ -94,6 +102,8 @@
 #[derive(Debug, Clone)]
 pub struct GroupSpeed {
     own: Observations,
+    /// Those of long prompts among them.
+    long: Observations,
     peers: HashMap<u32, (Time, SpeedReport)>,
     factor: f64,
     updated: Option<Time>,
@@ -103,6 +113,7 @@
     fn default() -> GroupSpeed {
         GroupSpeed {
             own: Observations::default(),
+            long: Observations::default(),
             peers: HashMap::new(),
             factor: 1.0,
             updated: None,
@@ -115,6 +126,9 @@
     pub fn record(&mut self, now: Time, reference: Duration, seen: Duration) {
         if let Some(factor) = ratio(reference, seen) {
             self.own.record(now, factor);
+            if reference >= LONG_REFERENCE {
+                self.long.record(now, factor);
+            }
         }
     }
 
@@ -133,6 +147,17 @@
         self.factor
     }
 
+    /// The factor of the time for which prompts keep a target busy, without most of the constant
+    /// time of a response; the group's factor while this host has seen too few long prompts.
+    pub fn work_factor(&self, now: Time) -> f64 {
+        let mut long: SmallVec<[(f64, u32); MAX_OBSERVATIONS]> =
+            self.long.recent(now).map(|factor| (factor, 1)).collect();
+        if long.len() < LEARNED_LONG {
+            return self.factor;
+        }
+        weighted_median(&mut long).map_or(self.factor, |factor| factor.min(self.factor))
+    }
+
     /// Whether enough was seen by all hosts for the factor to be more than the reference.
     pub fn is_learned(&self, now: Time) -> bool {
         let own = self.own.recent(now).count();
--- a/components/policy/src/speed/tests.rs
+++ b/components/policy/src/speed/tests.rs
@@ -134,3 +134,39 @@
 
     assert_eq!([told, replaced, old, speed.factor(now, 1.0)], [1.7, 1.5, 1.0, 1.0]);
 }
+
+// Guards against work that is overestimated by the constant time of a response: most prompts are
+// cached for the most part, so that it takes as long as their computation.
+#[test]
+fn the_constant_time_of_a_response_hardly_counts_as_work() {
+    let mut group = GroupSpeed::default();
+    let seen = |reference: Duration| reference.mul_f64(0.4) + Duration::from_millis(30);
+    let mut learn = |long: u32| {
+        for step in 0..24 {
+            let reference = Duration::from_millis(if step < long { 300 } else { 60 });
+            group.record(at(f64::from(step) / 10.0), reference, seen(reference));
+        }
+        group.update(at(2.4));
+        group.clone()
+    };
+
+    let few = learn(3);
+    let enough = learn(8);
+
+    assert!(few.factor() > 0.85 && few.work_factor(at(2.4)) == few.factor());
+    assert!(enough.factor() > 0.85);
+    assert!((0.4..=0.51).contains(&enough.work_factor(at(2.4))));
+    // What was seen long ago does not count.
+    assert_eq!(enough.work_factor(at(60.0)), enough.factor());
+}
+
+// Guards against a demand that is taken for larger since long prompts were slow at this host alone.
+#[test]
+fn work_takes_no_longer_than_the_group_shows() {
+    let mut group = group_with(0.5);
+    for _ in 0..8 {
+        group.record(at(1.0), Duration::from_millis(300), Duration::from_millis(900));
+    }
+
+    assert_eq!(group.work_factor(at(2.0)), group.factor());
+}
