Demand: blend the speed from long prompts with the group's factor

With a single bound of 8 long prompts, the factor switched between the group's and the median of long prompts, which scales the work of the whole history: the plan changed by up to a factor of 2 whenever a holder's count crossed the bound. The factor now moves from the group's at 4 long prompts to the median at 12 and is at least half of the group's.

The test of the constant time counted 8 long prompts as enough; full weight now needs 12, so it takes 12, with the same bound.

--- a/components/policy/src/speed.rs
+++ b/components/policy/src/speed.rs
@@ -42,8 +42,14 @@
 /// observed (50 ms).
 const LONG_REFERENCE: Duration = Duration::from_millis(150);
 
-/// Number of long prompts from which their factor is learned.
-const LEARNED_LONG: usize = 8;
+/// Number of long prompts up to which their factor has no weight, and from which it has all of it.
+/// With a single bound, the demand of the whole history doubled or halved whenever the number of
+/// long prompts crossed it.
+const LONG_PROMPTS: (usize, usize) = (4, 12);
+
+/// Lowest factor of work, as a share of the group's factor: long prompts of this host alone may
+/// say little about the group.
+const MIN_WORK_SHARE: f64 = 0.5;
 
 /// Bounds of an observed factor; one outside of them says more about the observation than
 /// about the target.
@@ -148,14 +154,16 @@
     }
 
     /// The factor of the time for which prompts keep a target busy, without most of the constant
-    /// time of a response; the group's factor while this host has seen too few long prompts.
+    /// time of a response; the closer to the group's factor, the fewer long prompts this host has
+    /// seen.
     pub fn work_factor(&self, now: Time) -> f64 {
         let mut long: SmallVec<[(f64, u32); MAX_OBSERVATIONS]> =
             self.long.recent(now).map(|factor| (factor, 1)).collect();
-        if long.len() < LEARNED_LONG {
-            return self.factor;
-        }
-        weighted_median(&mut long).map_or(self.factor, |factor| factor.min(self.factor))
+        let (few, enough) = LONG_PROMPTS;
+        let weight = long.len().saturating_sub(few) as f64 / (enough - few) as f64;
+        let seen = weighted_median(&mut long).unwrap_or(self.factor);
+        let seen = seen.min(self.factor).max(self.factor * MIN_WORK_SHARE);
+        self.factor + (seen - self.factor) * weight.min(1.0)
     }
 
     /// Whether enough was seen by all hosts for the factor to be more than the reference.
--- a/components/policy/src/speed/tests.rs
+++ b/components/policy/src/speed/tests.rs
@@ -151,7 +151,7 @@
     };
 
     let few = learn(3);
-    let enough = learn(8);
+    let enough = learn(12);
 
     assert!(few.factor() > 0.85 && few.work_factor(at(2.4)) == few.factor());
     assert!(enough.factor() > 0.85);
@@ -170,3 +170,19 @@
 
     assert_eq!(group.work_factor(at(2.0)), group.factor());
 }
+
+// Guards against a plan that doubles or halves when one long prompt more or less is remembered, and
+// against one that is made far too small by the prompts of this host alone.
+#[test]
+fn the_factor_of_work_moves_little_with_each_long_prompt() {
+    let mut group = group_with(1.0);
+    let mut last = group.work_factor(at(1.0));
+    for _ in 0..25 {
+        group.record(at(1.0), Duration::from_millis(300), Duration::from_millis(30));
+        let next = group.work_factor(at(1.0));
+        assert!(last - next < 0.07 && next >= 0.5, "{last} {next}");
+        last = next;
+    }
+
+    assert_eq!(last, 0.5);
+}
