Planner: bound the exchange of targets, and undo steps without effect

Cause: in full zones any on-demand target above the goal could leave before its replacement was listed, on each pass and in all zones. One of two targets ended at once, and targets ended where the platform has never had reclaimable ones. An exchange that could not finish kept zones full for the whole lease, a step without replacements had no way back, and lowered goals ordered nothing while reclaimable targets were refused.

On-demand targets leave early only by a recorded step, in zones of at least four targets that list reclaimable ones; orders follow the step also in doubt. A step whose targets are not listed within three boot times is undone, and the zone waits for another delivery. Smaller steps are tried where a tenth is too much. The exchange keeps zones full only while it makes progress. Filling wants the full share again where reclaimable targets are refused or overdue, and takes on-demand targets up to that share that are listed into the goal, also for a new holder. The log names all causes that hold up a step, at most each 10 s.

--- a/components/gateway/src/planner.rs
+++ b/components/gateway/src/planner.rs
@@ -15,7 +15,7 @@
 mod goals;
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -105,12 +105,14 @@
         if scaling.reclaimable_price.is_none_or(|price| price > MAX_PRICE_RATIO) {
             return Vec::new();
         }
+        let current = targets_by_zone(service, scaling, entries);
         // Once the demand is known, what is ordered now is given back no sooner than any other.
         let mut goals = self.goals.remove(service);
         if let Some(goals) = &mut goals {
-            goals.fill(scaling, None);
+            let refused = self.refused_zones(service);
+            goals.fill_unplanned(now, service, scaling, &current, &refused);
         }
-        let orders = self.fill_zones(now, service, scaling, entries, goals.as_ref());
+        let orders = self.fill_zones(now, service, scaling, &current, goals.as_ref());
         if let Some(goals) = goals {
             self.goals.insert(service.to_owned(), goals);
         }
@@ -118,25 +120,30 @@
     }
 
     /// Returns the orders that are due to fill all zones to their limits.
-    fn fill_zones<'a>(
+    fn fill_zones(
         &mut self,
         now: Time,
         service: &str,
         scaling: &Scaling,
-        entries: impl Iterator<Item = &'a TargetEntry>,
+        current: &BTreeMap<&str, ZoneTargets>,
         goals: Option<&ServiceGoals>,
     ) -> Vec<TargetOrder> {
         let mut orders = Vec::new();
-        for (zone, current) in targets_by_zone(service, scaling, entries) {
+        for (zone, current) in current {
             let reclaimable_key = order_key(service, zone, true);
             let on_demand_key = order_key(service, zone, false);
-            if current == ZoneTargets::default() && !self.placed.contains_key(&reclaimable_key) {
+            if *current == ZoneTargets::default() && !self.placed.contains_key(&reclaimable_key) {
                 // The service does not run in this zone.
                 continue;
             }
             let goal = goals.and_then(|goals| goals.on_demand(zone));
             let goal = goal.unwrap_or_else(|| full_on_demand(scaling));
-            let goal = self.wanted_on_demand(scaling, goal, &current, &reclaimable_key);
+            let is_in_step = goals.is_some_and(|goals| goals.is_in_step(zone));
+            let goal = if is_in_step && current.reclaimable > 0 {
+                goal
+            } else {
+                self.wanted_on_demand(scaling, goal, current, &reclaimable_key)
+            };
             let wanted = scaling.max_targets.saturating_sub(current.on_demand.max(goal));
             orders.extend(self.order_if_due(now, reclaimable_key, wanted, current.reclaimable));
             if goal != current.on_demand || self.placed.contains_key(&on_demand_key) {
@@ -152,13 +159,13 @@
         now: Time,
         service: &str,
         scaling: &Scaling,
-        entries: impl Iterator<Item = &'a TargetEntry> + Clone,
+        entries: impl Iterator<Item = &'a TargetEntry>,
         demand: &ServiceDemand,
     ) -> Vec<TargetOrder> {
         if scaling.reclaimable_price.is_none_or(|price| price > MAX_PRICE_RATIO) {
             return Vec::new();
         }
-        let mut current = targets_by_zone(service, scaling, entries.clone());
+        let mut current = targets_by_zone(service, scaling, entries);
         current.retain(|zone, targets| {
             *targets != ZoneTargets::default()
                 || self.placed.contains_key(&order_key(service, zone, true))
@@ -172,16 +179,12 @@
                 ServiceGoals::new(now)
             }
         });
-        let filling = goals.update(now, service, scaling, &current, demand);
-        let orders = if filling == Filling::AtOnce {
-            self.fill_zones(now, service, scaling, entries, Some(&goals))
+        let refused = self.refused_zones(service);
+        let filling = goals.update(now, service, scaling, &current, demand, &refused);
+        let orders = if filling == Filling::No {
+            self.order_goals(now, service, scaling, &current, &goals, demand)
         } else {
-            // Where zones are filled, on-demand targets only change places with reclaimable ones.
-            let may_lower = match filling {
-                Filling::InSteps => demand.exchange_doubt.is_none(),
-                _ => demand.may_return,
-            };
-            self.order_goals(now, service, scaling, &current, &goals, may_lower)
+            self.fill_zones(now, service, scaling, &current, Some(&goals))
         };
         self.goals.insert(service.to_owned(), goals);
         orders
@@ -194,6 +197,14 @@
         })
     }
 
+    /// The zones in which the last order of reclaimable targets was refused.
+    fn refused_zones(&self, service: &str) -> BTreeSet<String> {
+        let orders = self.placed.iter();
+        let refused = orders
+            .filter(|(key, placed)| key.service == service && key.reclaimable && placed.refused);
+        refused.map(|(key, _)| key.zone.clone()).collect()
+    }
+
     /// Drops the goals and orders of services that are no longer scaled.
     pub fn retain_services(&mut self, is_scaled: impl Fn(&str) -> bool) {
         self.goals.retain(|service, _| is_scaled(service));
@@ -208,7 +219,7 @@
         scaling: &Scaling,
         current: &BTreeMap<&str, ZoneTargets>,
         goals: &ServiceGoals,
-        may_lower: bool,
+        demand: &ServiceDemand,
     ) -> Vec<TargetOrder> {
         let mut orders = Vec::new();
         let listed: u32 = current.values().map(|zone| zone.on_demand + zone.reclaimable).sum();
@@ -219,8 +230,11 @@
             let on_demand_key = order_key(service, zone, false);
             let refused = self.placed.get(&reclaimable_key).is_some_and(|placed| placed.refused);
             let is_unavailable = refused && current.reclaimable == 0;
-            let mut on_demand = goal.on_demand_now(current, scaling.max_targets);
-            if is_unavailable || !may_lower {
+            // The targets that leave in a step are still listed until the platform ends them.
+            let is_in_step = goals.is_in_step(zone);
+            let mut on_demand =
+                if is_in_step { goal.on_demand } else { goal.on_demand_now(current) };
+            if !is_in_step && (is_unavailable || !demand.may_return) {
                 on_demand = on_demand.max(current.on_demand.min(scaling.max_targets));
             }
             if is_unavailable && let Some(placed) = self.placed.get(&on_demand_key) {
--- a/components/gateway/src/planner/goals.rs
+++ b/components/gateway/src/planner/goals.rs
@@ -4,7 +4,10 @@
 //! while, in steps, and never while targets or what is known of them are in doubt. What was there
 //! when the lease was taken is kept for a while, since a new holder has seen nothing.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use chervilgate_clock::Time;
 use chervilgate_policy::demand::{
@@ -15,7 +18,7 @@
     config::Scaling,
     planner::{
         MIN_CHANGE, ZoneTargets,
-        exchange::{self, Exchange, step_size},
+        exchange::{self, Exchange},
         full_on_demand, is_significant,
     },
 };
@@ -114,13 +117,10 @@
     }
 
     /// Number of on-demand targets to have now: further ones are returned as reclaimable ones
-    /// replace them. Near the limit of `max_targets`, a tenth of the zone leaves before, since there
-    /// is no room to order the others.
-    pub(super) fn on_demand_now(self, current: &ZoneTargets, max_targets: u32) -> u32 {
+    /// replace them.
+    pub(super) fn on_demand_now(self, current: &ZoneTargets) -> u32 {
         let needed = self.total().saturating_sub(current.reclaimable);
-        let short = (needed + self.reclaimable).saturating_sub(max_targets);
-        let leaving = short.min(step_size(self.total()));
-        current.on_demand.min(needed.saturating_sub(leaving)).max(self.on_demand)
+        current.on_demand.min(needed).max(self.on_demand)
     }
 }
 
@@ -136,8 +136,6 @@
     /// Whether goals were lowered by a plan, so that the on-demand targets of full zones are not a
     /// fixed share any more.
     was_lowered: bool,
-    /// Whether an exchange has begun and is not complete.
-    is_exchanging: bool,
     excess_since: Option<Time>,
     returned_at: Option<Time>,
     /// Number of busy targets by the largest work.
@@ -152,7 +150,6 @@
             zones: BTreeMap::new(),
             exchange: Exchange::default(),
             was_lowered: false,
-            is_exchanging: false,
             excess_since: None,
             returned_at: None,
             busy: 0.0,
@@ -167,7 +164,7 @@
     ) -> ServiceGoals {
         let mut goals = ServiceGoals::new(now);
         goals.zones = zones.map(|zone| (zone.to_owned(), ZoneGoal::default())).collect();
-        goals.fill(scaling, None);
+        goals.fill(now, scaling, &BTreeMap::new(), &BTreeSet::new(), None);
         goals
     }
 
@@ -186,6 +183,11 @@
         self.zones.get(zone).map(|goal| goal.on_demand)
     }
 
+    /// Whether on-demand targets of a zone leave before reclaimable ones are listed.
+    pub(super) fn is_in_step(&self, zone: &str) -> bool {
+        self.exchange.is_in_step(zone)
+    }
+
     /// Whether what was there when the lease was taken is kept.
     fn is_new(&self, now: Time) -> bool {
         now.since(self.started_at) < HOLD_TIME
@@ -196,7 +198,21 @@
         self.busy > f64::from(targets) * SHORT_UTILIZATION
     }
 
-    /// Updates the goals; returns whether and how zones are filled to their limits.
+    /// Wants all zones filled to their limits while no plan is made.
+    pub(super) fn fill_unplanned(
+        &mut self,
+        now: Time,
+        service: &str,
+        scaling: &Scaling,
+        current: &BTreeMap<&str, ZoneTargets>,
+        refused: &BTreeSet<String>,
+    ) {
+        self.exchange.observe(now, service, scaling, &mut self.zones, current);
+        self.fill(now, scaling, current, refused, None);
+    }
+
+    /// Updates the goals; returns whether and how zones are filled to their limits. The platform
+    /// has `refused` reclaimable targets in some zones.
     pub(super) fn update(
         &mut self,
         now: Time,
@@ -204,12 +220,16 @@
         scaling: &Scaling,
         current: &BTreeMap<&str, ZoneTargets>,
         demand: &ServiceDemand,
+        refused: &BTreeSet<String>,
     ) -> Filling {
         let before = self.zones.clone();
         if before.is_empty() {
             self.is_first = current.values().all(|zone| zone.reclaimable == 0);
+            // The last holder may have lowered them.
+            self.was_lowered = !self.is_first;
         }
         self.keep_current(now, scaling, current);
+        self.exchange.observe(now, service, scaling, &mut self.zones, current);
         let limits = FleetLimits {
             zones: u32::try_from(current.len()).unwrap_or(u32::MAX),
             min_targets: scaling.min_targets,
@@ -220,14 +240,11 @@
             self.busy = demand.engine.busy_targets(&planned.largest);
             plan_demand(&planned, &demand.engine, limits)
         });
-        let (filling, mut reason) = self.filling(now, limits, plan.as_ref(), demand);
-        if filling != Filling::InSteps {
-            self.exchange.clear_settled();
-        }
+        let (filling, mut reason) = self.filling(now, scaling, limits, plan.as_ref(), demand);
         match filling {
-            Filling::AtOnce => self.fill(scaling, plan.as_ref()),
+            Filling::AtOnce => self.fill(now, scaling, current, refused, plan.as_ref()),
             Filling::InSteps => {
-                self.fill(scaling, plan.as_ref());
+                self.fill(now, scaling, current, refused, plan.as_ref());
                 if let Some(plan) = &plan
                     && self.exchange_step(now, service, scaling, current, plan, demand)
                 {
@@ -254,6 +271,7 @@
     fn filling(
         &self,
         now: Time,
+        scaling: &Scaling,
         limits: FleetLimits,
         plan: Option<&DemandPlan>,
         demand: &ServiceDemand,
@@ -275,8 +293,9 @@
             (filled, GoalReason::Demand(plan.reason))
         } else if self.is_first && span < MIN_SPAN {
             (filled, GoalReason::Unknown)
-        } else if self.is_first && self.is_exchanging {
-            // A tenth of a zone is missing in each step, so the zones stay full until the last one.
+        } else if self.is_first && self.exchange.is_in_progress(now, scaling) {
+            // In zones that are not full, on-demand targets would be exchanged only once no others
+            // are given back, so the zones stay full while the exchange makes progress.
             (filled, GoalReason::Exchange)
         } else {
             (Filling::No, GoalReason::Demand(plan.reason))
@@ -293,20 +312,24 @@
         plan: &DemandPlan,
         demand: &ServiceDemand,
     ) -> bool {
-        self.exchange.observe(now, &self.zones, current);
         // What an earlier holder ordered may not be listed yet.
         if self.is_new(now) && !self.is_first {
             return false;
         }
-        let has_excess = self.zones.values().any(|goal| exchange::excess(*goal, plan) > 0);
-        self.exchange.log_doubt(service, demand.exchange_doubt.filter(|_| has_excess));
-        if demand.exchange_doubt.is_some() {
-            return false;
+        let result = match demand.exchange_doubt {
+            Some(doubt) => Err(doubt),
+            None => self.exchange.step(now, scaling, &mut self.zones, current, plan),
+        };
+        match result {
+            Ok(has_changed) => {
+                self.was_lowered |= has_changed;
+                has_changed
+            }
+            Err(cause) => {
+                self.exchange.log_cause(now, service, cause);
+                false
+            }
         }
-        let has_changed = self.exchange.step(now, scaling, &mut self.zones, current, plan);
-        self.was_lowered |= has_changed;
-        self.is_exchanging = has_excess && (self.is_exchanging || has_changed);
-        has_changed
     }
 
     /// Takes what there is as the goal of zones that are new, and of all while the lease is.
@@ -337,17 +360,35 @@
 
     /// Wants all zones filled to their limits.
     ///
-    /// On-demand targets are a fixed share until a plan has lowered them; then as many as there
-    /// were, and at least those of the plan. They take no places of reclaimable ones, whose caches
-    /// would be lost while the demand is large or unknown.
-    pub(super) fn fill(&mut self, scaling: &Scaling, plan: Option<&DemandPlan>) {
+    /// On-demand targets are a fixed share until a plan has lowered them; then as many as are
+    /// wanted or listed, and at least those of the plan. On-demand targets up to the share do not
+    /// leave, since their caches are warm, and none replaces a reclaimable one that is listed. The
+    /// share is wanted again where reclaimable targets are refused or overdue.
+    fn fill(
+        &mut self,
+        now: Time,
+        scaling: &Scaling,
+        current: &BTreeMap<&str, ZoneTargets>,
+        refused: &BTreeSet<String>,
+        plan: Option<&DemandPlan>,
+    ) {
         self.excess_since = None;
         let full = full_on_demand(scaling);
         let needed = plan.map_or(0, |plan| plan.on_demand);
-        for goal in self.zones.values_mut() {
-            let wanted = if self.was_lowered { goal.on_demand.min(full).max(needed) } else { full };
+        for (zone, goal) in &mut self.zones {
+            if self.exchange.is_in_step(zone) {
+                continue;
+            }
+            let listed = current.get(zone.as_str()).copied().unwrap_or_default();
+            let is_lowered = self.was_lowered && goal.on_demand > 0;
+            let wanted = if is_lowered { goal.on_demand.min(full).max(needed) } else { full };
             let room = scaling.max_targets.saturating_sub(goal.total());
-            let on_demand = wanted.min(goal.on_demand + room).min(scaling.max_targets);
+            let wanted = wanted.min(goal.on_demand + room);
+            let is_short = listed.reclaimable < goal.reclaimable
+                && (refused.contains(zone) || self.exchange.is_overdue(now, scaling, zone));
+            let kept = if is_short { full } else { listed.on_demand.min(full) };
+            let kept = kept.min(scaling.max_targets.saturating_sub(listed.reclaimable));
+            let on_demand = wanted.max(kept).min(scaling.max_targets);
             *goal = ZoneGoal { on_demand, reclaimable: scaling.max_targets - on_demand };
         }
     }
@@ -474,6 +515,6 @@
 }
 
 /// The smallest change that is worth a call and not less than `missing`.
-fn rounded_up(missing: u32, count: u32) -> u32 {
+pub(super) fn rounded_up(missing: u32, count: u32) -> u32 {
     if missing == 0 || is_significant(missing, count) { missing } else { MIN_CHANGE }
 }
--- a/components/gateway/tests/demand/exchange.rs
+++ b/components/gateway/tests/demand/exchange.rs
@@ -9,18 +9,18 @@
 use crate::platform::{MAX_TARGETS, Platform, ZONES, demand};
 
 /// A demand that was seen for `span` seconds.
-fn seen(span: u64, mean: f64, largest: f64) -> ServiceDemand {
+pub(crate) fn seen(span: u64, mean: f64, largest: f64) -> ServiceDemand {
     let known = demand(mean, largest);
     let span = Duration::from_secs(span);
     ServiceDemand { demand: known.demand.map(|demand| PlannedDemand { span, ..demand }), ..known }
 }
 
-fn on_demand(platform: &Platform) -> u32 {
+pub(crate) fn on_demand(platform: &Platform) -> u32 {
     ZONES.iter().map(|(zone, _)| platform.serving(zone, false)).sum()
 }
 
 /// A fleet in its first seconds, whose zones were filled before its demand was known.
-fn first_seconds() -> Platform {
+pub(crate) fn first_seconds() -> Platform {
     let mut platform = Platform::new(30, 0);
     platform.run(10, &ServiceDemand { demand: None, ..demand(0.0, 0.0) });
     platform
--- a/components/gateway/tests/demand/main.rs
+++ b/components/gateway/tests/demand/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the work that hosts report, and of target orders by demand, without a network.
 
 mod exchange;
+mod exchange_faults;
 mod platform;
 
 use std::time::Duration;
--- a/components/gateway/tests/demand/platform.rs
+++ b/components/gateway/tests/demand/platform.rs
@@ -76,6 +76,13 @@
     pub(crate) targets: BTreeMap<(&'static str, bool), Vec<u64>>,
     /// Zone in which no reclaimable targets are available.
     pub(crate) unavailable: Option<&'static str>,
+    pub(crate) scaling: Scaling,
+    /// Number of reclaimable targets of a zone above which orders are refused.
+    pub(crate) available: usize,
+    /// Time in milliseconds for which on-demand targets that have left are still listed.
+    pub(crate) list_lag: u64,
+    /// On-demand targets that have left and are listed, by zone, and until when.
+    left: Vec<(&'static str, u64)>,
     pub(crate) next: u32,
     pub(crate) orders: usize,
 }
@@ -91,11 +98,27 @@
             now: 100_000,
             targets: targets.collect(),
             unavailable: None,
+            scaling: scaling(),
+            available: usize::MAX,
+            list_lag: 0,
+            left: Vec::new(),
             next: 0,
             orders: 0,
         }
     }
 
+    /// A platform with the targets and the limit of one zone.
+    pub(crate) fn single_zone(on_demand: usize) -> Platform {
+        let mut platform = Platform::new(on_demand, 0);
+        platform.scaling.zone_prices.retain(|zone, _| zone == "a");
+        platform.targets.iter_mut().for_each(|(key, targets)| {
+            if key.0 != "a" {
+                targets.clear();
+            }
+        });
+        platform
+    }
+
     pub(crate) fn serving(&self, zone: &'static str, reclaimable: bool) -> u32 {
         let ready = self.targets[&(zone, reclaimable)].iter().filter(|ready| **ready <= self.now);
         ready.count() as u32
@@ -125,23 +148,31 @@
         let mut entries = Vec::new();
         for (zone, _) in ZONES {
             for reclaimable in [false, true] {
-                for _ in 0..self.serving(zone, reclaimable) {
+                let left = self.left.iter().filter(|(of, until)| *of == zone && *until > self.now);
+                let left = if reclaimable { 0 } else { left.count() as u32 };
+                for _ in 0..self.serving(zone, reclaimable) + left {
                     self.next += 1;
                     entries.push(entry(self.next, zone, reclaimable, TargetRole::Decode));
                 }
             }
         }
         let now = Time::from_millis(self.now);
-        let (scaling, entries) = (scaling(), entries.iter());
+        let (scaling, entries) = (self.scaling.clone(), entries.iter());
         let orders = match demand {
             Some(demand) => self.planner.plan_for_demand(now, "llm", &scaling, entries, demand),
             None => self.planner.plan(now, "llm", &scaling, entries),
         };
         for order in &orders {
             let zone = ZONES.iter().find(|(zone, _)| *zone == order.zone).unwrap().0;
-            let accepted = !(order.cheap && self.unavailable == Some(zone));
+            let is_available =
+                self.unavailable != Some(zone) && order.count as usize <= self.available;
+            let accepted = !order.cheap || is_available;
             if accepted {
                 let targets = self.targets.get_mut(&(zone, order.cheap)).unwrap();
+                let leaving = targets.len().saturating_sub(order.count as usize);
+                if !order.cheap {
+                    self.left.extend(vec![(zone, self.now + self.list_lag); leaving]);
+                }
                 targets.resize(order.count as usize, self.now + 4_000);
             }
             self.planner.record_result(order, accepted);
--- a/components/policy/src/demand/plan.rs
+++ b/components/policy/src/demand/plan.rs
@@ -226,6 +226,8 @@
     survives_with(mean, largest, f64::from((targets * zones).saturating_sub(lost)))
 }
 
+/// Whether `left` targets carry the mean work, and the largest without room to spare, although the
+/// silent share of them does not respond.
 fn survives_with(mean: f64, largest: f64, left: f64) -> bool {
     let responding = left * (1.0 - SILENT_SHARE);
     mean <= responding * SURVIVOR_UTILIZATION && largest <= responding
