Planner: let a first holder give back as soon as the demand was seen

On-demand targets left last, although they cost about five times as much.

Change: for a first holder, the time counts while full zones have a known, lower demand, and the exchange ends with its last step. On-demand targets above the plan are given back before reclaimable ones.

--- a/components/gateway/src/planner/exchange.rs
+++ b/components/gateway/src/planner/exchange.rs
@@ -71,6 +71,8 @@
     failed: BTreeMap<String, u32>,
     /// Lowest number of on-demand targets that was wanted after a step, and when it was reached.
     progress: Option<(u32, Time)>,
+    /// Whether no step was open or wanted when steps were last looked for.
+    is_done: bool,
     grew_at: Option<Time>,
     /// What held up the exchange when that was last logged.
     held_by: Option<(&'static str, Time)>,
@@ -143,7 +145,7 @@
     /// no progress must not keep zones full.
     pub(super) fn is_in_progress(&self, now: Time, scaling: &Scaling) -> bool {
         let limit = arrival_limit(scaling) + SETTLING_TIME;
-        self.progress.is_some_and(|(_, at)| now.since(at) < limit)
+        !self.is_done && self.progress.is_some_and(|(_, at)| now.since(at) < limit)
     }
 
     /// Logs what holds up an exchange, when that changes.
@@ -231,6 +233,7 @@
         if has_changed && self.progress.is_none_or(|(lowest, _)| on_demand < lowest) {
             self.progress = Some((on_demand, now));
         }
+        self.is_done = self.steps.is_empty() && goals.values().all(|goal| excess(*goal, plan) == 0);
         match cause {
             Some(cause) if !has_changed => Err(cause),
             _ => Ok(has_changed),
--- a/components/gateway/src/planner/goals.rs
+++ b/components/gateway/src/planner/goals.rs
@@ -208,6 +208,7 @@
         refused: &BTreeSet<String>,
     ) {
         self.exchange.observe(now, service, scaling, &mut self.zones, current);
+        self.excess_since = None;
         self.fill(now, scaling, current, refused, None);
     }
 
@@ -242,9 +243,16 @@
         });
         let (filling, mut reason) = self.filling(now, scaling, limits, plan.as_ref(), demand);
         match filling {
-            Filling::AtOnce => self.fill(now, scaling, current, refused, plan.as_ref()),
+            Filling::AtOnce => {
+                self.excess_since = None;
+                self.fill(now, scaling, current, refused, plan.as_ref());
+            }
             Filling::InSteps => {
                 self.fill(now, scaling, current, refused, plan.as_ref());
+                // The first holder sees the demand from its start, also while zones are full.
+                let is_lower = |plan: &DemandPlan| plan.targets < scaling.max_targets;
+                let is_lower = self.is_first && plan.as_ref().is_some_and(is_lower);
+                self.excess_since = is_lower.then(|| self.excess_since.unwrap_or(now));
                 if let Some(plan) = &plan
                     && self.exchange_step(now, service, scaling, current, plan, demand)
                 {
@@ -372,7 +380,6 @@
         refused: &BTreeSet<String>,
         plan: Option<&DemandPlan>,
     ) {
-        self.excess_since = None;
         let full = full_on_demand(scaling);
         let needed = plan.map_or(0, |plan| plan.on_demand);
         for (zone, goal) in &mut self.zones {
@@ -454,8 +461,8 @@
     }
 
     /// Lowers the goals by `step` targets, in the most expensive zones first; returns whether any
-    /// changed. On-demand targets that are not needed are exchanged once there are no others to
-    /// give back.
+    /// changed. On-demand targets that are not needed leave first; they are exchanged once there are
+    /// no others to give back.
     fn take_step(&mut self, scaling: &Scaling, plan: &DemandPlan, step: u32) -> bool {
         let price = |zone: &str| scaling.zone_prices.get(zone).copied().unwrap_or_default();
         let mut zones: Vec<(&String, &mut ZoneGoal)> = self.zones.iter_mut().collect();
@@ -466,11 +473,11 @@
             if !is_significant(excess, goal.total()) {
                 continue;
             }
-            let reclaimable = excess.min(goal.reclaimable);
-            goal.reclaimable -= reclaimable;
-            let on_demand =
-                (excess - reclaimable).min(goal.on_demand.saturating_sub(plan.on_demand));
+            // An on-demand target costs several times as much as a reclaimable one.
+            let on_demand = excess.min(goal.on_demand.saturating_sub(plan.on_demand));
+            let reclaimable = (excess - on_demand).min(goal.reclaimable);
             goal.on_demand -= on_demand;
+            goal.reclaimable -= reclaimable;
             left -= reclaimable + on_demand;
         }
         if left < step {
--- a/components/gateway/tests/demand/exchange_faults.rs
+++ b/components/gateway/tests/demand/exchange_faults.rs
@@ -165,3 +165,17 @@
 
     assert_eq!((ordered, platform.total()), (48, 3 * MAX_TARGETS));
 }
+
+// Guards against a day that is paid for in full: the demand was low from the start, and was only
+// looked at when zones were not kept full any more.
+#[test]
+fn a_first_holder_gives_back_when_the_demand_was_seen_for_long_enough() {
+    let mut platform = first_seconds();
+    platform.run(30, &seen(15, 8.0, 12.0));
+    let before = platform.total();
+
+    platform.run(1, &seen(31, 8.0, 12.0));
+
+    assert_eq!(before, 3 * MAX_TARGETS);
+    assert!(platform.total() < before);
+}
