--- a/components/policy/src/speed.rs
+++ b/components/policy/src/speed.rs
@@ -37,6 +37,20 @@
 /// reference's weight.
 const LEARNED_OBSERVATIONS: u32 = 16;
 
+/// Shortest reference time of a prompt from which the time of its computation alone is learned:
+/// the constant time of a response is a third as large a part of it as of the shortest that are
+/// observed (50 ms).
+const LONG_REFERENCE: Duration = Duration::from_millis(150);
+
+/// Number of long prompts up to which their factor has no weight, and from which it has all of it.
+/// With a single bound, the demand of the whole history doubled or halved whenever the number of
+/// long prompts crossed it.
+const LONG_PROMPTS: (usize, usize) = (4, 12);
+
+/// Lowest factor of work, as a share of the group's factor: long prompts of this host alone may
+/// say little about the group.
+const MIN_WORK_SHARE: f64 = 0.5;
+
 /// Bounds of an observed factor; one outside of them says more about the observation than
 /// about the target.
 const FACTOR_BOUNDS: (f64, f64) = (0.05, 20.0);
@@ -94,6 +108,8 @@
 #[derive(Debug, Clone)]
 pub struct GroupSpeed {
     own: Observations,
+    /// Those of long prompts among them.
+    long: Observations,
     peers: HashMap<u32, (Time, SpeedReport)>,
     factor: f64,
     updated: Option<Time>,
@@ -103,6 +119,7 @@
     fn default() -> GroupSpeed {
         GroupSpeed {
             own: Observations::default(),
+            long: Observations::default(),
             peers: HashMap::new(),
             factor: 1.0,
             updated: None,
@@ -115,6 +132,9 @@
     pub fn record(&mut self, now: Time, reference: Duration, seen: Duration) {
         if let Some(factor) = ratio(reference, seen) {
             self.own.record(now, factor);
+            if reference >= LONG_REFERENCE {
+                self.long.record(now, factor);
+            }
         }
     }
 
@@ -133,6 +153,19 @@
         self.factor
     }
 
+    /// The factor of the time for which prompts keep a target busy, without most of the constant
+    /// time of a response; the closer to the group's factor, the fewer long prompts this host has
+    /// seen.
+    pub fn work_factor(&self, now: Time) -> f64 {
+        let mut long: SmallVec<[(f64, u32); MAX_OBSERVATIONS]> =
+            self.long.recent(now).map(|factor| (factor, 1)).collect();
+        let (few, enough) = LONG_PROMPTS;
+        let weight = long.len().saturating_sub(few) as f64 / (enough - few) as f64;
+        let seen = weighted_median(&mut long).unwrap_or(self.factor);
+        let seen = seen.min(self.factor).max(self.factor * MIN_WORK_SHARE);
+        self.factor + (seen - self.factor) * weight.min(1.0)
+    }
+
     /// Whether enough was seen by all hosts for the factor to be more than the reference.
     pub fn is_learned(&self, now: Time) -> bool {
         let own = self.own.recent(now).count();
