Admission: assume the work of hosts not heard after a start

A host that has just started knows no loads and no caches. Hosts that start together all made the same choices and filled the same targets.

From its first list of the hosts, until it has heard reports of work of half of the others that may serve, or for 8 s, the admission of a host takes the mean work of those heard for those not heard, sends one request at a time to a target that nobody has reported, and takes one of the two first-ranked targets of a prompt part at random for the first. Repeats and services without latency targets are placed as before.

What it is worth at a start of all hosts was not measured.

--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -14,6 +14,7 @@
 mod ends;
 mod entry;
 mod failures;
+mod first_seconds;
 mod health;
 mod imports;
 mod limits;
@@ -43,6 +44,7 @@
         builds::GoneBuilds,
         departures::{Departure, Departures},
         failures::Failures,
+        first_seconds::FirstSeconds,
         imports::Imports,
         limits::Limits,
         pauses::PauseMeter,
@@ -124,6 +126,7 @@
     gone_builds: GoneBuilds,
     untold_ends: Vec<EndNotice>,
     peer_loads: PeerLoads,
+    first_seconds: FirstSeconds,
     failures: Failures,
     /// Target ids by their hash.
     ids_by_hash: HashMap<u32, Arc<str>>,
@@ -187,6 +190,7 @@
             gone_builds: GoneBuilds::default(),
             untold_ends: Vec::new(),
             peer_loads: PeerLoads::default(),
+            first_seconds: FirstSeconds::default(),
             failures: Failures::default(),
             ids_by_hash: HashMap::new(),
             sent_parts: VecDeque::new(),
@@ -329,6 +333,7 @@
 
     /// Replaces the work in flight that another host reported before.
     pub fn apply_peer_work(&mut self, now: Time, host: u32, work: Vec<InFlightWork>) {
+        self.first_seconds.record_report(host, &work);
         self.peer_loads.update(now, host, work);
         self.remove_expired(now);
     }
--- a/components/gateway/src/fleet/capacity.rs
+++ b/components/gateway/src/fleet/capacity.rs
@@ -5,7 +5,9 @@
 use chervilgate_clock::Time;
 use chervilgate_policy::{Fit, Forecast, LatencyTargets, Supply, Turn};
 
-use crate::fleet::{Fleet, Placement, Plan, TargetQuery, TargetRole, target::TargetState};
+use crate::fleet::{
+    Fleet, Placement, Plan, TargetQuery, TargetRole, placing::Rules, target::TargetState,
+};
 
 /// Share of the targets that requests of less urgent kinds leave to the more urgent ones.
 const RESERVED_SHARE: f64 = 0.5;
@@ -47,7 +49,8 @@
         query: &TargetQuery<'_>,
         claim: &CapacityClaim<'_>,
     ) -> Capacity {
-        let Some(cheapest) = self.place(now, query) else { return Capacity::NoTarget };
+        let rules = Rules { max_wait: None, assumes_work: true };
+        let Some(cheapest) = self.place_by(now, query, rules) else { return Capacity::NoTarget };
         if self.has_capacity(now, query.service, &cheapest, claim) {
             return Capacity::Free(cheapest);
         }
@@ -56,7 +59,7 @@
             if !self.has_free_target(now, query.service, max_wait) {
                 continue;
             }
-            let plan = self.place_within(now, query, Some(max_wait));
+            let plan = self.place_by(now, query, Rules { max_wait: Some(max_wait), ..rules });
             let fitting = plan.filter(|plan| self.has_capacity(now, query.service, plan, claim));
             if let Some(plan) = fitting {
                 return Capacity::Free(plan);
@@ -103,7 +106,7 @@
             let wait = if self.starts_within(now, state, max_wait) {
                 0.0
             } else {
-                self.expected_wait(now, state)
+                self.assumed_wait(now, state)
             };
             shortest = shortest.min(wait);
         }
@@ -122,9 +125,13 @@
         let Plan { placement, prefill } = plan;
         let Some(state) = self.targets.get(&placement.id) else { return false };
         if state.entry.role == TargetRole::Whole {
-            return self.has_slot(state);
+            return self.has_slot(now, state);
         }
         let computing = prefill.as_ref().unwrap_or(placement);
+        let targets = [Some(state), self.targets.get(&computing.id)];
+        if targets.into_iter().flatten().any(|state| self.is_unreported(now, state)) {
+            return false;
+        }
         let forecast = Forecast {
             time_left: claim.time_left,
             wait: millis(computing.wait_ms.max(placement.wait_ms)),
@@ -165,15 +172,17 @@
             return false;
         }
         if state.entry.role == TargetRole::Whole {
-            return self.has_slot(state);
+            return self.has_slot(now, state);
         }
-        self.expected_wait(now, state) <= max_wait.as_secs_f64() * 1e3
+        !self.is_unreported(now, state)
+            && self.assumed_wait(now, state) <= max_wait.as_secs_f64() * 1e3
     }
 
     /// Whether fewer requests than its slots are open at the target of a plain service.
-    fn has_slot(&self, state: &TargetState) -> bool {
-        let others = self.peer_loads.load(state.id_hash);
-        state.in_flight + others.in_flight < state.entry.slots.max(1)
+    fn has_slot(&self, now: Time, state: &TargetState) -> bool {
+        let others = self.assumed_load(now, state);
+        !self.is_unreported(now, state)
+            && state.in_flight + others.in_flight < state.entry.slots.max(1)
     }
 }
 
--- a/components/gateway/src/fleet/placing.rs
+++ b/components/gateway/src/fleet/placing.rs
@@ -59,32 +59,41 @@
 /// The same for the second-ranked engine, which takes over while the first is busy.
 const SECOND_RANK_HIT_RATE: f64 = 0.25;
 
+/// Rules of a choice beyond those of the query.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Rules {
+    /// Only targets that start a request within this time; all if none is given.
+    pub(super) max_wait: Option<Duration>,
+    /// Whether work is assumed of hosts that this one has not heard since it started.
+    pub(super) assumes_work: bool,
+}
+
 impl Fleet {
     /// Chooses the target of a request, and another one to compute its prompt first if
     /// that is cheaper.
     pub fn place(&self, now: Time, query: &TargetQuery<'_>) -> Option<Plan> {
-        self.place_within(now, query, None)
+        self.place_by(now, query, Rules::default())
     }
 
-    /// The same among the targets that start a request within `max_wait`, if any is given.
-    pub(super) fn place_within(
+    /// The same by these rules.
+    pub(super) fn place_by(
         &self,
         now: Time,
         query: &TargetQuery<'_>,
-        max_wait: Option<Duration>,
+        rules: Rules,
     ) -> Option<Plan> {
-        let whole = self.best_target(now, query, max_wait, |role| role != TargetRole::Prefill);
+        let whole = self.best_target(now, query, rules, |role| role != TargetRole::Prefill);
         if query.prompt.tokens == 0 {
             return whole.map(|placement| Plan { placement, prefill: None });
         }
         // A prompt that is lost is computed again, whatever the request.
         let stage = TargetQuery { runs_once: false, ..*query };
-        let prefill = self.best_target(now, &stage, max_wait, |role| role == TargetRole::Prefill);
-        let decode = self.decoding_target(now, query, max_wait);
+        let prefill = self.best_target(now, &stage, rules, |role| role == TargetRole::Prefill);
+        let decode = self.decoding_target(now, query, rules);
         // Both stages have one software version.
         let same = prefill.as_ref().and_then(|prefill| {
             let query = TargetQuery { build: Some(prefill.build.id), ..*query };
-            self.decoding_target(now, &query, max_wait)
+            self.decoding_target(now, &query, rules)
         });
         let detour =
             |same: &Placement| decode.as_ref().map_or(0.0, |any| same.cost_ms - any.cost_ms);
@@ -100,24 +109,24 @@
 
     /// Chooses a target that runs the whole request.
     pub fn place_whole(&self, now: Time, query: &TargetQuery<'_>) -> Option<Placement> {
-        self.best_target(now, query, None, |role| role != TargetRole::Prefill)
+        self.best_target(now, query, Rules::default(), |role| role != TargetRole::Prefill)
     }
 
     /// Chooses a target to generate from an exported KV cache, without computing the
     /// prompt.
     pub fn place_decode(&self, now: Time, query: &TargetQuery<'_>) -> Option<Placement> {
-        self.decoding_target(now, query, None)
+        self.decoding_target(now, query, Rules::default())
     }
 
     fn decoding_target(
         &self,
         now: Time,
         query: &TargetQuery<'_>,
-        max_wait: Option<Duration>,
+        rules: Rules,
     ) -> Option<Placement> {
         let no_prompt = Prompt::default();
         let query = TargetQuery { prompt: &no_prompt, ..*query };
-        self.best_target(now, &query, max_wait, |role| role == TargetRole::Decode)
+        self.best_target(now, &query, rules, |role| role == TargetRole::Decode)
     }
 
     /// Cost of a target's failures, by what this host and all hosts together have seen of it.
@@ -165,11 +174,25 @@
         state.expected_wait(now, others.in_flight, f64::from(others.pending_ms))
     }
 
+    fn wait_by(&self, now: Time, state: &TargetState, rules: Rules) -> f64 {
+        if rules.assumes_work {
+            self.assumed_wait(now, state)
+        } else {
+            self.expected_wait(now, state)
+        }
+    }
+
+    /// The same, with the work that is assumed of hosts not heard.
+    pub(super) fn assumed_wait(&self, now: Time, state: &TargetState) -> f64 {
+        let others = self.assumed_load(now, state);
+        state.expected_wait(now, others.in_flight, f64::from(others.pending_ms))
+    }
+
     fn best_target(
         &self,
         now: Time,
         query: &TargetQuery<'_>,
-        max_wait: Option<Duration>,
+        rules: Rules,
         has_role: impl Fn(TargetRole) -> bool,
     ) -> Option<Placement> {
         let key = affinity(query.prompt);
@@ -188,6 +211,9 @@
             second = second.max(rank.min(first));
             first = first.max(*rank);
         }
+        if rules.assumes_work && self.prefers_second_rank(now, query.prompt) {
+            std::mem::swap(&mut first, &mut second);
+        }
         let hit_rate = |rank: f64| match rank {
             rank if rank == first => FIRST_RANK_HIT_RATE,
             rank if rank == second => SECOND_RANK_HIT_RATE,
@@ -199,7 +225,7 @@
         let eligible = ranked.into_iter().filter(|(state, _)| {
             has_role(state.entry.role)
                 && !query.exclude.contains(&state.entry.id)
-                && max_wait.is_none_or(|max_wait| self.starts_within(now, state, max_wait))
+                && rules.max_wait.is_none_or(|max_wait| self.starts_within(now, state, max_wait))
         });
         let candidates = eligible.map(|(state, rank)| {
             let hit_rate = hit_rate(rank);
@@ -230,7 +256,7 @@
             let is_in_doubt =
                 state.in_flight == 0 && self.limits.is_in_doubt(now, &entry.id, entry.incarnation);
             let bonus = if is_in_doubt || is_trial { DOUBT_BONUS_MS } else { 0.0 };
-            let cost = self.expected_wait(now, state) + prefill_cost + zone_cost + failing - bonus;
+            let cost = self.wait_by(now, state, rules) + prefill_cost + zone_cost + failing - bonus;
             let cache_is_known = import.is_none() && (missing.shared == 0 || hit_rate == 0.0);
             (state, rank, (missing, cache_is_known, import), cost)
         });
@@ -252,7 +278,7 @@
             build: state.build(now),
             compute_tokens,
             prefill_ms,
-            wait_ms: self.expected_wait(now, state) + import_ms,
+            wait_ms: self.wait_by(now, state, rules) + import_ms,
             cost_ms,
             cache_is_known,
             import,
--- a/components/gateway/src/watch/hosts.rs
+++ b/components/gateway/src/watch/hosts.rs
@@ -66,6 +66,8 @@
             let now = shared.now();
             let state = &mut *shared.state();
             state.membership.update(entries);
+            let others = state.membership.staying_names().count();
+            state.fleet.set_other_hosts(now, others, shared.boot);
             state.share_repeats(now, &shared.settings.name);
         }
         let pause = match &written {
--- a/components/gateway/tests/admission.rs
+++ b/components/gateway/tests/admission.rs
@@ -7,11 +7,11 @@
     Prompt, PromptPart,
     admission::{Admission, Applicant, Decision, Offer, Queues, WaitingCount, YieldReason},
     fleet::{
-        AttemptId, AttemptOutcome, Build, Fleet, Placement, Plan, TargetEntry, TargetQuery,
-        TargetRole,
+        AttemptId, AttemptOutcome, Build, Capacity, CapacityClaim, Fleet, InFlightWork, Placement,
+        Plan, TargetEntry, TargetQuery, TargetRole,
     },
 };
-use chervilgate_policy::LatencyTargets;
+use chervilgate_policy::{LatencyTargets, Turn};
 
 const NOW: Time = Time::from_secs(5);
 const LONG: u8 = 2;
@@ -274,3 +274,95 @@
         assert_eq!(offered, Offer::Send(Box::new(fleet.place(NOW, &query(&prompt)).unwrap())));
     }
 }
+
+/// Work that another host has in flight on targets of `fleet`, each with `pending` milliseconds.
+fn reported(fleet: &Fleet, numbers: &[u8], pending: u32) -> Vec<InFlightWork> {
+    let mut other = fleet_of(fleet);
+    for number in numbers {
+        let id = format!("t{number}");
+        let prompt = prompt(pending);
+        let exclude: Vec<Arc<str>> =
+            other.entries().map(|entry| entry.id.clone()).filter(|known| **known != *id).collect();
+        let plan = other.place(NOW, &TargetQuery { exclude: &exclude, ..query(&prompt) }).unwrap();
+        start(&mut other, &plan, &prompt);
+    }
+    other.in_flight_work(NOW)
+}
+
+fn fleet_of(fleet: &Fleet) -> Fleet {
+    let mut other = Fleet::new("a", Duration::from_secs(2));
+    other.replace(Time::from_secs(1), fleet.entries().cloned().collect());
+    other
+}
+
+// Guards against a host that fills the targets right after its start, since it has heard of no load yet.
+#[test]
+fn a_host_that_has_heard_few_others_sends_one_request_at_a_time_to_targets_not_reported() {
+    let mut fleet = fleet(TargetRole::Whole, 4);
+    fleet.set_other_hosts(NOW, 4, 7);
+    let fill = |fleet: &mut Fleet, queues: &mut Queues| {
+        let mut sent = 0;
+        while let Offer::Send(plan) = offer(queues, fleet, NOW, &Prompt::default(), LONG) {
+            start(fleet, &plan, &Prompt::default());
+            sent += 1;
+        }
+        sent
+    };
+
+    let unheard = fill(&mut fleet, &mut Queues::default());
+    fleet.apply_peer_work(NOW, 1, Vec::new());
+    let heard_one = fill(&mut fleet, &mut Queues::default());
+    fleet.apply_peer_work(NOW, 2, Vec::new());
+    let heard_half = fill(&mut fleet, &mut Queues::default());
+
+    assert_eq!((unheard, heard_one, heard_half), (4, 0, 4));
+}
+
+// Guards against targets that look idle to a host which has heard of a part of the others' work only.
+#[test]
+fn hosts_not_heard_are_taken_to_work_as_much_as_those_heard() {
+    let mut fleet = fleet(TargetRole::Decode, 1);
+    let work = reported(&fleet, &[0], 5_000);
+    fleet.set_other_hosts(NOW, 10, 7);
+    fleet.apply_peer_work(NOW, 1, work);
+    let claim = CapacityClaim {
+        targets: &targets(),
+        priority: SHORT,
+        time_left: Duration::from_secs(60),
+        turn: Turn::Ordinary,
+    };
+    let wait = |fleet: &Fleet, now: Time| {
+        let plan = match fleet.place_with_capacity(now, &query(&prompt(10)), &claim) {
+            Capacity::Free(plan) | Capacity::Full(plan) => plan,
+            Capacity::NoTarget => panic!("a target serves"),
+        };
+        plan.placement.wait_ms
+    };
+
+    let first = wait(&fleet, NOW);
+    for host in 2..=5 {
+        fleet.apply_peer_work(NOW, host, Vec::new());
+    }
+    let later = wait(&fleet, NOW);
+
+    assert!(later > 1.0 && (first / later - 10.0).abs() < 0.5, "{first}, {later}");
+}
+
+// Guards against hosts that start together and all send a part's prompts to the same engine, which no one has cached.
+#[test]
+fn a_host_that_has_heard_no_other_spreads_a_part_over_its_two_first_targets() {
+    let mut fleet = fleet(TargetRole::Decode, 8);
+    fleet.set_other_hosts(NOW, 80, 7);
+    let mut chosen = std::collections::HashMap::new();
+    for number in 0..200 {
+        let parts =
+            [PromptPart { id: 1, tokens: 5_000 }, PromptPart { id: 100 + number, tokens: 500 }];
+        let prompt = Prompt { tokens: 5_500, max_output: 10, parts: parts.into_iter().collect() };
+        let Offer::Send(plan) = offer(&mut Queues::default(), &fleet, NOW, &prompt, LONG) else {
+            panic!("engines are idle")
+        };
+        *chosen.entry(plan.placement.id).or_insert(0) += 1;
+    }
+
+    assert!(chosen.len() == 2 && chosen.values().all(|count| *count >= 60), "{chosen:?}");
+}
