--- a/components/gateway/src/fleet/capacity.rs
+++ b/components/gateway/src/fleet/capacity.rs
@@ -6,7 +6,10 @@
 use chervilgate_policy::{Fit, Forecast, LatencyTargets, Supply, Turn};
 
 use crate::{
-    fleet::{Fleet, Placement, Plan, TargetQuery, TargetRole, room::Need, target::TargetState},
+    fleet::{
+        Fleet, Placement, Plan, TargetQuery, TargetRole, placing::Rules, room::Need,
+        target::TargetState,
+    },
     protocol::Prompt,
 };
 
@@ -41,6 +44,10 @@
     NoTarget,
 }
 
+/// Longest time for which a stream that goes on at one software version waits for targets that ask for
+/// rest or name a limit: in this time requests behind it do not start.
+const MAX_BOUND_WAIT: Duration = Duration::from_millis(250);
+
 impl Fleet {
     /// Chooses targets that have capacity for a request: the cheapest, or else those that are not kept
     /// busy for long.
@@ -50,7 +57,8 @@
         query: &TargetQuery<'_>,
         claim: &CapacityClaim<'_>,
     ) -> Capacity {
-        let Some(cheapest) = self.place(now, query) else { return Capacity::NoTarget };
+        let rules = Rules { max_wait: None, assumes_work: true };
+        let Some(cheapest) = self.place_by(now, query, rules) else { return Capacity::NoTarget };
         if self.has_capacity(now, query, &cheapest, claim) {
             return Capacity::Free(cheapest);
         }
@@ -59,7 +67,7 @@
             if !self.has_free_target(now, query.service, max_wait) {
                 continue;
             }
-            let plan = self.place_within(now, query, Some(max_wait));
+            let plan = self.place_by(now, query, Rules { max_wait: Some(max_wait), ..rules });
             let fitting = plan.filter(|plan| self.has_capacity(now, query, plan, claim));
             if let Some(plan) = fitting {
                 return Capacity::Free(plan);
@@ -68,20 +76,24 @@
         Capacity::Full(cheapest)
     }
 
-    /// Whether a waiting request may still be sent to a target that serves now: at once, or once a
-    /// target may be sent something again, if that is by `last_start`. A stream that goes on at one
-    /// software version does not wait for that, as the requests behind it may use other targets.
+    /// Whether a waiting request may still be sent to a target that is listed: now, or once it may be
+    /// sent something again, if that is by `last_start`. A stream that goes on at one software version
+    /// waits only shortly for that, as the requests behind it may use other targets meanwhile.
     pub fn may_find_target(&self, now: Time, query: &TargetQuery<'_>, last_start: Time) -> bool {
-        let usable = |state: &TargetState| match self.hold(now, state) {
-            None => true,
-            Some((_, wait)) => query.build.is_none() && now + wait <= last_start,
+        let last_wait = match query.build {
+            None => last_start.since(now),
+            Some(_) => last_start.since(now).min(MAX_BOUND_WAIT),
         };
         self.targets.values().any(|state| {
-            state.serves(now, query.service)
-                && state.entry.role != TargetRole::Prefill
+            let entry = &state.entry;
+            let held = self.hold(now, state).map_or(Duration::ZERO, |(_, wait)| wait);
+            let avoided = state.avoided_until.map_or(Duration::ZERO, |until| until.since(now));
+            *entry.service == *query.service
+                && !entry.draining
+                && entry.role != TargetRole::Prefill
                 && query.build.is_none_or(|build| state.build(now).id == build)
-                && !query.exclude.contains(&state.entry.id)
-                && usable(state)
+                && !query.exclude.contains(&entry.id)
+                && held.max(avoided) <= last_wait
         })
     }
 
@@ -109,7 +121,7 @@
             let wait = if self.starts_within(now, state, max_wait, &need) {
                 0.0
             } else {
-                self.expected_wait(now, state)
+                self.assumed_wait(now, state)
             };
             shortest = shortest.min(wait);
         }
@@ -131,9 +143,13 @@
         }
         let Some(state) = self.targets.get(&placement.id) else { return false };
         if state.entry.role == TargetRole::Whole {
-            return self.has_slot(state);
+            return self.has_slot(now, state);
         }
         let computing = prefill.as_ref().unwrap_or(placement);
+        let targets = [Some(state), self.targets.get(&computing.id)];
+        if targets.into_iter().flatten().any(|state| self.is_unreported(now, state)) {
+            return false;
+        }
         let forecast = Forecast {
             time_left: claim.time_left,
             wait: millis(computing.wait_ms.max(placement.wait_ms)),
@@ -188,16 +204,18 @@
             return false;
         }
         if state.entry.role == TargetRole::Whole {
-            return self.has_slot(state);
+            return self.has_slot(now, state);
         }
         self.excess(state, need) <= 0.0
-            && self.expected_wait(now, state) <= max_wait.as_secs_f64() * 1e3
+            && !self.is_unreported(now, state)
+            && self.assumed_wait(now, state) <= max_wait.as_secs_f64() * 1e3
     }
 
     /// Whether fewer requests than its slots are open at the target of a plain service.
-    fn has_slot(&self, state: &TargetState) -> bool {
-        let others = self.peer_loads.load(state.id_hash);
-        state.in_flight + others.in_flight < state.entry.slots.max(1)
+    fn has_slot(&self, now: Time, state: &TargetState) -> bool {
+        let others = self.assumed_load(now, state);
+        !self.is_unreported(now, state)
+            && state.in_flight + others.in_flight < state.entry.slots.max(1)
     }
 }
 
