Pass changes of targets on between hosts

Cause: the store answers each host's watch of the targets at each batch of changes, so a batch costs as many calls as there are hosts, up to one per 0.3 of drain_ms each.

Change: pollers read as before and send each batch to the other hosts by datagram, as all changes between two versions, two pollers to each host. After its own watch has brought changes, a host that is no poller opens no other one, but applies what it is told and asks a poller for what it lacks every 0.1 of drain_ms; answers count from the time of the question on its own clock, less the poller's age. It reads the store itself after 0.3 of drain_ms without an answer or with a change missing, if what the answers prove is 0.9 old, each 20 s, with the store in doubt, in a later era and with fewer than two other pollers alive. Pollers pause for 0.15 instead of 0.3 after changes.

--- a/components/gateway/src/freshness.rs
+++ b/components/gateway/src/freshness.rs
@@ -90,6 +90,7 @@
         is_missing_some: bool,
     ) -> bool {
         self.listed = Some(version);
+        self.known = None;
         // When the missing ones were deleted does not show, but it was before the list.
         let newest = if is_missing_some { Some(version) } else { newest };
         self.record_changes(sent, sent, version, newest)
@@ -105,12 +106,13 @@
         version: Version,
         newest: Option<Version>,
     ) -> bool {
-        self.known = Some(version);
+        // Other hosts may have passed on later changes while the call was under way.
+        self.known = self.known.max(Some(version));
         self.confirmed_at = self.confirmed_at.max(Some(at));
         let before = self.latest;
         self.latest = self.latest.max(newest.unwrap_or_default());
         let is_told = self.heard_at.is_some_and(|heard_at| heard_at < sent);
-        if newest.is_none() && version < self.latest && is_told {
+        if newest.is_none() && self.is_behind() && is_told {
             let latest = self.latest;
             log::warn!(target: "store", known:% = version, latest:%; "no such change in the store");
             self.latest = version;
@@ -146,6 +148,34 @@
         self.confirmed_at.is_some_and(|at| at >= since) && !self.is_behind()
     }
 
+    /// Records that other hosts passed on all changes up to `version`; `newest` is the version of the
+    /// last of those that were new.
+    pub fn record_passed(&mut self, version: Version, newest: Option<Version>) {
+        self.known = self.known.max(Some(version));
+        self.latest = self.latest.max(newest.unwrap_or_default());
+        if !self.is_behind() {
+            self.behind_since = None;
+        }
+    }
+
+    /// Records that a poller knew all changes as they were at `at`, up to `known`.
+    pub fn confirm_by_peer(&mut self, at: Time, known: Version) {
+        if self.known.is_some_and(|own| own >= known) {
+            self.confirmed_at = self.confirmed_at.max(Some(at));
+            self.peer_confirmed_at = self.peer_confirmed_at.max(Some(at));
+        }
+    }
+
+    /// Time as of which all changes are known; none if the store has confirmed nothing yet.
+    pub fn confirmed_at(&self) -> Option<Time> {
+        self.confirmed_at
+    }
+
+    /// Since when a change is missing that another host knows, unless a watch was sent since.
+    pub fn behind_since(&self) -> Option<Time> {
+        self.behind_since
+    }
+
     /// Version up to which all changes are known; none before a list.
     pub fn known(&self) -> Option<Version> {
         self.known
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -6,6 +6,7 @@
 //! its start and end are broadcast to all hosts at once. That the store has come back from an older
 //! copy is passed on by each host that hears of it.
 
+mod feed;
 mod news;
 mod origins;
 mod quota;
@@ -21,6 +22,7 @@
 };
 
 pub(crate) use self::{
+    feed::{pass_changes, request_changes},
     news::{send_latest_changes, send_store_era},
     origins::send_origins,
     quota::{OwnerNotice, OwnerRotation, QuotaAsk, announce_owner, ask_quota, candidate_key},
@@ -32,6 +34,7 @@
         CachedPart, EndNotice, GroupReport, InFlightWork, LimitNotice, OutcomeNotice,
         TargetSpeedReport,
     },
+    gossip::feed::{answer_request, apply_changes},
     gossip::news::{
         LatestChanges, ProgressReply, apply_latest_changes, apply_progress, progress_reply,
     },
@@ -40,6 +43,7 @@
     origins::{OriginAnswer, OriginNotice, OriginQuestion, StreamKey},
     poison::{CrashEvidence, FailedRun},
     state::Shared,
+    target_feed::{FeedRequest, PassedChanges},
     usage::PeerWindow,
     view::{Confirmation, ConfirmationRequest},
 };
@@ -117,6 +121,8 @@
     /// Requests that wait at the sender, whose gossip id comes first.
     Waiting(u32, Vec<WaitingCount>),
     TargetSpeeds(TargetSpeedMessage),
+    TargetChanges(PassedChanges),
+    TargetChangesAsked(FeedRequest),
 }
 
 /// What a host has seen of targets with failures.
@@ -476,6 +482,10 @@
                 let now = shared.now();
                 shared.state().view.apply_confirmation(now, shared.gossip_id(), &reply);
             }
+            Ok(Message::TargetChanges(passed)) => apply_changes(&shared, passed),
+            Ok(Message::TargetChangesAsked(question)) => {
+                answer_request(&shared, &socket, question, from).await;
+            }
             Ok(Message::Speeds(message)) => {
                 let now = shared.now();
                 let mut state = shared.state();
--- a/components/gateway/src/gossip/news.rs
+++ b/components/gateway/src/gossip/news.rs
@@ -92,7 +92,7 @@
 
 /// Has watches look whether they are overdue, and other hosts told if a change `is_later` than those
 /// known before.
-fn notify_of_changes(shared: &Shared, reads: &Reads, is_later: bool) {
+pub(super) fn notify_of_changes(shared: &Shared, reads: &Reads, is_later: bool) {
     if reads.config.is_behind() || reads.targets.is_behind() {
         shared.change_missed.notify_waiters();
     }
--- a/components/gateway/src/gossip/tests.rs
+++ b/components/gateway/src/gossip/tests.rs
@@ -1,3 +1,7 @@
+use std::time::Duration;
+
+use chervilgate_clock::Time;
+use chervilgate_coord::{Change, Object, Version};
 use chervilgate_policy::{
     AffectedRequest, CrashId, CrashNotice, Fingerprint, OrgId, OutcomeReport, SpeedReport, TargetId,
 };
@@ -5,11 +9,14 @@
 use crate::{
     demand::{DemandReport, MAX_REPORTED_SERVICES, WorkTotals},
     fleet::{CachedPart, InFlightWork, OutcomeNotice, TargetSpeedReport},
+    freshness::Freshness,
     gossip::{
         MAX_DATAGRAM_BYTES, MAX_FAILED_RUNS, Message, WorkReport, encode, encode_evidence,
         encode_outcomes, encode_report, encode_target_speeds,
     },
     poison::{CrashEvidence, FailedRun},
+    target_feed::{FeedRequest, TargetFeed},
+    view::ConfirmationRequest,
 };
 
 /// A report with as much of everything as a host collects, and `runs` failed runs.
@@ -44,6 +51,36 @@
     assert!(!received.broken.is_empty());
 }
 
+// Guards against changes of targets that no host passes on, as a message with them is too long.
+#[test]
+fn can_send_as_many_changes_of_targets_as_are_put_into_a_message() {
+    let at = |revision| Version { era: u64::MAX, revision };
+    let limit = Duration::from_secs(2);
+    let (mut feed, mut freshness) = (TargetFeed::new(limit), Freshness::new(limit));
+    let first = u64::MAX - 200;
+    feed.record_list(Time::ZERO, at(first));
+    freshness.record_list(Time::ZERO, at(first), None, false);
+    let changes: Vec<Change> = (1..60)
+        .map(|offset| {
+            Change::Put(Object {
+                key: "k".repeat(offset % 40),
+                version: at(first + offset as u64),
+                value: vec![255; 7 * offset % 300],
+            })
+        })
+        .collect();
+    feed.record_read(Time::ZERO, &changes, at(u64::MAX));
+    let request = ConfirmationRequest { host: u32::MAX, sent: u64::MAX };
+    let question = FeedRequest { request, after: at(first) };
+
+    let answer = feed.answer(Time::from_secs(1_000_000), u64::MAX, &question, &freshness);
+
+    assert!(answer.len() > 5, "{}", answer.len());
+    for passed in answer {
+        assert!(encode(&Message::TargetChanges(passed)).is_some());
+    }
+}
+
 #[test]
 fn can_send_the_longest_report() {
     let received = sent(report(80, 40, 1_024));
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -143,6 +143,8 @@
         tokio::spawn(gossip::send_origins(shared.clone(), socket.clone()));
         tokio::spawn(gossip::send_store_era(shared.clone(), socket.clone()));
         tokio::spawn(gossip::send_latest_changes(shared.clone(), socket.clone()));
+        tokio::spawn(gossip::pass_changes(shared.clone(), socket.clone()));
+        tokio::spawn(gossip::request_changes(shared.clone(), socket.clone()));
         tokio::spawn(gossip::request_confirmations(shared.clone(), socket.clone()));
         tokio::spawn(gossip::receive(shared.clone(), socket.clone(), refresh_membership.clone()));
         tokio::spawn(watch_prefix(shared.clone(), Box::new(ConfigWatch { prefix: config })));
--- a/components/gateway/src/membership.rs
+++ b/components/gateway/src/membership.rs
@@ -30,6 +30,9 @@
 /// Number of hosts for each further poller; it limits the requests that a poller gets.
 const HOSTS_PER_POLLER: usize = 32;
 
+/// Number of pollers that pass changes on to each other host, so that one may fail or be lost.
+const FEEDERS_PER_HOST: usize = 2;
+
 /// The hosts that have the store confirm the configuration on behalf of the others.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Pollers {
@@ -146,17 +149,41 @@
     /// The pollers: those first in an order by hash among the hosts that are alive, so that
     /// all hosts choose nearly the same ones.
     pub fn pollers(&self, now: Time) -> Pollers {
+        let names = self.poller_names(now);
+        let others = names.iter().filter_map(|name| self.hosts.get(*name));
+        Pollers {
+            includes_own: names.contains(&self.own_name.as_str()),
+            addrs: others.map(|known| known.entry.gossip).collect(),
+        }
+    }
+
+    fn poller_names(&self, now: Time) -> Vec<&str> {
         let live = self.hosts.iter().filter(|(_, known)| known.serves(now));
-        let others = live.map(|(name, known)| (name.as_str(), Some(known.entry.gossip)));
-        let own = (self.own_name.as_str(), None);
-        let mut ranked: Vec<_> = others.chain([own]).collect();
+        let names = live.map(|(name, _)| name.as_str());
+        let mut ranked: Vec<&str> = names.chain([self.own_name.as_str()]).collect();
         let count = MIN_POLLERS + ranked.len() / HOSTS_PER_POLLER;
-        ranked.sort_unstable_by_key(|(name, _)| stable_hash(&("poller", name)));
+        ranked.sort_unstable_by_key(|name| stable_hash(&("poller", name)));
         ranked.truncate(count);
-        Pollers {
-            includes_own: ranked.iter().any(|(_, addr)| addr.is_none()),
-            addrs: ranked.iter().filter_map(|(_, addr)| *addr).collect(),
+        ranked
+    }
+
+    /// Gossip addresses of the hosts to which this one, as a poller, passes changes on: of the pollers,
+    /// the first two in an order by hash over the host's name do so. Empty if this host is no poller.
+    pub fn followers(&self, now: Time) -> Vec<SocketAddr> {
+        let pollers: Vec<&str> = self.poller_names(now);
+        if !pollers.contains(&self.own_name.as_str()) {
+            return Vec::new();
         }
+        let others = self
+            .hosts
+            .iter()
+            .filter(|(name, known)| !known.entry.leaving && !pollers.contains(&name.as_str()));
+        let followers = others.filter(|(host, _)| {
+            let rank = |poller: &str| stable_hash(&("feeder", poller, host.as_str()));
+            let own = rank(&self.own_name);
+            pollers.iter().filter(|poller| rank(poller) < own).count() < FEEDERS_PER_HOST
+        });
+        followers.map(|(_, known)| known.entry.gossip).collect()
     }
 
     /// Gossip addresses of up to `count` other hosts that are not stopping: those first in an order by
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -13,6 +13,9 @@
     registry::Registry,
 };
 
+mod feed;
+
+pub(crate) use self::feed::{ChangeSource, FeedMetrics};
 use crate::{fleet::TargetCounts, planner::ZoneGoal};
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -164,6 +167,8 @@
     held_bytes: Family<KindLabel, Gauge>,
     store_calls: Family<StoreCallLabels, Counter>,
     store_losses: Counter,
+    /// How changes of the targets reach this host.
+    pub(crate) feed: FeedMetrics,
     windows: Counter,
     orders: Family<EndLabel, Counter>,
     targets: Family<StateLabel, Gauge>,
@@ -213,6 +218,7 @@
             held_bytes: Family::default(),
             store_calls: Family::default(),
             store_losses: Counter::default(),
+            feed: FeedMetrics::default(),
             windows: Counter::default(),
             orders: Family::default(),
             targets: Family::default(),
@@ -237,6 +243,7 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
+        self.feed.register(registry);
         registry.register("requests", "Requests by how they ended", self.requests.clone());
         registry.register("retries", "Further attempts by kind", self.retries.clone());
         registry.register("imports", "Imports of prompt prefixes by kind", self.imports.clone());
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -35,6 +35,7 @@
     settings::HostSettings,
     stopping::Stop,
     stream::StreamBuffers,
+    target_feed::TargetFeed,
     usage::{PeerSheets, UsageMeter, WallClock},
     view::ConfigView,
     waiting::TurnSender,
@@ -61,6 +62,10 @@
     pub(crate) store_era: watch::Sender<u64>,
     /// Notified when this host learns of a later change in the store than before.
     pub(crate) change_known: Notify,
+    /// Notified when this host has read changes of the targets.
+    pub(crate) changes_read: Notify,
+    /// Notified when this host begins to follow the pollers' changes of the targets.
+    pub(crate) feed_followed: Notify,
     /// Notifies watches that another host knows of a change which they have not brought.
     pub(crate) change_missed: Notify,
     /// Notified when the record of software versions may lack one.
@@ -105,6 +110,8 @@
     pub(crate) fleet: Fleet,
     /// How complete is what was read from the store.
     pub(crate) reads: Reads,
+    /// What other hosts pass on of the targets' changes.
+    pub(crate) feed: TargetFeed,
     /// Whether the configuration watch gets no reply from the store.
     pub(crate) store_down: bool,
     /// Whether the targets' entries have been listed at least once.
@@ -213,6 +220,7 @@
                 config: Freshness::new(bounds.apply_time),
                 targets: Freshness::new(bounds.drain_time),
             },
+            feed: TargetFeed::new(bounds.drain_time),
             store_down: false,
             targets_listed: false,
             membership: Membership::new(&settings.name),
@@ -247,6 +255,8 @@
             store_recovered: Notify::new(),
             store_era,
             change_known: Notify::new(),
+            changes_read: Notify::new(),
+            feed_followed: Notify::new(),
             change_missed: Notify::new(),
             builds_due: Notify::new(),
             crashes_due: Notify::new(),
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -10,19 +10,22 @@
 mod builds;
 mod crashes;
 mod current;
+mod feed;
 mod hosts;
+mod targets;
 
-use std::{sync::Arc, time::Duration};
+use std::{future::ready, sync::Arc, time::Duration};
 
 use chervilgate_clock::Time;
 use chervilgate_coord::{Change, Object, StoreCall, StoreReply, Version};
+use futures_util::{FutureExt, future::BoxFuture};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use tokio::time::{sleep, timeout};
 
 pub(crate) use self::{
     builds::maintain_build_record, crashes::maintain_crash_record, current::confirm_target_list,
-    hosts::maintain_membership,
+    hosts::maintain_membership, targets::TargetWatch,
 };
 use crate::{
     freshness::Freshness,
@@ -36,10 +39,6 @@
 /// store recovered.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Pause after changes of targets, as a share of the time in which a draining target
-/// may still get work.
-const BATCH_DELAY_SHARE: f64 = 0.3;
-
 /// Number of changes in a reply from which no pause is made: such a reply takes time to
 /// arrive, and a draining target may be in the next one.
 const LARGE_BATCH: usize = 100;
@@ -74,11 +73,27 @@
         false
     }
 
-    /// Replaces all objects by a complete list. Returns whether it lacks objects that were known.
-    fn replace(&self, shared: &Shared, now: Time, objects: &[Object]) -> bool;
+    /// Replaces all objects by a complete list of version `version`. Returns whether it lacks objects that
+    /// were known.
+    fn replace(&self, shared: &Shared, now: Time, objects: &[Object], version: Version) -> bool;
+
+    /// Applies the changes of a reply, after which all up to `version` are known, unless other hosts have
+    /// passed them on before.
+    fn apply_changes(&self, shared: &Shared, now: Time, changes: &[Change], version: Version);
+
+    /// Version up to which all changes are known, if other hosts may have passed some on.
+    fn position(&self, _shared: &Shared) -> Option<Version> {
+        None
+    }
+
+    /// Prepares for a list, during which other hosts pass nothing on.
+    fn start_list(&self, _shared: &Shared) {}
 
-    /// Applies one change.
-    fn change(&self, shared: &Shared, now: Time, change: &Change);
+    /// Before a watch: waits while other hosts pass on what it would bring, if the one before brought
+    /// changes.
+    fn follow<'a>(&'a self, _shared: &'a Shared, _had_changes: bool) -> BoxFuture<'a, ()> {
+        ready(()).boxed()
+    }
 
     /// Pause after changes, so that further changes arrive in one reply.
     fn batch_delay(&self, _shared: &Shared) -> Duration {
@@ -100,9 +115,26 @@
     let mut listed_era: Option<u64> = None;
     let mut latest_era = shared.store_era.subscribe();
     let mut contact = StoreContact::default();
+    let mut may_follow = false;
     loop {
         if known.is_none() {
             latest_era.mark_unchanged();
+            watched.start_list(&shared);
+        } else {
+            tokio::select! {
+                biased;
+                // Fails only if the sender is dropped, and `shared` holds it.
+                _ = latest_era.changed() => {
+                    known = None;
+                    continue;
+                }
+                () = watched.follow(&shared, std::mem::take(&mut may_follow)) => {}
+                () = shared.store_recovered.notified(), if !watched.probes_store() => {
+                    known = None;
+                    continue;
+                }
+            }
+            known = known.max(watched.position(&shared));
         }
         let sent = shared.now();
         let (wait, answer_time) = watch_times(&shared, &*watched, sent);
@@ -155,7 +187,7 @@
                     latest_era.mark_unchanged();
                 }
                 let newest = objects.iter().map(|object| object.version).max();
-                let is_missing_some = watched.replace(&shared, now, &objects);
+                let is_missing_some = watched.replace(&shared, now, &objects, version);
                 watched.confirm(&shared, now, sent);
                 known = Some(version);
                 record_reply(&shared, &*watched, |freshness| {
@@ -166,10 +198,8 @@
                 if !changes.is_empty() {
                     log_read(&prefix, known, version, changes.len(), now.since(sent));
                 }
-                for change in &changes {
-                    watched.change(&shared, now, change);
-                }
-                known = Some(version);
+                watched.apply_changes(&shared, now, &changes, version);
+                known = Some(version).max(watched.position(&shared));
                 let newest = changes.iter().map(Change::version).max();
                 let hold_time = shared.store.watch_hold_time(wait);
                 let held_until = sent + hold_time;
@@ -182,6 +212,7 @@
                 } else {
                     watched.confirm(&shared, now, sent);
                     if changes.len() < LARGE_BATCH {
+                        may_follow = true;
                         let delay = watched.batch_delay(&shared);
                         // An early end is due to a request that needs the latest changes.
                         timeout(delay, shared.changes_wanted.notified()).await.ok();
@@ -336,16 +367,18 @@
         true
     }
 
-    fn replace(&self, shared: &Shared, now: Time, objects: &[Object]) -> bool {
+    fn replace(&self, shared: &Shared, now: Time, objects: &[Object], _: Version) -> bool {
         for object in objects {
             ConfigWatch::apply(shared, now, object);
         }
         objects.is_empty() && shared.state().view.version().is_some()
     }
 
-    fn change(&self, shared: &Shared, now: Time, change: &Change) {
-        if let Change::Put(object) = change {
-            ConfigWatch::apply(shared, now, object);
+    fn apply_changes(&self, shared: &Shared, now: Time, changes: &[Change], _: Version) {
+        for change in changes {
+            if let Change::Put(object) = change {
+                ConfigWatch::apply(shared, now, object);
+            }
         }
     }
 
@@ -358,92 +391,6 @@
     }
 }
 
-/// Watches the targets' entries.
-pub(crate) struct TargetWatch {
-    pub(crate) prefix: String,
-}
-
-impl TargetWatch {
-    fn read(
-        &self,
-        shared: &Shared,
-        object: &Object,
-    ) -> Result<crate::fleet::TargetEntry, DecodeError> {
-        let id = object.key.strip_prefix(&self.prefix).unwrap_or(&object.key);
-        decode(&object.value).and_then(|value| shared.decoder.target(id.into(), &value))
-    }
-
-    /// Has the record of versions looked at if there is a new one.
-    fn notify_of_builds(shared: &Shared, state: &State) {
-        if state.fleet.has_new_build() {
-            shared.builds_due.notify_one();
-        }
-    }
-
-    fn log_skipped(object: &Object, error: &DecodeError) {
-        log::info!(target: "fleet", key = object.key, error:%; "target entry invalid; skipped");
-    }
-}
-
-impl WatchedPrefix for TargetWatch {
-    fn prefix(&self) -> String {
-        self.prefix.clone()
-    }
-
-    fn freshness<'a>(&self, state: &'a mut State) -> &'a mut Freshness {
-        &mut state.reads.targets
-    }
-
-    fn replace(&self, shared: &Shared, now: Time, objects: &[Object]) -> bool {
-        let mut entries = Vec::with_capacity(objects.len());
-        for object in objects {
-            match self.read(shared, object) {
-                Ok(entry) => entries.push(entry),
-                Err(error) => TargetWatch::log_skipped(object, &error),
-            }
-        }
-        log::info!(target: "fleet", targets = entries.len(); "targets listed");
-        let mut state = shared.state();
-        state.targets_listed = true;
-        state.build_record.record_list();
-        shared.builds_due.notify_one();
-        state.fleet.replace(now, entries)
-    }
-
-    fn batch_delay(&self, shared: &Shared) -> Duration {
-        shared.settings.bounds.drain_time.mul_f64(BATCH_DELAY_SHARE)
-    }
-
-    fn change(&self, shared: &Shared, now: Time, change: &Change) {
-        match change {
-            Change::Put(object) => match self.read(shared, object) {
-                Ok(entry) => {
-                    let (id, draining) = (entry.id.clone(), entry.draining);
-                    log::info!(
-                        target: "fleet", id, service = entry.service, stage:? = entry.role,
-                        zone = entry.zone, draining, cheap = entry.reclaimable,
-                        incarnation = entry.incarnation, sequence = entry.sequence,
-                        at:% = object.version; "target"
-                    );
-                    let mut state = shared.state();
-                    state.fleet.upsert(now, entry);
-                    TargetWatch::notify_of_builds(shared, &state);
-                }
-                Err(error) => {
-                    TargetWatch::log_skipped(object, &error);
-                    let id = object.key.strip_prefix(&self.prefix).unwrap_or(&object.key);
-                    shared.state().fleet.remove(now, id);
-                }
-            },
-            Change::Delete { key, version } => {
-                let id = key.strip_prefix(&self.prefix).unwrap_or(key);
-                log::info!(target: "fleet", id, at:% = version; "target's entry gone");
-                shared.state().fleet.remove(now, id);
-            }
-        }
-    }
-}
-
 /// Parses the JSON content of an object.
 pub(crate) fn decode(value: &[u8]) -> Result<Value, DecodeError> {
     serde_json::from_slice(value)
--- a/components/gateway/tests/membership.rs
+++ b/components/gateway/tests/membership.rs
@@ -183,3 +183,18 @@
     assert_eq!(silent.ranked(now, 7, 3)[0], addr(2));
     assert_eq!(listed().ranked(now, 7, 9).len(), 3);
 }
+
+// Guards against hosts that no poller, or only one that may fail, passes changes on to.
+#[test]
+fn two_pollers_pass_changes_on_to_each_other_host() {
+    let now = Time::from_secs(10);
+    let hosts = 89;
+
+    let views: Vec<Membership> = (0..hosts).map(|own| fleet_seen_by(own, hosts, now)).collect();
+    let mut told: Vec<SocketAddr> = views.iter().flat_map(|view| view.followers(now)).collect();
+    told.sort_unstable();
+
+    let pollers = views.iter().filter(|view| view.pollers(now).includes_own).count();
+    assert_eq!(told.len(), 2 * (hosts as usize - pollers));
+    assert!(told.chunks(2).all(|pair| pair[0] == pair[1]), "{told:?}");
+}
