--- a/components/gateway/src/fleet/first_seconds.rs
+++ b/components/gateway/src/fleet/first_seconds.rs
@@ -86,6 +86,7 @@
             in_flight: scaled(load.in_flight),
             pending_ms: scaled(load.pending_ms),
             failure_percent: load.failure_percent,
+            kv_tokens: (load.kv_tokens as f64 * factor).round() as u64,
         }
     }
 
--- a/components/gateway/src/fleet/target.rs
+++ b/components/gateway/src/fleet/target.rs
@@ -99,7 +99,7 @@
     pub(super) speed_factor: f64,
     /// Time until which it gets no requests, because another process answered at its
     /// address.
-    avoided_until: Option<Time>,
+    pub(super) avoided_until: Option<Time>,
     /// Time until which it is kept without an entry in the store; none if it has one.
     pub(super) expires_at: Option<Time>,
     /// When the transfers of prompt prefixes end that this host started from or to it.
