Target feed: read in time when connections fall silent

Cause: hosts that follow the pollers read the store once the pollers' knowledge was 0.9 of drain_ms old, which left 100 to 200 ms of 2 s for the call. The call went out on a pooled connection that could be silent like the pollers'. A host with 32 messages waiting dropped the one that fills the gap, and messages without changes took places. A request's wish for the latest changes was consumed and discarded by a pause of zero length, also in the watches of other kinds of objects.

Change: followers read at 0.7. Pollers keep what they know under about 0.55: their pause after a change that ends a watch late is shorter, and their shortest wait is 100 ms. A read for missing changes, or for want of answers or confirmation, first puts idle connections in doubt. A message that begins at or before what is known is applied directly; one beyond it without changes is not kept and does not count as a gap. Only the targets' watch takes the wish of a request, which has the store read at once while a change is missing, and has no effect otherwise.

The simulation in tests/target_feed.rs takes a poller's pause from the feed, as the host does.

The calls of changes_wanted and distrust_connections in the watch have no test of their own; the decisions have.

--- a/components/gateway/src/target_feed.rs
+++ b/components/gateway/src/target_feed.rs
@@ -31,14 +31,18 @@
 const UNHEARD_SHARE: f64 = 0.3;
 
 /// Age of what the pollers' answers prove from which a host reads the store itself, as such a share.
-/// Pollers keep theirs under [`POLLER_AGE_SHARE`], and a question takes up to [`ASK_SHARE`] more.
-const UNCONFIRMED_SHARE: f64 = 0.9;
+/// The rest is for the call: 0.9 left 100 ms of 2 s for one over a new connection. Pollers keep theirs
+/// near [`POLLER_AGE_SHARE`], and a question takes up to [`ASK_SHARE`] more.
+const UNCONFIRMED_SHARE: f64 = 0.7;
 
 /// Age of what a poller has read at the end of its next watch, as such a share.
-const POLLER_AGE_SHARE: f64 = 0.8;
+const POLLER_AGE_SHARE: f64 = 0.5;
+
+/// Pause of a poller after changes, as such a share, unless what it has read grows too old.
+const POLLER_DELAY_SHARE: f64 = 0.15;
 
 /// Shortest wait of a poller's watch.
-const MIN_POLLER_WAIT: Duration = Duration::from_millis(200);
+const MIN_POLLER_WAIT: Duration = Duration::from_millis(100);
 
 /// Time after a reply of the store from which a host opens its own watch again.
 const READ_INTERVAL: Duration = Duration::from_secs(20);
@@ -143,6 +147,21 @@
             ReadReason::Renewed => "renewed",
         }
     }
+
+    /// Whether this host's connections to the store may have fallen silent with those of the pollers,
+    /// which shows on no watch of its own while it follows them.
+    pub fn doubts_connections(self) -> bool {
+        matches!(
+            self,
+            ReadReason::Gap | ReadReason::NotKept | ReadReason::Unheard | ReadReason::Unconfirmed
+        )
+    }
+
+    /// The reason to read at once if a request `is_wanting` the latest changes. Without a change that is
+    /// missing the request has been served by now.
+    pub fn of_request(is_wanting: bool, freshness: &Freshness) -> Option<ReadReason> {
+        (is_wanting && freshness.is_behind()).then_some(ReadReason::Wanted)
+    }
 }
 
 /// What a host knows of the pollers and the store when it decides whether to read.
@@ -262,8 +281,13 @@
         if after > position {
             let newest = passed.changes.last().map(Change::version);
             applied.is_later = newest.is_some_and(|newest| freshness.hear(now, newest));
-            applied.has_gap = before > position;
-            self.keep_early(passed);
+            let has_changes = !passed.changes.is_empty();
+            applied.has_gap = before > position && has_changes;
+            if before <= position {
+                self.extend(passed, &mut applied.changes);
+            } else if has_changes {
+                self.keep_early(passed);
+            }
             self.apply_early(&mut applied.changes);
             if let Some(known) = self.log.known() {
                 self.passed = self.passed.max(known);
@@ -309,16 +333,23 @@
         }
     }
 
+    /// Applies a message that begins at or before what is known.
+    fn extend(&mut self, passed: PassedChanges, applied: &mut Vec<Change>) {
+        let PassedChanges { mut changes, after, .. } = passed;
+        let known = self.log.known();
+        changes.retain(|change| Some(change.version()) > known);
+        self.log.extend(&changes, after);
+        applied.extend(changes);
+    }
+
     /// Applies the messages that follow on what is known.
     fn apply_early(&mut self, applied: &mut Vec<Change>) {
         while let Some(known) = self.log.known()
             && let Some(at) =
                 self.early.iter().position(|early| early.before <= known && early.after > known)
         {
-            let PassedChanges { mut changes, after, .. } = self.early.swap_remove(at);
-            changes.retain(|change| change.version() > known);
-            self.log.extend(&changes, after);
-            applied.extend(changes);
+            let passed = self.early.swap_remove(at);
+            self.extend(passed, applied);
         }
         self.drop_known_early();
     }
@@ -427,6 +458,14 @@
         passed
     }
 
+    /// Pause of a poller after changes, so that further changes arrive in one reply. It is shorter if the
+    /// reply came late in its watch, as what is known counts from when the watch was sent.
+    pub fn poller_pause(&self, now: Time, freshness: &Freshness) -> Duration {
+        let age = freshness.age(now).unwrap_or_default();
+        let left = self.limit.mul_f64(POLLER_AGE_SHARE).saturating_sub(age + MIN_POLLER_WAIT);
+        left.min(self.limit.mul_f64(POLLER_DELAY_SHARE))
+    }
+
     /// Longest wait of a poller's next watch, so that what it knows is confirmed often enough for the
     /// hosts that follow it.
     pub fn poller_wait(&self, now: Time, freshness: &Freshness) -> Duration {
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -95,9 +95,10 @@
         ready(()).boxed()
     }
 
-    /// Pause after changes, so that further changes arrive in one reply.
-    fn batch_delay(&self, _shared: &Shared) -> Duration {
-        Duration::ZERO
+    /// After changes: pauses, so that further changes arrive in one reply. Returns whether other hosts
+    /// may be followed before the next watch.
+    fn pause<'a>(&'a self, _shared: &'a Shared) -> BoxFuture<'a, bool> {
+        ready(false).boxed()
     }
 
     /// Records a reply, read at `now`, with which all changes up to `at` are known.
@@ -212,10 +213,7 @@
                 } else {
                     watched.confirm(&shared, now, sent);
                     if changes.len() < LARGE_BATCH {
-                        may_follow = true;
-                        let delay = watched.batch_delay(&shared);
-                        // An early end is due to a request that needs the latest changes.
-                        timeout(delay, shared.changes_wanted.notified()).await.ok();
+                        may_follow = watched.pause(&shared).await;
                     }
                 }
             }
--- a/components/gateway/src/watch/feed.rs
+++ b/components/gateway/src/watch/feed.rs
@@ -13,6 +13,9 @@
 /// change must be known.
 const LOOK_SHARE: f64 = 0.05;
 
+/// Pause after changes of targets of a host that is no poller, as such a share.
+const BATCH_DELAY_SHARE: f64 = 0.3;
+
 /// Why this host must read the targets' changes from the store now; none if it may follow the pollers.
 pub(super) fn read_reason(shared: &Shared) -> Option<ReadReason> {
     let now = shared.now();
@@ -28,6 +31,23 @@
     feed.read_reason(now, &reads.targets, &conditions)
 }
 
+/// Pauses after changes, so that further ones arrive in one reply, unless a request needs to know them.
+/// Returns whether the pollers may be followed before the next watch.
+pub(super) async fn pause(shared: &Shared) -> bool {
+    let pause = match read_reason(shared) {
+        // Following the pollers takes the place of the pause.
+        None => Duration::ZERO,
+        Some(ReadReason::Poller) => {
+            let (now, state) = (shared.now(), shared.state());
+            state.feed.poller_pause(now, &state.reads.targets)
+        }
+        Some(_) => shared.settings.bounds.drain_time.mul_f64(BATCH_DELAY_SHARE),
+    };
+    let is_wanted = timeout(pause, shared.changes_wanted.notified()).await.is_ok();
+    // A request may also have asked while the watch was under way, for a later change than it brought.
+    ReadReason::of_request(is_wanted, &shared.state().reads.targets).is_none()
+}
+
 /// Follows the pollers for as long as that shows all changes; returns why the store must be read.
 pub(super) async fn follow(shared: &Shared) -> ReadReason {
     let pause = shared.settings.bounds.drain_time.mul_f64(LOOK_SHARE).max(Duration::from_millis(1));
@@ -36,8 +56,9 @@
         if let Some(reason) = read_reason(shared) {
             return reason;
         }
-        if timeout(pause, shared.changes_wanted.notified()).await.is_ok() {
-            return ReadReason::Wanted;
+        let is_wanted = timeout(pause, shared.changes_wanted.notified()).await.is_ok();
+        if let Some(reason) = ReadReason::of_request(is_wanted, &shared.state().reads.targets) {
+            return reason;
         }
     }
 }
--- a/components/gateway/src/watch/targets.rs
+++ b/components/gateway/src/watch/targets.rs
@@ -16,13 +16,6 @@
     watch::{WatchedPrefix, decode, feed},
 };
 
-/// Pause after changes of targets, as a share of the time in which a draining target
-/// may still get work.
-const BATCH_DELAY_SHARE: f64 = 0.3;
-
-/// The same for a poller, whose reply other hosts wait for.
-const POLLER_DELAY_SHARE: f64 = 0.15;
-
 /// Watches the targets' entries.
 pub(crate) struct TargetWatch {
     pub(crate) prefix: String,
@@ -106,14 +99,8 @@
         is_poller.then(|| state.feed.poller_wait(now, &state.reads.targets))
     }
 
-    fn batch_delay(&self, shared: &Shared) -> Duration {
-        let share = match feed::read_reason(shared) {
-            // Following the pollers takes the place of the pause.
-            None => 0.0,
-            Some(ReadReason::Poller) => POLLER_DELAY_SHARE,
-            Some(_) => BATCH_DELAY_SHARE,
-        };
-        shared.settings.bounds.drain_time.mul_f64(share)
+    fn pause<'a>(&'a self, shared: &'a Shared) -> BoxFuture<'a, bool> {
+        feed::pause(shared).boxed()
     }
 
     fn apply_changes(&self, shared: &Shared, now: Time, changes: &[Change], version: Version) {
@@ -144,6 +131,9 @@
             if !matches!(reason, ReadReason::Poller | ReadReason::Renewed) {
                 log::info!(target: "store", reason = reason.as_str(); "targets read from the store");
             }
+            if reason.doubts_connections() {
+                shared.store.distrust_connections();
+            }
         }
         .boxed()
     }
--- a/components/gateway/tests/target_feed.rs
+++ b/components/gateway/tests/target_feed.rs
@@ -355,7 +355,9 @@
                     let reason = own.feed.read_reason(now, &own.freshness, &conditions);
                     own.mode = match reason {
                         None => Mode::Following,
-                        Some(ReadReason::Poller) => Mode::Paused(now + LIMIT.mul_f64(0.15)),
+                        Some(ReadReason::Poller) => {
+                            Mode::Paused(now + own.feed.poller_pause(now, &own.freshness))
+                        }
                         Some(_) => Mode::Paused(now + LIMIT.mul_f64(0.3)),
                     };
                     own.feed.set_following(reason.is_none());
