Target feed: limit answers, and count those that arrive out of order

Cause: a batch too large to send unasked is asked for by all followers within a gossip round, with up to 12 datagrams for each: 4.6 MB from one poller to 330 hosts in the test. The last message of an answer counted only on arrival, so an answer whose messages were swapped proved nothing. A change too long for a datagram kept its batch from being passed on without a trace.

Change: a poller sends at most 187 messages with changes in answers within a second (256 KB), and tells those beyond it that it does not have the changes, so they read the store. Answers without changes are not limited. The end of an answer is kept until the messages before it have arrived. A change too long to pass on is logged when it is read.

--- a/components/gateway/src/gossip/feed.rs
+++ b/components/gateway/src/gossip/feed.rs
@@ -81,14 +81,10 @@
     let now = shared.now();
     let era = *shared.store_era.borrow();
     let answer = {
-        let state = shared.state();
+        let State { store_down, feed, reads, .. } = &mut *shared.state();
         // An answer tells the other host that it need not read the store, which a host that has lost
         // the store cannot know.
-        if state.store_down {
-            Vec::new()
-        } else {
-            state.feed.answer(now, era, &question, &state.reads.targets)
-        }
+        if *store_down { Vec::new() } else { feed.answer(now, era, &question, &reads.targets) }
     };
     for passed in answer {
         send(socket, &Message::TargetChanges(passed), from).await;
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! made in modules without I/O or clocks ([`admission`], [`build_record`], [`config`],
 //! [`crash_record`], [`demand`], [`fleet`], [`freshness`], [`joining`], [`lease`], [`membership`],
 //! [`memory`], [`origins`], [`outage`], [`planner`], [`poison`], [`quota`], [`repeats`],
-//! [`stopping`], [`target_feed`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O and call them.
+//! [`stopping`], [`target_feed`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O
+//! and call them.
 //!
 //! External systems are reached through traits: [`Protocol`] for the headers of callers
 //! and targets, [`Decoder`] for stored objects, and the traits of the clients crate for
--- a/components/gateway/src/target_feed.rs
+++ b/components/gateway/src/target_feed.rs
@@ -11,6 +11,7 @@
 //! the configuration, clocks are never compared: an answer counts from the time of the question, less
 //! the age that the poller states. Without answers the host reads the store itself.
 
+mod budget;
 mod log;
 
 use std::time::Duration;
@@ -19,7 +20,10 @@
 use chervilgate_coord::{Change, Version};
 use serde::{Deserialize, Serialize};
 
-use self::log::{ChangeLog, is_ordered};
+use self::{
+    budget::AnswerBudget,
+    log::{ChangeLog, is_ordered},
+};
 use crate::{freshness::Freshness, view::ConfirmationRequest};
 
 /// Interval between questions to pollers, as a share of the time within which a change must be known.
@@ -196,6 +200,10 @@
     log: ChangeLog,
     /// Messages that wait for those before them.
     early: Vec<PassedChanges>,
+    /// End of the latest answer of which messages are missing, and its version.
+    unfinished: Option<(FeedAnswer, Version)>,
+    /// Messages that this host may still send in answers.
+    answer_budget: AnswerBudget,
     /// Version up to which this host has passed changes on.
     passed: Version,
     /// When the store's last reply was read.
@@ -218,6 +226,8 @@
             limit,
             log: ChangeLog::default(),
             early: Vec::new(),
+            unfinished: None,
+            answer_budget: AnswerBudget::default(),
             passed: Version::default(),
             read_at: None,
             answered_at: None,
@@ -235,7 +245,8 @@
 
     /// Forgets the list, as this host lists again: what other hosts pass on meanwhile is left out.
     pub fn start_list(&mut self) {
-        *self = TargetFeed { passed: self.passed, ..TargetFeed::new(self.limit) };
+        let TargetFeed { limit, passed, answer_budget, .. } = *self;
+        *self = TargetFeed { passed, answer_budget, ..TargetFeed::new(limit) };
     }
 
     /// Records a list of version `version`.
@@ -296,7 +307,14 @@
             }
         }
         if let Some(answer) = answer.filter(|answer| answer.request.host == host) {
-            self.apply_answer(now, &answer, after, freshness);
+            self.apply_answer(now, answer, after, freshness);
+        }
+        // The messages of an answer may arrive after its end.
+        if let Some((answer, after)) = self.unfinished
+            && self.log.known() >= Some(after)
+        {
+            self.unfinished = None;
+            self.apply_answer(now, answer, after, freshness);
         }
         applied
     }
@@ -304,7 +322,7 @@
     fn apply_answer(
         &mut self,
         now: Time,
-        answer: &FeedAnswer,
+        answer: FeedAnswer,
         after: Version,
         freshness: &mut Freshness,
     ) {
@@ -318,7 +336,9 @@
             self.is_not_kept = false;
             let at = asked.saturating_sub(Duration::from_micros(answer.age));
             freshness.confirm_by_peer(at, after);
-        } else if !answer.is_complete {
+        } else if answer.is_complete {
+            self.unfinished = Some((answer, after));
+        } else {
             self.is_not_kept = true;
         }
     }
@@ -420,9 +440,10 @@
         Some(FeedRequest { request: ConfirmationRequest { host, sent: now.as_micros() }, after })
     }
 
-    /// Answers another host's question; empty if this host knows nothing of the present `era`.
+    /// Answers another host's question; empty if this host knows nothing of the present `era`. Of changes
+    /// beyond what may be sent in this time it says that it does not have them.
     pub fn answer(
-        &self,
+        &mut self,
         now: Time,
         era: u64,
         question: &FeedRequest,
@@ -436,7 +457,11 @@
         let missing = if question.after >= position {
             Some(vec![PassedChanges::empty(position)])
         } else {
-            self.log.since(question.after, MAX_ANSWER_MESSAGES)
+            let missing = self.log.since(question.after, MAX_ANSWER_MESSAGES);
+            missing.filter(|missing| {
+                let messages = missing.iter().filter(|passed| !passed.changes.is_empty()).count();
+                self.answer_budget.take(now, messages)
+            })
         };
         let is_complete = missing.is_some();
         let mut passed = missing.unwrap_or_else(|| vec![PassedChanges::empty(position)]);
--- a/components/gateway/src/target_feed/log.rs
+++ b/components/gateway/src/target_feed/log.rs
@@ -46,6 +46,11 @@
         if known.era != self.known.era || !is_ordered(changes, self.known, known) {
             return self.restart(known);
         }
+        for change in changes.iter().filter(|change| size(change) > MAX_MESSAGE_BYTES) {
+            // Hosts read it, and its whole batch, from the store.
+            let bytes = size(change);
+            log::info!(target: "store", at:% = change.version(), bytes; "change too long to pass on");
+        }
         self.known = known;
         self.bytes += changes.iter().map(size).sum::<usize>();
         self.changes.extend(changes.iter().cloned());
--- a/components/gateway/tests/target_feed_faults.rs
+++ b/components/gateway/tests/target_feed_faults.rs
@@ -7,6 +7,7 @@
 use chervilgate_gateway::{
     freshness::Freshness,
     target_feed::{FeedAnswer, FeedConditions, FeedRequest, PassedChanges, ReadReason, TargetFeed},
+    view::ConfirmationRequest,
 };
 
 /// Time within which a removal must be known, as the operators set it.
@@ -178,3 +179,49 @@
     assert_eq!(ReadReason::of_request(true, &freshness), Some(ReadReason::Wanted));
     assert_eq!(ReadReason::of_request(false, &freshness), None);
 }
+
+// Guards against an answer that counts for nothing because its last message overtook another one.
+#[test]
+fn an_answer_counts_although_its_messages_arrive_out_of_order() {
+    let (mut feed, mut freshness) = follower();
+    let asked = START + LIMIT.mul_f64(0.2);
+    let request = feed.next_request(asked, 7, &freshness).expect("a question");
+    let last = PassedChanges { answer: end(request, true, Duration::ZERO), ..passed(60, 61) };
+
+    feed.apply(asked + TICK, 7, 0, last, &mut freshness);
+    assert_eq!(freshness.confirmed_at(), Some(START));
+    feed.apply(asked + 2 * TICK, 7, 0, passed(50, 60), &mut freshness);
+
+    assert_eq!(freshness.confirmed_at(), Some(asked));
+    assert_eq!(reason_of(&feed, &freshness, START + LIMIT.mul_f64(0.35)), None);
+}
+
+// Guards against megabytes of answers within one gossip round, after a batch that was too large to send
+// unasked; hosts that get none read the store.
+#[test]
+fn answers_of_all_hosts_are_limited() {
+    let (mut feed, mut freshness) = follower();
+    let changes: Vec<Change> = (51..81).map(put).collect();
+    feed.record_read(START, &changes, at(80));
+    freshness.record_changes(START, START, at(80), Some(at(80)));
+    let mut ask = |now: Time, after: u64| -> Vec<PassedChanges> {
+        let questions = (0..330).map(|host| FeedRequest {
+            request: ConfirmationRequest { host, sent: now.as_micros() },
+            after: at(after),
+        });
+        questions.flat_map(|question| feed.answer(now, 0, &question, &freshness)).collect()
+    };
+    let bytes = |answers: &[PassedChanges]| -> usize {
+        answers.iter().filter(|passed| !passed.changes.is_empty()).count() * 1_400
+    };
+
+    let first = ask(START, 50);
+    let current = ask(START, 80);
+    let later = ask(START + Duration::from_secs(1), 50);
+
+    assert!((200 << 10..=256 << 10).contains(&bytes(&first)), "{}", bytes(&first));
+    let is_complete = |passed: &PassedChanges| passed.answer.is_some_and(|end| end.is_complete);
+    assert!(first.iter().any(|passed| passed.answer.is_some() && !is_complete(passed)));
+    assert_eq!(current.iter().filter(|passed| is_complete(passed)).count(), 330);
+    assert_eq!(bytes(&later), bytes(&first));
+}
