Target feed: apply changes under the lock of the position

Cause: a host's position and freshness rose under one lock and the fleet changed under later ones. Between them a host with more than one thread would have shown a list as current that was not.

Change: the changes are applied under the same lock, both those of the store and those of other hosts.

Measured: no new test; one thread does not show the fault.

--- a/components/gateway/src/gossip/feed.rs
+++ b/components/gateway/src/gossip/feed.rs
@@ -95,14 +95,17 @@
 pub(super) fn apply_changes(shared: &Shared, passed: PassedChanges) {
     let now = shared.now();
     let era = *shared.store_era.borrow();
+    let watch = TargetWatch { prefix: shared.decoder.target_prefix().to_owned() };
     let Applied { changes, is_later, has_gap } = {
-        let State { feed, reads, .. } = &mut *shared.state();
-        feed.apply(now, shared.gossip_id(), era, passed, &mut reads.targets)
+        // Under one lock, as others must not see the position without its changes.
+        let state = &mut *shared.state();
+        let State { feed, reads, .. } = state;
+        let applied = feed.apply(now, shared.gossip_id(), era, passed, &mut reads.targets);
+        for change in &applied.changes {
+            watch.apply(shared, state, now, change);
+        }
+        applied
     };
-    let watch = TargetWatch { prefix: shared.decoder.target_prefix().to_owned() };
-    for change in &changes {
-        watch.apply(shared, now, change);
-    }
     shared.metrics.feed.count_changes(ChangeSource::Datagram, changes.len());
     if has_gap {
         shared.metrics.feed.count_gap();
--- a/components/gateway/src/watch/targets.rs
+++ b/components/gateway/src/watch/targets.rs
@@ -28,7 +28,7 @@
     }
 
     /// Applies one change, which the store or another host has told.
-    pub(crate) fn apply(&self, shared: &Shared, now: Time, change: &Change) {
+    pub(crate) fn apply(&self, shared: &Shared, state: &mut State, now: Time, change: &Change) {
         match change {
             Change::Put(object) => match self.read(shared, object) {
                 Ok(entry) => {
@@ -39,20 +39,19 @@
                         incarnation = entry.incarnation, sequence = entry.sequence,
                         at:% = object.version; "target"
                     );
-                    let mut state = shared.state();
                     state.fleet.upsert(now, entry);
-                    TargetWatch::notify_of_builds(shared, &state);
+                    TargetWatch::notify_of_builds(shared, state);
                 }
                 Err(error) => {
                     TargetWatch::log_skipped(object, &error);
                     let id = object.key.strip_prefix(&self.prefix).unwrap_or(&object.key);
-                    shared.state().fleet.remove(now, id);
+                    state.fleet.remove(now, id);
                 }
             },
             Change::Delete { key, version } => {
                 let id = key.strip_prefix(&self.prefix).unwrap_or(key);
                 log::info!(target: "fleet", id, at:% = version; "target's entry gone");
-                shared.state().fleet.remove(now, id);
+                state.fleet.remove(now, id);
             }
         }
     }
@@ -104,10 +103,15 @@
     }
 
     fn apply_changes(&self, shared: &Shared, now: Time, changes: &[Change], version: Version) {
-        let new = shared.state().feed.record_read(now, changes, version);
-        for change in &new {
-            self.apply(shared, now, change);
-        }
+        let new = {
+            // Under one lock, as others must not see the position without its changes.
+            let state = &mut *shared.state();
+            let new = state.feed.record_read(now, changes, version);
+            for change in &new {
+                self.apply(shared, state, now, change);
+            }
+            new
+        };
         shared.metrics.feed.count_changes(ChangeSource::Store, new.len());
         if !new.is_empty() {
             shared.changes_read.notify_one();
