--- a/components/gateway/src/target_feed.rs
+++ b/components/gateway/src/target_feed.rs
@@ -11,6 +11,7 @@
 //! the configuration, clocks are never compared: an answer counts from the time of the question, less
 //! the age that the poller states. Without answers the host reads the store itself.
 
+mod budget;
 mod log;
 
 use std::time::Duration;
@@ -19,7 +20,10 @@
 use chervilgate_coord::{Change, Version};
 use serde::{Deserialize, Serialize};
 
-use self::log::{ChangeLog, is_ordered};
+use self::{
+    budget::AnswerBudget,
+    log::{ChangeLog, is_ordered},
+};
 use crate::{freshness::Freshness, view::ConfirmationRequest};
 
 /// Interval between questions to pollers, as a share of the time within which a change must be known.
@@ -31,14 +35,18 @@
 const UNHEARD_SHARE: f64 = 0.3;
 
 /// Age of what the pollers' answers prove from which a host reads the store itself, as such a share.
-/// Pollers keep theirs under [`POLLER_AGE_SHARE`], and a question takes up to [`ASK_SHARE`] more.
-const UNCONFIRMED_SHARE: f64 = 0.9;
+/// The rest is for the call: 0.9 left 100 ms of 2 s for one over a new connection. Pollers keep theirs
+/// near [`POLLER_AGE_SHARE`], and a question takes up to [`ASK_SHARE`] more.
+const UNCONFIRMED_SHARE: f64 = 0.7;
 
 /// Age of what a poller has read at the end of its next watch, as such a share.
-const POLLER_AGE_SHARE: f64 = 0.8;
+const POLLER_AGE_SHARE: f64 = 0.5;
+
+/// Pause of a poller after changes, as such a share, unless what it has read grows too old.
+const POLLER_DELAY_SHARE: f64 = 0.15;
 
 /// Shortest wait of a poller's watch.
-const MIN_POLLER_WAIT: Duration = Duration::from_millis(200);
+const MIN_POLLER_WAIT: Duration = Duration::from_millis(100);
 
 /// Time after a reply of the store from which a host opens its own watch again.
 const READ_INTERVAL: Duration = Duration::from_secs(20);
@@ -143,6 +151,21 @@
             ReadReason::Renewed => "renewed",
         }
     }
+
+    /// Whether this host's connections to the store may have fallen silent with those of the pollers,
+    /// which shows on no watch of its own while it follows them.
+    pub fn doubts_connections(self) -> bool {
+        matches!(
+            self,
+            ReadReason::Gap | ReadReason::NotKept | ReadReason::Unheard | ReadReason::Unconfirmed
+        )
+    }
+
+    /// The reason to read at once if a request `is_wanting` the latest changes. Without a change that is
+    /// missing the request has been served by now.
+    pub fn of_request(is_wanting: bool, freshness: &Freshness) -> Option<ReadReason> {
+        (is_wanting && freshness.is_behind()).then_some(ReadReason::Wanted)
+    }
 }
 
 /// What a host knows of the pollers and the store when it decides whether to read.
@@ -177,6 +200,10 @@
     log: ChangeLog,
     /// Messages that wait for those before them.
     early: Vec<PassedChanges>,
+    /// End of the latest answer of which messages are missing, and its version.
+    unfinished: Option<(FeedAnswer, Version)>,
+    /// Messages that this host may still send in answers.
+    answer_budget: AnswerBudget,
     /// Version up to which this host has passed changes on.
     passed: Version,
     /// When the store's last reply was read.
@@ -199,6 +226,8 @@
             limit,
             log: ChangeLog::default(),
             early: Vec::new(),
+            unfinished: None,
+            answer_budget: AnswerBudget::default(),
             passed: Version::default(),
             read_at: None,
             answered_at: None,
@@ -216,7 +245,8 @@
 
     /// Forgets the list, as this host lists again: what other hosts pass on meanwhile is left out.
     pub fn start_list(&mut self) {
-        *self = TargetFeed { passed: self.passed, ..TargetFeed::new(self.limit) };
+        let TargetFeed { limit, passed, answer_budget, .. } = *self;
+        *self = TargetFeed { passed, answer_budget, ..TargetFeed::new(limit) };
     }
 
     /// Records a list of version `version`.
@@ -262,8 +292,13 @@
         if after > position {
             let newest = passed.changes.last().map(Change::version);
             applied.is_later = newest.is_some_and(|newest| freshness.hear(now, newest));
-            applied.has_gap = before > position;
-            self.keep_early(passed);
+            let has_changes = !passed.changes.is_empty();
+            applied.has_gap = before > position && has_changes;
+            if before <= position {
+                self.extend(passed, &mut applied.changes);
+            } else if has_changes {
+                self.keep_early(passed);
+            }
             self.apply_early(&mut applied.changes);
             if let Some(known) = self.log.known() {
                 self.passed = self.passed.max(known);
@@ -272,7 +307,14 @@
             }
         }
         if let Some(answer) = answer.filter(|answer| answer.request.host == host) {
-            self.apply_answer(now, &answer, after, freshness);
+            self.apply_answer(now, answer, after, freshness);
+        }
+        // The messages of an answer may arrive after its end.
+        if let Some((answer, after)) = self.unfinished
+            && self.log.known() >= Some(after)
+        {
+            self.unfinished = None;
+            self.apply_answer(now, answer, after, freshness);
         }
         applied
     }
@@ -280,7 +322,7 @@
     fn apply_answer(
         &mut self,
         now: Time,
-        answer: &FeedAnswer,
+        answer: FeedAnswer,
         after: Version,
         freshness: &mut Freshness,
     ) {
@@ -294,7 +336,9 @@
             self.is_not_kept = false;
             let at = asked.saturating_sub(Duration::from_micros(answer.age));
             freshness.confirm_by_peer(at, after);
-        } else if !answer.is_complete {
+        } else if answer.is_complete {
+            self.unfinished = Some((answer, after));
+        } else {
             self.is_not_kept = true;
         }
     }
@@ -309,16 +353,23 @@
         }
     }
 
+    /// Applies a message that begins at or before what is known.
+    fn extend(&mut self, passed: PassedChanges, applied: &mut Vec<Change>) {
+        let PassedChanges { mut changes, after, .. } = passed;
+        let known = self.log.known();
+        changes.retain(|change| Some(change.version()) > known);
+        self.log.extend(&changes, after);
+        applied.extend(changes);
+    }
+
     /// Applies the messages that follow on what is known.
     fn apply_early(&mut self, applied: &mut Vec<Change>) {
         while let Some(known) = self.log.known()
             && let Some(at) =
                 self.early.iter().position(|early| early.before <= known && early.after > known)
         {
-            let PassedChanges { mut changes, after, .. } = self.early.swap_remove(at);
-            changes.retain(|change| change.version() > known);
-            self.log.extend(&changes, after);
-            applied.extend(changes);
+            let passed = self.early.swap_remove(at);
+            self.extend(passed, applied);
         }
         self.drop_known_early();
     }
@@ -389,9 +440,10 @@
         Some(FeedRequest { request: ConfirmationRequest { host, sent: now.as_micros() }, after })
     }
 
-    /// Answers another host's question; empty if this host knows nothing of the present `era`.
+    /// Answers another host's question; empty if this host knows nothing of the present `era`. Of changes
+    /// beyond what may be sent in this time it says that it does not have them.
     pub fn answer(
-        &self,
+        &mut self,
         now: Time,
         era: u64,
         question: &FeedRequest,
@@ -405,7 +457,11 @@
         let missing = if question.after >= position {
             Some(vec![PassedChanges::empty(position)])
         } else {
-            self.log.since(question.after, MAX_ANSWER_MESSAGES)
+            let missing = self.log.since(question.after, MAX_ANSWER_MESSAGES);
+            missing.filter(|missing| {
+                let messages = missing.iter().filter(|passed| !passed.changes.is_empty()).count();
+                self.answer_budget.take(now, messages)
+            })
         };
         let is_complete = missing.is_some();
         let mut passed = missing.unwrap_or_else(|| vec![PassedChanges::empty(position)]);
@@ -427,6 +483,14 @@
         passed
     }
 
+    /// Pause of a poller after changes, so that further changes arrive in one reply. It is shorter if the
+    /// reply came late in its watch, as what is known counts from when the watch was sent.
+    pub fn poller_pause(&self, now: Time, freshness: &Freshness) -> Duration {
+        let age = freshness.age(now).unwrap_or_default();
+        let left = self.limit.mul_f64(POLLER_AGE_SHARE).saturating_sub(age + MIN_POLLER_WAIT);
+        left.min(self.limit.mul_f64(POLLER_DELAY_SHARE))
+    }
+
     /// Longest wait of a poller's next watch, so that what it knows is confirmed often enough for the
     /// hosts that follow it.
     pub fn poller_wait(&self, now: Time, freshness: &Freshness) -> Duration {
--- a/components/gateway/src/watch/targets.rs
+++ b/components/gateway/src/watch/targets.rs
@@ -16,13 +16,6 @@
     watch::{WatchedPrefix, decode, feed},
 };
 
-/// Pause after changes of targets, as a share of the time in which a draining target
-/// may still get work.
-const BATCH_DELAY_SHARE: f64 = 0.3;
-
-/// The same for a poller, whose reply other hosts wait for.
-const POLLER_DELAY_SHARE: f64 = 0.15;
-
 /// Watches the targets' entries.
 pub(crate) struct TargetWatch {
     pub(crate) prefix: String,
@@ -35,7 +28,7 @@
     }
 
     /// Applies one change, which the store or another host has told.
-    pub(crate) fn apply(&self, shared: &Shared, now: Time, change: &Change) {
+    pub(crate) fn apply(&self, shared: &Shared, state: &mut State, now: Time, change: &Change) {
         match change {
             Change::Put(object) => match self.read(shared, object) {
                 Ok(entry) => {
@@ -46,20 +39,19 @@
                         incarnation = entry.incarnation, sequence = entry.sequence,
                         at:% = object.version; "target"
                     );
-                    let mut state = shared.state();
                     state.fleet.upsert(now, entry);
-                    TargetWatch::notify_of_builds(shared, &state);
+                    TargetWatch::notify_of_builds(shared, state);
                 }
                 Err(error) => {
                     TargetWatch::log_skipped(object, &error);
                     let id = object.key.strip_prefix(&self.prefix).unwrap_or(&object.key);
-                    shared.state().fleet.remove(now, id);
+                    state.fleet.remove(now, id);
                 }
             },
             Change::Delete { key, version } => {
                 let id = key.strip_prefix(&self.prefix).unwrap_or(key);
                 log::info!(target: "fleet", id, at:% = version; "target's entry gone");
-                shared.state().fleet.remove(now, id);
+                state.fleet.remove(now, id);
             }
         }
     }
@@ -106,21 +98,20 @@
         is_poller.then(|| state.feed.poller_wait(now, &state.reads.targets))
     }
 
-    fn batch_delay(&self, shared: &Shared) -> Duration {
-        let share = match feed::read_reason(shared) {
-            // Following the pollers takes the place of the pause.
-            None => 0.0,
-            Some(ReadReason::Poller) => POLLER_DELAY_SHARE,
-            Some(_) => BATCH_DELAY_SHARE,
-        };
-        shared.settings.bounds.drain_time.mul_f64(share)
+    fn pause<'a>(&'a self, shared: &'a Shared) -> BoxFuture<'a, bool> {
+        feed::pause(shared).boxed()
     }
 
     fn apply_changes(&self, shared: &Shared, now: Time, changes: &[Change], version: Version) {
-        let new = shared.state().feed.record_read(now, changes, version);
-        for change in &new {
-            self.apply(shared, now, change);
-        }
+        let new = {
+            // Under one lock, as others must not see the position without its changes.
+            let state = &mut *shared.state();
+            let new = state.feed.record_read(now, changes, version);
+            for change in &new {
+                self.apply(shared, state, now, change);
+            }
+            new
+        };
         shared.metrics.feed.count_changes(ChangeSource::Store, new.len());
         if !new.is_empty() {
             shared.changes_read.notify_one();
@@ -144,6 +135,9 @@
             if !matches!(reason, ReadReason::Poller | ReadReason::Renewed) {
                 log::info!(target: "store", reason = reason.as_str(); "targets read from the store");
             }
+            if reason.doubts_connections() {
+                shared.store.distrust_connections();
+            }
         }
         .boxed()
     }
