Streams: room for callers that read while others stall

Cause: once stalled callers had filled the budget of streams, the next event of every caller waited until one was cut, and one is cut in a quarter of a second, after two seconds without a read.

Change: a fifth of the budget is for buffers of up to 8 KiB, which callers that read do not exceed.

The new unit test fails without the share.

--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -237,7 +237,8 @@
         Shared {
             body_budget: ByteBudget::new(memory.bodies),
             answer_budget: ByteBudget::new(memory.answers),
-            stream_buffers: StreamBuffers::new(memory.streams),
+            // Small buffers may hold a quarter more.
+            stream_buffers: StreamBuffers::new(memory.streams / 5 * 4),
             wall_clock: Mutex::new(WallClock::new(BootClock.now(), time_of_day)),
             boot,
             state: Mutex::new(state),
--- a/components/gateway/src/stream/buffer.rs
+++ b/components/gateway/src/stream/buffer.rs
@@ -32,6 +32,10 @@
 /// Maximum number of bytes buffered for one caller: several seconds of events.
 const STREAM_BUFFER_BYTES: usize = 256 << 10;
 
+/// Number of bytes up to which a buffer may use what larger ones leave: callers that read hold a few events at
+/// most. Without a share of their own, their streams ended late while others stalled.
+const SMALL_BUFFER_BYTES: usize = 8 << 10;
+
 /// Interval at which a sender without room looks for callers that have stalled.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -44,6 +48,8 @@
 #[derive(Debug)]
 pub(crate) struct StreamBuffers {
     budget: Arc<ByteBudget>,
+    /// Number of bytes up to which buffers of any size may be filled.
+    limit: usize,
     buffers: Mutex<Vec<Weak<Buffer>>>,
     /// When a stalled caller was last looked for; none before.
     searched_at: Mutex<Option<Time>>,
@@ -114,10 +120,11 @@
 }
 
 impl StreamBuffers {
-    /// Buffers that hold up to `limit` bytes together.
+    /// Buffers that hold up to `limit` bytes together, and a quarter more if they are small.
     pub(crate) fn new(limit: usize) -> Arc<StreamBuffers> {
         Arc::new(StreamBuffers {
-            budget: ByteBudget::new(limit),
+            budget: ByteBudget::new(limit + limit / 4),
+            limit,
             buffers: Mutex::default(),
             searched_at: Mutex::default(),
             dropped: AtomicUsize::new(0),
@@ -271,7 +278,13 @@
                 queue.wants_room = true;
                 return Ok(Offer::CallerFull);
             }
-            if !self.buffers.budget.try_take(events.len()) {
+            let StreamBuffers { budget, limit, .. } = &*self.buffers;
+            let has_room = if queue.bytes + events.len() > SMALL_BUFFER_BYTES {
+                budget.try_take_below(events.len(), *limit)
+            } else {
+                budget.try_take(events.len())
+            };
+            if !has_room {
                 return Ok(Offer::BudgetFull);
             }
             if queue.bytes == 0 {
--- a/components/gateway/src/stream/buffer/tests.rs
+++ b/components/gateway/src/stream/buffer/tests.rs
@@ -74,6 +74,22 @@
     assert_eq!(first.try_send(now, &events(1_000)), Ok(Offer::Taken));
 }
 
+// Guards against callers who stall in numbers and keep the events of callers who read waiting until these are
+// late: one stalled caller is cut in a quarter of a second.
+#[test]
+fn stalled_callers_leave_room_for_callers_that_read() {
+    let now = start();
+    let buffers = StreamBuffers::new(100_000);
+    let (stalled, _receiver) = buffers.channel(now);
+    while stalled.try_send(now, &events(5_000)) == Ok(Offer::Taken) {}
+
+    let (reading, mut receiver) = buffers.channel(now);
+    for _ in 0..50 {
+        assert_eq!(reading.try_send(now, &events(5_000)), Ok(Offer::Taken));
+        assert_eq!(read(&mut receiver), Poll::Ready(Some(Ok(5_000))));
+    }
+}
+
 // Guards against an answer that ends early and looks complete.
 #[test]
 fn only_a_finished_stream_ends_as_complete() {
