--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -26,6 +26,7 @@
         stops: false,
         breaks: false,
         quotas: false,
+        slow_readers: false,
         other_faults: true,
     }
 }
