--- a/components/gateway/src/fleet/capacity.rs
+++ b/components/gateway/src/fleet/capacity.rs
@@ -138,7 +138,8 @@
         claim: &CapacityClaim<'_>,
     ) -> bool {
         let Plan { placement, prefill } = plan;
-        if !prefill.iter().chain([placement]).all(|placement| self.has_room(placement, query)) {
+        if !prefill.iter().chain([placement]).all(|placement| self.has_room(now, placement, query))
+        {
             return false;
         }
         let Some(state) = self.targets.get(&placement.id) else { return false };
@@ -206,7 +207,7 @@
         if state.entry.role == TargetRole::Whole {
             return self.has_slot(now, state);
         }
-        self.excess(state, need) <= 0.0
+        self.excess(now, state, need) <= 0.0
             && !self.is_unreported(now, state)
             && self.assumed_wait(now, state) <= max_wait.as_secs_f64() * 1e3
     }
--- a/components/gateway/src/fleet/first_seconds.rs
+++ b/components/gateway/src/fleet/first_seconds.rs
@@ -19,6 +19,9 @@
 /// host within six seconds, and then report to it in each round.
 const MAX_TIME: Duration = Duration::from_secs(8);
 
+/// The same while nobody reports: the others may all have ended, and their requests come here.
+const MAX_SILENT_TIME: Duration = Duration::from_secs(2);
+
 /// Whose reports this host has heard since it started.
 #[derive(Debug, Default)]
 pub(super) struct FirstSeconds {
@@ -62,7 +65,8 @@
     }
 
     fn lasts(&self, now: Time) -> bool {
-        !self.is_over && self.began_at.is_some_and(|at| now.since(at) < MAX_TIME)
+        let span = if self.heard.is_empty() { MAX_SILENT_TIME } else { MAX_TIME };
+        !self.is_over && self.began_at.is_some_and(|at| now.since(at) < span)
     }
 }
 
--- a/components/gateway/src/fleet/room.rs
+++ b/components/gateway/src/fleet/room.rs
@@ -98,17 +98,23 @@
         Need { tokens, limits: self.engine_limits.get(service).copied() }
     }
 
-    /// Share by which an engine is over its limits with one more request; zero or less if it has room.
-    pub(super) fn excess(&self, state: &TargetState, need: &Need) -> f64 {
+    /// Share by which an engine is over its limits with one more request, with what is assumed of hosts
+    /// not heard; zero or less if it has room.
+    pub(super) fn excess(&self, now: Time, state: &TargetState, need: &Need) -> f64 {
         // Most services have no engines.
-        need.limits.map_or(0.0, |_| excess(state, self.peer_loads.load(state.id_hash), need))
+        need.limits.map_or(0.0, |_| excess(state, self.assumed_load(now, state), need))
     }
 
     /// Whether the target of `placement` has room for the request.
-    pub(super) fn has_room(&self, placement: &Placement, query: &TargetQuery<'_>) -> bool {
+    pub(super) fn has_room(
+        &self,
+        now: Time,
+        placement: &Placement,
+        query: &TargetQuery<'_>,
+    ) -> bool {
         let need = self.need(query.service, query.prompt);
         let state = self.targets.get(&placement.id);
-        state.is_some_and(|state| self.excess(state, &need) <= 0.0)
+        state.is_some_and(|state| self.excess(now, state, &need) <= 0.0)
     }
 }
 
--- a/components/gateway/tests/admission.rs
+++ b/components/gateway/tests/admission.rs
@@ -318,6 +318,24 @@
     assert_eq!((unheard, heard_one, heard_half), (4, 0, 4));
 }
 
+// Guards against a host that holds requests back for the sake of others which have all ended.
+#[test]
+fn a_host_that_nobody_reports_to_soon_uses_all_that_targets_can_take() {
+    let mut fleet = fleet(TargetRole::Whole, 1);
+    fleet.set_other_hosts(NOW, 1, 7);
+    let send = |fleet: &mut Fleet, now: Time| {
+        let offer = offer(&mut Queues::default(), fleet, now, &Prompt::default(), LONG);
+        let Offer::Send(plan) = offer else { return false };
+        start(fleet, &plan, &Prompt::default());
+        true
+    };
+
+    let at_once = [send(&mut fleet, NOW), send(&mut fleet, NOW)];
+    let later = send(&mut fleet, NOW + Duration::from_secs(2));
+
+    assert_eq!((at_once, later), ([true, false], true));
+}
+
 // Guards against targets that look idle to a host which has heard of a part of the others' work only.
 #[test]
 fn hosts_not_heard_are_taken_to_work_as_much_as_those_heard() {
