Quotas: serve what a lowered quota allows

Cause: after a change of owner a bucket may not become negative for 8.5 s, and this also applied to the very first owner. A quota lowered at 1.5 s has a burst of a quarter of some thousand tokens in each bucket, so all larger requests were refused until then. Later a request larger than the burst was granted from any balance that was not negative, and a refused one reserved half of the rate at once, so that larger but far fewer requests were served than one bucket for all hosts serves.

Change: - A bucket that had no earlier owner begins full and settled. The owner's object says whether its buckets were settled; the successor of a settled owner may grant a smaller debt at once. Debts of both are 0.5625 of the slack (0.75 before for one). - A request is granted from a balance in proportion to its size.

--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -17,7 +17,8 @@
 
 use chervilgate_clock::Time;
 use chervilgate_policy::{
-    Charge, GRANT_LIFE, Holdings, QUOTA_PARTITIONS, QuotaBounds, QuotaReply, QuotaTerms,
+    BucketStart, Charge, GRANT_LIFE, Holdings, QUOTA_PARTITIONS, QuotaBounds, QuotaReply,
+    QuotaTerms,
 };
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -121,7 +122,8 @@
 
     /// Starts without any partition, grant or known owner.
     pub(crate) fn new(settings: &HostSettings, boot: u64) -> QuotaState {
-        let lease = || OwnerLease::new(&settings.name, settings.gossip_addr, boot);
+        let settling = settings.bounds.quota.map_or(Duration::ZERO, |bounds| bounds.settling());
+        let lease = || OwnerLease::new(&settings.name, settings.gossip_addr, boot, settling);
         QuotaState {
             own_hash: stable_hash(&settings.name),
             bounds: settings.bounds.quota,
@@ -189,9 +191,9 @@
         self.buckets.set_terms(now, partition, terms);
     }
 
-    /// Begins to grant from empty buckets, after this process became the owner of `partition`.
-    fn begin_owning(&mut self, now: Time, partition: usize) {
-        self.buckets.clear(partition);
+    /// Begins to grant, after this process became the owner of `partition`.
+    fn begin_owning(&mut self, now: Time, partition: usize, start: BucketStart) {
+        self.buckets.begin(now, partition, start);
         self.fill_buckets(now, partition);
     }
 
--- a/components/gateway/src/quota/lease.rs
+++ b/components/gateway/src/quota/lease.rs
@@ -13,7 +13,7 @@
 
 use chervilgate_clock::Time;
 use chervilgate_coord::{Expect, Version};
-use chervilgate_policy::GRANT_LIFE;
+use chervilgate_policy::{BucketStart, GRANT_LIFE};
 use serde::{Deserialize, Serialize};
 
 /// Time for which an owner may grant after it sent a write.
@@ -46,6 +46,9 @@
     /// Whether the owner has stopped granting for good.
     #[serde(default)]
     pub released: bool,
+    /// Whether no earlier owner's grants counted any more in any window.
+    #[serde(default)]
+    pub settled: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -63,6 +66,8 @@
     sent: Time,
     /// Time from which this process may grant.
     from: Time,
+    /// Time from which no earlier owner's grants count.
+    settled_at: Time,
 }
 
 /// One partition's ownership as seen by one process.
@@ -71,6 +76,8 @@
     name: String,
     addr: SocketAddr,
     boot: u64,
+    /// Time after which a previous owner's grants no longer count.
+    settling: Duration,
     seen: Option<Seen>,
     held: Option<Held>,
     /// Whether this process is giving the partition up.
@@ -80,11 +87,12 @@
 
 impl OwnerLease {
     /// Starts without owning the partition; `addr` is an address that this process has bound.
-    pub fn new(name: &str, addr: SocketAddr, boot: u64) -> OwnerLease {
+    pub fn new(name: &str, addr: SocketAddr, boot: u64, settling: Duration) -> OwnerLease {
         OwnerLease {
             name: name.to_owned(),
             addr,
             boot,
+            settling,
             seen: None,
             held: None,
             releasing: false,
@@ -161,6 +169,7 @@
             count,
             era: seen.era,
             released: self.releasing,
+            settled: self.held.is_some_and(|held| now >= held.settled_at),
         })
     }
 
@@ -182,29 +191,40 @@
         }
     }
 
-    /// Records that `doc`, sent at `sent`, was written as `version`. Returns whether this process has
-    /// become the owner by it.
-    pub fn record_write(&mut self, now: Time, sent: Time, version: Version, doc: OwnerDoc) -> bool {
+    /// Records that `doc`, sent at `sent`, was written as `version`. Returns how the buckets begin, if this
+    /// process has become the owner by it.
+    pub fn record_write(
+        &mut self,
+        now: Time,
+        sent: Time,
+        version: Version,
+        doc: OwnerDoc,
+    ) -> Option<BucketStart> {
+        // What did not exist in the era in which this host saw it may be missing from the older copy that the
+        // store has come back from since.
+        let is_other_era = version.era != doc.era;
         let is_vacant = self.seen.as_ref().is_some_and(|seen| self.is_vacant(seen));
+        let start = self.seen.as_ref().map_or(BucketStart::AfterUnsettled, bucket_start);
         let released = doc.released;
         self.seen =
             Some(Seen { era: version.era, version: Some(version), doc: Some(doc), at: now });
         if released {
             self.held = None;
             self.releasing = false;
-            return false;
+            return None;
         }
-        match &mut self.held {
-            Some(held) => {
-                held.sent = sent;
-                false
-            }
-            None => {
-                let from = if is_vacant { now } else { now + GRANT_LIFE };
-                self.held = Some(Held { sent, from });
-                true
-            }
+        if let Some(held) = &mut self.held {
+            held.sent = sent;
+            return None;
         }
+        if is_other_era {
+            return None;
+        }
+        let from = if is_vacant { now } else { now + GRANT_LIFE };
+        let is_first = start == BucketStart::First;
+        let settled_at = if is_first { now } else { now + self.settling };
+        self.held = Some(Held { sent, from, settled_at });
+        Some(start)
     }
 
     /// The object, if this process wrote it.
@@ -217,3 +237,12 @@
         self.seen.as_ref().and_then(|seen| seen.doc.as_ref())
     }
 }
+
+/// How the buckets of an owner begin that follows on this object.
+fn bucket_start(seen: &Seen) -> BucketStart {
+    match &seen.doc {
+        None if seen.version.is_none() && seen.era == 0 => BucketStart::First,
+        Some(doc) if doc.era == seen.era && doc.settled => BucketStart::AfterSettled,
+        _ => BucketStart::AfterUnsettled,
+    }
+}
--- a/components/gateway/src/quota/task.rs
+++ b/components/gateway/src/quota/task.rs
@@ -283,12 +283,12 @@
         let released = doc.released;
         let has_begun = {
             let state = &mut self.shared.state().quota;
-            let has_begun = state.leases[partition].record_write(now, sent, version, doc.clone());
-            if has_begun {
-                state.begin_owning(now, partition);
+            let start = state.leases[partition].record_write(now, sent, version, doc.clone());
+            if let Some(start) = start {
+                state.begin_owning(now, partition, start);
             }
             state.hear_owner(now, partition, &doc);
-            has_begun
+            start.is_some()
         };
         if has_begun {
             self.owned_since = now;
--- a/components/policy/src/quota.rs
+++ b/components/policy/src/quota.rs
@@ -3,7 +3,7 @@
 //! An organisation's quota is divided into equal partitions. The owner of a partition grants amounts
 //! from a token bucket; a host may spend a grant within [`GRANT_LIFE`] of the time at which it asked.
 //! What all hosts spend in any window was therefore granted in that window and the [`GRANT_LIFE`]
-//! before it. [`QuotaTerms`] scales the buckets down if the allowed overage does not cover that time.
+//! before it. [`QuotaTerms`] scales the buckets by what the overage and the slack allow.
 
 mod asking;
 mod bucket;
@@ -13,7 +13,7 @@
 
 pub use self::{
     asking::{AskStep, Asking},
-    bucket::{QuotaBucket, QuotaReply},
+    bucket::{BucketStart, QuotaBucket, QuotaReply},
     holdings::{Charge, Holdings},
 };
 
@@ -27,9 +27,19 @@
 /// return after that time at most, and a smaller bucket would overflow before they do.
 const MIN_BURST_SECS: f64 = 0.25;
 
-/// Share of the slack that the debts of all buckets together may take. The rest is for requests that
-/// were admitted and reach their target later.
-const DEBT_SHARE: f64 = 0.75;
+/// Share of the slack that the debts of all settled buckets together may take, and share that the debts
+/// of their successors may take until these are settled. With [`RATE_SHARE`] a quarter remains for
+/// requests that were admitted and reach their target later.
+const DEBT_SHARE: f64 = 0.375;
+const SUCCESSOR_DEBT_SHARE: f64 = 0.1875;
+
+/// Share of the slack that may be granted beyond the rate in a window. Where a quarter of the burst is less
+/// than one request, buckets serve larger but fewer requests than one bucket for all hosts would; at the
+/// bare rate that was up to a fifth fewer.
+const RATE_SHARE: f64 = 0.1875;
+
+/// Largest factor by which buckets may exceed the rate.
+const MAX_SCALE: f64 = 1.25;
 
 /// What all hosts together may exceed a quota by, and the window in which it is judged.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -42,6 +52,13 @@
     pub slack: f64,
 }
 
+impl QuotaBounds {
+    /// Time after which what a previous owner granted no longer counts in any window.
+    pub fn settling(&self) -> Duration {
+        self.window + GRANT_LIFE
+    }
+}
+
 /// Rate and limits of the bucket of one partition.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QuotaTerms {
@@ -51,24 +68,33 @@
     pub burst: f64,
     /// Amount by which a request may make the balance negative.
     pub max_debt: f64,
-    /// Time in which a new bucket may not become negative, since the previous owner's may have been.
+    /// The same until a bucket is settled whose predecessor was.
+    pub successor_debt: f64,
+    /// Time after which what a previous owner granted no longer counts in any window.
     pub settling: Duration,
 }
 
 impl QuotaTerms {
     /// The terms of each partition of a quota of `rate` per second and `burst`.
+    ///
+    /// Grants count in a window if they were made in it or in the [`GRANT_LIFE`] before, which the overage
+    /// must cover. Slack raises the rate to what a window allows, rate x window + burst, if it suffices.
     pub fn of_partition(rate: f64, burst: f64, bounds: &QuotaBounds) -> QuotaTerms {
         let burst = burst.max(0.0);
+        let slack = bounds.slack.max(0.0);
         let capacity = burst.max(rate * MIN_BURST_SECS);
         let window = bounds.window.as_secs_f64();
         let allowed = (rate * window + burst) * (1.0 + bounds.overage);
         let granted = rate * (window + GRANT_LIFE.as_secs_f64()) + capacity;
-        let scale = (allowed / granted).min(1.0) / QUOTA_PARTITIONS as f64;
+        let max_scale = (1.0 + burst / (rate * window)).min(MAX_SCALE);
+        let scale = (allowed.min(granted) + slack * RATE_SHARE) / granted;
+        let scale = scale.min(max_scale) / QUOTA_PARTITIONS as f64;
         QuotaTerms {
             rate: rate * scale,
             burst: capacity * scale,
-            max_debt: bounds.slack.max(0.0) * DEBT_SHARE / QUOTA_PARTITIONS as f64,
-            settling: bounds.window + GRANT_LIFE,
+            max_debt: slack * DEBT_SHARE / QUOTA_PARTITIONS as f64,
+            successor_debt: slack * SUCCESSOR_DEBT_SHARE / QUOTA_PARTITIONS as f64,
+            settling: bounds.settling(),
         }
     }
 }
--- a/components/policy/src/quota/bucket.rs
+++ b/components/policy/src/quota/bucket.rs
@@ -1,10 +1,9 @@
 //! The token bucket of one organisation in one partition.
 //!
 //! Without precautions small requests would take each amount before it suffices for a large one. A
-//! request is therefore granted as soon as the balance is not negative, if it does not make it more
-//! negative than the terms allow. One that needs more, or comes while a new bucket may not become
-//! negative, reserves half of the rate for requests of its size when it is refused, until one is granted
-//! or none has asked for some time.
+//! request is therefore granted from a balance in proportion to its size, and may make the balance negative
+//! within the terms. If none of its size is granted for some time after a refusal, half of the rate is reserved
+//! for that size, until one is granted or none has asked for some time.
 
 use std::time::Duration;
 
@@ -16,12 +15,24 @@
 /// return within it.
 const RESERVE_TIME: Duration = Duration::from_secs(2);
 
+/// Time after its first refusal from which an amount is reserved for a large request, if no other of its
+/// size is granted meanwhile: at least this, and this often the time in which the rate earns its size. Small
+/// requests that come while something is reserved are granted only from what is left: when it was reserved at
+/// once, up to a third fewer were served than by one bucket for all hosts.
+const RESERVE_DELAY_SECS: f64 = 2.0;
+const RESERVE_DELAY_SHARE: f64 = 2.0;
+
 /// Share of the rate that is reserved for refused large requests.
 const RESERVE_SHARE: f64 = 0.5;
 
 /// Requests of at least this share of the reserved size may use the reserve.
 const RESERVE_SIZE_SHARE: f64 = 0.5;
 
+/// Share of a full bucket from which the largest request is granted, smaller ones in proportion. At 0
+/// requests of all sizes have the same chance, and up to a fifth fewer are served than by one bucket for all
+/// hosts.
+const BALANCE_SHARE: f64 = 0.8;
+
 /// Longest time over which refused hosts are spread out, also relative to the time in which the
 /// bucket fills: nobody asks during it, so a longer one would let the bucket overflow.
 const MAX_TURN_TIME: Duration = Duration::from_millis(500);
@@ -39,6 +50,18 @@
     Refused(Duration),
 }
 
+/// What is known of the bucket before a new one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BucketStart {
+    /// Nothing was granted in the last window: begins full and settled.
+    First,
+    /// The previous owner was settled: it may owe the debt of a settled bucket, and no other owner's grants
+    /// are in the same window.
+    AfterSettled,
+    /// The previous owner may itself have had a predecessor in the last window.
+    AfterUnsettled,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Reserve {
     size: f64,
@@ -52,18 +75,32 @@
     terms: QuotaTerms,
     balance: f64,
     updated: Time,
-    /// Time from which the balance may become negative.
-    debt_from: Time,
+    /// Amount by which the balance may be negative until the bucket is settled.
+    early_debt: f64,
+    settled_at: Time,
     reserve: Option<Reserve>,
     /// When the last host that was refused is to return.
     last_turn: Time,
 }
 
 impl QuotaBucket {
-    /// Starts empty: a previous owner may have granted everything until now.
-    pub fn new(now: Time, terms: QuotaTerms) -> QuotaBucket {
-        let debt_from = now + terms.settling;
-        QuotaBucket { terms, balance: 0.0, updated: now, debt_from, reserve: None, last_turn: now }
+    /// Starts with what a previous owner cannot have granted.
+    pub fn new(now: Time, terms: QuotaTerms, start: BucketStart) -> QuotaBucket {
+        let settled_at = now + terms.settling;
+        let (balance, early_debt, settled_at) = match start {
+            BucketStart::First => (terms.burst, 0.0, now),
+            BucketStart::AfterSettled => (0.0, terms.successor_debt, settled_at),
+            BucketStart::AfterUnsettled => (0.0, 0.0, settled_at),
+        };
+        QuotaBucket {
+            terms,
+            balance,
+            updated: now,
+            early_debt,
+            settled_at,
+            reserve: None,
+            last_turn: now,
+        }
     }
 
     /// Changes rate and burst; a lower burst cuts the balance.
@@ -79,6 +116,11 @@
         }
     }
 
+    /// Time after which its grants no longer count in any window.
+    pub fn settling(&self) -> Duration {
+        self.terms.settling
+    }
+
     /// Grants `need`, and of `extra` what can be spared, or nothing.
     pub fn ask(&mut self, now: Time, need: f64, extra: f64) -> QuotaReply {
         self.advance(now);
@@ -108,14 +150,23 @@
         if need >= reserve.size * RESERVE_SIZE_SHARE {
             return 0.0;
         }
-        let earned = self.terms.rate * RESERVE_SHARE * now.since(reserve.since).as_secs_f64();
-        earned.min(self.needed_balance(now, reserve.size)).min(self.terms.burst)
+        let delay = RESERVE_DELAY_SECS.max(RESERVE_DELAY_SHARE * reserve.size / self.terms.rate);
+        let time = (now.since(reserve.since).as_secs_f64() - delay).max(0.0);
+        let earned = self.terms.rate * RESERVE_SHARE * time;
+        let needed = self.needed_balance(reserve.size, self.debt(now));
+        earned.min(needed).min(self.terms.burst)
     }
 
-    /// Balance from which a request of `need` is granted.
-    fn needed_balance(&self, now: Time, need: f64) -> f64 {
-        let debt = if now < self.debt_from { 0.0 } else { self.terms.max_debt };
-        (need - debt).max(0.0)
+    /// Amount by which the balance may be negative.
+    fn debt(&self, now: Time) -> f64 {
+        if now < self.settled_at { self.early_debt } else { self.terms.max_debt }
+    }
+
+    /// Balance from which a request of `need` is granted while the balance may be negative by `debt`.
+    fn needed_balance(&self, need: f64, debt: f64) -> f64 {
+        let burst = self.terms.burst;
+        let proportional = BALANCE_SHARE * burst * need / (burst + debt);
+        (need - debt).max(proportional)
     }
 
     /// Amount by which the balance is too small for `need`; not above zero if it suffices. What is
@@ -124,13 +175,13 @@
         if reserved > 0.0 {
             return reserved + need - self.balance;
         }
-        self.needed_balance(now, need) - self.balance
+        self.needed_balance(need, self.debt(now)) - self.balance
     }
 
     fn refuse(&mut self, now: Time, need: f64, missing: f64, has_reserve: bool) -> Duration {
         let until = now + RESERVE_TIME;
-        // Nothing is reserved for a request that this bucket can never grant.
-        let can_fit = self.needed_balance(now, need) <= self.terms.burst;
+        // Nothing is reserved for a request that this bucket cannot grant.
+        let can_fit = self.needed_balance(need, self.debt(now)) <= self.terms.burst;
         match &mut self.reserve {
             _ if !can_fit => {}
             Some(reserve) if now < reserve.until => {
@@ -142,6 +193,10 @@
             reserve => *reserve = Some(Reserve { size: need, since: now, until }),
         }
         let rate = self.terms.rate * if has_reserve { 1.0 - RESERVE_SHARE } else { 1.0 };
+        if !can_fit && now < self.settled_at {
+            let missing = self.needed_balance(need, self.terms.max_debt) - self.balance;
+            return self.settled_at.since(now).max(seconds(missing / rate));
+        }
         let fill = seconds(missing / rate);
         if can_fit {
             let turn = self.last_turn.max(now) + seconds(need / self.terms.rate);
