Quotas: refusals and releases that end in time

A host that lost a partition while it released it could not grant of it again; it can. - An owner that is cut off from the store wrote, and read, each 250 ms. Its writes now wait 250 ms to 1.5 s, and the read is left out: a write that took effect shows as a conflict. - A host kept refusing until the time that an owner had told. It now asks again after 1 s at most, at once after a grant of as much, and earlier for smaller requests; the time told to callers is unchanged.

The simulated hosts take over what their own address owned at once, as real ones do.

--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -251,8 +251,12 @@
         };
         let reply = Reply { id, partition: ask.partition, is_part: ask.is_part, outcome };
         let holdings = holdings?;
-        if let Outcome::Refused(wait) = outcome {
-            holdings.record_refusal(now, ask.partition, ask.count, wait);
+        match outcome {
+            Outcome::Refused(wait) => {
+                holdings.record_refusal(now, ask.partition, ask.count, wait);
+            }
+            Outcome::Granted(..) => holdings.record_grant(ask.partition, ask.count),
+            Outcome::Unknown => {}
         }
         if ask.replies.send(reply).is_err()
             && let Outcome::Granted(amount, until) = outcome
--- a/components/gateway/src/quota/admit.rs
+++ b/components/gateway/src/quota/admit.rs
@@ -210,7 +210,12 @@
         if state.leases[partition].may_grant(now) {
             let outcome =
                 match state.answer(now, partition, &Ask { id, org: self.org, need, extra }) {
-                    OwnerAnswer::Granted(amount) => Outcome::Granted(amount, now + GRANT_LIFE),
+                    OwnerAnswer::Granted(amount) => {
+                        if let Some(org) = state.orgs.get_mut(&self.org) {
+                            org.holdings.record_grant(partition, need);
+                        }
+                        Outcome::Granted(amount, now + GRANT_LIFE)
+                    }
                     OwnerAnswer::Refused(wait) => {
                         if let Some(org) = state.orgs.get_mut(&self.org) {
                             org.holdings.record_refusal(now, partition, need, wait);
--- a/components/gateway/src/quota/lease.rs
+++ b/components/gateway/src/quota/lease.rs
@@ -22,6 +22,10 @@
 /// Interval between an owner's writes, as a share of the lease: three may fail in a row.
 const RENEW_SHARE: f64 = 0.25;
 
+/// Time after a failed write until the next one; it doubles with each further failure up to the interval
+/// between writes, so that an owner that is cut off from the store does not call it at each step.
+const MIN_RETRY_TIME: Duration = Duration::from_millis(250);
+
 /// Time for which another host must have seen the object unchanged, relative to the lease; the excess
 /// covers clocks of different speed.
 const TAKEOVER_SHARE: f64 = 1.1;
@@ -83,6 +87,9 @@
     /// Whether this process is giving the partition up.
     releasing: bool,
     rest_until: Time,
+    /// Writes that failed in a row, and the time from which the next one may be sent.
+    failures: u32,
+    retry_at: Time,
 }
 
 impl OwnerLease {
@@ -97,6 +104,8 @@
             held: None,
             releasing: false,
             rest_until: Time::ZERO,
+            failures: 0,
+            retry_at: Time::ZERO,
         }
     }
 
@@ -109,6 +118,7 @@
         version: Option<Version>,
         doc: Option<OwnerDoc>,
     ) {
+        self.forget_failures();
         if let Some(seen) = &self.seen {
             let is_same = seen.era == era && seen.version == version;
             let is_older = era < seen.era || version.is_some() && version < seen.version;
@@ -120,6 +130,7 @@
         let is_taken = doc.as_ref().is_some_and(|doc| doc.era == era) && !is_own;
         if is_taken {
             self.held = None;
+            self.releasing = false;
         }
         self.seen = Some(Seen { era, version, doc, at: now });
     }
@@ -135,6 +146,25 @@
         self.held.is_some() && !self.releasing
     }
 
+    /// Whether this process has given the partition up and the store does not show it yet.
+    pub fn is_releasing(&self) -> bool {
+        self.held.is_some() && self.releasing
+    }
+
+    /// Records that a write got no answer, so that the next one waits; `spread` is random, from 0 to 1.
+    pub fn record_failure(&mut self, now: Time, spread: f64) {
+        let longest = OWNER_LEASE.mul_f64(RENEW_SHARE);
+        let wait = (MIN_RETRY_TIME * (1 << self.failures.min(8))).min(longest);
+        self.failures += 1;
+        self.retry_at = now + wait.mul_f64(0.75 + spread / 2.0);
+    }
+
+    /// Records that the store answers again.
+    fn forget_failures(&mut self) {
+        self.failures = 0;
+        self.retry_at = Time::ZERO;
+    }
+
     /// The condition of the next write.
     pub fn expected(&self) -> Expect {
         let version = self.seen.as_ref().and_then(|seen| seen.version);
@@ -157,6 +187,7 @@
             self.releasing = false;
         }
         let is_due = match self.held {
+            _ if now < self.retry_at => false,
             Some(_) if self.releasing => true,
             Some(held) => now >= held.sent + OWNER_LEASE.mul_f64(RENEW_SHARE),
             None => now >= self.rest_until && self.may_take_over(now, seen),
@@ -168,7 +199,7 @@
             boot: self.boot,
             count,
             era: seen.era,
-            released: self.releasing,
+            released: self.is_releasing(),
             settled: self.held.is_some_and(|held| now >= held.settled_at),
         })
     }
@@ -200,6 +231,7 @@
         version: Version,
         doc: OwnerDoc,
     ) -> Option<BucketStart> {
+        self.forget_failures();
         // What did not exist in the era in which this host saw it may be missing from the older copy that the
         // store has come back from since.
         let is_other_era = version.era != doc.era;
--- a/components/gateway/src/quota/task.rs
+++ b/components/gateway/src/quota/task.rs
@@ -157,10 +157,13 @@
 
     async fn step(&mut self, started: Time, is_urgent: bool) {
         let now = self.shared.now();
-        let is_owner = self.shared.state().quota.leases[self.partition].is_owner();
+        let (is_owner, is_releasing) = {
+            let lease = &self.shared.state().quota.leases[self.partition];
+            (lease.is_owner(), lease.is_releasing())
+        };
         if is_owner {
             self.release_if_due(now);
-        } else if !self.may_take_over(now, started, is_urgent).await {
+        } else if !is_releasing && !self.may_take_over(now, started, is_urgent).await {
             return;
         }
         let now = self.shared.now();
@@ -266,8 +269,10 @@
             StoreReply::Conflict(object) => self.observe(object.as_ref()),
             reply => {
                 let partition = self.partition;
+                let now = self.shared.now();
+                let spread = rand::random();
+                self.shared.state().quota.leases[partition].record_failure(now, spread);
                 log::info!(target: "quota", partition, reply:?; "owner not written");
-                self.read(sent).await;
             }
         }
     }
--- a/components/gateway/src/quota/tests.rs
+++ b/components/gateway/src/quota/tests.rs
@@ -123,6 +123,44 @@
     assert!(served.suffices(&ideal), "{served:?} of {ideal:?}");
 }
 
+/// What is served in 7.5 s after all hosts were started anew, this often at intervals of 1 s, and what one
+/// bucket would have served.
+fn restarted(rate: f64, restarts: usize) -> (Served, Served) {
+    const SIZES: (f64, f64) = (1_500.0, 17_000.0);
+    let (mut served, mut ideal) = (Served::default(), Served::default());
+    for seed in 0..8 {
+        let mut world = World::new(seed, 24, rate, rate, Faults::default());
+        world.run(Duration::from_secs(12), 1.5, Spread::AllHosts, SIZES);
+        for _ in 0..restarts {
+            world.restart_hosts();
+            world.run(Duration::from_secs(1), 1.5, Spread::AllHosts, SIZES);
+        }
+        let since = world.now;
+        world.run(Duration::from_millis(7_500), 1.5, Spread::AllHosts, SIZES);
+        served.add_all(world.served_since(since));
+        ideal.add_all(world.ideal_since(since));
+    }
+    (served, ideal)
+}
+
+// Guards against requests that are refused for 8.5 s after their owners have changed, since a successor's
+// bucket may not become as negative as a settled one.
+#[test]
+fn nearly_all_is_served_after_a_change_of_owners() {
+    for (rate, restarts) in [(20_000.0, 1), (47_000.0, 1), (100_000.0, 3)] {
+        let (served, ideal) = restarted(rate, restarts);
+        assert!(served.suffices(&ideal), "{rate}, {restarts}: {served:?} of {ideal:?}");
+    }
+}
+
+// Guards against the same after several changes in a row.
+#[test]
+#[ignore = "KNOWN-RED 81"]
+fn nearly_all_of_a_small_quota_is_served_after_several_changes_of_owners() {
+    let (served, ideal) = restarted(47_000.0, 3);
+    assert!(served.suffices(&ideal), "{served:?} of {ideal:?}");
+}
+
 // Guards against the refusal of requests within the quota, and against 503 without a fault.
 #[test]
 fn all_within_the_quota_are_served() {
--- a/components/gateway/src/quota/tests/world.rs
+++ b/components/gateway/src/quota/tests/world.rs
@@ -331,14 +331,20 @@
             if has_store && !is_owner && is_unheard && is_candidate && self.rng.random_bool(0.3) {
                 self.read(index, partition);
             }
-            if is_owner || is_unheard && is_candidate && self.hosts[index].listed {
+            let doc = self.hosts[index].state.leases[partition].doc();
+            let is_own = doc.is_some_and(|doc| doc.addr == Some(addr(index)));
+            let may_take = is_own || is_unheard && is_candidate && self.hosts[index].listed;
+            if is_owner || may_take {
                 let lease = &mut self.hosts[index].state.leases[partition];
                 let expect = lease.expected();
                 if let Some(doc) = lease.next_write(now)
-                    && has_store
-                    && !self.write(index, partition, doc, expect)
+                    && !(has_store && self.write(index, partition, doc, expect))
                 {
-                    self.read(index, partition);
+                    let spread = self.rng.random();
+                    self.hosts[index].state.leases[partition].record_failure(now, spread);
+                    if has_store {
+                        self.read(index, partition);
+                    }
                 }
             }
             let lease = &self.hosts[index].state.leases[partition];
@@ -464,6 +470,11 @@
         }
     }
 
+    /// Starts all hosts anew, at the addresses that they had.
+    pub(super) fn restart_hosts(&mut self) {
+        self.start_hosts(self.hosts.len());
+    }
+
     /// Changes the quota, with a burst of one second.
     pub(super) fn set_rate(&mut self, rate: f64) {
         let quota = Quota { rate, burst: rate, ..self.quotas[0].1 };
--- a/components/gateway/tests/quota_lease.rs
+++ b/components/gateway/tests/quota_lease.rs
@@ -11,7 +11,7 @@
         owner::{Ask, OwnedBuckets},
     },
 };
-use chervilgate_policy::{BucketStart, QuotaBucket, QuotaReply, QuotaTerms};
+use chervilgate_policy::{BucketStart, Holdings, QuotaBucket, QuotaReply, QuotaTerms};
 
 const START: Time = Time::from_secs(100);
 const BOUNDS: QuotaBounds =
@@ -120,6 +120,78 @@
     assert!(!lease.is_owner() && takeover_time(lease) > OWNER_LEASE);
 }
 
+// Guards against a lost release, after which nobody takes the partition over for 6.6 s.
+#[test]
+fn a_release_is_written_until_the_store_answers() {
+    let mut lease = owner();
+    lease.release(START);
+    assert!(lease.next_write(START).is_some_and(|doc| doc.released));
+    lease.record_failure(START, 0.5);
+    assert!(lease.next_write(START).is_none());
+
+    let later = START + Duration::from_millis(250);
+    let doc = lease.next_write(later).unwrap();
+    assert!(doc.released && lease.is_releasing() && !lease.may_grant(later));
+    lease.record_write(later, later, version(0, 4), doc);
+    assert!(!lease.is_releasing() && lease.next_write(later).is_none());
+}
+
+// Guards against an owner that calls a store from which it is cut off at each step, and against one that
+// waits so long that its time ends after a short outage.
+#[test]
+fn failed_writes_are_repeated_at_growing_intervals() {
+    let mut lease = owner();
+    let mut times = Vec::new();
+    for step in 0..600 {
+        let now = START + Duration::from_millis(10 * step);
+        if lease.next_write(now).is_some() {
+            times.push(now);
+            lease.record_failure(now, 1.0);
+        }
+    }
+
+    let gaps: Vec<Duration> = times.windows(2).map(|pair| pair[1].since(pair[0])).collect();
+    assert!((4..=6).contains(&times.len()), "{gaps:?}");
+    assert!(gaps.iter().all(|gap| *gap < OWNER_LEASE / 3), "{gaps:?}");
+}
+
+// Guards against a refusal by a new owner's bucket that names a time at which it refuses again.
+#[test]
+fn a_bucket_grants_at_the_time_that_it_told() {
+    let terms = QuotaTerms::of_partition(47_000.0, 47_000.0, &BOUNDS);
+    for start in [BucketStart::AfterSettled, BucketStart::AfterUnsettled] {
+        for need in [1_500.0, 8_000.0, 17_000.0, 28_000.0] {
+            let mut bucket = QuotaBucket::new(START, terms, start);
+            let now = START + Duration::from_millis(200);
+            let QuotaReply::Refused(wait) = bucket.ask(now, need, 0.0) else { continue };
+            let reply = bucket.ask(now + wait + Duration::from_millis(1), need, 0.0);
+            assert_eq!(reply, QuotaReply::Granted(need), "{start:?} {wait:?}");
+        }
+    }
+}
+
+// Guards against hosts that refuse for as long as an owner once told, though it grants again, and against
+// the refusal of small requests for as long as large ones.
+#[test]
+fn a_refusal_is_not_remembered_for_longer_than_it_holds() {
+    let terms = QuotaTerms::of_partition(100_000.0, 100_000.0, &BOUNDS);
+    let mut holdings = Holdings::default();
+    let wait = Duration::from_millis(300);
+    holdings.record_refusal(START, 0, 10_000.0, wait);
+    let refused_for = |holdings: &Holdings, now, count| holdings.refused_for(now, 0, count, &terms);
+
+    assert_eq!(refused_for(&holdings, START, 10_000.0), Some(wait));
+    assert!(refused_for(&holdings, START, 8_000.0).is_some_and(|shorter| shorter < wait));
+    assert!(refused_for(&holdings, START, 17_000.0).is_some_and(|longer| longer > wait));
+    assert_eq!(refused_for(&holdings, START, 4_000.0), None);
+    holdings.record_grant(0, 10_000.0);
+    assert_eq!(refused_for(&holdings, START, 10_000.0), None);
+    holdings.record_refusal(START, 0, 10_000.0, Duration::from_secs(8));
+    let told = refused_for(&holdings, START, 10_000.0);
+    assert_eq!(told, Some(Duration::from_secs(8)));
+    assert_eq!(refused_for(&holdings, START + Duration::from_secs(1), 10_000.0), None);
+}
+
 // Guards against owners in a row that each grant a full bucket or a debt beyond the rate: what they begin
 // with follows from what each of them wrote.
 #[test]
--- a/components/policy/src/quota.rs
+++ b/components/policy/src/quota.rs
@@ -38,6 +38,11 @@
 /// bare rate that was up to a fifth fewer.
 const RATE_SHARE: f64 = 0.1875;
 
+/// Share of a full bucket from which the largest request is granted, smaller ones in proportion. At 0
+/// requests of all sizes have the same chance, and up to a fifth fewer are served than by one bucket for all
+/// hosts.
+const BALANCE_SHARE: f64 = 0.8;
+
 /// Largest factor by which buckets may exceed the rate.
 const MAX_SCALE: f64 = 1.25;
 
@@ -97,4 +102,10 @@
             settling: bounds.settling(),
         }
     }
+
+    /// Balance from which a bucket grants `need` while its balance may be negative by `debt`.
+    fn needed_balance(&self, need: f64, debt: f64) -> f64 {
+        let proportional = BALANCE_SHARE * self.burst * need / (self.burst + debt);
+        (need - debt).max(proportional)
+    }
 }
--- a/components/policy/src/quota/asking.rs
+++ b/components/policy/src/quota/asking.rs
@@ -84,7 +84,7 @@
         };
         let part = asking.part();
         for partition in order.iter().rev() {
-            match holdings.refused_for(now, *partition, part, terms.rate) {
+            match holdings.refused_for(now, *partition, part, &terms) {
                 Some(wait) => asking.waits.push(wait),
                 None => asking.left.push(*partition),
             }
--- a/components/policy/src/quota/bucket.rs
+++ b/components/policy/src/quota/bucket.rs
@@ -28,11 +28,6 @@
 /// Requests of at least this share of the reserved size may use the reserve.
 const RESERVE_SIZE_SHARE: f64 = 0.5;
 
-/// Share of a full bucket from which the largest request is granted, smaller ones in proportion. At 0
-/// requests of all sizes have the same chance, and up to a fifth fewer are served than by one bucket for all
-/// hosts.
-const BALANCE_SHARE: f64 = 0.8;
-
 /// Longest time over which refused hosts are spread out, also relative to the time in which the
 /// bucket fills: nobody asks during it, so a longer one would let the bucket overflow.
 const MAX_TURN_TIME: Duration = Duration::from_millis(500);
@@ -159,7 +154,7 @@
         let delay = RESERVE_DELAY_SECS.max(RESERVE_DELAY_SHARE * reserve.size / self.terms.rate);
         let time = (now.since(reserve.since).as_secs_f64() - delay).max(0.0);
         let earned = self.terms.rate * RESERVE_SHARE * time;
-        let needed = self.needed_balance(reserve.size, self.debt(now));
+        let needed = self.terms.needed_balance(reserve.size, self.debt(now));
         earned.min(needed).min(self.terms.burst)
     }
 
@@ -168,26 +163,19 @@
         if now < self.settled_at { self.early_debt } else { self.terms.max_debt }
     }
 
-    /// Balance from which a request of `need` is granted while the balance may be negative by `debt`.
-    fn needed_balance(&self, need: f64, debt: f64) -> f64 {
-        let burst = self.terms.burst;
-        let proportional = BALANCE_SHARE * burst * need / (burst + debt);
-        (need - debt).max(proportional)
-    }
-
     /// Amount by which the balance is too small for `need`; not above zero if it suffices. What is
     /// reserved for others must remain.
     fn missing(&self, now: Time, need: f64, reserved: f64) -> f64 {
         if reserved > 0.0 {
             return reserved + need - self.balance;
         }
-        self.needed_balance(need, self.debt(now)) - self.balance
+        self.terms.needed_balance(need, self.debt(now)) - self.balance
     }
 
     fn refuse(&mut self, now: Time, need: f64, missing: f64, has_reserve: bool) -> Duration {
         let until = now + RESERVE_TIME;
         // Nothing is reserved for a request that this bucket cannot grant.
-        let can_fit = self.needed_balance(need, self.debt(now)) <= self.terms.burst;
+        let can_fit = self.terms.needed_balance(need, self.debt(now)) <= self.terms.burst;
         match &mut self.reserve {
             _ if !can_fit => {}
             Some(reserve) if now < reserve.until => {
@@ -200,7 +188,7 @@
         }
         let rate = self.terms.rate * if has_reserve { 1.0 - RESERVE_SHARE } else { 1.0 };
         if !can_fit && now < self.settled_at {
-            let missing = self.needed_balance(need, self.terms.max_debt) - self.balance;
+            let missing = self.terms.needed_balance(need, self.terms.max_debt) - self.balance;
             return self.settled_at.since(now).max(seconds(missing / rate));
         }
         let fill = seconds(missing / rate);
--- a/components/policy/src/quota/holdings.rs
+++ b/components/policy/src/quota/holdings.rs
@@ -5,7 +5,7 @@
 use chervilgate_clock::Time;
 use smallvec::SmallVec;
 
-use crate::quota::{GRANT_LIFE, QUOTA_PARTITIONS};
+use crate::quota::{GRANT_LIFE, QUOTA_PARTITIONS, QuotaTerms};
 
 /// Time over which the requests of an organisation at this host are averaged.
 const MEAN_TIME_SECS: f64 = 1.0;
@@ -21,6 +21,8 @@
 struct Refusal {
     count: f64,
     until: Time,
+    /// Time from which the owner is asked again in any case.
+    recheck_at: Time,
 }
 
 /// What was taken for a request, with the end of each grant.
@@ -38,9 +40,13 @@
     updated: Time,
 }
 
-/// Requests smaller than this share of a refused one may still be granted.
+/// Requests up to this share of a refused one may still be granted.
 const REFUSED_SHARE: f64 = 0.5;
 
+/// Longest time for which an owner is not asked again: it may have taken grants back, or a reserve may have
+/// ended, before the time that it told.
+const MAX_REFUSED_TIME: Duration = Duration::from_secs(1);
+
 /// Longest further time that is told to a request which is larger than the refused one.
 const MAX_FURTHER_WAIT_SECS: f64 = 60.0;
 
@@ -128,32 +134,39 @@
     /// Records that the owner of `partition` has refused a request of `count` for `wait`. The refusal of
     /// a much larger request does not concern smaller ones, which are refused for less long.
     pub fn record_refusal(&mut self, now: Time, partition: usize, count: f64, wait: Duration) {
-        let refusal = Refusal { count, until: now + wait };
         let known = &mut self.refusals[partition];
-        *known = Some(match *known {
-            Some(known) if now < known.until && known.count < count * REFUSED_SHARE => known,
-            Some(known) if now < known.until && known.count <= count => {
-                Refusal { until: known.until.max(refusal.until), ..known }
-            }
-            _ => refusal,
-        });
+        if known.is_none_or(|known| now >= known.until || count * REFUSED_SHARE <= known.count) {
+            let recheck_at = now + wait.min(MAX_REFUSED_TIME);
+            *known = Some(Refusal { count, until: now + wait, recheck_at });
+        }
+    }
+
+    /// Records that the owner of `partition` has granted `count`: it may grant what it refused before, if
+    /// that was not more.
+    pub fn record_grant(&mut self, partition: usize, count: f64) {
+        let known = &mut self.refusals[partition];
+        *known = known.filter(|known| known.count > count);
     }
 
-    /// Time for which the owner of `partition`, which grants `rate` per second, need not be asked for
-    /// `count`; none if it may be.
+    /// Time for which the owner of `partition`, whose buckets have these terms, need not be asked for
+    /// `count`; none if it may be. It differs from the time that the owner told for another count by that
+    /// in which the bucket earns the difference.
     pub fn refused_for(
         &self,
         now: Time,
         partition: usize,
         count: f64,
-        rate: f64,
+        terms: &QuotaTerms,
     ) -> Option<Duration> {
-        let refusal = self.refusals[partition].filter(|refusal| now < refusal.until)?;
-        if count < refusal.count * REFUSED_SHARE {
+        let refusal = self.refusals[partition].filter(|refusal| now < refusal.recheck_at)?;
+        if count <= refusal.count * REFUSED_SHARE {
             return None;
         }
-        let further = ((count - refusal.count).max(0.0) / rate).min(MAX_FURTHER_WAIT_SECS);
-        Some(refusal.until.since(now) + Duration::from_secs_f64(further))
+        let needed = |count| terms.needed_balance(count, terms.max_debt);
+        let further = (needed(count) - needed(refusal.count)) / terms.rate;
+        let further = further.clamp(-MAX_FURTHER_WAIT_SECS, MAX_FURTHER_WAIT_SECS);
+        let wait = refusal.until.since(now).as_secs_f64() + further;
+        (wait > 0.0).then(|| Duration::from_secs_f64(wait))
     }
 
     /// Whether nothing is held, refused or remembered that is worth keeping.
