Quotas: fewer lists and log lines, the version of the configuration in force

Causes and changes: - While a partition has no owner, every host listed the partitions' objects every 2 s, so that calls grew with the fleet. Hosts now wait for a random time that grows with it, so that all together list up to 8 times in 2 s; they learn of the new owner from its announcement. A list that the store does not answer is repeated after 1 s, not 250 ms. - Each 429 logged two lines. The line "over quota" is now logged at most once a second for an organisation, with the number of refused requests that it stands for, and "failed" at level debug. - The quota of a request is that of the configuration in force after its body was read; its log line and metrics named the version from before. It is now the same one.

--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -8,6 +8,7 @@
 
 pub(crate) mod admit;
 pub mod lease;
+pub mod listing;
 pub mod owner;
 pub(crate) mod task;
 #[cfg(test)]
@@ -96,11 +97,35 @@
     NotOwner,
 }
 
+/// Minimum interval between log lines of an organisation's refused requests.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// An organisation with a quota at this host.
 struct OrgState {
     holdings: Holdings,
     terms: QuotaTerms,
     metrics: OrgQuotaMetrics,
+    refusals: RefusalLog,
+}
+
+/// Limits the log lines of refused requests.
+#[derive(Debug, Clone, Copy, Default)]
+struct RefusalLog {
+    logged_at: Option<Time>,
+    /// Requests refused since the last line.
+    refused: u64,
+}
+
+impl RefusalLog {
+    /// Counts a refused request. Returns how many the next line stands for, if it is due.
+    fn count(&mut self, now: Time) -> Option<u64> {
+        self.refused += 1;
+        if self.logged_at.is_some_and(|at| now < at + LOG_INTERVAL) {
+            return None;
+        }
+        self.logged_at = Some(now);
+        Some(std::mem::take(&mut self.refused))
+    }
 }
 
 /// The state of quotas at a host.
@@ -174,12 +199,14 @@
                 holdings: Holdings::default(),
                 terms,
                 metrics: metrics(name, quota),
+                refusals: RefusalLog::default(),
             });
             if state.terms != terms {
                 *state = OrgState {
                     holdings: std::mem::take(&mut state.holdings),
                     terms,
                     metrics: metrics(name, quota),
+                    refusals: state.refusals,
                 };
                 state.holdings.forget_refusals();
             }
@@ -324,11 +351,15 @@
             // A later answer still counts as a grant.
             now < ask.asked_at + GRANT_LIFE
         });
-        let is_lost = |partition: usize| {
+        std::mem::take(&mut self.wants_owners) && self.lacks_owner()
+    }
+
+    /// Whether this host does not know an owner of some partition that answers.
+    pub(crate) fn lacks_owner(&self) -> bool {
+        (0..QUOTA_PARTITIONS).any(|partition| {
             !self.leases[partition].is_owner()
                 && self.owners[partition].is_none_or(|owner| owner.unanswered >= MAX_UNANSWERED)
-        };
-        std::mem::take(&mut self.wants_owners) && (0..QUOTA_PARTITIONS).any(is_lost)
+        })
     }
 
     /// Returns what was taken for a request that no target has run.
--- a/components/gateway/src/quota/admit.rs
+++ b/components/gateway/src/quota/admit.rs
@@ -54,26 +54,29 @@
             Step::Failed(failure) => break Err(failure),
         }
     };
-    let refused_for = match &result {
-        Err(Failure::OverQuota(wait)) => Some(*wait),
-        _ => None,
-    };
-    let returns = {
-        let state = &mut shared.state().quota;
-        if let Some(org) = state.orgs.get(&quota.org) {
-            match &result {
-                Ok(_) => org.metrics.count_used(count),
-                Err(Failure::OverQuota(_)) => org.metrics.count_refused(),
-                Err(_) => {}
+    let (returns, refused) = {
+        let (state, now) = (&mut shared.state().quota, shared.now());
+        let org = state.orgs.get_mut(&quota.org);
+        let refused = org.and_then(|org| match &result {
+            Ok(_) => {
+                org.metrics.count_used(count);
+                None
             }
-        }
-        request.finish(state, shared.now())
+            Err(Failure::OverQuota(wait)) => {
+                org.metrics.count_refused();
+                org.refusals.count(now).map(|refused| (refused, *wait))
+            }
+            Err(_) => None,
+        });
+        (request.finish(state, now), refused)
     };
     returns.iter().for_each(|(returned, to)| return_quota(shared, *returned, *to));
-    if let Some(wait) = refused_for {
+    if let Some((refused, wait)) = refused {
         let (org, unit, rate) = (&*quota.name, quota.quota.unit.as_str(), quota.quota.rate);
         let (config, wait) = (quota.config_version, wait.as_millis() as u64);
-        log::info!(target: "quota", id, org, unit, count, rate, config, wait; "over quota");
+        log::info!(
+            target: "quota", id, org, unit, count, rate, config, wait, refused; "over quota"
+        );
     }
     result
 }
--- a/components/gateway/src/quota/task.rs
+++ b/components/gateway/src/quota/task.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     gossip::{OwnerNotice, OwnerRotation, announce_owner, candidate_key},
-    quota::lease::OwnerDoc,
+    quota::{lease::OwnerDoc, listing::ListSchedule},
     state::Shared,
     watch::decode_objects,
 };
@@ -35,9 +35,6 @@
 /// Interval at which a candidate reads the object of an owner that it does not hear.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Minimum interval at which a host reads who owns the partitions.
-const LIST_INTERVAL: Duration = Duration::from_secs(2);
-
 /// Time after the start in which a host takes over only partitions that its address owns: it does not
 /// know the other hosts yet.
 const ACQUAINTANCE_TIME: Duration = Duration::from_millis(700);
@@ -50,19 +47,22 @@
 
 /// Applies the configuration, counts unanswered asks and reads owners from the store.
 pub(crate) async fn maintain_quotas(shared: Arc<Shared>) {
-    let mut listed_at: Option<Time> = None;
+    let mut schedule = ListSchedule::default();
     loop {
         let now = shared.now();
-        let (is_active, is_lost) = {
+        let (is_active, is_due) = {
             let state = &mut *shared.state();
             apply_config(&shared, state, now);
             state.quota.observe_held(now);
-            (state.quota.is_active(), state.quota.expire_asks(now))
+            let is_active = state.quota.is_active();
+            let wants = state.quota.expire_asks(now);
+            let (lacks, hosts) = (state.quota.lacks_owner(), state.membership.count());
+            (is_active, is_active && schedule.is_due(now, wants, lacks, hosts, rand::random()))
         };
-        let is_due = listed_at.is_none_or(|at| is_lost && now >= at + LIST_INTERVAL);
-        if is_active && is_due {
-            if list_owners(&shared).await {
-                listed_at = Some(now);
+        if is_due {
+            let is_answered = list_owners(&shared).await;
+            schedule.record(shared.now(), is_answered);
+            if is_answered {
                 shared.quota_due.iter().for_each(tokio::sync::Notify::notify_one);
             }
             sleep(TICK.mul_f64(rand::random())).await;
--- a/components/gateway/src/quota/tests.rs
+++ b/components/gateway/src/quota/tests.rs
@@ -194,3 +194,13 @@
 
     assert!(refused > 5_000 && flooded < usual * 8, "{usual}, {flooded} for {refused} refused");
 }
+
+// Guards against a log line for each request of a caller far over its quota.
+#[test]
+fn refusals_are_logged_once_in_a_while() {
+    let mut log = super::RefusalLog::default();
+    let start = chervilgate_clock::Time::from_secs(100);
+    let lines = (0..2_000).filter_map(|step| log.count(start + Duration::from_millis(step)));
+
+    assert_eq!(lines.collect::<Vec<u64>>(), [1, 1_000]);
+}
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -73,7 +73,12 @@
             Err(failure) => {
                 let reason = failure.as_str();
                 let config = self.shared.state().view.version();
-                log::warn!(target: "gateway", id, reason, sent, ms = elapsed, config; "failed");
+                if let Failure::OverQuota(_) = failure {
+                    // There is a limited line for it; a caller far over its quota sends many.
+                    log::debug!(target: "gateway", id, reason, sent, ms = elapsed, config; "failed");
+                } else {
+                    log::warn!(target: "gateway", id, reason, sent, ms = elapsed, config; "failed");
+                }
                 self.shared.metrics.count_end(reason);
                 failure.to_response(&*self.shared.protocol, &id)
             }
@@ -119,11 +124,8 @@
             Err(_) => return Err(Failure::Expired),
         };
         // The configuration may have changed while the body was read.
-        let Admitted { org: rechecked, .. } =
-            match self.admit(self.shared.now(), &head, &request_head) {
-                Ok(admitted) => admitted,
-                Err(failure) => return Err(failure),
-            };
+        let Admitted { org: rechecked, config_version: quota_version, .. } =
+            self.admit(self.shared.now(), &head, &request_head)?;
         let org = org.and(rechecked);
         // The stop may have begun while the body was read.
         let stop = self.shared.state().stop;
@@ -142,7 +144,7 @@
         if let Some(verdict) = verdict {
             return Err(verdict.into());
         }
-        let quota = org.as_ref().and_then(|org| org_quota(&self.shared, org, config_version));
+        let quota = org.as_ref().and_then(|org| org_quota(&self.shared, org, quota_version));
         let charge = match &quota {
             Some(quota) => {
                 let prompt = &request_head.prompt;
