Quotas: returns add nothing to what a bucket may grant

Cause: a returned grant was credited in full while only the balance was limited. A full bucket that granted a part earned in the time until its return what it would otherwise have lost, so in steady state the balance was the burst with almost as much again outstanding, and a window could get both.

Change: what the rate has earned since the grant is deducted from the credit, and nothing is credited for a grant from before a change of the terms. The balance is then never above that of a bucket that did not make the grant. Only grants without an amount in advance are kept for returns: parts are among them, and small requests of busy hosts no longer evict them.

--- a/components/gateway/src/quota/owner.rs
+++ b/components/gateway/src/quota/owner.rs
@@ -25,7 +25,7 @@
     buckets: HashMap<u64, OrgBucket>,
     start: BucketStart,
     began: Time,
-    /// The latest grants, the oldest first.
+    /// The latest grants that may be returned, the oldest first.
     grants: VecDeque<Grant>,
 }
 
@@ -97,7 +97,10 @@
         let OwnedPartition { buckets, grants, .. } = &mut self.partitions[partition];
         let known = buckets.get_mut(&ask.org).filter(|known| known.removed_at.is_none())?;
         let reply = known.bucket.ask(now, ask.need, ask.extra);
-        if let QuotaReply::Granted(amount) = reply {
+        // Only parts of large requests are returned, and nothing is asked for in advance with them.
+        if let QuotaReply::Granted(amount) = reply
+            && ask.extra <= 0.0
+        {
             let is_kept = |grant: &Grant| now < grant.at + RETURN_TIME;
             while grants.len() >= MAX_RETURNABLE || grants.front().is_some_and(|it| !is_kept(it)) {
                 grants.pop_front();
@@ -115,7 +118,7 @@
             && now < grant.at + RETURN_TIME
             && let Some(known) = buckets.get_mut(&grant.org)
         {
-            known.bucket.give_back(now, grant.amount);
+            known.bucket.give_back(now, grant.amount, grant.at);
         }
     }
 }
--- a/components/gateway/tests/quota_lease.rs
+++ b/components/gateway/tests/quota_lease.rs
@@ -270,3 +270,37 @@
     buckets.give_back(later, 0, 5);
     assert!(!is_granted(buckets.ask(later, 0, &ask(6))));
 }
+
+// Guards against returned amounts that come on top of the refill which the bucket got in their place: a
+// full bucket, and as much again that is granted and not returned, in the same window.
+#[test]
+fn returns_add_nothing_to_what_a_bucket_may_grant() {
+    let terms = QuotaTerms::of_partition(40_000.0, 40_000.0, &QuotaBounds { slack: 0.0, ..BOUNDS });
+    let mut buckets = OwnedBuckets::default();
+    buckets.begin(START, 0, BucketStart::First);
+    buckets.set_terms(START, 0, [(1, &terms)].into_iter());
+    let part = terms.burst / 5.0;
+    let mut outstanding = std::collections::VecDeque::new();
+    let mut now = START;
+    for id in 0..100 {
+        now += Duration::from_millis(100);
+        if matches!(outstanding.front(), Some((_, at)) if now >= *at + Duration::from_millis(400)) {
+            buckets.give_back(now, 0, outstanding.pop_front().unwrap().0);
+        }
+        let ask = Ask { id, org: 1, need: part, extra: 0.0 };
+        if let Some(QuotaReply::Granted(_)) = buckets.ask(now, 0, &ask) {
+            outstanding.push_back((id, now));
+        }
+    }
+    let mut granted = outstanding.len() as f64 * part;
+    for id in 100..200 {
+        let ask = Ask { id, org: 1, need: terms.burst / 50.0, extra: 0.0 };
+        if let Some(QuotaReply::Granted(amount)) = buckets.ask(now, 0, &ask) {
+            granted += amount;
+        }
+    }
+
+    let since = outstanding.front().map_or(now, |(_, at)| *at);
+    let allowed = terms.burst + terms.rate * now.since(since).as_secs_f64();
+    assert!(granted <= allowed + 1.0, "{granted} of {allowed}");
+}
--- a/components/policy/src/quota/bucket.rs
+++ b/components/policy/src/quota/bucket.rs
@@ -70,6 +70,8 @@
     terms: QuotaTerms,
     balance: f64,
     updated: Time,
+    /// When the terms last changed.
+    terms_since: Time,
     /// Amount by which the balance may be negative until the bucket is settled.
     early_debt: f64,
     settled_at: Time,
@@ -91,6 +93,7 @@
             terms,
             balance,
             updated: now,
+            terms_since: Time::ZERO,
             early_debt,
             settled_at,
             reserve: None,
@@ -107,6 +110,7 @@
                 self.balance *= terms.rate / self.terms.rate;
             }
             self.terms = terms;
+            self.terms_since = now;
             self.balance = self.balance.min(terms.burst);
         }
     }
@@ -133,10 +137,16 @@
         QuotaReply::Granted(need + extra)
     }
 
-    /// Takes back an amount that it granted and that was not spent.
-    pub fn give_back(&mut self, now: Time, amount: f64) {
+    /// Takes back an amount that it granted at `granted_at` and that was not spent. The balance is then
+    /// never above that of a bucket which did not grant it: what the rate has earned since would not have
+    /// fitted into a full one, and what was granted on other terms is lost.
+    pub fn give_back(&mut self, now: Time, amount: f64, granted_at: Time) {
+        if granted_at <= self.terms_since {
+            return;
+        }
         self.advance(now);
-        self.balance = (self.balance + amount).min(self.terms.burst);
+        let earned = self.terms.rate * now.since(granted_at).as_secs_f64();
+        self.balance = (self.balance + (amount - earned).max(0.0)).min(self.terms.burst);
     }
 
     fn advance(&mut self, now: Time) {
