Quotas: an object written in another era names no owner

Cause: a host that wrote the object as absent in another era than it saw does not become the owner, but recorded itself as the known owner and sent its own asks to itself.

Change: it records itself only if the write made it the owner or released the partition. The simulation does the same.

--- a/components/gateway/src/quota/task.rs
+++ b/components/gateway/src/quota/task.rs
@@ -292,7 +292,10 @@
             if let Some(start) = start {
                 state.begin_owning(now, partition, start);
             }
-            state.hear_owner(now, partition, &doc);
+            // An object written in another era than seen does not make this host the owner.
+            if released || state.leases[partition].is_owner() {
+                state.hear_owner(now, partition, &doc);
+            }
             start.is_some()
         };
         if has_begun {
--- a/components/gateway/src/quota/tests/world.rs
+++ b/components/gateway/src/quota/tests/world.rs
@@ -294,7 +294,9 @@
             {
                 state.begin_owning(now, partition, start);
             }
-            state.hear_owner(now, partition, &doc);
+            if state.leases[partition].is_owner() {
+                state.hear_owner(now, partition, &doc);
+            }
             return true;
         }
         false
