Quotas: requests that are too large for buckets that are not settled

Causes: - A bucket that is not settled refuses what is above its burst and debt until it is settled, up to 8.5 s. The host took this for a want of balance and did not ask that owner for requests of over half the size either, though they fitted. - Such a request was asked for whole, or in as few parts as suffice for settled buckets, and refused, though more and smaller parts fitted. - Requests in parts ignored what the host held. One owner that had not answered lately was left out, so that requests which need four parts got 503 without a datagram.

Changes: - The owner says that a request is too large (QuotaTooLarge, at the end of gossip::Message; the usual refusal follows for hosts of older versions). It concerns requests of this size or more only. - The rest of a request whose part is too large is divided into more parts. A caller is told when these fit. - Parts are of what the host lacks. Silent owners are asked for parts if the others are too few.

--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -40,7 +40,8 @@
     },
     gossip::origins::answer_question,
     gossip::quota::{
-        QuotaAnswer, answer_quota, apply_owner_notice, apply_quota_answer, take_back_quota,
+        QuotaAnswer, QuotaTooLarge, answer_quota, apply_owner_notice, apply_quota_answer,
+        apply_too_large, take_back_quota,
     },
     origins::{OriginAnswer, OriginNotice, OriginQuestion, StreamKey},
     poison::{CrashEvidence, FailedRun},
@@ -123,6 +124,9 @@
     Waiting(u32, Vec<WaitingCount>),
     TargetSpeeds(TargetSpeedMessage),
     QuotaReturned(QuotaReturn),
+    /// An ask is for more than a bucket can grant until it is settled. The usual answer follows, for hosts
+    /// that do not know this one.
+    QuotaTooLarge(QuotaTooLarge),
 }
 
 /// What a host has seen of targets with failures.
@@ -544,6 +548,7 @@
                 answer_quota(&shared, shared.now(), ask, from, &socket);
             }
             Ok(Message::QuotaAnswered(reply)) => apply_quota_answer(&shared, shared.now(), reply),
+            Ok(Message::QuotaTooLarge(reply)) => apply_too_large(&shared, shared.now(), reply),
             Ok(Message::QuotaReturned(returned)) => {
                 take_back_quota(&shared, shared.now(), returned);
             }
--- a/components/gateway/src/gossip/quota.rs
+++ b/components/gateway/src/gossip/quota.rs
@@ -54,6 +54,15 @@
     NotOwner,
 }
 
+/// The reply to an ask for more than a bucket can grant until it is settled.
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct QuotaTooLarge {
+    id: u64,
+    /// Milliseconds after which it can.
+    wait: u32,
+}
+
 /// Returns what an ask was granted and is not going to be spent.
 #[derive(Debug, Clone, Copy)]
 #[derive(Serialize, Deserialize)]
@@ -138,17 +147,34 @@
             state.quota.answer(now, partition, &Ask { id: ask.id, org: ask.org, need, extra })
         }
     };
+    if let OwnerAnswer::TooLarge(wait) = answer {
+        let wait = wait.as_millis() as u32 + 1;
+        send_reply(socket, &Message::QuotaTooLarge(QuotaTooLarge { id: ask.id, wait }), from);
+    }
     let answer = match answer {
         OwnerAnswer::Granted(amount) => Answer::Granted(amount as u32),
-        OwnerAnswer::Refused(wait) => Answer::Refused(wait.as_millis() as u32 + 1),
+        OwnerAnswer::Refused(wait) | OwnerAnswer::TooLarge(wait) => {
+            Answer::Refused(wait.as_millis() as u32 + 1)
+        }
         OwnerAnswer::Unknown => Answer::Unknown,
         OwnerAnswer::NotOwner => Answer::NotOwner,
     };
-    let reply = Message::QuotaAnswered(QuotaAnswer { id: ask.id, answer });
-    if let Some(datagram) = encode(&reply)
-        && let Err(error) = socket.try_send_to(&datagram, from)
+    send_reply(socket, &Message::QuotaAnswered(QuotaAnswer { id: ask.id, answer }), from);
+}
+
+fn send_reply(socket: &UdpSocket, reply: &Message, to: SocketAddr) {
+    if let Some(datagram) = encode(reply)
+        && let Err(error) = socket.try_send_to(&datagram, to)
     {
-        log::debug!(target: "gossip", from:%, error:%; "quota not answered");
+        log::debug!(target: "gossip", to:%, error:%; "quota not answered");
+    }
+}
+
+pub(super) fn apply_too_large(shared: &Shared, now: Time, reply: QuotaTooLarge) {
+    let answer = OwnerAnswer::TooLarge(Duration::from_millis(reply.wait.into()));
+    let returned = shared.state().quota.apply_answer(now, reply.id, answer);
+    if let Some((returned, to)) = returned {
+        return_quota(shared, returned, to);
     }
 }
 
--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -18,8 +18,8 @@
 
 use chervilgate_clock::Time;
 use chervilgate_policy::{
-    BucketStart, Charge, GRANT_LIFE, Holdings, QUOTA_PARTITIONS, QuotaBounds, QuotaReply,
-    QuotaTerms,
+    BucketStart, Charge, GRANT_LIFE, Holdings, KnownPartitions, QUOTA_PARTITIONS, QuotaBounds,
+    QuotaReply, QuotaTerms,
 };
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -62,7 +62,7 @@
     org: u64,
     partition: usize,
     count: f64,
-    /// Whether the request needs this partition's amount together with those of all others.
+    /// Whether the request needs this amount together with parts of other partitions.
     is_part: bool,
     asked_at: Time,
     replies: UnboundedSender<Reply>,
@@ -91,6 +91,8 @@
 pub(crate) enum OwnerAnswer {
     Granted(f64),
     Refused(Duration),
+    /// No request of this size is granted before this time, whatever is left.
+    TooLarge(Duration),
     /// The organisation has no quota here, or the configuration here may be old.
     Unknown,
     /// This host does not own the partition.
@@ -236,6 +238,9 @@
         }
         match self.buckets.ask(now, partition, ask) {
             Some(QuotaReply::Granted(amount)) => OwnerAnswer::Granted(amount),
+            Some(QuotaReply::Refused(wait)) if self.buckets.is_too_large(now, partition, ask) => {
+                OwnerAnswer::TooLarge(wait)
+            }
             Some(QuotaReply::Refused(wait)) => OwnerAnswer::Refused(wait),
             None => OwnerAnswer::Unknown,
         }
@@ -273,18 +278,12 @@
         let outcome = match answer {
             // Whole amounts are sent, rounded down.
             OwnerAnswer::Granted(amount) => Outcome::Granted(amount, ask.asked_at + GRANT_LIFE),
-            OwnerAnswer::Refused(wait) => Outcome::Refused(wait),
+            OwnerAnswer::Refused(wait) | OwnerAnswer::TooLarge(wait) => Outcome::Refused(wait),
             OwnerAnswer::Unknown | OwnerAnswer::NotOwner => Outcome::Unknown,
         };
         let reply = Reply { id, partition: ask.partition, is_part: ask.is_part, outcome };
         let holdings = holdings?;
-        match outcome {
-            Outcome::Refused(wait) => {
-                holdings.record_refusal(now, ask.partition, ask.count, wait);
-            }
-            Outcome::Granted(..) => holdings.record_grant(ask.partition, ask.count),
-            Outcome::Unknown => {}
-        }
+        record_answer(holdings, now, ask.partition, ask.count, answer);
         if ask.replies.send(reply).is_err()
             && let Outcome::Granted(amount, until) = outcome
         {
@@ -297,18 +296,21 @@
     }
 
     /// Partitions whose owners are known, in the order in which they are asked for an organisation.
-    /// Owners that did not answer are left out if there are others.
-    fn order(&self, now: Time, org: u64) -> smallvec::SmallVec<[usize; QUOTA_PARTITIONS]> {
-        let mut order: smallvec::SmallVec<[usize; QUOTA_PARTITIONS]> =
-            (0..QUOTA_PARTITIONS).filter(|partition| self.is_known(now, *partition)).collect();
-        let is_silent = |partition: &usize| {
-            self.owners[*partition].is_some_and(|owner| now < owner.silent_until)
-        };
-        if !order.iter().all(is_silent) {
-            order.retain(|partition| !is_silent(partition));
+    fn known_partitions(&self, now: Time, org: u64) -> KnownPartitions {
+        let mut known = KnownPartitions::default();
+        for partition in (0..QUOTA_PARTITIONS).filter(|partition| self.is_known(now, *partition)) {
+            let owner = self.owners[partition];
+            let is_silent = owner.is_some_and(|owner| now < owner.silent_until);
+            let list = if is_silent { &mut known.silent } else { &mut known.answering };
+            list.push(partition);
+        }
+        for list in [&mut known.answering, &mut known.silent] {
+            list.sort_unstable_by_key(|partition| stable_hash(&(self.own_hash, org, *partition)));
+        }
+        if known.answering.is_empty() {
+            std::mem::swap(&mut known.answering, &mut known.silent);
         }
-        order.sort_unstable_by_key(|partition| stable_hash(&(self.own_hash, org, *partition)));
-        order
+        known
     }
 
     fn is_known(&self, now: Time, partition: usize) -> bool {
@@ -377,6 +379,22 @@
     }
 }
 
+/// Records what an owner has answered to an ask for `count`.
+fn record_answer(
+    holdings: &mut Holdings,
+    now: Time,
+    partition: usize,
+    count: f64,
+    answer: OwnerAnswer,
+) {
+    match answer {
+        OwnerAnswer::Granted(_) => holdings.record_grant(partition, count),
+        OwnerAnswer::Refused(wait) => holdings.record_refusal(now, partition, count, wait),
+        OwnerAnswer::TooLarge(wait) => holdings.record_too_large(now, partition, count, wait),
+        OwnerAnswer::Unknown | OwnerAnswer::NotOwner => {}
+    }
+}
+
 /// An organisation's quota as the request path needs it.
 #[derive(Debug, Clone)]
 pub(crate) struct OrgQuota {
--- a/components/gateway/src/quota/admit.rs
+++ b/components/gateway/src/quota/admit.rs
@@ -13,7 +13,9 @@
 use crate::{
     failure::Failure,
     gossip::{QuotaAsk, QuotaReturn, ask_quota, return_quota},
-    quota::{OrgQuota, Outcome, OwnerAnswer, PendingAsk, QuotaState, Reply, owner::Ask},
+    quota::{
+        OrgQuota, Outcome, OwnerAnswer, PendingAsk, QuotaState, Reply, owner::Ask, record_answer,
+    },
     state::Shared,
 };
 
@@ -131,9 +133,11 @@
             return Some(Ok(charge));
         }
         let terms = known.terms;
-        let order = state.order(now, org);
-        state.wants_owners |= order.len() < state.owners.len();
-        let asking = Asking::new(now, deadline, count, terms, &order, &state.orgs[&org].holdings);
+        let partitions = state.known_partitions(now, org);
+        state.wants_owners |= partitions.answering.len() < state.owners.len();
+        let holdings = &state.orgs[&org].holdings;
+        let held = holdings.held(now);
+        let asking = Asking::new(now, deadline, count, held, terms, partitions, holdings);
         let (replies, received) = unbounded_channel();
         let gathered = Holdings::default();
         let parts = SmallVec::new();
@@ -184,7 +188,7 @@
             }
         }
         let extra = org.holdings.advance_amount(now);
-        match self.asking.next(now, held, extra) {
+        match self.asking.next(now, held, extra, &org.holdings) {
             AskStep::Ask { partition, need, extra } => self.ask(state, now, partition, need, extra),
             AskStep::Wait(until) => Step::Wait(until),
             AskStep::Refuse(wait) => {
@@ -211,22 +215,15 @@
         let id = state.next_id;
         let is_part = self.asking.is_in_parts();
         if state.leases[partition].may_grant(now) {
-            let outcome =
-                match state.answer(now, partition, &Ask { id, org: self.org, need, extra }) {
-                    OwnerAnswer::Granted(amount) => {
-                        if let Some(org) = state.orgs.get_mut(&self.org) {
-                            org.holdings.record_grant(partition, need);
-                        }
-                        Outcome::Granted(amount, now + GRANT_LIFE)
-                    }
-                    OwnerAnswer::Refused(wait) => {
-                        if let Some(org) = state.orgs.get_mut(&self.org) {
-                            org.holdings.record_refusal(now, partition, need, wait);
-                        }
-                        Outcome::Refused(wait)
-                    }
-                    OwnerAnswer::Unknown | OwnerAnswer::NotOwner => Outcome::Unknown,
-                };
+            let answer = state.answer(now, partition, &Ask { id, org: self.org, need, extra });
+            if let Some(org) = state.orgs.get_mut(&self.org) {
+                record_answer(&mut org.holdings, now, partition, need, answer);
+            }
+            let outcome = match answer {
+                OwnerAnswer::Granted(amount) => Outcome::Granted(amount, now + GRANT_LIFE),
+                OwnerAnswer::Refused(wait) | OwnerAnswer::TooLarge(wait) => Outcome::Refused(wait),
+                OwnerAnswer::Unknown | OwnerAnswer::NotOwner => Outcome::Unknown,
+            };
             self.apply(now, Reply { id, partition, is_part, outcome });
             return Step::Again;
         }
--- a/components/gateway/src/quota/owner.rs
+++ b/components/gateway/src/quota/owner.rs
@@ -110,6 +110,12 @@
         Some(reply)
     }
 
+    /// Whether this organisation's bucket grants no request of `need` until it is settled.
+    pub fn is_too_large(&self, now: Time, partition: usize, ask: &Ask) -> bool {
+        let known = self.partitions[partition].buckets.get(&ask.org);
+        known.is_some_and(|known| known.bucket.is_too_large(now, ask.need))
+    }
+
     /// Takes back what was granted for the ask `id` and is not going to be spent.
     pub fn give_back(&mut self, now: Time, partition: usize, id: u64) {
         let OwnedPartition { buckets, grants, .. } = &mut self.partitions[partition];
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -42,8 +42,8 @@
     },
     prefix::{CacheChange, CacheEvent},
     quota::{
-        AskStep, Asking, BucketStart, Charge, GRANT_LIFE, Holdings, QUOTA_PARTITIONS, QuotaBounds,
-        QuotaBucket, QuotaReply, QuotaTerms,
+        AskStep, Asking, BucketStart, Charge, GRANT_LIFE, Holdings, KnownPartitions,
+        QUOTA_PARTITIONS, QuotaBounds, QuotaBucket, QuotaReply, QuotaTerms,
     },
     refusal::{Refusal, RefusalReason},
     repeat::{RepeatBudget, RepeatSettings, SlackShare},
--- a/components/policy/src/quota.rs
+++ b/components/policy/src/quota.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 pub use self::{
-    asking::{AskStep, Asking},
+    asking::{AskStep, Asking, KnownPartitions},
     bucket::{BucketStart, QuotaBucket, QuotaReply},
     holdings::{Charge, Holdings},
 };
--- a/components/policy/src/quota/bucket.rs
+++ b/components/policy/src/quota/bucket.rs
@@ -137,6 +137,16 @@
         QuotaReply::Granted(need + extra)
     }
 
+    /// Whether it grants no request of `need`, whatever its balance, until it is settled.
+    pub fn is_too_large(&self, now: Time, need: f64) -> bool {
+        now < self.settled_at && !self.can_fit(now, need)
+    }
+
+    /// Whether it can grant `need` from a full balance.
+    fn can_fit(&self, now: Time, need: f64) -> bool {
+        self.terms.needed_balance(need, self.debt(now)) <= self.terms.burst
+    }
+
     /// Takes back an amount that it granted at `granted_at` and that was not spent. The balance is then
     /// never above that of a bucket which did not grant it: what the rate has earned since would not have
     /// fitted into a full one, and what was granted on other terms is lost.
@@ -185,7 +195,7 @@
     fn refuse(&mut self, now: Time, need: f64, missing: f64, has_reserve: bool) -> Duration {
         let until = now + RESERVE_TIME;
         // Nothing is reserved for a request that this bucket cannot grant.
-        let can_fit = self.terms.needed_balance(need, self.debt(now)) <= self.terms.burst;
+        let can_fit = self.can_fit(now, need);
         match &mut self.reserve {
             _ if !can_fit => {}
             Some(reserve) if now < reserve.until => {
--- a/components/policy/src/quota/holdings.rs
+++ b/components/policy/src/quota/holdings.rs
@@ -16,7 +16,7 @@
     until: Time,
 }
 
-/// A partition's owner has refused requests of `count` or more until `until`.
+/// A partition's owner has refused a request of `count` until `until`.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Refusal {
     count: f64,
@@ -25,6 +25,19 @@
     recheck_at: Time,
 }
 
+/// A partition's bucket cannot grant requests of `count` or more before `until`, whatever its balance.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct TooLarge {
+    count: f64,
+    until: Time,
+}
+
+impl TooLarge {
+    fn concerns(&self, now: Time, count: f64) -> bool {
+        now < self.until && count >= self.count
+    }
+}
+
 /// What was taken for a request, with the end of each grant.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Charge(SmallVec<[Grant; 2]>);
@@ -34,6 +47,7 @@
 pub struct Holdings {
     grants: SmallVec<[Grant; 4]>,
     refusals: [Option<Refusal>; QUOTA_PARTITIONS],
+    too_large: [Option<TooLarge>; QUOTA_PARTITIONS],
     /// Requests and their amounts, weighted by age.
     requests: f64,
     amounts: f64,
@@ -98,6 +112,7 @@
     /// Forgets which owners refused, after the quota has changed.
     pub fn forget_refusals(&mut self) {
         self.refusals = [None; QUOTA_PARTITIONS];
+        self.too_large = [None; QUOTA_PARTITIONS];
     }
 
     /// Amount that may be spent at `now`.
@@ -141,11 +156,27 @@
         }
     }
 
+    /// Records that the bucket of `partition` cannot grant `count` before `wait` has passed. This concerns no
+    /// smaller request.
+    pub fn record_too_large(&mut self, now: Time, partition: usize, count: f64, wait: Duration) {
+        let known = &mut self.too_large[partition];
+        if !known.is_some_and(|known| known.concerns(now, count)) {
+            *known = Some(TooLarge { count, until: now + wait });
+        }
+    }
+
+    /// Whether `count` is too large for the bucket of `partition`.
+    pub(super) fn is_too_large(&self, now: Time, partition: usize, count: f64) -> bool {
+        self.too_large[partition].is_some_and(|known| known.concerns(now, count))
+    }
+
     /// Records that the owner of `partition` has granted `count`: it may grant what it refused before, if
     /// that was not more.
     pub fn record_grant(&mut self, partition: usize, count: f64) {
         let known = &mut self.refusals[partition];
         *known = known.filter(|known| known.count > count);
+        let too_large = &mut self.too_large[partition];
+        *too_large = too_large.filter(|known| known.count > count);
     }
 
     /// Time for which the owner of `partition`, whose buckets have these terms, need not be asked for
@@ -158,6 +189,10 @@
         count: f64,
         terms: &QuotaTerms,
     ) -> Option<Duration> {
+        let too_large = self.too_large[partition].filter(|known| known.concerns(now, count));
+        if let Some(known) = too_large {
+            return Some(known.until.since(now));
+        }
         let refusal = self.refusals[partition].filter(|refusal| now < refusal.recheck_at)?;
         if count <= refusal.count * REFUSED_SHARE {
             return None;
@@ -173,6 +208,7 @@
     pub fn is_idle(&self, now: Time) -> bool {
         self.held(now) == 0.0
             && self.refusals.iter().flatten().all(|refusal| now >= refusal.until)
+            && self.too_large.iter().flatten().all(|known| now >= known.until)
             && now.since(self.updated).as_secs_f64() > 10.0 * MEAN_TIME_SECS
     }
 }
