--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -26,7 +26,10 @@
     feed::{pass_changes, request_changes},
     news::{send_latest_changes, send_store_era},
     origins::send_origins,
-    quota::{OwnerNotice, OwnerRotation, QuotaAsk, announce_owner, ask_quota, candidate_key},
+    quota::{
+        OwnerNotice, OwnerRotation, QuotaAsk, QuotaReturn, announce_owner, ask_quota,
+        candidate_key, return_quota,
+    },
 };
 use crate::{
     admission::WaitingCount,
@@ -41,7 +44,10 @@
         LatestChanges, ProgressReply, apply_latest_changes, apply_progress, progress_reply,
     },
     gossip::origins::answer_question,
-    gossip::quota::{QuotaAnswer, answer_quota, apply_owner_notice, apply_quota_answer},
+    gossip::quota::{
+        QuotaAnswer, QuotaTooLarge, answer_quota, apply_owner_notice, apply_quota_answer,
+        apply_too_large, take_back_quota,
+    },
     origins::{OriginAnswer, OriginNotice, OriginQuestion, StreamKey},
     poison::{CrashEvidence, FailedRun},
     state::Shared,
@@ -129,6 +135,10 @@
     PastEnds(Vec<PastEnd>),
     TargetChanges(PassedChanges),
     TargetChangesAsked(FeedRequest),
+    QuotaReturned(QuotaReturn),
+    /// An ask is for more than a bucket can grant until it is settled. The usual answer follows, for hosts
+    /// that do not know this one.
+    QuotaTooLarge(QuotaTooLarge),
 }
 
 /// What a host has seen of targets with failures.
@@ -573,6 +583,10 @@
                 answer_quota(&shared, shared.now(), ask, from, &socket);
             }
             Ok(Message::QuotaAnswered(reply)) => apply_quota_answer(&shared, shared.now(), reply),
+            Ok(Message::QuotaTooLarge(reply)) => apply_too_large(&shared, shared.now(), reply),
+            Ok(Message::QuotaReturned(returned)) => {
+                take_back_quota(&shared, shared.now(), returned);
+            }
             Ok(Message::QuotaOwner(notice)) => apply_owner_notice(&shared, shared.now(), notice),
             Ok(Message::StoreEra(era)) => shared.hear_store_era(era),
             Ok(Message::Work(report)) => {
--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -8,6 +8,7 @@
 
 pub(crate) mod admit;
 pub mod lease;
+pub mod listing;
 pub mod owner;
 pub(crate) mod task;
 #[cfg(test)]
@@ -17,16 +18,18 @@
 
 use chervilgate_clock::Time;
 use chervilgate_policy::{
-    Charge, GRANT_LIFE, Holdings, QUOTA_PARTITIONS, QuotaBounds, QuotaReply, QuotaTerms,
+    BucketStart, Charge, GRANT_LIFE, Holdings, KnownPartitions, QUOTA_PARTITIONS, QuotaBounds,
+    QuotaReply, QuotaTerms,
 };
 use tokio::sync::mpsc::UnboundedSender;
 
 use self::{
     lease::{OwnerDoc, OwnerLease},
-    owner::OwnedBuckets,
+    owner::{Ask, OwnedBuckets},
 };
 use crate::{
     config::{Config, Quota},
+    gossip::QuotaReturn,
     hash::stable_hash,
     metrics::OrgQuotaMetrics,
     settings::HostSettings,
@@ -59,6 +62,8 @@
     org: u64,
     partition: usize,
     count: f64,
+    /// Whether the request needs this amount together with parts of other partitions.
+    is_part: bool,
     asked_at: Time,
     replies: UnboundedSender<Reply>,
 }
@@ -66,7 +71,9 @@
 /// An owner's reply, passed to the request that asked.
 #[derive(Debug, Clone, Copy)]
 struct Reply {
+    id: u64,
     partition: usize,
+    is_part: bool,
     outcome: Outcome,
 }
 
@@ -84,17 +91,43 @@
 pub(crate) enum OwnerAnswer {
     Granted(f64),
     Refused(Duration),
+    /// No request of this size is granted before this time, whatever is left.
+    TooLarge(Duration),
     /// The organisation has no quota here, or the configuration here may be old.
     Unknown,
     /// This host does not own the partition.
     NotOwner,
 }
 
+/// Minimum interval between log lines of an organisation's refused requests.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// An organisation with a quota at this host.
 struct OrgState {
     holdings: Holdings,
     terms: QuotaTerms,
     metrics: OrgQuotaMetrics,
+    refusals: RefusalLog,
+}
+
+/// Limits the log lines of refused requests.
+#[derive(Debug, Clone, Copy, Default)]
+struct RefusalLog {
+    logged_at: Option<Time>,
+    /// Requests refused since the last line.
+    refused: u64,
+}
+
+impl RefusalLog {
+    /// Counts a refused request. Returns how many the next line stands for, if it is due.
+    fn count(&mut self, now: Time) -> Option<u64> {
+        self.refused += 1;
+        if self.logged_at.is_some_and(|at| now < at + LOG_INTERVAL) {
+            return None;
+        }
+        self.logged_at = Some(now);
+        Some(std::mem::take(&mut self.refused))
+    }
 }
 
 /// The state of quotas at a host.
@@ -121,7 +154,8 @@
 
     /// Starts without any partition, grant or known owner.
     pub(crate) fn new(settings: &HostSettings, boot: u64) -> QuotaState {
-        let lease = || OwnerLease::new(&settings.name, settings.gossip_addr, boot);
+        let settling = settings.bounds.quota.map_or(Duration::ZERO, |bounds| bounds.settling());
+        let lease = || OwnerLease::new(&settings.name, settings.gossip_addr, boot, settling);
         QuotaState {
             own_hash: stable_hash(&settings.name),
             bounds: settings.bounds.quota,
@@ -167,12 +201,14 @@
                 holdings: Holdings::default(),
                 terms,
                 metrics: metrics(name, quota),
+                refusals: RefusalLog::default(),
             });
             if state.terms != terms {
                 *state = OrgState {
                     holdings: std::mem::take(&mut state.holdings),
                     terms,
                     metrics: metrics(name, quota),
+                    refusals: state.refusals,
                 };
                 state.holdings.forget_refusals();
             }
@@ -189,35 +225,45 @@
         self.buckets.set_terms(now, partition, terms);
     }
 
-    /// Begins to grant from empty buckets, after this process became the owner of `partition`.
-    fn begin_owning(&mut self, now: Time, partition: usize) {
-        self.buckets.clear(partition);
+    /// Begins to grant, after this process became the owner of `partition`.
+    fn begin_owning(&mut self, now: Time, partition: usize, start: BucketStart) {
+        self.buckets.begin(now, partition, start);
         self.fill_buckets(now, partition);
     }
 
     /// Answers a host that asks for a part of an organisation's quota.
-    pub(crate) fn answer(
-        &mut self,
-        now: Time,
-        org: u64,
-        partition: usize,
-        need: f64,
-        extra: f64,
-    ) -> OwnerAnswer {
+    pub(crate) fn answer(&mut self, now: Time, partition: usize, ask: &Ask) -> OwnerAnswer {
         if partition >= QUOTA_PARTITIONS || !self.leases[partition].may_grant(now) {
             return OwnerAnswer::NotOwner;
         }
-        match self.buckets.ask(now, partition, org, need, extra) {
+        match self.buckets.ask(now, partition, ask) {
             Some(QuotaReply::Granted(amount)) => OwnerAnswer::Granted(amount),
+            Some(QuotaReply::Refused(wait)) if self.buckets.is_too_large(now, partition, ask) => {
+                OwnerAnswer::TooLarge(wait)
+            }
             Some(QuotaReply::Refused(wait)) => OwnerAnswer::Refused(wait),
             None => OwnerAnswer::Unknown,
         }
     }
 
+    /// Takes back what this owner granted for the ask `id`.
+    pub(crate) fn take_back(&mut self, now: Time, partition: usize, id: u64) {
+        if partition < QUOTA_PARTITIONS {
+            self.buckets.give_back(now, partition, id);
+        }
+    }
+
     /// Passes an owner's answer on to the request that asked. A grant counts from the time at which it
-    /// was asked for; one that comes too late for its request is for others.
-    pub(crate) fn apply_answer(&mut self, now: Time, id: u64, answer: OwnerAnswer) {
-        let Some(ask) = self.pending.remove(&id) else { return };
+    /// was asked for. One that comes too late for its request is for others; a part is returned.
+    #[must_use]
+    pub(crate) fn apply_answer(
+        &mut self,
+        now: Time,
+        id: u64,
+        answer: OwnerAnswer,
+    ) -> Option<(QuotaReturn, SocketAddr)> {
+        let ask = self.pending.remove(&id)?;
+        let owner_addr = self.owners[ask.partition].map(|owner| owner.addr);
         if let Some(owner) = &mut self.owners[ask.partition] {
             match answer {
                 OwnerAnswer::NotOwner => self.owners[ask.partition] = None,
@@ -232,34 +278,39 @@
         let outcome = match answer {
             // Whole amounts are sent, rounded down.
             OwnerAnswer::Granted(amount) => Outcome::Granted(amount, ask.asked_at + GRANT_LIFE),
-            OwnerAnswer::Refused(wait) => Outcome::Refused(wait),
+            OwnerAnswer::Refused(wait) | OwnerAnswer::TooLarge(wait) => Outcome::Refused(wait),
             OwnerAnswer::Unknown | OwnerAnswer::NotOwner => Outcome::Unknown,
         };
-        let reply = Reply { partition: ask.partition, outcome };
-        let Some(holdings) = holdings else { return };
-        if let Outcome::Refused(wait) = outcome {
-            holdings.record_refusal(now, ask.partition, ask.count, wait);
-        }
+        let reply = Reply { id, partition: ask.partition, is_part: ask.is_part, outcome };
+        let holdings = holdings?;
+        record_answer(holdings, now, ask.partition, ask.count, answer);
         if ask.replies.send(reply).is_err()
             && let Outcome::Granted(amount, until) = outcome
         {
+            if ask.is_part {
+                return Some((QuotaReturn::new(id, ask.partition), owner_addr?));
+            }
             holdings.add(now, amount, until);
         }
+        None
     }
 
     /// Partitions whose owners are known, in the order in which they are asked for an organisation.
-    /// Owners that did not answer are left out if there are others.
-    fn order(&self, now: Time, org: u64) -> smallvec::SmallVec<[usize; QUOTA_PARTITIONS]> {
-        let mut order: smallvec::SmallVec<[usize; QUOTA_PARTITIONS]> =
-            (0..QUOTA_PARTITIONS).filter(|partition| self.is_known(now, *partition)).collect();
-        let is_silent = |partition: &usize| {
-            self.owners[*partition].is_some_and(|owner| now < owner.silent_until)
-        };
-        if !order.iter().all(is_silent) {
-            order.retain(|partition| !is_silent(partition));
+    fn known_partitions(&self, now: Time, org: u64) -> KnownPartitions {
+        let mut known = KnownPartitions::default();
+        for partition in (0..QUOTA_PARTITIONS).filter(|partition| self.is_known(now, *partition)) {
+            let owner = self.owners[partition];
+            let is_silent = owner.is_some_and(|owner| now < owner.silent_until);
+            let list = if is_silent { &mut known.silent } else { &mut known.answering };
+            list.push(partition);
         }
-        order.sort_unstable_by_key(|partition| stable_hash(&(self.own_hash, org, *partition)));
-        order
+        for list in [&mut known.answering, &mut known.silent] {
+            list.sort_unstable_by_key(|partition| stable_hash(&(self.own_hash, org, *partition)));
+        }
+        if known.answering.is_empty() {
+            std::mem::swap(&mut known.answering, &mut known.silent);
+        }
+        known
     }
 
     fn is_known(&self, now: Time, partition: usize) -> bool {
@@ -302,11 +353,15 @@
             // A later answer still counts as a grant.
             now < ask.asked_at + GRANT_LIFE
         });
-        let is_lost = |partition: usize| {
+        std::mem::take(&mut self.wants_owners) && self.lacks_owner()
+    }
+
+    /// Whether this host does not know an owner of some partition that answers.
+    pub(crate) fn lacks_owner(&self) -> bool {
+        (0..QUOTA_PARTITIONS).any(|partition| {
             !self.leases[partition].is_owner()
                 && self.owners[partition].is_none_or(|owner| owner.unanswered >= MAX_UNANSWERED)
-        };
-        std::mem::take(&mut self.wants_owners) && (0..QUOTA_PARTITIONS).any(is_lost)
+        })
     }
 
     /// Returns what was taken for a request that no target has run.
@@ -324,6 +379,22 @@
     }
 }
 
+/// Records what an owner has answered to an ask for `count`.
+fn record_answer(
+    holdings: &mut Holdings,
+    now: Time,
+    partition: usize,
+    count: f64,
+    answer: OwnerAnswer,
+) {
+    match answer {
+        OwnerAnswer::Granted(_) => holdings.record_grant(partition, count),
+        OwnerAnswer::Refused(wait) => holdings.record_refusal(now, partition, count, wait),
+        OwnerAnswer::TooLarge(wait) => holdings.record_too_large(now, partition, count, wait),
+        OwnerAnswer::Unknown | OwnerAnswer::NotOwner => {}
+    }
+}
+
 /// An organisation's quota as the request path needs it.
 #[derive(Debug, Clone)]
 pub(crate) struct OrgQuota {
--- a/components/gateway/src/quota/lease.rs
+++ b/components/gateway/src/quota/lease.rs
@@ -13,7 +13,7 @@
 
 use chervilgate_clock::Time;
 use chervilgate_coord::{Expect, Version};
-use chervilgate_policy::GRANT_LIFE;
+use chervilgate_policy::{BucketStart, GRANT_LIFE};
 use serde::{Deserialize, Serialize};
 
 /// Time for which an owner may grant after it sent a write.
@@ -22,6 +22,10 @@
 /// Interval between an owner's writes, as a share of the lease: three may fail in a row.
 const RENEW_SHARE: f64 = 0.25;
 
+/// Time after a failed write until the next one; it doubles with each further failure up to the interval
+/// between writes, so that an owner that is cut off from the store does not call it at each step.
+const MIN_RETRY_TIME: Duration = Duration::from_millis(250);
+
 /// Time for which another host must have seen the object unchanged, relative to the lease; the excess
 /// covers clocks of different speed.
 const TAKEOVER_SHARE: f64 = 1.1;
@@ -46,6 +50,9 @@
     /// Whether the owner has stopped granting for good.
     #[serde(default)]
     pub released: bool,
+    /// Whether no earlier owner's grants counted any more in any window.
+    #[serde(default)]
+    pub settled: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -63,6 +70,8 @@
     sent: Time,
     /// Time from which this process may grant.
     from: Time,
+    /// Time from which no earlier owner's grants count.
+    settled_at: Time,
 }
 
 /// One partition's ownership as seen by one process.
@@ -71,24 +80,32 @@
     name: String,
     addr: SocketAddr,
     boot: u64,
+    /// Time after which a previous owner's grants no longer count.
+    settling: Duration,
     seen: Option<Seen>,
     held: Option<Held>,
     /// Whether this process is giving the partition up.
     releasing: bool,
     rest_until: Time,
+    /// Writes that failed in a row, and the time from which the next one may be sent.
+    failures: u32,
+    retry_at: Time,
 }
 
 impl OwnerLease {
     /// Starts without owning the partition; `addr` is an address that this process has bound.
-    pub fn new(name: &str, addr: SocketAddr, boot: u64) -> OwnerLease {
+    pub fn new(name: &str, addr: SocketAddr, boot: u64, settling: Duration) -> OwnerLease {
         OwnerLease {
             name: name.to_owned(),
             addr,
             boot,
+            settling,
             seen: None,
             held: None,
             releasing: false,
             rest_until: Time::ZERO,
+            failures: 0,
+            retry_at: Time::ZERO,
         }
     }
 
@@ -101,6 +118,7 @@
         version: Option<Version>,
         doc: Option<OwnerDoc>,
     ) {
+        self.forget_failures();
         if let Some(seen) = &self.seen {
             let is_same = seen.era == era && seen.version == version;
             let is_older = era < seen.era || version.is_some() && version < seen.version;
@@ -112,6 +130,7 @@
         let is_taken = doc.as_ref().is_some_and(|doc| doc.era == era) && !is_own;
         if is_taken {
             self.held = None;
+            self.releasing = false;
         }
         self.seen = Some(Seen { era, version, doc, at: now });
     }
@@ -127,6 +146,25 @@
         self.held.is_some() && !self.releasing
     }
 
+    /// Whether this process has given the partition up and the store does not show it yet.
+    pub fn is_releasing(&self) -> bool {
+        self.held.is_some() && self.releasing
+    }
+
+    /// Records that a write got no answer, so that the next one waits; `spread` is random, from 0 to 1.
+    pub fn record_failure(&mut self, now: Time, spread: f64) {
+        let longest = OWNER_LEASE.mul_f64(RENEW_SHARE);
+        let wait = (MIN_RETRY_TIME * (1 << self.failures.min(8))).min(longest);
+        self.failures += 1;
+        self.retry_at = now + wait.mul_f64(0.75 + spread / 2.0);
+    }
+
+    /// Records that the store answers again.
+    fn forget_failures(&mut self) {
+        self.failures = 0;
+        self.retry_at = Time::ZERO;
+    }
+
     /// The condition of the next write.
     pub fn expected(&self) -> Expect {
         let version = self.seen.as_ref().and_then(|seen| seen.version);
@@ -149,6 +187,7 @@
             self.releasing = false;
         }
         let is_due = match self.held {
+            _ if now < self.retry_at => false,
             Some(_) if self.releasing => true,
             Some(held) => now >= held.sent + OWNER_LEASE.mul_f64(RENEW_SHARE),
             None => now >= self.rest_until && self.may_take_over(now, seen),
@@ -160,7 +199,8 @@
             boot: self.boot,
             count,
             era: seen.era,
-            released: self.releasing,
+            released: self.is_releasing(),
+            settled: self.held.is_some_and(|held| now >= held.settled_at),
         })
     }
 
@@ -182,29 +222,41 @@
         }
     }
 
-    /// Records that `doc`, sent at `sent`, was written as `version`. Returns whether this process has
-    /// become the owner by it.
-    pub fn record_write(&mut self, now: Time, sent: Time, version: Version, doc: OwnerDoc) -> bool {
+    /// Records that `doc`, sent at `sent`, was written as `version`. Returns how the buckets begin, if this
+    /// process has become the owner by it.
+    pub fn record_write(
+        &mut self,
+        now: Time,
+        sent: Time,
+        version: Version,
+        doc: OwnerDoc,
+    ) -> Option<BucketStart> {
+        self.forget_failures();
+        // What did not exist in the era in which this host saw it may be missing from the older copy that the
+        // store has come back from since.
+        let is_other_era = version.era != doc.era;
         let is_vacant = self.seen.as_ref().is_some_and(|seen| self.is_vacant(seen));
+        let start = self.seen.as_ref().map_or(BucketStart::AfterUnsettled, bucket_start);
         let released = doc.released;
         self.seen =
             Some(Seen { era: version.era, version: Some(version), doc: Some(doc), at: now });
         if released {
             self.held = None;
             self.releasing = false;
-            return false;
+            return None;
         }
-        match &mut self.held {
-            Some(held) => {
-                held.sent = sent;
-                false
-            }
-            None => {
-                let from = if is_vacant { now } else { now + GRANT_LIFE };
-                self.held = Some(Held { sent, from });
-                true
-            }
+        if let Some(held) = &mut self.held {
+            held.sent = sent;
+            return None;
         }
+        if is_other_era {
+            return None;
+        }
+        let from = if is_vacant { now } else { now + GRANT_LIFE };
+        let is_first = start == BucketStart::First;
+        let settled_at = if is_first { now } else { now + self.settling };
+        self.held = Some(Held { sent, from, settled_at });
+        Some(start)
     }
 
     /// The object, if this process wrote it.
@@ -217,3 +269,12 @@
         self.seen.as_ref().and_then(|seen| seen.doc.as_ref())
     }
 }
+
+/// How the buckets of an owner begin that follows on this object.
+fn bucket_start(seen: &Seen) -> BucketStart {
+    match &seen.doc {
+        None if seen.version.is_none() && seen.era == 0 => BucketStart::First,
+        Some(doc) if doc.era == seen.era && doc.settled => BucketStart::AfterSettled,
+        _ => BucketStart::AfterUnsettled,
+    }
+}
--- a/components/gateway/src/quota/task.rs
+++ b/components/gateway/src/quota/task.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     gossip::{OwnerNotice, OwnerRotation, announce_owner, candidate_key},
-    quota::lease::OwnerDoc,
+    quota::{lease::OwnerDoc, listing::ListSchedule},
     state::Shared,
     watch::decode_objects,
 };
@@ -35,9 +35,6 @@
 /// Interval at which a candidate reads the object of an owner that it does not hear.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Minimum interval at which a host reads who owns the partitions.
-const LIST_INTERVAL: Duration = Duration::from_secs(2);
-
 /// Time after the start in which a host takes over only partitions that its address owns: it does not
 /// know the other hosts yet.
 const ACQUAINTANCE_TIME: Duration = Duration::from_millis(700);
@@ -50,19 +47,22 @@
 
 /// Applies the configuration, counts unanswered asks and reads owners from the store.
 pub(crate) async fn maintain_quotas(shared: Arc<Shared>) {
-    let mut listed_at: Option<Time> = None;
+    let mut schedule = ListSchedule::default();
     loop {
         let now = shared.now();
-        let (is_active, is_lost) = {
+        let (is_active, is_due) = {
             let state = &mut *shared.state();
             apply_config(&shared, state, now);
             state.quota.observe_held(now);
-            (state.quota.is_active(), state.quota.expire_asks(now))
+            let is_active = state.quota.is_active();
+            let wants = state.quota.expire_asks(now);
+            let (lacks, hosts) = (state.quota.lacks_owner(), state.membership.count());
+            (is_active, is_active && schedule.is_due(now, wants, lacks, hosts, rand::random()))
         };
-        let is_due = listed_at.is_none_or(|at| is_lost && now >= at + LIST_INTERVAL);
-        if is_active && is_due {
-            if list_owners(&shared).await {
-                listed_at = Some(now);
+        if is_due {
+            let is_answered = list_owners(&shared).await;
+            schedule.record(shared.now(), is_answered);
+            if is_answered {
                 shared.quota_due.iter().for_each(tokio::sync::Notify::notify_one);
             }
             sleep(TICK.mul_f64(rand::random())).await;
@@ -157,10 +157,13 @@
 
     async fn step(&mut self, started: Time, is_urgent: bool) {
         let now = self.shared.now();
-        let is_owner = self.shared.state().quota.leases[self.partition].is_owner();
+        let (is_owner, is_releasing) = {
+            let lease = &self.shared.state().quota.leases[self.partition];
+            (lease.is_owner(), lease.is_releasing())
+        };
         if is_owner {
             self.release_if_due(now);
-        } else if !self.may_take_over(now, started, is_urgent).await {
+        } else if !is_releasing && !self.may_take_over(now, started, is_urgent).await {
             return;
         }
         let now = self.shared.now();
@@ -266,8 +269,10 @@
             StoreReply::Conflict(object) => self.observe(object.as_ref()),
             reply => {
                 let partition = self.partition;
+                let now = self.shared.now();
+                let spread = rand::random();
+                self.shared.state().quota.leases[partition].record_failure(now, spread);
                 log::info!(target: "quota", partition, reply:?; "owner not written");
-                self.read(sent).await;
             }
         }
     }
@@ -283,12 +288,15 @@
         let released = doc.released;
         let has_begun = {
             let state = &mut self.shared.state().quota;
-            let has_begun = state.leases[partition].record_write(now, sent, version, doc.clone());
-            if has_begun {
-                state.begin_owning(now, partition);
+            let start = state.leases[partition].record_write(now, sent, version, doc.clone());
+            if let Some(start) = start {
+                state.begin_owning(now, partition, start);
+            }
+            // An object written in another era than seen does not make this host the owner.
+            if released || state.leases[partition].is_owner() {
+                state.hear_owner(now, partition, &doc);
             }
-            state.hear_owner(now, partition, &doc);
-            has_begun
+            start.is_some()
         };
         if has_begun {
             self.owned_since = now;
