Hosts explain where a request would go

Cause: why a target was chosen, or a request refused, could only be read from log lines afterwards, without the targets that were not chosen.

Change: the cost of a target is a struct of terms, which the placement sums; Fleet::compare lists the same candidates. Admission::forecast runs offer on a copy of the service's queue, the quota is looked up without taking anything, and refusals use the functions of the request path with the mean in place of the random draw. POST /explain on the address of the metrics answers with JSON; the other addresses do not answer it.

Cost of a placement before and after is not measured.

--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -28,7 +28,7 @@
     protocol::Prompt,
 };
 
-pub use chervilgate_policy::{YieldReason, Yielded};
+pub use chervilgate_policy::{Outlook, YieldReason, Yielded};
 
 /// Longest time between two looks for capacity while requests wait.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -112,6 +112,17 @@
         spread: f64,
     ) -> Offer;
 
+    /// What [`Admission::offer`] would return now, without any effect, and where the request would stand if
+    /// it waited.
+    fn forecast(
+        &self,
+        now: Time,
+        fleet: &Fleet,
+        targets: &Arc<LatencyTargets>,
+        applicant: &Applicant<'_>,
+        spread: f64,
+    ) -> (Offer, Outlook);
+
     /// Records that a request of this host needs its target of `service` less than before. A waiting
     /// request may use what that has freed at the next [`Admission::poll`], whatever other hosts do.
     fn record_freed(&mut self, service: &str);
@@ -174,7 +185,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct ServiceQueue {
     queue: DispatchQueue,
     targets: Arc<LatencyTargets>,
@@ -279,6 +290,37 @@
         }
     }
 
+    fn forecast(
+        &self,
+        now: Time,
+        fleet: &Fleet,
+        targets: &Arc<LatencyTargets>,
+        applicant: &Applicant<'_>,
+        spread: f64,
+    ) -> (Offer, Outlook) {
+        // The same code decides on a copy, so that nothing is queued, charged or evicted.
+        let service = applicant.query.service;
+        let known = self.services.get_key_value(service);
+        let services = known.map(|(name, queue)| (name.clone(), queue.clone()));
+        let mut copy = Queues {
+            services: services.into_iter().collect(),
+            last_ticket: self.last_ticket,
+            ..Queues::default()
+        };
+        let offer = copy.offer(now, fleet, targets, applicant, spread);
+        let outlook = match &offer {
+            Offer::Wait(ticket) => {
+                let queue = copy.services.get_mut(service).map(|service| &mut service.queue);
+                queue.and_then(|queue| queue.remove_with_outlook(*ticket))
+            }
+            Offer::Refuse(yielded) => {
+                Some(Outlook { ahead: yielded.ahead, wait: yielded.retry_after })
+            }
+            Offer::Send(_) | Offer::NoTarget => None,
+        };
+        (offer, outlook.unwrap_or_default())
+    }
+
     fn record_freed(&mut self, service: &str) {
         if let Some(service) = self.services.get_mut(service)
             && !service.queue.is_empty()
--- a/components/gateway/src/admission/claims.rs
+++ b/components/gateway/src/admission/claims.rs
@@ -24,7 +24,7 @@
 }
 
 /// Free targets that are shown to the requests of one priority.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Showing {
     priority: u8,
     free: usize,
@@ -35,7 +35,7 @@
 }
 
 /// The free targets of one service that reports have shown.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Claims {
     showings: SmallVec<[Showing; 4]>,
     last_number: u64,
--- a/components/gateway/src/config.rs
+++ b/components/gateway/src/config.rs
@@ -320,6 +320,16 @@
         self.latency_targets.get(service).map(|targets| targets.shortest())
     }
 
+    /// All routes, in no order.
+    pub(crate) fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
+    /// The organisation of this name.
+    pub(crate) fn org(&self, name: &str) -> Option<&Org> {
+        self.keys.iter().flat_map(HashMap::values).find(|org| *org.name == *name)
+    }
+
     /// The route of `host` with the longest prefix of `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
@@ -334,6 +344,11 @@
         self.latency_target < self.timeout
     }
 
+    /// Whether a request that ran `runs` times may run only once more.
+    pub fn is_last_run(&self, runs: u32) -> bool {
+        !self.kind.is_retryable() || runs + 1 >= self.attempts
+    }
+
     /// Picks a service by weight; `draw` is a random number from 0 to 1.
     pub fn pick_service(&self, draw: f64) -> Option<&Arc<str>> {
         let total: u32 = self.services.iter().map(|(_, weight)| weight).sum();
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -6,12 +6,18 @@
 use chervilgate_clients::{Body, body::empty, body::full};
 use chervilgate_serve::Handler;
 use hyper::{
-    Request, Response, StatusCode,
+    Method, Request, Response, StatusCode,
     body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
 };
 
-use crate::state::Shared;
+use tokio::time::timeout;
+
+use crate::{
+    body::read_body,
+    explain::{Question, explain},
+    state::Shared,
+};
 
 /// Time for which callers may cache an address list. Some callers cache it for three
 /// times as long; even then it must expire before a stopping host exits.
@@ -20,9 +26,20 @@
 /// Path of the metrics endpoint.
 const METRICS_PATH: &str = "/metrics";
 
+/// Path at which requests are explained.
+const EXPLAIN_PATH: &str = "/explain";
+
+/// Maximum size of a request to explain, in bytes.
+const MAX_QUESTION_BYTES: usize = 64 << 10;
+
+/// Timeout for reading it.
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Serves address lists, readiness and metrics.
 pub(crate) struct Directory {
     pub(crate) shared: Arc<Shared>,
+    /// Whether it explains requests: an answer names targets and quotas, which callers must not see.
+    pub(crate) explains: bool,
 }
 
 #[async_trait]
@@ -32,6 +49,9 @@
         if path == METRICS_PATH {
             return self.metrics();
         }
+        if self.explains && path == EXPLAIN_PATH && request.method() == Method::POST {
+            return self.explain(request.into_body()).await;
+        }
         if self.shared.protocol.is_ready_path(path) {
             return self.readiness();
         }
@@ -56,6 +76,24 @@
 }
 
 impl Directory {
+    async fn explain(&self, body: Incoming) -> Response<Body> {
+        let read = read_body(body, MAX_QUESTION_BYTES, &self.shared.body_budget);
+        let Ok(Ok((body, _reservation))) = timeout(QUESTION_TIMEOUT, read).await else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let question = serde_json::from_slice::<Question>(&body).map_err(|error| error.to_string());
+        let answer = question.and_then(|question| explain(&self.shared, &question));
+        let answer = answer
+            .and_then(|answer| serde_json::to_vec(&answer).map_err(|error| error.to_string()));
+        let (status, body) = match answer {
+            Ok(answer) => (StatusCode::OK, answer),
+            Err(problem) => (StatusCode::BAD_REQUEST, problem.into_bytes()),
+        };
+        let mut response = Response::new(full(body));
+        *response.status_mut() = status;
+        response
+    }
+
     fn metrics(&self) -> Response<Body> {
         let now = self.shared.now();
         let metrics = &self.shared.metrics;
--- a/components/gateway/src/failure.rs
+++ b/components/gateway/src/failure.rs
@@ -76,7 +76,7 @@
 }
 
 impl Failure {
-    fn status(self) -> StatusCode {
+    pub(crate) fn status(self) -> StatusCode {
         match self {
             Failure::Malformed | Failure::BrokenBody => StatusCode::BAD_REQUEST,
             Failure::NoRoute => StatusCode::NOT_FOUND,
@@ -109,7 +109,7 @@
     }
 
     /// Value of the `Retry-After` header; none if a retry would not help.
-    fn retry_after(self) -> Option<Duration> {
+    pub(crate) fn retry_after(self) -> Option<Duration> {
         match self {
             Failure::StaleView => Some(Duration::from_millis(500)),
             Failure::NoTarget => Some(Duration::from_millis(500)),
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -9,10 +9,12 @@
 
 mod builds;
 mod capacity;
+mod costs;
 mod demand;
 mod departures;
 mod ends;
 mod entry;
+mod explain;
 mod failures;
 mod first_seconds;
 mod health;
@@ -59,9 +61,11 @@
 pub use crate::fleet::{
     builds::{Build, BuildId, STREAM_LIFE, SeenBuilds, ServiceBuild},
     capacity::{Capacity, CapacityClaim},
+    costs::{ComputeCost, CostTerms, SplitTerms},
     demand::{EngineSpeeds, StageCounts},
     ends::{EndNotice, PastEnd},
     entry::{TargetCounts, TargetEntry, TargetRole},
+    explain::{CandidateCost, Comparison, Held, StageCosts},
     failures::OutcomeNotice,
     imports::Import,
     limits::LimitNotice,
--- a/components/gateway/src/fleet/capacity.rs
+++ b/components/gateway/src/fleet/capacity.rs
@@ -130,7 +130,7 @@
     }
 
     /// Whether the targets of `plan` have capacity.
-    fn has_capacity(
+    pub(super) fn has_capacity(
         &self,
         now: Time,
         query: &TargetQuery<'_>,
--- a/components/gateway/src/fleet/placing.rs
+++ b/components/gateway/src/fleet/placing.rs
@@ -8,6 +8,7 @@
 use crate::{
     fleet::{
         Fleet, Placement, Plan, TargetQuery, TargetRole,
+        costs::{Candidate, ComputeCost, CostTerms, SplitTerms},
         peer_loads::PeerLoad,
         rank::{affinity, rank},
         room::{Need, room_cost},
@@ -99,15 +100,9 @@
             let query = TargetQuery { build: Some(prefill.build.id), ..*query };
             self.decoding_target(now, &query, rules)
         });
-        let detour =
-            |same: &Placement| decode.as_ref().map_or(0.0, |any| same.cost_ms - any.cost_ms);
-        // An engine that generates without room has none for the whole request either.
-        let no_room = decode.as_ref().and_then(|any| self.targets.get(&any.id));
-        let no_room = no_room
-            .map_or(0.0, |state| room_cost(state, self.peer_loads.load(state.id_hash), &need));
         match (whole, prefill, same) {
             (Some(whole), Some(prefill), Some(placement))
-                if prefill.cost_ms + SPLIT_COST_MS + detour(&placement) + no_room
+                if self.split_cost(&prefill, &placement, decode.as_ref(), &need).total()
                     < whole.cost_ms =>
             {
                 Some(Plan { placement, prefill: Some(prefill) })
@@ -116,6 +111,27 @@
         }
     }
 
+    /// Cost of computing the prompt at `prefill` and generating at `decode`, while `any` is the cheapest
+    /// engine of any software version to generate.
+    pub(super) fn split_cost(
+        &self,
+        prefill: &Placement,
+        decode: &Placement,
+        any: Option<&Placement>,
+        need: &Need,
+    ) -> SplitTerms {
+        // An engine that generates without room has none for the whole request either.
+        let state = any.and_then(|any| self.targets.get(&any.id));
+        let room_cost =
+            |state: &TargetState| room_cost(state, self.peer_loads.load(state.id_hash), need);
+        SplitTerms {
+            prefill_ms: prefill.cost_ms,
+            transfer_ms: SPLIT_COST_MS,
+            detour_ms: any.map_or(0.0, |any| decode.cost_ms - any.cost_ms),
+            room_ms: state.map_or(0.0, room_cost),
+        }
+    }
+
     /// Chooses a target that runs the whole request.
     pub fn place_whole(&self, now: Time, query: &TargetQuery<'_>) -> Option<Placement> {
         let need = self.need(query.service, query.prompt);
@@ -128,7 +144,7 @@
         self.decoding_target(now, query, Rules::default())
     }
 
-    fn decoding_target(
+    pub(super) fn decoding_target(
         &self,
         now: Time,
         query: &TargetQuery<'_>,
@@ -207,6 +223,56 @@
         rules: Rules,
         has_role: impl Fn(TargetRole) -> bool,
     ) -> Option<Placement> {
+        let mut best: Option<Candidate<'_>> = None;
+        self.visit_candidates(now, query, need, rules, has_role, |candidate| {
+            if best.as_ref().is_none_or(|best| candidate.order(best).is_lt()) {
+                best = Some(candidate);
+            }
+        });
+        best.map(|candidate| self.placement(now, query, &candidate))
+    }
+
+    /// The target of a candidate, with its predicted times.
+    pub(super) fn placement(
+        &self,
+        now: Time,
+        query: &TargetQuery<'_>,
+        candidate: &Candidate<'_>,
+    ) -> Placement {
+        let Candidate { state, computed, import, terms, .. } = candidate;
+        let missing = import.as_ref().map_or(*computed, |(_, rest)| *rest);
+        let import_ms = import.as_ref().map_or(0.0, |(offer, _)| offer.time_ms);
+        let compute_tokens = missing.shared.saturating_add(missing.own);
+        let prefill_ms = state.prefill_time_ms(compute_tokens, query.prompt.tokens);
+        let import = import.as_ref().map(|(offer, _)| {
+            let all = computed.shared.saturating_add(computed.own);
+            offer.import(state.prefill_time_ms(all, query.prompt.tokens) - prefill_ms)
+        });
+        Placement {
+            id: state.entry.id.clone(),
+            addr: state.entry.addr,
+            zone: state.entry.zone.clone(),
+            incarnation: state.entry.incarnation,
+            build: state.build(now),
+            compute_tokens,
+            prefill_ms,
+            wait_ms: terms.wait_ms + import_ms,
+            cost_ms: candidate.cost_ms,
+            cache_is_known: candidate.cache_is_known,
+            import,
+        }
+    }
+
+    /// Calls `visit` with each target that may be sent the request, and the terms of its cost.
+    pub(super) fn visit_candidates<'a>(
+        &'a self,
+        now: Time,
+        query: &TargetQuery<'_>,
+        need: &Need,
+        rules: Rules,
+        has_role: impl Fn(TargetRole) -> bool,
+        mut visit: impl FnMut(Candidate<'a>),
+    ) {
         let key = affinity(query.prompt);
         let serving = self.targets.values().filter(|state| {
             state.serves(now, query.service)
@@ -217,7 +283,7 @@
             let weight = if state.entry.role == TargetRole::Prefill { PREFILL_WEIGHT } else { 1.0 };
             (state, rank(key, &state.entry.id, weight))
         });
-        let ranked: SmallVec<[(&TargetState, f64); 32]> = ranked.collect();
+        let ranked: SmallVec<[(&'a TargetState, f64); 32]> = ranked.collect();
         let (mut first, mut second) = (f64::MIN, f64::MIN);
         for (_, rank) in &ranked {
             second = second.max(rank.min(first));
@@ -239,19 +305,28 @@
                 && !query.exclude.contains(&state.entry.id)
                 && rules.max_wait.is_none_or(|wait| self.starts_within(now, state, wait, need))
         });
-        let candidates = eligible.map(|(state, rank)| {
+        for (state, rank) in eligible {
             let others = self.peer_loads.load(state.id_hash);
             let hit_rate = hit_rate(rank);
             let missing = state.uncached_tokens(query.prompt, hit_rate);
-            let zone_cost = if state.entry.zone == self.zone { 0.0 } else { CROSS_ZONE_COST_MS };
+            let zone_ms = if state.entry.zone == self.zone { 0.0 } else { CROSS_ZONE_COST_MS };
             let is_trial = !query.runs_once && self.failures.is_trial_due(now, state.start_hash);
-            let failing = if is_trial { 0.0 } else { self.failure_cost(now, state, query) };
-            let prefill_cost = |missing: UncachedTokens| {
-                state.prefill_time_ms(missing.shared, query.prompt.tokens) * RECOMPUTE_WEIGHT
-                    + state.prefill_time_ms(missing.own, query.prompt.tokens)
-                    + self.late_streams_cost(now, state, others, missing, query, event_tokens)
+            let failing_ms = if is_trial { 0.0 } else { self.failure_cost(now, state, query) };
+            let computing = |missing: UncachedTokens| ComputeCost {
+                prefill_ms: state.prefill_time_ms(missing.shared, query.prompt.tokens)
+                    * RECOMPUTE_WEIGHT
+                    + state.prefill_time_ms(missing.own, query.prompt.tokens),
+                late_streams_ms: self.late_streams_cost(
+                    now,
+                    state,
+                    others,
+                    missing,
+                    query,
+                    event_tokens,
+                ),
+                import_ms: 0.0,
             };
-            let computed_cost = prefill_cost(missing);
+            let computed_cost = computing(missing);
             let offer = (!sources.is_empty() && missing.shared > 0)
                 .then(|| state.cached_shared_tokens(query.prompt))
                 .and_then(|cached| self.import_offer(now, query.service, state, cached, &sources));
@@ -260,43 +335,28 @@
                 let saved = f64::from(offer.tokens) * (1.0 - hit_rate) * import_hit_rate;
                 let shared = missing.shared.saturating_sub(saved as u32);
                 let rest = UncachedTokens { shared, ..missing };
-                let cost = prefill_cost(rest) + offer.time_ms + offer.price_ms;
-                (cost < computed_cost).then_some((offer, rest, cost))
+                let import_ms = offer.time_ms + offer.price_ms;
+                let cost = ComputeCost { import_ms, ..computing(rest) };
+                (cost.total() < computed_cost.total()).then_some((offer, rest, cost))
             });
-            let prefill_cost = import.as_ref().map_or(computed_cost, |(_, _, cost)| *cost);
+            let compute = import.as_ref().map_or(computed_cost, |(_, _, cost)| *cost);
             let entry = &state.entry;
             // One answer shows it.
             let is_in_doubt =
                 state.in_flight == 0 && self.limits.is_in_doubt(now, &entry.id, entry.incarnation);
-            let bonus = if is_in_doubt || is_trial { DOUBT_BONUS_MS } else { 0.0 };
-            let room_cost = room_cost(state, others, need);
-            let wait = self.wait_by(now, state, rules);
-            let cost = wait + room_cost + prefill_cost + zone_cost + failing - bonus;
+            let doubt_ms = if is_in_doubt || is_trial { -DOUBT_BONUS_MS } else { 0.0 };
+            let terms = CostTerms {
+                wait_ms: self.wait_by(now, state, rules),
+                room_ms: room_cost(state, others, need),
+                compute,
+                zone_ms,
+                failing_ms,
+                doubt_ms,
+            };
             let cache_is_known = import.is_none() && (missing.shared == 0 || hit_rate == 0.0);
-            (state, rank, (missing, cache_is_known, import), cost)
-        });
-        let (state, _, (computed, cache_is_known, import), cost_ms) =
-            candidates.min_by(|a, b| a.3.total_cmp(&b.3).then_with(|| b.1.total_cmp(&a.1)))?;
-        let missing = import.as_ref().map_or(computed, |(_, rest, _)| *rest);
-        let import_ms = import.as_ref().map_or(0.0, |(offer, ..)| offer.time_ms);
-        let compute_tokens = missing.shared.saturating_add(missing.own);
-        let prefill_ms = state.prefill_time_ms(compute_tokens, query.prompt.tokens);
-        let import = import.map(|(offer, ..)| {
-            let all = computed.shared.saturating_add(computed.own);
-            offer.import(state.prefill_time_ms(all, query.prompt.tokens) - prefill_ms)
-        });
-        Some(Placement {
-            id: state.entry.id.clone(),
-            addr: state.entry.addr,
-            zone: state.entry.zone.clone(),
-            incarnation: state.entry.incarnation,
-            build: state.build(now),
-            compute_tokens,
-            prefill_ms,
-            wait_ms: self.wait_by(now, state, rules) + import_ms,
-            cost_ms,
-            cache_is_known,
-            import,
-        })
+            let import = import.map(|(offer, rest, _)| (offer, rest));
+            let (computed, cost_ms) = (missing, terms.total());
+            visit(Candidate { state, rank, computed, cache_is_known, import, terms, cost_ms });
+        }
     }
 }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -95,7 +95,7 @@
 
     /// Whether the next run is the last that the route allows.
     pub(crate) fn is_last_run(&self, call: &CallerRequest) -> bool {
-        !call.route.kind.is_retryable() || self.runs + 1 >= call.route.attempts
+        call.route.is_last_run(self.runs)
     }
 
     /// Counts a run that failed; returns whether the request may run again.
@@ -156,11 +156,15 @@
     build: Option<BuildId>,
 ) -> Option<Failure> {
     let (hold, wait) = shared.state().fleet.wait_for_target(now, service, build)?;
-    let spread = rand::random::<f64>();
-    Some(match hold {
+    Some(hold_failure(hold, wait, rand::random()))
+}
+
+/// The failure to report while `hold` lasts for `wait`; `spread` is a random number from 0 to 1.
+pub(crate) fn hold_failure(hold: Hold, wait: Duration, spread: f64) -> Failure {
+    match hold {
         Hold::Resting => Failure::Resting(wait + wait.min(MAX_RETURN_SPREAD).mul_f64(spread)),
         _ => Failure::Limited(wait.min(MAX_LIMIT_WAIT).mul_f64(1.0 + spread)),
-    })
+    }
 }
 
 /// Refuses a request that is predicted to miss its deadline, if it has not been sent
@@ -173,11 +177,17 @@
     attempts: &Attempts,
     predicted: Duration,
 ) -> Result<(), Failure> {
-    let left = deadline.since(now);
-    if predicted <= left || !attempts.tried.is_empty() {
-        return Ok(());
+    match late_by(now, deadline, predicted) {
+        Some(late) if attempts.tried.is_empty() => {
+            Err(Failure::Late(late + deadline.since(now).mul_f64(rand::random())))
+        }
+        _ => Ok(()),
     }
-    Err(Failure::Late(predicted - left + left.mul_f64(rand::random())))
+}
+
+/// Time by which a request is predicted to miss its deadline; none if it is not.
+pub(crate) fn late_by(now: Time, deadline: Time, predicted: Duration) -> Option<Duration> {
+    predicted.checked_sub(deadline.since(now)).filter(|late| !late.is_zero())
 }
 
 /// Runs `call` and returns the complete response.
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -106,11 +106,13 @@
             Arc::new(Shared::new(settings, protocol, decoder, store, lines_lost, time_of_day));
         let (stop, stopped) = watch::channel(false);
         let callers: Arc<dyn Handler> = Arc::new(CallerHandler { shared: shared.clone() });
-        let directory: Arc<dyn Handler> = Arc::new(Directory { shared: shared.clone() });
+        let directory = |explains| Arc::new(Directory { shared: shared.clone(), explains });
+        let (operators, directory): (Arc<dyn Handler>, Arc<dyn Handler>) =
+            (directory(true), directory(false));
         let addrs = [
             (Some(shared.settings.caller_addr), "callers", callers),
             (Some(shared.settings.readiness_addr), "readiness", directory.clone()),
-            (shared.settings.metrics_addr, "metrics", directory.clone()),
+            (shared.settings.metrics_addr, "metrics", operators),
             (shared.settings.directory_addr, "the directory", directory),
         ];
         let connections =
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod duty;
 mod events;
 mod exchange;
+mod explain;
 mod failure;
 pub mod fleet;
 mod forward;
--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -226,6 +226,11 @@
         if matches!(self.requests.check(now, request), PoisonStatus::Quarantined(_)) {
             return Some(PoisonVerdict::Request);
         }
+        self.parts_verdict(now, parts)
+    }
+
+    /// Why a request with these parts may not run, whatever else it is; none if it may.
+    pub fn parts_verdict(&self, now: Time, parts: &[Fingerprint]) -> Option<PoisonVerdict> {
         match self.parts.check_parts(now, parts) {
             PoisonStatus::Quarantined(refusal) => Some(PoisonVerdict::Part(refusal.retry_after)),
             _ => None,
--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -7,6 +7,7 @@
 //! organisation of the configuration has one.
 
 pub(crate) mod admit;
+pub(crate) mod forecast;
 pub mod lease;
 pub mod owner;
 pub(crate) mod task;
--- a/components/gateway/src/quota/admit.rs
+++ b/components/gateway/src/quota/admit.rs
@@ -74,6 +74,11 @@
     result
 }
 
+/// The failure of a request that owners refuse for `wait`; `spread` is a random number from 0 to 1.
+pub(super) fn over_quota(wait: Duration, spread: f64) -> Failure {
+    Failure::OverQuota(wait + MIN_SPREAD.max(wait.mul_f64(SPREAD_SHARE)).mul_f64(spread))
+}
+
 /// A request that needs more than this host holds.
 pub(super) struct WaitingRequest {
     org: u64,
@@ -162,8 +167,7 @@
                 if self.asking.begin_parts(now, &order, holdings) {
                     return Step::Again;
                 }
-                let spread = MIN_SPREAD.max(wait.mul_f64(SPREAD_SHARE));
-                Step::Failed(Failure::OverQuota(wait + spread.mul_f64(rand::random())))
+                Step::Failed(over_quota(wait, rand::random()))
             }
             AskStep::Unknown => {
                 state.wants_owners = true;
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -30,7 +30,7 @@
     poison::{part_fingerprints, request_fingerprint},
     protocol::RequestHead,
     quota::{OrgQuota, admit::admit as admit_quota},
-    state::Shared,
+    state::{Shared, State},
     stopping::Stop,
     stream::stream,
 };
@@ -220,10 +220,7 @@
         request_head: &RequestHead,
     ) -> Result<Admitted, Failure> {
         let state = self.shared.state();
-        let config = state.view.config().ok_or(Failure::StaleView)?;
-        if !state.targets_listed {
-            return Err(Failure::StaleView);
-        }
+        let config = config_in_force(&state)?;
         let host = head.headers.get(HOST).and_then(|value| value.to_str().ok());
         let host = host.or_else(|| head.uri.host()).ok_or(Failure::Malformed)?;
         let fresh = state.view.is_fresh(now);
@@ -246,8 +243,18 @@
     }
 }
 
+/// The configuration by which requests are served.
+pub(crate) fn config_in_force(state: &State) -> Result<&Config, Failure> {
+    state
+        .view
+        .config()
+        .filter(|_| state.targets_listed)
+        .map(|config| &**config)
+        .ok_or(Failure::StaleView)
+}
+
 /// The quota of `org`; none if it has none, or if quotas are not enforced.
-fn org_quota(shared: &Shared, org: &Org, config_version: u64) -> Option<OrgQuota> {
+pub(crate) fn org_quota(shared: &Shared, org: &Org, config_version: u64) -> Option<OrgQuota> {
     shared.settings.bounds.quota?;
     let (quota, name) = (org.quota?, org.name.clone());
     Some(OrgQuota { org: org_hash(&name), name, quota, config_version })
--- a/components/policy/src/admission/fair_queue.rs
+++ b/components/policy/src/admission/fair_queue.rs
@@ -52,7 +52,7 @@
 }
 
 /// A waiting request.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Waiting {
     pub(super) request: Request,
     /// When the request is refused if it has not started.
@@ -60,7 +60,7 @@
 }
 
 /// The waiting requests of one organisation and the cost it was served.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct OrgQueue {
     share: Option<FairShare>,
     by_priority: [VecDeque<(Ticket, u64)>; PRIORITIES],
@@ -105,7 +105,7 @@
 }
 
 /// The queues of all organisations.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct FairQueue {
     queues: BTreeMap<OrgId, OrgQueue>,
     /// Non-empty queues by tag.
--- a/components/policy/src/admission/rate.rs
+++ b/components/policy/src/admission/rate.rs
@@ -17,7 +17,7 @@
 ///
 /// Only busy time counts: while nothing is waiting, the rate depends on the callers and not
 /// on the capacity of the service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct ServiceRate {
     cost: f64,
     busy_secs: f64,
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -133,14 +133,23 @@
     pub targets: usize,
 }
 
-#[derive(Debug)]
+/// Where a request stands in the queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Outlook {
+    /// Number of waiting requests that come before it.
+    pub ahead: usize,
+    /// Predicted time until it starts.
+    pub wait: Duration,
+}
+
+#[derive(Debug, Clone)]
 struct Entry {
     request: WaitingRequest,
     standing: Standing,
 }
 
 /// The requests of one service that wait at this host.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct DispatchQueue {
     limits: DispatchLimits,
     entries: HashMap<Ticket, Entry>,
@@ -241,6 +250,14 @@
         Ok(refused)
     }
 
+    /// Removes a request and returns where it would stand as the latest of its lane; none if it does not
+    /// wait.
+    pub fn remove_with_outlook(&mut self, ticket: Ticket) -> Option<Outlook> {
+        let Entry { request, standing } = self.remove(ticket)?;
+        let key = request.lane_key(standing);
+        Some(Outlook { ahead: self.ahead(key), wait: self.expected_wait(key, &request) })
+    }
+
     /// Removes a request whose caller left; false if it does not wait.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         self.remove(ticket).is_some()
@@ -407,13 +424,18 @@
         spread: f64,
     ) -> Yielded {
         let key = request.lane_key(standing);
-        let ahead = self.lanes.range(..=key).map(|(_, lane)| lane.len()).sum();
+        let ahead = self.ahead(key);
         let step = 1.0 + RETURN_STEP * f64::from(request.priority);
         let retry_after = self.expected_wait(key, request).mul_f64(step * (1.0 + spread));
         let retry_after = retry_after.clamp(MIN_RETRY_AFTER.mul_f64(1.0 + spread), MAX_RETRY_AFTER);
         Yielded { reason, retry_after, ahead, to: self.last_started }
     }
 
+    /// Number of waiting requests that come before a new one of this lane.
+    fn ahead(&self, key: LaneKey) -> usize {
+        self.lanes.range(..=key).map(|(_, lane)| lane.len()).sum()
+    }
+
     /// Predicted time until a new request of this lane starts, by the rate of starts and by the work of
     /// the requests that come before it.
     fn expected_wait(&self, key: LaneKey, request: &WaitingRequest) -> Duration {
--- a/components/policy/src/dispatch/lane.rs
+++ b/components/policy/src/dispatch/lane.rs
@@ -28,7 +28,7 @@
 const MAX_COMPARED_ORGS: usize = 16;
 
 /// The waiting requests of one organisation.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct OrgRequests {
     tag: Tag,
     /// Predicted time of its requests, one after another.
@@ -37,7 +37,7 @@
 }
 
 /// Requests of one priority that can all still be on time, or are all late.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Lane {
     orgs: BTreeMap<OrgId, OrgRequests>,
     by_tag: BTreeSet<(Tag, OrgId)>,
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -30,7 +30,8 @@
     admission::{Actions, AdmissionQueue, FairShare, QueueAction, QueueSettings},
     dispatch::{
         DispatchLimits, DispatchQueue, FAIR_TURN_INTERVAL, Fit, Forecast, LatencyTargets,
-        NextStart, Refused, StartCheck, Supply, Turn, WaitingRequest, YieldReason, Yielded,
+        NextStart, Outlook, Refused, StartCheck, Supply, Turn, WaitingRequest, YieldReason,
+        Yielded,
     },
     ids::{BlockHash, HostId, OrgId, ServiceId, TargetId, Ticket, Zone},
     limit::{ShareBudget, is_first_holder, share_of_limit},
