--- a/bins/ctl/src/cmd.rs
+++ b/bins/ctl/src/cmd.rs
@@ -5,6 +5,7 @@
 mod check;
 mod diff;
 mod drain;
+mod explain;
 mod history;
 mod hosts;
 mod key;
@@ -27,12 +28,14 @@
     match command {
         Command::Check { paths, .. } => return check::run(paths),
         Command::Cert(command) => return cert::run(command),
+        Command::Explain(options) => return explain::run(options).await,
         _ => {}
     }
     let context = Context::open(&command.common().settings)?;
     match command {
         Command::Check { paths, .. } => check::run(paths),
         Command::Cert(command) => cert::run(command),
+        Command::Explain(options) => explain::run(options).await,
         Command::Status { .. } => status::run(&context).await,
         Command::Diff { paths, prune, .. } => diff::run(&context, paths, *prune).await,
         Command::Apply { consent, prune, message, paths, .. } => {
--- a/bins/ctl/src/options.rs
+++ b/bins/ctl/src/options.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use std::path::PathBuf;
+use std::{net::SocketAddr, path::PathBuf};
 
 use bpaf::Bpaf;
 
@@ -123,6 +123,9 @@
     /// Makes certificates for chervilgate's own processes
     #[bpaf(command)]
     Cert(#[bpaf(external(cert_command))] CertCommand),
+    /// Shows where a host would send a request now and why, without sending it
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain_options))] ExplainOptions),
     /// Declares a process stopped for good, so that others take its orders over
     #[bpaf(command)]
     Release {
@@ -136,6 +139,37 @@
     },
 }
 
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
+pub(crate) struct ExplainOptions {
+    #[bpaf(external)]
+    pub(crate) common: Common,
+    /// Name of the route; by default one that leads to the service
+    #[bpaf(argument("ROUTE"))]
+    pub(crate) route: Option<String>,
+    /// Name of the organisation
+    #[bpaf(argument("ORGANISATION"))]
+    pub(crate) organisation: Option<String>,
+    /// Prompt tokens
+    #[bpaf(argument("NUMBER"), fallback(0))]
+    pub(crate) tokens: u32,
+    /// Parts of the prompt as ID:TOKENS,..., its own part last
+    #[bpaf(argument("PARTS"))]
+    pub(crate) parts: Option<String>,
+    /// Maximum number of tokens to generate
+    #[bpaf(argument("NUMBER"), fallback(0))]
+    pub(crate) output: u32,
+    /// Time that the caller waits, in milliseconds
+    #[bpaf(argument("MS"))]
+    pub(crate) time_limit: Option<u64>,
+    /// Address at which the host serves metrics
+    #[bpaf(positional("HOST:PORT"))]
+    pub(crate) host: SocketAddr,
+    /// Name of the service; needed unless a route with only one is named
+    #[bpaf(positional("SERVICE"))]
+    pub(crate) service: Option<String>,
+}
+
 #[derive(Debug, Clone)]
 #[derive(Bpaf)]
 pub(crate) enum KeyCommand {
@@ -230,6 +264,7 @@
             | Command::Drain { common, .. }
             | Command::Undrain { common, .. }
             | Command::Release { common, .. }
+            | Command::Explain(ExplainOptions { common, .. })
             | Command::Key(
                 KeyCommand::Issue { common, .. }
                 | KeyCommand::Withdraw { common, .. }
--- a/bins/ctl/tests/commands/main.rs
+++ b/bins/ctl/tests/commands/main.rs
@@ -1,5 +1,6 @@
 //! Runs the command as operators do, against a stand-in for the platform.
 
+mod explain;
 mod fixture;
 
 use chervilgate_coord::{
