--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -344,7 +344,7 @@
                 let free = fleet.free_targets(now, &name, targets.shortest_up_to(*priority));
                 let (own, others) = (competing(&own, *priority), competing(&others, *priority));
                 let all = own + others;
-                let chance = if others == 0 { 1.0 } else { free as f64 / all as f64 };
+                let chance = if others == 0 { 1.0 } else { (free as f64 / all as f64).min(1.0) };
                 claims.show(now, *priority, free, chance);
             }
             let has_freed = *freed > 0;
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -79,7 +79,7 @@
     async fn explain(&self, body: Incoming) -> Response<Body> {
         let read = read_body(body, MAX_QUESTION_BYTES, &self.shared.body_budget);
         let Ok(Ok((body, _reservation))) = timeout(QUESTION_TIMEOUT, read).await else {
-            return status(StatusCode::BAD_REQUEST);
+            return status(StatusCode::SERVICE_UNAVAILABLE);
         };
         let question = serde_json::from_slice::<Question>(&body).map_err(|error| error.to_string());
         let answer = question.and_then(|question| explain(&self.shared, &question));
--- a/components/gateway/src/fleet/costs.rs
+++ b/components/gateway/src/fleet/costs.rs
@@ -65,7 +65,8 @@
     pub prefill_ms: f64,
     /// Cost of the second call and of moving the KV cache.
     pub transfer_ms: f64,
-    /// Further cost of an engine of the same software version.
+    /// Extra cost of generating at an engine of the prompt engine's software version, over the cheapest
+    /// engine of any version.
     pub detour_ms: f64,
     /// Cost of the lack of room at the engine that generates.
     pub room_ms: f64,
--- a/components/gateway/src/fleet/explain.rs
+++ b/components/gateway/src/fleet/explain.rs
@@ -179,6 +179,7 @@
                 return match avoided {
                     _ if state.entry.draining => held("draining", None),
                     Some(until) => held("avoided", Some(until.since(now))),
+                    None if state.is_ended(now) => held("ended", None),
                     None => held("left", None),
                 };
             }
--- a/components/gateway/src/gossip/quota.rs
+++ b/components/gateway/src/gossip/quota.rs
@@ -148,20 +148,23 @@
         }
     };
     if let OwnerAnswer::TooLarge(wait) = answer {
-        let wait = wait.as_millis() as u32 + 1;
+        let wait = wait_ms(wait);
         send_reply(socket, &Message::QuotaTooLarge(QuotaTooLarge { id: ask.id, wait }), from);
     }
     let answer = match answer {
         OwnerAnswer::Granted(amount) => Answer::Granted(amount as u32),
-        OwnerAnswer::Refused(wait) | OwnerAnswer::TooLarge(wait) => {
-            Answer::Refused(wait.as_millis() as u32 + 1)
-        }
+        OwnerAnswer::Refused(wait) | OwnerAnswer::TooLarge(wait) => Answer::Refused(wait_ms(wait)),
         OwnerAnswer::Unknown => Answer::Unknown,
         OwnerAnswer::NotOwner => Answer::NotOwner,
     };
     send_reply(socket, &Message::QuotaAnswered(QuotaAnswer { id: ask.id, answer }), from);
 }
 
+/// The whole milliseconds after which `wait` is certainly over.
+fn wait_ms(wait: Duration) -> u32 {
+    u32::try_from(wait.as_millis()).unwrap_or(u32::MAX).saturating_add(1)
+}
+
 fn send_reply(socket: &UdpSocket, reply: &Message, to: SocketAddr) {
     if let Some(datagram) = encode(reply)
         && let Err(error) = socket.try_send_to(&datagram, to)
--- a/components/gateway/src/memory.rs
+++ b/components/gateway/src/memory.rs
@@ -102,7 +102,8 @@
         self.try_take_below(bytes, self.limit)
     }
 
-    /// Takes `bytes` if no more than `limit` are held then, less than the budget's own.
+    /// Takes `bytes` if at most `limit` bytes are then taken, less what connections hold (up to
+    /// [`CONNECTION_SHARE`] of the budget); `limit` is at most the budget's own.
     pub(crate) fn try_take_below(&self, bytes: usize, limit: usize) -> bool {
         let counted = (self.limit as f64 * CONNECTION_SHARE) as usize;
         let limit = limit.saturating_sub(self.in_connections().min(counted));
--- a/components/gateway/src/planner/exchange.rs
+++ b/components/gateway/src/planner/exchange.rs
@@ -148,7 +148,7 @@
         !self.is_done && self.progress.is_some_and(|(_, at)| now.since(at) < limit)
     }
 
-    /// Logs what holds up an exchange, when that changes.
+    /// Logs what holds up an exchange when that changes, at most once in [`LOG_INTERVAL`].
     pub(super) fn log_cause(&mut self, now: Time, service: &str, cause: &'static str) {
         let is_known =
             self.held_by.is_some_and(|(known, at)| known == cause || now.since(at) < LOG_INTERVAL);
--- a/components/gateway/src/quota/lease.rs
+++ b/components/gateway/src/quota/lease.rs
@@ -156,7 +156,7 @@
         let longest = OWNER_LEASE.mul_f64(RENEW_SHARE);
         let wait = (MIN_RETRY_TIME * (1 << self.failures.min(8))).min(longest);
         self.failures += 1;
-        self.retry_at = now + wait.mul_f64(0.75 + spread / 2.0);
+        self.retry_at = now + wait.mul_f64(0.75 + spread / 2.0); // ±25 %, so that hosts do not retry together.
     }
 
     /// Records that the store answers again.
@@ -216,7 +216,7 @@
     /// Whether nobody can be granting.
     fn is_vacant(&self, seen: &Seen) -> bool {
         match &seen.doc {
-            None => seen.version.is_none() && seen.era == 0,
+            None => was_never_written(seen),
             Some(doc) if doc.era != seen.era => false,
             Some(doc) => doc.released || doc.addr == Some(self.addr),
         }
@@ -270,10 +270,16 @@
     }
 }
 
+/// Whether an absent object was never written: in the first era the store has not come back from an older
+/// copy, which may lack it.
+fn was_never_written(seen: &Seen) -> bool {
+    seen.version.is_none() && seen.era == 0
+}
+
 /// How the buckets of an owner begin that follows on this object.
 fn bucket_start(seen: &Seen) -> BucketStart {
     match &seen.doc {
-        None if seen.version.is_none() && seen.era == 0 => BucketStart::First,
+        None if was_never_written(seen) => BucketStart::First,
         Some(doc) if doc.era == seen.era && doc.settled => BucketStart::AfterSettled,
         _ => BucketStart::AfterUnsettled,
     }
--- a/components/gateway/src/quota/listing.rs
+++ b/components/gateway/src/quota/listing.rs
@@ -39,6 +39,7 @@
         }
         if wants && self.due_at.is_none() {
             let share = (hosts as f64 / HOSTS_PER_INTERVAL - 1.0).max(0.0);
+            // The mean of `spread` is a half.
             let delay = LIST_INTERVAL.mul_f64(2.0 * share * spread);
             self.due_at = Some((listed_at + LIST_INTERVAL).max(now + delay));
         }
--- a/components/gateway/src/target_feed.rs
+++ b/components/gateway/src/target_feed.rs
@@ -421,8 +421,8 @@
         self.asked_at.map_or(interval, |at| interval.saturating_sub(now.since(at)))
     }
 
-    /// The question that is due now, for the process with the gossip id `host`: at the interval, and once at
-    /// once when a change is known to be missing.
+    /// The question that is due now, for the process with the gossip id `host`: one at each interval, and a
+    /// further one immediately when a change is found to be missing.
     pub fn next_request(
         &mut self,
         now: Time,
--- a/components/gateway/src/watch/feed.rs
+++ b/components/gateway/src/watch/feed.rs
@@ -50,6 +50,7 @@
 
 /// Follows the pollers for as long as that shows all changes; returns why the store must be read.
 pub(super) async fn follow(shared: &Shared) -> ReadReason {
+    // Without a least pause the loop would never wait where the drain time is zero.
     let pause = shared.settings.bounds.drain_time.mul_f64(LOOK_SHARE).max(Duration::from_millis(1));
     let _following = Following::start(shared);
     loop {
--- a/components/gateway/tests/demand/exchange.rs
+++ b/components/gateway/tests/demand/exchange.rs
@@ -63,6 +63,7 @@
     assert!(platform.total() < 90, "{}", platform.total());
 }
 
+// Guards against on-demand targets that leave while targets are impaired.
 #[test]
 fn nothing_is_exchanged_in_doubt() {
     let mut platform = first_seconds();
@@ -87,6 +88,7 @@
     assert_eq!((platform.orders, platform.total()), (before, 3 * MAX_TARGETS));
 }
 
+// Guards against a mean that on-demand targets no longer carry once they were exchanged.
 #[test]
 fn a_larger_mean_brings_on_demand_targets_back() {
     let mut platform = first_seconds();
--- a/components/policy/src/quota.rs
+++ b/components/policy/src/quota.rs
@@ -73,7 +73,8 @@
     pub burst: f64,
     /// Amount by which a request may make the balance negative.
     pub max_debt: f64,
-    /// The same until a bucket is settled whose predecessor was.
+    /// Amount by which a request may make the balance negative while the bucket is not settled, if its
+    /// predecessor was.
     pub successor_debt: f64,
     /// Time after which what a previous owner granted no longer counts in any window.
     pub settling: Duration,
--- a/components/policy/src/quota/bucket.rs
+++ b/components/policy/src/quota/bucket.rs
@@ -15,11 +15,12 @@
 /// return within it.
 const RESERVE_TIME: Duration = Duration::from_secs(2);
 
-/// Time after its first refusal from which an amount is reserved for a large request, if no other of its
-/// size is granted meanwhile: at least this, and this often the time in which the rate earns its size. Small
-/// requests that come while something is reserved are granted only from what is left: when it was reserved at
-/// once, up to a third fewer were served than by one bucket for all hosts.
+/// Shortest delay from the first refusal of a large request until an amount is reserved for it, in seconds,
+/// if no other of its size is granted meanwhile. Small requests are then granted only from what is left:
+/// without a delay, up to a third fewer were served than by one bucket for all hosts.
 const RESERVE_DELAY_SECS: f64 = 2.0;
+
+/// The same delay as a multiple of the time in which the rate earns the request's size.
 const RESERVE_DELAY_SHARE: f64 = 2.0;
 
 /// Share of the rate that is reserved for refused large requests.
--- a/components/policy/src/quota/holdings.rs
+++ b/components/policy/src/quota/holdings.rs
@@ -150,7 +150,8 @@
     /// a much larger request does not concern smaller ones, which are refused for less long.
     pub fn record_refusal(&mut self, now: Time, partition: usize, count: f64, wait: Duration) {
         let known = &mut self.refusals[partition];
-        if known.is_none_or(|known| now >= known.until || count * REFUSED_SHARE <= known.count) {
+        if known.is_none_or(|known| now >= known.recheck_at || count * REFUSED_SHARE <= known.count)
+        {
             let recheck_at = now + wait.min(MAX_REFUSED_TIME);
             *known = Some(Refusal { count, until: now + wait, recheck_at });
         }
--- a/components/serve/src/writes.rs
+++ b/components/serve/src/writes.rs
@@ -110,7 +110,7 @@
             timer.as_mut().reset(deadline);
         }
         ready!(timer.as_mut().poll(cx));
-        let reason = if cut.is_some() { "after a cut response" } else { "while stalled" };
+        let reason = if cut == Some(deadline) { "after a cut response" } else { "while stalled" };
         log::info!(target: "serve", bytes, reason; "caller does not read, connection closed");
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
