Revert "Streams: an engine at which a prompt failed is no source of an import for the same request"

The path test rewritten::a_refused_prompt_whose_refusal_comes_again_does_not_refuse_the_whole_request fails with it: an engine that refuses a prompt counted as tried by the whole request.

--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -246,12 +246,7 @@
             compute = placement.compute_tokens, import, moved;
             "prompt placed"
         );
-        let target = placement.id.clone();
         let export = prefill(&self.shared, &self.call, placement).await;
-        if export.is_none() {
-            // An engine that has just failed must not be chosen to import the prefix from either.
-            self.attempts.tried.push(target);
-        }
         let (now, query) = (self.shared.now(), self.query());
         let (export, placement) = {
             let state = self.shared.state();
