Gateway: tell what waited for a caller that left, what repeats were for, and delays of the host

A handler that the server dropped left no line and counted in no metric, and no metric said which repeats were sent. A line and a count tell at what stage a caller left; repeats count by service and cause, with the requests that allow them, so that both can be summed over hosts; a host whose timers go off late says so.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -28,6 +28,7 @@
     fleet::{AttemptId, AttemptOutcome, Hold, Placement},
     memory::Reservation,
     poison::{PoisonVerdict, SharedParts},
+    progress::{Progress, Stage},
     protocol::{ForwardedRequest, PrefillResponse, RequestHead, RequestStage},
     state::Shared,
     verdict::Verdict,
@@ -74,6 +75,7 @@
     pub(crate) wait_count: WaitCount,
     /// The caller's connection; none if the server does not tell.
     pub(crate) connection: Option<CallerConnection>,
+    pub(crate) progress: Progress,
 }
 
 /// Maximum number of prompt parts named in a log line.
@@ -250,6 +252,8 @@
         log::info!(target: "gateway", id = call.ask.id; "caller left before the request was sent");
         return SendOutcome::NotRun(NotRunReason::CallerLeft);
     }
+    let is_prompt = stage == RequestStage::Prefill;
+    call.progress.set(if is_prompt { Stage::Prompt } else { Stage::Answer });
     let now = shared.now();
     let import = {
         let mut state = shared.state();
@@ -280,7 +284,7 @@
     *request.uri_mut() = Uri::from(call.path.clone());
     *request.headers_mut() = shared.protocol.target_headers(&call.headers, &forwarded);
     // Counted before sending, since a timeout ends it at any point.
-    let counted = u32::from(stage != RequestStage::Prefill);
+    let counted = u32::from(!is_prompt);
     call.sent.fetch_add(counted, Ordering::Relaxed);
     let addr = in_flight.placement.addr;
     if call.answered_over.retire(addr) > 0 {
@@ -504,6 +508,7 @@
         if arrived {
             let now = shared.now();
             shared.state().repeats.count_refused_prompt(now, &call.service);
+            shared.metrics.count_repeat(&call.service, "prompt", true);
         }
         return None;
     };
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -83,12 +83,13 @@
                 shared.metrics.count_retry("gone");
                 self.unreachable += 1;
                 self.unreachable <= MAX_UNREACHABLE
-                    && shared.try_repeat(shared.now(), &call.service)
+                    && shared.try_repeat(shared.now(), &call.service, "replaced")
             }
             NotRunReason::Refused => {
                 shared.metrics.count_retry("refused");
                 self.refused += 1;
-                self.refused <= MAX_REFUSED && shared.try_repeat(shared.now(), &call.service)
+                self.refused <= MAX_REFUSED
+                    && shared.try_repeat(shared.now(), &call.service, "refused")
             }
         }
     }
@@ -106,7 +107,7 @@
             && self.runs < call.route.attempts
             && call.deadline.since(shared.now()) > Duration::ZERO
             && shared.state().poison.may_retry(shared.now(), call.fingerprint, &call.parts)
-            && shared.try_repeat(shared.now(), &call.service)
+            && shared.try_repeat(shared.now(), &call.service, "failed")
     }
 
     /// The failure to report when no other target is tried.
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -256,8 +256,10 @@
 pub(crate) async fn send_speeds(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut rotation = PeerRotation::default();
     loop {
+        let due = shared.now() + SPEEDS_INTERVAL;
         sleep(SPEEDS_INTERVAL).await;
         let now = shared.now();
+        shared.record_delay(now.since(due));
         let (speeds, target_speeds, failed_runs, evidence, limits, ends, peers) = {
             let state = &mut *shared.state();
             let own = (!state.leaving).then_some(&*shared.settings.name);
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -81,6 +81,14 @@
     kind: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct RepeatLabels {
+    service: String,
+    cause: &'static str,
+    result: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct StoreCallLabels {
@@ -152,6 +160,9 @@
     registry: Registry,
     requests: Family<EndLabel, Counter>,
     retries: Family<KindLabel, Counter>,
+    service_requests: Family<ServiceLabel, Counter>,
+    repeats: Family<RepeatLabels, Counter>,
+    delay: Gauge,
     imports: Family<KindLabel, Counter>,
     target_answers: Family<KindLabel, Counter>,
     response_times: Histogram,
@@ -202,6 +213,9 @@
             registry: Registry::with_prefix("chervilgate"),
             requests: Family::default(),
             retries: Family::default(),
+            service_requests: Family::default(),
+            repeats: Family::default(),
+            delay: Gauge::default(),
             imports: Family::default(),
             target_answers: Family::default(),
             response_times: times(),
@@ -248,6 +262,17 @@
         self.feed.register(registry);
         registry.register("requests", "Requests by how they ended", self.requests.clone());
         registry.register("retries", "Further attempts by kind", self.retries.clone());
+        registry.register(
+            "service_requests",
+            "Requests of callers by service, which allow repeats",
+            self.service_requests.clone(),
+        );
+        registry.register(
+            "repeats",
+            "Arrivals at targets beyond the first of a request, by service and cause: sent, or not as beyond the budget",
+            self.repeats.clone(),
+        );
+        registry.register("delay_ms", "Delay of this host's timers", self.delay.clone());
         registry.register("imports", "Imports of prompt prefixes by kind", self.imports.clone());
         registry.register(
             "target_answers",
@@ -349,6 +374,25 @@
         self.retries.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Sets the delay of this host's timers.
+    pub(crate) fn set_delay(&self, ms: u64) {
+        self.delay.set(ms.try_into().unwrap_or(i64::MAX));
+    }
+
+    /// Counts a request of a caller for `service`.
+    pub(crate) fn count_service_request(&self, service: &str) {
+        self.service_requests.get_or_create(&ServiceLabel { service: service.to_owned() }).inc();
+    }
+
+    /// Counts an arrival at a target of `service` beyond the first of its request, by what became of the
+    /// one before, or that it was not sent for lack of budget.
+    pub(crate) fn count_repeat(&self, service: &str, cause: &'static str, is_sent: bool) {
+        let result = if is_sent { "sent" } else { "over-budget" };
+        self.repeats
+            .get_or_create(&RepeatLabels { service: service.to_owned(), cause, result })
+            .inc();
+    }
+
     /// Counts an import of a prompt prefix: sent, or dropped since its source may not be used.
     pub(crate) fn count_import(&self, kind: &'static str) {
         self.imports.get_or_create(&KindLabel { kind }).inc();
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -28,6 +28,7 @@
     failure::Failure,
     forward::forward,
     poison::{part_fingerprints, request_fingerprint},
+    progress::{OpenRequest, Progress, Stage},
     protocol::RequestHead,
     quota::{OrgQuota, admit::admit as admit_quota},
     state::{Shared, State},
@@ -49,11 +50,20 @@
         let request_head = self.shared.protocol.parse_request(&head.headers);
         let id =
             request_head.as_ref().map_or("", |request_head| request_head.id.as_str()).to_owned();
+        let progress = Progress::default();
+        let mut open = OpenRequest {
+            shared: self.shared.clone(),
+            id: id.clone(),
+            started,
+            progress: progress.clone(),
+            sent: sent.clone(),
+            is_answered: false,
+        };
         let result = match request_head {
             Ok(request_head) => tokio::select! {
                 // An answer that is ready goes out.
                 biased;
-                result = self.serve_request(started, head, body, request_head, &sent) => result,
+                result = self.serve_request(started, head, body, request_head, &sent, &progress) => result,
                 () = self.shared.wait_to_answer() => Err(unfinished(&sent)),
             },
             Err(error) => {
@@ -61,6 +71,7 @@
                 Err(Failure::Malformed)
             }
         };
+        open.is_answered = true;
         let elapsed = self.shared.now().since(started).as_millis() as u64;
         let sent = sent.load(Ordering::Relaxed);
         let mut response = match result {
@@ -110,6 +121,7 @@
         body: Incoming,
         request_head: RequestHead,
         sent: &Arc<AtomicU32>,
+        progress: &Progress,
     ) -> Result<Response<Body>, Failure> {
         let connection = head.extensions.get().cloned();
         let Admitted { route, config_version, org, body_limit } =
@@ -155,6 +167,7 @@
         let quota = org.as_ref().and_then(|org| org_quota(&self.shared, org, quota_version));
         let charge = match &quota {
             Some(quota) => {
+                progress.set(Stage::Quota);
                 let prompt = &request_head.prompt;
                 let count = quota.quota.count(prompt.tokens, prompt.max_output);
                 admit_quota(&self.shared, &request_head.id, quota, count, deadline).await?
@@ -189,6 +202,7 @@
             computed_apart: computed.clone(),
             wait_count: Default::default(),
             connection,
+            progress: progress.clone(),
         };
         let is_stream = call.route.kind.is_stream();
         let result = if is_stream {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -45,6 +45,9 @@
 /// lease.
 const HOLDER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Delay of a timer from which a host is behind.
+const LONG_DELAY: Duration = Duration::from_millis(200);
+
 /// Clients, settings and state shared by the modules of a host.
 pub(crate) struct Shared {
     pub(crate) settings: HostSettings,
@@ -351,15 +354,27 @@
         self.state().meter.count(window, org);
     }
 
+    /// Records by how much a timer of this host went off too late. What arrives at it waits as long.
+    pub(crate) fn record_delay(&self, delay: Duration) {
+        let ms = delay.as_millis() as u64;
+        self.metrics.set_delay(ms);
+        if delay >= LONG_DELAY {
+            log::warn!(target: "host", ms; "host is behind");
+        }
+    }
+
     /// Counts a caller's request for `service`, which adds to the budget for repeats.
     pub(crate) fn count_request(&self, service: &Arc<str>) {
         let now = self.now();
+        self.metrics.count_service_request(service);
         self.state().repeats.count_request(now, service);
     }
 
-    /// Counts a repeat that is about to be sent; returns false if it may not be.
-    pub(crate) fn try_repeat(&self, now: Time, service: &Arc<str>) -> bool {
+    /// Counts a repeat that is about to be sent; returns false if it may not be. `cause` is what became
+    /// of the arrival before it.
+    pub(crate) fn try_repeat(&self, now: Time, service: &Arc<str>, cause: &'static str) -> bool {
         let may_repeat = self.state().repeats.try_repeat(now, service);
+        self.metrics.count_repeat(service, cause, may_repeat);
         if !may_repeat {
             self.metrics.count_retry("over-budget");
         }
--- a/components/gateway/src/takeover.rs
+++ b/components/gateway/src/takeover.rs
@@ -11,6 +11,7 @@
     fleet::{BuildId, SeenBuilds},
     hash::stable_hash,
     origins::{ASKED, Origin, OriginNotice, OriginQuestion, StreamKey},
+    progress::Stage,
     state::{Shared, State},
 };
 
@@ -35,6 +36,7 @@
     shared: &Arc<Shared>,
     call: &CallerRequest,
 ) -> Result<BuildId, Failure> {
+    call.progress.set(Stage::Origin);
     let key = stream_key(call);
     let since = shared.now();
     let (origin, asked) = look_up(shared, call, key);
--- a/components/gateway/src/waiting.rs
+++ b/components/gateway/src/waiting.rs
@@ -11,6 +11,7 @@
     attempt::CallerRequest,
     failure::Failure,
     fleet::{Plan, TargetQuery},
+    progress::Stage,
     state::{Shared, State},
 };
 
@@ -30,6 +31,7 @@
     call: &CallerRequest,
     query: TargetQuery<'_>,
 ) -> Result<(Option<Plan>, Duration), Failure> {
+    call.progress.set(Stage::Turn);
     let began_at = shared.now();
     let (waiter, turn) = match offer(shared, call, began_at, query) {
         Placed::Chosen(plan) => return Ok((plan.map(|plan| *plan), Duration::ZERO)),
