Gossip: a bound on news for all hosts at once

The links of small hosts (10 Mbit/s) carried little else, and requests and cancellations waited behind it.

Broadcasts now have a budget of recipients, as many a second as the rounds to a few hosts have; what exceeds it goes out with these rounds.

--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -3,13 +3,14 @@
 //! A lost or late datagram only worsens an estimate of a target's queue, so UDP is
 //! enough. Each round goes to a few hosts in rotation, so that its cost does not grow
 //! with the number of hosts. A long prompt delays the next requests on its target, so
-//! its start and end are broadcast to all hosts at once. That the store has come back from an older
+//! its start and end are broadcast to all hosts at once, within a bound. That the store has come back from an older
 //! copy is passed on by each host that hears of it.
 
 mod feed;
 mod kv_tokens;
 mod news;
 mod origins;
+mod pace;
 mod quota;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -44,6 +45,7 @@
         LatestChanges, ProgressReply, apply_latest_changes, apply_progress, progress_reply,
     },
     gossip::origins::answer_question,
+    gossip::pace::{FANOUT, Pace, ROUND_INTERVAL, Reach},
     gossip::quota::{
         QuotaAnswer, QuotaTooLarge, answer_quota, apply_owner_notice, apply_quota_answer,
         apply_too_large, take_back_quota,
@@ -59,12 +61,6 @@
 #[cfg(test)]
 mod tests;
 
-/// Interval between rounds; requests last a few hundred milliseconds.
-const ROUND_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Number of hosts that receive a round.
-const FANOUT: usize = 12;
-
 /// Length of a cycle of rounds while no work is in flight; the first two rounds of each
 /// cycle are sent.
 const IDLE_ROUND_CYCLE: u32 = 4;
@@ -186,13 +182,23 @@
     let mut idle_rounds = 0;
     let mut rounds_without_waiting = u32::MAX;
     let mut rotation = PeerRotation::default();
+    let mut pace = Pace::new(shared.now());
     loop {
         sleep(MIN_BROADCAST_INTERVAL).await;
-        let urgent = timeout(ROUND_INTERVAL - MIN_BROADCAST_INTERVAL, shared.broadcast.notified())
-            .await
-            .is_ok();
+        let is_urgent =
+            timeout(ROUND_INTERVAL - MIN_BROADCAST_INTERVAL, shared.broadcast.notified())
+                .await
+                .is_ok();
         correct_clock(&shared);
         let now = shared.now();
+        let peer_count = shared.state().membership.staying_names().count();
+        let reach = pace.next(now, is_urgent, peer_count);
+        if is_urgent {
+            shared.metrics.count_broadcast(reach == Reach::All);
+        }
+        if reach == Reach::None {
+            continue;
+        }
         let time = shared.wall_clock().at(now).as_micros() as u64;
         let kv_tokens = encode_kv_tokens(&shared, now);
         let (work, parts, failed_runs, evidence, limits, outcomes, waiting, peers, in_charge) = {
@@ -225,16 +231,18 @@
         let is_idle = work.is_empty() && parts.is_empty() && failed_runs.is_empty();
         let is_idle = is_idle && limits.is_none() && outcomes.is_none() && waiting.is_none();
         idle_rounds = if is_idle && evidence.is_none() { idle_rounds + 1 } else { 0 };
-        if idle_rounds % IDLE_ROUND_CYCLE > 1 && !urgent {
+        if idle_rounds % IDLE_ROUND_CYCLE > 1 && !is_urgent {
             continue;
         }
         let report = WorkReport { host, time, in_charge, work, parts, broken: failed_runs };
         let Some(mut datagram) = encode_report(report) else { continue };
         let kv_tokens = append(&mut datagram, kv_tokens);
-        if urgent {
+        let recipients = if reach == Reach::All {
             shared.state().fleet.clear_sent_parts();
-        }
-        let recipients = if urgent { peers } else { rotation.next(peers, FANOUT) };
+            peers
+        } else {
+            rotation.next(peers, FANOUT)
+        };
         for peer in recipients {
             let datagrams = [
                 Some(&datagram),
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -163,6 +163,7 @@
     service_requests: Family<ServiceLabel, Counter>,
     repeats: Family<RepeatLabels, Counter>,
     delay: Gauge,
+    broadcasts: Family<KindLabel, Counter>,
     imports: Family<KindLabel, Counter>,
     target_answers: Family<KindLabel, Counter>,
     response_times: Histogram,
@@ -216,6 +217,7 @@
             service_requests: Family::default(),
             repeats: Family::default(),
             delay: Gauge::default(),
+            broadcasts: Family::default(),
             imports: Family::default(),
             target_answers: Family::default(),
             response_times: times(),
@@ -273,6 +275,11 @@
             self.repeats.clone(),
         );
         registry.register("delay_ms", "Delay of this host's timers", self.delay.clone());
+        registry.register(
+            "broadcasts",
+            "News for all hosts: sent to all at once, or deferred to the usual rounds",
+            self.broadcasts.clone(),
+        );
         registry.register("imports", "Imports of prompt prefixes by kind", self.imports.clone());
         registry.register(
             "target_answers",
@@ -379,6 +386,12 @@
         self.delay.set(ms.try_into().unwrap_or(i64::MAX));
     }
 
+    /// Counts news for all hosts, which were sent it at once or which hear of it by and by.
+    pub(crate) fn count_broadcast(&self, is_sent: bool) {
+        let kind = if is_sent { "sent" } else { "deferred" };
+        self.broadcasts.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts a request of a caller for `service`.
     pub(crate) fn count_service_request(&self, service: &str) {
         self.service_requests.get_or_create(&ServiceLabel { service: service.to_owned() }).inc();
