Requests: not sent once their caller has left or their time is over, up to the write

Between the look at the caller's socket and the write lies the connection, half a second and more where links or hosts are slow; the deadline was looked at before the turn in the queue, the prompt and the connection, and a request with no time left was sent all the same, with zero left. One given up while it connected was still sent when the connection stood, as its late answer was awaited.

--- a/components/clients/src/http.rs
+++ b/components/clients/src/http.rs
@@ -52,6 +52,14 @@
         /// How far the request got.
         sent: SentOver,
     },
+    /// The request was not sent, as it was not wanted any more once there was a connection.
+    #[snafu(display("request to {addr} not wanted any more"))]
+    Unwanted {
+        /// The destination.
+        addr: SocketAddr,
+        /// How far the request got.
+        sent: SentOver,
+    },
     /// The request was sent, but no response came; it may have run.
     #[snafu(display("no response from {addr}: {source}"))]
     Unanswered {
@@ -67,13 +75,15 @@
 impl SendError {
     /// Whether the request certainly did not run, so that it is safe to retry.
     pub fn not_run(&self) -> bool {
-        matches!(self, SendError::NotSent { .. })
+        matches!(self, SendError::NotSent { .. } | SendError::Unwanted { .. })
     }
 
     /// The connections that the request was given to.
     pub fn sent_over(&self) -> SentOver {
         match self {
-            SendError::NotSent { sent, .. } | SendError::Unanswered { sent, .. } => *sent,
+            SendError::NotSent { sent, .. }
+            | SendError::Unwanted { sent, .. }
+            | SendError::Unanswered { sent, .. } => *sent,
         }
     }
 }
@@ -117,6 +127,58 @@
         HttpPool { compares_ids: true, ..HttpPool::default() }
     }
 
+    /// Sends a request at most once if `is_wanted` still holds when a connection is ready for it, and waits
+    /// for the response head. Opening a connection takes up to half a second, and longer on a host that is
+    /// short of processor time.
+    pub async fn send_if(
+        &self,
+        addr: SocketAddr,
+        request: Request<Bytes>,
+        is_wanted: impl Fn() -> bool + Send,
+    ) -> Result<Response<Body>, SendError> {
+        let mut request = request.map(Full::new);
+        let mut sent = SentOver::default();
+        if let Some(mut conn) = self.take_idle(addr) {
+            if !is_wanted() {
+                self.keep_idle(addr, conn);
+                return UnwantedSnafu { addr, sent }.fail();
+            }
+            sent.kept = true;
+            match conn.send(request).await {
+                Ok(response) => return Ok(self.accept(addr, conn, sent, response)),
+                // If the idle connection closed before the request was written, use a new one.
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => {
+                        self.distrust(addr);
+                        return Err(error.into_error()).context(UnansweredSnafu { addr, sent });
+                    }
+                },
+            }
+            sent = SentOver { kept: false, closed: 1 };
+        }
+        let mut conn = match Connection::open(addr).await {
+            Ok(conn) => conn,
+            Err(reason) => return NotSentSnafu { addr, reason, sent }.fail(),
+        };
+        if !is_wanted() {
+            self.return_when_ready(addr, conn);
+            return UnwantedSnafu { addr, sent }.fail();
+        }
+        match conn.send(request).await {
+            Ok(response) => Ok(self.accept(addr, conn, sent, response)),
+            Err(mut error) => match error.take_message() {
+                Some(_) => NotSentSnafu {
+                    addr,
+                    reason: "the connection closed before the request was sent",
+                    sent: SentOver { closed: sent.closed + 1, ..sent },
+                }
+                .fail(),
+                None => Err(error.into_error()).context(UnansweredSnafu { addr, sent }),
+            },
+        }
+    }
+
     /// Sends a request at most once and waits up to `limit` for the response head.
     ///
     /// # Errors
@@ -199,39 +261,7 @@
         addr: SocketAddr,
         request: Request<Bytes>,
     ) -> Result<Response<Body>, SendError> {
-        let mut request = request.map(Full::new);
-        let mut sent = SentOver::default();
-        if let Some(mut conn) = self.take_idle(addr) {
-            sent.kept = true;
-            match conn.send(request).await {
-                Ok(response) => return Ok(self.accept(addr, conn, sent, response)),
-                // If the idle connection closed before the request was written, use a new one.
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => {
-                        self.distrust(addr);
-                        return Err(error.into_error()).context(UnansweredSnafu { addr, sent });
-                    }
-                },
-            }
-            sent = SentOver { kept: false, closed: 1 };
-        }
-        let mut conn = match Connection::open(addr).await {
-            Ok(conn) => conn,
-            Err(reason) => return NotSentSnafu { addr, reason, sent }.fail(),
-        };
-        match conn.send(request).await {
-            Ok(response) => Ok(self.accept(addr, conn, sent, response)),
-            Err(mut error) => match error.take_message() {
-                Some(_) => NotSentSnafu {
-                    addr,
-                    reason: "the connection closed before the request was sent",
-                    sent: SentOver { closed: sent.closed + 1, ..sent },
-                }
-                .fail(),
-                None => Err(error.into_error()).context(UnansweredSnafu { addr, sent }),
-            },
-        }
+        self.send_if(addr, request, || true).await
     }
 }
 
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -256,6 +256,8 @@
     Poison(PoisonVerdict),
     /// The caller has closed its connection; nothing was sent.
     CallerLeft,
+    /// The deadline has passed; nothing was sent.
+    Expired,
 }
 
 /// Sends `call` once to the target of `in_flight` and waits for the response headers, up to
@@ -268,9 +270,8 @@
     stage: RequestStage<'_>,
     last_event: Option<u64>,
 ) -> SendOutcome {
-    if call.caller.has_left() {
-        log::info!(target: "gateway", id = call.ask.id; "caller left before the request was sent");
-        return SendOutcome::NotRun(NotRunReason::CallerLeft);
+    if let Some(reason) = reason_not_to_send(shared.now(), call) {
+        return not_sent(call, reason);
     }
     let is_prompt = stage == RequestStage::Prefill;
     call.progress.set(if is_prompt { Stage::Prompt } else { Stage::Answer });
@@ -313,12 +314,25 @@
     }
     let limit = time_left.min(time_limit);
     let id = Some(&*call.ask.id);
-    let Ok(sent) = exchange(shared, &in_flight.placement, id, limit, request).await else {
+    let given_up_at = now + limit;
+    let is_wanted = {
+        let (shared, caller) = (shared.clone(), call.caller.clone());
+        move || shared.now() < given_up_at && !caller.has_left()
+    };
+    let sent = exchange(shared, &in_flight.placement, id, limit, request, is_wanted).await;
+    let Ok(sent) = sent else {
         in_flight.outcome = AttemptOutcome::Failed;
         return SendOutcome::TimedOut;
     };
     let answer = match sent {
         Ok(answer) => answer,
+        Err(SendError::Unwanted { sent, .. }) => {
+            if sent.closed == 0 {
+                call.sent.fetch_sub(counted, Ordering::Relaxed);
+            }
+            let reason = reason_not_to_send(shared.now(), call);
+            return not_sent(call, reason.unwrap_or(NotRunReason::Expired));
+        }
         Err(error) => {
             if error.not_run() && error.sent_over().closed == 0 {
                 call.sent.fetch_sub(counted, Ordering::Relaxed);
@@ -333,6 +347,25 @@
     to_outcome(in_flight, answer)
 }
 
+/// Why nobody waits for the answer to `call`; none if its caller does.
+fn reason_not_to_send(now: Time, call: &CallerRequest) -> Option<NotRunReason> {
+    if call.caller.has_left() {
+        return Some(NotRunReason::CallerLeft);
+    }
+    (now >= call.deadline).then_some(NotRunReason::Expired)
+}
+
+/// A request that was not sent for `reason`.
+fn not_sent(call: &CallerRequest, reason: NotRunReason) -> SendOutcome {
+    let id = &call.ask.id;
+    if reason == NotRunReason::CallerLeft {
+        log::info!(target: "gateway", id; "caller left before the request was sent");
+    } else {
+        log::info!(target: "gateway", id; "deadline passed before the request was sent");
+    }
+    SendOutcome::NotRun(reason)
+}
+
 fn sent_over(response: &Response<Body>) -> SentOver {
     response.extensions().get().copied().unwrap_or_default()
 }
@@ -488,7 +521,7 @@
         }
         let placement = self.placement.clone();
         tokio::spawn(async move {
-            let sent = exchange(&shared, &placement, None, PREFILL_TIMEOUT, request).await;
+            let sent = exchange(&shared, &placement, None, PREFILL_TIMEOUT, request, || true).await;
             if !matches!(sent, Ok(Ok(_))) {
                 log::info!(
                     target: "gateway", addr:%;
@@ -522,6 +555,7 @@
                 | NotRunReason::Held(_)
                 | NotRunReason::Poison(_)
                 | NotRunReason::CallerLeft
+                | NotRunReason::Expired
         )
     );
     let Some(prefilled) = read_prefill(shared, call, &in_flight, result).await else {
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -8,7 +8,7 @@
 use std::{future::Future, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use chervilgate_clients::{Body, ConnectionHandle, HttpSender, SendError};
+use chervilgate_clients::{Body, ConnectionHandle, SendError};
 use chervilgate_clock::Time;
 use hyper::{Request, Response};
 use tokio::time::timeout;
@@ -33,8 +33,8 @@
     pub(crate) verdict: Verdict,
 }
 
-/// Sends `request` to the target of `placement` and waits up to `limit` for the head of the
-/// answer. `id` is the request's id; none if it has none, and then answers bear none.
+/// Sends `request` to the target of `placement`, unless `is_wanted` has become false by then, and waits up
+/// to `limit` for the head of the answer. `id` is the request's id; none if it has none, and then answers bear none.
 ///
 /// # Errors
 /// If `limit` passes first; the request may have run.
@@ -44,9 +44,10 @@
     id: Option<&str>,
     limit: Duration,
     request: Request<Bytes>,
+    is_wanted: impl Fn() -> bool + Send + 'static,
 ) -> Result<Result<Answer, SendError>, Late> {
     let (sent, addr, pool) = (shared.now(), placement.addr, shared.target_pool.clone());
-    let mut sending = Box::pin(async move { pool.send(addr, request).await });
+    let mut sending = Box::pin(async move { pool.send_if(addr, request, is_wanted).await });
     let Ok(result) = timeout(limit, &mut sending).await else {
         shared.target_pool.distrust(addr);
         let (id, placement) = (id.map(str::to_owned), placement.clone());
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -70,7 +70,7 @@
                 self.unreachable += 1;
                 self.unreachable <= MAX_UNREACHABLE
             }
-            NotRunReason::Poison(_) | NotRunReason::CallerLeft => false,
+            NotRunReason::Poison(_) | NotRunReason::CallerLeft | NotRunReason::Expired => false,
             NotRunReason::Held(hold) => {
                 shared.metrics.count_retry(hold.as_str());
                 if hold != Hold::Left {
@@ -139,7 +139,11 @@
         build: Option<BuildId>,
         reason: NotRunReason,
     ) -> Failure {
+        if reason == NotRunReason::Expired && self.runs > 0 {
+            return Failure::TimedOut;
+        }
         self.failure(match reason {
+            NotRunReason::Expired => Failure::Expired,
             NotRunReason::Poison(verdict) => Failure::from(verdict),
             NotRunReason::CallerLeft => Failure::CallerLeft,
             _ => held_failure(shared, shared.now(), service, build).unwrap_or(Failure::TargetsFull),
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -176,7 +176,9 @@
                     .await;
             if !matches!(
                 result,
-                SendOutcome::NotRun(NotRunReason::Unreachable | NotRunReason::CallerLeft)
+                SendOutcome::NotRun(
+                    NotRunReason::Unreachable | NotRunReason::CallerLeft | NotRunReason::Expired
+                )
             ) && let Some(export) = export
             {
                 export.mark_imported();
