Prompts: give up an answer that hangs after its head

The time for a prompt that is computed apart ended with the head of the answer; its body was awaited for as long as the caller stayed. gone::a_request_is_answered_in_time_if_the_answer_to_its_prompt_hangs: no answer within 3 s for a request with 1 s, before.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -19,6 +19,7 @@
     http::uri::{PathAndQuery, Uri},
 };
 use smallvec::SmallVec;
+use tokio::time::timeout;
 
 use crate::{
     answered_over::AnsweredOver,
@@ -543,10 +544,7 @@
     let result =
         send(shared, call, &mut in_flight, PREFILL_TIMEOUT, RequestStage::Prefill, None).await;
     if matches!(result, SendOutcome::TimedOut) {
-        log::warn!(
-            target: "gateway", id = call.ask.id, target = in_flight.placement.id;
-            "prompt is late"
-        );
+        log_late_prompt(call, &in_flight);
     }
     let arrived = !matches!(
         result,
@@ -558,7 +556,15 @@
                 | NotRunReason::Expired
         )
     );
-    let Some(prefilled) = read_prefill(shared, call, &in_flight, result).await else {
+    let limit = PREFILL_TIMEOUT.saturating_sub(shared.now().since(in_flight.started_at));
+    let limit = limit.min(call.deadline.since(shared.now()));
+    let prefilled = timeout(limit, read_prefill(shared, call, &in_flight, result)).await;
+    let prefilled = prefilled.unwrap_or_else(|_| {
+        log_late_prompt(call, &in_flight);
+        shared.target_pool.distrust(in_flight.placement.addr);
+        None
+    });
+    let Some(prefilled) = prefilled else {
         if arrived {
             let now = shared.now();
             shared.state().repeats.count_refused_prompt(now, &call.service);
@@ -570,6 +576,11 @@
     Some(Export { shared: shared.clone(), placement: in_flight.placement.clone(), handle })
 }
 
+fn log_late_prompt(call: &CallerRequest, in_flight: &InFlight) {
+    let (id, target) = (&call.ask.id, &in_flight.placement.id);
+    log::warn!(target: "gateway", id, target; "prompt is late");
+}
+
 /// Reads the response to a prefill; none if the prompt was not computed.
 async fn read_prefill(
     shared: &Shared,
