Repeats: what follows on a refused prompt is charged before it is sent, and credit is spent once

A prompt that is computed apart was charged once it was known to be refused, and the whole request followed in any case: of 40 prompts on their way at one host when engines begin to refuse, 40 requests followed where 14 were allowed (budget::requests_whose_prompts_were_refused_at_once_keep_the_budget_for_repeats, before). Each host took the requests of its last window for its budget, so those of callers that move, and of hosts that start again, counted in two windows; at 89 hosts each start of all gave 89 repeats beside 0.7 of the slack.

The refused prompt is the first arrival, so the whole request after it is a repeat and goes out within the budget, or is refused as not run. What a request earns is spent once and within a quarter of the window; hosts that run on spend half of the slack, and those that start again a quarter of theirs. The property test now plays 1 to 120 hosts with few requests each, kills of one, many and all, callers that move, and prompts on their way before engines that refuse or are silent; the former code broke it in the first case (390 of 389.8). Its three tests of single figures follow the new shares: 15 of 20 for 100 requests (14 before), half of the slack (0.7 before), and a quarter of a share after a start (one repeat before).

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -533,12 +533,21 @@
     }
 }
 
-/// Computes the prompt of `call` on the target of `placement`; none on failure.
+/// What became of a prompt that was to be computed apart.
+pub(crate) enum Prefilled {
+    Exported(Export),
+    /// It did not reach a target.
+    NotSent,
+    /// It reached a target, and none is known to have accepted it.
+    Refused,
+}
+
+/// Computes the prompt of `call` on the target of `placement`.
 pub(crate) async fn prefill(
     shared: &Arc<Shared>,
     call: &CallerRequest,
     placement: Placement,
-) -> Option<Export> {
+) -> Prefilled {
     let mut in_flight = InFlight::new(shared, placement, call);
     call.computed_apart.store(true, Ordering::Relaxed);
     let result =
@@ -565,15 +574,15 @@
         None
     });
     let Some(prefilled) = prefilled else {
-        if arrived {
-            let now = shared.now();
-            shared.state().repeats.count_refused_prompt(now, &call.service);
-            shared.metrics.count_repeat(&call.service, "prompt", true);
+        if !arrived {
+            return Prefilled::NotSent;
         }
-        return None;
+        shared.state().repeats.record_refused_prompt(shared.now(), &call.service);
+        return Prefilled::Refused;
     };
     let handle = Some(prefilled.handle);
-    Some(Export { shared: shared.clone(), placement: in_flight.placement.clone(), handle })
+    let placement = in_flight.placement.clone();
+    Prefilled::Exported(Export { shared: shared.clone(), placement, handle })
 }
 
 fn log_late_prompt(call: &CallerRequest, in_flight: &InFlight) {
--- a/components/gateway/src/repeats.rs
+++ b/components/gateway/src/repeats.rs
@@ -71,10 +71,10 @@
         self.budget(service).may_compute_apart(now, slack)
     }
 
-    /// Counts a prompt that was sent to be computed apart and that no target is known to have
-    /// accepted.
-    pub fn count_refused_prompt(&mut self, now: Time, service: &Arc<str>) {
-        self.budget(service).count_refused_prompt(now);
+    /// Records that a prompt was sent to be computed apart and that no target is known to have
+    /// accepted it. What follows for the request is a repeat.
+    pub fn record_refused_prompt(&mut self, now: Time, service: &Arc<str>) {
+        self.budget(service).record_refused_prompt(now);
     }
 
     fn slack(&self) -> f64 {
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -21,7 +21,9 @@
     target_stream::{ReadOutcome, TargetStream},
 };
 use crate::{
-    attempt::{CallerRequest, Export, InFlight, NotRunReason, SendOutcome, prefill, send},
+    attempt::{
+        CallerRequest, Export, InFlight, NotRunReason, Prefilled, SendOutcome, prefill, send,
+    },
     crash::{look_for_end, record_begun_run, record_break, record_failed_run},
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
@@ -248,7 +250,25 @@
             compute = placement.compute_tokens, import, moved;
             "prompt placed"
         );
-        let export = prefill(&self.shared, &self.call, placement).await;
+        let export = match prefill(&self.shared, &self.call, placement).await {
+            Prefilled::Exported(export) => Some(export),
+            Prefilled::NotSent => None,
+            // The refused prompt was the first arrival, so the whole request is a repeat.
+            Prefilled::Refused => {
+                let CallerRequest { service, deadline, .. } = &*self.call;
+                let now = self.shared.now();
+                if now < *deadline && !self.shared.try_repeat(now, service, "prompt") {
+                    let reason = NotRunReason::Refused;
+                    return Err(self.attempts.not_run_failure(
+                        &self.shared,
+                        service,
+                        self.build,
+                        reason,
+                    ));
+                }
+                None
+            }
+        };
         let (now, query) = (self.shared.now(), self.query());
         let (export, placement) = {
             let state = self.shared.state();
@@ -290,7 +310,7 @@
         record_break(&self.shared, &self.call, placement, sent).await;
     }
 
-    /// Whether the prompt may be sent to a prefill target. Refused ones count as repeats.
+    /// Whether the prompt may be sent to a prefill target. What follows on a refused one is a repeat.
     fn may_compute_apart(&self) -> bool {
         let now = self.shared.now();
         self.prefills < MAX_PREFILLS
--- a/components/policy/src/repeat.rs
+++ b/components/policy/src/repeat.rs
@@ -5,12 +5,15 @@
 //! the first of its request, also one that is refused. Hosts do not ask each other: each earns
 //! repeats with its own requests and holds a share of the slack.
 //!
-//! It answers a load in which targets refuse or fail most of what they get, while hosts come and go:
-//! - What is earned or spent counts for one window and is not saved up.
-//! - A greater share of the slack counts a window later, since the host that had it may have spent
-//!   it just now; a host that starts again may send one repeat until then.
-//! - A prompt that is computed apart is no repeat unless it is refused, which shows afterwards. Once
-//!   some were refused, such prompts need a part of the budget that other repeats leave.
+//! It answers a load in which targets refuse or fail most of what they get, while hosts come and go
+//! and callers move between them:
+//! - What a request earns is spent once, and soon: the requests of one window would otherwise count
+//!   both at the host that their callers left and in the window in which these callers are at
+//!   another.
+//! - Part of the slack stays unused, for hosts that start again: they do not know what they had
+//!   spent, so their share counts a window later, but for a part.
+//! - A prompt that is computed apart is no repeat unless it is refused. What follows on a refused one is,
+//!   and is not sent beyond the budget, however many prompts were on their way.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -19,18 +22,21 @@
 #[cfg(test)]
 mod tests;
 
-/// Share of the budget that repeats may use.
-const REPEAT_SHARE: f64 = 0.7;
+/// Time for which what a request earns may be spent, as a share of the window.
+const CREDIT_LIFE: f64 = 0.25;
 
-/// Share of the budget up to which prompts are computed apart while some are refused. The rest is for those
-/// that are refused all at once, and for hosts that disagree about the hosts.
-const PROMPT_SHARE: f64 = 0.9;
+/// Share of the ratio that requests earn. What is spent in a window was earned in it or in the
+/// [`CREDIT_LIFE`] before it.
+const CREDIT_SHARE: f64 = 0.75;
 
-/// Slack that a host uses at once when it starts again, in repeats: enough for one. The unused part of the
-/// budget bears it, unless hosts restart far more often than they are restarted on purpose.
-const RESTART_SLACK: f64 = 2.0;
+/// Share of the slack that is spent in a window by hosts that run on.
+const SLACK_SHARE: f64 = 0.5;
 
-/// Number of parts of a window in which requests and repeats are counted.
+/// Part of its share of the slack that a host uses at once when it starts again. The unused part of the slack
+/// bears two starts of all hosts in a window.
+const RESTART_SHARE: f64 = 0.5;
+
+/// Number of parts of a window in which credit and slack are counted.
 const BUCKETS: u64 = 20;
 
 /// The budget of one service over all hosts.
@@ -42,12 +48,14 @@
     pub ratio: f64,
 }
 
-/// Requests and repeats in one part of a window.
+/// What was earned and spent in one part of a window, in repeats.
 #[derive(Debug, Clone, Copy)]
 struct Bucket {
     index: u64,
-    requests: u32,
-    repeats: u32,
+    /// Earned by the requests of this part, and not spent yet.
+    credit: f64,
+    /// Spent of the slack in this part.
+    slack: f64,
 }
 
 /// A host's share of the slack, in repeats a window.
@@ -65,9 +73,9 @@
         SlackShare { share, greater: None }
     }
 
-    /// The share of a host that has started again, of which little counts at once.
+    /// The share of a host that has started again, of which a part counts at once.
     pub fn after_restart(share: f64) -> SlackShare {
-        SlackShare { share: share.min(RESTART_SLACK), greater: None }
+        SlackShare { share: share * RESTART_SHARE, greater: None }
     }
 
     /// Sets the share, to be called about once a second; a greater one counts once it has lasted for
@@ -111,46 +119,56 @@
 
     /// Counts a request of a caller.
     pub fn count_request(&mut self, now: Time) {
-        self.bucket(now).requests += 1;
+        self.bucket(now).credit += self.settings.ratio * CREDIT_SHARE;
     }
 
     /// Counts a repeat that is about to be sent; returns false if it may not be. `slack` is this
     /// host's share.
     pub fn try_repeat(&mut self, now: Time, slack: f64) -> bool {
-        let budget = self.budget(now, slack) * REPEAT_SHARE;
-        let is_allowed = f64::from(self.repeats(now)) + 1.0 <= budget;
-        if is_allowed {
-            self.bucket(now).repeats += 1;
+        if !self.has_repeat(now, slack) {
+            return false;
+        }
+        let mut missing = 1.0;
+        let first = self.first_credit(now);
+        for bucket in self.buckets.iter_mut().filter(|bucket| bucket.index >= first) {
+            let taken = bucket.credit.min(missing);
+            bucket.credit -= taken;
+            missing -= taken;
         }
-        is_allowed
+        self.bucket(now).slack += missing;
+        true
     }
 
-    /// Whether a prompt may be sent to be computed apart.
+    /// Whether a prompt may be sent to be computed apart. If targets refuse such prompts, what follows
+    /// on each is a repeat.
     pub fn may_compute_apart(&self, now: Time, slack: f64) -> bool {
         let was_refused = self.refused_at.is_some_and(|at| now.since(at) < self.settings.window);
-        !was_refused || f64::from(self.repeats(now)) + 1.0 <= self.budget(now, slack) * PROMPT_SHARE
+        !was_refused || self.has_repeat(now, slack)
     }
 
-    /// Counts a prompt that was sent to be computed apart and that no target is known to have
-    /// accepted.
-    pub fn count_refused_prompt(&mut self, now: Time) {
+    /// Records that a prompt was sent to be computed apart and that no target is known to have
+    /// accepted it.
+    pub fn record_refused_prompt(&mut self, now: Time) {
         self.refused_at = Some(now);
-        self.bucket(now).repeats += 1;
     }
 
-    /// Repeats that requests and slack allow in the window that ends now. The oldest part counts for
-    /// repeats only, as it lies in the window in part.
-    fn budget(&self, now: Time, slack: f64) -> f64 {
-        let first = self.index(now).saturating_sub(BUCKETS - 1);
-        let recent = self.buckets.iter().filter(|bucket| bucket.index >= first);
-        let requests: u32 = recent.map(|bucket| bucket.requests).sum();
-        f64::from(requests) * self.settings.ratio + slack
+    /// Whether a repeat may be sent.
+    fn has_repeat(&self, now: Time, slack: f64) -> bool {
+        let first = self.first_credit(now);
+        let credit: f64 = self.since(first).map(|bucket| bucket.credit).sum();
+        // The oldest part lies in the window in part.
+        let first = self.index(now).saturating_sub(BUCKETS);
+        let spent: f64 = self.since(first).map(|bucket| bucket.slack).sum();
+        credit + (slack * SLACK_SHARE - spent).max(0.0) >= 1.0
+    }
+
+    /// Index of the first bucket whose credit may be spent.
+    fn first_credit(&self, now: Time) -> u64 {
+        self.index(now).saturating_sub((BUCKETS as f64 * CREDIT_LIFE) as u64)
     }
 
-    fn repeats(&self, now: Time) -> u32 {
-        let first = self.index(now).saturating_sub(BUCKETS);
-        let recent = self.buckets.iter().filter(|bucket| bucket.index >= first);
-        recent.map(|bucket| bucket.repeats).sum()
+    fn since(&self, first: u64) -> impl Iterator<Item = &Bucket> {
+        self.buckets.iter().filter(move |bucket| bucket.index >= first)
     }
 
     fn index(&self, now: Time) -> u64 {
@@ -166,7 +184,7 @@
         }
         // The time of a host does not go back.
         if self.buckets.back().is_none_or(|bucket| bucket.index < index) {
-            self.buckets.push_back(Bucket { index, requests: 0, repeats: 0 });
+            self.buckets.push_back(Bucket { index, credit: 0.0, slack: 0.0 });
         }
         self.buckets.back_mut().expect("pushed above")
     }
