Stopping: refuse a request whose turn comes late in the grace period

A request that waited for capacity as its host was told to stop was passed on whenever its turn came, and cut with 504 at the end of the grace period though it may not be repeated. stopping::a_request_whose_turn_comes_late_in_the_grace_period_is_refused_and_does_not_run: (504, run once) before, refused as not run now. The time that counts is the caller's own, not the one that the stop leaves.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -68,6 +68,8 @@
     pub(crate) arrived_at: Time,
     /// Deadline for the complete response.
     pub(crate) deadline: Time,
+    /// The same as if this host did not stop before.
+    pub(crate) wanted_until: Time,
     pub(crate) caller: Caller,
     /// Number of times that a connection to a target took the request, not counting separate
     /// prefills.
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -195,6 +195,7 @@
             priority,
             arrived_at: started,
             deadline,
+            wanted_until,
             sent: sent.clone(),
             answered_over: Default::default(),
             computed_apart: computed.clone(),
--- a/components/gateway/src/waiting.rs
+++ b/components/gateway/src/waiting.rs
@@ -43,6 +43,11 @@
     let now = shared.now();
     let waited = now.since(began_at);
     shared.metrics.observe_wait(call.priority, waited);
+    // The stop may have begun while the request waited.
+    let stop = shared.state().stop;
+    if stop.is_some_and(|stop| !stop.may_begin(now, call.route.kind, call.wanted_until)) {
+        return Err(Failure::Stopping);
+    }
     let Ok(verdict) = verdict else { return Err(Failure::Expired) };
     match verdict {
         Ok(Ok(plan)) => Ok((plan.map(|plan| *plan), waited)),
