Streams: incomplete events count toward the memory of the host

Reported by other operators: a target that sends bytes without end ended the host that had called it. What exceeds 8 KiB takes of the budget for streams; without room the answer counts as broken off.

--- a/components/gateway/src/memory.rs
+++ b/components/gateway/src/memory.rs
@@ -157,6 +157,15 @@
         self.bytes
     }
 
+    /// Sets the reservation to `bytes` in all; returns false if they are not free.
+    pub fn try_set(&mut self, bytes: usize) -> bool {
+        if bytes < self.bytes {
+            self.budget.release(self.bytes - bytes);
+            self.bytes = bytes;
+        }
+        self.try_raise(bytes)
+    }
+
     /// Raises the reservation to `bytes` in all; returns false if they are not free.
     pub fn try_raise(&mut self, bytes: usize) -> bool {
         let missing = bytes.saturating_sub(self.bytes);
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -191,13 +191,13 @@
             match result {
                 SendOutcome::Answered(response) => {
                     if !response.status().is_server_error() {
-                        return Ok(TargetStream::new(in_flight, response, self.position));
+                        return Ok(TargetStream::new(&shared, in_flight, response, self.position));
                     }
                     self.attempts.tried.push(in_flight.placement.id.clone());
                     self.count_usage_once();
                     if !self.attempts.may_retry_failed_run(&shared, &call) {
                         // The caller gets the target's error response.
-                        return Ok(TargetStream::new(in_flight, response, self.position));
+                        return Ok(TargetStream::new(&shared, in_flight, response, self.position));
                     }
                 }
                 SendOutcome::NotRun(why) => {
--- a/components/gateway/src/stream/target_stream.rs
+++ b/components/gateway/src/stream/target_stream.rs
@@ -14,12 +14,16 @@
     crash::is_cut,
     events::EventSplitter,
     joining::{AnswerEnd, Position, Rejection, check_end, is_framed},
+    memory::Reservation,
     state::Shared,
 };
 
 /// Size limit of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Size up to which an incomplete event does not count toward the budget for streams, in bytes.
+const SMALL_EVENT_BYTES: usize = 8 << 10;
+
 /// Time after the first event in which the end of a target may be due to the beginning of the
 /// answer.
 const BEGIN_TIME: Duration = Duration::from_millis(500);
@@ -31,6 +35,8 @@
     pub(super) headers: HeaderMap,
     body: Body,
     pub(super) splitter: EventSplitter,
+    /// What an incomplete event takes of the budget for streams.
+    event_memory: Reservation,
     /// Whether the answer is joined to a stream that has begun.
     pub(super) is_joined: bool,
     /// Whether the end of the answer shows in its bytes.
@@ -51,6 +57,7 @@
 
 impl TargetStream {
     pub(super) fn new(
+        shared: &Shared,
         in_flight: InFlight,
         response: Response<Body>,
         position: Position,
@@ -63,6 +70,7 @@
             headers: head.headers,
             body,
             splitter: EventSplitter::at(position.next_answer()),
+            event_memory: Reservation::new(&shared.stream_buffers.budget()),
             is_joined: false,
             begun_at: None,
             is_whole: false,
@@ -147,15 +155,19 @@
                 return ReadOutcome::Events(bytes);
             }
             let events = self.splitter.push(&bytes);
+            let buffered = self.splitter.buffered_len();
+            let counted = if buffered > SMALL_EVENT_BYTES { buffered } else { 0 };
+            let has_room = self.event_memory.try_set(counted);
             if !events.is_empty() {
                 self.begun_at.get_or_insert_with(|| shared.now());
                 return ReadOutcome::Events(events);
             }
-            if self.splitter.buffered_len() > MAX_EVENT_BYTES {
+            if buffered > MAX_EVENT_BYTES || !has_room {
                 let (id, target) = (&call.ask.id, &self.in_flight.placement.id);
-                log::warn!(
-                    target: "gateway", id, target, limit = MAX_EVENT_BYTES; "event without an end"
-                );
+                log::warn!(target: "gateway", id, target, buffered, has_room; "event without an end");
+                if !has_room {
+                    shared.metrics.count_memory_refused("events");
+                }
                 shared.metrics.count_stream_break();
                 return ReadOutcome::Broken;
             }
