--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -537,7 +537,7 @@
 
 /// What became of a prompt that was to be computed apart.
 pub(crate) enum Prefilled {
-    Exported(Export),
+    Exported(Box<Export>),
     /// It did not reach a target.
     NotSent,
     /// It reached a target, and none is known to have accepted it.
@@ -584,7 +584,7 @@
     };
     let handle = Some(prefilled.handle);
     let placement = in_flight.placement.clone();
-    Prefilled::Exported(Export { shared: shared.clone(), placement, handle })
+    Prefilled::Exported(Box::new(Export { shared: shared.clone(), placement, handle }))
 }
 
 fn log_late_prompt(call: &CallerRequest, in_flight: &InFlight) {
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -251,7 +251,7 @@
             "prompt placed"
         );
         let export = match prefill(&self.shared, &self.call, placement).await {
-            Prefilled::Exported(export) => Some(export),
+            Prefilled::Exported(export) => Some(*export),
             Prefilled::NotSent => None,
             // The refused prompt was the first arrival, so the whole request is a repeat.
             Prefilled::Refused => {
