--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -21,9 +21,11 @@
         limits: false,
         rests: false,
         sheds: false,
+        holds: false,
         releases: false,
         herds: false,
         stops: false,
+        leaves: false,
         breaks: false,
         quotas: false,
         slow_readers: false,
@@ -266,6 +268,39 @@
     assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_done_for_callers_that_have_left() {
+    let soak = Soak {
+        answer_faults: Vec::new(),
+        leaves: true,
+        other_faults: false,
+        ..soak("leaves", 9_101)
+    };
+
+    let report = soak.run().await.unwrap();
+
+    assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
+}
+
+/// Seed in which prompts are on their way at all hosts as engines fall silent.
+const HOLDS_SEED: u64 = 51_401;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_keep_the_budget_of_all_hosts_when_engines_fall_silent_together() {
+    let soak = Soak {
+        length: RECOVERY_TIME + Duration::from_secs(20),
+        hosts: 16,
+        answer_faults: Vec::new(),
+        holds: true,
+        other_faults: false,
+        ..soak("holds", HOLDS_SEED)
+    };
+
+    let report = soak.run().await.unwrap();
+
+    assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
+}
+
 /// Seed in which versions leave while all hosts are down.
 const HERDS_SEED: u64 = 7_201;
 
