--- a/bins/ctl/src/admin.rs
+++ b/bins/ctl/src/admin.rs
@@ -99,6 +99,7 @@
     let response = pool.send(addr, request).await.map_err(|error| match error {
         SendError::NotSent { reason, .. } => reason,
         SendError::Unanswered { source, .. } => source.to_string(),
+        unwanted @ SendError::Unwanted { .. } => unwanted.to_string(),
     })?;
     let status = response.status();
     if !status.is_success() {
--- a/bins/ctl/src/cmd/explain.rs
+++ b/bins/ctl/src/cmd/explain.rs
@@ -85,6 +85,7 @@
     let response = HttpPool::new().send(addr, request).await.map_err(|error| match error {
         SendError::NotSent { reason, .. } => reason,
         SendError::Unanswered { source, .. } => source.to_string(),
+        unwanted @ SendError::Unwanted { .. } => unwanted.to_string(),
     })?;
     let status = response.status();
     let body = collect(response.into_body(), MAX_ANSWER_BYTES).await;
