Gossip: the bound on news for all hosts is one of bytes

What fills links are the large broadcasts of a time in which targets fail. The budget is now 256 KB a second, and a broadcast that takes more is followed by a pause.

--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -91,6 +91,9 @@
 /// Maximum number of failed runs in a message, so that it fits into one datagram.
 const MAX_FAILED_RUNS: usize = 60;
 
+/// Headers of a datagram on the wire.
+const HEADER_BYTES: usize = 28;
+
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
@@ -191,8 +194,7 @@
                 .is_ok();
         correct_clock(&shared);
         let now = shared.now();
-        let peer_count = shared.state().membership.staying_names().count();
-        let reach = pace.next(now, is_urgent, peer_count);
+        let reach = pace.next(now, is_urgent);
         if is_urgent {
             shared.metrics.count_broadcast(reach == Reach::All);
         }
@@ -243,15 +245,20 @@
         } else {
             rotation.next(peers, FANOUT)
         };
+        let datagrams = [
+            Some(&datagram),
+            kv_tokens.as_ref(),
+            evidence.as_ref(),
+            limits.as_ref(),
+            outcomes.as_ref(),
+            waiting.as_ref(),
+        ];
+        if reach == Reach::All {
+            let bytes: usize =
+                datagrams.iter().flatten().map(|bytes| bytes.len() + HEADER_BYTES).sum();
+            pace.record_broadcast(bytes * recipients.len());
+        }
         for peer in recipients {
-            let datagrams = [
-                Some(&datagram),
-                kv_tokens.as_ref(),
-                evidence.as_ref(),
-                limits.as_ref(),
-                outcomes.as_ref(),
-                waiting.as_ref(),
-            ];
             for datagram in datagrams.into_iter().flatten() {
                 send_datagram(&socket, datagram, peer).await;
             }
--- a/components/gateway/src/gossip/pace.rs
+++ b/components/gateway/src/gossip/pace.rs
@@ -1,7 +1,7 @@
 //! When a host gossips, and with how many others.
 //!
 //! Rounds to a few hosts in rotation cost the same at any number of hosts. News that all should have
-//! at once costs a datagram for each of them. Where many targets fail together, every host has such news all the
+//! at once costs some datagrams for each of them. Where many targets fail together, every host has such news all the
 //! time, and without a bound the links of small hosts carry little else: requests, and the cancellation of those
 //! whose callers have left, wait behind it. What exceeds the bound goes out with the usual rounds.
 
@@ -18,11 +18,11 @@
 /// Number of hosts that receive a round.
 pub(super) const FANOUT: usize = 12;
 
-/// Recipients of broadcasts a second that a host addresses in the long run: as many as rounds do.
-const BROADCAST_RATE: f64 = 120.0;
+/// Bytes of broadcasts that a host sends a second in the long run: a fifth of a link of 10 Mbit/s.
+const BROADCAST_RATE: f64 = 256e3;
 
-/// Number of recipients that may be saved up.
-const BROADCAST_BURST: f64 = 360.0;
+/// Number of bytes that may be saved up.
+const BROADCAST_BURST: f64 = 256e3;
 
 /// Who is sent gossip now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,7 +38,7 @@
 /// Decides on the rounds of one host.
 #[derive(Debug)]
 pub(super) struct Pace {
-    /// Recipients that broadcasts may address.
+    /// Bytes that broadcasts may take; below zero after one that took more.
     balance: f64,
     updated: Time,
     last_round: Time,
@@ -49,13 +49,12 @@
         Pace { balance: BROADCAST_BURST, updated: now, last_round: now }
     }
 
-    /// Decides on a round to some of `peers` hosts; `is_urgent` if all should have the news.
-    pub(super) fn next(&mut self, now: Time, is_urgent: bool, peers: usize) -> Reach {
+    /// Decides on a round; `is_urgent` if all should have the news.
+    pub(super) fn next(&mut self, now: Time, is_urgent: bool) -> Reach {
         let earned = now.since(self.updated).as_secs_f64() * BROADCAST_RATE;
-        self.balance = (self.balance + earned).min(BROADCAST_BURST.max(peers as f64));
+        self.balance = (self.balance + earned).min(BROADCAST_BURST);
         self.updated = now;
-        if is_urgent && self.balance >= peers as f64 {
-            self.balance -= peers as f64;
+        if is_urgent && self.balance > 0.0 {
             self.last_round = now;
             return Reach::All;
         }
@@ -65,4 +64,9 @@
         self.last_round = now;
         Reach::Some
     }
+
+    /// Records the size of a broadcast to all hosts together.
+    pub(super) fn record_broadcast(&mut self, bytes: usize) {
+        self.balance -= bytes as f64;
+    }
 }
