Callers: one that has left gets no answer

The look at the caller once a connection is ready made that likelier. Such a request now waits for the server to end the connection.

--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -1,6 +1,7 @@
 //! Handles callers' requests: authentication, routing and the response.
 
 use std::{
+    future::pending,
     net::SocketAddr,
     sync::{
         Arc,
@@ -71,6 +72,10 @@
                 Err(Failure::Malformed)
             }
         };
+        if let Err(Failure::CallerLeft) = result {
+            // Nobody waits for an answer; the server ends the connection.
+            return pending().await;
+        }
         open.is_answered = true;
         let elapsed = self.shared.now().since(started).as_millis() as u64;
         let sent = sent.load(Ordering::Relaxed);
