--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -6,6 +6,7 @@
 //! its start and end are broadcast to all hosts at once, within a bound. That the store has come back from an older
 //! copy is passed on by each host that hears of it.
 
+mod datagram;
 mod feed;
 mod kv_tokens;
 mod news;
@@ -39,6 +40,10 @@
         CachedPart, EndNotice, GroupReport, InFlightWork, KvTokens, LimitNotice, OutcomeNotice,
         PastEnd, TargetSpeedReport,
     },
+    gossip::datagram::{
+        encode, encode_evidence, encode_limits, encode_outcomes, encode_report,
+        encode_target_speeds,
+    },
     gossip::feed::{answer_request, apply_changes},
     gossip::kv_tokens::{append, decode, encode_kv_tokens},
     gossip::news::{
@@ -379,97 +384,6 @@
     }
 }
 
-/// Encodes a work report as one datagram. If it does not fit, failed runs are left out first,
-/// since other rounds and hosts tell of them, then prompt parts, then work.
-fn encode_report(mut report: WorkReport) -> Option<Vec<u8>> {
-    loop {
-        let message = Message::Work(report);
-        let bytes = serialize(&message)?;
-        let Message::Work(returned) = message else { return None };
-        report = returned;
-        if bytes.len() <= MAX_DATAGRAM_BYTES {
-            return Some(bytes);
-        }
-        match (report.broken.len(), report.parts.len(), report.work.len()) {
-            (0, 0, 0) => return None,
-            (0, 0, work) => report.work.truncate(work / 2),
-            (0, parts, _) => report.parts.truncate(parts / 2),
-            (runs, ..) => report.broken.truncate(runs / 2),
-        }
-    }
-}
-
-/// Encodes evidence as one datagram, with as many of its first crashes as fit; none if there is
-/// nothing to tell.
-fn encode_evidence(mut evidence: CrashEvidence) -> Option<Vec<u8>> {
-    loop {
-        if evidence.crashes.is_empty() && evidence.acquitted.is_empty() {
-            return None;
-        }
-        let message = Message::Crashes(evidence);
-        let bytes = serialize(&message)?;
-        let Message::Crashes(returned) = message else { return None };
-        evidence = returned;
-        if bytes.len() <= MAX_DATAGRAM_BYTES {
-            return Some(bytes);
-        }
-        let CrashEvidence { crashes, acquitted } = &mut evidence;
-        if crashes.len() > 1 {
-            crashes.truncate(crashes.len() / 2);
-        } else if acquitted.len() > 1 {
-            acquitted.truncate(acquitted.len() / 2);
-        } else if let Some((_, notice)) = crashes.first_mut() {
-            notice.runs.truncate(notice.runs.len() / 2);
-        }
-    }
-}
-
-/// Encodes the limits of targets as one datagram; none if there are none.
-fn encode_limits(limits: Vec<LimitNotice>) -> Option<Vec<u8>> {
-    if limits.is_empty() {
-        return None;
-    }
-    encode(&Message::Limits(limits))
-}
-
-/// Encodes a host's outcomes as one datagram; none if there are none.
-fn encode_outcomes(host: u32, outcomes: Vec<OutcomeNotice>) -> Option<Vec<u8>> {
-    if outcomes.is_empty() {
-        return None;
-    }
-    encode(&Message::Outcomes(OutcomeMessage { host, outcomes }))
-}
-
-/// Encodes what a host has seen of single targets' speeds; none if nothing.
-fn encode_target_speeds(host: u32, speeds: Vec<TargetSpeedReport>) -> Option<Vec<u8>> {
-    if speeds.is_empty() {
-        return None;
-    }
-    encode(&Message::TargetSpeeds(TargetSpeedMessage { host, speeds }))
-}
-
-/// Encodes a message as one datagram; none if it does not fit.
-fn encode(message: &Message) -> Option<Vec<u8>> {
-    let bytes = serialize(message)?;
-    if bytes.len() <= MAX_DATAGRAM_BYTES {
-        return Some(bytes);
-    }
-    // Usage counts are in the store too.
-    log::debug!(
-        target: "gossip", bytes = bytes.len(); "gossip message exceeds the datagram size"
-    );
-    None
-}
-
-fn serialize(message: &Message) -> Option<Vec<u8>> {
-    let bytes = postcard::to_stdvec(message);
-    bytes
-        .inspect_err(|error| {
-            log::warn!(target: "gossip", error:%; "gossip message not encoded");
-        })
-        .ok()
-}
-
 /// Corrects this host's wall clock if most other hosts disagree with it.
 fn correct_clock(shared: &Shared) {
     let now = shared.now();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod outage;
 pub mod planner;
 pub mod poison;
+mod prefill;
 mod progress;
 mod protocol;
 pub mod quota;
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::{fs, sync::atomic::AtomicU64, time::Duration};
 
 use prometheus_client::{
-    encoding::{EncodeLabelSet, text::encode},
+    encoding::text::encode,
     metrics::{
         counter::Counter,
         family::Family,
@@ -14,16 +14,15 @@
 };
 
 mod feed;
+mod labels;
 
 pub(crate) use self::feed::{ChangeSource, FeedMetrics};
+use self::labels::{
+    DemandLabels, EndLabel, KindLabel, LevelLabel, OrgLabel, PriorityLabel, RepeatLabels,
+    ServiceLabel, StateLabel, StoreCallLabels, WantedLabels, YieldLabels,
+};
 use crate::{fleet::TargetCounts, planner::ZoneGoal};
 
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-struct OrgLabel {
-    org: String,
-}
-
 /// Metrics of one organisation's quota.
 #[derive(Debug, Clone)]
 pub(crate) struct OrgQuotaMetrics {
@@ -68,80 +67,6 @@
 /// File in which Linux reports this process's memory.
 const STATUS_PATH: &str = "/proc/self/status";
 
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-struct EndLabel {
-    /// How the request or order ended.
-    end: &'static str,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-struct KindLabel {
-    kind: &'static str,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-struct RepeatLabels {
-    service: String,
-    cause: &'static str,
-    result: &'static str,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-struct StoreCallLabels {
-    call: &'static str,
-    reply: &'static str,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-struct StateLabel {
-    state: &'static str,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-struct LevelLabel {
-    level: &'static str,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-struct WantedLabels {
-    service: String,
-    zone: String,
-    kind: &'static str,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-struct ServiceLabel {
-    service: String,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-struct DemandLabels {
-    service: String,
-    stage: &'static str,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-struct PriorityLabel {
-    priority: u8,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-struct YieldLabels {
-    priority: u8,
-    reason: &'static str,
-}
-
 /// Numbers of log lines dropped since the process started, by what dropped them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct LostLines {
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -21,14 +21,13 @@
     target_stream::{ReadOutcome, TargetStream},
 };
 use crate::{
-    attempt::{
-        CallerRequest, Export, InFlight, NotRunReason, Prefilled, SendOutcome, prefill, send,
-    },
+    attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
     crash::{look_for_end, record_begun_run, record_break, record_failed_run},
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
     forward::{Attempts, check_deadline},
     joining::{Position, check_first, check_joined, may_be_continued},
+    prefill::{Export, Prefilled, prefill},
     protocol::RequestStage,
     state::Shared,
     takeover::{find_origin, record_origin},
