--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,5 @@
 mkdir -p target/review-2
 for case in review/stand-ins-2/case-*.rs; do
     name=$(basename "$case" .rs)
-    rustc --edition 2021 -O -o "target/review-2/$name" "$case"
+    rustc --edition 2024 -O -o "target/review-2/$name" "$case"
 done
