--- /dev/null
+++ b/review/stand-ins-2/case-cut.rs
@@ -0,0 +1,257 @@
+//! Streams that are taken up after one machine had lost its way to two servers for a moment.
+//!
+//! Eight servers of version v1 and two of v2 serve side by side. For three seconds connections from one
+//! of three machines to the two servers of v2 are refused. Clients of the two other machines take up
+//! streams of v2 there meanwhile, each naming the attempt that brought its first event.
+
+mod common;
+mod engine;
+
+use std::{
+    io::{BufReader, Write},
+    net::{SocketAddr, TcpStream},
+    path::PathBuf,
+    thread,
+    time::{Duration, Instant},
+};
+
+use common::*;
+use engine::Engine;
+
+/// Streams that begin at the two machines that are not cut off.
+const STREAMS: usize = 110;
+/// Streams that begin at the third one while it is cut off.
+const CUT_STREAMS: usize = 60;
+const NEW_STREAMS: usize = 40;
+const EVENTS: u64 = 60;
+/// Time budget of a stream over all tries of its client, as the longest of the site's sheet.
+const BUDGET: Duration = Duration::from_millis(6_000);
+const CUT_MS: u64 = 3_000;
+
+/// What one client saw of its stream.
+#[derive(Default)]
+struct Seen {
+    events: Vec<(u64, String)>,
+    origin: String,
+    began_at: Option<Instant>,
+}
+
+fn main() {
+    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| ".".to_owned()));
+    let record = Record::create(&folder.join("record.txt"));
+    let files = Folder::create("chervilgate-review-cut");
+    let store = Store::default();
+    let cloud = Cloud::start("127.0.0.1");
+    store.put("config", "main", &config());
+    let mut engines = Vec::new();
+    for index in 0..10 {
+        let (id, version) = (format!("i-{index}"), if index < 8 { "v1" } else { "v2" });
+        let engine = Engine::start(&record, free_addr("127.0.0.1"), &id, version);
+        store.put("servers", &id, &entry(engine.server.addr, version));
+        engines.push(engine);
+    }
+    let ports: Vec<StorePort> = (0..3).map(|_| store.listen("127.0.0.1")).collect();
+    // The way from the third machine to the servers of v2.
+    let mut proxies = Vec::new();
+    for engine in &engines[8..] {
+        let proxy = start_proxy(free_addr("127.0.0.1"), engine.server.addr);
+        ports[2].replace_address(engine.server.addr, proxy.addr);
+        proxies.push((proxy, engine.server.addr));
+    }
+    let hosts: Vec<Host> = ["127.0.0.11", "127.0.0.12", "127.0.0.13"]
+        .iter()
+        .zip(&ports)
+        .enumerate()
+        .map(|(index, (ip, port))| {
+            let name = format!("front-{}", index + 1);
+            Host::start(&files.0, &name, ip, "z-a", port.server.addr, cloud.server.addr)
+        })
+        .collect();
+    hosts.iter().for_each(|host| host.await_ready(Duration::from_secs(20)));
+    sleep_ms(4_000);
+    record.line("hosts are ready");
+
+    let fronts: Vec<SocketAddr> = hosts.iter().map(|host| host.front).collect();
+    let keep = Duration::from_millis(2_800);
+    let clients: Vec<_> = (0..STREAMS)
+        .map(|index| {
+            sleep_ms(5);
+            let front = fronts[index % 2];
+            thread::spawn(move || {
+                let mut seen = Seen { began_at: Some(Instant::now()), ..Seen::default() };
+                seen.origin = attempt_id();
+                let id = seen.origin.clone();
+                one_try(front, &id, index, &mut seen, keep, BUDGET);
+                seen
+            })
+        })
+        .collect();
+    sleep_ms(300);
+    let is_cut = has_trouble();
+    if is_cut {
+        record.line("connections from front-3 to i-8 and i-9 are refused");
+        proxies.iter_mut().for_each(|(proxy, _)| proxy.end());
+    }
+    let cut_at = Instant::now();
+    let other: Vec<_> = (0..CUT_STREAMS)
+        .map(|index| {
+            sleep_ms(20);
+            let front = fronts[2];
+            thread::spawn(move || {
+                let mut seen = Seen::default();
+                let keep = Duration::from_millis(600);
+                one_try(front, &attempt_id(), 1_000 + index, &mut seen, keep, BUDGET)
+            })
+        })
+        .collect();
+    // The connections of these clients end, and they take their streams up.
+    let seen: Vec<Seen> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    let of_v2: Vec<Seen> = seen
+        .into_iter()
+        .filter(|seen| seen.events.first().is_some_and(|(_, version)| version == "v2"))
+        .collect();
+    record.line(&format!("{} streams of v2 are to be taken up at front-1 and front-2", of_v2.len()));
+    let tries: Vec<_> = of_v2
+        .into_iter()
+        .enumerate()
+        .map(|(index, mut seen)| {
+            let (record, fronts) = (record.clone(), fronts[..2].to_vec());
+            thread::spawn(move || take_up(&record, &fronts, index, &mut seen))
+        })
+        .collect();
+    let new: Vec<_> = (0..NEW_STREAMS)
+        .map(|index| {
+            sleep_ms(5);
+            let front = fronts[index % 2];
+            thread::spawn(move || {
+                let mut seen = Seen::default();
+                let keep = Duration::from_millis(600);
+                one_try(front, &attempt_id(), 2_000 + index, &mut seen, keep, BUDGET);
+                seen.events.first().map(|(_, version)| version.clone())
+            })
+        })
+        .collect();
+    let tries: Vec<Option<bool>> = tries.into_iter().map(|client| client.join().unwrap()).collect();
+    let new: Vec<Option<String>> = new.into_iter().map(|client| client.join().unwrap()).collect();
+    let statuses: Vec<u16> = other.into_iter().map(|client| client.join().unwrap()).collect();
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    record.line(&format!("front-3 served {served} of {CUT_STREAMS} streams meanwhile"));
+    if is_cut {
+        sleep_ms(CUT_MS.saturating_sub(cut_at.elapsed().as_millis() as u64));
+        for (proxy, target) in &mut proxies {
+            *proxy = start_proxy(proxy.addr, *target);
+        }
+        record.line("front-3 reaches i-8 and i-9 again");
+    }
+    let begun = new.iter().flatten().count();
+    let begun_v2 = new.iter().flatten().filter(|version| *version == "v2").count();
+    let taken: Vec<bool> = tries.into_iter().flatten().collect();
+    let went_on = taken.iter().filter(|went_on| **went_on).count();
+    record.line(&format!(
+        "{went_on} of {} streams of v2 that were taken up went on; {begun} of {NEW_STREAMS} new streams began, {begun_v2} \
+         of them at v2",
+        taken.len()
+    ));
+    if taken.len() < 12 {
+        cannot_run("fewer than 12 streams were taken up");
+    }
+    let share = went_on as f64 / taken.len() as f64;
+    let is_broken = share < 0.5 * begun as f64 / NEW_STREAMS as f64;
+    record.line(if is_broken { "LOST is broken" } else { "LOST holds" });
+    drop(hosts);
+    drop(files);
+    std::process::exit(i32::from(is_broken));
+}
+
+fn config() -> String {
+    r#"{"version":7,"routes":[{"name":"r1","host":"h.example","path_prefix":"/s/","service":"llm",
+    "kind":"streaming","resumable":true,"timeout_ms":6000,"target_latency_ms":600,"target_gap_ms":250,
+    "attempts":2,"priority":1,"sticky":true,"allow_anonymous":false}],
+    "services":[{"name":"llm","health_check_path":"/health","connection_limit":370,
+    "engine":{"slots":64,"kv_cache_tokens":505550,"handle_retention_s":10,"stage_switch_s":3}}],
+    "tenants":[{"name":"t1","api_keys":["k1"]}],
+    "limits":{"header_bytes":16384,"body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":15000}}"#
+        .to_owned()
+}
+
+fn entry(addr: SocketAddr, version: &str) -> String {
+    format!(
+        r#"{{"service":"llm","address":"{addr}","zone":"z-a","version":"{version}","slots":64,
+        "state":"ready","stage":"decode","cold_remaining_ms":0,"sequence":1,"born":{}}}"#,
+        unix_ms()
+    )
+}
+
+/// Takes a stream up. None if there was nothing to take up or no time left; else whether it went on.
+/// After a refusal the client heeds Retry-After, up to a third of its time, and tries again elsewhere.
+fn take_up(record: &Record, fronts: &[SocketAddr], index: usize, seen: &mut Seen) -> Option<bool> {
+    let before = seen.events.len();
+    if before == 0 {
+        return None;
+    }
+    let mut is_tried = false;
+    for attempt in 1..=3 {
+        let Some(left) = BUDGET.checked_sub(seen.began_at?.elapsed()) else { break };
+        let (id, front) = (attempt_id(), fronts[(index + attempt) % fronts.len()]);
+        is_tried = true;
+        let status = one_try(front, &id, index, seen, Duration::from_millis(500), left);
+        let (count, ms) = (seen.events.len() - before, left.as_millis());
+        record.line(&format!(
+            "client {index}: {id} takes {} up after event {before} with {ms} ms left at {front}: \
+             {status}, {count} events",
+            seen.origin
+        ));
+        if count > 0 {
+            return Some(true);
+        }
+        thread::sleep(Duration::from_millis(500).min(left / 3));
+    }
+    is_tried.then_some(false)
+}
+
+/// Sends a request and reads events until `keep` is over.
+fn one_try(
+    front: SocketAddr,
+    id: &str,
+    index: usize,
+    seen: &mut Seen,
+    keep: Duration,
+    left: Duration,
+) -> u16 {
+    let end = Instant::now() + keep;
+    let Ok(mut connection) = TcpStream::connect(front) else { return 0 };
+    let _ = connection.set_read_timeout(Some(Duration::from_millis(500)));
+    let mut text = format!(
+        "POST /s/{index} HTTP/1.1\r\nhost: h.example\r\nx-attempt-id: {id}\r\nx-model: m\r\n\
+         x-token-counts: 3000,{EVENTS}\r\nx-prompt-prefix: {index:x}c1:2900,{index:x}aa:100\r\n\
+         x-deadline-remaining-ms: {}\r\nauthorization: Bearer k1\r\ncontent-length: 2\r\n",
+        left.as_millis()
+    );
+    if let Some((last, _)) = seen.events.last() {
+        text.push_str(&format!("last-event-id: {last}\r\nresumes: {}\r\n", seen.origin));
+    }
+    text.push_str("\r\nhi");
+    if connection.write_all(text.as_bytes()).is_err() {
+        return 0;
+    }
+    let mut reader = BufReader::new(connection);
+    let Some(head) = read_head(&mut reader) else { return 0 };
+    if head.status() != 200 {
+        return head.status();
+    }
+    let mut buffer = String::new();
+    while Instant::now() < end
+        && let Some(chunk) = read_chunk(&mut reader)
+        && !chunk.is_empty()
+    {
+        buffer.push_str(&String::from_utf8_lossy(&chunk));
+        while let Some(end) = buffer.find("\n\n") {
+            let event: String = buffer.drain(..end + 2).collect();
+            let field = |name: &str| {
+                event.lines().find_map(|line| line.strip_prefix(name)).unwrap_or("").to_owned()
+            };
+            seen.events.push((field("id: ").parse().unwrap_or(0), field("data: ")));
+        }
+    }
+    head.status()
+}
--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -488,9 +488,15 @@
 pub struct StorePort {
     pub server: Server,
     mode: Arc<AtomicU8>,
+    addresses: Arc<Mutex<Vec<(String, String)>>>,
 }
 
 impl StorePort {
+    /// Puts a proxy of the test into the machine's way to a server.
+    pub fn replace_address(&self, server: SocketAddr, proxy: SocketAddr) {
+        self.addresses.lock().unwrap().push((server.to_string(), proxy.to_string()));
+    }
+
     /// Lets the store serve the machine, or answer nothing (connections are kept), or 503.
     pub fn set_mode(&self, mode: u8) {
         self.mode.store(mode, Ordering::SeqCst);
@@ -567,13 +573,14 @@
     /// A port of the store for one machine.
     pub fn listen(&self, ip: &str) -> StorePort {
         let mode = Arc::new(AtomicU8::new(SERVES));
-        let (store, port_mode) = (self.clone(), mode.clone());
-        let handler = move |stream: TcpStream| store.serve(stream, &port_mode);
+        let addresses: Arc<Mutex<Vec<(String, String)>>> = Arc::default();
+        let (store, port_mode, replaced) = (self.clone(), mode.clone(), addresses.clone());
+        let handler = move |stream: TcpStream| store.serve(stream, &port_mode, &replaced);
         let addr = SocketAddr::new(ip.parse().unwrap(), 0);
-        StorePort { server: Server::start(addr, Arc::new(handler)), mode }
+        StorePort { server: Server::start(addr, Arc::new(handler)), mode, addresses }
     }
 
-    fn serve(&self, stream: TcpStream, mode: &AtomicU8) {
+    fn serve(&self, stream: TcpStream, mode: &AtomicU8, addresses: &Mutex<Vec<(String, String)>>) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Some((request, true)) = read_message(&mut reader) {
@@ -586,7 +593,7 @@
                 }
                 return;
             }
-            let (status, body) = if mode.load(Ordering::SeqCst) == BUSY {
+            let (status, mut body) = if mode.load(Ordering::SeqCst) == BUSY {
                 (503, String::new())
             } else {
                 self.answer(&request, mode)
@@ -598,6 +605,9 @@
                 }
                 return;
             }
+            for (server, proxy) in addresses.lock().unwrap().iter() {
+                body = body.replace(&format!("\"{server}\""), &format!("\"{proxy}\""));
+            }
             let era = self.content.0.lock().unwrap().era.to_string();
             let first = format!("HTTP/1.1 {status} x");
             let headers = [("content-type", "application/json"), ("store-era", era.as_str())];
@@ -910,6 +920,23 @@
     }
 }
 
+/// A proxy that passes all bytes on to `target`. While it has ended, connections to it are refused.
+pub fn start_proxy(addr: SocketAddr, target: SocketAddr) -> Server {
+    let handler = move |mut stream: TcpStream| {
+        let Ok(mut other) = TcpStream::connect(target) else { return };
+        let _ = other.set_nodelay(true);
+        let (Ok(mut back), Ok(mut from)) = (stream.try_clone(), other.try_clone()) else { return };
+        let returning = thread::spawn(move || {
+            let _ = std::io::copy(&mut from, &mut back);
+            let _ = back.shutdown(Shutdown::Both);
+        });
+        let _ = std::io::copy(&mut stream, &mut other);
+        let _ = other.shutdown(Shutdown::Both);
+        let _ = returning.join();
+    };
+    Server::start(addr, Arc::new(handler))
+}
+
 /// The platform's interface for the duties of one holder at a time.
 pub struct Cloud {
     pub server: Server,
