--- a/review/stand-ins-2/case-cut.rs
+++ b/review/stand-ins-2/case-cut.rs
@@ -58,7 +58,7 @@
         ports[2].replace_address(engine.server.addr, proxy.addr);
         proxies.push((proxy, engine.server.addr));
     }
-    let hosts: Vec<Host> = ["127.0.0.11", "127.0.0.12", "127.0.0.13"]
+    let hosts: Vec<Host> = [machine_ip(0), machine_ip(1), machine_ip(2)]
         .iter()
         .zip(&ports)
         .enumerate()
--- a/review/stand-ins-2/case-order.rs
+++ b/review/stand-ins-2/case-order.rs
@@ -49,7 +49,7 @@
         store.put("servers", id, &entry(*addr, "v1", born, 1));
     }
     let ports = [store.listen("127.0.0.1"), store.listen("127.0.0.1")];
-    let hosts: Vec<Host> = ["127.0.0.11", "127.0.0.12"]
+    let hosts: Vec<Host> = [machine_ip(0), machine_ip(1)]
         .iter()
         .zip(&ports)
         .enumerate()
--- a/review/stand-ins-2/case-taken-up.rs
+++ b/review/stand-ins-2/case-taken-up.rs
@@ -48,7 +48,7 @@
         engines.push(engine);
     }
     let port = store.listen("127.0.0.1");
-    let mut hosts: Vec<Host> = ["127.0.0.11", "127.0.0.12", "127.0.0.13"]
+    let mut hosts: Vec<Host> = [machine_ip(0), machine_ip(1), machine_ip(2)]
         .iter()
         .enumerate()
         .map(|(index, ip)| {
@@ -62,7 +62,7 @@
 
     let fronts: Vec<SocketAddr> = hosts.iter().map(|host| host.front).collect();
     // Without the disruption the clients' connections end at the same time.
-    let keep = Duration::from_millis(1_200);
+    let keep = Duration::from_millis(900);
     let clients: Vec<_> = (0..STREAMS)
         .map(|index| {
             sleep_ms(10);
@@ -78,7 +78,7 @@
             })
         })
         .collect();
-    sleep_ms(1_000);
+    sleep_ms(700);
     if trouble {
         record.line("all hosts are killed");
         hosts.iter_mut().for_each(Host::kill);
--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -764,6 +764,12 @@
     child: Option<Child>,
 }
 
+/// The loopback address of a machine, of which each run of a case has its own.
+pub fn machine_ip(index: usize) -> String {
+    let process = std::process::id();
+    format!("127.{}.{}.{}", 1 + process / 250 % 250, process % 250, 11 + index)
+}
+
 /// Where the repository is, from the case's folder.
 pub fn repository() -> PathBuf {
     PathBuf::from(std::env::var("REPOSITORY").unwrap_or_else(|_| ".".to_owned()))
