--- a/review/stand-ins-2/engine.rs
+++ b/review/stand-ins-2/engine.rs
@@ -19,8 +19,19 @@
 }
 
 impl Engine {
-    /// Starts a server `id` of this software version at `addr`.
+    /// Starts a server `id` of this software version at `addr`, whose events have the ids 1, 2 and so on.
     pub fn start(record: &Arc<Record>, addr: SocketAddr, id: &str, version: &str) -> Engine {
+        Engine::start_counting(record, addr, id, version, 1)
+    }
+
+    /// The same with ids that increase by `step`.
+    pub fn start_counting(
+        record: &Arc<Record>,
+        addr: SocketAddr,
+        id: &str,
+        version: &str,
+        step: u64,
+    ) -> Engine {
         let runs: Arc<Mutex<Vec<String>>> = Arc::default();
         let (record, id, version) = (record.clone(), id.to_owned(), version.to_owned());
         let seen = runs.clone();
@@ -28,7 +39,7 @@
             let Ok(mut writer) = stream.try_clone() else { return };
             let mut reader = BufReader::new(stream);
             while let Some((request, true)) = read_message(&mut reader) {
-                if !answer(&record, &request, &mut writer, &id, &version, &seen) {
+                if !answer(&record, &request, &mut writer, &id, &version, step, &seen) {
                     return;
                 }
             }
@@ -43,6 +54,7 @@
     writer: &mut TcpStream,
     id: &str,
     version: &str,
+    step: u64,
     runs: &Mutex<Vec<String>>,
 ) -> bool {
     if request.path().starts_with("/health") {
@@ -58,8 +70,9 @@
     let last = request.header("last-event-id").and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
     let counts = request.header("x-token-counts").unwrap_or("1,10");
     let all = counts.split(',').nth(1).and_then(|text| text.parse::<u64>().ok()).unwrap_or(10);
+    let done = last / step;
     runs.lock().unwrap().push(attempt.clone());
-    record.line(&format!("server {id} ({version}) runs {attempt} from event {}", last + 1));
+    record.line(&format!("server {id} ({version}) runs {attempt} from event {}", done + 1));
     let head = format!(
         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-attempt-id: {attempt}\r\n\
          x-response-signature: sig.{id}.{attempt}\r\nx-weight-versions: 1\r\n\
@@ -68,9 +81,9 @@
     if writer.write_all(head.as_bytes()).is_err() {
         return false;
     }
-    for number in last + 1..=all {
+    for number in done + 1..=all {
         sleep_ms(EVENT_MS);
-        let event = format!("id: {number}\ndata: {version}\n\n");
+        let event = format!("id: {}\ndata: {version}\n\n", number * step);
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         if writer.write_all(chunk.as_bytes()).is_err() {
             return false;
