--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -209,6 +209,10 @@
 impl Record {
     pub fn create(path: &Path) -> Arc<Record> {
         let file = File::create(path).unwrap_or_else(|error| cannot_run(&format!("record: {error}")));
+        thread::spawn(|| {
+            thread::sleep(LONGEST_RUN);
+            cannot_run("it takes too long")
+        });
         Arc::new(Record { start: Instant::now(), file: Mutex::new(file) })
     }
 
@@ -220,9 +224,18 @@
     }
 }
 
-/// Ends the case as one that could not run.
+/// The processes that the case has started and not ended yet.
+static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Longest time for which a case runs.
+const LONGEST_RUN: Duration = Duration::from_secs(110);
+
+/// Ends the case as one that could not run, and the processes that it has started.
 pub fn cannot_run(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
+    for pid in CHILDREN.lock().unwrap().drain(..) {
+        let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+    }
     std::process::exit(2);
 }
 
@@ -837,7 +850,10 @@
             .stderr(log)
             .spawn();
         match child {
-            Ok(child) => self.child = Some(child),
+            Ok(child) => {
+                CHILDREN.lock().unwrap().push(child.id());
+                self.child = Some(child);
+            }
             Err(error) => cannot_run(&format!("{}: {error}", program.display())),
         }
     }
@@ -880,6 +896,7 @@
 
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
+            CHILDREN.lock().unwrap().retain(|pid| *pid != child.id());
             let _ = child.kill();
             let _ = child.wait();
         }
