Review: answers join two software versions after a stand-still

A host stands still for 3.9 s while two runners are released in place. As it goes on it resumes broken streams by entries that it has not read again, at a runner that has started with the new version meanwhile.

--- a/review/stand-ins-3/common.rs
+++ b/review/stand-ins-3/common.rs
@@ -376,9 +376,15 @@
         ip: &str,
         handle: impl Fn(Request, &mut TcpStream) -> io::Result<()> + Send + Sync + 'static,
     ) -> Server {
-        let ip: IpAddr = ip.parse().expect("an address");
-        let listener =
-            TcpListener::bind(SocketAddr::new(ip, 0)).unwrap_or_else(|error| cannot_run(&error.to_string()));
+        Server::start_at(SocketAddr::new(ip.parse().expect("an address"), 0), handle)
+    }
+
+    /// The same at this address.
+    pub fn start_at(
+        addr: SocketAddr,
+        handle: impl Fn(Request, &mut TcpStream) -> io::Result<()> + Send + Sync + 'static,
+    ) -> Server {
+        let listener = TcpListener::bind(addr).unwrap_or_else(|error| cannot_run(&error.to_string()));
         listener.set_nonblocking(true).expect("a listener");
         let addr = listener.local_addr().expect("bound");
         let alive = Arc::new(AtomicBool::new(true));
