--- a/review/stand-ins-3/common.rs
+++ b/review/stand-ins-3/common.rs
@@ -252,6 +252,16 @@
     std::process::exit(code);
 }
 
+/// As many ports of a loopback address that nobody uses now, no two alike.
+pub fn free_ports<const COUNT: usize>(ip: &str) -> [u16; COUNT] {
+    let ip: IpAddr = ip.parse().expect("an address");
+    let bind = |_| {
+        TcpListener::bind(SocketAddr::new(ip, 0)).unwrap_or_else(|error| cannot_run(&error.to_string()))
+    };
+    let listeners: [TcpListener; COUNT] = std::array::from_fn(bind);
+    listeners.map(|listener| listener.local_addr().expect("bound").port())
+}
+
 /// A request as read from a connection; the names of its headers are in lowercase.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -636,10 +646,8 @@
         // Several cases may run beside each other, each in a network of its own.
         let net = env::var("NET").unwrap_or_else(|_| "127.0.0".to_owned());
         let ip = format!("{net}.{}", 11 + number);
-        let port = |_: &str| free_port(&ip);
-        let (front, ready, control, directory) = (port("front"), port("ready"), port("control"), port("directory"));
-        // The range is for datagrams between hosts.
-        let internal = port("internal");
+        // The internal range is for datagrams between hosts.
+        let [front, ready, control, directory, internal] = free_ports(&ip);
         let zones = ["rijeka", "ploce", "split"];
         let zone = zones[number % zones.len()];
         let name = format!("front-{zone}-{}", number + 1);
