Review: bookings are lost with runners that a request crashes

Case 14 now also sends bookings: some 20 of 2,000 end with 502, as they ran at a runner that crashed.

--- a/review/stand-ins-3/case-query.rs
+++ b/review/stand-ins-3/case-query.rs
@@ -19,6 +19,8 @@
 const DOWN_TIME: Duration = Duration::from_millis(2_000);
 /// Three status report intervals, after which the entry of a silent runner is removed.
 const SILENT_TIME: Duration = Duration::from_millis(3_600);
+/// Time for which a runner works on a sound request.
+const WORK_TIME: Duration = Duration::from_millis(60);
 /// Time from one try of the request that crashes runners to the next.
 const AGAIN: Duration = Duration::from_millis(4_000);
 const TRIES: usize = 12;
@@ -73,7 +75,7 @@
                     return Err(io::ErrorKind::ConnectionReset.into());
                 }
             }
-            thread::sleep(Duration::from_millis(15));
+            thread::sleep(WORK_TIME);
             if mark.load(Ordering::SeqCst) {
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
@@ -141,16 +143,17 @@
     thread::sleep(Duration::from_millis(CONTACT_MS));
     let fronts: Vec<_> = hosts.iter().map(|host| host.front).collect();
     let counts: Arc<Mutex<std::collections::BTreeMap<String, usize>>> = Arc::default();
-    for client in 0..HOSTS {
-        let (front, record, stop, counts) = (fronts[client], record.clone(), stop.clone(), counts.clone());
+    for client in 0..3 * HOSTS {
+        let books = client >= HOSTS;
+        let (front, record, stop, counts) = (fronts[client % HOSTS], record.clone(), stop.clone(), counts.clone());
         threads.push(thread::spawn(move || {
             let mut number = 0;
             while !stop.load(Ordering::SeqCst) {
                 number += 1;
                 let id = format!("a{client:02x}{number:06x}");
-                // A booking now and then, which may run once at most.
-                let (method, target) = match number % 5 {
-                    0 => ("POST", "/puxa403/2f".to_owned()),
+                let (method, target) = match 1 + number % 4 {
+                    // Bookings, which may run once at most.
+                    _ if books => ("POST", format!("/puxa403/{number}/2f")),
                     week if std::env::var_os("APART").is_some() => ("GET", format!("/cufi504/other/2f?week={week}")),
                     week => ("GET", format!("/cufi504/fi50/2f?week={week}")),
                 };
