Review: answers without an end outlast their time limit

It takes the place of the case on two software versions in one answer, whose cause case 6 shows already; its program stays (case-versions).

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review-3/case-versions
+program=target/review-3/case-endless
 [ -x "$program" ] && [ -x target/release/chervilgate-host ] || exit 2
 # A process group of its own, so that nothing is left if this script is ended.
 set -m
