Streams: the versions that began streams are on record in the store

Cause: which version began a stream was kept in the memory of hosts alone. The store named the versions that have served, not the streams.

Hosts that start read it, and others when a caller takes up a stream that nobody knows. It adds to what is known and changes no rule of refusing.

--- a/components/gateway/src/fleet/builds.rs
+++ b/components/gateway/src/fleet/builds.rs
@@ -6,7 +6,7 @@
 //! from the record in the store ([`build_record`](crate::build_record)).
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
@@ -134,6 +134,12 @@
         if self.knows_past_builds(now) { SeenBuilds::Only(only) } else { SeenBuilds::OnlyNow(only) }
     }
 
+    /// Whether streams of a service may be of several versions.
+    pub fn has_several_builds(&self, now: Time) -> bool {
+        let services: HashSet<&str> = self.entries().map(|entry| &*entry.service).collect();
+        services.into_iter().any(|service| self.seen_builds(now, service) == SeenBuilds::Several)
+    }
+
     /// Whether this host knows all versions that may have begun a stream: it was told what served
     /// before it listed the targets, or that is over.
     pub fn knows_past_builds(&self, now: Time) -> bool {
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -492,8 +492,8 @@
             }
             Ok(Message::Origins(notices)) => {
                 let now = shared.now();
-                let origins = &mut shared.state().origins;
-                notices.into_iter().for_each(|notice| origins.learn(now, notice));
+                shared.state().origins.hear(now, notices);
+                shared.streams_due.notify_one();
             }
             Ok(Message::OriginAsked(question)) => {
                 answer_question(&shared, &socket, shared.now(), question, from).await;
--- a/components/gateway/src/gossip/origins.rs
+++ b/components/gateway/src/gossip/origins.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     gossip::{FANOUT, Message, send},
-    origins::{HOLDERS, OriginNotice, OriginQuestion},
+    origins::{HOLDERS, OriginNotice, OriginQuestion, RECORDERS},
     state::Shared,
 };
 
@@ -32,8 +32,13 @@
                 state.origins.tell_all();
             }
             let mut notices: HashMap<SocketAddr, Vec<OriginNotice>> = HashMap::new();
-            for notice in state.origins.take_untold() {
-                for peer in state.membership.ranked(now, notice.key.hash(), HOLDERS) {
+            let untold = state.origins.take_untold();
+            if !untold.is_empty() {
+                shared.streams_due.notify_one();
+            }
+            for notice in untold {
+                let key = notice.key.hash();
+                for peer in state.membership.holders(now, key, RECORDERS, HOLDERS) {
                     notices.entry(peer).or_default().push(notice);
                 }
             }
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -28,7 +28,7 @@
     waiting::serve_waiting,
     watch::{
         ConfigWatch, TargetWatch, confirm_target_list, maintain_build_record,
-        maintain_crash_record, maintain_membership, watch_prefix,
+        maintain_crash_record, maintain_membership, maintain_stream_record, watch_prefix,
     },
 };
 
@@ -160,6 +160,7 @@
         tokio::spawn(confirm_target_list(shared.clone()));
         tokio::spawn(maintain_build_record(shared.clone()));
         tokio::spawn(maintain_crash_record(shared.clone()));
+        tokio::spawn(maintain_stream_record(shared.clone()));
         tokio::spawn(maintain_membership(shared.clone(), refresh_membership.clone()));
         if let Some(DutyClients { reports, orders }) = duties {
             tokio::spawn(gossip::send_counts(shared.clone(), socket));
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 mod state;
 pub mod stopping;
 mod stream;
+pub mod stream_record;
 mod takeover;
 pub mod target_feed;
 pub mod usage;
--- a/components/gateway/src/membership.rs
+++ b/components/gateway/src/membership.rs
@@ -167,6 +167,21 @@
         ranked
     }
 
+    /// Gossip addresses of up to `count` other hosts, by their order by hash over `key`: the first
+    /// `pollers` of the pollers, unless this host is one of these, and then the first of all.
+    pub fn holders(&self, now: Time, key: u64, pollers: usize, count: usize) -> Vec<SocketAddr> {
+        let mut names = self.poller_names(now);
+        names.sort_unstable_by_key(|name| stable_hash(&(key, name)));
+        let others = names.into_iter().take(pollers).filter_map(|name| self.hosts.get(name));
+        let mut holders: Vec<SocketAddr> = others.map(|known| known.entry.gossip).collect();
+        for addr in self.ranked(now, key, count) {
+            if holders.len() < count && !holders.contains(&addr) {
+                holders.push(addr);
+            }
+        }
+        holders
+    }
+
     /// Gossip addresses of the hosts to which this one, as a poller, passes changes on: of the pollers,
     /// the first two in an order by hash over the host's name do so. Empty if this host is no poller.
     pub fn followers(&self, now: Time) -> Vec<SocketAddr> {
--- a/components/gateway/src/origins.rs
+++ b/components/gateway/src/origins.rs
@@ -4,7 +4,8 @@
 //! it passes on the first event: those first in an order by hash over the stream's key, so that the host
 //! that the caller comes to can ask them even if that host is gone. The host at which the stream goes on
 //! tells others in turn, and so does one that stops. A host that has seen one version only for as long as
-//! streams live vouches for it, and then nothing is told.
+//! streams live vouches for it, and then nothing is told. Where all that were told are gone, the record in the
+//! store ([`stream_record`](crate::stream_record)) names the version.
 
 use std::{
     collections::{HashMap, VecDeque, hash_map::Entry},
@@ -23,6 +24,9 @@
 /// Number of hosts that are told of a stream.
 pub(crate) const HOLDERS: usize = 4;
 
+/// Number of these that keep the record of streams in the store.
+pub(crate) const RECORDERS: usize = 2;
+
 /// Number of hosts that are asked for one: more, as hosts may disagree about who is there.
 pub(crate) const ASKED: usize = 8;
 
@@ -34,7 +38,7 @@
 
 /// Identifies a stream by the attempt that began it, its service and organisation: an organisation
 /// learns nothing of the streams of others.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct StreamKey(u64);
 
@@ -44,6 +48,11 @@
         StreamKey(stable_hash(&(attempt, service, org)))
     }
 
+    /// The key with this hash.
+    pub(crate) fn from_hash(hash: u64) -> StreamKey {
+        StreamKey(hash)
+    }
+
     /// Hash by which hosts are ordered.
     pub(crate) fn hash(self) -> u64 {
         self.0
@@ -99,8 +108,12 @@
     begun: HashMap<StreamKey, Begun>,
     /// Keys by the time of their entry, oldest first.
     order: VecDeque<(Time, StreamKey)>,
+    /// Streams of the record in the store, as it was last read.
+    recorded: HashMap<StreamKey, BuildId>,
     /// Streams that this host serves and that are not told.
     untold: Vec<OriginNotice>,
+    /// Streams that this host has told or was told of, for the record.
+    unrecorded: Vec<OriginNotice>,
     /// Open questions.
     answers: HashMap<StreamKey, Answers>,
     /// Questions that are to be sent, with the hosts to ask.
@@ -146,6 +159,27 @@
         self.insert(now, notice, false);
     }
 
+    /// Records streams that another host tells of.
+    pub fn hear(&mut self, now: Time, notices: Vec<OriginNotice>) {
+        notices.iter().for_each(|notice| self.learn(now, *notice));
+        self.unrecorded.extend(notices);
+    }
+
+    /// Streams that are to be added to the record, if this host keeps it.
+    pub fn take_unrecorded(&mut self) -> Vec<OriginNotice> {
+        std::mem::take(&mut self.unrecorded)
+    }
+
+    /// Replaces the streams of the record by those that were read.
+    pub fn adopt_recorded(&mut self, streams: &[OriginNotice]) {
+        self.recorded = streams.iter().map(|notice| (notice.key, notice.build)).collect();
+    }
+
+    /// The version that began a stream, as far as this host knows.
+    fn known_build(&self, key: StreamKey) -> Option<BuildId> {
+        self.begun.get(&key).map(|begun| begun.build).or_else(|| self.recorded.get(&key).copied())
+    }
+
     fn insert(&mut self, now: Time, OriginNotice { key, build }: OriginNotice, is_own: bool) {
         self.forget_old(now);
         match self.begun.entry(key) {
@@ -173,6 +207,7 @@
 
     /// Streams that others are to be told of.
     pub fn take_untold(&mut self) -> Vec<OriginNotice> {
+        self.unrecorded.extend_from_slice(&self.untold);
         std::mem::take(&mut self.untold)
     }
 
@@ -194,7 +229,7 @@
 
     /// What this host was told or has done itself of a stream that a caller takes up.
     pub fn find(&self, key: StreamKey) -> Origin {
-        self.begun.get(&key).map_or(Origin::Unclear, |begun| Origin::Known(begun.build))
+        self.known_build(key).map_or(Origin::Unclear, Origin::Known)
     }
 
     /// Opens a question to the hosts at `peers`.
@@ -232,7 +267,7 @@
 
     /// Whether the answers to a question suffice, of `asked` hosts.
     pub fn is_answered(&self, key: StreamKey, asked: usize) -> bool {
-        self.begun.contains_key(&key)
+        self.known_build(key).is_some()
             || self.answers.get(&key).is_none_or(|answers| answers.count >= asked)
     }
 
@@ -241,8 +276,8 @@
     /// not suffice, as its list may be older than the stream.
     pub fn conclude(&mut self, key: StreamKey, seen: SeenBuilds) -> Origin {
         let answers = self.answers.remove(&key);
-        if let Some(begun) = self.begun.get(&key) {
-            return Origin::Known(begun.build);
+        if let Some(build) = self.known_build(key) {
+            return Origin::Known(build);
         }
         let SeenBuilds::Only(seen) = seen else { return Origin::Unknown };
         let is_disputed = answers.is_some_and(|answers| {
@@ -253,8 +288,8 @@
 
     /// Answers another host's question, if this one can.
     pub fn answer(&self, key: StreamKey, seen: SeenBuilds) -> Option<OriginAnswer> {
-        if let Some(begun) = self.begun.get(&key) {
-            return Some(OriginAnswer::Begun(begun.build));
+        if let Some(build) = self.known_build(key) {
+            return Some(OriginAnswer::Begun(build));
         }
         match seen {
             SeenBuilds::Only(build) => Some(OriginAnswer::Only(build)),
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -36,6 +36,7 @@
     settings::HostSettings,
     stopping::Stop,
     stream::StreamBuffers,
+    stream_record::StreamRecord,
     target_feed::TargetFeed,
     usage::{PeerSheets, UsageMeter, WallClock},
     view::ConfigView,
@@ -76,6 +77,8 @@
     pub(crate) builds_due: Notify,
     /// Notified when the record of crashes may lack one.
     pub(crate) crashes_due: Notify,
+    /// Notified when the record of streams is to be written or read.
+    pub(crate) streams_due: Notify,
     /// Notified when other hosts are to be told or asked which version began a stream.
     pub(crate) origins_due: Notify,
     /// Notifies requests that wait to know which version began their stream.
@@ -144,6 +147,8 @@
     pub(crate) build_record: BuildRecord,
     /// What of the record of crashes this host has seen.
     pub(crate) crash_record: CrashRecord,
+    /// What of the record of streams this host has written and read.
+    pub(crate) stream_record: StreamRecord,
     /// What this host may send beyond the first of each request.
     pub(crate) repeats: Repeats,
     /// What this host holds and owns of organisations' quotas.
@@ -242,6 +247,7 @@
             numberings: Numberings::default(),
             build_record: BuildRecord::default(),
             crash_record: CrashRecord::default(),
+            stream_record: StreamRecord::default(),
             repeats: Repeats::new(bounds),
             quota: QuotaState::new(&settings, boot),
             admission: Box::<Queues>::default(),
@@ -268,6 +274,7 @@
             builds_due: Notify::new(),
             crashes_due: Notify::new(),
             origins_due: Notify::new(),
+            streams_due: Notify::new(),
             origin_settled: Notify::new(),
             list_doubted: Notify::new(),
             changes_wanted: Notify::new(),
--- a/components/gateway/src/takeover.rs
+++ b/components/gateway/src/takeover.rs
@@ -10,7 +10,7 @@
     failure::Failure,
     fleet::{BuildId, SeenBuilds},
     hash::stable_hash,
-    origins::{ASKED, Origin, OriginNotice, OriginQuestion, StreamKey},
+    origins::{ASKED, Origin, OriginNotice, OriginQuestion, RECORDERS, StreamKey},
     progress::Stage,
     state::{Shared, State},
 };
@@ -21,6 +21,9 @@
 /// Time for which the store is awaited to show that the list of targets is current.
 const LIST_TIME: Duration = Duration::from_millis(500);
 
+/// Time for which the record of streams is awaited.
+const RECORD_TIME: Duration = Duration::from_millis(500);
+
 /// Key of the stream that `call` begins or takes up. A caller that takes one up and does not name the
 /// attempt that began it is helped if there is one version only.
 fn stream_key(call: &CallerRequest) -> StreamKey {
@@ -42,6 +45,7 @@
     let (origin, asked) = look_up(shared, call, key);
     if origin == Origin::Unclear {
         settle(shared, call, key, asked, since).await;
+        read_record(shared, call, key, since).await;
     }
     let (origin, answers, seen) = {
         let mut state = shared.state();
@@ -73,7 +77,7 @@
     if origin != Origin::Unclear {
         return (origin, 0);
     }
-    let peers = state.membership.ranked(now, key.hash(), ASKED);
+    let peers = state.membership.holders(now, key.hash(), RECORDERS, ASKED);
     let asked = peers.len();
     let service = stable_hash(&&*call.service);
     state.origins.ask(now, OriginQuestion { key, service }, peers);
@@ -118,6 +122,33 @@
     }
 }
 
+/// Has the record of streams read, and waits for that, if several versions may have begun the stream and no
+/// host has named the one.
+async fn read_record(shared: &Shared, call: &CallerRequest, key: StreamKey, since: Time) {
+    let end = Instant::now() + RECORD_TIME;
+    loop {
+        let settled = shared.origin_settled.notified();
+        tokio::pin!(settled);
+        settled.as_mut().enable();
+        {
+            let state = &mut *shared.state();
+            let seen = state.seen_builds_since(shared.now(), &call.service, since);
+            if seen != SeenBuilds::Several
+                || state.store_down
+                || state.origins.find(key) != Origin::Unclear
+                || state.stream_record.is_read_since(since)
+            {
+                return;
+            }
+            state.stream_record.want();
+        }
+        shared.streams_due.notify_one();
+        if timeout_at(end, settled).await.is_err() {
+            return;
+        }
+    }
+}
+
 fn seen_builds(shared: &Shared, state: &State, call: &CallerRequest) -> SeenBuilds {
     state.seen_builds(shared.now(), &call.service, shared.settings.bounds.drain_time)
 }
--- a/components/gateway/src/watch.rs
+++ b/components/gateway/src/watch.rs
@@ -12,6 +12,7 @@
 mod current;
 mod feed;
 mod hosts;
+mod streams;
 mod targets;
 
 use std::{future::ready, sync::Arc, time::Duration};
@@ -25,7 +26,7 @@
 
 pub(crate) use self::{
     builds::maintain_build_record, crashes::maintain_crash_record, current::confirm_target_list,
-    hosts::maintain_membership, targets::TargetWatch,
+    hosts::maintain_membership, streams::maintain_stream_record, targets::TargetWatch,
 };
 use crate::{
     freshness::Freshness,
