Ends: a target that refuses one host has not ended for all

A host that could not reach the two targets of a version for 3 s told the others that these had ended.

Cause: a host that is told of an end took the version of the target as unknown until the entry of another start came. Nothing that it saw itself could disprove the end.

An end is now disproved by a connection from before it, over which the target answers what was sent after it, or writes events on for half a second. The kernel closes the connections of a process that has ended, so a new start under the same id can do neither. The host tells others, with the age of the connection: ends from before it stay in doubt. What was begun in doubt is named by the version of the entry from then on.

--- a/components/clients/src/http/connection.rs
+++ b/components/clients/src/http/connection.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -39,6 +39,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     peeker: StreamPeeker,
     discarded: Arc<AtomicBool>,
+    opened_at: Instant,
 }
 
 impl Connection {
@@ -61,7 +62,7 @@
                 log::debug!(target: "http", addr:%, error:%; "connection failed");
             }
         });
-        Ok(Connection { sender, peeker, discarded: Arc::default() })
+        Ok(Connection { sender, peeker, discarded: Arc::default(), opened_at: Instant::now() })
     }
 
     /// Sends a request and waits for the response head. The error contains the request if no
@@ -96,7 +97,7 @@
 
     /// A handle for those who read the connection's responses.
     pub(super) fn handle(&self) -> ConnectionHandle {
-        ConnectionHandle { discarded: self.discarded.clone() }
+        ConnectionHandle { discarded: self.discarded.clone(), opened_at: self.opened_at }
     }
 }
 
@@ -104,9 +105,15 @@
 #[derive(Debug, Clone)]
 pub struct ConnectionHandle {
     discarded: Arc<AtomicBool>,
+    opened_at: Instant,
 }
 
 impl ConnectionHandle {
+    /// Time since the connection was opened.
+    pub fn age(&self) -> Duration {
+        self.opened_at.elapsed()
+    }
+
     /// Keeps the connection from carrying further requests.
     ///
     /// After an answer to another request, each later answer on the connection would be read for
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -87,6 +87,7 @@
     let head = shared.protocol.parse_response(response.status(), response.headers());
     let verdict = Verdict::new(id, response.status(), &head);
     if verdict.is_of_target() {
+        record_connection(shared, now, placement, sent, &response);
         record_leaving(shared, now, placement, &head);
         shared.state().fleet.record_rest(now, placement, head.rest);
         // An answer to a request without an id need not repeat the limit.
@@ -97,6 +98,24 @@
     Answer { response, head, verdict }
 }
 
+/// Records that the target has answered over the connection of `response`, which may be older than what is
+/// known of its end.
+fn record_connection(
+    shared: &Shared,
+    now: Time,
+    placement: &Placement,
+    sent: Time,
+    response: &Response<Body>,
+) {
+    let Some(connection) = response.extensions().get::<ConnectionHandle>() else { return };
+    let opened = now.saturating_sub(connection.age());
+    let state = &mut *shared.state();
+    if let Some(settled) = state.fleet.record_answer(now, placement, sent, opened) {
+        state.origins.settle(&settled);
+        shared.origins_due.notify_one();
+    }
+}
+
 fn record_leaving(shared: &Shared, now: Time, placement: &Placement, head: &ResponseHead) {
     if !head.leaving {
         return;
--- a/components/gateway/src/fleet/target.rs
+++ b/components/gateway/src/fleet/target.rs
@@ -9,7 +9,7 @@
 use crate::{
     fleet::{
         AttemptId, AttemptOutcome, InFlightWork, Placement, TargetEntry, TargetRole,
-        ends::{TargetEnd, names_other_start},
+        ends::{Ends, names_other_start},
         health::Health,
     },
     hash::stable_hash,
@@ -104,8 +104,8 @@
     pub(super) expires_at: Option<Time>,
     /// When the transfers of prompt prefixes end that this host started from or to it.
     pub(super) link_free_at: Time,
-    /// That the start which its entry is of has ended; none if it may run.
-    pub(super) end: Option<TargetEnd>,
+    /// That the start which its entry is of has ended, if it was found to have.
+    pub(super) ends: Ends,
 }
 
 /// A request without a first token.
@@ -166,7 +166,7 @@
             avoided_until: None,
             expires_at: None,
             link_free_at: now,
-            end: None,
+            ends: Ends::default(),
             entry,
         }
     }
@@ -185,7 +185,7 @@
             self.avoided_until = None;
         }
         if names_other_start(&self.entry, &entry) {
-            self.end = None;
+            self.ends = Ends::default();
         }
         self.expires_at = None;
         self.start_hash = start_hash(&entry);
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -37,8 +37,8 @@
     admission::WaitingCount,
     demand::DemandReport,
     fleet::{
-        CachedPart, EndNotice, GroupReport, InFlightWork, KvTokens, LimitNotice, OutcomeNotice,
-        PastEnd, TargetSpeedReport,
+        CachedPart, EndNotice, GroupReport, InFlightWork, KvTokens, LifeNotice, LimitNotice,
+        OutcomeNotice, PastEnd, TargetSpeedReport,
     },
     gossip::datagram::{
         encode, encode_evidence, encode_limits, encode_outcomes, encode_report,
@@ -143,6 +143,8 @@
     /// An ask is for more than a bucket can grant until it is settled. The usual answer follows, for hosts
     /// that do not know this one.
     QuotaTooLarge(QuotaTooLarge),
+    /// Starts of targets that go on, though hosts have told of their ends.
+    Lives(Vec<LifeNotice>),
 }
 
 /// What a host has seen of targets with failures.
@@ -280,7 +282,7 @@
         sleep(SPEEDS_INTERVAL).await;
         let now = shared.now();
         shared.record_delay(now.since(due));
-        let (speeds, target_speeds, failed_runs, evidence, limits, ends, peers) = {
+        let (speeds, target_speeds, failed_runs, evidence, limits, ends, lives, peers) = {
             let state = &mut *shared.state();
             let own = (!state.leaving).then_some(&*shared.settings.name);
             state.fleet.set_hosts(now, own, state.membership.live_names(now));
@@ -292,8 +294,8 @@
             let limits = state.fleet.limit_notices(now, false);
             let (speeds, peers) = (state.fleet.speed_reports(now), state.membership.gossip_addrs());
             let target_speeds = state.fleet.target_speed_reports(now);
-            let ends = state.fleet.past_ends(now);
-            (speeds, target_speeds, failed_runs, evidence, limits, ends, peers)
+            let (ends, lives) = (state.fleet.past_ends(now), state.fleet.past_lives(now));
+            (speeds, target_speeds, failed_runs, evidence, limits, ends, lives, peers)
         };
         let message = (!speeds.is_empty())
             .then(|| Message::Speeds(SpeedMessage { host: shared.gossip_id(), speeds }));
@@ -304,7 +306,9 @@
         let (evidence, limits) = (encode_evidence(evidence), encode_limits(limits));
         let ends = (!ends.is_empty()).then_some(Message::PastEnds(ends));
         let ends = ends.as_ref().and_then(encode);
-        let datagrams = [message, target_speeds, failed_runs, evidence, limits, ends];
+        let lives = (!lives.is_empty()).then_some(Message::Lives(lives));
+        let lives = lives.as_ref().and_then(encode);
+        let datagrams = [message, target_speeds, failed_runs, evidence, limits, ends, lives];
         for peer in rotation.next(peers, SPEEDS_FANOUT) {
             for datagram in datagrams.iter().flatten() {
                 send_datagram(&socket, datagram, peer).await;
@@ -485,6 +489,14 @@
                 let now = shared.now();
                 shared.state().fleet.apply_past_ends(now, &ends);
             }
+            Ok(Message::Lives(lives)) => {
+                let now = shared.now();
+                let state = &mut *shared.state();
+                for settled in state.fleet.apply_lives(now, &lives) {
+                    state.origins.settle(&settled);
+                    shared.origins_due.notify_one();
+                }
+            }
             Ok(Message::Outcomes(message)) => {
                 let now = shared.now();
                 let mut state = shared.state();
--- a/components/gateway/src/gossip/origins.rs
+++ b/components/gateway/src/gossip/origins.rs
@@ -5,6 +5,7 @@
 
 use chervilgate_clock::Time;
 use rand::seq::SliceRandom;
+use smallvec::SmallVec;
 use tokio::{net::UdpSocket, time::timeout};
 
 use crate::{
@@ -26,7 +27,7 @@
         // Without anything due it is time to look for a further version.
         timeout(LOOK_INTERVAL, shared.origins_due.notified()).await.ok();
         let now = shared.now();
-        let (notices, questions, ends) = {
+        let (notices, questions, news) = {
             let state = &mut *shared.state();
             if state.fleet.take_new_build() {
                 state.origins.tell_all();
@@ -43,16 +44,21 @@
                 }
             }
             let ends = state.fleet.take_untold_ends();
-            let ends = (!ends.is_empty()).then(|| (ends, state.membership.gossip_addrs()));
-            (notices, state.origins.take_questions(), ends)
+            let lives = state.fleet.take_untold_lives();
+            let ends = (!ends.is_empty()).then_some(Message::Ends(ends));
+            let lives = (!lives.is_empty()).then_some(Message::Lives(lives));
+            let news: SmallVec<[Message; 2]> = ends.into_iter().chain(lives).collect();
+            let news = (!news.is_empty()).then(|| (news, state.membership.gossip_addrs()));
+            (notices, state.origins.take_questions(), news)
         };
-        if let Some((ends, mut peers)) = ends {
+        if let Some((news, mut peers)) = news {
             // Each host that had a connection to the target tells others.
             peers.shuffle(&mut rand::rng());
             peers.truncate(FANOUT);
-            let message = Message::Ends(ends);
             for peer in peers {
-                send(&socket, &message, peer).await;
+                for message in &news {
+                    send(&socket, message, peer).await;
+                }
             }
         }
         for (peer, notices) in notices {
--- a/components/gateway/src/origins.rs
+++ b/components/gateway/src/origins.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    fleet::{BuildId, STREAM_LIFE, SeenBuilds},
+    fleet::{BuildId, STREAM_LIFE, SeenBuilds, SettledBuilds},
     hash::stable_hash,
 };
 
@@ -165,6 +165,18 @@
         self.unrecorded.extend(notices);
     }
 
+    /// Names the version of streams that were begun while it was not known, and has them told again.
+    pub fn settle(&mut self, settled: &SettledBuilds) {
+        for (key, begun) in &mut self.begun {
+            if settled.taken_for.contains(&begun.build) {
+                begun.build = settled.build;
+                if begun.is_own {
+                    self.untold.push(OriginNotice { key: *key, build: begun.build });
+                }
+            }
+        }
+    }
+
     /// Streams that are to be added to the record, if this host keeps it.
     pub fn take_unrecorded(&mut self) -> Vec<OriginNotice> {
         std::mem::take(&mut self.unrecorded)
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -300,6 +300,17 @@
         record_origin(&self.shared, &self.call, build);
     }
 
+    /// Records that events arrived which were awaited since `awaited`: their target has not ended.
+    fn record_arrival(&self, target_stream: &TargetStream, awaited: Time) {
+        let InFlight { placement, started_at, .. } = &target_stream.in_flight;
+        let now = self.shared.now();
+        let state = &mut *self.shared.state();
+        if let Some(settled) = state.fleet.record_events(now, placement, *started_at, awaited) {
+            state.origins.settle(&settled);
+            self.shared.origins_due.notify_one();
+        }
+    }
+
     /// Has further answers go on as other streams of the software version count.
     fn compare_numbering(&mut self) {
         let Some(build) = self.build else { return };
@@ -362,12 +373,14 @@
         let mut last_sent = self.shared.now();
         let mut longest_pause = Duration::ZERO;
         let head_status = target_stream.status;
+        let mut awaited = last_sent;
         loop {
             match next {
                 ReadOutcome::Events(bytes) => {
                     target_stream.in_flight.mark_computed();
                     self.count_usage_once();
                     self.record_origin_once(&target_stream);
+                    self.record_arrival(&target_stream, awaited);
                     self.position = *target_stream.splitter.position();
                     let now = self.shared.now();
                     let pause = now.since(last_sent);
@@ -425,6 +438,7 @@
                     };
                 }
             }
+            awaited = self.shared.now();
             next = tokio::select! {
                 next = target_stream.next(&self.shared, &self.call) => next,
                 refusal = not_taken(&event_sender, &call) => {
--- a/components/gateway/tests/origins.rs
+++ b/components/gateway/tests/origins.rs
@@ -6,7 +6,8 @@
 use chervilgate_gateway::{
     Prompt,
     fleet::{
-        Build, BuildId, Fleet, Plan, STREAM_LIFE, SeenBuilds, TargetEntry, TargetQuery, TargetRole,
+        Build, BuildId, Fleet, Plan, STREAM_LIFE, SeenBuilds, SettledBuilds, TargetEntry,
+        TargetQuery, TargetRole,
     },
     origins::{Origin, OriginAnswer, OriginNotice, OriginQuestion, Origins, StreamKey},
 };
@@ -285,3 +286,19 @@
 
     assert_eq!(fleet.seen_builds(NOW, SERVICE), SeenBuilds::Several);
 }
+
+#[test]
+fn streams_begun_in_doubt_are_of_the_version_that_it_was_settled_to() {
+    let mut origins = Origins::default();
+    let [doubted, other] = [("a", 7), ("b", 8)].map(|(attempt, build)| {
+        let notice = OriginNotice { key: key(attempt), build };
+        origins.begin(NOW, notice, false);
+        notice
+    });
+
+    origins.settle(&SettledBuilds { taken_for: vec![doubted.build], build: FIRST });
+
+    assert_eq!(origins.find(doubted.key), Origin::Known(FIRST));
+    assert_eq!(origins.find(other.key), Origin::Known(other.build));
+    assert_eq!(origins.take_untold(), [OriginNotice { build: FIRST, ..doubted }]);
+}
