Answers: the limits hold also for what is passed on as it arrives

Cause: an answer is collected in memory up to 16 MB and under the request's deadline. Once the host has no memory for more, what was collected is passed on with the rest as it arrives, and neither limit held for that.

Such an answer now is a body with both limits. Beyond one it is cut: it does not look complete, the connection to the target closes and the run counts as failed. The request stays in flight until the answer has ended, and only that end acquits its prompt.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -188,6 +188,16 @@
         );
     }
 
+    pub(crate) fn now(&self) -> Time {
+        self.shared.now()
+    }
+
+    /// Records that the request with this fingerprint and these parts of its prompt was answered.
+    pub(crate) fn record_answer(&self, fingerprint: Fingerprint, parts: &SharedParts) {
+        let now = self.shared.now();
+        self.shared.state().poison.record_answer(now, fingerprint, parts);
+    }
+
     /// Marks the prompt as computed.
     pub(crate) fn mark_computed(&self) {
         let now = self.shared.now();
--- a/components/gateway/src/body.rs
+++ b/components/gateway/src/body.rs
@@ -57,7 +57,7 @@
 pub(crate) enum Answer {
     /// All of it.
     Whole(Body),
-    /// The host holds as much as it may; the rest is passed on as it arrives.
+    /// The host holds as much as it may; the rest is passed on as it arrives, which has no limit yet.
     Partial(Body),
     /// The host holds as much as it may, and the end of the answer does not show in its bytes.
     OverBudget,
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -15,6 +15,7 @@
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Hold, TargetQuery},
     joining::{check_answer, is_framed},
+    passed_on::pass_on,
     protocol::RequestStage,
     state::Shared,
     waiting::place_in_turn,
@@ -246,17 +247,26 @@
                     }
                     return Err(Failure::TargetFailed);
                 }
-                let whole = read_whole(shared, call, &in_flight, response).await;
-                if let Some(response) = whole {
-                    if response.status().is_success() {
-                        let end = shared.now();
-                        let state = &mut *shared.state();
-                        state.poison.record_answer(end, call.fingerprint, &call.parts);
-                    }
-                    if failed && attempts.may_retry_failed_run(shared, call) {
+                match read_whole(shared, call, &in_flight, response).await {
+                    Some((response, _))
+                        if failed && attempts.may_retry_failed_run(shared, call) =>
+                    {
+                        drop(response);
                         continue;
                     }
-                    return Ok(response);
+                    Some((response, Extent::Whole)) => {
+                        if response.status().is_success() {
+                            in_flight.record_answer(call.fingerprint, &call.parts);
+                        }
+                        return Ok(response);
+                    }
+                    Some((response, Extent::Partial)) => {
+                        let is_success = response.status().is_success();
+                        return Ok(response.map(|body| {
+                            pass_on(call, in_flight, body, MAX_RESPONSE_BYTES, is_success)
+                        }));
+                    }
+                    None => {}
                 }
                 in_flight.outcome = AttemptOutcome::Failed;
                 record_begun_run(shared, call, &in_flight.placement);
@@ -282,13 +292,21 @@
     }
 }
 
+/// How much of a response was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Extent {
+    Whole,
+    /// As much as the host may hold. The rest has no limits yet.
+    Partial,
+}
+
 /// Reads the body of a response; none if the read fails or times out.
 async fn read_whole(
     shared: &Shared,
     call: &CallerRequest,
     in_flight: &InFlight,
     response: Response<Body>,
-) -> Option<Response<Body>> {
+) -> Option<(Response<Body>, Extent)> {
     let InFlight { placement, started_at, .. } = in_flight;
     let (head, body) = response.into_parts();
     let is_framed = is_framed(&head.headers, &body);
@@ -298,12 +316,12 @@
         match read_answer(body, MAX_RESPONSE_BYTES, budget, is_framed).await? {
             Answer::Whole(body) => {
                 let is_cut = is_cut(shared, call, placement, *started_at, is_framed).await;
-                Ok::<_, BodyError>((!is_cut).then_some(body))
+                Ok::<_, BodyError>((!is_cut).then_some((body, Extent::Whole)))
             }
             Answer::Partial(body) => {
                 shared.metrics.count_memory_refused("answers");
                 log::info!(target: "gateway", id = call.ask.id; "answer passed on as it arrives");
-                Ok(Some(body))
+                Ok(Some((body, Extent::Partial)))
             }
             Answer::OverBudget => {
                 shared.metrics.count_memory_refused("answers");
@@ -314,11 +332,11 @@
     };
     match timeout(left, read).await {
         Ok(Ok(None)) => None,
-        Ok(Ok(Some(body))) => {
+        Ok(Ok(Some((body, extent)))) => {
             let mut response = Response::new(body);
             *response.status_mut() = head.status;
             *response.headers_mut() = shared.protocol.caller_headers(&head.headers);
-            Some(response)
+            Some((response, extent))
         }
         Ok(Err(error)) => {
             log::warn!(target: "gateway", id = call.ask.id, error:%; "response body ended early");
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod numbering;
 pub mod origins;
 pub mod outage;
+mod passed_on;
 pub mod planner;
 pub mod poison;
 mod prefill;
