Verdict: a status that HTTP does not have is no answer

Cause: any three digits that the HTTP client reads were taken for a status. Those outside 100 to 599 now count as no final status: 502, or another target where the request may run again, and the connection is not used again.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -405,7 +405,7 @@
                 "answer to another request"
             );
         }
-        Verdict::Interim => {
+        Verdict::NotFinal => {
             log::warn!(target: "gateway", id, target, status, kept, sent; "no final status");
         }
         Verdict::Refused | Verdict::Replaced => {
@@ -450,7 +450,7 @@
 fn to_outcome(in_flight: &mut InFlight, answer: Answer) -> SendOutcome {
     let response = answer.response;
     match answer.verdict {
-        Verdict::Foreign | Verdict::Interim => {
+        Verdict::Foreign | Verdict::NotFinal => {
             if let Some(connection) = response.extensions().get::<ConnectionHandle>() {
                 connection.discard();
             }
--- a/components/gateway/src/verdict.rs
+++ b/components/gateway/src/verdict.rs
@@ -4,6 +4,8 @@
 //! the answer to the next request is due. Only an answer with the request's own id says anything
 //! about that request, so the id is compared before anything else.
 
+use std::ops::RangeInclusive;
+
 use hyper::StatusCode;
 
 use crate::protocol::ResponseHead;
@@ -16,13 +18,17 @@
     StatusCode::SERVICE_UNAVAILABLE,
 ];
 
+/// Statuses of HTTP; any other is no answer.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// What a target's answer says about a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
     /// It answers another request, so this one may have run.
     Foreign,
-    /// Its status is an interim one where the final answer is due, so the request may have run.
-    Interim,
+    /// Its status is an interim one where the final answer is due, or none of HTTP, so the request may
+    /// have run.
+    NotFinal,
     /// The target had no capacity and did not run the request.
     Refused,
     /// Another process answered at the target's address and did not run the request.
@@ -42,8 +48,8 @@
             return Verdict::Foreign;
         }
         // Interim answers are skipped as they arrive, but for 101, which no request asks for.
-        if status.is_informational() {
-            return Verdict::Interim;
+        if status.is_informational() || !STATUSES.contains(&status.as_u16()) {
+            return Verdict::NotFinal;
         }
         if head.not_run {
             return match status {
@@ -66,7 +72,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Verdict::Foreign => "foreign",
-            Verdict::Interim => "interim",
+            Verdict::NotFinal => "not-final",
             Verdict::Refused => "refused",
             Verdict::Replaced => "replaced",
             Verdict::Unmarked => "unmarked",
--- a/components/gateway/tests/verdict.rs
+++ b/components/gateway/tests/verdict.rs
@@ -39,11 +39,12 @@
     }
 }
 
+// Guards against answers whose status is none of HTTP and that callers get.
 #[test]
-fn an_interim_status_is_no_final_answer() {
-    for status in [100, 101, 103, 199] {
+fn an_interim_status_and_one_that_is_none_of_http_are_no_final_answer() {
+    for status in [100, 101, 103, 199, 600, 799, 999] {
         for not_run in [false, true] {
-            assert_eq!(verdict(Some("own"), status, not_run), Verdict::Interim, "{status}");
+            assert_eq!(verdict(Some("own"), status, not_run), Verdict::NotFinal, "{status}");
         }
     }
 }
