--- a/bins/host/tests/memory.rs
+++ b/bins/host/tests/memory.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use chervilgate_soak::{Endless, play_endless};
+use chervilgate_soak::{Endless, play_endless, play_overdue};
 
 /// Number of requests that must get such answers.
 const MIN_ANSWERED: usize = 100;
@@ -33,3 +33,15 @@
 async fn heads_without_an_end_stay_within_the_memory_of_a_host() {
     check("endless-heads", Endless::Head).await;
 }
+
+// Guards against answers without an end that outlast their time limit once a host can hold no more of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_whose_answers_do_not_end_have_a_final_answer_in_time() {
+    let program = Path::new(env!("CARGO_BIN_EXE_chervilgate-host"));
+    let out = Path::new(env!("CARGO_TARGET_TMPDIR")).join("endless-chunks");
+
+    let overdue = play_overdue(program, &out).await.unwrap();
+
+    assert!(overdue.answered >= MIN_ANSWERED, "{overdue:?}");
+    assert_eq!(overdue.late, 0, "{overdue:?}");
+}
--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -24,6 +24,7 @@
         holds: false,
         releases: false,
         herds: false,
+        joins: false,
         stops: false,
         leaves: false,
         breaks: false,
@@ -233,6 +234,33 @@
     assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
 }
 
+/// Seeds in which hosts lose power before a second version joins: events count by ten in the first, and by one.
+const JOINS_SEEDS: [u64; 2] = [13_002, 13_003];
+
+// Guards against streams that are refused at all hosts once a version joins, or as their events count by tens.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_when_a_version_joins_after_most_hosts_lost_power() {
+    for seed in JOINS_SEEDS {
+        let soak = Soak {
+            length: Duration::from_secs(26),
+            hosts: 5,
+            callers: 4,
+            answer_faults: Vec::new(),
+            joins: true,
+            other_faults: false,
+            ..soak("joins", seed)
+        };
+
+        let report = soak.run().await.unwrap();
+
+        assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
+        assert!(report.judged["streams taken up without excuse"] >= MIN_JOIN_JUDGED);
+    }
+}
+
+/// Number of streams that must go on in such a run without an excuse.
+const MIN_JOIN_JUDGED: usize = 12;
+
 /// Seed in which hosts stop one after another and together.
 const STOPS_SEED: u64 = 8_001;
 
