--- a/components/gateway/src/takeover.rs
+++ b/components/gateway/src/takeover.rs
@@ -1,6 +1,8 @@
 //! Finds out which software version began a stream that a caller takes up.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+mod base;
+
+use std::{sync::Arc, time::Duration};
 
 use chervilgate_clock::Time;
 use tokio::time::{Instant, timeout_at};
@@ -10,9 +12,10 @@
     failure::Failure,
     fleet::{BuildId, SeenBuilds},
     hash::stable_hash,
-    origins::{ASKED, MAX_ASKED, Origin, OriginNotice, OriginQuestion, RECORDERS, StreamKey},
+    origins::{ASKED, Origin, OriginNotice, OriginQuestion, RECORDERS, StreamKey},
     progress::Stage,
     state::{Shared, State},
+    takeover::base::{ask_users, base_of_unknown},
 };
 
 /// Time for which the answers of other hosts are awaited.
@@ -48,17 +51,17 @@
         read_record(shared, call, key, since).await;
         ask_users(shared, call, key, since).await;
     }
-    let mut is_of_rest = false;
+    let mut is_base = false;
     let (origin, answers, seen) = {
         let mut state = shared.state();
         let seen = state.seen_builds_since(shared.now(), &call.service, since);
         let answers = state.origins.answer_count(key);
         match origin {
             Origin::Unclear => {
-                let base = base_of_rest(shared, &state, call, key, since);
+                let base = base_of_unknown(shared, &state, call, key, since);
                 let concluded = state.origins.conclude(key, seen);
-                is_of_rest = concluded == Origin::Unknown && base.is_some();
-                (base.filter(|_| is_of_rest).map_or(concluded, Origin::Known), answers, seen)
+                is_base = concluded == Origin::Unknown && base.is_some();
+                (base.filter(|_| is_base).map_or(concluded, Origin::Known), answers, seen)
             }
             origin => (origin, answers, seen),
         }
@@ -66,7 +69,7 @@
     let is_known = matches!(origin, Origin::Known(_));
     log::info!(
         target: "gateway", id = call.ask.id, origin = call.ask.origin.as_deref(), is_known, asked, answers,
-        is_of_rest, seen = seen.as_str();
+        is_base, seen = seen.as_str();
         "stream taken up"
     );
     match origin {
@@ -156,85 +159,6 @@
     }
 }
 
-/// Finds out whether any process may have begun the stream at another version than the base: has the
-/// announcements of all hosts read, and asks the processes that have made one.
-async fn ask_users(shared: &Shared, call: &CallerRequest, key: StreamKey, since: Time) {
-    let mut end = Instant::now() + RECORD_TIME;
-    let mut has_asked = false;
-    loop {
-        let settled = shared.origin_settled.notified();
-        tokio::pin!(settled);
-        settled.as_mut().enable();
-        {
-            let state = &mut *shared.state();
-            let Some(base) = named_base(shared, state, call) else { return };
-            if state.store_down || state.origins.find(key) != Origin::Unclear {
-                return;
-            }
-            if !state.announcements.is_read_since(since) {
-                state.announcements.want();
-                shared.announcements_due.notify_one();
-            } else if !has_asked {
-                let silent = silent_users(shared, state, call, key, base);
-                let peers = silent.filter_map(|name| state.membership.gossip_addr(name));
-                let peers: Vec<SocketAddr> = peers.take(MAX_ASKED).collect();
-                if peers.is_empty() {
-                    return;
-                }
-                let service = stable_hash(&&*call.service);
-                state.origins.ask_more(OriginQuestion { key, service }, peers);
-                shared.origins_due.notify_one();
-                has_asked = true;
-                end = Instant::now() + ANSWER_TIME;
-            } else if silent_users(shared, state, call, key, base).next().is_none() {
-                return;
-            }
-        }
-        if timeout_at(end, settled).await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Hosts with a process that may have begun the stream of `call` at another version than `base` and has not said
-/// that it did not.
-fn silent_users<'a>(
-    shared: &'a Shared,
-    state: &'a State,
-    call: &'a CallerRequest,
-    key: StreamKey,
-    base: BuildId,
-) -> impl Iterator<Item = &'a str> {
-    let users = state.announcements.users(&call.service, base);
-    let silent = users.filter(move |(_, process)| {
-        *process != shared.gossip_id() && !state.origins.is_denied_by(key, *process)
-    });
-    silent.map(|(name, _)| name)
-}
-
-/// The base version of the stream of `call`, if a host would know the stream by the name that its caller gives.
-fn named_base(shared: &Shared, state: &State, call: &CallerRequest) -> Option<BuildId> {
-    call.ask.origin.as_deref().filter(|origin| !origin.is_empty())?;
-    state.fleet.base_build(shared.now(), &call.service)
-}
-
-/// The version that began a stream which no host knows, since no host that is gone can have begun one at another;
-/// none if that is not known. What was announced must be read after the caller's try: a stream begins
-/// after the announcement of its version.
-fn base_of_rest(
-    shared: &Shared,
-    state: &State,
-    call: &CallerRequest,
-    key: StreamKey,
-    since: Time,
-) -> Option<BuildId> {
-    let base = named_base(shared, state, call)?;
-    if !state.announcements.is_read_since(since) || !state.stream_record.is_read_since(since) {
-        return None;
-    }
-    silent_users(shared, state, call, key, base).next().is_none().then_some(base)
-}
-
 fn seen_builds(shared: &Shared, state: &State, call: &CallerRequest) -> SeenBuilds {
     state.seen_builds(shared.now(), &call.service, shared.settings.bounds.drain_time)
 }
--- a/components/gateway/tests/versions/world.rs
+++ b/components/gateway/tests/versions/world.rs
@@ -1,6 +1,10 @@
 //! Hosts, targets and a store in virtual time, in which the version that writes each stream is known.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use chervilgate_clock::Time;
 use chervilgate_coord::Version;
@@ -15,7 +19,6 @@
     stream_record::{StoredStreams, StreamRecord},
 };
 use rand_pcg::{Pcg64Mcg, rand_core::Rng};
-use std::time::Duration;
 
 const SERVICE: &str = "llm";
 
@@ -536,7 +539,7 @@
     fleet: &Fleet,
     now: Time,
     build: Option<BuildId>,
-    exclude: &[std::sync::Arc<str>],
+    exclude: &[Arc<str>],
 ) -> Option<Placement> {
     let prompt = Prompt::default();
     let query = TargetQuery {
