Ends: hosts that start are told of an end before one that was disproved

By reading: past ends named the last end found of a target. Where a connection had disproved that one and not an earlier, true one, a host that started meanwhile was told of none and took the version of the old entry for known, so that a stream could go on at another version there.

Past ends name the last end that is not disproved.

Before: ends::a_host_that_starts_later_is_told_of_an_end_that_is_not_the_ last_one_found failed.

--- a/components/gateway/src/fleet/ends.rs
+++ b/components/gateway/src/fleet/ends.rs
@@ -256,7 +256,8 @@
     /// Ends after which the next entry may still be on its way, for hosts that have started since.
     pub fn past_ends(&self, now: Time) -> Vec<PastEnd> {
         let ends = self.targets.values().filter_map(|state| {
-            let end = state.ends.last().filter(|end| !end.goes_on && !end.is_disproved)?;
+            let mut found = state.ends.found.iter().rev();
+            let end = found.find(|end| !end.goes_on && !end.is_disproved)?;
             let age = now.since(end.at);
             let (target, incarnation) = (state.id_hash, state.entry.incarnation);
             (age < ENTRY_TIME).then_some(PastEnd {
--- a/components/gateway/tests/ends.rs
+++ b/components/gateway/tests/ends.rs
@@ -321,3 +321,18 @@
     assert_eq!(place(&fleet, after(1_000), None), None);
     assert!(place(&fleet, NOW + ENTRY_TIME, Some(Build::new("v1").id)).is_some());
 }
+
+// Guards against streams of two versions at a host that starts after a true end and a false one of a target.
+#[test]
+fn a_host_that_starts_later_is_told_of_an_end_that_is_not_the_last_one_found() {
+    let (mut fleet, placement) = told();
+    fleet.record_end(after(3_000), &placement);
+    // The connection is younger than the first end.
+    fleet.record_answer(after(4_000), &placement, after(3_900), after(1_000)).unwrap();
+    let mut other = Fleet::new("a", Duration::from_secs(2));
+    other.replace(after(4_000), vec![entry(1, "v1")]);
+
+    other.apply_past_ends(after(4_000), &fleet.past_ends(after(4_000)));
+
+    assert!(!serves_v1(&other, after(4_000)));
+}
