--- a/components/gateway/tests/versions/world.rs
+++ b/components/gateway/tests/versions/world.rs
@@ -55,7 +55,6 @@
     build: &'static str,
     incarnation: u64,
     started_at: Time,
-    is_up: bool,
 }
 
 struct Stream {
@@ -153,7 +152,7 @@
 
     pub(crate) fn add_target(&mut self, build: &'static str) {
         let started_at = self.now;
-        self.targets.push(Target { build, incarnation: 1, started_at, is_up: true });
+        self.targets.push(Target { build, incarnation: 1, started_at });
         self.write_entry(self.targets.len() - 1);
     }
 
@@ -196,8 +195,7 @@
         self.gossip();
         self.loss = loss;
         let Target { incarnation, .. } = self.targets[target];
-        self.targets[target] =
-            Target { build, incarnation: incarnation + 1, started_at: self.now, is_up: true };
+        self.targets[target] = Target { build, incarnation: incarnation + 1, started_at: self.now };
     }
 
     /// Has a host find that a target refuses its connections, whether it has ended or not.
@@ -291,11 +289,8 @@
         for host in self.running() {
             for target in 0..self.targets.len() {
                 let Some(known) = &self.hosts[host] else { continue };
-                let Target { started_at, is_up, .. } = self.targets[target];
-                if !is_up
-                    || known.refused_by.contains(&target)
-                    || !self.random.next_u64().is_multiple_of(4)
-                {
+                let Target { started_at, .. } = self.targets[target];
+                if known.refused_by.contains(&target) || !self.random.next_u64().is_multiple_of(4) {
                     continue;
                 }
                 let opened = started_at.max(known.started_at);
@@ -442,8 +437,7 @@
         let now = self.now;
         let known = self.hosts[host].as_ref()?;
         let can_reach = |target: &usize| {
-            let Target { build: own, is_up, .. } = self.targets[*target];
-            own == build && is_up && !known.refused_by.contains(target)
+            self.targets[*target].build == build && !known.refused_by.contains(target)
         };
         let reachable = (0..self.targets.len()).filter(can_reach).count();
         let placement = origin.and_then(|origin| place(&known.fleet, now, Some(origin), &[]));
