Gateway: one backoff, one stored form of a version, one way to settle versions

No change of what is decided. The pause after failed calls was written four times, the stored form of a software version twice, the time that a caller has for a cut answer twice, and the naming of streams begun in doubt three times; each is written once now. A retry is no longer counted in the guard of a match arm.

--- a/components/gateway/src/announced.rs
+++ b/components/gateway/src/announced.rs
@@ -11,7 +11,10 @@
 use chervilgate_coord::Version;
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::{BuildId, STREAM_LIFE, ServiceBuild};
+use crate::{
+    build_record::StoredBuild,
+    fleet::{BuildId, STREAM_LIFE, ServiceBuild},
+};
 
 /// What a host has announced, as stored.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -28,29 +31,15 @@
     builds: Vec<StoredBuild>,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-struct StoredBuild {
-    service: String,
-    build: String,
-}
-
 impl StoredProcess {
     fn new(id: u32, builds: &BTreeSet<ServiceBuild>) -> StoredProcess {
-        let builds = builds.iter().map(|build| StoredBuild {
-            service: build.service.to_string(),
-            build: build.build.to_string(),
-        });
-        StoredProcess { id, builds: builds.collect() }
+        StoredProcess { id, builds: builds.iter().cloned().map(StoredBuild::from).collect() }
     }
 
     /// Whether it has announced a version of `service` other than `base`.
     fn has_other(&self, service: &str, base: BuildId) -> bool {
-        let mut others = self.builds.iter().filter(|build| build.service == service);
-        others.any(|StoredBuild { service, build }| {
-            ServiceBuild { service: service.as_str().into(), build: build.as_str().into() }.id()
-                != base
-        })
+        let mut builds = self.builds.iter().cloned().map(ServiceBuild::from);
+        builds.any(|build| &*build.service == service && build.id() != base)
     }
 }
 
@@ -128,8 +117,8 @@
         self.is_wanted
     }
 
-    /// Whether they are to be read, at most once in `interval`.
-    pub fn is_wanted(&self, now: Time, interval: Duration) -> bool {
+    /// Whether they are to be read now, at most once in `interval`.
+    pub fn is_read_due(&self, now: Time, interval: Duration) -> bool {
         self.is_wanted && self.read_at.is_none_or(|at| now.since(at) >= interval)
     }
 
--- a/components/gateway/src/build_record.rs
+++ b/components/gateway/src/build_record.rs
@@ -25,23 +25,32 @@
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-struct StoredBuild {
+pub(crate) struct StoredBuild {
     service: Arc<str>,
     build: Arc<str>,
 }
 
+impl From<ServiceBuild> for StoredBuild {
+    fn from(ServiceBuild { service, build }: ServiceBuild) -> StoredBuild {
+        StoredBuild { service, build }
+    }
+}
+
+impl From<StoredBuild> for ServiceBuild {
+    fn from(StoredBuild { service, build }: StoredBuild) -> ServiceBuild {
+        ServiceBuild { service, build }
+    }
+}
+
 impl StoredBuilds {
     /// The record with these versions.
     pub fn new(builds: &BTreeSet<ServiceBuild>) -> StoredBuilds {
-        let builds = builds.iter().cloned();
-        let builds = builds.map(|ServiceBuild { service, build }| StoredBuild { service, build });
-        StoredBuilds { builds: builds.collect() }
+        StoredBuilds { builds: builds.iter().cloned().map(StoredBuild::from).collect() }
     }
 
     /// The versions that it names.
     pub fn into_builds(self) -> BTreeSet<ServiceBuild> {
-        let builds = self.builds.into_iter();
-        builds.map(|StoredBuild { service, build }| ServiceBuild { service, build }).collect()
+        self.builds.into_iter().map(ServiceBuild::from).collect()
     }
 }
 
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -110,10 +110,8 @@
     let Some(connection) = response.extensions().get::<ConnectionHandle>() else { return };
     let opened = now.saturating_sub(connection.age());
     let state = &mut *shared.state();
-    if let Some(settled) = state.fleet.record_answer(now, placement, sent, opened) {
-        state.origins.settle(&settled);
-        shared.origins_due.notify_one();
-    }
+    let settled = state.fleet.record_answer(now, placement, sent, opened);
+    shared.settle_builds(state, settled.as_slice());
 }
 
 fn record_leaving(shared: &Shared, now: Time, placement: &Placement, head: &ResponseHead) {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -247,13 +247,11 @@
                     }
                     return Err(Failure::TargetFailed);
                 }
-                match read_whole(shared, call, &in_flight, response).await {
-                    Some((response, _))
-                        if failed && attempts.may_retry_failed_run(shared, call) =>
-                    {
-                        drop(response);
-                        continue;
-                    }
+                let read = read_whole(shared, call, &in_flight, response).await;
+                if read.is_some() && failed && attempts.may_retry_failed_run(shared, call) {
+                    continue;
+                }
+                match read {
                     Some((response, Extent::Whole)) => {
                         if response.status().is_success() {
                             in_flight.record_answer(call.fingerprint, &call.parts);
--- a/components/gateway/src/origins.rs
+++ b/components/gateway/src/origins.rs
@@ -223,7 +223,7 @@
         }
     }
 
-    /// Streams that others are to be told of.
+    /// Streams that others are to be told of, which are to be recorded too.
     pub fn take_untold(&mut self) -> Vec<OriginNotice> {
         self.unrecorded.extend_from_slice(&self.untold);
         std::mem::take(&mut self.untold)
--- a/components/gateway/src/outage.rs
+++ b/components/gateway/src/outage.rs
@@ -8,12 +8,37 @@
 use std::time::Duration;
 
 use chervilgate_clock::Time;
+use tokio::time::sleep;
 
 /// First and longest pause after failed calls; each is twice as long as the one before.
 /// Failed calls are billed too, and a recovered store must be found within a second.
 pub const RETRY_BACKOFF: (Duration, Duration) =
     (Duration::from_millis(250), Duration::from_secs(1));
 
+/// The pause after failed calls of one kind.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Backoff {
+    pause: Duration,
+}
+
+impl Backoff {
+    /// The first pause.
+    pub(crate) fn new() -> Backoff {
+        Backoff { pause: RETRY_BACKOFF.0 }
+    }
+
+    /// Pauses after a failed call.
+    pub(crate) async fn wait(&mut self) {
+        sleep(self.pause).await;
+        self.pause = (self.pause * 2).min(RETRY_BACKOFF.1);
+    }
+
+    /// Starts again with the first pause, after a call that succeeded.
+    pub(crate) fn reset(&mut self) {
+        *self = Backoff::new();
+    }
+}
+
 /// Time from the list after a cut to the next cut from which that is followed by a list without a pause.
 /// A store that cuts off each watch at once would otherwise be asked for lists without end.
 const CUT_INTERVAL: Duration = Duration::from_secs(1);
--- a/components/gateway/src/passed_on.rs
+++ b/components/gateway/src/passed_on.rs
@@ -7,7 +7,6 @@
 use std::{
     pin::Pin,
     task::{Context, Poll},
-    time::Duration,
 };
 
 use bytes::Bytes;
@@ -22,11 +21,9 @@
     attempt::{CallerRequest, InFlight},
     fleet::AttemptOutcome,
     poison::SharedParts,
+    stream::CUT_WRITE_TIME,
 };
 
-/// Time in which a caller may take what its connection holds of an answer that was cut.
-const CUT_WRITE_TIME: Duration = Duration::from_secs(2);
-
 /// The body of an answer that is passed on as it arrives.
 struct PassedOn {
     body: Body,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -23,7 +23,7 @@
     crash::CrashProbe,
     crash_record::CrashRecord,
     demand::{DemandReport, ReportedDemand},
-    fleet::{Fleet, SeenBuilds},
+    fleet::{Fleet, SeenBuilds, SettledBuilds},
     freshness::{Freshness, Reads},
     membership::{HostEntry, Membership},
     memory::{ByteBudget, MemoryLimits},
@@ -329,6 +329,14 @@
         self.boot as u32
     }
 
+    /// Names the versions of streams that were begun in doubt, and has other hosts told.
+    pub(crate) fn settle_builds(&self, state: &mut State, settled: &[SettledBuilds]) {
+        for builds in settled {
+            state.origins.settle(builds);
+            self.origins_due.notify_one();
+        }
+    }
+
     /// Whether callers may be sent to this host.
     pub(crate) fn is_ready(&self, now: Time) -> bool {
         let state = self.state();
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -15,7 +15,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 
-pub(crate) use self::buffer::StreamBuffers;
+pub(crate) use self::buffer::{CUT_WRITE_TIME, StreamBuffers};
 use self::{
     buffer::{EventReceiver, EventSender, Refusal},
     target_stream::{ReadOutcome, TargetStream},
@@ -305,10 +305,8 @@
         let InFlight { placement, started_at, .. } = &target_stream.in_flight;
         let now = self.shared.now();
         let state = &mut *self.shared.state();
-        if let Some(settled) = state.fleet.record_events(now, placement, *started_at, awaited) {
-            state.origins.settle(&settled);
-            self.shared.origins_due.notify_one();
-        }
+        let settled = state.fleet.record_events(now, placement, *started_at, awaited);
+        self.shared.settle_builds(state, settled.as_slice());
     }
 
     /// Has further answers go on as other streams of the software version count.
--- a/components/gateway/src/stream/buffer.rs
+++ b/components/gateway/src/stream/buffer.rs
@@ -42,7 +42,7 @@
 /// Time in which a caller that lost its stream may take what its connection holds: as long as it had read
 /// nothing before. The rest is of no use without the end, and at most four streams a second are cut, so their
 /// connections hold half a megabyte.
-const CUT_WRITE_TIME: Duration = Duration::from_secs(2);
+pub(crate) const CUT_WRITE_TIME: Duration = Duration::from_secs(2);
 
 /// The buffers of all streams.
 #[derive(Debug)]
--- a/components/gateway/src/watch/announcements.rs
+++ b/components/gateway/src/watch/announcements.rs
@@ -9,7 +9,7 @@
     announced::StoredAnnouncements,
     duty::put_object,
     fleet::ServiceBuild,
-    outage::RETRY_BACKOFF,
+    outage::Backoff,
     state::{Shared, State},
     watch::{decode_objects, hosts::LIST_INTERVAL_PER_HOST},
 };
@@ -28,7 +28,7 @@
 /// caller takes up a stream that nobody knows.
 pub(crate) async fn maintain_announcements(shared: Arc<Shared>) {
     let mut latest_era = shared.store_era.subscribe();
-    let mut pause = RETRY_BACKOFF.0;
+    let mut backoff = Backoff::new();
     loop {
         if latest_era.has_changed().unwrap_or(false) {
             latest_era.mark_unchanged();
@@ -47,10 +47,9 @@
             }
         };
         if is_done {
-            pause = RETRY_BACKOFF.0;
+            backoff.reset();
         } else {
-            sleep(pause).await;
-            pause = (pause * 2).min(RETRY_BACKOFF.1);
+            backoff.wait().await;
         }
     }
 }
@@ -76,7 +75,7 @@
         return Step::Wait(CHECK_INTERVAL);
     }
     let hosts = state.membership.count() as u32;
-    if state.announcements.is_wanted(now, READ_INTERVAL + READ_INTERVAL_PER_HOST * hosts) {
+    if state.announcements.is_read_due(now, READ_INTERVAL + READ_INTERVAL_PER_HOST * hosts) {
         return Step::Read;
     }
     let is_due = !state.fleet.builds_to_announce().is_empty();
--- a/components/gateway/src/watch/builds.rs
+++ b/components/gateway/src/watch/builds.rs
@@ -8,7 +8,7 @@
 use crate::{
     build_record::StoredBuilds,
     fleet::ServiceBuild,
-    outage::RETRY_BACKOFF,
+    outage::Backoff,
     state::{Shared, State},
     watch::hosts::LIST_INTERVAL_PER_HOST,
 };
@@ -24,14 +24,13 @@
 /// those that do.
 pub(crate) async fn maintain_build_record(shared: Arc<Shared>) {
     let mut latest_era = shared.store_era.subscribe();
-    let mut pause = RETRY_BACKOFF.0;
+    let mut backoff = Backoff::new();
     let mut is_failing = false;
     loop {
         if is_failing {
-            sleep(pause).await;
-            pause = (pause * 2).min(RETRY_BACKOFF.1);
+            backoff.wait().await;
         } else {
-            pause = RETRY_BACKOFF.0;
+            backoff.reset();
             // Without any notice it is time to check.
             timeout(CHECK_INTERVAL, shared.builds_due.notified()).await.ok();
         }
--- a/components/gateway/src/watch/crashes.rs
+++ b/components/gateway/src/watch/crashes.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     crash_record::StoredCrashes,
-    outage::RETRY_BACKOFF,
+    outage::Backoff,
     state::{Shared, State},
     watch::hosts::LIST_INTERVAL_PER_HOST,
 };
@@ -22,16 +22,15 @@
 /// Reads the record once, and then adds crashes to it while this host is one of those that keep it.
 pub(crate) async fn maintain_crash_record(shared: Arc<Shared>) {
     let mut latest_era = shared.store_era.subscribe();
-    let mut pause = RETRY_BACKOFF.0;
+    let mut backoff = Backoff::new();
     let mut is_failing = false;
     // What served before this host started matters from its first request on.
     shared.crashes_due.notify_one();
     loop {
         if is_failing {
-            sleep(pause).await;
-            pause = (pause * 2).min(RETRY_BACKOFF.1);
+            backoff.wait().await;
         } else {
-            pause = RETRY_BACKOFF.0;
+            backoff.reset();
             // Without any notice it is time to check.
             timeout(CHECK_INTERVAL, shared.crashes_due.notified()).await.ok();
         }
--- a/components/gateway/src/watch/streams.rs
+++ b/components/gateway/src/watch/streams.rs
@@ -8,7 +8,7 @@
 use crate::{
     duty::put_object,
     origins::OriginNotice,
-    outage::RETRY_BACKOFF,
+    outage::Backoff,
     state::{Shared, State},
     stream_record::StoredStreams,
     watch::{decode_objects, hosts::LIST_INTERVAL_PER_HOST},
@@ -28,7 +28,7 @@
 /// record when a caller takes up a stream that nobody knows.
 pub(crate) async fn maintain_stream_record(shared: Arc<Shared>) {
     let mut latest_era = shared.store_era.subscribe();
-    let mut pause = RETRY_BACKOFF.0;
+    let mut backoff = Backoff::new();
     loop {
         let is_done = match step(&shared) {
             Step::Wait => {
@@ -46,10 +46,9 @@
             shared.state().stream_record.distrust();
         }
         if is_done {
-            pause = RETRY_BACKOFF.0;
+            backoff.reset();
         } else {
-            sleep(pause).await;
-            pause = (pause * 2).min(RETRY_BACKOFF.1);
+            backoff.wait().await;
         }
     }
 }
