Tests of the command line: no other test gets the port of a killed entry

Entries listened on any free port, so another test of the same process could get the port of the entry that was killed. An entry of another environment that is started there on purpose gives the same output, line by line.

Entries now listen on ports that are handed out once per process.

--- a/bins/ctl/tests/commands/fixture.rs
+++ b/bins/ctl/tests/commands/fixture.rs
@@ -15,6 +15,7 @@
 use async_trait::async_trait;
 use chervilgate_clients::{Body, HttpPlatform, ObjectStore, body::full};
 use chervilgate_coord::{Expect, StoreCall, StoreReply, decode, view::ROOT_KEY, view::Root};
+use chervilgate_ports::free_addr;
 use chervilgate_serve::Handler;
 use chervilgate_standins::{FakeServer, PlatformFaults, PlatformServer};
 use hyper::{Request, Response, body::Incoming};
@@ -187,5 +188,7 @@
     let store = HttpPlatform::new(platform);
     let held_seq = AtomicU64::new(0);
     let entry = MockEntry { number, store, held_seq, frozen_count: frozen_count.clone() };
-    FakeServer::start(Arc::new(entry), 0).expect("a free port")
+    // No other test may get the port of an entry that was killed.
+    let port = free_addr().expect("a free port").port();
+    FakeServer::start(Arc::new(entry), port).expect("the port")
 }
