Platform client: keys are percent-encoded in every call

The other client of a store put keys into paths and prefixes into queries as they stood, so a list, watch, read or write under a key with '+', '#', '%', a blank or a line break meant another key or was not sent. Its keys are made of checked names, so no caller is known to have seen it.

Keys and prefixes are now percent-encoded, but for the slash, and the stand-in decodes paths and queries as a real platform does. The new test failed before from the second of its ten names on.

--- a/components/clients/src/platform/http.rs
+++ b/components/clients/src/platform/http.rs
@@ -13,6 +13,7 @@
     Method, Request, Response, StatusCode,
     header::{ETAG, HOST, IF_MATCH, IF_NONE_MATCH},
 };
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::timeout;
 
@@ -31,6 +32,10 @@
 /// Longest response body accepted, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
+/// All but the unreserved characters of RFC 3986 and the slash, which separates the parts of a key.
+const ENCODED: AsciiSet =
+    NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~').remove(b'/');
+
 /// A client of one platform address. Clones share the connection pool.
 #[derive(Clone)]
 pub struct HttpPlatform {
@@ -99,10 +104,11 @@
                 (with_precondition(request, Expect::At(*version)), CALL_TIMEOUT)
             }
             StoreCall::List { prefix } => {
-                (self.request(Method::GET, &format!("/objects?prefix={prefix}")), CALL_TIMEOUT)
+                let path = format!("/objects?prefix={}", encode(prefix));
+                (self.request(Method::GET, &path), CALL_TIMEOUT)
             }
             StoreCall::Watch { prefix, after } => {
-                let path = format!("/watch?prefix={prefix}&after={}", after.revision);
+                let path = format!("/watch?prefix={}&after={}", encode(prefix), after.revision);
                 (self.request(Method::GET, &path), WATCH_TIMEOUT)
             }
         };
@@ -158,7 +164,12 @@
 }
 
 fn object_path(key: &str) -> String {
-    format!("/objects/{key}")
+    format!("/objects/{}", encode(key))
+}
+
+/// Percent-encodes a key or a prefix, which readers of paths and of forms decode alike.
+fn encode(key: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(key, &ENCODED)
 }
 
 fn with_precondition(
--- a/components/standins/src/platform/api.rs
+++ b/components/standins/src/platform/api.rs
@@ -16,6 +16,7 @@
     body::Incoming,
     header::{ETAG, IF_MATCH, IF_NONE_MATCH},
 };
+use percent_encoding::percent_decode_str;
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -50,15 +51,18 @@
 impl Api {
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
-        let query = read_query(head.uri.query().unwrap_or_default());
-        let path = head.uri.path().to_owned();
+        let query = form_urlencoded::parse(head.uri.query().unwrap_or_default().as_bytes());
+        let query: BTreeMap<String, String> = query.into_owned().collect();
+        let Ok(path) = percent_decode_str(head.uri.path()).decode_utf8() else {
+            return reply_status(StatusCode::BAD_REQUEST);
+        };
         let Ok(content) = collect(body, MAX_REQUEST_BYTES).await else {
             return reply_status(StatusCode::PAYLOAD_TOO_LARGE);
         };
         if let Some(key) = path.strip_prefix("/objects/") {
             return self.object(&head.method, key, &head.headers, content);
         }
-        match (&head.method, path.as_str()) {
+        match (&head.method, &*path) {
             (&Method::GET, "/objects") => self.list(&query),
             (&Method::GET, "/watch") => self.watch(&query).await,
             (&Method::GET, "/hosts") => json(&self.shared.lock().hosts),
@@ -149,11 +153,6 @@
     }
 }
 
-fn read_query(query: &str) -> BTreeMap<String, String> {
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
-}
-
 fn read_condition(headers: &HeaderMap) -> Option<Expect> {
     if headers.get(IF_NONE_MATCH).is_some_and(|tag| tag == "*") {
         return Some(Expect::Absent);
