Records in the store: one odd element voids no other

The records of crashes, versions, streams and announcements are lists in one object each. An element that another writer had changed to another type made the whole object unreadable: after a restart of all hosts, parts of prompts that crash targets came through again, and streams of versions that had left were refused, or the record was overwritten without them.

Each list is now read without such elements. A record of versions that lacks some is not complete, so nothing is concluded from what it does not name, and it is written anew. A process with an unreadable announcement counts as one that may have begun streams anywhere. The tests of crashes, streams and announcements failed before; that of versions uses what is new.

--- a/components/gateway/src/announced.rs
+++ b/components/gateway/src/announced.rs
@@ -14,6 +14,7 @@
 use crate::{
     build_record::StoredBuild,
     fleet::{BuildId, STREAM_LIFE, ServiceBuild},
+    stored_list::StoredList,
 };
 
 /// What a host has announced, as stored.
@@ -21,14 +22,14 @@
 #[derive(Serialize, Deserialize)]
 pub struct StoredAnnouncements {
     /// By process, the present one last.
-    processes: Vec<StoredProcess>,
+    processes: StoredList<StoredProcess>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 struct StoredProcess {
     id: u32,
-    builds: Vec<StoredBuild>,
+    builds: StoredList<StoredBuild>,
 }
 
 impl StoredProcess {
@@ -36,17 +37,19 @@
         StoredProcess { id, builds: builds.iter().cloned().map(StoredBuild::from).collect() }
     }
 
-    /// Whether it has announced a version of `service` other than `base`.
-    fn has_other(&self, service: &str, base: BuildId) -> bool {
-        let mut builds = self.builds.iter().cloned().map(ServiceBuild::from);
-        builds.any(|build| &*build.service == service && build.id() != base)
+    /// Whether it may have announced a version of `service` other than `base`.
+    fn may_have_other(&self, service: &str, base: BuildId) -> bool {
+        let mut builds = self.builds.elements.iter().cloned().map(ServiceBuild::from);
+        self.builds.unreadable > 0
+            || builds.any(|build| &*build.service == service && build.id() != base)
     }
 }
 
 impl StoredAnnouncements {
     /// The processes of this host that may have begun streams at a version of `service` other than `base`.
     fn users(&self, service: &str, base: BuildId) -> impl Iterator<Item = u32> {
-        let users = self.processes.iter().filter(move |process| process.has_other(service, base));
+        let users = self.processes.elements.iter();
+        let users = users.filter(move |process| process.may_have_other(service, base));
         users.map(|process| process.id)
     }
 }
@@ -77,7 +80,7 @@
         stored: StoredAnnouncements,
     ) {
         self.version = version;
-        self.earlier = stored.processes;
+        self.earlier = stored.processes.elements;
         self.earlier_read_at = Some(now);
     }
 
--- a/components/gateway/src/build_record.rs
+++ b/components/gateway/src/build_record.rs
@@ -14,13 +14,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::ServiceBuild;
+use crate::{fleet::ServiceBuild, stored_list::StoredList};
 
 /// The record as stored.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 #[derive(Serialize, Deserialize)]
 pub struct StoredBuilds {
-    builds: Vec<StoredBuild>,
+    builds: StoredList<StoredBuild>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -48,9 +48,14 @@
         StoredBuilds { builds: builds.iter().cloned().map(StoredBuild::from).collect() }
     }
 
-    /// The versions that it names.
+    /// Whether all versions that it names can be read.
+    pub fn is_complete(&self) -> bool {
+        self.builds.unreadable == 0
+    }
+
+    /// The versions that it names, without those that cannot be read.
     pub fn into_builds(self) -> BTreeSet<ServiceBuild> {
-        self.builds.into_iter().map(ServiceBuild::from).collect()
+        self.builds.elements.into_iter().map(ServiceBuild::from).collect()
     }
 }
 
--- a/components/gateway/src/crash_record.rs
+++ b/components/gateway/src/crash_record.rs
@@ -15,6 +15,8 @@
 use chervilgate_policy::{CrashId, CrashNotice};
 use serde::{Deserialize, Serialize};
 
+use crate::stored_list::StoredList;
+
 /// Maximum number of crashes in the record. A part is refused after three, or after six if it was answered.
 const MAX_RECORDED: usize = 32;
 
@@ -22,7 +24,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 #[derive(Serialize, Deserialize)]
 pub struct StoredCrashes {
-    crashes: Vec<String>,
+    crashes: StoredList<String>,
 }
 
 impl StoredCrashes {
@@ -37,7 +39,7 @@
 
     /// The crashes that it holds, without those that cannot be read.
     pub fn into_crashes(self) -> Vec<CrashNotice> {
-        let bytes = self.crashes.iter().filter_map(|text| from_hex(text));
+        let bytes = self.crashes.elements.iter().filter_map(|text| from_hex(text));
         bytes.filter_map(|bytes| postcard::from_bytes(&bytes).ok()).collect()
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -55,6 +55,7 @@
 mod settings;
 mod state;
 pub mod stopping;
+mod stored_list;
 mod stream;
 pub mod stream_record;
 mod takeover;
--- a/components/gateway/src/stream_record.rs
+++ b/components/gateway/src/stream_record.rs
@@ -15,7 +15,10 @@
 use chervilgate_coord::Version;
 use serde::{Deserialize, Serialize};
 
-use crate::origins::{OriginNotice, StreamKey};
+use crate::{
+    origins::{OriginNotice, StreamKey},
+    stored_list::StoredList,
+};
 
 /// Number of segments of a host.
 const SEGMENTS: usize = 8;
@@ -34,7 +37,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 #[derive(Serialize, Deserialize)]
 pub struct StoredStreams {
-    builds: Vec<StoredOrigins>,
+    builds: StoredList<StoredOrigins>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -69,7 +72,7 @@
             let keys = numbers.map(StreamKey::from_hash);
             Some(keys.map(|key| OriginNotice { key, build }).collect::<Vec<_>>())
         };
-        self.builds.into_iter().filter_map(read).flatten().collect()
+        self.builds.elements.into_iter().filter_map(read).flatten().collect()
     }
 }
 
--- a/components/gateway/src/watch/builds.rs
+++ b/components/gateway/src/watch/builds.rs
@@ -84,7 +84,7 @@
 /// done.
 async fn learn(shared: &Shared) -> bool {
     shared.state().build_record.start_read();
-    let Some(Record { builds, .. }) = read(shared).await else {
+    let Some(record) = read(shared).await else {
         shared.state().build_record.record_list();
         return false;
     };
@@ -93,8 +93,8 @@
         let State { fleet, build_record, .. } = &mut *shared.state();
         // The targets may have been listed again meanwhile.
         let is_current = !build_record.is_unread();
-        let is_complete = is_current && builds.is_some();
-        let recorded = builds.unwrap_or_default();
+        let is_complete = is_current && record.is_complete;
+        let recorded = record.builds;
         let merge = build_record.merge(&recorded, &fleet.present_builds(), &fleet.live_builds(now));
         log::info!(
             target: "fleet", recorded = recorded.len(), gone = merge.unknown.len(), is_complete;
@@ -111,16 +111,15 @@
 
 /// Makes the record and this host's knowledge agree. Returns whether they do.
 async fn sync(shared: &Shared) -> bool {
-    let Some(Record { version, builds }) = read(shared).await else { return false };
+    let Some(Record { version, builds, is_complete }) = read(shared).await else { return false };
     let (merged, live) = {
         let now = shared.now();
         let State { fleet, build_record, .. } = &mut *shared.state();
-        let recorded = builds.clone().unwrap_or_default();
-        let merge = build_record.merge(&recorded, &fleet.present_builds(), &fleet.live_builds(now));
+        let merge = build_record.merge(&builds, &fleet.present_builds(), &fleet.live_builds(now));
         fleet.adopt_builds(now, merge.unknown, false);
         (merge.merged, fleet.live_builds(now))
     };
-    let is_written = builds.as_ref() == Some(&merged) || write(shared, version, &merged).await;
+    let is_written = is_complete && builds == merged || write(shared, version, &merged).await;
     if is_written {
         shared.state().build_record.record_synced(live);
     }
@@ -131,27 +130,34 @@
 struct Record {
     /// None if it does not exist.
     version: Option<Version>,
-    /// The versions that it names; none if it cannot be decoded.
-    builds: Option<BTreeSet<ServiceBuild>>,
+    /// The versions that it names, without those that cannot be read.
+    builds: BTreeSet<ServiceBuild>,
+    is_complete: bool,
 }
 
 /// Reads the record; none if the store does not answer.
 async fn read(shared: &Shared) -> Option<Record> {
     match shared.store.call(&StoreCall::Get { key: RECORD.to_owned() }).await {
         StoreReply::Found(Some(object)) => {
-            Some(Record { version: Some(object.version), builds: decode_record(&object) })
+            let stored = decode_record(&object);
+            Some(Record {
+                version: Some(object.version),
+                is_complete: stored.as_ref().is_some_and(StoredBuilds::is_complete),
+                builds: stored.unwrap_or_default().into_builds(),
+            })
+        }
+        StoreReply::Found(None) => {
+            Some(Record { version: None, builds: BTreeSet::new(), is_complete: true })
         }
-        StoreReply::Found(None) => Some(Record { version: None, builds: Some(BTreeSet::new()) }),
         _ => None,
     }
 }
 
-fn decode_record(object: &Object) -> Option<BTreeSet<ServiceBuild>> {
+fn decode_record(object: &Object) -> Option<StoredBuilds> {
     serde_json::from_slice::<StoredBuilds>(&object.value)
         .inspect_err(|error| {
             log::warn!(target: "store", key = object.key, error:%; "object not decoded");
         })
-        .map(StoredBuilds::into_builds)
         .ok()
 }
 
--- a/components/gateway/tests/announced.rs
+++ b/components/gateway/tests/announced.rs
@@ -6,7 +6,7 @@
 use chervilgate_coord::Version;
 use chervilgate_gateway::{
     Prompt,
-    announced::Announcements,
+    announced::{Announcements, StoredAnnouncements},
     fleet::{
         Build, Fleet, Placement, STREAM_LIFE, ServiceBuild, TargetEntry, TargetQuery, TargetRole,
     },
@@ -58,6 +58,21 @@
     names.map(|name| ServiceBuild { service: SERVICE.into(), build: (*name).into() }).collect()
 }
 
+// Guards against streams that go on at another version as one element that a host has announced was changed.
+#[test]
+fn an_odd_element_voids_no_other_announcement() {
+    let stored = r#"{"processes":[7,{"id":1,"builds":[{"service":"llm","build":"v2"}]},
+        {"id":"x","builds":[]},{"id":2,"builds":[{"service":"llm","build":"v1"},null]},
+        {"id":3,"builds":[{"service":"llm","build":"v1"}]}]}"#;
+    let stored: StoredAnnouncements = serde_json::from_str(stored).unwrap();
+    let mut reader = Announcements::default();
+
+    reader.record_read(NOW, vec![("h-1".to_owned(), stored)]);
+
+    let users: Vec<_> = reader.users(SERVICE, Build::new("v1").id).collect();
+    assert_eq!(users, [("h-1", 1), ("h-1", 2)]);
+}
+
 #[test]
 fn nothing_begins_at_a_version_that_joins_before_it_is_announced() {
     let mut fleet = fleet(&["v1"]);
--- a/components/gateway/tests/build_record.rs
+++ b/components/gateway/tests/build_record.rs
@@ -72,6 +72,19 @@
     }
 }
 
+// Guards against streams that are refused since one element of the record was changed by another writer.
+#[test]
+fn an_odd_element_voids_no_other_version_and_the_record_is_not_complete() {
+    let read = |text: &str| {
+        let stored = serde_json::from_str::<StoredBuilds>(text).unwrap();
+        (stored.is_complete(), stored.into_builds())
+    };
+    let odd = r#"{"builds":[{"service":"llm","build":"v1"},{"service":"llm"},7,{"service":"llm","build":"v2"}]}"#;
+
+    assert_eq!(read(odd), (false, builds(&["v1", "v2"])));
+    assert_eq!(read(r#"{"builds":[{"service":"llm","build":"v1"}]}"#), (true, builds(&["v1"])));
+}
+
 // Guards against streams that go on at another version after all hosts were killed as theirs left.
 #[test]
 fn a_host_that_starts_learns_of_a_version_that_left_before() {
--- a/components/gateway/tests/crash_record.rs
+++ b/components/gateway/tests/crash_record.rs
@@ -6,6 +6,7 @@
     poison::{PoisonGuard, SharedParts},
 };
 use chervilgate_policy::{AffectedRequest, CrashId, CrashNotice, Fingerprint, OrgId, TargetId};
+use serde_json::json;
 
 const NOW: Time = Time::from_secs(100);
 
@@ -45,6 +46,23 @@
     assert!(!merge.is_changed, "nothing is written");
 }
 
+// Guards against parts that end targets again after one element of the record was changed by another writer.
+#[test]
+fn an_odd_element_voids_no_other_crash() {
+    let stored = StoredCrashes::new(&[crash(1), crash(2)]).unwrap();
+    let mut value = serde_json::to_value(&stored).unwrap();
+    let crashes = value["crashes"].as_array_mut().unwrap();
+    for odd in
+        [json!(7), json!(null), json!(["00"]), json!({}), json!(""), json!("zz"), json!("ff")]
+    {
+        crashes.insert(1, odd);
+    }
+
+    let read = serde_json::from_value::<StoredCrashes>(value).unwrap().into_crashes();
+
+    assert_eq!(read, [crash(1), crash(2)]);
+}
+
 #[test]
 fn a_new_crash_is_added_to_the_record() {
     let mut record = CrashRecord::default();
--- a/components/gateway/tests/stream_record.rs
+++ b/components/gateway/tests/stream_record.rs
@@ -73,6 +73,16 @@
     assert_eq!(read.len(), 1);
 }
 
+#[test]
+fn an_odd_element_voids_no_other_stream() {
+    let stored =
+        r#"{"builds":[7,{"build":"1","keys":"00000000000000ff"},{"build":2,"keys":"00"},null]}"#;
+
+    let read = serde_json::from_str::<StoredStreams>(stored).unwrap().into_streams();
+
+    assert_eq!(read.len(), 1);
+}
+
 #[test]
 fn each_write_holds_the_streams_of_some_seconds_and_old_ones_make_room() {
     let (mut record, mut objects) = (StreamRecord::default(), Objects::default());
