Duties: a lease that cannot be read is taken like any other

Once another writer had overwritten the lease object with something that is no lease, no host performed the duties any more: usage was not reported and no targets were ordered for as long as the object stood. A read of it was left out altogether, so each write went on from the version before and met a conflict.

Its version now counts. A holder that may still act goes on and writes over it, since no other host can have acquired the lease. For others it is held by somebody unknown from then on: the next holder takes it after its time, waits for a predecessor, and leaves out windows that may have been reported.

--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -225,7 +225,7 @@
                 doc.skip_windows(window.saturating_sub(1));
                 log::warn!(
                     target: "usage", window;
-                    "windows before this one left out: the store has lost whether they were reported"
+                    "windows before this one left out: the store does not tell whether they were reported"
                 );
             }
             self.write_lease(doc).await;
@@ -248,8 +248,10 @@
             let era = self.shared.store.era();
             return self.lease.observe_absent(self.shared.now(), era);
         };
-        if let Some((_, doc)) = decode_objects::<LeaseDoc>(std::slice::from_ref(object)).pop() {
-            self.lease.observe(self.shared.now(), object.version, doc);
+        let (now, version) = (self.shared.now(), object.version);
+        match decode_objects::<LeaseDoc>(std::slice::from_ref(object)).pop() {
+            Some((_, doc)) => self.lease.observe(now, version, doc),
+            None => self.lease.observe_unreadable(now, version),
         }
     }
 
--- a/components/gateway/src/lease.rs
+++ b/components/gateway/src/lease.rs
@@ -137,6 +137,9 @@
     era_seen_at: Option<Time>,
     /// Highest epoch of any era that this process has seen.
     max_epoch: u64,
+    /// When this process first saw that the lease object cannot be read; none if it can, or if this
+    /// process knows what it held before.
+    unreadable_at: Option<Time>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -169,6 +172,7 @@
             interrupted: None,
             era_seen_at: None,
             max_epoch: 0,
+            unreadable_at: None,
         }
     }
 
@@ -195,6 +199,7 @@
         if self.enter_era(now, version.era) {
             doc.merge_sealed(&self.doc);
         }
+        self.unreadable_at = None;
         self.max_epoch = self.max_epoch.max(doc.epoch);
         if !is_of_era(&doc, version.era) {
             self.last_seen = Some(SeenLease { era: version.era, version: Some(version), at: now });
@@ -214,6 +219,25 @@
         self.doc = doc;
     }
 
+    /// Processes a read of a lease object that cannot be read, as another writer has changed it.
+    ///
+    /// A holder that may still act goes on, since no other process can have acquired the lease. For others
+    /// it is held by somebody unknown from now on.
+    pub fn observe_unreadable(&mut self, now: Time, version: Version) {
+        if self.is_known(version) {
+            return;
+        }
+        let is_same_era = self.last_seen.is_some_and(|seen| seen.era == version.era);
+        if self.may_act(now) && is_same_era {
+            self.last_seen = Some(SeenLease { era: version.era, version: Some(version), at: now });
+            return;
+        }
+        let unknown =
+            LeaseDoc { holder: String::new(), boot: 0, released: false, ..self.doc.clone() };
+        self.observe(now, version, unknown);
+        self.unreadable_at = Some(now);
+    }
+
     /// Processes a read that found no lease object in the store's era `era`.
     pub fn observe_absent(&mut self, now: Time, era: u64) {
         if self.last_seen.is_none() || self.enter_era(now, era) {
@@ -251,6 +275,9 @@
     /// this process acquires the lease now; none if all are known.
     pub fn windows_unknown_until(&self, now: Time) -> Option<Time> {
         let seen = self.last_seen?;
+        if self.unreadable_at.is_some() {
+            return self.unreadable_at;
+        }
         let is_first = seen.era == 0;
         if is_first || self.held.is_some() || self.may_resume(now) || is_of_era(&self.doc, seen.era)
         {
@@ -309,7 +336,7 @@
         self.enter_era(sent, version.era);
         // The very first holder has no predecessor to wait for; in a later era of the store it may
         // have one that the store has lost.
-        let first = self.max_epoch == 0 && version.era == 0;
+        let first = self.max_epoch == 0 && version.era == 0 && self.unreadable_at.is_none();
         let may_act_from = if first { sent } else { sent + self.duration };
         let before = self.held.or(self.interrupted.filter(|_| self.may_resume(sent)));
         let may_act_from = before.map_or(may_act_from, |held| held.may_act_from);
@@ -321,6 +348,7 @@
             return;
         }
         self.interrupted = None;
+        self.unreadable_at = None;
         self.held = (!doc.released).then_some(HeldLease { sent, may_act_from });
         self.doc = doc;
     }
--- a/components/gateway/tests/lease.rs
+++ b/components/gateway/tests/lease.rs
@@ -94,6 +94,59 @@
     assert_eq!(next.doc().epoch, 2);
 }
 
+// Guards against duties that nobody performs any more, as the lease was overwritten by another writer.
+#[test]
+fn a_holder_goes_on_when_its_lease_cannot_be_read() {
+    let mut held = holder("a");
+
+    held.observe_unreadable(millis(500), Version::first_era(2));
+    let doc = held.next_write(millis(1_500), Duration::ZERO).unwrap();
+
+    assert!(held.may_act(millis(510)));
+    assert_eq!((held.version(), doc.epoch), (Some(Version::first_era(2)), 1));
+    assert_eq!(held.windows_unknown_until(millis(1_500)), None);
+}
+
+#[test]
+fn a_lease_that_cannot_be_read_is_taken_after_its_time_and_its_windows_left_out() {
+    let mut next = Lease::new("b", 2, LEASE_DURATION);
+    next.observe(millis(10), Version::first_era(1), holder("a").doc().clone());
+
+    next.observe_unreadable(millis(1_000), Version::first_era(2));
+    let early = next.next_write(millis(4_000), Duration::ZERO);
+    let unknown = next.windows_unknown_until(millis(4_400));
+    let epoch = acquire(&mut next, 4_400, Version::first_era(3));
+    let at_once = next.may_act(millis(4_500));
+    acquire(&mut next, 6_000, Version::first_era(4));
+
+    assert_eq!((early, epoch, unknown), (None, 2, Some(millis(1_000))));
+    assert!(!at_once && next.may_act(millis(7_401)));
+    assert_eq!(next.windows_unknown_until(millis(4_500)), None);
+}
+
+// Guards against two holders: the store may hold an odd lease when all hosts have just started.
+#[test]
+fn a_lease_that_no_process_has_read_is_taken_after_its_time() {
+    let mut next = Lease::new("b", 2, LEASE_DURATION);
+
+    next.observe_unreadable(millis(0), Version::first_era(7));
+    let early = next.next_write(millis(3_000), Duration::ZERO);
+    let doc = next.next_write(millis(3_400), Duration::ZERO).unwrap();
+    next.record_write(millis(3_405), millis(3_400), Version::first_era(8), doc);
+
+    assert!(early.is_none() && next.is_holder());
+    assert!(!next.may_act(millis(6_300)));
+}
+
+#[test]
+fn a_holder_that_was_overtaken_does_not_go_on_when_the_lease_cannot_be_read() {
+    let mut held = holder("a");
+
+    held.observe_unreadable(millis(2_500), Version::first_era(3));
+
+    assert!(!held.is_holder() && held.next_write(millis(5_000), Duration::ZERO).is_none());
+}
+
 /// A version of the store after it came back from a copy for the first time.
 fn restored(revision: u64) -> Version {
     Version { era: 1, revision }
