Duties: numbers at their limit in a lease or a sheet stop nobody

A lease that can be read but names the last of all windows, or an epoch or a number of writes at the limit of its type, stopped the duties for good: with checks of overflow the task ended, and without them no window came after the one it named, or the epoch began at zero again. The same holds for counts in usage sheets.

Windows that nobody can have sealed yet are dropped as the lease is read, and sums and epochs stay at their limit.

--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -250,7 +250,11 @@
         };
         let (now, version) = (self.shared.now(), object.version);
         match decode_objects::<LeaseDoc>(std::slice::from_ref(object)).pop() {
-            Some((_, doc)) => self.lease.observe(now, version, doc),
+            Some((_, mut doc)) => {
+                let length = self.shared.settings.bounds.window;
+                doc.drop_future_windows(self.shared.wall_clock().window(now, length));
+                self.lease.observe(now, version, doc);
+            }
             None => self.lease.observe_unreadable(now, version),
         }
     }
@@ -468,7 +472,7 @@
         log::info!(target: "usage", window; "window reported");
         self.shared.metrics.count_window();
         let mut doc = self.lease.doc().clone();
-        doc.beat += 1;
+        doc.count_write();
         for sealed in doc.sealed.iter_mut().filter(|sealed| sealed.window == window) {
             sealed.reported = true;
         }
@@ -498,7 +502,7 @@
             sheets.values().filter_map(|sheet| sheet.windows.front()).map(|(w, _)| *w).min();
         let first = known.map_or(oldest.unwrap_or(newest), |known| known + 1);
         let mut doc = self.lease.doc().clone();
-        doc.beat += 1;
+        doc.count_write();
         let before = doc.sealed.len();
         for window in first.max(newest.saturating_sub(MAX_SEAL_BACKLOG))..=newest {
             let complete = {
--- a/components/gateway/src/lease.rs
+++ b/components/gateway/src/lease.rs
@@ -97,6 +97,13 @@
         }
     }
 
+    /// Drops sealed windows that nobody can have sealed while `current` is under way, not even by a clock
+    /// that is some windows ahead.
+    pub fn drop_future_windows(&mut self, current: u64) {
+        let last = current.saturating_add(MAX_SEALED_WINDOWS as u64);
+        self.sealed.retain(|sealed| sealed.window <= last);
+    }
+
     fn push(&mut self, window: SealedWindow) {
         self.sealed.push(window);
         if self.sealed.len() > MAX_SEALED_WINDOWS {
@@ -104,6 +111,11 @@
         }
     }
 
+    /// Makes the next write differ from the one before.
+    pub fn count_write(&mut self) {
+        self.beat = self.beat.wrapping_add(1);
+    }
+
     /// Takes over the sealed windows of `earlier`, whose counts may have been reported.
     fn merge_sealed(&mut self, earlier: &LeaseDoc) {
         for known in &earlier.sealed {
@@ -304,7 +316,7 @@
     pub fn next_write(&self, now: Time, delay: Duration) -> Option<LeaseDoc> {
         let era = self.last_seen.map_or(0, |seen| seen.era);
         let mut doc = self.doc.clone();
-        doc.beat += 1;
+        doc.count_write();
         if let Some(held) = self.held {
             return (now.since(held.sent) >= self.renew_interval()).then_some(doc);
         }
@@ -322,7 +334,11 @@
         free.then(|| LeaseDoc {
             holder: self.host.clone(),
             boot: self.boot,
-            epoch: self.max_epoch.max(doc.epoch).max(era.saturating_mul(EPOCHS_PER_ERA)) + 1,
+            epoch: self
+                .max_epoch
+                .max(doc.epoch)
+                .max(era.saturating_mul(EPOCHS_PER_ERA))
+                .saturating_add(1),
             released: false,
             ..doc
         })
--- a/components/gateway/src/usage.rs
+++ b/components/gateway/src/usage.rs
@@ -109,7 +109,7 @@
     fn add(&mut self, window: u64, org: &str, count: u64) {
         let counts = self.counts_mut(window);
         if let Some(known) = counts.get_mut(org) {
-            *known += count;
+            *known = known.saturating_add(count);
         } else {
             counts.insert(org.to_owned(), count);
         }
@@ -284,7 +284,8 @@
     let mut total = Counts::new();
     for counts in sheets.values().filter_map(|sheet| sheet.window(window)) {
         for (org, count) in counts {
-            *total.entry(org.clone()).or_default() += count;
+            let total = total.entry(org.clone()).or_default();
+            *total = total.saturating_add(*count);
         }
     }
     total
--- a/components/gateway/tests/duties.rs
+++ b/components/gateway/tests/duties.rs
@@ -24,6 +24,18 @@
     UsageSheet { boot: 1, current, windows }
 }
 
+#[test]
+fn counts_at_their_limit_stop_no_host() {
+    let sheets = ["a", "b"].map(|host| (host.to_owned(), sheet(8, &[(7, u64::MAX)])));
+    let mut meter = UsageMeter::new(2);
+    meter.count(7, "org");
+
+    meter.merge_predecessor(&sheet(8, &[(7, u64::MAX)]));
+
+    assert_eq!(sum_counts(&HashMap::from(sheets), 7)["org"], u64::MAX);
+    assert_eq!(meter.take_changed(8).unwrap().window(7).unwrap()["org"], u64::MAX);
+}
+
 // Guards against sealing too early: windows were sealed 3.5 s after their end, while hosts cut
 // off from the store could not write their sheets. Seen in window 355438572 of hladna-veza
 // trouble-3 --seed 618443523852.
--- a/components/gateway/tests/lease.rs
+++ b/components/gateway/tests/lease.rs
@@ -147,6 +147,31 @@
     assert!(!held.is_holder() && held.next_write(millis(5_000), Duration::ZERO).is_none());
 }
 
+#[test]
+fn numbers_at_their_limit_in_a_lease_stop_no_host() {
+    let mut next = Lease::new("b", 2, LEASE_DURATION);
+    let doc =
+        LeaseDoc { holder: "a".into(), epoch: u64::MAX, beat: u64::MAX, ..LeaseDoc::default() };
+
+    next.observe(millis(0), Version::first_era(7), doc);
+    acquire(&mut next, 3_400, Version::first_era(8));
+
+    assert!(next.is_holder());
+}
+
+#[test]
+fn windows_that_cannot_have_been_sealed_yet_are_dropped() {
+    let mut doc = LeaseDoc::default();
+    for window in [7, 8, 1_000, u64::MAX] {
+        doc.seal(window, [("org".to_owned(), 1)].into());
+    }
+
+    doc.drop_future_windows(8);
+
+    let sealed: Vec<_> = doc.sealed.iter().map(|sealed| sealed.window).collect();
+    assert_eq!(sealed, [7, 8]);
+}
+
 /// A version of the store after it came back from a copy for the first time.
 fn restored(revision: u64) -> Version {
     Version { era: 1, revision }
