Logs: control characters in a line are escaped

A name of an entry, or another text from outside, was logged as it stood. What followed a line break in it looked like a line of its own, with any level and target. The sink now escapes all control characters but the end of the line. The new test failed before.

--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -18,6 +18,9 @@
 use env_logger::{Builder, Env, Target};
 use log::{Level, Record};
 
+#[cfg(test)]
+mod tests;
+
 /// Capacity of the queue to the writer thread, in lines.
 const QUEUE_CAPACITY: usize = 4_096;
 
@@ -179,7 +182,7 @@
 impl Write for LineSink {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         UNWRITTEN_LINES.fetch_add(1, Ordering::AcqRel);
-        if self.lines.try_send(bytes.to_vec()).is_err() {
+        if self.lines.try_send(escape_line(bytes)).is_err() {
             UNWRITTEN_LINES.fetch_sub(1, Ordering::AcqRel);
             QUEUE_LOST.fetch_add(1, Ordering::Relaxed);
         }
@@ -191,6 +194,22 @@
     }
 }
 
+/// The line with its control characters escaped, but for the one at its end: names from outside may hold
+/// line breaks, and what follows them would look like a line of its own.
+fn escape_line(line: &[u8]) -> Vec<u8> {
+    let (text, end) = line.split_at(line.strip_suffix(b"\n").unwrap_or(line).len());
+    let mut escaped = Vec::with_capacity(line.len());
+    for byte in text {
+        if byte.is_ascii_control() {
+            escaped.extend(byte.escape_ascii());
+        } else {
+            escaped.push(*byte);
+        }
+    }
+    escaped.extend_from_slice(end);
+    escaped
+}
+
 /// Time for which the writer collects lines into one write.
 const BATCH_INTERVAL: Duration = Duration::from_millis(50);
 
