Metrics: names in labels are escaped

The metrics library writes label values as they stand, so one name of a service, zone or organisation with a quote, a backslash or a line break made the text of all metrics unreadable.

--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -15,6 +15,8 @@
 
 mod feed;
 mod labels;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use self::feed::{ChangeSource, FeedMetrics};
 use self::labels::{
@@ -37,7 +39,7 @@
 impl OrgQuotaMetrics {
     /// Name of the organisation.
     pub(crate) fn org(&self) -> &str {
-        &self.label.org
+        self.label.org.as_str()
     }
 
     pub(crate) fn set_held(&self, amount: f64) {
@@ -319,16 +321,14 @@
 
     /// Counts a request of a caller for `service`.
     pub(crate) fn count_service_request(&self, service: &str) {
-        self.service_requests.get_or_create(&ServiceLabel { service: service.to_owned() }).inc();
+        self.service_requests.get_or_create(&ServiceLabel { service: service.into() }).inc();
     }
 
     /// Counts an arrival at a target of `service` beyond the first of its request, by what became of the
     /// one before, or that it was not sent for lack of budget.
     pub(crate) fn count_repeat(&self, service: &str, cause: &'static str, is_sent: bool) {
         let result = if is_sent { "sent" } else { "over-budget" };
-        self.repeats
-            .get_or_create(&RepeatLabels { service: service.to_owned(), cause, result })
-            .inc();
+        self.repeats.get_or_create(&RepeatLabels { service: service.into(), cause, result }).inc();
     }
 
     /// Counts an import of a prompt prefix: sent, or dropped since its source may not be used.
@@ -364,7 +364,7 @@
 
     /// Sets the number of requests that wait for capacity.
     pub(crate) fn set_waiting(&self, service: &str, waiting: usize) {
-        let label = ServiceLabel { service: service.to_owned() };
+        let label = ServiceLabel { service: service.into() };
         self.waiting.get_or_create(&label).set(i64::try_from(waiting).unwrap_or(i64::MAX));
     }
 
@@ -425,7 +425,7 @@
 
     /// The metrics of the quota of `org`, with its rate.
     pub(crate) fn org_quota(&self, org: &str, rate: f64) -> OrgQuotaMetrics {
-        let label = OrgLabel { org: org.to_owned() };
+        let label = OrgLabel { org: org.into() };
         self.quota_rate.get_or_create(&label).set(rate);
         OrgQuotaMetrics {
             held: self.quota_held.get_or_create(&label).clone(),
@@ -437,7 +437,7 @@
 
     /// Removes the gauges of an organisation without a quota.
     pub(crate) fn remove_org_quota(&self, org: &str) {
-        let label = OrgLabel { org: org.to_owned() };
+        let label = OrgLabel { org: org.into() };
         self.quota_rate.remove(&label);
         self.quota_held.remove(&label);
     }
@@ -465,8 +465,7 @@
         for (service, zone, goal) in goals {
             let kinds = [("on_demand", goal.on_demand), ("reclaimable", goal.reclaimable)];
             for (kind, count) in kinds {
-                let labels =
-                    WantedLabels { service: service.to_owned(), zone: zone.to_owned(), kind };
+                let labels = WantedLabels { service: service.into(), zone: zone.into(), kind };
                 self.targets_wanted.get_or_create(&labels).set(count.into());
             }
         }
@@ -475,7 +474,7 @@
     /// Sets the number of busy engines that the demand for a service takes.
     pub(crate) fn set_demand(&self, service: &str, prefill: f64, decode: f64) {
         for (stage, busy) in [("prefill", prefill), ("decode", decode)] {
-            let labels = DemandLabels { service: service.to_owned(), stage };
+            let labels = DemandLabels { service: service.into(), stage };
             self.demand.get_or_create(&labels).set(busy);
         }
     }
@@ -483,7 +482,7 @@
     /// Drops what is known of the demand for a service.
     pub(crate) fn remove_demand(&self, service: &str) {
         for stage in ["prefill", "decode"] {
-            self.demand.remove(&DemandLabels { service: service.to_owned(), stage });
+            self.demand.remove(&DemandLabels { service: service.into(), stage });
         }
     }
 
--- a/components/gateway/src/metrics/labels.rs
+++ b/components/gateway/src/metrics/labels.rs
@@ -1,6 +1,39 @@
 //! Labels of metrics.
 
-use prometheus_client::encoding::EncodeLabelSet;
+use std::fmt::{self, Write};
+
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
+
+/// A name from outside, which the library writes as it stands.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct LabelText(String);
+
+impl LabelText {
+    pub(super) fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<&str> for LabelText {
+    fn from(text: &str) -> LabelText {
+        LabelText(text.to_owned())
+    }
+}
+
+impl EncodeLabelValue for LabelText {
+    /// Escapes what the text format of metrics reserves.
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        for char in self.0.chars() {
+            match char {
+                '\\' => encoder.write_str("\\\\")?,
+                '"' => encoder.write_str("\\\"")?,
+                '\n' => encoder.write_str("\\n")?,
+                char => encoder.write_char(char)?,
+            }
+        }
+        Ok(())
+    }
+}
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -18,7 +51,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 pub(super) struct RepeatLabels {
-    pub(super) service: String,
+    pub(super) service: LabelText,
     pub(super) cause: &'static str,
     pub(super) result: &'static str,
 }
@@ -45,21 +78,21 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 pub(super) struct WantedLabels {
-    pub(super) service: String,
-    pub(super) zone: String,
+    pub(super) service: LabelText,
+    pub(super) zone: LabelText,
     pub(super) kind: &'static str,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 pub(super) struct ServiceLabel {
-    pub(super) service: String,
+    pub(super) service: LabelText,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 pub(super) struct DemandLabels {
-    pub(super) service: String,
+    pub(super) service: LabelText,
     pub(super) stage: &'static str,
 }
 
@@ -79,5 +112,5 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 pub(super) struct OrgLabel {
-    pub(super) org: String,
+    pub(super) org: LabelText,
 }
