Drains: an entry that is of no process holds up no drain

A drain waits while any session cannot be read, as its process may still send requests. An object of another writer under the prefix of the sessions, whose name is no process's, held up every drain for as long as it stood. It is now left out; a session that cannot be read still holds the drain up.

--- a/components/coord/src/drain.rs
+++ b/components/coord/src/drain.rs
@@ -23,7 +23,7 @@
     codec::decode,
     ident::{Incarnation, Node},
     order::ProbeReply,
-    session::{SESSION_PREFIX, SessionRecord, SessionState},
+    session::{SESSION_PREFIX, SessionRecord, SessionState, is_session_key},
     step::{Protocol, Step},
     store::{CallId, CallIds, Object, StoreCall, StoreReply},
     view::Draining,
@@ -255,7 +255,8 @@
     }
 
     fn update_waiting(&mut self, objects: &[Object]) {
-        let records = objects.iter().map(|object| decode::<SessionRecord>(&object.value));
+        let sessions = objects.iter().filter(|object| is_session_key(&object.key));
+        let records = sessions.map(|object| decode::<SessionRecord>(&object.value));
         let mut running_nodes = BTreeMap::new();
         for record in records {
             match record {
--- a/components/coord/src/session.rs
+++ b/components/coord/src/session.rs
@@ -41,6 +41,12 @@
     format!("{SESSION_PREFIX}{incarnation}")
 }
 
+/// Whether a process has its session under this key.
+pub(crate) fn is_session_key(key: &str) -> bool {
+    let name = key.strip_prefix(SESSION_PREFIX).unwrap_or_default();
+    u64::from_str_radix(name, 16).is_ok_and(|number| session_key(Incarnation(number)) == key)
+}
+
 /// Whether a session may be renewed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
