Soak: entries of other writers

Lists have pages of one to five objects, all hosts are killed at times, and a fifth of the entries stand to the end.

--- a/bins/host/tests/soak.rs
+++ b/bins/host/tests/soak.rs
@@ -30,6 +30,7 @@
         breaks: false,
         quotas: false,
         slow_readers: false,
+        odd_entries: false,
         other_faults: true,
     }
 }
@@ -69,6 +70,25 @@
     }
 }
 
+/// Seed in which all hosts are killed several times beside entries that stand to the end.
+const ODD_ENTRIES_SEED: u64 = 6_301;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_beside_entries_of_other_writers() {
+    let soak = Soak {
+        length: Duration::from_secs(30),
+        answer_faults: Vec::new(),
+        odd_entries: true,
+        other_faults: false,
+        ..soak("odd", ODD_ENTRIES_SEED)
+    };
+
+    let report = soak.run().await.unwrap();
+
+    assert!(report.outcomes.get("200").is_some_and(|count| *count > 100), "{:?}", report.outcomes);
+    assert_eq!(report.violations, [""; 0], "logs: {}", soak.out.display());
+}
+
 /// Seed with which callers press while both targets answer twice.
 const SECOND_ANSWERS_SEED: u64 = 2;
 
