Duties: the epoch after a lease that cannot be read is above all before

Where all hosts had been restarted beside a lease that another writer had overwritten, none knew its epoch, and the next one was 1. A platform that has seen higher ones refuses all orders and reports under it.

The epoch now begins at the seconds since 1970, within its era, which epochs do not reach by counting holders.

--- a/components/gateway/src/duty.rs
+++ b/components/gateway/src/duty.rs
@@ -255,7 +255,10 @@
                 doc.drop_future_windows(self.shared.wall_clock().window(now, length));
                 self.lease.observe(now, version, doc);
             }
-            None => self.lease.observe_unreadable(now, version),
+            None => {
+                let since_1970 = self.shared.wall_clock().at(now);
+                self.lease.observe_unreadable(now, version, since_1970);
+            }
         }
     }
 
--- a/components/gateway/src/lease.rs
+++ b/components/gateway/src/lease.rs
@@ -234,8 +234,9 @@
     /// Processes a read of a lease object that cannot be read, as another writer has changed it.
     ///
     /// A holder that may still act goes on, since no other process can have acquired the lease. For others
-    /// it is held by somebody unknown from now on.
-    pub fn observe_unreadable(&mut self, now: Time, version: Version) {
+    /// it is held by somebody unknown from now on. Its epoch is taken to be below `since_1970` in seconds, as
+    /// epochs grow by less than one a second.
+    pub fn observe_unreadable(&mut self, now: Time, version: Version, since_1970: Duration) {
         if self.is_known(version) {
             return;
         }
@@ -247,6 +248,8 @@
         let unknown =
             LeaseDoc { holder: String::new(), boot: 0, released: false, ..self.doc.clone() };
         self.observe(now, version, unknown);
+        let first_of_era = version.era.saturating_mul(EPOCHS_PER_ERA);
+        self.max_epoch = self.max_epoch.max(first_of_era.saturating_add(since_1970.as_secs()));
         self.unreadable_at = Some(now);
     }
 
