Duties: a lease lost to a restore is not resumed beside an unreadable one

In a later era of the store another process may have acquired the lease before its object was overwritten, so a holder of the era before waits like any other.

--- a/components/gateway/src/lease.rs
+++ b/components/gateway/src/lease.rs
@@ -248,6 +248,7 @@
         let unknown =
             LeaseDoc { holder: String::new(), boot: 0, released: false, ..self.doc.clone() };
         self.observe(now, version, unknown);
+        self.interrupted = None;
         let first_of_era = version.era.saturating_mul(EPOCHS_PER_ERA);
         self.max_epoch = self.max_epoch.max(first_of_era.saturating_add(since_1970.as_secs()));
         self.unreadable_at = Some(now);
@@ -355,7 +356,7 @@
         self.enter_era(sent, version.era);
         // The very first holder has no predecessor to wait for; in a later era of the store it may
         // have one that the store has lost.
-        let first = self.max_epoch == 0 && version.era == 0 && self.unreadable_at.is_none();
+        let first = self.max_epoch == 0 && version.era == 0;
         let may_act_from = if first { sent } else { sent + self.duration };
         let before = self.held.or(self.interrupted.filter(|_| self.may_resume(sent)));
         let may_act_from = before.map_or(may_act_from, |held| held.may_act_from);
