--- a/components/clients/src/lib.rs
+++ b/components/clients/src/lib.rs
@@ -4,6 +4,7 @@
 //! platform's or engine's API needs few changes outside this crate.
 
 pub mod body;
+pub mod encoding;
 pub mod http;
 mod no_effect;
 pub mod platform;
--- a/components/clients/src/platform/http.rs
+++ b/components/clients/src/platform/http.rs
@@ -13,7 +13,7 @@
     Method, Request, Response, StatusCode,
     header::{ETAG, HOST, IF_MATCH, IF_NONE_MATCH},
 };
-use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
+use percent_encoding::{AsciiSet, PercentEncode, utf8_percent_encode};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::timeout;
 
@@ -21,6 +21,7 @@
     Body, HostEntry, HostList, HttpPool, HttpSender, ObjectStore, OrderReceipt, PlatformError,
     TargetOrder, TargetOrders, UsageReport, UsageReports,
     body::collect,
+    encoding::ENCODED,
     no_effect::had_no_effect,
     platform::{ObjectsJson, WatchJson},
 };
@@ -32,9 +33,8 @@
 /// Longest response body accepted, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
-/// All but the unreserved characters of RFC 3986 and the slash, which separates the parts of a key.
-const ENCODED: AsciiSet =
-    NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~').remove(b'/');
+/// Characters of a key that are percent-encoded; a slash separates its parts.
+const ENCODED_IN_KEYS: AsciiSet = ENCODED.remove(b'/');
 
 /// A client of one platform address. Clones share the connection pool.
 #[derive(Clone)]
@@ -167,9 +167,9 @@
     format!("/objects/{}", encode(key))
 }
 
-/// Percent-encodes a key or a prefix, which readers of paths and of forms decode alike.
+/// Percent-encodes a key or a prefix.
 fn encode(key: &str) -> PercentEncode<'_> {
-    utf8_percent_encode(key, &ENCODED)
+    utf8_percent_encode(key, &ENCODED_IN_KEYS)
 }
 
 fn with_precondition(
