Logs: failed runs and acquittals name the request

A failed run was logged with its attempt id alone, and an acquittal not at all, so logs could not tell whether the answers to one request acquit another. `run failed` and the new line `request acquitted` name the fingerprint.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -192,10 +192,14 @@
         self.shared.now()
     }
 
-    /// Records that the request with this fingerprint and these parts of its prompt was answered.
-    pub(crate) fn record_answer(&self, fingerprint: Fingerprint, parts: &SharedParts) {
+    /// Records that the request `id` with this fingerprint and these parts of its prompt was answered.
+    pub(crate) fn record_answer(&self, id: &str, fingerprint: Fingerprint, parts: &SharedParts) {
         let now = self.shared.now();
-        self.shared.state().poison.record_answer(now, fingerprint, parts);
+        let runs = self.shared.state().poison.record_answer(now, fingerprint, parts);
+        if runs > 0 {
+            let (target, request) = (&self.placement.id, format!("{:016x}", fingerprint.digest));
+            log::info!(target: "gateway", id, target, request, runs; "request acquitted");
+        }
     }
 
     /// Marks the prompt as computed.
--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -59,7 +59,8 @@
         state.poison.run_count(now, call.fingerprint)
     };
     let (id, target) = (&call.ask.id, &placement.id);
-    log::warn!(target: "gateway", id, target, runs; "run failed");
+    let request = format!("{:016x}", call.fingerprint.digest);
+    log::warn!(target: "gateway", id, target, request, runs; "run failed");
 }
 
 /// Records that `call`, sent at `sent`, broke off at the target of `placement` before it was answered, or
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -254,7 +254,7 @@
                 match read {
                     Some((response, Extent::Whole)) => {
                         if response.status().is_success() {
-                            in_flight.record_answer(call.fingerprint, &call.parts);
+                            in_flight.record_answer(&call.ask.id, call.fingerprint, &call.parts);
                         }
                         return Ok(response);
                     }
--- a/components/gateway/src/passed_on.rs
+++ b/components/gateway/src/passed_on.rs
@@ -70,7 +70,7 @@
 impl OpenAnswer {
     fn end(self) {
         if self.is_success {
-            self.in_flight.record_answer(self.fingerprint, &self.parts);
+            self.in_flight.record_answer(&self.id, self.fingerprint, &self.parts);
         }
     }
 
--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -174,8 +174,15 @@
         self.parts.merge_notice(now, now, &notice);
     }
 
-    /// Records that a request with these parts was answered in full.
-    pub fn record_answer(&mut self, now: Time, request: Fingerprint, parts: &[Fingerprint]) {
+    /// Records that a request with these parts was answered in full. Returns how many failed runs this
+    /// acquits the request of.
+    pub fn record_answer(
+        &mut self,
+        now: Time,
+        request: Fingerprint,
+        parts: &[Fingerprint],
+    ) -> usize {
+        let acquitted_runs = self.run_count(now, request);
         if self.is_told(now, request.digest) {
             self.acquitted.insert(request.digest, ACQUITTAL_ROUNDS);
         }
@@ -185,6 +192,7 @@
                 self.acquitted.insert(part.digest, ACQUITTAL_ROUNDS);
             }
         }
+        acquitted_runs
     }
 
     /// Records what another host tells.
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -392,9 +392,8 @@
                 ReadOutcome::End => {
                     self.record_numbering();
                     if target_stream.is_whole {
-                        let now = self.shared.now();
                         let CallerRequest { fingerprint, parts, .. } = &*self.call;
-                        self.shared.state().poison.record_answer(now, *fingerprint, parts);
+                        target_stream.in_flight.record_answer(&id, *fingerprint, parts);
                     }
                     let pause = longest_pause.as_millis() as u64;
                     if let Some(max_pause) = self.call.route.max_pause {
