Poison requests: a request is known by all that makes it the same one

A request that crashes targets reached them without end, two on each arrival, while other requests of its caller to the same path with another query were answered. Each crash took other work with it: some 20 of 2,000 bookings.

The fingerprint was made of the path without its query, the key and the body. The answers to the sound requests so acquitted the culprit of all its crashes, and it was then allowed six in place of three. The log shows it: the acquitting attempt ids belong to the sound requests, and their fingerprint is the culprit's.

The organisation takes the place of the key, since a target sees no key and keys are replaced.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod gossip;
 mod hash;
 mod host;
+pub mod identity;
 pub mod joining;
 pub mod lease;
 pub mod membership;
--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -49,12 +49,6 @@
 /// Parts of a request's prompt that other requests may share, for the detector.
 pub type SharedParts = SmallVec<[Fingerprint; 4]>;
 
-/// Identifies a request, equal for all retries on all hosts.
-pub fn request_fingerprint(path: &str, key: Option<&str>, body: &[u8]) -> Fingerprint {
-    // The digest contains the caller, so it needs no organisation beside it.
-    Fingerprint { org: OrgId(0), digest: stable_hash(&(path, key, body)) }
-}
-
 /// Identifies the parts of a prompt that other requests may share.
 pub fn part_fingerprints(service: &str, org: Option<&str>, prompt: &Prompt) -> SharedParts {
     let org = OrgId(stable_hash(&org) as u32);
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -28,7 +28,8 @@
     config::{Config, Org, Route, org_hash},
     failure::Failure,
     forward::forward,
-    poison::{part_fingerprints, request_fingerprint},
+    identity::RequestIdentity,
+    poison::part_fingerprints,
     progress::{OpenRequest, Progress, Stage},
     protocol::RequestHead,
     quota::{OrgQuota, admit::admit as admit_quota},
@@ -161,8 +162,16 @@
         let service = route.pick_service(rand::random()).cloned().ok_or(Failure::NoTarget)?;
         self.shared.count_request(&service);
         let priority = org.as_ref().and_then(|org| org.priority).unwrap_or(route.priority);
-        let fingerprint = request_fingerprint(head.uri.path(), request_head.key.as_deref(), &body);
+        let path = head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
         let org_name = org.as_ref().map(|org| &*org.name);
+        let identity = RequestIdentity {
+            method: head.method.as_str(),
+            host: &route.host,
+            path: path.as_str(),
+            org: org_name,
+            body: &body,
+        };
+        let fingerprint = identity.fingerprint();
         let parts = part_fingerprints(&service, org_name, &request_head.prompt);
         let verdict = self.shared.state().poison.verdict(self.shared.now(), fingerprint, &parts);
         if let Some(verdict) = verdict {
@@ -188,7 +197,7 @@
             parts,
             max_pause,
             method: head.method,
-            path: head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/")),
+            path,
             body,
             _body_memory: body_memory,
             cutoff: head.extensions.get().cloned(),
--- a/components/gateway/tests/parts.rs
+++ b/components/gateway/tests/parts.rs
@@ -6,12 +6,11 @@
 use chervilgate_gateway::{
     Prompt, PromptPart,
     config::{CallerLimits, Config, Route, RouteKind},
-    poison::{
-        FailedRun, PoisonGuard, PoisonVerdict, SharedParts, part_fingerprints, request_fingerprint,
-    },
+    identity::RequestIdentity,
+    poison::{FailedRun, PoisonGuard, PoisonVerdict, SharedParts, part_fingerprints},
     view::{ConfigView, Confirmation, ConfirmationRequest},
 };
-use chervilgate_policy::{CrashId, TargetId};
+use chervilgate_policy::{CrashId, Fingerprint, TargetId};
 use rand::RngExt;
 use rand_pcg::Pcg64;
 
@@ -272,11 +271,16 @@
     assert!(view.is_fresh(late));
 }
 
+/// Fingerprint of the request with this path and body.
+fn fingerprint(path: &str, body: &[u8]) -> Fingerprint {
+    RequestIdentity { method: "POST", host: "x.example", path, org: None, body }.fingerprint()
+}
+
 #[test]
 fn a_request_that_broke_three_runs_does_not_run_again() {
     let now = Time::from_secs(9);
-    let request = request_fingerprint("/a/", Some("key"), b"body");
-    let other = request_fingerprint("/a/", Some("key"), b"other body");
+    let request = fingerprint("/a/", b"body");
+    let other = fingerprint("/a/", b"other body");
     let mut guard = PoisonGuard::default();
     let failed = |run| FailedRun { request: request.digest, run };
 
@@ -303,7 +307,7 @@
 
 #[test]
 fn a_whole_answer_acquits_a_request_on_all_hosts() {
-    let request = request_fingerprint("/a/", None, b"body");
+    let request = fingerprint("/a/", b"body");
     let mut guards = [PoisonGuard::default(), PoisonGuard::default()];
     let failed = |run| FailedRun { request: request.digest, run };
     let (broken, answered) = (Time::from_secs(8), Time::from_secs(9));
@@ -323,7 +327,7 @@
 // Guards against requests that hosts pass on again that have started after targets ended under them.
 #[test]
 fn a_host_that_starts_later_learns_of_failed_runs_and_when_they_were() {
-    let request = request_fingerprint("/a/", None, b"body");
+    let request = fingerprint("/a/", b"body");
     let (mut known, mut started) = (PoisonGuard::default(), PoisonGuard::default());
     let (broken, later) = (Time::from_secs(9), Time::from_secs(60));
     for run in 1..=3 {
@@ -343,7 +347,7 @@
 #[test]
 fn runs_that_failed_once_their_answer_had_begun_are_told_with_all_others_only() {
     let now = Time::from_secs(9);
-    let request = request_fingerprint("/a/", None, b"body");
+    let request = fingerprint("/a/", b"body");
     let (mut guard, mut other) = (PoisonGuard::default(), PoisonGuard::default());
     for run in 1..=3 {
         guard.record_begun_run(now, FailedRun { request: request.digest, run });
@@ -362,7 +366,7 @@
     let now = Time::from_secs(9);
     let mut guards = [PoisonGuard::default(), PoisonGuard::default()];
     for number in 0..200_u32 {
-        let request = request_fingerprint("/a/", None, &number.to_le_bytes());
+        let request = fingerprint("/a/", &number.to_le_bytes());
         guards[0].record_run(now, FailedRun { request: request.digest, run: number });
         guards[1].record_run(now, FailedRun { request: request.digest, run: number });
         guards[1].record_answer(now, request, &[]);
@@ -375,7 +379,7 @@
 
 #[test]
 fn a_request_that_was_answered_before_is_refused_only_after_twice_as_many_failed_runs() {
-    let request = request_fingerprint("/a/", None, b"body");
+    let request = fingerprint("/a/", b"body");
     let mut guard = PoisonGuard::default();
     guard.record_answer(Time::from_secs(8), request, &[]);
     let now = Time::from_secs(9);
@@ -396,7 +400,7 @@
     const MAX_RUNS: u32 = 6;
     let mut rng = Pcg64::new(7, 7);
     let mut guard = PoisonGuard::default();
-    let culprit = request_fingerprint("/culprit/", None, b"body");
+    let culprit = fingerprint("/culprit/", b"body");
     let (mut culprit_runs, mut refused) = (0, 0);
 
     for number in 0..SOUND {
@@ -405,7 +409,7 @@
             culprit_runs += 1;
             guard.record_run(now, FailedRun { request: culprit.digest, run: culprit_runs });
         }
-        let request = request_fingerprint("/sound/", None, &number.to_le_bytes());
+        let request = fingerprint("/sound/", &number.to_le_bytes());
         for run in 0..MAX_RUNS {
             if guard.verdict(now, request, &[]).is_some() {
                 refused += 1;
@@ -445,7 +449,7 @@
 #[test]
 fn a_request_is_sent_again_after_one_crash_with_its_parts_but_not_after_two() {
     let now = Time::from_secs(9);
-    let request = request_fingerprint("/a/", None, b"body");
+    let request = fingerprint("/a/", b"body");
     let parts = shared_parts("org-1", &[7, 8]);
     let mut guard = PoisonGuard::default();
 
@@ -462,7 +466,7 @@
 #[test]
 fn hosts_reach_one_verdict_from_what_each_saw() {
     let now = Time::from_secs(9);
-    let request = request_fingerprint("/a/", None, b"body");
+    let request = fingerprint("/a/", b"body");
     let mut guards = [PoisonGuard::default(), PoisonGuard::default(), PoisonGuard::default()];
     for (target, guard) in (1..).zip(&mut guards) {
         guard.record_crash(now, crash(target), &shared_parts("org-1", &[u64::from(target), 66]));
@@ -484,7 +488,7 @@
 fn a_host_that_has_answers_with_a_part_acquits_it_on_all_hosts() {
     let now = Time::from_secs(9);
     let (answered, parts) = (Time::from_secs(8), shared_parts("org-1", &[7]));
-    let request = request_fingerprint("/a/", None, b"body");
+    let request = fingerprint("/a/", b"body");
     let (mut knowing, mut accusing) = (PoisonGuard::default(), PoisonGuard::default());
     knowing.record_answer(answered, request, &parts);
     for target in 1..=4 {
