Poison requests: failed runs are kept by request

Two faults came from one memory for all requests. A request that was cleared by an answer was refused again for the same runs once the host had answered some 4,096 others, as the answer was forgotten and the runs were not: after seconds on a busy host. And 1,024 failed runs of others, as where a zone ends, took the place of those for which a request was refused, so that it crashed three targets more.

Failed runs of whole requests now stand in a table by request (policy/suspects.rs). An answer drops them, and when the table is full those requests go first that are not refused. Hosts tell each other of the runs of refused requests first. Answers are remembered to tell late news of earlier runs and to need twice the runs, for ten minutes at most.

Both tests in gateway/tests/parts.rs fail on the code before (a verdict where none is due, and none where one is).

--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -208,9 +208,7 @@
         let kv_tokens = encode_kv_tokens(&shared, now);
         let (work, parts, failed_runs, evidence, limits, outcomes, waiting, peers, in_charge) = {
             let mut state = shared.state();
-            let mut failed_runs = state.poison.runs_to_gossip(now);
-            // Not all may fit; each round tells of others.
-            failed_runs.shuffle(&mut rand::rng());
+            let failed_runs = state.poison.runs_to_gossip(now);
             let peers = state.membership.gossip_addrs();
             let span = rotation_time(peers.len());
             let parts = state.fleet.recent_parts(now, span);
--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -11,7 +11,7 @@
 use chervilgate_clock::Time;
 use chervilgate_policy::{
     AffectedRequest, CrashId, CrashNotice, Fingerprint, OrgId, PoisonDetector, PoisonSettings,
-    PoisonStatus, PoisonSubject, TargetId,
+    PoisonStatus, PoisonSubject, SuspectSettings, SuspectStatus, Suspects, Trial,
 };
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
@@ -19,8 +19,7 @@
 
 use crate::{hash::stable_hash, protocol::Prompt};
 
-/// Failed runs after which a request is not run again, and crashes from which a part is not; the
-/// users' rules allow three and five.
+/// Crashes from which a part is refused; the users' rules allow five.
 const MIN_CRASHES: usize = 3;
 
 /// Crashes that accuse a part of a request from which the request is not sent again after a
@@ -31,12 +30,6 @@
 /// each would leave no room in the messages for parts that were answered.
 const MIN_TOLD_RUNS: usize = 2;
 
-/// Time for which a failed run counts.
-const RUN_TTL: Duration = Duration::from_secs(120);
-
-/// Maximum number of failed runs remembered.
-const MAX_RUNS: usize = 1_024;
-
 /// Time for which a failed run or a crash is repeated in gossip messages.
 const GOSSIP_TIME: Duration = Duration::from_secs(3);
 
@@ -66,27 +59,6 @@
     pub run: u32,
 }
 
-impl FailedRun {
-    /// The run that a notice of [`FailedRun::to_notice`] stands for.
-    fn of(notice: &CrashNotice) -> Option<FailedRun> {
-        let run = u32::try_from(notice.crash.incarnation).ok()?;
-        Some(FailedRun { request: notice.runs.first()?.fingerprint.digest, run })
-    }
-
-    /// Whether the target ended is not known, so each run counts by itself.
-    fn crash_id(self) -> CrashId {
-        CrashId { target: TargetId(0), incarnation: self.run.into() }
-    }
-
-    fn to_notice(self) -> CrashNotice {
-        let fingerprint = Fingerprint { org: OrgId(0), digest: self.request };
-        CrashNotice {
-            crash: self.crash_id(),
-            runs: [AffectedRequest { fingerprint, open: true }].into_iter().collect(),
-        }
-    }
-}
-
 /// What a host tells others of crashed targets.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 #[derive(Serialize, Deserialize)]
@@ -109,7 +81,7 @@
 /// What is known on all hosts of requests and parts that crash targets.
 #[derive(Debug)]
 pub struct PoisonGuard {
-    requests: PoisonDetector,
+    requests: Suspects,
     parts: PoisonDetector,
     /// Requests and parts that others are to be told were answered, with the number of rounds left.
     acquitted: HashMap<u64, u8>,
@@ -117,20 +89,13 @@
 
 impl Default for PoisonGuard {
     fn default() -> PoisonGuard {
-        let requests = PoisonSettings {
-            min_crashes: MIN_CRASHES,
-            retention: RUN_TTL,
-            max_crashes: MAX_RUNS,
-            max_requests: 1,
-            ..PoisonSettings::default()
-        };
         let parts = PoisonSettings {
             subject: PoisonSubject::Parts,
             min_crashes: MIN_CRASHES,
             ..PoisonSettings::default()
         };
         PoisonGuard {
-            requests: PoisonDetector::new(requests),
+            requests: Suspects::new(SuspectSettings::default()),
             parts: PoisonDetector::new(parts),
             acquitted: HashMap::new(),
         }
@@ -141,10 +106,10 @@
     /// Records a failed run; a repeat has no effect.
     pub fn record_run(&mut self, now: Time, run: FailedRun) {
         // Each host repeats a run many times, so most of what comes is known.
-        if !self.requests.knows(run.crash_id()) {
-            self.requests.merge_notice(now, now, &run.to_notice());
+        if !self.requests.knows(run.request, run.run) {
+            self.requests.record_run(now, now, run.request, run.run);
         }
-        if self.requests.is_sound(run.request) && self.is_told(now, run.request) {
+        if self.requests.answered_at(run.request).is_some() && self.is_told(now, run.request) {
             self.tell_sound([run.request]);
         }
     }
@@ -153,12 +118,12 @@
     /// news in each message: where many targets end, streams break off by the hundred.
     pub fn record_begun_run(&mut self, now: Time, run: FailedRun) {
         let at = now.saturating_sub(GOSSIP_TIME + Duration::from_millis(1));
-        self.requests.merge_notice(now, at, &run.to_notice());
+        self.requests.record_run(now, at, run.request, run.run);
     }
 
     /// Number of failed runs that count against a request.
     pub fn run_count(&self, now: Time, request: Fingerprint) -> usize {
-        self.requests.crash_count(now, request)
+        self.requests.run_count(now, request.digest)
     }
 
     /// Records that a target ended before it had begun to answer a request with these parts.
@@ -176,11 +141,10 @@
         request: Fingerprint,
         parts: &[Fingerprint],
     ) -> usize {
-        let acquitted_runs = self.run_count(now, request);
         if self.is_told(now, request.digest) {
             self.acquitted.insert(request.digest, ACQUITTAL_ROUNDS);
         }
-        self.requests.record_sound(now, request.digest);
+        let acquitted_runs = self.requests.record_answer(now, request.digest);
         for part in parts {
             if self.parts.record_sound(now, part.digest) {
                 self.acquitted.insert(part.digest, ACQUITTAL_ROUNDS);
@@ -197,10 +161,14 @@
             self.tell_sound(self.parts.sound_parts(notice));
         }
         for digest in evidence.acquitted.iter().copied() {
-            let is_request = self.requests.accuses(now, digest);
-            let is_told = !is_request || self.is_told(now, digest);
-            let detector = if is_request { &mut self.requests } else { &mut self.parts };
-            if detector.record_sound(now, digest) && is_told {
+            let is_news = if self.requests.run_count(now, digest) > 0 {
+                let is_told = self.is_told(now, digest);
+                self.requests.record_answer(now, digest);
+                is_told
+            } else {
+                self.parts.record_sound(now, digest)
+            };
+            if is_news {
                 self.acquitted.insert(digest, ACQUITTAL_ROUNDS);
             }
         }
@@ -208,7 +176,7 @@
 
     /// Whether other hosts are told that the request with this digest was answered.
     fn is_told(&self, now: Time, digest: u64) -> bool {
-        self.requests.accusation_count(now, digest) >= MIN_TOLD_RUNS
+        self.requests.run_count(now, digest) >= MIN_TOLD_RUNS
     }
 
     /// Has another host told that these were answered here, which it may not know.
@@ -225,7 +193,7 @@
         request: Fingerprint,
         parts: &[Fingerprint],
     ) -> Option<PoisonVerdict> {
-        if matches!(self.requests.check(now, request), PoisonStatus::Quarantined(_)) {
+        if self.requests.status(now, request.digest) != SuspectStatus::Clear {
             return Some(PoisonVerdict::Request);
         }
         self.parts_verdict(now, parts)
@@ -245,28 +213,68 @@
             && parts.iter().all(|part| self.parts.crash_count(now, *part) <= MAX_RETRY_CRASHES)
     }
 
-    /// Recent failed runs to send to other hosts.
+    /// Begins a trial of a request that is refused for its failed runs, if one is due here; `rank` others take their
+    /// turn before this host.
+    pub fn begin_trial(
+        &mut self,
+        now: Time,
+        request: Fingerprint,
+        parts: &[Fingerprint],
+        rank: usize,
+    ) -> Option<Trial> {
+        if self.parts_verdict(now, parts).is_some() {
+            return None;
+        }
+        self.requests.begin_trial(now, request.digest, rank)
+    }
+
+    /// Records that the trial of a request ended without a run.
+    pub fn cancel_trial(&mut self, request: Fingerprint) {
+        self.requests.cancel_trial(request.digest);
+    }
+
+    /// Why a request may not be sent, whose trial this is; none if it may.
+    pub fn trial_verdict(
+        &self,
+        now: Time,
+        request: Fingerprint,
+        parts: &[Fingerprint],
+        trial: Trial,
+    ) -> Option<PoisonVerdict> {
+        if !self.requests.allows(now, request.digest, trial) {
+            return Some(PoisonVerdict::Request);
+        }
+        self.parts_verdict(now, parts)
+    }
+
+    /// Recent failed runs to send to other hosts, of refused requests first; not all may fit, and each call puts
+    /// others first.
     pub fn runs_to_gossip(&self, now: Time) -> Vec<FailedRun> {
-        let recent = self.requests.notices_since(now.saturating_sub(GOSSIP_TIME));
-        recent.iter().filter_map(|(_, notice)| FailedRun::of(notice)).collect()
+        let runs = self.runs_since(now, now.saturating_sub(GOSSIP_TIME));
+        runs.into_iter().map(|(_, run)| run).collect()
     }
 
-    /// All known failed runs with the milliseconds since each, in random order, for hosts that have
-    /// started since.
+    /// All known failed runs with the milliseconds since each, in the same order, for hosts that have started since.
     pub fn all_runs(&self, now: Time) -> Vec<(u32, FailedRun)> {
-        let runs = self.requests.notices_since(Time::ZERO).into_iter();
-        let runs = runs.filter_map(|(at, notice)| Some((age(now, at), FailedRun::of(&notice)?)));
-        let mut runs: Vec<(u32, FailedRun)> = runs.collect();
+        self.runs_since(now, Time::ZERO)
+    }
+
+    fn runs_since(&self, now: Time, since: Time) -> Vec<(u32, FailedRun)> {
+        let mut runs = self.requests.runs_since(now, since);
         runs.shuffle(&mut rand::rng());
-        runs
+        runs.sort_by_key(|known| !known.is_refused);
+        let runs = runs
+            .into_iter()
+            .map(|known| (age(now, known.at), FailedRun { request: known.digest, run: known.run }));
+        runs.collect()
     }
 
     /// Records failed runs that another host tells of, with the milliseconds since each.
     pub fn merge_runs(&mut self, now: Time, runs: &[(u32, FailedRun)]) {
         for (age, run) in runs {
             let at = now.saturating_sub(Duration::from_millis((*age).into()));
-            if !self.requests.knows(run.crash_id()) {
-                self.requests.merge_notice(now, at, &run.to_notice());
+            if !self.requests.knows(run.request, run.run) {
+                self.requests.record_run(now, at, run.request, run.run);
             }
         }
     }
--- a/components/gateway/tests/parts.rs
+++ b/components/gateway/tests/parts.rs
@@ -504,3 +504,42 @@
     assert_eq!(accusing.verdict(now, request, &parts), None);
     assert_eq!(told.acquitted, [parts[0].digest]);
 }
+
+// Guards against sound requests that are refused again for what they were cleared of, once the host has answered
+// thousands of others.
+#[test]
+fn an_answer_clears_a_request_however_many_others_are_answered_after_it() {
+    const OTHERS: u64 = 20_000;
+    let request = fingerprint("/a/", b"body");
+    let mut guard = PoisonGuard::default();
+    for run in 1..=3 {
+        guard.record_run(Time::from_secs(9), FailedRun { request: request.digest, run });
+    }
+    guard.record_answer(Time::from_secs(10), request, &[]);
+
+    for other in 0..OTHERS {
+        let other = fingerprint("/other/", &other.to_le_bytes());
+        guard.record_answer(Time::from_secs(11), other, &[]);
+    }
+
+    assert_eq!(guard.verdict(Time::from_secs(12), request, &[]), None);
+}
+
+// Guards against requests that crash targets again, since the failed runs of others took the place of theirs.
+#[test]
+fn a_request_stays_refused_however_many_runs_of_others_fail() {
+    const OTHERS: u32 = 20_000;
+    let now = Time::from_secs(11);
+    let request = fingerprint("/a/", b"body");
+    let mut guard = PoisonGuard::default();
+    for run in 1..=3 {
+        guard.record_run(Time::from_secs(9), FailedRun { request: request.digest, run });
+    }
+
+    for run in 0..OTHERS {
+        let other = fingerprint("/other/", &run.to_le_bytes());
+        guard.record_run(now, FailedRun { request: other.digest, run });
+    }
+
+    assert_eq!(guard.verdict(now, request, &[]), Some(PoisonVerdict::Request));
+}
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -24,6 +24,7 @@
 mod spending;
 mod stream;
 mod subset;
+mod suspects;
 mod target;
 
 pub use crate::{
@@ -59,5 +60,6 @@
     },
     stream::{AttemptNo, Delivery, Resume, StreamTable},
     subset::{TargetLocation, choose_subset},
+    suspects::{KnownRun, SuspectSettings, SuspectStatus, Suspects, Trial},
     target::{LoadReport, PricingClass, Role, Target, TargetSpecs, TargetState},
 };
--- /dev/null
+++ b/components/policy/src/suspects.rs
@@ -0,0 +1,313 @@
+//! Requests whose runs fail, one after another, since they may crash the targets that run them.
+//!
+//! Whether a request crashes targets shows only when it runs. A run that fails accuses it, and a whole answer
+//! clears it, since a request that crashes targets is never answered. From [`SuspectSettings::min_runs`] failed
+//! runs in a row it is refused.
+//!
+//! Runs of sound requests fail too, where a target ends that runs them along with others, and what is refused is
+//! never answered. So a refused request is tried again now and then, one run at a time on all hosts together:
+//! - A trial is due some time after the last failed run. The time depends on the request, so that requests which
+//!   failed together are not tried together.
+//! - The hosts take turns in an order by rank, since several may be sent the request at once.
+//! - A request whose trials fail as well is refused for long. Runs that were under way when it was refused are
+//!   no trials.
+//!
+//! A request that was answered before needs more failed runs to be refused. All hosts apply these rules to the
+//! failed runs that they tell each other of.
+
+use std::{collections::HashMap, time::Duration};
+
+use chervilgate_clock::Time;
+use smallvec::SmallVec;
+
+#[cfg(test)]
+mod tests;
+
+/// Maximum number of digests remembered as answered; the oldest are dropped first.
+const MAX_ANSWERED: usize = 8_192;
+
+/// Factor to the number of failed runs from which a request that was answered before is refused.
+const ANSWERED_FACTOR: usize = 2;
+
+/// Maximum number of failed runs remembered of a request.
+const MAX_RUNS: usize = 16;
+
+/// Part of its delay by which the trial of a request may come later, depending on the request.
+const TRIAL_SPREAD: f64 = 0.3;
+
+/// Settings of [`Suspects`].
+#[derive(Debug, Clone, PartialEq)]
+pub struct SuspectSettings {
+    /// Failed runs in a row from which a request is refused.
+    pub min_runs: usize,
+    /// Times from the last failed run to the trials of a request.
+    pub trial_delays: SmallVec<[Duration; 2]>,
+    /// Time for which each host leaves a trial to those that rank before it.
+    pub turn: Duration,
+    /// Time in which all hosts hear of a failed run. Runs that fail within it after the one for which the request is
+    /// refused may have been under way.
+    pub settle_time: Duration,
+    /// Time for which a failed run counts, and a request is refused that may be tried again.
+    pub run_ttl: Duration,
+    /// Time from its last failed run for which a request is refused whose trials have failed.
+    pub refusal_time: Duration,
+    /// Maximum number of requests with failed runs.
+    pub max_requests: usize,
+}
+
+impl Default for SuspectSettings {
+    fn default() -> SuspectSettings {
+        SuspectSettings {
+            min_runs: 3,
+            trial_delays: [Duration::from_secs(15), Duration::from_secs(45)].into_iter().collect(),
+            turn: Duration::from_secs(3),
+            settle_time: Duration::from_secs(3),
+            run_ttl: Duration::from_secs(120),
+            refusal_time: Duration::from_secs(600),
+            max_requests: 4_096,
+        }
+    }
+}
+
+/// A run that failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Run {
+    id: u32,
+    at: Time,
+}
+
+/// What is known of a request with failed runs.
+#[derive(Debug, Clone, Default)]
+struct Suspect {
+    /// Failed runs since its last answer, in the order of their times.
+    runs: SmallVec<[Run; 4]>,
+    /// When a trial began on this host whose end is not known.
+    trial_at: Option<Time>,
+}
+
+impl Suspect {
+    fn last(&self) -> Option<Time> {
+        self.runs.last().map(|run| run.at)
+    }
+}
+
+/// Whether a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SuspectStatus {
+    /// It may.
+    Clear,
+    /// It is refused.
+    Refused {
+        /// When it may be tried again by the host that ranks first; none if not again.
+        trial_from: Option<Time>,
+    },
+}
+
+/// The trial of a refused request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Trial {
+    /// Failed runs that were known as it began.
+    known_runs: usize,
+}
+
+/// A failed run, as hosts tell each other of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KnownRun {
+    /// Digest of the request.
+    pub digest: u64,
+    /// Distinguishes the runs of a request.
+    pub run: u32,
+    /// When it failed.
+    pub at: Time,
+    /// Whether the request has enough failed runs to be refused.
+    pub is_refused: bool,
+}
+
+/// The requests with failed runs that a host knows of.
+#[derive(Debug)]
+pub struct Suspects {
+    settings: SuspectSettings,
+    suspects: HashMap<u64, Suspect>,
+    /// When requests were last answered.
+    answered: HashMap<u64, Time>,
+}
+
+impl Suspects {
+    /// Creates a table without requests.
+    pub fn new(settings: SuspectSettings) -> Suspects {
+        Suspects { settings, suspects: HashMap::new(), answered: HashMap::new() }
+    }
+
+    /// Records that run `run` of the request with this digest failed at `at`. A repeat has no effect, nor has a run
+    /// from before its last answer.
+    pub fn record_run(&mut self, now: Time, at: Time, digest: u64, run: u32) {
+        if self.is_forgotten(now, at, 1) || self.answered_at(digest).is_some_and(|end| at <= end) {
+            return;
+        }
+        if !self.suspects.contains_key(&digest) && self.suspects.len() >= self.settings.max_requests
+        {
+            self.make_room(now);
+        }
+        let mut suspect = self.suspects.remove(&digest).unwrap_or_default();
+        self.forget_runs(now, &mut suspect);
+        if suspect.runs.iter().all(|known| known.id != run) {
+            let index = suspect.runs.partition_point(|known| known.at <= at);
+            suspect.runs.insert(index, Run { id: run, at });
+            if suspect.runs.len() > MAX_RUNS {
+                suspect.runs.remove(MAX_RUNS - 1);
+            }
+        }
+        self.suspects.insert(digest, suspect);
+    }
+
+    /// Records that a request was answered in full. Returns how many failed runs this clears it of.
+    pub fn record_answer(&mut self, now: Time, digest: u64) -> usize {
+        let count = self.run_count(now, digest);
+        self.suspects.remove(&digest);
+        self.answered.insert(digest, now);
+        if self.answered.len() > MAX_ANSWERED {
+            let mut times: Vec<Time> = self.answered.values().copied().collect();
+            let middle = times.len() / 2;
+            let median = *times.select_nth_unstable(middle).1;
+            self.answered.retain(|_, at| *at > median);
+        }
+        count
+    }
+
+    /// Whether the run is known, or from before the last answer.
+    pub fn knows(&self, digest: u64, run: u32) -> bool {
+        let suspect = self.suspects.get(&digest);
+        suspect.is_some_and(|suspect| suspect.runs.iter().any(|known| known.id == run))
+    }
+
+    /// When the request was last answered in full, if that is remembered.
+    pub fn answered_at(&self, digest: u64) -> Option<Time> {
+        self.answered.get(&digest).copied()
+    }
+
+    /// Number of failed runs of a request since its last answer.
+    pub fn run_count(&self, now: Time, digest: u64) -> usize {
+        self.suspects.get(&digest).map_or(0, |suspect| self.fresh_runs(now, suspect).len())
+    }
+
+    /// Whether a request may run, apart from trials.
+    pub fn status(&self, now: Time, digest: u64) -> SuspectStatus {
+        let Some(suspect) = self.suspects.get(&digest) else { return SuspectStatus::Clear };
+        let runs = self.fresh_runs(now, suspect);
+        let Some(last) = runs.last() else { return SuspectStatus::Clear };
+        if runs.len() < self.required_runs(now, digest) {
+            return SuspectStatus::Clear;
+        }
+        let delay = self.settings.trial_delays.get(self.trial_count(runs));
+        let refusal_time =
+            if delay.is_some() { self.settings.run_ttl } else { self.settings.refusal_time };
+        if now.since(last.at) >= refusal_time {
+            return SuspectStatus::Clear;
+        }
+        let since = suspect.trial_at.unwrap_or(last.at).max(last.at);
+        let trial_from = delay.map(|delay| since + delay.mul_f64(1.0 + spread(digest)));
+        SuspectStatus::Refused { trial_from }
+    }
+
+    /// Begins a trial of a request if it is refused and a trial is due at this host, before which `rank` others take
+    /// their turn.
+    pub fn begin_trial(&mut self, now: Time, digest: u64, rank: usize) -> Option<Trial> {
+        let SuspectStatus::Refused { trial_from } = self.status(now, digest) else { return None };
+        let wait = self.settings.turn * u32::try_from(rank).unwrap_or(u32::MAX);
+        if now < trial_from? + wait {
+            return None;
+        }
+        let known_runs = self.run_count(now, digest);
+        self.suspects.get_mut(&digest)?.trial_at = Some(now);
+        Some(Trial { known_runs })
+    }
+
+    /// Records that a trial ended without a run, so that another may begin.
+    pub fn cancel_trial(&mut self, digest: u64) {
+        if let Some(suspect) = self.suspects.get_mut(&digest) {
+            suspect.trial_at = None;
+        }
+    }
+
+    /// Whether a trial may still send the request: no other run has failed since it began.
+    pub fn allows(&self, now: Time, digest: u64, trial: Trial) -> bool {
+        self.run_count(now, digest) <= trial.known_runs
+    }
+
+    /// The failed runs since `since`, in no order.
+    pub fn runs_since(&self, now: Time, since: Time) -> Vec<KnownRun> {
+        let runs = self.suspects.iter().flat_map(|(digest, suspect)| {
+            let runs = self.fresh_runs(now, suspect);
+            let is_refused = runs.len() >= self.settings.min_runs;
+            let recent = runs.iter().filter(move |run| run.at >= since);
+            recent.map(move |run| KnownRun { digest: *digest, run: run.id, at: run.at, is_refused })
+        });
+        runs.collect()
+    }
+
+    /// Number of runs that failed too late to have been under way when the request was refused.
+    fn trial_count(&self, runs: &[Run]) -> usize {
+        let Some(refused) = runs.get(self.settings.min_runs - 1) else { return 0 };
+        let settled = refused.at + self.settings.settle_time;
+        runs.iter().filter(|run| run.at > settled).count()
+    }
+
+    /// Number of failed runs from which a request is refused.
+    fn required_runs(&self, now: Time, digest: u64) -> usize {
+        let answered = self.answered_at(digest);
+        let is_known = answered.is_some_and(|at| now.since(at) < self.settings.refusal_time);
+        self.settings.min_runs * if is_known { ANSWERED_FACTOR } else { 1 }
+    }
+
+    /// Whether a run that failed at `at` does not count any more, as the last of `count` runs.
+    fn is_forgotten(&self, now: Time, at: Time, count: usize) -> bool {
+        let is_few = count < self.settings.min_runs;
+        let ttl = if is_few { self.settings.run_ttl } else { self.settings.refusal_time };
+        now.since(at) >= ttl
+    }
+
+    /// The runs that still count: all of a request with enough to be refused, and otherwise those that are recent.
+    fn fresh_runs<'a>(&self, now: Time, suspect: &'a Suspect) -> &'a [Run] {
+        let count = suspect.runs.len();
+        if suspect.last().is_none_or(|last| self.is_forgotten(now, last, count)) {
+            return &[];
+        }
+        if count >= self.settings.min_runs {
+            return &suspect.runs;
+        }
+        let first = suspect.runs.partition_point(|run| self.is_forgotten(now, run.at, count));
+        &suspect.runs[first..]
+    }
+
+    fn forget_runs(&self, now: Time, suspect: &mut Suspect) {
+        let forgotten = suspect.runs.len() - self.fresh_runs(now, suspect).len();
+        suspect.runs.drain(..forgotten);
+    }
+
+    /// Drops what is forgotten, and, if that is little, the older half of the requests that are not refused, or of
+    /// all if most are.
+    fn make_room(&mut self, now: Time) {
+        let mut suspects = std::mem::take(&mut self.suspects);
+        suspects.retain(|_, suspect| !self.fresh_runs(now, suspect).is_empty());
+        let half = self.settings.max_requests / 2;
+        let is_refused = |suspect: &Suspect| suspect.runs.len() >= self.settings.min_runs;
+        if suspects.len() > half {
+            let refused = suspects.values().filter(|suspect| is_refused(suspect)).count();
+            let keeps_refused = refused <= half;
+            let candidates = suspects.values().filter(|one| !keeps_refused || !is_refused(one));
+            let mut times: Vec<Time> = candidates.filter_map(Suspect::last).collect();
+            let middle = times.len() / 2;
+            let median = times.select_nth_unstable(middle).1.to_owned();
+            suspects.retain(|_, suspect| {
+                (keeps_refused && is_refused(suspect))
+                    || suspect.last().is_some_and(|last| last > median)
+            });
+        }
+        self.suspects = suspects;
+    }
+}
+
+/// By how much of its delay the trial of a request comes later.
+fn spread(digest: u64) -> f64 {
+    f64::from((digest >> 32) as u32) / f64::from(u32::MAX) * TRIAL_SPREAD
+}
--- /dev/null
+++ b/components/policy/src/suspects/tests.rs
@@ -0,0 +1,149 @@
+use super::*;
+
+const REQUEST: u64 = 7;
+
+fn suspects() -> Suspects {
+    Suspects::new(SuspectSettings::default())
+}
+
+fn at(secs: u64) -> Time {
+    Time::from_secs(secs)
+}
+
+/// Records runs of `digest` that failed at these seconds, numbered from `first`.
+fn fail(suspects: &mut Suspects, digest: u64, first: u32, seconds: &[u64]) {
+    for (run, second) in (first..).zip(seconds) {
+        suspects.record_run(at(*second), at(*second), digest, run);
+    }
+}
+
+fn is_refused(suspects: &Suspects, second: u64) -> bool {
+    suspects.status(at(second), REQUEST) != SuspectStatus::Clear
+}
+
+#[test]
+fn refuses_a_request_from_three_failed_runs_until_it_is_answered() {
+    let mut suspects = suspects();
+
+    fail(&mut suspects, REQUEST, 1, &[1, 2]);
+    let after_two = is_refused(&suspects, 3);
+    fail(&mut suspects, REQUEST, 3, &[3]);
+    let after_three = is_refused(&suspects, 4);
+    let cleared = suspects.record_answer(at(5), REQUEST);
+
+    assert_eq!((after_two, after_three, cleared), (false, true, 3));
+    assert!(!is_refused(&suspects, 6));
+}
+
+#[test]
+fn counts_no_run_twice_and_none_from_before_an_answer() {
+    let mut suspects = suspects();
+    fail(&mut suspects, REQUEST, 1, &[1, 2]);
+    suspects.record_answer(at(3), REQUEST);
+
+    for run in [1, 2, 8, 8, 8] {
+        let failed = if run == 8 { at(5) } else { at(2) };
+        suspects.record_run(at(6), failed, REQUEST, run);
+    }
+
+    assert_eq!(suspects.run_count(at(6), REQUEST), 1);
+}
+
+#[test]
+fn tries_a_refused_request_again_one_run_at_a_time() {
+    let mut suspects = suspects();
+    fail(&mut suspects, REQUEST, 1, &[1, 2, 3]);
+
+    let early = suspects.begin_trial(at(17), REQUEST, 0);
+    let out_of_turn = suspects.begin_trial(at(18), REQUEST, 1);
+    let trial = suspects.begin_trial(at(18), REQUEST, 0).unwrap();
+    let second = suspects.begin_trial(at(19), REQUEST, 0);
+    let may_send = suspects.allows(at(19), REQUEST, trial);
+    fail(&mut suspects, REQUEST, 4, &[20]);
+
+    assert_eq!((early, out_of_turn, second), (None, None, None));
+    assert!(may_send && !suspects.allows(at(21), REQUEST, trial));
+}
+
+#[test]
+fn lets_other_hosts_take_their_turns() {
+    let mut suspects = suspects();
+    fail(&mut suspects, REQUEST, 1, &[1, 2, 3]);
+
+    let turns: Vec<Option<usize>> =
+        (18..25).map(|second| (0..9).rev().find(|rank| suspects.is_due(second, *rank))).collect();
+    suspects.cancel_trial(REQUEST);
+
+    assert_eq!(turns, [Some(0), Some(0), Some(0), Some(1), Some(1), Some(1), Some(2)]);
+}
+
+impl Suspects {
+    /// Whether a trial is due at the host with this rank.
+    fn is_due(&mut self, second: u64, rank: usize) -> bool {
+        let is_due = self.begin_trial(at(second), REQUEST, rank).is_some();
+        self.cancel_trial(REQUEST);
+        is_due
+    }
+}
+
+#[test]
+fn refuses_a_request_for_long_once_its_trials_have_failed() {
+    let mut suspects = suspects();
+    fail(&mut suspects, REQUEST, 1, &[1, 2, 3, 20, 70]);
+
+    let refused = suspects.status(at(71), REQUEST);
+
+    assert_eq!(refused, SuspectStatus::Refused { trial_from: None });
+    assert!(is_refused(&suspects, 669) && !is_refused(&suspects, 670));
+}
+
+#[test]
+fn takes_no_run_for_a_trial_that_was_under_way_before() {
+    let mut suspects = suspects();
+    // Many copies run on the targets that end.
+    fail(&mut suspects, REQUEST, 1, &[1, 2, 3, 3, 4, 5, 6]);
+
+    assert!(suspects.begin_trial(at(21), REQUEST, 0).is_some());
+}
+
+#[test]
+fn needs_twice_the_failed_runs_of_a_request_that_was_answered_before() {
+    let mut suspects = suspects();
+    suspects.record_answer(at(1), REQUEST);
+
+    let refused = (1..=6).map(|run| {
+        fail(&mut suspects, REQUEST, run, &[2]);
+        is_refused(&suspects, 3)
+    });
+
+    assert_eq!(refused.collect::<Vec<_>>(), [false, false, false, false, false, true]);
+}
+
+// Guards against a request that is no longer refused, since many others broke off where targets end.
+#[test]
+fn forgets_requests_that_are_not_refused_first() {
+    const OTHERS: u64 = 20_000;
+    let mut suspects = suspects();
+    fail(&mut suspects, REQUEST, 1, &[1, 2, 3]);
+
+    for other in 100..100 + OTHERS {
+        fail(&mut suspects, other, 1, &[4]);
+    }
+
+    assert!(is_refused(&suspects, 5));
+    assert!(suspects.suspects.len() <= SuspectSettings::default().max_requests);
+}
+
+#[test]
+fn stays_within_its_memory_if_all_are_refused() {
+    let mut suspects = suspects();
+
+    for request in 0..10_000 {
+        let second = 1 + request / 100;
+        fail(&mut suspects, request, 1, &[second, second, second]);
+        suspects.record_answer(at(second), 1_000_000 + request);
+    }
+
+    assert!(suspects.suspects.len() <= SuspectSettings::default().max_requests);
+    assert!(suspects.answered.len() <= MAX_ANSWERED);
+}
