Poison requests: refused requests are tried again

A sound request fails with a target that ends while it runs, and after three such runs in a row it was refused for two minutes. What is refused is never answered, so nothing could clear it. A finer identity has fewer answers to clear it.

A refused request is now tried again 15 to 20 s after its last failed run, and once more 45 to 60 s after that, one run at a time: the hosts take turns by rank, and the time depends on the request, so that a culprit and its company are not tried together. An answer clears it; after two failed trials it is refused for ten minutes. A culprit reaches targets in two retries after its third crash in place of the three that are allowed.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use chervilgate_clients::{Body, ConnectionHandle, SendError, SentOver};
 use chervilgate_clock::Time;
-use chervilgate_policy::Fingerprint;
+use chervilgate_policy::{Fingerprint, Trial};
 use chervilgate_serve::{CallerConnection, Cutoff};
 use hyper::{
     HeaderMap, Method, Request, Response,
@@ -28,7 +28,7 @@
     exchange::{Answer, exchange},
     fleet::{AttemptId, AttemptOutcome, Hold, Placement},
     memory::Reservation,
-    poison::{PoisonVerdict, SharedParts},
+    poison::{PoisonGuard, PoisonVerdict, SharedParts},
     progress::{Progress, Stage},
     protocol::{ForwardedRequest, RequestHead, RequestStage},
     state::Shared,
@@ -50,6 +50,8 @@
     pub(crate) cutoff: Option<Cutoff>,
     pub(crate) ask: RequestHead,
     pub(crate) fingerprint: Fingerprint,
+    /// Set if the request is refused and tried again.
+    pub(crate) trial: Option<Trial>,
     /// Parts of the prompt that other requests may share.
     pub(crate) parts: SharedParts,
     pub(crate) route: Arc<Route>,
@@ -125,6 +127,14 @@
         self.ask.prompt.tokens > 0 && placement.target_wait_ms() > limit
     }
 
+    /// Why it may not be sent for what it may do to targets; none if it may.
+    fn poison_verdict(&self, now: Time, poison: &PoisonGuard) -> Option<PoisonVerdict> {
+        match self.trial {
+            Some(trial) => poison.trial_verdict(now, self.fingerprint, &self.parts, trial),
+            None => poison.verdict(now, self.fingerprint, &self.parts),
+        }
+    }
+
     pub(crate) fn sent_count(&self) -> u32 {
         self.sent.load(Ordering::Relaxed)
     }
@@ -291,7 +301,7 @@
     let import = {
         let mut state = shared.state();
         // All may have changed while the prompt was computed elsewhere.
-        if let Some(verdict) = state.poison.verdict(now, call.fingerprint, &call.parts) {
+        if let Some(verdict) = call.poison_verdict(now, &state.poison) {
             return SendOutcome::NotRun(NotRunReason::Poison(verdict));
         }
         if let Err(hold) = state.fleet.clear_to_send(now, &in_flight.placement) {
--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -56,6 +56,9 @@
             return;
         }
         record(&mut state.poison, now, run);
+        if state.poison.verdict(now, call.fingerprint, &[]).is_some() {
+            shared.broadcast.notify_one();
+        }
         state.poison.run_count(now, call.fingerprint)
     };
     let (id, target) = (&call.ask.id, &placement.id);
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -12,7 +12,7 @@
 use async_trait::async_trait;
 use chervilgate_clients::{Body, BodyError};
 use chervilgate_clock::Time;
-use chervilgate_policy::Charge;
+use chervilgate_policy::{Charge, Fingerprint, Trial};
 use chervilgate_serve::{Handler, HeldBytes};
 use hyper::{
     Request, Response,
@@ -29,7 +29,7 @@
     failure::Failure,
     forward::forward,
     identity::RequestIdentity,
-    poison::part_fingerprints,
+    poison::{PoisonVerdict, SharedParts, part_fingerprints},
     progress::{OpenRequest, Progress, Stage},
     protocol::RequestHead,
     quota::{OrgQuota, admit::admit as admit_quota},
@@ -173,10 +173,15 @@
         };
         let fingerprint = identity.fingerprint();
         let parts = part_fingerprints(&service, org_name, &request_head.prompt);
-        let verdict = self.shared.state().poison.verdict(self.shared.now(), fingerprint, &parts);
-        if let Some(verdict) = verdict {
-            return Err(verdict.into());
-        }
+        let computed = Arc::<AtomicBool>::default();
+        let trial = check_poison(&self.shared, &request_head.id, fingerprint, &parts)?;
+        let trial = trial.map(|trial| OpenTrial {
+            shared: self.shared.clone(),
+            fingerprint,
+            trial,
+            sent: sent.clone(),
+            computed: computed.clone(),
+        });
         let quota = org.as_ref().and_then(|org| org_quota(&self.shared, org, quota_version));
         let charge = match &quota {
             Some(quota) => {
@@ -187,13 +192,13 @@
             }
             None => Charge::default(),
         };
-        let computed = Arc::<AtomicBool>::default();
         let max_pause = {
             let state = self.shared.state();
             state.view.config().and_then(|config| config.max_pause(&service))
         };
         let call = CallerRequest {
             fingerprint,
+            trial: trial.as_ref().map(|open| open.trial),
             parts,
             max_pause,
             method: head.method,
@@ -273,6 +278,47 @@
     }
 }
 
+/// Refuses a request that crashes targets or may do so, unless this is its trial.
+fn check_poison(
+    shared: &Shared,
+    id: &str,
+    fingerprint: Fingerprint,
+    parts: &SharedParts,
+) -> Result<Option<Trial>, Failure> {
+    let now = shared.now();
+    let state = &mut *shared.state();
+    let Some(verdict) = state.poison.verdict(now, fingerprint, parts) else { return Ok(None) };
+    if verdict != PoisonVerdict::Request {
+        return Err(verdict.into());
+    }
+    let request = format!("{:016x}", fingerprint.digest);
+    let runs = state.poison.run_count(now, fingerprint);
+    let rank = state.membership.rank(now, fingerprint.digest, &[]);
+    let Some(trial) = state.poison.begin_trial(now, fingerprint, parts, rank) else {
+        log::info!(target: "gateway", id, request, runs; "request refused for its failed runs");
+        return Err(verdict.into());
+    };
+    log::info!(target: "gateway", id, request, runs; "refused request is tried again");
+    Ok(Some(trial))
+}
+
+/// The trial of a refused request. Dropping it lets another begin, unless the request was sent.
+struct OpenTrial {
+    shared: Arc<Shared>,
+    fingerprint: Fingerprint,
+    trial: Trial,
+    sent: Arc<AtomicU32>,
+    computed: Arc<AtomicBool>,
+}
+
+impl Drop for OpenTrial {
+    fn drop(&mut self) {
+        if self.sent.load(Ordering::Relaxed) == 0 && !self.computed.load(Ordering::Relaxed) {
+            self.shared.state().poison.cancel_trial(self.fingerprint);
+        }
+    }
+}
+
 /// The configuration by which requests are served.
 pub(crate) fn config_in_force(state: &State) -> Result<&Config, Failure> {
     state
