Poison requests: headers and services are told apart

A sound request may be like one that crashes targets in all but a header, such as X-Model or X-Prompt-Prefix, and its answers then acquitted the culprit. With the headers in the identity, one that comes again with another header each time would be new each time. And where a route divides its requests among services, the answers of one acquitted a request at another, whose targets it crashed.

A digest now tells the content, the other headers and the service apart. An answer clears a request at the service that answered; its failed runs at all services count together. Requests with other headers are judged apart, unless runs with three different ones failed at three moments and none was answered since. The digest has 64 bits as before, so messages between hosts stay as they are.

--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -241,7 +241,7 @@
         parts: &[Fingerprint],
         trial: Trial,
     ) -> Option<PoisonVerdict> {
-        if !self.requests.allows(now, request.digest, trial) {
+        if !self.requests.allows(request.digest, trial) {
             return Some(PoisonVerdict::Request);
         }
         self.parts_verdict(now, parts)
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use hyper::{HeaderMap, StatusCode};
+use hyper::{HeaderMap, StatusCode, header::HeaderName};
 use serde_json::Value;
 use smallvec::SmallVec;
 use snafu::Snafu;
@@ -171,6 +171,9 @@
     /// If a required header is missing or invalid.
     fn parse_request(&self, headers: &HeaderMap) -> Result<RequestHead, InvalidHeader>;
 
+    /// Whether a header of a caller's request may tell a target what to do, and is not new for each sending.
+    fn identifies(&self, header: &HeaderName) -> bool;
+
     /// Builds the headers to send to a target from a caller's headers.
     fn target_headers(&self, headers: &HeaderMap, request: &ForwardedRequest<'_>) -> HeaderMap;
 
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -28,7 +28,7 @@
     config::{Config, Org, Route, org_hash},
     failure::Failure,
     forward::forward,
-    identity::RequestIdentity,
+    identity::{RequestContent, RequestIdentity, header_digest},
     poison::{PoisonVerdict, SharedParts, part_fingerprints},
     progress::{OpenRequest, Progress, Stage},
     protocol::RequestHead,
@@ -164,14 +164,17 @@
         let priority = org.as_ref().and_then(|org| org.priority).unwrap_or(route.priority);
         let path = head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
         let org_name = org.as_ref().map(|org| &*org.name);
-        let identity = RequestIdentity {
+        let content = RequestContent {
             method: head.method.as_str(),
             host: &route.host,
             path: path.as_str(),
             org: org_name,
             body: &body,
         };
-        let fingerprint = identity.fingerprint();
+        let headers = head.headers.iter();
+        let headers = headers.filter(|(name, _)| self.shared.protocol.identifies(name));
+        let headers = header_digest(headers);
+        let fingerprint = RequestIdentity { content, headers, service: &service }.fingerprint();
         let parts = part_fingerprints(&service, org_name, &request_head.prompt);
         let computed = Arc::<AtomicBool>::default();
         let trial = check_poison(&self.shared, &request_head.id, fingerprint, &parts)?;
--- a/components/gateway/tests/identity.rs
+++ b/components/gateway/tests/identity.rs
@@ -1,8 +1,12 @@
 //! Tests of which requests are taken for the same one.
 
-use chervilgate_gateway::identity::RequestIdentity;
+use std::collections::HashSet;
 
-const REQUEST: RequestIdentity<'_> = RequestIdentity {
+use chervilgate_gateway::identity::{RequestContent, RequestIdentity, header_digest};
+use chervilgate_policy::Fingerprint;
+use hyper::HeaderMap;
+
+const REQUEST: RequestContent<'_> = RequestContent {
     method: "POST",
     host: "h.example",
     path: "/a/x?week=1",
@@ -10,23 +14,56 @@
     body: b"body",
 };
 
+fn fingerprint(content: RequestContent<'_>) -> Fingerprint {
+    RequestIdentity { content, headers: 1, service: "one" }.fingerprint()
+}
+
 // Guards against sound requests whose answers acquit one that crashes targets and is like them.
 #[test]
 fn requests_that_differ_in_one_part_are_two() {
     let others = [
-        RequestIdentity { method: "PUT", ..REQUEST },
-        RequestIdentity { host: "i.example", ..REQUEST },
-        RequestIdentity { path: "/b/x?week=1", ..REQUEST },
-        RequestIdentity { path: "/a/x?week=2", ..REQUEST },
-        RequestIdentity { path: "/a/x", ..REQUEST },
-        RequestIdentity { org: Some("org-2"), ..REQUEST },
-        RequestIdentity { org: None, ..REQUEST },
-        RequestIdentity { body: b"other body", ..REQUEST },
+        RequestContent { method: "PUT", ..REQUEST },
+        RequestContent { host: "i.example", ..REQUEST },
+        RequestContent { path: "/b/x?week=1", ..REQUEST },
+        RequestContent { path: "/a/x?week=2", ..REQUEST },
+        RequestContent { path: "/a/x", ..REQUEST },
+        RequestContent { org: Some("org-2"), ..REQUEST },
+        RequestContent { org: None, ..REQUEST },
+        RequestContent { body: b"other body", ..REQUEST },
         // The same bytes, divided in another way.
-        RequestIdentity { path: "/a/x?week=1b", body: b"ody", ..REQUEST },
+        RequestContent { path: "/a/x?week=1b", body: b"ody", ..REQUEST },
     ];
 
-    let own = REQUEST.fingerprint();
-    assert!(others.iter().all(|other| other.fingerprint() != own));
-    assert_eq!(RequestIdentity { ..REQUEST }.fingerprint(), own);
+    let own = fingerprint(REQUEST);
+    assert!(others.iter().all(|other| fingerprint(*other) != own));
+    assert_eq!(fingerprint(RequestContent { ..REQUEST }), own);
+}
+
+#[test]
+fn requests_to_other_services_or_with_other_headers_are_told_apart() {
+    let request = RequestIdentity { content: REQUEST, headers: 1, service: "one" };
+    let others =
+        [RequestIdentity { headers: 2, ..request }, RequestIdentity { service: "two", ..request }];
+
+    let prints: HashSet<u64> =
+        others.iter().chain([&request]).map(|one| one.fingerprint().digest).collect();
+
+    assert_eq!(prints.len(), 3);
+}
+
+#[test]
+fn the_digest_of_headers_does_not_depend_on_their_order() {
+    let headers = |pairs: &[(&'static str, &'static str)]| {
+        let mut headers = HeaderMap::new();
+        for (name, value) in pairs {
+            headers.append(*name, value.parse().unwrap());
+        }
+        header_digest(headers.iter())
+    };
+
+    let digest = headers(&[("accept", "a"), ("x-model", "m")]);
+
+    assert_eq!(headers(&[("x-model", "m"), ("accept", "a")]), digest);
+    assert_ne!(headers(&[("accept", "m"), ("x-model", "a")]), digest);
+    assert_ne!(headers(&[("accept", "a")]), digest);
 }
--- a/components/gateway/tests/parts.rs
+++ b/components/gateway/tests/parts.rs
@@ -6,7 +6,7 @@
 use chervilgate_gateway::{
     Prompt, PromptPart,
     config::{CallerLimits, Config, Route, RouteKind},
-    identity::RequestIdentity,
+    identity::{RequestContent, RequestIdentity},
     poison::{FailedRun, PoisonGuard, PoisonVerdict, SharedParts, part_fingerprints},
     view::{ConfigView, Confirmation, ConfirmationRequest},
 };
@@ -273,7 +273,8 @@
 
 /// Fingerprint of the request with this path and body.
 fn fingerprint(path: &str, body: &[u8]) -> Fingerprint {
-    RequestIdentity { method: "POST", host: "x.example", path, org: None, body }.fingerprint()
+    let content = RequestContent { method: "POST", host: "x.example", path, org: None, body };
+    RequestIdentity { content, headers: 0, service: "one" }.fingerprint()
 }
 
 #[test]
--- a/components/gateway/tests/suspects.rs
+++ b/components/gateway/tests/suspects.rs
@@ -7,7 +7,7 @@
 
 use chervilgate_clock::Time;
 use chervilgate_gateway::{
-    identity::RequestIdentity,
+    identity::{RequestContent, RequestIdentity},
     poison::{FailedRun, PoisonGuard},
 };
 use chervilgate_policy::{Fingerprint, Trial};
@@ -19,15 +19,15 @@
 
 /// Times in milliseconds.
 const STEP: u64 = 20;
-const LENGTH: u64 = 300_000;
-const GOSSIP_INTERVAL: u64 = 500;
+const LENGTH: u64 = 500_000;
+const GOSSIP_INTERVAL: u64 = 200;
 const DOWN_TIME: u64 = 2_000;
 /// Time in which all hosts hear of a failed run.
 const CONTACT_TIME: u64 = 3_000;
 
 /// Runs of one attempt of a caller.
 const ATTEMPTS: usize = 2;
-const HISTORIES: u64 = 60;
+const HISTORIES: u64 = 200;
 
 /// Retries of a request that crashes targets which may reach them once hosts have heard of the third crash.
 const MAX_RETRIES: usize = 3;
@@ -38,7 +38,7 @@
 /// Largest share of the sound requests that are refused.
 const MAX_REFUSED_SHARE: f64 = 0.01;
 
-const CULPRIT: RequestIdentity<'_> = RequestIdentity {
+const CONTENT: RequestContent<'_> = RequestContent {
     method: "POST",
     host: "h.example",
     path: "/a/x?week=crash",
@@ -46,9 +46,28 @@
     body: b"body",
 };
 
+const REQUEST: RequestIdentity<'_> =
+    RequestIdentity { content: CONTENT, headers: 1, service: "one" };
+
+/// The requests that crash targets. Sound ones are like the first in all but one part.
+const CULPRITS: [(&str, Varying); 3] = [
+    (CONTENT.path, Varying::Nothing),
+    ("/b/crash", Varying::Headers),
+    ("/c/crash", Varying::Service),
+];
+
+/// What changes as a request comes again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Varying {
+    Nothing,
+    Headers,
+    Service,
+}
+
 /// A request that comes again and again.
 struct Kind {
-    fingerprint: Fingerprint,
+    identity: RequestIdentity<'static>,
+    varying: Varying,
     is_culprit: bool,
     /// Mean time between two arrivals.
     interval: u64,
@@ -66,12 +85,18 @@
 }
 
 impl Kind {
-    fn new(identity: RequestIdentity<'_>, rng: &mut Pcg64) -> Kind {
+    fn new(
+        identity: RequestIdentity<'static>,
+        varying: Varying,
+        is_culprit: bool,
+        rng: &mut Pcg64,
+    ) -> Kind {
         Kind {
-            fingerprint: identity.fingerprint(),
-            is_culprit: identity == CULPRIT,
+            identity,
+            varying,
+            is_culprit,
             interval: rng.random_range(300..15_000),
-            work: rng.random_range(20..3_000),
+            work: rng.random_range(20..2_000),
             next_at: rng.random_range(0..4_000),
             sent: Vec::new(),
             crashes: Vec::new(),
@@ -82,6 +107,16 @@
         }
     }
 
+    /// The fingerprint of the next arrival.
+    fn next(&self, rng: &mut Pcg64) -> Fingerprint {
+        let identity = match self.varying {
+            Varying::Headers => RequestIdentity { headers: rng.random(), ..self.identity },
+            Varying::Service if rng.random() => RequestIdentity { service: "two", ..self.identity },
+            Varying::Service | Varying::Nothing => self.identity,
+        };
+        identity.fingerprint()
+    }
+
     fn record_refused(&mut self, now: u64) {
         self.refused += 1;
         let since = *self.refused_since.get_or_insert(now);
@@ -92,6 +127,7 @@
 /// An attempt of a caller at a target.
 struct Run {
     kind: usize,
+    request: Fingerprint,
     host: usize,
     target: usize,
     ends_at: u64,
@@ -119,23 +155,32 @@
 /// Sound requests that differ from the culprit in one part, and others.
 fn sound_requests() -> Vec<RequestIdentity<'static>> {
     let paths = ["/a/x?week=1", "/a/x?week=2", "/a/x", "/a/y?week=crash", "/b/1", "/b/2", "/b/3"];
-    let paths = paths.map(|path| RequestIdentity { path, ..CULPRIT });
+    let paths = paths.map(|path| RequestContent { path, ..CONTENT });
     let others = [
-        RequestIdentity { method: "PUT", ..CULPRIT },
-        RequestIdentity { host: "i.example", ..CULPRIT },
-        RequestIdentity { org: Some("org-2"), ..CULPRIT },
-        RequestIdentity { org: None, ..CULPRIT },
-        RequestIdentity { body: b"other", ..CULPRIT },
+        RequestContent { method: "PUT", ..CONTENT },
+        RequestContent { host: "i.example", ..CONTENT },
+        RequestContent { org: Some("org-2"), ..CONTENT },
+        RequestContent { org: None, ..CONTENT },
+        RequestContent { body: b"other", ..CONTENT },
     ];
-    paths.into_iter().chain(others).collect()
+    let contents = paths.into_iter().chain(others);
+    let contents = contents.map(|content| RequestIdentity { content, ..REQUEST });
+    contents.chain([RequestIdentity { headers: 2, ..REQUEST }]).collect()
 }
 
 impl World {
     fn new(seed: u64) -> World {
         let mut rng = Pcg64::new(seed.into(), 66);
-        let identities = sound_requests().into_iter().chain([CULPRIT]);
-        let kinds = identities.map(|identity| Kind::new(identity, &mut rng)).collect();
-        let end_interval = rng.random_range(800..20_000);
+        let mut kinds = Vec::new();
+        for identity in sound_requests() {
+            kinds.push(Kind::new(identity, Varying::Nothing, false, &mut rng));
+        }
+        for (path, varying) in CULPRITS {
+            let identity =
+                RequestIdentity { content: RequestContent { path, ..CONTENT }, ..REQUEST };
+            kinds.push(Kind::new(identity, varying, true, &mut rng));
+        }
+        let end_interval = rng.random_range(4_000..40_000);
         World {
             rng,
             now: 0,
@@ -170,7 +215,7 @@
             let interval = self.kinds[kind].interval;
             self.kinds[kind].next_at = self.now + self.rng.random_range(1..2 * interval);
             let host = self.rng.random_range(0..HOSTS);
-            let (now, request) = (time(self.now), self.kinds[kind].fingerprint);
+            let (now, request) = (time(self.now), self.kinds[kind].next(&mut self.rng));
             let mut trial = None;
             if self.guards[host].verdict(now, request, &[]).is_some() {
                 let rank = rank(request.digest, host);
@@ -180,12 +225,18 @@
                     continue;
                 }
             }
-            self.send(kind, host, Vec::new(), trial);
+            self.send((kind, request), host, Vec::new(), trial);
         }
     }
 
-    fn send(&mut self, kind: usize, host: usize, mut tried: Vec<usize>, trial: Option<Trial>) {
-        let (now, request) = (time(self.now), self.kinds[kind].fingerprint);
+    fn send(
+        &mut self,
+        (kind, request): (usize, Fingerprint),
+        host: usize,
+        mut tried: Vec<usize>,
+        trial: Option<Trial>,
+    ) {
+        let now = time(self.now);
         let guard = &mut self.guards[host];
         let verdict = match trial {
             Some(trial) => guard.trial_verdict(now, request, &[], trial),
@@ -205,7 +256,7 @@
         let ends_at = self.now + if is_culprit { STEP } else { work };
         self.kinds[kind].sent.push(self.now);
         self.kinds[kind].refused_since = None;
-        self.runs.push(Run { kind, host, target, ends_at, tried, trial });
+        self.runs.push(Run { kind, request, host, target, ends_at, tried, trial });
     }
 
     fn finish_runs(&mut self) {
@@ -218,8 +269,7 @@
             }
             let run = self.runs.swap_remove(index);
             self.kinds[kind].answered += 1;
-            let request = self.kinds[kind].fingerprint;
-            self.guards[run.host].record_answer(time(self.now), request, &[]);
+            self.guards[run.host].record_answer(time(self.now), run.request, &[]);
         }
     }
 
@@ -230,13 +280,12 @@
         let (failed, left): (Vec<Run>, Vec<Run>) =
             runs.into_iter().partition(|run| run.target == target);
         self.runs = left;
-        for Run { kind, host, tried, trial, .. } in failed {
-            let request = self.kinds[kind].fingerprint;
+        for Run { kind, request, host, tried, trial, .. } in failed {
             let run = FailedRun { request: request.digest, run: self.rng.random() };
             let now = time(self.now);
             self.guards[host].record_run(now, run);
             if tried.len() < ATTEMPTS && self.guards[host].may_retry(now, request, &[]) {
-                self.send(kind, host, tried, trial);
+                self.send((kind, request), host, tried, trial);
             }
         }
     }
@@ -280,7 +329,7 @@
             if kind.is_culprit {
                 let third = kind.crashes.get(2).copied().unwrap_or(LENGTH);
                 let late = kind.sent.iter().filter(|at| **at > third + CONTACT_TIME).count();
-                found.insert(seed, late);
+                found.insert((seed, kind.identity.content.path), late);
                 continue;
             }
             arrivals += kind.sent.len() + kind.refused;
@@ -290,7 +339,7 @@
     }
 
     let late = found.iter().filter(|(_, late)| **late > MAX_RETRIES).collect::<Vec<_>>();
-    assert!(late.is_empty(), "retries of culprits by seed: {late:?}");
+    assert!(late.is_empty(), "retries of culprits by seed and path: {late:?}");
     let share = refused as f64 / arrivals as f64;
     println!("{arrivals} sound requests, {refused} refused, at most for {longest} ms");
     assert!(share <= MAX_REFUSED_SHARE, "{refused} of {arrivals} sound requests refused");
--- a/components/policy/src/suspects.rs
+++ b/components/policy/src/suspects.rs
@@ -14,6 +14,14 @@
 //!
 //! A request that was answered before needs more failed runs to be refused. All hosts apply these rules to the
 //! failed runs that they tell each other of.
+//!
+//! A digest tells what a request asks for, its headers, and the service that runs it ([`request_digest`]):
+//! - An answer clears a request of its failed runs at the service that answered. Runs at all services count
+//!   together.
+//! - Headers may change as a request comes again, or may be what crashes targets. So requests with the same content
+//!   and other headers are judged apart, unless runs with three different headers failed at three moments and none
+//!   with this content was answered since: then all are refused that were not answered before. What fails at
+//!   one moment may have run on one target.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -29,11 +37,34 @@
 /// Factor to the number of failed runs from which a request that was answered before is refused.
 const ANSWERED_FACTOR: usize = 2;
 
-/// Maximum number of failed runs remembered of a request.
-const MAX_RUNS: usize = 16;
+/// Maximum number of failed runs remembered of requests with one content.
+const MAX_RUNS: usize = 32;
+
+/// Time within which runs that fail may do so with one target.
+const MOMENT: Duration = Duration::from_millis(500);
 
 /// Part of its delay by which the trial of a request may come later, depending on the request.
-const TRIAL_SPREAD: f64 = 0.3;
+const TRIAL_SPREAD: f64 = 1.0;
+
+/// Bits of a digest that tell the service, and those that tell the headers; the others tell the content.
+const SERVICE_BITS: u32 = 8;
+const HEADER_BITS: u32 = 16;
+
+/// The digest of a request from hashes over its content, its headers and the name of its service.
+pub fn request_digest(content: u64, headers: u64, service: u64) -> u64 {
+    let headers = headers >> (u64::BITS - HEADER_BITS) << SERVICE_BITS;
+    let service = service >> (u64::BITS - SERVICE_BITS);
+    content << (HEADER_BITS + SERVICE_BITS) | headers | service
+}
+
+fn content_of(digest: u64) -> u64 {
+    digest >> (HEADER_BITS + SERVICE_BITS)
+}
+
+/// Whether two digests are of one request, at whatever services.
+fn is_same(one: u64, other: u64) -> bool {
+    one >> SERVICE_BITS == other >> SERVICE_BITS
+}
 
 /// Settings of [`Suspects`].
 #[derive(Debug, Clone, PartialEq)]
@@ -72,15 +103,21 @@
 /// A run that failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Run {
+    /// Digest of the request.
+    digest: u64,
     id: u32,
     at: Time,
 }
 
-/// What is known of a request with failed runs.
+type Runs = SmallVec<[Run; 4]>;
+
+/// What is known of the requests with one content that have failed runs.
 #[derive(Debug, Clone, Default)]
 struct Suspect {
-    /// Failed runs since its last answer, in the order of their times.
-    runs: SmallVec<[Run; 4]>,
+    /// Failed runs since the last answer to the same request at the same service, in the order of their times.
+    runs: Runs,
+    /// When a request with this content was last answered since there are failed runs.
+    answered_at: Option<Time>,
     /// When a trial began on this host whose end is not known.
     trial_at: Option<Time>,
 }
@@ -89,6 +126,20 @@
     fn last(&self) -> Option<Time> {
         self.runs.last().map(|run| run.at)
     }
+
+    /// Drops a run if there are too many: the first of a request that has no other, or else the one before the last.
+    fn limit_runs(&mut self) {
+        if self.runs.len() <= MAX_RUNS {
+            return;
+        }
+        let run_count = |digest| self.runs.iter().filter(|run| is_same(run.digest, digest)).count();
+        let single = self.runs.iter().position(|run| run_count(run.digest) == 1);
+        self.runs.remove(single.unwrap_or(MAX_RUNS - 1));
+    }
+
+    fn knows(&self, digest: u64, run: u32) -> bool {
+        self.runs.iter().any(|known| (known.digest, known.id) == (digest, run))
+    }
 }
 
 /// Whether a request may run.
@@ -127,6 +178,7 @@
 #[derive(Debug)]
 pub struct Suspects {
     settings: SuspectSettings,
+    /// By content.
     suspects: HashMap<u64, Suspect>,
     /// When requests were last answered.
     answered: HashMap<u64, Time>,
@@ -144,26 +196,32 @@
         if self.is_forgotten(now, at, 1) || self.answered_at(digest).is_some_and(|end| at <= end) {
             return;
         }
-        if !self.suspects.contains_key(&digest) && self.suspects.len() >= self.settings.max_requests
-        {
+        let content = content_of(digest);
+        let is_full = self.suspects.len() >= self.settings.max_requests;
+        if is_full && !self.suspects.contains_key(&content) {
             self.make_room(now);
         }
-        let mut suspect = self.suspects.remove(&digest).unwrap_or_default();
-        self.forget_runs(now, &mut suspect);
-        if suspect.runs.iter().all(|known| known.id != run) {
+        let mut suspect = self.suspects.remove(&content).unwrap_or_default();
+        let forgotten = suspect.runs.len() - self.fresh_runs(now, &suspect).len();
+        suspect.runs.drain(..forgotten);
+        if !suspect.knows(digest, run) {
             let index = suspect.runs.partition_point(|known| known.at <= at);
-            suspect.runs.insert(index, Run { id: run, at });
-            if suspect.runs.len() > MAX_RUNS {
-                suspect.runs.remove(MAX_RUNS - 1);
-            }
+            suspect.runs.insert(index, Run { digest, id: run, at });
+            suspect.limit_runs();
         }
-        self.suspects.insert(digest, suspect);
+        self.suspects.insert(content, suspect);
     }
 
-    /// Records that a request was answered in full. Returns how many failed runs this clears it of.
+    /// Records that a request was answered in full. Returns how many failed runs it had since its last answer.
     pub fn record_answer(&mut self, now: Time, digest: u64) -> usize {
         let count = self.run_count(now, digest);
-        self.suspects.remove(&digest);
+        if let Some(suspect) = self.suspects.get_mut(&content_of(digest)) {
+            suspect.runs.retain(|run| run.digest != digest);
+            suspect.answered_at = Some(now);
+            if suspect.runs.is_empty() {
+                self.suspects.remove(&content_of(digest));
+            }
+        }
         self.answered.insert(digest, now);
         if self.answered.len() > MAX_ANSWERED {
             let mut times: Vec<Time> = self.answered.values().copied().collect();
@@ -174,10 +232,10 @@
         count
     }
 
-    /// Whether the run is known, or from before the last answer.
+    /// Whether the run is known and counts.
     pub fn knows(&self, digest: u64, run: u32) -> bool {
-        let suspect = self.suspects.get(&digest);
-        suspect.is_some_and(|suspect| suspect.runs.iter().any(|known| known.id == run))
+        let suspect = self.suspects.get(&content_of(digest));
+        suspect.is_some_and(|suspect| suspect.knows(digest, run))
     }
 
     /// When the request was last answered in full, if that is remembered.
@@ -185,20 +243,22 @@
         self.answered.get(&digest).copied()
     }
 
-    /// Number of failed runs of a request since its last answer.
+    /// Number of failed runs of a request that count, at all services.
     pub fn run_count(&self, now: Time, digest: u64) -> usize {
-        self.suspects.get(&digest).map_or(0, |suspect| self.fresh_runs(now, suspect).len())
+        let Some(suspect) = self.suspects.get(&content_of(digest)) else { return 0 };
+        self.fresh_runs(now, suspect).iter().filter(|run| is_same(run.digest, digest)).count()
     }
 
     /// Whether a request may run, apart from trials.
     pub fn status(&self, now: Time, digest: u64) -> SuspectStatus {
-        let Some(suspect) = self.suspects.get(&digest) else { return SuspectStatus::Clear };
-        let runs = self.fresh_runs(now, suspect);
-        let Some(last) = runs.last() else { return SuspectStatus::Clear };
-        if runs.len() < self.required_runs(now, digest) {
+        let Some(suspect) = self.suspects.get(&content_of(digest)) else {
             return SuspectStatus::Clear;
-        }
-        let delay = self.settings.trial_delays.get(self.trial_count(runs));
+        };
+        let Some(runs) = self.refusing_runs(now, digest, suspect) else {
+            return SuspectStatus::Clear;
+        };
+        let Some(last) = runs.last() else { return SuspectStatus::Clear };
+        let delay = self.settings.trial_delays.get(self.trial_count(&runs));
         let refusal_time =
             if delay.is_some() { self.settings.run_ttl } else { self.settings.refusal_time };
         if now.since(last.at) >= refusal_time {
@@ -209,6 +269,22 @@
         SuspectStatus::Refused { trial_from }
     }
 
+    /// The failed runs for which a request is refused; none if it is not.
+    fn refusing_runs(&self, now: Time, digest: u64, suspect: &Suspect) -> Option<Runs> {
+        let fresh = self.fresh_runs(now, suspect);
+        let own: Runs = fresh.iter().filter(|run| is_same(run.digest, digest)).copied().collect();
+        let was_answered = self.was_answered(now, digest);
+        let factor = if was_answered { ANSWERED_FACTOR } else { 1 };
+        if own.len() >= self.settings.min_runs * factor {
+            return Some(own);
+        }
+        let unanswered =
+            fresh.iter().filter(|run| suspect.answered_at.is_none_or(|at| run.at > at));
+        let unanswered: Runs = unanswered.copied().collect();
+        let is_refused = !was_answered && moments(&unanswered) >= self.settings.min_runs;
+        is_refused.then_some(unanswered)
+    }
+
     /// Begins a trial of a request if it is refused and a trial is due at this host, before which `rank` others take
     /// their turn.
     pub fn begin_trial(&mut self, now: Time, digest: u64, rank: usize) -> Option<Trial> {
@@ -217,30 +293,36 @@
         if now < trial_from? + wait {
             return None;
         }
-        let known_runs = self.run_count(now, digest);
-        self.suspects.get_mut(&digest)?.trial_at = Some(now);
-        Some(Trial { known_runs })
+        let suspect = self.suspects.get_mut(&content_of(digest))?;
+        suspect.trial_at = Some(now);
+        Some(Trial { known_runs: suspect.runs.len() })
     }
 
     /// Records that a trial ended without a run, so that another may begin.
     pub fn cancel_trial(&mut self, digest: u64) {
-        if let Some(suspect) = self.suspects.get_mut(&digest) {
+        if let Some(suspect) = self.suspects.get_mut(&content_of(digest)) {
             suspect.trial_at = None;
         }
     }
 
     /// Whether a trial may still send the request: no other run has failed since it began.
-    pub fn allows(&self, now: Time, digest: u64, trial: Trial) -> bool {
-        self.run_count(now, digest) <= trial.known_runs
+    pub fn allows(&self, digest: u64, trial: Trial) -> bool {
+        let suspect = self.suspects.get(&content_of(digest));
+        suspect.is_none_or(|suspect| suspect.runs.len() <= trial.known_runs)
     }
 
     /// The failed runs since `since`, in no order.
     pub fn runs_since(&self, now: Time, since: Time) -> Vec<KnownRun> {
-        let runs = self.suspects.iter().flat_map(|(digest, suspect)| {
+        let runs = self.suspects.values().flat_map(|suspect| {
             let runs = self.fresh_runs(now, suspect);
             let is_refused = runs.len() >= self.settings.min_runs;
             let recent = runs.iter().filter(move |run| run.at >= since);
-            recent.map(move |run| KnownRun { digest: *digest, run: run.id, at: run.at, is_refused })
+            recent.map(move |run| KnownRun {
+                digest: run.digest,
+                run: run.id,
+                at: run.at,
+                is_refused,
+            })
         });
         runs.collect()
     }
@@ -252,11 +334,9 @@
         runs.iter().filter(|run| run.at > settled).count()
     }
 
-    /// Number of failed runs from which a request is refused.
-    fn required_runs(&self, now: Time, digest: u64) -> usize {
+    fn was_answered(&self, now: Time, digest: u64) -> bool {
         let answered = self.answered_at(digest);
-        let is_known = answered.is_some_and(|at| now.since(at) < self.settings.refusal_time);
-        self.settings.min_runs * if is_known { ANSWERED_FACTOR } else { 1 }
+        answered.is_some_and(|at| now.since(at) < self.settings.refusal_time)
     }
 
     /// Whether a run that failed at `at` does not count any more, as the last of `count` runs.
@@ -279,11 +359,6 @@
         &suspect.runs[first..]
     }
 
-    fn forget_runs(&self, now: Time, suspect: &mut Suspect) {
-        let forgotten = suspect.runs.len() - self.fresh_runs(now, suspect).len();
-        suspect.runs.drain(..forgotten);
-    }
-
     /// Drops what is forgotten, and, if that is little, the older half of the requests that are not refused, or of
     /// all if most are.
     fn make_room(&mut self, now: Time) {
@@ -307,6 +382,18 @@
     }
 }
 
+/// Number of moments at which runs failed, of which each has headers that the others lack.
+fn moments(runs: &[Run]) -> usize {
+    let mut counted: SmallVec<[Run; 4]> = SmallVec::new();
+    for run in runs {
+        let is_apart = counted.last().is_none_or(|last| run.at.since(last.at) >= MOMENT);
+        if is_apart && counted.iter().all(|other| !is_same(other.digest, run.digest)) {
+            counted.push(*run);
+        }
+    }
+    counted.len()
+}
+
 /// By how much of its delay the trial of a request comes later.
 fn spread(digest: u64) -> f64 {
     f64::from((digest >> 32) as u32) / f64::from(u32::MAX) * TRIAL_SPREAD
--- a/components/policy/src/suspects/tests.rs
+++ b/components/policy/src/suspects/tests.rs
@@ -1,6 +1,20 @@
 use super::*;
 
-const REQUEST: u64 = 7;
+const REQUEST: u64 = with_content(7);
+
+/// The same content with other headers.
+const OTHER_HEADERS: [u64; 3] = [with_headers(1), with_headers(2), with_headers(3)];
+
+/// The same request at another service.
+const OTHER_SERVICE: u64 = REQUEST + 1;
+
+const fn with_content(content: u64) -> u64 {
+    content << (HEADER_BITS + SERVICE_BITS)
+}
+
+const fn with_headers(headers: u64) -> u64 {
+    REQUEST + (headers << SERVICE_BITS)
+}
 
 fn suspects() -> Suspects {
     Suspects::new(SuspectSettings::default())
@@ -58,11 +72,11 @@
     let out_of_turn = suspects.begin_trial(at(18), REQUEST, 1);
     let trial = suspects.begin_trial(at(18), REQUEST, 0).unwrap();
     let second = suspects.begin_trial(at(19), REQUEST, 0);
-    let may_send = suspects.allows(at(19), REQUEST, trial);
+    let may_send = suspects.allows(REQUEST, trial);
     fail(&mut suspects, REQUEST, 4, &[20]);
 
     assert_eq!((early, out_of_turn, second), (None, None, None));
-    assert!(may_send && !suspects.allows(at(21), REQUEST, trial));
+    assert!(may_send && !suspects.allows(REQUEST, trial));
 }
 
 #[test]
@@ -127,7 +141,7 @@
     fail(&mut suspects, REQUEST, 1, &[1, 2, 3]);
 
     for other in 100..100 + OTHERS {
-        fail(&mut suspects, other, 1, &[4]);
+        fail(&mut suspects, with_content(other), 1, &[4]);
     }
 
     assert!(is_refused(&suspects, 5));
@@ -140,10 +154,112 @@
 
     for request in 0..10_000 {
         let second = 1 + request / 100;
-        fail(&mut suspects, request, 1, &[second, second, second]);
-        suspects.record_answer(at(second), 1_000_000 + request);
+        fail(&mut suspects, with_content(request), 1, &[second, second, second]);
+        suspects.record_answer(at(second), with_content(1_000_000 + request));
     }
 
     assert!(suspects.suspects.len() <= SuspectSettings::default().max_requests);
     assert!(suspects.answered.len() <= MAX_ANSWERED);
 }
+
+fn is_other_refused(suspects: &Suspects, second: u64, digest: u64) -> bool {
+    suspects.status(at(second), digest) != SuspectStatus::Clear
+}
+
+#[test]
+fn an_answer_clears_no_request_with_other_headers() {
+    let mut suspects = suspects();
+    let [sound, ..] = OTHER_HEADERS;
+
+    for second in 1..=3 {
+        fail(&mut suspects, REQUEST, second as u32, &[2 * second]);
+        suspects.record_answer(at(2 * second + 1), sound);
+    }
+
+    assert!(is_refused(&suspects, 8) && !is_other_refused(&suspects, 8, sound));
+}
+
+#[test]
+fn does_not_refuse_a_request_for_the_failed_runs_of_one_with_other_headers() {
+    let mut suspects = suspects();
+
+    fail(&mut suspects, REQUEST, 1, &[1, 2, 3, 4]);
+
+    assert!(OTHER_HEADERS.iter().all(|other| !is_other_refused(&suspects, 5, *other)));
+}
+
+// Guards against a request that is new on each arrival, since a header changes.
+#[test]
+fn refuses_what_failed_with_three_different_headers_until_one_is_answered() {
+    let mut suspects = suspects();
+    let [first, second, third] = OTHER_HEADERS;
+    fail(&mut suspects, first, 1, &[1]);
+    fail(&mut suspects, second, 2, &[2]);
+    let after_two = is_refused(&suspects, 3);
+    fail(&mut suspects, third, 3, &[3]);
+
+    let after_three = is_refused(&suspects, 4);
+    suspects.record_answer(at(5), REQUEST);
+
+    assert!(!after_two && after_three);
+    assert!(OTHER_HEADERS.iter().all(|other| !is_other_refused(&suspects, 6, *other)));
+}
+
+// Guards against a request that goes to two services by turns.
+#[test]
+fn counts_the_failed_runs_at_all_services() {
+    let mut suspects = suspects();
+
+    fail(&mut suspects, REQUEST, 1, &[1, 3]);
+    fail(&mut suspects, OTHER_SERVICE, 3, &[2]);
+
+    assert!(is_refused(&suspects, 4) && is_other_refused(&suspects, 4, OTHER_SERVICE));
+}
+
+// Guards against a request that crashes the targets of one service and is answered by another.
+#[test]
+fn an_answer_of_one_service_does_not_clear_a_request_at_another() {
+    let mut suspects = suspects();
+
+    for second in 1..=3 {
+        fail(&mut suspects, REQUEST, second as u32, &[2 * second]);
+        suspects.record_answer(at(2 * second + 1), OTHER_SERVICE);
+    }
+
+    assert!(is_refused(&suspects, 8) && !is_other_refused(&suspects, 8, OTHER_SERVICE));
+}
+
+#[test]
+fn does_not_refuse_an_answered_request_for_the_failed_runs_of_others() {
+    let mut suspects = suspects();
+    suspects.record_answer(at(1), REQUEST);
+
+    for (digest, second) in OTHER_HEADERS.into_iter().zip(2..) {
+        fail(&mut suspects, digest, 1, &[second]);
+    }
+
+    assert!(!is_refused(&suspects, 6));
+}
+
+// Guards against requests to a busy route that are refused, as a target ended which ran many of them.
+#[test]
+fn takes_runs_that_failed_together_for_the_end_of_one_target() {
+    let mut suspects = suspects();
+    for headers in 0..40 {
+        fail(&mut suspects, with_headers(10 + headers), 1, &[4]);
+    }
+
+    assert!(!is_refused(&suspects, 5) && !is_other_refused(&suspects, 5, with_headers(30)));
+}
+
+#[test]
+fn keeps_the_runs_of_a_refused_request_where_many_with_other_headers_fail() {
+    let mut suspects = suspects();
+    fail(&mut suspects, REQUEST, 1, &[1, 2, 3]);
+
+    for headers in 0..200 {
+        fail(&mut suspects, with_headers(10 + headers), 1, &[4]);
+    }
+
+    assert!(is_refused(&suspects, 5));
+}
