Failed runs: an answer that the host gives up is none

A body that came too late, was longer than the host takes, or found no memory there counted as a run that failed, as if its target had broken off. Three in a row refused a sound request. Reading an answer now tells whether it broke off or was given up; only the first counts. The same holds for events without room.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -248,26 +248,30 @@
                     return Err(Failure::TargetFailed);
                 }
                 let read = read_whole(shared, call, &in_flight, response).await;
-                if read.is_some() && failed && attempts.may_retry_failed_run(shared, call) {
+                let is_read = matches!(read, Read::Whole(_) | Read::Partial(_));
+                if is_read && failed && attempts.may_retry_failed_run(shared, call) {
                     continue;
                 }
-                match read {
-                    Some((response, Extent::Whole)) => {
+                let is_broken = match read {
+                    Read::Whole(response) => {
                         if response.status().is_success() {
                             in_flight.record_answer(&call.ask.id, call.fingerprint, &call.parts);
                         }
                         return Ok(response);
                     }
-                    Some((response, Extent::Partial)) => {
+                    Read::Partial(response) => {
                         let is_success = response.status().is_success();
                         return Ok(response.map(|body| {
                             pass_on(call, in_flight, body, MAX_RESPONSE_BYTES, is_success)
                         }));
                     }
-                    None => {}
-                }
+                    Read::Broken => true,
+                    Read::GivenUp => false,
+                };
                 in_flight.outcome = AttemptOutcome::Failed;
-                record_begun_run(shared, call, &in_flight.placement);
+                if is_broken {
+                    record_begun_run(shared, call, &in_flight.placement);
+                }
                 record_break(shared, call, &in_flight.placement, in_flight.started_at).await;
                 if !attempts.may_retry_failed_run(shared, call) {
                     return Err(Failure::TargetFailed);
@@ -290,60 +294,62 @@
     }
 }
 
-/// How much of a response was read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Extent {
-    Whole,
+/// What was read of a response.
+enum Read {
+    Whole(Response<Body>),
     /// As much as the host may hold. The rest has no limits yet.
-    Partial,
+    Partial(Response<Body>),
+    /// It broke off.
+    Broken,
+    /// The host took no more of it, for lack of time or memory.
+    GivenUp,
 }
 
-/// Reads the body of a response; none if the read fails or times out.
+/// Reads the body of a response.
 async fn read_whole(
     shared: &Shared,
     call: &CallerRequest,
     in_flight: &InFlight,
     response: Response<Body>,
-) -> Option<(Response<Body>, Extent)> {
+) -> Read {
     let InFlight { placement, started_at, .. } = in_flight;
     let (head, body) = response.into_parts();
     let is_framed = is_framed(&head.headers, &body);
     let left = call.deadline.since(shared.now());
+    let respond = |body| {
+        let mut response = Response::new(body);
+        *response.status_mut() = head.status;
+        *response.headers_mut() = shared.protocol.caller_headers(&head.headers);
+        response
+    };
     let read = async {
         let budget = &shared.answer_budget;
-        match read_answer(body, MAX_RESPONSE_BYTES, budget, is_framed).await? {
-            Answer::Whole(body) => {
+        match read_answer(body, MAX_RESPONSE_BYTES, budget, is_framed).await {
+            Ok(Answer::Whole(body)) => {
                 let is_cut = is_cut(shared, call, placement, *started_at, is_framed).await;
-                Ok::<_, BodyError>((!is_cut).then_some((body, Extent::Whole)))
+                if is_cut { Read::Broken } else { Read::Whole(respond(body)) }
             }
-            Answer::Partial(body) => {
+            Ok(Answer::Partial(body)) => {
                 shared.metrics.count_memory_refused("answers");
                 log::info!(target: "gateway", id = call.ask.id; "answer passed on as it arrives");
-                Ok(Some((body, Extent::Partial)))
+                Read::Partial(respond(body))
             }
-            Answer::OverBudget => {
+            Ok(Answer::OverBudget) => {
                 shared.metrics.count_memory_refused("answers");
-                let reason = "no memory for an answer whose end does not show".to_owned();
-                Err(BodyError::Aborted { reason })
+                let reason = "no memory for an answer whose end does not show";
+                log::warn!(target: "gateway", id = call.ask.id, reason; "response body given up");
+                Read::GivenUp
+            }
+            Err(error) => {
+                log::warn!(target: "gateway", id = call.ask.id, error:%; "response body ended early");
+                let is_own_limit = matches!(error, BodyError::TooLong { .. });
+                if is_own_limit { Read::GivenUp } else { Read::Broken }
             }
         }
     };
-    match timeout(left, read).await {
-        Ok(Ok(None)) => None,
-        Ok(Ok(Some((body, extent)))) => {
-            let mut response = Response::new(body);
-            *response.status_mut() = head.status;
-            *response.headers_mut() = shared.protocol.caller_headers(&head.headers);
-            Some((response, extent))
-        }
-        Ok(Err(error)) => {
-            log::warn!(target: "gateway", id = call.ask.id, error:%; "response body ended early");
-            None
-        }
-        Err(_) => {
-            log::warn!(target: "gateway", id = call.ask.id; "response body timed out");
-            shared.target_pool.distrust(placement.addr);
-            None
-        }
-    }
+    timeout(left, read).await.unwrap_or_else(|_| {
+        log::warn!(target: "gateway", id = call.ask.id; "response body timed out");
+        shared.target_pool.distrust(placement.addr);
+        Read::GivenUp
+    })
 }
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -101,7 +101,9 @@
                     return Ok((target_stream, next));
                 }
                 let InFlight { placement, started_at, .. } = &target_stream.in_flight;
-                record_failed_run(&self.shared, &self.call, placement);
+                if !target_stream.is_given_up {
+                    record_failed_run(&self.shared, &self.call, placement);
+                }
                 record_break(&self.shared, &self.call, placement, *started_at).await;
             }
             target_stream.in_flight.outcome = AttemptOutcome::Failed;
@@ -408,7 +410,8 @@
                 }
                 ReadOutcome::Broken => {
                     target_stream.in_flight.outcome = AttemptOutcome::Failed;
-                    let has_just_begun = target_stream.has_just_begun(self.shared.now());
+                    let has_just_begun = target_stream.has_just_begun(self.shared.now())
+                        && !target_stream.is_given_up;
                     let InFlight { placement, started_at, .. } = &target_stream.in_flight;
                     self.record_broken(placement, *started_at, has_just_begun).await;
                     self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
--- a/components/gateway/src/stream/target_stream.rs
+++ b/components/gateway/src/stream/target_stream.rs
@@ -45,6 +45,8 @@
     pub(super) begun_at: Option<Time>,
     /// Whether the answer has come to a good end that shows.
     pub(super) is_whole: bool,
+    /// Whether the host took no more of the answer for lack of memory.
+    pub(super) is_given_up: bool,
 }
 
 /// Result of reading from a target's stream.
@@ -74,6 +76,7 @@
             is_joined: false,
             begun_at: None,
             is_whole: false,
+            is_given_up: false,
         }
     }
 
@@ -166,6 +169,7 @@
                 let (id, target) = (&call.ask.id, &self.in_flight.placement.id);
                 log::warn!(target: "gateway", id, target, buffered, has_room; "event without an end");
                 if !has_room {
+                    self.is_given_up = true;
                     shared.metrics.count_memory_refused("events");
                 }
                 shared.metrics.count_stream_break();
