Failed runs: they count wherever they break off

Some ways in which a run fails were not counted: an answer to another request or without a final status, an answer that breaks off as it is passed on without being collected, a prompt computed apart whose response breaks off, and an answer that is not passed on (a success without a receipt) of a target that then ends. A request that crashes targets in one of these ways came again without end.

They count now. An unsigned answer counts only if the target's port is found to refuse connections, asked in the background.

No test of their own have the answer passed on, the prompt and the unsigned answer: a path test for the first was tried and dropped, as it did not fill the host's memory.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -23,7 +23,7 @@
 use crate::{
     answered_over::AnsweredOver,
     config::Route,
-    crash::{look_for_end, record_failed_run},
+    crash::{SentRequest, look_for_end, record_failed_run},
     demand::WaitCount,
     exchange::{Answer, exchange},
     fleet::{AttemptId, AttemptOutcome, Hold, Placement},
@@ -202,6 +202,10 @@
         self.shared.now()
     }
 
+    pub(crate) fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
     /// Records that the request `id` with this fingerprint and these parts of its prompt was answered.
     pub(crate) fn record_answer(&self, id: &str, fingerprint: Fingerprint, parts: &SharedParts) {
         let now = self.shared.now();
@@ -366,6 +370,9 @@
     call.answered_over.record(addr, &answer.response);
     log_closed(shared, in_flight, call, sent_over(&answer.response));
     log_answer(shared, in_flight, call, &answer);
+    if matches!(answer.verdict, Verdict::Foreign | Verdict::NotFinal) {
+        record_failed_run(shared, &SentRequest::of(call), &in_flight.placement);
+    }
     to_outcome(in_flight, answer)
 }
 
@@ -457,7 +464,7 @@
         return SendOutcome::NotRun(NotRunReason::Unreachable);
     }
     in_flight.outcome = AttemptOutcome::Failed;
-    record_failed_run(shared, call, &in_flight.placement);
+    record_failed_run(shared, &SentRequest::of(call), &in_flight.placement);
     SendOutcome::Unknown
 }
 
--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -7,7 +7,7 @@
 use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
 use chervilgate_clock::Time;
-use chervilgate_policy::{CrashId, TargetId};
+use chervilgate_policy::{CrashId, Fingerprint, TargetId};
 use tokio::{io::AsyncReadExt, net::TcpStream, sync::OnceCell, time::timeout};
 
 use crate::{
@@ -31,41 +31,71 @@
 /// for one connection attempt.
 pub(crate) type CrashProbe = Arc<OnceCell<Option<Time>>>;
 
-/// Records that a run of `call` failed at the target of `placement` before it was answered. Whether the
-/// target has ended is not asked: it may be back already. A target that leaves ends by that.
-pub(crate) fn record_failed_run(shared: &Shared, call: &CallerRequest, placement: &Placement) {
-    record_run(shared, call, placement, PoisonGuard::record_run);
+/// A request, as log lines and failed runs name it.
+#[derive(Debug, Clone)]
+pub(crate) struct SentRequest {
+    pub(crate) id: String,
+    pub(crate) fingerprint: Fingerprint,
+}
+
+impl SentRequest {
+    pub(crate) fn of(call: &CallerRequest) -> SentRequest {
+        SentRequest { id: call.ask.id.clone(), fingerprint: call.fingerprint }
+    }
+}
+
+/// Records that a run failed at the target of `placement` before it was answered. Whether the target has ended is
+/// not asked: it may be back already. A target that leaves ends by that.
+pub(crate) fn record_failed_run(shared: &Shared, request: &SentRequest, placement: &Placement) {
+    record_run(shared, request, placement, PoisonGuard::record_run);
 }
 
 /// The same for a run that failed just as its answer began.
-pub(crate) fn record_begun_run(shared: &Shared, call: &CallerRequest, placement: &Placement) {
-    record_run(shared, call, placement, PoisonGuard::record_begun_run);
+pub(crate) fn record_begun_run(shared: &Shared, request: &SentRequest, placement: &Placement) {
+    record_run(shared, request, placement, PoisonGuard::record_begun_run);
 }
 
 fn record_run(
     shared: &Shared,
-    call: &CallerRequest,
+    request: &SentRequest,
     placement: &Placement,
     record: impl FnOnce(&mut PoisonGuard, Time, FailedRun),
 ) {
     let now = shared.now();
-    let run = FailedRun { request: call.fingerprint.digest, run: rand::random() };
+    let SentRequest { id, fingerprint } = request;
+    let run = FailedRun { request: fingerprint.digest, run: rand::random() };
     let runs = {
         let state = &mut *shared.state();
         if state.fleet.is_leaving(placement) {
             return;
         }
         record(&mut state.poison, now, run);
-        if state.poison.verdict(now, call.fingerprint, &[]).is_some() {
+        if state.poison.verdict(now, *fingerprint, &[]).is_some() {
             shared.broadcast.notify_one();
         }
-        state.poison.run_count(now, call.fingerprint)
+        state.poison.run_count(now, *fingerprint)
     };
-    let (id, target) = (&call.ask.id, &placement.id);
-    let request = format!("{:016x}", call.fingerprint.digest);
+    let (target, request) = (&placement.id, format!("{:016x}", fingerprint.digest));
     log::warn!(target: "gateway", id, target, request, runs; "run failed");
 }
 
+/// Records in the background that a run failed whose answer is not passed on, if its target, to which it was sent at
+/// `sent`, is found to have ended.
+pub(crate) fn record_run_if_ended(
+    shared: &Arc<Shared>,
+    call: &CallerRequest,
+    placement: &Placement,
+    sent: Time,
+) {
+    let (shared, placement) = (shared.clone(), placement.clone());
+    let request = SentRequest::of(call);
+    tokio::spawn(async move {
+        if has_ended(&shared, &placement, sent).await {
+            record_failed_run(&shared, &request, &placement);
+        }
+    });
+}
+
 /// Records that `call`, sent at `sent`, broke off at the target of `placement` before it was answered, or
 /// just as its answer began. If the target has ended, this accuses the parts of the prompt.
 pub(crate) async fn record_break(
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -11,7 +11,7 @@
 use crate::{
     attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
     body::{Answer, read_answer},
-    crash::{is_cut, record_begun_run, record_break},
+    crash::{SentRequest, is_cut, record_begun_run, record_break, record_run_if_ended},
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Hold, TargetQuery},
     joining::{check_answer, is_framed},
@@ -242,6 +242,7 @@
                     let (status, reason) = (response.status().as_u16(), rejection.as_str());
                     log::warn!(target: "gateway", id, target, status, reason; "answer not passed on");
                     in_flight.outcome = AttemptOutcome::Failed;
+                    record_run_if_ended(shared, call, &in_flight.placement, in_flight.started_at);
                     if attempts.may_retry_failed_run(shared, call) {
                         continue;
                     }
@@ -270,7 +271,7 @@
                 };
                 in_flight.outcome = AttemptOutcome::Failed;
                 if is_broken {
-                    record_begun_run(shared, call, &in_flight.placement);
+                    record_begun_run(shared, &SentRequest::of(call), &in_flight.placement);
                 }
                 record_break(shared, call, &in_flight.placement, in_flight.started_at).await;
                 if !attempts.may_retry_failed_run(shared, call) {
--- a/components/gateway/src/passed_on.rs
+++ b/components/gateway/src/passed_on.rs
@@ -11,7 +11,6 @@
 
 use bytes::Bytes;
 use chervilgate_clients::{Body, BodyError, body::empty};
-use chervilgate_policy::Fingerprint;
 use chervilgate_serve::Cutoff;
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
@@ -19,6 +18,7 @@
 
 use crate::{
     attempt::{CallerRequest, InFlight},
+    crash::{SentRequest, record_begun_run},
     fleet::AttemptOutcome,
     poison::SharedParts,
     stream::CUT_WRITE_TIME,
@@ -39,8 +39,7 @@
     /// Keeps the request in flight.
     in_flight: InFlight,
     is_success: bool,
-    id: String,
-    fingerprint: Fingerprint,
+    request: SentRequest,
     parts: SharedParts,
     cutoff: Option<Cutoff>,
 }
@@ -58,8 +57,7 @@
     let open = OpenAnswer {
         in_flight,
         is_success,
-        id: call.ask.id.clone(),
-        fingerprint: call.fingerprint,
+        request: SentRequest::of(call),
         parts: call.parts.clone(),
         cutoff: call.cutoff.clone(),
     };
@@ -70,7 +68,8 @@
 impl OpenAnswer {
     fn end(self) {
         if self.is_success {
-            self.in_flight.record_answer(&self.id, self.fingerprint, &self.parts);
+            let SentRequest { id, fingerprint } = &self.request;
+            self.in_flight.record_answer(id, *fingerprint, &self.parts);
         }
     }
 
@@ -78,8 +77,14 @@
         self.in_flight.outcome = AttemptOutcome::Failed;
     }
 
+    /// Ends it where its target broke off.
+    fn break_off(self) {
+        record_begun_run(self.in_flight.shared(), &self.request, &self.in_flight.placement);
+        self.fail();
+    }
+
     fn cut(self, reason: &str) {
-        let (id, target) = (&self.id, &self.in_flight.placement.id);
+        let (id, target) = (&self.request.id, &self.in_flight.placement.id);
         log::warn!(target: "gateway", id, target, reason; "answer cut that was passed on as it arrived");
         // A connection with full buffers does not ask for the rest, so it does not learn of the cut.
         if let Some(cutoff) = &self.cutoff {
@@ -126,7 +131,7 @@
             }
             Some(Err(_)) => {
                 if let Some(open) = self.open.take() {
-                    open.fail();
+                    open.break_off();
                 }
             }
             None => {
--- a/components/gateway/src/prefill.rs
+++ b/components/gateway/src/prefill.rs
@@ -6,11 +6,13 @@
 };
 
 use bytes::Bytes;
+use chervilgate_clients::BodyError;
 use hyper::{Method, Request, http::uri::Uri};
 use tokio::time::timeout;
 
 use crate::{
     attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
+    crash::{SentRequest, record_begun_run},
     exchange::exchange,
     fleet::Placement,
     protocol::{PrefillResponse, RequestStage},
@@ -150,6 +152,11 @@
         return None;
     }
     let body = chervilgate_clients::body::collect(response.into_body(), MAX_PREFILL_RESPONSE).await;
+    if let Err(error @ (BodyError::Connection { .. } | BodyError::Aborted { .. })) = &body {
+        let (id, target) = (&call.ask.id, &in_flight.placement.id);
+        log::warn!(target: "gateway", id, target, error:%; "prefill response broke off");
+        record_begun_run(shared, &SentRequest::of(call), &in_flight.placement);
+    }
     let prefilled = shared.protocol.parse_prefill(&body.ok()?);
     if prefilled.is_none() {
         log::warn!(
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -22,7 +22,10 @@
 };
 use crate::{
     attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
-    crash::{look_for_end, record_begun_run, record_break, record_failed_run},
+    crash::{
+        SentRequest, look_for_end, record_begun_run, record_break, record_failed_run,
+        record_run_if_ended,
+    },
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
     forward::{Attempts, check_deadline},
@@ -95,6 +98,8 @@
                 self.shared.protocol.parse_response(target_stream.status, &target_stream.headers);
             if let Err(rejection) = check_first(target_stream.status, &head) {
                 target_stream.log_rejected(&self.shared, &self.call.ask.id, rejection);
+                let InFlight { placement, started_at, .. } = &target_stream.in_flight;
+                record_run_if_ended(&self.shared, &self.call, placement, *started_at);
             } else {
                 let next = target_stream.next(&self.shared, &self.call).await;
                 if !matches!(next, ReadOutcome::Broken) {
@@ -102,7 +107,7 @@
                 }
                 let InFlight { placement, started_at, .. } = &target_stream.in_flight;
                 if !target_stream.is_given_up {
-                    record_failed_run(&self.shared, &self.call, placement);
+                    record_failed_run(&self.shared, &SentRequest::of(&self.call), placement);
                 }
                 record_break(&self.shared, &self.call, placement, *started_at).await;
             }
@@ -331,7 +336,7 @@
         if !has_just_begun {
             return look_for_end(&self.shared, placement, sent);
         }
-        record_begun_run(&self.shared, &self.call, placement);
+        record_begun_run(&self.shared, &SentRequest::of(&self.call), placement);
         record_break(&self.shared, &self.call, placement, sent).await;
     }
 
