Poison requests: any whole answer but a server error clears a request

Only a success did. A sound request that its targets answer with 404 or a redirect was never cleared, so three of its runs that failed with targets within two minutes refused it, whatever was answered in between. A server error may be the end of a run, and shows nothing. The parts of a prompt are cleared by a success alone, as an engine that turns a request down has not read them.

The path test fails before: 1 run in place of 4 after a 404.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -15,7 +15,7 @@
 use chervilgate_policy::{Fingerprint, Trial};
 use chervilgate_serve::{CallerConnection, Cutoff};
 use hyper::{
-    HeaderMap, Method, Request, Response,
+    HeaderMap, Method, Request, Response, StatusCode,
     http::uri::{PathAndQuery, Uri},
 };
 use smallvec::SmallVec;
@@ -206,8 +206,20 @@
         &self.shared
     }
 
-    /// Records that the request `id` with this fingerprint and these parts of its prompt was answered.
-    pub(crate) fn record_answer(&self, id: &str, fingerprint: Fingerprint, parts: &SharedParts) {
+    /// Records that the request `id` with this fingerprint and these parts of its prompt was answered in full with
+    /// `status`. Any answer but a server error shows that the request does not crash its target; only a success
+    /// shows it of the parts.
+    pub(crate) fn record_answer(
+        &self,
+        status: StatusCode,
+        id: &str,
+        fingerprint: Fingerprint,
+        parts: &SharedParts,
+    ) {
+        if status.is_server_error() {
+            return;
+        }
+        let parts: &[Fingerprint] = if status.is_success() { parts } else { &[] };
         let now = self.shared.now();
         let runs = self.shared.state().poison.record_answer(now, fingerprint, parts);
         if runs > 0 {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -255,15 +255,14 @@
                 }
                 let is_broken = match read {
                     Read::Whole(response) => {
-                        if response.status().is_success() {
-                            in_flight.record_answer(&call.ask.id, call.fingerprint, &call.parts);
-                        }
+                        let (status, id) = (response.status(), &call.ask.id);
+                        in_flight.record_answer(status, id, call.fingerprint, &call.parts);
                         return Ok(response);
                     }
                     Read::Partial(response) => {
-                        let is_success = response.status().is_success();
+                        let status = response.status();
                         return Ok(response.map(|body| {
-                            pass_on(call, in_flight, body, MAX_RESPONSE_BYTES, is_success)
+                            pass_on(call, in_flight, body, MAX_RESPONSE_BYTES, status)
                         }));
                     }
                     Read::Broken => true,
--- a/components/gateway/src/passed_on.rs
+++ b/components/gateway/src/passed_on.rs
@@ -13,7 +13,10 @@
 use chervilgate_clients::{Body, BodyError, body::empty};
 use chervilgate_serve::Cutoff;
 use http_body_util::BodyExt;
-use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use hyper::{
+    StatusCode,
+    body::{Body as HttpBody, Frame, SizeHint},
+};
 use tokio::time::{Sleep, sleep};
 
 use crate::{
@@ -38,7 +41,7 @@
 struct OpenAnswer {
     /// Keeps the request in flight.
     in_flight: InFlight,
-    is_success: bool,
+    status: StatusCode,
     request: SentRequest,
     parts: SharedParts,
     cutoff: Option<Cutoff>,
@@ -51,12 +54,12 @@
     in_flight: InFlight,
     body: Body,
     limit: usize,
-    is_success: bool,
+    status: StatusCode,
 ) -> Body {
     let left = call.deadline.since(in_flight.now());
     let open = OpenAnswer {
         in_flight,
-        is_success,
+        status,
         request: SentRequest::of(call),
         parts: call.parts.clone(),
         cutoff: call.cutoff.clone(),
@@ -67,10 +70,8 @@
 
 impl OpenAnswer {
     fn end(self) {
-        if self.is_success {
-            let SentRequest { id, fingerprint } = &self.request;
-            self.in_flight.record_answer(id, *fingerprint, &self.parts);
-        }
+        let SentRequest { id, fingerprint } = &self.request;
+        self.in_flight.record_answer(self.status, id, *fingerprint, &self.parts);
     }
 
     fn fail(mut self) {
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -400,7 +400,8 @@
                     self.record_numbering();
                     if target_stream.is_whole {
                         let CallerRequest { fingerprint, parts, .. } = &*self.call;
-                        target_stream.in_flight.record_answer(&id, *fingerprint, parts);
+                        let status = target_stream.status;
+                        target_stream.in_flight.record_answer(status, &id, *fingerprint, parts);
                     }
                     let pause = longest_pause.as_millis() as u64;
                     if let Some(max_pause) = self.call.route.max_pause {
--- a/components/gateway/src/stream/target_stream.rs
+++ b/components/gateway/src/stream/target_stream.rs
@@ -118,7 +118,8 @@
             shared.metrics.count_stream_break();
             return ReadOutcome::Broken;
         }
-        self.is_whole = is_success && self.begun_at.is_some();
+        // A stream without an event may have been cut.
+        self.is_whole = !is_success || self.begun_at.is_some();
         ReadOutcome::End
     }
 
