Poison requests: what an answer told by others proves

A host that had ever answered a request told all others so whenever it heard of failed runs of it, and they took that for an answer after these runs. A request that begins to crash targets, as under a new version, was so cleared again and again at all hosts but one. In the other direction, a host that heard of an answer before it heard of the runs took the request for a part of a prompt, and counted the runs.

Both tests in gateway/tests/parts.rs need the new way to hear of runs; what the code before did was found by reading.

--- a/components/gateway/src/gossip/receive.rs
+++ b/components/gateway/src/gossip/receive.rs
@@ -171,7 +171,7 @@
                     state.holder = Some((from, now));
                 }
                 for run in report.broken {
-                    state.poison.record_run(now, run);
+                    state.poison.hear_run(now, run);
                 }
                 state.fleet.apply_peer_parts(now, &report.parts);
                 state.fleet.apply_peer_work(now, report.host, report.work);
--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -103,13 +103,25 @@
 }
 
 impl PoisonGuard {
-    /// Records a failed run; a repeat has no effect.
+    /// Records a failed run of this host.
     pub fn record_run(&mut self, now: Time, run: FailedRun) {
+        self.requests.record_run(now, now, run.request, run.run);
+    }
+
+    /// Records a failed run that another host tells of; a repeat has no effect. It may have failed some time ago, so an
+    /// answer since then clears the request, and the other host may not have heard of that.
+    pub fn hear_run(&mut self, now: Time, run: FailedRun) {
         // Each host repeats a run many times, so most of what comes is known.
-        if !self.requests.knows(run.request, run.run) {
-            self.requests.record_run(now, now, run.request, run.run);
+        if self.requests.knows(run.request, run.run) {
+            return;
         }
-        if self.requests.answered_at(run.request).is_some() && self.is_told(now, run.request) {
+        self.requests.record_run(now, now, run.request, run.run);
+        let earliest = now.saturating_sub(GOSSIP_TIME);
+        let answer = self.requests.last_answer(run.request).filter(|answer| answer.at >= earliest);
+        let Some(answer) = answer.filter(|_| self.is_told(now, run.request)) else { return };
+        self.requests.clear(now, run.request);
+        // What another host told may not start anew at each host that hears of it.
+        if answer.is_own {
             self.tell_sound([run.request]);
         }
     }
@@ -161,14 +173,11 @@
             self.tell_sound(self.parts.sound_parts(notice));
         }
         for digest in evidence.acquitted.iter().copied() {
-            let is_news = if self.requests.run_count(now, digest) > 0 {
-                let is_told = self.is_told(now, digest);
-                self.requests.record_answer(now, digest);
-                is_told
-            } else {
-                self.parts.record_sound(now, digest)
-            };
-            if is_news {
+            // The message does not say whether it is a request or a part, and the failed runs of a request may
+            // arrive later.
+            let is_request_told = self.is_told(now, digest);
+            self.requests.hear_answer(now, digest);
+            if self.parts.record_sound(now, digest) || is_request_told {
                 self.acquitted.insert(digest, ACQUITTAL_ROUNDS);
             }
         }
--- a/components/gateway/tests/parts.rs
+++ b/components/gateway/tests/parts.rs
@@ -301,7 +301,7 @@
     let runs: Vec<_> = guards.iter().flat_map(|guard| guard.runs_to_gossip(now)).collect();
     let told: Vec<_> = guards.iter_mut().map(|guard| guard.evidence_to_gossip(now)).collect();
     for guard in guards {
-        runs.iter().for_each(|run| guard.record_run(now, *run));
+        runs.iter().for_each(|run| guard.hear_run(now, *run));
         told.iter().for_each(|evidence| guard.merge_evidence(now, evidence));
     }
 }
@@ -544,3 +544,38 @@
 
     assert_eq!(guard.verdict(now, request, &[]), Some(PoisonVerdict::Request));
 }
+
+// Guards against requests that crash targets again at all hosts, since one of them answered the same request before
+// it did.
+#[test]
+fn an_answer_from_before_the_failed_runs_does_not_clear_a_request_at_other_hosts() {
+    let (answered, failed) = (Time::from_secs(9), Time::from_secs(60));
+    let request = fingerprint("/a/", b"body");
+    let mut guards = [PoisonGuard::default(), PoisonGuard::default(), PoisonGuard::default()];
+    guards[0].record_answer(answered, request, &[]);
+
+    for run in 1..=3 {
+        guards[1].record_run(failed, FailedRun { request: request.digest, run });
+        (0..4).for_each(|_| tell_each_other(failed, &mut guards));
+    }
+
+    let verdicts = guards.each_ref().map(|guard| guard.verdict(failed, request, &[]));
+    assert_eq!(verdicts[1..], [Some(PoisonVerdict::Request); 2]);
+}
+
+// Guards against sound requests that are refused, since a host hears that they were answered before it hears of the
+// runs that failed before.
+#[test]
+fn an_answer_clears_a_request_of_failed_runs_that_are_told_later() {
+    let now = Time::from_secs(9);
+    let request = fingerprint("/a/", b"body");
+    let (mut knowing, mut other) = (PoisonGuard::default(), PoisonGuard::default());
+    let runs = [1, 2, 3].map(|run| FailedRun { request: request.digest, run });
+    runs.iter().for_each(|run| knowing.record_run(now, *run));
+    knowing.record_answer(now, request, &[]);
+
+    other.merge_evidence(now, &knowing.evidence_to_gossip(now));
+    runs.iter().for_each(|run| other.hear_run(now, *run));
+
+    assert_eq!(other.verdict(now, request, &[]), None);
+}
--- a/components/gateway/tests/suspects.rs
+++ b/components/gateway/tests/suspects.rs
@@ -301,7 +301,7 @@
                 if from == index {
                     continue;
                 }
-                news.iter().for_each(|run| guard.record_run(now, *run));
+                news.iter().for_each(|run| guard.hear_run(now, *run));
                 guard.merge_runs(now, all);
                 guard.merge_evidence(now, evidence);
             }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -60,6 +60,8 @@
     },
     stream::{AttemptNo, Delivery, Resume, StreamTable},
     subset::{TargetLocation, choose_subset},
-    suspects::{KnownRun, SuspectSettings, SuspectStatus, Suspects, Trial, request_digest},
+    suspects::{
+        KnownRun, LastAnswer, SuspectSettings, SuspectStatus, Suspects, Trial, request_digest,
+    },
     target::{LoadReport, PricingClass, Role, Target, TargetSpecs, TargetState},
 };
--- a/components/policy/src/suspects.rs
+++ b/components/policy/src/suspects.rs
@@ -174,14 +174,22 @@
     pub is_refused: bool,
 }
 
+/// The last whole answer to a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LastAnswer {
+    /// When this host got it, or heard of it.
+    pub at: Time,
+    /// Whether this host got it.
+    pub is_own: bool,
+}
+
 /// The requests with failed runs that a host knows of.
 #[derive(Debug)]
 pub struct Suspects {
     settings: SuspectSettings,
     /// By content.
     suspects: HashMap<u64, Suspect>,
-    /// When requests were last answered.
-    answered: HashMap<u64, Time>,
+    answered: HashMap<u64, LastAnswer>,
 }
 
 impl Suspects {
@@ -193,7 +201,9 @@
     /// Records that run `run` of the request with this digest failed at `at`. A repeat has no effect, nor has a run
     /// from before its last answer.
     pub fn record_run(&mut self, now: Time, at: Time, digest: u64, run: u32) {
-        if self.is_forgotten(now, at, 1) || self.answered_at(digest).is_some_and(|end| at <= end) {
+        if self.is_forgotten(now, at, 1)
+            || self.last_answer(digest).is_some_and(|answer| at <= answer.at)
+        {
             return;
         }
         let content = content_of(digest);
@@ -214,6 +224,28 @@
 
     /// Records that a request was answered in full. Returns how many failed runs it had since its last answer.
     pub fn record_answer(&mut self, now: Time, digest: u64) -> usize {
+        self.add_answer(digest, LastAnswer { at: now, is_own: true })
+    }
+
+    /// Records that another host tells of an answer, with the same effect.
+    pub fn hear_answer(&mut self, now: Time, digest: u64) -> usize {
+        self.add_answer(digest, LastAnswer { at: now, is_own: false })
+    }
+
+    fn add_answer(&mut self, digest: u64, answer: LastAnswer) -> usize {
+        let count = self.clear(answer.at, digest);
+        self.answered.insert(digest, answer);
+        if self.answered.len() > MAX_ANSWERED {
+            let mut times: Vec<Time> = self.answered.values().map(|answer| answer.at).collect();
+            let middle = times.len() / 2;
+            let median = *times.select_nth_unstable(middle).1;
+            self.answered.retain(|_, answer| answer.at > median);
+        }
+        count
+    }
+
+    /// Clears a request of its failed runs, as it was answered since. Returns their number.
+    pub fn clear(&mut self, now: Time, digest: u64) -> usize {
         let count = self.run_count(now, digest);
         if let Some(suspect) = self.suspects.get_mut(&content_of(digest)) {
             suspect.runs.retain(|run| run.digest != digest);
@@ -222,13 +254,6 @@
                 self.suspects.remove(&content_of(digest));
             }
         }
-        self.answered.insert(digest, now);
-        if self.answered.len() > MAX_ANSWERED {
-            let mut times: Vec<Time> = self.answered.values().copied().collect();
-            let middle = times.len() / 2;
-            let median = *times.select_nth_unstable(middle).1;
-            self.answered.retain(|_, at| *at > median);
-        }
         count
     }
 
@@ -238,8 +263,8 @@
         suspect.is_some_and(|suspect| suspect.knows(digest, run))
     }
 
-    /// When the request was last answered in full, if that is remembered.
-    pub fn answered_at(&self, digest: u64) -> Option<Time> {
+    /// The last whole answer to the request, if that is remembered.
+    pub fn last_answer(&self, digest: u64) -> Option<LastAnswer> {
         self.answered.get(&digest).copied()
     }
 
@@ -335,8 +360,8 @@
     }
 
     fn was_answered(&self, now: Time, digest: u64) -> bool {
-        let answered = self.answered_at(digest);
-        answered.is_some_and(|at| now.since(at) < self.settings.refusal_time)
+        let answer = self.last_answer(digest);
+        answer.is_some_and(|answer| now.since(answer.at) < self.settings.refusal_time)
     }
 
     /// Whether a run that failed at `at` does not count any more, as the last of `count` runs.
