--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! Each host runs one gateway process. It serves callers, tells them which hosts to use, and
 //! competes for the lease on the duties that only one process at a time performs. Decisions are
 //! made in modules without I/O or clocks ([`admission`], [`build_record`], [`config`],
-//! [`crash_record`], [`demand`], [`fleet`], [`freshness`], [`joining`], [`lease`], [`membership`],
+//! [`crash_record`], [`demand`], [`fleet`], [`freshness`], [`identity`], [`joining`], [`lease`], [`membership`],
 //! [`memory`], [`origins`], [`outage`], [`planner`], [`poison`], [`quota`], [`repeats`],
 //! [`stopping`], [`target_feed`], [`usage`], [`verdict`], [`view`]); the other modules do the I/O
 //! and call them.
--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -1,7 +1,7 @@
 //! Requests, and parts of prompts, that crash the targets that run them.
 //!
-//! [`PoisonDetector`] decides; this module tells it what the host sees. A whole request is known
-//! by its path, caller and content: it comes again, to any host, and each of its runs that failed before
+//! [`Suspects`] decides on whole requests and [`PoisonDetector`] on parts; this module tells them what the host sees.
+//! A whole request comes again, to any host ([`identity`](crate::identity)), and each of its runs that failed before
 //! its first event, or just after it, counts until one is answered in full. Requests that share a part of their prompt
 //! need not be alike: once a target is known to have ended, the parts of the requests that it had not
 //! begun to answer are accused. All hosts tell each other of failed runs, crashes and acquittals.
