--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -11,7 +11,7 @@
 use tokio::{io::AsyncReadExt, net::TcpStream, sync::OnceCell, time::timeout};
 
 use crate::{
-    attempt::CallerRequest,
+    caller_request::CallerRequest,
     fleet::Placement,
     hash::stable_hash,
     poison::{FailedRun, PoisonGuard},
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -9,8 +9,9 @@
 use tokio::time::timeout;
 
 use crate::{
-    attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
+    attempt::{InFlight, NotRunReason, SendOutcome, send},
     body::{Answer, read_answer},
+    caller_request::CallerRequest,
     crash::{SentRequest, is_cut, record_begun_run, record_break, record_run_if_ended},
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Hold, TargetQuery},
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod attempt;
 mod body;
 pub mod build_record;
+mod caller_request;
 pub mod config;
 mod counted;
 mod crash;
--- a/components/gateway/src/passed_on.rs
+++ b/components/gateway/src/passed_on.rs
@@ -20,7 +20,8 @@
 use tokio::time::{Sleep, sleep};
 
 use crate::{
-    attempt::{CallerRequest, InFlight},
+    attempt::InFlight,
+    caller_request::CallerRequest,
     crash::{SentRequest, record_begun_run},
     fleet::AttemptOutcome,
     poison::SharedParts,
--- a/components/gateway/src/prefill.rs
+++ b/components/gateway/src/prefill.rs
@@ -11,7 +11,8 @@
 use tokio::time::timeout;
 
 use crate::{
-    attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
+    attempt::{InFlight, NotRunReason, SendOutcome, send},
+    caller_request::CallerRequest,
     crash::{SentRequest, record_begun_run},
     exchange::exchange,
     fleet::Placement,
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -23,8 +23,8 @@
 use tokio::time::timeout;
 
 use crate::{
-    attempt::{Caller, CallerRequest},
     body::{ReadError, read_body},
+    caller_request::{Caller, CallerRequest},
     config::{Config, Org, Route, org_hash},
     failure::Failure,
     forward::forward,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -21,7 +21,8 @@
     target_stream::{ReadOutcome, TargetStream},
 };
 use crate::{
-    attempt::{CallerRequest, InFlight, NotRunReason, SendOutcome, send},
+    attempt::{InFlight, NotRunReason, SendOutcome, send},
+    caller_request::CallerRequest,
     crash::{
         SentRequest, look_for_end, record_begun_run, record_break, record_failed_run,
         record_run_if_ended,
--- a/components/gateway/src/stream/target_stream.rs
+++ b/components/gateway/src/stream/target_stream.rs
@@ -10,7 +10,8 @@
 use tokio::time::timeout;
 
 use crate::{
-    attempt::{CallerRequest, InFlight},
+    attempt::InFlight,
+    caller_request::CallerRequest,
     crash::is_cut,
     events::EventSplitter,
     joining::{AnswerEnd, Position, Rejection, check_end, is_framed},
--- a/components/gateway/src/takeover.rs
+++ b/components/gateway/src/takeover.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    attempt::CallerRequest,
+    caller_request::CallerRequest,
     failure::Failure,
     fleet::{BuildId, SeenBuilds},
     hash::stable_hash,
--- a/components/gateway/src/takeover/base.rs
+++ b/components/gateway/src/takeover/base.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    attempt::CallerRequest,
+    caller_request::CallerRequest,
     fleet::{BuildId, SeenBuilds},
     hash::stable_hash,
     origins::{MAX_ASKED, Origin, OriginQuestion, StreamKey},
--- a/components/gateway/src/waiting.rs
+++ b/components/gateway/src/waiting.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     admission::{Applicant, Decision, Offer, POLL_INTERVAL, Yielded},
-    attempt::CallerRequest,
+    caller_request::CallerRequest,
     failure::Failure,
     fleet::{Plan, TargetQuery},
     progress::Stage,
