Poison requests: which failed runs count

Found on reading the change again; each has a test that was red before: - A host that started minutes after a refusal did not believe the runs that it was told of, as each by itself was too old, and sent the request to targets again. - A request's few runs counted for ten minutes in place of two where others with its content failed often, so that a sound one could be refused for them. - A trial went on although another host's had failed, once as many runs were known as are remembered. It now compares times in place of numbers. - The log named the runs at all services as cleared by an answer of one.

Runs count from the first three within two minutes, for ten minutes after the last; others count for two minutes.

--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -111,7 +111,6 @@
     /// Records a failed run that another host tells of; a repeat has no effect. It may have failed some time ago, so an
     /// answer since then clears the request, and the other host may not have heard of that.
     pub fn hear_run(&mut self, now: Time, run: FailedRun) {
-        // Each host repeats a run many times, so most of what comes is known.
         if self.requests.knows(run.request, run.run) {
             return;
         }
@@ -282,9 +281,7 @@
     pub fn merge_runs(&mut self, now: Time, runs: &[(u32, FailedRun)]) {
         for (age, run) in runs {
             let at = now.saturating_sub(Duration::from_millis((*age).into()));
-            if !self.requests.knows(run.request, run.run) {
-                self.requests.record_run(now, at, run.request, run.run);
-            }
+            self.requests.record_run(now, at, run.request, run.run);
         }
     }
 
--- a/components/gateway/tests/poison.rs
+++ b/components/gateway/tests/poison.rs
@@ -320,3 +320,24 @@
 
     assert_eq!(other.verdict(now, request, &[]), None);
 }
+
+// Guards against requests that crash targets again, as a host that starts minutes later does not believe what it is
+// told of the runs for which they are refused.
+#[test]
+fn a_host_that_starts_minutes_later_learns_of_a_refusal() {
+    const FAILED: [u64; 5] = [9, 10, 11, 30, 90];
+    let request = fingerprint("/a/", b"body");
+    let (mut known, mut started) = (PoisonGuard::default(), PoisonGuard::default());
+    for (run, second) in (1..).zip(FAILED) {
+        known.record_run(Time::from_secs(second), FailedRun { request: request.digest, run });
+    }
+
+    let later = Time::from_secs(300);
+    // What is told comes in any order, a part at a time.
+    for run in known.all_runs(later) {
+        started.merge_runs(later, &[run]);
+    }
+
+    let verdicts = [&known, &started].map(|guard| guard.verdict(later, request, &[]));
+    assert_eq!(verdicts, [Some(PoisonVerdict::Request); 2]);
+}
--- a/components/policy/src/suspects.rs
+++ b/components/policy/src/suspects.rs
@@ -80,7 +80,8 @@
     pub settle_time: Duration,
     /// Time for which a failed run counts, and a request is refused that may be tried again.
     pub run_ttl: Duration,
-    /// Time from its last failed run for which a request is refused whose trials have failed.
+    /// Time from its last failed run for which a request is refused whose trials have failed, and for which the runs
+    /// of a request count that has enough of them to be refused.
     pub refusal_time: Duration,
     /// Maximum number of requests with failed runs.
     pub max_requests: usize,
@@ -157,8 +158,7 @@
 /// The trial of a refused request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Trial {
-    /// Failed runs that were known as it began.
-    known_runs: usize,
+    began_at: Time,
 }
 
 /// A failed run, as hosts tell each other of it.
@@ -201,9 +201,10 @@
     /// Records that run `run` of the request with this digest failed at `at`. A repeat has no effect, nor has a run
     /// from before its last answer.
     pub fn record_run(&mut self, now: Time, at: Time, digest: u64, run: u32) {
-        if self.is_forgotten(now, at, 1)
-            || self.last_answer(digest).is_some_and(|answer| at <= answer.at)
-        {
+        let is_old = now.since(at) >= self.settings.refusal_time;
+        let is_answered = self.last_answer(digest).is_some_and(|answer| at <= answer.at);
+        // Each host repeats a run many times, so most of what comes is known.
+        if is_old || is_answered || self.knows(digest, run) {
             return;
         }
         let content = content_of(digest);
@@ -211,18 +212,16 @@
         if is_full && !self.suspects.contains_key(&content) {
             self.make_room(now);
         }
-        let mut suspect = self.suspects.remove(&content).unwrap_or_default();
-        let forgotten = suspect.runs.len() - self.fresh_runs(now, &suspect).len();
-        suspect.runs.drain(..forgotten);
-        if !suspect.knows(digest, run) {
-            let index = suspect.runs.partition_point(|known| known.at <= at);
-            suspect.runs.insert(index, Run { digest, id: run, at });
-            suspect.limit_runs();
+        let suspect = self.suspects.entry(content).or_default();
+        if suspect.last().is_some_and(|last| now.since(last) >= self.settings.refusal_time) {
+            *suspect = Suspect::default();
         }
-        self.suspects.insert(content, suspect);
+        let index = suspect.runs.partition_point(|known| known.at <= at);
+        suspect.runs.insert(index, Run { digest, id: run, at });
+        suspect.limit_runs();
     }
 
-    /// Records that a request was answered in full. Returns how many failed runs it had since its last answer.
+    /// Records that a request was answered in full. Returns how many failed runs this clears it of.
     pub fn record_answer(&mut self, now: Time, digest: u64) -> usize {
         self.add_answer(digest, LastAnswer { at: now, is_own: true })
     }
@@ -246,18 +245,19 @@
 
     /// Clears a request of its failed runs, as it was answered since. Returns their number.
     pub fn clear(&mut self, now: Time, digest: u64) -> usize {
-        let count = self.run_count(now, digest);
-        if let Some(suspect) = self.suspects.get_mut(&content_of(digest)) {
-            suspect.runs.retain(|run| run.digest != digest);
-            suspect.answered_at = Some(now);
-            if suspect.runs.is_empty() {
-                self.suspects.remove(&content_of(digest));
-            }
+        let content = content_of(digest);
+        let Some(suspect) = self.suspects.get_mut(&content) else { return 0 };
+        let known = suspect.runs.len();
+        suspect.runs.retain(|run| run.digest != digest);
+        suspect.answered_at = Some(now);
+        let left = suspect.runs.len();
+        if left == 0 {
+            self.suspects.remove(&content);
         }
-        count
+        known - left
     }
 
-    /// Whether the run is known and counts.
+    /// Whether the run is remembered.
     pub fn knows(&self, digest: u64, run: u32) -> bool {
         let suspect = self.suspects.get(&content_of(digest));
         suspect.is_some_and(|suspect| suspect.knows(digest, run))
@@ -270,8 +270,8 @@
 
     /// Number of failed runs of a request that count, at all services.
     pub fn run_count(&self, now: Time, digest: u64) -> usize {
-        let Some(suspect) = self.suspects.get(&content_of(digest)) else { return 0 };
-        self.fresh_runs(now, suspect).iter().filter(|run| is_same(run.digest, digest)).count()
+        let suspect = self.suspects.get(&content_of(digest));
+        suspect.map_or(0, |suspect| self.own_runs(now, digest, suspect).len())
     }
 
     /// Whether a request may run, apart from trials.
@@ -296,16 +296,14 @@
 
     /// The failed runs for which a request is refused; none if it is not.
     fn refusing_runs(&self, now: Time, digest: u64, suspect: &Suspect) -> Option<Runs> {
-        let fresh = self.fresh_runs(now, suspect);
-        let own: Runs = fresh.iter().filter(|run| is_same(run.digest, digest)).copied().collect();
+        let own = self.own_runs(now, digest, suspect);
         let was_answered = self.was_answered(now, digest);
         let factor = if was_answered { ANSWERED_FACTOR } else { 1 };
         if own.len() >= self.settings.min_runs * factor {
             return Some(own);
         }
-        let unanswered =
-            fresh.iter().filter(|run| suspect.answered_at.is_none_or(|at| run.at > at));
-        let unanswered: Runs = unanswered.copied().collect();
+        let unanswered = suspect.runs.iter().filter(|run| suspect.answered_at < Some(run.at));
+        let unanswered = self.counting(now, unanswered);
         let is_refused = !was_answered && moments(&unanswered) >= self.settings.min_runs;
         is_refused.then_some(unanswered)
     }
@@ -320,7 +318,7 @@
         }
         let suspect = self.suspects.get_mut(&content_of(digest))?;
         suspect.trial_at = Some(now);
-        Some(Trial { known_runs: suspect.runs.len() })
+        Some(Trial { began_at: now })
     }
 
     /// Records that a trial ended without a run, so that another may begin.
@@ -333,20 +331,18 @@
     /// Whether a trial may still send the request: no other run has failed since it began.
     pub fn allows(&self, digest: u64, trial: Trial) -> bool {
         let suspect = self.suspects.get(&content_of(digest));
-        suspect.is_none_or(|suspect| suspect.runs.len() <= trial.known_runs)
+        suspect.and_then(Suspect::last).is_none_or(|last| last <= trial.began_at)
     }
 
     /// The failed runs since `since`, in no order.
     pub fn runs_since(&self, now: Time, since: Time) -> Vec<KnownRun> {
         let runs = self.suspects.values().flat_map(|suspect| {
-            let runs = self.fresh_runs(now, suspect);
-            let is_refused = runs.len() >= self.settings.min_runs;
-            let recent = runs.iter().filter(move |run| run.at >= since);
-            recent.map(move |run| KnownRun {
-                digest: run.digest,
-                run: run.id,
-                at: run.at,
-                is_refused,
+            let recent = suspect.runs.iter().filter(move |run| run.at >= since);
+            recent.filter_map(move |run| {
+                let own = self.own_runs(now, run.digest, suspect);
+                let is_refused = own.len() >= self.settings.min_runs;
+                let known = KnownRun { digest: run.digest, run: run.id, at: run.at, is_refused };
+                own.contains(run).then_some(known)
             })
         });
         runs.collect()
@@ -364,33 +360,37 @@
         answer.is_some_and(|answer| now.since(answer.at) < self.settings.refusal_time)
     }
 
-    /// Whether a run that failed at `at` does not count any more, as the last of `count` runs.
-    fn is_forgotten(&self, now: Time, at: Time, count: usize) -> bool {
-        let is_few = count < self.settings.min_runs;
-        let ttl = if is_few { self.settings.run_ttl } else { self.settings.refusal_time };
-        now.since(at) >= ttl
+    /// The runs of a request that count, at all services.
+    fn own_runs(&self, now: Time, digest: u64, suspect: &Suspect) -> Runs {
+        self.counting(now, suspect.runs.iter().filter(|run| is_same(run.digest, digest)))
     }
 
-    /// The runs that still count: all of a request with enough to be refused, and otherwise those that are recent.
-    fn fresh_runs<'a>(&self, now: Time, suspect: &'a Suspect) -> &'a [Run] {
-        let count = suspect.runs.len();
-        if suspect.last().is_none_or(|last| self.is_forgotten(now, last, count)) {
-            return &[];
+    /// Those of `runs`, in the order of their times, that count: from the first of enough within the time for which
+    /// one counts, or else the recent ones.
+    fn counting<'a>(&self, now: Time, runs: impl Iterator<Item = &'a Run>) -> Runs {
+        let SuspectSettings { min_runs, run_ttl, refusal_time, .. } = self.settings;
+        let runs: Runs = runs.copied().collect();
+        let is_close = |row: &[Run]| row[row.len() - 1].at.since(row[0].at) < run_ttl;
+        let first = runs.windows(min_runs).position(is_close);
+        let is_fresh = |run: &Run| now.since(run.at) < refusal_time;
+        match first.filter(|_| runs.last().is_some_and(is_fresh)) {
+            Some(first) => runs[first..].into(),
+            None => runs.iter().filter(|run| now.since(run.at) < run_ttl).copied().collect(),
         }
-        if count >= self.settings.min_runs {
-            return &suspect.runs;
-        }
-        let first = suspect.runs.partition_point(|run| self.is_forgotten(now, run.at, count));
-        &suspect.runs[first..]
     }
 
     /// Drops what is forgotten, and, if that is little, the older half of the requests that are not refused, or of
     /// all if most are.
     fn make_room(&mut self, now: Time) {
         let mut suspects = std::mem::take(&mut self.suspects);
-        suspects.retain(|_, suspect| !self.fresh_runs(now, suspect).is_empty());
+        let is_refused = |suspect: &Suspect| {
+            let mut runs = suspect.runs.iter();
+            runs.any(|run| self.own_runs(now, run.digest, suspect).len() >= self.settings.min_runs)
+        };
+        suspects.retain(|_, suspect| {
+            is_refused(suspect) || !self.counting(now, suspect.runs.iter()).is_empty()
+        });
         let half = self.settings.max_requests / 2;
-        let is_refused = |suspect: &Suspect| suspect.runs.len() >= self.settings.min_runs;
         if suspects.len() > half {
             let refused = suspects.values().filter(|suspect| is_refused(suspect)).count();
             let keeps_refused = refused <= half;
--- a/components/policy/src/suspects/tests.rs
+++ b/components/policy/src/suspects/tests.rs
@@ -263,3 +263,43 @@
 
     assert!(is_refused(&suspects, 5));
 }
+
+// Guards against sound requests that are refused for runs from long ago, since others with their content fail often.
+#[test]
+fn forgets_the_few_runs_of_a_request_whatever_fails_with_its_content() {
+    let mut suspects = suspects();
+    fail(&mut suspects, REQUEST, 1, &[1, 100]);
+    for (headers, second) in (10..).zip([50, 130, 180, 230, 280]) {
+        fail(&mut suspects, with_headers(headers), 1, &[second]);
+        suspects.record_answer(at(second + 1), with_headers(99));
+    }
+
+    fail(&mut suspects, REQUEST, 3, &[300]);
+
+    assert_eq!(suspects.run_count(at(301), REQUEST), 1);
+    assert!(!is_refused(&suspects, 301));
+}
+
+// Guards against a trial that goes on although another host's has failed, since so many runs are remembered that a
+// new one takes the place of another.
+#[test]
+fn ends_a_trial_once_another_run_has_failed_however_many_are_known() {
+    let mut suspects = suspects();
+    for run in 0..40 {
+        fail(&mut suspects, REQUEST, run, &[1]);
+    }
+    let trial = suspects.begin_trial(at(40), REQUEST, 0).unwrap();
+
+    fail(&mut suspects, REQUEST, 50, &[41]);
+
+    assert!(!suspects.allows(REQUEST, trial));
+}
+
+#[test]
+fn counts_only_the_runs_that_an_answer_clears() {
+    let mut suspects = suspects();
+    fail(&mut suspects, REQUEST, 1, &[1, 2]);
+
+    assert_eq!(suspects.record_answer(at(3), OTHER_SERVICE), 0);
+    assert_eq!(suspects.record_answer(at(4), REQUEST), 2);
+}
