--- a/bins/host/src/main.rs
+++ b/bins/host/src/main.rs
@@ -21,11 +21,14 @@
     signal::unix::{SignalKind, signal},
 };
 
+/// Version of the program, and the revision of the sources that it was built from.
+const BUILD: &str = concat!(env!("CARGO_PKG_VERSION"), "+", env!("CHERVILGATE_REVISION"));
+
 /// Serves callers on one host, and reports usage and orders targets while this host holds the
 /// duty lease.
 #[derive(Debug, Clone)]
 #[derive(Bpaf)]
-#[bpaf(options, version)]
+#[bpaf(options, version(BUILD))]
 struct Options {
     /// Checks the settings and exits
     check: bool,
@@ -114,6 +117,7 @@
         decoder: Arc::new(PlatformDecoder),
         store: Arc::new(PlatformStore::new(settings.store_addr)),
         lines_lost,
+        build: BUILD,
         time_of_day,
         duties: duty_client.map(|client| DutyClients {
             reports: Arc::new(client.clone()),
--- a/bins/host/tests/logs.rs
+++ b/bins/host/tests/logs.rs
@@ -179,6 +179,25 @@
     child
 }
 
+// Guards against logs and reports of which nobody can tell from which build they come.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_program_names_its_build() {
+    let output = Command::new(PROGRAM).arg("--version").output().unwrap();
+    let version = String::from_utf8(output.stdout).unwrap();
+    let build = version.split_whitespace().last().unwrap().to_owned();
+
+    let host = RawTargetHost::start("log-build").await;
+    let log = read_to_string(&host.log).unwrap();
+    let started = log.lines().find(|line| line.contains("started name=")).unwrap();
+
+    let (number, revision) = build.split_once('+').unwrap();
+    assert_eq!(number, env!("CARGO_PKG_VERSION"));
+    assert!(!revision.is_empty());
+    assert_eq!(field(started, "build"), Some(&*build));
+    let name = format!("chervilgate_build{{build=\"{build}\"}}");
+    assert_eq!(metric(host.metrics, &name).await, 1.0);
+}
+
 /// Sends requests that match no route and are logged with one line each, for `span`; returns how
 /// many.
 async fn flood(fleet: &Fleet, span: Duration) -> usize {
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -68,6 +68,8 @@
     pub store: Arc<dyn ObjectStore>,
     /// Returns the numbers of log lines dropped so far.
     pub lines_lost: fn() -> LostLines,
+    /// Version and revision of the program, for the log and the metrics.
+    pub build: &'static str,
     /// Time since 1970 by this machine's clock.
     pub time_of_day: Duration,
     /// Clients for the lease holder's duties; none if this host takes no duties.
@@ -99,12 +101,13 @@
         settings: HostSettings,
         dependencies: Dependencies,
     ) -> Result<Host, HostError> {
-        let Dependencies { protocol, decoder, store, lines_lost, time_of_day, duties } =
+        let Dependencies { protocol, decoder, store, lines_lost, build, time_of_day, duties } =
             dependencies;
         let prefix = decoder.target_prefix().to_owned();
         let config = decoder.config_prefix().to_owned();
         let shared =
             Arc::new(Shared::new(settings, protocol, decoder, store, lines_lost, time_of_day));
+        shared.metrics.set_build(build);
         let (stop, stopped) = watch::channel(false);
         let callers: Arc<dyn Handler> = Arc::new(CallerHandler { shared: shared.clone() });
         let directory = |explains| Arc::new(Directory { shared: shared.clone(), explains });
@@ -169,7 +172,8 @@
             tokio::spawn(maintain_usage_sheet(shared.clone()));
             tokio::spawn(Duties::new(shared.clone(), reports, orders).run());
         }
-        log::info!(target: "host", name = shared.settings.name, boot = shared.boot; "started");
+        let (name, boot) = (&shared.settings.name, shared.boot);
+        log::info!(target: "host", name, boot, build; "started");
         Ok(Host { shared, refresh_membership, stop, listeners })
     }
 
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -20,8 +20,8 @@
 
 pub(crate) use self::feed::{ChangeSource, FeedMetrics};
 use self::labels::{
-    DemandLabels, EndLabel, KindLabel, LevelLabel, OrgLabel, PriorityLabel, RepeatLabels,
-    ServiceLabel, StateLabel, StoreCallLabels, WantedLabels, YieldLabels,
+    BuildLabel, DemandLabels, EndLabel, KindLabel, LevelLabel, OrgLabel, PriorityLabel,
+    RepeatLabels, ServiceLabel, StateLabel, StoreCallLabels, WantedLabels, YieldLabels,
 };
 use crate::{fleet::TargetCounts, planner::ZoneGoal};
 
@@ -131,6 +131,7 @@
     pub(crate) hosts: Gauge,
     /// 1 if this host is ready, otherwise 0.
     pub(crate) ready: Gauge,
+    build: Family<BuildLabel, Gauge>,
 }
 
 impl Metrics {
@@ -181,11 +182,17 @@
             store_era: Gauge::default(),
             hosts: Gauge::default(),
             ready: Gauge::default(),
+            build: Family::default(),
         };
         metrics.register();
         metrics
     }
 
+    /// Names the version and revision of this program.
+    pub(crate) fn set_build(&self, build: &str) {
+        self.build.get_or_create(&BuildLabel { build: build.into() }).set(1);
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         self.feed.register(registry);
@@ -296,6 +303,7 @@
         registry.register("store_era", "Latest era of the store", self.store_era.clone());
         registry.register("hosts", "Hosts that serve callers", self.hosts.clone());
         registry.register("ready", "Whether this host is ready", self.ready.clone());
+        registry.register("build", "Version and revision of this program", self.build.clone());
     }
 
     /// Counts a finished request by how it ended.
--- a/components/gateway/src/metrics/labels.rs
+++ b/components/gateway/src/metrics/labels.rs
@@ -35,6 +35,12 @@
     }
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub(super) struct BuildLabel {
+    pub(super) build: LabelText,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 pub(super) struct EndLabel {
