Failed runs: an error that a target answers before it ends

Callers saw a request that crashes targets run on without end, if each target answered it with a server error, or with a refusal that does not say that it did not run, before it ended: such ends counted as nothing (docs/design/poison.md said so), and each of its arrivals asked two targets.

RunEnd::proof (policy) now says in one place what the end of a run proves, and InFlight reports each end once, as it is dropped at the latest. An end that proves the run failed only if the target ends soon after it is kept for 2 s; the target's port is asked a few times meanwhile, at 64 targets at most, for all such runs at it together, and any other sign that it ended counts as well. A target that has said that it leaves ends by that.

Tests: ended::a_server_error_counts_if_its_target_ends and a_refusal_without_its_mark_counts_if_its_target_ends, red with these ends still proving nothing (4 runs in place of 3); beside each, the same request at targets that go on runs on.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -7,17 +7,18 @@
 
 use chervilgate_clients::{Body, ConnectionHandle, SendError, SentOver};
 use chervilgate_clock::Time;
-use chervilgate_policy::Fingerprint;
+use chervilgate_policy::RunEnd;
 use hyper::{Request, Response, StatusCode, http::uri::Uri};
 
 use crate::{
     caller_request::CallerRequest,
-    crash::{SentRequest, look_for_end, record_failed_run},
+    crash::look_for_end,
     exchange::{Answer, exchange},
     fleet::{AttemptId, AttemptOutcome, Hold, Placement},
-    poison::{PoisonVerdict, SharedParts},
+    poison::{PoisonVerdict, SentRequest, SharedParts},
     progress::Stage,
     protocol::{ForwardedRequest, RequestStage},
+    run_end::record_run_end,
     state::Shared,
     verdict::Verdict,
 };
@@ -32,6 +33,12 @@
     pub(crate) started_at: Time,
     /// Reported to the fleet when this is dropped.
     pub(crate) outcome: AttemptOutcome,
+    request: SentRequest,
+    parts: SharedParts,
+    /// Whether the target may run the request, and the end of that run is not known.
+    is_running: bool,
+    /// When the target sent the first event of its answer.
+    pub(crate) begun_at: Option<Time>,
 }
 
 impl InFlight {
@@ -62,6 +69,10 @@
             attempt,
             started_at: now,
             outcome,
+            request: SentRequest::of(call),
+            parts: call.parts.clone(),
+            is_running: false,
+            begun_at: None,
         }
     }
 
@@ -84,26 +95,31 @@
         self.shared.now()
     }
 
-    pub(crate) fn shared(&self) -> &Shared {
-        &self.shared
+    /// Records how the run ended, once; without it the caller has left.
+    pub(crate) fn end_run(&mut self, end: RunEnd) {
+        if !std::mem::take(&mut self.is_running) {
+            return;
+        }
+        let answering = self.begun_at.map(|at| self.shared.now().since(at));
+        record_run_end(&self.shared, &self.request, &self.placement, end, answering);
+    }
+
+    /// Records that there was no run, or that its end says nothing.
+    pub(crate) fn forget_run(&mut self) {
+        self.is_running = false;
     }
 
-    /// Records that the request `id` with this fingerprint and these parts of its prompt was answered in full with
-    /// `status`. Any answer but a server error shows that the request does not crash its target; only a success
-    /// shows it of the parts.
-    pub(crate) fn record_answer(
-        &self,
-        status: StatusCode,
-        id: &str,
-        fingerprint: Fingerprint,
-        parts: &SharedParts,
-    ) {
+    /// Records that the request was answered in full with `status`. Any answer but a server error shows that the
+    /// request does not crash its target; only a success shows it of the parts of its prompt.
+    pub(crate) fn record_answer(&mut self, status: StatusCode) {
         if status.is_server_error() {
-            return;
+            return self.end_run(RunEnd::ErrorAnswer);
         }
-        let parts: &[Fingerprint] = if status.is_success() { parts } else { &[] };
+        self.end_run(RunEnd::Answered);
+        let parts: &[_] = if status.is_success() { &self.parts } else { &[] };
+        let SentRequest { id, fingerprint } = &self.request;
         let now = self.shared.now();
-        let runs = self.shared.state().poison.record_answer(now, fingerprint, parts);
+        let runs = self.shared.state().poison.record_answer(now, *fingerprint, parts);
         if runs > 0 {
             let (target, request) = (&self.placement.id, format!("{:016x}", fingerprint.digest));
             log::info!(target: "gateway", id, target, request, runs; "request acquitted");
@@ -136,6 +152,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        self.end_run(RunEnd::CallerLeft);
         let now = self.shared.now();
         let failing =
             self.shared.state().fleet.finish(now, &self.placement, self.attempt, self.outcome);
@@ -239,9 +256,11 @@
         let (shared, caller) = (shared.clone(), call.caller.clone());
         move || shared.now() < given_up_at && !caller.has_left()
     };
+    in_flight.is_running = true;
     let sent = exchange(shared, &in_flight.placement, id, limit, request, is_wanted).await;
     let Ok(sent) = sent else {
         in_flight.outcome = AttemptOutcome::Failed;
+        in_flight.end_run(RunEnd::TimedOut);
         return SendOutcome::TimedOut;
     };
     let answer = match sent {
@@ -250,6 +269,7 @@
             if sent.closed == 0 {
                 call.sent.fetch_sub(counted, Ordering::Relaxed);
             }
+            in_flight.forget_run();
             let reason = reason_not_to_send(shared.now(), call);
             return not_sent(call, reason.unwrap_or(NotRunReason::Expired));
         }
@@ -258,15 +278,12 @@
                 call.sent.fetch_sub(counted, Ordering::Relaxed);
             }
             log_closed(shared, in_flight, call, error.sent_over());
-            return classify_error(shared, in_flight, call, &error);
+            return classify_error(in_flight, call, &error);
         }
     };
     call.answered_over.record(addr, &answer.response);
     log_closed(shared, in_flight, call, sent_over(&answer.response));
     log_answer(shared, in_flight, call, &answer);
-    if matches!(answer.verdict, Verdict::Foreign | Verdict::NotFinal) {
-        record_failed_run(shared, &SentRequest::of(call), &in_flight.placement);
-    }
     to_outcome(in_flight, answer)
 }
 
@@ -340,7 +357,6 @@
 }
 
 fn classify_error(
-    shared: &Shared,
     in_flight: &mut InFlight,
     call: &CallerRequest,
     error: &SendError,
@@ -354,11 +370,12 @@
     );
     look_for_end(&in_flight.shared, &in_flight.placement, in_flight.started_at);
     if error.not_run() {
+        in_flight.forget_run();
         in_flight.outcome = AttemptOutcome::Unreachable;
         return SendOutcome::NotRun(NotRunReason::Unreachable);
     }
     in_flight.outcome = AttemptOutcome::Failed;
-    record_failed_run(shared, &SentRequest::of(call), &in_flight.placement);
+    in_flight.end_run(RunEnd::Unanswered);
     SendOutcome::Unknown
 }
 
@@ -370,17 +387,21 @@
                 connection.discard();
             }
             in_flight.outcome = AttemptOutcome::Failed;
+            in_flight.end_run(RunEnd::Unanswered);
             SendOutcome::Unknown
         }
         Verdict::Unmarked => {
             in_flight.outcome = AttemptOutcome::Failed;
+            in_flight.end_run(RunEnd::ErrorAnswer);
             SendOutcome::Withheld
         }
         Verdict::Refused => {
+            in_flight.forget_run();
             in_flight.outcome = AttemptOutcome::Full;
             SendOutcome::NotRun(NotRunReason::Refused)
         }
         Verdict::Replaced => {
+            in_flight.forget_run();
             in_flight.outcome = AttemptOutcome::Replaced;
             SendOutcome::NotRun(NotRunReason::Replaced)
         }
--- a/components/gateway/src/crash.rs
+++ b/components/gateway/src/crash.rs
@@ -1,4 +1,4 @@
-//! Records runs that failed, and finds out whether a target whose connection broke has ended.
+//! Finds out whether a target whose connection broke has ended.
 //!
 //! A connection may break off, or bring bytes that are no answer, while its target goes on. A port
 //! that refuses connections shows that the process behind it has ended. An answer with neither a length
@@ -7,15 +7,12 @@
 use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
 use chervilgate_clock::Time;
-use chervilgate_policy::{CrashId, Fingerprint, TargetId};
+use chervilgate_policy::{CrashId, TargetId};
 use tokio::{io::AsyncReadExt, net::TcpStream, sync::OnceCell, time::timeout};
 
 use crate::{
-    caller_request::CallerRequest,
-    fleet::Placement,
-    hash::stable_hash,
-    poison::{FailedRun, PoisonGuard},
-    state::Shared,
+    caller_request::CallerRequest, fleet::Placement, hash::stable_hash,
+    run_end::record_ended_start, state::Shared,
 };
 
 /// Time in which a connection is refused; a target that is cut off does not answer.
@@ -31,69 +28,10 @@
 /// for one connection attempt.
 pub(crate) type CrashProbe = Arc<OnceCell<Option<Time>>>;
 
-/// A request, as log lines and failed runs name it.
-#[derive(Debug, Clone)]
-pub(crate) struct SentRequest {
-    pub(crate) id: String,
-    pub(crate) fingerprint: Fingerprint,
-}
-
-impl SentRequest {
-    pub(crate) fn of(call: &CallerRequest) -> SentRequest {
-        SentRequest { id: call.ask.id.clone(), fingerprint: call.fingerprint }
-    }
-}
-
-/// Records that a run failed at the target of `placement` before it was answered. Whether the target has ended is
-/// not asked: it may be back already. A target that leaves ends by that.
-pub(crate) fn record_failed_run(shared: &Shared, request: &SentRequest, placement: &Placement) {
-    record_run(shared, request, placement, PoisonGuard::record_run);
-}
-
-/// The same for a run that failed just as its answer began.
-pub(crate) fn record_begun_run(shared: &Shared, request: &SentRequest, placement: &Placement) {
-    record_run(shared, request, placement, PoisonGuard::record_begun_run);
-}
-
-fn record_run(
-    shared: &Shared,
-    request: &SentRequest,
-    placement: &Placement,
-    record: impl FnOnce(&mut PoisonGuard, Time, FailedRun),
-) {
-    let now = shared.now();
-    let SentRequest { id, fingerprint } = request;
-    let run = FailedRun { request: fingerprint.digest, run: rand::random() };
-    let runs = {
-        let state = &mut *shared.state();
-        if state.fleet.is_leaving(placement) {
-            return;
-        }
-        record(&mut state.poison, now, run);
-        if state.poison.verdict(now, *fingerprint, &[]).is_some() {
-            shared.broadcast.notify_one();
-        }
-        state.poison.run_count(now, *fingerprint)
-    };
-    let (target, request) = (&placement.id, format!("{:016x}", fingerprint.digest));
-    log::warn!(target: "gateway", id, target, request, runs; "run failed");
-}
-
-/// Records in the background that a run failed whose answer is not passed on, if its target, to which it was sent at
-/// `sent`, is found to have ended.
-pub(crate) fn record_run_if_ended(
-    shared: &Arc<Shared>,
-    call: &CallerRequest,
-    placement: &Placement,
-    sent: Time,
-) {
-    let (shared, placement) = (shared.clone(), placement.clone());
-    let request = SentRequest::of(call);
-    tokio::spawn(async move {
-        if has_ended(&shared, &placement, sent).await {
-            record_failed_run(&shared, &request, &placement);
-        }
-    });
+/// The start of the target of `placement`, as crashes name it.
+pub(crate) fn start_of(placement: &Placement) -> CrashId {
+    let target = TargetId(stable_hash(&placement.id) as u32);
+    CrashId { target, incarnation: placement.incarnation }
 }
 
 /// Records that `call`, sent at `sent`, broke off at the target of `placement` before it was answered, or
@@ -116,9 +54,8 @@
     let Placement { id: target, incarnation, .. } = placement;
     let (id, parts) = (&call.ask.id, call.shared_parts());
     log::warn!(target: "gateway", id, target, incarnation, parts; "target ended under the request");
-    let crash = CrashId { target: TargetId(stable_hash(target) as u32), incarnation: *incarnation };
     let now = shared.now();
-    shared.state().poison.record_crash(now, crash, &call.parts);
+    shared.state().poison.record_crash(now, start_of(placement), &call.parts);
     shared.broadcast.notify_one();
     shared.crashes_due.notify_one();
 }
@@ -151,7 +88,7 @@
 
 /// Whether the target of `placement` has ended since `sent`, which is recorded. An end that was found
 /// before says nothing of what was sent later.
-async fn has_ended(shared: &Shared, placement: &Placement, sent: Time) -> bool {
+pub(crate) async fn has_ended(shared: &Shared, placement: &Placement, sent: Time) -> bool {
     let key = (placement.id.clone(), placement.incarnation);
     let probe = {
         let mut state = shared.state();
@@ -166,6 +103,9 @@
     };
     let find = || async { is_refused(placement.addr).await.then(|| shared.now()) };
     let ended = probe.get_or_init(find).await.is_some();
+    if ended {
+        record_ended_start(shared, placement);
+    }
     let now = shared.now();
     let mut state = shared.state();
     if ended {
--- a/components/gateway/src/fleet/departures.rs
+++ b/components/gateway/src/fleet/departures.rs
@@ -66,6 +66,12 @@
         known.is_some_and(|(_, departure)| !matches!(departure, Departure::Removed { .. }))
     }
 
+    /// Whether this start of a target has said that it leaves.
+    pub(super) fn is_announced(&self, id: &Arc<str>, incarnation: u64) -> bool {
+        let known = self.starts.get(&(id.clone(), incarnation));
+        known.is_some_and(|(_, departure)| *departure == Departure::Announced)
+    }
+
     fn evict(&mut self, now: Time) {
         if self.starts.len() < MAX_DEPARTURES {
             return;
--- a/components/gateway/src/fleet/sending.rs
+++ b/components/gateway/src/fleet/sending.rs
@@ -109,6 +109,17 @@
         self.departures.is_final(&placement.id, placement.incarnation)
     }
 
+    /// Whether the target has said that it leaves.
+    pub fn has_announced_departure(&self, placement: &Placement) -> bool {
+        self.departures.is_announced(&placement.id, placement.incarnation)
+    }
+
+    /// Whether a later start of the target is known.
+    pub fn is_replaced(&self, placement: &Placement) -> bool {
+        let state = self.targets.get(&placement.id);
+        state.is_some_and(|state| state.entry.incarnation > placement.incarnation)
+    }
+
     /// Sets the hosts that share the limits of targets; to be called about once a second. `own` is
     /// this host's name, none if it is stopping, and `others` are those of the others that are alive.
     pub fn set_hosts<'a>(
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -4,6 +4,7 @@
 
 use chervilgate_clients::{Body, BodyError};
 use chervilgate_clock::Time;
+use chervilgate_policy::RunEnd;
 use hyper::Response;
 use smallvec::SmallVec;
 use tokio::time::timeout;
@@ -12,7 +13,7 @@
     attempt::{InFlight, NotRunReason, SendOutcome, send},
     body::{Answer, read_answer},
     caller_request::CallerRequest,
-    crash::{SentRequest, is_cut, record_begun_run, record_break, record_run_if_ended},
+    crash::{is_cut, record_break},
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Hold, TargetQuery},
     joining::{check_answer, is_framed},
@@ -243,7 +244,7 @@
                     let (status, reason) = (response.status().as_u16(), rejection.as_str());
                     log::warn!(target: "gateway", id, target, status, reason; "answer not passed on");
                     in_flight.outcome = AttemptOutcome::Failed;
-                    record_run_if_ended(shared, call, &in_flight.placement, in_flight.started_at);
+                    in_flight.end_run(RunEnd::ErrorAnswer);
                     if attempts.may_retry_failed_run(shared, call) {
                         continue;
                     }
@@ -252,12 +253,12 @@
                 let read = read_whole(shared, call, &in_flight, response).await;
                 let is_read = matches!(read, Read::Whole(_) | Read::Partial(_));
                 if is_read && failed && attempts.may_retry_failed_run(shared, call) {
+                    in_flight.end_run(RunEnd::ErrorAnswer);
                     continue;
                 }
-                let is_broken = match read {
+                let end = match read {
                     Read::Whole(response) => {
-                        let (status, id) = (response.status(), &call.ask.id);
-                        in_flight.record_answer(status, id, call.fingerprint, &call.parts);
+                        in_flight.record_answer(response.status());
                         return Ok(response);
                     }
                     Read::Partial(response) => {
@@ -266,13 +267,10 @@
                             pass_on(call, in_flight, body, MAX_RESPONSE_BYTES, status)
                         }));
                     }
-                    Read::Broken => true,
-                    Read::GivenUp => false,
+                    Read::Unfinished(end) => end,
                 };
                 in_flight.outcome = AttemptOutcome::Failed;
-                if is_broken {
-                    record_begun_run(shared, &SentRequest::of(call), &in_flight.placement);
-                }
+                in_flight.end_run(end);
                 record_break(shared, call, &in_flight.placement, in_flight.started_at).await;
                 if !attempts.may_retry_failed_run(shared, call) {
                     return Err(Failure::TargetFailed);
@@ -300,10 +298,8 @@
     Whole(Response<Body>),
     /// As much as the host may hold. The rest has no limits yet.
     Partial(Response<Body>),
-    /// It broke off.
-    Broken,
-    /// The host took no more of it, for lack of time or memory.
-    GivenUp,
+    /// It ended otherwise.
+    Unfinished(RunEnd),
 }
 
 /// Reads the body of a response.
@@ -328,7 +324,7 @@
         match read_answer(body, MAX_RESPONSE_BYTES, budget, is_framed).await {
             Ok(Answer::Whole(body)) => {
                 let is_cut = is_cut(shared, call, placement, *started_at, is_framed).await;
-                if is_cut { Read::Broken } else { Read::Whole(respond(body)) }
+                if is_cut { Read::Unfinished(RunEnd::Broken) } else { Read::Whole(respond(body)) }
             }
             Ok(Answer::Partial(body)) => {
                 shared.metrics.count_memory_refused("answers");
@@ -339,18 +335,18 @@
                 shared.metrics.count_memory_refused("answers");
                 let reason = "no memory for an answer whose end does not show";
                 log::warn!(target: "gateway", id = call.ask.id, reason; "response body given up");
-                Read::GivenUp
+                Read::Unfinished(RunEnd::GivenUp)
             }
             Err(error) => {
                 log::warn!(target: "gateway", id = call.ask.id, error:%; "response body ended early");
                 let is_own_limit = matches!(error, BodyError::TooLong { .. });
-                if is_own_limit { Read::GivenUp } else { Read::Broken }
+                Read::Unfinished(if is_own_limit { RunEnd::GivenUp } else { RunEnd::Broken })
             }
         }
     };
     timeout(left, read).await.unwrap_or_else(|_| {
         log::warn!(target: "gateway", id = call.ask.id; "response body timed out");
         shared.target_pool.distrust(placement.addr);
-        Read::GivenUp
+        Read::Unfinished(RunEnd::TimedOut)
     })
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -53,6 +53,7 @@
 mod protocol;
 pub mod quota;
 pub mod repeats;
+mod run_end;
 mod serve;
 mod settings;
 mod state;
--- a/components/gateway/src/passed_on.rs
+++ b/components/gateway/src/passed_on.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use chervilgate_clients::{Body, BodyError, body::empty};
+use chervilgate_policy::RunEnd;
 use chervilgate_serve::Cutoff;
 use http_body_util::BodyExt;
 use hyper::{
@@ -20,12 +21,7 @@
 use tokio::time::{Sleep, sleep};
 
 use crate::{
-    attempt::InFlight,
-    caller_request::CallerRequest,
-    crash::{SentRequest, record_begun_run},
-    fleet::AttemptOutcome,
-    poison::SharedParts,
-    stream::CUT_WRITE_TIME,
+    attempt::InFlight, caller_request::CallerRequest, fleet::AttemptOutcome, stream::CUT_WRITE_TIME,
 };
 
 /// The body of an answer that is passed on as it arrives.
@@ -43,8 +39,7 @@
     /// Keeps the request in flight.
     in_flight: InFlight,
     status: StatusCode,
-    request: SentRequest,
-    parts: SharedParts,
+    id: String,
     cutoff: Option<Cutoff>,
 }
 
@@ -58,49 +53,38 @@
     status: StatusCode,
 ) -> Body {
     let left = call.deadline.since(in_flight.now());
-    let open = OpenAnswer {
-        in_flight,
-        status,
-        request: SentRequest::of(call),
-        parts: call.parts.clone(),
-        cutoff: call.cutoff.clone(),
-    };
+    let open =
+        OpenAnswer { in_flight, status, id: call.ask.id.clone(), cutoff: call.cutoff.clone() };
     let deadline = Box::pin(sleep(left));
     PassedOn { body, left: limit, deadline, open: Some(open) }.boxed_unsync()
 }
 
 impl OpenAnswer {
-    fn end(self) {
-        let SentRequest { id, fingerprint } = &self.request;
-        self.in_flight.record_answer(self.status, id, *fingerprint, &self.parts);
+    fn end(mut self) {
+        self.in_flight.record_answer(self.status);
     }
 
-    fn fail(mut self) {
+    fn fail(mut self, end: RunEnd) {
         self.in_flight.outcome = AttemptOutcome::Failed;
+        self.in_flight.end_run(end);
     }
 
-    /// Ends it where its target broke off.
-    fn break_off(self) {
-        record_begun_run(self.in_flight.shared(), &self.request, &self.in_flight.placement);
-        self.fail();
-    }
-
-    fn cut(self, reason: &str) {
-        let (id, target) = (&self.request.id, &self.in_flight.placement.id);
+    fn cut(self, end: RunEnd, reason: &str) {
+        let (id, target) = (&self.id, &self.in_flight.placement.id);
         log::warn!(target: "gateway", id, target, reason; "answer cut that was passed on as it arrived");
         // A connection with full buffers does not ask for the rest, so it does not learn of the cut.
         if let Some(cutoff) = &self.cutoff {
             cutoff.cut(CUT_WRITE_TIME);
         }
-        self.fail();
+        self.fail(end);
     }
 }
 
 impl PassedOn {
-    fn cut(&mut self, reason: &str) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    fn cut(&mut self, end: RunEnd, reason: &str) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         self.body = empty();
         if let Some(open) = self.open.take() {
-            open.cut(reason);
+            open.cut(end, reason);
         }
         Poll::Ready(Some(Err(BodyError::Aborted { reason: reason.to_owned() })))
     }
@@ -118,7 +102,7 @@
             return Poll::Ready(None);
         }
         if self.deadline.as_mut().poll(cx).is_ready() {
-            return self.cut("timed out");
+            return self.cut(RunEnd::TimedOut, "timed out");
         }
         let Poll::Ready(read) = Pin::new(&mut self.body).poll_frame(cx) else {
             return Poll::Pending;
@@ -127,13 +111,13 @@
             Some(Ok(frame)) => {
                 let length = frame.data_ref().map_or(0, Bytes::len);
                 let Some(left) = self.left.checked_sub(length) else {
-                    return self.cut("too long");
+                    return self.cut(RunEnd::GivenUp, "too long");
                 };
                 self.left = left;
             }
             Some(Err(_)) => {
                 if let Some(open) = self.open.take() {
-                    open.break_off();
+                    open.fail(RunEnd::Broken);
                 }
             }
             None => {
--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -5,13 +5,18 @@
 //! its first event, or just after it, counts until one is answered in full. Requests that share a part of their prompt
 //! need not be alike: once a target is known to have ended, the parts of the requests that it had not
 //! begun to answer are accused. All hosts tell each other of failed runs, crashes and acquittals.
+//!
+//! A run that was not answered well counts as failed if its target ends soon after it ([`RunEnd`]).
+//!
+//! [`RunEnd`]: chervilgate_policy::RunEnd
 
 use std::{collections::HashMap, time::Duration};
 
 use chervilgate_clock::Time;
 use chervilgate_policy::{
-    AffectedRequest, CrashId, CrashNotice, Fingerprint, OrgId, PoisonDetector, PoisonSettings,
-    PoisonStatus, PoisonSubject, SuspectSettings, SuspectStatus, Suspects, Trial,
+    AffectedRequest, CrashId, CrashNotice, DOUBT_TIME, Fingerprint, OpenRuns, OrgId,
+    PoisonDetector, PoisonSettings, PoisonStatus, PoisonSubject, SuspectSettings, SuspectStatus,
+    Suspects, Trial,
 };
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
@@ -49,6 +54,15 @@
     parts.map(|part| Fingerprint { org, digest: stable_hash(&(service, part.id)) }).collect()
 }
 
+/// A request that was sent to a target, as log lines and failed runs name it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SentRequest {
+    /// Its id.
+    pub id: String,
+    /// What makes it the same one as it comes again.
+    pub fingerprint: Fingerprint,
+}
+
 /// A failed run of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
@@ -85,6 +99,8 @@
     parts: PoisonDetector,
     /// Requests and parts that others are to be told were answered, with the number of rounds left.
     acquitted: HashMap<u64, u8>,
+    /// Runs of this host that count as failed if their targets end soon.
+    doubtful: OpenRuns<SentRequest>,
 }
 
 impl Default for PoisonGuard {
@@ -98,6 +114,7 @@
             requests: Suspects::new(SuspectSettings::default()),
             parts: PoisonDetector::new(parts),
             acquitted: HashMap::new(),
+            doubtful: OpenRuns::new(DOUBT_TIME),
         }
     }
 }
@@ -132,6 +149,17 @@
         self.requests.record_run(now, at, run.request, run.run);
     }
 
+    /// Records that a run of this host ended on this start of a target, which counts as failed if that ends soon.
+    pub fn record_doubtful_run(&mut self, now: Time, start: CrashId, request: SentRequest) {
+        self.doubtful.take_outlived(now);
+        self.doubtful.add(now, start, request);
+    }
+
+    /// Takes out the runs of this host that count as failed, as this start of a target has ended.
+    pub fn take_failed_runs(&mut self, now: Time, start: CrashId) -> Vec<SentRequest> {
+        self.doubtful.take_ended(now, start)
+    }
+
     /// Number of failed runs that count against a request.
     pub fn run_count(&self, now: Time, request: Fingerprint) -> usize {
         self.requests.run_count(now, request.digest)
--- a/components/gateway/src/prefill.rs
+++ b/components/gateway/src/prefill.rs
@@ -7,13 +7,13 @@
 
 use bytes::Bytes;
 use chervilgate_clients::BodyError;
+use chervilgate_policy::RunEnd;
 use hyper::{Method, Request, http::uri::Uri};
 use tokio::time::timeout;
 
 use crate::{
     attempt::{InFlight, NotRunReason, SendOutcome, send},
     caller_request::CallerRequest,
-    crash::{SentRequest, record_begun_run},
     exchange::exchange,
     fleet::Placement,
     protocol::{PrefillResponse, RequestStage},
@@ -118,9 +118,10 @@
     );
     let limit = PREFILL_TIMEOUT.saturating_sub(shared.now().since(in_flight.started_at));
     let limit = limit.min(call.deadline.since(shared.now()));
-    let prefilled = timeout(limit, read_prefill(shared, call, &in_flight, result)).await;
+    let prefilled = timeout(limit, read_prefill(shared, call, &mut in_flight, result)).await;
     let prefilled = prefilled.unwrap_or_else(|_| {
         log_late_prompt(call, &in_flight);
+        in_flight.end_run(RunEnd::TimedOut);
         shared.target_pool.distrust(in_flight.placement.addr);
         None
     });
@@ -145,19 +146,25 @@
 async fn read_prefill(
     shared: &Shared,
     call: &CallerRequest,
-    in_flight: &InFlight,
+    in_flight: &mut InFlight,
     result: SendOutcome,
 ) -> Option<PrefillResponse> {
     let SendOutcome::Answered(response) = result else { return None };
     if !response.status().is_success() {
+        if response.status().is_server_error() {
+            in_flight.end_run(RunEnd::ErrorAnswer);
+        }
+        in_flight.forget_run();
         return None;
     }
     let body = chervilgate_clients::body::collect(response.into_body(), MAX_PREFILL_RESPONSE).await;
     if let Err(error @ (BodyError::Connection { .. } | BodyError::Aborted { .. })) = &body {
         let (id, target) = (&call.ask.id, &in_flight.placement.id);
         log::warn!(target: "gateway", id, target, error:%; "prefill response broke off");
-        record_begun_run(shared, &SentRequest::of(call), &in_flight.placement);
+        in_flight.end_run(RunEnd::Broken);
     }
+    // A prompt that is computed says nothing of the answer.
+    in_flight.forget_run();
     let prefilled = shared.protocol.parse_prefill(&body.ok()?);
     if prefilled.is_none() {
         log::warn!(
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -9,7 +9,7 @@
 
 use chervilgate_clients::{HttpPool, ObjectStore};
 use chervilgate_clock::{BootClock, Clock, Time};
-use chervilgate_policy::{QUOTA_PARTITIONS, Ticket};
+use chervilgate_policy::{CrashId, QUOTA_PARTITIONS, Ticket};
 use tokio::{
     net::UdpSocket,
     sync::{Notify, watch},
@@ -138,6 +138,8 @@
     pub(crate) poison: PoisonGuard,
     /// Starts of targets whose end was looked for.
     pub(crate) crash_probes: HashMap<(Arc<str>, u64), CrashProbe>,
+    /// Starts of targets that are asked whether they have ended, and until when.
+    pub(crate) watched: HashMap<CrashId, Time>,
     /// Whether this host is stopping.
     pub(crate) leaving: bool,
     /// When this host stops; none if it was not told to.
@@ -246,6 +248,7 @@
             holder: None,
             poison: PoisonGuard::default(),
             crash_probes: HashMap::new(),
+            watched: HashMap::new(),
             leaving: false,
             stop: None,
             origins: Origins::default(),
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -11,6 +11,7 @@
 
 use chervilgate_clients::Body;
 use chervilgate_clock::Time;
+use chervilgate_policy::RunEnd;
 use futures_util::stream::poll_fn;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
@@ -23,10 +24,7 @@
 use crate::{
     attempt::{InFlight, NotRunReason, SendOutcome, send},
     caller_request::CallerRequest,
-    crash::{
-        SentRequest, look_for_end, record_begun_run, record_break, record_failed_run,
-        record_run_if_ended,
-    },
+    crash::{look_for_end, record_break},
     failure::Failure,
     fleet::{AttemptOutcome, BuildId, Placement, Plan, TargetQuery},
     forward::{Attempts, check_deadline},
@@ -99,17 +97,15 @@
                 self.shared.protocol.parse_response(target_stream.status, &target_stream.headers);
             if let Err(rejection) = check_first(target_stream.status, &head) {
                 target_stream.log_rejected(&self.shared, &self.call.ask.id, rejection);
-                let InFlight { placement, started_at, .. } = &target_stream.in_flight;
-                record_run_if_ended(&self.shared, &self.call, placement, *started_at);
+                target_stream.in_flight.end_run(RunEnd::ErrorAnswer);
             } else {
                 let next = target_stream.next(&self.shared, &self.call).await;
                 if !matches!(next, ReadOutcome::Broken) {
                     return Ok((target_stream, next));
                 }
+                let end = target_stream.end_of_broken();
+                target_stream.in_flight.end_run(end);
                 let InFlight { placement, started_at, .. } = &target_stream.in_flight;
-                if !target_stream.is_given_up {
-                    record_failed_run(&self.shared, &SentRequest::of(&self.call), placement);
-                }
                 record_break(&self.shared, &self.call, placement, *started_at).await;
             }
             target_stream.in_flight.outcome = AttemptOutcome::Failed;
@@ -131,6 +127,7 @@
             };
             found.log_rejected(&self.shared, &self.call.ask.id, rejection);
             found.in_flight.outcome = AttemptOutcome::Failed;
+            found.in_flight.end_run(RunEnd::ErrorAnswer);
             self.attempts.tried.push(found.in_flight.placement.id.clone());
             if !self.attempts.may_retry_failed_run(&self.shared, &self.call) {
                 return None;
@@ -207,6 +204,7 @@
                         // The caller gets the target's error response.
                         return Ok(TargetStream::new(&shared, in_flight, response, self.position));
                     }
+                    in_flight.end_run(RunEnd::ErrorAnswer);
                 }
                 SendOutcome::NotRun(why) => {
                     self.attempts.tried.push(in_flight.placement.id.clone());
@@ -337,7 +335,6 @@
         if !has_just_begun {
             return look_for_end(&self.shared, placement, sent);
         }
-        record_begun_run(&self.shared, &SentRequest::of(&self.call), placement);
         record_break(&self.shared, &self.call, placement, sent).await;
     }
 
@@ -400,10 +397,9 @@
                 ReadOutcome::End => {
                     self.record_numbering();
                     if target_stream.is_whole {
-                        let CallerRequest { fingerprint, parts, .. } = &*self.call;
-                        let status = target_stream.status;
-                        target_stream.in_flight.record_answer(status, &id, *fingerprint, parts);
+                        target_stream.in_flight.record_answer(target_stream.status);
                     }
+                    target_stream.in_flight.end_run(RunEnd::ErrorAnswer);
                     let pause = longest_pause.as_millis() as u64;
                     if let Some(max_pause) = self.call.route.max_pause {
                         let late = longest_pause > max_pause;
@@ -413,12 +409,15 @@
                     return event_sender.finish();
                 }
                 ReadOutcome::TimedOut => {
+                    target_stream.in_flight.end_run(RunEnd::TimedOut);
                     return abort_response(event_sender, &id, "timed out");
                 }
                 ReadOutcome::Broken => {
                     target_stream.in_flight.outcome = AttemptOutcome::Failed;
                     let has_just_begun = target_stream.has_just_begun(self.shared.now())
                         && !target_stream.is_given_up;
+                    let end = target_stream.end_of_broken();
+                    target_stream.in_flight.end_run(end);
                     let InFlight { placement, started_at, .. } = &target_stream.in_flight;
                     self.record_broken(placement, *started_at, has_just_begun).await;
                     self.attempts.tried.push(target_stream.in_flight.placement.id.clone());
--- a/components/gateway/src/stream/target_stream.rs
+++ b/components/gateway/src/stream/target_stream.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use chervilgate_clients::Body;
 use chervilgate_clock::Time;
+use chervilgate_policy::{BEGIN_TIME, RunEnd};
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, Response, StatusCode, header::CONTENT_TYPE};
 use tokio::time::timeout;
@@ -25,10 +26,6 @@
 /// Size up to which an incomplete event does not count toward the budget for streams, in bytes.
 const SMALL_EVENT_BYTES: usize = 8 << 10;
 
-/// Time after the first event in which the end of a target may be due to the beginning of the
-/// answer.
-const BEGIN_TIME: Duration = Duration::from_millis(500);
-
 /// A response stream of one target.
 pub(super) struct TargetStream {
     pub(super) in_flight: InFlight,
@@ -42,8 +39,6 @@
     pub(super) is_joined: bool,
     /// Whether the end of the answer shows in its bytes.
     is_framed: bool,
-    /// When the target sent its first event.
-    pub(super) begun_at: Option<Time>,
     /// Whether the answer has come to a good end that shows.
     pub(super) is_whole: bool,
     /// Whether the host took no more of the answer for lack of memory.
@@ -75,7 +70,6 @@
             splitter: EventSplitter::at(position.next_answer()),
             event_memory: Reservation::new(&shared.stream_buffers.budget()),
             is_joined: false,
-            begun_at: None,
             is_whole: false,
             is_given_up: false,
         }
@@ -96,7 +90,16 @@
 
     /// Whether the target began to answer so shortly ago that this may have ended it.
     pub(super) fn has_just_begun(&self, now: Time) -> bool {
-        self.begun_at.is_none_or(|at| now.since(at) < BEGIN_TIME)
+        self.in_flight.begun_at.is_none_or(|at| now.since(at) < BEGIN_TIME)
+    }
+
+    /// How the run ended that broke off.
+    pub(super) fn end_of_broken(&self) -> RunEnd {
+        match self.in_flight.begun_at {
+            _ if self.is_given_up => RunEnd::GivenUp,
+            None => RunEnd::Unanswered,
+            Some(_) => RunEnd::Broken,
+        }
     }
 
     /// How the stream ended with the last byte of its target's answer.
@@ -120,7 +123,7 @@
             return ReadOutcome::Broken;
         }
         // A stream without an event may have been cut.
-        self.is_whole = !is_success || self.begun_at.is_some();
+        self.is_whole = !is_success || self.in_flight.begun_at.is_some();
         ReadOutcome::End
     }
 
@@ -144,7 +147,7 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(error)) => {
                     let (id, target) = (&call.ask.id, &self.in_flight.placement.id);
-                    let (begun, parts) = (self.begun_at.is_some(), call.shared_parts());
+                    let (begun, parts) = (self.in_flight.begun_at.is_some(), call.shared_parts());
                     log::warn!(
                         target: "gateway", id, target, error:%, begun, parts; "stream broke off"
                     );
@@ -164,7 +167,7 @@
             let counted = if buffered > SMALL_EVENT_BYTES { buffered } else { 0 };
             let has_room = self.event_memory.try_set(counted);
             if !events.is_empty() {
-                self.begun_at.get_or_insert_with(|| shared.now());
+                self.in_flight.begun_at.get_or_insert_with(|| shared.now());
                 return ReadOutcome::Events(events);
             }
             if buffered > MAX_EVENT_BYTES || !has_room {
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -20,6 +20,7 @@
 mod retry;
 mod roles;
 mod router;
+mod run_end;
 mod speed;
 mod spending;
 mod stream;
@@ -53,6 +54,7 @@
     retry::{HedgeTimer, RetryBudget, RetrySettings},
     roles::{EngineStatus, RoleChange, RolePlanner, RoleSettings},
     router::{AttemptOutcome, KvFetch, Route, RouteSettings, Router, RunningAttempt},
+    run_end::{ANSWER_DOUBT_TIME, BEGIN_TIME, DOUBT_TIME, OpenRuns, RunEnd, RunProof},
     speed::{GroupSpeed, SpeedReport, TargetSpeed},
     spending::{
         ListedFleet, OfferedLoad, OrderAction, PaidTarget, PlannedOrder, PlannedOrders,
