Failed runs: one that reached its deadline before its target ended

A request whose targets end after its deadline was never refused: its runs timed out, which counted as nothing.

Test: ended::a_run_that_reached_its_deadline_counts_if_its_target_ends, red before (4 runs in place of 3), for a plain request and for a stream without an event.

--- a/components/policy/src/run_end.rs
+++ b/components/policy/src/run_end.rs
@@ -71,8 +71,8 @@
             RunEnd::Answered => RunProof::Sound,
             _ if !has_just_begun => RunProof::Nothing,
             RunEnd::Unanswered | RunEnd::Broken => RunProof::Failed,
-            RunEnd::ErrorAnswer => RunProof::FailedIfEnded(DOUBT_TIME),
-            RunEnd::GivenUp | RunEnd::TimedOut | RunEnd::CallerLeft => RunProof::Nothing,
+            RunEnd::ErrorAnswer | RunEnd::TimedOut => RunProof::FailedIfEnded(DOUBT_TIME),
+            RunEnd::GivenUp | RunEnd::CallerLeft => RunProof::Nothing,
         }
     }
 }
