--- a/components/policy/src/run_end.rs
+++ b/components/policy/src/run_end.rs
@@ -71,8 +71,10 @@
             RunEnd::Answered => RunProof::Sound,
             _ if !has_just_begun => RunProof::Nothing,
             RunEnd::Unanswered | RunEnd::Broken => RunProof::Failed,
-            RunEnd::ErrorAnswer | RunEnd::TimedOut => RunProof::FailedIfEnded(DOUBT_TIME),
-            RunEnd::GivenUp | RunEnd::CallerLeft => RunProof::Nothing,
+            RunEnd::ErrorAnswer | RunEnd::TimedOut | RunEnd::CallerLeft => {
+                RunProof::FailedIfEnded(DOUBT_TIME)
+            }
+            RunEnd::GivenUp => RunProof::Nothing,
         }
     }
 }
