Failed runs: an answer that the host gives up before its target ends

A request whose targets end as they write an answer that is too long for the host was never refused: the host stops reading first, which is its own limit.

Test: ended::an_answer_that_the_host_gives_up_counts_if_its_target_ends, red before (4 runs in place of 3).

--- a/components/policy/src/run_end.rs
+++ b/components/policy/src/run_end.rs
@@ -71,10 +71,9 @@
             RunEnd::Answered => RunProof::Sound,
             _ if !has_just_begun => RunProof::Nothing,
             RunEnd::Unanswered | RunEnd::Broken => RunProof::Failed,
-            RunEnd::ErrorAnswer | RunEnd::TimedOut | RunEnd::CallerLeft => {
+            RunEnd::ErrorAnswer | RunEnd::GivenUp | RunEnd::TimedOut | RunEnd::CallerLeft => {
                 RunProof::FailedIfEnded(DOUBT_TIME)
             }
-            RunEnd::GivenUp => RunProof::Nothing,
         }
     }
 }
