Poison requests: hosts tell of an answer for a while only

A request with two failed runs at one service that is answered at another was cleared at the second for as long as the runs counted: a host that hears of an answer tells it again if two runs of the request count, and runs at the other service stay, so hosts told each other of one answer without end, and each time it cleared later failed runs at that service.

An answer is told on only if it cleared runs here. Test: poison::hosts_tell_of_an_answer_for_a_while_only, red before.

--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -203,8 +203,9 @@
             // The message does not say whether it is a request or a part, and the failed runs of a request may
             // arrive later.
             let is_request_told = self.is_told(now, digest);
-            self.requests.hear_answer(now, digest);
-            if self.parts.record_sound(now, digest) || is_request_told {
+            let cleared_runs = self.requests.hear_answer(now, digest);
+            // Failed runs at another service stay, so their number alone would have hosts tell each other for good.
+            if self.parts.record_sound(now, digest) || is_request_told && cleared_runs > 0 {
                 self.acquitted.insert(digest, ACQUITTAL_ROUNDS);
             }
         }
--- a/components/gateway/tests/poison.rs
+++ b/components/gateway/tests/poison.rs
@@ -47,6 +47,32 @@
     }
 }
 
+// Guards against a request that crashes targets without end at one of its services, as hosts tell each other again and
+// again of one answer there: the failed runs at the other service stay.
+#[test]
+fn hosts_tell_of_an_answer_for_a_while_only() {
+    const ROUND: Duration = Duration::from_millis(200);
+    let content =
+        RequestContent { method: "POST", host: "x.example", path: "/a/", org: None, body: b"body" };
+    let [one, two] = ["one", "two"]
+        .map(|service| RequestIdentity { content, headers: 0, service }.fingerprint());
+    let mut guards = [PoisonGuard::default(), PoisonGuard::default()];
+    let mut now = Time::from_secs(9);
+    for run in 1..=2 {
+        guards[0].record_run(now, FailedRun { request: two.digest, run });
+    }
+    tell_each_other(now, &mut guards);
+    guards[0].record_answer(now, one, &[]);
+    for _ in 0..20 {
+        now = now + ROUND;
+        tell_each_other(now, &mut guards);
+    }
+
+    let told = guards.each_mut().map(|guard| guard.evidence_to_gossip(now).acquitted.len());
+
+    assert_eq!(told, [0, 0]);
+}
+
 #[test]
 fn a_whole_answer_acquits_a_request_on_all_hosts() {
     let request = fingerprint("/a/", b"body");
