Poison requests: a whole answer clears a request only if its target outlives it

An answer now clears its request on this host alone until 0.1 s have passed, is taken back if the target ends by then, and only then is told to others. The target is asked once it closes a connection of this host. The parts of a prompt are cleared by then too.

The property test with every kind of end, which is new, found these on the way; each of them stood before: - One end of a target counted once for each host with an open run there. It counts once now (run_on_ended). - Failed runs of begun answers were entered as of three seconds ago to keep them out of the news. They have a mark of their own now. - Two hosts tried a refused request at once, as the end of a trial was known seconds later only. Hosts tell each other of a trial as it begins, in the form of a failed run numbered 0; a host of an earlier build counts it as one. - A request was sent to a second target though the run that had just ended, if its target ended too, would have it refused; and a trial was sent twice after an error. A request that a target has outlived in the last ten minutes is not accused by the ends of others, as it ran beside what ended them.

--- a/components/clients/src/http.rs
+++ b/components/clients/src/http.rs
@@ -12,6 +12,7 @@
 //! already. A call without an id would count as refused by it, though it is carried out, so a connection
 //! carries none after a refusal.
 
+mod closed;
 mod connection;
 mod stream;
 
@@ -31,6 +32,7 @@
 
 use self::connection::Connection;
 pub use self::{
+    closed::ClosedPeers,
     connection::ConnectionHandle,
     stream::{SharedStream, StreamPeeker},
 };
@@ -113,6 +115,7 @@
 pub struct HttpPool {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>,
     compares_ids: bool,
+    closed: Option<Arc<ClosedPeers>>,
 }
 
 impl HttpPool {
@@ -127,6 +130,12 @@
         HttpPool { compares_ids: true, ..HttpPool::default() }
     }
 
+    /// The same pool, which tells of connections that its peers close.
+    pub fn telling_of_closed(self) -> (HttpPool, Arc<ClosedPeers>) {
+        let closed = Arc::<ClosedPeers>::default();
+        (HttpPool { closed: Some(closed.clone()), ..self }, closed)
+    }
+
     /// Sends a request at most once if `is_wanted` still holds when a connection is ready for it, and waits
     /// for the response head. Opening a connection takes up to half a second, and longer on a host that is
     /// short of processor time.
@@ -157,7 +166,7 @@
             }
             sent = SentOver { kept: false, closed: 1 };
         }
-        let mut conn = match Connection::open(addr).await {
+        let mut conn = match Connection::open(addr, self.closed.clone()).await {
             Ok(conn) => conn,
             Err(reason) => return NotSentSnafu { addr, reason, sent }.fail(),
         };
--- a/components/clients/src/http/connection.rs
+++ b/components/clients/src/http/connection.rs
@@ -20,7 +20,10 @@
 use rustix::net::sockopt;
 use tokio::{net::TcpStream, time::timeout};
 
-use super::stream::{SharedStream, StreamPeeker};
+use super::{
+    closed::ClosedPeers,
+    stream::{SharedStream, StreamPeeker},
+};
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -39,12 +42,17 @@
     sender: http1::SendRequest<Full<Bytes>>,
     peeker: StreamPeeker,
     discarded: Arc<AtomicBool>,
+    /// Whether this host has no more use for it.
+    released: Arc<AtomicBool>,
     opened_at: Instant,
 }
 
 impl Connection {
-    /// Connects to `addr`; returns the reason if that fails.
-    pub(super) async fn open(addr: SocketAddr) -> Result<Connection, String> {
+    /// Connects to `addr`; returns the reason if that fails. If the peer closes the connection, `closed` is told.
+    pub(super) async fn open(
+        addr: SocketAddr,
+        closed: Option<Arc<ClosedPeers>>,
+    ) -> Result<Connection, String> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
             .await
             .map_err(|_| "timed out connecting".to_owned())?
@@ -57,12 +65,18 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| error.to_string())?;
+        let released = Arc::<AtomicBool>::default();
+        let is_released = released.clone();
         tokio::spawn(async move {
             if let Err(error) = driver.await {
                 log::debug!(target: "http", addr:%, error:%; "connection failed");
             }
+            if let Some(closed) = closed.filter(|_| !is_released.load(Ordering::Acquire)) {
+                closed.add(addr);
+            }
         });
-        Ok(Connection { sender, peeker, discarded: Arc::default(), opened_at: Instant::now() })
+        let (discarded, opened_at) = (Arc::default(), Instant::now());
+        Ok(Connection { sender, peeker, discarded, released, opened_at })
     }
 
     /// Sends a request and waits for the response head. The error contains the request if no
@@ -101,6 +115,12 @@
     }
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.released.store(true, Ordering::Release);
+    }
+}
+
 /// The connection that a response came over; an extension of the response.
 #[derive(Debug, Clone)]
 pub struct ConnectionHandle {
--- a/components/clients/src/lib.rs
+++ b/components/clients/src/lib.rs
@@ -13,7 +13,8 @@
 pub use crate::{
     body::{Body, BodyError},
     http::{
-        ConnectionHandle, HttpPool, HttpSender, SendError, SentOver, SharedStream, StreamPeeker,
+        ClosedPeers, ConnectionHandle, HttpPool, HttpSender, SendError, SentOver, SharedStream,
+        StreamPeeker,
     },
     platform::{
         HostEntry, HostList, HttpPlatform, ObjectStore, OrderReceipt, PlatformError, TargetOrder,
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -18,7 +18,7 @@
     poison::{PoisonVerdict, SentRequest, SharedParts},
     progress::Stage,
     protocol::{ForwardedRequest, RequestStage},
-    run_end::record_run_end,
+    run_end::{EndedRun, record_run_end},
     state::Shared,
     verdict::Verdict,
 };
@@ -101,7 +101,13 @@
             return;
         }
         let answering = self.begun_at.map(|at| self.shared.now().since(at));
-        record_run_end(&self.shared, &self.request, &self.placement, end, answering);
+        let run = EndedRun {
+            request: &self.request,
+            parts: &self.parts,
+            placement: &self.placement,
+            answering,
+        };
+        record_run_end(&self.shared, &run, end);
     }
 
     /// Records that there was no run, or that its end says nothing.
@@ -109,21 +115,16 @@
         self.is_running = false;
     }
 
-    /// Records that the request was answered in full with `status`. Any answer but a server error shows that the
-    /// request does not crash its target; only a success shows it of the parts of its prompt.
+    /// Records that the request was answered in full with `status`. Only a success says something of the parts of its
+    /// prompt.
     pub(crate) fn record_answer(&mut self, status: StatusCode) {
         if status.is_server_error() {
             return self.end_run(RunEnd::ErrorAnswer);
         }
-        self.end_run(RunEnd::Answered);
-        let parts: &[_] = if status.is_success() { &self.parts } else { &[] };
-        let SentRequest { id, fingerprint } = &self.request;
-        let now = self.shared.now();
-        let runs = self.shared.state().poison.record_answer(now, *fingerprint, parts);
-        if runs > 0 {
-            let (target, request) = (&self.placement.id, format!("{:016x}", fingerprint.digest));
-            log::info!(target: "gateway", id, target, request, runs; "request acquitted");
+        if !status.is_success() {
+            self.parts.clear();
         }
+        self.end_run(RunEnd::Answered);
     }
 
     /// Marks the prompt as computed.
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -108,6 +108,7 @@
         shared.metrics.count_retry("broken");
         call.route.kind.is_retryable()
             && self.runs < call.route.attempts
+            && call.trial.is_none()
             && call.deadline.since(shared.now()) > Duration::ZERO
             && shared.state().poison.may_retry(shared.now(), call.fingerprint, &call.parts)
             && shared.try_repeat(shared.now(), &call.service, "failed")
--- a/components/gateway/src/host.rs
+++ b/components/gateway/src/host.rs
@@ -21,6 +21,7 @@
     metrics::LostLines,
     protocol::{Decoder, Protocol},
     quota::task::{PartitionTask, maintain_quotas},
+    run_end::watch_closed,
     serve::CallerHandler,
     settings::HostSettings,
     state::Shared,
@@ -151,6 +152,7 @@
         tokio::spawn(gossip::send_work(shared.clone(), socket.clone()));
         let refresh_membership = Arc::new(Notify::new());
         tokio::spawn(serve_waiting(shared.clone()));
+        tokio::spawn(watch_closed(shared.clone()));
         tokio::spawn(gossip::send_speeds(shared.clone(), socket.clone()));
         tokio::spawn(gossip::send_origins(shared.clone(), socket.clone()));
         tokio::spawn(gossip::send_store_era(shared.clone(), socket.clone()));
--- a/components/gateway/src/poison.rs
+++ b/components/gateway/src/poison.rs
@@ -6,7 +6,8 @@
 //! need not be alike: once a target is known to have ended, the parts of the requests that it had not
 //! begun to answer are accused. All hosts tell each other of failed runs, crashes and acquittals.
 //!
-//! A run that was not answered well counts as failed if its target ends soon after it ([`RunEnd`]).
+//! A run that did not break off counts as failed if its target ends soon after it ([`RunEnd`]). Until that is known, a
+//! whole answer clears its request on this host alone.
 //!
 //! [`RunEnd`]: chervilgate_policy::RunEnd
 
@@ -14,9 +15,9 @@
 
 use chervilgate_clock::Time;
 use chervilgate_policy::{
-    AffectedRequest, CrashId, CrashNotice, DOUBT_TIME, Fingerprint, OpenRuns, OrgId,
-    PoisonDetector, PoisonSettings, PoisonStatus, PoisonSubject, SuspectSettings, SuspectStatus,
-    Suspects, Trial,
+    ANSWER_DOUBT_TIME, AffectedRequest, CrashId, CrashNotice, DOUBT_TIME, Fingerprint, KnownRun,
+    OpenRuns, OrgId, PoisonDetector, PoisonSettings, PoisonStatus, PoisonSubject, SuspectSettings,
+    SuspectStatus, Suspects, Trial,
 };
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
@@ -38,6 +39,9 @@
 /// Time for which a failed run or a crash is repeated in gossip messages.
 const GOSSIP_TIME: Duration = Duration::from_secs(3);
 
+/// Time from a whole answer that its target outlived in which others do not count as failed for the end of theirs.
+const OUTLIVED_TIME: Duration = Duration::from_secs(600);
+
 /// Number of gossip rounds in which a host tells that a part was answered.
 const ACQUITTAL_ROUNDS: u8 = 3;
 
@@ -69,10 +73,16 @@
 pub struct FailedRun {
     /// Digest of the request's fingerprint.
     pub request: u64,
-    /// Random number that distinguishes runs of the same request.
+    /// Random number that distinguishes runs of the same request; [`FailedRun::TRIAL`] if it is no failed run, but the
+    /// trial of a refused request that begins.
     pub run: u32,
 }
 
+impl FailedRun {
+    /// Stands for a trial that begins.
+    pub const TRIAL: u32 = 0;
+}
+
 /// What a host tells others of crashed targets.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 #[derive(Serialize, Deserialize)]
@@ -101,6 +111,19 @@
     acquitted: HashMap<u64, u8>,
     /// Runs of this host that count as failed if their targets end soon.
     doubtful: OpenRuns<SentRequest>,
+    /// Runs of this host that were answered, and that count as failed if their targets end soon.
+    answered: OpenRuns<HeldAnswer>,
+    /// Trials that have begun on this host of late, with the digests of their requests.
+    trials: Vec<(Time, u64)>,
+}
+
+/// An answer that is withdrawn if its target ends soon.
+#[derive(Debug)]
+struct HeldAnswer {
+    request: SentRequest,
+    /// The parts of its prompt that the answer shows to be sound.
+    parts: SharedParts,
+    at: Time,
 }
 
 impl Default for PoisonGuard {
@@ -115,6 +138,8 @@
             parts: PoisonDetector::new(parts),
             acquitted: HashMap::new(),
             doubtful: OpenRuns::new(DOUBT_TIME),
+            answered: OpenRuns::new(ANSWER_DOUBT_TIME),
+            trials: Vec::new(),
         }
     }
 }
@@ -128,6 +153,9 @@
     /// Records a failed run that another host tells of; a repeat has no effect. It may have failed some time ago, so an
     /// answer since then clears the request, and the other host may not have heard of that.
     pub fn hear_run(&mut self, now: Time, run: FailedRun) {
+        if run.run == FailedRun::TRIAL {
+            return self.requests.hear_trial(now, run.request);
+        }
         if self.requests.knows(run.request, run.run) {
             return;
         }
@@ -145,8 +173,7 @@
     /// Records a run that failed once its answer had begun. Others hear of it with all known runs, not as
     /// news in each message: where many targets end, streams break off by the hundred.
     pub fn record_begun_run(&mut self, now: Time, run: FailedRun) {
-        let at = now.saturating_sub(GOSSIP_TIME + Duration::from_millis(1));
-        self.requests.record_run(now, at, run.request, run.run);
+        self.requests.record_quiet_run(now, now, run.request, run.run);
     }
 
     /// Records that a run of this host ended on this start of a target, which counts as failed if that ends soon.
@@ -155,9 +182,51 @@
         self.doubtful.add(now, start, request);
     }
 
-    /// Takes out the runs of this host that count as failed, as this start of a target has ended.
+    /// Takes out the runs of this host that count as failed, as this start of a target has ended. One of a request
+    /// that targets have outlived ran beside what ended this one.
     pub fn take_failed_runs(&mut self, now: Time, start: CrashId) -> Vec<SentRequest> {
-        self.doubtful.take_ended(now, start)
+        let mut failed = self.doubtful.take_ended(now, start);
+        for HeldAnswer { request, at, .. } in self.answered.take_ended(now, start) {
+            self.requests.withdraw_answer(at, request.fingerprint.digest);
+            failed.push(request);
+        }
+        failed.retain(|request| {
+            let outlived = self.requests.last_answer(request.fingerprint.digest);
+            outlived.is_none_or(|answer| now.since(answer.at) >= OUTLIVED_TIME)
+        });
+        failed
+    }
+
+    /// The failed run of a request on a start of a target that has ended: the same one on all hosts, as the target
+    /// ended once, however many of its runs were open there.
+    pub fn run_on_ended(request: Fingerprint, start: CrashId) -> FailedRun {
+        FailedRun { request: request.digest, run: stable_hash(&start) as u32 }
+    }
+
+    /// Records that a request with these parts was answered in full on this start of a target, unless that ends soon.
+    /// Returns how many failed runs do not count until then.
+    pub fn hold_answer(
+        &mut self,
+        now: Time,
+        start: CrashId,
+        request: SentRequest,
+        parts: &[Fingerprint],
+    ) -> usize {
+        self.settle_answers(now);
+        let digest = request.fingerprint.digest;
+        let runs = self.requests.run_count(now, digest);
+        self.requests.hold_answer(now, digest);
+        let held = HeldAnswer { request, parts: parts.into(), at: now };
+        self.answered.add(now, start, held);
+        runs
+    }
+
+    /// Records the answers whose targets have outlived them.
+    fn settle_answers(&mut self, now: Time) {
+        for HeldAnswer { request, parts, at } in self.answered.take_outlived(now) {
+            self.requests.withdraw_answer(at, request.fingerprint.digest);
+            self.record_answer_at(now, at, request.fingerprint, &parts);
+        }
     }
 
     /// Number of failed runs that count against a request.
@@ -179,13 +248,24 @@
         now: Time,
         request: Fingerprint,
         parts: &[Fingerprint],
+    ) -> usize {
+        self.record_answer_at(now, now, request, parts)
+    }
+
+    /// The same for one that was answered at `at`.
+    fn record_answer_at(
+        &mut self,
+        now: Time,
+        at: Time,
+        request: Fingerprint,
+        parts: &[Fingerprint],
     ) -> usize {
         if self.is_told(now, request.digest) {
             self.acquitted.insert(request.digest, ACQUITTAL_ROUNDS);
         }
-        let acquitted_runs = self.requests.record_answer(now, request.digest);
+        let acquitted_runs = self.requests.record_answer(at, request.digest);
         for part in parts {
-            if self.parts.record_sound(now, part.digest) {
+            if self.parts.record_sound(at, part.digest) {
                 self.acquitted.insert(part.digest, ACQUITTAL_ROUNDS);
             }
         }
@@ -244,9 +324,12 @@
         }
     }
 
-    /// Whether a request whose run failed may be sent to another target.
+    /// Whether a request whose run failed may be sent to another target. It may not if the runs that count as failed
+    /// once their targets end would have it refused.
     pub fn may_retry(&self, now: Time, request: Fingerprint, parts: &[Fingerprint]) -> bool {
+        let open = self.doubtful.runs().filter(|run| run.fingerprint == request).count();
         self.verdict(now, request, parts).is_none()
+            && !self.requests.would_refuse(now, request.digest, open)
             && parts.iter().all(|part| self.parts.crash_count(now, *part) <= MAX_RETRY_CRASHES)
     }
 
@@ -262,7 +345,10 @@
         if self.parts_verdict(now, parts).is_some() {
             return None;
         }
-        self.requests.begin_trial(now, request.digest, rank)
+        let trial = self.requests.begin_trial(now, request.digest, rank)?;
+        self.trials.retain(|(at, _)| now.since(*at) < GOSSIP_TIME);
+        self.trials.push((now, request.digest));
+        Some(trial)
     }
 
     /// Records that the trial of a request ended without a run.
@@ -284,20 +370,25 @@
         self.parts_verdict(now, parts)
     }
 
-    /// Recent failed runs to send to other hosts, of refused requests first; not all may fit, and each call puts
-    /// others first.
+    /// Trials that have begun and recent failed runs to send to other hosts, of refused requests first; not all may fit,
+    /// and each call puts others first.
     pub fn runs_to_gossip(&self, now: Time) -> Vec<FailedRun> {
-        let runs = self.runs_since(now, now.saturating_sub(GOSSIP_TIME));
-        runs.into_iter().map(|(_, run)| run).collect()
+        let since = now.saturating_sub(GOSSIP_TIME);
+        let runs = self.runs(now, |known| known.is_news && known.at >= since);
+        let trials = self.trials.iter().filter(|(at, _)| *at >= since);
+        let trials =
+            trials.map(|(_, request)| FailedRun { request: *request, run: FailedRun::TRIAL });
+        trials.chain(runs.into_iter().map(|(_, run)| run)).collect()
     }
 
     /// All known failed runs with the milliseconds since each, in the same order, for hosts that have started since.
     pub fn all_runs(&self, now: Time) -> Vec<(u32, FailedRun)> {
-        self.runs_since(now, Time::ZERO)
+        self.runs(now, |_| true)
     }
 
-    fn runs_since(&self, now: Time, since: Time) -> Vec<(u32, FailedRun)> {
-        let mut runs = self.requests.runs_since(now, since);
+    fn runs(&self, now: Time, is_wanted: impl Fn(&KnownRun) -> bool) -> Vec<(u32, FailedRun)> {
+        let mut runs = self.requests.runs(now);
+        runs.retain(is_wanted);
         runs.shuffle(&mut rand::rng());
         runs.sort_by_key(|known| !known.is_refused);
         let runs = runs
@@ -310,12 +401,13 @@
     pub fn merge_runs(&mut self, now: Time, runs: &[(u32, FailedRun)]) {
         for (age, run) in runs {
             let at = now.saturating_sub(Duration::from_millis((*age).into()));
-            self.requests.record_run(now, at, run.request, run.run);
+            self.requests.record_quiet_run(now, at, run.request, run.run);
         }
     }
 
     /// Recent crashes and acquittals to send to other hosts; counts a round.
     pub fn evidence_to_gossip(&mut self, now: Time) -> CrashEvidence {
+        self.settle_answers(now);
         let crashes = self.crashes_since(now, now.saturating_sub(GOSSIP_TIME));
         let acquitted = self.acquitted.keys().copied().collect();
         self.acquitted.retain(|_, rounds| {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use chervilgate_clients::{HttpPool, ObjectStore};
+use chervilgate_clients::{ClosedPeers, HttpPool, ObjectStore};
 use chervilgate_clock::{BootClock, Clock, Time};
 use chervilgate_policy::{CrashId, QUOTA_PARTITIONS, Ticket};
 use tokio::{
@@ -34,6 +34,7 @@
     protocol::{Decoder, Protocol},
     quota::QuotaState,
     repeats::Repeats,
+    run_end::LastAnswers,
     settings::HostSettings,
     stopping::Stop,
     stream::StreamBuffers,
@@ -58,6 +59,8 @@
     pub(crate) decoder: Arc<dyn Decoder>,
     pub(crate) store: Arc<dyn ObjectStore>,
     pub(crate) target_pool: HttpPool,
+    /// Targets that have closed connections of this host.
+    pub(crate) closed_targets: Arc<ClosedPeers>,
     pub(crate) metrics: Arc<Metrics>,
     /// Returns the numbers of log lines dropped so far.
     pub(crate) lines_lost: fn() -> LostLines,
@@ -140,6 +143,7 @@
     pub(crate) crash_probes: HashMap<(Arc<str>, u64), CrashProbe>,
     /// Starts of targets that are asked whether they have ended, and until when.
     pub(crate) watched: HashMap<CrashId, Time>,
+    pub(crate) last_answers: LastAnswers,
     /// Whether this host is stopping.
     pub(crate) leaving: bool,
     /// When this host stops; none if it was not told to.
@@ -249,6 +253,7 @@
             poison: PoisonGuard::default(),
             crash_probes: HashMap::new(),
             watched: HashMap::new(),
+            last_answers: LastAnswers::default(),
             leaving: false,
             stop: None,
             origins: Origins::default(),
@@ -263,6 +268,7 @@
             turns: HashMap::new(),
         };
         let memory = MemoryLimits::new(settings.memory);
+        let (target_pool, closed_targets) = HttpPool::comparing_ids().telling_of_closed();
         Shared {
             body_budget: ByteBudget::new(memory.bodies),
             answer_budget: ByteBudget::new(memory.answers),
@@ -271,7 +277,8 @@
             wall_clock: Mutex::new(WallClock::new(BootClock.now(), time_of_day)),
             boot,
             state: Mutex::new(state),
-            target_pool: HttpPool::comparing_ids(),
+            target_pool,
+            closed_targets,
             metrics,
             lines_lost,
             store_recovered: Notify::new(),
--- a/components/gateway/tests/suspects.rs
+++ b/components/gateway/tests/suspects.rs
@@ -1,16 +1,14 @@
 //! Requests that crash targets, among sound ones that are like them, at several hosts.
 //!
-//! The model knows which requests crash targets; the hosts see runs that fail and answers alone. Whatever a target
-//! runs fails with it, and targets end for other reasons too.
-
-use std::collections::HashMap;
+//! The model knows which requests crash targets; the hosts see runs that end, in any of the ways in which one can, and
+//! later that targets have ended. Whatever a target runs fails with it, and targets end for other reasons too.
 
 use chervilgate_clock::Time;
 use chervilgate_gateway::{
     identity::{RequestContent, RequestIdentity},
-    poison::{FailedRun, PoisonGuard},
+    poison::{FailedRun, PoisonGuard, SentRequest},
 };
-use chervilgate_policy::{Fingerprint, Trial};
+use chervilgate_policy::{CrashId, Fingerprint, RunEnd, RunProof, TargetId, Trial};
 use rand::RngExt;
 use rand_pcg::Pcg64;
 
@@ -22,6 +20,8 @@
 const LENGTH: u64 = 500_000;
 const GOSSIP_INTERVAL: u64 = 200;
 const DOWN_TIME: u64 = 2_000;
+/// Time in which a host finds that a target has ended on which runs ended before.
+const NOTICE_TIME: u64 = 200;
 /// Time in which all hosts hear of a failed run.
 const CONTACT_TIME: u64 = 3_000;
 
@@ -32,6 +32,13 @@
 /// Retries of a request that crashes targets which may reach them once hosts have heard of the third crash.
 const MAX_RETRIES: usize = 3;
 
+/// Share of the sound requests that are not answered, though their targets go on.
+const UNANSWERED_SHARE: f64 = 0.03;
+
+/// Ways in which a run can end while its target goes on.
+const OPEN_ENDS: [RunEnd; 5] =
+    [RunEnd::ErrorAnswer, RunEnd::GivenUp, RunEnd::TimedOut, RunEnd::CallerLeft, RunEnd::Answered];
+
 /// Longest time for which a sound request is refused while it comes.
 const MAX_REFUSED: u64 = 90_000;
 
@@ -69,6 +76,8 @@
     identity: RequestIdentity<'static>,
     varying: Varying,
     is_culprit: bool,
+    /// How its runs end that crash targets; in any way if none.
+    end: Option<RunEnd>,
     /// Mean time between two arrivals.
     interval: u64,
     /// Time for which a run lasts.
@@ -95,6 +104,7 @@
             identity,
             varying,
             is_culprit,
+            end: Some(RunEnd::Unanswered),
             interval: rng.random_range(300..15_000),
             work: rng.random_range(20..2_000),
             next_at: rng.random_range(0..4_000),
@@ -141,10 +151,17 @@
     guards: Vec<PoisonGuard>,
     kinds: Vec<Kind>,
     runs: Vec<Run>,
-    /// When each target is back.
+    /// When each target is back, and how often it has ended.
     back_at: [u64; TARGETS],
+    starts: [u64; TARGETS],
+    /// Crashes that are due: when, under which kind, and on which start of a target.
+    due: Vec<(u64, usize, CrashId)>,
+    /// When hosts notice that starts of targets have ended.
+    notices: Vec<(u64, usize, CrashId)>,
     /// Mean time between two ends of targets for other reasons.
     end_interval: u64,
+    /// Whether runs end in other ways than with their targets, or answered by targets that go on.
+    has_open_ends: bool,
 }
 
 fn time(millis: u64) -> Time {
@@ -188,8 +205,24 @@
             kinds,
             runs: Vec::new(),
             back_at: [0; TARGETS],
+            starts: [0; TARGETS],
+            due: Vec::new(),
+            notices: Vec::new(),
             end_interval,
+            has_open_ends: false,
+        }
+    }
+
+    /// A world in which runs end in any way.
+    fn with_open_ends(seed: u64) -> World {
+        let mut world = World::new(seed);
+        world.has_open_ends = true;
+        for kind in world.kinds.iter_mut().filter(|kind| kind.is_culprit) {
+            let ends = [&OPEN_ENDS[..], &[RunEnd::Unanswered]].concat();
+            let end = ends[world.rng.random_range(0..ends.len())];
+            kind.end = world.rng.random_bool(0.7).then_some(end);
         }
+        world
     }
 
     fn play(&mut self) {
@@ -200,6 +233,8 @@
                 self.end_target(target);
             }
             self.finish_runs();
+            self.crash_targets();
+            self.notice_ends();
             self.receive();
             if self.now.is_multiple_of(GOSSIP_INTERVAL) {
                 self.gossip();
@@ -259,22 +294,103 @@
         self.runs.push(Run { kind, request, host, target, ends_at, tried, trial });
     }
 
+    fn start_of(&self, target: usize) -> CrashId {
+        CrashId { target: TargetId(target as u32), incarnation: self.starts[target] }
+    }
+
     fn finish_runs(&mut self) {
         while let Some(index) = self.runs.iter().position(|run| run.ends_at <= self.now) {
-            let (kind, target) = (self.runs[index].kind, self.runs[index].target);
-            if self.kinds[kind].is_culprit {
-                self.kinds[kind].crashes.push(self.now);
-                self.end_target(target);
+            let Run { kind, target, .. } = self.runs[index];
+            let start = self.start_of(target);
+            let Kind { is_culprit, end, .. } = self.kinds[kind];
+            let any = self.has_open_ends.then(|| {
+                let is_unanswered = self.rng.random_bool(UNANSWERED_SHARE);
+                let any = OPEN_ENDS[self.rng.random_range(0..OPEN_ENDS.len())];
+                if is_culprit || is_unanswered { any } else { RunEnd::Answered }
+            });
+            let end = match is_culprit {
+                true => end.or(any).unwrap_or(RunEnd::Unanswered),
+                false => any.unwrap_or(RunEnd::Answered),
+            };
+            let within = match end.proof(None) {
+                RunProof::FailedIfEnded(time) | RunProof::SoundUnlessEnded(time) => {
+                    time.as_millis()
+                }
+                _ => 0,
+            } as u64;
+            if is_culprit {
+                let delay = if within > 0 { self.rng.random_range(0..within) } else { 0 };
+                self.due.push((self.now + delay, kind, start));
+            }
+            if within == 0 {
+                // It ends with its target.
+                self.crash_targets();
                 continue;
             }
             let run = self.runs.swap_remove(index);
+            self.end_run(run, start, end);
+        }
+    }
+
+    /// Has the host of a run see it end, whose target goes on.
+    fn end_run(&mut self, run: Run, start: CrashId, end: RunEnd) {
+        let Run { kind, request, host, tried, trial, .. } = run;
+        let (now, guard) = (time(self.now), &mut self.guards[host]);
+        let sent = SentRequest { id: String::new(), fingerprint: request };
+        if end == RunEnd::Answered && !self.has_open_ends {
             self.kinds[kind].answered += 1;
-            self.guards[run.host].record_answer(time(self.now), run.request, &[]);
+            guard.record_answer(now, request, &[]);
+            return;
+        }
+        if end == RunEnd::Answered {
+            self.kinds[kind].answered += 1;
+            guard.hold_answer(now, start, sent, &[]);
+            return;
+        }
+        guard.record_doubtful_run(now, start, sent);
+        let may_repeat = trial.is_none() && tried.len() < ATTEMPTS;
+        let is_tried_again = end == RunEnd::ErrorAnswer && may_repeat;
+        if is_tried_again && guard.may_retry(now, request, &[]) {
+            self.send((kind, request), host, tried, trial);
+        }
+    }
+
+    /// Ends the targets whose crashes are due.
+    fn crash_targets(&mut self) {
+        let now = self.now;
+        let (due, left): (Vec<_>, Vec<_>) = self.due.iter().partition(|(at, ..)| *at <= now);
+        self.due = left;
+        for (_, kind, start) in due {
+            let target = start.target.0 as usize;
+            if self.start_of(target) == start {
+                self.kinds[kind].crashes.push(now);
+                self.end_target(target);
+            }
+        }
+    }
+
+    /// Has hosts count what ended on targets that have ended.
+    fn notice_ends(&mut self) {
+        let now = self.now;
+        let (due, left): (Vec<_>, Vec<_>) = self.notices.iter().partition(|(at, ..)| *at <= now);
+        self.notices = left;
+        for (_, host, start) in due {
+            let guard = &mut self.guards[host];
+            for SentRequest { fingerprint, .. } in guard.take_failed_runs(time(now), start) {
+                let run = PoisonGuard::run_on_ended(fingerprint, start);
+                guard.record_begun_run(time(now), run);
+            }
         }
     }
 
     /// Ends a target with all that it runs.
     fn end_target(&mut self, target: usize) {
+        let start = self.start_of(target);
+        for host in (0..HOSTS).filter(|_| self.has_open_ends) {
+            let at = self.now + self.rng.random_range(0..NOTICE_TIME);
+            self.notices.push((at, host, start));
+        }
+        self.starts[target] += 1;
         self.back_at[target] = self.now + DOWN_TIME;
         let runs = std::mem::take(&mut self.runs);
         let (failed, left): (Vec<Run>, Vec<Run>) =
@@ -314,34 +430,68 @@
     (host + digest as usize) % HOSTS
 }
 
-// Guards against requests that crash targets without end beside sound ones which are like them, and against sound
-// ones that are refused for the company in which they ran.
-#[test]
-fn culprits_are_stopped_and_sound_requests_are_not() {
-    let (mut arrivals, mut refused, mut longest) = (0, 0, 0);
-    let mut found = HashMap::new();
-    for seed in 0..HISTORIES {
-        let mut world = World::new(seed);
+/// What became of all requests in some histories.
+#[derive(Default)]
+struct Outcome {
+    sound: usize,
+    refused: usize,
+    longest: u64,
+    /// Culprits that came too often, by seed and path, and how often.
+    late: Vec<(u64, &'static str, usize)>,
+    /// Sound requests that were refused for too long, by seed and path, and for how long.
+    long: Vec<(u64, &'static str, u64)>,
+}
 
-        world.play();
+impl Outcome {
+    fn of(start: impl Fn(u64) -> World) -> Outcome {
+        let mut outcome = Outcome::default();
+        for seed in 0..HISTORIES {
+            let mut world = start(seed);
+            world.play();
+            world.kinds.iter().for_each(|kind| outcome.add(seed, kind));
+        }
+        let Outcome { sound, refused, longest, .. } = outcome;
+        println!("{sound} sound requests, {refused} refused, at most for {longest} ms");
+        outcome
+    }
 
-        for kind in &world.kinds {
-            if kind.is_culprit {
-                let third = kind.crashes.get(2).copied().unwrap_or(LENGTH);
-                let late = kind.sent.iter().filter(|at| **at > third + CONTACT_TIME).count();
-                found.insert((seed, kind.identity.content.path), late);
-                continue;
+    fn add(&mut self, seed: u64, kind: &Kind) {
+        let path = kind.identity.content.path;
+        if kind.is_culprit {
+            let third = kind.crashes.get(2).copied().unwrap_or(LENGTH);
+            let late = kind.sent.iter().filter(|at| **at > third + CONTACT_TIME).count();
+            if late > MAX_RETRIES {
+                self.late.push((seed, path, late));
             }
-            arrivals += kind.sent.len() + kind.refused;
-            refused += kind.refused;
-            longest = longest.max(kind.longest_refused);
+            return;
+        }
+        self.sound += kind.sent.len() + kind.refused;
+        self.refused += kind.refused;
+        self.longest = self.longest.max(kind.longest_refused);
+        if kind.longest_refused > MAX_REFUSED {
+            self.long.push((seed, path, kind.longest_refused));
         }
     }
 
-    let late = found.iter().filter(|(_, late)| **late > MAX_RETRIES).collect::<Vec<_>>();
-    assert!(late.is_empty(), "retries of culprits by seed and path: {late:?}");
-    let share = refused as f64 / arrivals as f64;
-    println!("{arrivals} sound requests, {refused} refused, at most for {longest} ms");
-    assert!(share <= MAX_REFUSED_SHARE, "{refused} of {arrivals} sound requests refused");
-    assert!(longest <= MAX_REFUSED, "a sound request was refused for {longest} ms");
+    /// Asserts that no culprit came too often, and that few sound requests were refused, and none for long.
+    fn assert_kept(&self) {
+        let Outcome { sound, refused, late, .. } = self;
+        assert!(late.is_empty(), "retries of culprits by seed and path: {late:?}");
+        let share = *refused as f64 / *sound as f64;
+        assert!(share <= MAX_REFUSED_SHARE, "{refused} of {sound} sound requests refused");
+        assert!(self.long.is_empty(), "sound requests refused, in ms: {:?}", self.long);
+    }
+}
+
+// Guards against requests that crash targets without end beside sound ones which are like them, and against sound
+// ones that are refused for the company in which they ran.
+#[test]
+fn culprits_are_stopped_and_sound_requests_are_not() {
+    Outcome::of(World::new).assert_kept();
+}
+
+// Guards against the same where runs end in any way before their targets do.
+#[test]
+fn culprits_are_stopped_and_sound_requests_are_not_however_runs_end() {
+    Outcome::of(World::with_open_ends).assert_kept();
 }
--- a/components/policy/src/run_end.rs
+++ b/components/policy/src/run_end.rs
@@ -22,7 +22,10 @@
 pub const DOUBT_TIME: Duration = Duration::from_secs(2);
 
 /// The same for a run that was answered well. Far more requests are, so fewer of them may be accused for their company.
-pub const ANSWER_DOUBT_TIME: Duration = Duration::from_millis(500);
+pub const ANSWER_DOUBT_TIME: Duration = Duration::from_millis(100);
+
+/// Time in which a host notices that a target has ended.
+const NOTICE_TIME: Duration = Duration::from_millis(250);
 
 /// Maximum number of runs that are kept until more is known of their targets; the oldest are let go first.
 const MAX_OPEN_RUNS: usize = 4_096;
@@ -95,9 +98,9 @@
 }
 
 impl<R> OpenRuns<R> {
-    /// Keeps runs for `time`.
+    /// Keeps runs that are judged by the end of their targets within `time`.
     pub fn new(time: Duration) -> OpenRuns<R> {
-        OpenRuns { time, runs: VecDeque::new() }
+        OpenRuns { time: time + NOTICE_TIME, runs: VecDeque::new() }
     }
 
     /// Keeps a run that ended at `now` on this start of a target.
@@ -121,8 +124,8 @@
         self.runs.drain(..surplus.max(outlived)).map(|open| open.run).collect()
     }
 
-    /// The starts of targets on which such runs ended.
-    pub fn starts(&self) -> impl Iterator<Item = CrashId> + '_ {
-        self.runs.iter().map(|open| open.start)
+    /// The runs that are kept.
+    pub fn runs(&self) -> impl Iterator<Item = &R> {
+        self.runs.iter().map(|open| &open.run)
     }
 }
--- a/components/policy/src/run_end/tests.rs
+++ b/components/policy/src/run_end/tests.rs
@@ -28,7 +28,7 @@
     open.add(NOW, start(1), "a");
     open.add(NOW + DOUBT_TIME / 2, start(1), "b");
 
-    let later = NOW + DOUBT_TIME;
+    let later = NOW + DOUBT_TIME + NOTICE_TIME;
 
     assert_eq!(open.take_ended(later, start(1)), ["b"]);
     assert_eq!(open.take_outlived(later), ["a"]);
--- a/components/policy/src/suspects.rs
+++ b/components/policy/src/suspects.rs
@@ -8,7 +8,8 @@
 //! never answered. So a refused request is tried again now and then, one run at a time on all hosts together:
 //! - A trial is due some time after the last failed run. The time depends on the request, so that requests which
 //!   failed together are not tried together.
-//! - The hosts take turns in an order by rank, since several may be sent the request at once.
+//! - The hosts take turns in an order by rank, since several may be sent the request at once, and tell each other of a
+//!   trial as it begins: its end may be known seconds later.
 //! - A request whose trials fail as well is refused for long. Runs that were under way when it was refused are
 //!   no trials.
 //!
@@ -40,6 +41,9 @@
 /// Maximum number of failed runs remembered of requests with one content.
 const MAX_RUNS: usize = 32;
 
+/// Maximum number of trials remembered of requests with one content.
+const MAX_TRIALS: usize = 8;
+
 /// Time within which runs that fail may do so with one target.
 const MOMENT: Duration = Duration::from_millis(500);
 
@@ -108,6 +112,8 @@
     digest: u64,
     id: u32,
     at: Time,
+    /// Whether other hosts are to hear of it at once.
+    is_news: bool,
 }
 
 type Runs = SmallVec<[Run; 4]>;
@@ -119,8 +125,8 @@
     runs: Runs,
     /// When a request with this content was last answered since there are failed runs.
     answered_at: Option<Time>,
-    /// When a trial began on this host whose end is not known.
-    trial_at: Option<Time>,
+    /// The last trials that this host knows of and whose ends are not known, with the digests of the requests.
+    trials: SmallVec<[(u64, Time); 2]>,
 }
 
 impl Suspect {
@@ -138,6 +144,27 @@
         self.runs.remove(single.unwrap_or(MAX_RUNS - 1));
     }
 
+    /// Records that a trial of a request began at `at`.
+    fn begin_trial(&mut self, at: Time, digest: u64) {
+        self.end_trial(digest);
+        if self.trials.len() >= MAX_TRIALS {
+            self.trials.remove(0);
+        }
+        self.trials.push((digest, at));
+    }
+
+    /// Forgets the trial of a request.
+    fn end_trial(&mut self, digest: u64) {
+        self.trials.retain(|(known, _)| !is_same(*known, digest));
+    }
+
+    /// When the last trial began of the request for whose `runs` it is refused.
+    fn last_trial(&self, digest: u64, runs: &[Run]) -> Option<Time> {
+        let is_alone = runs.iter().all(|run| is_same(run.digest, digest));
+        let trials = self.trials.iter().filter(|(known, _)| !is_alone || is_same(*known, digest));
+        trials.map(|(_, at)| *at).max()
+    }
+
     fn knows(&self, digest: u64, run: u32) -> bool {
         self.runs.iter().any(|known| (known.digest, known.id) == (digest, run))
     }
@@ -170,6 +197,8 @@
     pub run: u32,
     /// When it failed.
     pub at: Time,
+    /// Whether other hosts are to hear of it at once.
+    pub is_news: bool,
     /// Whether the request has enough failed runs to be refused.
     pub is_refused: bool,
 }
@@ -190,21 +219,38 @@
     /// By content.
     suspects: HashMap<u64, Suspect>,
     answered: HashMap<u64, LastAnswer>,
+    /// Times of answers that may yet be withdrawn, by digest.
+    held: HashMap<u64, SmallVec<[Time; 2]>>,
 }
 
 impl Suspects {
     /// Creates a table without requests.
     pub fn new(settings: SuspectSettings) -> Suspects {
-        Suspects { settings, suspects: HashMap::new(), answered: HashMap::new() }
+        Suspects {
+            settings,
+            suspects: HashMap::new(),
+            answered: HashMap::new(),
+            held: HashMap::new(),
+        }
     }
 
     /// Records that run `run` of the request with this digest failed at `at`. A repeat has no effect, nor has a run
     /// from before its last answer.
     pub fn record_run(&mut self, now: Time, at: Time, digest: u64, run: u32) {
+        self.add_run(now, Run { digest, id: run, at, is_news: true });
+    }
+
+    /// The same for a run of which others do not hear as news, but along with all known runs.
+    pub fn record_quiet_run(&mut self, now: Time, at: Time, digest: u64, run: u32) {
+        self.add_run(now, Run { digest, id: run, at, is_news: false });
+    }
+
+    fn add_run(&mut self, now: Time, run: Run) {
+        let Run { digest, id, at, .. } = run;
         let is_old = now.since(at) >= self.settings.refusal_time;
         let is_answered = self.last_answer(digest).is_some_and(|answer| at <= answer.at);
         // Each host repeats a run many times, so most of what comes is known.
-        if is_old || is_answered || self.knows(digest, run) {
+        if is_old || is_answered || self.knows(digest, id) {
             return;
         }
         let content = content_of(digest);
@@ -217,13 +263,35 @@
             *suspect = Suspect::default();
         }
         let index = suspect.runs.partition_point(|known| known.at <= at);
-        suspect.runs.insert(index, Run { digest, id: run, at });
+        suspect.runs.insert(index, run);
         suspect.limit_runs();
     }
 
-    /// Records that a request was answered in full. Returns how many failed runs this clears it of.
-    pub fn record_answer(&mut self, now: Time, digest: u64) -> usize {
-        self.add_answer(digest, LastAnswer { at: now, is_own: true })
+    /// Records that a request was answered in full at `at`. Returns how many failed runs this clears it of.
+    pub fn record_answer(&mut self, at: Time, digest: u64) -> usize {
+        self.add_answer(digest, LastAnswer { at, is_own: true })
+    }
+
+    /// Records an answer that may yet be withdrawn. Until then the failed runs before it do not count.
+    pub fn hold_answer(&mut self, now: Time, digest: u64) {
+        self.held.entry(digest).or_default().push(now);
+    }
+
+    /// Takes back the answer that was held at `at`.
+    pub fn withdraw_answer(&mut self, at: Time, digest: u64) {
+        let Some(times) = self.held.get_mut(&digest) else { return };
+        if let Some(index) = times.iter().position(|held| *held == at) {
+            times.remove(index);
+        }
+        if times.is_empty() {
+            self.held.remove(&digest);
+        }
+    }
+
+    /// Whether the request was answered since the run, as far as that is not withdrawn.
+    fn is_held(&self, run: &Run) -> bool {
+        let times = self.held.get(&run.digest);
+        times.is_some_and(|times| times.iter().any(|at| run.at <= *at))
     }
 
     /// Records that another host tells of an answer, with the same effect.
@@ -243,13 +311,13 @@
         count
     }
 
-    /// Clears a request of its failed runs, as it was answered since. Returns their number.
-    pub fn clear(&mut self, now: Time, digest: u64) -> usize {
+    /// Clears a request of its failed runs until `at`, when it was answered. Returns their number.
+    pub fn clear(&mut self, at: Time, digest: u64) -> usize {
         let content = content_of(digest);
         let Some(suspect) = self.suspects.get_mut(&content) else { return 0 };
         let known = suspect.runs.len();
-        suspect.runs.retain(|run| run.digest != digest);
-        suspect.answered_at = Some(now);
+        suspect.runs.retain(|run| run.digest != digest || run.at > at);
+        suspect.answered_at = Some(at);
         let left = suspect.runs.len();
         if left == 0 {
             self.suspects.remove(&content);
@@ -289,7 +357,7 @@
         if now.since(last.at) >= refusal_time {
             return SuspectStatus::Clear;
         }
-        let since = suspect.trial_at.unwrap_or(last.at).max(last.at);
+        let since = suspect.last_trial(digest, &runs).map_or(last.at, |at| at.max(last.at));
         let trial_from = delay.map(|delay| since + delay.mul_f64(1.0 + spread(digest)));
         SuspectStatus::Refused { trial_from }
     }
@@ -297,17 +365,37 @@
     /// The failed runs for which a request is refused; none if it is not.
     fn refusing_runs(&self, now: Time, digest: u64, suspect: &Suspect) -> Option<Runs> {
         let own = self.own_runs(now, digest, suspect);
-        let was_answered = self.was_answered(now, digest);
-        let factor = if was_answered { ANSWERED_FACTOR } else { 1 };
-        if own.len() >= self.settings.min_runs * factor {
+        if own.len() >= self.min_runs(now, digest) {
             return Some(own);
         }
-        let unanswered = suspect.runs.iter().filter(|run| suspect.answered_at < Some(run.at));
-        let unanswered = self.counting(now, unanswered);
-        let is_refused = !was_answered && moments(&unanswered) >= self.settings.min_runs;
+        let unanswered = self.unanswered_runs(now, suspect);
+        let is_refused =
+            !self.was_answered(now, digest) && moments(&unanswered) >= self.settings.min_runs;
         is_refused.then_some(unanswered)
     }
 
+    /// Whether a request would be refused if `more` runs of it had failed.
+    pub fn would_refuse(&self, now: Time, digest: u64, more: usize) -> bool {
+        let Some(suspect) = self.suspects.get(&content_of(digest)) else {
+            return more >= self.min_runs(now, digest);
+        };
+        let moments = moments(&self.unanswered_runs(now, suspect)) + more.min(1);
+        self.own_runs(now, digest, suspect).len() + more >= self.min_runs(now, digest)
+            || !self.was_answered(now, digest) && moments >= self.settings.min_runs
+    }
+
+    /// Number of failed runs from which a request is refused.
+    fn min_runs(&self, now: Time, digest: u64) -> usize {
+        let factor = if self.was_answered(now, digest) { ANSWERED_FACTOR } else { 1 };
+        self.settings.min_runs * factor
+    }
+
+    /// The runs that count since a request with this content was answered.
+    fn unanswered_runs(&self, now: Time, suspect: &Suspect) -> Runs {
+        let unanswered = suspect.runs.iter().filter(|run| suspect.answered_at < Some(run.at));
+        self.counting(now, unanswered.filter(|run| !self.is_held(run)))
+    }
+
     /// Begins a trial of a request if it is refused and a trial is due at this host, before which `rank` others take
     /// their turn.
     pub fn begin_trial(&mut self, now: Time, digest: u64, rank: usize) -> Option<Trial> {
@@ -317,14 +405,21 @@
             return None;
         }
         let suspect = self.suspects.get_mut(&content_of(digest))?;
-        suspect.trial_at = Some(now);
+        suspect.begin_trial(now, digest);
         Some(Trial { began_at: now })
     }
 
+    /// Records that another host has begun a trial of a refused request.
+    pub fn hear_trial(&mut self, now: Time, digest: u64) {
+        if let Some(suspect) = self.suspects.get_mut(&content_of(digest)) {
+            suspect.begin_trial(now, digest);
+        }
+    }
+
     /// Records that a trial ended without a run, so that another may begin.
     pub fn cancel_trial(&mut self, digest: u64) {
         if let Some(suspect) = self.suspects.get_mut(&content_of(digest)) {
-            suspect.trial_at = None;
+            suspect.end_trial(digest);
         }
     }
 
@@ -334,14 +429,14 @@
         suspect.and_then(Suspect::last).is_none_or(|last| last <= trial.began_at)
     }
 
-    /// The failed runs since `since`, in no order.
-    pub fn runs_since(&self, now: Time, since: Time) -> Vec<KnownRun> {
+    /// The failed runs that count, in no order.
+    pub fn runs(&self, now: Time) -> Vec<KnownRun> {
         let runs = self.suspects.values().flat_map(|suspect| {
-            let recent = suspect.runs.iter().filter(move |run| run.at >= since);
-            recent.filter_map(move |run| {
+            suspect.runs.iter().filter_map(move |run| {
                 let own = self.own_runs(now, run.digest, suspect);
                 let is_refused = own.len() >= self.settings.min_runs;
-                let known = KnownRun { digest: run.digest, run: run.id, at: run.at, is_refused };
+                let Run { digest, id, at, is_news } = *run;
+                let known = KnownRun { digest, run: id, at, is_news, is_refused };
                 own.contains(run).then_some(known)
             })
         });
@@ -357,12 +452,14 @@
 
     fn was_answered(&self, now: Time, digest: u64) -> bool {
         let answer = self.last_answer(digest);
-        answer.is_some_and(|answer| now.since(answer.at) < self.settings.refusal_time)
+        let is_recent = |answer: LastAnswer| now.since(answer.at) < self.settings.refusal_time;
+        self.held.contains_key(&digest) || answer.is_some_and(is_recent)
     }
 
     /// The runs of a request that count, at all services.
     fn own_runs(&self, now: Time, digest: u64, suspect: &Suspect) -> Runs {
-        self.counting(now, suspect.runs.iter().filter(|run| is_same(run.digest, digest)))
+        let own = suspect.runs.iter().filter(|run| is_same(run.digest, digest));
+        self.counting(now, own.filter(|run| !self.is_held(run)))
     }
 
     /// Those of `runs`, in the order of their times, that count: from the first of enough within the time for which
