--- a/components/gateway/tests/poison.rs
+++ b/components/gateway/tests/poison.rs
@@ -64,7 +64,7 @@
     tell_each_other(now, &mut guards);
     guards[0].record_answer(now, one, &[]);
     for _ in 0..20 {
-        now = now + ROUND;
+        now += ROUND;
         tell_each_other(now, &mut guards);
     }
 
