--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -1,7 +1,7 @@
 //! Fake HTTP servers for the platform, model engines and plain services.
 //!
 //! Each listens on loopback, records the calls it receives and can be switched to
-//! behave faultily. For tests, benchmarks and the demo only.
+//! behave faultily. For tests, the load tool and the demo only.
 
 mod caller;
 mod deployment;
